--- /dev/null
+++ b/bench/costs.py
@@ -0,0 +1,1 @@
+"""Placeholder replaced by the bench."""
--- /dev/null
+++ b/src/cloverwalk/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The command line."""
--- /dev/null
+++ b/src/cloverwalk/cli/fleet.py
@@ -0,0 +1,41 @@
+"""``cloverwalk fleet``."""
+
+import click
+
+from cloverwalk.cli.api import call, decode, json_option, node_option, print_json
+
+
+@click.group()
+def fleet() -> None:
+    """Read the fleet.
+
+    Example: cloverwalk fleet show
+    """
+
+
+@fleet.command("show")
+@node_option
+@json_option
+def show_command(nodes: tuple[str, ...], as_json: bool) -> None:
+    """Show nodes, replicas and job shards as one node sees them.
+
+    Example: cloverwalk fleet show --node 127.0.0.1:8081
+    """
+    answer = decode(call(nodes, "GET", "/v1/fleet"))
+    if as_json:
+        print_json(answer)
+        return
+    flags = [name for name in ("table_stale", "store_down") if answer[name]]
+    suffix = f"  [{', '.join(flags)}]" if flags else ""
+    click.echo(f"as seen by {answer['node']}, table version {answer['table_version']}{suffix}")
+    for one in answer["nodes"]:
+        state = "leaving" if one["leaving"] else ("live" if one["live"] else "suspected")
+        shards = len(one["shards"])
+        click.echo(f"{one['node']:12} {one['zone']:12} {state:10} shards {shards}")
+        for replica in one["replicas"]:
+            mark = " leaving" if replica["leaving"] else ""
+            click.echo(
+                f"    {replica['replica']:12} {replica['model']:14} epoch {replica['epoch']}"
+                f"  online {replica['online']} + batch {replica['batch']}"
+                f" of {replica['slots']}{mark}"
+            )
--- /dev/null
+++ b/src/cloverwalk/cli/main.py
@@ -0,0 +1,61 @@
+"""``cloverwalk``: the one command.
+
+Exit codes: 0 done; 1 the cluster refused; 2 wrong words or input file; 3 no node answered;
+4 faults in a settings file; 5 somebody else changed it first.
+"""
+
+import sys
+from typing import Any
+
+import click
+
+from cloverwalk import __version__
+from cloverwalk.cli.batch import batch
+from cloverwalk.cli.demo import demo
+from cloverwalk.cli.errors import EXIT_SETTINGS, CommandError
+from cloverwalk.cli.fleet import fleet
+from cloverwalk.cli.run import emulator, node
+from cloverwalk.cli.session import session
+from cloverwalk.cli.settings import settings
+from cloverwalk.cli.table import table
+from cloverwalk.config.loader import SettingsError
+
+
+class _Group(click.Group):
+    """Turns the program's own errors into messages and exit codes."""
+
+    def invoke(self, ctx: click.Context) -> Any:
+        try:
+            return super().invoke(ctx)
+        except CommandError as error:
+            click.echo(f"Error: {error}", err=True)
+            ctx.exit(error.exit_code)
+        except SettingsError as error:
+            click.echo(f"Error: the settings have {len(error.faults)} fault(s)", err=True)
+            click.echo(str(error), err=True)
+            ctx.exit(EXIT_SETTINGS)
+
+
+@click.group(cls=_Group, epilog=__doc__)
+@click.version_option(__version__)
+def cli() -> None:
+    """Online and batch inference on one shared fleet.
+
+    Example: cloverwalk demo
+    """
+
+
+for command in (node, emulator, demo, table, session, batch, fleet, settings):
+    cli.add_command(command)
+
+
+def main() -> None:
+    """Run the command line."""
+    try:
+        cli()
+    except KeyboardInterrupt:
+        sys.exit(130)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/src/cloverwalk/config/__init__.py
@@ -0,0 +1,1 @@
+"""Typed settings, one object per concern, checked whole at the start."""
--- /dev/null
+++ b/src/cloverwalk/config/loader.py
@@ -0,0 +1,97 @@
+"""Reading and checking of a settings file: every fault at once, with its path."""
+
+from pathlib import Path
+from types import UnionType
+from typing import Any, Union, get_args, get_origin, get_type_hints
+
+import msgspec
+import tomlkit
+import tomlkit.exceptions
+from msgspec import NODEFAULT, Struct
+
+from cloverwalk.config.settings import SettingsFile
+from cloverwalk.core.errors import CloverwalkError
+
+
+class Fault(Struct, frozen=True):
+    """One fault: where, what was found and what is allowed."""
+
+    path: str
+    found: str
+    problem: str
+
+    def __str__(self) -> str:
+        return f"{self.path}: found {self.found}; {self.problem}"
+
+
+class SettingsError(CloverwalkError):
+    """The settings can't be used; ``faults`` lists all that is wrong."""
+
+    default_code = "settings_invalid"
+
+    def __init__(self, faults: list[Fault]) -> None:
+        super().__init__("\n".join(str(fault) for fault in faults))
+        self.faults = faults
+
+
+def load_file(path: Path) -> SettingsFile:
+    """Return the checked settings of a TOML file; raise SettingsError with every fault."""
+    settings: SettingsFile = check(read_toml(path), SettingsFile)
+    return settings
+
+
+def read_toml(path: Path) -> dict[str, Any]:
+    """Return a TOML file as plain maps; raise SettingsError when it can't be read."""
+    try:
+        return tomlkit.parse(path.read_text("utf-8")).unwrap()
+    except OSError as error:
+        raise SettingsError([Fault(str(path), "no readable file", str(error.strerror))]) from error
+    except UnicodeDecodeError as error:
+        raise SettingsError([Fault(str(path), "bytes", "the file must be UTF-8")]) from error
+    except tomlkit.exceptions.TOMLKitError as error:
+        raise SettingsError([Fault(str(path), "invalid TOML", str(error))]) from error
+
+
+def check(raw: dict[str, Any], wanted: type[Struct]) -> Any:
+    """Return ``raw`` as ``wanted``; raise SettingsError with every fault.
+
+    >>> from cloverwalk.config.settings import GossipSettings
+    >>> check({"fanout": 0, "interval": 1.0}, GossipSettings)
+    Traceback (most recent call last):
+    ...
+    cloverwalk.config.loader.SettingsError: interval: found 1.0; unknown key; allowed are interval_s, fanout, digests_per_message, suspect_after_s, forget_after_s
+    fanout: found 0; expected `int` >= 1
+    """  # noqa: E501
+    faults: list[Fault] = []
+    _collect(raw, wanted, "", faults)
+    if faults:
+        raise SettingsError(faults)
+    return msgspec.convert(raw, wanted)
+
+
+def _collect(raw: dict[str, Any], wanted: type[Struct], path: str, faults: list[Fault]) -> None:
+    # msgspec stops at the first fault, so each field is converted by itself.
+    fields = {one.encode_name: one for one in msgspec.structs.fields(wanted)}
+    hints = get_type_hints(wanted, include_extras=True)
+    for key in raw.keys() - fields.keys():
+        allowed = ", ".join(fields)
+        faults.append(Fault(path + key, repr(raw[key]), f"unknown key; allowed are {allowed}"))
+    for key, info in fields.items():
+        if key not in raw:
+            if info.default is NODEFAULT and info.default_factory is NODEFAULT:
+                faults.append(Fault(path + key, "nothing", "this key is required"))
+            continue
+        nested = _struct_type(hints[info.name])
+        if nested is not None and isinstance(raw[key], dict):
+            _collect(raw[key], nested, f"{path}{key}.", faults)
+            continue
+        try:
+            msgspec.convert(raw[key], hints[info.name])
+        except msgspec.ValidationError as error:
+            problem = str(error)
+            faults.append(Fault(path + key, repr(raw[key]), problem[0].lower() + problem[1:]))
+
+
+def _struct_type(hint: Any) -> type[Struct] | None:
+    options = get_args(hint) if get_origin(hint) in (UnionType, Union) else (hint,)
+    return next((o for o in options if isinstance(o, type) and issubclass(o, Struct)), None)
--- /dev/null
+++ b/src/cloverwalk/control/gossip.py
@@ -0,0 +1,85 @@
+"""Rounds of gossip: sends this node's digest and others', takes in what comes."""
+
+from collections.abc import Callable
+
+from cloverwalk.control.context import Context
+from cloverwalk.core import catalogue
+from cloverwalk.core.membership import NodeDigest
+from cloverwalk.core.peer_messages import AgedDigest, Gossip
+
+
+class GossipRole:
+    """Keeps the membership view fresh."""
+
+    def __init__(
+        self,
+        context: Context,
+        own_digest: Callable[[int], NodeDigest],
+        on_digest: Callable[[NodeDigest], None],
+        on_lost: Callable[[str], None],
+    ) -> None:
+        self._context = context
+        self._own_digest = own_digest
+        self._on_digest = on_digest
+        self._on_lost = on_lost
+        self._beat = 0
+        self._sent_at = -1e9
+        self._suspected: set[str] = set()
+
+    def tick(self) -> None:
+        """Send a round when it is due, and report members that fell silent."""
+        context = self._context
+        settings = context.settings.gossip
+        self._report_suspects()
+        if context.now - self._sent_at < settings.interval_s:
+            return
+        self._sent_at = context.now
+        context.membership.forget(settings.forget_after_s, context.now)
+        targets = context.membership.gossip_targets(settings.fanout, context.random, context.now)
+        self._send(targets)
+
+    def announce(self) -> None:
+        """Tell live members at once; for news that must not wait for the next round."""
+        nodes = [digest.node for digest in self._context.membership.live(self._context.now)]
+        message = self.hello()
+        for node in nodes:
+            self._context.send(node, message)
+
+    def hello(self) -> Gossip:
+        """Return this node's own digest as a message."""
+        self._beat += 1
+        return Gossip([AgedDigest(self._own_digest(self._beat), 0.0)])
+
+    def _send(self, targets: list[str]) -> None:
+        context = self._context
+        self._beat += 1
+        own = AgedDigest(self._own_digest(self._beat), 0.0)
+        limit = context.settings.gossip.digests_per_message - 1
+        others = [
+            AgedDigest(digest, age_s)
+            for digest, age_s in context.membership.entries_to_send(limit, context.now)
+        ]
+        for node in targets:
+            context.send(node, Gossip([own, *others]))
+
+    def on_gossip(self, message: Gossip) -> None:
+        """Merge digests; new ones are passed on to the node's other roles."""
+        context = self._context
+        for aged in message.digests:
+            before = context.membership.digest(aged.digest.node)
+            if not context.membership.merge(aged.digest, aged.age_s, context.now):
+                continue
+            if before is not None and before.incarnation != aged.digest.incarnation:
+                self._on_lost(before.node)
+            self._suspected.discard(aged.digest.node)
+            self._on_digest(aged.digest)
+
+    def _report_suspects(self) -> None:
+        context = self._context
+        for digest in context.membership.known():
+            if context.membership.is_live(digest.node, context.now):
+                continue
+            if digest.node not in self._suspected:
+                self._suspected.add(digest.node)
+                context.log(catalogue.PEER_SUSPECTED, peer=digest.node)
+                self._on_lost(digest.node)
--- /dev/null
+++ b/src/cloverwalk/control/replica_owner.py
@@ -0,0 +1,730 @@
+"""The owner of engine replicas: the only place that starts work on them.
+
+States of a replica here: adopting (the engine is told the epoch) > active > draining.
+Online work has its own queue and never waits for a batch item to end: when no slot is
+free, the youngest batch streams are suspended first. Batch items are pulled from job
+owners only into room that the concurrency controller leaves.
+"""
+
+from collections import OrderedDict
+from collections.abc import Callable, Iterable
+from enum import StrEnum
+
+from msgspec import Struct
+
+from cloverwalk.control.context import Context
+from cloverwalk.control.leases import LeaseKeeper
+from cloverwalk.control.table_sync import TableSync
+from cloverwalk.core import catalogue
+from cloverwalk.core.batch_concurrency import BatchConcurrency, ConcurrencySettings
+from cloverwalk.core.collect import Chunk
+from cloverwalk.core.constants import PULL_TIMEOUT_S, SUSPENDED_KEEP_S
+from cloverwalk.core.events import (
+    AdoptEngine,
+    EngineAdopted,
+    EngineChunk,
+    EngineCut,
+    EngineLoad,
+    EngineRefused,
+    EngineStatus,
+    QueryEngine,
+    StartWork,
+    StopWork,
+)
+from cloverwalk.core.fair_share import FairShare
+from cloverwalk.core.hashing import rendezvous_score
+from cloverwalk.core.membership import DemandReport, ReplicaReport
+from cloverwalk.core.peer_messages import (
+    AttemptLost,
+    CancelJob,
+    CancelJobAck,
+    CancelWork,
+    ChunkMessage,
+    ItemDone,
+    ItemReturned,
+    ItemsHeld,
+    LeavingNotice,
+    Offer,
+    OfferRefused,
+    Pull,
+    PulledItem,
+    PullReply,
+    QueryWork,
+    WorkStatus,
+)
+from cloverwalk.core.policies import POLICIES, SchedulingPolicy
+from cloverwalk.core.replica_slots import (
+    QueuedOffer,
+    ReplicaSlots,
+    RunningWork,
+    SuspendedItem,
+)
+from cloverwalk.core.types import ItemResult, Outcome, Priority, Refusal, Work
+
+ADOPT_RETRY_S = 0.5
+HELD_REPORT_S = 1.0
+EMPTY_CLASS_PAUSE_S = 0.2
+ENGINE_LOST_PAUSE_S = 2.0
+REMEMBERED_CANCELS = 10_000
+
+
+class ReplicaState(StrEnum):
+    """Where a replica stands at its owner."""
+
+    ADOPTING = "adopting"
+    ACTIVE = "active"
+    DRAINING = "draining"
+
+
+class _OutstandingPull(Struct):
+    pull_id: str
+    replica: str
+    target: str
+    class_key: "ClassKey"
+    count: int
+    sent_at: float
+
+
+class ClassKey(Struct, frozen=True):
+    """A class of batch work: what fair share is counted by."""
+
+    session: str
+    kind: str
+
+
+class OwnedReplica(Struct):
+    """One replica this node owns."""
+
+    replica: str
+    epoch: int
+    state: ReplicaState
+    slots: ReplicaSlots
+    concurrency: BatchConcurrency
+    model: str = ""
+    leaving: bool = False
+    adopt_at: float = 0.0
+    paused_until: float = -1e9
+    pulling: int = 0
+
+
+class ReplicaOwner:
+    """All replicas owned by one node."""
+
+    def __init__(
+        self,
+        context: Context,
+        leases: LeaseKeeper,
+        table: TableSync,
+        shard_owner: Callable[[str], str | None],
+    ) -> None:
+        self._context = context
+        self._leases = leases
+        self._table = table
+        self._shard_owner = shard_owner
+        self._policy: SchedulingPolicy = POLICIES[context.settings.scheduler.policy]
+        self._replicas: dict[str, OwnedReplica] = {}
+        self._share: FairShare[ClassKey] = FairShare()
+        self._pulls: dict[str, _OutstandingPull] = {}
+        self._empty_until: dict[tuple[str, ClassKey], float] = {}
+        self._cancelled_jobs: OrderedDict[str, None] = OrderedDict()
+        self._barriers: dict[str, tuple[str, str]] = {}
+        self._queries: dict[str, str] = {}
+        self._attempt_count = 0
+        self._held_report_at = -1e9
+        self.leaving_replicas: set[str] = set()
+
+    # --- ownership ---
+
+    def on_held(self, resource: str, epoch: int) -> None:
+        """Take over a replica: tell its engine the new epoch first."""
+        replica = resource.removeprefix("replica/")
+        scheduler = self._context.settings.scheduler
+        settings = ConcurrencySettings(
+            step_goal_s=scheduler.step_goal_s,
+            reserve_min_slots=scheduler.reserve_min_slots,
+            peak_half_life_s=scheduler.peak_half_life_s,
+        )
+        self._replicas[replica] = OwnedReplica(
+            replica,
+            epoch,
+            ReplicaState.ADOPTING,
+            ReplicaSlots(0),
+            BatchConcurrency(settings, 1),
+            leaving=replica in self.leaving_replicas,
+        )
+        self._adopt(self._replicas[replica])
+
+    def _adopt(self, owned: OwnedReplica) -> None:
+        owned.adopt_at = self._context.now + ADOPT_RETRY_S
+        self._context.emit(AdoptEngine(owned.replica, owned.epoch))
+
+    def on_adopted(self, event: EngineAdopted) -> None:
+        """The engine answered: start to serve, or learn that another node owns it."""
+        owned = self._replicas.get(event.replica)
+        if owned is None or owned.epoch != event.epoch:
+            return
+        if not event.accepted:
+            if event.slots:  # it answered: it knows a higher epoch
+                self._leases.lost(f"replica/{event.replica}")
+            return
+        if owned.state is not ReplicaState.ADOPTING:
+            return
+        scheduler = self._context.settings.scheduler
+        owned.state = ReplicaState.ACTIVE
+        owned.model = event.model
+        owned.slots.slots = event.slots
+        settings = ConcurrencySettings(
+            step_goal_s=scheduler.step_goal_s,
+            reserve_min_slots=scheduler.reserve_min_slots,
+            peak_half_life_s=scheduler.peak_half_life_s,
+        )
+        owned.concurrency = BatchConcurrency(settings, event.slots)
+        self._fill(owned)
+
+    def on_lost(self, resource: str) -> None:
+        """Another node owns the replica; its engine aborts what this node started."""
+        owned = self._replicas.pop(resource.removeprefix("replica/"), None)
+        if owned is None:
+            return
+        for running in list(owned.slots.running.values()):
+            owned.slots.remove(running.work.request_id, running.work.attempt)
+            self._ended_without_answer(owned, running, "lease_lost", "")
+        self._empty_queues(owned, Refusal.NOT_OWNER)
+
+    def on_drain(self, resource: str) -> None:
+        """Take no new work; the lease is released when nothing runs."""
+        owned = self._replicas.get(resource.removeprefix("replica/"))
+        if owned is None:
+            self._leases.release(resource)
+            return
+        owned.state = ReplicaState.DRAINING
+        self._stop_batch(owned)
+        self._return_suspended(owned, older_than_s=-1.0)
+        self._release_if_idle(owned)
+
+    def _release_if_idle(self, owned: OwnedReplica) -> None:
+        if owned.state is not ReplicaState.DRAINING:
+            return
+        if owned.slots.running or owned.slots.queue:
+            return
+        if self._replicas.pop(owned.replica, None) is not None:
+            self._leases.release(f"replica/{owned.replica}")
+
+    def _empty_queues(self, owned: OwnedReplica, reason: Refusal) -> None:
+        while owned.slots.queue:
+            offer = owned.slots.queue.popleft()
+            self._refuse(owned.replica, offer.work, offer.reply_to, reason)
+        self._return_suspended(owned, older_than_s=-1.0)
+
+    # --- online work ---
+
+    def on_offer(self, sender: str, offer: Offer) -> None:
+        """Start online work, queue it for a slot that is being freed, or refuse at once."""
+        owned = self._replicas.get(offer.replica)
+        reason = self._refusal(owned, offer.work)
+        if owned is None or reason is not None:
+            self._refuse(offer.replica, offer.work, sender, reason or Refusal.NOT_OWNER)
+            return
+        owned.slots.queue.append(QueuedOffer(offer.work, sender, self._context.now))
+        self._note_online(owned)
+        self._fill(owned)
+
+    def _refusal(self, owned: OwnedReplica | None, work: Work) -> Refusal | None:
+        if owned is None or owned.state is ReplicaState.ADOPTING:
+            return Refusal.NOT_OWNER
+        if owned.leaving or owned.state is ReplicaState.DRAINING:
+            return Refusal.LEAVING
+        if owned.model != work.model:
+            return Refusal.WRONG_MODEL
+        if self._context.now < owned.paused_until:
+            return Refusal.UNREACHABLE
+        if work.request_id in owned.slots.running:
+            return Refusal.BUSY
+        slots = owned.slots
+        waiting = len(slots.queue)
+        can_free = slots.free + (slots.batch_count if self._policy.preempts else 0)
+        if waiting >= can_free + self._context.settings.online.max_queue_per_replica:
+            return Refusal.BUSY
+        return None
+
+    def _refuse(self, replica: str, work: Work, reply_to: str, reason: Refusal) -> None:
+        owned = self._replicas.get(replica)
+        online = owned.slots.online_count if owned else 0
+        message = OfferRefused(replica, work.request_id, work.attempt, reason, online)
+        self._context.send(reply_to, message)
+
+    def _note_online(self, owned: OwnedReplica) -> None:
+        online = owned.slots.online_count + len(owned.slots.queue)
+        owned.concurrency.observe_online(online, self._context.now)
+
+    def on_cancel(self, message: CancelWork) -> None:
+        """Stop an online attempt."""
+        owned = self._replicas.get(message.replica)
+        if owned is None:
+            return
+        for offer in list(owned.slots.queue):
+            if (offer.work.request_id, offer.work.attempt) == (
+                message.request_id,
+                message.attempt,
+            ):
+                owned.slots.queue.remove(offer)
+                return
+        running = owned.slots.running.get(message.request_id)
+        if running is not None and running.work.attempt == message.attempt:
+            self._context.emit(StopWork(owned.replica, message.request_id, message.attempt))
+
+    # --- filling slots ---
+
+    def _fill(self, owned: OwnedReplica) -> None:
+        """Give free slots to online work, then to batch; make room for waiting online work."""
+        if owned.state is ReplicaState.ADOPTING:
+            return
+        slots = owned.slots
+        while slots.queue and slots.free > 0:
+            offer = slots.queue.popleft()
+            self._start_online(owned, offer)
+        if slots.queue and self._policy.preempts:
+            self._suspend(owned, len(slots.queue) - slots.stopping_count)
+        elif not slots.queue and owned.state is ReplicaState.ACTIVE:
+            self._fill_with_batch(owned)
+        self._release_if_idle(owned)
+
+    def _start_online(self, owned: OwnedReplica, offer: QueuedOffer) -> None:
+        context = self._context
+        waited_s = context.now - offer.queued_at
+        context.metrics.queue_time.labels("online").observe(waited_s)
+        owned.slots.add(RunningWork(offer.work, context.now, reply_to=offer.reply_to))
+        self._note_online(owned)
+        context.emit(StartWork(owned.replica, owned.epoch, offer.work))
+
+    def _suspend(self, owned: OwnedReplica, count: int) -> None:
+        for _ in range(count):
+            victim = owned.slots.youngest_batch()
+            if victim is None:
+                return
+            self._stop_batch_stream(owned, victim)
+            self._context.metrics.preemptions.inc()
+            self._context.log(
+                catalogue.BATCH_SUSPENDED, replica=owned.replica, request=victim.work.request_id
+            )
+
+    def _stop_batch_stream(self, owned: OwnedReplica, running: RunningWork) -> None:
+        owned.slots.mark_stopping(running)
+        work = running.work
+        self._context.emit(StopWork(owned.replica, work.request_id, work.attempt))
+
+    def _stop_batch(self, owned: OwnedReplica, job_id: str | None = None) -> None:
+        for running in list(owned.slots.running.values()):
+            if running.is_batch and not running.stopping and job_id in (None, running.job_id):
+                self._stop_batch_stream(owned, running)
+
+    # --- batch work ---
+
+    def _may_start_batch(self) -> bool:
+        return self._policy.runs_batch and self._leases.is_valid and not self._table.is_stale
+
+    def _batch_room(self, owned: OwnedReplica) -> int:
+        slots = owned.slots
+        if not self._takes_batch(owned.replica):
+            return 0
+        if self._policy.controls_concurrency:
+            online = slots.online_count + len(slots.queue)
+            allowed = owned.concurrency.allowed(online)
+        else:
+            allowed = slots.slots - slots.online_count
+        return min(slots.free, allowed - slots.batch_count) - owned.pulling
+
+    def _takes_batch(self, replica: str) -> bool:
+        share = self._policy.batch_share
+        if share is None:
+            return True
+        return rendezvous_score("partition", replica) % 1000 < share * 1000
+
+    def _fill_with_batch(self, owned: OwnedReplica) -> None:
+        if owned.leaving or self._context.now < owned.paused_until:
+            return
+        if not self._may_start_batch():
+            return
+        room = self._batch_room(owned)
+        while room > 0 and owned.slots.suspended:
+            self._resume(owned, owned.slots.suspended.popleft())
+            room -= 1
+        if room > 0:
+            self._pull(owned, room)
+
+    def _resume(self, owned: OwnedReplica, suspended: SuspendedItem) -> None:
+        pulled = PulledItem(
+            suspended.job_id, suspended.index, suspended.item, suspended.resume_text
+        )
+        self._start_item(owned, pulled)
+
+    def _start_item(self, owned: OwnedReplica, pulled: PulledItem) -> None:
+        self._attempt_count += 1
+        work = Work(
+            request_id=f"{pulled.job_id}/{pulled.index}",
+            attempt=owned.epoch * 1_000_000 + self._attempt_count % 1_000_000,
+            model=owned.model,
+            prompt=pulled.item.prompt,
+            max_tokens=pulled.item.max_tokens,
+            priority=Priority.BATCH if self._policy.uses_priority else Priority.ONLINE,
+            resume_text=pulled.resume_text,
+            stream=False,
+        )
+        running = RunningWork(work, self._context.now, "", pulled.job_id, pulled.index, pulled.item)
+        owned.slots.add(running)
+        self._context.emit(StartWork(owned.replica, owned.epoch, work))
+
+    def _pull(self, owned: OwnedReplica, room: int) -> None:
+        choice = self._choose_class(owned.model)
+        if choice is None:
+            return
+        target, class_key = choice
+        pull_id = self._context.new_id()
+        pull = _OutstandingPull(pull_id, owned.replica, target, class_key, room, self._context.now)
+        self._pulls[pull_id] = pull
+        owned.pulling += room
+        message = Pull(pull_id, owned.replica, class_key.session, class_key.kind, owned.model, room)
+        self._context.send(target, message)
+
+    def _choose_class(self, model: str) -> tuple[str, ClassKey] | None:
+        """Return the job owner and class to pull from: urgent work first, then fair share."""
+        now = self._context.now
+        offers: dict[ClassKey, list[tuple[str, DemandReport]]] = {}
+        for node, demand in self._demand():
+            key = ClassKey(demand.session, demand.kind)
+            if demand.model != model or demand.pending <= 0:
+                continue
+            if now >= self._empty_until.get((node, key), -1e9):
+                offers.setdefault(key, []).append((node, demand))
+        if not offers:
+            return None
+        urgent = [key for key, at in offers.items() if any(d.urgent for _, d in at)]
+        weights = {key: self._weight(key) for key in offers}
+        chosen = self._share.choose(urgent or list(offers), weights)
+        holders = offers[chosen]
+        pending = [demand.pending for _, demand in holders]
+        node = self._context.random.choices([node for node, _ in holders], weights=pending)[0]
+        return node, chosen
+
+    def _demand(self) -> Iterable[tuple[str, DemandReport]]:
+        context = self._context
+        for digest in context.membership.live(context.now):
+            for demand in digest.demand:
+                yield digest.node, demand
+        for demand in self.own_demand():
+            yield context.node_id, demand
+
+    own_demand: Callable[[], list[DemandReport]] = staticmethod(lambda: [])
+
+    def _weight(self, key: ClassKey) -> float:
+        return self._context.table_row(key.session, key.kind).weight
+
+    def on_pull_reply(self, sender: str, reply: PullReply) -> None:
+        """Start the pulled items; what can't start any more goes back at once."""
+        pull = self._pulls.pop(reply.pull_id, None)
+        if pull is None:
+            self._give_back(sender, reply.items)
+            return
+        owned = self._replicas.get(pull.replica)
+        if owned is not None:
+            owned.pulling -= pull.count
+        if len(reply.items) < pull.count or reply.pending == 0:
+            pause_until = self._context.now + EMPTY_CLASS_PAUSE_S
+            self._empty_until[(sender, pull.class_key)] = pause_until
+        if owned is None or owned.state is not ReplicaState.ACTIVE or not self._may_start_batch():
+            self._give_back(sender, reply.items)
+            return
+        self._start_pulled(owned, sender, pull.class_key, reply.items)
+        self._fill(owned)
+
+    def _start_pulled(
+        self, owned: OwnedReplica, sender: str, key: ClassKey, items: list[PulledItem]
+    ) -> None:
+        refused = []
+        for pulled in items:
+            known = f"{pulled.job_id}/{pulled.index}" in owned.slots.running
+            if pulled.job_id in self._cancelled_jobs or known or owned.slots.free <= 0:
+                refused.append(pulled)
+                continue
+            self._start_item(owned, pulled)
+            self._share.charge(key, float(pulled.item.max_tokens), self._weight(key))
+        self._give_back(sender, refused)
+
+    def _give_back(self, node: str, items: list[PulledItem]) -> None:
+        for pulled in items:
+            message = ItemReturned(pulled.job_id, pulled.index, pulled.resume_text)
+            self._context.send(node, message)
+
+    def _return_suspended(self, owned: OwnedReplica, older_than_s: float) -> None:
+        now = self._context.now
+        for suspended in list(owned.slots.suspended):
+            if now - suspended.suspended_at > older_than_s:
+                owned.slots.suspended.remove(suspended)
+                self._return_item(suspended.job_id, suspended.index, suspended.resume_text)
+
+    def _return_item(self, job_id: str, index: int, resume_text: str) -> None:
+        owner = self._shard_owner(job_id)
+        if owner is not None:
+            self._context.send(owner, ItemReturned(job_id, index, resume_text))
+
+    def demand_changed(self) -> None:
+        """Look for batch work now: a job owner announced new items."""
+        for owned in list(self._replicas.values()):
+            self._fill(owned)
+
+    # --- what engines say ---
+
+    def on_chunk(self, event: EngineChunk) -> None:
+        """Pass output on; the last chunk frees the slot."""
+        owned = self._replicas.get(event.replica)
+        if owned is None:
+            return
+        running = owned.slots.running.get(event.request_id)
+        if running is None or running.work.attempt != event.attempt:
+            return
+        if event.step_s > 0:
+            owned.concurrency.observe_step(event.step_s, self._context.now)
+        if event.finished:
+            owned.slots.remove(event.request_id, event.attempt)
+        if running.is_batch:
+            if event.finished:
+                self._item_done(running, event)
+        else:
+            total = event.first + event.tokens if event.finished else None
+            chunk = Chunk(
+                event.request_id, event.attempt, event.first, event.tokens, event.text, total
+            )
+            self._context.send(running.reply_to, ChunkMessage(chunk))
+        if event.finished:
+            self._after_end(owned)
+
+    def _item_done(self, running: RunningWork, event: EngineChunk) -> None:
+        custom_id = running.item.custom_id if running.item else ""
+        text = running.work.resume_text + event.text
+        tokens = event.first + event.tokens
+        result = ItemResult(running.index, custom_id, Outcome.COMPLETED, text, tokens)
+        owner = self._shard_owner(running.job_id)
+        if owner is not None:
+            self._context.send(owner, ItemDone(running.job_id, running.index, result))
+
+    def on_refused(self, event: EngineRefused) -> None:
+        """The engine did not start the work; say so truthfully."""
+        owned = self._replicas.get(event.replica)
+        if owned is None:
+            return
+        running = owned.slots.remove(event.request_id, event.attempt)
+        reason = _refusal_of(event.reason)
+        if reason is Refusal.LEAVING:
+            self.note_leaving(event.replica)
+        elif reason is Refusal.UNREACHABLE:
+            owned.paused_until = self._context.now + ENGINE_LOST_PAUSE_S
+        if running is not None:
+            self._refused_by_engine(owned, running, reason)
+        if reason is Refusal.STALE_EPOCH:
+            self._leases.lost(f"replica/{event.replica}")
+            return
+        self._after_end(owned)
+
+    def _refused_by_engine(
+        self, owned: OwnedReplica, running: RunningWork, reason: Refusal
+    ) -> None:
+        if running.is_batch:
+            self._return_item(running.job_id, running.index, running.work.resume_text)
+        else:
+            self._refuse(owned.replica, running.work, running.reply_to, reason)
+
+    def on_cut(self, event: EngineCut) -> None:
+        """A stream ended early; a suspended item is kept here for a while."""
+        owned = self._replicas.get(event.replica)
+        if owned is None:
+            return
+        running = owned.slots.remove(event.request_id, event.attempt)
+        if running is None:
+            return
+        if event.reason == "lost":
+            owned.paused_until = self._context.now + ENGINE_LOST_PAUSE_S
+        self._ended_without_answer(owned, running, event.reason, event.text)
+        self._after_end(owned)
+
+    def _ended_without_answer(
+        self, owned: OwnedReplica, running: RunningWork, reason: str, text: str
+    ) -> None:
+        work = running.work
+        if not running.is_batch:
+            message = AttemptLost(work.request_id, work.attempt, reason)
+            self._context.send(running.reply_to, message)
+            return
+        resume_text = text or work.resume_text
+        if running.job_id in self._cancelled_jobs:
+            return
+        keeps = owned.state is ReplicaState.ACTIVE and not owned.leaving
+        if reason == "cancelled" and keeps and running.item is not None:
+            owned.slots.suspended.append(
+                SuspendedItem(
+                    running.job_id,
+                    running.index,
+                    running.item,
+                    resume_text,
+                    self._context.now,
+                    owned.model,
+                )
+            )
+            return
+        self._return_item(running.job_id, running.index, resume_text)
+
+    def _after_end(self, owned: OwnedReplica) -> None:
+        self._note_online(owned)
+        self._check_barriers()
+        self._fill(owned)
+
+    def on_load(self, event: EngineLoad) -> None:
+        """Take a lagging load report: only its step time and leaving sign are used."""
+        if event.leaving:
+            self.note_leaving(event.replica)
+        owned = self._replicas.get(event.replica)
+        if owned is not None and event.step_s > 0:
+            owned.concurrency.observe_step(event.step_s, self._context.now)
+
+    def note_leaving(self, replica: str) -> bool:
+        """Start nothing more on a replica; return whether this was the first sign."""
+        if replica in self.leaving_replicas:
+            return False
+        self.leaving_replicas.add(replica)
+        self._context.log(catalogue.REPLICA_LEAVING, replica=replica)
+        for node in self._context.live_node_names():
+            if node != self._context.node_id:
+                self._context.send(node, LeavingNotice(replica))
+        owned = self._replicas.get(replica)
+        if owned is not None:
+            owned.leaving = True
+            self._empty_queues(owned, Refusal.LEAVING)
+        return True
+
+    # --- cancelled jobs ---
+
+    def on_cancel_job(self, sender: str, message: CancelJob) -> None:
+        """Stop a job's items; acknowledge when none runs on this node's replicas."""
+        self._cancelled_jobs[message.job_id] = None
+        if len(self._cancelled_jobs) > REMEMBERED_CANCELS:
+            self._cancelled_jobs.popitem(last=False)
+        for owned in self._replicas.values():
+            self._stop_batch(owned, message.job_id)
+            kept = [one for one in owned.slots.suspended if one.job_id != message.job_id]
+            owned.slots.suspended.clear()
+            owned.slots.suspended.extend(kept)
+        self._barriers[message.barrier_id] = (message.job_id, sender)
+        self._check_barriers()
+
+    def _check_barriers(self) -> None:
+        if not self._barriers:
+            return
+        active = {
+            running.job_id
+            for owned in self._replicas.values()
+            for running in owned.slots.running.values()
+            if running.is_batch
+        }
+        for barrier_id, (job_id, sender) in list(self._barriers.items()):
+            if job_id not in active:
+                del self._barriers[barrier_id]
+                replicas = [
+                    owned.replica
+                    for owned in self._replicas.values()
+                    if owned.state is not ReplicaState.ADOPTING
+                ]
+                self._context.send(sender, CancelJobAck(job_id, barrier_id, replicas))
+
+    # --- queries ---
+
+    def on_query(self, sender: str, message: QueryWork) -> None:
+        """Ask the engine what became of a request."""
+        if message.replica not in self._replicas:
+            reply = WorkStatus(message.request_id, message.token, "unreachable")
+            self._context.send(sender, reply)
+            return
+        self._queries[message.token] = sender
+        self._context.emit(QueryEngine(message.replica, message.request_id, message.token))
+
+    def on_status(self, event: EngineStatus) -> None:
+        """Pass the engine's answer on."""
+        sender = self._queries.pop(event.token, None)
+        if sender is not None:
+            status = WorkStatus(
+                event.request_id, event.token, event.state, event.text, event.tokens
+            )
+            self._context.send(sender, status)
+
+    # --- time ---
+
+    def tick(self) -> None:
+        """Retry adoption, expire pulls, return suspended items, report what is held."""
+        now = self._context.now
+        self._expire_pulls()
+        for owned in list(self._replicas.values()):
+            if owned.state is ReplicaState.ADOPTING and now >= owned.adopt_at:
+                self._adopt(owned)
+            self._return_suspended(owned, SUSPENDED_KEEP_S)
+            self._note_online(owned)
+            self._fill(owned)
+        if now - self._held_report_at >= HELD_REPORT_S:
+            self._held_report_at = now
+            self._report_held()
+
+    def _expire_pulls(self) -> None:
+        now = self._context.now
+        expired = [p for p in self._pulls.values() if now - p.sent_at > PULL_TIMEOUT_S]
+        for pull in expired:
+            del self._pulls[pull.pull_id]
+            owned = self._replicas.get(pull.replica)
+            if owned is not None:
+                owned.pulling -= pull.count
+            self._empty_until[(pull.target, pull.class_key)] = now + PULL_TIMEOUT_S
+        if len(self._empty_until) > 10_000:
+            self._empty_until = {k: at for k, at in self._empty_until.items() if at > now}
+
+    def _report_held(self) -> None:
+        by_job: dict[str, list[int]] = {}
+        for owned in self._replicas.values():
+            for running in owned.slots.running.values():
+                if running.is_batch:
+                    by_job.setdefault(running.job_id, []).append(running.index)
+            for suspended in owned.slots.suspended:
+                by_job.setdefault(suspended.job_id, []).append(suspended.index)
+        for job_id, indexes in by_job.items():
+            owner = self._shard_owner(job_id)
+            if owner is not None:
+                self._context.send(owner, ItemsHeld(job_id, indexes))
+
+    # --- reports ---
+
+    @property
+    def is_idle(self) -> bool:
+        """Whether nothing runs and no replica is owned."""
+        return not self._replicas
+
+    @property
+    def owned(self) -> dict[str, OwnedReplica]:
+        """The owned replicas by name."""
+        return self._replicas
+
+    def reports(self) -> list[ReplicaReport]:
+        """Return what gossip says of the owned replicas."""
+        return [
+            ReplicaReport(
+                owned.replica,
+                owned.epoch,
+                owned.model,
+                owned.slots.slots,
+                owned.slots.online_count + len(owned.slots.queue),
+                owned.slots.batch_count,
+                owned.leaving or owned.state is not ReplicaState.ACTIVE,
+            )
+            for owned in self._replicas.values()
+        ]
+
+
+def _refusal_of(reason: str) -> Refusal:
+    try:
+        return Refusal(reason)
+    except ValueError:
+        return Refusal.BUSY
--- /dev/null
+++ b/src/cloverwalk/core/batch_concurrency.py
@@ -0,0 +1,71 @@
+"""How many batch streams a replica may run beside its online work.
+
+Engine priorities do not help here: a larger running batch makes every decode step slower
+for all streams. So the limit follows what is observed: additive increase while steps are
+within the goal, multiplicative decrease when they are not. A part of the slots is kept
+free for online arrivals, sized from recent peaks of online concurrency.
+"""
+
+from msgspec import Struct
+
+
+class ConcurrencySettings(Struct, frozen=True):
+    """Goals and gains of the controller."""
+
+    step_goal_s: float = 0.029
+    increase_per_update: float = 1.0
+    decrease_factor: float = 0.7
+    update_interval_s: float = 0.25
+    reserve_min_slots: int = 1
+    peak_half_life_s: float = 20.0
+
+
+class BatchConcurrency:
+    """The controller of one replica.
+
+    >>> control = BatchConcurrency(ConcurrencySettings(), slots=8)
+    >>> control.allowed(online_running=0)
+    7
+    >>> control.observe_step(0.050, now=1.0)
+    >>> control.allowed(online_running=0)
+    4
+    """
+
+    def __init__(self, settings: ConcurrencySettings, slots: int) -> None:
+        self._settings = settings
+        self._slots = slots
+        self._limit = float(slots - settings.reserve_min_slots)
+        self._updated_at = -1e9
+        self._peak = 0.0
+        self._peak_at = 0.0
+
+    def observe_step(self, step_s: float, now: float) -> None:
+        """Take one observed decode step time."""
+        if now - self._updated_at < self._settings.update_interval_s:
+            return
+        self._updated_at = now
+        if step_s > self._settings.step_goal_s:
+            self._limit = max(0.0, self._limit * self._settings.decrease_factor)
+        else:
+            ceiling = float(self._slots)
+            self._limit = min(ceiling, self._limit + self._settings.increase_per_update)
+
+    def observe_online(self, online_running: int, now: float) -> None:
+        """Take the online concurrency, from which the reserve is forecast."""
+        self._decay_peak(now)
+        self._peak = max(self._peak, float(online_running))
+
+    def _decay_peak(self, now: float) -> None:
+        elapsed_s = max(0.0, now - self._peak_at)
+        self._peak *= 0.5 ** (elapsed_s / self._settings.peak_half_life_s)
+        self._peak_at = now
+
+    def reserve(self, online_running: int) -> int:
+        """Return the slots to keep free above the online work that runs now."""
+        forecast = int(self._peak + 0.5) - online_running
+        return max(self._settings.reserve_min_slots, min(forecast, self._slots // 2))
+
+    def allowed(self, online_running: int) -> int:
+        """Return how many batch streams may run beside ``online_running``."""
+        room = self._slots - online_running - self.reserve(online_running)
+        return max(0, min(int(self._limit), room))
--- /dev/null
+++ b/src/cloverwalk/core/batch_job.py
@@ -0,0 +1,177 @@
+"""The state of one batch job at its owner: which items are pending, running, done.
+
+An item is done when its segment is committed. Until then a lost run costs only a rerun.
+"""
+
+from collections import deque
+from collections.abc import Iterable
+from enum import IntEnum
+
+from msgspec import Struct
+
+from cloverwalk.core.types import BatchItem, ItemResult, JobRow
+
+
+class ItemState(IntEnum):
+    """States of an item at the job's owner."""
+
+    PENDING = 0
+    RUNNING = 1
+    FINISHED = 2  # has a result that is not in a committed segment yet
+    DONE = 3
+
+
+class Handout(Struct, frozen=True):
+    """An item given to a replica owner, with the output of an earlier run to continue."""
+
+    index: int
+    item: BatchItem
+    resume_text: str
+
+
+class _Holder(Struct, frozen=True):
+    node: str
+    since: float
+
+
+class BatchJob:
+    """Items of a job. Parts of the manifest are loaded only when their turn comes.
+
+    >>> row = JobRow("j", "s", "k", "m", item_count=3, part_size=2, body_hash="", submitted_at=0.0)
+    >>> job = BatchJob(row, done=[0])
+    >>> job.part_to_load(), job.pending_count
+    (0, 2)
+    >>> job.load([BatchItem("a", "x", 1), BatchItem("b", "y", 1)])
+    >>> [handout.index for handout in job.take(5, node="n1", now=0.0)]
+    [1]
+    """
+
+    def __init__(self, row: JobRow, done: Iterable[int] = ()) -> None:
+        self.row = row
+        self._state = bytearray(row.item_count)
+        for index in done:
+            self._state[index] = ItemState.DONE
+        self.done_count = self._state.count(ItemState.DONE)
+        self.pending_count = row.item_count - self.done_count
+        self._queue: deque[int] = deque()
+        self._loaded: dict[int, BatchItem] = {}
+        self._next_part = 0
+        self._loading = False
+        self._holders: dict[int, _Holder] = {}
+        self._resume_text: dict[int, str] = {}
+        self.finished: list[ItemResult] = []
+
+    @property
+    def running_count(self) -> int:
+        """Items handed out and not yet back."""
+        return len(self._holders)
+
+    @property
+    def part_count(self) -> int:
+        """Parts of the manifest."""
+        return -(-self.row.item_count // self.row.part_size)
+
+    @property
+    def ready_count(self) -> int:
+        """Pending items whose part of the manifest is loaded."""
+        return min(self.pending_count, len(self._queue))
+
+    def part_to_load(self) -> int | None:
+        """Return the next part to fetch, or None while enough items are in hand."""
+        if self._loading or self._next_part >= self.part_count:
+            return None
+        if len(self._queue) > self.row.part_size // 2:
+            return None
+        return self._next_part
+
+    def loading(self) -> None:
+        """Note that the part from :meth:`part_to_load` is being fetched."""
+        self._loading = True
+
+    def load_failed(self) -> None:
+        """Note that the fetch failed; the part is asked for again."""
+        self._loading = False
+
+    def load(self, items: list[BatchItem]) -> None:
+        """Take the items of the next part."""
+        first = self._next_part * self.row.part_size
+        self._next_part += 1
+        self._loading = False
+        for index, item in enumerate(items, start=first):
+            if self._state[index] == ItemState.PENDING:
+                self._loaded[index] = item
+                self._queue.append(index)
+
+    def take(self, count: int, node: str, now: float) -> list[Handout]:
+        """Hand out up to ``count`` items to a replica owner's node."""
+        taken: list[Handout] = []
+        while self._queue and len(taken) < count:
+            index = self._queue.popleft()
+            if self._state[index] != ItemState.PENDING:
+                continue  # an earlier holder's result came in meanwhile
+            self._state[index] = ItemState.RUNNING
+            self.pending_count -= 1
+            self._holders[index] = _Holder(node, now)
+            resume_text = self._resume_text.get(index, "")
+            taken.append(Handout(index, self._loaded[index], resume_text))
+        return taken
+
+    def give_back(self, index: int, node: str, resume_text: str = "") -> None:
+        """Take back an item that did not end; it goes next, from where it stopped."""
+        holder = self._holders.get(index)
+        if holder is None or holder.node != node:
+            return  # another node has it by now
+        del self._holders[index]
+        self._state[index] = ItemState.PENDING
+        self.pending_count += 1
+        if resume_text:
+            self._resume_text[index] = resume_text
+        self._queue.appendleft(index)
+
+    def confirm(self, node: str, held: Iterable[int], now: float) -> None:
+        """Note that ``node`` says it has these items."""
+        for index in held:
+            holder = self._holders.get(index)
+            if holder is not None and holder.node == node:
+                self._holders[index] = _Holder(node, now)
+
+    def take_back_unconfirmed(self, now: float, grace_s: float) -> None:
+        """Take back items that nobody has confirmed to hold for ``grace_s``."""
+        for index, holder in list(self._holders.items()):
+            if now - holder.since > grace_s:
+                self.give_back(index, holder.node)
+
+    def node_lost(self, node: str) -> None:
+        """Take back all items of a lost node."""
+        for index, holder in list(self._holders.items()):
+            if holder.node == node:
+                self.give_back(index, node)
+
+    def finish(self, result: ItemResult) -> bool:
+        """Take a result; return False for one that came before (a duplicate)."""
+        index = result.index
+        state = self._state[index]
+        if state not in (ItemState.PENDING, ItemState.RUNNING):
+            return False
+        if state == ItemState.PENDING:
+            self.pending_count -= 1
+        self._state[index] = ItemState.FINISHED
+        self._holders.pop(index, None)
+        self._resume_text.pop(index, None)
+        self._loaded.pop(index, None)
+        self.finished.append(result)
+        return True
+
+    def committed(self, results: list[ItemResult]) -> None:
+        """Note that a segment with these results is committed."""
+        for result in results:
+            self._state[result.index] = ItemState.DONE
+        self.done_count += len(results)
+        self.finished = self.finished[len(results) :]
+
+    def slack_s(self, wall_now: float, items_per_s: float) -> float:
+        """Return the seconds to spare before the deadline at the given speed."""
+        if self.row.deadline_at is None:
+            return float("inf")
+        left = self.pending_count + self.running_count
+        return self.row.deadline_at - wall_now - left / max(items_per_s, 1e-9)
--- /dev/null
+++ b/src/cloverwalk/core/events.py
@@ -0,0 +1,327 @@
+"""What goes into a node (events) and what comes out (instructions). All of it is typed.
+
+A :class:`cloverwalk.node.node.Node` is a state machine: ``handle(event, now)`` returns
+instructions. The daemon carries them out with sockets, the simulation with a seeded
+network; the decisions are the same code.
+"""
+
+from enum import StrEnum
+
+from msgspec import Struct
+
+from cloverwalk.core.peer_messages import PeerMessage
+from cloverwalk.core.store_types import CommitReply, ObjectReply, ReadReply, Transaction
+from cloverwalk.core.types import Machine, Work
+
+
+class HttpRequest(Struct, frozen=True):
+    """A whole HTTP request. Header names are in lower case."""
+
+    connection: int
+    method: str
+    path: str
+    query: dict[str, str]
+    headers: dict[str, str]
+    body: bytes
+
+
+# --- events ---
+
+
+class ClientRequest(Struct, frozen=True):
+    """A caller or operator sent a request."""
+
+    request: HttpRequest
+
+
+class ClientGone(Struct, frozen=True):
+    """The connection of an unanswered request closed."""
+
+    connection: int
+
+
+class PeerReceived(Struct, frozen=True):
+    """A message from another node."""
+
+    sender: str
+    address: str
+    message: PeerMessage
+
+
+class PeerUnreachable(Struct, frozen=True):
+    """A message to a peer could not be delivered, or its connection was cut."""
+
+    node: str
+
+
+class EngineChunk(Struct, frozen=True):
+    """Output of an engine; ``finished`` on the last. ``first`` counts tokens before it."""
+
+    replica: str
+    request_id: str
+    attempt: int
+    first: int
+    tokens: int
+    text: str
+    finished: bool
+    step_s: float = 0.0
+
+
+class EngineRefused(Struct, frozen=True):
+    """The engine refused to start the work, or was never reached: it did not run."""
+
+    replica: str
+    request_id: str
+    attempt: int
+    reason: str
+
+
+class EngineCut(Struct, frozen=True):
+    """The stream ended early: cancelled, aborted, or the connection was lost.
+
+    ``text`` and ``tokens`` are what was produced, resumed part included, where known.
+    """
+
+    replica: str
+    request_id: str
+    attempt: int
+    reason: str
+    text: str = ""
+    tokens: int = 0
+
+
+class EngineStatus(Struct, frozen=True):
+    """Answer to :class:`QueryEngine`."""
+
+    replica: str
+    request_id: str
+    token: str
+    state: str
+    text: str = ""
+    tokens: int = 0
+
+
+class EngineAdopted(Struct, frozen=True):
+    """Answer to :class:`AdoptEngine`; not accepted when the engine knows a higher epoch."""
+
+    replica: str
+    epoch: int
+    accepted: bool
+    slots: int = 0
+    model: str = ""
+
+
+class EngineLoad(Struct, frozen=True):
+    """A lagging load report of an engine."""
+
+    replica: str
+    running: int
+    step_s: float
+    leaving: bool
+
+
+class StoreCommitted(Struct, frozen=True):
+    """Answer to :class:`CommitToStore`."""
+
+    op_id: str
+    reply: CommitReply
+
+
+class StoreRead(Struct, frozen=True):
+    """Answer to :class:`ReadStore`."""
+
+    op_id: str
+    reply: ReadReply
+
+
+class ObjectDone(Struct, frozen=True):
+    """Answer to :class:`PutObject` or :class:`GetObject`."""
+
+    op_id: str
+    reply: ObjectReply
+
+
+class MachinesListed(Struct, frozen=True):
+    """The platform's machine list; None when it could not be read."""
+
+    machines: list[Machine] | None
+
+
+class Tick(Struct, frozen=True):
+    """Time passed. Sent every ``tick_s``."""
+
+
+class StopRequested(Struct, frozen=True):
+    """A planned stop (SIGTERM)."""
+
+
+Event = (
+    ClientRequest
+    | ClientGone
+    | PeerReceived
+    | PeerUnreachable
+    | EngineChunk
+    | EngineRefused
+    | EngineCut
+    | EngineStatus
+    | EngineAdopted
+    | EngineLoad
+    | StoreCommitted
+    | StoreRead
+    | ObjectDone
+    | MachinesListed
+    | Tick
+    | StopRequested
+)
+
+# --- instructions ---
+
+
+class Header(Struct, frozen=True):
+    """One response header."""
+
+    name: str
+    value: str
+
+
+class SendReply(Struct, frozen=True):
+    """Answer a request whole."""
+
+    connection: int
+    status: int
+    headers: list[Header]
+    body: bytes
+
+
+class BeginStream(Struct, frozen=True):
+    """Begin an answer whose body follows in parts."""
+
+    connection: int
+    status: int
+    headers: list[Header]
+
+
+class StreamData(Struct, frozen=True):
+    """A part of a streamed body."""
+
+    connection: int
+    data: bytes
+
+
+class EndStream(Struct, frozen=True):
+    """The end of a streamed body. Not whole: the connection is cut instead of closed."""
+
+    connection: int
+    whole: bool = True
+
+
+class SendToPeer(Struct, frozen=True):
+    """Send a message to a node."""
+
+    node: str
+    address: str
+    message: PeerMessage
+
+
+class StartWork(Struct, frozen=True):
+    """Start work on an engine under the owner's epoch."""
+
+    replica: str
+    epoch: int
+    work: Work
+
+
+class StopWork(Struct, frozen=True):
+    """Cancel a stream on an engine; ends in :class:`EngineCut`."""
+
+    replica: str
+    request_id: str
+    attempt: int
+
+
+class QueryEngine(Struct, frozen=True):
+    """Ask an engine what it knows of a request."""
+
+    replica: str
+    request_id: str
+    token: str
+
+
+class AdoptEngine(Struct, frozen=True):
+    """Tell an engine the epoch of its new owner; older streams are aborted."""
+
+    replica: str
+    epoch: int
+
+
+class CommitToStore(Struct, frozen=True):
+    """Commit a transaction."""
+
+    op_id: str
+    transaction: Transaction
+
+
+class ReadStore(Struct, frozen=True):
+    """Read the rows under a prefix; ``exact`` reads the one row of that key."""
+
+    op_id: str
+    prefix: str
+    exact: bool
+
+
+class PutObject(Struct, frozen=True):
+    """Write an object if there is none of that name."""
+
+    op_id: str
+    name: str
+    body: str
+
+
+class GetObject(Struct, frozen=True):
+    """Read an object."""
+
+    op_id: str
+    name: str
+
+
+class ListMachines(Struct, frozen=True):
+    """Read the machine list."""
+
+
+class Stopped(Struct, frozen=True):
+    """The planned stop is complete: the process may exit."""
+
+
+class LogLevel(StrEnum):
+    """Levels of numbered events."""
+
+    INFO = "info"
+    WARNING = "warning"
+    ERROR = "error"
+
+
+class WriteLog(Struct, frozen=True):
+    """Log a numbered event of the catalogue."""
+
+    number: int
+    fields: dict[str, str | int | float | bool]
+
+
+Instruction = (
+    SendReply
+    | BeginStream
+    | StreamData
+    | EndStream
+    | SendToPeer
+    | StartWork
+    | StopWork
+    | QueryEngine
+    | AdoptEngine
+    | CommitToStore
+    | ReadStore
+    | PutObject
+    | GetObject
+    | ListMachines
+    | Stopped
+    | WriteLog
+)
--- /dev/null
+++ b/src/cloverwalk/core/idempotency.py
@@ -0,0 +1,70 @@
+"""Joining of concurrent requests with one key at the key's home node."""
+
+from collections import OrderedDict
+from enum import StrEnum
+
+from msgspec import Struct
+
+from cloverwalk.core.types import Result
+
+
+class JoinVerdict(StrEnum):
+    """What the home node tells a node that asks to run a key."""
+
+    RUN = "run"
+    WAIT = "wait"
+    DONE = "done"
+
+
+class Waiter(Struct, frozen=True):
+    """A node that waits for the result of a key under its own token."""
+
+    node: str
+    token: str
+
+
+class _Running(Struct):
+    runner: Waiter
+    waiters: list[Waiter]
+
+
+class JoinRegistry:
+    """Who runs which key now, who waits for it, and results of late.
+
+    >>> registry = JoinRegistry(remembered=10)
+    >>> [registry.join("k", Waiter(node, "token"))[0].value for node in ("n1", "n2")]
+    ['run', 'wait']
+    """
+
+    def __init__(self, remembered: int) -> None:
+        self._running: dict[str, _Running] = {}
+        self._results: OrderedDict[str, Result] = OrderedDict()
+        self._remembered = remembered
+
+    def join(self, key: str, waiter: Waiter) -> tuple[JoinVerdict, Result | None]:
+        """Return the verdict for ``waiter`` and, with DONE, the result."""
+        if key in self._results:
+            return JoinVerdict.DONE, self._results[key]
+        running = self._running.get(key)
+        if running is None:
+            self._running[key] = _Running(waiter, [])
+            return JoinVerdict.RUN, None
+        if running.runner != waiter:
+            running.waiters.append(waiter)
+            return JoinVerdict.WAIT, None
+        return JoinVerdict.RUN, None
+
+    def finish(self, key: str, result: Result | None) -> list[Waiter]:
+        """End a run; return who waits. ``result`` None means that nothing was recorded."""
+        if result is not None:
+            self._results[key] = result
+            if len(self._results) > self._remembered:
+                self._results.popitem(last=False)
+        running = self._running.pop(key, None)
+        return running.waiters if running else []
+
+    def node_lost(self, node: str) -> list[tuple[str, Waiter]]:
+        """Forget runs of a lost node; return (key, waiter) pairs, who must ask again."""
+        orphaned = [key for key, run in self._running.items() if run.runner.node == node]
+        pairs = [(key, waiter) for key in orphaned for waiter in self._running.pop(key).waiters]
+        return [(key, waiter) for key, waiter in pairs if waiter.node != node]
--- /dev/null
+++ b/src/cloverwalk/core/limit_shares.py
@@ -0,0 +1,23 @@
+"""How a limit for the whole fleet is divided among nodes.
+
+Each node gets a part in proportion to its recent demand. A small floor lets a node that
+had no demand admit its first requests before the next division.
+"""
+
+FLOOR_SHARE = 0.05
+"""The least part of an even share that a node without demand keeps."""
+
+
+def share_of_limit(own_rate: float, other_rates: list[float], node_count: int) -> float:
+    """Return this node's part of a limit, from 0 to 1.
+
+    >>> share_of_limit(30.0, [10.0], node_count=2)
+    0.7375
+    >>> share_of_limit(0.0, [], node_count=4)
+    0.25
+    """
+    total = own_rate + sum(other_rates)
+    even = 1.0 / max(1, node_count)
+    if total <= 0:
+        return even
+    return FLOOR_SHARE * even + (1 - FLOOR_SHARE) * own_rate / total
--- /dev/null
+++ b/src/cloverwalk/core/membership.py
@@ -0,0 +1,159 @@
+"""Who is alive, by gossip of digests.
+
+Every node owns one digest and raises its ``beat`` each round. A digest is replaced only by
+one of a higher (incarnation, beat). A member whose beat stands still is suspected; only the
+lease in the table service decides about ownership. Leaving is sticky for an incarnation.
+Weighed: all-to-all heartbeats (grow with the square of nodes), a monitor node (would be set
+aside for control).
+"""
+
+from random import Random
+
+from msgspec import Struct
+
+
+class ReplicaReport(Struct, frozen=True, array_like=True):
+    """What a replica owner tells about a replica."""
+
+    replica: str
+    epoch: int
+    model: str
+    slots: int
+    online: int
+    batch: int
+    leaving: bool = False
+
+
+class DemandReport(Struct, frozen=True, array_like=True):
+    """Pending batch items of one class at a job owner."""
+
+    session: str
+    kind: str
+    model: str
+    pending: int
+    urgent: bool
+
+
+class RateReport(Struct, frozen=True, array_like=True):
+    """Recent online demand for one limited table row at a node."""
+
+    session: str
+    kind: str
+    requests_per_s: float
+
+
+class NodeDigest(Struct, frozen=True, array_like=True):
+    """All that a node says of itself. Arrays in place of maps keep gossip small."""
+
+    node: str
+    zone: str
+    address: str
+    incarnation: str
+    started_at: float
+    beat: int
+    leaving: bool
+    table_version: int
+    store_age_s: float  # since the node last heard from the table service
+    replicas: list[ReplicaReport]
+    shards: list[str]
+    demand: list[DemandReport]
+    rates: list[RateReport]
+
+
+class Entry(Struct):
+    """A digest with the time at which its beat was last seen to rise."""
+
+    digest: NodeDigest
+    heard_at: float
+    sent_round: int = -1
+
+
+class Membership:
+    """The view of one node.
+
+    >>> def digest(node, beat):
+    ...     return NodeDigest(node, "z", "", "i1", 0.0, beat, False, 0, 0.0, [], [], [], [])
+    >>> view = Membership("n1", "z", suspect_after_s=5.0)
+    >>> view.merge(digest("n2", 1), age_s=0.0, now=0.0)
+    True
+    >>> view.is_live("n2", now=4.0), view.is_live("n2", now=6.0)
+    (True, False)
+    """
+
+    def __init__(self, node: str, zone: str, suspect_after_s: float) -> None:
+        self.node = node
+        self.zone = zone
+        self._suspect_after_s = suspect_after_s
+        self._entries: dict[str, Entry] = {}
+        self._round = 0
+
+    def merge(self, digest: NodeDigest, age_s: float, now: float) -> bool:
+        """Take a digest if it is newer than the known one; return whether it was."""
+        if digest.node == self.node:
+            return False
+        known = self._entries.get(digest.node)
+        if known is not None and not _is_newer(digest, known.digest):
+            return False
+        self._entries[digest.node] = Entry(digest, now - age_s)
+        return True
+
+    def digest(self, node: str) -> NodeDigest | None:
+        """Return the last digest of a node."""
+        entry = self._entries.get(node)
+        return entry.digest if entry else None
+
+    def age_s(self, node: str, now: float) -> float:
+        """Return the seconds since a node's beat rose."""
+        entry = self._entries.get(node)
+        return now - entry.heard_at if entry else float("inf")
+
+    def is_live(self, node: str, now: float) -> bool:
+        """Return whether a node is known and not suspected."""
+        return node == self.node or self.age_s(node, now) <= self._suspect_after_s
+
+    def live(self, now: float) -> list[NodeDigest]:
+        """Return the digests of the live members, this node not included."""
+        return [
+            entry.digest
+            for entry in self._entries.values()
+            if now - entry.heard_at <= self._suspect_after_s
+        ]
+
+    def known(self) -> list[NodeDigest]:
+        """Return every known digest, suspected members included."""
+        return [entry.digest for entry in self._entries.values()]
+
+    def forget(self, older_than_s: float, now: float) -> list[str]:
+        """Drop members not heard for long; return their names."""
+        gone = [n for n, entry in self._entries.items() if now - entry.heard_at > older_than_s]
+        for node in gone:
+            del self._entries[node]
+        return gone
+
+    def gossip_targets(self, fanout: int, random: Random, now: float) -> list[str]:
+        """Return whom to send to this round: mostly the own zone, always one other zone."""
+        local = [digest.node for digest in self.live(now) if digest.zone == self.zone]
+        remote = [digest.node for digest in self.live(now) if digest.zone != self.zone]
+        targets = random.sample(sorted(local), min(fanout, len(local)))
+        spare = max(1, fanout - len(targets))
+        targets += random.sample(sorted(remote), min(spare, len(remote)))
+        suspected = sorted(set(self._entries) - set(targets) - set(local) - set(remote))
+        if suspected:  # so that two halves of a healed cut find each other again
+            targets.append(random.choice(suspected))
+        return targets
+
+    def entries_to_send(self, limit: int, now: float) -> list[tuple[NodeDigest, float]]:
+        """Return up to ``limit`` (digest, age) pairs: those not sent for longest first."""
+        self._round += 1
+        live = [e for e in self._entries.values() if now - e.heard_at <= self._suspect_after_s]
+        live.sort(key=lambda entry: (entry.sent_round, entry.digest.zone != self.zone))
+        chosen = live[:limit]
+        for entry in chosen:
+            entry.sent_round = self._round
+        return [(entry.digest, now - entry.heard_at) for entry in chosen]
+
+
+def _is_newer(new: NodeDigest, old: NodeDigest) -> bool:
+    if new.incarnation == old.incarnation:
+        return new.beat > old.beat
+    return (new.started_at, new.incarnation) > (old.started_at, old.incarnation)
--- /dev/null
+++ b/src/cloverwalk/core/peer_messages.py
@@ -0,0 +1,317 @@
+"""Messages between nodes. Each travels as one netstring of JSON, told apart by its tag."""
+
+from msgspec import Struct
+
+from cloverwalk.core.collect import Chunk
+from cloverwalk.core.idempotency import JoinVerdict
+from cloverwalk.core.membership import NodeDigest
+from cloverwalk.core.types import (
+    BatchItem,
+    ItemResult,
+    Refusal,
+    Result,
+    SessionRow,
+    Work,
+)
+from cloverwalk.core.weight_table import WeightTable
+
+
+class AgedDigest(Struct, frozen=True, array_like=True):
+    """A digest and the seconds since its beat rose, as the sender saw it."""
+
+    digest: NodeDigest
+    age_s: float
+
+
+class Gossip(Struct, frozen=True, tag="gossip"):
+    """A round of gossip: the sender's digest first."""
+
+    digests: list[AgedDigest]
+
+
+class Offer(Struct, frozen=True, tag="offer"):
+    """Online work offered to the owner of a replica."""
+
+    replica: str
+    work: Work
+
+
+class OfferRefused(Struct, frozen=True, tag="offer_refused"):
+    """The owner did not start the work: it is not run by this attempt."""
+
+    replica: str
+    request_id: str
+    attempt: int
+    reason: Refusal
+    online: int = 0
+
+
+class ChunkMessage(Struct, frozen=True, tag="chunk"):
+    """A part of an answer on its way to the node that has the caller."""
+
+    chunk: Chunk
+
+
+class AttemptLost(Struct, frozen=True, tag="attempt_lost"):
+    """An attempt ended without an answer after it may have started."""
+
+    request_id: str
+    attempt: int
+    reason: str
+
+
+class CancelWork(Struct, frozen=True, tag="cancel_work"):
+    """Stop an online attempt."""
+
+    replica: str
+    request_id: str
+    attempt: int
+
+
+class Join(Struct, frozen=True, tag="join"):
+    """Ask a key's home node whether to run."""
+
+    key: str
+    token: str
+
+
+class JoinReply(Struct, frozen=True, tag="join_reply"):
+    """The home node's verdict; also sent when a run that was waited for ends.
+
+    RUN after WAIT means that the runner was lost: the receiver runs the key now.
+    """
+
+    key: str
+    token: str
+    verdict: JoinVerdict
+    result: Result | None = None
+
+
+class RunFinished(Struct, frozen=True, tag="run_finished"):
+    """The runner's report to the home node. No result: it ended without a record."""
+
+    key: str
+    result: Result | None
+
+
+class QueryWork(Struct, frozen=True, tag="query_work"):
+    """Ask a replica's owner what its engine knows of a request."""
+
+    replica: str
+    request_id: str
+    token: str
+
+
+class WorkStatus(Struct, frozen=True, tag="work_status"):
+    """What the engine knows of a request.
+
+    ``state`` is ``unknown``, ``running``, ``finished``, ``aborted`` or ``unreachable``.
+    """
+
+    request_id: str
+    token: str
+    state: str
+    text: str = ""
+    tokens: int = 0
+
+
+class JobChanged(Struct, frozen=True, tag="job_changed"):
+    """A job row was written by another node than the shard's owner."""
+
+    job_id: str
+    shard: str
+
+
+class Pull(Struct, frozen=True, tag="pull"):
+    """A replica owner asks a job owner for items of a class."""
+
+    pull_id: str
+    replica: str
+    session: str
+    kind: str
+    model: str
+    count: int
+
+
+class PulledItem(Struct, frozen=True):
+    """One item handed out."""
+
+    job_id: str
+    index: int
+    item: BatchItem
+    resume_text: str = ""
+
+
+class PullReply(Struct, frozen=True, tag="pull_reply"):
+    """The items for a pull, possibly none, with what is still pending in the class."""
+
+    pull_id: str
+    shard_epochs: dict[str, int]
+    items: list[PulledItem]
+    pending: int
+
+
+class ItemDone(Struct, frozen=True, tag="item_done"):
+    """An item ran to its end."""
+
+    job_id: str
+    index: int
+    result: ItemResult
+
+
+class ItemReturned(Struct, frozen=True, tag="item_returned"):
+    """An item comes back unfinished, with its output so far."""
+
+    job_id: str
+    index: int
+    resume_text: str
+
+
+class ItemsHeld(Struct, frozen=True, tag="items_held"):
+    """A replica owner's list of the items of one job it has; absent ones are handed out anew."""
+
+    job_id: str
+    indexes: list[int]
+
+
+class CancelJob(Struct, frozen=True, tag="cancel_job"):
+    """Stop all items of a job and start none any more."""
+
+    job_id: str
+    barrier_id: str
+
+
+class CancelJobAck(Struct, frozen=True, tag="cancel_job_ack"):
+    """The sender's replicas run none of the job's items and will start none."""
+
+    job_id: str
+    barrier_id: str
+    replicas: list[str]
+
+
+class JobCancelRequest(Struct, frozen=True, tag="job_cancel_request"):
+    """A caller's cancel, sent to the owner of the job's shard."""
+
+    job_id: str
+    shard: str
+    token: str
+
+
+class JobCancelReply(Struct, frozen=True, tag="job_cancel_reply"):
+    """The end of a cancel: the job's final state, or empty when this node is not the owner."""
+
+    token: str
+    state: str
+
+
+class HoldResult(Struct, frozen=True, tag="hold_result"):
+    """A result to be kept in memory until the table service is back."""
+
+    key: str
+    result: Result
+    token: str
+
+
+class HoldAck(Struct, frozen=True, tag="hold_ack"):
+    """The result is held, or refused because the buffer is full.
+
+    ``earlier`` is another result that was held for the key before; that one stands.
+    """
+
+    key: str
+    token: str
+    held: bool
+    earlier: Result | None = None
+
+
+class HoldDrained(Struct, frozen=True, tag="hold_drained"):
+    """The key's result is recorded; holders may drop it."""
+
+    key: str
+
+
+class FetchHeld(Struct, frozen=True, tag="fetch_held"):
+    """Ask a peer for a result it may hold."""
+
+    key: str
+    token: str
+
+
+class FetchHeldReply(Struct, frozen=True, tag="fetch_held_reply"):
+    """The held result, if there is one."""
+
+    key: str
+    token: str
+    result: Result | None
+
+
+class TablePush(Struct, frozen=True, tag="table_push"):
+    """An accepted version of the weight table."""
+
+    table: WeightTable
+
+
+class TableFetch(Struct, frozen=True, tag="table_fetch"):
+    """Ask a peer for its version of the weight table."""
+
+
+class SessionPush(Struct, frozen=True, tag="session_push"):
+    """Sessions that the sender knows to be stored."""
+
+    sessions: list[SessionRow]
+
+
+class LeaseReleased(Struct, frozen=True, tag="lease_released"):
+    """A lease was given up by a planned stop; its next owner may take it at once."""
+
+    resource: str
+
+
+class LeavingNotice(Struct, frozen=True, tag="leaving_notice"):
+    """First sign that a replica is leaving, passed on at once."""
+
+    replica: str
+    hops: int = 0
+
+
+PeerMessage = (
+    Gossip
+    | Offer
+    | OfferRefused
+    | ChunkMessage
+    | AttemptLost
+    | CancelWork
+    | Join
+    | JoinReply
+    | RunFinished
+    | QueryWork
+    | WorkStatus
+    | JobChanged
+    | Pull
+    | PullReply
+    | ItemDone
+    | ItemReturned
+    | ItemsHeld
+    | CancelJob
+    | CancelJobAck
+    | JobCancelRequest
+    | JobCancelReply
+    | HoldResult
+    | HoldAck
+    | HoldDrained
+    | FetchHeld
+    | FetchHeldReply
+    | TablePush
+    | TableFetch
+    | SessionPush
+    | LeaseReleased
+    | LeavingNotice
+)
+
+
+class Envelope(Struct, frozen=True):
+    """What is on the wire: who sent the message and where that node listens."""
+
+    sender: str
+    address: str
+    message: PeerMessage
--- /dev/null
+++ b/src/cloverwalk/core/placement.py
@@ -0,0 +1,52 @@
+"""Which replica a request is offered to.
+
+Prefix affinity first, as long as that replica is not much busier than the rest; then the
+better of two random candidates. Two choices keep a lagging load report from herding every
+node onto the replica that last looked idle.
+"""
+
+from collections.abc import Sequence
+from random import Random
+
+from msgspec import Struct
+
+AFFINITY_LOAD_MARGIN = 0.15
+"""A replica with the prefix may be this much fuller (share of slots) and still be chosen."""
+
+REMOTE_ZONE_PENALTY = 0.10
+"""Load (share of slots) that a replica in another zone must be better by."""
+
+
+class Candidate(Struct, frozen=True):
+    """What a node knows of a replica when it places a request."""
+
+    replica: str
+    owner: str
+    local_zone: bool
+    online_load: float  # online work, own unreported sends included, as a share of slots
+    has_prefix: bool = False
+
+
+def effective_load(candidate: Candidate) -> float:
+    """Return the load used in comparisons."""
+    return candidate.online_load + (0.0 if candidate.local_zone else REMOTE_ZONE_PENALTY)
+
+
+def choose_replica(candidates: Sequence[Candidate], random: Random) -> Candidate | None:
+    """Return the replica to try, or None when there is no candidate.
+
+    >>> near = Candidate("r1", "n1", True, 0.2)
+    >>> far = Candidate("r2", "n2", False, 0.2)
+    >>> choose_replica([near, far], Random(1)).replica
+    'r1'
+    """
+    if not candidates:
+        return None
+    sample = list(candidates) if len(candidates) <= 2 else random.sample(list(candidates), 2)
+    best = min(sample, key=lambda one: (effective_load(one), one.replica))
+    with_prefix = [one for one in candidates if one.has_prefix]
+    if with_prefix:
+        warm = min(with_prefix, key=lambda one: (effective_load(one), one.replica))
+        if effective_load(warm) <= effective_load(best) + AFFINITY_LOAD_MARGIN:
+            return warm
+    return best
--- /dev/null
+++ b/src/cloverwalk/core/prefix_index.py
@@ -0,0 +1,64 @@
+"""Which replicas probably have a prompt's prefix in their cache: a hint, never a fact.
+
+Engines publish cache events late and with gaps. A gap in an engine's event numbers drops
+all that is known of that replica until its next events.
+"""
+
+from collections import OrderedDict
+
+import xxhash
+
+PREFIX_CHARS = 256
+MAX_ENTRIES = 50_000
+
+
+def prefix_hash(prompt: str) -> str:
+    """Return the name of a prompt's first characters.
+
+    >>> prefix_hash("a" * 300) == prefix_hash("a" * 400)
+    True
+    """
+    return str(xxhash.xxh64_hexdigest(prompt[:PREFIX_CHARS].encode()))
+
+
+class PrefixIndex:
+    """Prefix names by replica, fed by cache events.
+
+    >>> index = PrefixIndex()
+    >>> index.apply("r1", number=1, added=["p"], removed=[])
+    >>> index.replicas("p")
+    {'r1'}
+    >>> index.apply("r1", number=3, added=["q"], removed=[])  # event 2 was lost
+    >>> index.replicas("p"), index.replicas("q")
+    (set(), {'r1'})
+    """
+
+    def __init__(self) -> None:
+        self._replicas: OrderedDict[str, set[str]] = OrderedDict()
+        self._last_number: dict[str, int] = {}
+
+    def apply(self, replica: str, number: int, added: list[str], removed: list[str]) -> None:
+        """Take one event of a replica."""
+        expected = self._last_number.get(replica, number - 1) + 1
+        if number < expected:
+            return
+        if number > expected:
+            self.drop(replica)
+        self._last_number[replica] = number
+        for name in removed:
+            self._replicas.get(name, set()).discard(replica)
+        for name in added:
+            self._replicas.setdefault(name, set()).add(replica)
+            self._replicas.move_to_end(name)
+        while len(self._replicas) > MAX_ENTRIES:
+            self._replicas.popitem(last=False)
+
+    def drop(self, replica: str) -> None:
+        """Forget a replica's prefixes."""
+        for replicas in self._replicas.values():
+            replicas.discard(replica)
+        self._last_number.pop(replica, None)
+
+    def replicas(self, name: str) -> set[str]:
+        """Return the replicas that probably have a prefix."""
+        return set(self._replicas.get(name, ()))
--- /dev/null
+++ b/src/cloverwalk/core/token_bucket.py
@@ -0,0 +1,47 @@
+"""A token bucket whose clock is passed in."""
+
+
+class TokenBucket:
+    """Allows ``rate_per_s`` on average and ``burst`` at once.
+
+    >>> bucket = TokenBucket(rate_per_s=2.0, burst=1.0, now=0.0)
+    >>> bucket.take(now=0.0), bucket.take(now=0.0), bucket.wait_s(now=0.0)
+    (True, False, 0.5)
+    """
+
+    def __init__(self, rate_per_s: float, burst: float, now: float) -> None:
+        self.rate_per_s = rate_per_s
+        self.burst = burst
+        self._level = burst
+        self._updated_at = now
+
+    def _refill(self, now: float) -> None:
+        elapsed_s = max(0.0, now - self._updated_at)
+        self._level = min(self.burst, self._level + elapsed_s * self.rate_per_s)
+        self._updated_at = now
+
+    def set_rate(self, rate_per_s: float, burst: float, now: float) -> None:
+        """Change the rate in force from ``now`` on; a smaller burst caps the level."""
+        self._refill(now)
+        self.rate_per_s = rate_per_s
+        self.burst = burst
+        self._level = min(self._level, burst)
+
+    def take(self, now: float, amount: float = 1.0) -> bool:
+        """Take ``amount`` if it is there; return whether it was."""
+        self._refill(now)
+        if self._level + 1e-9 < amount:
+            return False
+        self._level -= amount
+        return True
+
+    def give_back(self, amount: float) -> None:
+        """Return what was taken for something that did not happen."""
+        self._level = min(self.burst, self._level + amount)
+
+    def wait_s(self, now: float, amount: float = 1.0) -> float:
+        """Return the seconds until ``amount`` could be taken."""
+        self._refill(now)
+        if self.rate_per_s <= 0:
+            return float("inf")
+        return max(0.0, (amount - self._level) / self.rate_per_s)
--- /dev/null
+++ b/src/cloverwalk/core/weight_table.py
@@ -0,0 +1,177 @@
+"""The table of weights and limits that operators edit.
+
+One row per (session, kind); ``*`` stands for any. A row's empty cell falls back to the
+less specific rows: (session, kind), (session, *), (*, kind), (*, *).
+"""
+
+import csv
+import io
+from collections.abc import Iterable, Sequence
+
+from msgspec import Struct, structs
+
+from cloverwalk.core.errors import WeightTableError
+
+ANY = "*"
+COLUMNS = (
+    "session",
+    "kind",
+    "class",
+    "weight",
+    "max_in_flight",
+    "max_queued",
+    "requests_per_s",
+    "tokens_per_s",
+    "deadline_s",
+)
+CLASSES = ("online", "batch")
+_POSITIVE = ("weight",)
+_WHOLE = ("max_in_flight", "max_queued")
+_NUMBERS = ("weight", "requests_per_s", "tokens_per_s", "deadline_s")
+
+
+class TableRow(Struct, frozen=True, rename={"work_class": "class"}):
+    """One row; None is an empty cell."""
+
+    session: str
+    kind: str
+    work_class: str | None = None
+    weight: float | None = None
+    max_in_flight: int | None = None
+    max_queued: int | None = None
+    requests_per_s: float | None = None
+    tokens_per_s: float | None = None
+    deadline_s: float | None = None
+
+
+class WeightTable(Struct, frozen=True):
+    """An accepted version of the whole table. Versions only grow."""
+
+    version: int
+    rows: list[TableRow]
+
+
+class EffectiveRow(Struct, frozen=True):
+    """What holds for one session and kind after the defaults are filled in."""
+
+    work_class: str | None
+    weight: float
+    max_in_flight: int | None
+    max_queued: int | None
+    requests_per_s: float | None
+    tokens_per_s: float | None
+    deadline_s: float | None
+
+
+EMPTY_TABLE = WeightTable(version=0, rows=[TableRow(ANY, ANY, None, 1.0)])
+
+
+def resolve(table: WeightTable, session: str, kind: str) -> EffectiveRow:
+    """Return what is in force for one session and kind.
+
+    >>> table = WeightTable(1, [TableRow("*", "*", weight=1.0), TableRow("quiz", "*", weight=4.0)])
+    >>> resolve(table, "quiz", "ruling").weight, resolve(table, "other", "ruling").weight
+    (4.0, 1.0)
+    """
+    by_key = {(row.session, row.kind): row for row in table.rows}
+    keys = [(session, kind), (session, ANY), (ANY, kind), (ANY, ANY)]
+    layers = [by_key[key] for key in keys if key in by_key]
+
+    def first(field: str) -> object:
+        values = (getattr(row, field) for row in layers)
+        return next((value for value in values if value is not None), None)
+
+    fields = {name: first(name) for name in EffectiveRow.__struct_fields__}
+    fields["weight"] = fields["weight"] if fields["weight"] is not None else 1.0
+    return EffectiveRow(**fields)  # type: ignore[arg-type]
+
+
+def parse_cell(column: str, text: str) -> object:
+    """Return the value of one cell, None when empty; raise WeightTableError naming the column."""
+    text = text.strip()
+    if column not in COLUMNS:
+        raise WeightTableError(f"unknown column; allowed are {', '.join(COLUMNS)}", column)
+    if column in ("session", "kind"):
+        if not text:
+            raise WeightTableError("must not be empty; use * for any", column)
+        return text
+    if not text:
+        return None
+    if column == "class":
+        if text not in CLASSES:
+            raise WeightTableError(f"found {text!r}, allowed are online, batch", column)
+        return text
+    return _parse_number(column, text)
+
+
+def _parse_number(column: str, text: str) -> float | int:
+    try:
+        number = int(text) if column in _WHOLE else float(text)
+    except ValueError:
+        wanted = "a whole number" if column in _WHOLE else "a number"
+        raise WeightTableError(f"found {text!r}, allowed is {wanted}", column) from None
+    lowest_is_open = column in _POSITIVE
+    if not number < float("inf") or number < 0 or (lowest_is_open and number == 0):
+        wanted = "a number above 0" if lowest_is_open else "0 or more"
+        raise WeightTableError(f"found {text!r}, allowed is {wanted}", column)
+    return number
+
+
+def row_from_cells(cells: dict[str, str], where: str) -> TableRow:
+    """Return a row from column names and texts; errors name ``where`` and the column."""
+    try:
+        values = {column: parse_cell(column, text) for column, text in cells.items()}
+    except WeightTableError as error:
+        raise WeightTableError(str(error), where) from error
+    for column in ("session", "kind"):
+        if column not in values:
+            raise WeightTableError("is missing", f"{where}: {column}")
+    values["work_class"] = values.pop("class", None)
+    return TableRow(**values)  # type: ignore[arg-type]
+
+
+def check_rows(rows: Sequence[TableRow]) -> None:
+    """Raise WeightTableError when two rows have one key."""
+    seen: set[tuple[str, str]] = set()
+    for number, row in enumerate(rows, start=1):
+        key = (row.session, row.kind)
+        if key in seen:
+            raise WeightTableError(f"row {key} stands twice", f"row {number}")
+        seen.add(key)
+
+
+def rows_from_csv(text: str) -> list[TableRow]:
+    """Return the rows of a CSV with a header line; raise WeightTableError naming the line."""
+    reader = csv.DictReader(io.StringIO(text))
+    rows = []
+    for cells in reader:
+        where = f"line {reader.line_num}"
+        if None in cells or None in cells.values():
+            raise WeightTableError("has more or fewer cells than the header", where)
+        rows.append(row_from_cells(cells, where))
+    check_rows(rows)
+    return rows
+
+
+def rows_to_csv(rows: Iterable[TableRow]) -> str:
+    """Return the rows as CSV, empty cells for None; a spreadsheet opens it."""
+    out = io.StringIO()
+    writer = csv.writer(out, lineterminator="\n")
+    writer.writerow(COLUMNS)
+    for row in rows:
+        writer.writerow(["" if cell is None else cell for cell in structs.astuple(row)])
+    return out.getvalue()
+
+
+def with_row(rows: Sequence[TableRow], new: TableRow) -> list[TableRow]:
+    """Return the rows with ``new`` in place of the row of the same key, or added."""
+    key = (new.session, new.kind)
+    kept = [row for row in rows if (row.session, row.kind) != key]
+    return sorted([*kept, new], key=lambda row: (row.session, row.kind))
+
+
+def changed_cells(row: TableRow | None, cells: dict[str, str], where: str) -> TableRow:
+    """Return ``row`` with the given cells replaced."""
+    before = {} if row is None else dict(zip(COLUMNS, structs.astuple(row), strict=True))
+    texts = {name: "" if value is None else str(value) for name, value in before.items()}
+    return row_from_cells({**texts, **cells}, where)
--- /dev/null
+++ b/src/cloverwalk/emulator/simulation.py
@@ -0,0 +1,628 @@
+"""A discrete-event run of nodes, engines and the platform on a seeded clock and network.
+
+The nodes are the very state machines of the daemon. Faults: kills, restarts, pauses, cuts
+between zones, outages, slow stores, lost answers, lost and reordered messages.
+"""
+
+import heapq
+from collections.abc import Callable
+from random import Random
+from typing import NamedTuple
+
+from msgspec import Struct
+
+from cloverwalk.config.settings import (
+    EngineEmulatorSettings,
+    NodeSettings,
+    PlatformEmulatorSettings,
+)
+from cloverwalk.core import events as ev
+from cloverwalk.core.constants import STORE_TIMEOUT_S, TICK_S
+from cloverwalk.core.store_types import (
+    CommitReply,
+    CommitStatus,
+    ObjectReply,
+    ReadReply,
+)
+from cloverwalk.core.types import Machine
+from cloverwalk.emulator.engine_model import Emission, EngineModel, StreamEnd
+from cloverwalk.emulator.platform_model import PlatformModel
+from cloverwalk.node.node import Node
+
+CUT_NOTICE_S = 0.2
+LOAD_REPORT_S = 0.25
+CACHE_EVENTS_S = 0.2
+
+
+class NetworkSettings(Struct, frozen=True):
+    """Delays in seconds; each message takes between half and one and a half of its delay."""
+
+    local_s: float = 0.0003
+    between_zones_s: float = 0.001
+    client_s: float = 0.004
+    platform_s: float = 0.002
+    loss: float = 0.0
+    reorder_s: float = 0.0
+
+
+class HttpAnswer(Struct):
+    """What a simulated caller gets: ``cut`` when the connection broke before the end."""
+
+    status: int = 0
+    headers: dict[str, str] = {}
+    body: bytes = b""
+    cut: bool = False
+    first_byte_at: float = 0.0
+    byte_times: list[float] = []
+
+    @property
+    def retry_after_s(self) -> float:
+        """The Retry-After header, 1 when there is none."""
+        return float(self.headers.get("retry-after", "1"))
+
+
+class _Connection(Struct):
+    number: int
+    node: str
+    answer: HttpAnswer
+    on_answer: Callable[[HttpAnswer], None]
+    done: bool = False
+
+
+class _Timed(NamedTuple):
+    at: float
+    order: int
+    action: Callable[[], None]
+
+
+class SimulatedNode:
+    """A node and the process around it."""
+
+    def __init__(self, settings: NodeSettings, node: Node) -> None:
+        self.settings = settings
+        self.node = node
+        self.alive = True
+        self.paused = False
+        self.generation = 0
+        self.deferred: list[ev.Event] = []
+        self.stopped = False
+        self.tick_scheduled = False
+
+
+class SimulatedEngine:
+    """An engine and its connections."""
+
+    def __init__(self, model: EngineModel, zone: str) -> None:
+        self.model = model
+        self.zone = zone
+        self.alive = True
+        self.step_scheduled = False
+        self.streams: dict[tuple[str, int], str] = {}  # (request, attempt) > node
+        self.cache_read: dict[str, int] = {}
+
+
+class Simulation:
+    """The whole run. ``now`` is in seconds from 0."""
+
+    def __init__(self, seed: int, network: NetworkSettings | None = None) -> None:
+        self.random = Random(seed)
+        self.now = 0.0
+        self.network = network or NetworkSettings()
+        self.nodes: dict[str, SimulatedNode] = {}
+        self.engines: dict[str, SimulatedEngine] = {}
+        self.platform = PlatformModel(PlatformEmulatorSettings(), Random(seed + 1))
+        self.cuts: set[frozenset[str]] = set()
+        self.store_cuts: set[str] = set()  # zones that don't reach the platform
+        self.logs: list[tuple[float, str, ev.WriteLog]] = []
+        self.on_instruction: Callable[[str, ev.Instruction], None] | None = None
+        self._queue: list[_Timed] = []
+        self._order = 0
+        self._connections: dict[int, _Connection] = {}
+        self._connection_count = 0
+        self._engine_order: dict[tuple[str, str], float] = {}
+
+    # --- time ---
+
+    def at(self, when: float, action: Callable[[], None]) -> None:
+        """Do something at a time."""
+        self._order += 1
+        heapq.heappush(self._queue, _Timed(max(when, self.now), self._order, action))
+
+    def after(self, delay_s: float, action: Callable[[], None]) -> None:
+        """Do something later."""
+        self.at(self.now + delay_s, action)
+
+    def run_until(self, when: float) -> None:
+        """Let time pass until ``when``."""
+        while self._queue and self._queue[0].at <= when:
+            timed = heapq.heappop(self._queue)
+            self.now = timed.at
+            timed.action()
+        self.now = when
+
+    def run_while(self, condition: Callable[[], bool], limit_s: float) -> bool:
+        """Let time pass while a condition holds; return False when the limit came first."""
+        end = self.now + limit_s
+        while condition():
+            if not self._queue or self._queue[0].at > end:
+                return not condition()
+            timed = heapq.heappop(self._queue)
+            self.now = timed.at
+            timed.action()
+        return True
+
+    # --- building ---
+
+    def add_node(self, settings: NodeSettings) -> SimulatedNode:
+        """Add a node; its first tick comes at once."""
+        node = Node(settings, Random(self.random.getrandbits(64)), self.now)
+        simulated = SimulatedNode(settings, node)
+        self.nodes[settings.node_id] = simulated
+        self._schedule_tick(settings.node_id, simulated, simulated.generation)
+        self._introduce(settings.node_id)
+        return simulated
+
+    def _introduce(self, node_id: str) -> None:
+        # The daemon says hello to the peers of its settings file; here to every node.
+        for other in self.nodes:
+            if other != node_id:
+                self._deliver_hello(node_id, other)
+                self._deliver_hello(other, node_id)
+
+    def _deliver_hello(self, sender: str, receiver: str) -> None:
+        message = self.nodes[sender].node.hello()
+        event = ev.PeerReceived(sender, "", message)
+        self.after(self._delay(self._between(sender, receiver)), lambda: self.feed(receiver, event))
+
+    def add_engine(self, settings: EngineEmulatorSettings) -> SimulatedEngine:
+        """Add an engine and list its machine."""
+        model = EngineModel(settings, Random(self.random.getrandbits(64)))
+        engine = SimulatedEngine(model, settings.zone)
+        self.engines[settings.replica_id] = engine
+        machine = Machine(settings.replica_id, settings.zone, "", settings.model)
+        self.platform.set_machine(machine, self.now)
+        self._report_load(settings.replica_id, engine)
+        return engine
+
+    # --- nodes ---
+
+    def _schedule_tick(self, node_id: str, simulated: SimulatedNode, generation: int) -> None:
+        def tick() -> None:
+            if simulated.generation != generation or not simulated.alive:
+                return
+            if not simulated.paused:
+                self.feed(node_id, ev.Tick())
+            self.after(TICK_S * self.random.uniform(0.9, 1.1), tick)
+
+        self.after(self.random.uniform(0.0, TICK_S), tick)
+
+    def feed(self, node_id: str, event: ev.Event) -> None:
+        """Give an event to a node and carry out what it says."""
+        simulated = self.nodes.get(node_id)
+        if simulated is None or not simulated.alive or simulated.stopped:
+            return
+        if simulated.paused:
+            simulated.deferred.append(event)
+            return
+        for instruction in simulated.node.handle(event, self.now):
+            self._carry_out(node_id, simulated, instruction)
+
+    def kill(self, node_id: str) -> None:
+        """End a node without warning; its connections break."""
+        simulated = self.nodes[node_id]
+        simulated.alive = False
+        simulated.generation += 1
+        self._break_connections(node_id)
+        for engine_id, engine in self.engines.items():
+            for key, owner in list(engine.streams.items()):
+                if owner == node_id:
+                    self.after(
+                        self.network.local_s,
+                        lambda i=engine_id, k=key: self._connection_closed(i, k),  # type: ignore[misc]
+                    )
+
+    def _connection_closed(self, engine_id: str, key: tuple[str, int]) -> None:
+        engine = self.engines[engine_id]
+        engine.streams.pop(key, None)
+        engine.model.cancel(*key)
+
+    def _break_connections(self, node_id: str) -> None:
+        for connection in list(self._connections.values()):
+            if connection.node == node_id and not connection.done:
+                self._finish(connection, cut=True)
+
+    def restart(self, node_id: str) -> None:
+        """Start a node anew, with nothing kept."""
+        self.add_node(self.nodes.pop(node_id).settings)
+
+    def pause(self, node_id: str) -> None:
+        """Freeze a node as SIGSTOP does: its connections stay open."""
+        self.nodes[node_id].paused = True
+
+    def resume(self, node_id: str) -> None:
+        """Let a frozen node go on, with all that came meanwhile."""
+        simulated = self.nodes[node_id]
+        simulated.paused = False
+        deferred, simulated.deferred = simulated.deferred, []
+        for event in deferred:
+            self.feed(node_id, event)
+
+    def stop(self, node_id: str) -> None:
+        """Ask for a planned stop (SIGTERM)."""
+        self.feed(node_id, ev.StopRequested())
+
+    # --- instructions ---
+
+    def _carry_out(
+        self, node_id: str, simulated: SimulatedNode, instruction: ev.Instruction
+    ) -> None:
+        if self.on_instruction is not None:
+            self.on_instruction(node_id, instruction)
+        match instruction:
+            case ev.SendToPeer():
+                self._send_peer(node_id, instruction)
+            case ev.StartWork():
+                self._start_work(node_id, instruction)
+            case ev.StopWork():
+                self._stop_work(node_id, instruction)
+            case ev.AdoptEngine():
+                self._adopt(node_id, instruction)
+            case ev.QueryEngine():
+                self._query(node_id, instruction)
+            case ev.CommitToStore() | ev.ReadStore() | ev.PutObject() | ev.GetObject():
+                self._call_store(node_id, instruction)
+            case ev.ListMachines():
+                self._list_machines(node_id)
+            case ev.WriteLog():
+                self.logs.append((self.now, node_id, instruction))
+            case ev.Stopped():
+                simulated.stopped = True
+                self._break_connections(node_id)
+            case _:
+                self._to_client(instruction)
+
+    # --- network ---
+
+    def zone_of(self, name: str) -> str:
+        """Return the zone of a node or an engine."""
+        if name in self.nodes:
+            return self.nodes[name].settings.zone
+        return self.engines[name].zone
+
+    def cut(self, one: str, other: str) -> None:
+        """Cut two zones off from each other."""
+        self.cuts.add(frozenset((one, other)))
+
+    def heal(self) -> None:
+        """End every cut."""
+        self.cuts.clear()
+        self.store_cuts.clear()
+
+    def reaches(self, one: str, other: str) -> bool:
+        """Return whether messages pass between two names."""
+        return frozenset((self.zone_of(one), self.zone_of(other))) not in self.cuts
+
+    def _between(self, one: str, other: str) -> float:
+        same = self.zone_of(one) == self.zone_of(other)
+        return self.network.local_s if same else self.network.between_zones_s
+
+    def _delay(self, delay_s: float) -> float:
+        return delay_s * self.random.uniform(0.5, 1.5)
+
+    def _send_peer(self, sender: str, send: ev.SendToPeer) -> None:
+        receiver = send.node
+        target = self.nodes.get(receiver)
+        if (
+            target is None
+            or not target.alive
+            or target.stopped
+            or not self.reaches(sender, receiver)
+        ):
+            event = ev.PeerUnreachable(receiver)
+            self.after(CUT_NOTICE_S, lambda: self.feed(sender, event))
+            return
+        if self.network.loss and self.random.random() < self.network.loss:
+            return
+        delay_s = self._delay(self._between(sender, receiver))
+        delay_s += self.random.uniform(0.0, self.network.reorder_s)
+        received = ev.PeerReceived(sender, "", send.message)
+        self.after(delay_s, lambda: self.feed(receiver, received))
+
+    # --- engines ---
+
+    def _to_node_in_order(self, replica: str, node_id: str, event: ev.Event) -> None:
+        key = (replica, node_id)
+        at = self.now + self._delay(self._between(replica, node_id))
+        at = max(at, self._engine_order.get(key, 0.0))
+        self._engine_order[key] = at
+        self.at(at, lambda: self.feed(node_id, event))
+
+    def _engine_call(
+        self, node_id: str, replica: str, call: Callable[[SimulatedEngine], None]
+    ) -> bool:
+        engine = self.engines.get(replica)
+        if engine is None or not engine.alive or not self.reaches(node_id, replica):
+            return False
+        self.after(
+            self._delay(self._between(node_id, replica)),
+            lambda: call(engine) if engine.alive else None,
+        )
+        return True
+
+    def _start_work(self, node_id: str, start: ev.StartWork) -> None:
+        work = start.work
+        replica = start.replica
+
+        def arrive(engine: SimulatedEngine) -> None:
+            reason = engine.model.start(work, start.epoch, self.now)
+            if reason is not None:
+                event = ev.EngineRefused(replica, work.request_id, work.attempt, reason.value)
+                self._to_node_in_order(replica, node_id, event)
+                return
+            engine.streams[(work.request_id, work.attempt)] = node_id
+            if not self.nodes[node_id].alive:
+                self._connection_closed(replica, (work.request_id, work.attempt))
+            self._schedule_step(replica, engine)
+
+        if not self._engine_call(node_id, replica, arrive):
+            event = ev.EngineRefused(replica, work.request_id, work.attempt, "unreachable")
+            self.after(CUT_NOTICE_S, lambda: self.feed(node_id, event))
+
+    def _schedule_step(self, replica: str, engine: SimulatedEngine) -> None:
+        if engine.step_scheduled or not engine.alive:
+            return
+        at = engine.model.next_step_at(self.now)
+        if at is None:
+            return
+        engine.step_scheduled = True
+
+        def step() -> None:
+            engine.step_scheduled = False
+            if not engine.alive:
+                return
+            for emission in engine.model.step(self.now):
+                self._emit(replica, engine, emission)
+            self._schedule_step(replica, engine)
+
+        self.at(at, step)
+
+    def _emit(self, replica: str, engine: SimulatedEngine, emission: Emission) -> None:
+        key = (emission.request_id, emission.attempt)
+        node_id = engine.streams.get(key)
+        if emission.finished:
+            engine.streams.pop(key, None)
+        if node_id is None:
+            return
+        if not self.reaches(replica, node_id):
+            engine.streams.pop(key, None)
+            engine.model.cancel(*key)
+            self._lose_stream(replica, node_id, key)
+            return
+        event = ev.EngineChunk(
+            replica,
+            emission.request_id,
+            emission.attempt,
+            emission.first,
+            emission.tokens,
+            emission.text,
+            emission.finished,
+            emission.step_s,
+        )
+        self._to_node_in_order(replica, node_id, event)
+
+    def _lose_stream(self, replica: str, node_id: str, key: tuple[str, int]) -> None:
+        event = ev.EngineCut(replica, key[0], key[1], "lost")
+        self.after(CUT_NOTICE_S, lambda: self.feed(node_id, event))
+
+    def _stop_work(self, node_id: str, stop: ev.StopWork) -> None:
+        replica = stop.replica
+        key = (stop.request_id, stop.attempt)
+
+        def arrive(engine: SimulatedEngine) -> None:
+            end = engine.model.cancel(*key)
+            engine.streams.pop(key, None)
+            if end is not None:
+                self._to_node_in_order(replica, node_id, _cut_event(replica, end, "cancelled"))
+
+        self._engine_call(node_id, replica, arrive)
+
+    def _adopt(self, node_id: str, adopt: ev.AdoptEngine) -> None:
+        replica = adopt.replica
+
+        def arrive(engine: SimulatedEngine) -> None:
+            ended = engine.model.adopt(adopt.epoch)
+            for end in ended or []:
+                key = (end.request_id, end.attempt)
+                owner = engine.streams.pop(key, None)
+                if owner is not None:
+                    event = _cut_event(replica, end, "aborted")
+                    self._to_node_in_order(replica, owner, event)
+            settings = engine.model.settings
+            self._to_node_in_order(
+                replica,
+                node_id,
+                ev.EngineAdopted(
+                    replica, adopt.epoch, ended is not None, settings.slots, engine.model.model
+                ),
+            )
+
+        if not self._engine_call(node_id, replica, arrive):
+            event = ev.EngineAdopted(replica, adopt.epoch, False)
+            self.after(CUT_NOTICE_S, lambda: self.feed(node_id, event))
+
+    def _query(self, node_id: str, query: ev.QueryEngine) -> None:
+        replica = query.replica
+
+        def answer(state: str, text: str = "", tokens: int = 0) -> ev.EngineStatus:
+            return ev.EngineStatus(replica, query.request_id, query.token, state, text, tokens)
+
+        def arrive(engine: SimulatedEngine) -> None:
+            status = engine.model.status(query.request_id)
+            event = answer(status.state, status.text, status.tokens)
+            self._to_node_in_order(replica, node_id, event)
+
+        if not self._engine_call(node_id, replica, arrive):
+            self.after(CUT_NOTICE_S, lambda: self.feed(node_id, answer("unreachable")))
+
+    def _report_load(self, replica: str, engine: SimulatedEngine) -> None:
+        def report() -> None:
+            if not engine.alive:
+                return
+            load = engine.model.load(self.now)
+            event = ev.EngineLoad(replica, load.running, load.step_s, load.leaving)
+            for node_id, simulated in self.nodes.items():
+                if replica in simulated.node.replicas.owned and self.reaches(replica, node_id):
+                    self._to_node_in_order(replica, node_id, event)
+            self.after(LOAD_REPORT_S, report)
+
+        self.after(LOAD_REPORT_S, report)
+
+    def kill_engine(self, replica: str) -> None:
+        """End an engine; its streams break."""
+        engine = self.engines[replica]
+        engine.alive = False
+        for key, node_id in engine.streams.items():
+            self._lose_stream(replica, node_id, key)
+        engine.streams.clear()
+
+    def restart_engine(self, replica: str) -> None:
+        """Start an engine anew, with nothing kept but its log of starts."""
+        old = self.engines[replica]
+        model = EngineModel(old.model.settings, Random(self.random.getrandbits(64)))
+        model.starts = old.model.starts
+        model.epoch = old.model.epoch
+        engine = SimulatedEngine(model, old.zone)
+        self.engines[replica] = engine
+        self._report_load(replica, engine)
+
+    # --- platform ---
+
+    def _call_store(
+        self,
+        node_id: str,
+        call: ev.CommitToStore | ev.ReadStore | ev.PutObject | ev.GetObject,
+    ) -> None:
+        reached = self.zone_of(node_id) not in self.store_cuts
+        delay_s = self._delay(self.network.platform_s)
+
+        def arrive() -> None:
+            faults = self.platform.faults
+            if not reached or not self.platform.admits(self.now):
+                self.after(delay_s, lambda: self.feed(node_id, _store_failure(call, False)))
+                return
+            answer = self._apply(call)
+            if self.platform.loses_answer() or faults.slow_s > STORE_TIMEOUT_S:
+                event = _store_failure(call, True)
+                self.after(STORE_TIMEOUT_S, lambda: self.feed(node_id, event))
+                return
+            self.after(delay_s + faults.slow_s, lambda: self.feed(node_id, answer))
+
+        self.after(delay_s, arrive)
+
+    def _apply(
+        self, call: ev.CommitToStore | ev.ReadStore | ev.PutObject | ev.GetObject
+    ) -> ev.Event:
+        platform = self.platform
+        match call:
+            case ev.CommitToStore():
+                return ev.StoreCommitted(call.op_id, platform.commit(call.transaction))
+            case ev.ReadStore():
+                return ev.StoreRead(call.op_id, platform.read(call.prefix, call.exact))
+            case ev.PutObject():
+                return ev.ObjectDone(call.op_id, platform.put_object(call.name, call.body))
+            case ev.GetObject():
+                return ev.ObjectDone(call.op_id, platform.get_object(call.name))
+
+    def _list_machines(self, node_id: str) -> None:
+        down = self.platform.faults.down or self.zone_of(node_id) in self.store_cuts
+        machines = None if down else self.platform.machines(self.now)
+        event = ev.MachinesListed(machines)
+        self.after(self._delay(2 * self.network.platform_s), lambda: self.feed(node_id, event))
+
+    # --- callers ---
+
+    def request(
+        self,
+        node_id: str,
+        method: str,
+        path: str,
+        on_answer: Callable[[HttpAnswer], None],
+        headers: dict[str, str] | None = None,
+        body: bytes = b"",
+        query: dict[str, str] | None = None,
+    ) -> None:
+        """Send an HTTP request as a caller; ``on_answer`` gets the whole answer or a cut."""
+        self._connection_count += 1
+        number = self._connection_count
+        answer = HttpAnswer(byte_times=[])
+        connection = _Connection(number, node_id, answer, on_answer)
+        self._connections[number] = connection
+        request = ev.HttpRequest(number, method, path, query or {}, headers or {}, body)
+
+        def arrive() -> None:
+            simulated = self.nodes.get(node_id)
+            if simulated is None or not simulated.alive or simulated.stopped:
+                self._finish(connection, cut=True)
+                return
+            self.feed(node_id, ev.ClientRequest(request))
+
+        self.after(self._delay(self.network.client_s), arrive)
+
+    def _to_client(self, instruction: ev.Instruction) -> None:
+        if not isinstance(
+            instruction, ev.SendReply | ev.BeginStream | ev.StreamData | ev.EndStream
+        ):
+            return
+        connection = self._connections.get(instruction.connection)
+        if connection is None or connection.done:
+            return
+        delay_s = self.network.client_s
+        self.after(delay_s, lambda: self._client_receives(connection, instruction))
+
+    def _client_receives(
+        self,
+        connection: _Connection,
+        instruction: ev.SendReply | ev.BeginStream | ev.StreamData | ev.EndStream,
+    ) -> None:
+        answer = connection.answer
+        if connection.done:
+            return
+        match instruction:
+            case ev.SendReply():
+                answer.status = instruction.status
+                answer.headers = {one.name.lower(): one.value for one in instruction.headers}
+                answer.body = instruction.body
+                self._finish(connection, cut=False)
+            case ev.BeginStream():
+                answer.status = instruction.status
+                answer.headers = {one.name.lower(): one.value for one in instruction.headers}
+            case ev.StreamData():
+                if not answer.body:
+                    answer.first_byte_at = self.now
+                answer.body += instruction.data
+                answer.byte_times.append(self.now)
+            case ev.EndStream():
+                self._finish(connection, cut=not instruction.whole)
+
+    def _finish(self, connection: _Connection, cut: bool) -> None:
+        connection.done = True
+        connection.answer.cut = cut
+        self._connections.pop(connection.number, None)
+        connection.on_answer(connection.answer)
+
+
+def _cut_event(replica: str, end: StreamEnd, reason: str) -> ev.EngineCut:
+    return ev.EngineCut(replica, end.request_id, end.attempt, reason, end.text, end.tokens)
+
+
+def _store_failure(
+    call: ev.CommitToStore | ev.ReadStore | ev.PutObject | ev.GetObject, may_be_applied: bool
+) -> ev.Event:
+    match call:
+        case ev.CommitToStore():
+            status = CommitStatus.UNKNOWN if may_be_applied else CommitStatus.UNAVAILABLE
+            return ev.StoreCommitted(call.op_id, CommitReply(status))
+        case ev.ReadStore():
+            return ev.StoreRead(call.op_id, ReadReply(available=False))
+        case _:
+            return ev.ObjectDone(call.op_id, ObjectReply(found=None))
--- /dev/null
+++ b/src/cloverwalk/engine/__init__.py
@@ -0,0 +1,1 @@
+"""The adapter to model engines: HTTP with server-sent events."""
--- /dev/null
+++ b/src/cloverwalk/http/client.py
@@ -0,0 +1,153 @@
+"""An HTTP client: pooled connections for calls, a connection of its own for each stream."""
+
+from typing import Any
+
+import curio
+import h11
+from curio import socket
+from msgspec import Struct
+
+from cloverwalk.http.errors import LostAnswerError, NotSentError
+
+READ_BYTES = 65536
+MAX_IDLE = 16
+
+
+class HttpResponse(Struct):
+    """A whole answer."""
+
+    status: int
+    headers: dict[str, str]
+    body: bytes
+
+
+def split_address(address: str) -> tuple[str, int]:
+    """Return host and port of ``host:port``."""
+    host, _, port = address.rpartition(":")
+    return host, int(port)
+
+
+class ClientConnection:
+    """One connection; requests go one after the other."""
+
+    def __init__(self, sock: Any, address: str) -> None:
+        self._sock = sock
+        self._address = address
+        self._http = h11.Connection(h11.CLIENT)
+        self.is_used = False
+
+    @classmethod
+    async def open(cls, address: str, timeout_s: float) -> "ClientConnection":
+        """Connect; raise NotSentError when that fails."""
+        try:
+            async with curio.timeout_after(timeout_s):
+                sock = await curio.open_connection(*split_address(address))
+        except (OSError, curio.TaskTimeout) as error:
+            raise NotSentError(f"no connection to {address}: {error!r}") from error
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        return cls(sock, address)
+
+    async def send(self, method: str, path: str, headers: dict[str, str], body: bytes) -> None:
+        """Send a request whole."""
+        self.is_used = True
+        all_headers = [("Host", self._address), ("Content-Length", str(len(body)))]
+        all_headers += list(headers.items())
+        data = self._http.send(h11.Request(method=method, target=path, headers=all_headers))
+        data = data or b""
+        if body:
+            data += self._http.send(h11.Data(data=body)) or b""
+        data += self._http.send(h11.EndOfMessage()) or b""
+        await self._sock.sendall(data)
+
+    async def _next_event(self) -> Any:
+        while True:
+            event = self._http.next_event()
+            if event is not h11.NEED_DATA:
+                return event
+            self._http.receive_data(await self._sock.recv(READ_BYTES))
+
+    async def head(self) -> HttpResponse:
+        """Return status and headers of the answer; its body is still empty."""
+        event = await self._next_event()
+        if not isinstance(event, h11.Response):
+            raise LostAnswerError(f"{self._address} closed the connection")
+        headers = {name.decode(): value.decode("latin-1") for name, value in event.headers}
+        return HttpResponse(event.status_code, headers, b"")
+
+    async def next_part(self) -> bytes | None:
+        """Return the next part of the body, None at its end; LostAnswerError when cut."""
+        event = await self._next_event()
+        if isinstance(event, h11.Data):
+            return bytes(event.data)
+        if isinstance(event, h11.EndOfMessage):
+            return None
+        raise LostAnswerError(f"{self._address} closed the connection")
+
+    async def read_body(self) -> bytes:
+        """Return the whole body."""
+        parts = []
+        while (part := await self.next_part()) is not None:
+            parts.append(part)
+        return b"".join(parts)
+
+    async def read_whole(self) -> HttpResponse:
+        """Return the answer with its body."""
+        response = await self.head()
+        response.body = await self.read_body()
+        return response
+
+    def reset(self) -> bool:
+        """Prepare for the next request; False when the connection must be closed."""
+        if self._http.our_state is h11.DONE and self._http.their_state is h11.DONE:
+            self._http.start_next_cycle()
+            return True
+        return False
+
+    async def close(self) -> None:
+        """Close the connection."""
+        await self._sock.close()
+
+
+class HttpPool:
+    """Calls to one address over kept connections."""
+
+    def __init__(self, address: str) -> None:
+        self.address = address
+        self._idle: list[ClientConnection] = []
+
+    async def call(
+        self,
+        method: str,
+        path: str,
+        body: bytes = b"",
+        headers: dict[str, str] | None = None,
+        timeout_s: float = 1.0,
+    ) -> HttpResponse:
+        """Send a request and return its answer.
+
+        Raises NotSentError or LostAnswerError. A kept connection that the server closed
+        meanwhile counts as a lost answer: nothing tells whether the request was read.
+        """
+        connection = self._idle.pop() if self._idle else None
+        if connection is None:
+            connection = await ClientConnection.open(self.address, timeout_s)
+        try:
+            async with curio.timeout_after(timeout_s):
+                await connection.send(method, path, headers or {}, body)
+                response = await connection.read_whole()
+        except (OSError, curio.TaskTimeout, h11.ProtocolError, LostAnswerError) as error:
+            await connection.close()
+            raise LostAnswerError(f"no answer from {self.address}: {error!r}") from error
+        except BaseException:
+            await connection.close()
+            raise
+        if connection.reset() and len(self._idle) < MAX_IDLE:
+            self._idle.append(connection)
+        else:
+            await connection.close()
+        return response
+
+    async def close(self) -> None:
+        """Close the idle connections."""
+        while self._idle:
+            await self._idle.pop().close()
--- /dev/null
+++ b/src/cloverwalk/http/server.py
@@ -0,0 +1,317 @@
+"""An HTTP server with bounds on everything a client can make it keep.
+
+The application gets whole requests and answers by instructions (SendReply, BeginStream,
+StreamData, EndStream) at any later time.
+"""
+
+from collections import deque
+from collections.abc import Awaitable, Callable
+from typing import Any
+from urllib.parse import parse_qsl, unquote, urlsplit
+
+import curio
+import h11
+from curio import socket
+
+from cloverwalk.config.settings import HttpSettings
+from cloverwalk.core.events import (
+    BeginStream,
+    EndStream,
+    Header,
+    HttpRequest,
+    SendReply,
+    StreamData,
+)
+from cloverwalk.core.types import Outcome
+from cloverwalk.pipeline.problem import PipelineError, problem_reply
+
+READ_BYTES = 65536
+LINGER_S = 1.0
+
+ReplyPart = SendReply | BeginStream | StreamData | EndStream
+OnRequest = Callable[[HttpRequest], Awaitable[None]]
+OnGone = Callable[[int], Awaitable[None]]
+
+
+class _ClientClosed(Exception):
+    """The client closed its side where a request could begin, or went away."""
+
+
+class ServerConnection:
+    """One client's connection."""
+
+    def __init__(self, number: int, sock: Any, server: "HttpServer") -> None:
+        self.number = number
+        self._sock = sock
+        self._server = server
+        self._settings = server.settings
+        self._http = h11.Connection(
+            h11.SERVER, max_incomplete_event_size=server.settings.max_header_bytes
+        )
+        self._parts: deque[ReplyPart] = deque()
+        self._buffered_bytes = 0
+        self._wake = curio.Event()
+        self._overflowed = False
+        self._client_gone = False
+
+    # --- output, as instructed by the application ---
+
+    async def push(self, part: ReplyPart) -> None:
+        """Take a part of the reply; a client that does not read is cut off."""
+        if isinstance(part, StreamData):
+            self._buffered_bytes += len(part.data)
+            if self._buffered_bytes > self._settings.max_stream_buffer_bytes:
+                self._overflowed = True
+        self._parts.append(part)
+        await self._wake.set()
+
+    async def _write_reply(self) -> bool:
+        """Send the reply; return whether the connection may be used again."""
+        while True:
+            while not self._parts:
+                if self._client_gone:
+                    raise _ClientClosed
+                self._wake.clear()
+                await self._wake.wait()
+            if self._overflowed:
+                raise _ClientClosed
+            part = self._parts.popleft()
+            match part:
+                case SendReply():
+                    await self._send_whole(part)
+                    return True
+                case BeginStream():
+                    headers = [*part.headers, Header("Transfer-Encoding", "chunked")]
+                    await self._send(self._response(part.status, headers))
+                case StreamData():
+                    await self._send(self._http.send(h11.Data(data=part.data)) or b"")
+                    self._buffered_bytes -= len(part.data)
+                case EndStream():
+                    if not part.whole:
+                        return False
+                    await self._send(self._http.send(h11.EndOfMessage()) or b"")
+                    return True
+
+    def _response(self, status: int, headers: list[Header]) -> bytes:
+        pairs = [(header.name, header.value) for header in headers]
+        if self._server.is_closing:
+            pairs.append(("Connection", "close"))
+        return self._http.send(h11.Response(status_code=status, headers=pairs)) or b""
+
+    async def _send_whole(self, reply: SendReply) -> None:
+        headers = [*reply.headers, Header("Content-Length", str(len(reply.body)))]
+        data = self._response(reply.status, headers)
+        if reply.body:
+            data += self._http.send(h11.Data(data=reply.body)) or b""
+        data += self._http.send(h11.EndOfMessage()) or b""
+        await self._send(data)
+
+    async def _send(self, data: bytes) -> None:
+        async with curio.timeout_after(self._settings.body_timeout_s):
+            await self._sock.sendall(data)
+
+    # --- input ---
+
+    async def _next_event(self) -> Any:
+        while True:
+            event = self._http.next_event()
+            if event is not h11.NEED_DATA:
+                return event
+            if self._http.they_are_waiting_for_100_continue:
+                go_on = h11.InformationalResponse(status_code=100, headers=[])
+                await self._sock.sendall(self._http.send(go_on))
+            self._http.receive_data(await self._sock.recv(READ_BYTES))
+
+    async def _read_head(self) -> h11.Request:
+        timeout_s = self._settings.idle_timeout_s
+        if not self._http.trailing_data[0]:
+            # An idle connection may wait long; a begun request must come whole soon.
+            async with curio.timeout_after(timeout_s):
+                data = await self._sock.recv(READ_BYTES)
+            if not data:
+                raise _ClientClosed
+            self._http.receive_data(data)
+        async with curio.timeout_after(self._settings.header_timeout_s):
+            event = await self._next_event()
+        if not isinstance(event, h11.Request):
+            raise _ClientClosed
+        return event
+
+    async def _read_body(self, head: h11.Request) -> bytes:
+        limit = self._settings.max_body_bytes
+        too_large = PipelineError(413, "too_large", f"more than {limit} bytes", "body")
+        length = next((v for n, v in head.headers if n == b"content-length"), b"0")
+        if int(length) > limit:
+            raise too_large
+        parts: list[bytes] = []
+        size = 0
+        async with curio.timeout_after(self._settings.body_timeout_s):
+            while True:
+                event = await self._next_event()
+                if isinstance(event, h11.EndOfMessage):
+                    return b"".join(parts)
+                if not isinstance(event, h11.Data):
+                    raise _ClientClosed
+                size += len(event.data)
+                if size > limit:
+                    raise too_large
+                parts.append(bytes(event.data))
+
+    async def _read_request(self) -> HttpRequest:
+        head = await self._read_head()
+        body = await self._read_body(head)
+        url = urlsplit(head.target.decode("latin-1"))
+        headers = {name.decode(): value.decode("latin-1") for name, value in head.headers}
+        return HttpRequest(
+            self.number,
+            head.method.decode(),
+            unquote(url.path),
+            dict(parse_qsl(url.query)),
+            headers,
+            body,
+        )
+
+    # --- life ---
+
+    async def serve(self) -> None:
+        """Serve requests until the connection ends."""
+        try:
+            while await self._serve_one():
+                self._http.start_next_cycle()
+        except (_ClientClosed, OSError, curio.TaskTimeout, h11.LocalProtocolError):
+            pass
+        except h11.RemoteProtocolError as error:
+            status = error.error_status_hint
+            await self._refuse(PipelineError(status, "invalid_http", str(error), "request"))
+        except PipelineError as error:
+            await self._refuse(error)
+        finally:
+            await self._sock.close()
+
+    async def _serve_one(self) -> bool:
+        try:
+            request = await self._read_request()
+        except curio.TaskTimeout:
+            if self._http.their_state is not h11.IDLE:
+                detail = "the request did not come whole in time"
+                await self._refuse(PipelineError(408, "request_timeout", detail, "request"))
+            return False
+        await self._server.on_request(request)
+        watcher = None
+        if self._server.on_gone is not None:
+            watcher = await curio.spawn(self._watch(), daemon=True)
+        try:
+            reusable = await self._write_reply()
+        except (_ClientClosed, OSError, curio.TaskTimeout):
+            if self._server.on_gone is not None:
+                await self._server.on_gone(self.number)
+            return False
+        finally:
+            self._parts.clear()
+            if watcher is not None:
+                await watcher.cancel()
+        if not reusable or self._server.is_closing:
+            return False
+        return self._http.our_state is h11.DONE and self._http.their_state is h11.DONE
+
+    async def _watch(self) -> None:
+        # Reading while the reply is made tells that the client went away.
+        try:
+            data = await self._sock.recv(READ_BYTES)
+        except OSError:
+            data = b""
+        if data:
+            self._http.receive_data(data)
+            return
+        self._client_gone = True
+        await self._wake.set()
+
+    async def _refuse(self, error: PipelineError) -> None:
+        """Answer a request that could not be read, then close."""
+        if self._http.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
+            return
+        reply = problem_reply(self.number, error)
+        headers = [*reply.headers, Header("Connection", "close")]
+        try:
+            await self._send_whole(SendReply(self.number, reply.status, headers, reply.body))
+            await self._linger()
+        except (OSError, curio.TaskTimeout, h11.LocalProtocolError):
+            return
+
+    async def _linger(self) -> None:
+        # Closing with unread input resets the connection, and the client would not see
+        # the answer: read on for a moment.
+        await self._sock.shutdown(socket.SHUT_WR)
+        async with curio.ignore_after(LINGER_S):
+            while await self._sock.recv(READ_BYTES):
+                pass
+
+
+class HttpServer:
+    """Accepts connections for an application."""
+
+    def __init__(
+        self,
+        settings: HttpSettings,
+        host: str,
+        port: int,
+        on_request: OnRequest,
+        on_gone: OnGone | None = None,
+    ) -> None:
+        self.settings = settings
+        self.on_request = on_request
+        self.on_gone = on_gone
+        self.is_closing = False
+        self._connections: dict[int, ServerConnection] = {}
+        self._count = 0
+        self._sock = curio.tcp_server_socket(host, port, backlog=512)
+        self.port: int = self._sock.getsockname()[1]
+
+    async def serve(self) -> None:
+        """Accept until cancelled."""
+        async with self._sock:
+            while True:
+                client, _ = await self._sock.accept()
+                client.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+                await curio.spawn(self._serve_client(client), daemon=True)
+
+    async def _serve_client(self, client: Any) -> None:
+        if len(self._connections) >= self.settings.max_connections:
+            await self._turn_away(client)
+            return
+        self._count += 1
+        connection = ServerConnection(self._count, client, self)
+        self._connections[connection.number] = connection
+        try:
+            await connection.serve()
+        finally:
+            del self._connections[connection.number]
+
+    async def _turn_away(self, client: Any) -> None:
+        error = PipelineError(
+            503,
+            "too_many_connections",
+            "this node has all the connections it takes",
+            outcome=Outcome.NOT_RUN,
+            retry_after_s=1,
+        )
+        reply = problem_reply(0, error)
+        head = [f"HTTP/1.1 {reply.status} Service Unavailable", "Connection: close"]
+        head += [f"{header.name}: {header.value}" for header in reply.headers]
+        head += [f"Content-Length: {len(reply.body)}", "", ""]
+        try:
+            async with curio.ignore_after(LINGER_S):
+                await client.sendall("\r\n".join(head).encode() + reply.body)
+                await client.shutdown(socket.SHUT_WR)
+                while await client.recv(READ_BYTES):
+                    pass
+        except OSError:
+            pass
+        finally:
+            await client.close()
+
+    async def push(self, part: ReplyPart) -> None:
+        """Pass a part of a reply to its connection, if that is still there."""
+        connection = self._connections.get(part.connection)
+        if connection is not None:
+            await connection.push(part)
--- /dev/null
+++ b/src/cloverwalk/peer/__init__.py
@@ -0,0 +1,1 @@
+"""The protocol between nodes: netstrings of JSON over TCP."""
--- /dev/null
+++ b/src/cloverwalk/pipeline/problem.py
@@ -0,0 +1,89 @@
+"""Error answers in the form of RFC 9457 (application/problem+json)."""
+
+import math
+
+from msgspec import Struct, json
+
+from cloverwalk.core.constants import RETRY_AFTER_S
+from cloverwalk.core.errors import CloverwalkError
+from cloverwalk.core.events import Header, SendReply
+from cloverwalk.core.types import Outcome
+
+
+class PipelineError(CloverwalkError):
+    """A request ends with a problem answer."""
+
+    default_code = "bad_request"
+
+    def __init__(
+        self,
+        status: int,
+        code: str,
+        detail: str,
+        field: str = "",
+        outcome: Outcome = Outcome.NOT_RUN,
+        retry_after_s: float | None = None,
+    ) -> None:
+        super().__init__(detail, code)
+        self.status = status
+        self.detail = detail
+        self.field = field
+        self.outcome = outcome
+        self.retry_after_s = retry_after_s
+
+
+class ProblemBody(Struct, frozen=True, omit_defaults=True):
+    """The body of a problem answer."""
+
+    type: str
+    title: str
+    status: int
+    code: str
+    detail: str
+    outcome: str
+    field: str = ""
+    request_id: str = ""
+
+
+def problem_body(error: PipelineError, request_id: str = "") -> bytes:
+    """Return the JSON body."""
+    return json.encode(
+        ProblemBody(
+            f"urn:cloverwalk:problem:{error.code}",
+            error.code.replace("_", " "),
+            error.status,
+            error.code,
+            error.detail,
+            error.outcome.value,
+            error.field,
+            request_id,
+        )
+    )
+
+
+def problem_reply(connection: int, error: PipelineError, request_id: str = "") -> SendReply:
+    """Return the instruction that answers with a problem."""
+    headers = [Header("Content-Type", "application/problem+json")]
+    if error.retry_after_s is not None:
+        seconds = max(RETRY_AFTER_S, math.ceil(error.retry_after_s))
+        headers.append(Header("Retry-After", str(seconds)))
+    return SendReply(connection, error.status, headers, problem_body(error, request_id))
+
+
+def json_reply(
+    connection: int, status: int, body: object, headers: list[Header] | None = None
+) -> SendReply:
+    """Return the instruction that answers with JSON."""
+    all_headers = [Header("Content-Type", "application/json"), *(headers or [])]
+    return SendReply(connection, status, all_headers, json.encode(body))
+
+
+def unavailable(outcome: Outcome = Outcome.NOT_RUN) -> PipelineError:
+    """Return the problem of a table service that does not answer."""
+    return PipelineError(
+        503,
+        "store_unavailable",
+        "the platform's table service does not answer",
+        outcome=outcome,
+        retry_after_s=2,
+    )
