--- a/src/cloverwalk/cli/batch.py
+++ b/src/cloverwalk/cli/batch.py
@@ -1,5 +1,6 @@
 """``cloverwalk batch``."""
 
+import sys
 import time
 from pathlib import Path
 
@@ -67,9 +68,7 @@
 
 
 def _follow(job_id: str, total: int, nodes: tuple[str, ...]) -> dict[str, object]:
-    stderr = click.get_text_stream("stderr")
-    # click's own annotation of the bar's __exit__ is not callable for mypy.
-    with click.progressbar(length=total, label=job_id, file=stderr) as bar:  # type: ignore[operator]
+    with click.progressbar(length=total, label=job_id, file=sys.stderr) as bar:
         shown = 0
         while True:
             answer = decode(call(nodes, "GET", f"/v1/batches/{job_id}"))
