--- a/src/cloverwalk/core/idempotency.py
+++ b/src/cloverwalk/core/idempotency.py
@@ -7,6 +7,9 @@
 
 from cloverwalk.core.types import Result
 
+RUN_EXPIRY_S = 60.0
+"""After this a run whose end was not reported no longer makes others wait."""
+
 
 class JoinVerdict(StrEnum):
     """What the home node tells a node that asks to run a key."""
@@ -26,13 +29,14 @@
 class _Running(Struct):
     runner: Waiter
     waiters: list[Waiter]
+    since: float
 
 
 class JoinRegistry:
     """Who runs which key now, who waits for it, and results of late.
 
     >>> registry = JoinRegistry(remembered=10)
-    >>> [registry.join("k", Waiter(node, "token"))[0].value for node in ("n1", "n2")]
+    >>> [registry.join("k", Waiter(node, "token"), 0.0)[0].value for node in ("n1", "n2")]
     ['run', 'wait']
     """
 
@@ -41,13 +45,13 @@
         self._results: OrderedDict[str, Result] = OrderedDict()
         self._remembered = remembered
 
-    def join(self, key: str, waiter: Waiter) -> tuple[JoinVerdict, Result | None]:
+    def join(self, key: str, waiter: Waiter, now: float) -> tuple[JoinVerdict, Result | None]:
         """Return the verdict for ``waiter`` and, with DONE, the result."""
         if key in self._results:
             return JoinVerdict.DONE, self._results[key]
         running = self._running.get(key)
         if running is None:
-            self._running[key] = _Running(waiter, [])
+            self._running[key] = _Running(waiter, [], now)
             return JoinVerdict.RUN, None
         if running.runner != waiter:
             running.waiters.append(waiter)
@@ -63,6 +67,14 @@
         running = self._running.pop(key, None)
         return running.waiters if running else []
 
+    def expire(self, now: float) -> None:
+        """Forget runs whose end was never reported; the record decides about them."""
+        while self._running:
+            key, running = next(iter(self._running.items()))
+            if now - running.since <= RUN_EXPIRY_S:
+                return
+            del self._running[key]
+
     def node_lost(self, node: str) -> list[tuple[str, Waiter]]:
         """Forget runs of a lost node; return (key, waiter) pairs, who must ask again."""
         orphaned = [key for key, run in self._running.items() if run.runner.node == node]
--- a/src/cloverwalk/core/peer_messages.py
+++ b/src/cloverwalk/core/peer_messages.py
@@ -115,6 +115,20 @@
     tokens: int = 0
 
 
+class QueryHolder(Struct, frozen=True, tag="query_holder"):
+    """Ask the holder of a claim whether it still has the request in flight."""
+
+    request_id: str
+    token: str
+
+
+class HolderStatus(Struct, frozen=True, tag="holder_status"):
+    """Whether a claimed request is in flight at its holder."""
+
+    token: str
+    in_flight: bool
+
+
 class JobChanged(Struct, frozen=True, tag="job_changed"):
     """A job row was written by another node than the shard's owner."""
 
@@ -286,6 +300,8 @@
     | RunFinished
     | QueryWork
     | WorkStatus
+    | QueryHolder
+    | HolderStatus
     | JobChanged
     | Pull
     | PullReply
--- a/src/cloverwalk/emulator/simulation.py
+++ b/src/cloverwalk/emulator/simulation.py
@@ -233,6 +233,8 @@
 
     def restart(self, node_id: str) -> None:
         """Start a node anew, with nothing kept."""
+        if self.nodes[node_id].alive:
+            self.kill(node_id)
         self.add_node(self.nodes.pop(node_id).settings)
 
     def pause(self, node_id: str) -> None:
@@ -561,6 +563,8 @@
 
         def arrive() -> None:
             simulated = self.nodes.get(node_id)
+            if connection.done:
+                return
             if simulated is None or not simulated.alive or simulated.stopped:
                 self._finish(connection, cut=True)
                 return
--- a/src/cloverwalk/node/node.py
+++ b/src/cloverwalk/node/node.py
@@ -233,7 +233,7 @@
         for machine in self.machines.values():
             by_zone = owners.get(machine.zone) or self._zone_owners(machine.zone)
             wanted[f"replica/{machine.machine_id}"] = by_zone
-        for zone in zones:
+        for zone in sorted(zones):
             for number in range(self.context.settings.lease.shards_per_zone):
                 wanted[f"shard/{zone}/{number}"] = owners[zone]
         return wanted
@@ -397,6 +397,11 @@
                 self.replicas.on_query(sender, message)
             case pm.WorkStatus():
                 self.claims.on_status(message)
+            case pm.QueryHolder():
+                in_flight = self.dispatch.has(message.request_id)
+                self.claims.on_query_holder(sender, message, in_flight)
+            case pm.HolderStatus():
+                self.claims.on_holder_status(message)
             case pm.LeavingNotice():
                 self.replicas.note_leaving(message.replica)
             case pm.LeaseReleased():
--- a/src/cloverwalk/pipeline/claim.py
+++ b/src/cloverwalk/pipeline/claim.py
@@ -9,7 +9,7 @@
 from cloverwalk.control.context import Context
 from cloverwalk.control.results import ResultStore
 from cloverwalk.control.store_port import StorePort, encode
-from cloverwalk.core.peer_messages import QueryWork, WorkStatus
+from cloverwalk.core.peer_messages import HolderStatus, QueryHolder, QueryWork, WorkStatus
 from cloverwalk.core.store_types import Check, CommitReply, CommitStatus, Put
 from cloverwalk.core.types import ClaimRow, Outcome, Result
 from cloverwalk.pipeline.problem import PipelineError, unavailable
@@ -163,9 +163,31 @@
             self._record(request, result)
         elif message.state == "running":
             resolving.tries = 0
-        elif message.state != "unreachable" and not self._holder_lives(resolving.claim):
-            del self._resolving[message.token]
-            self._record_unknown(resolving.request)
+        elif message.state != "unreachable":
+            self._ask_holder(message.token, resolving)
+
+    def _ask_holder(self, token: str, resolving: _Resolving) -> None:
+        # The engine has nothing certain. While the holder has the request in flight it may
+        # still send it; a holder that is gone or has given it up never will.
+        if self._holder_lives(resolving.claim):
+            message = QueryHolder(resolving.request.request_id, token)
+            self._context.send(resolving.claim.node, message)
+        else:
+            self._end_unknown(token, resolving)
+
+    def on_query_holder(self, sender: str, message: QueryHolder, in_flight: bool) -> None:
+        """Answer a node that resolves one of this node's claims."""
+        self._context.send(sender, HolderStatus(message.token, in_flight))
+
+    def on_holder_status(self, message: HolderStatus) -> None:
+        """Take the holder's answer."""
+        resolving = self._resolving.get(message.token)
+        if resolving is not None and not message.in_flight:
+            self._end_unknown(message.token, resolving)
+
+    def _end_unknown(self, token: str, resolving: _Resolving) -> None:
+        del self._resolving[token]
+        self._record_unknown(resolving.request)
 
     def _holder_lives(self, claim: ClaimRow) -> bool:
         context = self._context
@@ -217,8 +239,7 @@
                 self._give_up(request, error)
             elif now >= resolving.query_at:
                 if resolving.tries >= QUERY_TRIES and not self._holder_lives(resolving.claim):
-                    del self._resolving[token]
-                    self._record_unknown(request)
+                    self._end_unknown(token, resolving)
                 else:
                     self._requery(token, resolving)
 
--- a/src/cloverwalk/pipeline/join.py
+++ b/src/cloverwalk/pipeline/join.py
@@ -16,6 +16,8 @@
     Stage,
 )
 
+WAIT_LOOK_UP_S = 1.0
+
 
 class JoinFilter:
     """Asks the key's home node whether to run, then the record whether it ran before."""
@@ -57,7 +59,9 @@
 
     def on_join(self, sender: str, message: Join) -> None:
         """Decide for a node that has a request with this key."""
-        verdict, result = self._registry.join(message.key, Waiter(sender, message.token))
+        verdict, result = self._registry.join(
+            message.key, Waiter(sender, message.token), self._context.now
+        )
         self._context.send(sender, JoinReply(message.key, message.token, verdict, result))
 
     def on_run_finished(self, message: RunFinished) -> None:
@@ -75,10 +79,11 @@
         """Waiters of the lost runner ask again: the first of them runs."""
         for key, waiter in self._registry.node_lost(node):
             self.on_join(waiter.node, Join(key, waiter.token))
-        for token, request in list(self._waiting.items()):
+        for request in self._waiting.values():
             if request.runs_for_home == node:
-                del self._waiting[token]
-                self._ask(request)
+                # Asking anew would only be answered by another unreachable notice.
+                request.joined_at = self._context.now - JOIN_TIMEOUT_S
+                request.is_waiting = False
 
     # --- at the node with the caller ---
 
@@ -90,8 +95,11 @@
                 self._decline(message)
             return
         if message.verdict is JoinVerdict.WAIT:
-            request.joined_at = float("inf")  # answered: wait until the deadline
+            # The home node will tell; the record is looked at in case that message is lost.
+            request.joined_at = self._context.now + WAIT_LOOK_UP_S
+            request.is_waiting = True
             return
+        request.is_waiting = False
         del self._waiting[message.token]
         if message.verdict is JoinVerdict.DONE and message.result is not None:
             request.runs_for_home = ""
@@ -117,6 +125,9 @@
             return
         if result is not None:
             self._answer(request, result)
+        elif request.is_waiting:
+            request.joined_at = self._context.now + WAIT_LOOK_UP_S
+            self._waiting[request.join_token] = request
         elif not is_certain and request.call.at_most_once:
             self._give_up(request, unavailable())
         else:
@@ -133,6 +144,7 @@
     def tick(self) -> None:
         """Run without the home node when it does not answer; end what is overdue."""
         now = self._context.now
+        self._registry.expire(now)
         for token, request in list(self._waiting.items()):
             if request.stage is Stage.ENDED:
                 del self._waiting[token]
@@ -147,5 +159,6 @@
                 self._give_up(request, error)
             elif now - request.joined_at >= JOIN_TIMEOUT_S:
                 del self._waiting[token]
-                request.runs_for_home = ""
+                if not request.is_waiting:
+                    request.runs_for_home = ""
                 self._look_up(request)
--- a/src/cloverwalk/pipeline/request.py
+++ b/src/cloverwalk/pipeline/request.py
@@ -37,6 +37,7 @@
     stage: Stage = Stage.ADMISSION
     joined_at: float = 0.0
     join_token: str = ""
+    is_waiting: bool = False  # another request with this key runs
     runs_for_home: str = ""  # home node that waits for our RunFinished
     claim: ClaimRow | None = None
     claim_version: int = 0
--- a/tests/simulated/fleet.py
+++ b/tests/simulated/fleet.py
@@ -150,8 +150,8 @@
         def told(one: Told) -> None:
             nonlocal tries
             tries -= 1
-            is_final = one.outcome in ("completed", "outcome_unknown") and one.status != 0
-            if not is_final and one.status != 422 and tries > 0:
+            is_final = one.outcome in ("completed", "outcome_unknown")
+            if not (is_final and one.status in (200, 409)) and one.status != 422 and tries > 0:
                 self.sim.after(0.5 + self.sim.random.random(), again)
 
         def again() -> None:
