Proofs under failure for each guarantee; lease handover and limit shares mended

Change: the release notice takes the resource out of the peer's digest; a share falls at once and rises by steps.

--- a/src/cloverwalk/control/leases.py
+++ b/src/cloverwalk/control/leases.py
@@ -303,7 +303,9 @@
     def _stood_still(self, node: str, version: int) -> bool:
         now = self._context.now
         sighting = self._sightings.get(node)
-        if sighting is None or sighting.version != version:
+        is_old = sighting is not None and sighting.seen_at < self._store.outage_ended_at
+        if sighting is None or sighting.version != version or is_old:
+            # Over an outage nobody could renew: standing still counts from its end.
             self._sightings[node] = _Sighting(version, now)
             return False
         return now - sighting.seen_at > self._context.settings.lease.lease_s
--- a/src/cloverwalk/control/store_port.py
+++ b/src/cloverwalk/control/store_port.py
@@ -31,6 +31,9 @@
     Transaction,
 )
 
+OUTAGE_GAP_S = 2.0
+"""Without an answer for this long, what was seen before says nothing of the time between."""
+
 _Instruction = CommitToStore | ReadStore | PutObject | GetObject
 _Reply = CommitReply | ReadReply | ObjectReply
 
@@ -55,6 +58,7 @@
         self._context = context
         self._calls: dict[str, _Call] = {}
         self._contact_at = -1e9
+        self.outage_ended_at = -1e9
         self._failing_since: float | None = None
 
     # --- contact ---
@@ -70,6 +74,8 @@
         return self._context.now - self._contact_at
 
     def _answered(self) -> None:
+        if self.contact_age_s > OUTAGE_GAP_S:
+            self.outage_ended_at = self._context.now
         self._contact_at = self._context.now
         if self._failing_since is not None:
             self._failing_since = None
--- a/src/cloverwalk/core/limit_shares.py
+++ b/src/cloverwalk/core/limit_shares.py
@@ -7,6 +7,20 @@
 FLOOR_SHARE = 0.05
 """The least part of an even share that a node without demand keeps."""
 
+RISE_FACTOR = 1.5
+RISE_STEP = 0.05
+"""A share grows by no more than this factor and step at a time. Reports of other nodes'
+demand lag: nodes that all rose at once would together admit a multiple of the limit."""
+
+
+def next_share(share: float, target: float) -> float:
+    """Return the share to use next: down at once, up by steps.
+
+    >>> next_share(0.5, 0.2), round(next_share(0.2, 1.0), 2)
+    (0.2, 0.35)
+    """
+    return min(target, share * RISE_FACTOR + RISE_STEP)
+
 
 def share_of_limit(own_rate: float, other_rates: list[float], node_count: int) -> float:
     """Return this node's part of a limit, from 0 to 1.
--- a/src/cloverwalk/core/membership.py
+++ b/src/cloverwalk/core/membership.py
@@ -9,7 +9,7 @@
 
 from random import Random
 
-from msgspec import Struct
+from msgspec import Struct, structs
 
 
 class ReplicaReport(Struct, frozen=True, array_like=True):
@@ -97,6 +97,18 @@
         self._entries[digest.node] = Entry(digest, now - age_s)
         return True
 
+    def note_release(self, node: str, resource: str) -> None:
+        """Take a resource that a node gave up out of its last digest."""
+        entry = self._entries.get(node)
+        if entry is None:
+            return
+        old = entry.digest
+        entry.digest = structs.replace(
+            old,
+            replicas=[one for one in old.replicas if f"replica/{one.replica}" != resource],
+            shards=[shard for shard in old.shards if shard != resource],
+        )
+
     def digest(self, node: str) -> NodeDigest | None:
         """Return the last digest of a node."""
         entry = self._entries.get(node)
--- a/src/cloverwalk/node/node.py
+++ b/src/cloverwalk/node/node.py
@@ -405,6 +405,7 @@
             case pm.LeavingNotice():
                 self.replicas.note_leaving(message.replica)
             case pm.LeaseReleased():
+                self.context.membership.note_release(sender, message.resource)
                 self.leases.on_released_by_peer(message.resource)
             case pm.TablePush():
                 self.table.on_push(message)
--- a/src/cloverwalk/pipeline/limits.py
+++ b/src/cloverwalk/pipeline/limits.py
@@ -7,7 +7,7 @@
 from msgspec import Struct
 
 from cloverwalk.control.context import Context
-from cloverwalk.core.limit_shares import share_of_limit
+from cloverwalk.core.limit_shares import next_share, share_of_limit
 from cloverwalk.core.membership import RateReport
 from cloverwalk.core.token_bucket import TokenBucket
 from cloverwalk.core.weight_table import EffectiveRow
@@ -134,7 +134,8 @@
             usage.rate = RATE_KEEP * usage.rate + (1 - RATE_KEEP) * usage.arrivals / elapsed_s
             usage.arrivals = 0
             usage.row = self._context.table_row(*key)
-            usage.share = share_of_limit(usage.rate, others.get(key, []), node_count)
+            target = share_of_limit(usage.rate, others.get(key, []), node_count)
+            usage.share = next_share(usage.share, target)
             self._apply(usage, fill=False)
 
     def _other_rates(self) -> dict[tuple[str, str], list[float]]:
--- a/tests/simulated/chaos.py
+++ b/tests/simulated/chaos.py
@@ -29,6 +29,7 @@
         self.injected: list[str] = []
         self.versions: list[tuple[str, int]] = []
         self.accepted_versions: list[int] = []
+        self.double_owners: list[str] = []
         self.jobs: dict[str, str] = {}
 
     # --- failures ---
@@ -158,9 +159,23 @@
             name = f"{node}#{id(simulated)}"
             if simulated.alive:
                 self.versions.append((name, simulated.node.context.table.version))
+        self._watch_leases()
         if self.sim.now < RUN_S + 20:
             self.sim.after(0.1, self._watch_tables)
 
+    def _watch_leases(self) -> None:
+        owners: dict[str, list[str]] = {}
+        for node_id, simulated in self.sim.nodes.items():
+            if not simulated.alive or simulated.paused or simulated.stopped:
+                continue
+            simulated.node.context.now = self.sim.now
+            if simulated.node.leases.is_valid:
+                for lease in simulated.node.leases.held(""):
+                    owners.setdefault(lease.resource, []).append(node_id)
+        for resource, nodes in owners.items():
+            if len(nodes) > 1:
+                self.double_owners.append(f"{self.sim.now:.2f} {resource}: {nodes}")
+
     # --- run and checks ---
 
     def run(self) -> list[str]:
@@ -205,6 +220,7 @@
         found += checks.not_run_is_true(history, starts, ids)
         found += checks.versions_never_revert(self.versions)
         found += checks.all_completed(history, ids)
+        found += self.double_owners
         found += self._readers_agree(ids)
         found += self._accepted_table_is_in_force()
         for key, job_id in self.jobs.items():
--- a/tests/simulated/fleet.py
+++ b/tests/simulated/fleet.py
@@ -141,11 +141,10 @@
             json.dumps(body).encode(),
         )
 
-    def send_until_told(
-        self, key: str, prompt: str, tokens: int = 12, tries: int = 40, **extra: str
-    ) -> None:
+    def send_until_told(self, key: str, prompt: str, tokens: int = 12, **extra: str) -> None:
         """Send, and send again with the same key as a caller would, through any node."""
         nodes = list(self.node_ids)
+        tries = 40
 
         def told(one: Told) -> None:
             nonlocal tries
--- /dev/null
+++ b/tests/simulated/test_leaving.py
@@ -0,0 +1,100 @@
+"""Leaving back ends get no new work; planned stops cut nothing off."""
+
+import checks
+import pytest
+from fleet import Fleet
+
+from cloverwalk.core.hashing import short_hash
+from cloverwalk.core.types import Machine
+
+FEW_SECONDS = 3.0
+
+
+def load(fleet: Fleet, seconds: float) -> int:
+    """Plan one online request every 50 ms through all nodes; return their number."""
+    count = int(seconds / 0.05)
+    for number in range(count):
+        node = fleet.node_ids[number % len(fleet.node_ids)]
+        at = fleet.sim.now + number * 0.05
+        fleet.sim.at(at, lambda n=node, i=number: fleet.send(n, f"k-{i}", f"ask {i}", 20))  # type: ignore[misc]
+    return count
+
+
+@pytest.mark.parametrize("sign", ["machine_list", "engine_report", "engine_refusal"])
+def test_a_leaving_replica_gets_no_start_after_a_few_seconds(sign: str) -> None:
+    fleet = Fleet(seed=51)
+    replica = "levee-r0"
+    fleet.submit(300, "heap", tokens=40)
+    load(fleet, 15.0)
+    fleet.sim.run_until(fleet.sim.now + 3.0)
+    engine = fleet.sim.engines[replica].model
+    assert engine.starts
+    if sign == "machine_list":
+        leaving = Machine(replica, "levee", "", "quizmind", leaving=True)
+        fleet.sim.platform.set_machine(leaving, fleet.sim.now)
+    else:
+        # The machine list never says it.
+        engine.leaving = True
+    first_sign_at = fleet.sim.now
+    refused_before = len(engine.starts)
+    fleet.sim.run_until(fleet.sim.now + 10.0)
+    late = [one for one in engine.starts if one.at > first_sign_at + FEW_SECONDS]
+    assert late == []
+    assert len(engine.starts) >= refused_before
+    for node in fleet.sim.nodes.values():
+        assert replica in node.node.replicas.leaving_replicas
+    fleet.settle()
+    assert {told.status for told in fleet.history} == {200}
+
+
+def test_each_node_stops_under_load_and_no_request_is_cut_off() -> None:
+    fleet = Fleet(seed=52, nodes_per_zone=2)
+    job_id = fleet.submit(200, "heap", tokens=40)
+    all_nodes = list(fleet.node_ids)
+    count = 0
+    for node in all_nodes:
+        count += load(fleet, 4.0)
+        fleet.sim.run_until(fleet.sim.now + 1.0)
+        fleet.sim.stop(node)
+        fleet.node_ids.remove(node)
+        assert fleet.sim.run_while(lambda n=node: not fleet.sim.nodes[n].stopped, 60.0)  # type: ignore[misc]
+        fleet.sim.restart(node)
+        fleet.node_ids.append(node)
+        fleet.sim.run_until(fleet.sim.now + 6.0)
+    fleet.settle()
+    # A request that reached a node after its stop began is refused as not run; a request
+    # that was accepted is answered whole.
+    cut_off = [t for t in fleet.history if t.outcome not in ("completed", "not_run")]
+    reached_a_stopped_node = [t for t in cut_off if t.status == 0]
+    assert len(fleet.history) == count
+    ids = {t.key: short_hash(fleet.session, t.key) for t in reached_a_stopped_node}
+    assert (
+        checks.not_run_is_true(
+            [t for t in fleet.history if t.outcome == "not_run"],
+            fleet.starts(),
+            {t.key: short_hash(fleet.session, t.key) for t in fleet.history},
+        )
+        == []
+        or not ids
+    )
+    assert [t for t in cut_off if t.status != 0] == []
+    accepted_and_cut = [key for key, request_id in ids.items() if request_id in fleet.starts()]
+    assert accepted_and_cut == []
+    assert fleet.wait_for_job(job_id)["status"] == "completed"
+    assert checks.batch_is_exact(fleet.results(job_id), "heap", 200, 40) == []
+
+
+def test_a_stop_hands_leases_over_without_waiting_for_their_lapse() -> None:
+    fleet = Fleet(seed=53, nodes_per_zone=2)
+    node = next(n for n in fleet.node_ids if fleet.sim.nodes[n].node.replicas.owned)
+    replicas = set(fleet.sim.nodes[node].node.replicas.owned)
+    fleet.sim.stop(node)
+    assert fleet.sim.run_while(lambda: not fleet.sim.nodes[node].stopped, 5.0)
+    fleet.sim.run_until(fleet.sim.now + 2.0)  # a lapse would take six seconds and more
+    owned = {
+        replica
+        for other, one in fleet.sim.nodes.items()
+        if other != node
+        for replica in one.node.replicas.owned
+    }
+    assert replicas <= owned
