--- /dev/null
+++ b/tests/mutants.py
@@ -0,0 +1,295 @@
+"""Shows that the proofs can fail: breaks one mechanism at a time and runs its test.
+
+Each mutant is applied to a copy of the source in a temporary folder; its test must fail
+there. A mutant whose text is no longer in the source is an error, so the list stays true.
+"""
+
+import os
+import shutil
+import subprocess
+import sys
+import tempfile
+from concurrent.futures import ThreadPoolExecutor
+from pathlib import Path
+from typing import NamedTuple
+
+ROOT = Path(__file__).resolve().parent.parent
+TIMEOUT_S = 120
+
+
+class Mutant(NamedTuple):
+    """A broken mechanism and the test that must notice."""
+
+    name: str
+    file: str
+    old: str
+    new: str
+    test: str
+
+
+S = "tests/simulated/"
+MUTANTS = [
+    Mutant(
+        "an earlier record is ignored",
+        "control/results.py",
+        "            on_done(json.decode(reply.conflicts[0].value, type=Result))",
+        "            on_done(result)",
+        S + "test_at_most_once.py::test_the_replica_owner_is_paused_and_wakes_up",
+    ),
+    Mutant(
+        "segments are committed without fence and row check",
+        "control/job_owner.py",
+        "[fence, Check(job_key(row.job_id), owned.row_version), Check(segment_key, 0)]",
+        "[]",
+        S + "test_exactly_once.py::test_a_job_owner_paused_past_its_lease_commits_nothing_more",
+    ),
+    Mutant(
+        "concurrent sends of one key all run",
+        "core/idempotency.py",
+        "            return JoinVerdict.WAIT, None",
+        "            return JoinVerdict.RUN, None",
+        S + "test_exactly_once.py::test_concurrent_sends_of_one_key_run_once",
+    ),
+    Mutant(
+        "a lost commit answer counts as a conflict",
+        "control/store_port.py",
+        "any(row.op_id == op_id for row in reply.conflicts)",
+        "False",
+        S + "test_chaos.py",
+    ),
+    Mutant(
+        "a cancel is acknowledged before replica owners confirm",
+        "control/job_owner.py",
+        "        if self._known_replicas() <= barrier.acked:",
+        "        if True:",
+        S + "test_cancel.py::test_a_cancel_waits_for_a_paused_replica_owner",
+    ),
+    Mutant(
+        "a cancel does not stop running items",
+        "control/replica_owner.py",
+        "            self._stop_batch(owned, message.job_id)",
+        "            pass",
+        S + "test_cancel.py::test_a_cancelled_job_stops",
+    ),
+    Mutant(
+        "online work does not suspend batch",
+        "control/replica_owner.py",
+        "            self._suspend(owned, len(slots.queue) - slots.stopping_count)",
+        "            pass",
+        S
+        + "test_online_first.py::test_an_online_start_is_never_preceded_by_a_wait_for_a_batch_end",
+    ),
+    Mutant(
+        "suspended items start from the beginning",
+        "control/replica_owner.py",
+        "        resume_text = text or work.resume_text",
+        '        resume_text = ""',
+        S + "test_online_first.py::test_suspended_items_resume_from_where_they_stopped",
+    ),
+    Mutant(
+        "batch is never pulled after the first time",
+        "control/replica_owner.py",
+        "        if room > 0:\n            self._pull(owned, room)",
+        "        if room > 0 and not owned.slots.running:\n            self._pull(owned, 1)",
+        S + "test_online_first.py::test_idle_capacity_is_used_by_batch",
+    ),
+    Mutant(
+        "an offered request counts as not run",
+        "pipeline/dispatch.py",
+        "        request.unaccounted_attempts += 1\n",
+        "",
+        S + "test_chaos.py",
+    ),
+    Mutant(
+        "a marked request is sent without a claim",
+        "pipeline/dispatch.py",
+        "        if request.call.at_most_once:\n            self._claims.claim",
+        "        if False:\n            self._claims.claim",
+        S + "test_at_most_once.py",
+    ),
+    Mutant(
+        "a lost attempt of a marked request is repeated",
+        "pipeline/dispatch.py",
+        "        if request.call.at_most_once:\n            context = self._context",
+        "        if False:\n            context = self._context",
+        S + "test_at_most_once.py::test_the_replica_owner_dies_while_the_engine_runs",
+    ),
+    Mutant(
+        "the sign of leaving is not kept",
+        "control/replica_owner.py",
+        "        self.leaving_replicas.add(replica)\n",
+        "        return False\n",
+        S + "test_leaving.py::test_a_leaving_replica_gets_no_start_after_a_few_seconds",
+    ),
+    Mutant(
+        "a planned stop does not wait for its requests",
+        "node/node.py",
+        "            and self.reply.open_count == 0\n",
+        "",
+        S + "test_leaving.py::test_each_node_stops_under_load_and_no_request_is_cut_off",
+    ),
+    Mutant(
+        "a planned stop does not drain its replicas",
+        "control/replica_owner.py",
+        "        if owned.slots.running or owned.slots.queue:\n            return",
+        "        pass",
+        S + "test_leaving.py::test_each_node_stops_under_load_and_no_request_is_cut_off",
+    ),
+    Mutant(
+        "a release is not told to peers",
+        "node/node.py",
+        "                self.context.membership.note_release(sender, message.resource)\n",
+        "",
+        S + "test_leaving.py::test_a_stop_hands_leases_over_without_waiting_for_their_lapse",
+    ),
+    Mutant(
+        "any pushed table is taken",
+        "control/table_sync.py",
+        "        if table.version <= self._context.table.version:",
+        "        if table.version == self._context.table.version:",
+        S + "test_chaos.py",
+    ),
+    Mutant(
+        "an edit does not check the version",
+        "control/table_sync.py",
+        "        checks = [Check(TABLE_KEY, expected_version), Check(key, 0)]",
+        "        checks: list[Check] = []",
+        S + "test_table.py::test_one_of_two_racing_edits_wins_and_the_loser_is_told_the_row",
+    ),
+    Mutant(
+        "a starting node serves without a table",
+        "node/node.py",
+        "        if not self.table.is_loaded:\n            return",
+        "        pass",
+        S + "test_table.py::test_a_restarted_node_never_serves_an_older_version",
+    ),
+    Mutant(
+        "a node cut off from all goes on with batch",
+        "control/replica_owner.py",
+        "return self._policy.runs_batch and self._leases.is_valid and not self._table.is_stale",
+        "return True",
+        S + "test_table.py::test_a_node_cut_off_from_all_starts_no_batch_work_and_shows_as_stale",
+    ),
+    Mutant(
+        "limit shares rise at once",
+        "core/limit_shares.py",
+        "    return min(target, share * RISE_FACTOR + RISE_STEP)",
+        "    return target",
+        S + "test_table.py::test_limits_of_the_table_hold_for_the_fleet_within_seconds",
+    ),
+    Mutant(
+        "a result is answered without a holder",
+        "control/results.py",
+        "            context.send(node, HoldResult(result.request_id, result, token))",
+        "            self.on_hold_ack(HoldAck(result.request_id, token, True))",
+        S + "test_outage.py::test_online_answers_go_on_and_outlive_the_node_that_answered",
+    ),
+    Mutant(
+        "held results are not drained",
+        "control/results.py",
+        "        if not self._store.is_down:\n            self._drain()",
+        "        pass",
+        S + "test_outage.py::test_online_answers_go_on_and_outlive_the_node_that_answered",
+    ),
+    Mutant(
+        "an unreadable session is called unknown",
+        "control/sessions.py",
+        "            on_done(SessionFound.UNAVAILABLE, None)",
+        "            on_done(SessionFound.MISSING, None)",
+        S + "test_outage.py::test_sessions_outlive_nodes_and_outages",
+    ),
+    Mutant(
+        "retries have no budget",
+        "pipeline/dispatch.py",
+        "or not self._budget.spend()",
+        "or False",
+        S + "test_overload.py::test_retries_in_a_brown_out_stay_within_the_budget",
+    ),
+    Mutant(
+        "online queues are not bounded",
+        "control/replica_owner.py",
+        "        if waiting >= can_free + self._context.settings.online.max_queue_per_replica:",
+        "        if False:",
+        S + "test_overload.py",
+    ),
+    Mutant(
+        "chunks of other attempts are taken",
+        "core/collect.py",
+        "        if chunk.request_id != self._request_id or chunk.attempt != self.attempt:",
+        "        if chunk.request_id != self._request_id:",
+        "tests/unit/test_collect.py",
+    ),
+    Mutant(
+        "chunks are taken in the order they come",
+        "core/collect.py",
+        "        while self.tokens in self._early:",
+        "        self.tokens = min(self._early)\n        while self.tokens in self._early:",
+        "tests/unit/test_collect.py",
+    ),
+    Mutant(
+        "a lease is taken without looking at the holder's liveness",
+        "control/leases.py",
+        "        return now - sighting.seen_at > self._context.settings.lease.lease_s",
+        "        return True",
+        "tests/simulated/test_leases.py",
+    ),
+    Mutant(
+        "a holder never considers its lease lapsed",
+        "control/leases.py",
+        "        if self._context.now - self._renewed_at < lease_s:\n            return True",
+        "        return True",
+        "tests/simulated/test_leases.py",
+    ),
+    Mutant(
+        "the engine is not told a new owner's epoch",
+        "emulator/engine_model.py",
+        "        self.epoch = epoch\n        old",
+        "        old",
+        "tests/simulated/test_leases.py",
+    ),
+]
+
+
+def run_mutant(mutant: Mutant) -> str:
+    """Return an empty text when the test failed as it must, else what is wrong."""
+    with tempfile.TemporaryDirectory() as folder:
+        for part in ("src", "tests"):
+            shutil.copytree(ROOT / part, Path(folder) / part)
+        shutil.copy(ROOT / "pyproject.toml", folder)
+        source = Path(folder) / "src" / "cloverwalk" / mutant.file
+        text = source.read_text()
+        if text.count(mutant.old) != 1:
+            return f"its text stands {text.count(mutant.old)} times in {mutant.file}"
+        source.write_text(text.replace(mutant.old, mutant.new))
+        command = [sys.executable, "-m", "pytest", "-x", "-q", "-p", "no:cacheprovider"]
+        env = {**os.environ, "PYTHONPATH": f"{folder}/src"}
+        try:
+            ended = subprocess.run(
+                [*command, mutant.test],
+                cwd=folder,
+                env=env,
+                capture_output=True,
+                timeout=TIMEOUT_S,
+                check=False,
+            )
+        except subprocess.TimeoutExpired:
+            return ""  # a run that never ends is a failure as well
+        return "" if ended.returncode == 1 else f"pytest ended with {ended.returncode}"
+
+
+def main() -> int:
+    """Run all mutants, or those whose name has the given words."""
+    words = " ".join(sys.argv[1:])
+    chosen = [mutant for mutant in MUTANTS if words in mutant.name]
+    with ThreadPoolExecutor(max_workers=4) as pool:
+        verdicts = list(pool.map(run_mutant, chosen))
+    for mutant, verdict in zip(chosen, verdicts, strict=True):
+        noticed = "noticed" if not verdict else f"NOT NOTICED: {verdict}"
+        print(f"{noticed}: {mutant.name} ({mutant.test})")
+    failed = sum(bool(verdict) for verdict in verdicts)
+    print(f"{len(chosen) - failed} passed, {failed} failed")
+    return failed
+
+
+if __name__ == "__main__":
+    sys.exit(min(main(), 1))
