Ten weak proofs strengthened; lost commit answers are resolved; edits name their version

Change: callers' commits are tried for three seconds and recognise their own write, but are given up at once when the outage is known; the answer to an edit shows that edit; the tests named by the mutants now look at what the mutant breaks.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 VENV := .venv
 BIN := $(VENV)/bin
 
-.PHONY: demo test format explore bench scale clean
+.PHONY: demo test format explore mutants bench scale clean
 
 $(VENV)/.installed: pyproject.toml
 	@$(PYTHON) -c 'import sys; sys.exit(sys.version_info[:2] != (3, 11))' || \
@@ -28,6 +28,9 @@
 explore: $(VENV)/.installed
 	$(BIN)/python tests/explore.py
 
+mutants: $(VENV)/.installed
+	$(BIN)/python tests/mutants.py
+
 bench: $(VENV)/.installed
 	$(BIN)/python bench/costs.py
 
--- a/src/cloverwalk/control/job_owner.py
+++ b/src/cloverwalk/control/job_owner.py
@@ -14,7 +14,7 @@
 from cloverwalk.control.store_port import StorePort, encode
 from cloverwalk.core import catalogue
 from cloverwalk.core.batch_job import BatchJob
-from cloverwalk.core.constants import CANCEL_REPLY_S, STORE_RETRY_S
+from cloverwalk.core.constants import CANCEL_REPLY_S, COMMIT_TIMEOUT_S, STORE_RETRY_S
 from cloverwalk.core.membership import DemandReport
 from cloverwalk.core.peer_messages import (
     CancelJob,
@@ -452,6 +452,7 @@
             [fence, Check(key, reply.rows[0].version)],
             [Put(key, encode(cancelled))],
             lambda answer: self._on_cancel_committed(sender, message, answer),
+            timeout_s=COMMIT_TIMEOUT_S,
         )
 
     def _on_cancel_committed(
--- a/src/cloverwalk/control/sessions.py
+++ b/src/cloverwalk/control/sessions.py
@@ -8,6 +8,7 @@
 
 from cloverwalk.control.context import Context
 from cloverwalk.control.store_port import StorePort, encode
+from cloverwalk.core.constants import COMMIT_TIMEOUT_S
 from cloverwalk.core.peer_messages import SessionPush
 from cloverwalk.core.store_types import Check, CommitReply, CommitStatus, Put, ReadReply, Row
 from cloverwalk.core.types import SessionRow
@@ -91,7 +92,12 @@
                 self._publish(session)
             on_done(status)
 
-        self._store.commit([Check(key, 0)], [Put(key, encode(session))], committed)
+        self._store.commit(
+            [Check(key, 0)],
+            [Put(key, encode(session))],
+            committed,
+            timeout_s=COMMIT_TIMEOUT_S,
+        )
 
     def close(
         self, session_id: str, on_done: Callable[[CommitStatus, SessionRow | None], None]
@@ -120,7 +126,10 @@
             on_done(reply.status, session)
 
         self._store.commit(
-            [Check(row.key, row.version)], [Put(row.key, encode(session))], committed
+            [Check(row.key, row.version)],
+            [Put(row.key, encode(session))],
+            committed,
+            timeout_s=COMMIT_TIMEOUT_S,
         )
 
     def _publish(self, session: SessionRow) -> None:
--- a/src/cloverwalk/control/store_port.py
+++ b/src/cloverwalk/control/store_port.py
@@ -11,7 +11,7 @@
 
 from cloverwalk.control.context import Context
 from cloverwalk.core import catalogue
-from cloverwalk.core.constants import STORE_RETRY_S, STORE_TIMEOUT_S
+from cloverwalk.core.constants import OUTAGE_NOTICED_S, STORE_RETRY_S, STORE_TIMEOUT_S
 from cloverwalk.core.events import (
     CommitToStore,
     GetObject,
@@ -99,6 +99,7 @@
     ) -> str:
         """Commit; ``on_done`` gets the final status. Return the operation id.
 
+        A try without an answer is repeated until ``timeout_s``; see the module's text.
         A caller that got UNKNOWN may commit the same again under the same ``op_id``.
         """
         op_id = op_id or self._context.new_id()
@@ -140,7 +141,15 @@
         self._not_answered()
         if isinstance(reply, CommitReply) and reply.status is CommitStatus.UNKNOWN:
             call.may_be_applied = True
-        call.retry_at = self._context.now + STORE_RETRY_S
+        if self._in_outage and not call.may_be_applied:
+            self._finish(event.op_id, call, _no_answer(call))
+        else:
+            call.retry_at = self._context.now + STORE_RETRY_S
+
+    @property
+    def _in_outage(self) -> bool:
+        since = self._failing_since
+        return since is not None and self._context.now - since >= OUTAGE_NOTICED_S
 
     def tick(self) -> None:
         """Try again what is due and give up what is overdue."""
--- a/src/cloverwalk/control/table_sync.py
+++ b/src/cloverwalk/control/table_sync.py
@@ -13,6 +13,7 @@
 from cloverwalk.control.outage import OutageView
 from cloverwalk.control.store_port import StorePort, encode
 from cloverwalk.core import catalogue
+from cloverwalk.core.constants import COMMIT_TIMEOUT_S
 from cloverwalk.core.hashing import rendezvous_owner, rendezvous_rank
 from cloverwalk.core.membership import NodeDigest
 from cloverwalk.core.peer_messages import TableFetch, TablePush
@@ -162,6 +163,7 @@
             checks,
             [Put(TABLE_KEY, value), Put(key, value)],
             lambda reply: self._on_edited(table, reply, on_done),
+            timeout_s=COMMIT_TIMEOUT_S,
         )
 
     def _on_edited(
--- a/src/cloverwalk/core/constants.py
+++ b/src/cloverwalk/core/constants.py
@@ -10,7 +10,14 @@
 """A stream that brings nothing for this long is taken for lost."""
 
 STORE_TIMEOUT_S = 1.0
-"""After this a store call is given up and online results are held by peers instead."""
+"""One try of a store call. Online results are held by peers when it brings no answer."""
+
+COMMIT_TIMEOUT_S = 3.0
+"""A commit that a caller waits for is tried again until then, to learn whether a try whose
+answer was lost took effect."""
+
+OUTAGE_NOTICED_S = 1.0
+"""When the store has not answered for this long, a refused call is given up at once."""
 
 STORE_RETRY_S = 0.25
 """Pause between tries of one store operation."""
--- a/src/cloverwalk/pipeline/batches.py
+++ b/src/cloverwalk/pipeline/batches.py
@@ -14,6 +14,7 @@
 from cloverwalk.control.sessions import SessionDirectory, SessionFound
 from cloverwalk.control.store_port import StorePort, encode
 from cloverwalk.core import catalogue
+from cloverwalk.core.constants import COMMIT_TIMEOUT_S
 from cloverwalk.core.events import (
     BeginStream,
     EndStream,
@@ -220,6 +221,7 @@
                 [Check(key, 0)],
                 [Put(key, encode(submit.row))],
                 lambda answer: self._on_committed(submit, answer),
+                timeout_s=COMMIT_TIMEOUT_S,
             )
 
     def _on_committed(self, submit: _Submit, reply: CommitReply) -> None:
--- a/src/cloverwalk/pipeline/claim.py
+++ b/src/cloverwalk/pipeline/claim.py
@@ -9,6 +9,7 @@
 from cloverwalk.control.context import Context
 from cloverwalk.control.results import ResultStore
 from cloverwalk.control.store_port import StorePort, encode
+from cloverwalk.core.constants import COMMIT_TIMEOUT_S
 from cloverwalk.core.peer_messages import HolderStatus, QueryHolder, QueryWork, WorkStatus
 from cloverwalk.core.store_types import Check, CommitReply, CommitStatus, Put
 from cloverwalk.core.types import ClaimRow, Outcome, Result
@@ -67,6 +68,7 @@
             [Check(key, request.claim_version)],
             [Put(key, encode(row))],
             lambda reply: self._on_claimed(request, row, send, reply),
+            timeout_s=COMMIT_TIMEOUT_S,
         )
 
     def _on_claimed(
--- a/src/cloverwalk/pipeline/operators.py
+++ b/src/cloverwalk/pipeline/operators.py
@@ -109,7 +109,9 @@
 
     def show_table(self, request: HttpRequest) -> None:
         """Answer with the table in force, as CSV or JSON, and its version as ETag."""
-        table = self._context.table
+        self._reply_table(request, self._context.table)
+
+    def _reply_table(self, request: HttpRequest, table: WeightTable) -> None:
         etag = Header("ETag", f'"{table.version}"')
         if "text/csv" in request.headers.get("accept", ""):
             body = rows_to_csv(table.rows).encode()
@@ -156,7 +158,8 @@
 
         def edited(status: EditStatus) -> None:
             if status is EditStatus.ACCEPTED:
-                self.show_table(request)
+                # Not the table in force: a later edit may have come on top by now.
+                self._reply_table(request, WeightTable(expected + 1, rows))
             elif status is EditStatus.CONFLICT:
                 error = self._lost_race(in_force, expected)
                 self._context.emit(problem_reply(request.connection, error))
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -25,6 +25,7 @@
     old: str
     new: str
     test: str
+    more: tuple[tuple[str, str, str], ...] = ()  # further edits: (file, old, new)
 
 
 S = "tests/simulated/"
@@ -34,7 +35,7 @@
         "control/results.py",
         "            on_done(json.decode(reply.conflicts[0].value, type=Result))",
         "            on_done(result)",
-        S + "test_at_most_once.py::test_the_replica_owner_is_paused_and_wakes_up",
+        S + "test_at_most_once.py::test_a_holder_that_wakes_up_tells_what_was_recorded_meanwhile",
     ),
     Mutant(
         "segments are committed without fence and row check",
@@ -55,7 +56,7 @@
         "control/store_port.py",
         "any(row.op_id == op_id for row in reply.conflicts)",
         "False",
-        S + "test_chaos.py",
+        S + "test_table.py::test_an_edit_whose_answer_the_store_lost_is_known_to_be_accepted",
     ),
     Mutant(
         "a cancel is acknowledged before replica owners confirm",
@@ -98,7 +99,7 @@
         "pipeline/dispatch.py",
         "        request.unaccounted_attempts += 1\n",
         "",
-        S + "test_chaos.py",
+        S + "test_at_most_once.py::test_a_request_that_started_is_never_told_to_be_not_run",
     ),
     Mutant(
         "a marked request is sent without a claim",
@@ -169,6 +170,13 @@
         "return self._policy.runs_batch and self._leases.is_valid and not self._table.is_stale",
         "return True",
         S + "test_table.py::test_a_node_cut_off_from_all_starts_no_batch_work_and_shows_as_stale",
+        more=(
+            (
+                "control/job_owner.py",
+                "shard not in self._draining and self._leases.is_valid",
+                "shard not in self._draining",
+            ),
+        ),
     ),
     Mutant(
         "limit shares rise at once",
@@ -256,11 +264,12 @@
         for part in ("src", "tests"):
             shutil.copytree(ROOT / part, Path(folder) / part)
         shutil.copy(ROOT / "pyproject.toml", folder)
-        source = Path(folder) / "src" / "cloverwalk" / mutant.file
-        text = source.read_text()
-        if text.count(mutant.old) != 1:
-            return f"its text stands {text.count(mutant.old)} times in {mutant.file}"
-        source.write_text(text.replace(mutant.old, mutant.new))
+        for file, old, new in ((mutant.file, mutant.old, mutant.new), *mutant.more):
+            source = Path(folder) / "src" / "cloverwalk" / file
+            text = source.read_text()
+            if text.count(old) != 1:
+                return f"its text stands {text.count(old)} times in {file}"
+            source.write_text(text.replace(old, new))
         command = [sys.executable, "-m", "pytest", "-x", "-q", "-p", "no:cacheprovider"]
         env = {**os.environ, "PYTHONPATH": f"{folder}/src"}
         try:
--- a/tests/simulated/test_at_most_once.py
+++ b/tests/simulated/test_at_most_once.py
@@ -18,6 +18,12 @@
     return next((n for n, one in nodes if one.alive and one.node.dispatch.has(request_id)), None)
 
 
+def node_without_replicas(fleet: Fleet) -> str:
+    """Return a node that owns no replica, so that its requests run at another's."""
+    nodes = fleet.sim.nodes.items()
+    return next(node for node, one in nodes if not one.node.replicas.owned)
+
+
 def check_once(fleet: Fleet, key: str) -> None:
     """One start at the most, one outcome for all."""
     request_id = short_hash(fleet.session, key)
@@ -46,18 +52,51 @@
 
 
 def test_the_replica_owner_dies_while_the_engine_runs() -> None:
-    fleet = Fleet(seed=43)
+    fleet = Fleet(seed=43, nodes_per_zone=2)
     started: list[str] = []
     fleet.sim.on_instruction = lambda node, one: (
         started.append(node) if isinstance(one, StartWork) else None
     )
-    fleet.send_until_told("award", "award a point", 300, cloverwalk_at_most_once="true")
+    caller = node_without_replicas(fleet)
+    fleet.send(caller, "award", "award a point", 300, None, False, **ONCE)
     fleet.sim.run_until(fleet.sim.now + 0.5)
+    assert started[0] != caller
     fleet.sim.kill(started[0])
     fleet.settle(120)
     check_once(fleet, "award")
 
 
+def test_a_holder_that_wakes_up_tells_what_was_recorded_meanwhile() -> None:
+    fleet = Fleet(seed=47, nodes_per_zone=2)
+    holder = node_without_replicas(fleet)
+    fleet.send(holder, "award", "award a point", 20, None, False, **ONCE)
+    fleet.sim.run_until(fleet.sim.now + 0.1)
+    assert len(fleet.starts()) == 1
+    fleet.sim.pause(holder)  # the chunks arrive, and wait
+    fleet.sim.run_until(fleet.sim.now + 2.0)
+    for replica in list(fleet.sim.engines):  # the engines forget what they finished
+        fleet.sim.kill_engine(replica)
+        fleet.sim.restart_engine(replica)
+    fleet.node_ids.remove(holder)
+    fleet.send_until_told("award", "award a point", 20, cloverwalk_at_most_once="true")
+    fleet.sim.run_until(fleet.sim.now + 20.0)
+    assert [told.outcome for told in fleet.history][-1] == "outcome_unknown"
+    fleet.sim.resume(holder)
+    fleet.settle()
+    check_once(fleet, "award")
+
+
+def test_a_request_that_started_is_never_told_to_be_not_run() -> None:
+    fleet = Fleet(seed=48, zones=("levee",), engines_per_zone=1)
+    fleet.send("levee-0", "k", "ask", 300)
+    fleet.sim.run_until(fleet.sim.now + 0.5)
+    assert len(fleet.starts()) == 1
+    fleet.sim.kill_engine("levee-r0")
+    fleet.settle()
+    assert fleet.history[0].status == 503
+    assert fleet.history[0].outcome == "failed"
+
+
 @pytest.mark.parametrize("pause_s", [3.0, 12.0])
 def test_the_replica_owner_is_paused_and_wakes_up(pause_s: float) -> None:
     fleet = Fleet(seed=44)
--- a/tests/simulated/test_cancel.py
+++ b/tests/simulated/test_cancel.py
@@ -45,10 +45,12 @@
 
 def test_a_cancelled_job_stops() -> None:
     fleet = Fleet(seed=21)
-    job_id = fleet.submit(400, "heap", tokens=400)
+    job_id = fleet.submit(400, "heap", tokens=4000)
     fleet.sim.run_until(fleet.sim.now + 2.0)
     assert job_running(fleet, job_id) > 0
+    began = fleet.sim.now
     cancel(fleet, job_id, fleet.node_ids[0])
+    assert fleet.sim.now - began < 2.0  # an item would run for a minute
     check_stopped(fleet, job_id)
 
 
--- a/tests/simulated/test_leaving.py
+++ b/tests/simulated/test_leaving.py
@@ -1,5 +1,7 @@
 """Leaving back ends get no new work; planned stops cut nothing off."""
 
+from collections import Counter
+
 import checks
 import pytest
 from fleet import Fleet
@@ -10,13 +12,15 @@
 FEW_SECONDS = 3.0
 
 
-def load(fleet: Fleet, seconds: float) -> int:
-    """Plan one online request every 50 ms through all nodes; return their number."""
-    count = int(seconds / 0.05)
+def load(fleet: Fleet, seconds: float, every_s: float = 0.05, tokens: int = 20) -> int:
+    """Plan online requests at a steady pace through all nodes; return their number."""
+    count = int(seconds / every_s)
+    first = len(fleet.history) + fleet.pending
     for number in range(count):
         node = fleet.node_ids[number % len(fleet.node_ids)]
-        at = fleet.sim.now + number * 0.05
-        fleet.sim.at(at, lambda n=node, i=number: fleet.send(n, f"k-{i}", f"ask {i}", 20))  # type: ignore[misc]
+        at = fleet.sim.now + number * every_s
+        key = f"k-{first}-{number}"
+        fleet.sim.at(at, lambda n=node, k=key: fleet.send(n, k, f"ask {k}", tokens))  # type: ignore[misc]
     return count
 
 
@@ -50,36 +54,27 @@
 def test_each_node_stops_under_load_and_no_request_is_cut_off() -> None:
     fleet = Fleet(seed=52, nodes_per_zone=2)
     job_id = fleet.submit(200, "heap", tokens=40)
-    all_nodes = list(fleet.node_ids)
     count = 0
-    for node in all_nodes:
-        count += load(fleet, 4.0)
-        fleet.sim.run_until(fleet.sim.now + 1.0)
+    for node in list(fleet.node_ids):
+        count += load(fleet, seconds=4.0, every_s=0.1, tokens=150)
+        fleet.sim.run_until(fleet.sim.now + 2.0)
         fleet.sim.stop(node)
         fleet.node_ids.remove(node)
         assert fleet.sim.run_while(lambda n=node: not fleet.sim.nodes[n].stopped, 60.0)  # type: ignore[misc]
         fleet.sim.restart(node)
         fleet.node_ids.append(node)
-        fleet.sim.run_until(fleet.sim.now + 6.0)
+        fleet.sim.run_until(fleet.sim.now + 8.0)
     fleet.settle()
-    # A request that reached a node after its stop began is refused as not run; a request
-    # that was accepted is answered whole.
-    cut_off = [t for t in fleet.history if t.outcome not in ("completed", "not_run")]
-    reached_a_stopped_node = [t for t in cut_off if t.status == 0]
     assert len(fleet.history) == count
-    ids = {t.key: short_hash(fleet.session, t.key) for t in reached_a_stopped_node}
-    assert (
-        checks.not_run_is_true(
-            [t for t in fleet.history if t.outcome == "not_run"],
-            fleet.starts(),
-            {t.key: short_hash(fleet.session, t.key) for t in fleet.history},
-        )
-        == []
-        or not ids
-    )
-    assert [t for t in cut_off if t.status != 0] == []
-    accepted_and_cut = [key for key, request_id in ids.items() if request_id in fleet.starts()]
-    assert accepted_and_cut == []
+    ids = {told.key: short_hash(fleet.session, told.key) for told in fleet.history}
+    online_starts = Counter(one for one in fleet.starts() if "/" not in one)
+    # Whoever came after the stop began is refused, or finds nobody listening: not run.
+    not_answered = [told for told in fleet.history if told.outcome != "completed"]
+    assert {told.outcome for told in not_answered} <= {"not_run", ""}
+    assert [told.key for told in not_answered if ids[told.key] in online_starts] == []
+    assert len(not_answered) < count / 4
+    # No accepted request was interrupted and run again elsewhere.
+    assert set(online_starts.values()) == {1}
     assert fleet.wait_for_job(job_id)["status"] == "completed"
     assert checks.batch_is_exact(fleet.results(job_id), "heap", 200, 40) == []
 
--- a/tests/simulated/test_online_first.py
+++ b/tests/simulated/test_online_first.py
@@ -37,8 +37,8 @@
 
     fleet.sim.on_instruction = watch
     for number in range(4):
-        fleet.send("levee-0", None, f"headline {number}", tokens=5)
-    fleet.sim.run_until(fleet.sim.now + 0.5)
+        fleet.send("levee-0", None, f"headline {number}", tokens=100)
+    fleet.sim.run_until(fleet.sim.now + 0.1)
     assert order.count("online") == 4
     assert "batch" not in order[: len(order) - order[::-1].index("online")]
 
--- a/tests/simulated/test_table.py
+++ b/tests/simulated/test_table.py
@@ -47,6 +47,14 @@
     assert changed.encode() in loser.body
 
 
+def test_an_edit_whose_answer_the_store_lost_is_known_to_be_accepted() -> None:
+    fleet = Fleet(seed=67)
+    fleet.sim.platform.faults = Faults(lose_answers=1.0)
+    fleet.sim.after(0.5, lambda: setattr(fleet.sim.platform, "faults", Faults()))
+    assert edit(fleet, "levee-0", "archive", {"weight": "2"}, version=0).status == 200
+    assert versions(fleet) >= {1}
+
+
 def test_a_restarted_node_never_serves_an_older_version() -> None:
     fleet = Fleet(seed=63)
     for weight in range(1, 6):
@@ -54,7 +62,12 @@
     fleet.sim.kill("depot-0")
     fleet.sim.platform.faults = Faults(down=True)
     fleet.sim.run_until(fleet.sim.now + 1.0)
+    for zone in ("courthouse", "levee"):
+        fleet.sim.cut("depot", zone)
     fleet.sim.restart("depot-0")
+    fleet.sim.run_until(fleet.sim.now + 3.0)
+    assert fleet.call("GET", "/v1/table", "depot-0").status == 503  # it knows no version yet
+    fleet.sim.heal()
     seen: list[tuple[str, int]] = []
     for _ in range(80):
         fleet.sim.run_until(fleet.sim.now + 0.1)
@@ -69,7 +82,9 @@
 
 def test_a_node_cut_off_from_all_starts_no_batch_work_and_shows_as_stale() -> None:
     fleet = Fleet(seed=64)
-    fleet.submit(400, "heap", tokens=60)
+    jobs: list[str] = []
+    while not any(job_id.startswith("levee.") for job_id in jobs):
+        jobs.append(fleet.submit(400, f"heap-{len(jobs)}", tokens=200))
     fleet.sim.run_until(fleet.sim.now + 2.0)
     fleet.sim.cut("levee", "courthouse")
     fleet.sim.cut("levee", "depot")
