--- a/src/cloverwalk/cli/run.py
+++ b/src/cloverwalk/cli/run.py
@@ -104,7 +104,10 @@
     daemon = _listen_or_fail(lambda: NodeDaemon(settings))
     for number in (signal.SIGTERM, signal.SIGINT):
         signal.signal(number, lambda *_: daemon.request_stop())
-    click.echo(f"node {settings.node_id} serves {daemon.http_address}", err=True)
+    click.echo(
+        f"node {settings.node_id} serves {daemon.http_address}, peers {daemon.peers.address}",
+        err=True,
+    )
     run_loop(daemon.run)
 
 
