Bad input tests; header bound and request time-out hold for every form

Cause: (1) h11 bounds only incomplete headers, so 9,000 bytes that came whole passed a bound of 4,000; (2) a request whose headers never ended was closed without an answer. Ruled out: nothing else; both were seen failing in the new tests. Change: the server counts complete headers itself (431) and answers 408 once any byte came. Conclusion: bounds hold and tell the client.

--- a/src/cloverwalk/http/server.py
+++ b/src/cloverwalk/http/server.py
@@ -135,6 +135,11 @@
             event = await self._next_event()
         if not isinstance(event, h11.Request):
             raise _ClientClosed
+        # h11 bounds only what is incomplete; headers that came whole count as well.
+        size = len(event.target) + sum(len(n) + len(v) + 4 for n, v in event.headers)
+        if size > self._settings.max_header_bytes:
+            message = f"more than {self._settings.max_header_bytes} bytes"
+            raise PipelineError(431, "too_large", message, "headers")
         return event
 
     async def _read_body(self, head: h11.Request) -> bytes:
@@ -192,7 +197,8 @@
         try:
             request = await self._read_request()
         except curio.TaskTimeout:
-            if self._http.their_state is not h11.IDLE:
+            has_begun = self._http.their_state is not h11.IDLE or self._http.trailing_data[0]
+            if has_begun:
                 detail = "the request did not come whole in time"
                 await self._refuse(PipelineError(408, "request_timeout", detail, "request"))
             return False
