--- a/src/cloverwalk/cli/main.py
+++ b/src/cloverwalk/cli/main.py
@@ -13,6 +13,7 @@
 from cloverwalk.cli.batch import batch
 from cloverwalk.cli.demo import demo
 from cloverwalk.cli.errors import EXIT_SETTINGS, CommandError
+from cloverwalk.cli.experiment import experiment
 from cloverwalk.cli.fleet import fleet
 from cloverwalk.cli.run import emulator, node
 from cloverwalk.cli.session import session
@@ -45,7 +46,7 @@
     """
 
 
-for command in (node, emulator, demo, table, session, batch, fleet, settings):
+for command in (node, emulator, demo, table, session, batch, fleet, settings, experiment):
     cli.add_command(command)
 
 
--- a/src/cloverwalk/control/metrics.py
+++ b/src/cloverwalk/control/metrics.py
@@ -21,7 +21,8 @@
         self.queue_time = Histogram(
             "cloverwalk_queue_seconds", "Wait at a replica", ["work_class"], registry=registry
         )
-        self.preemptions = Counter(
+        self.preemption_count = 0
+        self._preemptions = Counter(
             "cloverwalk_preemptions_total", "Batch streams suspended", registry=registry
         )
         self.retries = Counter("cloverwalk_retries_total", "Online retries", registry=registry)
@@ -47,6 +48,11 @@
             "cloverwalk_in_flight", "Requests in flight", ["work_class"], registry=registry
         )
 
+    def count_preemption(self) -> None:
+        """Count a suspended batch stream."""
+        self.preemption_count += 1
+        self._preemptions.inc()
+
     def exposition(self) -> bytes:
         """Return the text format."""
         return bytes(generate_latest(self._registry))
--- a/src/cloverwalk/control/replica_owner.py
+++ b/src/cloverwalk/control/replica_owner.py
@@ -32,7 +32,6 @@
     StopWork,
 )
 from cloverwalk.core.fair_share import FairShare
-from cloverwalk.core.hashing import rendezvous_score
 from cloverwalk.core.membership import DemandReport, ReplicaReport
 from cloverwalk.core.peer_messages import (
     AttemptLost,
@@ -52,7 +51,7 @@
     QueryWork,
     WorkStatus,
 )
-from cloverwalk.core.policies import POLICIES, SchedulingPolicy
+from cloverwalk.core.policies import POLICIES, SchedulingPolicy, takes_batch
 from cloverwalk.core.replica_slots import (
     QueuedOffer,
     ReplicaSlots,
@@ -172,7 +171,7 @@
         scheduler = self._context.settings.scheduler
         owned.state = ReplicaState.ACTIVE
         owned.model = event.model
-        owned.slots.slots = event.slots
+        owned.slots.slots = event.slots * self._policy.slots_factor
         settings = ConcurrencySettings(
             step_goal_s=scheduler.step_goal_s,
             reserve_min_slots=scheduler.reserve_min_slots,
@@ -241,8 +240,10 @@
         if work.request_id in owned.slots.running:
             return Refusal.BUSY
         slots = owned.slots
+        if not self._policy.preempts:
+            return None  # a baseline's callers wait in the one queue there is
         waiting = len(slots.queue)
-        can_free = slots.free + (slots.batch_count if self._policy.preempts else 0)
+        can_free = slots.free + slots.batch_count
         if waiting >= can_free + self._context.settings.online.max_queue_per_replica:
             return Refusal.BUSY
         return None
@@ -303,7 +304,7 @@
             if victim is None:
                 return
             self._stop_batch_stream(owned, victim)
-            self._context.metrics.preemptions.inc()
+            self._context.metrics.count_preemption()
             self._context.log(
                 catalogue.BATCH_SUSPENDED, replica=owned.replica, request=victim.work.request_id
             )
@@ -325,7 +326,7 @@
 
     def _batch_room(self, owned: OwnedReplica) -> int:
         slots = owned.slots
-        if not self._takes_batch(owned.replica):
+        if not takes_batch(self._policy, owned.replica):
             return 0
         if self._policy.controls_concurrency:
             online = slots.online_count + len(slots.queue)
@@ -334,12 +335,6 @@
             allowed = slots.slots - slots.online_count
         return min(slots.free, allowed - slots.batch_count) - owned.pulling
 
-    def _takes_batch(self, replica: str) -> bool:
-        share = self._policy.batch_share
-        if share is None:
-            return True
-        return rendezvous_score("partition", replica) % 1000 < share * 1000
-
     def _fill_with_batch(self, owned: OwnedReplica) -> None:
         if owned.leaving or self._context.now < owned.paused_until:
             return
--- a/src/cloverwalk/core/policies.py
+++ b/src/cloverwalk/core/policies.py
@@ -2,6 +2,8 @@
 
 from msgspec import Struct
 
+from cloverwalk.core.hashing import rendezvous_score
+
 
 class SchedulingPolicy(Struct, frozen=True):
     """What a replica owner may do; the mechanism is the same for all policies."""
@@ -12,26 +14,42 @@
     preempts: bool = True  # online work suspends batch streams when there is no slot
     controls_concurrency: bool = True  # batch follows observed step times, with a reserve
     uses_priority: bool = True  # online work has a higher priority at the engine
-    shared_queue: bool = False  # one queue, first come first served
+    slots_factor: int = 1  # above 1 the engine's own queue is filled as well
     batch_share: float | None = None  # part of the replicas given to batch, the rest to online
 
 
+def takes_batch(policy: SchedulingPolicy, replica: str) -> bool:
+    """Return whether a replica is in the part of the fleet that runs batch work."""
+    if policy.batch_share is None:
+        return policy.runs_batch
+    return rendezvous_score("partition", replica) % 1000 < policy.batch_share * 1000
+
+
+def takes_online(policy: SchedulingPolicy, replica: str) -> bool:
+    """Return whether a replica is in the part of the fleet that runs online work."""
+    return policy.batch_share is None or not takes_batch(policy, replica)
+
+
 POLICIES: dict[str, SchedulingPolicy] = {
     policy.name: policy
     for policy in (
         SchedulingPolicy("cloverwalk"),
         SchedulingPolicy("online-only", runs_batch=False),
-        SchedulingPolicy("batch-only", runs_online=False, controls_concurrency=False),
+        SchedulingPolicy(
+            "batch-only", runs_online=False, controls_concurrency=False, slots_factor=2
+        ),
         SchedulingPolicy(
             "fifo",
             preempts=False,
             controls_concurrency=False,
             uses_priority=False,
-            shared_queue=True,
+            slots_factor=2,
         ),
         SchedulingPolicy(
             "static-partition", preempts=False, controls_concurrency=False, batch_share=0.5
         ),
-        SchedulingPolicy("priority-only", preempts=False, controls_concurrency=False),
+        SchedulingPolicy(
+            "priority-only", preempts=False, controls_concurrency=False, slots_factor=2
+        ),
     )
 }
--- a/src/cloverwalk/pipeline/dispatch.py
+++ b/src/cloverwalk/pipeline/dispatch.py
@@ -20,7 +20,7 @@
     OfferRefused,
 )
 from cloverwalk.core.placement import Candidate, choose_replica
-from cloverwalk.core.policies import POLICIES
+from cloverwalk.core.policies import POLICIES, takes_online
 from cloverwalk.core.prefix_index import PrefixIndex, prefix_hash
 from cloverwalk.core.retry_budget import RetryBudget
 from cloverwalk.core.types import ClaimRow, Outcome, Priority, Refusal, Work
@@ -52,6 +52,7 @@
         self._budget = RetryBudget(
             context.settings.online.retry_ratio, context.settings.online.retry_reserve
         )
+        self._policy = POLICIES[context.settings.scheduler.policy]
         self._requests: dict[str, OnlineRequest] = {}
         self._sent: Counter[str] = Counter()
         self.prefixes = PrefixIndex()
@@ -99,7 +100,7 @@
         for owner, is_local, report in self._reports(request.call.model):
             if report.leaving or self._is_leaving(report.replica) or report.slots == 0:
                 continue
-            if report.replica in request.tried:
+            if report.replica in request.tried or not takes_online(self._policy, report.replica):
                 continue
             online = report.online + self._sent[report.replica]
             load = online / report.slots
@@ -138,14 +139,13 @@
         request.heard_at = context.now
         request.unaccounted_attempts += 1
         call = request.call
-        priority = POLICIES[context.settings.scheduler.policy].uses_priority
         work = Work(
             request.request_id,
             request.collector.attempt,
             call.model,
             call.prompt,
             call.max_tokens,
-            Priority.ONLINE if priority else Priority.BATCH,
+            Priority.ONLINE,
             resume_text=request.collector.text,
         )
         context.send(request.owner, Offer(request.replica, work))
