Short forecast for the reserve: idle slots go to batch sooner

Cause: the reserve followed the peak of the last burst with a half-life of 20 s, though a suspension frees a slot in about a millisecond; a burst of eight seconds ago kept up to seven of 32 slots idle. Change: half-life 1 s.

--- a/src/cloverwalk/config/settings.py
+++ b/src/cloverwalk/config/settings.py
@@ -89,7 +89,7 @@
     ] = "cloverwalk"
     step_goal_s: Seconds = 0.029
     reserve_min_slots: Annotated[int, Meta(ge=0)] = 1
-    peak_half_life_s: Seconds = 20.0
+    peak_half_life_s: Seconds = 1.0
 
 
 class HoldSettings(Struct, frozen=True, forbid_unknown_fields=True):
