A planned stop waits until its last answers have left the process

Cause: the node counted a request as ended once its answer was handed to the connection; the daemon then cancelled the connection's task, perhaps before it had written. Ruled out: the drain itself (the record was committed before the cut). Change: the daemon waits for connections that are still answering; the simulation delivers what a stopped node had sent. Conclusion: a planned stop cuts off no answer that was made.

--- a/src/cloverwalk/emulator/simulation.py
+++ b/src/cloverwalk/emulator/simulation.py
@@ -66,6 +66,7 @@
     node: str
     answer: HttpAnswer
     on_answer: Callable[[HttpAnswer], None]
+    is_answered: bool = False  # the node has sent the end of its answer
     done: bool = False
 
 
@@ -226,9 +227,11 @@
         engine.streams.pop(key, None)
         engine.model.cancel(*key)
 
-    def _break_connections(self, node_id: str) -> None:
+    def _break_connections(self, node_id: str, only_unanswered: bool = False) -> None:
         for connection in list(self._connections.values()):
-            if connection.node == node_id and not connection.done:
+            if connection.node != node_id or connection.done:
+                continue
+            if not (only_unanswered and connection.is_answered):
                 self._finish(connection, cut=True)
 
     def restart(self, node_id: str) -> None:
@@ -279,7 +282,8 @@
                 self.logs.append((self.now, node_id, instruction))
             case ev.Stopped():
                 simulated.stopped = True
-                self._break_connections(node_id)
+                simulated.alive = False
+                self._break_connections(node_id, only_unanswered=True)
             case _:
                 self._to_client(instruction)
 
@@ -580,6 +584,8 @@
         connection = self._connections.get(instruction.connection)
         if connection is None or connection.done:
             return
+        if isinstance(instruction, ev.SendReply | ev.EndStream):
+            connection.is_answered = True
         delay_s = self.network.client_s
         self.after(delay_s, lambda: self._client_receives(connection, instruction))
 
--- a/src/cloverwalk/http/server.py
+++ b/src/cloverwalk/http/server.py
@@ -52,6 +52,7 @@
         self._buffered_bytes = 0
         self._wake = curio.Event()
         self._overflowed = False
+        self.is_answering = False
         self._client_gone = False
 
     # --- output, as instructed by the application ---
@@ -202,6 +203,7 @@
                 detail = "the request did not come whole in time"
                 await self._refuse(PipelineError(408, "request_timeout", detail, "request"))
             return False
+        self.is_answering = True
         await self._server.on_request(request)
         watcher = None
         if self._server.on_gone is not None:
@@ -213,6 +215,7 @@
                 await self._server.on_gone(self.number)
             return False
         finally:
+            self.is_answering = False
             self._parts.clear()
             if watcher is not None:
                 await watcher.cancel()
@@ -316,6 +319,11 @@
         finally:
             await client.close()
 
+    @property
+    def answering_count(self) -> int:
+        """Connections whose answer has not been sent to its end."""
+        return sum(connection.is_answering for connection in self._connections.values())
+
     async def push(self, part: ReplyPart) -> None:
         """Pass a part of a reply to its connection, if that is still there."""
         connection = self._connections.get(part.connection)
--- a/src/cloverwalk/node/daemon.py
+++ b/src/cloverwalk/node/daemon.py
@@ -22,6 +22,8 @@
 
 LOAD_POLL_S = 0.25
 HELLO_EVERY_S = 1.0
+FLUSH_TIMEOUT_S = 5.0
+FLUSH_POLL_S = 0.01
 
 
 class NodeDaemon:
@@ -76,6 +78,10 @@
             ):
                 await tasks.spawn(self._guard, loop)
             await self._stopped.wait()
+            # The node is done, but its last answers may still be on their way out.
+            async with curio.ignore_after(FLUSH_TIMEOUT_S):
+                while self.http.answering_count:
+                    await curio.sleep(FLUSH_POLL_S)
 
     async def _guard(self, loop: Any) -> None:
         try:
