A lapse of the lease is latched until the next renewal

A node was paused past its lease, lost it to another node, and woke up in an outage. It took its lease for frozen, since nobody reached the store any more. Ruled out: the taker (it had waited a whole lease). Change: validity is looked at before every event and, once lapsed, comes back only with a renewal; an outage counts as one after half a lease, so that leases that were valid when it began stay so. Conclusion: an outage freezes only what was valid when it began.

--- a/src/cloverwalk/control/leases.py
+++ b/src/cloverwalk/control/leases.py
@@ -89,6 +89,7 @@
         self._registering = False
         self._renewing = False
         self._renewed_at = -1e9
+        self._has_lapsed = True
         self._checked_at = -1e9
         self._renew_tried_at = -1e9
         self._next_read: dict[str, float] = {}
@@ -116,10 +117,20 @@
         The holder's clock starts before its renewal is sent, a taker's after it read the
         renewed row, so the holder always stops first.
         """
+        self.watch()
+        return self.is_registered and not self._has_lapsed
+
+    def watch(self) -> None:
+        """Notice a lapse; called before every event, so that a pause can't hide one.
+
+        A lapse ends only with a renewal. An outage that begins later does not undo it:
+        another node may have taken over in between.
+        """
         lease_s = self._context.settings.lease.lease_s
         if self._context.now - self._renewed_at < lease_s:
-            return True
-        return self.is_registered and self._outage.nobody_reaches_store(lease_s)
+            self._has_lapsed = False
+        elif not self._outage.nobody_reaches_store(lease_s / 2):
+            self._has_lapsed = True
 
     def held(self, prefix: str) -> list[HeldLease]:
         """Return the held or draining leases of a prefix."""
--- a/src/cloverwalk/node/node.py
+++ b/src/cloverwalk/node/node.py
@@ -140,6 +140,7 @@
         """Take an event; return what is to be done about it."""
         context = self.context
         context.now = now
+        self.leases.watch()
         self._route(event)
         while context.loopback:
             message = context.loopback.pop(0)
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -244,8 +244,8 @@
     Mutant(
         "a holder never considers its lease lapsed",
         "control/leases.py",
-        "        if self._context.now - self._renewed_at < lease_s:\n            return True",
-        "        return True",
+        "            self._has_lapsed = True",
+        "            self._has_lapsed = False",
         "tests/simulated/test_leases.py",
     ),
     Mutant(
