Batch prefill keeps away from online work; pulls pause after a refusal

Cause: the harm left was prefill. Change: online work is gathered on the first replicas of a shared ranking as long as little of this node's prefill is under way there; new batch items start freely only on replicas without online work, elsewhere at a small rate of prompt tokens; items still in prefill give way when online work comes. A refused pull pauses its class.

--- a/src/cloverwalk/config/settings.py
+++ b/src/cloverwalk/config/settings.py
@@ -90,6 +90,8 @@
     step_goal_s: Seconds = 0.029
     reserve_min_slots: Annotated[int, Meta(ge=0)] = 1
     peak_half_life_s: Seconds = 1.0
+    online_quiet_s: Annotated[float, Meta(ge=0)] = 0.1
+    batch_prefill_tokens_per_s_beside_online: Annotated[float, Meta(ge=0)] = 150.0
 
 
 class HoldSettings(Struct, frozen=True, forbid_unknown_fields=True):
--- a/src/cloverwalk/control/replica_owner.py
+++ b/src/cloverwalk/control/replica_owner.py
@@ -18,7 +18,7 @@
 from cloverwalk.core import catalogue
 from cloverwalk.core.batch_concurrency import BatchConcurrency, ConcurrencySettings
 from cloverwalk.core.collect import Chunk
-from cloverwalk.core.constants import PULL_TIMEOUT_S, SUSPENDED_KEEP_S
+from cloverwalk.core.constants import CHARS_PER_TOKEN, PULL_TIMEOUT_S, SUSPENDED_KEEP_S
 from cloverwalk.core.events import (
     AdoptEngine,
     EngineAdopted,
@@ -58,6 +58,7 @@
     RunningWork,
     SuspendedItem,
 )
+from cloverwalk.core.token_bucket import TokenBucket
 from cloverwalk.core.types import ItemResult, Outcome, Priority, Refusal, Work
 
 ADOPT_RETRY_S = 0.5
@@ -65,6 +66,8 @@
 EMPTY_CLASS_PAUSE_S = 0.2
 ENGINE_LOST_PAUSE_S = 2.0
 REMEMBERED_CANCELS = 10_000
+PREFILL_S = 0.0002
+"""A generous prefill time of one token, to guess which items are still in prefill."""
 
 
 class ReplicaState(StrEnum):
@@ -104,6 +107,8 @@
     adopt_at: float = 0.0
     paused_until: float = -1e9
     pulling: int = 0
+    online_seen_at: float = -1e9
+    prefill_beside_online: TokenBucket | None = None
 
 
 class ReplicaOwner:
@@ -121,6 +126,7 @@
         self._table = table
         self._shard_owner = shard_owner
         self._policy: SchedulingPolicy = POLICIES[context.settings.scheduler.policy]
+        self._online_quiet_s = context.settings.scheduler.online_quiet_s
         self._replicas: dict[str, OwnedReplica] = {}
         self._share: FairShare[ClassKey] = FairShare()
         self._pulls: dict[str, _OutstandingPull] = {}
@@ -178,6 +184,8 @@
             peak_half_life_s=scheduler.peak_half_life_s,
         )
         owned.concurrency = BatchConcurrency(settings, event.slots)
+        rate = scheduler.batch_prefill_tokens_per_s_beside_online
+        owned.prefill_beside_online = TokenBucket(rate, 1.0, self._context.now)
         self._fill(owned)
 
     def on_lost(self, resource: str) -> None:
@@ -256,6 +264,8 @@
 
     def _note_online(self, owned: OwnedReplica) -> None:
         online = owned.slots.online_count + len(owned.slots.queue)
+        if online:
+            owned.online_seen_at = self._context.now
         owned.concurrency.observe_online(online, self._context.now)
 
     def on_cancel(self, message: CancelWork) -> None:
@@ -294,10 +304,21 @@
         context = self._context
         waited_s = context.now - offer.queued_at
         context.metrics.queue_time.labels("online").observe(waited_s)
+        if self._policy.controls_concurrency:
+            self._stop_batch_in_prefill(owned)
         owned.slots.add(RunningWork(offer.work, context.now, reply_to=offer.reply_to))
         self._note_online(owned)
         context.emit(StartWork(owned.replica, owned.epoch, offer.work))
 
+    def _stop_batch_in_prefill(self, owned: OwnedReplica) -> None:
+        """Stop items that are probably still in prefill: their steps would be long ones."""
+        now = self._context.now
+        for running in list(owned.slots.running.values()):
+            is_new = running.is_batch and not running.work.resume_text
+            tokens = len(running.work.prompt) / CHARS_PER_TOKEN
+            if is_new and not running.stopping and now - running.started_at < tokens * PREFILL_S:
+                self._stop_batch_stream(owned, running)
+
     def _suspend(self, owned: OwnedReplica, count: int) -> None:
         for _ in range(count):
             victim = owned.slots.youngest_batch()
@@ -342,11 +363,28 @@
             return
         room = self._batch_room(owned)
         while room > 0 and owned.slots.suspended:
-            self._resume(owned, owned.slots.suspended.popleft())
+            suspended = owned.slots.suspended.popleft()
+            if not suspended.resume_text and self._starts_allowed(owned) == 0:
+                self._return_item(suspended.job_id, suspended.index, "")
+                continue
+            self._resume(owned, suspended)
             room -= 1
+        room = min(room, self._starts_allowed(owned))
         if room > 0:
             self._pull(owned, room)
 
+    def _starts_allowed(self, owned: OwnedReplica) -> int:
+        """Return how many new items may start now without hurting online streams.
+
+        An item's prefill lengthens a step for every stream on the replica; beside online
+        work such steps must stay rare. A resumed item's prompt is still in the cache.
+        """
+        bucket = owned.prefill_beside_online
+        is_alone = self._context.now - owned.online_seen_at > self._online_quiet_s
+        if is_alone or bucket is None or not self._policy.controls_concurrency:
+            return 1 << 30
+        return 1 if bucket.wait_s(self._context.now) == 0.0 else 0
+
     def _resume(self, owned: OwnedReplica, suspended: SuspendedItem) -> None:
         pulled = PulledItem(
             suspended.job_id, suspended.index, suspended.item, suspended.resume_text
@@ -424,8 +462,7 @@
         if owned is not None:
             owned.pulling -= pull.count
         if len(reply.items) < pull.count or reply.pending == 0:
-            pause_until = self._context.now + EMPTY_CLASS_PAUSE_S
-            self._empty_until[(sender, pull.class_key)] = pause_until
+            self._pause_class(sender, pull.class_key)
         if owned is None or owned.state is not ReplicaState.ACTIVE or not self._may_start_batch():
             self._give_back(sender, reply.items)
             return
@@ -437,14 +474,24 @@
     ) -> None:
         refused = []
         for pulled in items:
-            known = f"{pulled.job_id}/{pulled.index}" in owned.slots.running
-            if pulled.job_id in self._cancelled_jobs or known or owned.slots.free <= 0:
+            if f"{pulled.job_id}/{pulled.index}" in owned.slots.running:
+                continue  # the job owner had taken it for lost; now it knows better
+            if pulled.job_id in self._cancelled_jobs or owned.slots.free <= 0:
                 refused.append(pulled)
                 continue
             self._start_item(owned, pulled)
+            if owned.prefill_beside_online is not None:
+                tokens = len(pulled.item.prompt) / CHARS_PER_TOKEN
+                owned.prefill_beside_online.take_on_credit(self._context.now, tokens)
             self._share.charge(key, float(pulled.item.max_tokens), self._weight(key))
+        if refused:
+            # Without a pause the job owner would hand the same items out at once again.
+            self._pause_class(sender, key)
         self._give_back(sender, refused)
 
+    def _pause_class(self, job_owner: str, key: ClassKey) -> None:
+        self._empty_until[(job_owner, key)] = self._context.now + EMPTY_CLASS_PAUSE_S
+
     def _give_back(self, node: str, items: list[PulledItem]) -> None:
         for pulled in items:
             message = ItemReturned(pulled.job_id, pulled.index, pulled.resume_text)
--- a/src/cloverwalk/core/constants.py
+++ b/src/cloverwalk/core/constants.py
@@ -39,3 +39,6 @@
 
 RETRY_AFTER_S = 1
 """Least Retry-After of a refusal."""
+
+CHARS_PER_TOKEN = 6.0
+"""A rough length of a token, where only the size of a prefill is guessed."""
--- a/src/cloverwalk/core/placement.py
+++ b/src/cloverwalk/core/placement.py
@@ -10,6 +10,8 @@
 
 from msgspec import Struct
 
+from cloverwalk.core.hashing import rendezvous_rank
+
 AFFINITY_LOAD_MARGIN = 0.15
 """A replica with the prefix may be this much fuller (share of slots) and still be chosen."""
 
@@ -17,6 +19,14 @@
 """Load (share of slots) that a replica in another zone must be better by."""
 
 
+PACK_LOAD = 0.85
+"""Online work is gathered on a replica until it has this share of the slots."""
+
+
+PACK_PREFILL_TOKENS = 250.0
+"""A replica with more prompt tokens of this node in prefill gets no further packed work."""
+
+
 class Candidate(Struct, frozen=True):
     """What a node knows of a replica when it places a request."""
 
@@ -25,6 +35,7 @@
     local_zone: bool
     online_load: float  # online work, own unreported sends included, as a share of slots
     has_prefix: bool = False
+    prefill_tokens: float = 0.0  # prompts of this node there that have no output yet
 
 
 def effective_load(candidate: Candidate) -> float:
@@ -32,6 +43,23 @@
     return candidate.online_load + (0.0 if candidate.local_zone else REMOTE_ZONE_PENALTY)
 
 
+def choose_packed(candidates: Sequence[Candidate], model: str, random: Random) -> Candidate | None:
+    """Return the first replica of a shared ranking that still has room for online work.
+
+    Prefill of batch items delays the online streams beside them, so batch items start
+    freely only where no online work runs. Gathering online work keeps most replicas free
+    of it. Every node ranks alike, without talking. A burst is spread: prompts that came
+    together would wait for each other's prefill on one replica.
+    """
+    ranked = rendezvous_rank(model, [one.replica for one in candidates])
+    by_name = {one.replica: one for one in candidates}
+    for replica in ranked:
+        candidate = by_name[replica]
+        if candidate.online_load < PACK_LOAD and candidate.prefill_tokens < PACK_PREFILL_TOKENS:
+            return candidate
+    return choose_replica(candidates, random)
+
+
 def choose_replica(candidates: Sequence[Candidate], random: Random) -> Candidate | None:
     """Return the replica to try, or None when there is no candidate.
 
--- a/src/cloverwalk/core/policies.py
+++ b/src/cloverwalk/core/policies.py
@@ -15,6 +15,7 @@
     controls_concurrency: bool = True  # batch follows observed step times, with a reserve
     uses_priority: bool = True  # online work has a higher priority at the engine
     slots_factor: int = 1  # above 1 the engine's own queue is filled as well
+    packs_online: bool = True  # online work is gathered on few replicas
     batch_share: float | None = None  # part of the replicas given to batch, the rest to online
 
 
@@ -34,22 +35,35 @@
     policy.name: policy
     for policy in (
         SchedulingPolicy("cloverwalk"),
-        SchedulingPolicy("online-only", runs_batch=False),
+        SchedulingPolicy("online-only", runs_batch=False, packs_online=False),
         SchedulingPolicy(
-            "batch-only", runs_online=False, controls_concurrency=False, slots_factor=2
+            "batch-only",
+            runs_online=False,
+            controls_concurrency=False,
+            packs_online=False,
+            slots_factor=2,
         ),
         SchedulingPolicy(
             "fifo",
             preempts=False,
             controls_concurrency=False,
+            packs_online=False,
             uses_priority=False,
             slots_factor=2,
         ),
         SchedulingPolicy(
-            "static-partition", preempts=False, controls_concurrency=False, batch_share=0.5
+            "static-partition",
+            preempts=False,
+            controls_concurrency=False,
+            packs_online=False,
+            batch_share=0.5,
         ),
         SchedulingPolicy(
-            "priority-only", preempts=False, controls_concurrency=False, slots_factor=2
+            "priority-only",
+            preempts=False,
+            controls_concurrency=False,
+            packs_online=False,
+            slots_factor=2,
         ),
     )
 }
--- a/src/cloverwalk/core/token_bucket.py
+++ b/src/cloverwalk/core/token_bucket.py
@@ -35,6 +35,11 @@
         self._level -= amount
         return True
 
+    def take_on_credit(self, now: float, amount: float) -> None:
+        """Take ``amount`` though it may not be there; later takes wait until it is paid."""
+        self._refill(now)
+        self._level -= amount
+
     def give_back(self, amount: float) -> None:
         """Return what was taken for something that did not happen."""
         self._level = min(self.burst, self._level + amount)
--- a/src/cloverwalk/pipeline/dispatch.py
+++ b/src/cloverwalk/pipeline/dispatch.py
@@ -10,7 +10,7 @@
 
 from cloverwalk.control.context import Context
 from cloverwalk.core import catalogue
-from cloverwalk.core.constants import OFFER_TIMEOUT_S, STALL_TIMEOUT_S
+from cloverwalk.core.constants import CHARS_PER_TOKEN, OFFER_TIMEOUT_S, STALL_TIMEOUT_S
 from cloverwalk.core.membership import ReplicaReport
 from cloverwalk.core.peer_messages import (
     AttemptLost,
@@ -19,7 +19,7 @@
     Offer,
     OfferRefused,
 )
-from cloverwalk.core.placement import Candidate, choose_replica
+from cloverwalk.core.placement import Candidate, choose_packed, choose_replica
 from cloverwalk.core.policies import POLICIES, takes_online
 from cloverwalk.core.prefix_index import PrefixIndex, prefix_hash
 from cloverwalk.core.retry_budget import RetryBudget
@@ -55,6 +55,7 @@
         self._policy = POLICIES[context.settings.scheduler.policy]
         self._requests: dict[str, OnlineRequest] = {}
         self._sent: Counter[str] = Counter()
+        self._prefill_tokens: dict[str, float] = {}  # by replica: prompts without output yet
         self.prefixes = PrefixIndex()
 
     # --- placing ---
@@ -104,25 +105,53 @@
                 continue
             online = report.online + self._sent[report.replica]
             load = online / report.slots
-            candidate = Candidate(report.replica, owner, is_local, load, report.replica in warm)
+            candidate = Candidate(
+                report.replica,
+                owner,
+                is_local,
+                load,
+                report.replica in warm,
+                self._prefill_tokens.get(report.replica, 0.0),
+            )
             if newest.get(report.replica, (-1, None))[0] < report.epoch:
                 newest[report.replica] = (report.epoch, candidate)
         return [candidate for _, candidate in newest.values()]
 
     def _place(self, request: OnlineRequest) -> None:
-        candidate = choose_replica(self._candidates(request), self._context.random)
+        candidates = self._candidates(request)
+        random = self._context.random
+        if self._policy.packs_online:
+            candidate = choose_packed(candidates, request.call.model, random)
+        else:
+            candidate = choose_replica(candidates, random)
         if candidate is None:
             self._no_replica(request)
             return
         request.replica = candidate.replica
         request.owner = candidate.owner
         self._sent[candidate.replica] += 1
+        tokens = len(request.call.prompt) / CHARS_PER_TOKEN
+        before = self._prefill_tokens.get(candidate.replica, 0.0)
+        self._prefill_tokens[candidate.replica] = before + tokens
+        request.awaits_first_token = True
         if request.call.at_most_once:
             self._claims.claim(request, candidate.replica, _Then(self._offer))
         else:
             self._offer(request)
 
+    def _first_output(self, request: OnlineRequest) -> None:
+        if not request.awaits_first_token:
+            return
+        request.awaits_first_token = False
+        tokens = len(request.call.prompt) / CHARS_PER_TOKEN
+        left = self._prefill_tokens.get(request.replica, 0.0) - tokens
+        if left > 0.5:
+            self._prefill_tokens[request.replica] = left
+        else:
+            self._prefill_tokens.pop(request.replica, None)
+
     def _release_replica(self, request: OnlineRequest) -> None:
+        self._first_output(request)
         if request.replica:
             self._sent[request.replica] -= 1
             if self._sent[request.replica] <= 0:
@@ -224,6 +253,7 @@
         if request.collector.tokens == 0:
             self._context.metrics.first_token.observe(now - request.arrived_at)
         request.heard_at = now
+        self._first_output(request)
         text = request.collector.add(chunk)
         if text:
             self._on_text(request, text)
--- a/src/cloverwalk/pipeline/request.py
+++ b/src/cloverwalk/pipeline/request.py
@@ -44,6 +44,7 @@
     replica: str = ""
     owner: str = ""
     offered_at: float = 0.0
+    awaits_first_token: bool = False
     heard_at: float = 0.0
     attempts: int = 0
     tried: set[str] = msgspec.field(default_factory=set)
