Gossip within a byte budget, zone views with contacts, table changes as patches

Cause: worked out for 1,200 nodes, gossip of every node to every node costs about 18 KB/s a node, and each edit of a table of 370 tenants would be sent whole by every node of a zone to every other (about 325 MB a zone). Ruled out: longer intervals alone (suspicion of small fleets would take as long as that of large ones); relaying more digests a message (the same information twice). Change: the digests of a message follow from the budget; suspicion follows from how long it takes to hear a zone; a view has the own zone and three contacts of each other; edits travel as the rows that changed and are told by one node a zone; the poll reads a version row.

--- a/src/cloverwalk/config/loader.py
+++ b/src/cloverwalk/config/loader.py
@@ -59,7 +59,7 @@
     >>> check({"fanout": 0, "interval": 1.0}, GossipSettings)
     Traceback (most recent call last):
     ...
-    cloverwalk.config.loader.SettingsError: interval: found 1.0; unknown key; allowed are interval_s, fanout, digests_per_message, suspect_after_s, forget_after_s
+    cloverwalk.config.loader.SettingsError: interval: found 1.0; unknown key; allowed are interval_s, fanout, digests_per_message, bytes_per_s, contacts_per_zone, suspect_after_s, forget_after_s
     fanout: found 0; expected `int` >= 1
     """  # noqa: E501
     faults: list[Fault] = []
--- a/src/cloverwalk/config/settings.py
+++ b/src/cloverwalk/config/settings.py
@@ -45,6 +45,8 @@
     interval_s: Seconds = 0.5
     fanout: Count = 3
     digests_per_message: Count = 12
+    bytes_per_s: Count = 2000
+    contacts_per_zone: Count = 3
     suspect_after_s: Seconds = 3.0
     forget_after_s: Seconds = 600.0
 
--- a/src/cloverwalk/control/context.py
+++ b/src/cloverwalk/control/context.py
@@ -28,7 +28,10 @@
         self.begin_incarnation()
         self.leaving = False
         self.table: WeightTable = EMPTY_TABLE
-        self.membership = Membership(self.node_id, self.zone, settings.gossip.suspect_after_s)
+        gossip = settings.gossip
+        self.membership = Membership(
+            self.node_id, self.zone, gossip.suspect_after_s, gossip.contacts_per_zone
+        )
         self.metrics = NodeMetrics()
         self.outbox: list[Instruction] = []
         self.loopback: list[PeerMessage] = []
--- a/src/cloverwalk/control/gossip.py
+++ b/src/cloverwalk/control/gossip.py
@@ -1,12 +1,23 @@
-"""Rounds of gossip: sends this node's digest and others', takes in what comes."""
+"""Rounds of gossip: sends this node's digest and others', takes in what comes.
+
+A round costs ``fanout`` messages. How many digests each carries follows from the budget of
+bytes; the time until a silent member is suspected follows from how long it takes to hear
+every member of the zone. So the cost of a node stays the same as the fleet grows, and
+suspicion gets slower with the size of a zone.
+"""
 
 from collections.abc import Callable
 
+from msgspec import json
+
 from cloverwalk.control.context import Context
 from cloverwalk.core import catalogue
 from cloverwalk.core.membership import NodeDigest
 from cloverwalk.core.peer_messages import AgedDigest, Gossip
 
+SILENT_ROUNDS = 3.0
+"""A member is suspected when this many of its expected messages did not come."""
+
 
 class GossipRole:
     """Keeps the membership view fresh."""
@@ -34,6 +45,7 @@
         if context.now - self._sent_at < settings.interval_s:
             return
         self._sent_at = context.now
+        self._adapt_suspicion()
         context.membership.forget(settings.forget_after_s, context.now)
         targets = context.membership.gossip_targets(settings.fanout, context.random, context.now)
         self._send(targets)
@@ -54,7 +66,7 @@
         context = self._context
         self._beat += 1
         own = AgedDigest(self._own_digest(self._beat), 0.0)
-        limit = context.settings.gossip.digests_per_message - 1
+        limit = self._digests_per_message(own, len(targets)) - 1
         others = [
             AgedDigest(digest, age_s)
             for digest, age_s in context.membership.entries_to_send(limit, context.now)
@@ -62,6 +74,21 @@
         for node in targets:
             context.send(node, Gossip([own, *others]))
 
+    def _digests_per_message(self, own: AgedDigest, targets: int) -> int:
+        settings = self._context.settings.gossip
+        size = len(json.encode(own)) + 2
+        budget = settings.bytes_per_s * settings.interval_s / max(1, targets)
+        return max(2, min(settings.digests_per_message, int(budget / size)))
+
+    def _adapt_suspicion(self) -> None:
+        context = self._context
+        settings = context.settings.gossip
+        zone = [one for one in context.membership.known() if one.zone == context.zone]
+        hear_all_s = settings.interval_s * len(zone) / settings.fanout
+        context.membership.suspect_after_s = max(
+            settings.suspect_after_s, SILENT_ROUNDS * hear_all_s
+        )
+
     def on_gossip(self, message: Gossip) -> None:
         """Merge digests; new ones are passed on to the node's other roles."""
         context = self._context
--- a/src/cloverwalk/control/table_sync.py
+++ b/src/cloverwalk/control/table_sync.py
@@ -1,13 +1,15 @@
 """The weight table at a node: committed by compare-and-set, pushed, polled, never reverted.
 
-One node a zone polls the store's version; a node that learns a newer table passes it on to
-its own zone, and a node that committed one also tells one node of each other zone.
+One node a zone polls the store's version, which is a row of its own. A node that learns a
+newer table from the store or from another zone tells its own zone, and one that committed
+an edit also tells one node of each other zone. Told is what changed; whoever is at another
+version than the change began from fetches the whole table.
 """
 
 from collections.abc import Callable
 from enum import StrEnum
 
-from msgspec import Struct, json
+from msgspec import json
 
 from cloverwalk.control.context import Context
 from cloverwalk.control.outage import OutageView
@@ -16,11 +18,19 @@
 from cloverwalk.core.constants import COMMIT_TIMEOUT_S
 from cloverwalk.core.hashing import rendezvous_owner, rendezvous_rank
 from cloverwalk.core.membership import NodeDigest
-from cloverwalk.core.peer_messages import TableFetch, TablePush
+from cloverwalk.core.peer_messages import TableFetch, TablePatch, TablePush
 from cloverwalk.core.store_types import Check, CommitReply, CommitStatus, Put, ReadReply
-from cloverwalk.core.weight_table import TableRow, WeightTable
+from cloverwalk.core.weight_table import (
+    TableRow,
+    WeightTable,
+    changed_rows,
+    in_order,
+    patched,
+    removed_keys,
+)
 
 TABLE_KEY = "table/current"
+VERSION_KEY = "table/version"
 
 
 def history_key(version: int) -> str:
@@ -88,14 +98,24 @@
     def _poll(self) -> None:
         if not self._polling:
             self._polling = True
-            self._store.read(TABLE_KEY, self._on_polled, exact=True)
+            self._store.read(VERSION_KEY, self._on_polled, exact=True)
 
     def _on_polled(self, reply: ReadReply) -> None:
-        self._polling = False
         if not reply.available:
+            self._polling = False
+            return
+        # The version row is written with the table, so its own version is the table's.
+        version = reply.rows[0].version if reply.rows else 0
+        if version <= self._context.table.version:
+            self._polling = False
+            self.is_loaded = True
             return
-        self.is_loaded = True
-        if reply.rows:
+        self._store.read(TABLE_KEY, self._on_read, exact=True)
+
+    def _on_read(self, reply: ReadReply) -> None:
+        self._polling = False
+        if reply.available and reply.rows:
+            self.is_loaded = True
             self._adopt(json.decode(reply.rows[0].value, type=WeightTable))
 
     def _load_from_peers(self) -> None:
@@ -117,23 +137,42 @@
 
     # --- taking and passing on ---
 
-    def _adopt(self, table: WeightTable) -> bool:
-        if table.version <= self._context.table.version:
+    def _adopt(self, table: WeightTable, tell_zone: bool = True) -> bool:
+        before = self._context.table
+        if table.version <= before.version:
             return False
         self._context.table = table
         self._context.metrics.table_version.set(table.version)
         self._context.log(catalogue.TABLE_CHANGED, version=table.version)
-        self._push(self._context.live_node_names(self._context.zone))
+        if tell_zone:
+            self._tell(self._context.live_node_names(self._context.zone), before)
         return True
 
-    def _push(self, nodes: list[str]) -> None:
+    def _tell(self, nodes: list[str], before: WeightTable) -> None:
+        table = self._context.table
+        message = TablePatch(
+            before.version, table.version, changed_rows(before, table), removed_keys(before, table)
+        )
         for node in nodes:
             if node != self._context.node_id:
-                self._context.send(node, TablePush(self._context.table))
+                self._context.send(node, message)
 
     def on_push(self, message: TablePush) -> None:
-        """Take a pushed version if it is newer."""
-        self._adopt(message.table)
+        """Take a whole table if it is newer."""
+        self._adopt(message.table, tell_zone=False)
+
+    def on_patch(self, sender: str, message: TablePatch) -> None:
+        """Take a change, or fetch the table when it does not begin at this node's version."""
+        table = self._context.table
+        if message.version <= table.version:
+            return
+        if message.base_version != table.version:
+            self._context.send(sender, TableFetch())
+            return
+        digest = self._context.membership.digest(sender)
+        from_own_zone = digest is not None and digest.zone == self._context.zone
+        new = patched(table, message.version, message.changed, message.removed)
+        self._adopt(new, tell_zone=not from_own_zone)
 
     def on_fetch(self, sender: str) -> None:
         """Answer a starting peer."""
@@ -153,7 +192,7 @@
         self, expected_version: int, rows: list[TableRow], on_done: Callable[[EditStatus], None]
     ) -> None:
         """Commit ``rows`` as the version after ``expected_version``."""
-        table = WeightTable(expected_version + 1, rows)
+        table = WeightTable(expected_version + 1, in_order(rows))
         value = encode(table)
         key = history_key(table.version)
 
@@ -161,7 +200,7 @@
         checks = [Check(TABLE_KEY, expected_version), Check(key, 0)]
         self._store.commit(
             checks,
-            [Put(TABLE_KEY, value), Put(key, value)],
+            [Put(TABLE_KEY, value), Put(VERSION_KEY, str(table.version)), Put(key, value)],
             lambda reply: self._on_edited(table, reply, on_done),
             timeout_s=COMMIT_TIMEOUT_S,
         )
@@ -170,8 +209,9 @@
         self, table: WeightTable, reply: CommitReply, on_done: Callable[[EditStatus], None]
     ) -> None:
         if reply.status is CommitStatus.COMMITTED:
-            self._adopt(table)
-            self._push(self._one_node_per_other_zone())
+            before = self._context.table
+            if self._adopt(table):
+                self._tell(self._one_node_per_other_zone(), before)
             on_done(EditStatus.ACCEPTED)
         elif reply.status is CommitStatus.CONFLICT:
             for row in reply.conflicts:
@@ -188,10 +228,3 @@
             if digest.zone != self._context.zone:
                 by_zone.setdefault(digest.zone, []).append(digest.node)
         return [rendezvous_rank("table-push", nodes)[0] for nodes in by_zone.values()]
-
-
-class TableVersionRow(Struct, frozen=True):
-    """One line of the table's history."""
-
-    version: int
-    rows: int
--- a/src/cloverwalk/core/membership.py
+++ b/src/cloverwalk/core/membership.py
@@ -3,6 +3,9 @@
 Every node owns one digest and raises its ``beat`` each round. A digest is replaced only by
 one of a higher (incarnation, beat). A member whose beat stands still is suspected; only the
 lease in the table service decides about ownership. Leaving is sticky for an incarnation.
+
+A node keeps its whole zone and a few contacts of each other zone, so its view grows with
+the zone and the number of zones, not with the fleet.
 Weighed: all-to-all heartbeats (grow with the square of nodes), a monitor node (would be set
 aside for control).
 """
@@ -11,6 +14,8 @@
 
 from msgspec import Struct, structs
 
+from cloverwalk.core.hashing import rendezvous_rank
+
 
 class ReplicaReport(Struct, frozen=True, array_like=True):
     """What a replica owner tells about a replica."""
@@ -80,10 +85,13 @@
     (True, False)
     """
 
-    def __init__(self, node: str, zone: str, suspect_after_s: float) -> None:
+    def __init__(
+        self, node: str, zone: str, suspect_after_s: float, contacts_per_zone: int = 3
+    ) -> None:
         self.node = node
         self.zone = zone
-        self._suspect_after_s = suspect_after_s
+        self.suspect_after_s = suspect_after_s
+        self._contacts_per_zone = contacts_per_zone
         self._entries: dict[str, Entry] = {}
         self._round = 0
 
@@ -94,9 +102,27 @@
         known = self._entries.get(digest.node)
         if known is not None and not _is_newer(digest, known.digest):
             return False
+        if known is None and not self._has_room_for(digest, now):
+            return False
         self._entries[digest.node] = Entry(digest, now - age_s)
         return True
 
+    def _has_room_for(self, digest: NodeDigest, now: float) -> bool:
+        """Return whether to keep a new member; a worse contact of its zone makes room."""
+        if digest.zone == self.zone:
+            return True
+        contacts = [e.digest.node for e in self._entries.values() if e.digest.zone == digest.zone]
+        if len(contacts) < self._contacts_per_zone:
+            return True
+        # Which contacts are best differs from node to node, so that no member is burdened.
+        ranked = rendezvous_rank(f"contact {self.node}", [*contacts, digest.node])
+        dead = [node for node in contacts if not self.is_live(node, now)]
+        worst = dead[0] if dead else ranked[-1]
+        if worst == digest.node:
+            return False
+        del self._entries[worst]
+        return True
+
     def note_release(self, node: str, resource: str) -> None:
         """Take a resource that a node gave up out of its last digest."""
         entry = self._entries.get(node)
@@ -121,14 +147,14 @@
 
     def is_live(self, node: str, now: float) -> bool:
         """Return whether a node is known and not suspected."""
-        return node == self.node or self.age_s(node, now) <= self._suspect_after_s
+        return node == self.node or self.age_s(node, now) <= self.suspect_after_s
 
     def live(self, now: float) -> list[NodeDigest]:
         """Return the digests of the live members, this node not included."""
         return [
             entry.digest
             for entry in self._entries.values()
-            if now - entry.heard_at <= self._suspect_after_s
+            if now - entry.heard_at <= self.suspect_after_s
         ]
 
     def known(self) -> list[NodeDigest]:
@@ -157,7 +183,7 @@
     def entries_to_send(self, limit: int, now: float) -> list[tuple[NodeDigest, float]]:
         """Return up to ``limit`` (digest, age) pairs: those not sent for longest first."""
         self._round += 1
-        live = [e for e in self._entries.values() if now - e.heard_at <= self._suspect_after_s]
+        live = [e for e in self._entries.values() if now - e.heard_at <= self.suspect_after_s]
         live.sort(key=lambda entry: (entry.sent_round, entry.digest.zone != self.zone))
         chosen = live[:limit]
         for entry in chosen:
--- a/src/cloverwalk/core/peer_messages.py
+++ b/src/cloverwalk/core/peer_messages.py
@@ -13,7 +13,7 @@
     SessionRow,
     Work,
 )
-from cloverwalk.core.weight_table import WeightTable
+from cloverwalk.core.weight_table import TableKey, TableRow, WeightTable
 
 
 class AgedDigest(Struct, frozen=True, array_like=True):
@@ -265,6 +265,15 @@
     table: WeightTable
 
 
+class TablePatch(Struct, frozen=True, tag="table_patch"):
+    """What an accepted version changed; for a receiver at ``base_version``."""
+
+    base_version: int
+    version: int
+    changed: list[TableRow]
+    removed: list[TableKey]
+
+
 class TableFetch(Struct, frozen=True, tag="table_fetch"):
     """Ask a peer for its version of the weight table."""
 
@@ -318,6 +327,7 @@
     | FetchHeld
     | FetchHeldReply
     | TablePush
+    | TablePatch
     | TableFetch
     | SessionPush
     | LeaseReleased
--- a/src/cloverwalk/core/weight_table.py
+++ b/src/cloverwalk/core/weight_table.py
@@ -51,6 +51,13 @@
     rows: list[TableRow]
 
 
+class TableKey(Struct, frozen=True):
+    """What names a row."""
+
+    session: str
+    kind: str
+
+
 class EffectiveRow(Struct, frozen=True):
     """What holds for one session and kind after the defaults are filled in."""
 
@@ -153,6 +160,11 @@
     return rows
 
 
+def in_order(rows: Iterable[TableRow]) -> list[TableRow]:
+    """Return rows in the order in which tables keep them."""
+    return sorted(rows, key=lambda row: (row.session, row.kind))
+
+
 def rows_to_csv(rows: Iterable[TableRow]) -> str:
     """Return the rows as CSV, empty cells for None; a spreadsheet opens it."""
     out = io.StringIO()
@@ -167,7 +179,39 @@
     """Return the rows with ``new`` in place of the row of the same key, or added."""
     key = (new.session, new.kind)
     kept = [row for row in rows if (row.session, row.kind) != key]
-    return sorted([*kept, new], key=lambda row: (row.session, row.kind))
+    return in_order([*kept, new])
+
+
+def changed_rows(before: WeightTable, after: WeightTable) -> list[TableRow]:
+    """Return the rows of ``after`` that are new or differ."""
+    old = {(row.session, row.kind): row for row in before.rows}
+    return [row for row in after.rows if old.get((row.session, row.kind)) != row]
+
+
+def removed_keys(before: WeightTable, after: WeightTable) -> list[TableKey]:
+    """Return the keys that ``after`` no longer has."""
+    kept = {(row.session, row.kind) for row in after.rows}
+    return [
+        TableKey(row.session, row.kind)
+        for row in before.rows
+        if (row.session, row.kind) not in kept
+    ]
+
+
+def patched(
+    table: WeightTable, version: int, changed: Sequence[TableRow], removed: Sequence[TableKey]
+) -> WeightTable:
+    """Return the table that a patch makes of ``table``; the order of rows is by key.
+
+    >>> old = WeightTable(1, [TableRow("*", "*", weight=1.0), TableRow("a", "*")])
+    >>> new = WeightTable(2, [TableRow("*", "*", weight=2.0)])
+    >>> patched(old, 2, changed_rows(old, new), removed_keys(old, new)) == new
+    True
+    """
+    replaced = {(row.session, row.kind) for row in changed}
+    replaced |= {(key.session, key.kind) for key in removed}
+    kept = [row for row in table.rows if (row.session, row.kind) not in replaced]
+    return WeightTable(version, in_order([*kept, *changed]))
 
 
 def changed_cells(row: TableRow | None, cells: dict[str, str], where: str) -> TableRow:
--- a/src/cloverwalk/emulator/simulation.py
+++ b/src/cloverwalk/emulator/simulation.py
@@ -121,6 +121,7 @@
         self._connections: dict[int, _Connection] = {}
         self._connection_count = 0
         self._engine_order: dict[tuple[str, str], float] = {}
+        self.introduces_all = True
 
     # --- time ---
 
@@ -160,15 +161,20 @@
         simulated = SimulatedNode(settings, node)
         self.nodes[settings.node_id] = simulated
         self._schedule_tick(settings.node_id, simulated, simulated.generation)
-        self._introduce(settings.node_id)
+        if self.introduces_all:
+            self._introduce_to_all(settings.node_id)
         return simulated
 
-    def _introduce(self, node_id: str) -> None:
+    def _introduce_to_all(self, node_id: str) -> None:
         # The daemon says hello to the peers of its settings file; here to every node.
         for other in self.nodes:
             if other != node_id:
-                self._deliver_hello(node_id, other)
-                self._deliver_hello(other, node_id)
+                self.introduce(node_id, other)
+
+    def introduce(self, one: str, other: str) -> None:
+        """Let two nodes know each other."""
+        self._deliver_hello(one, other)
+        self._deliver_hello(other, one)
 
     def _deliver_hello(self, sender: str, receiver: str) -> None:
         message = self.nodes[sender].node.hello()
--- a/src/cloverwalk/node/node.py
+++ b/src/cloverwalk/node/node.py
@@ -410,6 +410,8 @@
                 self.leases.on_released_by_peer(message.resource)
             case pm.TablePush():
                 self.table.on_push(message)
+            case pm.TablePatch():
+                self.table.on_patch(sender, message)
             case pm.TableFetch():
                 self.table.on_fetch(sender)
             case pm.SessionPush():
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -146,9 +146,16 @@
     Mutant(
         "any pushed table is taken",
         "control/table_sync.py",
-        "        if table.version <= self._context.table.version:",
-        "        if table.version == self._context.table.version:",
-        S + "test_chaos.py",
+        "        if table.version <= before.version:",
+        "        if table.version == before.version:",
+        S + "test_table.py::test_a_late_push_of_an_older_table_changes_nothing",
+    ),
+    Mutant(
+        "a patch is applied to any version",
+        "control/table_sync.py",
+        "        if message.base_version != table.version:",
+        "        if False:",
+        S + "test_table.py::test_a_node_that_missed_a_patch_fetches_the_table",
     ),
     Mutant(
         "an edit does not check the version",
--- a/tests/simulated/test_table.py
+++ b/tests/simulated/test_table.py
@@ -6,6 +6,9 @@
 import checks
 from fleet import Fleet
 
+from cloverwalk.core.events import PeerReceived
+from cloverwalk.core.peer_messages import TablePush
+from cloverwalk.core.weight_table import TableRow, WeightTable
 from cloverwalk.emulator.platform_model import Faults
 
 IN_FORCE_S = 9.0
@@ -121,6 +124,29 @@
     assert all(told.outcome == "not_run" for told in refused)
 
 
+def test_a_late_push_of_an_older_table_changes_nothing() -> None:
+    fleet = Fleet(seed=68)
+    for weight in ("1", "2"):
+        edit(fleet, "levee-0", "archive", {"weight": weight})
+    fleet.sim.run_until(fleet.sim.now + 2.0)
+    late = TablePush(WeightTable(1, [TableRow("*", "archive", weight=1.0)]))
+    fleet.sim.feed("depot-0", PeerReceived("levee-0", "", late))
+    assert fleet.sim.nodes["depot-0"].node.context.table.version == 2
+
+
+def test_a_node_that_missed_a_patch_fetches_the_table() -> None:
+    fleet = Fleet(seed=69)
+    fleet.sim.pause("depot-0")
+    edit(fleet, "levee-0", "archive", {"weight": "4"})
+    fleet.sim.nodes["depot-0"].deferred.clear()  # the patch is lost
+    fleet.sim.resume("depot-0")
+    edit(fleet, "levee-0", "subtitles", {"weight": "5"})
+    fleet.sim.run_until(fleet.sim.now + 2.0)
+    tables = [one.node.context.table for one in fleet.sim.nodes.values()]
+    assert {table.version for table in tables} == {2}
+    assert len({str(table.rows) for table in tables}) == 1
+
+
 def test_bad_cells_are_refused_by_name_and_change_nothing() -> None:
     fleet = Fleet(seed=66)
     answer = edit(fleet, "levee-0", "archive", {"weight": "-1"})
--- a/tests/unit/test_decisions.py
+++ b/tests/unit/test_decisions.py
@@ -18,7 +18,11 @@
 from cloverwalk.core.weight_table import (
     TableRow,
     WeightTable,
+    changed_rows,
     check_rows,
+    in_order,
+    patched,
+    removed_keys,
     resolve,
     rows_from_csv,
     rows_to_csv,
@@ -137,6 +141,18 @@
     assert newest is not None and newest.beat == 5
 
 
+def test_a_view_keeps_its_zone_and_a_few_contacts_of_each_other() -> None:
+    view = Membership("n1", "home", suspect_after_s=5.0, contacts_per_zone=3)
+    for zone in ("home", "east", "west"):
+        for number in range(20):
+            one = NodeDigest(
+                f"{zone}{number}", zone, "", "i", 0.0, 1, False, 0, 0.0, [], [], [], []
+            )
+            view.merge(one, 0.0, 0.0)
+    zones = [one.zone for one in view.known()]
+    assert (zones.count("home"), zones.count("east"), zones.count("west")) == (20, 3, 3)
+
+
 CELLS = st.one_of(st.none(), st.floats(0.25, 1e6, allow_nan=False))
 
 
@@ -159,6 +175,14 @@
     ]
 
 
+@given(tables(), tables())
+def test_a_patch_makes_the_new_table_of_the_old(old: list[TableRow], new: list[TableRow]) -> None:
+    before = WeightTable(1, in_order(old))
+    after = WeightTable(2, in_order(new))
+    patch = (changed_rows(before, after), removed_keys(before, after))
+    assert patched(before, 2, *patch) == after
+
+
 @given(tables())
 def test_a_table_survives_the_way_through_a_spreadsheet(rows: list[TableRow]) -> None:
     assert rows_from_csv(rows_to_csv(rows)) == rows
