--- a/src/cloverwalk/control/job_owner.py
+++ b/src/cloverwalk/control/job_owner.py
@@ -9,17 +9,15 @@
 
 from msgspec import Struct, json, structs
 
+from cloverwalk.control.cancel_coordinator import CancelCoordinator
 from cloverwalk.control.context import Context
 from cloverwalk.control.leases import LeaseKeeper, lease_key
-from cloverwalk.control.machine_directory import MachineDirectory
 from cloverwalk.control.store_port import StorePort, encode
 from cloverwalk.core import catalogue
 from cloverwalk.core.batch_job import BatchJob
-from cloverwalk.core.constants import CANCEL_REPLY_S, COMMIT_TIMEOUT_S, STORE_RETRY_S
+from cloverwalk.core.constants import COMMIT_TIMEOUT_S, STORE_RETRY_S
 from cloverwalk.core.membership import DemandReport
 from cloverwalk.core.peer_messages import (
-    CancelJob,
-    CancelJobAck,
     ItemDone,
     ItemReturned,
     ItemsHeld,
@@ -39,12 +37,11 @@
     ReadReply,
     Row,
 )
-from cloverwalk.core.types import BatchItem, ItemResult, JobRow, JobState, Machine, SegmentRow
+from cloverwalk.core.types import BatchItem, ItemResult, JobRow, JobState, SegmentRow
 
 UNCONFIRMED_GRACE_S = 5.0
 URGENT_SLACK_S = 30.0
 SPEED_HALF_LIFE_S = 10.0
-BARRIER_RESEND_S = 0.5
 
 
 def shard_of(job_id: str) -> str:
@@ -101,20 +98,6 @@
     is_urgent: bool = False
 
 
-class _Barrier(Struct):
-    """A cancel that waits until every replica's owner has confirmed it."""
-
-    job_id: str
-    barrier_id: str
-    requester: str
-    token: str
-    started_at: float
-    sent_at: float
-    acked: set[str]
-    replicas: set[str] | None = None  # all of the fleet, once they are listed
-    answered: bool = False
-
-
 class JobOwner:
     """All job shards owned by one node."""
 
@@ -123,20 +106,19 @@
         context: Context,
         store: StorePort,
         leases: LeaseKeeper,
-        machines: MachineDirectory,
+        cancels: CancelCoordinator,
         announce: Callable[[], None],
     ) -> None:
         self._context = context
         self._store = store
         self._leases = leases
-        self._machines = machines
+        self._cancels = cancels
         self._announce = announce
         self._shards: dict[str, int] = {}
         self._draining: set[str] = set()
         self._jobs: dict[str, OwnedJob] = {}
         self._loading: set[str] = set()
         self._rescanned_at = -1e9
-        self._barriers: dict[str, _Barrier] = {}
 
     # --- shards ---
 
@@ -446,7 +428,7 @@
             return
         self._jobs.pop(message.job_id, None)
         if row.state is JobState.CANCELLED:
-            self._begin_barrier(sender, message)
+            self._cancels.begin(message.job_id, sender, message.token)
             return
         cancelled = structs.replace(row, state=JobState.CANCELLED)
         key = job_key(message.job_id)
@@ -461,7 +443,7 @@
         self, sender: str, message: JobCancelRequest, reply: CommitReply
     ) -> None:
         if reply.status is CommitStatus.COMMITTED:
-            self._begin_barrier(sender, message)
+            self._cancels.begin(message.job_id, sender, message.token)
         elif reply.status is CommitStatus.CONFLICT:
             if any(row.key == lease_key(message.shard) for row in reply.conflicts):
                 self._leases.lost(message.shard)
@@ -469,72 +451,13 @@
         else:
             self._context.send(sender, JobCancelReply(message.token, ""))
 
-    def _begin_barrier(self, requester: str, message: JobCancelRequest) -> None:
-        now = self._context.now
-        barrier = _Barrier(
-            message.job_id,
-            self._context.new_id(),
-            requester,
-            message.token,
-            started_at=now,
-            sent_at=now,
-            acked=set(),
-        )
-        self._barriers[barrier.barrier_id] = barrier
-        self._machines.list_all(lambda machines: self._on_replicas_listed(barrier, machines))
-        self._send_barrier(barrier)
-
-    def _on_replicas_listed(self, barrier: _Barrier, machines: list[Machine] | None) -> None:
-        if machines is not None:
-            barrier.replicas = {machine.machine_id for machine in machines}
-            self._end_barrier_if_acked(barrier)
-
-    def _send_barrier(self, barrier: _Barrier) -> None:
-        barrier.sent_at = self._context.now
-        context = self._context
-        for digest in context.membership.live(context.now):
-            context.send(digest.node, self._cancel_message(barrier, digest.zone != context.zone))
-        context.send(context.node_id, self._cancel_message(barrier, relay=False))
-
-    def _cancel_message(self, barrier: _Barrier, relay: bool) -> CancelJob:
-        context = self._context
-        return CancelJob(
-            barrier.job_id, barrier.barrier_id, context.node_id, context.address, relay
-        )
-
-    def on_cancel_ack(self, message: CancelJobAck) -> None:
-        """Count a confirmation; answer the caller when every replica is covered."""
-        barrier = self._barriers.get(message.barrier_id)
-        if barrier is None:
-            return
-        barrier.acked.update(message.replicas)
-        self._end_barrier_if_acked(barrier)
-
-    def _end_barrier_if_acked(self, barrier: _Barrier) -> None:
-        if barrier.replicas is not None and barrier.replicas <= barrier.acked:
-            self._barriers.pop(barrier.barrier_id, None)
-            self._context.log(catalogue.JOB_CANCELLED, job=barrier.job_id)
-            if not barrier.answered:
-                reply = JobCancelReply(barrier.token, JobState.CANCELLED.value)
-                self._context.send(barrier.requester, reply)
-
-    def _tick_barriers(self) -> None:
-        now = self._context.now
-        for barrier in list(self._barriers.values()):
-            if now - barrier.sent_at >= BARRIER_RESEND_S:
-                self._send_barrier(barrier)
-            if not barrier.answered and now - barrier.started_at >= CANCEL_REPLY_S:
-                barrier.answered = True
-                reply = JobCancelReply(barrier.token, "cancelling")
-                self._context.send(barrier.requester, reply)
-
     # --- time ---
 
     def tick(self) -> None:
         """Flush what is due, retry, rescan, watch deadlines."""
         now = self._context.now
         settings = self._context.settings.batch
-        self._tick_barriers()
+        self._cancels.tick()
         for job_id, owned in list(self._jobs.items()):
             owned.job.take_back_unconfirmed(now, UNCONFIRMED_GRACE_S)
             self._load_part(job_id)
--- a/src/cloverwalk/control/replica_owner.py
+++ b/src/cloverwalk/control/replica_owner.py
@@ -6,19 +6,20 @@
 owners only into room that the concurrency controller leaves.
 """
 
-from collections import OrderedDict
-from collections.abc import Callable, Iterable
+from collections.abc import Callable
 from enum import StrEnum
 
-from msgspec import Struct, structs
+from msgspec import Struct
 
+from cloverwalk.control.batch_puller import BatchPuller, ClassKey
 from cloverwalk.control.context import Context
+from cloverwalk.control.job_cancels import JobCancels
 from cloverwalk.control.leases import LeaseKeeper
 from cloverwalk.control.table_sync import TableSync
 from cloverwalk.core import catalogue
 from cloverwalk.core.batch_concurrency import BatchConcurrency, ConcurrencySettings
 from cloverwalk.core.collect import Chunk
-from cloverwalk.core.constants import CHARS_PER_TOKEN, PULL_TIMEOUT_S, SUSPENDED_KEEP_S
+from cloverwalk.core.constants import CHARS_PER_TOKEN, SUSPENDED_KEEP_S
 from cloverwalk.core.events import (
     AdoptEngine,
     EngineAdopted,
@@ -31,12 +32,10 @@
     StartWork,
     StopWork,
 )
-from cloverwalk.core.fair_share import FairShare
-from cloverwalk.core.membership import DemandReport, ReplicaReport
+from cloverwalk.core.membership import ReplicaReport
 from cloverwalk.core.peer_messages import (
     AttemptLost,
     CancelJob,
-    CancelJobAck,
     CancelWork,
     ChunkMessage,
     ItemDone,
@@ -45,7 +44,6 @@
     LeavingNotice,
     Offer,
     OfferRefused,
-    Pull,
     PulledItem,
     PullReply,
     QueryWork,
@@ -63,9 +61,7 @@
 
 ADOPT_RETRY_S = 0.5
 HELD_REPORT_S = 1.0
-EMPTY_CLASS_PAUSE_S = 0.2
 ENGINE_LOST_PAUSE_S = 2.0
-REMEMBERED_CANCELS = 10_000
 PREFILL_S = 0.0002
 """A generous prefill time of one token, to guess which items are still in prefill."""
 
@@ -78,22 +74,6 @@
     DRAINING = "draining"
 
 
-class _OutstandingPull(Struct):
-    pull_id: str
-    replica: str
-    target: str
-    class_key: "ClassKey"
-    count: int
-    sent_at: float
-
-
-class ClassKey(Struct, frozen=True):
-    """A class of batch work: what fair share is counted by."""
-
-    session: str
-    kind: str
-
-
 class OwnedReplica(Struct):
     """One replica this node owns."""
 
@@ -119,20 +99,18 @@
         context: Context,
         leases: LeaseKeeper,
         table: TableSync,
+        puller: BatchPuller,
         shard_owner: Callable[[str], str | None],
     ) -> None:
         self._context = context
         self._leases = leases
         self._table = table
+        self._puller = puller
         self._shard_owner = shard_owner
         self._policy: SchedulingPolicy = POLICIES[context.settings.scheduler.policy]
         self._online_quiet_s = context.settings.scheduler.online_quiet_s
         self._replicas: dict[str, OwnedReplica] = {}
-        self._share: FairShare[ClassKey] = FairShare()
-        self._pulls: dict[str, _OutstandingPull] = {}
-        self._empty_until: dict[tuple[str, ClassKey], float] = {}
-        self._cancelled_jobs: OrderedDict[str, None] = OrderedDict()
-        self._barriers: dict[str, tuple[str, str]] = {}
+        self._cancels = JobCancels(context)
         self._queries: dict[str, str] = {}
         self._attempt_count = 0
         self._held_report_at = -1e9
@@ -143,18 +121,12 @@
     def on_held(self, resource: str, epoch: int) -> None:
         """Take over a replica: tell its engine the new epoch first."""
         replica = resource.removeprefix("replica/")
-        scheduler = self._context.settings.scheduler
-        settings = ConcurrencySettings(
-            step_goal_s=scheduler.step_goal_s,
-            reserve_min_slots=scheduler.reserve_min_slots,
-            peak_half_life_s=scheduler.peak_half_life_s,
-        )
         self._replicas[replica] = OwnedReplica(
             replica,
             epoch,
             ReplicaState.ADOPTING,
             ReplicaSlots(0),
-            BatchConcurrency(settings, 1),
+            BatchConcurrency(ConcurrencySettings(), slots=1),
             leaving=replica in self.leaving_replicas,
         )
         self._adopt(self._replicas[replica])
@@ -371,7 +343,7 @@
             room -= 1
         room = min(room, self._starts_allowed(owned))
         if room > 0:
-            self._pull(owned, room)
+            owned.pulling += self._puller.pull(owned.replica, owned.model, room)
 
     def _starts_allowed(self, owned: OwnedReplica) -> int:
         """Return how many new items may start now without hurting online streams.
@@ -407,62 +379,15 @@
         owned.slots.add(running)
         self._context.emit(StartWork(owned.replica, owned.epoch, work))
 
-    def _pull(self, owned: OwnedReplica, room: int) -> None:
-        choice = self._choose_class(owned.model)
-        if choice is None:
-            return
-        target, class_key = choice
-        pull_id = self._context.new_id()
-        pull = _OutstandingPull(pull_id, owned.replica, target, class_key, room, self._context.now)
-        self._pulls[pull_id] = pull
-        owned.pulling += room
-        message = Pull(pull_id, owned.replica, class_key.session, class_key.kind, owned.model, room)
-        self._context.send(target, message)
-
-    def _choose_class(self, model: str) -> tuple[str, ClassKey] | None:
-        """Return the job owner and class to pull from: urgent work first, then fair share."""
-        now = self._context.now
-        offers: dict[ClassKey, list[tuple[str, DemandReport]]] = {}
-        for node, demand in self._demand():
-            key = ClassKey(demand.session, demand.kind)
-            if demand.model != model or demand.pending <= 0:
-                continue
-            if now >= self._empty_until.get((node, key), -1e9):
-                offers.setdefault(key, []).append((node, demand))
-        if not offers:
-            return None
-        urgent = [key for key, at in offers.items() if any(d.urgent for _, d in at)]
-        weights = {key: self._weight(key) for key in offers}
-        chosen = self._share.choose(urgent or list(offers), weights)
-        holders = offers[chosen]
-        pending = [demand.pending for _, demand in holders]
-        node = self._context.random.choices([node for node, _ in holders], weights=pending)[0]
-        return node, chosen
-
-    def _demand(self) -> Iterable[tuple[str, DemandReport]]:
-        context = self._context
-        for digest in context.membership.live(context.now):
-            for demand in digest.demand:
-                yield digest.node, demand
-        for demand in self.own_demand():
-            yield context.node_id, demand
-
-    own_demand: Callable[[], list[DemandReport]] = staticmethod(lambda: [])
-
-    def _weight(self, key: ClassKey) -> float:
-        return self._context.table_row(key.session, key.kind).weight
-
     def on_pull_reply(self, sender: str, reply: PullReply) -> None:
         """Start the pulled items; what can't start any more goes back at once."""
-        pull = self._pulls.pop(reply.pull_id, None)
+        pull = self._puller.accept(sender, reply)
         if pull is None:
             self._give_back(sender, reply.items)
             return
         owned = self._replicas.get(pull.replica)
         if owned is not None:
             owned.pulling -= pull.count
-        if len(reply.items) < pull.count or reply.pending == 0:
-            self._pause_class(sender, pull.class_key)
         if owned is None or owned.state is not ReplicaState.ACTIVE or not self._may_start_batch():
             self._give_back(sender, reply.items)
             return
@@ -476,22 +401,19 @@
         for pulled in items:
             if f"{pulled.job_id}/{pulled.index}" in owned.slots.running:
                 continue  # the job owner had taken it for lost; now it knows better
-            if pulled.job_id in self._cancelled_jobs or owned.slots.free <= 0:
+            if pulled.job_id in self._cancels or owned.slots.free <= 0:
                 refused.append(pulled)
                 continue
             self._start_item(owned, pulled)
             if owned.prefill_beside_online is not None:
                 tokens = len(pulled.item.prompt) / CHARS_PER_TOKEN
                 owned.prefill_beside_online.take_on_credit(self._context.now, tokens)
-            self._share.charge(key, float(pulled.item.max_tokens), self._weight(key))
+            self._puller.charge(key, float(pulled.item.max_tokens))
         if refused:
             # Without a pause the job owner would hand the same items out at once again.
-            self._pause_class(sender, key)
+            self._puller.pause(sender, key)
         self._give_back(sender, refused)
 
-    def _pause_class(self, job_owner: str, key: ClassKey) -> None:
-        self._empty_until[(job_owner, key)] = self._context.now + EMPTY_CLASS_PAUSE_S
-
     def _give_back(self, node: str, items: list[PulledItem]) -> None:
         for pulled in items:
             message = ItemReturned(pulled.job_id, pulled.index, pulled.resume_text)
@@ -597,7 +519,7 @@
             self._context.send(running.reply_to, message)
             return
         resume_text = text or work.resume_text
-        if running.job_id in self._cancelled_jobs:
+        if running.job_id in self._cancels:
             return
         keeps = owned.state is ReplicaState.ACTIVE and not owned.leaving
         if reason == "cancelled" and keeps and running.item is not None:
@@ -616,7 +538,7 @@
 
     def _after_end(self, owned: OwnedReplica) -> None:
         self._note_online(owned)
-        self._check_barriers()
+        self._confirm_cancels()
         self._fill(owned)
 
     def on_load(self, event: EngineLoad) -> None:
@@ -644,43 +566,28 @@
     # --- cancelled jobs ---
 
     def on_cancel_job(self, message: CancelJob) -> None:
-        """Stop a job's items; acknowledge when none runs on this node's replicas."""
-        self._cancelled_jobs[message.job_id] = None
-        if len(self._cancelled_jobs) > REMEMBERED_CANCELS:
-            self._cancelled_jobs.popitem(last=False)
+        """Stop a job's items; it is confirmed when none runs on this node's replicas."""
+        self._cancels.add(message)
         for owned in self._replicas.values():
             self._stop_batch(owned, message.job_id)
             kept = [one for one in owned.slots.suspended if one.job_id != message.job_id]
             owned.slots.suspended.clear()
             owned.slots.suspended.extend(kept)
-        context = self._context
-        if message.coordinator != context.node_id:
-            context.note_address(message.coordinator, message.coordinator_address)
-        self._barriers[message.barrier_id] = (message.job_id, message.coordinator)
-        self._check_barriers()
-        if message.relay:
-            for node in context.live_node_names(context.zone):
-                if node not in (context.node_id, message.coordinator):
-                    context.send(node, structs.replace(message, relay=False))
-
-    def _check_barriers(self) -> None:
-        if not self._barriers:
+        self._confirm_cancels()
+
+    def _confirm_cancels(self) -> None:
+        if not self._cancels.is_waiting:
             return
-        active = {
+        running_jobs = {
             running.job_id
             for owned in self._replicas.values()
             for running in owned.slots.running.values()
             if running.is_batch
         }
-        for barrier_id, (job_id, coordinator) in list(self._barriers.items()):
-            if job_id not in active:
-                del self._barriers[barrier_id]
-                replicas = [
-                    owned.replica
-                    for owned in self._replicas.values()
-                    if owned.state is not ReplicaState.ADOPTING
-                ]
-                self._context.send(coordinator, CancelJobAck(job_id, barrier_id, replicas))
+        is_ready = [
+            one for one in self._replicas.values() if one.state is not ReplicaState.ADOPTING
+        ]
+        self._cancels.confirm(running_jobs, [owned.replica for owned in is_ready])
 
     # --- queries ---
 
@@ -719,16 +626,10 @@
             self._report_held()
 
     def _expire_pulls(self) -> None:
-        now = self._context.now
-        expired = [p for p in self._pulls.values() if now - p.sent_at > PULL_TIMEOUT_S]
-        for pull in expired:
-            del self._pulls[pull.pull_id]
+        for pull in self._puller.expire():
             owned = self._replicas.get(pull.replica)
             if owned is not None:
                 owned.pulling -= pull.count
-            self._empty_until[(pull.target, pull.class_key)] = now + PULL_TIMEOUT_S
-        if len(self._empty_until) > 10_000:
-            self._empty_until = {k: at for k, at in self._empty_until.items() if at > now}
 
     def _report_held(self) -> None:
         by_job: dict[str, list[int]] = {}
--- a/src/cloverwalk/engine/client.py
+++ b/src/cloverwalk/engine/client.py
@@ -1,5 +1,6 @@
 """Carries instructions to one engine and brings its events back."""
 
+import time
 from collections.abc import Awaitable, Callable
 from typing import TypeVar
 
@@ -46,6 +47,7 @@
         self.address = address
         self._dispatch = dispatch
         self._pool = HttpPool(address)
+        self._heard_at: dict[ClientConnection, float] = {}
 
     # --- streams ---
 
@@ -63,8 +65,16 @@
         except (OSError, curio.TaskTimeout, h11.ProtocolError, HttpError, EngineError):
             await self._dispatch(ev.EngineCut(*key, "lost"))
         finally:
+            self._heard_at.pop(connection, None)
             await connection.close()
 
+    async def end_silent_streams(self) -> None:
+        """Break streams that brought nothing for long; cheaper than a timer for each part."""
+        now = time.monotonic()
+        for connection, heard_at in list(self._heard_at.items()):
+            if now - heard_at > STREAM_SILENCE_S:
+                await connection.shut_down()
+
     async def _run_stream(self, connection: ClientConnection, start: ev.StartWork) -> None:
         work = start.work
         key = (self.replica, work.request_id, work.attempt)
@@ -80,8 +90,8 @@
             raise EngineError(f"status {head.status}")
         pending = b""
         while True:
-            async with curio.timeout_after(STREAM_SILENCE_S):
-                part = await connection.next_part()
+            self._heard_at[connection] = time.monotonic()
+            part = await connection.next_part()
             if part is None:
                 raise LostAnswerError("the stream ended before its last chunk")
             pending += part
--- a/src/cloverwalk/http/client.py
+++ b/src/cloverwalk/http/client.py
@@ -1,5 +1,6 @@
 """An HTTP client: pooled connections for calls, a connection of its own for each stream."""
 
+import contextlib
 from typing import Any
 
 import curio
@@ -103,6 +104,11 @@
             return True
         return False
 
+    async def shut_down(self) -> None:
+        """Break the connection under a task that reads from it, which then gets an error."""
+        with contextlib.suppress(OSError):
+            await self._sock.shutdown(socket.SHUT_RDWR)
+
     async def close(self) -> None:
         """Close the connection."""
         await self._sock.close()
--- a/src/cloverwalk/http/server.py
+++ b/src/cloverwalk/http/server.py
@@ -4,6 +4,8 @@
 StreamData, EndStream) at any later time.
 """
 
+import contextlib
+import time
 from collections import deque
 from collections.abc import Awaitable, Callable
 from typing import Any
@@ -27,6 +29,7 @@
 
 READ_BYTES = 65536
 LINGER_S = 1.0
+REAP_EVERY_S = 1.0
 
 ReplyPart = SendReply | BeginStream | StreamData | EndStream
 OnRequest = Callable[[HttpRequest], Awaitable[None]]
@@ -53,6 +56,7 @@
         self._wake = curio.Event()
         self._overflowed = False
         self.is_answering = False
+        self.sending_since: float | None = None
         self._client_gone = False
 
     # --- output, as instructed by the application ---
@@ -85,14 +89,22 @@
                     headers = [*part.headers, Header("Transfer-Encoding", "chunked")]
                     await self._send(self._response(part.status, headers))
                 case StreamData():
-                    await self._send(self._http.send(h11.Data(data=part.data)) or b"")
-                    self._buffered_bytes -= len(part.data)
+                    data = self._take_stream_data(part)
+                    await self._send(self._http.send(h11.Data(data=data)) or b"")
+                    self._buffered_bytes -= len(data)
                 case EndStream():
                     if not part.whole:
                         return False
                     await self._send(self._http.send(h11.EndOfMessage()) or b"")
                     return True
 
+    def _take_stream_data(self, first: StreamData) -> bytes:
+        """Return the data of ``first`` and of all stream data queued right behind it."""
+        pieces = [first.data]
+        while self._parts and isinstance(self._parts[0], StreamData):
+            pieces.append(self._parts.popleft().data)  # type: ignore[union-attr]
+        return b"".join(pieces)
+
     def _response(self, status: int, headers: list[Header]) -> bytes:
         pairs = [(header.name, header.value) for header in headers]
         if self._server.is_closing:
@@ -108,8 +120,17 @@
         await self._send(data)
 
     async def _send(self, data: bytes) -> None:
-        async with curio.timeout_after(self._settings.body_timeout_s):
-            await self._sock.sendall(data)
+        # A timer for every token would cost more than the token; the server's reaper
+        # ends connections that are stuck in a send.
+        self.sending_since = time.monotonic()
+        await self._sock.sendall(data)
+        self.sending_since = None
+
+    async def end_if_stuck(self, now: float) -> None:
+        """Break the connection of a client that does not take its answer."""
+        since = self.sending_since
+        if since is not None and now - since > self._settings.body_timeout_s:
+            await self._sock.shutdown(socket.SHUT_RDWR)
 
     # --- input ---
 
@@ -278,12 +299,20 @@
 
     async def serve(self) -> None:
         """Accept until cancelled."""
+        await curio.spawn(self._reap(), daemon=True)
         async with self._sock:
             while True:
                 client, _ = await self._sock.accept()
                 client.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
                 await curio.spawn(self._serve_client(client), daemon=True)
 
+    async def _reap(self) -> None:
+        while True:
+            await curio.sleep(REAP_EVERY_S)
+            for connection in list(self._connections.values()):
+                with contextlib.suppress(OSError):
+                    await connection.end_if_stuck(time.monotonic())
+
     async def _serve_client(self, client: Any) -> None:
         if len(self._connections) >= self.settings.max_connections:
             await self._turn_away(client)
--- a/src/cloverwalk/node/daemon.py
+++ b/src/cloverwalk/node/daemon.py
@@ -121,11 +121,13 @@
         after: dict[str, int] = {}
         while True:
             await curio.sleep(LOAD_POLL_S)
+            for engine in list(self._engines.values()):
+                await engine.end_silent_streams()
             for replica in list(self.node.replicas.owned):
-                engine = self._engine(replica)
-                if engine is not None:
-                    await curio.spawn(engine.read_load(), daemon=True)
-                    await curio.spawn(self._read_cache(engine, after), daemon=True)
+                client = self._engine(replica)
+                if client is not None:
+                    await curio.spawn(client.read_load(), daemon=True)
+                    await curio.spawn(self._read_cache(client, after), daemon=True)
 
     async def _read_cache(self, engine: EngineClient, after: dict[str, int]) -> None:
         last = after.get(engine.replica, 0)
--- a/src/cloverwalk/node/node.py
+++ b/src/cloverwalk/node/node.py
@@ -7,6 +7,8 @@
 from random import Random
 
 from cloverwalk.config.settings import NodeSettings
+from cloverwalk.control.batch_puller import BatchPuller
+from cloverwalk.control.cancel_coordinator import CancelCoordinator
 from cloverwalk.control.context import Context
 from cloverwalk.control.gossip import GossipRole
 from cloverwalk.control.job_owner import JobOwner, shard_of
@@ -65,11 +67,14 @@
         self.table = TableSync(context, self.store, self.outage)
         self.sessions = SessionDirectory(context, self.store)
         self.results = ResultStore(context, self.store)
-        self.replicas = ReplicaOwner(context, self.leases, self.table, self._shard_owner)
+        self.puller = BatchPuller(context, lambda: self.jobs.demand())
+        self.replicas = ReplicaOwner(
+            context, self.leases, self.table, self.puller, self._shard_owner
+        )
         self.machines = MachineDirectory(context, self._zone_owners, self.replicas.note_leaving)
         self.gossip = GossipRole(context, self._own_digest, self._on_digest, self._on_node_lost)
-        self.jobs = JobOwner(context, self.store, self.leases, self.machines, self._announce)
-        self.replicas.own_demand = self.jobs.demand
+        self.cancels = CancelCoordinator(context, self.machines)
+        self.jobs = JobOwner(context, self.store, self.leases, self.cancels, self._announce)
         self.leases.listen(
             "replica",
             LeaseListener(self.replicas.on_held, self.replicas.on_lost, self.replicas.on_drain),
@@ -444,7 +449,7 @@
             case pm.CancelJob():
                 self.replicas.on_cancel_job(message)
             case pm.CancelJobAck():
-                self.jobs.on_cancel_ack(message)
+                self.cancels.on_ack(message)
             case pm.JobCancelRequest():
                 self.jobs.on_cancel_request(sender, message)
             case pm.JobCancelReply():
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -44,6 +44,13 @@
         "[]",
         S + "test_exactly_once.py::test_a_job_owner_paused_past_its_lease_commits_nothing_more",
     ),
+    Mutant(
+        "a second result of an item is taken",
+        "core/batch_job.py",
+        "            return False\n        if state == ItemState.PENDING:",
+        "            pass\n        if state == ItemState.PENDING:",
+        "tests/unit/test_batch_job.py",
+    ),
     Mutant(
         "concurrent sends of one key all run",
         "core/idempotency.py",
@@ -60,7 +67,7 @@
     ),
     Mutant(
         "a cancel is acknowledged before replica owners confirm",
-        "control/job_owner.py",
+        "control/cancel_coordinator.py",
         "        if barrier.replicas is not None and barrier.replicas <= barrier.acked:",
         "        if True:",
         S + "test_cancel.py::test_a_cancel_waits_for_a_paused_replica_owner",
@@ -90,8 +97,9 @@
     Mutant(
         "batch is never pulled after the first time",
         "control/replica_owner.py",
-        "        if room > 0:\n            self._pull(owned, room)",
-        "        if room > 0 and not owned.slots.running:\n            self._pull(owned, 1)",
+        "            owned.pulling += self._puller.pull(owned.replica, owned.model, room)",
+        "            if not owned.slots.running:\n"
+        "                owned.pulling += self._puller.pull(owned.replica, owned.model, 1)",
         S + "test_online_first.py::test_idle_capacity_is_used_by_batch",
     ),
     Mutant(
