Models are placed by demand; gossip leaves no member out for long

Cause: (1) each replica kept the model it came with, so a model that nobody held was refused for ever; (2) found by a lease test when its random numbers shifted: gossip drew its targets anew each round, so a remote member could go unheard for three seconds, be suspected, and make a node take an outage for a partition. Ruled out for (2): the latch of lapses (it did what it says); a longer suspicion alone. Change: a slow loop by the holder of a zone's models lease, one fenced order in flight, the replica emptied first; gossip goes through a shuffled order of all members.

--- a/src/cloverwalk/control/gossip.py
+++ b/src/cloverwalk/control/gossip.py
@@ -2,8 +2,8 @@
 
 A round costs ``fanout`` messages. How many digests each carries follows from the budget of
 bytes; the time until a silent member is suspected follows from how long it takes to hear
-every member of the zone. So the cost of a node stays the same as the fleet grows, and
-suspicion gets slower with the size of a zone.
+every member in view. So the cost of a node stays the same as the fleet grows, and
+suspicion gets slower with the size of the view.
 """
 
 from collections.abc import Callable
@@ -83,8 +83,8 @@
     def _adapt_suspicion(self) -> None:
         context = self._context
         settings = context.settings.gossip
-        zone = [one for one in context.membership.known() if one.zone == context.zone]
-        hear_all_s = settings.interval_s * len(zone) / settings.fanout
+        members = len(context.membership.known())
+        hear_all_s = settings.interval_s * members / settings.fanout
         context.membership.suspect_after_s = max(
             settings.suspect_after_s, SILENT_ROUNDS * hear_all_s
         )
--- a/src/cloverwalk/control/replica_owner.py
+++ b/src/cloverwalk/control/replica_owner.py
@@ -1,6 +1,7 @@
 """The owner of engine replicas: the only place that starts work on them.
 
-States of a replica here: adopting (the engine is told the epoch) > active > draining.
+States of a replica here: adopting (the engine is told the epoch) > active > draining,
+with active > switching > active for a change of model.
 Online work has its own queue and never waits for a batch item to end: when no slot is
 free, the youngest batch streams are suspended first. Batch items are pulled from job
 owners only into room that the concurrency controller leaves.
@@ -28,6 +29,8 @@
     EngineLoad,
     EngineRefused,
     EngineStatus,
+    LoadModel,
+    ModelLoaded,
     QueryEngine,
     StartWork,
     StopWork,
@@ -37,11 +40,13 @@
     AttemptLost,
     CancelJob,
     CancelWork,
+    ChangeModel,
     ChunkMessage,
     ItemDone,
     ItemReturned,
     ItemsHeld,
     LeavingNotice,
+    ModelChanged,
     Offer,
     OfferRefused,
     PulledItem,
@@ -71,9 +76,18 @@
 
     ADOPTING = "adopting"
     ACTIVE = "active"
+    SWITCHING = "switching"
     DRAINING = "draining"
 
 
+class ModelSwitch(Struct):
+    """An order to load another model; it goes to the engine once nothing runs."""
+
+    model: str
+    placer: str
+    is_sent: bool = False
+
+
 class OwnedReplica(Struct):
     """One replica this node owns."""
 
@@ -89,6 +103,7 @@
     pulling: int = 0
     online_seen_at: float = -1e9
     prefill_beside_online: TokenBucket | None = None
+    switch: "ModelSwitch | None" = None
 
 
 class ReplicaOwner:
@@ -111,6 +126,7 @@
         self._online_quiet_s = context.settings.scheduler.online_quiet_s
         self._replicas: dict[str, OwnedReplica] = {}
         self._cancels = JobCancels(context)
+        self._placer_epochs: dict[str, int] = {}
         self._queries: dict[str, str] = {}
         self._attempt_count = 0
         self._held_report_at = -1e9
@@ -195,6 +211,46 @@
             self._refuse(owned.replica, offer.work, offer.reply_to, reason)
         self._return_suspended(owned, older_than_s=-1.0)
 
+    # --- change of model ---
+
+    def on_change_model(self, sender: str, message: ChangeModel) -> None:
+        """Empty a replica and have its engine load another model."""
+        owned = self._replicas.get(message.replica)
+        highest = self._placer_epochs.get(message.zone, 0)
+        is_stale = message.placer_epoch < highest
+        if is_stale or owned is None or owned.state is not ReplicaState.ACTIVE:
+            model = owned.model if owned else ""
+            self._context.send(sender, ModelChanged(message.replica, model))
+            return
+        self._placer_epochs[message.zone] = message.placer_epoch
+        owned.state = ReplicaState.SWITCHING
+        owned.switch = ModelSwitch(message.model, sender)
+        self._stop_batch(owned)
+        self._return_suspended(owned, older_than_s=-1.0)
+        self._load_if_idle(owned)
+
+    def _load_if_idle(self, owned: OwnedReplica) -> None:
+        switch = owned.switch
+        if owned.state is not ReplicaState.SWITCHING or switch is None or switch.is_sent:
+            return
+        if not owned.slots.running and not owned.slots.queue:
+            switch.is_sent = True
+            self._context.emit(LoadModel(owned.replica, owned.epoch, switch.model))
+
+    def on_model_loaded(self, event: ModelLoaded) -> None:
+        """Serve again, with the new model or, if the engine refused, the old one."""
+        owned = self._replicas.get(event.replica)
+        if owned is None or owned.epoch != event.epoch or owned.switch is None:
+            return
+        if event.model:
+            owned.model = event.model
+        self._context.log(catalogue.MODEL_LOADED, replica=event.replica, model=owned.model)
+        self._context.send(owned.switch.placer, ModelChanged(event.replica, owned.model))
+        owned.switch = None
+        if owned.state is ReplicaState.SWITCHING:
+            owned.state = ReplicaState.ACTIVE
+        self._fill(owned)
+
     # --- online work ---
 
     def on_offer(self, sender: str, offer: Offer) -> None:
@@ -211,6 +267,8 @@
     def _refusal(self, owned: OwnedReplica | None, work: Work) -> Refusal | None:
         if owned is None or owned.state is ReplicaState.ADOPTING:
             return Refusal.NOT_OWNER
+        if owned.state is ReplicaState.SWITCHING:
+            return Refusal.WRONG_MODEL
         if owned.leaving or owned.state is ReplicaState.DRAINING:
             return Refusal.LEAVING
         if owned.model != work.model:
@@ -270,6 +328,7 @@
             self._suspend(owned, len(slots.queue) - slots.stopping_count)
         elif not slots.queue and owned.state is ReplicaState.ACTIVE:
             self._fill_with_batch(owned)
+        self._load_if_idle(owned)
         self._release_if_idle(owned)
 
     def _start_online(self, owned: OwnedReplica, offer: QueuedOffer) -> None:
@@ -480,6 +539,8 @@
         reason = _refusal_of(event.reason)
         if reason is Refusal.LEAVING:
             self.note_leaving(event.replica)
+        elif reason is Refusal.WRONG_MODEL and owned.state is ReplicaState.ACTIVE:
+            owned.state = ReplicaState.ADOPTING  # asks the engine what it holds
         elif reason is Refusal.UNREACHABLE:
             owned.paused_until = self._context.now + ENGINE_LOST_PAUSE_S
         if running is not None:
--- a/src/cloverwalk/core/events.py
+++ b/src/cloverwalk/core/events.py
@@ -111,6 +111,15 @@
     model: str = ""
 
 
+class ModelLoaded(Struct, frozen=True):
+    """Answer to :class:`LoadModel`; ``model`` is what the engine holds now."""
+
+    replica: str
+    epoch: int
+    accepted: bool
+    model: str
+
+
 class EngineLoad(Struct, frozen=True):
     """A lagging load report of an engine."""
 
@@ -166,6 +175,7 @@
     | EngineCut
     | EngineStatus
     | EngineAdopted
+    | ModelLoaded
     | EngineLoad
     | StoreCommitted
     | StoreRead
@@ -255,6 +265,14 @@
     epoch: int
 
 
+class LoadModel(Struct, frozen=True):
+    """Order an idle engine to load another model; fenced by the owner's epoch."""
+
+    replica: str
+    epoch: int
+    model: str
+
+
 class CommitToStore(Struct, frozen=True):
     """Commit a transaction."""
 
@@ -320,6 +338,7 @@
     | StopWork
     | QueryEngine
     | AdoptEngine
+    | LoadModel
     | CommitToStore
     | ReadStore
     | PutObject
--- a/src/cloverwalk/core/membership.py
+++ b/src/cloverwalk/core/membership.py
@@ -47,6 +47,13 @@
     requests_per_s: float
 
 
+class UnservedReport(Struct, frozen=True, array_like=True):
+    """Online requests for a model that no known replica holds."""
+
+    model: str
+    requests_per_s: float
+
+
 class NodeDigest(Struct, frozen=True, array_like=True):
     """All that a node says of itself. Arrays in place of maps keep gossip small."""
 
@@ -63,6 +70,7 @@
     shards: list[str]
     demand: list[DemandReport]
     rates: list[RateReport]
+    unserved: list[UnservedReport] = []
 
 
 class Entry(Struct):
@@ -94,6 +102,7 @@
         self._contacts_per_zone = contacts_per_zone
         self._entries: dict[str, Entry] = {}
         self._round = 0
+        self._orders: dict[str, list[str]] = {}
 
     def merge(self, digest: NodeDigest, age_s: float, now: float) -> bool:
         """Take a digest if it is newer than the known one; return whether it was."""
@@ -172,14 +181,29 @@
         """Return whom to send to this round: mostly the own zone, always one other zone."""
         local = [digest.node for digest in self.live(now) if digest.zone == self.zone]
         remote = [digest.node for digest in self.live(now) if digest.zone != self.zone]
-        targets = random.sample(sorted(local), min(fanout, len(local)))
+        targets = self._next_of("local", local, fanout, random)
         spare = max(1, fanout - len(targets))
-        targets += random.sample(sorted(remote), min(spare, len(remote)))
+        targets += self._next_of("remote", remote, spare, random)
         suspected = sorted(set(self._entries) - set(targets) - set(local) - set(remote))
         if suspected:  # so that two halves of a healed cut find each other again
             targets.append(random.choice(suspected))
         return targets
 
+    def _next_of(self, name: str, nodes: list[str], count: int, random: Random) -> list[str]:
+        """Return the next nodes of a shuffled order, so that none is left out for long.
+
+        Drawn anew each round, some member would now and then go unheard long enough to be
+        suspected.
+        """
+        order = [node for node in self._orders.get(name, []) if node in nodes]
+        chosen = order[:count]
+        if len(chosen) < min(count, len(nodes)):
+            order = sorted(set(nodes) - set(chosen))
+            random.shuffle(order)
+            chosen += order[: count - len(chosen)]
+        self._orders[name] = [node for node in order if node not in chosen]
+        return chosen
+
     def entries_to_send(self, limit: int, now: float) -> list[tuple[NodeDigest, float]]:
         """Return up to ``limit`` (digest, age) pairs: those not sent for longest first."""
         self._round += 1
--- /dev/null
+++ b/src/cloverwalk/core/model_placement.py
@@ -0,0 +1,75 @@
+"""Which model a zone's replicas should hold: one change at a time, and only for a clear gain.
+
+Targets follow demand. A change must bring the counts nearer to the targets by a margin, so
+that demand which wavers does not make replicas load models to and fro; the last replica of
+a model in use is never taken.
+"""
+
+from collections import Counter
+from collections.abc import Mapping, Sequence
+
+from msgspec import Struct
+
+GAIN_MARGIN = 1.5
+"""Least gain of a change, in replicas. Any change that helps at all gains more than 1."""
+
+
+class PlacedReplica(Struct, frozen=True):
+    """A replica that may change its model."""
+
+    replica: str
+    model: str
+    load: float  # share of its slots in use
+
+
+class ModelChange(Struct, frozen=True):
+    """Load ``model`` on ``replica``."""
+
+    replica: str
+    model: str
+
+
+def targets(demand: Mapping[str, float], replica_count: int) -> dict[str, float]:
+    """Return how many replicas each model should have.
+
+    >>> targets({"a": 30.0, "b": 10.0}, 4)
+    {'a': 3.0, 'b': 1.0}
+    """
+    total = sum(demand.values())
+    if total <= 0:
+        return {}
+    return {model: replica_count * part / total for model, part in demand.items()}
+
+
+def plan_change(
+    replicas: Sequence[PlacedReplica], demand: Mapping[str, float]
+) -> ModelChange | None:
+    """Return the one change that helps most, or None.
+
+    >>> replicas = [PlacedReplica("r1", "a", 0.5), PlacedReplica("r2", "a", 0.1)]
+    >>> plan_change(replicas, {"a": 5.0, "b": 5.0})
+    ModelChange(replica='r2', model='b')
+    >>> plan_change(replicas, {"a": 6.0}) is None
+    True
+    """
+    wanted = targets(demand, len(replicas))
+    counts = Counter(one.model for one in replicas)
+    missing = {model: target - counts[model] for model, target in wanted.items()}
+    needy = max(missing, key=lambda model: (missing[model], model), default=None)
+    if needy is None or missing[needy] <= 0:
+        return None
+    donors = [one for one in replicas if _may_give(one.model, needy, counts, demand)]
+    if not donors:
+        return None
+    spare = {model: counts[model] - wanted.get(model, 0.0) for model in counts}
+    donor = max(donors, key=lambda one: (spare[one.model], -one.load, one.replica))
+    is_unserved = counts[needy] == 0
+    if not is_unserved and missing[needy] + spare[donor.model] < GAIN_MARGIN:
+        return None
+    return ModelChange(donor.replica, needy)
+
+
+def _may_give(model: str, needy: str, counts: Counter[str], demand: Mapping[str, float]) -> bool:
+    if model == needy:
+        return False
+    return counts[model] > 1 or demand.get(model, 0.0) <= 0
--- a/src/cloverwalk/core/peer_messages.py
+++ b/src/cloverwalk/core/peer_messages.py
@@ -305,6 +305,22 @@
     machines: list[Machine]
 
 
+class ChangeModel(Struct, frozen=True, tag="change_model"):
+    """The placer's order to a replica's owner; ``placer_epoch`` fences older placers."""
+
+    zone: str
+    placer_epoch: int
+    replica: str
+    model: str
+
+
+class ModelChanged(Struct, frozen=True, tag="model_changed"):
+    """The end of an order: the replica now holds ``model``, changed or not."""
+
+    replica: str
+    model: str
+
+
 class LeavingNotice(Struct, frozen=True, tag="leaving_notice"):
     """First sign that a replica is leaving, passed on at once."""
 
@@ -347,6 +363,8 @@
     | SessionPush
     | LeaseReleased
     | MachinesPush
+    | ChangeModel
+    | ModelChanged
     | LeavingNotice
 )
 
--- a/src/cloverwalk/emulator/engine_model.py
+++ b/src/cloverwalk/emulator/engine_model.py
@@ -17,6 +17,9 @@
 
 PREFILL_CHUNK_TOKENS = 512
 KEPT_RESULTS = 5000
+MODEL_BYTES = 100_000_000.0
+"""Size of a model's weights in the stand-in's weight store."""
+
 WAITING_PER_SLOT = 2
 
 
@@ -91,6 +94,7 @@
         self.model = settings.model
         self.epoch = 0
         self.leaving = False
+        self.is_loading = False
         self.cache = PrefixCache(settings.cache_tokens, settings.event_loss, random)
         self.starts: list[StartRecord] = []
         self._running: dict[str, _Stream] = {}
@@ -132,7 +136,7 @@
             return Refusal.STALE_EPOCH
         if self.leaving:
             return Refusal.LEAVING
-        if work.model != self.model:
+        if work.model != self.model or self.is_loading:
             return Refusal.WRONG_MODEL
         if work.request_id in self._running or any(
             one.work.request_id == work.request_id for one in self._waiting
@@ -170,13 +174,18 @@
             return RequestStatus("running")
         return self._ended.get(request_id, RequestStatus("unknown"))
 
-    def load_model(self, model: str, epoch: int) -> bool:
-        """Obey a fenced order to load another model; False when stale or not idle."""
-        if epoch < self.epoch or self._running or self._waiting:
+    def begin_load(self, epoch: int) -> bool:
+        """Begin to obey a fenced order to load a model; False when stale or not idle."""
+        if epoch < self.epoch or self._running or self._waiting or self.is_loading:
             return False
+        self.is_loading = True
+        return True
+
+    def finish_load(self, model: str) -> None:
+        """The weights are here: serve the new model with an empty cache."""
+        self.is_loading = False
         self.model = model
         self.cache.clear()
-        return True
 
     def _keep(self, request_id: str, status: RequestStatus) -> None:
         self._ended[request_id] = status
--- a/src/cloverwalk/emulator/engine_server.py
+++ b/src/cloverwalk/emulator/engine_server.py
@@ -16,7 +16,7 @@
     StreamData,
 )
 from cloverwalk.core.types import Machine
-from cloverwalk.emulator.engine_model import EngineModel, StreamEnd
+from cloverwalk.emulator.engine_model import MODEL_BYTES, EngineModel, StreamEnd
 from cloverwalk.engine.protocol import (
     CacheEventBody,
     CancelBody,
@@ -34,6 +34,7 @@
 from cloverwalk.pipeline.problem import PipelineError, json_reply, problem_reply
 
 REGISTER_RETRY_S = 0.5
+WEIGHTS_RETRY_S = 2.0
 StreamKey = tuple[str, int]
 
 
@@ -192,12 +193,30 @@
             for end in ended or []:
                 await self._send_cut(end, "aborted")
         elif order.order == "load_model":
-            accepted = self.model.load_model(order.model, order.epoch)
+            accepted = await self._load(order)
         elif order.order == "leave":
             self.model.leaving = True
         answer = OrderAnswer(accepted, self.settings.slots, self.model.model)
         await self._reply(request, answer)
 
+    async def _load(self, order: OrderBody) -> bool:
+        if not self.model.begin_load(order.epoch):
+            return False
+        await curio.sleep(await self._weights_s())
+        self.model.finish_load(order.model)
+        return True
+
+    async def _weights_s(self) -> float:
+        """Return how long the weight store takes; at once without a platform."""
+        if not self.settings.platform:
+            return 0.0
+        try:
+            path = f"/v1/weights?bytes={MODEL_BYTES:.0f}"
+            response = await HttpPool(self.settings.platform).call("GET", path)
+            return float(json.decode(response.body)["seconds"])
+        except (HttpError, KeyError, msgspec.DecodeError):
+            return WEIGHTS_RETRY_S
+
     async def _cache_events(self, request: HttpRequest) -> None:
         after = int(request.query.get("after", "0") or "0")
         before = time.monotonic() - self.settings.event_lag_s
--- a/src/cloverwalk/emulator/simulation.py
+++ b/src/cloverwalk/emulator/simulation.py
@@ -25,7 +25,12 @@
     ReadReply,
 )
 from cloverwalk.core.types import Machine
-from cloverwalk.emulator.engine_model import Emission, EngineModel, StreamEnd
+from cloverwalk.emulator.engine_model import (
+    MODEL_BYTES,
+    Emission,
+    EngineModel,
+    StreamEnd,
+)
 from cloverwalk.emulator.platform_model import PlatformModel
 from cloverwalk.node.node import Node
 
@@ -278,6 +283,8 @@
                 self._stop_work(node_id, instruction)
             case ev.AdoptEngine():
                 self._adopt(node_id, instruction)
+            case ev.LoadModel():
+                self._load_model(node_id, instruction)
             case ev.QueryEngine():
                 self._query(node_id, instruction)
             case ev.CommitToStore() | ev.ReadStore() | ev.PutObject() | ev.GetObject():
@@ -462,6 +469,29 @@
             event = ev.EngineAdopted(replica, adopt.epoch, False)
             self.after(CUT_NOTICE_S, lambda: self.feed(node_id, event))
 
+    def _load_model(self, node_id: str, load: ev.LoadModel) -> None:
+        def answer(accepted: bool, model: str) -> None:
+            event = ev.ModelLoaded(load.replica, load.epoch, accepted, model)
+            self._to_node_in_order(load.replica, node_id, event)
+
+        def arrive(engine: SimulatedEngine) -> None:
+            if not engine.model.begin_load(load.epoch):
+                answer(False, engine.model.model)
+                return
+
+            def loaded() -> None:
+                if not engine.alive:
+                    answer(False, "")
+                    return
+                engine.model.finish_load(load.model)
+                answer(True, load.model)
+
+            self.after(self.platform.weight_wait_s(MODEL_BYTES, self.now), loaded)
+
+        if not self._engine_call(node_id, load.replica, arrive):
+            event = ev.ModelLoaded(load.replica, load.epoch, False, "")
+            self.after(CUT_NOTICE_S, lambda: self.feed(node_id, event))
+
     def _query(self, node_id: str, query: ev.QueryEngine) -> None:
         replica = query.replica
 
--- a/src/cloverwalk/engine/client.py
+++ b/src/cloverwalk/engine/client.py
@@ -28,6 +28,7 @@
 CONNECT_TIMEOUT_S = 0.5
 CALL_TIMEOUT_S = 1.0
 STREAM_SILENCE_S = 120.0
+LOAD_TIMEOUT_S = 600.0
 
 Dispatch = Callable[[ev.Event], Awaitable[None]]
 Body = TypeVar("Body")
@@ -134,6 +135,17 @@
         )
         await self._dispatch(event)
 
+    async def load(self, load: ev.LoadModel) -> None:
+        """Order another model; the answer comes when its weights are loaded."""
+        body = json.encode(OrderBody(load.epoch, "load_model", load.model))
+        try:
+            response = await self._pool.call("POST", "/v1/orders", body, timeout_s=LOAD_TIMEOUT_S)
+            answer = _decode(response.body, OrderAnswer)
+        except (HttpError, EngineError):
+            answer = OrderAnswer(accepted=False, slots=0, model="")
+        event = ev.ModelLoaded(self.replica, load.epoch, answer.accepted, answer.model)
+        await self._dispatch(event)
+
     async def query(self, query: ev.QueryEngine) -> None:
         """Ask for the status of a request."""
         try:
--- a/src/cloverwalk/node/daemon.py
+++ b/src/cloverwalk/node/daemon.py
@@ -25,6 +25,8 @@
 FLUSH_TIMEOUT_S = 5.0
 FLUSH_POLL_S = 0.01
 
+EngineInstruction = ev.StartWork | ev.StopWork | ev.AdoptEngine | ev.LoadModel | ev.QueryEngine
+
 
 class NodeDaemon:
     """One node as a process, or as one of several in a process."""
@@ -192,7 +194,13 @@
                 self.log.write(instruction)
             case ev.Stopped():
                 await self._stopped.set()
-            case ev.StartWork() | ev.StopWork() | ev.AdoptEngine() | ev.QueryEngine():
+            case (
+                ev.StartWork()
+                | ev.StopWork()
+                | ev.AdoptEngine()
+                | ev.LoadModel()
+                | ev.QueryEngine()
+            ):
                 await self._to_engine(instruction)
             case _:
                 await self._to_platform(instruction)
@@ -210,9 +218,7 @@
             case ev.ListMachines():
                 await curio.spawn(self.platform.list_machines(instruction), daemon=True)
 
-    async def _to_engine(
-        self, instruction: ev.StartWork | ev.StopWork | ev.AdoptEngine | ev.QueryEngine
-    ) -> None:
+    async def _to_engine(self, instruction: EngineInstruction) -> None:
         engine = self._engine(instruction.replica)
         if engine is None:
             await self._no_engine(instruction)
@@ -224,12 +230,12 @@
                 await curio.spawn(engine.stop(instruction), daemon=True)
             case ev.AdoptEngine():
                 await curio.spawn(engine.adopt(instruction), daemon=True)
+            case ev.LoadModel():
+                await curio.spawn(engine.load(instruction), daemon=True)
             case ev.QueryEngine():
                 await curio.spawn(engine.query(instruction), daemon=True)
 
-    async def _no_engine(
-        self, instruction: ev.StartWork | ev.StopWork | ev.AdoptEngine | ev.QueryEngine
-    ) -> None:
+    async def _no_engine(self, instruction: EngineInstruction) -> None:
         if isinstance(instruction, ev.StartWork):
             work = instruction.work
             event = ev.EngineRefused(
--- a/src/cloverwalk/node/node.py
+++ b/src/cloverwalk/node/node.py
@@ -14,6 +14,7 @@
 from cloverwalk.control.job_owner import JobOwner, shard_of
 from cloverwalk.control.leases import LeaseKeeper, LeaseListener
 from cloverwalk.control.machine_directory import MachineDirectory
+from cloverwalk.control.model_placer import ModelPlacer
 from cloverwalk.control.outage import OutageView
 from cloverwalk.control.replica_owner import ReplicaOwner
 from cloverwalk.control.results import ResultStore
@@ -82,6 +83,11 @@
         self.leases.listen(
             "shard", LeaseListener(self.jobs.on_held, self.jobs.on_lost, self.jobs.on_drain)
         )
+        self.placer = ModelPlacer(context, self.machines)
+        self.leases.listen(
+            "models",
+            LeaseListener(self.placer.on_held, self.placer.on_lost, self._on_placer_drain),
+        )
         self._build_pipeline()
         self.router = Router(self._routes())
 
@@ -179,6 +185,8 @@
                 self.replicas.on_status(event)
             case ev.EngineAdopted():
                 self.replicas.on_adopted(event)
+            case ev.ModelLoaded():
+                self.replicas.on_model_loaded(event)
             case ev.EngineLoad():
                 self.replicas.on_load(event)
             case ev.StoreCommitted() | ev.StoreRead() | ev.ObjectDone():
@@ -206,6 +214,11 @@
             self.leases.tick(self._wanted(), self._covered())
         self.jobs.tick()
         self.replicas.tick()
+        self.placer.tick(
+            [self._own_digest(0), *context.membership.live(context.now)]
+            if self.placer.is_planning
+            else []
+        )
         self.results.tick()
         self.join.tick()
         self.claims.tick()
@@ -242,6 +255,7 @@
             owners = self._zone_owners(zone)
             for machine in self.machines.zone_machines(zone):
                 wanted[f"replica/{machine.machine_id}"] = owners
+            wanted[f"models/{zone}"] = owners
             for number in range(self.context.settings.lease.shards_per_zone):
                 wanted[f"shard/{zone}/{number}"] = owners
         return wanted
@@ -259,11 +273,15 @@
 
     def _zone_of(self, resource: str) -> str:
         kind, name, *_ = resource.split("/")
-        if kind == "shard":
+        if kind in ("shard", "models"):
             return name
         machine = self.machines.find(name)
         return machine.zone if machine else self.context.zone
 
+    def _on_placer_drain(self, resource: str) -> None:
+        self.placer.on_lost(resource)
+        self.leases.release(resource)
+
     def _covered(self) -> set[str]:
         covered: set[str] = set()
         for digest in self.context.membership.live(self.context.now):
@@ -298,6 +316,7 @@
             self.jobs.shards,
             self.jobs.demand(),
             self.limits.rates(),
+            self.dispatch.unserved(),
         )
 
     def _announce(self) -> None:
@@ -414,6 +433,10 @@
                 self.claims.on_query_holder(sender, message, in_flight)
             case pm.HolderStatus():
                 self.claims.on_holder_status(message)
+            case pm.ChangeModel():
+                self.replicas.on_change_model(sender, message)
+            case pm.ModelChanged():
+                self.placer.on_changed(message)
             case pm.MachinesPush():
                 self.machines.on_push(message)
             case pm.LeavingNotice():
--- a/src/cloverwalk/pipeline/dispatch.py
+++ b/src/cloverwalk/pipeline/dispatch.py
@@ -11,7 +11,7 @@
 from cloverwalk.control.context import Context
 from cloverwalk.core import catalogue
 from cloverwalk.core.constants import CHARS_PER_TOKEN, OFFER_TIMEOUT_S, STALL_TIMEOUT_S
-from cloverwalk.core.membership import ReplicaReport
+from cloverwalk.core.membership import ReplicaReport, UnservedReport
 from cloverwalk.core.peer_messages import (
     AttemptLost,
     CancelWork,
@@ -28,6 +28,9 @@
 from cloverwalk.pipeline.problem import PipelineError
 from cloverwalk.pipeline.request import GiveUp, OnlineFilter, OnlineRequest, Stage
 
+UNSERVED_EVERY_S = 1.0
+UNSERVED_KEEP = 0.8
+
 
 class DispatchFilter:
     """Requests on their way to engines and back."""
@@ -57,6 +60,9 @@
         self._sent: Counter[str] = Counter()
         self._prefill_tokens: dict[str, float] = {}  # by replica: prompts without output yet
         self.prefixes = PrefixIndex()
+        self._unserved: Counter[str] = Counter()
+        self._unserved_rates: dict[str, float] = {}
+        self._unserved_at = 0.0
 
     # --- placing ---
 
@@ -229,6 +235,7 @@
     def _no_replica(self, request: OnlineRequest) -> None:
         known = {report.model for _, _, report in self._reports(request.call.model)}
         if not known and not request.tried:
+            self._unserved[request.call.model] += 1
             detail = f"no replica with model {request.call.model!r} is known"
             self._end(request, 503, "no_replica", detail, field="model")
         else:
@@ -272,6 +279,7 @@
     def tick(self) -> None:
         """End requests at their deadline; give silent attempts up."""
         now = self._context.now
+        self._count_unserved()
         for request in list(self._requests.values()):
             if request.stage is not Stage.DISPATCHING:
                 continue
@@ -284,6 +292,25 @@
                 self._cancel_attempt(request)
                 self._attempt_lost(request, "silent")
 
+    def _count_unserved(self) -> None:
+        elapsed_s = self._context.now - self._unserved_at
+        if elapsed_s < UNSERVED_EVERY_S:
+            return
+        self._unserved_at = self._context.now
+        models = sorted(self._unserved_rates.keys() | self._unserved.keys())
+        rates = {
+            model: UNSERVED_KEEP * self._unserved_rates.get(model, 0.0)
+            + (1 - UNSERVED_KEEP) * self._unserved[model] / elapsed_s
+            for model in models
+        }
+        self._unserved.clear()
+        self._unserved_rates = {model: rate for model, rate in rates.items() if rate > 0.01}
+
+    def unserved(self) -> list[UnservedReport]:
+        """Return recent demand for models that no known replica holds, for gossip."""
+        rates = self._unserved_rates.items()
+        return [UnservedReport(model, round(rate, 2)) for model, rate in rates]
+
     def _cancel_attempt(self, request: OnlineRequest) -> None:
         message = CancelWork(request.replica, request.request_id, request.collector.attempt)
         self._context.send(request.owner, message)
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -51,6 +51,27 @@
         "            pass\n        if state == ItemState.PENDING:",
         "tests/unit/test_batch_job.py",
     ),
+    Mutant(
+        "an older placer's order is obeyed",
+        "control/replica_owner.py",
+        "        is_stale = message.placer_epoch < highest",
+        "        is_stale = False",
+        S + "test_models.py::test_an_order_of_an_older_placer_is_refused",
+    ),
+    Mutant(
+        "a replica loads a model while requests run",
+        "control/replica_owner.py",
+        "        if not owned.slots.running and not owned.slots.queue:\n            switch.is_sent",
+        "        if True:\n            switch.is_sent",
+        S + "test_models.py::test_a_busy_replica_ends_its_requests_before_it_loads",
+    ),
+    Mutant(
+        "the last replica of a model in use is taken",
+        "core/model_placement.py",
+        "    return counts[model] > 1 or demand.get(model, 0.0) <= 0",
+        "    return True",
+        "tests/unit/test_model_placement.py",
+    ),
     Mutant(
         "concurrent sends of one key all run",
         "core/idempotency.py",
--- a/tests/simulated/fleet.py
+++ b/tests/simulated/fleet.py
@@ -113,11 +113,12 @@
         tokens: int = 12,
         on_told: Callable[[Told], None] | None = None,
         stream: bool = False,
+        model: str = MODEL,
         **extra: str,
     ) -> None:
         """Send one online request; the answer goes into the history."""
         body = {
-            "model": MODEL,
+            "model": model,
             "messages": [{"role": "user", "content": prompt}],
             "max_tokens": tokens,
             "stream": stream,
@@ -155,7 +156,7 @@
 
         def again() -> None:
             node = self.sim.random.choice(nodes)
-            self.send(node, key, prompt, tokens, told, False, **extra)
+            self.send(node, key, prompt, tokens, told, False, MODEL, **extra)
 
         again()
 
--- a/tests/simulated/test_at_most_once.py
+++ b/tests/simulated/test_at_most_once.py
@@ -34,7 +34,7 @@
 
 def test_a_marked_request_needs_a_key() -> None:
     fleet = Fleet(seed=41)
-    fleet.send("levee-0", None, "award", 5, None, False, **ONCE)
+    fleet.send("levee-0", None, "award", 5, None, False, "quizmind", **ONCE)
     fleet.settle()
     assert fleet.history[0].status == 400
 
@@ -58,7 +58,7 @@
         started.append(node) if isinstance(one, StartWork) else None
     )
     caller = node_without_replicas(fleet)
-    fleet.send(caller, "award", "award a point", 300, None, False, **ONCE)
+    fleet.send(caller, "award", "award a point", 300, None, False, "quizmind", **ONCE)
     fleet.sim.run_until(fleet.sim.now + 0.5)
     assert started[0] != caller
     fleet.sim.kill(started[0])
@@ -69,7 +69,7 @@
 def test_a_holder_that_wakes_up_tells_what_was_recorded_meanwhile() -> None:
     fleet = Fleet(seed=47, nodes_per_zone=2)
     holder = node_without_replicas(fleet)
-    fleet.send(holder, "award", "award a point", 20, None, False, **ONCE)
+    fleet.send(holder, "award", "award a point", 20, None, False, "quizmind", **ONCE)
     fleet.sim.run_until(fleet.sim.now + 0.1)
     assert len(fleet.starts()) == 1
     fleet.sim.pause(holder)  # the chunks arrive, and wait
@@ -134,7 +134,7 @@
     fleet.sim.platform.faults = Faults(down=True)
     fleet.sim.run_until(fleet.sim.now + 3.0)
     began = fleet.sim.now
-    fleet.send("levee-0", "award", "award a point", 5, None, False, **ONCE)
+    fleet.send("levee-0", "award", "award a point", 5, None, False, "quizmind", **ONCE)
     fleet.settle()
     told = fleet.history[0]
     assert (told.status, told.outcome) == (503, "not_run")
--- a/tests/simulated/test_overload.py
+++ b/tests/simulated/test_overload.py
@@ -22,7 +22,7 @@
         fleet.sim.at(
             at,
             lambda n=node, i=number: fleet.send(  # type: ignore[misc]
-                n, None, f"ask {i}", 100, None, False, cloverwalk_deadline_ms="5000"
+                n, None, f"ask {i}", 100, None, False, "quizmind", cloverwalk_deadline_ms="5000"
             ),
         )
     fleet.settle()
--- a/tests/unit/test_decisions.py
+++ b/tests/unit/test_decisions.py
@@ -175,6 +175,20 @@
     ]
 
 
+@given(st.integers(1, 12), st.integers(1, 4), st.integers(0, 99))
+def test_gossip_leaves_no_member_out_for_long(members: int, fanout: int, seed: int) -> None:
+    view = Membership("n0", "z", suspect_after_s=1e9)
+    for number in range(1, members + 1):
+        view.merge(digest(f"n{number}", 1), 0.0, 0.0)
+    random = Random(seed)
+    last_sent = dict.fromkeys((one.node for one in view.known()), 0)
+    for round_number in range(1, 60):
+        for node in view.gossip_targets(fanout, random, 0.0):
+            last_sent[node] = round_number
+        longest = round_number - min(last_sent.values())
+        assert longest <= 2 * -(-members // fanout)
+
+
 @given(tables(), tables())
 def test_a_patch_makes_the_new_table_of_the_old(old: list[TableRow], new: list[TableRow]) -> None:
     before = WeightTable(1, in_order(old))
