Beside online work only classes of short prompts start, but at a higher pace

Cause: the replica that gathers the online work stood with 2.8 batch streams of 18 it could have run, since any new item waited for the small pace that long prompts need. Change: job owners tell the typical prompt of a class; beside online work only classes up to 200 tokens are pulled, at up to 4,000 prompt tokens a second.

--- a/src/cloverwalk/config/settings.py
+++ b/src/cloverwalk/config/settings.py
@@ -93,7 +93,8 @@
     reserve_min_slots: Annotated[int, Meta(ge=0)] = 1
     peak_half_life_s: Seconds = 1.0
     online_quiet_s: Annotated[float, Meta(ge=0)] = 0.1
-    batch_prefill_tokens_per_s_beside_online: Annotated[float, Meta(ge=0)] = 150.0
+    short_prompt_tokens: Annotated[int, Meta(ge=0)] = 200
+    batch_prefill_tokens_per_s_beside_online: Annotated[float, Meta(ge=0)] = 4000.0
 
 
 class HoldSettings(Struct, frozen=True, forbid_unknown_fields=True):
--- a/src/cloverwalk/control/batch_puller.py
+++ b/src/cloverwalk/control/batch_puller.py
@@ -48,9 +48,12 @@
         self._pulls: dict[str, OutstandingPull] = {}
         self._paused_until: dict[tuple[str, ClassKey], float] = {}
 
-    def pull(self, replica: str, model: str, count: int) -> int:
-        """Ask for items for a replica; return how many were asked for."""
-        sources = self._sources(model)
+    def pull(self, replica: str, model: str, count: int, max_prompt_tokens: float) -> int:
+        """Ask for items for a replica; return how many were asked for.
+
+        Classes whose prompts are typically longer than ``max_prompt_tokens`` are left out.
+        """
+        sources = self._sources(model, max_prompt_tokens)
         if not sources:
             return 0
         key = self._choose_class(sources)
@@ -70,13 +73,14 @@
         weights = {key: self._weight(key) for key in sources}
         return self._share.choose(urgent or list(sources), weights)
 
-    def _sources(self, model: str) -> dict[ClassKey, list[_Source]]:
+    def _sources(self, model: str, max_prompt_tokens: float) -> dict[ClassKey, list[_Source]]:
         now = self._context.now
         sources: dict[ClassKey, list[_Source]] = {}
         for node, demand in self._demand():
             key = ClassKey(demand.session, demand.kind)
             is_paused = now < self._paused_until.get((node, key), -1e9)
-            if demand.model == model and demand.pending > 0 and not is_paused:
+            fits = demand.model == model and demand.prompt_tokens <= max_prompt_tokens
+            if fits and demand.pending > 0 and not is_paused:
                 source = _Source(node, demand.pending, demand.urgent)
                 sources.setdefault(key, []).append(source)
         return sources
--- a/src/cloverwalk/control/job_owner.py
+++ b/src/cloverwalk/control/job_owner.py
@@ -15,7 +15,7 @@
 from cloverwalk.control.store_port import StorePort, encode
 from cloverwalk.core import catalogue
 from cloverwalk.core.batch_job import BatchJob
-from cloverwalk.core.constants import COMMIT_TIMEOUT_S, STORE_RETRY_S
+from cloverwalk.core.constants import CHARS_PER_TOKEN, COMMIT_TIMEOUT_S, STORE_RETRY_S
 from cloverwalk.core.membership import DemandReport
 from cloverwalk.core.peer_messages import (
     ItemDone,
@@ -523,5 +523,7 @@
             before = pending.get(key)
             count = owned.job.pending_count + (before.pending if before else 0)
             urgent = owned.is_urgent or (before.urgent if before else False)
-            pending[key] = DemandReport(*key, count, urgent)
+            tokens = int(owned.job.typical_prompt_chars / CHARS_PER_TOKEN)
+            longest = max(tokens, before.prompt_tokens if before else 0)
+            pending[key] = DemandReport(*key, count, urgent, longest)
         return list(pending.values())
--- a/src/cloverwalk/control/replica_owner.py
+++ b/src/cloverwalk/control/replica_owner.py
@@ -124,6 +124,7 @@
         self._shard_owner = shard_owner
         self._policy: SchedulingPolicy = POLICIES[context.settings.scheduler.policy]
         self._online_quiet_s = context.settings.scheduler.online_quiet_s
+        self._short_prompt_tokens = context.settings.scheduler.short_prompt_tokens
         self._replicas: dict[str, OwnedReplica] = {}
         self._cancels = JobCancels(context)
         self._placer_epochs: dict[str, int] = {}
@@ -402,7 +403,14 @@
             room -= 1
         room = min(room, self._starts_allowed(owned))
         if room > 0:
-            owned.pulling += self._puller.pull(owned.replica, owned.model, room)
+            longest = float("inf") if self._is_alone(owned) else self._short_prompt_tokens
+            owned.pulling += self._puller.pull(owned.replica, owned.model, room, longest)
+
+    def _is_alone(self, owned: OwnedReplica) -> bool:
+        """Return whether batch work has the replica to itself, or need not care."""
+        if not self._policy.controls_concurrency:
+            return True
+        return self._context.now - owned.online_seen_at > self._online_quiet_s
 
     def _starts_allowed(self, owned: OwnedReplica) -> int:
         """Return how many new items may start now without hurting online streams.
@@ -411,8 +419,7 @@
         work such steps must stay rare. A resumed item's prompt is still in the cache.
         """
         bucket = owned.prefill_beside_online
-        is_alone = self._context.now - owned.online_seen_at > self._online_quiet_s
-        if is_alone or bucket is None or not self._policy.controls_concurrency:
+        if bucket is None or self._is_alone(owned):
             return 1 << 30
         return 1 if bucket.wait_s(self._context.now) == 0.0 else 0
 
--- a/src/cloverwalk/core/batch_job.py
+++ b/src/cloverwalk/core/batch_job.py
@@ -56,6 +56,8 @@
         self._queue: deque[int] = deque()
         self._loaded: dict[int, BatchItem] = {}
         self._next_part = 0
+        self._prompt_chars = 0
+        self._prompt_count = 0
         self._loading = False
         self._holders: dict[int, _Holder] = {}
         self._resume_text: dict[int, str] = {}
@@ -76,6 +78,11 @@
         """Pending items whose part of the manifest is loaded."""
         return min(self.pending_count, len(self._queue))
 
+    @property
+    def typical_prompt_chars(self) -> float:
+        """The mean length of the prompts loaded so far."""
+        return self._prompt_chars / max(1, self._prompt_count)
+
     def part_to_load(self) -> int | None:
         """Return the next part to fetch, or None while enough items are in hand."""
         if self._loading or self._next_part >= self.part_count:
@@ -98,6 +105,8 @@
         self._next_part += 1
         self._loading = False
         for index, item in enumerate(items, start=first):
+            self._prompt_chars += len(item.prompt)
+            self._prompt_count += 1
             if self._state[index] == ItemState.PENDING:
                 self._loaded[index] = item
                 self._queue.append(index)
--- a/src/cloverwalk/core/membership.py
+++ b/src/cloverwalk/core/membership.py
@@ -37,6 +37,7 @@
     model: str
     pending: int
     urgent: bool
+    prompt_tokens: int  # of a typical item, roughly
 
 
 class RateReport(Struct, frozen=True, array_like=True):
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -118,9 +118,9 @@
     Mutant(
         "batch is never pulled after the first time",
         "control/replica_owner.py",
-        "            owned.pulling += self._puller.pull(owned.replica, owned.model, room)",
+        "            owned.pulling += self._puller.pull(owned.replica, owned.model, room, longest)",
         "            if not owned.slots.running:\n"
-        "                owned.pulling += self._puller.pull(owned.replica, owned.model, 1)",
+        "                owned.pulling += self._puller.pull(owned.replica, owned.model, 1, 1e9)",
         S + "test_online_first.py::test_idle_capacity_is_used_by_batch",
     ),
     Mutant(
