A lost engine is asked for its epoch before it gets work again

The owner paused for two seconds, then offered the lost engine again; reports showed it as free, and since online work is gathered, every request went there first and spent the retry budget. Ruled out: the budget (12 retries of 100 would not have done); suspicion of nodes (no node was lost). Change: an engine that does not answer goes back to adopting, and serves again once it takes the epoch; reports say so meanwhile; senders avoid a replica for 1.5 s after a refusal other than busy, or a lost attempt. The simulation's engines now restart without their epoch.

--- a/src/cloverwalk/control/replica_owner.py
+++ b/src/cloverwalk/control/replica_owner.py
@@ -1,6 +1,7 @@
 """The owner of engine replicas: the only place that starts work on them.
 
-States of a replica here: adopting (the engine is told the epoch) > active > draining,
+States of a replica here: adopting (the engine is told the epoch; also after it did
+not answer) > active > draining,
 with active > switching > active for a change of model.
 Online work has its own queue and never waits for a batch item to end: when no slot is
 free, the youngest batch streams are suspended first. Batch items are pulled from job
@@ -66,7 +67,6 @@
 
 ADOPT_RETRY_S = 0.5
 HELD_REPORT_S = 1.0
-ENGINE_LOST_PAUSE_S = 2.0
 PREFILL_S = 0.0002
 """A generous prefill time of one token, to guess which items are still in prefill."""
 
@@ -99,7 +99,6 @@
     model: str = ""
     leaving: bool = False
     adopt_at: float = 0.0
-    paused_until: float = -1e9
     pulling: int = 0
     online_seen_at: float = -1e9
     prefill_beside_online: TokenBucket | None = None
@@ -177,6 +176,14 @@
         owned.prefill_beside_online = TokenBucket(rate, 1.0, self._context.now)
         self._fill(owned)
 
+    def _engine_lost(self, owned: OwnedReplica) -> None:
+        """Take no work for an engine that does not answer, until it takes the epoch again."""
+        if owned.state is not ReplicaState.ACTIVE:
+            return
+        owned.state = ReplicaState.ADOPTING
+        owned.adopt_at = self._context.now + ADOPT_RETRY_S
+        self._empty_queues(owned, Refusal.UNREACHABLE)
+
     def on_lost(self, resource: str) -> None:
         """Another node owns the replica; its engine aborts what this node started."""
         owned = self._replicas.pop(resource.removeprefix("replica/"), None)
@@ -274,8 +281,6 @@
             return Refusal.LEAVING
         if owned.model != work.model:
             return Refusal.WRONG_MODEL
-        if self._context.now < owned.paused_until:
-            return Refusal.UNREACHABLE
         if work.request_id in owned.slots.running:
             return Refusal.BUSY
         slots = owned.slots
@@ -389,7 +394,7 @@
         return min(slots.free, allowed - slots.batch_count) - owned.pulling
 
     def _fill_with_batch(self, owned: OwnedReplica) -> None:
-        if owned.leaving or self._context.now < owned.paused_until:
+        if owned.leaving:
             return
         if not self._may_start_batch():
             return
@@ -549,7 +554,7 @@
         elif reason is Refusal.WRONG_MODEL and owned.state is ReplicaState.ACTIVE:
             owned.state = ReplicaState.ADOPTING  # asks the engine what it holds
         elif reason is Refusal.UNREACHABLE:
-            owned.paused_until = self._context.now + ENGINE_LOST_PAUSE_S
+            self._engine_lost(owned)
         if running is not None:
             self._refused_by_engine(owned, running, reason)
         if reason is Refusal.STALE_EPOCH:
@@ -574,7 +579,7 @@
         if running is None:
             return
         if event.reason == "lost":
-            owned.paused_until = self._context.now + ENGINE_LOST_PAUSE_S
+            self._engine_lost(owned)
         self._ended_without_answer(owned, running, event.reason, event.text)
         self._after_end(owned)
 
--- a/src/cloverwalk/emulator/simulation.py
+++ b/src/cloverwalk/emulator/simulation.py
@@ -532,7 +532,6 @@
         old = self.engines[replica]
         model = EngineModel(old.model.settings, Random(self.random.getrandbits(64)))
         model.starts = old.model.starts
-        model.epoch = old.model.epoch
         engine = SimulatedEngine(model, old.zone)
         self.engines[replica] = engine
         self._report_load(replica, engine)
--- a/src/cloverwalk/pipeline/dispatch.py
+++ b/src/cloverwalk/pipeline/dispatch.py
@@ -28,6 +28,8 @@
 from cloverwalk.pipeline.problem import PipelineError
 from cloverwalk.pipeline.request import GiveUp, OnlineFilter, OnlineRequest, Stage
 
+AVOID_S = 1.5
+MAX_AVOIDED = 1000
 UNSERVED_EVERY_S = 1.0
 UNSERVED_KEEP = 0.8
 
@@ -59,6 +61,7 @@
         self._requests: dict[str, OnlineRequest] = {}
         self._sent: Counter[str] = Counter()
         self._prefill_tokens: dict[str, float] = {}  # by replica: prompts without output yet
+        self._avoid_until: dict[str, float] = {}
         self.prefixes = PrefixIndex()
         self._unserved: Counter[str] = Counter()
         self._unserved_rates: dict[str, float] = {}
@@ -105,8 +108,11 @@
         warm = self.prefixes.replicas(prefix_hash(request.call.prompt))
         newest: dict[str, tuple[int, Candidate]] = {}
         for owner, is_local, report in self._reports(request.call.model):
+            is_avoided = self._context.now < self._avoid_until.get(report.replica, -1e9)
             if report.leaving or self._is_leaving(report.replica) or report.slots == 0:
                 continue
+            if is_avoided:
+                continue
             if report.replica in request.tried or not takes_online(self._policy, report.replica):
                 continue
             online = report.online + self._sent[report.replica]
@@ -200,6 +206,8 @@
             return
         request.unaccounted_attempts -= 1
         request.tried.add(message.replica)
+        if message.reason is not Refusal.BUSY:
+            self._avoid(message.replica)
         self._release_replica(request)
         self._retry(request, message.reason.value)
 
@@ -209,9 +217,17 @@
         if request is not None:
             self._attempt_lost(request, message.reason)
 
+    def _avoid(self, replica: str) -> None:
+        """Place nothing there until its owner's next reports can have come."""
+        self._avoid_until[replica] = self._context.now + AVOID_S
+        if len(self._avoid_until) > MAX_AVOIDED:
+            now = self._context.now
+            self._avoid_until = {k: at for k, at in self._avoid_until.items() if at > now}
+
     def _attempt_lost(self, request: OnlineRequest, reason: str) -> None:
         replica = request.replica
         request.tried.add(replica)
+        self._avoid(replica)
         self._release_replica(request)
         if request.call.at_most_once:
             context = self._context
