--- a/bench/costs.py
+++ b/bench/costs.py
@@ -16,7 +16,8 @@
 from typing import Any
 
 ROOT = Path(__file__).resolve().parent.parent
-sys.path.insert(0, str(ROOT / "tests" / "processes"))
+for part in ("processes", "simulated"):
+    sys.path.insert(0, str(ROOT / "tests" / part))
 
 from cluster import MODEL, Process, call, wait_for  # noqa: E402
 
--- a/src/cloverwalk/control/job_owner.py
+++ b/src/cloverwalk/control/job_owner.py
@@ -273,8 +273,7 @@
                 items.append(PulledItem(job_id, handout.index, handout.item, handout.resume_text))
             self._load_part(job_id)
         pending = sum(owned.job.ready_count for owned in jobs) if room > 0 else 0
-        epochs = {shard: self._shards[shard] for shard in {shard_of(i.job_id) for i in items}}
-        self._context.send(sender, PullReply(pull.pull_id, epochs, items, pending))
+        self._context.send(sender, PullReply(pull.pull_id, items, pending))
 
     def on_item_returned(self, sender: str, message: ItemReturned) -> None:
         """Take an item back."""
@@ -507,11 +506,6 @@
         """Whether no shard is owned."""
         return not self._shards
 
-    @property
-    def job_count(self) -> int:
-        """Jobs in work here."""
-        return len(self._jobs)
-
     def demand(self) -> list[DemandReport]:
         """Return pending items by class, for gossip."""
         pending: dict[tuple[str, str, str], DemandReport] = {}
--- a/src/cloverwalk/control/model_placer.py
+++ b/src/cloverwalk/control/model_placer.py
@@ -4,6 +4,8 @@
 carries the lease's epoch, and replica owners refuse older ones.
 """
 
+from collections.abc import Callable
+
 from msgspec import Struct
 
 from cloverwalk.control.context import Context
@@ -63,17 +65,13 @@
         self._epochs.pop(zone, None)
         self._orders.pop(zone, None)
 
-    @property
-    def is_planning(self) -> bool:
-        """Whether this node places the models of a zone and the next plan is due."""
-        return bool(self._epochs) and self._context.now - self._planned_at >= PLAN_EVERY_S
-
-    def tick(self, digests: list[NodeDigest]) -> None:
-        """Plan when it is due; ``digests`` are those of this node and its live members."""
-        if not self.is_planning:
-            return
+    def tick(self, read_digests: Callable[[], list[NodeDigest]]) -> None:
+        """Plan when it is due, from the digests of this node and its live members."""
         now = self._context.now
+        if not self._epochs or now - self._planned_at < PLAN_EVERY_S:
+            return
         self._planned_at = now
+        digests = read_digests()
         for zone, epoch in self._epochs.items():
             seen = self._seen(zone, digests)
             demand = self._smoothed(zone, self._demand(zone, seen, digests))
--- a/src/cloverwalk/control/replica_owner.py
+++ b/src/cloverwalk/control/replica_owner.py
@@ -9,14 +9,12 @@
 """
 
 from collections.abc import Callable
-from enum import StrEnum
-
-from msgspec import Struct
 
 from cloverwalk.control.batch_puller import BatchPuller, ClassKey
 from cloverwalk.control.context import Context
 from cloverwalk.control.job_cancels import JobCancels
 from cloverwalk.control.leases import LeaseKeeper
+from cloverwalk.control.owned_replica import ModelSwitch, OwnedReplica, ReplicaState
 from cloverwalk.control.table_sync import TableSync
 from cloverwalk.core import catalogue
 from cloverwalk.core.batch_concurrency import BatchConcurrency, ConcurrencySettings
@@ -71,40 +69,6 @@
 """A generous prefill time of one token, to guess which items are still in prefill."""
 
 
-class ReplicaState(StrEnum):
-    """Where a replica stands at its owner."""
-
-    ADOPTING = "adopting"
-    ACTIVE = "active"
-    SWITCHING = "switching"
-    DRAINING = "draining"
-
-
-class ModelSwitch(Struct):
-    """An order to load another model; it goes to the engine once nothing runs."""
-
-    model: str
-    placer: str
-    is_sent: bool = False
-
-
-class OwnedReplica(Struct):
-    """One replica this node owns."""
-
-    replica: str
-    epoch: int
-    state: ReplicaState
-    slots: ReplicaSlots
-    concurrency: BatchConcurrency
-    model: str = ""
-    leaving: bool = False
-    adopt_at: float = 0.0
-    pulling: int = 0
-    online_seen_at: float = -1e9
-    prefill_beside_online: TokenBucket | None = None
-    switch: "ModelSwitch | None" = None
-
-
 class ReplicaOwner:
     """All replicas owned by one node."""
 
@@ -731,18 +695,7 @@
 
     def reports(self) -> list[ReplicaReport]:
         """Return what gossip says of the owned replicas."""
-        return [
-            ReplicaReport(
-                owned.replica,
-                owned.epoch,
-                owned.model,
-                owned.slots.slots,
-                owned.slots.online_count + len(owned.slots.queue),
-                owned.slots.batch_count,
-                owned.leaving or owned.state is not ReplicaState.ACTIVE,
-            )
-            for owned in self._replicas.values()
-        ]
+        return [owned.report() for owned in self._replicas.values()]
 
 
 def _refusal_of(reason: str) -> Refusal:
--- a/src/cloverwalk/core/events.py
+++ b/src/cloverwalk/core/events.py
@@ -111,6 +111,15 @@
     model: str = ""
 
 
+class CacheChanged(Struct, frozen=True):
+    """A late cache event of an engine; a gap in the numbers means that some were lost."""
+
+    replica: str
+    number: int
+    added: list[str]
+    removed: list[str]
+
+
 class ModelLoaded(Struct, frozen=True):
     """Answer to :class:`LoadModel`; ``model`` is what the engine holds now."""
 
@@ -175,6 +184,7 @@
     | EngineCut
     | EngineStatus
     | EngineAdopted
+    | CacheChanged
     | ModelLoaded
     | EngineLoad
     | StoreCommitted
--- a/src/cloverwalk/core/peer_messages.py
+++ b/src/cloverwalk/core/peer_messages.py
@@ -161,7 +161,6 @@
     """The items for a pull, possibly none, with what is still pending in the class."""
 
     pull_id: str
-    shard_epochs: dict[str, int]
     items: list[PulledItem]
     pending: int
 
@@ -325,7 +324,6 @@
     """First sign that a replica is leaving, passed on at once."""
 
     replica: str
-    hops: int = 0
 
 
 PeerMessage = (
--- a/src/cloverwalk/core/types.py
+++ b/src/cloverwalk/core/types.py
@@ -25,7 +25,6 @@
     WRONG_MODEL = "wrong_model"
     CANCELLED = "cancelled"
     UNREACHABLE = "unreachable"
-    BATCH_HELD = "batch_held"
 
 
 class Priority:
--- a/src/cloverwalk/emulator/simulation.py
+++ b/src/cloverwalk/emulator/simulation.py
@@ -36,7 +36,6 @@
 
 CUT_NOTICE_S = 0.2
 LOAD_REPORT_S = 0.25
-CACHE_EVENTS_S = 0.2
 
 
 class NetworkSettings(Struct, frozen=True):
@@ -57,7 +56,6 @@
     headers: dict[str, str] = {}
     body: bytes = b""
     cut: bool = False
-    first_byte_at: float = 0.0
     byte_times: list[float] = []
 
     @property
@@ -642,8 +640,6 @@
                 answer.status = instruction.status
                 answer.headers = {one.name.lower(): one.value for one in instruction.headers}
             case ev.StreamData():
-                if not answer.body:
-                    answer.first_byte_at = self.now
                 answer.body += instruction.data
                 answer.byte_times.append(self.now)
             case ev.EndStream():
--- a/src/cloverwalk/node/daemon.py
+++ b/src/cloverwalk/node/daemon.py
@@ -135,8 +135,8 @@
         last = after.get(engine.replica, 0)
         for event in await engine.read_cache_events(last):
             after[engine.replica] = max(after.get(engine.replica, 0), event.number)
-            self.node.dispatch.prefixes.apply(
-                engine.replica, event.number, event.added, event.removed
+            await self.dispatch(
+                ev.CacheChanged(engine.replica, event.number, event.added, event.removed)
             )
 
     # --- events in ---
--- a/src/cloverwalk/node/node.py
+++ b/src/cloverwalk/node/node.py
@@ -99,14 +99,12 @@
         self.reply = ReplyFilter(context, self._on_request_ended)
         answer, give_up = self.reply.answer, self.reply.give_up
         record = RecordFilter(self.results, answer, give_up)
-        self.claims = ClaimFilter(context, self.store, self.results, answer, give_up)
-        self.claims.own_replicas = lambda: [  # type: ignore[method-assign]
-            (owned.replica, owned.epoch) for owned in self.replicas.owned.values()
-        ]
+        own_reports = self.replicas.reports
+        self.claims = ClaimFilter(context, self.store, self.results, own_reports, answer, give_up)
         self.dispatch = DispatchFilter(
             context,
             self.claims,
-            self.replicas.reports,
+            own_reports,
             lambda replica: replica in self.replicas.leaving_replicas,
             self.reply.text,
             record,
@@ -190,6 +188,10 @@
                 self.replicas.on_adopted(event)
             case ev.ModelLoaded():
                 self.replicas.on_model_loaded(event)
+            case ev.CacheChanged():
+                self.dispatch.prefixes.apply(
+                    event.replica, event.number, event.added, event.removed
+                )
             case ev.EngineLoad():
                 self.replicas.on_load(event)
             case ev.StoreCommitted() | ev.StoreRead() | ev.ObjectDone():
@@ -217,11 +219,7 @@
             self.leases.tick(self._wanted(), self._covered())
         self.jobs.tick()
         self.replicas.tick()
-        self.placer.tick(
-            [self._own_digest(0), *context.membership.live(context.now)]
-            if self.placer.is_planning
-            else []
-        )
+        self.placer.tick(self._all_digests)
         self.results.tick()
         self.join.tick()
         self.claims.tick()
@@ -326,6 +324,10 @@
             self.dispatch.unserved(),
         )
 
+    def _all_digests(self) -> list[NodeDigest]:
+        live = self.context.membership.live(self.context.now)
+        return [self._own_digest(0), *live]
+
     def _announce(self) -> None:
         self.gossip.announce()
         self.replicas.demand_changed()
--- a/src/cloverwalk/pipeline/claim.py
+++ b/src/cloverwalk/pipeline/claim.py
@@ -4,12 +4,15 @@
 gives nothing certain, ``outcome_unknown`` is recorded for good and it never runs again.
 """
 
+from collections.abc import Callable
+
 from msgspec import Struct, json
 
 from cloverwalk.control.context import Context
 from cloverwalk.control.results import ResultStore
 from cloverwalk.control.store_port import StorePort, encode
 from cloverwalk.core.constants import COMMIT_TIMEOUT_S
+from cloverwalk.core.membership import ReplicaReport
 from cloverwalk.core.peer_messages import HolderStatus, QueryHolder, QueryWork, WorkStatus
 from cloverwalk.core.store_types import Check, CommitReply, CommitStatus, Put
 from cloverwalk.core.types import ClaimRow, Outcome, Result
@@ -17,7 +20,6 @@
 from cloverwalk.pipeline.request import (
     Answer,
     GiveUp,
-    OnlineFilter,
     OnlineRequest,
     Stage,
 )
@@ -46,19 +48,23 @@
         context: Context,
         store: StorePort,
         results: ResultStore,
+        own_reports: Callable[[], list[ReplicaReport]],
         answer: Answer,
         give_up: GiveUp,
     ) -> None:
         self._context = context
         self._store = store
         self._results = results
+        self._own_reports = own_reports
         self._answer = answer
         self._give_up = give_up
         self._resolving: dict[str, _Resolving] = {}
 
     # --- claiming ---
 
-    def claim(self, request: OnlineRequest, replica: str, send: OnlineFilter) -> None:
+    def claim(
+        self, request: OnlineRequest, replica: str, send: Callable[[OnlineRequest], None]
+    ) -> None:
         """Commit the claim for ``replica``, then let ``send`` offer the work."""
         context = self._context
         request.stage = Stage.CLAIMING
@@ -72,14 +78,18 @@
         )
 
     def _on_claimed(
-        self, request: OnlineRequest, row: ClaimRow, send: OnlineFilter, reply: CommitReply
+        self,
+        request: OnlineRequest,
+        row: ClaimRow,
+        send: Callable[[OnlineRequest], None],
+        reply: CommitReply,
     ) -> None:
         if request.stage is not Stage.CLAIMING:
             return
         if reply.status is CommitStatus.COMMITTED:
             request.claim = row
             request.claim_version += 1
-            send.accept(request)
+            send(request)
         elif reply.status is CommitStatus.CONFLICT:
             self._on_claim_conflict(request, reply)
         else:
@@ -135,16 +145,11 @@
 
     def _owner_of(self, replica: str) -> str | None:
         context = self._context
-        best: tuple[int, str] | None = None
-        own = [(epoch, context.node_id) for name, epoch in self.own_replicas() if name == replica]
+        reports = [(context.node_id, report) for report in self._own_reports()]
         for digest in context.membership.live(context.now):
-            own += [(r.epoch, digest.node) for r in digest.replicas if r.replica == replica]
-        best = max(own, default=None)
-        return best[1] if best else None
-
-    def own_replicas(self) -> list[tuple[str, int]]:
-        """Return (replica, epoch) of this node; set by the node."""
-        return []
+            reports += [(digest.node, report) for report in digest.replicas]
+        holders = [(report.epoch, node) for node, report in reports if report.replica == replica]
+        return max(holders)[1] if holders else None
 
     def on_status(self, message: WorkStatus) -> None:
         """Take the engine's answer."""
--- a/src/cloverwalk/pipeline/dispatch.py
+++ b/src/cloverwalk/pipeline/dispatch.py
@@ -147,7 +147,7 @@
         self._prefill_tokens[candidate.replica] = before + tokens
         request.awaits_first_token = True
         if request.call.at_most_once:
-            self._claims.claim(request, candidate.replica, _Then(self._offer))
+            self._claims.claim(request, candidate.replica, self._offer)
         else:
             self._offer(request)
 
@@ -176,7 +176,6 @@
         if request.attempts:
             request.collector.next_attempt()
         request.attempts += 1
-        request.offered_at = context.now
         request.heard_at = context.now
         request.unaccounted_attempts += 1
         call = request.call
@@ -340,10 +339,3 @@
             self._claims.resolve(request, claim)
             return
         self._end(request, 504, "deadline_exceeded", "the deadline passed before the answer")
-
-
-class _Then:
-    """Lets a plain method stand as the next filter."""
-
-    def __init__(self, accept: Callable[[OnlineRequest], None]) -> None:
-        self.accept = accept
--- a/src/cloverwalk/pipeline/request.py
+++ b/src/cloverwalk/pipeline/request.py
@@ -43,7 +43,6 @@
     claim_version: int = 0
     replica: str = ""
     owner: str = ""
-    offered_at: float = 0.0
     awaits_first_token: bool = False
     heard_at: float = 0.0
     attempts: int = 0
--- a/tests/processes/cluster.py
+++ b/tests/processes/cluster.py
@@ -11,6 +11,7 @@
 from collections.abc import Callable
 from typing import Any
 
+from fleet import batch_body
 from msgspec import Struct
 
 GIVE_UP_S = 60.0
@@ -171,24 +172,14 @@
 
     def submit(self, count: int, key: str, tokens: int = 30) -> str:
         """Submit a job."""
-        lines = [
-            json.dumps(
-                {
-                    "custom_id": f"{key}-{number}",
-                    "body": {
-                        "messages": [{"role": "user", "content": f"{key} item {number}"}],
-                        "max_tokens": tokens,
-                    },
-                }
-            )
-            for number in range(count)
-        ]
         headers = {
             "Cloverwalk-Session": self.session,
             "Cloverwalk-Model": MODEL,
             "Idempotency-Key": key,
         }
-        answer = call(self.any_node(), "POST", "/v1/batches", "\n".join(lines).encode(), headers)
+        answer = call(
+            self.any_node(), "POST", "/v1/batches", batch_body(key, count, tokens), headers
+        )
         assert answer.status == 202, answer
         job_id: str = answer.json()["id"]
         return job_id
--- a/tests/simulated/fleet.py
+++ b/tests/simulated/fleet.py
@@ -178,18 +178,6 @@
         self, count: int, key: str, node: str | None = None, tokens: int = 20, kind: str = "heap"
     ) -> str:
         """Submit a job of ``count`` items and return its id; resends until acknowledged."""
-        lines = [
-            json.dumps(
-                {
-                    "custom_id": f"{key}-{number}",
-                    "body": {
-                        "messages": [{"role": "user", "content": f"{key} item {number}"}],
-                        "max_tokens": tokens,
-                    },
-                }
-            )
-            for number in range(count)
-        ]
         headers = {
             "cloverwalk-session": self.session,
             "cloverwalk-kind": kind,
@@ -198,7 +186,9 @@
         }
         for attempt in range(40):
             target = node if node and attempt == 0 else self.sim.random.choice(self.node_ids)
-            answer = self.call("POST", "/v1/batches", target, headers, "\n".join(lines).encode())
+            answer = self.call(
+                "POST", "/v1/batches", target, headers, batch_body(key, count, tokens)
+            )
             if answer.status == 202 and not answer.cut:
                 job_id: str = json.loads(answer.body)["id"]
                 return job_id
@@ -240,6 +230,23 @@
         ]
 
 
+def batch_body(key: str, count: int, tokens: int) -> bytes:
+    """Return the JSONL of a job with ``count`` items."""
+    lines = [
+        json.dumps(
+            {
+                "custom_id": f"{key}-{number}",
+                "body": {
+                    "messages": [{"role": "user", "content": f"{key} item {number}"}],
+                    "max_tokens": tokens,
+                },
+            }
+        )
+        for number in range(count)
+    ]
+    return "\n".join(lines).encode()
+
+
 def read_answer(
     answer: HttpAnswer,
     stream: bool,
