A replica that left and came back under its name is used again

Ruled out: clearing on a list that shows it live (the list lags behind the other signs). Change: a machine that comes onto the list after it was off it is another incarnation. Conclusion: leaving is sticky for an incarnation, as designed.

--- a/src/cloverwalk/control/machine_directory.py
+++ b/src/cloverwalk/control/machine_directory.py
@@ -35,10 +35,12 @@
         context: Context,
         owners_of: Callable[[str], list[str]],
         on_leaving: Callable[[str], None],
+        on_returned: Callable[[str], None],
     ) -> None:
         self._context = context
         self._owners_of = owners_of
         self._on_leaving = on_leaving
+        self._on_returned = on_returned
         self._zones: dict[str, _Zone] = {}
         self._all_read_at = -1e9
         self._all_waiters: list[OnListed] = []
@@ -111,6 +113,10 @@
         before = zone.machines
         zone.machines = {machine.machine_id: machine for machine in machines}
         for machine in machines:
+            # Leaving is sticky until the machine has been off the list: what comes back
+            # under its name is another incarnation.
+            if before and machine.machine_id not in before:
+                self._on_returned(machine.machine_id)
             if machine.leaving:
                 self._on_leaving(machine.machine_id)
         return zone.machines != before
--- a/src/cloverwalk/control/replica_owner.py
+++ b/src/cloverwalk/control/replica_owner.py
@@ -600,6 +600,13 @@
             owned.leaving = True
             self._empty_queues(owned, Refusal.LEAVING)
 
+    def note_returned(self, replica: str) -> None:
+        """Use a replica again that had left and is a new machine now."""
+        self.leaving_replicas.discard(replica)
+        owned = self._replicas.get(replica)
+        if owned is not None:
+            owned.leaving = False
+
     # --- cancelled jobs ---
 
     def on_cancel_job(self, message: CancelJob) -> None:
--- a/src/cloverwalk/emulator/platform_model.py
+++ b/src/cloverwalk/emulator/platform_model.py
@@ -112,6 +112,11 @@
         self._machines = {**self._machines, machine.machine_id: machine}
         self._listed.append((now, self._machines))
 
+    def remove_machine(self, machine_id: str, now: float) -> None:
+        """Remove a machine; the list shows it after its lag."""
+        self._machines = {k: m for k, m in self._machines.items() if k != machine_id}
+        self._listed.append((now, self._machines))
+
     def machines(self, now: float, zone: str = "") -> list[Machine]:
         """Return a zone's list, or the whole, as it was ``machine_lag_s`` ago."""
         before = now - self.settings.machine_lag_s
--- a/src/cloverwalk/node/node.py
+++ b/src/cloverwalk/node/node.py
@@ -75,7 +75,9 @@
         self.replicas = ReplicaOwner(
             context, self.leases, self.table, self.puller, self._shard_owner
         )
-        self.machines = MachineDirectory(context, self._zone_owners, self.replicas.note_leaving)
+        self.machines = MachineDirectory(
+            context, self._zone_owners, self.replicas.note_leaving, self.replicas.note_returned
+        )
         self.gossip = GossipRole(context, self._own_digest, self._on_digest, self._on_node_lost)
         self.cancels = CancelCoordinator(context, self.machines)
         self.jobs = JobOwner(context, self.store, self.leases, self.cancels, self._announce)
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -151,6 +151,13 @@
         "        return False\n",
         S + "test_leaving.py::test_a_leaving_replica_gets_no_start_after_a_few_seconds",
     ),
+    Mutant(
+        "a replica that left is never used again",
+        "control/machine_directory.py",
+        "                self._on_returned(machine.machine_id)",
+        "                pass",
+        S + "test_leaving.py::test_a_replica_that_left_and_came_back_is_used_again",
+    ),
     Mutant(
         "a planned stop does not wait for its requests",
         "node/node.py",
--- a/tests/simulated/test_leaving.py
+++ b/tests/simulated/test_leaving.py
@@ -5,6 +5,7 @@
 import checks
 import pytest
 from fleet import Fleet
+from msgspec import structs
 
 from cloverwalk.core.hashing import short_hash
 from cloverwalk.core.types import Machine
@@ -51,6 +52,26 @@
     assert {told.status for told in fleet.history} == {200}
 
 
+def test_a_replica_that_left_and_came_back_is_used_again() -> None:
+    fleet = Fleet(seed=54, zones=("levee",), engines_per_zone=2)
+    platform, replica = fleet.sim.platform, "levee-r0"
+    there = Machine(replica, "levee", "", "quizmind")
+    platform.set_machine(structs.replace(there, leaving=True), fleet.sim.now)
+    fleet.sim.run_until(fleet.sim.now + 4.0)
+    platform.remove_machine(replica, fleet.sim.now)
+    fleet.sim.kill_engine(replica)
+    fleet.sim.run_until(fleet.sim.now + 4.0)
+    assert replica in fleet.sim.nodes["levee-0"].node.replicas.leaving_replicas
+    fleet.sim.restart_engine(replica)
+    platform.set_machine(there, fleet.sim.now)
+    fleet.sim.run_until(fleet.sim.now + 4.0)
+    before = len(fleet.sim.engines[replica].model.starts)
+    fleet.submit(60, "heap", tokens=60)
+    fleet.sim.run_until(fleet.sim.now + 5.0)
+    assert len(fleet.sim.engines[replica].model.starts) > before
+    assert replica not in fleet.sim.nodes["levee-0"].node.replicas.leaving_replicas
+
+
 def test_each_node_stops_under_load_and_no_request_is_cut_off() -> None:
     fleet = Fleet(seed=52, nodes_per_zone=2)
     job_id = fleet.submit(200, "heap", tokens=40)
