A waiter that gives up no longer ends the run it waited for

Cause: found while reading: every request with a key reported its end to the home node as if it were the runner. A waiter that met its deadline made the home node forget the run and let the next waiter run the key again. Ruled out: the expiry of runs (60 s). Change: the report carries the token it asked under; only the runner's ends the run. Conclusion: one run a key while its runner lives.

--- a/src/cloverwalk/core/idempotency.py
+++ b/src/cloverwalk/core/idempotency.py
@@ -58,13 +58,21 @@
             return JoinVerdict.WAIT, None
         return JoinVerdict.RUN, None
 
-    def finish(self, key: str, result: Result | None) -> list[Waiter]:
-        """End a run; return who waits. ``result`` None means that nothing was recorded."""
+    def finish(self, key: str, token: str, result: Result | None) -> list[Waiter]:
+        """End a request; return who has to be told.
+
+        Without a result nothing was recorded: when it was the runner, one of the waiters
+        must run; when it only waited, the run goes on without it.
+        """
+        running = self._running.get(key)
+        if result is None and running is not None and running.runner.token != token:
+            running.waiters = [one for one in running.waiters if one.token != token]
+            return []
         if result is not None:
             self._results[key] = result
             if len(self._results) > self._remembered:
                 self._results.popitem(last=False)
-        running = self._running.pop(key, None)
+        self._running.pop(key, None)
         return running.waiters if running else []
 
     def expire(self, now: float) -> None:
--- a/src/cloverwalk/core/peer_messages.py
+++ b/src/cloverwalk/core/peer_messages.py
@@ -89,9 +89,13 @@
 
 
 class RunFinished(Struct, frozen=True, tag="run_finished"):
-    """The runner's report to the home node. No result: it ended without a record."""
+    """The end of a request at the node that asked under ``token``.
+
+    No result: it ended without a record.
+    """
 
     key: str
+    token: str
     result: Result | None
 
 
--- a/src/cloverwalk/pipeline/join.py
+++ b/src/cloverwalk/pipeline/join.py
@@ -53,7 +53,7 @@
         request.joined_at = context.now
         self._waiting[request.join_token] = request
         context.send(home or context.node_id, Join(request.request_id, request.join_token))
-        request.runs_for_home = home or context.node_id
+        request.home = home or context.node_id
 
     # --- at the home node ---
 
@@ -66,7 +66,7 @@
 
     def on_run_finished(self, message: RunFinished) -> None:
         """Tell the waiters; without a result, one of them runs the key."""
-        waiters = self._registry.finish(message.key, message.result)
+        waiters = self._registry.finish(message.key, message.token, message.result)
         if message.result is not None:
             for waiter in waiters:
                 reply = JoinReply(message.key, waiter.token, JoinVerdict.DONE, message.result)
@@ -80,7 +80,7 @@
         for key, waiter in self._registry.node_lost(node):
             self.on_join(waiter.node, Join(key, waiter.token))
         for request in self._waiting.values():
-            if request.runs_for_home == node:
+            if request.home == node:
                 # Asking anew would only be answered by another unreachable notice.
                 request.joined_at = self._context.now - JOIN_TIMEOUT_S
                 request.is_waiting = False
@@ -102,7 +102,7 @@
         request.is_waiting = False
         del self._waiting[message.token]
         if message.verdict is JoinVerdict.DONE and message.result is not None:
-            request.runs_for_home = ""
+            request.home = ""
             self._answer(request, message.result)
             return
         self._look_up(request)
@@ -110,7 +110,9 @@
     def _decline(self, message: JoinReply) -> None:
         # The request ended here before its turn came; the home node must not wait for it.
         home = rendezvous_owner(message.key, self._context.live_node_names())
-        self._context.send(home or self._context.node_id, RunFinished(message.key, None))
+        self._context.send(
+            home or self._context.node_id, RunFinished(message.key, message.token, None)
+        )
 
     def _look_up(self, request: OnlineRequest) -> None:
         self._results.read(
@@ -134,12 +136,12 @@
             self._forward.accept(request)
 
     def ended(self, request: OnlineRequest, result: Result | None) -> None:
-        """Tell the home node that this node's run of a key ended."""
+        """Tell the home node that a request of this node ended."""
         self._waiting.pop(request.join_token, None)
-        if request.runs_for_home:
-            message = RunFinished(request.request_id, result)
-            self._context.send(request.runs_for_home, message)
-            request.runs_for_home = ""
+        if request.home:
+            message = RunFinished(request.request_id, request.join_token, result)
+            self._context.send(request.home, message)
+            request.home = ""
 
     def tick(self) -> None:
         """Run without the home node when it does not answer; end what is overdue."""
@@ -159,6 +161,4 @@
                 self._give_up(request, error)
             elif now - request.joined_at >= JOIN_TIMEOUT_S:
                 del self._waiting[token]
-                if not request.is_waiting:
-                    request.runs_for_home = ""
                 self._look_up(request)
--- a/src/cloverwalk/pipeline/request.py
+++ b/src/cloverwalk/pipeline/request.py
@@ -38,7 +38,7 @@
     joined_at: float = 0.0
     join_token: str = ""
     is_waiting: bool = False  # another request with this key runs
-    runs_for_home: str = ""  # home node that waits for our RunFinished
+    home: str = ""  # the key's home node, which is told when this request ends
     claim: ClaimRow | None = None
     claim_version: int = 0
     replica: str = ""
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -72,6 +72,13 @@
         "    return True",
         "tests/unit/test_model_placement.py",
     ),
+    Mutant(
+        "a waiter that gives up ends the run",
+        "core/idempotency.py",
+        "running is not None and running.runner.token != token",
+        "False",
+        S + "test_exactly_once.py::test_a_waiter_that_gives_up_does_not_end_the_run_it_waited_for",
+    ),
     Mutant(
         "concurrent sends of one key all run",
         "core/idempotency.py",
--- a/tests/simulated/test_exactly_once.py
+++ b/tests/simulated/test_exactly_once.py
@@ -70,3 +70,15 @@
     assert [told.status for told in fleet.history] == [200] * 9
     assert checks.one_result_per_key(fleet.history) == []
     assert len(fleet.starts()) == 1
+
+
+def test_a_waiter_that_gives_up_does_not_end_the_run_it_waited_for() -> None:
+    fleet = Fleet(seed=16)
+    fleet.send("courthouse-0", "k", "one ruling", 300)
+    fleet.sim.run_until(fleet.sim.now + 0.2)
+    impatient = {"cloverwalk_deadline_ms": "1000"}
+    fleet.send("levee-0", "k", "one ruling", 300, None, False, "quizmind", **impatient)
+    fleet.send("depot-0", "k", "one ruling", 300)
+    fleet.settle()
+    assert sorted(told.status for told in fleet.history) == [200, 200, 504]
+    assert len(fleet.starts()) == 1
