--- a/src/cloverwalk/experiment/demo.py
+++ b/src/cloverwalk/experiment/demo.py
@@ -121,7 +121,7 @@
 
 
 class DemoLoad:
-    """Callers: rulings during a round and a heap of questions at its close."""
+    """Callers: rulings during a round and a batch of questions at its close."""
 
     def __init__(self, fleet: DemoFleet, report: DemoReport) -> None:
         self._report = report
@@ -190,7 +190,7 @@
         self._answers.append((answer["id"], text))
 
     async def questions(self) -> None:
-        """Submit a heap of questions and read every result through the other node."""
+        """Submit a batch of questions and read every result through the other node."""
         lines = [
             json.encode(
                 {
@@ -272,7 +272,7 @@
         await load.wait_ready(len(fleet.engines))
         await load.open_session()
         say(f"ready after {time.monotonic() - started:.1f} s; session {load.session_id}")
-        say(f"rulings for {seconds:.0f} s, with a heap of {BATCH_ITEMS} questions in between")
+        say(f"rulings for {seconds:.0f} s, with a batch of {BATCH_ITEMS} questions in between")
         rulings = await tasks.spawn(load.rulings, time.monotonic() + seconds)
         await curio.sleep(min(1.0, seconds / 4))
         questions = await tasks.spawn(load.questions)
--- a/src/cloverwalk/experiment/scenario.py
+++ b/src/cloverwalk/experiment/scenario.py
@@ -41,7 +41,7 @@
 
 
 class BatchLoad(Struct, frozen=True, forbid_unknown_fields=True):
-    """One kind of batch work: a heap of items every ``every_s``."""
+    """One kind of batch work: a job of ``items`` items every ``every_s``."""
 
     kind: Name
     every_s: Positive
--- a/src/cloverwalk/experiment/simulated.py
+++ b/src/cloverwalk/experiment/simulated.py
@@ -114,8 +114,8 @@
             for online in online_arrivals(self.scenario, self.seed):
                 self._at(online.at_s, lambda one=online: self._send_online(one))  # type: ignore[misc]
         if self.policy.runs_batch:
-            for number, heap in enumerate(batch_arrivals(self.scenario, self.seed)):
-                self._at(heap.at_s, lambda one=heap, n=number: self._submit(one, n))  # type: ignore[misc]
+            for number, arrival in enumerate(batch_arrivals(self.scenario, self.seed)):
+                self._at(arrival.at_s, lambda one=arrival, n=number: self._submit(one, n))  # type: ignore[misc]
 
     def _at(self, at_s: float, action: Callable[[], None]) -> None:
         self.sim.at(self._began_at + at_s, action)
@@ -156,32 +156,32 @@
         for before, after in zip(times, times[1:], strict=False):
             self._inter_token.add(after - before)
 
-    def _submit(self, heap: BatchArrival, number: int) -> None:
+    def _submit(self, arrival: BatchArrival, number: int) -> None:
         lines = [
             json.encode(
                 {
                     "custom_id": f"i{index}",
                     "body": {
                         "messages": [{"role": "user", "content": prompt}],
-                        "max_tokens": heap.answer_tokens[index],
+                        "max_tokens": arrival.answer_tokens[index],
                     },
                 }
             )
-            for index, prompt in enumerate(heap.prompts)
+            for index, prompt in enumerate(arrival.prompts)
         ]
         headers = {
             "cloverwalk-session": self._session,
-            "cloverwalk-kind": heap.load.kind,
+            "cloverwalk-kind": arrival.load.kind,
             "cloverwalk-model": self.scenario.model,
-            "idempotency-key": f"heap-{number}",
+            "idempotency-key": f"job-{number}",
         }
-        if heap.load.deadline_s is not None:
-            headers["cloverwalk-deadline-ms"] = str(int(heap.load.deadline_s * 1000))
+        if arrival.load.deadline_s is not None:
+            headers["cloverwalk-deadline-ms"] = str(int(arrival.load.deadline_s * 1000))
         self.measures.batch_items_sent += len(lines)
 
         def told(answer: HttpAnswer) -> None:
             if answer.status == 202 and not answer.cut:
-                self._jobs[json.decode(answer.body)["id"]] = heap
+                self._jobs[json.decode(answer.body)["id"]] = arrival
                 return
             self.sim.after(1.0, again)
 
@@ -193,17 +193,17 @@
         again()
 
     def _count_batch(self, end: float) -> None:
-        for job_id, heap in self._jobs.items():
+        for job_id, arrival in self._jobs.items():
             answer = self._call("GET", f"/v1/batches/{job_id}/results")
             lines = [json.decode(line) for line in answer.body.splitlines()]
             self.measures.batch_items_done += len(lines)
             self.measures.batch_tokens_done += sum(line["tokens"] for line in lines)
-            if heap.load.deadline_s is None:
+            if arrival.load.deadline_s is None:
                 continue
-            due_at = self._began_at + heap.at_s + heap.load.deadline_s
+            due_at = self._began_at + arrival.at_s + arrival.load.deadline_s
             if due_at <= end:
                 # Committed results are all from before now; what is missing is late.
-                if len(lines) == len(heap.prompts):
+                if len(lines) == len(arrival.prompts):
                     self.measures.deadlines_met += 1
                 else:
                     self.measures.deadlines_missed += 1
--- a/src/cloverwalk/experiment/workload.py
+++ b/src/cloverwalk/experiment/workload.py
@@ -19,7 +19,7 @@
 
 
 class BatchArrival(Struct, frozen=True):
-    """One heap of items."""
+    """One job."""
 
     at_s: float
     load: BatchLoad
@@ -60,7 +60,7 @@
 
 
 def batch_arrivals(scenario: Scenario, seed: int) -> list[BatchArrival]:
-    """Return all heaps in the order of time."""
+    """Return all jobs in the order of time."""
     arrivals: list[BatchArrival] = []
     for load in scenario.batch:
         random = Random(f"{seed} batch {load.kind}")
