--- a/src/cloverwalk/control/table_sync.py
+++ b/src/cloverwalk/control/table_sync.py
@@ -90,9 +90,10 @@
 
     def _note_staleness(self) -> None:
         self._context.metrics.table_age.set(min(self.confirmed_age_s, 1e9))
-        if self.is_stale != self._was_stale:
-            self._was_stale = self.is_stale
-            if self._was_stale:
+        is_stale = self.is_stale
+        if is_stale != self._was_stale:
+            self._was_stale = is_stale
+            if is_stale:
                 self._context.log(catalogue.TABLE_STALE, version=self._context.table.version)
 
     def _poll(self) -> None:
--- a/src/cloverwalk/core/weight_table.py
+++ b/src/cloverwalk/core/weight_table.py
@@ -58,6 +58,11 @@
     kind: str
 
 
+def key_of(row: TableRow) -> TableKey:
+    """Return what names a row."""
+    return TableKey(row.session, row.kind)
+
+
 class EffectiveRow(Struct, frozen=True):
     """What holds for one session and kind after the defaults are filled in."""
 
@@ -80,8 +85,13 @@
     >>> resolve(table, "quiz", "ruling").weight, resolve(table, "other", "ruling").weight
     (4.0, 1.0)
     """
-    by_key = {(row.session, row.kind): row for row in table.rows}
-    keys = [(session, kind), (session, ANY), (ANY, kind), (ANY, ANY)]
+    by_key = {key_of(row): row for row in table.rows}
+    keys = [
+        TableKey(session, kind),
+        TableKey(session, ANY),
+        TableKey(ANY, kind),
+        TableKey(ANY, ANY),
+    ]
     layers = [by_key[key] for key in keys if key in by_key]
 
     def first(field: str) -> object:
@@ -177,25 +187,20 @@
 
 def with_row(rows: Sequence[TableRow], new: TableRow) -> list[TableRow]:
     """Return the rows with ``new`` in place of the row of the same key, or added."""
-    key = (new.session, new.kind)
-    kept = [row for row in rows if (row.session, row.kind) != key]
+    kept = [row for row in rows if key_of(row) != key_of(new)]
     return in_order([*kept, new])
 
 
 def changed_rows(before: WeightTable, after: WeightTable) -> list[TableRow]:
     """Return the rows of ``after`` that are new or differ."""
-    old = {(row.session, row.kind): row for row in before.rows}
-    return [row for row in after.rows if old.get((row.session, row.kind)) != row]
+    old = {key_of(row): row for row in before.rows}
+    return [row for row in after.rows if old.get(key_of(row)) != row]
 
 
 def removed_keys(before: WeightTable, after: WeightTable) -> list[TableKey]:
     """Return the keys that ``after`` no longer has."""
-    kept = {(row.session, row.kind) for row in after.rows}
-    return [
-        TableKey(row.session, row.kind)
-        for row in before.rows
-        if (row.session, row.kind) not in kept
-    ]
+    kept = {key_of(row) for row in after.rows}
+    return [key_of(row) for row in before.rows if key_of(row) not in kept]
 
 
 def patched(
@@ -208,9 +213,8 @@
     >>> patched(old, 2, changed_rows(old, new), removed_keys(old, new)) == new
     True
     """
-    replaced = {(row.session, row.kind) for row in changed}
-    replaced |= {(key.session, key.kind) for key in removed}
-    kept = [row for row in table.rows if (row.session, row.kind) not in replaced]
+    replaced = {key_of(row) for row in changed} | set(removed)
+    kept = [row for row in table.rows if key_of(row) not in replaced]
     return WeightTable(version, in_order([*kept, *changed]))
 
 
--- a/src/cloverwalk/pipeline/batches.py
+++ b/src/cloverwalk/pipeline/batches.py
@@ -4,6 +4,7 @@
 
 from msgspec import Struct, json
 
+from cloverwalk.control.cancel_coordinator import CANCELLING
 from cloverwalk.control.context import Context
 from cloverwalk.control.job_owner import (
     job_key,
@@ -358,7 +359,7 @@
                 retry_after_s=2,
             )
             self._context.emit(problem_reply(cancel.connection, error))
-        elif message.state == "cancelling":
+        elif message.state == CANCELLING:
             headers = [Header("Retry-After", "2")]
             body = CancelStatus(cancel.job_id, "batch", message.state)
             self._context.emit(json_reply(cancel.connection, 202, body, headers))
--- a/src/cloverwalk/pipeline/operators.py
+++ b/src/cloverwalk/pipeline/operators.py
@@ -13,10 +13,14 @@
 from cloverwalk.core.store_types import CommitStatus, ReadReply
 from cloverwalk.core.types import Outcome, SessionRow
 from cloverwalk.core.weight_table import (
+    TableKey,
     TableRow,
     WeightTable,
     changed_cells,
+    changed_rows,
     check_rows,
+    key_of,
+    removed_keys,
     rows_from_csv,
     rows_to_csv,
     with_row,
@@ -143,8 +147,8 @@
         """Edit cells of one row."""
         edit = decode_body(request.body, CellEdit)
         rows = self._context.table.rows
-        key = (edit.session, edit.kind)
-        before = next((row for row in rows if (row.session, row.kind) == key), None)
+        key = TableKey(edit.session, edit.kind)
+        before = next((row for row in rows if key_of(row) == key), None)
         cells = {"session": edit.session, "kind": edit.kind, **edit.cells}
         try:
             row = changed_cells(before, cells, f"row ({edit.session}, {edit.kind})")
@@ -172,10 +176,10 @@
 
     def _lost_race(self, before: WeightTable, expected: int) -> PipelineError:
         now = self._context.table
-        old = {(row.session, row.kind): row for row in before.rows}
-        new = {(row.session, row.kind): row for row in now.rows}
-        changed = sorted(key for key in old.keys() | new.keys() if old.get(key) != new.get(key))
-        names = ", ".join(f"({session}, {kind})" for session, kind in changed[:5])
+        changed = {key_of(row) for row in changed_rows(before, now)}
+        changed.update(removed_keys(before, now))
+        in_key_order = sorted(changed, key=lambda key: (key.session, key.kind))
+        names = ", ".join(f"({key.session}, {key.kind})" for key in in_key_order[:5])
         detail = f"the table is at version {now.version}, not {expected}; changed rows: {names}"
         return PipelineError(412, "version_changed", detail, "if-match")
 
