--- a/src/cloverwalk/core/token_bucket.py
+++ b/src/cloverwalk/core/token_bucket.py
@@ -35,6 +35,11 @@
         self._level -= amount
         return True
 
+    def has(self, now: float, amount: float) -> bool:
+        """Whether ``amount`` is there; takes nothing."""
+        self._refill(now)
+        return self._level + 1e-9 >= amount
+
     def take_on_credit(self, now: float, amount: float) -> None:
         """Take ``amount`` though it may not be there; later takes wait until it is paid."""
         self._refill(now)
--- a/src/cloverwalk/emulator/platform_server.py
+++ b/src/cloverwalk/emulator/platform_server.py
@@ -14,7 +14,7 @@
 from cloverwalk.emulator.platform_model import Faults, PlatformModel
 from cloverwalk.http.server import HttpServer, ReplyPart
 from cloverwalk.pipeline.problem import PipelineError, json_reply, problem_reply
-from cloverwalk.platform.protocol import CommitAnswer, MachinesAnswer, RowsAnswer
+from cloverwalk.tableservice.protocol import CommitAnswer, MachinesAnswer, RowsAnswer
 
 
 class PlatformServer:
--- /dev/null
+++ b/src/cloverwalk/fleet/follower.py
@@ -0,0 +1,108 @@
+"""Follows a table of the store: a whole read, then its changes."""
+
+from collections.abc import Awaitable, Callable
+from random import Random
+
+import curio
+
+from cloverwalk.core import catalogue
+from cloverwalk.store.types import HistoryLostError, RowPage, Store, StoreError
+from cloverwalk.telemetry.log import ServingLog
+
+FIRST_RETRY_S = 0.1
+LONGEST_RETRY_S = 1.0
+WAIT_S = 1.0
+"""How long a call waits for a change: short, since a lost answer is only seen by its absence."""
+
+FULL_READ_EVERY_S = 15.0
+
+OnRows = Callable[[RowPage], Awaitable[None]]
+
+
+class TableFollower:
+    """Keeps its user up to date with one table.
+
+    ``on_whole`` gets every row of the table, ``on_changes`` what changed since. A call that
+    succeeded confirms all earlier rows, even when nothing changed.
+    """
+
+    def __init__(
+        self,
+        table: str,
+        store: Store,
+        on_whole: OnRows,
+        on_changes: OnRows,
+        pause_s: float,
+        log: ServingLog,
+        clock: Callable[[], float],
+        random: Random,
+    ) -> None:
+        self.table = table
+        self._store = store
+        self._on_whole = on_whole
+        self._on_changes = on_changes
+        self._pause_s = pause_s
+        self._log = log
+        self._clock = clock
+        self._random = random
+        self._version: int | None = None
+        self._lost_since: float | None = None
+        self.confirmed_at = float("-inf")
+        """When the last call began that was answered (steady clock, seconds)."""
+
+        self.healthy_since = float("inf")
+        """Start of the present run of answered calls."""
+
+        self.history_lost_at = float("-inf")
+
+    @property
+    def is_synced(self) -> bool:
+        """Whether the whole table was read at least once."""
+        return self.confirmed_at > float("-inf")
+
+    def is_fresh(self, now: float, age_s: float) -> bool:
+        """Whether the table was confirmed within the last ``age_s`` seconds."""
+        return now - self.confirmed_at <= age_s
+
+    async def run(self) -> None:
+        """Follow until cancelled."""
+        retry_s = FIRST_RETRY_S
+        while True:
+            try:
+                await self._step()
+                retry_s = FIRST_RETRY_S
+                await curio.sleep(self._pause_s)
+            except HistoryLostError:
+                self._version = None
+                self.history_lost_at = self._clock()
+                self._log.write(catalogue.HISTORY_LOST, table=self.table)
+            except StoreError as error:
+                self._note_lost(error)
+                await curio.sleep(retry_s * (0.5 + self._random.random()))
+                retry_s = min(LONGEST_RETRY_S, 2 * retry_s)
+
+    async def _step(self) -> None:
+        began_at = self._clock()
+        if self._version is None:
+            page = await self._store.read_table(self.table)
+            await self._on_whole(page)
+        else:
+            page = await self._store.changes(self.table, self._version, WAIT_S)
+            await self._on_changes(page)
+        self._version = page.version
+        self._note_answer(began_at)
+
+    def _note_answer(self, began_at: float) -> None:
+        self.confirmed_at = began_at
+        if self.healthy_since == float("inf"):
+            self.healthy_since = self._clock()
+        if self._lost_since is not None:
+            lost_s = round(self._clock() - self._lost_since, 3)
+            self._log.write(catalogue.FEED_BACK, table=self.table, lost_s=lost_s)
+            self._lost_since = None
+
+    def _note_lost(self, error: StoreError) -> None:
+        self.healthy_since = float("inf")
+        if self._lost_since is None:
+            self._lost_since = self._clock()
+            self._log.write(catalogue.FEED_LOST, table=self.table, code=error.code)
--- /dev/null
+++ b/src/cloverwalk/fleet/peers.py
@@ -0,0 +1,270 @@
+"""Digests to and from the other nodes, by datagrams. Loss is repaired by the next digest."""
+
+from collections.abc import Awaitable, Callable
+from random import Random
+from typing import Any
+
+import curio
+from curio import socket
+from msgspec import Struct
+
+from cloverwalk.core import catalogue
+from cloverwalk.fleet.digest import (
+    ConfigurationCopy,
+    Digest,
+    DigestError,
+    DirectoryCopy,
+    Introduction,
+    PeerDatagram,
+    ReplicaCopy,
+    YieldSlots,
+    decode_datagram,
+    encode_datagram,
+)
+from cloverwalk.fleet.load import LoadBook
+from cloverwalk.gateway.configuration import ConfigurationHolder
+from cloverwalk.gateway.replicas import ReplicaDirectory
+from cloverwalk.telemetry.log import ServingLog
+
+SEND_EVERY_S = 0.1
+"""Shortest time between digests; they are sent when the load changed."""
+
+QUIET_EVERY_S = 0.5
+"""Longest time between digests."""
+
+MAX_DATAGRAM_BYTES = 60_000
+PEER_LOST_AFTER_S = 2.5
+COPY_EVERY_S = 0.5
+"""A peer that is behind gets a copy this often at the most."""
+
+DIRECTORY_STALE_MS = 1500
+DIRECTORY_FRESH_MS = 800
+INTRODUCE_HOSTS = 16
+MAX_PEERS = 32
+"""Peers that get digests; those of the own zone come first."""
+
+
+class Peer(Struct):
+    """A node that was heard."""
+
+    node: str
+    host: str
+    zone: str
+    heard_at: float
+    digest: Digest | None = None
+    copied_at: float = float("-inf")
+    is_lost: bool = False
+
+
+class PeerCodec(Struct):
+    """Turns stored forms into the product's types, for copies from peers."""
+
+    take_configuration: Callable[[bytes], bool]
+    take_replica: Callable[[str, bytes, int], None]
+
+
+class PeerNetwork:
+    """All that this node hears of its peers and tells them."""
+
+    def __init__(
+        self,
+        node: str,
+        incarnation: str,
+        zone: str,
+        address: tuple[str, int],
+        seeds: list[str],
+        loads: LoadBook,
+        configuration: ConfigurationHolder,
+        directory: ReplicaDirectory,
+        raw_replicas: dict[str, tuple[int, bytes]],
+        codec: PeerCodec,
+        log: ServingLog,
+        clock: Callable[[], float],
+        on_yield: Callable[[str, int], Awaitable[None]],
+        random: Random,
+    ) -> None:
+        self._node = node
+        self._incarnation = incarnation
+        self._zone = zone
+        self._port = address[1]
+        self._own_host = address[0]
+        self._loads = loads
+        self._configuration = configuration
+        self._directory = directory
+        self._raw_replicas = raw_replicas
+        self._codec = codec
+        self._log = log
+        self._clock = clock
+        self._on_yield = on_yield
+        self._random = random
+        self._hosts: set[str] = {host for host in seeds if host != address[0]}
+        self.peers: dict[str, Peer] = {}
+        self.is_leaving = False
+        self._sequence = 0
+        self._sent_revision = -1
+        self._sent_at = float("-inf")
+        self._sock: Any = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        self._sock.bind(address)
+
+    def add_host(self, host: str) -> None:
+        """A node of the fleet is at this host."""
+        if host != self._own_host:
+            self._hosts.add(host)
+
+    def live(self) -> list[Peer]:
+        """Return peers heard lately, sorted by name."""
+        return [self.peers[node] for node in sorted(self.peers) if not self.peers[node].is_lost]
+
+    # --- sending ---
+
+    async def send_loop(self) -> None:
+        """Tell digests until cancelled."""
+        while True:
+            await curio.sleep(SEND_EVERY_S)
+            now = self._clock()
+            self._expire(now)
+            changed = self._loads.revision != self._sent_revision
+            if changed or now - self._sent_at >= QUIET_EVERY_S:
+                await self.send_digest()
+
+    async def send_digest(self) -> None:
+        """Tell the present digest to the peers."""
+        now = self._clock()
+        self._sequence += 1
+        self._sent_at = now
+        self._sent_revision = self._loads.revision
+        age_ms = min(1e6, (now - self._directory.confirmed_at) * 1000)
+        loads = {key: (own.online, own.batch) for key, own in self._loads.own.items()}
+        digest = Digest(
+            self._node,
+            self._incarnation,
+            self._zone,
+            self._sequence,
+            self._configuration.version,
+            self._directory.version,
+            int(age_ms),
+            loads,
+            self.is_leaving,
+            len(self._hosts),
+        )
+        data = encode_datagram(digest)
+        for host in self._audience():
+            await self._send_to(host, data)
+
+    def _audience(self) -> list[str]:
+        hosts = sorted(self._hosts)
+        if len(hosts) <= MAX_PEERS:
+            return hosts
+        near = {peer.host for peer in self.live() if peer.zone == self._zone}
+        far = [host for host in hosts if host not in near]
+        others = self._random.sample(far, max(0, min(len(far), MAX_PEERS - len(near))))
+        return [*sorted(near)[:MAX_PEERS], *others]
+
+    async def _send_to(self, host: str, data: bytes) -> None:
+        if len(data) > MAX_DATAGRAM_BYTES:
+            return
+        try:
+            await self._sock.sendto(data, (host, self._port))
+        except OSError:
+            return
+
+    async def ask_for_slots(self, node: str, replica_id: str, count: int) -> None:
+        """Ask a peer to suspend batch work at a replica."""
+        peer = self.peers.get(node)
+        if peer is not None:
+            message = YieldSlots(self._node, replica_id, count)
+            await self._send_to(peer.host, encode_datagram(message))
+
+    # --- receiving ---
+
+    async def receive_loop(self) -> None:
+        """Hear peers until cancelled."""
+        while True:
+            data, (host, _port) = await self._sock.recvfrom(65536)
+            try:
+                message = decode_datagram(data)
+            except DigestError as error:
+                self._log.write(catalogue.BAD_PEER_MESSAGE, problem=str(error)[:200])
+                continue
+            await self._receive(message, host)
+
+    async def _receive(self, message: PeerDatagram, host: str) -> None:
+        match message:
+            case Digest():
+                await self._hear(message, host)
+            case YieldSlots():
+                await self._on_yield(message.replica_id, message.count)
+            case ConfigurationCopy():
+                self._codec.take_configuration(message.raw.encode())
+            case DirectoryCopy():
+                self._take_directory(message)
+            case Introduction():
+                for known in message.hosts:
+                    self.add_host(known)
+
+    async def _hear(self, digest: Digest, host: str) -> None:
+        if digest.node == self._node:
+            return
+        now = self._clock()
+        is_new_host = host not in self._hosts
+        self.add_host(host)
+        peer = self.peers.get(digest.node)
+        if peer is None or peer.is_lost:
+            self._log.write(catalogue.PEER_HEARD, peer=digest.node, host=host)
+            peer = self.peers[digest.node] = Peer(digest.node, host, digest.zone, now)
+        known = peer.digest
+        is_same_process = known is not None and known.incarnation == digest.incarnation
+        if known is not None and is_same_process and digest.sequence <= known.sequence:
+            return
+        peer.heard_at = now
+        peer.host = host
+        peer.digest = digest
+        self._loads.hear(digest.node, digest.loads, now)
+        if is_new_host or digest.knows_members + 1 < len(self._hosts):
+            hosts = sorted(self._hosts)[:INTRODUCE_HOSTS]
+            await self._send_to(host, encode_datagram(Introduction(self._node, hosts)))
+        await self._help(peer, digest, now)
+
+    async def _help(self, peer: Peer, digest: Digest, now: float) -> None:
+        """Send a peer what it lacks, if it does not get it from the store soon."""
+        if now - peer.copied_at < COPY_EVERY_S:
+            return
+        if digest.configuration_version < self._configuration.version:
+            peer.copied_at = now
+            raw = self._configuration.raw.decode()
+            await self._send_to(peer.host, encode_datagram(ConfigurationCopy(self._node, raw)))
+        age_ms = (now - self._directory.confirmed_at) * 1000
+        if digest.directory_age_ms > DIRECTORY_STALE_MS and age_ms < DIRECTORY_FRESH_MS:
+            peer.copied_at = now
+            await self._send_to(peer.host, encode_datagram(self._directory_copy(int(age_ms))))
+
+    def _directory_copy(self, age_ms: int) -> DirectoryCopy:
+        replicas = [
+            ReplicaCopy(key, version, raw.decode())
+            for key, (version, raw) in sorted(self._raw_replicas.items())
+        ]
+        return DirectoryCopy(self._node, self._directory.version, age_ms, replicas)
+
+    def _take_directory(self, copy: DirectoryCopy) -> None:
+        if copy.version <= self._directory.version:
+            return
+        listed = {one.replica_id for one in copy.replicas}
+        for one in copy.replicas:
+            self._codec.take_replica(one.replica_id, one.raw.encode(), one.version)
+        for replica in self._directory.all():
+            if replica.replica_id not in listed:
+                self._directory.remove(replica.replica_id, copy.version)
+                self._raw_replicas.pop(replica.replica_id, None)
+        self._directory.version = copy.version
+        heard_at = self._clock() - copy.age_ms / 1000
+        self._directory.confirmed_at = max(self._directory.confirmed_at, heard_at)
+        self._log.write(catalogue.DIRECTORY_COPIED, peer=copy.node, version=copy.version)
+
+    def _expire(self, now: float) -> None:
+        for peer in self.peers.values():
+            if not peer.is_lost and now - peer.heard_at > PEER_LOST_AFTER_S:
+                peer.is_lost = True
+                self._loads.forget(peer.node)
+                self._log.write(
+                    catalogue.PEER_LOST, peer=peer.node, silent_s=round(now - peer.heard_at, 2)
+                )
--- /dev/null
+++ b/src/cloverwalk/gateway/configuration.py
@@ -0,0 +1,129 @@
+"""The configuration in force: routes, services and what clients may send."""
+
+from enum import Enum
+
+from msgspec import Struct
+
+
+class RouteKind(Enum):
+    """What may be done with a request of a route."""
+
+    SAFE = "safe"
+    UNSAFE = "unsafe"
+    STREAM = "stream"
+    BATCH = "batch"
+
+
+class RoutePart(Struct, frozen=True):
+    """A service that takes a share of a route's requests."""
+
+    service: str
+    weight: float
+
+
+class Route(Struct, frozen=True):
+    """Requests of one host below one path prefix."""
+
+    name: str
+    host: str
+    prefix: str
+    kind: RouteKind
+    parts: tuple[RoutePart, ...]
+    timeout_s: float
+    target_latency_s: float
+    max_attempts: int
+    priority: int = 0
+    is_resumable: bool = False
+    target_gap_s: float = 1.0
+    completion_target_s: float = 0.0
+    retention_s: float = 0.0
+    max_queued_tokens: int = 0
+    """Tokens that all jobs of the route may hold waiting; 0 is no limit."""
+
+    @property
+    def may_repeat(self) -> bool:
+        """Whether a request may run again after a failure."""
+        return self.kind is RouteKind.SAFE or self.is_resumable
+
+    @property
+    def services(self) -> list[str]:
+        """The services of the route, each once."""
+        return list(dict.fromkeys(part.service for part in self.parts))
+
+
+class Service(Struct, frozen=True):
+    """A group of replicas that serve the same models."""
+
+    name: str
+    slots: int
+    max_connections: int
+    cache_tokens: int = 0
+
+
+class ClientLimits(Struct, frozen=True):
+    """Bounds on what a client may send and on how long it may take."""
+
+    max_header_bytes: int = 16384
+    max_body_bytes: int = 4194304
+    header_timeout_s: float = 3.0
+    idle_timeout_s: float = 15.0
+
+
+class Configuration(Struct, frozen=True):
+    """One version of the configuration, whole."""
+
+    version: int
+    routes: tuple[Route, ...]
+    services: dict[str, Service]
+    limits: ClientLimits
+
+    def find_route(self, host: str, path: str) -> Route | None:
+        """Return the route with the longest prefix of ``path`` on ``host``.
+
+        >>> part = (RoutePart("s", 1.0),)
+        >>> short = Route("a", "h", "/x/", RouteKind.SAFE, part, 1.0, 1.0, 1)
+        >>> long = Route("b", "h", "/x/y/", RouteKind.SAFE, part, 1.0, 1.0, 1)
+        >>> configuration = Configuration(1, (short, long), {}, ClientLimits())
+        >>> configuration.find_route("H:80", "/x/y/z").name
+        'b'
+        >>> configuration.find_route("h", "/y") is None
+        True
+        """
+        name = host.rsplit(":", 1)[0].lower()
+        best: Route | None = None
+        for route in self.routes:
+            if route.host != name or not path.startswith(route.prefix):
+                continue
+            if best is None or len(route.prefix) > len(best.prefix):
+                best = route
+        return best
+
+
+class ConfigurationHolder:
+    """Keeps the newest configuration; an older one never takes its place."""
+
+    def __init__(self) -> None:
+        self.current: Configuration | None = None
+        self.raw: bytes = b""
+        """The stored form of ``current``, for peers that can't read the store."""
+
+    @property
+    def version(self) -> int:
+        """The version in force, or -1 when none is known."""
+        return -1 if self.current is None else self.current.version
+
+    def offer(self, configuration: Configuration, raw: bytes) -> bool:
+        """Take a configuration if it is newer; return whether it was.
+
+        >>> holder = ConfigurationHolder()
+        >>> newer = Configuration(7, (), {}, ClientLimits())
+        >>> holder.offer(newer, b""), holder.offer(Configuration(6, (), {}, ClientLimits()), b"")
+        (True, False)
+        >>> holder.version
+        7
+        """
+        if configuration.version <= self.version:
+            return False
+        self.current = configuration
+        self.raw = raw
+        return True
--- /dev/null
+++ b/src/cloverwalk/gateway/event_stream.py
@@ -0,0 +1,49 @@
+"""Whole events out of the bytes of an event stream."""
+
+from msgspec import Struct
+
+EVENT_END = b"\n\n"
+MAX_EVENT_BYTES = 1_048_576
+
+
+class StreamEvent(Struct, frozen=True):
+    """One event: its bytes as received, its id and its data lines joined by line feeds."""
+
+    raw: bytes
+    event_id: int | None
+    data: str
+
+
+class EventSplitter:
+    """Cuts bytes into whole events and keeps what is not whole yet.
+
+    >>> splitter = EventSplitter()
+    >>> splitter.feed(b"id: 1\\ndata: a\\n\\nid: 2\\nda")
+    [StreamEvent(raw=b'id: 1\\ndata: a\\n\\n', event_id=1, data='a')]
+    >>> splitter.rest
+    b'id: 2\\nda'
+    """
+
+    def __init__(self) -> None:
+        self.rest = b""
+
+    def feed(self, data: bytes) -> list[StreamEvent]:
+        """Take bytes; return the events that they complete. Raises ValueError when oversized."""
+        buffer = self.rest + data
+        *whole, self.rest = buffer.split(EVENT_END)
+        if len(self.rest) > MAX_EVENT_BYTES:
+            raise ValueError("an event is too long")
+        return [_parse(block + EVENT_END) for block in whole]
+
+
+def _parse(raw: bytes) -> StreamEvent:
+    event_id: int | None = None
+    data: list[str] = []
+    for line in raw.decode("utf-8", "replace").split("\n"):
+        name, _, value = line.partition(":")
+        value = value.removeprefix(" ")
+        if name == "id":
+            event_id = int(value) if value.isdecimal() else None
+        elif name == "data":
+            data.append(value)
+    return StreamEvent(raw, event_id, "\n".join(data))
--- /dev/null
+++ b/src/cloverwalk/gateway/messages.py
@@ -0,0 +1,123 @@
+"""Requests and answers as the gateway sees them, and the codec that reads and writes them.
+
+The codec is the only thing that knows header names and paths; an adapter implements it.
+"""
+
+from typing import Protocol
+
+from msgspec import Struct
+
+RawHeaders = list[tuple[bytes, bytes]]
+"""Header names in the spelling of their sender, with their values."""
+
+
+class PromptPart(Struct, frozen=True):
+    """A part of a prompt that other requests may share."""
+
+    part_id: str
+    tokens: int
+
+
+class RequestFields(Struct):
+    """What a client's headers say."""
+
+    request_id: str
+    deadline_s: float | None = None
+    last_event_id: int | None = None
+    prompt: tuple[PromptPart, ...] = ()
+    prompt_tokens: int = 0
+    max_output_tokens: int = 0
+    wait_s: float = 0.0
+
+
+class ReplicaLoad(Struct, frozen=True):
+    """What a replica told of its load."""
+
+    running: int
+    waiting: int
+    slots: int
+
+
+class AnswerFields(Struct):
+    """What a replica's headers say."""
+
+    request_id: str | None
+    is_signed: bool
+    was_not_run: bool
+    load: ReplicaLoad | None = None
+    keep_alive_s: float | None = None
+
+
+class ReadJob(Struct, frozen=True):
+    """Read a job's results from a position on."""
+
+    job_id: str
+    position: int
+
+
+class ReadItem(Struct, frozen=True):
+    """Read the body of an item that is not listed yet."""
+
+    job_id: str
+    item_id: str
+
+
+class EndJob(Struct, frozen=True):
+    """End a job."""
+
+    job_id: str
+
+
+JobCall = ReadJob | ReadItem | EndJob
+
+
+class ClientRequest(Struct):
+    """A whole request of a client."""
+
+    method: str
+    target: str
+    headers: RawHeaders
+    body: bytes
+    host: str
+    fields: RequestFields
+    received_at: float
+    """When its head had been read (steady clock, seconds)."""
+
+    @property
+    def path(self) -> str:
+        """The target without its query."""
+        return self.target.split("?", 1)[0]
+
+
+class GatewayCodec(Protocol):
+    """Reads and writes the headers and calls of an outside interface."""
+
+    def request_fields(self, headers: RawHeaders) -> RequestFields:
+        """Return what a client's headers say; raise GatewayError when they are not valid."""
+        ...
+
+    def answer_fields(self, headers: RawHeaders) -> AnswerFields:
+        """Return what a replica's headers say."""
+        ...
+
+    def headers_to_replica(
+        self,
+        request: ClientRequest,
+        replica_id: str,
+        remaining_s: float | None,
+        last_event_id: int | None,
+    ) -> RawHeaders:
+        """Return the headers with which a request goes to a replica, without its length."""
+        ...
+
+    def headers_to_client(self, headers: RawHeaders) -> RawHeaders:
+        """Return a replica's headers without those of its connection and without its length."""
+        ...
+
+    def own_headers(self, request_id: str, retry_after_s: float | None) -> RawHeaders:
+        """Return the headers of an answer that this node makes itself."""
+        ...
+
+    def job_call(self, method: str, target: str) -> JobCall | None:
+        """Return the call on a job that a request is, or None when it is none."""
+        ...
--- /dev/null
+++ b/src/cloverwalk/gateway/relay.py
@@ -0,0 +1,444 @@
+"""One online request from its arrival to its final answer.
+
+The way: route, choose a replica, send, pass the answer on. A failure leads to another replica
+where the route allows it, and else to a final answer at once. Read ``OnlineRelay.handle`` first.
+"""
+
+from collections.abc import Awaitable, Callable
+
+import curio
+from msgspec import Struct
+
+from cloverwalk.core import catalogue
+from cloverwalk.fleet.load import LoadBook
+from cloverwalk.gateway.configuration import Configuration, ConfigurationHolder, Route, RouteKind
+from cloverwalk.gateway.errors import ClientGoneError, GatewayError, ReplicaError
+from cloverwalk.gateway.event_stream import EventSplitter, StreamEvent
+from cloverwalk.gateway.messages import ClientRequest, GatewayCodec
+from cloverwalk.gateway.replica_connection import AnswerHead, ReplicaConnection, ReplicaPool
+from cloverwalk.gateway.replicas import Replica, ReplicaDirectory
+from cloverwalk.gateway.reply import Reply
+from cloverwalk.gateway.selection import Candidate, Demand, WeightedRotation, choose
+from cloverwalk.telemetry.log import ServingLog
+from cloverwalk.telemetry.metrics import ServingMetrics
+
+FIRST_EVENT_SILENCE_S = 1.2
+"""A stream of a route that may be resumed moves on after this time without an answer."""
+
+EVENT_SILENCE_S = 0.7
+MAX_REFUSALS = 3
+"""Replicas that may say 'not run' before the request is refused."""
+
+RETRY_AFTER_S = 0.2
+MAX_BUFFERED_ANSWER_BYTES = 1_048_576
+LEAST_USEFUL_S = 0.01
+
+
+class _Progress(Struct):
+    """What has happened to a request so far."""
+
+    route: Route
+    service: str
+    deadline: float
+    tried: list[str]
+    """Replicas that may have run the request."""
+
+    refused: list[str]
+    """Replicas that said that they did not."""
+
+    last_event_id: int | None
+    first_event_at: float | None = None
+    last_replica: str = ""
+    last_failure: str = ""
+
+    def excluded(self) -> set[str]:
+        """Replicas that are not asked again."""
+        return {*self.tried, *self.refused}
+
+
+MakeRoom = Callable[[Replica], Awaitable[None]]
+
+
+class OnlineRelay:
+    """Serves online requests with what this node knows."""
+
+    def __init__(
+        self,
+        zone: str,
+        codec: GatewayCodec,
+        configuration: ConfigurationHolder,
+        directory: ReplicaDirectory,
+        loads: LoadBook,
+        pool: ReplicaPool,
+        log: ServingLog,
+        metrics: ServingMetrics,
+        clock: Callable[[], float],
+        make_room: MakeRoom,
+    ) -> None:
+        self._zone = zone
+        self._codec = codec
+        self._configuration = configuration
+        self._directory = directory
+        self._loads = loads
+        self._pool = pool
+        self._log = log
+        self._metrics = metrics
+        self._clock = clock
+        self._make_room = make_room
+        self._rotation = WeightedRotation()
+
+    async def handle(self, request: ClientRequest, route: Route, reply: Reply) -> None:
+        """Serve a request of an online route."""
+        progress = self._begin(request, route)
+        try:
+            async with curio.timeout_after(max(0.0, progress.deadline - self._clock())):
+                await self._serve(request, progress, reply)
+        except curio.TaskTimeout:
+            await self._give_up(request, progress, reply, self._timeout_error(progress))
+        except GatewayError as error:
+            await self._give_up(request, progress, reply, error)
+        except (ClientGoneError, curio.TaskCancelled):
+            self._note_end(request, progress, "client_gone", reply.status)
+            raise
+
+    def _begin(self, request: ClientRequest, route: Route) -> _Progress:
+        allowed_s = route.timeout_s
+        if request.fields.deadline_s is not None:
+            allowed_s = min(allowed_s, request.fields.deadline_s)
+        parts = [(part.service, part.weight) for part in route.parts]
+        service = self._rotation.next(route.name, parts)
+        if not self._directory.usable(service):
+            others = [one for one in route.services if self._directory.usable(one)]
+            service = others[0] if others else service
+        return _Progress(
+            route,
+            service,
+            request.received_at + allowed_s,
+            [],
+            [],
+            request.fields.last_event_id,
+        )
+
+    def _timeout_error(self, progress: _Progress) -> GatewayError:
+        if not progress.tried:
+            return GatewayError(503, "deadline_passed", "no replica had room in time", 0.0)
+        return GatewayError(504, "deadline_passed", "the answer did not come in time")
+
+    # --- attempts ---
+
+    async def _serve(self, request: ClientRequest, progress: _Progress, reply: Reply) -> None:
+        while True:
+            replica = self._choose(request, progress)
+            try:
+                await self._attempt(request, progress, replica, reply)
+                return
+            except ReplicaError as error:
+                self._note_failure(request, progress, replica, error, reply)
+
+    def _choose(self, request: ClientRequest, progress: _Progress) -> Replica:
+        route = progress.route
+        if progress.tried and not self._may_try_again(progress):
+            raise GatewayError(502, "attempts_used", progress.last_failure)
+        if len(progress.refused) >= MAX_REFUSALS:
+            raise self._refusal(progress, "replicas_full")
+        now = self._clock()
+        excluded = progress.excluded()
+        usable = self._directory.usable(progress.service)
+        candidates = [
+            Candidate(
+                one,
+                self._loads.total(one.replica_id, now).total,
+                self._directory.is_suspect(one.replica_id, now),
+            )
+            for one in usable
+            if one.replica_id not in excluded
+        ]
+        chosen = choose(candidates, self._demand(request, route))
+        if chosen is None:
+            raise self._refusal(progress, "no_replica")
+        self._log.write(
+            catalogue.REPLICA_CHOSEN,
+            request=request.fields.request_id,
+            replica=chosen.replica.replica_id,
+            among=len(candidates),
+            load=chosen.in_flight,
+            list_age_s=round(now - self._directory.confirmed_at, 3),
+            configuration=self._configuration.version,
+            after_event=progress.last_event_id,
+        )
+        return chosen.replica
+
+    def _may_try_again(self, progress: _Progress) -> bool:
+        return progress.route.may_repeat and len(progress.tried) < progress.route.max_attempts
+
+    def _refusal(self, progress: _Progress, code: str) -> GatewayError:
+        if progress.tried:
+            return GatewayError(502, code, progress.last_failure or "no replica took the request")
+        return GatewayError(503, code, "no replica takes the request now", RETRY_AFTER_S)
+
+    def _demand(self, request: ClientRequest, route: Route) -> Demand:
+        prompt = request.fields.prompt
+        shared = prompt[:-1]
+        if not shared:
+            return Demand(self._zone, len(request.body))
+        longest = max(shared, key=lambda part: part.tokens)
+        return Demand(self._zone, len(request.body), longest.part_id, longest.tokens)
+
+    def _note_failure(
+        self,
+        request: ClientRequest,
+        progress: _Progress,
+        replica: Replica,
+        error: ReplicaError,
+        reply: Reply,
+    ) -> None:
+        known = progress.tried if error.may_have_run else progress.refused
+        known.append(replica.replica_id)
+        progress.last_failure = error.code
+        self._metrics.attempt_failed(error.code)
+        self._log.write(
+            catalogue.REPLICA_FAILED,
+            request=request.fields.request_id,
+            replica=replica.replica_id,
+            code=error.code,
+            may_have_run=error.may_have_run,
+            after_event=progress.last_event_id,
+        )
+        if reply.has_begun and not progress.route.is_resumable:
+            raise ClientGoneError("the answer broke off at the replica", "answer_cut")
+
+    # --- one attempt ---
+
+    async def _attempt(
+        self, request: ClientRequest, progress: _Progress, replica: Replica, reply: Reply
+    ) -> None:
+        now = self._clock()
+        if progress.deadline - now < LEAST_USEFUL_S:
+            raise self._timeout_error(progress)
+        if self._loads.total(replica.replica_id, now).total >= replica.slots:
+            await self._make_room(replica)
+        try:
+            connection = await self._pool.acquire((replica.host, replica.port))
+        except ReplicaError:
+            self._directory.suspect(replica.replica_id, self._clock())
+            raise
+        if self._directory.find(replica.replica_id) is None:
+            await self._pool.release_unused(connection)
+            raise ReplicaError("the replica began to leave", False, "draining")
+        self._loads.begin(replica.replica_id, False, self._clock())
+        is_kept = False
+        try:
+            progress.last_replica = replica.replica_id
+            head = await self._exchange(request, progress, replica, connection, reply)
+            is_kept = True
+            await self._pool.release(connection, head.fields.keep_alive_s)
+        finally:
+            self._loads.end(replica.replica_id, False)
+            if not is_kept:
+                await connection.close()
+
+    async def _exchange(
+        self,
+        request: ClientRequest,
+        progress: _Progress,
+        replica: Replica,
+        connection: ReplicaConnection,
+        reply: Reply,
+    ) -> AnswerHead:
+        head = await self._send_and_read_head(request, progress, replica, connection)
+        if head.fields.load is not None:
+            self._metrics.replica_load(replica.replica_id, head.fields.load)
+        if head.fields.was_not_run:
+            await self._drain_refusal(connection)
+            if head.status == 421:
+                self._directory.suspect(replica.replica_id, self._clock())
+            raise ReplicaError(f"the replica answered {head.status}", False, "not_run")
+        if not head.fields.is_signed:
+            raise ReplicaError("the answer is not signed", True, "unsigned")
+        self._directory.clear_suspicion(replica.replica_id)
+        if progress.route.kind is RouteKind.STREAM and head.status == 200:
+            await self._relay_stream(request, progress, connection, head, reply)
+        else:
+            await self._relay_plain(request, progress, connection, head, reply)
+        return head
+
+    async def _send_and_read_head(
+        self,
+        request: ClientRequest,
+        progress: _Progress,
+        replica: Replica,
+        connection: ReplicaConnection,
+    ) -> AnswerHead:
+        remaining_s = progress.deadline - self._clock()
+        headers = self._codec.headers_to_replica(
+            request, replica.replica_id, remaining_s, progress.last_event_id
+        )
+        try:
+            async with curio.timeout_after(self._first_answer_limit_s(progress, remaining_s)):
+                await connection.send(request.method, request.target, headers, request.body)
+                return await connection.read_head(request.fields.request_id)
+        except OSError as error:
+            self._directory.suspect(replica.replica_id, self._clock())
+            raise ReplicaError(f"sending failed: {error!r}", True, "reset") from error
+        except curio.TaskTimeout as error:
+            self._directory.suspect(replica.replica_id, self._clock())
+            raise ReplicaError("no answer in time", True, "silent") from error
+        except ReplicaError as error:
+            if error.code == "reset":
+                self._directory.suspect(replica.replica_id, self._clock())
+            raise
+
+    def _first_answer_limit_s(self, progress: _Progress, remaining_s: float) -> float:
+        tries_left = progress.route.max_attempts - len(progress.tried) - 1
+        if not progress.route.may_repeat or tries_left <= 0:
+            return remaining_s + 1.0
+        if progress.route.kind is RouteKind.STREAM:
+            return min(remaining_s + 1.0, FIRST_EVENT_SILENCE_S)
+        return max(FIRST_EVENT_SILENCE_S, remaining_s / 2)
+
+    async def _drain_refusal(self, connection: ReplicaConnection) -> None:
+        async with curio.ignore_after(EVENT_SILENCE_S):
+            while await connection.read_body() is not None:
+                pass
+
+    # --- answers ---
+
+    async def _relay_plain(
+        self,
+        request: ClientRequest,
+        progress: _Progress,
+        connection: ReplicaConnection,
+        head: AnswerHead,
+        reply: Reply,
+    ) -> None:
+        if reply.has_begun:
+            raise ReplicaError(f"the resumed run answered {head.status}", True, "not_resumed")
+        can_repeat = progress.route.may_repeat and head.status >= 500
+        if can_repeat and len(progress.tried) + 1 < progress.route.max_attempts:
+            raise ReplicaError(f"the replica answered {head.status}", True, "replica_error")
+        parts: list[bytes] = []
+        size = 0
+        while (data := await connection.read_body()) is not None:
+            parts.append(data)
+            size += len(data)
+            if size > MAX_BUFFERED_ANSWER_BYTES:
+                await self._relay_long(connection, head, parts, reply)
+                break
+        else:
+            headers = self._codec.headers_to_client(head.headers)
+            await reply.respond(head.status, headers, b"".join(parts))
+        self._note_end(request, progress, "answered", head.status)
+
+    async def _relay_long(
+        self, connection: ReplicaConnection, head: AnswerHead, parts: list[bytes], reply: Reply
+    ) -> None:
+        headers = self._codec.headers_to_client(head.headers)
+        await reply.begin(head.status, headers, head.content_length)
+        await reply.write(b"".join(parts))
+        while (data := await connection.read_body()) is not None:
+            await reply.write(data)
+        await reply.finish()
+
+    async def _relay_stream(
+        self,
+        request: ClientRequest,
+        progress: _Progress,
+        connection: ReplicaConnection,
+        head: AnswerHead,
+        reply: Reply,
+    ) -> None:
+        splitter = EventSplitter()
+        if not reply.has_begun:
+            await reply.begin(head.status, self._codec.headers_to_client(head.headers), None)
+        while (data := await self._next_data(progress, connection)) is not None:
+            try:
+                events = splitter.feed(data)
+            except ValueError as error:
+                raise ReplicaError(str(error), True, "invalid_stream") from error
+            await self._pass_events(request, progress, events, reply)
+        if splitter.rest:
+            raise ReplicaError("the stream ended within an event", True, "answer_cut")
+        await reply.finish()
+        self._note_end(request, progress, "answered", head.status)
+
+    async def _next_data(self, progress: _Progress, connection: ReplicaConnection) -> bytes | None:
+        if not self._may_move(progress):
+            return await connection.read_body()
+        limit_s = EVENT_SILENCE_S
+        if progress.first_event_at is None:
+            limit_s = FIRST_EVENT_SILENCE_S
+        try:
+            async with curio.timeout_after(limit_s):
+                return await connection.read_body()
+        except curio.TaskTimeout as error:
+            self._directory.suspect(progress.last_replica, self._clock())
+            raise ReplicaError("the stream fell silent", True, "silent") from error
+
+    def _may_move(self, progress: _Progress) -> bool:
+        tries_left = progress.route.max_attempts - len(progress.tried) - 1
+        return progress.route.is_resumable and tries_left > 0
+
+    async def _pass_events(
+        self,
+        request: ClientRequest,
+        progress: _Progress,
+        events: list[StreamEvent],
+        reply: Reply,
+    ) -> None:
+        fresh: list[bytes] = []
+        for event in events:
+            if event.event_id is not None:
+                last = progress.last_event_id
+                if last is not None and event.event_id <= last:
+                    continue
+                if last is not None and event.event_id != last + 1:
+                    raise ReplicaError("an event is missing", True, "invalid_stream")
+                progress.last_event_id = event.event_id
+            fresh.append(event.raw)
+        if not fresh:
+            return
+        if progress.first_event_at is None:
+            progress.first_event_at = self._clock()
+            self._metrics.first_event(
+                progress.route.name, progress.first_event_at - request.received_at
+            )
+        await reply.write(b"".join(fresh))
+
+    # --- the end ---
+
+    async def _give_up(
+        self, request: ClientRequest, progress: _Progress, reply: Reply, error: GatewayError
+    ) -> None:
+        self._note_end(request, progress, error.code, error.status)
+        if reply.has_begun:
+            raise ClientGoneError(f"the answer is broken off: {error.code}")
+        headers = self._codec.own_headers(request.fields.request_id, error.retry_after_s)
+        await reply.respond(error.status, headers, f"{error.code}: {error}\n".encode())
+
+    def _note_end(
+        self, request: ClientRequest, progress: _Progress, outcome: str, status: int
+    ) -> None:
+        took_s = self._clock() - request.received_at
+        first = progress.first_event_at
+        self._metrics.request_ended(progress.route.name, outcome, took_s)
+        number = catalogue.REQUEST_ANSWERED if outcome == "answered" else catalogue.REQUEST_ENDED
+        self._log.write(
+            number,
+            request=request.fields.request_id,
+            route=progress.route.name,
+            outcome=outcome,
+            status=status,
+            replica=progress.last_replica,
+            tried=len(progress.tried),
+            refused=len(progress.refused),
+            took_ms=round(took_s * 1000, 1),
+            first_ms=None if first is None else round((first - request.received_at) * 1000, 1),
+            last_event=progress.last_event_id,
+        )
+
+
+def require_configuration(holder: ConfigurationHolder) -> Configuration:
+    """Return the configuration in force; raise GatewayError when none is known."""
+    if holder.current is None:
+        raise GatewayError(503, "no_configuration", "this node is starting", 1.0)
+    return holder.current
--- /dev/null
+++ b/src/cloverwalk/gateway/replica_connection.py
@@ -0,0 +1,225 @@
+"""Kept connections to replicas. A connection that holds anything unexplained is not used again."""
+
+from collections.abc import Callable
+from typing import Any
+
+import curio
+import h11
+from curio import socket
+from msgspec import Struct
+
+from cloverwalk.gateway.errors import ReplicaError
+from cloverwalk.gateway.messages import AnswerFields, GatewayCodec, RawHeaders
+
+READ_BYTES = 65536
+CONNECT_TIMEOUT_S = 0.4
+SEND_IN_LINE_BYTES = 32768
+IDLE_LIMIT_S = 8.0
+KEEP_ALIVE_MARGIN_S = 1.0
+MAX_IDLE_PER_REPLICA = 24
+MAX_SKIPPED_ANSWERS = 2
+
+
+class AnswerHead(Struct):
+    """Status and headers of a replica's answer."""
+
+    status: int
+    reason: bytes
+    headers: RawHeaders
+    fields: AnswerFields
+    content_length: int | None
+
+
+class ReplicaConnection:
+    """One connection; one exchange at a time."""
+
+    def __init__(self, sock: Any, address: tuple[str, int], codec: GatewayCodec) -> None:
+        self.address = address
+        self._sock = sock
+        self._codec = codec
+        self._http = h11.Connection(h11.CLIENT)
+        self._request: h11.Request | None = None
+        self._request_id = ""
+        self._sender: Any = None
+        self._answer_closes = False
+        self._exchanges = 0
+        self.usable_until = float("inf")
+
+    async def send(self, method: str, target: str, headers: RawHeaders, body: bytes) -> None:
+        """Send a whole request; a long body is sent beside the reading of the answer."""
+        length = (b"Content-Length", str(len(body)).encode())
+        self._request = h11.Request(method=method, target=target, headers=[*headers, length])
+        data = self._feed_request(body)
+        self._exchanges += 1
+        if len(data) <= SEND_IN_LINE_BYTES:
+            await self._sock.sendall(data)
+            return
+        self._sender = await curio.spawn(self._send_beside, data)
+
+    def _feed_request(self, body: bytes) -> bytes:
+        assert self._request is not None
+        data = self._http.send(self._request) or b""
+        if body:
+            data += self._http.send(h11.Data(data=body)) or b""
+        return data + (self._http.send(h11.EndOfMessage()) or b"")
+
+    async def _send_beside(self, data: bytes) -> bool:
+        try:
+            await self._sock.sendall(data)
+        except OSError:
+            return False
+        return True
+
+    async def read_head(self, request_id: str) -> AnswerHead:
+        """Return the head of the answer to ``request_id``; skip answers to other requests."""
+        for _ in range(MAX_SKIPPED_ANSWERS + 1):
+            head = await self._read_any_head()
+            answered = head.fields.request_id
+            if answered == request_id or (answered is None and self._exchanges == 1):
+                return head
+            await self._skip_answer()
+        raise ReplicaError("the answers belong to other requests", True, "foreign_answer")
+
+    async def _read_any_head(self) -> AnswerHead:
+        while True:
+            event = await self._next_event()
+            if isinstance(event, h11.Response):
+                break
+            if not isinstance(event, h11.InformationalResponse):
+                raise ReplicaError("the connection ended before an answer", True, "no_answer")
+        headers = event.headers.raw_items()
+        length: int | None = None
+        for name, value in event.headers:
+            if name == b"content-length":
+                length = int(value)
+            elif name == b"connection" and b"close" in value.lower():
+                self._answer_closes = True
+        fields = self._codec.answer_fields(headers)
+        return AnswerHead(event.status_code, event.reason, headers, fields, length)
+
+    async def _skip_answer(self) -> None:
+        while not isinstance(await self._next_event(), h11.EndOfMessage):
+            pass
+        rest, is_closed = self._http.trailing_data
+        if is_closed or self._answer_closes:
+            raise ReplicaError("the connection ended before an answer", True, "no_answer")
+        assert self._request is not None
+        self._http = h11.Connection(h11.CLIENT)
+        self._http.send(self._request)
+        if any(n == b"content-length" and v != b"0" for n, v in self._request.headers):
+            # The body went out before; h11 only has to count it.
+            size = next(int(v) for n, v in self._request.headers if n == b"content-length")
+            self._http.send(h11.Data(data=bytes(size)))
+        self._http.send(h11.EndOfMessage())
+        self._http.receive_data(rest)
+
+    async def read_body(self) -> bytes | None:
+        """Return the next bytes of the body, or None at its proper end."""
+        event = await self._next_event()
+        if isinstance(event, h11.Data):
+            return bytes(event.data)
+        if isinstance(event, h11.EndOfMessage):
+            return None
+        raise ReplicaError("the answer broke off", True, "answer_cut")
+
+    async def _next_event(self) -> Any:
+        try:
+            while (event := self._http.next_event()) is h11.NEED_DATA:
+                data = await self._sock.recv(READ_BYTES)
+                self._http.receive_data(data)
+        except OSError as error:
+            raise ReplicaError(f"the connection broke: {error!r}", True, "reset") from error
+        except (h11.RemoteProtocolError, ValueError) as error:
+            raise ReplicaError(f"not an answer: {error}", True, "not_http") from error
+        return event
+
+    async def finish(self, keep_alive_s: float | None, now: float) -> bool:
+        """End the exchange; return whether the connection may serve another one."""
+        if self._sender is not None:
+            if not self._sender.terminated:
+                return False
+            sent = await self._sender.join()
+            self._sender = None
+            if not sent:
+                return False
+        if self._answer_closes or self._http.their_state is not h11.DONE:
+            return False
+        if self._http.our_state is not h11.DONE or self._http.trailing_data[0]:
+            return False
+        self._http.start_next_cycle()
+        limit_s = IDLE_LIMIT_S if keep_alive_s is None else keep_alive_s - KEEP_ALIVE_MARGIN_S
+        self.usable_until = now + min(IDLE_LIMIT_S, limit_s)
+        return limit_s > 0
+
+    def has_unread(self) -> bool:
+        """Whether anything came, the end included, though no answer is due."""
+        try:
+            self._sock._socket.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
+        except BlockingIOError:
+            return False
+        except OSError:
+            return True
+        return True
+
+    async def close(self) -> None:
+        """Close at once; a replica stops the work of a closed connection."""
+        sender, self._sender = self._sender, None
+        if sender is not None and not sender.terminated:
+            await sender.cancel()
+        await self._sock.close()
+
+
+class ReplicaPool:
+    """Idle connections by address."""
+
+    def __init__(self, codec: GatewayCodec, clock: Callable[[], float]) -> None:
+        self._codec = codec
+        self._clock = clock
+        self._idle: dict[tuple[str, int], list[ReplicaConnection]] = {}
+        self.opened = 0
+        """Connections opened since the start."""
+
+    async def acquire(self, address: tuple[str, int]) -> ReplicaConnection:
+        """Return an idle connection or a new one; raise ReplicaError when none can be had."""
+        idle = self._idle.get(address, [])
+        while idle:
+            connection = idle.pop()
+            if self._clock() < connection.usable_until and not connection.has_unread():
+                return connection
+            await connection.close()
+        return await self._open(address)
+
+    async def _open(self, address: tuple[str, int]) -> ReplicaConnection:
+        try:
+            async with curio.timeout_after(CONNECT_TIMEOUT_S):
+                sock = await curio.open_connection(*address)
+        except (OSError, curio.TaskTimeout) as error:
+            raise ReplicaError(f"no connection: {error!r}", False, "unreachable") from error
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        self.opened += 1
+        return ReplicaConnection(sock, address, self._codec)
+
+    async def release(self, connection: ReplicaConnection, keep_alive_s: float | None) -> None:
+        """Take back a connection whose answer was read to its end."""
+        reusable = await connection.finish(keep_alive_s, self._clock())
+        idle = self._idle.setdefault(connection.address, [])
+        if reusable and len(idle) < MAX_IDLE_PER_REPLICA:
+            idle.append(connection)
+        else:
+            await connection.close()
+
+    async def release_unused(self, connection: ReplicaConnection) -> None:
+        """Take back a connection on which nothing was sent since it was acquired."""
+        self._idle.setdefault(connection.address, []).append(connection)
+
+    async def close_expired(self) -> None:
+        """Close connections that were idle for too long."""
+        now = self._clock()
+        for address, idle in list(self._idle.items()):
+            kept = [one for one in idle if now < one.usable_until and not one.has_unread()]
+            expired = [one for one in idle if one not in kept]
+            self._idle[address] = kept
+            for connection in expired:
+                await connection.close()
+            if not self._idle[address]:
+                del self._idle[address]
--- /dev/null
+++ b/src/cloverwalk/gateway/replicas.py
@@ -0,0 +1,110 @@
+"""The replicas that may be sent to, and those that failed lately."""
+
+from msgspec import Struct
+
+FIRST_SUSPICION_S = 0.5
+LONGEST_SUSPICION_S = 3.0
+
+
+class Replica(Struct, frozen=True):
+    """One running instance behind a service."""
+
+    replica_id: str
+    service: str
+    host: str
+    port: int
+    zone: str
+    slots: int
+    is_draining: bool
+    version: int
+    """Version of the entry in the store."""
+
+
+class _Suspicion(Struct):
+    until: float
+    pause_s: float
+
+
+class ReplicaDirectory:
+    """The known replicas by id; the newest version of an entry wins."""
+
+    def __init__(self) -> None:
+        self._replicas: dict[str, Replica] = {}
+        self._removed: dict[str, int] = {}
+        self._suspicions: dict[str, _Suspicion] = {}
+        self.version = 0
+        """Newest version of the store that the directory reflects."""
+
+        self.confirmed_at = float("-inf")
+        """When the directory was last known to reflect the store (steady clock, seconds)."""
+
+    def all(self) -> list[Replica]:
+        """Return every known replica, sorted by id."""
+        return [self._replicas[key] for key in sorted(self._replicas)]
+
+    def find(self, replica_id: str) -> Replica | None:
+        """Return a replica that may still be sent to, or None."""
+        replica = self._replicas.get(replica_id)
+        return None if replica is None or replica.is_draining else replica
+
+    def usable(self, service: str) -> list[Replica]:
+        """Return the replicas of a service that take new work."""
+        return [one for one in self.all() if one.service == service and not one.is_draining]
+
+    def put(self, replica: Replica) -> bool:
+        """Take a newer entry; return whether what may be sent there changed."""
+        known = self._replicas.get(replica.replica_id)
+        if known is not None and known.version >= replica.version:
+            return False
+        if self._removed.get(replica.replica_id, -1) >= replica.version:
+            return False
+        self._replicas[replica.replica_id] = replica
+        if known is None:
+            return True
+        return known.is_draining != replica.is_draining or known.host != replica.host
+
+    def remove(self, replica_id: str, version: int) -> bool:
+        """Forget a replica unless a newer entry of it is known; return whether it was there."""
+        known = self._replicas.get(replica_id)
+        if known is not None and known.version > version:
+            return False
+        self._removed[replica_id] = max(version, self._removed.get(replica_id, 0))
+        self._suspicions.pop(replica_id, None)
+        return self._replicas.pop(replica_id, None) is not None
+
+    def replace(self, replicas: list[Replica], version: int) -> list[str]:
+        """Take a whole list as of ``version``; return the ids that it removed.
+
+        >>> directory = ReplicaDirectory()
+        >>> one = Replica("r1", "s", "127.0.0.1", 80, "z", 8, False, version=5)
+        >>> directory.replace([one], version=6)
+        []
+        >>> directory.replace([], version=4), directory.replace([], version=7)
+        ([], ['r1'])
+        """
+        listed = {one.replica_id for one in replicas}
+        for replica in replicas:
+            self.put(replica)
+        missing = [key for key in sorted(self._replicas) if key not in listed]
+        removed = [key for key in missing if self.remove(key, version)]
+        self.version = max(self.version, version)
+        return removed
+
+    def suspect(self, replica_id: str, now: float) -> None:
+        """Avoid a replica for a while, longer each time it fails again."""
+        known = self._suspicions.get(replica_id)
+        pause_s = FIRST_SUSPICION_S
+        if known is not None:
+            if now < known.until:
+                return
+            pause_s = min(LONGEST_SUSPICION_S, 2 * known.pause_s)
+        self._suspicions[replica_id] = _Suspicion(now + pause_s, pause_s)
+
+    def clear_suspicion(self, replica_id: str) -> None:
+        """A replica answered: it is as good as any other again."""
+        self._suspicions.pop(replica_id, None)
+
+    def is_suspect(self, replica_id: str, now: float) -> bool:
+        """Whether a replica failed lately."""
+        known = self._suspicions.get(replica_id)
+        return known is not None and now < known.until
--- /dev/null
+++ b/src/cloverwalk/gateway/selection.py
@@ -0,0 +1,107 @@
+"""Which replica a request goes to. A pure policy: figures in, a choice out.
+
+The cost of a replica is the time that the request is expected to wait and to be read there,
+plus a charge for bytes that cross zones. Requests that share a prompt meet at the same
+replicas, since every node ranks the replicas of a zone by the same hash.
+"""
+
+from collections.abc import Sequence
+
+from msgspec import Struct
+
+from cloverwalk.core.hashing import rendezvous_rank
+from cloverwalk.gateway.replicas import Replica
+
+SUSPECT_COST_MS = 10_000.0
+FULL_COST_MS = 60.0
+"""Expected wait for each request that is already there beyond the slots."""
+
+LOAD_COST_MS = 30.0
+"""Cost of a full replica over an empty one, below its slots."""
+
+READ_TOKENS_PER_MS = 50.0
+OTHER_ZONE_MS = 15.0
+OTHER_ZONE_MS_PER_KB = 4.0
+
+
+class Candidate(Struct, frozen=True):
+    """A replica that could take a request, with what is known of its load."""
+
+    replica: Replica
+    in_flight: int
+    is_suspect: bool
+
+
+class Demand(Struct, frozen=True):
+    """What a request asks for."""
+
+    zone: str
+    size_bytes: int
+    shared_part: str = ""
+    """Id of the longest part of its prompt that others share."""
+
+    shared_tokens: int = 0
+
+
+def choose(candidates: Sequence[Candidate], demand: Demand) -> Candidate | None:
+    """Return the cheapest candidate, or None when there are none.
+
+    >>> near = Replica("r1", "s", "h", 1, "z1", 4, False, 1)
+    >>> far = Replica("r2", "s", "h", 2, "z2", 4, False, 1)
+    >>> demand = Demand("z1", 1000)
+    >>> choose([Candidate(near, 1, False), Candidate(far, 0, False)], demand).replica.zone
+    'z1'
+    >>> choose([Candidate(near, 9, False), Candidate(far, 0, False)], demand).replica.zone
+    'z2'
+    """
+    if not candidates:
+        return None
+    homes = _home_by_zone(candidates, demand)
+    return min(candidates, key=lambda one: (_cost_ms(one, demand, homes), one.replica.replica_id))
+
+
+def _home_by_zone(candidates: Sequence[Candidate], demand: Demand) -> set[str]:
+    if not demand.shared_part:
+        return set()
+    zones: dict[str, list[str]] = {}
+    for one in candidates:
+        zones.setdefault(one.replica.zone, []).append(one.replica.replica_id)
+    return {rendezvous_rank(demand.shared_part, ids)[0] for ids in zones.values()}
+
+
+def _cost_ms(candidate: Candidate, demand: Demand, homes: set[str]) -> float:
+    replica = candidate.replica
+    cost = SUSPECT_COST_MS if candidate.is_suspect else 0.0
+    cost += LOAD_COST_MS * candidate.in_flight / max(1, replica.slots)
+    cost += FULL_COST_MS * max(0, candidate.in_flight + 1 - replica.slots)
+    if homes and replica.replica_id not in homes:
+        cost += demand.shared_tokens / READ_TOKENS_PER_MS
+    if replica.zone != demand.zone:
+        cost += OTHER_ZONE_MS + OTHER_ZONE_MS_PER_KB * demand.size_bytes / 1024
+    return cost
+
+
+class WeightedRotation:
+    """Deals requests to the parts of a route so that each keeps its share closely.
+
+    >>> rotation = WeightedRotation()
+    >>> [rotation.next("r", (("a", 75.0), ("b", 25.0))) for _ in range(4)]
+    ['a', 'b', 'a', 'a']
+    """
+
+    def __init__(self) -> None:
+        self._credits: dict[str, dict[str, float]] = {}
+
+    def next(self, route: str, parts: Sequence[tuple[str, float]]) -> str:
+        """Return the service whose turn it is."""
+        weights: dict[str, float] = {}
+        for service, weight in parts:
+            weights[service] = weights.get(service, 0.0) + weight
+        credits = self._credits.setdefault(route, {})
+        for service in [one for one in credits if one not in weights]:
+            del credits[service]
+        for service, weight in weights.items():
+            credits[service] = credits.get(service, 0.0) + weight
+        chosen = max(weights, key=lambda one: (credits[one], one))
+        credits[chosen] -= sum(weights.values())
+        return chosen
--- /dev/null
+++ b/src/cloverwalk/gateway/server.py
@@ -0,0 +1,249 @@
+"""The HTTP server for clients: whole requests in, answers out, everything bounded.
+
+While a request is served its connection is watched: when the client goes, the serving task is
+cancelled, and with it the work at the replica.
+"""
+
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+import curio
+import h11
+from curio import socket
+
+from cloverwalk.gateway.configuration import ClientLimits
+from cloverwalk.gateway.errors import ClientGoneError, GatewayError
+from cloverwalk.gateway.messages import ClientRequest, GatewayCodec, RawHeaders
+from cloverwalk.gateway.reply import Reply
+
+READ_BYTES = 65536
+BACKLOG = 1024
+LINGER_S = 0.5
+BODY_TIMEOUT_S = 10.0
+SEND_STALL_S = 5.0
+MAX_PIPELINED_BYTES = 262_144
+CONNECTION_RESERVE = 64
+"""Descriptors kept for replicas, the store and files, beyond those of clients."""
+
+OnRequest = Callable[[ClientRequest, Reply], Awaitable[None]]
+
+
+class _ConnectionEnded(Exception):
+    """The client closed where a request could begin, or sent what is not one."""
+
+
+class ClientConnection:
+    """One client's connection."""
+
+    def __init__(self, sock: Any, server: "GatewayServer") -> None:
+        self._sock = sock
+        self._server = server
+        self._http = h11.Connection(h11.SERVER, max_incomplete_event_size=1 << 20)
+        self.is_serving = False
+        self.is_idle = True
+
+    # --- reading ---
+
+    async def _receive(self) -> None:
+        data = await self._sock.recv(READ_BYTES)
+        self._http.receive_data(data)
+
+    async def _next_event(self) -> Any:
+        while (event := self._http.next_event()) is h11.NEED_DATA:
+            if self._http.they_are_waiting_for_100_continue:
+                go_on = h11.InformationalResponse(status_code=100, headers=[])
+                await self._sock.sendall(self._http.send(go_on))
+            await self._receive()
+        return event
+
+    async def _read_head(self) -> h11.Request:
+        limits = self._server.limits()
+        if not self._http.trailing_data[0]:
+            self.is_idle = True
+            async with curio.timeout_after(limits.idle_timeout_s):
+                await self._receive()
+        self.is_idle = False
+        async with curio.timeout_after(limits.header_timeout_s):
+            event = await self._next_event()
+        if not isinstance(event, h11.Request):
+            raise _ConnectionEnded
+        size = len(event.target) + sum(len(n) + len(v) + 4 for n, v in event.headers)
+        if size > limits.max_header_bytes:
+            raise GatewayError(431, "headers_too_large", f"over {limits.max_header_bytes} bytes")
+        return event
+
+    async def _read_body(self, head: h11.Request) -> bytes:
+        limit = self._server.limits().max_body_bytes
+        too_large = GatewayError(413, "body_too_large", f"over {limit} bytes")
+        for name, value in head.headers:
+            if name == b"content-length" and int(value) > limit:
+                raise too_large
+        parts: list[bytes] = []
+        size = 0
+        async with curio.timeout_after(BODY_TIMEOUT_S):
+            while not isinstance(event := await self._next_event(), h11.EndOfMessage):
+                if not isinstance(event, h11.Data):
+                    raise _ConnectionEnded
+                size += len(event.data)
+                if size > limit:
+                    raise too_large
+                parts.append(bytes(event.data))
+        return b"".join(parts)
+
+    async def _read_request(self) -> ClientRequest:
+        head = await self._read_head()
+        received_at = self._server.clock()
+        body = await self._read_body(head)
+        headers: RawHeaders = head.headers.raw_items()
+        host = next((value for name, value in head.headers if name == b"host"), b"")
+        return ClientRequest(
+            head.method.decode("ascii"),
+            head.target.decode("latin-1"),
+            headers,
+            body,
+            host.decode("latin-1"),
+            self._server.codec.request_fields(headers),
+            received_at,
+        )
+
+    # --- life ---
+
+    async def serve(self) -> None:
+        """Serve requests until the connection ends."""
+        try:
+            while await self._serve_one():
+                self._http.start_next_cycle()
+        except (_ConnectionEnded, ClientGoneError, OSError):
+            pass
+        except h11.RemoteProtocolError as error:
+            await self._refuse(GatewayError(error.error_status_hint, "invalid_http", str(error)))
+        except GatewayError as error:
+            await self._refuse(error)
+        finally:
+            await self._sock.close()
+
+    async def _serve_one(self) -> bool:
+        try:
+            request = await self._read_request()
+        except curio.TaskTimeout:
+            if not self.is_idle:
+                await self._refuse(GatewayError(408, "request_timeout", "not whole in time"))
+            return False
+        reply = Reply(self._sock, self._http, self._server.is_stopping)
+        self.is_serving = True
+        self._server.serving_count += 1
+        try:
+            await self._serve_watched(request, reply)
+        finally:
+            self.is_serving = False
+            self._server.serving_count -= 1
+        if not reply.is_finished:
+            return False
+        return self._http.our_state is h11.DONE and self._http.their_state is h11.DONE
+
+    async def _serve_watched(self, request: ClientRequest, reply: Reply) -> None:
+        task = await curio.spawn(self._server.on_request, request, reply)
+        watcher = await curio.spawn(self._watch, task)
+        try:
+            await task.wait()
+        finally:
+            await task.cancel()
+            await watcher.cancel()
+        if task.exception is not None and not isinstance(task.exception, curio.TaskCancelled):
+            raise task.exception
+
+    async def _watch(self, task: Any) -> None:
+        """Cancel the serving task when the client goes away."""
+        pipelined = 0
+        while pipelined < MAX_PIPELINED_BYTES:
+            try:
+                data = await self._sock.recv(READ_BYTES)
+            except OSError:
+                data = b""
+            if not data:
+                await task.cancel(blocking=False)
+                return
+            pipelined += len(data)
+            self._http.receive_data(data)
+
+    async def _refuse(self, error: GatewayError) -> None:
+        """Answer a request that could not be read, then close."""
+        if self._http.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
+            return
+        self._server.on_refused(error)
+        reply = Reply(self._sock, self._http, closes_after=True)
+        headers = self._server.codec.own_headers("", error.retry_after_s)
+        try:
+            async with curio.timeout_after(LINGER_S):
+                await reply.respond(error.status, headers, str(error).encode())
+                await self._linger()
+        except (ClientGoneError, OSError, curio.TaskTimeout, h11.LocalProtocolError):
+            return
+
+    async def _linger(self) -> None:
+        # Closing with unread input resets the connection, and the answer would be lost.
+        await self._sock.shutdown(socket.SHUT_WR)
+        while await self._sock.recv(READ_BYTES):
+            pass
+
+    async def close_if_idle(self) -> None:
+        """Close a connection that waits for its next request."""
+        if self.is_idle and not self.is_serving:
+            await self._sock.shutdown(socket.SHUT_RDWR)
+
+
+class GatewayServer:
+    """Accepts clients on one address."""
+
+    def __init__(
+        self,
+        address: tuple[str, int],
+        codec: GatewayCodec,
+        limits: Callable[[], ClientLimits],
+        on_request: OnRequest,
+        on_refused: Callable[[GatewayError], None],
+        clock: Callable[[], float],
+        max_connections: int,
+    ) -> None:
+        self.codec = codec
+        self.limits = limits
+        self.on_request = on_request
+        self.on_refused = on_refused
+        self.clock = clock
+        self.is_stopping = False
+        self.serving_count = 0
+        self._max_connections = max_connections
+        self._connections: set[ClientConnection] = set()
+        self._sock = curio.tcp_server_socket(*address, backlog=BACKLOG)
+
+    @property
+    def connection_count(self) -> int:
+        """Open connections of clients."""
+        return len(self._connections)
+
+    async def serve(self) -> None:
+        """Accept until cancelled."""
+        async with self._sock:
+            while True:
+                client, _ = await self._sock.accept()
+                if len(self._connections) >= self._max_connections:
+                    await client.close()
+                    continue
+                client.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+                await curio.spawn(self._serve_client, client, daemon=True)
+
+    async def _serve_client(self, client: Any) -> None:
+        connection = ClientConnection(client, self)
+        self._connections.add(connection)
+        try:
+            await connection.serve()
+        finally:
+            self._connections.discard(connection)
+
+    async def close_idle(self) -> None:
+        """Close every connection that waits for its next request."""
+        for connection in list(self._connections):
+            try:
+                await connection.close_if_idle()
+            except OSError:
+                continue
--- /dev/null
+++ b/src/cloverwalk/jobs/intake.py
@@ -0,0 +1,238 @@
+"""Taking a job: everything that an acceptance promises is in the store before it is told."""
+
+from collections.abc import Awaitable, Callable
+
+from msgspec import Struct
+
+from cloverwalk.core import catalogue
+from cloverwalk.fleet.follower import TableFollower
+from cloverwalk.gateway.configuration import Route
+from cloverwalk.jobs.commit import Committer
+from cloverwalk.jobs.errors import JobError
+from cloverwalk.jobs.quota import admit, waiting_tokens
+from cloverwalk.jobs.records import (
+    JobItem,
+    JobRecord,
+    QuotaRow,
+    decode_quota,
+    decode_record,
+    encode,
+    job_key,
+    payload_puts,
+    quota_key,
+)
+from cloverwalk.jobs.run import JobRun
+from cloverwalk.jobs.view import JobView
+from cloverwalk.store.types import (
+    CommitOutcome,
+    CommitStatus,
+    Expectation,
+    Put,
+    Row,
+    Store,
+    StoreError,
+    Transaction,
+)
+from cloverwalk.telemetry.log import ServingLog
+
+VIEW_FRESH_S = 2.0
+QUOTA_RETRY_AFTER_S = 0.7
+STORE_RETRY_AFTER_S = 0.3
+MAX_CONFLICTS = 40
+MAX_PAYLOAD_ROWS = 12
+"""Rows of items that go into one transaction."""
+
+OnTaken = Callable[[JobRun], Awaitable[None]]
+
+
+class Submission(Struct):
+    """A job as a client hands it in."""
+
+    job_id: str
+    host: str
+    path: str
+    items: list[JobItem]
+
+
+class JobIntake:
+    """Takes jobs into the store."""
+
+    def __init__(
+        self,
+        owner: str,
+        store: Store,
+        committer: Committer,
+        view: JobView,
+        follower: TableFollower,
+        store_now_ms: Callable[[], float],
+        clock: Callable[[], float],
+        log: ServingLog,
+        on_taken: OnTaken,
+    ) -> None:
+        self._owner = owner
+        self._store = store
+        self._committer = committer
+        self._view = view
+        self._follower = follower
+        self._store_now_ms = store_now_ms
+        self._clock = clock
+        self._log = log
+        self._on_taken = on_taken
+        self._quotas: dict[str, tuple[QuotaRow, int]] = {}
+
+    async def submit(self, submission: Submission, route: Route, until: float) -> None:
+        """Take a job, or find that it was taken; raise JobError otherwise."""
+        if self._view.find(submission.job_id) is not None:
+            self._note(submission, "known")
+            return
+        for _ in range(MAX_CONFLICTS):
+            record = self._new_record(submission, route)
+            payload = payload_puts(record.job_id, submission.items)
+            record.payload_rows = len(payload)
+            payload = await self._put_ahead(submission, payload, until)
+            transaction = await self._transaction(record, payload, route)
+            outcome = await self._committer.settle(transaction, until)
+            if outcome.status is CommitStatus.COMMITTED:
+                await self._took(submission, record, outcome, route, transaction)
+                return
+            if outcome.status is not CommitStatus.CONFLICT:
+                raise self._unsettled(submission, outcome)
+            existing = outcome.conflict(job_key(submission.job_id))
+            if existing is not None:
+                await self._found(submission, existing)
+                return
+            # Whatever was sent before can't take effect any more: its expectations are void.
+            self._learn_quota(route, outcome)
+        raise JobError(503, "quota_contended", "too many jobs at once", STORE_RETRY_AFTER_S)
+
+    # --- steps ---
+
+    def _new_record(self, submission: Submission, route: Route) -> JobRecord:
+        now_ms = self._store_now_ms()
+        tokens = sum(item.tokens for item in submission.items)
+        return JobRecord(
+            submission.job_id,
+            submission.host,
+            submission.path,
+            now_ms,
+            now_ms + route.completion_target_s * 1000,
+            now_ms + route.retention_s * 1000,
+            route.max_attempts,
+            len(submission.items),
+            tokens,
+            0,
+            self._owner,
+            waiting_tokens=tokens,
+        )
+
+    async def _put_ahead(
+        self, submission: Submission, payload: list[Put], until: float
+    ) -> list[Put]:
+        """Write what does not fit beside the record; nothing refers to it before the record."""
+        while len(payload) > MAX_PAYLOAD_ROWS:
+            ahead, payload = payload[:MAX_PAYLOAD_ROWS], payload[MAX_PAYLOAD_ROWS:]
+            outcome = await self._committer.settle(Transaction(puts=ahead), until)
+            if outcome.status is not CommitStatus.COMMITTED:
+                raise self._unsettled(submission, CommitOutcome(CommitStatus.NOT_DONE))
+        return payload
+
+    async def _transaction(
+        self, record: JobRecord, payload: list[Put], route: Route
+    ) -> Transaction:
+        key = job_key(record.job_id)
+        expectations = [Expectation(key, 0)]
+        puts = [Put(key, encode(record)), *payload]
+        if route.max_queued_tokens > 0:
+            quota, version = await self._quota(route)
+            self._check_quota(quota, record, route)
+            fresh = self._follower.is_fresh(self._clock(), VIEW_FRESH_S)
+            admitted = admit(
+                quota, self._view, record.job_id, record.tokens, record.accepted_ms, fresh
+            )
+            expectations.append(Expectation(quota_key(route.name), version))
+            puts.append(Put(quota_key(route.name), encode(admitted)))
+        return Transaction(expectations, puts)
+
+    async def _quota(self, route: Route) -> tuple[QuotaRow, int]:
+        known = self._quotas.get(route.name)
+        if known is not None:
+            return known
+        key = quota_key(route.name)
+        try:
+            page = await self._store.read(key.table, key.part, key.key, key.key + "\x01", 1)
+        except StoreError as error:
+            raise JobError(503, error.code, str(error), STORE_RETRY_AFTER_S) from error
+        row = page.rows[0] if page.rows else Row(key, None, 0)
+        self._quotas[route.name] = (decode_quota(row.value), row.version)
+        return self._quotas[route.name]
+
+    def _check_quota(self, quota: QuotaRow, record: JobRecord, route: Route) -> None:
+        others = QuotaRow({key: one for key, one in quota.jobs.items() if key != record.job_id})
+        waiting = waiting_tokens(others, self._view)
+        if waiting + record.tokens <= route.max_queued_tokens:
+            return
+        self._log.write(
+            catalogue.JOB_REFUSED,
+            request=record.job_id,
+            code="quota",
+            waiting=waiting,
+            tokens=record.tokens,
+            limit=route.max_queued_tokens,
+        )
+        message = f"{waiting} tokens wait, {route.max_queued_tokens} may"
+        raise JobError(429, "quota", message, QUOTA_RETRY_AFTER_S)
+
+    def _learn_quota(self, route: Route, outcome: CommitOutcome) -> None:
+        key = quota_key(route.name)
+        row = outcome.conflict(key)
+        if row is None:
+            self._quotas[route.name] = (QuotaRow(), 0)
+            return
+        self._quotas[route.name] = (decode_quota(row.value), row.version)
+
+    # --- outcomes ---
+
+    async def _took(
+        self,
+        submission: Submission,
+        record: JobRecord,
+        outcome: CommitOutcome,
+        route: Route,
+        transaction: Transaction,
+    ) -> None:
+        key = quota_key(route.name)
+        for put in transaction.puts:
+            if put.row_key == key:
+                self._quotas[route.name] = (decode_quota(put.value), outcome.version)
+        await self._view.put(record, outcome.version)
+        self._note(submission, "taken")
+        await self._on_taken(JobRun(record, outcome.version, submission.items))
+
+    async def _found(self, submission: Submission, row: Row) -> None:
+        assert row.value is not None
+        record = decode_record(row.value)
+        await self._view.put(record, row.version)
+        self._note(submission, "found")
+        if record.owner == self._owner and record.is_open:
+            # The answer to an own transaction was lost.
+            await self._on_taken(JobRun(record, row.version, submission.items))
+
+    def _unsettled(self, submission: Submission, outcome: CommitOutcome) -> JobError:
+        is_unknown = outcome.status is CommitStatus.UNKNOWN
+        self._log.write(
+            catalogue.JOB_REFUSED,
+            request=submission.job_id,
+            code="store_unsure" if is_unknown else "store_unavailable",
+        )
+        if is_unknown:
+            return JobError(504, "store_unsure", "the store did not answer in time")
+        message = "the store takes no writes now"
+        return JobError(503, "store_unavailable", message, STORE_RETRY_AFTER_S)
+
+    def _note(self, submission: Submission, outcome: str) -> None:
+        self._log.write(
+            catalogue.JOB_TAKEN,
+            request=submission.job_id,
+            outcome=outcome,
+            items=len(submission.items),
+        )
--- /dev/null
+++ b/src/cloverwalk/jobs/item_call.py
@@ -0,0 +1,111 @@
+"""One run of an item at a replica."""
+
+from collections.abc import Callable
+
+import curio
+from msgspec import Struct
+
+from cloverwalk.gateway.errors import ReplicaError
+from cloverwalk.gateway.event_stream import EventSplitter
+from cloverwalk.gateway.messages import ClientRequest, GatewayCodec, RequestFields
+from cloverwalk.gateway.replica_connection import ReplicaConnection, ReplicaPool
+from cloverwalk.gateway.replicas import Replica, ReplicaDirectory
+from cloverwalk.jobs.run import ItemRun, JobRun
+
+ANSWER_SILENCE_S = 3.0
+EVENT_SILENCE_S = 1.5
+UNPROCESSABLE = 422
+INTERNAL_ERROR = 500
+
+
+class ItemFailedError(Exception):
+    """The replica ran the item and it failed by its own fault."""
+
+
+class ItemImpossibleError(Exception):
+    """The replica says that the item can never be done."""
+
+
+class ItemCaller(Struct):
+    """What a run of an item needs."""
+
+    codec: GatewayCodec
+    pool: ReplicaPool
+    directory: ReplicaDirectory
+    clock: Callable[[], float]
+    on_first_event: Callable[[], None]
+
+    async def run(self, job: JobRun, one: ItemRun, replica: Replica) -> None:
+        """Run an item to its end; events are added to the run as they come.
+
+        Raises ReplicaError when the run broke off, ItemFailedError or ItemImpossibleError.
+        """
+        connection = await self.pool.acquire((replica.host, replica.port))
+        is_kept = False
+        try:
+            if self.directory.find(replica.replica_id) is None:
+                raise ReplicaError("the replica began to leave", False, "draining")
+            keep_alive_s = await self._exchange(job, one, replica, connection)
+            is_kept = True
+            await self.pool.release(connection, keep_alive_s)
+        finally:
+            if not is_kept:
+                await connection.close()
+
+    async def _exchange(
+        self, job: JobRun, one: ItemRun, replica: Replica, connection: ReplicaConnection
+    ) -> float | None:
+        request = self._request(job, one)
+        headers = self.codec.headers_to_replica(
+            request, replica.replica_id, None, one.last_event_id
+        )
+        try:
+            async with curio.timeout_after(ANSWER_SILENCE_S):
+                await connection.send("POST", one.item.path, headers, one.item.body)
+                head = await connection.read_head(one.item.item_id)
+        except OSError as error:
+            raise ReplicaError(f"sending failed: {error!r}", True, "reset") from error
+        except curio.TaskTimeout as error:
+            raise ReplicaError("no answer in time", True, "silent") from error
+        if head.fields.was_not_run:
+            raise ReplicaError(f"the replica answered {head.status}", False, "not_run")
+        if head.status == UNPROCESSABLE and head.fields.is_signed:
+            raise ItemImpossibleError
+        if head.status == INTERNAL_ERROR and head.fields.is_signed:
+            raise ItemFailedError
+        if head.status != 200 or not head.fields.is_signed:
+            raise ReplicaError(f"the replica answered {head.status}", True, "unusable")
+        await self._take_events(job, one, connection)
+        return head.fields.keep_alive_s
+
+    def _request(self, job: JobRun, one: ItemRun) -> ClientRequest:
+        headers = [(name.encode(), value.encode()) for name, value in one.item.headers]
+        names = {name.lower() for name, _ in headers}
+        if b"host" not in names:
+            headers.insert(0, (b"Host", job.record.host.encode()))
+        fields = RequestFields(one.item.item_id)
+        return ClientRequest(
+            "POST", one.item.path, headers, one.item.body, job.record.host, fields, self.clock()
+        )
+
+    async def _take_events(self, job: JobRun, one: ItemRun, connection: ReplicaConnection) -> None:
+        splitter = EventSplitter()
+        while (data := await self._next_data(connection)) is not None:
+            try:
+                events = splitter.feed(data)
+            except ValueError as error:
+                raise ReplicaError(str(error), True, "invalid_stream") from error
+            for event in events:
+                if not job.take_event(one, event.event_id, event.data):
+                    raise ReplicaError("an event is missing", True, "invalid_stream")
+            if events:
+                self.on_first_event()
+        if splitter.rest:
+            raise ReplicaError("the stream ended within an event", True, "answer_cut")
+
+    async def _next_data(self, connection: ReplicaConnection) -> bytes | None:
+        try:
+            async with curio.timeout_after(EVENT_SILENCE_S):
+                return await connection.read_body()
+        except curio.TaskTimeout as error:
+            raise ReplicaError("the stream fell silent", True, "silent") from error
--- /dev/null
+++ b/src/cloverwalk/jobs/reader.py
@@ -0,0 +1,155 @@
+"""Reading jobs at any node: the record says how far, the results come from memory or the store."""
+
+from collections.abc import Callable
+
+from msgspec import Struct
+
+from cloverwalk.fleet.follower import TableFollower
+from cloverwalk.jobs.errors import JobError
+from cloverwalk.jobs.records import (
+    PAYLOAD_TABLE,
+    RESULT_TABLE,
+    ItemResult,
+    JobItem,
+    JobRecord,
+    decode_items,
+    decode_record,
+    decode_result,
+    job_key,
+    join_pieces,
+    keys_end,
+    part_of,
+    result_start,
+)
+from cloverwalk.jobs.result_cache import ResultCache
+from cloverwalk.jobs.view import JobView
+from cloverwalk.store.types import RowPage, Store, StoreError
+
+MAX_RESULT_BYTES = 700_000
+MAX_RESULTS = 100
+FRESH_S = 1.6
+"""A record confirmed within this time is taken as current."""
+
+SURE_AFTER_S = 6.0
+"""After a loss of history, an absent row is believed only this much later."""
+
+RETRY_AFTER_S = 0.3
+
+
+class ResultPage(Struct):
+    """Results from a position on."""
+
+    total: int
+    next_position: int
+    results: list[ItemResult]
+
+
+class JobReader:
+    """Answers reads."""
+
+    def __init__(
+        self,
+        store: Store,
+        view: JobView,
+        follower: TableFollower,
+        cache: ResultCache,
+        clock: Callable[[], float],
+    ) -> None:
+        self._store = store
+        self._view = view
+        self._follower = follower
+        self._cache = cache
+        self._clock = clock
+
+    async def read(self, job_id: str, position: int, wait_s: float) -> ResultPage:
+        """Return results from ``position`` on; wait for one up to ``wait_s`` seconds."""
+        record = await self.find(job_id)
+        if position >= record.listed and record.is_open and wait_s > 0:
+            await self._view.wait_for_change(job_id, wait_s)
+            record = await self.find(job_id)
+        if position >= record.listed:
+            record = await self._sure(record)
+        results = await self._results(record, position)
+        return ResultPage(record.total, position + len(results), results)
+
+    async def find(self, job_id: str) -> JobRecord:
+        """Return a job's record; raise JobError 404 only when the store surely has none."""
+        known = self._view.find(job_id)
+        if known is not None:
+            return known.record
+        record = await self._read_record(job_id)
+        if record is not None:
+            return record
+        now = self._clock()
+        is_sure = self._follower.is_synced and self._follower.is_fresh(now, FRESH_S)
+        if not is_sure or now - self._follower.history_lost_at < SURE_AFTER_S:
+            raise JobError(503, "not_sure", "the store was not in touch", RETRY_AFTER_S)
+        raise JobError(404, "no_such_job", "no such job")
+
+    async def _sure(self, record: JobRecord) -> JobRecord:
+        if self._follower.is_fresh(self._clock(), FRESH_S):
+            return record
+        return await self._read_record(record.job_id) or record
+
+    async def _read_record(self, job_id: str) -> JobRecord | None:
+        key = job_key(job_id)
+        page = await self._page(key.table, key.part, key.key, key.key + "\x01")
+        for row in page.rows:
+            if row.row_key.key == job_id and row.value is not None:
+                await self._view.put(decode_record(row.value), row.version)
+                return decode_record(row.value)
+        return None
+
+    async def _page(self, table: str, part: str, start: str, end: str) -> RowPage:
+        try:
+            return await self._store.read(table, part, start, end)
+        except StoreError as error:
+            raise JobError(503, error.code, str(error), RETRY_AFTER_S) from error
+
+    async def _results(self, record: JobRecord, position: int) -> list[ItemResult]:
+        wanted = min(record.listed, position + MAX_RESULTS)
+        results: list[ItemResult] = []
+        size = 0
+        at = position
+        while at < wanted and size < MAX_RESULT_BYTES:
+            result = self._cache.get(record.job_id, at)
+            if result is None:
+                if not await self._load(record, at, wanted):
+                    break
+                continue
+            results.append(result)
+            size += len(result.text)
+            at += 1
+        if not results and position < record.listed:
+            raise JobError(503, "result_not_read", "the result could not be read", RETRY_AFTER_S)
+        return results
+
+    async def _load(self, record: JobRecord, position: int, end: int) -> bool:
+        """Bring results into the cache; return whether ``position`` is there now."""
+        job_id = record.job_id
+        page = await self._page(
+            RESULT_TABLE, part_of(job_id), result_start(job_id, position), result_start(job_id, end)
+        )
+        pieces = [(row.row_key.key, row.value) for row in page.rows if row.value is not None]
+        names = join_pieces(pieces)
+        if page.has_more and names:
+            # The last position may not be whole in this page.
+            names.pop(max(names))
+        for name, value in names.items():
+            self._cache.put(job_id, int(name), decode_result(value))
+        return f"{position:06d}" in names
+
+    async def items(self, record: JobRecord) -> list[JobItem]:
+        """Return a job's items from the store."""
+        job_id = record.job_id
+        rows: list[tuple[str, bytes]] = []
+        start = f"{job_id}/p"
+        while True:
+            page = await self._page(PAYLOAD_TABLE, part_of(job_id), start, keys_end(job_id))
+            rows += [(row.row_key.key, row.value) for row in page.rows if row.value is not None]
+            if not page.has_more or not page.rows:
+                break
+            start = page.rows[-1].row_key.key + "\x01"
+        if len(rows) < record.payload_rows:
+            raise JobError(503, "payload_not_read", "the items could not be read", RETRY_AFTER_S)
+        return decode_items(join_pieces(rows)["p"])
--- /dev/null
+++ b/src/cloverwalk/jobs/records.py
@@ -0,0 +1,199 @@
+"""What the store holds of a job, and how rows are named.
+
+A job's record is one row that its owner changes under its version: a write that the owner makes
+after somebody else changed the record fails. So owners may overlap, and positions still have one
+writer.
+"""
+
+from enum import Enum
+
+import msgspec
+import xxhash
+from msgspec import Struct
+
+from cloverwalk.store.types import Put, RowKey
+
+JOB_TABLE = "job"
+PAYLOAD_TABLE = "payload"
+RESULT_TABLE = "result"
+PARTIAL_TABLE = "partial"
+QUOTA_TABLE = "quota"
+PART_COUNT = 16
+"""Jobs are spread over this many parts of each table."""
+
+ROW_BYTES = 48_000
+"""Largest value that is put into one row."""
+
+MAX_ITEMS = 200
+
+
+class ItemState(Enum):
+    """How an item ended."""
+
+    SUCCEEDED = "succeeded"
+    DEAD = "dead"
+
+
+class JobItem(Struct):
+    """One item as it was handed in."""
+
+    item_id: str
+    path: str
+    headers: list[tuple[str, str]]
+    body: bytes
+    tokens: int
+
+
+class ItemResult(Struct):
+    """A listed result."""
+
+    item_id: str
+    state: ItemState
+    text: str
+
+
+class PartialOutput(Struct):
+    """Output of an item that was handed over before its end."""
+
+    index: int
+    last_event_id: int
+    texts: list[str]
+    failures: int
+
+
+class JobRecord(Struct):
+    """A job's row. Times are in ms of the store's clock."""
+
+    job_id: str
+    host: str
+    path: str
+    accepted_ms: float
+    due_ms: float
+    give_up_ms: float
+    max_attempts: int
+    total: int
+    tokens: int
+    payload_rows: int
+    owner: str
+    epoch: int = 1
+    listed: int = 0
+    """Number of positions that hold a result."""
+
+    waiting_tokens: int = 0
+    """Tokens of the items that are not listed."""
+
+    is_ended: bool = False
+
+    @property
+    def is_open(self) -> bool:
+        """Whether items may still run."""
+        return not self.is_ended and self.listed < self.total
+
+
+class QuotaRow(Struct):
+    """Jobs of a route that were admitted and may not be done: tokens and time by job id."""
+
+    jobs: dict[str, tuple[int, float]] = {}
+
+
+_record_decoder = msgspec.json.Decoder(JobRecord)
+_items_decoder = msgspec.json.Decoder(list[JobItem])
+_result_decoder = msgspec.json.Decoder(ItemResult)
+_partial_decoder = msgspec.json.Decoder(PartialOutput)
+_quota_decoder = msgspec.json.Decoder(QuotaRow)
+encode = msgspec.json.encode
+
+
+def part_of(job_id: str) -> str:
+    """Return the part in which all rows of a job lie.
+
+    >>> part_of("job-1") == part_of("job-1")
+    True
+    """
+    return f"{xxhash.xxh64_intdigest(job_id.encode()) % PART_COUNT:02x}"
+
+
+def job_key(job_id: str) -> RowKey:
+    """Return the key of a job's record."""
+    return RowKey(JOB_TABLE, part_of(job_id), job_id)
+
+
+def quota_key(route_name: str) -> RowKey:
+    """Return the key of a route's quota."""
+    return RowKey(QUOTA_TABLE, "", route_name)
+
+
+def result_start(job_id: str, position: int) -> str:
+    """Return the first key of a position's rows.
+
+    >>> result_start("j", 12)
+    'j/000012'
+    """
+    return f"{job_id}/{position:06d}"
+
+
+def keys_end(job_id: str) -> str:
+    """Return a key behind all rows of a job."""
+    return f"{job_id}/~"
+
+
+def payload_puts(job_id: str, items: list[JobItem]) -> list[Put]:
+    """Return the rows that hold a job's items."""
+    return _pieces(PAYLOAD_TABLE, job_id, "p", encode(items))
+
+
+def result_puts(job_id: str, position: int, result: ItemResult) -> list[Put]:
+    """Return the rows that hold one result."""
+    return _pieces(RESULT_TABLE, job_id, f"{position:06d}", encode(result))
+
+
+def partial_puts(job_id: str, partial: PartialOutput) -> list[Put]:
+    """Return the rows that hold the output of an unfinished item."""
+    return _pieces(PARTIAL_TABLE, job_id, f"{partial.index:06d}", encode(partial))
+
+
+def _pieces(table: str, job_id: str, name: str, data: bytes) -> list[Put]:
+    part = part_of(job_id)
+    starts = range(0, max(1, len(data)), ROW_BYTES)
+    return [
+        Put(RowKey(table, part, f"{job_id}/{name}.{number:03d}"), data[at : at + ROW_BYTES])
+        for number, at in enumerate(starts)
+    ]
+
+
+def join_pieces(rows: list[tuple[str, bytes]]) -> dict[str, bytes]:
+    """Return the data by name of rows that ``_pieces`` made.
+
+    >>> join_pieces([("j/000001.000", b"a"), ("j/000001.001", b"b"), ("j/000002.000", b"c")])
+    {'000001': b'ab', '000002': b'c'}
+    """
+    joined: dict[str, bytes] = {}
+    for key, value in rows:
+        name = key.rpartition("/")[2].partition(".")[0]
+        joined[name] = joined.get(name, b"") + value
+    return joined
+
+
+def decode_record(value: bytes) -> JobRecord:
+    """Return a job's record."""
+    return _record_decoder.decode(value)
+
+
+def decode_items(value: bytes) -> list[JobItem]:
+    """Return a job's items."""
+    return _items_decoder.decode(value)
+
+
+def decode_result(value: bytes) -> ItemResult:
+    """Return a result."""
+    return _result_decoder.decode(value)
+
+
+def decode_partial(value: bytes) -> PartialOutput:
+    """Return the output of an unfinished item."""
+    return _partial_decoder.decode(value)
+
+
+def decode_quota(value: bytes | None) -> QuotaRow:
+    """Return a route's quota row; a missing row is empty."""
+    return QuotaRow() if value is None else _quota_decoder.decode(value)
--- /dev/null
+++ b/src/cloverwalk/jobs/run.py
@@ -0,0 +1,191 @@
+"""The items of one job at its owner, as a state machine without I/O.
+
+pending > running > finished (not listed yet) > listed. A run that breaks off goes back to
+pending with what it has put out, and goes on behind its last event.
+"""
+
+from enum import Enum
+
+import msgspec
+from msgspec import Struct
+
+from cloverwalk.jobs.records import ItemResult, ItemState, JobItem, JobRecord, PartialOutput
+
+MAX_GROUP = 24
+MAX_GROUP_BYTES = 400_000
+MAX_UNPROCESSABLE = 1
+"""A single 'can never be done' ends an item."""
+
+
+class Phase(Enum):
+    """Where an item is at its owner."""
+
+    PENDING = "pending"
+    RUNNING = "running"
+    FINISHED = "finished"
+    LISTED = "listed"
+
+
+class ItemRun(Struct):
+    """One item."""
+
+    index: int
+    item: JobItem
+    phase: Phase = Phase.PENDING
+    failures: int = 0
+    """Answers that say that the item failed."""
+
+    last_event_id: int | None = None
+    texts: list[str] = []
+    result: ItemResult | None = None
+    not_before: float = 0.0
+    replica_id: str = ""
+    suspensions: int = 0
+
+
+class JobRun:
+    """A job that this node owns."""
+
+    def __init__(self, record: JobRecord, version: int, items: list[JobItem]) -> None:
+        self.record = record
+        self.version = version
+        self.items = [ItemRun(index, item) for index, item in enumerate(items)]
+        self.is_dropped = False
+        self._by_id = {one.item.item_id: one for one in self.items}
+
+    @property
+    def job_id(self) -> str:
+        """The job's id."""
+        return self.record.job_id
+
+    def restore(self, listed_ids: set[str], partials: list[PartialOutput]) -> None:
+        """Take over what an earlier owner left."""
+        for one in self.items:
+            if one.item.item_id in listed_ids:
+                one.phase = Phase.LISTED
+        for partial in partials:
+            one = self.items[partial.index]
+            if one.phase is Phase.PENDING:
+                one.last_event_id = partial.last_event_id
+                one.texts = list(partial.texts)
+                one.failures = partial.failures
+
+    def pending(self, now: float) -> list[ItemRun]:
+        """Return the items that may start now, those with output first."""
+        if self.is_dropped or self.record.is_ended:
+            return []
+        ready = [one for one in self.items if one.phase is Phase.PENDING and one.not_before <= now]
+        return sorted(ready, key=lambda one: (not one.texts, one.index))
+
+    def begin(self, one: ItemRun, replica_id: str) -> None:
+        """An item was sent to a replica."""
+        one.phase = Phase.RUNNING
+        one.replica_id = replica_id
+
+    def take_event(self, one: ItemRun, event_id: int | None, data: str) -> bool:
+        """Add an event's data; return False when it does not follow the last one.
+
+        >>> run = JobRun(_example_record(), 1, [JobItem("a", "/", [], b"", 1)])
+        >>> [run.take_event(run.items[0], number, "x") for number in (1, 2, 2, 4)]
+        [True, True, True, False]
+        >>> run.items[0].texts
+        ['x', 'x']
+        """
+        last = one.last_event_id
+        if event_id is None:
+            return False
+        if last is not None and event_id <= last:
+            return True
+        if last is not None and event_id != last + 1:
+            return False
+        one.last_event_id = event_id
+        one.texts.append(data)
+        return True
+
+    def suspend(self, one: ItemRun, not_before: float) -> None:
+        """A run broke off or gave way; it goes on later behind its last event."""
+        one.phase = Phase.PENDING
+        one.replica_id = ""
+        one.not_before = not_before
+        one.suspensions += 1
+
+    def succeed(self, one: ItemRun) -> None:
+        """A run came to its proper end."""
+        self._finish(one, ItemState.SUCCEEDED, "\n".join(one.texts))
+
+    def fail(self, one: ItemRun, not_before: float) -> None:
+        """A run failed by its own fault."""
+        one.failures += 1
+        if one.failures >= self.record.max_attempts:
+            self.kill(one)
+        else:
+            self.suspend(one, not_before)
+
+    def kill(self, one: ItemRun) -> None:
+        """An item can never be done."""
+        self._finish(one, ItemState.DEAD, "")
+
+    def _finish(self, one: ItemRun, state: ItemState, text: str) -> None:
+        one.phase = Phase.FINISHED
+        one.replica_id = ""
+        one.texts = []
+        one.result = ItemResult(one.item.item_id, state, text)
+
+    def next_group(self) -> list[ItemRun]:
+        """Return finished items to be listed in one transaction."""
+        group: list[ItemRun] = []
+        size = 0
+        for one in self.items:
+            if one.phase is not Phase.FINISHED or one.result is None:
+                continue
+            size += len(one.result.text)
+            if group and (len(group) >= MAX_GROUP or size > MAX_GROUP_BYTES):
+                break
+            group.append(one)
+        return group
+
+    def record_after(self, group: list[ItemRun]) -> JobRecord:
+        """Return the record once ``group`` is listed."""
+        listed = {one.index for one in group}
+        waiting = sum(
+            one.item.tokens
+            for one in self.items
+            if one.phase is not Phase.LISTED and one.index not in listed
+        )
+        listed_count = self.record.listed + len(group)
+        return replace_record(self.record, listed=listed_count, waiting_tokens=waiting)
+
+    def mark_listed(self, group: list[ItemRun], record: JobRecord, version: int) -> None:
+        """The transaction of a group was committed."""
+        for one in group:
+            one.phase = Phase.LISTED
+            one.result = None
+        self.record = record
+        self.version = version
+
+    def is_done(self) -> bool:
+        """Whether every item is listed."""
+        return all(one.phase is Phase.LISTED for one in self.items)
+
+    def find(self, item_id: str) -> ItemRun | None:
+        """Return an item by its id."""
+        return self._by_id.get(item_id)
+
+    def partials(self) -> list[PartialOutput]:
+        """Return the output of unfinished items, for the next owner."""
+        return [
+            PartialOutput(one.index, one.last_event_id, one.texts, one.failures)
+            for one in self.items
+            if one.phase in (Phase.PENDING, Phase.RUNNING)
+            and one.last_event_id is not None
+            and one.texts
+        ]
+
+
+def replace_record(record: JobRecord, **changed: object) -> JobRecord:
+    """Return a copy of a record with some fields changed."""
+    return msgspec.structs.replace(record, **changed)
+
+
+def _example_record() -> JobRecord:
+    return JobRecord("j", "h", "/", 0.0, 0.0, 0.0, 3, 1, 1, 1, "n1")
--- /dev/null
+++ b/src/cloverwalk/jobs/runner.py
@@ -0,0 +1,249 @@
+"""Runs the items of this node's jobs on room that online work leaves."""
+
+from collections.abc import Callable
+from typing import Any
+
+import curio
+
+from cloverwalk.core import catalogue
+from cloverwalk.fleet.load import LoadBook
+from cloverwalk.fleet.peers import PeerNetwork
+from cloverwalk.gateway.configuration import ConfigurationHolder, Route
+from cloverwalk.gateway.errors import ReplicaError
+from cloverwalk.gateway.replicas import Replica, ReplicaDirectory
+from cloverwalk.jobs.item_call import ItemCaller, ItemFailedError, ItemImpossibleError
+from cloverwalk.jobs.run import ItemRun, JobRun, Phase
+from cloverwalk.jobs.share import batch_room
+from cloverwalk.telemetry.log import ServingLog
+from cloverwalk.telemetry.metrics import ServingMetrics
+
+TICK_S = 0.05
+RETRY_S = 0.3
+SUSPENDED_S = 0.25
+STARTS_PER_TICK = 6
+
+
+class _Running:
+    """An item at a replica."""
+
+    def __init__(self, job: JobRun, one: ItemRun, replica_id: str, started_at: float) -> None:
+        self.job = job
+        self.one = one
+        self.replica_id = replica_id
+        self.started_at = started_at
+        self.task: Any = None
+        self.gives_way = False
+
+
+class BatchRunner:
+    """Starts, suspends and ends runs of items."""
+
+    def __init__(
+        self,
+        zone: str,
+        configuration: ConfigurationHolder,
+        directory: ReplicaDirectory,
+        loads: LoadBook,
+        caller: ItemCaller,
+        peers: PeerNetwork,
+        may_start: Callable[[], bool],
+        on_finished: Callable[[JobRun], Any],
+        store_now_ms: Callable[[], float],
+        log: ServingLog,
+        metrics: ServingMetrics,
+        clock: Callable[[], float],
+    ) -> None:
+        self._zone = zone
+        self._configuration = configuration
+        self._directory = directory
+        self._loads = loads
+        self._caller = caller
+        self._peers = peers
+        self._may_start = may_start
+        self._on_finished = on_finished
+        self._store_now_ms = store_now_ms
+        self._log = log
+        self._metrics = metrics
+        self._clock = clock
+        self.jobs: dict[str, JobRun] = {}
+        self._running: dict[tuple[str, int], _Running] = {}
+        self._wake = curio.Event()
+        self.is_stopping = False
+
+    # --- jobs ---
+
+    async def add(self, job: JobRun) -> None:
+        """Run a job that this node owns now."""
+        self.jobs[job.job_id] = job
+        await self._wake.set()
+
+    async def drop(self, job_id: str) -> None:
+        """Stop a job: it is done, ended, or owned by another node."""
+        job = self.jobs.pop(job_id, None)
+        if job is None:
+            return
+        job.is_dropped = True
+        for running in [one for one in self._running.values() if one.job is job]:
+            await running.task.cancel(blocking=False)
+
+    async def stop_all(self) -> None:
+        """Cut every run; what was put out stays in the runs."""
+        self.is_stopping = True
+        for running in list(self._running.values()):
+            await running.task.cancel()
+
+    # --- starting ---
+
+    async def run(self) -> None:
+        """Start items until cancelled."""
+        while True:
+            async with curio.ignore_after(TICK_S):
+                await self._wake.wait()
+            self._wake.clear()
+            if not self.is_stopping and self.jobs:
+                await self._start_some()
+            if self._running and not self._wake.is_set():
+                await curio.sleep(0)
+
+    async def _start_some(self) -> None:
+        self._give_up_old()
+        if not self._may_start():
+            return
+        started = 0
+        for job, one in self._queue():
+            replica = self._place(job)
+            if replica is None:
+                continue
+            await self._start(job, one, replica)
+            started += 1
+            if started >= STARTS_PER_TICK:
+                break
+        if started:
+            await self._peers.send_digest()
+
+    def _queue(self) -> list[tuple[JobRun, ItemRun]]:
+        """Pending items: those that can still be in time first, by due time."""
+        now = self._clock()
+        now_ms = self._store_now_ms()
+        waiting = [(job, one) for job in self.jobs.values() for one in job.pending(now)]
+        waiting.sort(key=lambda pair: (pair[0].record.due_ms < now_ms, pair[0].record.due_ms))
+        return waiting
+
+    def _give_up_old(self) -> None:
+        now_ms = self._store_now_ms()
+        for job in list(self.jobs.values()):
+            if now_ms <= job.record.give_up_ms:
+                continue
+            for one in job.items:
+                if one.phase is Phase.PENDING:
+                    job.kill(one)
+            self._on_finished(job)
+
+    def _route(self, job: JobRun) -> Route | None:
+        configuration = self._configuration.current
+        if configuration is None:
+            return None
+        return configuration.find_route(job.record.host, job.record.path)
+
+    def _place(self, job: JobRun) -> Replica | None:
+        route = self._route(job)
+        if route is None:
+            return None
+        now = self._clock()
+        best: Replica | None = None
+        best_rank = (0, 0)
+        for service in route.services:
+            for replica in self._directory.usable(service):
+                key = replica.replica_id
+                if self._directory.is_suspect(key, now):
+                    continue
+                in_flight = self._loads.total(key, now)
+                peak = self._loads.online_peak(key, now)
+                room = batch_room(replica.slots, in_flight, peak)
+                rank = (room, int(replica.zone == self._zone))
+                if room > 0 and (best is None or rank > best_rank):
+                    best, best_rank = replica, rank
+        return best
+
+    async def _start(self, job: JobRun, one: ItemRun, replica: Replica) -> None:
+        now = self._clock()
+        job.begin(one, replica.replica_id)
+        self._loads.begin(replica.replica_id, True, now)
+        running = _Running(job, one, replica.replica_id, now)
+        self._running[job.job_id, one.index] = running
+        self._log.write(
+            catalogue.ITEM_STARTED,
+            request=one.item.item_id,
+            job=job.job_id,
+            replica=replica.replica_id,
+            after_event=one.last_event_id,
+            configuration=self._configuration.version,
+        )
+        running.task = await curio.spawn(self._run_item, running, replica, daemon=True)
+
+    # --- one run ---
+
+    async def _run_item(self, running: _Running, replica: Replica) -> None:
+        job, one = running.job, running.one
+        outcome = "suspended"
+        try:
+            await self._caller.run(job, one, replica)
+            job.succeed(one)
+            outcome = "succeeded"
+        except ItemImpossibleError:
+            job.kill(one)
+            outcome = "impossible"
+        except ItemFailedError:
+            job.fail(one, self._clock() + RETRY_S)
+            outcome = "failed"
+        except ReplicaError as error:
+            outcome = error.code
+            if error.code in ("reset", "unreachable", "silent"):
+                self._directory.suspect(replica.replica_id, self._clock())
+        finally:
+            self._end_run(running, outcome)
+        await self._wake.set()
+
+    def _end_run(self, running: _Running, outcome: str) -> None:
+        job, one = running.job, running.one
+        self._loads.end(running.replica_id, True)
+        self._running.pop((job.job_id, one.index), None)
+        if one.phase is Phase.RUNNING:
+            pause_s = SUSPENDED_S if outcome == "suspended" else RETRY_S
+            job.suspend(one, self._clock() + pause_s)
+        self._metrics.item_ended(outcome)
+        self._log.write(
+            catalogue.ITEM_RUN_ENDED,
+            request=one.item.item_id,
+            job=job.job_id,
+            replica=running.replica_id,
+            outcome=outcome,
+            failures=one.failures,
+            last_event=one.last_event_id,
+            ran_ms=round((self._clock() - running.started_at) * 1000),
+        )
+        if one.phase is Phase.FINISHED:
+            self._on_finished(job)
+
+    # --- giving way ---
+
+    async def make_room(self, replica: Replica) -> None:
+        """Online work needs a slot of a full replica: suspend an item there, here or at a peer."""
+        if await self.suspend_some(replica.replica_id, 1):
+            return
+        now = self._clock()
+        peer = self._loads.heaviest_batch_peer(replica.replica_id, now)
+        if peer is not None:
+            await self._peers.ask_for_slots(peer, replica.replica_id, 1)
+
+    async def suspend_some(self, replica_id: str, count: int) -> int:
+        """Suspend items at a replica, latest first; return how many gave way."""
+        there = [one for one in self._running.values() if one.replica_id == replica_id]
+        there = [one for one in there if not one.gives_way and one.task is not None]
+        there.sort(key=lambda one: -one.started_at)
+        chosen = there[:count]
+        for running in chosen:
+            running.gives_way = True
+        for running in chosen:
+            await running.task.cancel()
+        return len(chosen)
--- /dev/null
+++ b/src/cloverwalk/jobs/service.py
@@ -0,0 +1,102 @@
+"""The batch side of a node: hand in, read, end. Read ``JobService`` first."""
+
+from collections.abc import Callable
+
+from cloverwalk.core import catalogue
+from cloverwalk.gateway.configuration import Route
+from cloverwalk.jobs.commit import Committer
+from cloverwalk.jobs.errors import JobError
+from cloverwalk.jobs.intake import JobIntake, Submission
+from cloverwalk.jobs.reader import JobReader, ResultPage
+from cloverwalk.jobs.records import JobRecord, decode_record, encode, job_key
+from cloverwalk.jobs.run import replace_record
+from cloverwalk.jobs.runner import BatchRunner
+from cloverwalk.jobs.view import JobView
+from cloverwalk.store.types import (
+    CommitStatus,
+    Expectation,
+    Put,
+    Transaction,
+)
+from cloverwalk.telemetry.log import ServingLog
+
+SUBMIT_S = 3.2
+"""A hand-in is settled or given up within this time; callers wait a little longer."""
+
+END_S = 3.2
+MAX_END_CONFLICTS = 20
+
+
+class JobService:
+    """Calls on jobs. Every method raises JobError for an answer that is not a success."""
+
+    def __init__(
+        self,
+        intake: JobIntake,
+        reader: JobReader,
+        runner: BatchRunner,
+        view: JobView,
+        committer: Committer,
+        log: ServingLog,
+        clock: Callable[[], float],
+    ) -> None:
+        self._intake = intake
+        self._reader = reader
+        self._runner = runner
+        self._view = view
+        self._committer = committer
+        self._log = log
+        self._clock = clock
+
+    async def submit(self, submission: Submission, route: Route, deadline_s: float | None) -> None:
+        """Take a job; returns once the store holds it."""
+        allowed_s = SUBMIT_S if deadline_s is None else min(SUBMIT_S, 0.8 * deadline_s)
+        await self._intake.submit(submission, route, self._clock() + allowed_s)
+
+    async def read(self, job_id: str, position: int, wait_s: float) -> ResultPage:
+        """Return results from a position on."""
+        return await self._reader.read(job_id, position, wait_s)
+
+    async def item_body(self, job_id: str, item_id: str) -> bytes:
+        """Return the body of an item that is not listed."""
+        job = self._runner.jobs.get(job_id)
+        if job is not None:
+            one = job.find(item_id)
+            if one is not None:
+                return one.item.body
+            raise JobError(404, "no_such_item", "no such item")
+        record = await self._reader.find(job_id)
+        for item in await self._reader.items(record):
+            if item.item_id == item_id:
+                return item.body
+        raise JobError(404, "no_such_item", "no such item")
+
+    async def end(self, job_id: str) -> None:
+        """End a job: none of its items starts any more."""
+        until = self._clock() + END_S
+        record = await self._reader.find(job_id)
+        known = self._view.find(job_id)
+        version = 0 if known is None else known.version
+        for _ in range(MAX_END_CONFLICTS):
+            if not record.is_open:
+                await self._runner.drop(job_id)
+                return
+            ended = replace_record(record, is_ended=True)
+            key = job_key(job_id)
+            transaction = Transaction([Expectation(key, version)], [Put(key, encode(ended))])
+            outcome = await self._committer.settle(transaction, until)
+            if outcome.status is CommitStatus.COMMITTED:
+                await self._ended(ended, outcome.version)
+                return
+            row = outcome.conflict(key)
+            if outcome.status is not CommitStatus.CONFLICT:
+                raise JobError(504, "store_unsure", "the store did not answer in time")
+            if row is None or row.value is None:
+                raise JobError(404, "no_such_job", "no such job")
+            record, version = decode_record(row.value), row.version
+        raise JobError(503, "job_contended", "the job changes too fast", 0.2)
+
+    async def _ended(self, record: JobRecord, version: int) -> None:
+        self._log.write(catalogue.JOB_ENDED, request=record.job_id, listed=record.listed)
+        await self._view.put(record, version)
+        await self._runner.drop(record.job_id)
--- /dev/null
+++ b/src/cloverwalk/jobs/view.py
@@ -0,0 +1,72 @@
+"""This node's copy of all job records, and waiting for a change of one."""
+
+import curio
+from msgspec import Struct
+
+from cloverwalk.jobs.records import JOB_TABLE, JobRecord, decode_record
+from cloverwalk.store.types import Row, RowPage
+
+
+class KnownJob(Struct):
+    """A record with the version of its row."""
+
+    record: JobRecord
+    version: int
+
+
+class JobView:
+    """Records by job id. Older versions never replace newer ones."""
+
+    def __init__(self) -> None:
+        self._jobs: dict[str, KnownJob] = {}
+        self._removed: dict[str, int] = {}
+        self._waiters: dict[str, list[curio.Event]] = {}
+        self.changed: list[str] = []
+        """Jobs whose records changed since the owner of the view last took this list."""
+
+    def find(self, job_id: str) -> KnownJob | None:
+        """Return what is known of a job."""
+        return self._jobs.get(job_id)
+
+    def all(self) -> list[KnownJob]:
+        """Return every known job, sorted by id."""
+        return [self._jobs[key] for key in sorted(self._jobs)]
+
+    async def take(self, page: RowPage) -> None:
+        """Take rows of the job table."""
+        for row in page.rows:
+            if row.row_key.table != JOB_TABLE:
+                continue
+            await self.take_row(row)
+
+    async def take_row(self, row: Row) -> None:
+        """Take one row, or the news that it was removed."""
+        job_id = row.row_key.key
+        if row.value is None:
+            known = self._jobs.get(job_id)
+            if known is not None and known.version < row.version:
+                del self._jobs[job_id]
+            return
+        await self.put(decode_record(row.value), row.version)
+
+    async def put(self, record: JobRecord, version: int) -> None:
+        """Take a record if it is newer, and wake those that wait for it."""
+        known = self._jobs.get(record.job_id)
+        if known is not None and known.version >= version:
+            return
+        self._jobs[record.job_id] = KnownJob(record, version)
+        self.changed.append(record.job_id)
+        for event in self._waiters.pop(record.job_id, []):
+            await event.set()
+
+    async def wait_for_change(self, job_id: str, timeout_s: float) -> None:
+        """Return when the record changes, or after ``timeout_s``."""
+        event = curio.Event()
+        self._waiters.setdefault(job_id, []).append(event)
+        async with curio.ignore_after(timeout_s):
+            await event.wait()
+        waiters = self._waiters.get(job_id, [])
+        if event in waiters:
+            waiters.remove(event)
+        if not waiters:
+            self._waiters.pop(job_id, None)
--- a/src/cloverwalk/node/daemon.py
+++ b/src/cloverwalk/node/daemon.py
@@ -18,7 +18,7 @@
 from cloverwalk.node.logs import EventLog
 from cloverwalk.node.node import Node
 from cloverwalk.peer.transport import PeerTransport
-from cloverwalk.platform.client import PlatformClient
+from cloverwalk.tableservice.client import PlatformClient
 
 LOAD_POLL_S = 0.25
 HELLO_EVERY_S = 1.0
--- a/src/cloverwalk/platform/__init__.py
+++ b/src/cloverwalk/platform/__init__.py
@@ -1,1 +1,1 @@
-"""The adapter to the platform: its table service, object store and machine list over HTTP."""
+"""The adapter to the users' platform: the only place that knows its names. It decides nothing."""
--- /dev/null
+++ b/src/cloverwalk/platform/adapter.py
@@ -0,0 +1,57 @@
+"""All parts of the adapter in one object."""
+
+from cloverwalk.gateway.configuration import Configuration
+from cloverwalk.gateway.messages import GatewayCodec, RawHeaders
+from cloverwalk.gateway.replicas import Replica
+from cloverwalk.jobs.reader import ResultPage
+from cloverwalk.jobs.records import JobItem
+from cloverwalk.platform import documents, names
+from cloverwalk.platform.codec import PlatformCodec
+from cloverwalk.platform.settings import load_settings
+from cloverwalk.platform.store_client import PlatformStore
+from cloverwalk.serving.settings import ServingSettings
+from cloverwalk.store.types import Store
+
+
+class PlatformAdapter:
+    """Translates between the product and the users' platform."""
+
+    configuration_table = names.OPERATOR_TABLE
+    configuration_key = names.CONFIGURATION_KEY
+    replica_table = names.REPLICA_TABLE
+
+    def __init__(self) -> None:
+        self.codec: GatewayCodec = PlatformCodec()
+
+    def load_settings(self) -> ServingSettings:
+        """Return the settings in force."""
+        return load_settings()
+
+    def store(self, settings: ServingSettings) -> Store:
+        """Return the store."""
+        return PlatformStore(settings.store_address)
+
+    def configuration(self, raw: bytes) -> Configuration:
+        """Return a stored configuration."""
+        return documents.decode_configuration(raw)
+
+    def replica(self, replica_id: str, raw: bytes, version: int) -> Replica:
+        """Return a stored replica entry."""
+        return documents.decode_replica(replica_id, raw, version)
+
+    def is_ready_call(self, target: str) -> bool:
+        """Whether a request at the ready address asks for readiness."""
+        return target.partition("?")[0] == names.READY_PATH
+
+    def job_items(self, body: bytes) -> list[JobItem]:
+        """Return the items of a job's body."""
+        return documents.decode_job(body)
+
+    def result_page(self, page: ResultPage) -> bytes:
+        """Return the body of an answer with results."""
+        return documents.encode_results(page)
+
+    @property
+    def json_headers(self) -> RawHeaders:
+        """Headers of an answer with such a body."""
+        return [(b"Content-Type", b"application/json")]
--- /dev/null
+++ b/src/cloverwalk/platform/codec.py
@@ -0,0 +1,170 @@
+"""Headers and calls of the platform, read into and written from the gateway's messages."""
+
+from urllib.parse import parse_qs, unquote, urlsplit
+
+from cloverwalk.gateway.errors import GatewayError
+from cloverwalk.gateway.messages import (
+    AnswerFields,
+    ClientRequest,
+    EndJob,
+    JobCall,
+    PromptPart,
+    RawHeaders,
+    ReadItem,
+    ReadJob,
+    ReplicaLoad,
+    RequestFields,
+)
+from cloverwalk.platform import names
+
+CONNECTION_HEADERS = frozenset(
+    {
+        b"connection",
+        b"keep-alive",
+        b"proxy-connection",
+        b"te",
+        b"trailer",
+        b"transfer-encoding",
+        b"upgrade",
+        b"expect",
+        b"content-length",
+    }
+)
+SET_ON_THE_WAY = frozenset(
+    {names.DEADLINE_MS.lower(), names.EXPECT_INSTANCE.lower(), names.LAST_EVENT_ID.lower()}
+)
+
+
+def _find(headers: RawHeaders, name: bytes) -> str | None:
+    wanted = name.lower()
+    for key, value in headers:
+        if key.lower() == wanted:
+            return value.decode("latin-1").strip()
+    return None
+
+
+def _number(headers: RawHeaders, name: bytes) -> float | None:
+    text = _find(headers, name)
+    if text is None:
+        return None
+    try:
+        return float(text)
+    except ValueError:
+        raise GatewayError(400, "header_invalid", f"{name.decode()} is not a number") from None
+
+
+def _prompt(text: str | None) -> tuple[PromptPart, ...]:
+    parts: list[PromptPart] = []
+    for entry in (text or "").split(","):
+        part_id, _, tokens = entry.partition(":")
+        if part_id and tokens.strip().isdecimal():
+            parts.append(PromptPart(part_id.strip(), int(tokens)))
+    return tuple(parts)
+
+
+def _load(text: str | None) -> ReplicaLoad | None:
+    figures = (text or "").split(",")
+    if len(figures) != 3 or not all(one.strip().isdecimal() for one in figures):
+        return None
+    running, waiting, slots = (int(one) for one in figures)
+    return ReplicaLoad(running, waiting, slots)
+
+
+def _without_connection_headers(headers: RawHeaders) -> RawHeaders:
+    dropped = set(CONNECTION_HEADERS)
+    for name, value in headers:
+        if name.lower() == b"connection":
+            dropped.update(token.strip().lower() for token in value.split(b","))
+    return [(name, value) for name, value in headers if name.lower() not in dropped]
+
+
+class PlatformCodec:
+    """The gateway's codec for this platform."""
+
+    def request_fields(self, headers: RawHeaders) -> RequestFields:
+        """Return what a client's headers say."""
+        deadline_ms = _number(headers, names.DEADLINE_MS)
+        last_event = _number(headers, names.LAST_EVENT_ID)
+        wait_ms = _number(headers, names.WAIT_MS)
+        return RequestFields(
+            _find(headers, names.REQUEST_ID) or "",
+            None if deadline_ms is None else deadline_ms / 1000,
+            None if last_event is None else int(last_event),
+            _prompt(_find(headers, names.PREFIX_HASH)),
+            wait_s=0.0 if wait_ms is None else wait_ms / 1000,
+        )
+
+    def answer_fields(self, headers: RawHeaders) -> AnswerFields:
+        """Return what a replica's headers say."""
+        return AnswerFields(
+            _find(headers, names.REQUEST_ID),
+            _find(headers, names.SIGNATURE) is not None,
+            _find(headers, names.NOT_EXECUTED) is not None,
+            _load(_find(headers, names.SERVER_LOAD)),
+            _keep_alive_s(headers),
+        )
+
+    def headers_to_replica(
+        self,
+        request: ClientRequest,
+        replica_id: str,
+        remaining_s: float | None,
+        last_event_id: int | None,
+    ) -> RawHeaders:
+        """Return the headers with which a request goes to a replica, without its length."""
+        kept = [
+            (name, value)
+            for name, value in _without_connection_headers(request.headers)
+            if name.lower() not in SET_ON_THE_WAY
+        ]
+        if _find(kept, names.REQUEST_ID) is None:
+            kept.append((names.REQUEST_ID, request.fields.request_id.encode("latin-1")))
+        if remaining_s is not None:
+            remaining_ms = max(1, int(remaining_s * 1000))
+            kept.append((names.DEADLINE_MS, str(remaining_ms).encode()))
+        if last_event_id is not None:
+            kept.append((names.LAST_EVENT_ID, str(last_event_id).encode()))
+        kept.append((names.EXPECT_INSTANCE, replica_id.encode("latin-1")))
+        return kept
+
+    def headers_to_client(self, headers: RawHeaders) -> RawHeaders:
+        """Return a replica's headers without those of its connection and without its length."""
+        return _without_connection_headers(headers)
+
+    def own_headers(self, request_id: str, retry_after_s: float | None) -> RawHeaders:
+        """Return the headers of an answer that this node makes itself."""
+        headers: RawHeaders = []
+        if request_id:
+            headers.append((names.REQUEST_ID, request_id.encode("latin-1")))
+        if retry_after_s is not None:
+            headers.append((b"Retry-After", f"{retry_after_s:g}".encode()))
+        return headers
+
+    def job_call(self, method: str, target: str) -> JobCall | None:
+        """Return the call on a job that a request is, or None when it is none."""
+        url = urlsplit(target)
+        if url.path.startswith(names.JOB_PREFIX):
+            job_id = unquote(url.path[len(names.JOB_PREFIX) :])
+            if method == "DELETE":
+                return EndJob(job_id)
+            if method == "GET":
+                position = parse_qs(url.query).get("since_revision", ["0"])[0]
+                if not position.isdecimal():
+                    raise GatewayError(400, "position_invalid", "since_revision is a number")
+                return ReadJob(job_id, int(position))
+        if url.path.startswith(names.ITEM_PREFIX) and method == "GET":
+            job_id = unquote(url.path[len(names.ITEM_PREFIX) :])
+            item_id = parse_qs(url.query).get("id", [""])[0]
+            return ReadItem(job_id, item_id)
+        return None
+
+
+def _keep_alive_s(headers: RawHeaders) -> float | None:
+    text = _find(headers, b"Keep-Alive")
+    if text is None:
+        return None
+    for entry in text.split(","):
+        name, _, value = entry.strip().partition("=")
+        if name.lower() == "timeout" and value.strip().isdecimal():
+            return float(value)
+    return None
--- /dev/null
+++ b/src/cloverwalk/platform/documents.py
@@ -0,0 +1,193 @@
+"""JSON bodies of the platform: configuration, replica entries, jobs and results."""
+
+from typing import TypeVar
+
+import msgspec
+from msgspec import Struct, field
+
+from cloverwalk.gateway.configuration import (
+    ClientLimits,
+    Configuration,
+    Route,
+    RouteKind,
+    RoutePart,
+    Service,
+)
+from cloverwalk.gateway.replicas import Replica
+from cloverwalk.jobs.reader import ResultPage
+from cloverwalk.jobs.records import ItemState, JobItem
+
+Document = TypeVar("Document")
+
+DEFAULT_SLOTS = 8
+KINDS = {
+    "safe": RouteKind.SAFE,
+    "unsafe": RouteKind.UNSAFE,
+    "streaming": RouteKind.STREAM,
+    "batch": RouteKind.BATCH,
+}
+
+
+class _Part(Struct):
+    service: str
+    weight: float = 1.0
+
+
+class _Route(Struct):
+    name: str
+    host: str
+    path_prefix: str
+    route_kind: str
+    timeout_ms: float = 30_000.0
+    target_latency_ms: float = 1_000.0
+    priority: int = 0
+    service: str = ""
+    weighted_clusters: list[_Part] = []
+    max_attempts: int = 1
+    resumable: bool = False
+    gap_aim_ms: float = 1_000.0
+    completion_target_ms: float = 0.0
+    retention_s: float = 0.0
+    max_queued_tokens: int = 0
+
+
+class _Engine(Struct):
+    slots: int = DEFAULT_SLOTS
+    kv_cache_tokens: int = 0
+
+
+class _Service(Struct):
+    name: str
+    max_connections: int = 0
+    engine: _Engine = field(default_factory=_Engine)
+
+
+class _Limits(Struct):
+    max_header_bytes: int = 16_384
+    max_body_bytes: int = 4_194_304
+    header_timeout_ms: float = 3_000.0
+    idle_timeout_ms: float = 15_000.0
+
+
+class _Configuration(Struct):
+    version: int
+    routes: list[_Route] = []
+    services: list[_Service] = []
+    limits: _Limits = field(default_factory=_Limits)
+
+
+class _Replica(Struct):
+    service: str
+    address: str
+    zone: str = ""
+    slots: int = DEFAULT_SLOTS
+    state: str = "ready"
+
+
+class _Item(Struct):
+    id: str
+    path: str
+    headers: dict[str, str] = {}
+    body: bytes = b""
+    tokens: int = 0
+
+
+class _Job(Struct):
+    requests: list[_Item]
+
+
+class _Result(Struct):
+    id: str
+    state: str
+    message: str
+
+
+class _Results(Struct):
+    total: int
+    results: list[_Result]
+    next_token: int
+
+
+_configuration_decoder = msgspec.json.Decoder(_Configuration)
+_replica_decoder = msgspec.json.Decoder(_Replica)
+_job_decoder = msgspec.json.Decoder(_Job)
+_STATES = {ItemState.SUCCEEDED: "succeeded", ItemState.DEAD: "dead_letter"}
+
+
+def _decode(decoder: "msgspec.json.Decoder[Document]", raw: bytes) -> Document:
+    try:
+        return decoder.decode(raw)
+    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        raise ValueError(str(error)) from error
+
+
+def decode_configuration(raw: bytes) -> Configuration:
+    """Return a configuration; raise ValueError when it is not valid."""
+    wire = _decode(_configuration_decoder, raw)
+    services = {
+        one.name: Service(
+            one.name, one.engine.slots, one.max_connections, one.engine.kv_cache_tokens
+        )
+        for one in wire.services
+    }
+    limits = ClientLimits(
+        wire.limits.max_header_bytes,
+        wire.limits.max_body_bytes,
+        wire.limits.header_timeout_ms / 1000,
+        wire.limits.idle_timeout_ms / 1000,
+    )
+    routes = tuple(_route(one) for one in wire.routes)
+    return Configuration(wire.version, routes, services, limits)
+
+
+def _route(wire: _Route) -> Route:
+    parts = tuple(RoutePart(one.service, one.weight) for one in wire.weighted_clusters)
+    if not parts:
+        parts = (RoutePart(wire.service, 1.0),)
+    return Route(
+        wire.name,
+        wire.host.lower(),
+        wire.path_prefix,
+        KINDS.get(wire.route_kind, RouteKind.UNSAFE),
+        parts,
+        wire.timeout_ms / 1000,
+        wire.target_latency_ms / 1000,
+        wire.max_attempts,
+        wire.priority,
+        wire.resumable,
+        wire.gap_aim_ms / 1000,
+        wire.completion_target_ms / 1000,
+        wire.retention_s,
+        wire.max_queued_tokens,
+    )
+
+
+def decode_replica(replica_id: str, raw: bytes, version: int) -> Replica:
+    """Return a replica's entry; raise ValueError when it is not valid."""
+    wire = _decode(_replica_decoder, raw)
+    host, _, port = wire.address.rpartition(":")
+    return Replica(
+        replica_id,
+        wire.service,
+        host,
+        int(port),
+        wire.zone,
+        max(1, wire.slots),
+        wire.state != "ready",
+        version,
+    )
+
+
+def decode_job(body: bytes) -> list[JobItem]:
+    """Return the items of a job; raise ValueError when it is not valid."""
+    wire = _decode(_job_decoder, body)
+    return [
+        JobItem(one.id, one.path, list(one.headers.items()), one.body, one.tokens)
+        for one in wire.requests
+    ]
+
+
+def encode_results(page: ResultPage) -> bytes:
+    """Return the body of an answer with results."""
+    results = [_Result(one.item_id, _STATES[one.state], one.text) for one in page.results]
+    return msgspec.json.encode(_Results(page.total, results, page.next_position))
--- /dev/null
+++ b/src/cloverwalk/platform/settings.py
@@ -0,0 +1,77 @@
+"""The platform's settings file, read into the product's settings."""
+
+import os
+from pathlib import Path
+
+import msgspec
+from msgspec import Struct, field
+
+from cloverwalk.platform import names
+from cloverwalk.serving.settings import ServingSettings
+
+
+class PlatformSettingsError(ValueError):
+    """The settings file can't be used; the message names the field."""
+
+
+class _Listen(Struct):
+    front: str
+    ready: str
+    control: str = ""
+
+
+class _Limits(Struct):
+    max_fds: int = 1024
+
+
+class _Bounds(Struct):
+    grace_s: float = 8.0
+    status_s: float = 120.0
+
+
+class _Platform(Struct):
+    address: str
+
+
+class _File(Struct):
+    node: str
+    ip: str
+    zone: str
+    listen: _Listen
+    platform: _Platform
+    ephemeral_ports: tuple[int, int]
+    seeds: list[str] = []
+    limits: _Limits = field(default_factory=_Limits)
+    bounds: _Bounds = field(default_factory=_Bounds)
+
+
+def _address(text: str, name: str) -> tuple[str, int]:
+    host, _, port = text.rpartition(":")
+    if not host or not port.isdecimal():
+        raise PlatformSettingsError(f"{name}: {text!r} is not HOST:PORT")
+    return host, int(port)
+
+
+def load_settings(path: Path | None = None) -> ServingSettings:
+    """Return the settings in force; raise PlatformSettingsError in one line."""
+    chosen = path or Path(os.environ.get(names.SETTINGS_VARIABLE, names.SETTINGS_PATH))
+    try:
+        file = msgspec.toml.decode(chosen.read_bytes(), type=_File)
+    except OSError as error:
+        raise PlatformSettingsError(f"{chosen}: {error.strerror}") from error
+    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        raise PlatformSettingsError(f"{chosen}: {error}") from error
+    first_port, last_port = file.ephemeral_ports
+    return ServingSettings(
+        file.node,
+        file.zone,
+        _address(file.listen.front, "listen.front"),
+        _address(file.listen.ready, "listen.ready"),
+        (file.ip, first_port),
+        (file.ip, last_port),
+        tuple(seed.rpartition(":")[0] for seed in file.seeds),
+        file.platform.address,
+        file.bounds.grace_s,
+        file.limits.max_fds,
+        file.bounds.status_s,
+    )
--- /dev/null
+++ b/src/cloverwalk/platform/store_client.py
@@ -0,0 +1,206 @@
+"""The platform's metadata store behind the product's store port."""
+
+from base64 import b64decode, b64encode
+from typing import Any, TypeVar
+from urllib.parse import urlencode
+
+import msgspec
+from msgspec import Struct
+
+from cloverwalk.http.client import HttpPool, HttpResponse
+from cloverwalk.http.errors import HttpError, LostAnswerError
+from cloverwalk.platform import names
+from cloverwalk.store.types import (
+    CommitOutcome,
+    CommitStatus,
+    HistoryLostError,
+    Row,
+    RowKey,
+    RowPage,
+    StoreError,
+    Transaction,
+)
+
+READ_TIMEOUT_S = 1.2
+WAIT_MARGIN_S = 0.8
+PAGE_ROWS = 500
+JSON_HEADERS = {"Content-Type": "application/json"}
+
+Body = TypeVar("Body")
+
+
+class _WireRow(Struct):
+    table: str = ""
+    part: str = ""
+    key: str = ""
+    value: str | None = None
+    ver: int = 0
+    gone: bool = False
+
+
+class _RowsAnswer(Struct):
+    rows: list[_WireRow] = []
+    ver: int = 0
+    now_ms: float = 0.0
+    more: bool = False
+
+
+class _PartsAnswer(Struct):
+    parts: list[str] = []
+    more: bool = False
+
+
+_rows_decoder = msgspec.json.Decoder(_RowsAnswer)
+_parts_decoder = msgspec.json.Decoder(_PartsAnswer)
+
+
+class PlatformStore:
+    """Calls to the store over kept connections."""
+
+    def __init__(self, address: str) -> None:
+        self._pool = HttpPool(address)
+
+    # --- the port ---
+
+    async def commit(self, transaction: Transaction, timeout_s: float) -> CommitOutcome:
+        """Try once to commit; never raises."""
+        body = msgspec.json.encode(_wire_transaction(transaction))
+        try:
+            response = await self._call("POST", names.TRANSACTION_PATH, body, timeout_s)
+        except LostAnswerError:
+            return CommitOutcome(CommitStatus.UNKNOWN)
+        except HttpError:
+            return CommitOutcome(CommitStatus.NOT_DONE)
+        if response.status in (429, 503):
+            return CommitOutcome(CommitStatus.NOT_DONE)
+        if response.status not in (200, 412):
+            return CommitOutcome(CommitStatus.NOT_DONE)
+        try:
+            answer = _rows_decoder.decode(response.body)
+        except msgspec.DecodeError:
+            return CommitOutcome(CommitStatus.UNKNOWN)
+        if response.status == 200:
+            return CommitOutcome(CommitStatus.COMMITTED, answer.ver, answer.now_ms)
+        rows = [_row(one) for one in answer.rows]
+        return CommitOutcome(CommitStatus.CONFLICT, answer.ver, answer.now_ms, rows)
+
+    async def read(
+        self, table: str, part: str, start: str = "", end: str = "", limit: int = PAGE_ROWS
+    ) -> RowPage:
+        """Return rows with ``start`` <= key < ``end`` in order of their keys."""
+        query = {"table": table, "part": part, "limit": str(limit)}
+        if start:
+            query["from"] = start
+        if end:
+            query["target_version"] = end
+        response = await self._get(names.READ_PATH, query, READ_TIMEOUT_S)
+        return _page(response, table, part)
+
+    async def read_table(self, table: str) -> RowPage:
+        """Return the rows of all parts of a table."""
+        parts = [""] if table in names.EMPTY_PART_TABLES else await self._parts(table)
+        whole = RowPage([], 0, 0.0)
+        versions: list[int] = []
+        for part in parts or [""]:
+            await self._read_part(table, part, whole, versions)
+        # Changes after the first of the reads are asked for again.
+        whole.version = min(versions)
+        return whole
+
+    async def _read_part(self, table: str, part: str, whole: RowPage, versions: list[int]) -> None:
+        start = ""
+        while True:
+            page = await self.read(table, part, start)
+            versions.append(page.version)
+            whole.rows += page.rows
+            whole.now_ms = page.now_ms
+            if not page.has_more or not page.rows:
+                return
+            start = page.rows[-1].row_key.key + "\x01"
+
+    async def _parts(self, table: str) -> list[str]:
+        parts: list[str] = []
+        while True:
+            query = {"table": table}
+            if parts:
+                query["since_revision"] = parts[-1]
+            response = await self._get(names.PARTS_PATH, query, READ_TIMEOUT_S)
+            answer = _decode(_parts_decoder, response)
+            parts += answer.parts
+            if not answer.more or not answer.parts:
+                return parts
+
+    async def changes(self, table: str, since: int, wait_s: float) -> RowPage:
+        """Return the changes after a version; raise HistoryLostError when they are gone."""
+        query = {
+            "table": table,
+            "since_revision": str(since),
+            "wait_ms": str(int(wait_s * 1000)),
+        }
+        response = await self._get(names.FEED_PATH, query, wait_s + WAIT_MARGIN_S)
+        page = _page(response, table, None)
+        # A page without changes still tells how far the store is.
+        page.version = max(page.version, since)
+        return page
+
+    # --- calls ---
+
+    async def _get(self, path: str, query: dict[str, str], timeout_s: float) -> HttpResponse:
+        try:
+            response = await self._call("GET", f"{path}?{urlencode(query)}", b"", timeout_s)
+        except HttpError as error:
+            raise StoreError(str(error), "store_silent") from error
+        if response.status == 410:
+            raise HistoryLostError("the changes are gone")
+        if response.status != 200:
+            raise StoreError(f"the store answered {response.status}", "store_busy")
+        return response
+
+    async def _call(self, method: str, path: str, body: bytes, timeout_s: float) -> HttpResponse:
+        headers = JSON_HEADERS if body else {}
+        try:
+            return await self._pool.call(method, path, body, headers, timeout_s)
+        except HttpError:
+            # Other kept connections may be as dead as this one.
+            await self._pool.close()
+            raise
+
+
+def _decode(decoder: "msgspec.json.Decoder[Body]", response: HttpResponse) -> Body:
+    try:
+        return decoder.decode(response.body)
+    except msgspec.DecodeError as error:
+        raise StoreError(str(error), "store_answer_invalid") from error
+
+
+def _page(response: HttpResponse, table: str, part: str | None) -> RowPage:
+    answer = _decode(_rows_decoder, response)
+    rows = [_row(one, table, part) for one in answer.rows]
+    return RowPage(rows, answer.ver, answer.now_ms, answer.more)
+
+
+def _row(wire: _WireRow, table: str = "", part: str | None = None) -> Row:
+    key = RowKey(wire.table or table, wire.part or part or "", wire.key)
+    if wire.gone or wire.value is None or wire.ver == 0:
+        return Row(key, None, wire.ver)
+    return Row(key, b64decode(wire.value), wire.ver)
+
+
+def _wire_key(key: RowKey) -> dict[str, Any]:
+    return {"table": key.table, "part": key.part, "key": key.key}
+
+
+def _wire_transaction(transaction: Transaction) -> dict[str, Any]:
+    wire: dict[str, Any] = {
+        "expected_revision": [
+            {**_wire_key(one.row_key), "ver": one.version} for one in transaction.expectations
+        ],
+        "put": [
+            {**_wire_key(one.row_key), "value": b64encode(one.value).decode()}
+            for one in transaction.puts
+        ],
+        "remove": [_wire_key(one) for one in transaction.removals],
+    }
+    if transaction.spans_parts:
+        wire["across"] = True
+    return wire
--- /dev/null
+++ b/src/cloverwalk/serving/calls.py
@@ -0,0 +1,106 @@
+"""From a request to its handler: a call on a job, a hand-in, or an online request."""
+
+from cloverwalk.core import catalogue
+from cloverwalk.gateway.configuration import ConfigurationHolder, Route, RouteKind
+from cloverwalk.gateway.errors import GatewayError
+from cloverwalk.gateway.messages import ClientRequest, EndJob, JobCall, ReadItem, ReadJob
+from cloverwalk.gateway.relay import OnlineRelay
+from cloverwalk.gateway.reply import Reply
+from cloverwalk.jobs.errors import JobError
+from cloverwalk.jobs.intake import Submission
+from cloverwalk.jobs.records import MAX_ITEMS
+from cloverwalk.jobs.service import JobService
+from cloverwalk.serving.adapter import Adapter
+from cloverwalk.telemetry.log import ServingLog
+from cloverwalk.telemetry.metrics import ServingMetrics
+
+LONGEST_WAIT_S = 1.0
+
+
+class CallHandler:
+    """Handles whole requests of clients."""
+
+    def __init__(
+        self,
+        adapter: Adapter,
+        configuration: ConfigurationHolder,
+        relay: OnlineRelay,
+        jobs: JobService,
+        log: ServingLog,
+        metrics: ServingMetrics,
+    ) -> None:
+        self._adapter = adapter
+        self._codec = adapter.codec
+        self._configuration = configuration
+        self._relay = relay
+        self._jobs = jobs
+        self._log = log
+        self._metrics = metrics
+
+    async def handle(self, request: ClientRequest, reply: Reply) -> None:
+        """Serve one request to its final answer."""
+        try:
+            await self._dispatch(request, reply)
+        except (GatewayError, JobError) as error:
+            self._log.write(
+                catalogue.CALL_REFUSED,
+                request=request.fields.request_id,
+                target=request.target[:80],
+                status=error.status,
+                code=error.code,
+                configuration=self._configuration.version,
+            )
+            self._metrics.request_ended("call", error.code, 0.0)
+            headers = self._codec.own_headers(request.fields.request_id, error.retry_after_s)
+            await reply.respond(error.status, headers, f"{error.code}: {error}\n".encode())
+
+    async def _dispatch(self, request: ClientRequest, reply: Reply) -> None:
+        call = self._codec.job_call(request.method, request.target)
+        if call is not None:
+            await self._job_call(request, call, reply)
+            return
+        route = self._route(request)
+        if route.kind is RouteKind.BATCH:
+            await self._submit(request, route, reply)
+        else:
+            await self._relay.handle(request, route, reply)
+
+    def _route(self, request: ClientRequest) -> Route:
+        configuration = self._configuration.current
+        if configuration is None:
+            raise GatewayError(503, "no_configuration", "this node is starting", 1.0)
+        route = configuration.find_route(request.host, request.path)
+        if route is None:
+            raise GatewayError(404, "no_route", "no route has this host and path")
+        return route
+
+    async def _job_call(self, request: ClientRequest, call: JobCall, reply: Reply) -> None:
+        match call:
+            case ReadJob():
+                wait_s = min(LONGEST_WAIT_S, request.fields.wait_s)
+                page = await self._jobs.read(call.job_id, call.position, wait_s)
+                body = self._adapter.result_page(page)
+                await reply.respond(200, self._adapter.json_headers, body)
+            case ReadItem():
+                body = await self._jobs.item_body(call.job_id, call.item_id)
+                await reply.respond(200, self._codec.own_headers("", None), body)
+            case EndJob():
+                await self._jobs.end(call.job_id)
+                await reply.respond(200, self._adapter.json_headers, b"{}")
+
+    async def _submit(self, request: ClientRequest, route: Route, reply: Reply) -> None:
+        if request.method != "POST" or not request.fields.request_id:
+            raise GatewayError(400, "not_a_job", "a job is handed in by POST, with an id")
+        try:
+            items = self._adapter.job_items(request.body)
+        except ValueError as error:
+            raise GatewayError(400, "job_invalid", str(error)) from error
+        if not items or len(items) > MAX_ITEMS:
+            raise GatewayError(400, "job_invalid", f"a job has 1 to {MAX_ITEMS} items")
+        if len({one.item_id for one in items}) != len(items):
+            raise GatewayError(400, "job_invalid", "two items have the same id")
+        submission = Submission(request.fields.request_id, request.host, request.path, items)
+        await self._jobs.submit(submission, route, request.fields.deadline_s)
+        headers = self._adapter.json_headers
+        self._metrics.request_ended(route.name, "taken", 0.0)
+        await reply.respond(202, headers, b"{}")
--- /dev/null
+++ b/src/cloverwalk/serving/node.py
@@ -0,0 +1,491 @@
+"""One serving node as a process: what it is made of, and its life from start to stop."""
+
+import gc
+import signal
+import time
+from collections.abc import Awaitable, Callable
+from random import Random, SystemRandom
+
+import curio
+
+from cloverwalk.core import catalogue
+from cloverwalk.fleet.follower import TableFollower
+from cloverwalk.fleet.load import LoadBook
+from cloverwalk.fleet.members import (
+    MEMBER_TABLE,
+    RENEW_EVERY_S,
+    LeaseRenewal,
+    MemberBook,
+    MemberRow,
+)
+from cloverwalk.fleet.peers import PeerCodec, PeerNetwork
+from cloverwalk.gateway.configuration import ClientLimits, ConfigurationHolder
+from cloverwalk.gateway.errors import GatewayError
+from cloverwalk.gateway.messages import ClientRequest
+from cloverwalk.gateway.relay import OnlineRelay
+from cloverwalk.gateway.replica_connection import ReplicaPool
+from cloverwalk.gateway.replicas import Replica, ReplicaDirectory
+from cloverwalk.gateway.reply import Reply
+from cloverwalk.gateway.server import GatewayServer
+from cloverwalk.jobs.commit import Committer
+from cloverwalk.jobs.intake import JobIntake
+from cloverwalk.jobs.item_call import ItemCaller
+from cloverwalk.jobs.lister import ResultLister
+from cloverwalk.jobs.ownership import JobOwnership
+from cloverwalk.jobs.reader import JobReader
+from cloverwalk.jobs.records import JOB_TABLE
+from cloverwalk.jobs.result_cache import ResultCache
+from cloverwalk.jobs.run import JobRun
+from cloverwalk.jobs.runner import BatchRunner
+from cloverwalk.jobs.service import JobService
+from cloverwalk.jobs.view import JobView
+from cloverwalk.serving.adapter import Adapter
+from cloverwalk.serving.calls import CallHandler
+from cloverwalk.serving.settings import ServingSettings
+from cloverwalk.store.types import RowPage
+from cloverwalk.telemetry.log import ServingLog
+from cloverwalk.telemetry.metrics import ServingMetrics
+
+CONFIGURATION_PAUSE_S = 0.05
+REPLICAS_PAUSE_S = 0.4
+JOBS_PAUSE_S = 0.1
+MEMBERS_PAUSE_S = 0.5
+HOUSEKEEPING_S = 0.5
+LEAVE_VISIBLE_S = 2.6
+"""After an order to stop, new connections come for about this long."""
+
+STOP_MARGIN_S = 0.7
+OTHER_PEER_STORE_MS = 1500
+RESERVED_DESCRIPTORS = 800
+SIDE_CONNECTIONS = 32
+
+
+class ServingNode:
+    """Wires the parts of a node together and runs them on one loop."""
+
+    def __init__(self, adapter: Adapter, settings: ServingSettings) -> None:
+        self._adapter = adapter
+        self._settings = settings
+        self._clock: Callable[[], float] = time.monotonic
+        self._random = Random(SystemRandom().getrandbits(64))
+        incarnation = f"{settings.node}.{self._random.getrandbits(40):010x}"
+        self._log = ServingLog(settings.node, self._clock)
+        self._metrics = ServingMetrics()
+        self._stop = curio.UniversalEvent()
+        self._reload = curio.UniversalEvent()
+        self._store_clock_ms = 0.0
+        self._store_clock_at: float | None = None
+        self.is_leaving = False
+        self._build_state(incarnation)
+        self._build_fleet(incarnation)
+        self._build_jobs()
+        self._build_gateway()
+
+    # --- parts ---
+
+    def _build_state(self, incarnation: str) -> None:
+        self._incarnation = incarnation
+        self._configuration = ConfigurationHolder()
+        self._directory = ReplicaDirectory()
+        self._raw_replicas: dict[str, tuple[int, bytes]] = {}
+        self._loads = LoadBook()
+        self._view = JobView()
+        self._members = MemberBook(self._clock)
+        self._store = self._adapter.store(self._settings)
+        self._pool = ReplicaPool(self._adapter.codec, self._clock)
+
+    def _build_fleet(self, incarnation: str) -> None:
+        settings = self._settings
+        adapter = self._adapter
+        self._peers = PeerNetwork(
+            settings.node,
+            incarnation,
+            settings.zone,
+            settings.peer_address,
+            list(settings.seeds),
+            self._loads,
+            self._configuration,
+            self._directory,
+            self._raw_replicas,
+            PeerCodec(self._take_configuration, self._take_replica),
+            self._log,
+            self._clock,
+            self._on_yield,
+            self._random,
+        )
+        row = MemberRow(settings.node, incarnation, settings.peer_address[0], settings.zone, 0)
+        self._renewal = LeaseRenewal(row, self._store, self._clock)
+        self._configuration_follower = self._follower(
+            adapter.configuration_table,
+            self._on_configuration,
+            self._on_configuration,
+            CONFIGURATION_PAUSE_S,
+        )
+        self._replica_follower = self._follower(
+            adapter.replica_table, self._on_all_replicas, self._on_replicas, REPLICAS_PAUSE_S
+        )
+        self._member_follower = self._follower(
+            MEMBER_TABLE, self._on_members, self._on_members, MEMBERS_PAUSE_S
+        )
+        self._job_follower = self._follower(JOB_TABLE, self._on_jobs, self._on_jobs, JOBS_PAUSE_S)
+
+    def _follower(
+        self,
+        table: str,
+        on_whole: Callable[[RowPage], Awaitable[None]],
+        on_changes: Callable[[RowPage], Awaitable[None]],
+        pause_s: float,
+    ) -> TableFollower:
+        return TableFollower(
+            table, self._store, on_whole, on_changes, pause_s, self._log, self._clock, self._random
+        )
+
+    def _build_jobs(self) -> None:
+        cache = ResultCache()
+        committer = Committer(self._store, self._clock)
+        caller = ItemCaller(
+            self._adapter.codec, self._pool, self._directory, self._clock, lambda: None
+        )
+        self._runner = BatchRunner(
+            self._settings.zone,
+            self._configuration,
+            self._directory,
+            self._loads,
+            caller,
+            self._peers,
+            self._may_start_batch,
+            self._on_item_finished,
+            self._store_now_ms,
+            self._log,
+            self._metrics,
+            self._clock,
+        )
+        self._lister = ResultLister(
+            committer, self._view, cache, self._runner.drop, self._log, self._clock
+        )
+        reader = JobReader(self._store, self._view, self._job_follower, cache, self._clock)
+        intake = JobIntake(
+            self._incarnation,
+            self._store,
+            committer,
+            self._view,
+            self._job_follower,
+            self._store_now_ms,
+            self._clock,
+            self._log,
+            self._on_job_taken,
+        )
+        self._jobs = JobService(
+            intake, reader, self._runner, self._view, committer, self._log, self._clock
+        )
+        self._ownership = JobOwnership(
+            self._renewal,
+            self._members,
+            self._member_follower,
+            self._job_follower,
+            self._view,
+            self._runner,
+            reader,
+            self._store,
+            committer,
+            self._log,
+            self._clock,
+            self._random,
+        )
+
+    def _build_gateway(self) -> None:
+        settings = self._settings
+        relay = OnlineRelay(
+            settings.zone,
+            self._adapter.codec,
+            self._configuration,
+            self._directory,
+            self._loads,
+            self._pool,
+            self._log,
+            self._metrics,
+            self._clock,
+            self._runner.make_room,
+        )
+        calls = CallHandler(
+            self._adapter, self._configuration, relay, self._jobs, self._log, self._metrics
+        )
+        most = max(64, settings.max_descriptors - RESERVED_DESCRIPTORS)
+        self._clients = self._server(settings.client_address, calls.handle, most)
+        self._ready = self._server(settings.ready_address, self._answer_ready, SIDE_CONNECTIONS)
+        self._metrics_server: GatewayServer | None = None
+        if settings.metrics_address is not None:
+            self._metrics_server = self._server(
+                settings.metrics_address, self._answer_metrics, SIDE_CONNECTIONS
+            )
+
+    def _server(
+        self,
+        address: tuple[str, int],
+        on_request: Callable[[ClientRequest, Reply], Awaitable[None]],
+        max_connections: int,
+    ) -> GatewayServer:
+        return GatewayServer(
+            address,
+            self._adapter.codec,
+            self._limits,
+            on_request,
+            self._on_refused,
+            self._clock,
+            max_connections,
+        )
+
+    # --- life ---
+
+    async def run(self) -> None:
+        """Serve until a planned stop is complete."""
+        self._install_signals()
+        self._log.write(catalogue.SERVING_STARTED, incarnation=self._incarnation)
+        gc.freeze()
+        async with curio.TaskGroup(wait=None) as tasks:
+            for loop in self._loops():
+                await tasks.spawn(self._guarded, loop)
+            await tasks.spawn(self._reload_loop)
+            await self._stop.wait()
+            await self._leave()
+        self._log.write(catalogue.SERVING_STOPPED, serving=self._clients.serving_count)
+
+    def _loops(self) -> list[Callable[[], Awaitable[None]]]:
+        loops: list[Callable[[], Awaitable[None]]] = [
+            self._clients.serve,
+            self._ready.serve,
+            self._peers.send_loop,
+            self._peers.receive_loop,
+            self._configuration_follower.run,
+            self._replica_follower.run,
+            self._member_follower.run,
+            self._job_follower.run,
+            self._renew_loop,
+            self._runner.run,
+            self._lister.run,
+            self._ownership.run,
+            self._housekeeping,
+        ]
+        if self._metrics_server is not None:
+            loops.append(self._metrics_server.serve)
+        return loops
+
+    async def _guarded(self, loop: Callable[[], Awaitable[None]]) -> None:
+        """Start a loop again when it fails: no single fault ends the process."""
+        while True:
+            try:
+                await loop()
+            except Exception as error:
+                self._log.write(catalogue.UNEXPECTED, error=repr(error)[:300])
+            await curio.sleep(0.1)
+
+    def _install_signals(self) -> None:
+        signal.signal(signal.SIGTERM, lambda *_: self._stop.set())
+        signal.signal(signal.SIGINT, lambda *_: self._stop.set())
+        signal.signal(signal.SIGHUP, lambda *_: self._reload.set())
+
+    async def _reload_loop(self) -> None:
+        """On SIGHUP the settings are checked; addresses hold until the next start."""
+        while True:
+            await self._reload.wait()
+            self._reload.clear()
+            try:
+                settings = self._adapter.load_settings()
+            except Exception as error:
+                self._log.write(catalogue.SETTINGS_REFUSED, error=str(error)[:300])
+                continue
+            for seed in settings.seeds:
+                self._peers.add_host(seed)
+            self._log.write(catalogue.SETTINGS_RELOADED, seeds=len(settings.seeds))
+
+    async def _leave(self) -> None:
+        """Planned stop: no longer ready, hand jobs over, finish what is in hand, go."""
+        began_at = self._clock()
+        until = began_at + self._settings.grace_s - STOP_MARGIN_S
+        self._log.write(catalogue.SERVING_STOPPING, serving=self._clients.serving_count)
+        self.is_leaving = True
+        self._peers.is_leaving = True
+        self._clients.is_stopping = True
+        handing_over = await curio.spawn(self._ownership.hand_over)
+        while self._clock() < until:
+            await curio.sleep(0.1)
+            await self._clients.close_idle()
+            is_visible = self._clock() - began_at < LEAVE_VISIBLE_S
+            if not is_visible and self._clients.serving_count == 0 and handing_over.terminated:
+                break
+        await handing_over.cancel()
+
+    # --- readiness and metrics ---
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether clients should come here."""
+        return (
+            not self.is_leaving
+            and self._configuration.current is not None
+            and bool(self._directory.all())
+        )
+
+    async def _answer_ready(self, request: ClientRequest, reply: Reply) -> None:
+        is_asked = self._adapter.is_ready_call(request.target)
+        status = 404 if not is_asked else 200 if self.is_ready else 503
+        await reply.respond(status, [], b"")
+
+    async def _answer_metrics(self, request: ClientRequest, reply: Reply) -> None:
+        metrics = self._metrics
+        now = self._clock()
+        metrics.gauge("cloverwalk_configuration_version", "In force", self._configuration.version)
+        age_s = min(1e6, now - self._directory.confirmed_at)
+        metrics.gauge("cloverwalk_replica_list_age_seconds", "Since confirmed", age_s)
+        metrics.gauge("cloverwalk_log_lines_dropped", "Left out", self._log.lines_dropped)
+        metrics.gauge("cloverwalk_replica_connections_opened", "Opened", self._pool.opened)
+        metrics.gauge("cloverwalk_jobs_owned", "Jobs run here", len(self._runner.jobs))
+        metrics.gauge("cloverwalk_client_connections", "Open", self._clients.connection_count)
+        content_type = (b"Content-Type", b"text/plain; version=0.0.4")
+        await reply.respond(200, [content_type], metrics.render())
+
+    def _on_refused(self, error: GatewayError) -> None:
+        self._log.write(catalogue.CALL_REFUSED, status=error.status, code=error.code)
+
+    def _limits(self) -> ClientLimits:
+        current = self._configuration.current
+        return ClientLimits() if current is None else current.limits
+
+    # --- what the store says ---
+
+    def _note_store_clock(self, page: RowPage) -> None:
+        self._store_clock_ms = page.now_ms
+        self._store_clock_at = self._clock()
+
+    def _store_now_ms(self) -> float:
+        if self._store_clock_at is None:
+            return 0.0
+        return self._store_clock_ms + (self._clock() - self._store_clock_at) * 1000
+
+    async def _on_configuration(self, page: RowPage) -> None:
+        self._note_store_clock(page)
+        for row in page.rows:
+            if row.row_key.key == self._adapter.configuration_key and row.value is not None:
+                self._take_configuration(row.value)
+
+    def _take_configuration(self, raw: bytes) -> bool:
+        try:
+            configuration = self._adapter.configuration(raw)
+        except ValueError as error:
+            self._log.write(catalogue.CONFIGURATION_INVALID, error=str(error)[:300])
+            return False
+        if not self._configuration.offer(configuration, raw):
+            return False
+        self._log.write(
+            catalogue.CONFIGURATION_TAKEN,
+            version=configuration.version,
+            routes=len(configuration.routes),
+        )
+        return True
+
+    async def _on_all_replicas(self, page: RowPage) -> None:
+        replicas = self._decode_replicas(page)
+        for key in self._directory.replace(replicas, page.version):
+            self._forget_replica(key, page.version)
+        self._confirm_directory(page)
+
+    async def _on_replicas(self, page: RowPage) -> None:
+        for row in page.rows:
+            if row.value is None and self._directory.remove(row.row_key.key, row.version):
+                self._forget_replica(row.row_key.key, row.version)
+        for replica in self._decode_replicas(page):
+            self._put_replica(replica)
+        self._confirm_directory(page)
+
+    def _decode_replicas(self, page: RowPage) -> list[Replica]:
+        replicas: list[Replica] = []
+        for row in page.rows:
+            if row.value is None:
+                continue
+            try:
+                replica = self._adapter.replica(row.row_key.key, row.value, row.version)
+            except ValueError as error:
+                self._log.write(catalogue.REPLICA_INVALID, error=str(error)[:300])
+                continue
+            self._raw_replicas[replica.replica_id] = (row.version, row.value)
+            replicas.append(replica)
+        return replicas
+
+    def _put_replica(self, replica: Replica) -> None:
+        if not self._directory.put(replica):
+            return
+        self._log.write(
+            catalogue.REPLICA_CHANGED,
+            replica=replica.replica_id,
+            service=replica.service,
+            draining=replica.is_draining,
+            version=replica.version,
+        )
+
+    def _forget_replica(self, replica_id: str, version: int) -> None:
+        self._raw_replicas.pop(replica_id, None)
+        self._log.write(catalogue.REPLICA_REMOVED, replica=replica_id, version=version)
+
+    def _confirm_directory(self, page: RowPage) -> None:
+        self._note_store_clock(page)
+        self._directory.version = max(self._directory.version, page.version)
+        self._directory.confirmed_at = self._clock()
+
+    def _take_replica(self, replica_id: str, raw: bytes, version: int) -> None:
+        try:
+            replica = self._adapter.replica(replica_id, raw, version)
+        except ValueError:
+            return
+        self._raw_replicas[replica_id] = (version, raw)
+        self._put_replica(replica)
+
+    async def _on_members(self, page: RowPage) -> None:
+        for member in self._members.take(page):
+            self._peers.add_host(member.host)
+
+    async def _on_jobs(self, page: RowPage) -> None:
+        self._note_store_clock(page)
+        await self._view.take(page)
+
+    # --- lease and batch ---
+
+    async def _renew_loop(self) -> None:
+        had_lease = True
+        while not self.is_leaving:
+            has_lease = await self._renewal.renew() or self._renewal.is_valid()
+            if has_lease != had_lease:
+                number = catalogue.MEMBER_LEASE_BACK if has_lease else catalogue.MEMBER_LEASE_LOST
+                self._log.write(number, incarnation=self._incarnation)
+            had_lease = has_lease
+            await curio.sleep(RENEW_EVERY_S * (0.9 + 0.2 * self._random.random()))
+        while True:
+            await curio.sleep(3600)
+
+    def _may_start_batch(self) -> bool:
+        """With a lease, or while no peer reaches the store either: then nobody takes over."""
+        if self._renewal.is_valid():
+            return True
+        digests = [peer.digest for peer in self._peers.live() if peer.digest is not None]
+        return all(one.directory_age_ms > OTHER_PEER_STORE_MS for one in digests)
+
+    async def _on_job_taken(self, job: JobRun) -> None:
+        if not self.is_leaving:
+            await self._runner.add(job)
+
+    def _on_item_finished(self, job: JobRun) -> None:
+        self._lister.note(job)
+
+    async def _on_yield(self, replica_id: str, count: int) -> None:
+        await self._runner.suspend_some(replica_id, count)
+
+    async def _housekeeping(self) -> None:
+        while True:
+            await curio.sleep(HOUSEKEEPING_S)
+            await self._pool.close_expired()
+
+
+def run_node(adapter: Adapter) -> None:
+    """Run one node until it is stopped."""
+    settings = adapter.load_settings()
+    node = ServingNode(adapter, settings)
+    curio.run(node.run)
--- /dev/null
+++ b/src/cloverwalk/serving/settings.py
@@ -0,0 +1,24 @@
+"""What a serving node must know to start. An adapter reads it from its own form."""
+
+from msgspec import Struct
+
+
+class ServingSettings(Struct, frozen=True):
+    """Checked settings of one process."""
+
+    node: str
+    zone: str
+    client_address: tuple[str, int]
+    ready_address: tuple[str, int]
+    peer_address: tuple[str, int]
+    metrics_address: tuple[str, int] | None
+    seeds: tuple[str, ...]
+    """Hosts of nodes that may be up."""
+
+    store_address: str
+    grace_s: float
+    """Time between the order to stop and the end by force."""
+
+    max_descriptors: int
+    status_s: float
+    """Time for which a job can be read after it was handed in."""
--- a/src/cloverwalk/platform/client.py
+++ b/src/cloverwalk/tableservice/client.py
@@ -13,7 +13,7 @@
 from cloverwalk.core.store_types import CommitReply, CommitStatus, ObjectReply, ReadReply
 from cloverwalk.http.client import HttpPool, HttpResponse
 from cloverwalk.http.errors import HttpError, LostAnswerError
-from cloverwalk.platform.protocol import CommitAnswer, MachinesAnswer, RowsAnswer
+from cloverwalk.tableservice.protocol import CommitAnswer, MachinesAnswer, RowsAnswer
 
 Dispatch = Callable[[ev.Event], Awaitable[None]]
 Body = TypeVar("Body")
--- /dev/null
+++ b/src/cloverwalk/telemetry/__init__.py
@@ -0,0 +1,1 @@
+"""Logs and metrics of a serving node."""
--- /dev/null
+++ b/src/cloverwalk/telemetry/log.py
@@ -0,0 +1,86 @@
+"""Structured logs on standard output: numbered events, bounded in number, never blocking."""
+
+import os
+import sys
+from typing import Any
+
+import msgspec
+import structlog
+
+from cloverwalk.core.catalogue import CATALOGUE, LINES_DROPPED
+from cloverwalk.core.events import LogLevel
+from cloverwalk.core.token_bucket import TokenBucket
+
+LINES_PER_S = 60.0
+BURST_LINES = 240.0
+RESERVED_LINES = 80.0
+"""Part of the burst that only warnings and errors may use."""
+
+
+def _render(_logger: Any, _method: str, fields: Any) -> str:
+    return msgspec.json.encode(fields).decode()
+
+
+class _NonBlockingWriter:
+    """Writes whole lines to a descriptor; what a full pipe does not take is counted."""
+
+    def __init__(self, descriptor: int) -> None:
+        self._descriptor = descriptor
+        self.lost = 0
+
+    def msg(self, line: str) -> None:
+        try:
+            os.write(self._descriptor, line.encode() + b"\n")
+        except OSError:
+            self.lost += 1
+
+    info = warning = error = msg
+
+
+class ServingLog:
+    """The log of one process. Each line names the node, the time of day and its number."""
+
+    def __init__(self, node: str, clock: Any, descriptor: int | None = None) -> None:
+        if descriptor is None:
+            descriptor = sys.stdout.fileno()
+        os.set_blocking(descriptor, False)
+        self._clock = clock
+        self._writer = _NonBlockingWriter(descriptor)
+        self._log = structlog.wrap_logger(
+            self._writer,
+            processors=[_render],
+            wrapper_class=structlog.BoundLogger,
+            context_class=dict,
+            cache_logger_on_first_use=True,
+        ).bind(node=node)
+        self._budget = TokenBucket(LINES_PER_S, BURST_LINES, clock())
+        self._dropped: dict[int, int] = {}
+        self.lines_dropped = 0
+        """Lines left out since the start, by budget or by a full pipe."""
+
+    def write(self, number: int, **fields: Any) -> None:
+        """Write one event, or count it when the budget is used up."""
+        now = self._clock()
+        known = CATALOGUE[number]
+        is_problem = known.level is not LogLevel.INFO
+        needed = 1.0 if is_problem else 1.0 + RESERVED_LINES
+        if not self._budget.has(now, needed):
+            self._dropped[number] = self._dropped.get(number, 0) + 1
+            self.lines_dropped += 1
+            return
+        self._budget.take(now)
+        if self._dropped:
+            self._summarise(now)
+        self._emit(known.level.value, known.name, number, now, fields)
+
+    def _summarise(self, now: float) -> None:
+        dropped, self._dropped = self._dropped, {}
+        counts = {str(number): count for number, count in sorted(dropped.items())}
+        summary = CATALOGUE[LINES_DROPPED]
+        self._emit(summary.level.value, summary.name, LINES_DROPPED, now, {"counts": counts})
+
+    def _emit(self, level: str, name: str, number: int, now: float, fields: Any) -> None:
+        lost = self._writer.lost
+        write = getattr(self._log, level)
+        write(name, number=number, level=level, t=round(now, 4), **fields)
+        self.lines_dropped += self._writer.lost - lost
