Batch work takes what online work leaves now, and gives way at once

Change: room is slots less two less the online work of the last second; an online request that would take the last free slot suspends an item, here or at a peer. Items that can still be in time go first. Ruled out: fewer starts by a missing lease or by suspicion of replicas (logs).

--- a/src/cloverwalk/fleet/load.py
+++ b/src/cloverwalk/fleet/load.py
@@ -3,8 +3,8 @@
 from msgspec import Struct
 
 PEER_LOAD_VALID_S = 1.5
-PEAK_BUCKET_S = 1.0
-PEAK_BUCKETS = 8
+PEAK_BUCKET_S = 0.25
+PEAK_BUCKETS = 4
 
 
 class InFlight(Struct):
--- a/src/cloverwalk/gateway/relay.py
+++ b/src/cloverwalk/gateway/relay.py
@@ -147,7 +147,7 @@
         candidates = [
             Candidate(
                 one,
-                self._loads.total(one.replica_id, now).total,
+                self._loads.total(one.replica_id, now),
                 self._directory.is_suspect(one.replica_id, now),
             )
             for one in usable
@@ -161,7 +161,8 @@
             request=request.fields.request_id,
             replica=chosen.replica.replica_id,
             among=len(candidates),
-            load=chosen.in_flight,
+            online=chosen.in_flight.online,
+            batch=chosen.in_flight.batch,
             list_age_s=round(now - self._directory.confirmed_at, 3),
             configuration=self._configuration.version,
             after_event=progress.last_event_id,
@@ -215,8 +216,7 @@
         now = self._clock()
         if progress.deadline - now < LEAST_USEFUL_S:
             raise self._timeout_error(progress)
-        if self._loads.total(replica.replica_id, now).total >= replica.slots:
-            await self._make_room(replica)
+        await self._make_room(replica)
         try:
             connection = await self._pool.acquire((replica.host, replica.port))
         except ReplicaError:
--- a/src/cloverwalk/gateway/selection.py
+++ b/src/cloverwalk/gateway/selection.py
@@ -10,6 +10,7 @@
 from msgspec import Struct
 
 from cloverwalk.core.hashing import rendezvous_rank
+from cloverwalk.fleet.load import InFlight
 from cloverwalk.gateway.replicas import Replica
 
 SUSPECT_COST_MS = 10_000.0
@@ -17,7 +18,10 @@
 """Expected wait for each request that is already there beyond the slots."""
 
 LOAD_COST_MS = 30.0
-"""Cost of a full replica over an empty one, below its slots."""
+"""Cost of a replica full of online work over an empty one, below its slots."""
+
+BATCH_COST_MS = 6.0
+"""Cost of a replica full of batch work: it gives way, but not at once."""
 
 READ_TOKENS_PER_MS = 50.0
 OTHER_ZONE_MS = 15.0
@@ -28,7 +32,7 @@
     """A replica that could take a request, with what is known of its load."""
 
     replica: Replica
-    in_flight: int
+    in_flight: InFlight
     is_suspect: bool
 
 
@@ -49,9 +53,10 @@
     >>> near = Replica("r1", "s", "h", 1, "z1", 4, False, 1)
     >>> far = Replica("r2", "s", "h", 2, "z2", 4, False, 1)
     >>> demand = Demand("z1", 1000)
-    >>> choose([Candidate(near, 1, False), Candidate(far, 0, False)], demand).replica.zone
+    >>> idle, busy, full = InFlight(), InFlight(online=1), InFlight(online=9)
+    >>> choose([Candidate(near, busy, False), Candidate(far, idle, False)], demand).replica.zone
     'z1'
-    >>> choose([Candidate(near, 9, False), Candidate(far, 0, False)], demand).replica.zone
+    >>> choose([Candidate(near, full, False), Candidate(far, idle, False)], demand).replica.zone
     'z2'
     """
     if not candidates:
@@ -72,8 +77,10 @@
 def _cost_ms(candidate: Candidate, demand: Demand, homes: set[str]) -> float:
     replica = candidate.replica
     cost = SUSPECT_COST_MS if candidate.is_suspect else 0.0
-    cost += LOAD_COST_MS * candidate.in_flight / max(1, replica.slots)
-    cost += FULL_COST_MS * max(0, candidate.in_flight + 1 - replica.slots)
+    in_flight = candidate.in_flight
+    cost += LOAD_COST_MS * in_flight.online / replica.slots
+    cost += BATCH_COST_MS * in_flight.batch / replica.slots
+    cost += FULL_COST_MS * max(0, in_flight.online + 1 - replica.slots)
     if homes and replica.replica_id not in homes:
         cost += demand.shared_tokens / READ_TOKENS_PER_MS
     if replica.zone != demand.zone:
--- a/src/cloverwalk/jobs/lister.py
+++ b/src/cloverwalk/jobs/lister.py
@@ -73,15 +73,23 @@
     async def list_finished(self, job: JobRun) -> None:
         """List every finished item of a job."""
         while not job.is_dropped and (group := job.next_group()):
-            record = job.record_after(group)
-            transaction = self._transaction(job, group, record)
+            await self._list_group(job, group)
+        if not job.is_dropped and job.is_done():
+            await self._drop_job(job.job_id)
+
+    async def _list_group(self, job: JobRun, group: list[ItemRun]) -> None:
+        # One and the same transaction until its outcome is known: an unanswered one may have
+        # been done, and another group in its place would list its results again.
+        record = job.record_after(group)
+        transaction = self._transaction(job, group, record)
+        while not job.is_dropped:
             outcome = await self._committer.settle(transaction, self._clock() + SETTLE_S)
             if outcome.status is CommitStatus.COMMITTED:
                 await self._listed(job, group, record, outcome.version)
-            elif outcome.status is CommitStatus.CONFLICT:
+                return
+            if outcome.status is CommitStatus.CONFLICT:
                 await self._resolve(job, group, record, outcome)
-        if not job.is_dropped and job.is_done():
-            await self._drop_job(job.job_id)
+                return
 
     def _transaction(self, job: JobRun, group: list[ItemRun], record: JobRecord) -> Transaction:
         key = job_key(job.job_id)
--- a/src/cloverwalk/jobs/runner.py
+++ b/src/cloverwalk/jobs/runner.py
@@ -1,6 +1,7 @@
 """Runs the items of this node's jobs on room that online work leaves."""
 
 from collections.abc import Callable
+from random import Random
 from typing import Any
 
 import curio
@@ -13,7 +14,7 @@
 from cloverwalk.gateway.replicas import Replica, ReplicaDirectory
 from cloverwalk.jobs.item_call import ItemCaller, ItemFailedError, ItemImpossibleError
 from cloverwalk.jobs.run import ItemRun, JobRun, Phase
-from cloverwalk.jobs.share import batch_room
+from cloverwalk.jobs.share import batch_room, must_yield
 from cloverwalk.telemetry.log import ServingLog
 from cloverwalk.telemetry.metrics import ServingMetrics
 
@@ -21,6 +22,8 @@
 RETRY_S = 0.3
 SUSPENDED_S = 0.25
 STARTS_PER_TICK = 6
+PACE_WEIGHT = 0.1
+LEAST_EVENTS_LEFT = 20.0
 
 
 class _Running:
@@ -35,12 +38,35 @@
         self.gives_way = False
 
 
+class ItemPace:
+    """Running averages of what an item takes.
+
+    >>> pace = ItemPace()
+    >>> pace.note(events=200, began_with=0, took_s=4.0)
+    >>> round(pace.remaining_s(events_so_far=100), 1) > 0
+    True
+    """
+
+    def __init__(self) -> None:
+        self._events = 200.0
+        self._event_s = 0.025
+
+    def note(self, events: int, began_with: int, took_s: float) -> None:
+        """An item ended with so many events, the last of them made in ``took_s`` seconds."""
+        self._events += PACE_WEIGHT * (events - self._events)
+        if events > began_with:
+            self._event_s += PACE_WEIGHT * (took_s / (events - began_with) - self._event_s)
+
+    def remaining_s(self, events_so_far: int) -> float:
+        """Return the seconds that an item is expected to need still."""
+        return max(LEAST_EVENTS_LEFT, self._events - events_so_far) * self._event_s
+
+
 class BatchRunner:
     """Starts, suspends and ends runs of items."""
 
     def __init__(
         self,
-        zone: str,
         configuration: ConfigurationHolder,
         directory: ReplicaDirectory,
         loads: LoadBook,
@@ -52,8 +78,9 @@
         log: ServingLog,
         metrics: ServingMetrics,
         clock: Callable[[], float],
+        random: Random,
     ) -> None:
-        self._zone = zone
+        self._random = random
         self._configuration = configuration
         self._directory = directory
         self._loads = loads
@@ -68,12 +95,14 @@
         self.jobs: dict[str, JobRun] = {}
         self._running: dict[tuple[str, int], _Running] = {}
         self._wake = curio.Event()
+        self._pace = ItemPace()
         self.is_stopping = False
 
     # --- jobs ---
 
     async def add(self, job: JobRun) -> None:
-        """Run a job that this node owns now."""
+        """Run a job that this node owns now, in place of an earlier run of it."""
+        await self.drop(job.job_id)
         self.jobs[job.job_id] = job
         await self._wake.set()
 
@@ -126,9 +155,13 @@
         now = self._clock()
         now_ms = self._store_now_ms()
         waiting = [(job, one) for job in self.jobs.values() for one in job.pending(now)]
-        waiting.sort(key=lambda pair: (pair[0].record.due_ms < now_ms, pair[0].record.due_ms))
+        waiting.sort(key=lambda pair: self._rank(pair[0], pair[1], now_ms))
         return waiting
 
+    def _rank(self, job: JobRun, one: ItemRun, now_ms: float) -> tuple[bool, float]:
+        needed_ms = self._pace.remaining_s(len(one.texts)) * 1000
+        return (now_ms + needed_ms > job.record.due_ms, job.record.due_ms)
+
     def _give_up_old(self) -> None:
         now_ms = self._store_now_ms()
         for job in list(self.jobs.values()):
@@ -149,21 +182,20 @@
         route = self._route(job)
         if route is None:
             return None
+        usable = [one for service in route.services for one in self._directory.usable(service)]
+        rooms = [self._room(replica) for replica in usable]
+        if not any(rooms):
+            return None
+        # All nodes see the same rooms: a choice by chance keeps them from meeting at one.
+        return self._random.choices(usable, rooms)[0]
+
+    def _room(self, replica: Replica) -> int:
         now = self._clock()
-        best: Replica | None = None
-        best_rank = (0, 0)
-        for service in route.services:
-            for replica in self._directory.usable(service):
-                key = replica.replica_id
-                if self._directory.is_suspect(key, now):
-                    continue
-                in_flight = self._loads.total(key, now)
-                peak = self._loads.online_peak(key, now)
-                room = batch_room(replica.slots, in_flight, peak)
-                rank = (room, int(replica.zone == self._zone))
-                if room > 0 and (best is None or rank > best_rank):
-                    best, best_rank = replica, rank
-        return best
+        key = replica.replica_id
+        if self._directory.is_suspect(key, now):
+            return 0
+        peak = self._loads.online_peak(key, now)
+        return batch_room(replica.slots, self._loads.total(key, now), peak)
 
     async def _start(self, job: JobRun, one: ItemRun, replica: Replica) -> None:
         now = self._clock()
@@ -186,8 +218,10 @@
     async def _run_item(self, running: _Running, replica: Replica) -> None:
         job, one = running.job, running.one
         outcome = "suspended"
+        began_with = len(one.texts)
         try:
             await self._caller.run(job, one, replica)
+            self._pace.note(len(one.texts), began_with, self._clock() - running.started_at)
             job.succeed(one)
             outcome = "succeeded"
         except ItemImpossibleError:
@@ -229,9 +263,11 @@
 
     async def make_room(self, replica: Replica) -> None:
         """Online work needs a slot of a full replica: suspend an item there, here or at a peer."""
+        now = self._clock()
+        if not must_yield(replica.slots, self._loads.total(replica.replica_id, now)):
+            return
         if await self.suspend_some(replica.replica_id, 1):
             return
-        now = self._clock()
         peer = self._loads.heaviest_batch_peer(replica.replica_id, now)
         if peer is not None:
             await self._peers.ask_for_slots(peer, replica.replica_id, 1)
--- a/src/cloverwalk/jobs/share.py
+++ b/src/cloverwalk/jobs/share.py
@@ -1,28 +1,37 @@
-"""How much of a replica batch work may take. A pure policy over figures of all nodes."""
+"""How much of a replica batch work may take. A pure policy over figures of all nodes.
 
-import math
+Batch work takes what online work leaves at the moment and gives a slot back when it is needed,
+since suspending an item costs little: its prompt and output stay cached at the replica. The
+reserve only covers what arrives while nodes have not heard of each other's sends.
+"""
 
 from cloverwalk.fleet.load import InFlight
 
-LEAST_RESERVE = 2
-"""Slots of each replica that batch work never starts on."""
+RESERVE = 2
+"""Free slots of each replica that batch work never starts on."""
 
-LEAST_BATCH = 3
-"""Slots that batch work may take while there is room, whatever online work came lately."""
-
-PEAK_HEADROOM = 1.15
-"""Factor on the most online work at once of the last seconds."""
+YIELD_RESERVE = 1
+"""Free slots below which an item gives way when an online request comes."""
 
 
 def batch_room(slots: int, in_flight: InFlight, online_peak: int) -> int:
     """Return how many more items may start on a replica.
 
+    ``online_peak`` is the most online work at once of the last moments.
+
     >>> batch_room(16, InFlight(online=2, batch=3), online_peak=6)
-    6
+    5
     >>> batch_room(16, InFlight(online=12, batch=3), online_peak=14)
     0
     """
-    reserve = max(LEAST_RESERVE, math.ceil(online_peak * PEAK_HEADROOM))
-    share = max(LEAST_BATCH, slots - reserve)
-    free = slots - in_flight.total - 1
-    return max(0, min(share - in_flight.batch, free))
+    online = max(in_flight.online, online_peak)
+    return max(0, slots - RESERVE - online - in_flight.batch)
+
+
+def must_yield(slots: int, in_flight: InFlight) -> bool:
+    """Whether batch work must give a slot to an online request that is to be sent.
+
+    >>> must_yield(16, InFlight(online=2, batch=13)), must_yield(16, InFlight(online=16))
+    (True, False)
+    """
+    return in_flight.batch > 0 and in_flight.total + 1 > slots - YIELD_RESERVE
--- a/src/cloverwalk/serving/node.py
+++ b/src/cloverwalk/serving/node.py
@@ -147,7 +147,6 @@
             self._adapter.codec, self._pool, self._directory, self._clock, lambda: None
         )
         self._runner = BatchRunner(
-            self._settings.zone,
             self._configuration,
             self._directory,
             self._loads,
@@ -159,6 +158,7 @@
             self._log,
             self._metrics,
             self._clock,
+            self._random,
         )
         self._lister = ResultLister(
             committer, self._view, cache, self._runner.drop, self._log, self._clock
@@ -469,7 +469,7 @@
         return all(one.directory_age_ms > OTHER_PEER_STORE_MS for one in digests)
 
     async def _on_job_taken(self, job: JobRun) -> None:
-        if not self.is_leaving:
+        if not self.is_leaving and job.job_id not in self._runner.jobs:
             await self._runner.add(job)
 
     def _on_item_finished(self, job: JobRun) -> None:
