--- a/src/cloverwalk/emulator/memory_store.py
+++ b/src/cloverwalk/emulator/memory_store.py
@@ -143,6 +143,10 @@
         self._changes.clear()
         self._oldest_version = self.version
 
+    def parts(self, table: str) -> set[str]:
+        """Return the parts of a table that hold rows."""
+        return {key.part for key in self._rows if key.table == table}
+
     def values(self, table: str) -> dict[str, bytes]:
         """Return the values of a table by key."""
         return {
--- /dev/null
+++ b/src/cloverwalk/emulator/platform_replica.py
@@ -0,0 +1,231 @@
+"""A stand-in of a replica: streams events, keeps slots, and misbehaves as told.
+
+Text of a request's event n is ``ID:n``, so that any replica goes on where another stopped.
+"""
+
+import enum
+from collections import deque
+from typing import Any
+
+import curio
+import h11
+from msgspec import Struct
+
+from cloverwalk.platform import names
+
+READ_BYTES = 65536
+
+
+class Misdeed(enum.Enum):
+    """What a replica does with one answer."""
+
+    CUT = "break the connection after half of the events"
+    GARBAGE = "send what is not an answer"
+    SECOND_ANSWER = "send another answer after the whole one"
+    LATE_ANSWER = "send an answer to another request first"
+    REFUSE = "say that it did not run"
+    FAIL = "answer 500"
+    IMPOSSIBLE = "answer 422"
+    SILENT = "never answer"
+    RESET_UNANSWERED = "run it and break the connection"
+    UNSIGNED = "answer without a signature"
+
+
+class Arrival(Struct):
+    """A request that reached the replica."""
+
+    request_id: str
+    target: str
+    headers: dict[str, str]
+    raw_headers: list[tuple[bytes, bytes]]
+    body: bytes
+    has_run: bool = False
+    is_finished: bool = False
+    was_left: bool = False
+    """The caller closed the connection before the end."""
+
+
+class PlatformReplica:
+    """One replica behind an address."""
+
+    def __init__(
+        self, replica_id: str, address: tuple[str, int], events: int = 4, event_s: float = 0.002
+    ) -> None:
+        self.replica_id = replica_id
+        self.address = address
+        self.events = events
+        self.event_s = event_s
+        self.slots = 8
+        self.misdeeds: deque[Misdeed | None] = deque()
+        self.always: Misdeed | None = None
+        self.arrivals: list[Arrival] = []
+        self.running = 0
+        self.most_running = 0
+        self._sock = curio.tcp_server_socket(*address, backlog=128)
+
+    async def run(self) -> None:
+        """Serve until cancelled."""
+        async with self._sock:
+            while True:
+                client, _ = await self._sock.accept()
+                await curio.spawn(self._serve, client, daemon=True)
+
+    async def _serve(self, client: Any) -> None:
+        http = h11.Connection(h11.SERVER)
+        try:
+            while await self._serve_one(client, http):
+                http.start_next_cycle()
+        except (OSError, h11.ProtocolError):
+            pass
+        finally:
+            await client.close()
+
+    async def _serve_one(self, client: Any, http: h11.Connection) -> bool:
+        arrival = await self._read(client, http)
+        if arrival is None:
+            return False
+        self.arrivals.append(arrival)
+        misdeed = self.misdeeds.popleft() if self.misdeeds else self.always
+        expected = arrival.headers.get(names.EXPECT_INSTANCE.decode().lower())
+        if expected not in (None, self.replica_id):
+            await self._refuse(client, http, arrival, 421)
+            return True
+        if misdeed is Misdeed.REFUSE:
+            await self._refuse(client, http, arrival, 503)
+            return True
+        if misdeed is Misdeed.SILENT:
+            await curio.sleep(3600)
+        arrival.has_run = True
+        self.running += 1
+        self.most_running = max(self.most_running, self.running)
+        try:
+            return await self._run(client, http, arrival, misdeed)
+        finally:
+            self.running -= 1
+
+    async def _read(self, client: Any, http: h11.Connection) -> Arrival | None:
+        head: h11.Request | None = None
+        body = b""
+        while True:
+            event = http.next_event()
+            if event is h11.NEED_DATA:
+                http.receive_data(await client.recv(READ_BYTES))
+            elif isinstance(event, h11.Request):
+                head = event
+            elif isinstance(event, h11.Data):
+                body += bytes(event.data)
+            elif isinstance(event, h11.EndOfMessage) and head is not None:
+                headers = {n.decode(): v.decode() for n, v in head.headers}
+                request_id = headers.get(names.REQUEST_ID.decode().lower(), "")
+                raw = head.headers.raw_items()
+                return Arrival(request_id, head.target.decode(), headers, raw, body)
+            else:
+                return None
+
+    def _headers(self, arrival: Arrival) -> list[tuple[bytes, bytes]]:
+        load = f"{self.running},0,{self.slots}".encode()
+        return [
+            (names.REQUEST_ID, arrival.request_id.encode()),
+            (names.SERVER_LOAD, load),
+            (b"Keep-Alive", b"timeout=5"),
+        ]
+
+    async def _refuse(
+        self, client: Any, http: h11.Connection, arrival: Arrival, status: int
+    ) -> None:
+        headers = [*self._headers(arrival), (names.NOT_EXECUTED, b"1")]
+        await self._whole(client, http, status, headers, b"")
+
+    async def _whole(
+        self,
+        client: Any,
+        http: h11.Connection,
+        status: int,
+        headers: list[tuple[bytes, bytes]],
+        body: bytes,
+    ) -> None:
+        length = (b"Content-Length", str(len(body)).encode())
+        data = http.send(h11.Response(status_code=status, headers=[*headers, length])) or b""
+        if body:
+            data += http.send(h11.Data(data=body)) or b""
+        data += http.send(h11.EndOfMessage()) or b""
+        await client.sendall(data)
+
+    async def _run(
+        self, client: Any, http: h11.Connection, arrival: Arrival, misdeed: Misdeed | None
+    ) -> bool:
+        signed = [*self._headers(arrival), (names.SIGNATURE, b"signature")]
+        if misdeed is Misdeed.RESET_UNANSWERED:
+            return False
+        if misdeed is Misdeed.GARBAGE:
+            await client.sendall(b"\x00\x01 this is not an answer\r\n\r\n")
+            return False
+        if misdeed in (Misdeed.FAIL, Misdeed.IMPOSSIBLE):
+            status = 500 if misdeed is Misdeed.FAIL else 422
+            await self._whole(client, http, status, signed, b"failed")
+            return True
+        if misdeed is Misdeed.LATE_ANSWER:
+            await client.sendall(_foreign_answer())
+        if misdeed is Misdeed.UNSIGNED:
+            signed = self._headers(arrival)
+        await self._stream(client, http, arrival, signed, misdeed)
+        if misdeed is Misdeed.SECOND_ANSWER:
+            await client.sendall(_foreign_answer())
+        return misdeed is not Misdeed.CUT
+
+    async def _stream(
+        self,
+        client: Any,
+        http: h11.Connection,
+        arrival: Arrival,
+        headers: list[tuple[bytes, bytes]],
+        misdeed: Misdeed | None,
+    ) -> None:
+        kind = (b"Content-Type", b"text/event-stream")
+        head = h11.Response(status_code=200, headers=[*headers, kind])
+        await client.sendall(http.send(head) or b"")
+        last = arrival.headers.get(names.LAST_EVENT_ID.decode().lower())
+        first = 1 if last is None else int(last) + 1
+        for number in range(first, self.events + 1):
+            if await self._caller_left(client):
+                arrival.was_left = True
+                raise OSError("the caller left")
+            text = f"id: {number}\ndata: {arrival.request_id}:{number}\n\n".encode()
+            if misdeed is Misdeed.CUT and number > self.events // 2:
+                await client.sendall(http.send(h11.Data(data=text[: len(text) // 2])) or b"")
+                return
+            await client.sendall(http.send(h11.Data(data=text)) or b"")
+        arrival.is_finished = True
+        await client.sendall(http.send(h11.EndOfMessage()) or b"")
+
+    async def _caller_left(self, client: Any) -> bool:
+        """Wait for the time of an event; return whether the caller closed meanwhile."""
+        data: bytes | None = None
+        async with curio.ignore_after(self.event_s):
+            data = await client.recv(1)
+        return data == b""
+
+    def document(self, service: str, zone: str, state: str = "ready") -> dict[str, Any]:
+        """Return the entry that the replica keeps in the store."""
+        host, port = self.address
+        return {
+            "service": service,
+            "address": f"{host}:{port}",
+            "zone": zone,
+            "version": "v1",
+            "slots": self.slots,
+            "state": state,
+            "seq": 1,
+        }
+
+
+def _foreign_answer() -> bytes:
+    lines = [
+        b"HTTP/1.1 200 OK",
+        names.REQUEST_ID + b": another",
+        names.SIGNATURE + b": signature",
+        b"Content-Length: 5",
+        b"",
+        b"wrong",
+    ]
+    return b"\r\n".join(lines)
--- /dev/null
+++ b/src/cloverwalk/emulator/platform_store_server.py
@@ -0,0 +1,144 @@
+"""A stand-in of the users' metadata store over HTTP, on the rows of ``MemoryStore``."""
+
+import json
+import time
+from base64 import b64decode, b64encode
+from typing import Any
+from urllib.parse import parse_qs, urlsplit
+
+import curio
+
+from cloverwalk.emulator.memory_store import MemoryStore
+from cloverwalk.gateway.configuration import ClientLimits
+from cloverwalk.gateway.errors import ClientGoneError
+from cloverwalk.gateway.messages import ClientRequest
+from cloverwalk.gateway.reply import Reply
+from cloverwalk.gateway.server import GatewayServer
+from cloverwalk.platform import names
+from cloverwalk.platform.codec import PlatformCodec
+from cloverwalk.store.types import (
+    CommitStatus,
+    Expectation,
+    HistoryLostError,
+    Put,
+    Row,
+    RowKey,
+    Transaction,
+)
+
+MAX_CONNECTIONS = 512
+LIMITS = ClientLimits(idle_timeout_s=60.0)
+
+
+class PlatformStoreServer:
+    """Serves the store. ``refused_hosts`` get 503, ``is_silent`` answers nobody."""
+
+    def __init__(self, address: tuple[str, int]) -> None:
+        self.rows = MemoryStore()
+        self.is_silent = False
+        self.is_busy = False
+        self.lose_answers = 0
+        """So many coming writes are done and not answered."""
+
+        self.calls = 0
+        self.server = GatewayServer(
+            address,
+            PlatformCodec(),
+            lambda: LIMITS,
+            self._answer,
+            lambda error: None,
+            time.monotonic,
+            MAX_CONNECTIONS,
+        )
+
+    async def run(self) -> None:
+        """Serve until cancelled."""
+        await self.server.serve()
+
+    def put(self, table: str, key: str, document: Any) -> int:
+        """Write a document as the operator or a replica does."""
+        put = Put(RowKey(table, "", key), json.dumps(document).encode())
+        return self.rows.apply(Transaction(puts=[put])).version
+
+    def remove(self, table: str, key: str) -> None:
+        """Remove a row."""
+        self.rows.apply(Transaction(removals=[RowKey(table, "", key)]))
+
+    async def _answer(self, request: ClientRequest, reply: Reply) -> None:
+        self.calls += 1
+        self.rows.now_ms = time.monotonic() * 1000
+        if self.is_silent:
+            await curio.sleep(3600)
+        if self.is_busy:
+            await reply.respond(503, [], b"")
+            return
+        status, document = await self._call(request)
+        if request.method == "POST" and self.lose_answers > 0:
+            self.lose_answers -= 1
+            raise ClientGoneError("the answer is lost")
+        body = json.dumps(document).encode()
+        await reply.respond(status, [(b"Content-Type", b"application/json")], body)
+
+    async def _call(self, request: ClientRequest) -> tuple[int, Any]:
+        url = urlsplit(request.target)
+        query = {key: values[0] for key, values in parse_qs(url.query).items()}
+        if url.path == names.TRANSACTION_PATH:
+            return await self._transaction(json.loads(request.body))
+        if url.path == names.PARTS_PATH:
+            return 200, {"parts": self._parts(query["table"]), "more": False}
+        if url.path == names.READ_PATH:
+            page = await self.rows.read(
+                query["table"],
+                query.get("part", ""),
+                query.get("from", ""),
+                query.get("target_version", ""),
+                int(query.get("limit", "500")),
+            )
+            return 200, {**self._stamp(), "rows": _wire(page.rows), "more": page.has_more}
+        if url.path == names.FEED_PATH:
+            return await self._feed(query)
+        return 404, {}
+
+    async def _feed(self, query: dict[str, str]) -> tuple[int, Any]:
+        wait_s = int(query.get("wait_ms", "0")) / 1000
+        try:
+            page = await self.rows.changes(query["table"], int(query["since_revision"]), wait_s)
+        except HistoryLostError:
+            return 410, {}
+        return 200, {**self._stamp(), "rows": _wire(page.rows)}
+
+    async def _transaction(self, wire: Any) -> tuple[int, Any]:
+        transaction = Transaction(
+            [Expectation(_key(one), one["ver"]) for one in wire["expected_revision"]],
+            [Put(_key(one), b64decode(one["value"])) for one in wire["put"]],
+            [_key(one) for one in wire["remove"]],
+        )
+        if transaction.spans_parts and not wire.get("across"):
+            return 400, {}
+        outcome = self.rows.apply(transaction)
+        if outcome.status is CommitStatus.COMMITTED:
+            return 200, self._stamp()
+        return 412, {**self._stamp(), "rows": _wire(outcome.conflicts)}
+
+    def _stamp(self) -> dict[str, Any]:
+        return {"ver": self.rows.version, "now_ms": self.rows.now_ms}
+
+    def _parts(self, table: str) -> list[str]:
+        return sorted(self.rows.parts(table))
+
+
+def _key(wire: Any) -> RowKey:
+    return RowKey(wire["table"], wire.get("part", ""), wire["key"])
+
+
+def _wire(rows: list[Row]) -> list[dict[str, Any]]:
+    wire = []
+    for row in rows:
+        key = row.row_key
+        entry = {"table": key.table, "part": key.part, "key": key.key, "ver": row.version}
+        if row.value is None:
+            entry["gone"] = True
+        else:
+            entry["value"] = b64encode(row.value).decode()
+        wire.append(entry)
+    return wire
--- a/src/cloverwalk/gateway/relay.py
+++ b/src/cloverwalk/gateway/relay.py
@@ -47,13 +47,17 @@
     """Replicas that said that they did not."""
 
     last_event_id: int | None
+    is_sent: bool = False
+    """Whether bytes went to a replica whose answer is not known yet."""
+
     first_event_at: float | None = None
     last_replica: str = ""
     last_failure: str = ""
 
-    def excluded(self) -> set[str]:
-        """Replicas that are not asked again."""
-        return {*self.tried, *self.refused}
+    @property
+    def may_have_run(self) -> bool:
+        """Whether any replica can have run the request."""
+        return self.is_sent or bool(self.tried)
 
 
 MakeRoom = Callable[[Replica], Awaitable[None]]
@@ -120,7 +124,7 @@
         )
 
     def _timeout_error(self, progress: _Progress) -> GatewayError:
-        if not progress.tried:
+        if not progress.may_have_run:
             return GatewayError(503, "deadline_passed", "no replica had room in time", 0.0)
         return GatewayError(504, "deadline_passed", "the answer did not come in time")
 
@@ -142,17 +146,7 @@
         if len(progress.refused) >= MAX_REFUSALS:
             raise self._refusal(progress, "replicas_full")
         now = self._clock()
-        excluded = progress.excluded()
-        usable = self._directory.usable(progress.service)
-        candidates = [
-            Candidate(
-                one,
-                self._loads.total(one.replica_id, now),
-                self._directory.is_suspect(one.replica_id, now),
-            )
-            for one in usable
-            if one.replica_id not in excluded
-        ]
+        candidates = self._candidates(progress, now)
         chosen = choose(candidates, self._demand(request, route))
         if chosen is None:
             raise self._refusal(progress, "no_replica")
@@ -169,11 +163,25 @@
         )
         return chosen.replica
 
+    def _candidates(self, progress: _Progress, now: float) -> list[Candidate]:
+        """Return the replicas that were not asked yet, or else those that were tried before."""
+        usable = self._directory.usable(progress.service)
+        usable = [one for one in usable if one.replica_id not in progress.refused]
+        fresh = [one for one in usable if one.replica_id not in progress.tried]
+        return [
+            Candidate(
+                one,
+                self._loads.total(one.replica_id, now),
+                self._directory.is_suspect(one.replica_id, now),
+            )
+            for one in fresh or usable
+        ]
+
     def _may_try_again(self, progress: _Progress) -> bool:
         return progress.route.may_repeat and len(progress.tried) < progress.route.max_attempts
 
     def _refusal(self, progress: _Progress, code: str) -> GatewayError:
-        if progress.tried:
+        if progress.may_have_run:
             return GatewayError(502, code, progress.last_failure or "no replica took the request")
         return GatewayError(503, code, "no replica takes the request now", RETRY_AFTER_S)
 
@@ -193,6 +201,7 @@
         error: ReplicaError,
         reply: Reply,
     ) -> None:
+        progress.is_sent = False
         known = progress.tried if error.may_have_run else progress.refused
         known.append(replica.replica_id)
         progress.last_failure = error.code
@@ -216,7 +225,17 @@
         now = self._clock()
         if progress.deadline - now < LEAST_USEFUL_S:
             raise self._timeout_error(progress)
-        await self._make_room(replica)
+        # Counted first: requests that come at the same moment must see each other.
+        self._loads.begin(replica.replica_id, False, now)
+        try:
+            await self._make_room(replica)
+            await self._attempt_counted(request, progress, replica, reply)
+        finally:
+            self._loads.end(replica.replica_id, False)
+
+    async def _attempt_counted(
+        self, request: ClientRequest, progress: _Progress, replica: Replica, reply: Reply
+    ) -> None:
         try:
             connection = await self._pool.acquire((replica.host, replica.port))
         except ReplicaError:
@@ -225,7 +244,6 @@
         if self._directory.find(replica.replica_id) is None:
             await self._pool.release_unused(connection)
             raise ReplicaError("the replica began to leave", False, "draining")
-        self._loads.begin(replica.replica_id, False, self._clock())
         is_kept = False
         try:
             progress.last_replica = replica.replica_id
@@ -233,7 +251,6 @@
             is_kept = True
             await self._pool.release(connection, head.fields.keep_alive_s)
         finally:
-            self._loads.end(replica.replica_id, False)
             if not is_kept:
                 await connection.close()
 
@@ -275,6 +292,7 @@
         )
         try:
             async with curio.timeout_after(self._first_answer_limit_s(progress, remaining_s)):
+                progress.is_sent = True
                 await connection.send(request.method, request.target, headers, request.body)
                 return await connection.read_head(request.fields.request_id)
         except OSError as error:
--- a/src/cloverwalk/gateway/replica_connection.py
+++ b/src/cloverwalk/gateway/replica_connection.py
@@ -111,7 +111,9 @@
             size = next(int(v) for n, v in self._request.headers if n == b"content-length")
             self._http.send(h11.Data(data=bytes(size)))
         self._http.send(h11.EndOfMessage())
-        self._http.receive_data(rest)
+        if rest:
+            # Empty data would mean the end of the connection.
+            self._http.receive_data(rest)
 
     async def read_body(self) -> bytes | None:
         """Return the next bytes of the body, or None at its proper end."""
--- a/src/cloverwalk/jobs/share.py
+++ b/src/cloverwalk/jobs/share.py
@@ -29,9 +29,9 @@
 
 
 def must_yield(slots: int, in_flight: InFlight) -> bool:
-    """Whether batch work must give a slot to an online request that is to be sent.
+    """Whether batch work must give a slot to an online request that is already counted.
 
-    >>> must_yield(16, InFlight(online=2, batch=13)), must_yield(16, InFlight(online=16))
+    >>> must_yield(16, InFlight(online=3, batch=13)), must_yield(16, InFlight(online=17))
     (True, False)
     """
-    return in_flight.batch > 0 and in_flight.total + 1 > slots - YIELD_RESERVE
+    return in_flight.batch > 0 and in_flight.total > slots - YIELD_RESERVE
--- a/src/cloverwalk/serving/node.py
+++ b/src/cloverwalk/serving/node.py
@@ -63,13 +63,15 @@
 class ServingNode:
     """Wires the parts of a node together and runs them on one loop."""
 
-    def __init__(self, adapter: Adapter, settings: ServingSettings) -> None:
+    def __init__(
+        self, adapter: Adapter, settings: ServingSettings, log_descriptor: int | None = None
+    ) -> None:
         self._adapter = adapter
         self._settings = settings
         self._clock: Callable[[], float] = time.monotonic
         self._random = Random(SystemRandom().getrandbits(64))
         incarnation = f"{settings.node}.{self._random.getrandbits(40):010x}"
-        self._log = ServingLog(settings.node, self._clock)
+        self._log = ServingLog(settings.node, self._clock, log_descriptor)
         self._metrics = ServingMetrics()
         self._stop = curio.UniversalEvent()
         self._reload = curio.UniversalEvent()
@@ -239,9 +241,7 @@
 
     async def run(self) -> None:
         """Serve until a planned stop is complete."""
-        self._install_signals()
         self._log.write(catalogue.SERVING_STARTED, incarnation=self._incarnation)
-        gc.freeze()
         async with curio.TaskGroup(wait=None) as tasks:
             for loop in self._loops():
                 await tasks.spawn(self._guarded, loop)
@@ -279,9 +279,14 @@
                 self._log.write(catalogue.UNEXPECTED, error=repr(error)[:300])
             await curio.sleep(0.1)
 
-    def _install_signals(self) -> None:
-        signal.signal(signal.SIGTERM, lambda *_: self._stop.set())
-        signal.signal(signal.SIGINT, lambda *_: self._stop.set())
+    def request_stop(self) -> None:
+        """Begin a planned stop; safe to call from a signal handler."""
+        self._stop.set()
+
+    def install_signals(self) -> None:
+        """Stop on SIGTERM and SIGINT, read the settings again on SIGHUP."""
+        signal.signal(signal.SIGTERM, lambda *_: self.request_stop())
+        signal.signal(signal.SIGINT, lambda *_: self.request_stop())
         signal.signal(signal.SIGHUP, lambda *_: self._reload.set())
 
     async def _reload_loop(self) -> None:
@@ -488,4 +493,6 @@
     """Run one node until it is stopped."""
     settings = adapter.load_settings()
     node = ServingNode(adapter, settings)
+    node.install_signals()
+    gc.freeze()
     curio.run(node.run)
--- /dev/null
+++ b/tests/serving/test_batch.py
@@ -0,0 +1,178 @@
+"""Jobs at real sockets: taken once, run to the end, read anywhere, beside online requests."""
+
+import curio
+import pytest
+from fleet_world import FleetWorld, in_world
+
+from cloverwalk.emulator.platform_replica import Misdeed
+from cloverwalk.platform import names
+
+
+def texts(results: list[dict[str, str]]) -> dict[str, str]:
+    return {one["id"]: one["message"] for one in results}
+
+
+def expected_text(item_id: str, events: int = 4) -> str:
+    return "\n".join(f"{item_id}:{number}" for number in range(1, events + 1))
+
+
+def test_a_job_is_run_and_read_at_another_node() -> None:
+    async def test(world: FleetWorld) -> None:
+        await world.start(replicas=2, nodes=2)
+        assert (await world.hand_in("j")).status == 202
+        assert (await world.hand_in("j", node=1)).status == 202
+        results = await world.until_done("j", 3, node=1)
+        assert texts(results) == {f"j-{n}": expected_text(f"j-{n}") for n in range(3)}
+        assert {one["state"] for one in results} == {"succeeded"}
+        page = await world.read_job("j", 2)
+        assert (page["total"], page["next_token"], len(page["results"])) == (3, 3, 1)
+        runs = [one.request_id for replica in world.replicas for one in replica.arrivals]
+        assert sorted(runs) == ["j-0", "j-1", "j-2"]
+
+    in_world(test)
+
+
+@pytest.mark.parametrize("misdeed", [Misdeed.CUT, Misdeed.GARBAGE, Misdeed.RESET_UNANSWERED])
+def test_items_go_on_behind_their_last_event(misdeed: Misdeed) -> None:
+    async def test(world: FleetWorld) -> None:
+        await world.start(replicas=2)
+        for replica in world.replicas:
+            replica.misdeeds.extend([misdeed, misdeed])
+        assert (await world.hand_in("j")).status == 202
+        results = await world.until_done("j", 3)
+        assert texts(results) == {f"j-{n}": expected_text(f"j-{n}") for n in range(3)}
+
+    in_world(test)
+
+
+def test_items_that_can_not_be_done_are_dead_after_their_attempts() -> None:
+    async def test(world: FleetWorld) -> None:
+        await world.start(replicas=1)
+        world.replicas[0].always = Misdeed.FAIL
+        assert (await world.hand_in("j", count=1)).status == 202
+        results = await world.until_done("j", 1)
+        assert results[0]["state"] == "dead_letter"
+        assert len(world.replicas[0].arrivals) == 3
+        world.replicas[0].always = Misdeed.IMPOSSIBLE
+        assert (await world.hand_in("k", count=1)).status == 202
+        results = await world.until_done("k", 1)
+        assert results[0]["state"] == "dead_letter"
+        assert len(world.replicas[0].arrivals) == 4
+
+    in_world(test)
+
+
+def test_an_ended_job_starts_nothing_more() -> None:
+    async def test(world: FleetWorld) -> None:
+        await world.start(replicas=1, nodes=2, events=500, event_s=0.02)
+        assert (await world.hand_in("j", count=12)).status == 202
+        await world.until(lambda: world.replicas[0].running > 0)
+        ended = await world.call("DELETE", f"{names.JOB_PREFIX}j", node=1)
+        assert ended.status == 200
+        await world.until(lambda: world.replicas[0].running == 0)
+        started = len(world.replicas[0].arrivals)
+        await curio.sleep(0.5)
+        assert len(world.replicas[0].arrivals) == started
+        assert (await world.call("DELETE", f"{names.JOB_PREFIX}j")).status == 200
+
+    in_world(test)
+
+
+def test_a_killed_owners_job_goes_on_at_another_node() -> None:
+    async def test(world: FleetWorld) -> None:
+        await world.start(replicas=2, nodes=3, events=60, event_s=0.02)
+        assert (await world.hand_in("j", count=4)).status == 202
+        await world.until(lambda: any(one.running for one in world.replicas))
+        await world.kill_node(0)
+        results = await world.until_done("j", 4, node=1)
+        assert texts(results) == {f"j-{n}": expected_text(f"j-{n}", 60) for n in range(4)}
+        again = await world.until_done("j", 4, node=2)
+        assert again == results
+
+    in_world(test)
+
+
+def test_a_stopping_owner_hands_its_output_over() -> None:
+    async def test(world: FleetWorld) -> None:
+        await world.start(replicas=1, nodes=2, events=100, event_s=0.02)
+        assert (await world.hand_in("j", count=2)).status == 202
+        job = world.nodes[0]._runner.jobs["j"]
+        await world.until(lambda: all(len(one.texts) > 20 for one in job.items))
+        world.nodes[0].request_stop()
+        results = await world.until_done("j", 2, node=1)
+        assert texts(results) == {f"j-{n}": expected_text(f"j-{n}", 100) for n in range(2)}
+        resumed = [
+            int(one.headers.get(names.LAST_EVENT_ID.decode().lower(), "0"))
+            for one in world.replicas[0].arrivals
+        ]
+        assert sorted(resumed)[:2] == [0, 0]
+        assert min(sorted(resumed)[2:]) > 10
+
+    in_world(test)
+
+
+def test_batch_gives_its_slots_to_online_requests() -> None:
+    async def test(world: FleetWorld) -> None:
+        await world.start(replicas=1, events=100, event_s=0.02)
+        assert (await world.hand_in("j", count=12)).status == 202
+        await world.until(lambda: world.replicas[0].running >= 5)
+        tasks = [await curio.spawn(world.ask, "/chat/a") for _ in range(6)]
+        for task in tasks:
+            assert (await task.join()).is_whole
+        assert world.replicas[0].most_running <= world.replicas[0].slots
+        results = await world.until_done("j", 12)
+        assert set(texts(results).values()) == {expected_text(f"j-{n}", 100) for n in range(12)}
+
+    in_world(test)
+
+
+def test_bodies_of_items_come_back_from_any_node() -> None:
+    async def test(world: FleetWorld) -> None:
+        await world.start(replicas=1, nodes=2, events=500, event_s=0.02)
+        assert (await world.hand_in("j")).status == 202
+        for node in (0, 1):
+            answer = await world.call("GET", f"{names.ITEM_PREFIX}j?id=j-1", node=node)
+            assert (answer.status, answer.body) == (200, b"item 1")
+            missing = await world.call("GET", f"{names.ITEM_PREFIX}j?id=other", node=node)
+            assert missing.status == 404
+        assert (await world.call("GET", f"{names.JOB_PREFIX}nothing")).status == 404
+
+    in_world(test)
+
+
+def test_lost_answers_of_the_store_change_nothing() -> None:
+    async def test(world: FleetWorld) -> None:
+        await world.start(replicas=2, nodes=2)
+        for turn in range(3):
+            world.store.lose_answers = 2
+            assert (await world.hand_in(f"j{turn}")).status == 202
+            world.store.lose_answers = 1
+            results = await world.until_done(f"j{turn}", 3, node=1)
+            assert sorted(texts(results)) == [f"j{turn}-{n}" for n in range(3)]
+
+    in_world(test)
+
+
+def test_a_refusing_store_refuses_jobs_with_a_promise() -> None:
+    async def test(world: FleetWorld) -> None:
+        await world.start(replicas=1)
+        world.store.is_busy = True
+        answer = await world.hand_in("j")
+        assert answer.status == 503
+        assert float(answer.headers["retry-after"]) > 0
+        world.store.is_busy = False
+        assert "j" not in world.store.rows.values("job")
+
+    in_world(test)
+
+
+@pytest.mark.parametrize("body", [b"", b"{", b"[]", b'{"requests":[]}', b'{"requests":[{}]}'])
+def test_a_job_that_is_none_gets_a_clear_error(body: bytes) -> None:
+    async def test(world: FleetWorld) -> None:
+        await world.start(replicas=1)
+        headers = [(names.REQUEST_ID.decode(), "j")]
+        answer = await world.call("POST", "/jobs/x", body, headers)
+        assert answer.status == 400
+        assert b"job_invalid" in answer.body
+
+    in_world(test)
