Output of running items is saved every second; owners are replaced sooner

Change: checkpoint of new output, one transaction a node and second, without conditions; a lease of 2.4 s renewed every 0.7 s; a node heard under a new incarnation has no lease any more, and does not inherit.

--- a/src/cloverwalk/fleet/members.py
+++ b/src/cloverwalk/fleet/members.py
@@ -5,12 +5,11 @@
 import msgspec
 from msgspec import Struct
 
-from cloverwalk.core.hashing import rendezvous_owner
 from cloverwalk.store.types import CommitStatus, Put, RowKey, RowPage, Store, Transaction
 
 MEMBER_TABLE = "member"
-RENEW_EVERY_S = 1.0
-LEASE_S = 3.0
+RENEW_EVERY_S = 0.7
+LEASE_S = 2.4
 """A holder whose row stands still for this long has lost its lease."""
 
 RENEW_TIMEOUT_S = 1.0
@@ -82,10 +81,6 @@
         names = [seen.row.incarnation for seen in self._seen.values()]
         return sorted(one for one in names if self.holds_lease(one, watched_since))
 
-    def owner_of(self, key: str, watched_since: float) -> str | None:
-        """Return the member that takes over ``key``."""
-        return rendezvous_owner(key, self.live(watched_since))
-
     def stale_names(self) -> list[str]:
         """Return members whose rows stand still for so long that they can be removed."""
         now = self._clock()
--- a/src/cloverwalk/fleet/peers.py
+++ b/src/cloverwalk/fleet/peers.py
@@ -115,6 +115,14 @@
         """Return peers heard lately, sorted by name."""
         return [self.peers[node] for node in sorted(self.peers) if not self.peers[node].is_lost]
 
+    def has_replaced(self, incarnation: str) -> bool:
+        """Whether a process was heard that runs in place of an earlier one."""
+        node = incarnation.rpartition(".")[0]
+        peer = self.peers.get(node)
+        if peer is None or peer.digest is None:
+            return False
+        return peer.digest.incarnation != incarnation
+
     # --- sending ---
 
     async def send_loop(self) -> None:
--- a/src/cloverwalk/jobs/ownership.py
+++ b/src/cloverwalk/jobs/ownership.py
@@ -6,17 +6,17 @@
 import curio
 
 from cloverwalk.core import catalogue
+from cloverwalk.core.hashing import rendezvous_owner
 from cloverwalk.fleet.follower import TableFollower
 from cloverwalk.fleet.members import LEASE_S, LeaseRenewal, MemberBook
+from cloverwalk.jobs.checkpoint import take_within
 from cloverwalk.jobs.commit import Committer
 from cloverwalk.jobs.errors import JobError
 from cloverwalk.jobs.reader import JobReader
 from cloverwalk.jobs.records import (
     PARTIAL_TABLE,
     RESULT_TABLE,
-    ItemResult,
     JobRecord,
-    PartialOutput,
     decode_partial,
     decode_record,
     decode_result,
@@ -25,7 +25,7 @@
     join_pieces,
     keys_end,
     part_of,
-    partial_puts,
+    partial_put,
 )
 from cloverwalk.jobs.run import JobRun, replace_record
 from cloverwalk.jobs.runner import BatchRunner
@@ -44,7 +44,6 @@
 LOOK_EVERY_S = 0.3
 SETTLE_S = 3.0
 HAND_OVER_S = 2.0
-MAX_PARTIAL_BYTES = 400_000
 MEMBERS_FRESH_S = 2.0
 
 
@@ -65,7 +64,9 @@
         log: ServingLog,
         clock: Callable[[], float],
         random: Random,
+        has_replaced: Callable[[str], bool],
     ) -> None:
+        self._has_replaced = has_replaced
         self._renewal = renewal
         self._members = members
         self._member_follower = member_follower
@@ -128,14 +129,19 @@
                 if record.job_id not in self._runner.jobs:
                     await self._spawn_take(known)
                 continue
-            if self._members.holds_lease(record.owner, watched_since):
+            if not self._is_gone(record.owner, watched_since):
                 continue
-            if not self._is_watched_long_enough(watched_since):
-                continue
-            if self._members.owner_of(record.job_id, watched_since) == own:
+            heirs = [
+                one for one in self._members.live(watched_since) if not self._has_replaced(one)
+            ]
+            if rendezvous_owner(record.job_id, heirs) == own:
                 await self._spawn_take(known)
 
-    def _is_watched_long_enough(self, watched_since: float) -> bool:
+    def _is_gone(self, owner: str, watched_since: float) -> bool:
+        if not owner or self._has_replaced(owner):
+            return True
+        if self._members.holds_lease(owner, watched_since):
+            return False
         # An owner whose row was never seen may have written it while this node saw nothing.
         return self._clock() - watched_since > LEASE_S / 2
 
@@ -186,17 +192,16 @@
     async def _restore(self, record: JobRecord, version: int) -> JobRun:
         items = await self._reader.items(record)
         job = JobRun(record, version, items)
-        results = await self._decoded(RESULT_TABLE, record.job_id, decode_result)
-        partials = await self._decoded(PARTIAL_TABLE, record.job_id, decode_partial)
+        pieces = join_pieces(await self._rows(RESULT_TABLE, record.job_id))
+        results = [decode_result(value) for value in pieces.values()]
         if len(results) < record.listed:
             raise JobError(503, "results_not_read", "listed results are not there yet")
-        listed = {one.item_id for one in results if isinstance(one, ItemResult)}
-        job.restore(listed, [one for one in partials if isinstance(one, PartialOutput)])
+        segments = await self._rows(PARTIAL_TABLE, record.job_id)
+        partials = [decode_partial(value) for _, value in segments]
+        job.restore({one.item_id for one in results}, partials)
         return job
 
-    async def _decoded(
-        self, table: str, job_id: str, decode: Callable[[bytes], object]
-    ) -> list[object]:
+    async def _rows(self, table: str, job_id: str) -> list[tuple[str, bytes]]:
         rows: list[tuple[str, bytes]] = []
         start = f"{job_id}/"
         while True:
@@ -205,7 +210,7 @@
             if not page.has_more or not page.rows:
                 break
             start = page.rows[-1].row_key.key + "\x01"
-        return [decode(value) for value in join_pieces(rows).values()]
+        return rows
 
     # --- planned stop ---
 
@@ -217,22 +222,16 @@
         until = self._clock() + HAND_OVER_S
         async with curio.TaskGroup() as tasks:
             for job in jobs:
-                await tasks.spawn(self._save_partials, job, until)
+                await tasks.spawn(self._give_up, job, until)
         for _ in range(3):
             if await self._renewal.leave():
                 return
 
-    async def _save_partials(self, job: JobRun, until: float) -> None:
-        puts: list[Put] = []
-        size = 0
-        for partial in job.partials():
-            rows = partial_puts(job.job_id, partial)
-            size += sum(len(row.value) for row in rows)
-            if size > MAX_PARTIAL_BYTES:
-                break
-            puts += rows
+    async def _give_up(self, job: JobRun, until: float) -> None:
+        segments = take_within(job.unsaved())
         key = job_key(job.job_id)
         record = replace_record(job.record, owner="")
+        puts = [partial_put(job.job_id, one) for one in segments]
         transaction = Transaction(
             [Expectation(key, job.version)], [Put(key, encode(record)), *puts]
         )
@@ -241,6 +240,6 @@
             catalogue.JOB_HANDED_OVER,
             job=job.job_id,
             outcome=outcome.status.value,
-            partial_rows=len(puts),
+            segments=len(segments),
         )
         await self._runner.drop(job.job_id)
--- a/src/cloverwalk/jobs/records.py
+++ b/src/cloverwalk/jobs/records.py
@@ -53,12 +53,13 @@
 
 
 class PartialOutput(Struct):
-    """Output of an item that was handed over before its end."""
+    """A segment of an unfinished item's output: the events from the ``start``th on."""
 
     index: int
+    start: int
     last_event_id: int
     texts: list[str]
-    failures: int
+    failures: int = 0
 
 
 class JobRecord(Struct):
@@ -147,9 +148,10 @@
     return _pieces(RESULT_TABLE, job_id, f"{position:06d}", encode(result))
 
 
-def partial_puts(job_id: str, partial: PartialOutput) -> list[Put]:
-    """Return the rows that hold the output of an unfinished item."""
-    return _pieces(PARTIAL_TABLE, job_id, f"{partial.index:06d}", encode(partial))
+def partial_put(job_id: str, partial: PartialOutput) -> Put:
+    """Return the row that holds a segment of an unfinished item's output."""
+    name = f"{partial.index:06d}.{partial.start:06d}"
+    return Put(RowKey(PARTIAL_TABLE, part_of(job_id), f"{job_id}/{name}"), encode(partial))
 
 
 def _pieces(table: str, job_id: str, name: str, data: bytes) -> list[Put]:
--- a/src/cloverwalk/jobs/run.py
+++ b/src/cloverwalk/jobs/run.py
@@ -13,8 +13,8 @@
 
 MAX_GROUP = 24
 MAX_GROUP_BYTES = 400_000
-MAX_UNPROCESSABLE = 1
-"""A single 'can never be done' ends an item."""
+SEGMENT_CHARACTERS = 20_000
+"""Characters of output in one saved segment, about."""
 
 
 class Phase(Enum):
@@ -40,7 +40,8 @@
     result: ItemResult | None = None
     not_before: float = 0.0
     replica_id: str = ""
-    suspensions: int = 0
+    saved: int = 0
+    """Events of the output that the store holds."""
 
 
 class JobRun:
@@ -63,12 +64,19 @@
         for one in self.items:
             if one.item.item_id in listed_ids:
                 one.phase = Phase.LISTED
-        for partial in partials:
-            one = self.items[partial.index]
-            if one.phase is Phase.PENDING:
-                one.last_event_id = partial.last_event_id
-                one.texts = list(partial.texts)
-                one.failures = partial.failures
+        for partial in sorted(partials, key=lambda one: (one.index, one.start)):
+            self._restore_segment(self.items[partial.index], partial)
+
+    def _restore_segment(self, one: ItemRun, partial: PartialOutput) -> None:
+        """Add a segment that continues or overlaps what is there; skip one behind a gap."""
+        known = len(one.texts)
+        end = partial.start + len(partial.texts)
+        if one.phase is not Phase.PENDING or partial.start > known or end <= known:
+            return
+        one.texts += partial.texts[known - partial.start :]
+        one.last_event_id = partial.last_event_id
+        one.failures = max(one.failures, partial.failures)
+        one.saved = end
 
     def pending(self, now: float) -> list[ItemRun]:
         """Return the items that may start now, those with output first."""
@@ -107,7 +115,6 @@
         one.phase = Phase.PENDING
         one.replica_id = ""
         one.not_before = not_before
-        one.suspensions += 1
 
     def succeed(self, one: ItemRun) -> None:
         """A run came to its proper end."""
@@ -171,15 +178,36 @@
         """Return an item by its id."""
         return self._by_id.get(item_id)
 
-    def partials(self) -> list[PartialOutput]:
-        """Return the output of unfinished items, for the next owner."""
-        return [
-            PartialOutput(one.index, one.last_event_id, one.texts, one.failures)
-            for one in self.items
-            if one.phase in (Phase.PENDING, Phase.RUNNING)
-            and one.last_event_id is not None
-            and one.texts
-        ]
+    def unsaved(self) -> list[PartialOutput]:
+        """Return the output of unfinished items that the store does not hold yet."""
+        segments: list[PartialOutput] = []
+        for one in self.items:
+            if one.phase in (Phase.PENDING, Phase.RUNNING) and len(one.texts) > one.saved:
+                segments += _segments(one)
+        return segments
+
+    def mark_saved(self, segments: list[PartialOutput]) -> None:
+        """The store holds these segments."""
+        for segment in segments:
+            one = self.items[segment.index]
+            one.saved = max(one.saved, segment.start + len(segment.texts))
+
+
+def _segments(one: ItemRun) -> list[PartialOutput]:
+    """Return an item's unsaved output in segments that fit into a row each."""
+    assert one.last_event_id is not None
+    segments: list[PartialOutput] = []
+    start = one.saved
+    while start < len(one.texts):
+        end, size = start, 0
+        while end < len(one.texts) and (end == start or size < SEGMENT_CHARACTERS):
+            size += len(one.texts[end])
+            end += 1
+        last_event_id = one.last_event_id - (len(one.texts) - end)
+        texts = one.texts[start:end]
+        segments.append(PartialOutput(one.index, start, last_event_id, texts, one.failures))
+        start = end
+    return segments
 
 
 def replace_record(record: JobRecord, **changed: object) -> JobRecord:
--- a/src/cloverwalk/serving/node.py
+++ b/src/cloverwalk/serving/node.py
@@ -27,6 +27,7 @@
 from cloverwalk.gateway.replicas import Replica, ReplicaDirectory
 from cloverwalk.gateway.reply import Reply
 from cloverwalk.gateway.server import GatewayServer
+from cloverwalk.jobs.checkpoint import Checkpointer
 from cloverwalk.jobs.commit import Committer
 from cloverwalk.jobs.intake import JobIntake
 from cloverwalk.jobs.item_call import ItemCaller
@@ -165,6 +166,7 @@
         self._lister = ResultLister(
             committer, self._view, cache, self._runner.drop, self._log, self._clock
         )
+        self._checkpointer = Checkpointer(self._runner, committer)
         reader = JobReader(self._store, self._view, self._job_follower, cache, self._clock)
         intake = JobIntake(
             self._incarnation,
@@ -193,6 +195,7 @@
             self._log,
             self._clock,
             self._random,
+            self._peers.has_replaced,
         )
 
     def _build_gateway(self) -> None:
@@ -263,6 +266,7 @@
             self._renew_loop,
             self._runner.run,
             self._lister.run,
+            self._checkpointer.run,
             self._ownership.run,
             self._housekeeping,
         ]
--- a/tests/serving/test_jobs.py
+++ b/tests/serving/test_jobs.py
@@ -8,7 +8,14 @@
 
 from cloverwalk.emulator.memory_store import CommitFault, MemoryStore
 from cloverwalk.jobs.errors import JobError
-from cloverwalk.jobs.records import JOB_TABLE, decode_record, encode, job_key
+from cloverwalk.jobs.records import (
+    JOB_TABLE,
+    JobRecord,
+    PartialOutput,
+    decode_record,
+    encode,
+    job_key,
+)
 from cloverwalk.jobs.run import JobRun, replace_record
 from cloverwalk.store.types import Expectation, Put, Transaction
 
@@ -220,3 +227,42 @@
         assert statuses == [404, 503, 503]
 
     curio.run(main)
+
+
+@given(st.lists(st.tuples(st.integers(0, 12), st.integers(1, 6)), max_size=12))
+def test_saved_output_comes_back_as_a_prefix(cuts: list[tuple[int, int]]) -> None:
+    """Segments of several owners may overlap or leave gaps; what comes back has none."""
+    texts = [f"word{number}" for number in range(18)]
+    segments = [
+        PartialOutput(0, start, start + count - 1, texts[start : start + count])
+        for start, count in cuts
+    ]
+    one = submission("j", count=1)
+    record = JobRecord("j", "h", "/", 0.0, 0.0, 0.0, 3, 1, 10, 1, "n1")
+    job = JobRun(record, 1, one.items)
+    job.restore(set(), segments)
+    item = job.items[0]
+    assert item.texts == texts[: len(item.texts)]
+    assert item.last_event_id == (len(item.texts) - 1 if item.texts else None)
+    covered = {number for start, count in cuts for number in range(start, start + count)}
+    missing = min(set(range(19)) - covered)
+    assert len(item.texts) == missing
+
+
+def test_unsaved_output_is_saved_once_and_continues() -> None:
+    record = JobRecord("j", "h", "/", 0.0, 0.0, 0.0, 3, 1, 10, 1, "n1")
+    job = JobRun(record, 1, submission("j", count=1).items)
+    item = job.items[0]
+    job.begin(item, "r1")
+    saved: list[PartialOutput] = []
+    for number in range(1, 10):
+        assert job.take_event(item, number, "x" * 9000)
+        if number % 3 == 0:
+            new = job.unsaved()
+            job.mark_saved(new)
+            saved += new
+            assert job.unsaved() == []
+    fresh = JobRun(record, 1, submission("j", count=1).items)
+    fresh.restore(set(), saved)
+    assert fresh.items[0].texts == item.texts
+    assert fresh.items[0].last_event_id == 9
