--- a/src/cloverwalk/fleet/load.py
+++ b/src/cloverwalk/fleet/load.py
@@ -4,7 +4,7 @@
 
 PEER_LOAD_VALID_S = 1.5
 PEAK_BUCKET_S = 0.25
-PEAK_BUCKETS = 4
+PEAK_BUCKETS = 1
 
 
 class InFlight(Struct):
--- a/src/cloverwalk/jobs/share.py
+++ b/src/cloverwalk/jobs/share.py
@@ -7,10 +7,10 @@
 
 from cloverwalk.fleet.load import InFlight
 
-RESERVE = 2
+RESERVE = 1
 """Free slots of each replica that batch work never starts on."""
 
-YIELD_RESERVE = 1
+YIELD_RESERVE = 0
 """Free slots below which an item gives way when an online request comes."""
 
 
@@ -20,7 +20,7 @@
     ``online_peak`` is the most online work at once of the last moments.
 
     >>> batch_room(16, InFlight(online=2, batch=3), online_peak=6)
-    5
+    6
     >>> batch_room(16, InFlight(online=12, batch=3), online_peak=14)
     0
     """
@@ -31,7 +31,7 @@
 def must_yield(slots: int, in_flight: InFlight) -> bool:
     """Whether batch work must give a slot to an online request that is already counted.
 
-    >>> must_yield(16, InFlight(online=3, batch=13)), must_yield(16, InFlight(online=17))
+    >>> must_yield(16, InFlight(online=4, batch=13)), must_yield(16, InFlight(online=17))
     (True, False)
     """
     return in_flight.batch > 0 and in_flight.total > slots - YIELD_RESERVE
