--- a/src/cloverwalk/fleet/members.py
+++ b/src/cloverwalk/fleet/members.py
@@ -13,7 +13,6 @@
 """A holder whose row stands still for this long has lost its lease."""
 
 RENEW_TIMEOUT_S = 1.0
-FORGET_AFTER_S = 30.0
 
 
 class MemberRow(Struct):
@@ -81,13 +80,6 @@
         names = [seen.row.incarnation for seen in self._seen.values()]
         return sorted(one for one in names if self.holds_lease(one, watched_since))
 
-    def stale_names(self) -> list[str]:
-        """Return members whose rows stand still for so long that they can be removed."""
-        now = self._clock()
-        return sorted(
-            name for name, seen in self._seen.items() if now - seen.changed_at > FORGET_AFTER_S
-        )
-
 
 class LeaseRenewal:
     """Renews this node's row."""
--- a/src/cloverwalk/gateway/selection.py
+++ b/src/cloverwalk/gateway/selection.py
@@ -53,8 +53,8 @@
     >>> near = Replica("r1", "s", "h", 1, "z1", 4, False, 1)
     >>> far = Replica("r2", "s", "h", 2, "z2", 4, False, 1)
     >>> demand = Demand("z1", 1000)
-    >>> idle, busy, full = InFlight(), InFlight(online=1), InFlight(online=9)
-    >>> choose([Candidate(near, busy, False), Candidate(far, idle, False)], demand).replica.zone
+    >>> idle, full = InFlight(), InFlight(online=9)
+    >>> choose([Candidate(near, idle, False), Candidate(far, idle, False)], demand).replica.zone
     'z1'
     >>> choose([Candidate(near, full, False), Candidate(far, idle, False)], demand).replica.zone
     'z2'
--- a/src/cloverwalk/jobs/runner.py
+++ b/src/cloverwalk/jobs/runner.py
@@ -9,7 +9,7 @@
 from cloverwalk.core import catalogue
 from cloverwalk.fleet.load import LoadBook
 from cloverwalk.fleet.peers import PeerNetwork
-from cloverwalk.gateway.configuration import ConfigurationHolder, Route
+from cloverwalk.gateway.configuration import ConfigurationHolder, Route, RouteKind
 from cloverwalk.gateway.errors import ReplicaError
 from cloverwalk.gateway.replicas import Replica, ReplicaDirectory
 from cloverwalk.jobs.item_call import ItemCaller, ItemFailedError, ItemImpossibleError
@@ -22,6 +22,9 @@
 RETRY_S = 0.3
 SUSPENDED_S = 0.25
 STARTS_PER_TICK = 6
+ROUTE_GONE_S = 4.0
+"""A job whose route is missing for so long can't be run any more."""
+
 PACE_WEIGHT = 0.1
 LEAST_EVENTS_LEFT = 20.0
 
@@ -96,6 +99,7 @@
         self._running: dict[tuple[str, int], _Running] = {}
         self._wake = curio.Event()
         self._pace = ItemPace()
+        self._routeless_since: dict[str, float] = {}
         self.is_stopping = False
 
     # --- jobs ---
@@ -109,6 +113,7 @@
     async def drop(self, job_id: str) -> None:
         """Stop a job: it is done, ended, or owned by another node."""
         job = self.jobs.pop(job_id, None)
+        self._routeless_since.pop(job_id, None)
         if job is None:
             return
         job.is_dropped = True
@@ -163,20 +168,37 @@
         return (now_ms + needed_ms > job.record.due_ms, job.record.due_ms)
 
     def _give_up_old(self) -> None:
+        """End items past their retention, and those whose route is gone for good."""
         now_ms = self._store_now_ms()
         for job in list(self.jobs.values()):
-            if now_ms <= job.record.give_up_ms:
+            if now_ms <= job.record.give_up_ms and not self._has_lost_its_route(job):
                 continue
-            for one in job.items:
-                if one.phase is Phase.PENDING:
-                    job.kill(one)
-            self._on_finished(job)
+            waiting = [one for one in job.items if one.phase is Phase.PENDING]
+            for one in waiting:
+                job.kill(one)
+            if waiting:
+                self._log.write(
+                    catalogue.ITEMS_GIVEN_UP,
+                    job=job.job_id,
+                    items=len(waiting),
+                    past_retention=now_ms > job.record.give_up_ms,
+                    configuration=self._configuration.version,
+                )
+                self._on_finished(job)
+
+    def _has_lost_its_route(self, job: JobRun) -> bool:
+        if self._configuration.current is None or self._route(job) is not None:
+            self._routeless_since.pop(job.job_id, None)
+            return False
+        since = self._routeless_since.setdefault(job.job_id, self._clock())
+        return self._clock() - since > ROUTE_GONE_S
 
     def _route(self, job: JobRun) -> Route | None:
         configuration = self._configuration.current
         if configuration is None:
             return None
-        return configuration.find_route(job.record.host, job.record.path)
+        route = configuration.find_route(job.record.host, job.record.path)
+        return route if route is not None and route.kind is RouteKind.BATCH else None
 
     def _place(self, job: JobRun) -> Replica | None:
         route = self._route(job)
--- /dev/null
+++ b/src/cloverwalk/jobs/sweeper.py
@@ -0,0 +1,97 @@
+"""Removes jobs from the store once nobody may ask for them any more."""
+
+from collections.abc import Callable
+
+import curio
+
+from cloverwalk.core import catalogue
+from cloverwalk.core.hashing import rendezvous_owner
+from cloverwalk.jobs.commit import Committer
+from cloverwalk.jobs.records import (
+    PARTIAL_TABLE,
+    PAYLOAD_TABLE,
+    RESULT_TABLE,
+    JobRecord,
+    job_key,
+    keys_end,
+    part_of,
+)
+from cloverwalk.jobs.view import JobView, KnownJob
+from cloverwalk.store.types import (
+    CommitStatus,
+    Expectation,
+    RowKey,
+    Store,
+    StoreError,
+    Transaction,
+)
+from cloverwalk.telemetry.log import ServingLog
+
+LOOK_EVERY_S = 10.0
+MARGIN_MS = 60_000.0
+"""Added to the time for which a job can be read."""
+
+MAX_REMOVALS = 90
+
+
+class JobSweeper:
+    """Removes old jobs; each is looked after by one of the live members."""
+
+    def __init__(
+        self,
+        name: str,
+        members: Callable[[], list[str]],
+        view: JobView,
+        store: Store,
+        committer: Committer,
+        store_now_ms: Callable[[], float],
+        status_s: float,
+        log: ServingLog,
+    ) -> None:
+        self._name = name
+        self._members = members
+        self._view = view
+        self._store = store
+        self._committer = committer
+        self._store_now_ms = store_now_ms
+        self._kept_ms = status_s * 1000 + MARGIN_MS
+        self._log = log
+
+    async def run(self) -> None:
+        """Look for old jobs until cancelled."""
+        while True:
+            await curio.sleep(LOOK_EVERY_S)
+            await self.sweep()
+
+    async def sweep(self) -> None:
+        """Remove the old jobs that fall to this node."""
+        for known in self._view.all():
+            if not self._is_old(known.record):
+                continue
+            if rendezvous_owner(known.record.job_id, self._members()) != self._name:
+                continue
+            try:
+                await self._remove(known)
+            except StoreError:
+                return
+
+    def _is_old(self, record: JobRecord) -> bool:
+        return not record.is_open and self._store_now_ms() > record.accepted_ms + self._kept_ms
+
+    async def _remove(self, known: KnownJob) -> None:
+        job_id = known.record.job_id
+        for table in (RESULT_TABLE, PARTIAL_TABLE, PAYLOAD_TABLE):
+            while keys := await self._keys(table, job_id):
+                outcome = await self._committer.once(Transaction(removals=keys))
+                if outcome.status is not CommitStatus.COMMITTED:
+                    return
+        # The record goes last: while it is there, the rest is found again.
+        key = job_key(job_id)
+        transaction = Transaction([Expectation(key, known.version)], removals=[key])
+        await self._committer.once(transaction)
+        self._log.write(catalogue.JOB_REMOVED, job=job_id)
+
+    async def _keys(self, table: str, job_id: str) -> list[RowKey]:
+        part = part_of(job_id)
+        page = await self._store.read(table, part, f"{job_id}/", keys_end(job_id), MAX_REMOVALS)
+        return [row.row_key for row in page.rows]
--- a/src/cloverwalk/serving/node.py
+++ b/src/cloverwalk/serving/node.py
@@ -39,6 +39,7 @@
 from cloverwalk.jobs.run import JobRun
 from cloverwalk.jobs.runner import BatchRunner
 from cloverwalk.jobs.service import JobService
+from cloverwalk.jobs.sweeper import JobSweeper
 from cloverwalk.jobs.view import JobView
 from cloverwalk.serving.adapter import Adapter
 from cloverwalk.serving.calls import CallHandler
@@ -182,6 +183,16 @@
         self._jobs = JobService(
             intake, reader, self._runner, self._view, committer, self._log, self._clock
         )
+        self._sweeper = JobSweeper(
+            self._incarnation,
+            lambda: self._members.live(self._member_follower.healthy_since),
+            self._view,
+            self._store,
+            committer,
+            self._store_now_ms,
+            self._settings.status_s,
+            self._log,
+        )
         self._ownership = JobOwnership(
             self._renewal,
             self._members,
@@ -267,6 +278,7 @@
             self._runner.run,
             self._lister.run,
             self._checkpointer.run,
+            self._sweeper.run,
             self._ownership.run,
             self._housekeeping,
         ]
--- a/tests/serving/test_batch.py
+++ b/tests/serving/test_batch.py
@@ -2,7 +2,7 @@
 
 import curio
 import pytest
-from fleet_world import FleetWorld, in_world
+from fleet_world import FleetWorld, configuration, in_world, route
 
 from cloverwalk.emulator.platform_replica import Misdeed
 from cloverwalk.platform import names
@@ -176,3 +176,16 @@
         assert b"job_invalid" in answer.body
 
     in_world(test)
+
+
+def test_items_end_with_their_route() -> None:
+    async def test(world: FleetWorld) -> None:
+        await world.start(replicas=1, events=500, event_s=0.02)
+        world.replicas[0].always = Misdeed.REFUSE
+        assert (await world.hand_in("j")).status == 202
+        routes = [route("chat", "/chat/", "streaming", resumable=True)]
+        world.store.put(names.OPERATOR_TABLE, names.CONFIGURATION_KEY, configuration(9, routes))
+        results = await world.until_done("j", 3)
+        assert {one["state"] for one in results} == {"dead_letter"}
+
+    in_world(test)
--- a/tests/serving/test_jobs.py
+++ b/tests/serving/test_jobs.py
@@ -1,5 +1,7 @@
 """A job is taken once, and each of its items stands at one position, whatever the store loses."""
 
+import os
+
 import curio
 import pytest
 from hypothesis import given
@@ -10,6 +12,8 @@
 from cloverwalk.jobs.errors import JobError
 from cloverwalk.jobs.records import (
     JOB_TABLE,
+    PAYLOAD_TABLE,
+    RESULT_TABLE,
     JobRecord,
     PartialOutput,
     decode_record,
@@ -17,7 +21,9 @@
     job_key,
 )
 from cloverwalk.jobs.run import JobRun, replace_record
+from cloverwalk.jobs.sweeper import JobSweeper
 from cloverwalk.store.types import Expectation, Put, Transaction
+from cloverwalk.telemetry.log import ServingLog
 
 LOST, REFUSED, LATE = CommitFault.LOST_ANSWER, CommitFault.NOT_DONE, CommitFault.LATE
 
@@ -272,3 +278,36 @@
     fresh.restore(set(), saved)
     assert fresh.items[0].texts == item.texts
     assert fresh.items[0].last_event_id == 9
+
+
+def test_old_jobs_leave_nothing_in_the_store_and_open_ones_stay() -> None:
+    async def main() -> None:
+        store = MemoryStore()
+        node = OwnerNode("n1", store, HandClock())
+        await node.submit(submission("old"), batch_route())
+        await node.submit(submission("open"), batch_route())
+        job = node.jobs["old"]
+        for one in job.items:
+            finish(job, one, "a b")
+        await node.lister.list_finished(job)
+        log = ServingLog("n1", node.clock, os.open(os.devnull, os.O_WRONLY))
+        now_ms = 0.0
+        sweeper = JobSweeper(
+            "n1",
+            lambda: ["n1"],
+            node.view,
+            store,
+            node.committer,
+            lambda: now_ms,
+            120.0,
+            log,
+        )
+        await sweeper.sweep()
+        assert sorted(store.values(JOB_TABLE)) == ["old", "open"]
+        now_ms = 181_000.0
+        await sweeper.sweep()
+        assert sorted(store.values(JOB_TABLE)) == ["open"]
+        assert store.values(RESULT_TABLE) == {}
+        assert len(store.values(PAYLOAD_TABLE)) == 1
+
+    curio.run(main)
