Relay and serving node split by concern; log lines carry the time of day

Change: answers are passed on by AnswerRelay, what comes from the store is kept by FleetKnowledge; no change of behaviour meant.

--- /dev/null
+++ b/src/cloverwalk/gateway/answer_relay.py
@@ -0,0 +1,138 @@
+"""Passes a replica's answer on: events as they come and in order, other answers whole."""
+
+from collections.abc import Callable
+
+import curio
+
+from cloverwalk.gateway.errors import ReplicaError
+from cloverwalk.gateway.event_stream import EventSplitter, StreamEvent
+from cloverwalk.gateway.messages import ClientRequest, GatewayCodec
+from cloverwalk.gateway.progress import RequestProgress
+from cloverwalk.gateway.replica_connection import AnswerHead, ReplicaConnection
+from cloverwalk.gateway.replicas import ReplicaDirectory
+from cloverwalk.gateway.reply import Reply
+from cloverwalk.telemetry.metrics import ServingMetrics
+
+FIRST_EVENT_SILENCE_S = 1.2
+"""A stream of a route that may be resumed moves on after this time without an answer."""
+
+EVENT_SILENCE_S = 0.7
+MAX_BUFFERED_ANSWER_BYTES = 1_048_576
+
+
+class AnswerRelay:
+    """Relays answers of replicas to clients. Raises ReplicaError where an answer is no good."""
+
+    def __init__(
+        self,
+        codec: GatewayCodec,
+        directory: ReplicaDirectory,
+        metrics: ServingMetrics,
+        clock: Callable[[], float],
+    ) -> None:
+        self._codec = codec
+        self._directory = directory
+        self._metrics = metrics
+        self._clock = clock
+
+    async def relay_plain(
+        self,
+        request: ClientRequest,
+        progress: RequestProgress,
+        connection: ReplicaConnection,
+        head: AnswerHead,
+        reply: Reply,
+    ) -> None:
+        """Pass on an answer that is no stream, whole where it fits into the buffer."""
+        if reply.has_begun:
+            raise ReplicaError(f"the resumed run answered {head.status}", True, "not_resumed")
+        can_repeat = progress.route.may_repeat and head.status >= 500
+        if can_repeat and progress.has_attempt_left:
+            raise ReplicaError(f"the replica answered {head.status}", True, "replica_error")
+        parts: list[bytes] = []
+        size = 0
+        while (data := await connection.read_body()) is not None:
+            parts.append(data)
+            size += len(data)
+            if size > MAX_BUFFERED_ANSWER_BYTES:
+                await self._relay_long(connection, head, parts, reply)
+                break
+        else:
+            headers = self._codec.headers_to_client(head.headers)
+            await reply.respond(head.status, headers, b"".join(parts))
+
+    async def _relay_long(
+        self, connection: ReplicaConnection, head: AnswerHead, parts: list[bytes], reply: Reply
+    ) -> None:
+        headers = self._codec.headers_to_client(head.headers)
+        await reply.begin(head.status, headers, head.content_length)
+        await reply.write(b"".join(parts))
+        while (data := await connection.read_body()) is not None:
+            await reply.write(data)
+        await reply.finish()
+
+    async def relay_stream(
+        self,
+        request: ClientRequest,
+        progress: RequestProgress,
+        connection: ReplicaConnection,
+        head: AnswerHead,
+        reply: Reply,
+    ) -> None:
+        """Pass on a stream's events behind those that the client has."""
+        splitter = EventSplitter()
+        if not reply.has_begun:
+            await reply.begin(head.status, self._codec.headers_to_client(head.headers), None)
+        while (data := await self._next_data(progress, connection)) is not None:
+            try:
+                events = splitter.feed(data)
+            except ValueError as error:
+                raise ReplicaError(str(error), True, "invalid_stream") from error
+            await self._pass_events(request, progress, events, reply)
+        if splitter.rest:
+            raise ReplicaError("the stream ended within an event", True, "answer_cut")
+        await reply.finish()
+
+    async def _next_data(
+        self, progress: RequestProgress, connection: ReplicaConnection
+    ) -> bytes | None:
+        if not self._may_move(progress):
+            return await connection.read_body()
+        limit_s = EVENT_SILENCE_S
+        if progress.first_event_at is None:
+            limit_s = FIRST_EVENT_SILENCE_S
+        try:
+            async with curio.timeout_after(limit_s):
+                return await connection.read_body()
+        except curio.TaskTimeout as error:
+            self._directory.suspect(progress.last_replica, self._clock())
+            raise ReplicaError("the stream fell silent", True, "silent") from error
+
+    def _may_move(self, progress: RequestProgress) -> bool:
+        return progress.route.is_resumable and progress.has_attempt_left
+
+    async def _pass_events(
+        self,
+        request: ClientRequest,
+        progress: RequestProgress,
+        events: list[StreamEvent],
+        reply: Reply,
+    ) -> None:
+        fresh: list[bytes] = []
+        for event in events:
+            if event.event_id is not None:
+                last = progress.last_event_id
+                if last is not None and event.event_id <= last:
+                    continue
+                if last is not None and event.event_id != last + 1:
+                    raise ReplicaError("an event is missing", True, "invalid_stream")
+                progress.last_event_id = event.event_id
+            fresh.append(event.raw)
+        if not fresh:
+            return
+        if progress.first_event_at is None:
+            progress.first_event_at = self._clock()
+            self._metrics.first_event(
+                progress.route.name, progress.first_event_at - request.received_at
+            )
+        await reply.write(b"".join(fresh))
--- /dev/null
+++ b/src/cloverwalk/gateway/progress.py
@@ -0,0 +1,36 @@
+"""What has happened to an online request so far."""
+
+from msgspec import Struct
+
+from cloverwalk.gateway.configuration import Route
+
+
+class RequestProgress(Struct):
+    """What has happened to a request so far."""
+
+    route: Route
+    service: str
+    deadline: float
+    tried: list[str]
+    """Replicas that may have run the request."""
+
+    refused: list[str]
+    """Replicas that said that they did not."""
+
+    last_event_id: int | None
+    is_sent: bool = False
+    """Whether bytes went to a replica whose answer is not known yet."""
+
+    first_event_at: float | None = None
+    last_replica: str = ""
+    last_failure: str = ""
+
+    @property
+    def may_have_run(self) -> bool:
+        """Whether any replica can have run the request."""
+        return self.is_sent or bool(self.tried)
+
+    @property
+    def has_attempt_left(self) -> bool:
+        """Whether another replica may run the request after the present one."""
+        return len(self.tried) + 1 < self.route.max_attempts
--- a/src/cloverwalk/gateway/relay.py
+++ b/src/cloverwalk/gateway/relay.py
@@ -7,14 +7,14 @@
 from collections.abc import Awaitable, Callable
 
 import curio
-from msgspec import Struct
 
 from cloverwalk.core import catalogue
 from cloverwalk.fleet.load import LoadBook
-from cloverwalk.gateway.configuration import Configuration, ConfigurationHolder, Route, RouteKind
+from cloverwalk.gateway.answer_relay import EVENT_SILENCE_S, FIRST_EVENT_SILENCE_S, AnswerRelay
+from cloverwalk.gateway.configuration import ConfigurationHolder, Route, RouteKind
 from cloverwalk.gateway.errors import ClientGoneError, GatewayError, ReplicaError
-from cloverwalk.gateway.event_stream import EventSplitter, StreamEvent
 from cloverwalk.gateway.messages import ClientRequest, GatewayCodec
+from cloverwalk.gateway.progress import RequestProgress
 from cloverwalk.gateway.replica_connection import AnswerHead, ReplicaConnection, ReplicaPool
 from cloverwalk.gateway.replicas import Replica, ReplicaDirectory
 from cloverwalk.gateway.reply import Reply
@@ -22,44 +22,13 @@
 from cloverwalk.telemetry.log import ServingLog
 from cloverwalk.telemetry.metrics import ServingMetrics
 
-FIRST_EVENT_SILENCE_S = 1.2
-"""A stream of a route that may be resumed moves on after this time without an answer."""
-
-EVENT_SILENCE_S = 0.7
 MAX_REFUSALS = 3
 """Replicas that may say 'not run' before the request is refused."""
 
 RETRY_AFTER_S = 0.2
-MAX_BUFFERED_ANSWER_BYTES = 1_048_576
 LEAST_USEFUL_S = 0.01
 
 
-class _Progress(Struct):
-    """What has happened to a request so far."""
-
-    route: Route
-    service: str
-    deadline: float
-    tried: list[str]
-    """Replicas that may have run the request."""
-
-    refused: list[str]
-    """Replicas that said that they did not."""
-
-    last_event_id: int | None
-    is_sent: bool = False
-    """Whether bytes went to a replica whose answer is not known yet."""
-
-    first_event_at: float | None = None
-    last_replica: str = ""
-    last_failure: str = ""
-
-    @property
-    def may_have_run(self) -> bool:
-        """Whether any replica can have run the request."""
-        return self.is_sent or bool(self.tried)
-
-
 MakeRoom = Callable[[Replica], Awaitable[None]]
 
 
@@ -90,6 +59,7 @@
         self._clock = clock
         self._make_room = make_room
         self._rotation = WeightedRotation()
+        self._answers = AnswerRelay(codec, directory, metrics, clock)
 
     async def handle(self, request: ClientRequest, route: Route, reply: Reply) -> None:
         """Serve a request of an online route."""
@@ -105,7 +75,7 @@
             self._note_end(request, progress, "client_gone", reply.status)
             raise
 
-    def _begin(self, request: ClientRequest, route: Route) -> _Progress:
+    def _begin(self, request: ClientRequest, route: Route) -> RequestProgress:
         allowed_s = route.timeout_s
         if request.fields.deadline_s is not None:
             allowed_s = min(allowed_s, request.fields.deadline_s)
@@ -114,7 +84,7 @@
         if not self._directory.usable(service):
             others = [one for one in route.services if self._directory.usable(one)]
             service = others[0] if others else service
-        return _Progress(
+        return RequestProgress(
             route,
             service,
             request.received_at + allowed_s,
@@ -123,14 +93,14 @@
             request.fields.last_event_id,
         )
 
-    def _timeout_error(self, progress: _Progress) -> GatewayError:
+    def _timeout_error(self, progress: RequestProgress) -> GatewayError:
         if not progress.may_have_run:
             return GatewayError(503, "deadline_passed", "no replica had room in time", 0.0)
         return GatewayError(504, "deadline_passed", "the answer did not come in time")
 
     # --- attempts ---
 
-    async def _serve(self, request: ClientRequest, progress: _Progress, reply: Reply) -> None:
+    async def _serve(self, request: ClientRequest, progress: RequestProgress, reply: Reply) -> None:
         while True:
             replica = self._choose(request, progress)
             try:
@@ -139,7 +109,7 @@
             except ReplicaError as error:
                 self._note_failure(request, progress, replica, error, reply)
 
-    def _choose(self, request: ClientRequest, progress: _Progress) -> Replica:
+    def _choose(self, request: ClientRequest, progress: RequestProgress) -> Replica:
         route = progress.route
         if progress.tried and not self._may_try_again(progress):
             raise GatewayError(502, "attempts_used", progress.last_failure)
@@ -163,7 +133,7 @@
         )
         return chosen.replica
 
-    def _candidates(self, progress: _Progress, now: float) -> list[Candidate]:
+    def _candidates(self, progress: RequestProgress, now: float) -> list[Candidate]:
         """Return the replicas that were not asked yet, or else those that were tried before."""
         usable = self._directory.usable(progress.service)
         usable = [one for one in usable if one.replica_id not in progress.refused]
@@ -177,10 +147,10 @@
             for one in fresh or usable
         ]
 
-    def _may_try_again(self, progress: _Progress) -> bool:
+    def _may_try_again(self, progress: RequestProgress) -> bool:
         return progress.route.may_repeat and len(progress.tried) < progress.route.max_attempts
 
-    def _refusal(self, progress: _Progress, code: str) -> GatewayError:
+    def _refusal(self, progress: RequestProgress, code: str) -> GatewayError:
         if progress.may_have_run:
             return GatewayError(502, code, progress.last_failure or "no replica took the request")
         return GatewayError(503, code, "no replica takes the request now", RETRY_AFTER_S)
@@ -196,7 +166,7 @@
     def _note_failure(
         self,
         request: ClientRequest,
-        progress: _Progress,
+        progress: RequestProgress,
         replica: Replica,
         error: ReplicaError,
         reply: Reply,
@@ -220,7 +190,7 @@
     # --- one attempt ---
 
     async def _attempt(
-        self, request: ClientRequest, progress: _Progress, replica: Replica, reply: Reply
+        self, request: ClientRequest, progress: RequestProgress, replica: Replica, reply: Reply
     ) -> None:
         now = self._clock()
         if progress.deadline - now < LEAST_USEFUL_S:
@@ -234,7 +204,7 @@
             self._loads.end(replica.replica_id, False)
 
     async def _attempt_counted(
-        self, request: ClientRequest, progress: _Progress, replica: Replica, reply: Reply
+        self, request: ClientRequest, progress: RequestProgress, replica: Replica, reply: Reply
     ) -> None:
         try:
             connection = await self._pool.acquire((replica.host, replica.port))
@@ -257,7 +227,7 @@
     async def _exchange(
         self,
         request: ClientRequest,
-        progress: _Progress,
+        progress: RequestProgress,
         replica: Replica,
         connection: ReplicaConnection,
         reply: Reply,
@@ -274,15 +244,16 @@
             raise ReplicaError("the answer is not signed", True, "unsigned")
         self._directory.clear_suspicion(replica.replica_id)
         if progress.route.kind is RouteKind.STREAM and head.status == 200:
-            await self._relay_stream(request, progress, connection, head, reply)
+            await self._answers.relay_stream(request, progress, connection, head, reply)
         else:
-            await self._relay_plain(request, progress, connection, head, reply)
+            await self._answers.relay_plain(request, progress, connection, head, reply)
+        self._note_end(request, progress, "answered", head.status)
         return head
 
     async def _send_and_read_head(
         self,
         request: ClientRequest,
-        progress: _Progress,
+        progress: RequestProgress,
         replica: Replica,
         connection: ReplicaConnection,
     ) -> AnswerHead:
@@ -306,9 +277,8 @@
                 self._directory.suspect(replica.replica_id, self._clock())
             raise
 
-    def _first_answer_limit_s(self, progress: _Progress, remaining_s: float) -> float:
-        tries_left = progress.route.max_attempts - len(progress.tried) - 1
-        if not progress.route.may_repeat or tries_left <= 0:
+    def _first_answer_limit_s(self, progress: RequestProgress, remaining_s: float) -> float:
+        if not progress.route.may_repeat or not progress.has_attempt_left:
             return remaining_s + 1.0
         if progress.route.kind is RouteKind.STREAM:
             return min(remaining_s + 1.0, FIRST_EVENT_SILENCE_S)
@@ -319,113 +289,10 @@
             while await connection.read_body() is not None:
                 pass
 
-    # --- answers ---
-
-    async def _relay_plain(
-        self,
-        request: ClientRequest,
-        progress: _Progress,
-        connection: ReplicaConnection,
-        head: AnswerHead,
-        reply: Reply,
-    ) -> None:
-        if reply.has_begun:
-            raise ReplicaError(f"the resumed run answered {head.status}", True, "not_resumed")
-        can_repeat = progress.route.may_repeat and head.status >= 500
-        if can_repeat and len(progress.tried) + 1 < progress.route.max_attempts:
-            raise ReplicaError(f"the replica answered {head.status}", True, "replica_error")
-        parts: list[bytes] = []
-        size = 0
-        while (data := await connection.read_body()) is not None:
-            parts.append(data)
-            size += len(data)
-            if size > MAX_BUFFERED_ANSWER_BYTES:
-                await self._relay_long(connection, head, parts, reply)
-                break
-        else:
-            headers = self._codec.headers_to_client(head.headers)
-            await reply.respond(head.status, headers, b"".join(parts))
-        self._note_end(request, progress, "answered", head.status)
-
-    async def _relay_long(
-        self, connection: ReplicaConnection, head: AnswerHead, parts: list[bytes], reply: Reply
-    ) -> None:
-        headers = self._codec.headers_to_client(head.headers)
-        await reply.begin(head.status, headers, head.content_length)
-        await reply.write(b"".join(parts))
-        while (data := await connection.read_body()) is not None:
-            await reply.write(data)
-        await reply.finish()
-
-    async def _relay_stream(
-        self,
-        request: ClientRequest,
-        progress: _Progress,
-        connection: ReplicaConnection,
-        head: AnswerHead,
-        reply: Reply,
-    ) -> None:
-        splitter = EventSplitter()
-        if not reply.has_begun:
-            await reply.begin(head.status, self._codec.headers_to_client(head.headers), None)
-        while (data := await self._next_data(progress, connection)) is not None:
-            try:
-                events = splitter.feed(data)
-            except ValueError as error:
-                raise ReplicaError(str(error), True, "invalid_stream") from error
-            await self._pass_events(request, progress, events, reply)
-        if splitter.rest:
-            raise ReplicaError("the stream ended within an event", True, "answer_cut")
-        await reply.finish()
-        self._note_end(request, progress, "answered", head.status)
-
-    async def _next_data(self, progress: _Progress, connection: ReplicaConnection) -> bytes | None:
-        if not self._may_move(progress):
-            return await connection.read_body()
-        limit_s = EVENT_SILENCE_S
-        if progress.first_event_at is None:
-            limit_s = FIRST_EVENT_SILENCE_S
-        try:
-            async with curio.timeout_after(limit_s):
-                return await connection.read_body()
-        except curio.TaskTimeout as error:
-            self._directory.suspect(progress.last_replica, self._clock())
-            raise ReplicaError("the stream fell silent", True, "silent") from error
-
-    def _may_move(self, progress: _Progress) -> bool:
-        tries_left = progress.route.max_attempts - len(progress.tried) - 1
-        return progress.route.is_resumable and tries_left > 0
-
-    async def _pass_events(
-        self,
-        request: ClientRequest,
-        progress: _Progress,
-        events: list[StreamEvent],
-        reply: Reply,
-    ) -> None:
-        fresh: list[bytes] = []
-        for event in events:
-            if event.event_id is not None:
-                last = progress.last_event_id
-                if last is not None and event.event_id <= last:
-                    continue
-                if last is not None and event.event_id != last + 1:
-                    raise ReplicaError("an event is missing", True, "invalid_stream")
-                progress.last_event_id = event.event_id
-            fresh.append(event.raw)
-        if not fresh:
-            return
-        if progress.first_event_at is None:
-            progress.first_event_at = self._clock()
-            self._metrics.first_event(
-                progress.route.name, progress.first_event_at - request.received_at
-            )
-        await reply.write(b"".join(fresh))
-
     # --- the end ---
 
     async def _give_up(
-        self, request: ClientRequest, progress: _Progress, reply: Reply, error: GatewayError
+        self, request: ClientRequest, progress: RequestProgress, reply: Reply, error: GatewayError
     ) -> None:
         self._note_end(request, progress, error.code, error.status)
         if reply.has_begun:
@@ -434,7 +301,7 @@
         await reply.respond(error.status, headers, f"{error.code}: {error}\n".encode())
 
     def _note_end(
-        self, request: ClientRequest, progress: _Progress, outcome: str, status: int
+        self, request: ClientRequest, progress: RequestProgress, outcome: str, status: int
     ) -> None:
         took_s = self._clock() - request.received_at
         first = progress.first_event_at
@@ -453,10 +320,3 @@
             first_ms=None if first is None else round((first - request.received_at) * 1000, 1),
             last_event=progress.last_event_id,
         )
-
-
-def require_configuration(holder: ConfigurationHolder) -> Configuration:
-    """Return the configuration in force; raise GatewayError when none is known."""
-    if holder.current is None:
-        raise GatewayError(503, "no_configuration", "this node is starting", 1.0)
-    return holder.current
--- a/src/cloverwalk/serving/node.py
+++ b/src/cloverwalk/serving/node.py
@@ -19,12 +19,11 @@
     MemberRow,
 )
 from cloverwalk.fleet.peers import PeerCodec, PeerNetwork
-from cloverwalk.gateway.configuration import ClientLimits, ConfigurationHolder
+from cloverwalk.gateway.configuration import ClientLimits
 from cloverwalk.gateway.errors import GatewayError
 from cloverwalk.gateway.messages import ClientRequest
 from cloverwalk.gateway.relay import OnlineRelay
 from cloverwalk.gateway.replica_connection import ReplicaPool
-from cloverwalk.gateway.replicas import Replica, ReplicaDirectory
 from cloverwalk.gateway.reply import Reply
 from cloverwalk.gateway.server import GatewayServer
 from cloverwalk.jobs.checkpoint import Checkpointer
@@ -43,6 +42,7 @@
 from cloverwalk.jobs.view import JobView
 from cloverwalk.serving.adapter import Adapter
 from cloverwalk.serving.calls import CallHandler
+from cloverwalk.serving.knowledge import FleetKnowledge
 from cloverwalk.serving.settings import ServingSettings
 from cloverwalk.store.types import RowPage
 from cloverwalk.telemetry.log import ServingLog
@@ -77,8 +77,6 @@
         self._metrics = ServingMetrics()
         self._stop = curio.UniversalEvent()
         self._reload = curio.UniversalEvent()
-        self._store_clock_ms = 0.0
-        self._store_clock_at: float | None = None
         self.is_leaving = False
         self._build_state(incarnation)
         self._build_fleet(incarnation)
@@ -89,9 +87,9 @@
 
     def _build_state(self, incarnation: str) -> None:
         self._incarnation = incarnation
-        self._configuration = ConfigurationHolder()
-        self._directory = ReplicaDirectory()
-        self._raw_replicas: dict[str, tuple[int, bytes]] = {}
+        self._knowledge = FleetKnowledge(self._adapter, self._log, self._clock)
+        self._configuration = self._knowledge.configuration
+        self._directory = self._knowledge.directory
         self._loads = LoadBook()
         self._view = JobView()
         self._members = MemberBook(self._clock)
@@ -110,8 +108,8 @@
             self._loads,
             self._configuration,
             self._directory,
-            self._raw_replicas,
-            PeerCodec(self._take_configuration, self._take_replica),
+            self._knowledge.raw_replicas,
+            PeerCodec(self._knowledge.take_configuration, self._knowledge.take_replica),
             self._log,
             self._clock,
             self._on_yield,
@@ -121,12 +119,15 @@
         self._renewal = LeaseRenewal(row, self._store, self._clock)
         self._configuration_follower = self._follower(
             adapter.configuration_table,
-            self._on_configuration,
-            self._on_configuration,
+            self._knowledge.on_configuration,
+            self._knowledge.on_configuration,
             CONFIGURATION_PAUSE_S,
         )
         self._replica_follower = self._follower(
-            adapter.replica_table, self._on_all_replicas, self._on_replicas, REPLICAS_PAUSE_S
+            adapter.replica_table,
+            self._knowledge.on_all_replicas,
+            self._knowledge.on_replicas,
+            REPLICAS_PAUSE_S,
         )
         self._member_follower = self._follower(
             MEMBER_TABLE, self._on_members, self._on_members, MEMBERS_PAUSE_S
@@ -158,7 +159,7 @@
             self._peers,
             self._may_start_batch,
             self._on_item_finished,
-            self._store_now_ms,
+            self._knowledge.store_now_ms,
             self._log,
             self._metrics,
             self._clock,
@@ -175,7 +176,7 @@
             committer,
             self._view,
             self._job_follower,
-            self._store_now_ms,
+            self._knowledge.store_now_ms,
             self._clock,
             self._log,
             self._on_job_taken,
@@ -189,7 +190,7 @@
             self._view,
             self._store,
             committer,
-            self._store_now_ms,
+            self._knowledge.store_now_ms,
             self._settings.status_s,
             self._log,
         )
@@ -374,98 +375,12 @@
 
     # --- what the store says ---
 
-    def _note_store_clock(self, page: RowPage) -> None:
-        self._store_clock_ms = page.now_ms
-        self._store_clock_at = self._clock()
-
-    def _store_now_ms(self) -> float:
-        if self._store_clock_at is None:
-            return 0.0
-        return self._store_clock_ms + (self._clock() - self._store_clock_at) * 1000
-
-    async def _on_configuration(self, page: RowPage) -> None:
-        self._note_store_clock(page)
-        for row in page.rows:
-            if row.row_key.key == self._adapter.configuration_key and row.value is not None:
-                self._take_configuration(row.value)
-
-    def _take_configuration(self, raw: bytes) -> bool:
-        try:
-            configuration = self._adapter.configuration(raw)
-        except ValueError as error:
-            self._log.write(catalogue.CONFIGURATION_INVALID, error=str(error)[:300])
-            return False
-        if not self._configuration.offer(configuration, raw):
-            return False
-        self._log.write(
-            catalogue.CONFIGURATION_TAKEN,
-            version=configuration.version,
-            routes=len(configuration.routes),
-        )
-        return True
-
-    async def _on_all_replicas(self, page: RowPage) -> None:
-        replicas = self._decode_replicas(page)
-        for key in self._directory.replace(replicas, page.version):
-            self._forget_replica(key, page.version)
-        self._confirm_directory(page)
-
-    async def _on_replicas(self, page: RowPage) -> None:
-        for row in page.rows:
-            if row.value is None and self._directory.remove(row.row_key.key, row.version):
-                self._forget_replica(row.row_key.key, row.version)
-        for replica in self._decode_replicas(page):
-            self._put_replica(replica)
-        self._confirm_directory(page)
-
-    def _decode_replicas(self, page: RowPage) -> list[Replica]:
-        replicas: list[Replica] = []
-        for row in page.rows:
-            if row.value is None:
-                continue
-            try:
-                replica = self._adapter.replica(row.row_key.key, row.value, row.version)
-            except ValueError as error:
-                self._log.write(catalogue.REPLICA_INVALID, error=str(error)[:300])
-                continue
-            self._raw_replicas[replica.replica_id] = (row.version, row.value)
-            replicas.append(replica)
-        return replicas
-
-    def _put_replica(self, replica: Replica) -> None:
-        if not self._directory.put(replica):
-            return
-        self._log.write(
-            catalogue.REPLICA_CHANGED,
-            replica=replica.replica_id,
-            service=replica.service,
-            draining=replica.is_draining,
-            version=replica.version,
-        )
-
-    def _forget_replica(self, replica_id: str, version: int) -> None:
-        self._raw_replicas.pop(replica_id, None)
-        self._log.write(catalogue.REPLICA_REMOVED, replica=replica_id, version=version)
-
-    def _confirm_directory(self, page: RowPage) -> None:
-        self._note_store_clock(page)
-        self._directory.version = max(self._directory.version, page.version)
-        self._directory.confirmed_at = self._clock()
-
-    def _take_replica(self, replica_id: str, raw: bytes, version: int) -> None:
-        try:
-            replica = self._adapter.replica(replica_id, raw, version)
-        except ValueError:
-            return
-        self._raw_replicas[replica_id] = (version, raw)
-        self._put_replica(replica)
-
     async def _on_members(self, page: RowPage) -> None:
         for member in self._members.take(page):
             self._peers.add_host(member.host)
 
     async def _on_jobs(self, page: RowPage) -> None:
-        self._note_store_clock(page)
+        self._knowledge.note_clock(page)
         await self._view.take(page)
 
     # --- lease and batch ---
--- a/src/cloverwalk/telemetry/log.py
+++ b/src/cloverwalk/telemetry/log.py
@@ -2,6 +2,7 @@
 
 import os
 import sys
+import time
 from typing import Any
 
 import msgspec
@@ -38,7 +39,11 @@
 
 
 class ServingLog:
-    """The log of one process. Each line names the node, the time of day and its number."""
+    """The log of one process.
+
+    Each line names the node, the number of its event, the time of day (``at``, seconds) and the
+    steady clock (``t``, seconds), which alone orders the lines of one process.
+    """
 
     def __init__(self, node: str, clock: Any, descriptor: int | None = None) -> None:
         if descriptor is None:
@@ -82,5 +87,6 @@
     def _emit(self, level: str, name: str, number: int, now: float, fields: Any) -> None:
         lost = self._writer.lost
         write = getattr(self._log, level)
-        write(name, number=number, level=level, t=round(now, 4), **fields)
+        at = round(time.time(), 4)
+        write(name, number=number, level=level, at=at, t=round(now, 4), **fields)
         self.lines_dropped += self._writer.lost - lost
