--- /dev/null
+++ b/src/cloverwalk/cli/explain.py
@@ -0,0 +1,49 @@
+"""``cloverwalk explain``."""
+
+from pathlib import Path
+
+import click
+
+from cloverwalk.cli.api import json_option, print_json
+from cloverwalk.cli.errors import EXIT_USAGE, CommandError
+from cloverwalk.telemetry.story import LogLine, parse_line, story_of
+
+
+@click.command()
+@click.argument("request_id")
+@click.argument(
+    "logs", nargs=-1, required=True, type=click.Path(path_type=Path, exists=True, dir_okay=False)
+)
+@json_option
+def explain(request_id: str, logs: tuple[Path, ...], as_json: bool) -> None:
+    """Print the story of a request, item or job from the logs of many nodes.
+
+    Lines are in order of time; what the nodes learned meanwhile (configuration, replicas,
+    store, peers) stands between them.
+
+    Example: cloverwalk explain 9c41d07be2a35f68 node-*.log
+    """
+    lines: list[LogLine] = []
+    for path in logs:
+        with path.open(encoding="utf-8", errors="replace") as file:
+            lines += [line for text in file if (line := parse_line(text)) is not None]
+    story = story_of(lines, request_id)
+    if not story:
+        message = f"{request_id}: no line of {len(lines)} names it; it may have reached no node"
+        raise CommandError(message, EXIT_USAGE, "not_logged")
+    if as_json:
+        print_json(
+            [
+                {
+                    "time_s": line.time_s,
+                    "node": line.node,
+                    "number": line.number,
+                    "event": line.event,
+                    **line.fields,
+                }
+                for line in story
+            ]
+        )
+        return
+    for line in story:
+        click.echo(line.text())
--- a/src/cloverwalk/cli/main.py
+++ b/src/cloverwalk/cli/main.py
@@ -14,7 +14,9 @@
 from cloverwalk.cli.demo import demo
 from cloverwalk.cli.errors import EXIT_SETTINGS, CommandError
 from cloverwalk.cli.experiment import experiment
+from cloverwalk.cli.explain import explain
 from cloverwalk.cli.fleet import fleet
+from cloverwalk.cli.platform import platform
 from cloverwalk.cli.run import emulator, node
 from cloverwalk.cli.session import session
 from cloverwalk.cli.settings import settings
@@ -46,7 +48,20 @@
     """
 
 
-for command in (node, emulator, demo, table, session, batch, fleet, settings, experiment):
+COMMANDS = (
+    node,
+    emulator,
+    demo,
+    table,
+    session,
+    batch,
+    fleet,
+    settings,
+    platform,
+    experiment,
+    explain,
+)
+for command in COMMANDS:
     cli.add_command(command)
 
 
--- /dev/null
+++ b/src/cloverwalk/telemetry/story.py
@@ -0,0 +1,107 @@
+"""One request's story out of the log lines of many nodes."""
+
+import re
+from collections.abc import Iterable
+from typing import Any
+
+import msgspec
+from msgspec import Struct
+
+from cloverwalk.core import catalogue
+
+BEFORE_S = 3.0
+"""Changes of belief this long before a request's first line belong to its story."""
+
+BELIEFS = frozenset(
+    {
+        catalogue.SERVING_STARTED,
+        catalogue.SERVING_STOPPING,
+        catalogue.PEER_LOST,
+        catalogue.MEMBER_LEASE_LOST,
+        catalogue.MEMBER_LEASE_BACK,
+        catalogue.REPLICA_CHANGED,
+        catalogue.REPLICA_REMOVED,
+        catalogue.DIRECTORY_COPIED,
+        catalogue.FEED_LOST,
+        catalogue.FEED_BACK,
+        catalogue.HISTORY_LOST,
+        catalogue.CONFIGURATION_TAKEN,
+        catalogue.LINES_DROPPED,
+    }
+)
+COMMON = frozenset({"at", "t", "node", "number", "event", "level"})
+_LEADING_TIME = re.compile(r"^\s*(-?\d+\.\d+)\s")
+
+
+class LogLine(Struct):
+    """One line. ``time_s`` is the collector's time where a line begins with one, else ``at``."""
+
+    time_s: float
+    node: str
+    number: int
+    event: str
+    level: str
+    fields: dict[str, Any]
+
+    def names(self, wanted: str) -> bool:
+        """Whether the line is about a request, item or job."""
+        return wanted in (self.fields.get("request"), self.fields.get("job"))
+
+    def text(self) -> str:
+        """Return the line for a reader."""
+        shown = " ".join(f"{key}={value}" for key, value in self.fields.items())
+        return f"{self.time_s:.3f} {self.node} {self.number} {self.event} {shown}"
+
+
+def parse_line(text: str) -> LogLine | None:
+    """Return a log line, or None when the text is none.
+
+    >>> line = parse_line('1.5 n1 {"number":312,"event":"request_answered","request":"r"}')
+    >>> line.time_s, line.number, line.fields
+    (1.5, 312, {'request': 'r'})
+    >>> parse_line("something else") is None
+    True
+    """
+    start = text.find("{")
+    if start < 0:
+        return None
+    try:
+        raw = msgspec.json.decode(text[start:])
+    except msgspec.DecodeError:
+        return None
+    if not isinstance(raw, dict) or "number" not in raw:
+        return None
+    leading = _LEADING_TIME.match(text)
+    told_at: float = raw.get("at") or raw.get("t") or 0.0
+    time_s = float(leading.group(1)) if leading else told_at
+    fields = {key: value for key, value in raw.items() if key not in COMMON}
+    node, event, level = (str(raw.get(name, "")) for name in ("node", "event", "level"))
+    return LogLine(time_s, node, int(raw["number"]), event, level, fields)
+
+
+def story_of(lines: Iterable[LogLine], wanted: str) -> list[LogLine]:
+    """Return the lines about ``wanted`` and what its nodes learned meanwhile, in order of time.
+
+    An item's story has the lines of its job as far as they name no other item.
+    """
+    known = list(lines)
+    own = [line for line in known if line.names(wanted)]
+    jobs = {str(line.fields["job"]) for line in own if "job" in line.fields} - {wanted}
+    own += [line for line in known if _is_of_job(line, jobs)]
+    if not own:
+        return []
+    first = min(line.time_s for line in own) - BEFORE_S
+    last = max(line.time_s for line in own)
+    nodes = {line.node for line in own}
+    beliefs = [
+        line
+        for line in known
+        if line.number in BELIEFS and line.node in nodes and first <= line.time_s <= last
+    ]
+    return sorted([*own, *beliefs], key=lambda line: line.time_s)
+
+
+def _is_of_job(line: LogLine, jobs: set[str]) -> bool:
+    if "request" in line.fields:
+        return line.fields["request"] in jobs
+    return line.fields.get("job") in jobs
--- /dev/null
+++ b/tests/unit/test_explain.py
@@ -0,0 +1,67 @@
+"""A request's story can be had from the logs of many nodes, and settings are checked."""
+
+from pathlib import Path
+
+from click.testing import CliRunner
+
+from cloverwalk.cli.errors import EXIT_SETTINGS, EXIT_USAGE
+from cloverwalk.cli.main import cli
+
+NODE_1 = """\
+{"node":"n1","number":510,"level":"warning","at":9.0,"t":1.0,"table":"job","event":"feed_lost"}
+{"node":"n1","number":410,"level":"info","at":10.0,"t":2.0,"request":"j","event":"job_taken"}
+{"node":"n1","number":420,"level":"info","at":11.0,"t":3.0,"request":"i1","job":"j","event":"item_started"}
+{"node":"n1","number":420,"level":"info","at":11.0,"t":3.0,"request":"i2","job":"j","event":"item_started"}
+a line of something else
+"""
+NODE_2 = """\
+{"node":"n2","number":413,"level":"info","at":14.0,"t":77.0,"job":"j","event":"job_taken_over"}
+{"node":"n2","number":422,"level":"info","at":15.0,"t":78.0,"request":"i1","job":"j","event":"item_listed"}
+{"node":"n2","number":510,"level":"warning","at":99.0,"t":80.0,"table":"job","event":"feed_lost"}
+"""
+SETTINGS = """\
+node = "n1"
+ip = "10.1.0.10"
+zone = "z1"
+ephemeral_ports = [7720, 7735]
+seeds = ["10.1.0.11:8166"]
+unknown = "is ignored"
+[listen]
+front = "10.1.0.10:8161"
+ready = "10.1.0.10:8167"
+[platform]
+address = "10.200.1.7:8169"
+"""
+
+
+def test_an_items_story_has_its_job_and_what_its_nodes_learned(tmp_path: Path) -> None:
+    (tmp_path / "n1.log").write_text(NODE_1)
+    (tmp_path / "n2.log").write_text(NODE_2)
+    logs = [str(tmp_path / "n2.log"), str(tmp_path / "n1.log")]
+    result = CliRunner().invoke(cli, ["explain", "i1", *logs])
+    events = [line.split()[3] for line in result.output.splitlines()]
+    expected = ["feed_lost", "job_taken", "item_started", "job_taken_over", "item_listed"]
+    assert (result.exit_code, events) == (0, expected)
+    assert "i2" not in result.output
+
+
+def test_an_id_that_no_line_names_is_said_so(tmp_path: Path) -> None:
+    (tmp_path / "n1.log").write_text(NODE_1)
+    result = CliRunner().invoke(cli, ["explain", "other", str(tmp_path / "n1.log")])
+    assert result.exit_code == EXIT_USAGE
+    assert "other: no line of 4 names it" in result.output
+
+
+def test_a_settings_file_is_shown_or_its_fault_is_named(tmp_path: Path) -> None:
+    path = tmp_path / "local.toml"
+    path.write_text(SETTINGS)
+    good = CliRunner().invoke(cli, ["platform", "check", str(path)])
+    assert good.exit_code == 0
+    assert "store_address = '10.200.1.7:8169'" in good.output
+    path.write_text(SETTINGS.replace('front = "10.1.0.10:8161"', ""))
+    missing = CliRunner().invoke(cli, ["platform", "check", str(path)])
+    path.write_text(SETTINGS.replace("10.1.0.10:8167", "no port"))
+    wrong = CliRunner().invoke(cli, ["platform", "check", str(path)])
+    assert missing.exit_code == wrong.exit_code == EXIT_SETTINGS
+    assert "front" in missing.output
+    assert "listen.ready: 'no port' is not HOST:PORT" in wrong.output
