--- a/src/cloverwalk/fleet/digest.py
+++ b/src/cloverwalk/fleet/digest.py
@@ -13,11 +13,14 @@
     default_code = "peer_datagram_invalid"
 
 
-class Digest(Struct, tag="digest"):
-    """State of a node in short. Loads are (online, batch) by replica."""
+class Digest(Struct, tag="d", array_like=True):
+    """State of a node in short, without field names: it is sent often and between zones.
+
+    Loads are (online, batch) by replica. ``run`` is the last part of the node's incarnation.
+    """
 
     node: str
-    incarnation: str
+    run: str
     zone: str
     sequence: int
     configuration_version: int
@@ -27,8 +30,13 @@
     is_leaving: bool = False
     knows_members: int = 0
 
+    @property
+    def incarnation(self) -> str:
+        """The name under which the process owns jobs."""
+        return f"{self.node}.{self.run}"
+
 
-class YieldSlots(Struct, tag="yield"):
+class YieldSlots(Struct, tag="yield", array_like=True):
     """Asks a node to suspend batch work at a replica."""
 
     node: str
@@ -36,7 +44,7 @@
     count: int
 
 
-class ConfigurationCopy(Struct, tag="configuration"):
+class ConfigurationCopy(Struct, tag="configuration", array_like=True):
     """A whole configuration, in its stored form, for a node that has an older one."""
 
     node: str
@@ -51,7 +59,7 @@
     raw: str
 
 
-class DirectoryCopy(Struct, tag="directory"):
+class DirectoryCopy(Struct, tag="directory", array_like=True):
     """All replicas as of a version, for a node that can't read the store."""
 
     node: str
@@ -60,7 +68,7 @@
     replicas: list[ReplicaCopy]
 
 
-class Introduction(Struct, tag="introduction"):
+class Introduction(Struct, tag="introduction", array_like=True):
     """Addresses of live nodes, for one that has just started. Empty: please introduce me."""
 
     node: str
@@ -77,7 +85,7 @@
     """Return a message as it is on the wire.
 
     >>> encode_datagram(YieldSlots("n1", "r1", 2))
-    b'56:{"type":"yield","node":"n1","replica_id":"r1","count":2},'
+    b'21:["yield","n1","r1",2],'
     """
     return bytes(pynetstring.encode(_encoder.encode(message)))
 
--- a/src/cloverwalk/fleet/peers.py
+++ b/src/cloverwalk/fleet/peers.py
@@ -29,6 +29,9 @@
 SEND_EVERY_S = 0.1
 """Shortest time between digests; they are sent when the load changed."""
 
+OTHER_ZONES_EVERY_S = 0.2
+"""Shortest time between digests to other zones, whose bytes cost more."""
+
 QUIET_EVERY_S = 0.5
 """Longest time between digests."""
 
@@ -103,6 +106,7 @@
         self._sequence = 0
         self._sent_revision = -1
         self._sent_at = float("-inf")
+        self._sent_to_all_at = float("-inf")
         self._sock: Any = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         self._sock.bind(address)
 
@@ -141,11 +145,14 @@
         self._sequence += 1
         self._sent_at = now
         self._sent_revision = self._loads.revision
+        is_for_all = now - self._sent_to_all_at >= OTHER_ZONES_EVERY_S
+        if is_for_all:
+            self._sent_to_all_at = now
         age_ms = min(1e6, (now - self._directory.confirmed_at) * 1000)
         loads = {key: (own.online, own.batch) for key, own in self._loads.own.items()}
         digest = Digest(
             self._node,
-            self._incarnation,
+            self._incarnation.rpartition(".")[2],
             self._zone,
             self._sequence,
             self._configuration.version,
@@ -156,17 +163,19 @@
             len(self._hosts),
         )
         data = encode_datagram(digest)
-        for host in self._audience():
+        for host in self._audience(is_for_all):
             await self._send_to(host, data)
 
-    def _audience(self) -> list[str]:
-        hosts = sorted(self._hosts)
-        if len(hosts) <= MAX_PEERS:
-            return hosts
-        near = {peer.host for peer in self.live() if peer.zone == self._zone}
-        far = [host for host in hosts if host not in near]
-        others = self._random.sample(far, max(0, min(len(far), MAX_PEERS - len(near))))
-        return [*sorted(near)[:MAX_PEERS], *others]
+    def _audience(self, is_for_all: bool) -> list[str]:
+        far = {peer.host for peer in self.live() if peer.zone != self._zone}
+        near = sorted(self._hosts - far)
+        if not is_for_all:
+            return near
+        room = max(0, MAX_PEERS - len(near))
+        others = sorted(far)
+        if len(others) > room:
+            others = self._random.sample(others, room)
+        return [*near, *others]
 
     async def _send_to(self, host: str, data: bytes) -> None:
         if len(data) > MAX_DATAGRAM_BYTES:
@@ -221,7 +230,7 @@
             self._log.write(catalogue.PEER_HEARD, peer=digest.node, host=host)
             peer = self.peers[digest.node] = Peer(digest.node, host, digest.zone, now)
         known = peer.digest
-        is_same_process = known is not None and known.incarnation == digest.incarnation
+        is_same_process = known is not None and known.run == digest.run
         if known is not None and is_same_process and digest.sequence <= known.sequence:
             return
         peer.heard_at = now
--- a/src/cloverwalk/gateway/selection.py
+++ b/src/cloverwalk/gateway/selection.py
@@ -20,12 +20,18 @@
 LOAD_COST_MS = 30.0
 """Cost of a replica full of online work over an empty one, below its slots."""
 
+CROWDED_FROM = 0.5
+"""Share of the slots with online work from which a replica counts as crowded."""
+
+CROWDED_COST_MS = 100.0
+"""Cost of a full replica over one that is just crowded, besides ``LOAD_COST_MS``."""
+
 BATCH_COST_MS = 6.0
 """Cost of a replica full of batch work: it gives way, but not at once."""
 
 READ_TOKENS_PER_MS = 50.0
-OTHER_ZONE_MS = 5.0
-OTHER_ZONE_MS_PER_KB = 1.0
+OTHER_ZONE_MS = 15.0
+OTHER_ZONE_MS_PER_KB = 4.0
 
 
 class Candidate(Struct, frozen=True):
@@ -78,7 +84,9 @@
     replica = candidate.replica
     cost = SUSPECT_COST_MS if candidate.is_suspect else 0.0
     in_flight = candidate.in_flight
-    cost += LOAD_COST_MS * in_flight.online / replica.slots
+    used = in_flight.online / replica.slots
+    cost += LOAD_COST_MS * used
+    cost += CROWDED_COST_MS * max(0.0, used - CROWDED_FROM) / (1 - CROWDED_FROM)
     cost += BATCH_COST_MS * in_flight.batch / replica.slots
     cost += FULL_COST_MS * max(0, in_flight.online + 1 - replica.slots)
     if homes and replica.replica_id not in homes:
--- a/src/cloverwalk/jobs/commit.py
+++ b/src/cloverwalk/jobs/commit.py
@@ -35,12 +35,14 @@
             self._pace_s = min(LONGEST_TIMEOUT_S, 2 * max(self._pace_s, took_s / 8))
         return outcome
 
-    async def settle(self, transaction: Transaction, until: float) -> CommitOutcome:
+    async def settle(
+        self, transaction: Transaction, until: float, refuse_at: float = float("inf")
+    ) -> CommitOutcome:
         """Repeat a transaction until it is committed or in conflict, or time is up.
 
         After a lost answer, a conflict may be the transaction's own effect: the caller looks at
         the conflicting rows. With time up the status is UNKNOWN if any answer was lost, else
-        NOT_DONE.
+        NOT_DONE. While no answer was lost, time is up at ``refuse_at`` already.
         """
         pause_s = FIRST_PAUSE_S
         was_lost = False
@@ -49,7 +51,8 @@
             if outcome.status in (CommitStatus.COMMITTED, CommitStatus.CONFLICT):
                 return outcome
             was_lost = was_lost or outcome.status is CommitStatus.UNKNOWN
-            if self._clock() + pause_s >= until:
+            limit = until if was_lost else min(until, refuse_at)
+            if self._clock() + pause_s >= limit:
                 status = CommitStatus.UNKNOWN if was_lost else CommitStatus.NOT_DONE
                 return CommitOutcome(status)
             await curio.sleep(pause_s)
--- a/src/cloverwalk/jobs/intake.py
+++ b/src/cloverwalk/jobs/intake.py
@@ -38,6 +38,9 @@
 VIEW_FRESH_S = 2.0
 QUOTA_RETRY_AFTER_S = 0.7
 STORE_RETRY_AFTER_S = 0.3
+REFUSE_AFTER_S = 0.6
+"""A store that takes nothing for so long: the client is told, and comes back sooner."""
+
 MAX_CONFLICTS = 40
 MAX_PAYLOAD_ROWS = 12
 """Rows of items that go into one transaction."""
@@ -85,13 +88,14 @@
         if self._view.find(submission.job_id) is not None:
             self._note(submission, "known")
             return
+        refuse_at = self._clock() + REFUSE_AFTER_S
         for _ in range(MAX_CONFLICTS):
             record = self._new_record(submission, route)
             payload = payload_puts(record.job_id, submission.items)
             record.payload_rows = len(payload)
             payload = await self._put_ahead(submission, payload, until)
             transaction = await self._transaction(record, payload, route)
-            outcome = await self._committer.settle(transaction, until)
+            outcome = await self._committer.settle(transaction, until, refuse_at)
             if outcome.status is CommitStatus.COMMITTED:
                 await self._took(submission, record, outcome, route, transaction)
                 return
