--- a/src/cloverwalk/gateway/selection.py
+++ b/src/cloverwalk/gateway/selection.py
@@ -30,8 +30,8 @@
 """Cost of a replica full of batch work: it gives way, but not at once."""
 
 READ_TOKENS_PER_MS = 50.0
-OTHER_ZONE_MS = 15.0
-OTHER_ZONE_MS_PER_KB = 4.0
+OTHER_ZONE_MS = 5.0
+OTHER_ZONE_MS_PER_KB = 1.5
 
 
 class Candidate(Struct, frozen=True):
