--- a/src/cloverwalk/gateway/relay.py
+++ b/src/cloverwalk/gateway/relay.py
@@ -71,7 +71,10 @@
             await self._give_up(request, progress, reply, self._timeout_error(progress))
         except GatewayError as error:
             await self._give_up(request, progress, reply, error)
-        except (ClientGoneError, curio.TaskCancelled):
+        except ClientGoneError as error:
+            self._note_end(request, progress, error.code, reply.status)
+            raise
+        except curio.TaskCancelled:
             self._note_end(request, progress, "client_gone", reply.status)
             raise
 
