Mutants and property tests of the serving node's mechanisms

Sixteen mutants; four were not noticed at first: the tests of answers to others (now plain routes too), of unsigned answers (the signature is looked at) and of a client that leaves (before the first event, with a long deadline) are sharper, and one mutant broke the wrong place.

--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -15,6 +15,7 @@
 
 ROOT = Path(__file__).resolve().parent.parent
 TIMEOUT_S = 120
+WORKERS = 4
 
 
 class Mutant(NamedTuple):
@@ -29,6 +30,9 @@
 
 
 S = "tests/simulated/"
+ONLINE = "tests/serving/test_online.py::"
+BATCH = "tests/serving/test_batch.py::"
+JOBS = "tests/serving/test_jobs.py::"
 MUTANTS = [
     Mutant(
         "an earlier record is ignored",
@@ -305,6 +309,118 @@
         "        old",
         "tests/simulated/test_leases.py",
     ),
+    Mutant(
+        "serving: a promise is given though a replica had the request",
+        "gateway/progress.py",
+        "        return self.is_sent or bool(self.tried)",
+        "        return bool(self.tried)",
+        ONLINE + "test_a_request_past_its_time_gets_its_final_answer_at_once",
+    ),
+    Mutant(
+        "serving: the id of an answer is not checked",
+        "gateway/replica_connection.py",
+        "            if answered == request_id or (answered is None and self._exchanges == 1):",
+        "            if True:",
+        ONLINE + "test_answers_to_others_are_never_passed_on",
+    ),
+    Mutant(
+        "serving: an unsigned answer is passed on",
+        "gateway/relay.py",
+        "        if not head.fields.is_signed:",
+        "        if False:",
+        ONLINE + "test_a_resumable_stream_goes_on_at_another_replica",
+    ),
+    Mutant(
+        "serving: the instance is not expected",
+        "platform/codec.py",
+        '        kept.append((names.EXPECT_INSTANCE, replica_id.encode("latin-1")))\n',
+        "",
+        ONLINE + "test_another_instance_at_the_address_does_not_run_it",
+    ),
+    Mutant(
+        "serving: an older configuration is taken",
+        "gateway/configuration.py",
+        "        if configuration.version <= self.version:",
+        "        if configuration.version == self.version:",
+        ONLINE + "test_routes_follow_the_configuration_and_never_go_back",
+    ),
+    Mutant(
+        "serving: peers send no copies",
+        "fleet/peers.py",
+        "        if now - peer.copied_at < COPY_EVERY_S:",
+        "        if True:",
+        ONLINE + "test_a_node_cut_off_from_the_store_learns_from_its_peers",
+    ),
+    Mutant(
+        "serving: the client is not watched",
+        "gateway/server.py",
+        "            if not data:\n                await task.cancel(blocking=False)\n",
+        "            if not data:\n",
+        ONLINE + "test_a_client_that_leaves_before_an_event_stops_the_work",
+    ),
+    Mutant(
+        "serving: results are listed without the record's version",
+        "jobs/lister.py",
+        "        return Transaction([Expectation(key, job.version)], puts)",
+        "        return Transaction([], puts)",
+        JOBS + "test_a_deposed_owner_lists_nothing",
+    ),
+    Mutant(
+        "serving: another group follows an unsettled one",
+        "jobs/lister.py",
+        "                await self._resolve(job, group, record, outcome)\n                return",
+        "                await self._resolve(job, group, record, outcome)\n            return",
+        JOBS + "test_a_lost_answer_does_not_list_results_twice",
+    ),
+    Mutant(
+        "serving: an unsure hand-in is called not run",
+        "jobs/intake.py",
+        "        if is_unknown:\n            return JobError(504",
+        "        if is_unknown:\n            return JobError(503",
+        JOBS + "test_an_unsure_hand_in_does_not_promise_that_nothing_runs",
+    ),
+    Mutant(
+        "serving: hand-ins don't meet at the quota row",
+        "jobs/intake.py",
+        "            expectations.append(Expectation(quota_key(route.name), version))\n",
+        "",
+        JOBS + "test_the_quota_holds_for_racing_nodes",
+    ),
+    Mutant(
+        "serving: a job that was not read is denied",
+        "jobs/reader.py",
+        "        is_sure = self._follower.is_synced and self._follower.is_fresh(now, FRESH_S)",
+        "        is_sure = True",
+        JOBS + "test_a_missing_job_is_denied_only_when_the_store_surely_has_none",
+    ),
+    Mutant(
+        "serving: output of two owners is joined",
+        "jobs/run.py",
+        "        owners.setdefault((partial.index, partial.epoch), []).append(partial)",
+        "        owners.setdefault((partial.index, 0), []).append(partial)",
+        JOBS + "test_saved_output_comes_back_as_one_owners_prefix",
+    ),
+    Mutant(
+        "serving: nobody takes over jobs",
+        "jobs/ownership.py",
+        "            if rendezvous_owner(record.job_id, heirs) == own:",
+        "            if False:",
+        BATCH + "test_a_killed_owners_job_goes_on_at_another_node",
+    ),
+    Mutant(
+        "serving: batch does not give way",
+        "jobs/share.py",
+        "    return in_flight.batch > 0 and in_flight.total > slots - YIELD_RESERVE",
+        "    return False",
+        BATCH + "test_batch_gives_its_slots_to_online_requests",
+    ),
+    Mutant(
+        "serving: an ended job goes on",
+        "jobs/ownership.py",
+        "            if not is_owner or record.is_ended:",
+        "            if not is_owner:",
+        BATCH + "test_an_ended_job_starts_nothing_more",
+    ),
 ]
 
 
@@ -340,7 +456,7 @@
     """Run all mutants, or those whose name has the given words."""
     words = " ".join(sys.argv[1:])
     chosen = [mutant for mutant in MUTANTS if words in mutant.name]
-    with ThreadPoolExecutor(max_workers=4) as pool:
+    with ThreadPoolExecutor(max_workers=WORKERS) as pool:
         verdicts = list(pool.map(run_mutant, chosen))
     for mutant, verdict in zip(chosen, verdicts, strict=True):
         noticed = "noticed" if not verdict else f"NOT NOTICED: {verdict}"
--- a/tests/serving/test_online.py
+++ b/tests/serving/test_online.py
@@ -61,6 +61,8 @@
             # With both spoilt a request may fail, but then it looks so.
             is_right = answer.event_ids() == [1, 2, 3, 4]
             assert is_right or answer.status != 200 or not answer.is_whole
+        for answer in (first, second, third):
+            assert answer.status != 200 or answer.headers.get(SIGNATURE) == "signature"
 
     in_world(test)
 
@@ -119,13 +121,14 @@
     in_world(test)
 
 
+@pytest.mark.parametrize("path", ["/chat/a", "/safe/a"])
 @pytest.mark.parametrize("misdeed", [Misdeed.LATE_ANSWER, Misdeed.SECOND_ANSWER])
-def test_answers_to_others_are_never_passed_on(misdeed: Misdeed) -> None:
+def test_answers_to_others_are_never_passed_on(misdeed: Misdeed, path: str) -> None:
     async def test(world: FleetWorld) -> None:
         await world.start(replicas=1)
         for turn in range(4):
             world.replicas[0].misdeeds.append(misdeed if turn % 2 == 0 else None)
-            answer = await world.ask("/chat/a", f"id-{turn}")
+            answer = await world.ask(path, f"id-{turn}")
             assert answer.event_ids() == [1, 2, 3, 4]
             assert f"id-{turn}:1" in answer.body.decode()
             assert b"wrong" not in answer.body
@@ -158,6 +161,22 @@
     in_world(test)
 
 
+def test_a_client_that_leaves_before_an_event_stops_the_work() -> None:
+    async def test(world: FleetWorld) -> None:
+        await world.start(replicas=1, event_s=60.0)
+        routes = [route("slow", "/slow/", "streaming", max_attempts=1, timeout_ms=60000)]
+        world.store.put(names.OPERATOR_TABLE, names.CONFIGURATION_KEY, configuration(2, routes))
+        await world.until(lambda: world.nodes[0]._configuration.version == 2)
+        sock = await world.connect()
+        head = f"POST /slow/a HTTP/1.1\r\nHost: {HOST}\r\n{names.REQUEST_ID.decode()}: id-1\r\n"
+        await sock.sendall(head.encode() + b"Content-Length: 0\r\n\r\n")
+        await world.until(lambda: bool(world.replicas[0].arrivals))
+        await sock.close()
+        await world.until(lambda: world.replicas[0].arrivals[0].was_left)
+
+    in_world(test)
+
+
 def test_a_draining_or_removed_replica_gets_nothing_new() -> None:
     async def test(world: FleetWorld) -> None:
         await world.start(replicas=3)
