--- a/tests/serving/fleet_world.py
+++ b/tests/serving/fleet_world.py
@@ -1,6 +1,7 @@
 """Real serving nodes, replicas and a store on loopback, in one loop."""
 
 import contextlib
+import itertools
 import json
 import os
 import socket
@@ -21,12 +22,30 @@
 
 WAIT_S = 10.0
 HOST = "site.example"
+NODE_HOSTS = ("127.0.0.2", "127.0.0.3", "127.0.0.4")
+FIRST_PORT = 20_000
+LAST_PORT = 32_000
+_PORTS = itertools.cycle(range(FIRST_PORT + os.getpid() % 100 * 100, LAST_PORT))
 
 
 def free_port() -> int:
-    with contextlib.closing(socket.socket()) as sock:
-        sock.bind(("127.0.0.1", 0))
-        return int(sock.getsockname()[1])
+    """Return a port that nobody listens on, below those that outgoing connections take."""
+    while True:
+        port = next(_PORTS)
+        if _is_free(port):
+            return port
+
+
+def _is_free(port: int) -> bool:
+    for kind in (socket.SOCK_STREAM, socket.SOCK_DGRAM):
+        for host in ("127.0.0.1", *NODE_HOSTS):
+            with contextlib.closing(socket.socket(socket.AF_INET, kind)) as sock:
+                sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+                try:
+                    sock.bind((host, port))
+                except OSError:
+                    return False
+    return True
 
 
 class Answer(Struct):
@@ -111,7 +130,7 @@
 
     async def add_node(self) -> ServingNode:
         number = len(self.nodes) + 1
-        host = f"127.0.0.{number + 1}"
+        host = NODE_HOSTS[number - 1]
         client, ready, peer, metrics = self._ports
         settings = ServingSettings(
             f"n{number}",
