--- a/Makefile
+++ b/Makefile
@@ -16,14 +16,14 @@
 	$(BIN)/cloverwalk demo
 
 test: $(VENV)/.installed
-	$(BIN)/ruff format --check src tests bench
-	$(BIN)/ruff check src tests bench
+	$(BIN)/ruff format --check src tests bench deploy
+	$(BIN)/ruff check src tests bench deploy
 	$(BIN)/mypy
 	$(BIN)/pytest
 
 format: $(VENV)/.installed
-	$(BIN)/ruff format src tests bench
-	$(BIN)/ruff check --fix src tests bench
+	$(BIN)/ruff format src tests bench deploy
+	$(BIN)/ruff check --fix src tests bench deploy
 
 explore: $(VENV)/.installed
 	$(BIN)/python tests/explore.py
