The store's return is acted on at once

Change: every call to the store notes an answer or a failure (WatchedStore). While the store is lost, a node asks for one small row every 0.1 s, and what waits (transactions, feeds, the lease, saving of output) goes on at the first answer. Ruled out: shorter pauses everywhere (more calls in every outage of part of the store). Tests: tests/serving/test_store_health.py.

--- a/src/cloverwalk/fleet/follower.py
+++ b/src/cloverwalk/fleet/follower.py
@@ -6,6 +6,7 @@
 import curio
 
 from cloverwalk.core import catalogue
+from cloverwalk.store.health import StoreHealth
 from cloverwalk.store.types import HistoryLostError, RowPage, Store, StoreError
 from cloverwalk.telemetry.log import ServingLog
 
@@ -30,6 +31,7 @@
         self,
         table: str,
         store: Store,
+        health: StoreHealth,
         on_whole: OnRows,
         on_changes: OnRows,
         pause_s: float,
@@ -39,6 +41,7 @@
     ) -> None:
         self.table = table
         self._store = store
+        self._health = health
         self._on_whole = on_whole
         self._on_changes = on_changes
         self._pause_s = pause_s
@@ -78,7 +81,7 @@
                 self._log.write(catalogue.HISTORY_LOST, table=self.table)
             except StoreError as error:
                 self._note_lost(error)
-                await curio.sleep(retry_s * (0.5 + self._random.random()))
+                await self._health.pause(retry_s * 1000 * (0.5 + self._random.random()))
                 retry_s = min(LONGEST_RETRY_S, 2 * retry_s)
 
     async def _step(self) -> None:
--- a/src/cloverwalk/jobs/checkpoint.py
+++ b/src/cloverwalk/jobs/checkpoint.py
@@ -1,14 +1,13 @@
 """Saves the output of running items now and then, so that a lost node loses little work."""
 
-import curio
-
 from cloverwalk.jobs.commit import Committer
 from cloverwalk.jobs.records import PartialOutput, partial_put
 from cloverwalk.jobs.run import JobRun
 from cloverwalk.jobs.runner import BatchRunner
+from cloverwalk.store.health import StoreHealth
 from cloverwalk.store.types import CommitStatus, Transaction
 
-SAVE_EVERY_S = 1.0
+SAVE_EVERY_MS = 1000.0
 MAX_SEGMENTS = 80
 MAX_CHARACTERS = 400_000
 
@@ -28,14 +27,15 @@
 class Checkpointer:
     """Writes unsaved output without conditions: a segment's content never depends on its writer."""
 
-    def __init__(self, runner: BatchRunner, committer: Committer) -> None:
+    def __init__(self, runner: BatchRunner, committer: Committer, health: StoreHealth) -> None:
         self._runner = runner
         self._committer = committer
+        self._health = health
 
     async def run(self) -> None:
-        """Save until cancelled."""
+        """Save until cancelled; at once when the store is back after an outage."""
         while True:
-            await curio.sleep(SAVE_EVERY_S)
+            await self._health.pause(SAVE_EVERY_MS)
             await self.save()
 
     async def save(self) -> None:
--- a/src/cloverwalk/jobs/commit.py
+++ b/src/cloverwalk/jobs/commit.py
@@ -2,8 +2,7 @@
 
 from collections.abc import Callable
 
-import curio
-
+from cloverwalk.store.health import StoreHealth
 from cloverwalk.store.types import CommitOutcome, CommitStatus, Store, Transaction
 
 FIRST_PAUSE_S = 0.03
@@ -15,8 +14,9 @@
 class Committer:
     """Commits with timeouts that follow the store's pace."""
 
-    def __init__(self, store: Store, clock: Callable[[], float]) -> None:
+    def __init__(self, store: Store, health: StoreHealth, clock: Callable[[], float]) -> None:
         self._store = store
+        self._health = health
         self._clock = clock
         self._pace_s = 0.02
 
@@ -55,5 +55,5 @@
             if self._clock() + pause_s >= limit:
                 status = CommitStatus.UNKNOWN if was_lost else CommitStatus.NOT_DONE
                 return CommitOutcome(status)
-            await curio.sleep(pause_s)
+            await self._health.pause(pause_s * 1000)
             pause_s = min(LONGEST_PAUSE_S, 2 * pause_s)
--- a/src/cloverwalk/serving/node.py
+++ b/src/cloverwalk/serving/node.py
@@ -1,5 +1,6 @@
 """One serving node as a process: what it is made of, and its life from start to stop."""
 
+import contextlib
 import gc
 import signal
 import time
@@ -9,6 +10,7 @@
 import curio
 
 from cloverwalk.core import catalogue
+from cloverwalk.core.clock import Clock
 from cloverwalk.fleet.follower import TableFollower
 from cloverwalk.fleet.load import LoadBook
 from cloverwalk.fleet.members import (
@@ -44,7 +46,8 @@
 from cloverwalk.serving.calls import CallHandler
 from cloverwalk.serving.knowledge import FleetKnowledge
 from cloverwalk.serving.settings import ServingSettings
-from cloverwalk.store.types import RowPage
+from cloverwalk.store.health import StoreHealth, WatchedStore
+from cloverwalk.store.types import RowPage, StoreError
 from cloverwalk.telemetry.log import ServingLog
 from cloverwalk.telemetry.metrics import ServingMetrics
 
@@ -57,6 +60,8 @@
 """After an order to stop, new connections come for about this long."""
 
 STOP_MARGIN_S = 0.7
+PROBE_EVERY_S = 0.1
+PROBE_TIMEOUT_S = 0.3
 OTHER_PEER_STORE_MS = 1500
 RESERVED_DESCRIPTORS = 800
 SIDE_CONNECTIONS = 32
@@ -93,7 +98,8 @@
         self._loads = LoadBook()
         self._view = JobView()
         self._members = MemberBook(self._clock)
-        self._store = self._adapter.store(self._settings)
+        self._health = StoreHealth(Clock(self._clock))
+        self._store = WatchedStore(self._adapter.store(self._settings), self._health)
         self._pool = ReplicaPool(self._adapter.codec, self._clock)
 
     def _build_fleet(self, incarnation: str) -> None:
@@ -142,12 +148,20 @@
         pause_s: float,
     ) -> TableFollower:
         return TableFollower(
-            table, self._store, on_whole, on_changes, pause_s, self._log, self._clock, self._random
+            table,
+            self._store,
+            self._health,
+            on_whole,
+            on_changes,
+            pause_s,
+            self._log,
+            self._clock,
+            self._random,
         )
 
     def _build_jobs(self) -> None:
         cache = ResultCache()
-        committer = Committer(self._store, self._clock)
+        committer = Committer(self._store, self._health, self._clock)
         caller = ItemCaller(
             self._adapter.codec, self._pool, self._directory, self._clock, lambda: None
         )
@@ -168,7 +182,7 @@
         self._lister = ResultLister(
             committer, self._view, cache, self._runner.drop, self._log, self._clock
         )
-        self._checkpointer = Checkpointer(self._runner, committer)
+        self._checkpointer = Checkpointer(self._runner, committer, self._health)
         reader = JobReader(self._store, self._view, self._job_follower, cache, self._clock)
         intake = JobIntake(
             self._incarnation,
@@ -276,6 +290,7 @@
             self._member_follower.run,
             self._job_follower.run,
             self._renew_loop,
+            self._probe_loop,
             self._runner.run,
             self._lister.run,
             self._checkpointer.run,
@@ -393,10 +408,21 @@
                 number = catalogue.MEMBER_LEASE_BACK if has_lease else catalogue.MEMBER_LEASE_LOST
                 self._log.write(number, incarnation=self._incarnation)
             had_lease = has_lease
-            await curio.sleep(RENEW_EVERY_S * (0.9 + 0.2 * self._random.random()))
+            pause_s = RENEW_EVERY_S * (0.9 + 0.2 * self._random.random())
+            await self._health.pause(pause_s * 1000)
         while True:
             await curio.sleep(3600)
 
+    async def _probe_loop(self) -> None:
+        """While the store is lost, ask for a small row often: its return must be known at once."""
+        name = self._settings.node
+        while True:
+            await self._health.wait_until_lost()
+            async with curio.ignore_after(PROBE_TIMEOUT_S):
+                with contextlib.suppress(StoreError):
+                    await self._store.read(MEMBER_TABLE, "", name, name + "\x01", 1)
+            await curio.sleep(PROBE_EVERY_S)
+
     def _may_start_batch(self) -> bool:
         """With a lease, or while no peer reaches the store either: then nobody takes over."""
         if self._renewal.is_valid():
--- /dev/null
+++ b/src/cloverwalk/store/health.py
@@ -0,0 +1,121 @@
+"""Notices that the store stops and starts to answer, and wakes those that wait for its return.
+
+Machines may be lost right after an outage of the store. What a node holds back meanwhile, such as
+results and output of running items, must be stored as soon as the store is back.
+"""
+
+import curio
+
+from cloverwalk.core.clock import Clock
+from cloverwalk.store.types import (
+    CommitOutcome,
+    CommitStatus,
+    HistoryLostError,
+    RowPage,
+    Store,
+    StoreError,
+    Transaction,
+)
+
+LEAST_PAUSE_MS = 40.0
+"""Where one part of the store is lost and others are not, pauses are at least so long."""
+
+
+class StoreHealth:
+    """Whether the last call to the store was answered."""
+
+    def __init__(self, clock: Clock) -> None:
+        self._clock = clock
+        self._returned = curio.Event()
+        self._lost = curio.Event()
+        self.lost_at_ms: float | None = None
+        """When the first of the unanswered calls ended; None while the store answers."""
+
+    @property
+    def is_lost(self) -> bool:
+        """Whether the last call got no answer, or a refusal."""
+        return self.lost_at_ms is not None
+
+    async def note_failure(self) -> None:
+        """A call got no answer, or a refusal."""
+        if self.lost_at_ms is not None:
+            return
+        self.lost_at_ms = self._clock.now_ms()
+        self._returned = curio.Event()
+        await self._lost.set()
+
+    async def note_answer(self) -> None:
+        """A call was answered."""
+        if self.lost_at_ms is None:
+            return
+        self.lost_at_ms = None
+        self._lost = curio.Event()
+        await self._returned.set()
+
+    async def wait_until_lost(self) -> None:
+        """Return once a call fails; at once while the store is lost."""
+        await self._lost.wait()
+
+    async def pause(self, pause_ms: float) -> None:
+        """Sleep, but not beyond the return of the store when it is lost now."""
+        returned = self._returned if self.is_lost else None
+        least_ms = min(LEAST_PAUSE_MS, pause_ms)
+        await curio.sleep(least_ms / 1000)
+        rest_ms = pause_ms - least_ms
+        if returned is None:
+            await curio.sleep(rest_ms / 1000)
+            return
+        async with curio.ignore_after(rest_ms / 1000):
+            await returned.wait()
+
+
+class WatchedStore:
+    """A store whose answers and failures are noted."""
+
+    def __init__(self, store: Store, health: StoreHealth) -> None:
+        self._store = store
+        self._health = health
+
+    async def commit(self, transaction: Transaction, timeout_s: float) -> CommitOutcome:
+        """Try once to commit; never raises."""
+        outcome = await self._store.commit(transaction, timeout_s)
+        if outcome.status in (CommitStatus.COMMITTED, CommitStatus.CONFLICT):
+            await self._health.note_answer()
+        else:
+            await self._health.note_failure()
+        return outcome
+
+    async def read(
+        self, table: str, part: str, start: str = "", end: str = "", limit: int = 500
+    ) -> RowPage:
+        """Return rows with ``start`` <= key < ``end`` in order of their keys."""
+        try:
+            page = await self._store.read(table, part, start, end, limit)
+        except StoreError:
+            await self._health.note_failure()
+            raise
+        await self._health.note_answer()
+        return page
+
+    async def read_table(self, table: str) -> RowPage:
+        """Return the rows of all parts of a table."""
+        try:
+            page = await self._store.read_table(table)
+        except StoreError:
+            await self._health.note_failure()
+            raise
+        await self._health.note_answer()
+        return page
+
+    async def changes(self, table: str, since: int, wait_s: float) -> RowPage:
+        """Return the changes after a version; raise HistoryLostError when they are gone."""
+        try:
+            page = await self._store.changes(table, since, wait_s)
+        except HistoryLostError:
+            await self._health.note_answer()
+            raise
+        except StoreError:
+            await self._health.note_failure()
+            raise
+        await self._health.note_answer()
+        return page
--- a/tests/serving/job_world.py
+++ b/tests/serving/job_world.py
@@ -3,6 +3,7 @@
 import os
 from random import Random
 
+from cloverwalk.core.clock import Clock
 from cloverwalk.emulator.memory_store import MemoryStore
 from cloverwalk.fleet.follower import TableFollower
 from cloverwalk.gateway.configuration import Route, RouteKind, RoutePart
@@ -14,6 +15,7 @@
 from cloverwalk.jobs.result_cache import ResultCache
 from cloverwalk.jobs.run import ItemRun, JobRun
 from cloverwalk.jobs.view import JobView
+from cloverwalk.store.health import StoreHealth
 from cloverwalk.telemetry.log import ServingLog
 
 
@@ -63,9 +65,10 @@
         self.jobs: dict[str, JobRun] = {}
         log = ServingLog(name, clock, os.open(os.devnull, os.O_WRONLY))
         self.view = JobView()
-        self.committer = Committer(store, clock)
+        health = StoreHealth(Clock(clock))
+        self.committer = Committer(store, health, clock)
         self.follower = TableFollower(
-            JOB_TABLE, store, self.view.take, self.view.take, 0.0, log, clock, Random(1)
+            JOB_TABLE, store, health, self.view.take, self.view.take, 0.0, log, clock, Random(1)
         )
         self.follower.confirmed_at = float("inf")
         self.cache = ResultCache()
--- a/tests/serving/test_online.py
+++ b/tests/serving/test_online.py
@@ -226,7 +226,7 @@
     async def test(world: FleetWorld) -> None:
         await world.start(replicas=2, nodes=1)
         node = await world.add_node()
-        node._store._pool.address = "127.0.0.1:1"  # type: ignore[attr-defined]
+        node._store._store._pool.address = "127.0.0.1:1"  # type: ignore[attr-defined]
         await world.until(lambda: node.is_ready)
         answer = await world.ask("/chat/a", node=1)
         assert answer.event_ids() == [1, 2, 3, 4]
--- /dev/null
+++ b/tests/serving/test_store_health.py
@@ -0,0 +1,108 @@
+"""What waits for the store goes on as soon as the store is back."""
+
+import contextlib
+
+import curio
+from job_world import HandClock, OwnerNode, batch_route, submission
+
+from cloverwalk.core.clock import Clock
+from cloverwalk.emulator.memory_store import MemoryStore
+from cloverwalk.jobs import checkpoint, commit
+from cloverwalk.jobs.checkpoint import Checkpointer
+from cloverwalk.jobs.records import PARTIAL_TABLE
+from cloverwalk.store.health import StoreHealth, WatchedStore
+from cloverwalk.store.types import CommitStatus, Put, RowKey, StoreError, Transaction
+
+HOUR_MS = 3_600_000.0
+LIMIT_S = 5.0
+
+
+def in_time(test: object) -> None:
+    async def main() -> None:
+        async with curio.timeout_after(LIMIT_S):
+            await test()  # type: ignore[operator]
+
+    curio.run(main)
+
+
+def test_a_long_pause_ends_with_the_return_of_the_store() -> None:
+    async def test() -> None:
+        health = StoreHealth(Clock(HandClock()))
+        await health.note_failure()
+        task = await curio.spawn(health.pause, HOUR_MS)
+        await curio.sleep(0)
+        assert health.is_lost
+        await health.note_answer()
+        await task.join()
+        assert not health.is_lost
+
+    in_time(test)
+
+
+def test_each_answer_and_failure_of_the_store_is_noted() -> None:
+    async def test() -> None:
+        inner = MemoryStore()
+        health = StoreHealth(Clock(HandClock()))
+        store = WatchedStore(inner, health)
+        put = Transaction(puts=[Put(RowKey("t", "", "k"), b"v")])
+        for call in (
+            lambda: store.commit(put, 1.0),
+            lambda: store.read("t", ""),
+            lambda: store.read_table("t"),
+            lambda: store.changes("t", 0, 0.01),
+        ):
+            inner.is_down = True
+            with contextlib.suppress(StoreError):
+                await call()
+            assert health.is_lost
+            inner.is_down = False
+            await call()
+            assert not health.is_lost
+
+    in_time(test)
+
+
+def test_a_transaction_in_a_long_pause_is_repeated_at_once(monkeypatch: object) -> None:
+    async def test() -> None:
+        monkeypatch.setattr(commit, "FIRST_PAUSE_S", HOUR_MS / 1000)  # type: ignore[attr-defined]
+        inner = MemoryStore()
+        inner.is_down = True
+        health = StoreHealth(Clock(HandClock()))
+        store = WatchedStore(inner, health)
+        committer = commit.Committer(store, health, lambda: 0.0)
+        put = Transaction(puts=[Put(RowKey("t", "", "k"), b"v")])
+        task = await curio.spawn(committer.settle, put, 2 * HOUR_MS)
+        while not health.is_lost:
+            await curio.sleep(0)
+        inner.is_down = False
+        await store.read("t", "")
+        outcome = await task.join()
+        assert outcome.status is CommitStatus.COMMITTED
+
+    in_time(test)
+
+
+def test_output_of_running_items_is_saved_when_the_store_is_back(monkeypatch: object) -> None:
+    async def test() -> None:
+        monkeypatch.setattr(checkpoint, "SAVE_EVERY_MS", HOUR_MS)  # type: ignore[attr-defined]
+        store = MemoryStore()
+        node = OwnerNode("n1", store, HandClock())
+        await node.submit(submission("j"), batch_route())
+        job = node.jobs["j"]
+        job.begin(job.items[0], "r1")
+        assert job.take_event(job.items[0], 1, "word")
+
+        class OneJob:
+            jobs = node.jobs
+
+        health = StoreHealth(Clock(HandClock()))
+        await health.note_failure()
+        saver = Checkpointer(OneJob(), node.committer, health)  # type: ignore[arg-type]
+        task = await curio.spawn(saver.run, daemon=True)
+        await curio.sleep(0.1)
+        await health.note_answer()
+        while not (await store.read_table(PARTIAL_TABLE)).rows:
+            await curio.sleep(0)
+        await task.cancel()
+
+    in_time(test)
