--- a/src/cloverwalk/emulator/platform_store_server.py
+++ b/src/cloverwalk/emulator/platform_store_server.py
@@ -40,6 +40,9 @@
         self.lose_answers = 0
         """So many coming writes are done and not answered."""
 
+        self.write_delay_s = 0.0
+        """Time between the effect of a write and its answer."""
+
         self.calls = 0
         self.server = GatewayServer(
             address,
@@ -76,6 +79,8 @@
         if request.method == "POST" and self.lose_answers > 0:
             self.lose_answers -= 1
             raise ClientGoneError("the answer is lost")
+        if request.method == "POST" and self.write_delay_s > 0:
+            await curio.sleep(self.write_delay_s)
         body = json.dumps(document).encode()
         await reply.respond(status, [(b"Content-Type", b"application/json")], body)
 
--- a/src/cloverwalk/jobs/intake.py
+++ b/src/cloverwalk/jobs/intake.py
@@ -82,12 +82,21 @@
         self._log = log
         self._on_taken = on_taken
         self._quotas: dict[str, tuple[QuotaRow, int]] = {}
+        self.in_hand: set[str] = set()
+        """Jobs that are being taken: their records may be there before their runs."""
 
     async def submit(self, submission: Submission, route: Route, until: float) -> None:
         """Take a job, or find that it was taken; raise JobError otherwise."""
         if self._view.find(submission.job_id) is not None:
             self._note(submission, "known")
             return
+        self.in_hand.add(submission.job_id)
+        try:
+            await self._settle(submission, route, until)
+        finally:
+            self.in_hand.discard(submission.job_id)
+
+    async def _settle(self, submission: Submission, route: Route, until: float) -> None:
         refuse_at = self._clock() + REFUSE_AFTER_S
         for _ in range(MAX_CONFLICTS):
             record = self._new_record(submission, route)
--- a/src/cloverwalk/jobs/ownership.py
+++ b/src/cloverwalk/jobs/ownership.py
@@ -1,6 +1,6 @@
 """Who runs a job: takeover from owners without a lease, and handing over at a planned stop."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Set
 from random import Random
 
 import curio
@@ -65,8 +65,10 @@
         clock: Callable[[], float],
         random: Random,
         has_replaced: Callable[[str], bool],
+        in_hand: Set[str],
     ) -> None:
         self._has_replaced = has_replaced
+        self._in_hand = in_hand
         self._renewal = renewal
         self._members = members
         self._member_follower = member_follower
@@ -126,7 +128,7 @@
             if not record.is_open or record.job_id in self._taking:
                 continue
             if record.owner == own:
-                if record.job_id not in self._runner.jobs:
+                if not self._is_run_here(record.job_id):
                     await self._spawn_take(known)
                 continue
             if not self._is_gone(record.owner, watched_since):
@@ -137,6 +139,9 @@
             if rendezvous_owner(record.job_id, heirs) == own:
                 await self._spawn_take(known)
 
+    def _is_run_here(self, job_id: str) -> bool:
+        return job_id in self._runner.jobs or job_id in self._in_hand
+
     def _is_gone(self, owner: str, watched_since: float) -> bool:
         if not owner or self._has_replaced(owner):
             return True
--- a/src/cloverwalk/serving/node.py
+++ b/src/cloverwalk/serving/node.py
@@ -222,6 +222,7 @@
             self._clock,
             self._random,
             self._peers.has_replaced,
+            intake.in_hand,
         )
 
     def _build_gateway(self) -> None:
--- a/tests/serving/test_batch.py
+++ b/tests/serving/test_batch.py
@@ -92,6 +92,20 @@
     in_world(test)
 
 
+def test_a_job_is_not_taken_over_while_it_is_handed_in() -> None:
+    async def test(world: FleetWorld) -> None:
+        await world.start(replicas=1, events=20, event_s=0.05)
+        world.store.write_delay_s = 1.0
+        assert (await world.hand_in("j")).status == 202
+        known = world.nodes[0]._view.find("j")
+        assert known is not None
+        assert known.record.epoch == 1
+        world.store.write_delay_s = 0.0
+        await world.until_done("j", 3)
+
+    in_world(test)
+
+
 def test_a_stopping_owner_hands_its_output_over() -> None:
     async def test(world: FleetWorld) -> None:
         await world.start(replicas=1, nodes=2, events=100, event_s=0.02)
--- a/tests/unit/test_docs.py
+++ b/tests/unit/test_docs.py
@@ -55,7 +55,12 @@
 
 
 def test_links_between_pages_lead_somewhere() -> None:
-    pages = [ROOT / "README.md", ROOT / "CONTRIBUTING.md", ROOT / "DEVELOPERS.md", *DOCS.glob("*.md")]
+    pages = [
+        ROOT / "README.md",
+        ROOT / "CONTRIBUTING.md",
+        ROOT / "DEVELOPERS.md",
+        *DOCS.glob("*.md"),
+    ]
     for page in pages:
         for target in re.findall(r"\]\(([^)#:]+)\)", page.read_text()):
             assert (page.parent / target).exists(), f"{page.name}: {target}"
