--- a/src/cloverwalk/gateway/server.py
+++ b/src/cloverwalk/gateway/server.py
@@ -142,7 +142,8 @@
         return self._http.our_state is h11.DONE and self._http.their_state is h11.DONE
 
     async def _serve_watched(self, request: ClientRequest, reply: Reply) -> None:
-        task = await curio.spawn(self._server.on_request, request, reply)
+        # What the handler raises is raised again below: no crash to report.
+        task = await curio.spawn(self._server.on_request, request, reply, report_crash=False)
         watcher = await curio.spawn(self._watch, task)
         try:
             await task.wait()
