The return of the store is told to peers; no crash report for broken answers

Change: the first node that is answered tells its peers, and they ask at once. Pauses of repeated calls are 20 ms at least, down from 40. The handler now returns the error of a broken answer instead. Test: test_a_node_that_learns_of_the_return_first_tells_its_peers, red without the message.

--- a/src/cloverwalk/fleet/digest.py
+++ b/src/cloverwalk/fleet/digest.py
@@ -77,7 +77,15 @@
     hosts: list[str]
 
 
-PeerDatagram = Digest | YieldSlots | ConfigurationCopy | DirectoryCopy | Introduction
+class StoreReturned(Struct, tag="store_returned", array_like=True):
+    """The store has answered the sender again, after an outage."""
+
+    node: str
+
+
+PeerDatagram = (
+    Digest | YieldSlots | StoreReturned | ConfigurationCopy | DirectoryCopy | Introduction
+)
 
 _encoder = msgspec.json.Encoder()
 _decoder = msgspec.json.Decoder(PeerDatagram)
--- a/src/cloverwalk/fleet/peers.py
+++ b/src/cloverwalk/fleet/peers.py
@@ -17,6 +17,7 @@
     Introduction,
     PeerDatagram,
     ReplicaCopy,
+    StoreReturned,
     YieldSlots,
     decode_datagram,
     encode_datagram,
@@ -84,6 +85,7 @@
         log: ServingLog,
         clock: Callable[[], float],
         on_yield: Callable[[str, int], Awaitable[None]],
+        on_store_returned: Callable[[], Awaitable[None]],
         random: Random,
     ) -> None:
         self._node = node
@@ -99,6 +101,7 @@
         self._log = log
         self._clock = clock
         self._on_yield = on_yield
+        self._on_store_returned = on_store_returned
         self._random = random
         self._hosts: set[str] = {host for host in seeds if host != address[0]}
         self.peers: dict[str, Peer] = {}
@@ -208,6 +211,12 @@
             message = YieldSlots(self._node, replica_id, count)
             await self._send_to(peer.host, encode_datagram(message))
 
+    async def tell_store_returned(self) -> None:
+        """Tell the peers that the store answers again; they need not find out themselves."""
+        data = encode_datagram(StoreReturned(self._node))
+        for host in self._audience(True):
+            await self._send_to(host, data)
+
     # --- receiving ---
 
     async def receive_loop(self) -> None:
@@ -227,6 +236,8 @@
                 await self._hear(message, host)
             case YieldSlots():
                 await self._on_yield(message.replica_id, message.count)
+            case StoreReturned():
+                await self._on_store_returned()
             case ConfigurationCopy():
                 self._codec.take_configuration(message.raw.encode())
             case DirectoryCopy():
--- a/src/cloverwalk/gateway/server.py
+++ b/src/cloverwalk/gateway/server.py
@@ -142,16 +142,29 @@
         return self._http.our_state is h11.DONE and self._http.their_state is h11.DONE
 
     async def _serve_watched(self, request: ClientRequest, reply: Reply) -> None:
-        # What the handler raises is raised again below: no crash to report.
-        task = await curio.spawn(self._server.on_request, request, reply, report_crash=False)
+        task = await curio.spawn(self._handle, request, reply)
         watcher = await curio.spawn(self._watch, task)
         try:
             await task.wait()
         finally:
             await task.cancel()
             await watcher.cancel()
-        if task.exception is not None and not isinstance(task.exception, curio.TaskCancelled):
-            raise task.exception
+        if isinstance(task.exception, curio.TaskCancelled):
+            return
+        error = task.result
+        if error is not None:
+            raise error
+
+    async def _handle(self, request: ClientRequest, reply: Reply) -> ClientGoneError | None:
+        """Serve a request; return the error of an answer that was broken off.
+
+        What a task raises is reported by curio as a crash, and a broken answer is none.
+        """
+        try:
+            await self._server.on_request(request, reply)
+        except ClientGoneError as error:
+            return error
+        return None
 
     async def _watch(self, task: Any) -> None:
         """Cancel the serving task when the client goes away."""
--- a/src/cloverwalk/serving/node.py
+++ b/src/cloverwalk/serving/node.py
@@ -60,7 +60,7 @@
 """After an order to stop, new connections come for about this long."""
 
 STOP_MARGIN_S = 0.7
-PROBE_EVERY_S = 0.1
+PROBE_EVERY_MS = 100.0
 PROBE_TIMEOUT_S = 0.3
 OTHER_PEER_STORE_MS = 1500
 RESERVED_DESCRIPTORS = 800
@@ -119,6 +119,7 @@
             self._log,
             self._clock,
             self._on_yield,
+            self._health.note_hint,
             self._random,
         )
         row = MemberRow(settings.node, incarnation, settings.peer_address[0], settings.zone, 0)
@@ -416,13 +417,18 @@
 
     async def _probe_loop(self) -> None:
         """While the store is lost, ask for a small row often: its return must be known at once."""
-        name = self._settings.node
         while True:
             await self._health.wait_until_lost()
-            async with curio.ignore_after(PROBE_TIMEOUT_S):
-                with contextlib.suppress(StoreError):
-                    await self._store.read(MEMBER_TABLE, "", name, name + "\x01", 1)
-            await curio.sleep(PROBE_EVERY_S)
+            while self._health.is_lost:
+                await self._health.wait_for_hint(PROBE_EVERY_MS)
+                await self._probe_store()
+            await self._peers.tell_store_returned()
+
+    async def _probe_store(self) -> None:
+        name = self._settings.node
+        async with curio.ignore_after(PROBE_TIMEOUT_S):
+            with contextlib.suppress(StoreError):
+                await self._store.read(MEMBER_TABLE, "", name, name + "\x01", 1)
 
     def _may_start_batch(self) -> bool:
         """With a lease, or while no peer reaches the store either: then nobody takes over."""
--- a/src/cloverwalk/store/health.py
+++ b/src/cloverwalk/store/health.py
@@ -17,7 +17,7 @@
     Transaction,
 )
 
-LEAST_PAUSE_MS = 40.0
+LEAST_PAUSE_MS = 20.0
 """Where one part of the store is lost and others are not, pauses are at least so long."""
 
 
@@ -28,6 +28,7 @@
         self._clock = clock
         self._returned = curio.Event()
         self._lost = curio.Event()
+        self._hint = curio.Event()
         self.lost_at_ms: float | None = None
         """When the first of the unanswered calls ended; None while the store answers."""
 
@@ -52,6 +53,17 @@
         self._lost = curio.Event()
         await self._returned.set()
 
+    async def note_hint(self) -> None:
+        """Another node was answered: the store may answer this one too."""
+        if self.is_lost:
+            await self._hint.set()
+
+    async def wait_for_hint(self, longest_ms: float) -> None:
+        """Return with the next hint, or after ``longest_ms``."""
+        async with curio.ignore_after(longest_ms / 1000):
+            await self._hint.wait()
+        self._hint.clear()
+
     async def wait_until_lost(self) -> None:
         """Return once a call fails; at once while the store is lost."""
         await self._lost.wait()
--- a/tests/serving/test_store_health.py
+++ b/tests/serving/test_store_health.py
@@ -3,13 +3,16 @@
 import contextlib
 
 import curio
+from fleet_world import FleetWorld, in_world
 from job_world import HandClock, OwnerNode, batch_route, submission
 
 from cloverwalk.core.clock import Clock
 from cloverwalk.emulator.memory_store import MemoryStore
+from cloverwalk.fleet import follower
 from cloverwalk.jobs import checkpoint, commit
 from cloverwalk.jobs.checkpoint import Checkpointer
 from cloverwalk.jobs.records import PARTIAL_TABLE
+from cloverwalk.serving import node as node_module
 from cloverwalk.store.health import StoreHealth, WatchedStore
 from cloverwalk.store.types import CommitStatus, Put, RowKey, StoreError, Transaction
 
@@ -39,6 +42,34 @@
     in_time(test)
 
 
+def test_a_node_that_learns_of_the_return_first_tells_its_peers(monkeypatch: object) -> None:
+    async def test(world: FleetWorld) -> None:
+        monkeypatch.setattr(node_module, "PROBE_EVERY_MS", HOUR_MS)  # type: ignore[attr-defined]
+        monkeypatch.setattr(follower, "FIRST_RETRY_S", HOUR_MS)  # type: ignore[attr-defined]
+        monkeypatch.setattr(follower, "LONGEST_RETRY_S", HOUR_MS)  # type: ignore[attr-defined]
+        monkeypatch.setattr(node_module, "RENEW_EVERY_S", HOUR_MS)  # type: ignore[attr-defined]
+        await world.start(replicas=1, nodes=3)
+        world.store.is_busy = True
+        healths = [node._health for node in world.nodes]
+        feeds = [
+            feed
+            for node in world.nodes
+            for feed in (
+                node._configuration_follower,
+                node._replica_follower,
+                node._member_follower,
+                node._job_follower,
+            )
+        ]
+        await world.until(lambda: all(feed._lost_since is not None for feed in feeds))
+        assert all(one.is_lost for one in healths)
+        world.store.is_busy = False
+        await world.nodes[1]._health.note_hint()
+        await world.until(lambda: not any(one.is_lost for one in healths))
+
+    in_world(test)
+
+
 def test_each_answer_and_failure_of_the_store_is_noted() -> None:
     async def test() -> None:
         inner = MemoryStore()
