--- a/src/cloverwalk/emulator/platform_replica.py
+++ b/src/cloverwalk/emulator/platform_replica.py
@@ -56,6 +56,9 @@
         self.events = events
         self.event_s = event_s
         self.slots = 8
+        self.event_padding = 0
+        """Characters added to the data of each event."""
+
         self.misdeeds: deque[Misdeed | None] = deque()
         self.always: Misdeed | None = None
         self.arrivals: list[Arrival] = []
@@ -190,7 +193,8 @@
             if await self._caller_left(client):
                 arrival.was_left = True
                 raise OSError("the caller left")
-            text = f"id: {number}\ndata: {arrival.request_id}:{number}\n\n".encode()
+            padding = "x" * self.event_padding
+            text = f"id: {number}\ndata: {arrival.request_id}:{number}{padding}\n\n".encode()
             if misdeed is Misdeed.CUT and number > self.events // 2:
                 await client.sendall(http.send(h11.Data(data=text[: len(text) // 2])) or b"")
                 return
--- a/src/cloverwalk/gateway/reply.py
+++ b/src/cloverwalk/gateway/reply.py
@@ -8,6 +8,9 @@
 from cloverwalk.gateway.errors import ClientGoneError
 from cloverwalk.gateway.messages import RawHeaders
 
+SEND_STALL_S = 5.0
+"""A client that takes nothing for so long is given up, and the work for it with it."""
+
 
 class Reply:
     """Writes one answer. Whatever is not finished is broken off, and looks so."""
@@ -61,9 +64,12 @@
 
     async def _send(self, data: bytes) -> None:
         try:
-            await self._sock.sendall(data)
+            async with curio.timeout_after(SEND_STALL_S):
+                await self._sock.sendall(data)
         except OSError as error:
             raise ClientGoneError(repr(error)) from error
+        except curio.TaskTimeout as error:
+            raise ClientGoneError("the client does not read", "client_stalled") from error
         except curio.CancelledError:
             # A part of the data may be out: nothing more may follow it.
             self.is_finished = False
--- a/src/cloverwalk/gateway/server.py
+++ b/src/cloverwalk/gateway/server.py
@@ -20,7 +20,6 @@
 BACKLOG = 1024
 LINGER_S = 0.5
 BODY_TIMEOUT_S = 10.0
-SEND_STALL_S = 5.0
 MAX_PIPELINED_BYTES = 262_144
 CONNECTION_RESERVE = 64
 """Descriptors kept for replicas, the store and files, beyond those of clients."""
--- a/src/cloverwalk/jobs/view.py
+++ b/src/cloverwalk/jobs/view.py
@@ -6,6 +6,9 @@
 from cloverwalk.jobs.records import JOB_TABLE, JobRecord, decode_record
 from cloverwalk.store.types import Row, RowPage
 
+MAX_REMOVED = 4096
+"""Removed jobs that are remembered, the latest ones."""
+
 
 class KnownJob(Struct):
     """A record with the version of its row."""
@@ -43,17 +46,26 @@
         """Take one row, or the news that it was removed."""
         job_id = row.row_key.key
         if row.value is None:
-            known = self._jobs.get(job_id)
-            if known is not None and known.version < row.version:
-                del self._jobs[job_id]
+            self._remove(job_id, row.version)
             return
         await self.put(decode_record(row.value), row.version)
 
+    def _remove(self, job_id: str, version: int) -> None:
+        """Forget a job; a read that lags behind must not bring it back."""
+        known = self._jobs.get(job_id)
+        if known is not None and known.version < version:
+            del self._jobs[job_id]
+        self._removed[job_id] = max(version, self._removed.pop(job_id, 0))
+        if len(self._removed) > MAX_REMOVED:
+            del self._removed[next(iter(self._removed))]
+
     async def put(self, record: JobRecord, version: int) -> None:
         """Take a record if it is newer, and wake those that wait for it."""
         known = self._jobs.get(record.job_id)
         if known is not None and known.version >= version:
             return
+        if self._removed.get(record.job_id, -1) > version:
+            return
         self._jobs[record.job_id] = KnownJob(record, version)
         self.changed.append(record.job_id)
         for event in self._waiters.pop(record.job_id, []):
--- a/tests/serving/test_jobs.py
+++ b/tests/serving/test_jobs.py
@@ -22,7 +22,7 @@
 )
 from cloverwalk.jobs.run import JobRun, replace_record
 from cloverwalk.jobs.sweeper import JobSweeper
-from cloverwalk.store.types import Expectation, Put, Transaction
+from cloverwalk.store.types import Expectation, Put, Row, Transaction
 from cloverwalk.telemetry.log import ServingLog
 
 LOST, REFUSED, LATE = CommitFault.LOST_ANSWER, CommitFault.NOT_DONE, CommitFault.LATE
@@ -280,6 +280,20 @@
     assert fresh.items[0].last_event_id == 9
 
 
+def test_a_read_that_lags_behind_does_not_bring_a_removed_job_back() -> None:
+    async def main() -> None:
+        store = MemoryStore()
+        node = OwnerNode("n1", store, HandClock())
+        await node.submit(submission("j"), batch_route())
+        lagging = await store.read_table(JOB_TABLE)
+        row = lagging.rows[0]
+        await node.view.take_row(Row(row.row_key, None, row.version + 1))
+        await node.view.take(lagging)
+        assert node.view.find("j") is None
+
+    curio.run(main)
+
+
 def test_old_jobs_leave_nothing_in_the_store_and_open_ones_stay() -> None:
     async def main() -> None:
         store = MemoryStore()
