Prompts that are still to be read count at the choice of a replica

Cause: a replica reads prompts one after the other. Loads counted requests only. Change: each node counts the prompts that it sent and that have put out nothing yet, in ms; digests tell it, every 0.03 s within a zone; the choice adds it to the expected wait. A replica with over 60 ms to read gets no batch item yet, and an item goes on where it ran before if there is room, since its prompt may be kept there. Tests: test_peers_learn_of_a_long_prompt_until_its_first_event (red before), test_what_is_left_to_read_ends_with_output_or_with_the_work.

--- a/src/cloverwalk/fleet/digest.py
+++ b/src/cloverwalk/fleet/digest.py
@@ -16,7 +16,8 @@
 class Digest(Struct, tag="d", array_like=True):
     """State of a node in short, without field names: it is sent often and between zones.
 
-    Loads are (online, batch) by replica. ``run`` is the last part of the node's incarnation.
+    Loads are (online, batch, ms of prompts to read) by replica. ``run`` is the last part of the
+    node's incarnation.
     """
 
     node: str
@@ -26,7 +27,7 @@
     configuration_version: int
     directory_version: int
     directory_age_ms: int
-    loads: dict[str, tuple[int, int]]
+    loads: dict[str, tuple[int, int, int]]
     is_leaving: bool = False
     knows_members: int = 0
     waiting: dict[str, list[tuple[int, int]]] = {}
--- a/src/cloverwalk/fleet/load.py
+++ b/src/cloverwalk/fleet/load.py
@@ -1,5 +1,6 @@
 """Work in flight at each replica, over all nodes that were heard lately."""
 
+import attrs
 from msgspec import Struct
 
 PEER_LOAD_VALID_S = 1.5
@@ -12,6 +13,8 @@
 
     online: int = 0
     batch: int = 0
+    reading_ms: float = 0.0
+    """Time that the replica needs for prompts that were sent and have put out nothing yet."""
 
     @property
     def total(self) -> int:
@@ -19,9 +22,23 @@
         return self.online + self.batch
 
 
+PeerLoads = dict[str, tuple[int, int, int]]
+"""What a peer tells by replica: online work, batch work, time to read its prompts in ms."""
+
+
+@attrs.define
+class Work:
+    """A request or an item that this node has at a replica."""
+
+    replica_id: str
+    is_batch: bool
+    reading_ms: float
+    """What is left to read of its prompt, as estimated; 0 from its first output on."""
+
+
 class _PeerLoad(Struct):
     heard_at: float
-    loads: dict[str, tuple[int, int]]
+    loads: PeerLoads
 
 
 class _Peak:
@@ -47,12 +64,13 @@
     """Own work in flight, and what peers told of theirs.
 
     >>> book = LoadBook()
-    >>> book.begin("r1", is_batch=False, now=0.0)
-    >>> book.hear("n2", {"r1": (2, 3)}, now=0.0)
-    >>> book.total("r1", now=1.0)
-    InFlight(online=3, batch=3)
+    >>> work = book.begin("r1", is_batch=False, now=0.0, reading_ms=50.0)
+    >>> book.hear("n2", {"r1": (2, 3, 400)}, now=0.0)
+    >>> book.total("r1", now=0.1)
+    InFlight(online=3, batch=3, reading_ms=350.0)
+    >>> book.note_output(work)
     >>> book.total("r1", now=9.0)
-    InFlight(online=1, batch=0)
+    InFlight(online=1, batch=0, reading_ms=0.0)
     """
 
     def __init__(self) -> None:
@@ -63,29 +81,40 @@
         self._peers: dict[str, _PeerLoad] = {}
         self._peaks: dict[str, _Peak] = {}
 
-    def begin(self, replica_id: str, is_batch: bool, now: float) -> None:
-        """Work was sent to a replica."""
+    def begin(self, replica_id: str, is_batch: bool, now: float, reading_ms: float = 0.0) -> Work:
+        """Work was sent to a replica; the result is passed to ``note_output`` and ``end``."""
         own = self.own.setdefault(replica_id, InFlight())
         self.revision += 1
+        own.reading_ms += reading_ms
         if is_batch:
             own.batch += 1
+        else:
+            own.online += 1
+            self.note_peak(replica_id, now)
+        return Work(replica_id, is_batch, reading_ms)
+
+    def note_output(self, work: Work) -> None:
+        """Work has put something out: its prompt was read."""
+        if work.reading_ms == 0.0:
             return
-        own.online += 1
-        self.note_peak(replica_id, now)
+        self.own[work.replica_id].reading_ms -= work.reading_ms
+        work.reading_ms = 0.0
+        self.revision += 1
 
-    def end(self, replica_id: str, is_batch: bool) -> None:
+    def end(self, work: Work) -> None:
         """Work ended at a replica, or its connection was closed."""
-        own = self.own[replica_id]
+        own = self.own[work.replica_id]
         self.revision += 1
-        if is_batch:
+        own.reading_ms -= work.reading_ms
+        if work.is_batch:
             own.batch -= 1
         else:
             own.online -= 1
         if own.total == 0:
-            del self.own[replica_id]
+            del self.own[work.replica_id]
 
-    def hear(self, node: str, loads: dict[str, tuple[int, int]], now: float) -> None:
-        """Take what a peer told: online and batch work by replica."""
+    def hear(self, node: str, loads: PeerLoads, now: float) -> None:
+        """Take what a peer told of its work by replica."""
         self._peers[node] = _PeerLoad(now, loads)
         for replica_id in loads:
             self.note_peak(replica_id, now)
@@ -95,15 +124,20 @@
         self._peers.pop(node, None)
 
     def total(self, replica_id: str, now: float) -> InFlight:
-        """Return the work in flight of all nodes that were heard lately."""
+        """Return the work in flight of all nodes that were heard lately.
+
+        What peers had to read is taken to be read on since they told of it.
+        """
         own = self.own.get(replica_id)
-        online, batch = (own.online, own.batch) if own is not None else (0, 0)
+        total = InFlight() if own is None else InFlight(own.online, own.batch, own.reading_ms)
         for peer in self._peers.values():
-            if now - peer.heard_at < PEER_LOAD_VALID_S and replica_id in peer.loads:
-                peer_online, peer_batch = peer.loads[replica_id]
-                online += peer_online
-                batch += peer_batch
-        return InFlight(online, batch)
+            age_s = now - peer.heard_at
+            if age_s < PEER_LOAD_VALID_S and replica_id in peer.loads:
+                online, batch, reading_ms = peer.loads[replica_id]
+                total.online += online
+                total.batch += batch
+                total.reading_ms += max(0.0, reading_ms - age_s * 1000)
+        return total
 
     def note_peak(self, replica_id: str, now: float) -> None:
         """Remember the online work of this moment."""
@@ -120,7 +154,7 @@
         best, most = None, 0
         for node in sorted(self._peers):
             peer = self._peers[node]
-            batch = peer.loads.get(replica_id, (0, 0))[1]
+            batch = peer.loads.get(replica_id, (0, 0, 0))[1]
             if now - peer.heard_at < PEER_LOAD_VALID_S and batch > most:
                 best, most = node, batch
         return best
--- a/src/cloverwalk/fleet/peers.py
+++ b/src/cloverwalk/fleet/peers.py
@@ -27,8 +27,8 @@
 from cloverwalk.gateway.replicas import ReplicaDirectory
 from cloverwalk.telemetry.log import ServingLog
 
-SEND_EVERY_S = 0.1
-"""Shortest time between digests; they are sent when the load changed."""
+SEND_EVERY_S = 0.03
+"""Shortest time between digests to the own zone; they are sent when the load changed."""
 
 OTHER_ZONES_EVERY_S = 0.2
 """Shortest time between digests to other zones, whose bytes cost more."""
@@ -167,7 +167,10 @@
         if is_for_all:
             self._sent_to_all_at = now
         age_ms = min(1e6, (now - self._directory.confirmed_at) * 1000)
-        loads = {key: (own.online, own.batch) for key, own in self._loads.own.items()}
+        loads = {
+            key: (own.online, own.batch, round(own.reading_ms))
+            for key, own in self._loads.own.items()
+        }
         digest = Digest(
             self._node,
             self._incarnation.rpartition(".")[2],
--- a/src/cloverwalk/gateway/answer_relay.py
+++ b/src/cloverwalk/gateway/answer_relay.py
@@ -4,6 +4,7 @@
 
 import curio
 
+from cloverwalk.fleet.load import LoadBook
 from cloverwalk.gateway.errors import ReplicaError
 from cloverwalk.gateway.event_stream import EventSplitter, StreamEvent
 from cloverwalk.gateway.messages import ClientRequest, GatewayCodec
@@ -27,11 +28,13 @@
         self,
         codec: GatewayCodec,
         directory: ReplicaDirectory,
+        loads: LoadBook,
         metrics: ServingMetrics,
         clock: Callable[[], float],
     ) -> None:
         self._codec = codec
         self._directory = directory
+        self._loads = loads
         self._metrics = metrics
         self._clock = clock
 
@@ -84,6 +87,8 @@
         if not reply.has_begun:
             await reply.begin(head.status, self._codec.headers_to_client(head.headers), None)
         while (data := await self._next_data(progress, connection)) is not None:
+            if progress.work is not None:
+                self._loads.note_output(progress.work)
             try:
                 events = splitter.feed(data)
             except ValueError as error:
--- a/src/cloverwalk/gateway/progress.py
+++ b/src/cloverwalk/gateway/progress.py
@@ -2,6 +2,7 @@
 
 from msgspec import Struct
 
+from cloverwalk.fleet.load import Work
 from cloverwalk.gateway.configuration import Route
 
 
@@ -21,6 +22,12 @@
     is_sent: bool = False
     """Whether bytes went to a replica whose answer is not known yet."""
 
+    reading_ms: float = 0.0
+    """How long the chosen replica is expected to read the prompt for."""
+
+    work: Work | None = None
+    """The present attempt, as the load of its replica counts it."""
+
     first_event_at: float | None = None
     last_replica: str = ""
     last_failure: str = ""
--- a/src/cloverwalk/gateway/relay.py
+++ b/src/cloverwalk/gateway/relay.py
@@ -18,7 +18,13 @@
 from cloverwalk.gateway.replica_connection import AnswerHead, ReplicaConnection, ReplicaPool
 from cloverwalk.gateway.replicas import Replica, ReplicaDirectory
 from cloverwalk.gateway.reply import Reply
-from cloverwalk.gateway.selection import Candidate, Demand, WeightedRotation, choose
+from cloverwalk.gateway.selection import (
+    Candidate,
+    Demand,
+    WeightedRotation,
+    choose,
+    expected_reading_ms,
+)
 from cloverwalk.telemetry.log import ServingLog
 from cloverwalk.telemetry.metrics import ServingMetrics
 
@@ -59,7 +65,7 @@
         self._clock = clock
         self._make_room = make_room
         self._rotation = WeightedRotation()
-        self._answers = AnswerRelay(codec, directory, metrics, clock)
+        self._answers = AnswerRelay(codec, directory, loads, metrics, clock)
 
     async def handle(self, request: ClientRequest, route: Route, reply: Reply) -> None:
         """Serve a request of an online route."""
@@ -120,9 +126,11 @@
             raise self._refusal(progress, "replicas_full")
         now = self._clock()
         candidates = self._candidates(progress, now)
-        chosen = choose(candidates, self._demand(request, route))
+        demand = self._demand(request, route)
+        chosen = choose(candidates, demand)
         if chosen is None:
             raise self._refusal(progress, "no_replica")
+        progress.reading_ms = expected_reading_ms(chosen, candidates, demand)
         self._log.write(
             catalogue.REPLICA_CHOSEN,
             request=request.fields.request_id,
@@ -130,6 +138,7 @@
             among=len(candidates),
             online=chosen.in_flight.online,
             batch=chosen.in_flight.batch,
+            reading_ms=round(chosen.in_flight.reading_ms),
             list_age_s=round(now - self._directory.confirmed_at, 3),
             configuration=self._configuration.version,
             after_event=progress.last_event_id,
@@ -160,11 +169,12 @@
 
     def _demand(self, request: ClientRequest, route: Route) -> Demand:
         prompt = request.fields.prompt
+        own_tokens = prompt[-1].tokens if prompt else 0
         shared = prompt[:-1]
         if not shared:
-            return Demand(self._zone, len(request.body))
+            return Demand(self._zone, len(request.body), own_tokens=own_tokens)
         longest = max(shared, key=lambda part: part.tokens)
-        return Demand(self._zone, len(request.body), longest.part_id, longest.tokens)
+        return Demand(self._zone, len(request.body), longest.part_id, longest.tokens, own_tokens)
 
     def _note_failure(
         self,
@@ -199,12 +209,13 @@
         if progress.deadline - now < LEAST_USEFUL_S:
             raise self._timeout_error(progress)
         # Counted first: requests that come at the same moment must see each other.
-        self._loads.begin(replica.replica_id, False, now)
+        work = self._loads.begin(replica.replica_id, False, now, progress.reading_ms)
+        progress.work = work
         try:
             await self._make_room(replica)
             await self._attempt_counted(request, progress, replica, reply)
         finally:
-            self._loads.end(replica.replica_id, False)
+            self._loads.end(work)
 
     async def _attempt_counted(
         self, request: ClientRequest, progress: RequestProgress, replica: Replica, reply: Reply
--- a/src/cloverwalk/gateway/selection.py
+++ b/src/cloverwalk/gateway/selection.py
@@ -1,8 +1,9 @@
 """Which replica a request goes to. A pure policy: figures in, a choice out.
 
-The cost of a replica is the time that the request is expected to wait and to be read there,
-plus a charge for bytes that cross zones. Requests that share a prompt meet at the same
-replicas, since every node ranks the replicas of a zone by the same hash.
+The cost of a replica is the time that the request is expected to wait and to be read there: prompts
+are read one after the other, so those that were sent before it count. Bytes that cross zones are
+charged besides. Requests that share a prompt meet at the same replicas, since every node ranks the
+replicas of a zone by the same hash.
 """
 
 from collections.abc import Sequence
@@ -51,6 +52,13 @@
     """Id of the longest part of its prompt that others share."""
 
     shared_tokens: int = 0
+    own_tokens: int = 0
+    """Tokens of the part of its prompt that nobody shares."""
+
+
+def reading_ms(tokens: int) -> float:
+    """Return the time that a replica is expected to read a prompt of so many tokens for."""
+    return tokens / READ_TOKENS_PER_MS
 
 
 def choose(candidates: Sequence[Candidate], demand: Demand) -> Candidate | None:
@@ -64,6 +72,9 @@
     'z1'
     >>> choose([Candidate(near, full, False), Candidate(far, idle, False)], demand).replica.zone
     'z2'
+    >>> reading = InFlight(online=1, reading_ms=300.0)
+    >>> choose([Candidate(near, reading, False), Candidate(far, idle, False)], demand).replica.zone
+    'z2'
     """
     if not candidates:
         return None
@@ -71,6 +82,12 @@
     return min(candidates, key=lambda one: (_cost_ms(one, demand, homes), one.replica.replica_id))
 
 
+def expected_reading_ms(chosen: Candidate, among: Sequence[Candidate], demand: Demand) -> float:
+    """Return how long the chosen replica is expected to read the request's prompt for."""
+    is_home = chosen.replica.replica_id in _home_by_zone(among, demand)
+    return reading_ms(demand.own_tokens + (0 if is_home else demand.shared_tokens))
+
+
 def _home_by_zone(candidates: Sequence[Candidate], demand: Demand) -> set[str]:
     if not demand.shared_part:
         return set()
@@ -84,13 +101,14 @@
     replica = candidate.replica
     cost = SUSPECT_COST_MS if candidate.is_suspect else 0.0
     in_flight = candidate.in_flight
+    cost += in_flight.reading_ms
     used = in_flight.online / replica.slots
     cost += LOAD_COST_MS * used
     cost += CROWDED_COST_MS * max(0.0, used - CROWDED_FROM) / (1 - CROWDED_FROM)
     cost += BATCH_COST_MS * in_flight.batch / replica.slots
     cost += FULL_COST_MS * max(0, in_flight.online + 1 - replica.slots)
     if homes and replica.replica_id not in homes:
-        cost += demand.shared_tokens / READ_TOKENS_PER_MS
+        cost += reading_ms(demand.shared_tokens)
     if replica.zone != demand.zone:
         cost += OTHER_ZONE_MS + OTHER_ZONE_MS_PER_KB * demand.size_bytes / 1024
     return cost
--- a/src/cloverwalk/jobs/item_call.py
+++ b/src/cloverwalk/jobs/item_call.py
@@ -7,7 +7,13 @@
 
 from cloverwalk.gateway.errors import ReplicaError
 from cloverwalk.gateway.event_stream import EventSplitter
-from cloverwalk.gateway.messages import ClientRequest, GatewayCodec, RequestFields
+from cloverwalk.gateway.messages import (
+    ClientRequest,
+    GatewayCodec,
+    PromptPart,
+    RawHeaders,
+    RequestFields,
+)
 from cloverwalk.gateway.replica_connection import ReplicaConnection, ReplicaPool
 from cloverwalk.gateway.replicas import Replica, ReplicaDirectory
 from cloverwalk.jobs.run import ItemRun, JobRun
@@ -33,9 +39,14 @@
     pool: ReplicaPool
     directory: ReplicaDirectory
     clock: Callable[[], float]
-    on_first_event: Callable[[], None]
 
-    async def run(self, job: JobRun, one: ItemRun, replica: Replica) -> None:
+    def prompt(self, one: ItemRun) -> tuple[PromptPart, ...]:
+        """Return the parts of an item's prompt, as far as its headers tell them."""
+        return self.codec.request_fields(_raw_headers(one)).prompt
+
+    async def run(
+        self, job: JobRun, one: ItemRun, replica: Replica, on_output: Callable[[], None]
+    ) -> None:
         """Run an item to its end; events are added to the run as they come.
 
         Raises ReplicaError when the run broke off, ItemFailedError or ItemImpossibleError.
@@ -45,7 +56,7 @@
         try:
             if self.directory.find(replica.replica_id) is None:
                 raise ReplicaError("the replica began to leave", False, "draining")
-            keep_alive_s = await self._exchange(job, one, replica, connection)
+            keep_alive_s = await self._exchange(job, one, replica, connection, on_output)
             is_kept = True
             await self.pool.release(connection, keep_alive_s)
         finally:
@@ -53,7 +64,12 @@
                 await connection.close()
 
     async def _exchange(
-        self, job: JobRun, one: ItemRun, replica: Replica, connection: ReplicaConnection
+        self,
+        job: JobRun,
+        one: ItemRun,
+        replica: Replica,
+        connection: ReplicaConnection,
+        on_output: Callable[[], None],
     ) -> float | None:
         request = self._request(job, one)
         headers = self.codec.headers_to_replica(
@@ -75,11 +91,11 @@
             raise ItemFailedError
         if head.status != 200 or not head.fields.is_signed:
             raise ReplicaError(f"the replica answered {head.status}", True, "unusable")
-        await self._take_events(job, one, connection)
+        await self._take_events(job, one, connection, on_output)
         return head.fields.keep_alive_s
 
     def _request(self, job: JobRun, one: ItemRun) -> ClientRequest:
-        headers = [(name.encode(), value.encode()) for name, value in one.item.headers]
+        headers = _raw_headers(one)
         names = {name.lower() for name, _ in headers}
         if b"host" not in names:
             headers.insert(0, (b"Host", job.record.host.encode()))
@@ -88,7 +104,13 @@
             "POST", one.item.path, headers, one.item.body, job.record.host, fields, self.clock()
         )
 
-    async def _take_events(self, job: JobRun, one: ItemRun, connection: ReplicaConnection) -> None:
+    async def _take_events(
+        self,
+        job: JobRun,
+        one: ItemRun,
+        connection: ReplicaConnection,
+        on_output: Callable[[], None],
+    ) -> None:
         splitter = EventSplitter()
         while (data := await self._next_data(connection)) is not None:
             try:
@@ -99,7 +121,7 @@
                 if not job.take_event(one, event.event_id, event.data):
                     raise ReplicaError("an event is missing", True, "invalid_stream")
             if events:
-                self.on_first_event()
+                on_output()
         if splitter.rest:
             raise ReplicaError("the stream ended within an event", True, "answer_cut")
 
@@ -109,3 +131,7 @@
                 return await connection.read_body()
         except curio.TaskTimeout as error:
             raise ReplicaError("the stream fell silent", True, "silent") from error
+
+
+def _raw_headers(one: ItemRun) -> RawHeaders:
+    return [(name.encode(), value.encode()) for name, value in one.item.headers]
--- a/src/cloverwalk/jobs/run.py
+++ b/src/cloverwalk/jobs/run.py
@@ -40,6 +40,8 @@
     result: ItemResult | None = None
     not_before: float = 0.0
     replica_id: str = ""
+    """Where it runs, or ran last: its prompt may still be kept there."""
+
     saved: int = 0
     """Events of the output that the store holds."""
 
@@ -116,7 +118,6 @@
     def suspend(self, one: ItemRun, not_before: float) -> None:
         """A run broke off or gave way; it goes on later behind its last event."""
         one.phase = Phase.PENDING
-        one.replica_id = ""
         one.not_before = not_before
 
     def succeed(self, one: ItemRun) -> None:
--- a/src/cloverwalk/jobs/runner.py
+++ b/src/cloverwalk/jobs/runner.py
@@ -8,15 +8,16 @@
 import curio
 
 from cloverwalk.core import catalogue
-from cloverwalk.fleet.load import LoadBook
+from cloverwalk.fleet.load import LoadBook, Work
 from cloverwalk.fleet.peers import PeerNetwork
 from cloverwalk.gateway.configuration import ConfigurationHolder, Route, RouteKind
 from cloverwalk.gateway.errors import ReplicaError
 from cloverwalk.gateway.replicas import Replica, ReplicaDirectory
+from cloverwalk.gateway.selection import reading_ms
 from cloverwalk.jobs.item_call import ItemCaller, ItemFailedError, ItemImpossibleError
 from cloverwalk.jobs.order import PeersQueue, may_start, summarise
 from cloverwalk.jobs.run import ItemRun, JobRun, Phase
-from cloverwalk.jobs.share import batch_room, must_yield
+from cloverwalk.jobs.share import batch_room, may_read_more, must_yield
 from cloverwalk.telemetry.log import ServingLog
 from cloverwalk.telemetry.metrics import ServingMetrics
 
@@ -34,10 +35,11 @@
 class _Running:
     """An item at a replica."""
 
-    def __init__(self, job: JobRun, one: ItemRun, replica_id: str, started_at: float) -> None:
+    def __init__(self, job: JobRun, one: ItemRun, work: Work, started_at: float) -> None:
         self.job = job
         self.one = one
-        self.replica_id = replica_id
+        self.work = work
+        self.replica_id = work.replica_id
         self.started_at = started_at
         self.task: Any = None
         self.gives_way = False
@@ -248,13 +250,19 @@
     def _place(self, waiting: _Waiting) -> Replica | None:
         """Return a replica with room for an item that no peer's item comes before."""
         usable = [one for service in waiting.pool for one in self._directory.usable(service)]
-        rooms = [self._room(replica) for replica in usable]
+        rooms = {one.replica_id: self._room(one) for one in usable}
         queue = PeersQueue.of(_pool_name(waiting.pool), self._peers.waiting_at_peers())
         ahead = queue.ahead_of(waiting.due_ms, waiting.can_be_in_time)
-        if not may_start(sum(rooms), ahead):
+        if not may_start(sum(rooms.values()), ahead):
             return None
+        open_now = [one for one in usable if rooms[one.replica_id] > 0 and self._is_open(one)]
+        if not open_now:
+            return None
+        for replica in open_now:
+            if replica.replica_id == waiting.one.replica_id:
+                return replica
         # All nodes see the same rooms: a choice by chance keeps them from meeting at one.
-        return self._random.choices(usable, rooms)[0]
+        return self._random.choices(open_now, [rooms[one.replica_id] for one in open_now])[0]
 
     def _room(self, replica: Replica) -> int:
         now = self._clock()
@@ -264,11 +272,16 @@
         peak = self._loads.online_peak(key, now)
         return batch_room(replica.slots, self._loads.total(key, now), peak)
 
+    def _is_open(self, replica: Replica) -> bool:
+        return may_read_more(self._loads.total(replica.replica_id, self._clock()))
+
     async def _start(self, job: JobRun, one: ItemRun, replica: Replica) -> None:
         now = self._clock()
         job.begin(one, replica.replica_id)
-        self._loads.begin(replica.replica_id, True, now)
-        running = _Running(job, one, replica.replica_id, now)
+        prompt = self._caller.prompt(one)
+        own_tokens = prompt[-1].tokens if prompt else 0
+        work = self._loads.begin(replica.replica_id, True, now, reading_ms(own_tokens))
+        running = _Running(job, one, work, now)
         self._running[job.job_id, one.index] = running
         self._log.write(
             catalogue.ITEM_STARTED,
@@ -287,7 +300,7 @@
         outcome = "suspended"
         began_with = len(one.texts)
         try:
-            await self._caller.run(job, one, replica)
+            await self._caller.run(job, one, replica, lambda: self._loads.note_output(running.work))
             self._pace.note(len(one.texts), began_with, self._clock() - running.started_at)
             job.succeed(one)
             outcome = "succeeded"
@@ -307,7 +320,7 @@
 
     def _end_run(self, running: _Running, outcome: str) -> None:
         job, one = running.job, running.one
-        self._loads.end(running.replica_id, True)
+        self._loads.end(running.work)
         self._running.pop((job.job_id, one.index), None)
         if one.phase is Phase.RUNNING:
             pause_s = SUSPENDED_S if outcome == "suspended" else RETRY_S
--- a/src/cloverwalk/jobs/share.py
+++ b/src/cloverwalk/jobs/share.py
@@ -10,6 +10,9 @@
 RESERVE = 1
 """Free slots of each replica that batch work never starts on."""
 
+MOST_READING_MS = 60.0
+"""A replica with more prompts to read gets no items yet: online requests would wait for them."""
+
 YIELD_RESERVE = 0
 """Free slots below which an item gives way when an online request comes."""
 
@@ -28,6 +31,15 @@
     return max(0, slots - RESERVE - online - in_flight.batch)
 
 
+def may_read_more(in_flight: InFlight) -> bool:
+    """Whether a replica with room may be sent the prompt of an item now.
+
+    >>> may_read_more(InFlight(reading_ms=50.0)), may_read_more(InFlight(reading_ms=90.0))
+    (True, False)
+    """
+    return in_flight.reading_ms <= MOST_READING_MS
+
+
 def must_yield(slots: int, in_flight: InFlight) -> bool:
     """Whether batch work must give a slot to an online request that is already counted.
 
--- a/src/cloverwalk/serving/node.py
+++ b/src/cloverwalk/serving/node.py
@@ -163,9 +163,7 @@
     def _build_jobs(self) -> None:
         cache = ResultCache()
         committer = Committer(self._store, self._health, self._clock)
-        caller = ItemCaller(
-            self._adapter.codec, self._pool, self._directory, self._clock, lambda: None
-        )
+        caller = ItemCaller(self._adapter.codec, self._pool, self._directory, self._clock)
         self._runner = BatchRunner(
             self._configuration,
             self._directory,
--- a/tests/serving/test_online.py
+++ b/tests/serving/test_online.py
@@ -2,9 +2,11 @@
 
 import curio
 import pytest
+from curio import socket
 from fleet_world import HOST, FleetWorld, configuration, in_world, route
 
 from cloverwalk.emulator.platform_replica import Misdeed
+from cloverwalk.gateway import reply
 from cloverwalk.platform import names
 
 SIGNATURE = names.SIGNATURE.decode().lower()
@@ -177,6 +179,47 @@
     in_world(test)
 
 
+def test_peers_learn_of_a_long_prompt_until_its_first_event() -> None:
+    async def test(world: FleetWorld) -> None:
+        await world.start(replicas=1, nodes=2, event_s=0.4)
+        headers = [
+            (names.REQUEST_ID.decode(), "long"),
+            (names.DEADLINE_MS.decode(), "3000"),
+            (names.PREFIX_HASH.decode(), "aa:200,bb:50000"),
+        ]
+        task = await curio.spawn(world.call, "POST", "/chat/a", b"prompt", headers, 0)
+        loads = world.nodes[1]._loads
+
+        def reading_ms() -> float:
+            return loads.total("i-0", world.nodes[1]._clock()).reading_ms
+
+        await world.until(lambda: reading_ms() > 500.0)
+        await world.until(lambda: reading_ms() == 0.0)
+        assert loads.total("i-0", world.nodes[1]._clock()).online == 1
+        assert (await task.join()).is_whole
+
+    in_world(test)
+
+
+def test_a_client_that_does_not_read_is_given_up(monkeypatch: pytest.MonkeyPatch) -> None:
+    async def test(world: FleetWorld) -> None:
+        monkeypatch.setattr(reply, "SEND_STALL_S", 0.2)
+        await world.start(replicas=1, events=200, event_s=0.001)
+        replica = world.replicas[0]
+        replica.event_padding = 500_000
+        sock = await world.connect()
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+        head = f"POST /chat/a HTTP/1.1\r\nHost: {HOST}\r\nContent-Length: 0\r\n"
+        head += f"{names.REQUEST_ID.decode()}: stalled\r\n\r\n"
+        await sock.sendall(head.encode())
+        await world.until(lambda: replica.running == 1)
+        await world.until(lambda: replica.running == 0)
+        assert not replica.arrivals[0].is_finished
+        await sock.close()
+
+    in_world(test)
+
+
 def test_a_draining_or_removed_replica_gets_nothing_new() -> None:
     async def test(world: FleetWorld) -> None:
         await world.start(replicas=3)
--- a/tests/unit/test_serving_parts.py
+++ b/tests/unit/test_serving_parts.py
@@ -84,13 +84,33 @@
 
 def test_load_of_lost_peers_is_forgotten() -> None:
     book = LoadBook()
-    book.hear("n2", {"r": (1, 2)}, 0.0)
+    book.hear("n2", {"r": (1, 2, 0)}, 0.0)
     assert book.heaviest_batch_peer("r", 0.5) == "n2"
     book.forget("n2")
     assert book.total("r", 0.5) == InFlight()
     assert book.heaviest_batch_peer("r", 0.5) is None
 
 
+@given(st.lists(st.tuples(st.booleans(), st.integers(0, 300), st.booleans()), max_size=12))
+def test_what_is_left_to_read_ends_with_output_or_with_the_work(
+    sends: list[tuple[bool, int, bool]],
+) -> None:
+    book = LoadBook()
+    open_work = [
+        (book.begin("r", is_batch, 0.0, float(reading_ms)), puts_out)
+        for is_batch, reading_ms, puts_out in sends
+    ]
+    for work, puts_out in open_work:
+        if puts_out:
+            book.note_output(work)
+            book.note_output(work)
+    left = sum(reading_ms for _, reading_ms, puts_out in sends if not puts_out)
+    assert book.total("r", 0.0).reading_ms == left
+    for work, _ in open_work:
+        book.end(work)
+    assert book.total("r", 0.0) == InFlight()
+
+
 @given(st.binary(max_size=60))
 def test_any_datagram_is_a_message_or_an_error(data: bytes) -> None:
     try:
@@ -100,7 +120,7 @@
 
 
 def test_a_digest_comes_back_whole() -> None:
-    digest = Digest("n1", "0a", "z1", 3, 7, 9, 40, {"r": (1, 2)}, True, 4)
+    digest = Digest("n1", "0a", "z1", 3, 7, 9, 40, {"r": (1, 2, 0)}, True, 4)
     assert decode_datagram(encode_datagram(digest)) == digest
     assert digest.incarnation == "n1.0a"
 
