Items that will not start hold nothing back at peers

Cause: a node told its waiting items only when it looked for items to start, so what it had told last stood on after its last job ended and while it was stopping. Test: test_items_that_will_not_start_hold_nothing_back_at_peers, red before for the ended job.

--- a/src/cloverwalk/fleet/peers.py
+++ b/src/cloverwalk/fleet/peers.py
@@ -132,7 +132,9 @@
         return [
             peer.digest.waiting
             for peer in self.live()
-            if peer.digest is not None and now - peer.heard_at < PEER_LOAD_VALID_S
+            if peer.digest is not None
+            and not peer.digest.is_leaving
+            and now - peer.heard_at < PEER_LOAD_VALID_S
         ]
 
     def has_replaced(self, incarnation: str) -> bool:
--- a/src/cloverwalk/jobs/runner.py
+++ b/src/cloverwalk/jobs/runner.py
@@ -161,16 +161,21 @@
             async with curio.ignore_after(TICK_S):
                 await self._wake.wait()
             self._wake.clear()
-            if not self.is_stopping and self.jobs:
+            if self._may_run():
                 await self._start_some()
+            else:
+                self._peers.waiting = {}
             if self._running and not self._wake.is_set():
                 await curio.sleep(0)
 
-    async def _start_some(self) -> None:
+    def _may_run(self) -> bool:
+        """Whether this node may start items; else it holds none back from its peers."""
+        if self.is_stopping or not self.jobs:
+            return False
         self._give_up_old()
-        if not self._may_start():
-            self._peers.waiting = {}
-            return
+        return self._may_start()
+
+    async def _start_some(self) -> None:
         queue = self._queue()
         started = 0
         for waiting in queue:
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -33,6 +33,7 @@
 ONLINE = "tests/serving/test_online.py::"
 BATCH = "tests/serving/test_batch.py::"
 JOBS = "tests/serving/test_jobs.py::"
+HEALTH = "tests/serving/test_store_health.py::"
 MUTANTS = [
     Mutant(
         "an earlier record is ignored",
@@ -421,6 +422,97 @@
         "            if not is_owner:",
         BATCH + "test_an_ended_job_starts_nothing_more",
     ),
+    Mutant(
+        "serving: a draining replica is used",
+        "gateway/replicas.py",
+        "one.service == service and not one.is_draining]",
+        "one.service == service]",
+        ONLINE + "test_a_draining_or_removed_replica_gets_nothing_new",
+        (
+            (
+                "gateway/replicas.py",
+                "        return None if replica is None or replica.is_draining else replica",
+                "        return replica",
+            ),
+        ),
+    ),
+    Mutant(
+        "serving: a node without a configuration denies",
+        "serving/calls.py",
+        'GatewayError(503, "no_configuration"',
+        'GatewayError(404, "no_configuration"',
+        ONLINE + "test_a_node_without_a_configuration_is_not_ready_and_denies_nothing",
+    ),
+    Mutant(
+        "serving: an item is tried without end",
+        "jobs/run.py",
+        "        if one.failures >= self.record.max_attempts:",
+        "        if False:",
+        BATCH + "test_items_that_can_not_be_done_are_dead_after_their_attempts",
+    ),
+    Mutant(
+        "serving: free slots are not left to items due sooner",
+        "jobs/order.py",
+        "    return room > ahead",
+        "    return room > 0",
+        BATCH + "test_items_due_sooner_go_first_whichever_node_has_them",
+    ),
+    Mutant(
+        "serving: a job in hand is taken over",
+        "jobs/ownership.py",
+        "        return job_id in self._runner.jobs or job_id in self._in_hand",
+        "        return job_id in self._runner.jobs",
+        BATCH + "test_a_job_is_not_taken_over_while_it_is_handed_in",
+    ),
+    Mutant(
+        "serving: pauses go on beyond the store's return",
+        "store/health.py",
+        "        returned = self._returned if self.is_lost else None",
+        "        returned = None",
+        HEALTH + "test_a_transaction_in_a_long_pause_is_repeated_at_once",
+    ),
+    Mutant(
+        "serving: output is not saved at the store's return",
+        "jobs/checkpoint.py",
+        "            await self._health.pause(SAVE_EVERY_MS)",
+        "            await curio.sleep(SAVE_EVERY_MS / 1000)",
+        HEALTH + "test_output_of_running_items_is_saved_when_the_store_is_back",
+        (
+            (
+                "jobs/checkpoint.py",
+                "from cloverwalk.jobs.commit",
+                "import curio\nfrom cloverwalk.jobs.commit",
+            ),
+        ),
+    ),
+    Mutant(
+        "serving: the store's return is not told",
+        "serving/node.py",
+        "            await self._peers.tell_store_returned()",
+        "            pass",
+        HEALTH + "test_a_node_that_learns_of_the_return_first_tells_its_peers",
+    ),
+    Mutant(
+        "serving: prompts to read are not counted",
+        "fleet/load.py",
+        "        own.reading_ms += reading_ms",
+        "        own.reading_ms += 0.0",
+        ONLINE + "test_peers_learn_of_a_long_prompt_until_its_first_event",
+    ),
+    Mutant(
+        "serving: a removed job comes back",
+        "jobs/view.py",
+        "        if self._removed.get(record.job_id, -1) > version:",
+        "        if False:",
+        JOBS + "test_a_read_that_lags_behind_does_not_bring_a_removed_job_back",
+    ),
+    Mutant(
+        "serving: a client that does not read is kept",
+        "gateway/reply.py",
+        "            async with curio.timeout_after(SEND_STALL_S):",
+        "            async with curio.timeout_after(3600):",
+        ONLINE + "test_a_client_that_does_not_read_is_given_up",
+    ),
 ]
 
 
--- a/tests/serving/test_batch.py
+++ b/tests/serving/test_batch.py
@@ -158,6 +158,23 @@
     in_world(test)
 
 
+@pytest.mark.parametrize("reason", ["ended", "stopping"])
+def test_items_that_will_not_start_hold_nothing_back_at_peers(reason: str) -> None:
+    async def test(world: FleetWorld) -> None:
+        await world.start(replicas=1, nodes=2, events=20, event_s=0.05)
+        assert (await world.hand_in("j", count=40)).status == 202
+        peers = world.nodes[1]._peers
+        await world.until(lambda: any(peers.waiting_at_peers()))
+        if reason == "ended":
+            assert (await world.call("DELETE", f"{names.JOB_PREFIX}j")).status == 200
+        else:
+            world.nodes[0].request_stop()
+        await world.until(lambda: not any(peers.waiting_at_peers()))
+        assert world.nodes[1]._peers.live()
+
+    in_world(test)
+
+
 def test_bodies_of_items_come_back_from_any_node() -> None:
     async def test(world: FleetWorld) -> None:
         await world.start(replicas=1, nodes=2, events=500, event_s=0.02)
