--- a/tests/serving/test_online.py
+++ b/tests/serving/test_online.py
@@ -207,6 +207,9 @@
         await world.start(replicas=1, events=200, event_s=0.001)
         replica = world.replicas[0]
         replica.event_padding = 500_000
+        patient = route("chat", "/chat/", "streaming", resumable=True, timeout_ms=60_000)
+        world.store.put(names.OPERATOR_TABLE, names.CONFIGURATION_KEY, configuration(2, [patient]))
+        await world.until(lambda: world.nodes[0]._configuration.version == 2)
         sock = await world.connect()
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
         head = f"POST /chat/a HTTP/1.1\r\nHost: {HOST}\r\nContent-Length: 0\r\n"
