--- a/src/cloverwalk/control/replica_owner.py
+++ b/src/cloverwalk/control/replica_owner.py
@@ -10,7 +10,8 @@
 
 from collections.abc import Callable
 
-from cloverwalk.control.batch_puller import BatchPuller, ClassKey
+from cloverwalk.control.batch_filler import BatchFiller
+from cloverwalk.control.batch_puller import BatchPuller
 from cloverwalk.control.context import Context
 from cloverwalk.control.job_cancels import JobCancels
 from cloverwalk.control.leases import LeaseKeeper
@@ -42,18 +43,16 @@
     ChangeModel,
     ChunkMessage,
     ItemDone,
-    ItemReturned,
     ItemsHeld,
     LeavingNotice,
     ModelChanged,
     Offer,
     OfferRefused,
-    PulledItem,
     PullReply,
     QueryWork,
     WorkStatus,
 )
-from cloverwalk.core.policies import POLICIES, SchedulingPolicy, takes_batch
+from cloverwalk.core.policies import POLICIES, SchedulingPolicy
 from cloverwalk.core.replica_slots import (
     QueuedOffer,
     ReplicaSlots,
@@ -61,7 +60,7 @@
     SuspendedItem,
 )
 from cloverwalk.core.token_bucket import TokenBucket
-from cloverwalk.core.types import ItemResult, Outcome, Priority, Refusal, Work
+from cloverwalk.core.types import ItemResult, Outcome, Refusal, Work
 
 ADOPT_RETRY_S = 0.5
 HELD_REPORT_S = 1.0
@@ -82,17 +81,16 @@
     ) -> None:
         self._context = context
         self._leases = leases
-        self._table = table
         self._puller = puller
         self._shard_owner = shard_owner
         self._policy: SchedulingPolicy = POLICIES[context.settings.scheduler.policy]
-        self._online_quiet_s = context.settings.scheduler.online_quiet_s
-        self._short_prompt_tokens = context.settings.scheduler.short_prompt_tokens
         self._replicas: dict[str, OwnedReplica] = {}
         self._cancels = JobCancels(context)
+        self._batch = BatchFiller(
+            context, leases, table, puller, self._cancels, self._policy, shard_owner
+        )
         self._placer_epochs: dict[str, int] = {}
         self._queries: dict[str, str] = {}
-        self._attempt_count = 0
         self._held_report_at = -1e9
         self.leaving_replicas: set[str] = set()
 
@@ -166,7 +164,7 @@
             return
         owned.state = ReplicaState.DRAINING
         self._stop_batch(owned)
-        self._return_suspended(owned, older_than_s=-1.0)
+        self._batch.return_suspended(owned, older_than_s=-1.0)
         self._release_if_idle(owned)
 
     def _release_if_idle(self, owned: OwnedReplica) -> None:
@@ -181,7 +179,7 @@
         while owned.slots.queue:
             offer = owned.slots.queue.popleft()
             self._refuse(owned.replica, offer.work, offer.reply_to, reason)
-        self._return_suspended(owned, older_than_s=-1.0)
+        self._batch.return_suspended(owned, older_than_s=-1.0)
 
     # --- change of model ---
 
@@ -198,7 +196,7 @@
         owned.state = ReplicaState.SWITCHING
         owned.switch = ModelSwitch(message.model, sender)
         self._stop_batch(owned)
-        self._return_suspended(owned, older_than_s=-1.0)
+        self._batch.return_suspended(owned, older_than_s=-1.0)
         self._load_if_idle(owned)
 
     def _load_if_idle(self, owned: OwnedReplica) -> None:
@@ -297,7 +295,7 @@
         if slots.queue and self._policy.preempts:
             self._suspend(owned, len(slots.queue) - slots.stopping_count)
         elif not slots.queue and owned.state is ReplicaState.ACTIVE:
-            self._fill_with_batch(owned)
+            self._batch.fill(owned)
         self._load_if_idle(owned)
         self._release_if_idle(owned)
 
@@ -343,129 +341,21 @@
 
     # --- batch work ---
 
-    def _may_start_batch(self) -> bool:
-        return self._policy.runs_batch and self._leases.is_valid and not self._table.is_stale
-
-    def _batch_room(self, owned: OwnedReplica) -> int:
-        slots = owned.slots
-        if not takes_batch(self._policy, owned.replica):
-            return 0
-        if self._policy.controls_concurrency:
-            online = slots.online_count + len(slots.queue)
-            allowed = owned.concurrency.allowed(online)
-        else:
-            allowed = slots.slots - slots.online_count
-        return min(slots.free, allowed - slots.batch_count) - owned.pulling
-
-    def _fill_with_batch(self, owned: OwnedReplica) -> None:
-        if owned.leaving:
-            return
-        if not self._may_start_batch():
-            return
-        room = self._batch_room(owned)
-        while room > 0 and owned.slots.suspended:
-            suspended = owned.slots.suspended.popleft()
-            if not suspended.resume_text and self._starts_allowed(owned) == 0:
-                self._return_item(suspended.job_id, suspended.index, "")
-                continue
-            self._resume(owned, suspended)
-            room -= 1
-        room = min(room, self._starts_allowed(owned))
-        if room > 0:
-            longest = float("inf") if self._is_alone(owned) else self._short_prompt_tokens
-            owned.pulling += self._puller.pull(owned.replica, owned.model, room, longest)
-
-    def _is_alone(self, owned: OwnedReplica) -> bool:
-        """Return whether batch work has the replica to itself, or need not care."""
-        if not self._policy.controls_concurrency:
-            return True
-        return self._context.now - owned.online_seen_at > self._online_quiet_s
-
-    def _starts_allowed(self, owned: OwnedReplica) -> int:
-        """Return how many new items may start now without hurting online streams.
-
-        An item's prefill lengthens a step for every stream on the replica; beside online
-        work such steps must stay rare. A resumed item's prompt is still in the cache.
-        """
-        bucket = owned.prefill_beside_online
-        if bucket is None or self._is_alone(owned):
-            return 1 << 30
-        return 1 if bucket.wait_s(self._context.now) == 0.0 else 0
-
-    def _resume(self, owned: OwnedReplica, suspended: SuspendedItem) -> None:
-        pulled = PulledItem(
-            suspended.job_id, suspended.index, suspended.item, suspended.resume_text
-        )
-        self._start_item(owned, pulled)
-
-    def _start_item(self, owned: OwnedReplica, pulled: PulledItem) -> None:
-        self._attempt_count += 1
-        work = Work(
-            request_id=f"{pulled.job_id}/{pulled.index}",
-            attempt=owned.epoch * 1_000_000 + self._attempt_count % 1_000_000,
-            model=owned.model,
-            prompt=pulled.item.prompt,
-            max_tokens=pulled.item.max_tokens,
-            priority=Priority.BATCH if self._policy.uses_priority else Priority.ONLINE,
-            resume_text=pulled.resume_text,
-            stream=False,
-        )
-        running = RunningWork(work, self._context.now, "", pulled.job_id, pulled.index, pulled.item)
-        owned.slots.add(running)
-        self._context.emit(StartWork(owned.replica, owned.epoch, work))
-
     def on_pull_reply(self, sender: str, reply: PullReply) -> None:
         """Start the pulled items; what can't start any more goes back at once."""
         pull = self._puller.accept(sender, reply)
         if pull is None:
-            self._give_back(sender, reply.items)
+            self._batch.give_back(sender, reply.items)
             return
         owned = self._replicas.get(pull.replica)
         if owned is not None:
             owned.pulling -= pull.count
-        if owned is None or owned.state is not ReplicaState.ACTIVE or not self._may_start_batch():
-            self._give_back(sender, reply.items)
+        if owned is None or owned.state is not ReplicaState.ACTIVE or not self._batch.may_start():
+            self._batch.give_back(sender, reply.items)
             return
-        self._start_pulled(owned, sender, pull.class_key, reply.items)
+        self._batch.start_pulled(owned, sender, pull.class_key, reply.items)
         self._fill(owned)
 
-    def _start_pulled(
-        self, owned: OwnedReplica, sender: str, key: ClassKey, items: list[PulledItem]
-    ) -> None:
-        refused = []
-        for pulled in items:
-            if f"{pulled.job_id}/{pulled.index}" in owned.slots.running:
-                continue  # the job owner had taken it for lost; now it knows better
-            if pulled.job_id in self._cancels or owned.slots.free <= 0:
-                refused.append(pulled)
-                continue
-            self._start_item(owned, pulled)
-            if owned.prefill_beside_online is not None:
-                tokens = len(pulled.item.prompt) / CHARS_PER_TOKEN
-                owned.prefill_beside_online.take_on_credit(self._context.now, tokens)
-            self._puller.charge(key, float(pulled.item.max_tokens))
-        if refused:
-            # Without a pause the job owner would hand the same items out at once again.
-            self._puller.pause(sender, key)
-        self._give_back(sender, refused)
-
-    def _give_back(self, node: str, items: list[PulledItem]) -> None:
-        for pulled in items:
-            message = ItemReturned(pulled.job_id, pulled.index, pulled.resume_text)
-            self._context.send(node, message)
-
-    def _return_suspended(self, owned: OwnedReplica, older_than_s: float) -> None:
-        now = self._context.now
-        for suspended in list(owned.slots.suspended):
-            if now - suspended.suspended_at > older_than_s:
-                owned.slots.suspended.remove(suspended)
-                self._return_item(suspended.job_id, suspended.index, suspended.resume_text)
-
-    def _return_item(self, job_id: str, index: int, resume_text: str) -> None:
-        owner = self._shard_owner(job_id)
-        if owner is not None:
-            self._context.send(owner, ItemReturned(job_id, index, resume_text))
-
     def demand_changed(self) -> None:
         """Look for batch work now: a job owner announced new items."""
         for owned in list(self._replicas.values()):
@@ -530,7 +420,7 @@
         self, owned: OwnedReplica, running: RunningWork, reason: Refusal
     ) -> None:
         if running.is_batch:
-            self._return_item(running.job_id, running.index, running.work.resume_text)
+            self._batch.return_item(running.job_id, running.index, running.work.resume_text)
         else:
             self._refuse(owned.replica, running.work, running.reply_to, reason)
 
@@ -571,7 +461,7 @@
                 )
             )
             return
-        self._return_item(running.job_id, running.index, resume_text)
+        self._batch.return_item(running.job_id, running.index, resume_text)
 
     def _after_end(self, owned: OwnedReplica) -> None:
         self._note_online(owned)
@@ -662,7 +552,7 @@
         for owned in list(self._replicas.values()):
             if owned.state is ReplicaState.ADOPTING and now >= owned.adopt_at:
                 self._adopt(owned)
-            self._return_suspended(owned, SUSPENDED_KEEP_S)
+            self._batch.return_suspended(owned, SUSPENDED_KEEP_S)
             self._note_online(owned)
             self._fill(owned)
         if now - self._held_report_at >= HELD_REPORT_S:
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -129,7 +129,7 @@
     ),
     Mutant(
         "batch is never pulled after the first time",
-        "control/replica_owner.py",
+        "control/batch_filler.py",
         "            owned.pulling += self._puller.pull(owned.replica, owned.model, room, longest)",
         "            if not owned.slots.running:\n"
         "                owned.pulling += self._puller.pull(owned.replica, owned.model, 1, 1e9)",
@@ -221,7 +221,7 @@
     ),
     Mutant(
         "a node cut off from all goes on with batch",
-        "control/replica_owner.py",
+        "control/batch_filler.py",
         "return self._policy.runs_batch and self._leases.is_valid and not self._table.is_stale",
         "return True",
         S + "test_table.py::test_a_node_cut_off_from_all_starts_no_batch_work_and_shows_as_stale",
