cloverwalk report: what a fleet did second by second, from its logs

Requests answered, first events, work at the replicas, items not listed, what was given up by code; a picture with matplotlib.

--- a/src/cloverwalk/cli/main.py
+++ b/src/cloverwalk/cli/main.py
@@ -17,6 +17,7 @@
 from cloverwalk.cli.explain import explain
 from cloverwalk.cli.fleet import fleet
 from cloverwalk.cli.platform import platform
+from cloverwalk.cli.report import report
 from cloverwalk.cli.run import emulator, node
 from cloverwalk.cli.session import session
 from cloverwalk.cli.settings import settings
@@ -60,6 +61,7 @@
     platform,
     experiment,
     explain,
+    report,
 )
 for command in COMMANDS:
     cli.add_command(command)
--- /dev/null
+++ b/src/cloverwalk/cli/report.py
@@ -0,0 +1,105 @@
+"""``cloverwalk report``."""
+
+from pathlib import Path
+from typing import Any
+
+import click
+
+from cloverwalk.cli.api import json_option, print_json
+from cloverwalk.cli.errors import EXIT_USAGE, CommandError
+from cloverwalk.telemetry.story import LogLine, parse_line
+from cloverwalk.telemetry.timeline import NINETY_FIFTH, Second, timeline_of
+
+HEAD = "second  answered  first p50 ms  p95 ms  online  batch  unlisted  given up"
+
+
+@click.command()
+@click.argument(
+    "logs", nargs=-1, required=True, type=click.Path(path_type=Path, exists=True, dir_okay=False)
+)
+@click.option(
+    "--plot",
+    type=click.Path(path_type=Path, dir_okay=False),
+    help="Also write a picture (PNG) here; needs matplotlib.",
+)
+@json_option
+def report(logs: tuple[Path, ...], plot: Path | None, as_json: bool) -> None:
+    """Tell second by second what a fleet did, from the logs of its nodes.
+
+    Answers and their first events, work in flight at replicas, items that wait for their
+    results to be listed, and what was given up, by code.
+
+    Example: cloverwalk report node-*.log --plot day.png
+    """
+    lines: list[LogLine] = []
+    for path in logs:
+        with path.open(encoding="utf-8", errors="replace") as file:
+            lines += [line for text in file if (line := parse_line(text)) is not None]
+    seconds = timeline_of(lines)
+    if not seconds:
+        raise CommandError("the files hold no log line of a node", EXIT_USAGE, "not_logged")
+    if plot is not None:
+        _plot(seconds, plot)
+    if as_json:
+        print_json([_document(one) for one in seconds])
+        return
+    click.echo(HEAD)
+    for one in seconds:
+        click.echo(_row(one))
+
+
+def _document(one: Second) -> dict[str, Any]:
+    return {
+        "at_s": one.at_s,
+        "answered": one.answered,
+        "first_p50_ms": one.first_ms_at(0.5),
+        "first_p95_ms": one.first_ms_at(NINETY_FIFTH),
+        "online": one.online,
+        "batch": one.batch,
+        "unlisted": one.unlisted,
+        "given_up": dict(sorted(one.given_up_by_code.items())),
+    }
+
+
+def _row(one: Second) -> str:
+    median, high = one.first_ms_at(0.5), one.first_ms_at(NINETY_FIFTH)
+    given_up = " ".join(f"{code}={count}" for code, count in sorted(one.given_up_by_code.items()))
+    return (
+        f"{one.at_s:6}  {one.answered:8}  {_number(median):>12}  {_number(high):>6}"
+        f"  {one.online:6}  {one.batch:5}  {one.unlisted:8}  {given_up}"
+    ).rstrip()
+
+
+def _number(value: float | None) -> str:
+    return "-" if value is None else f"{value:.0f}"
+
+
+def _plot(seconds: list[Second], path: Path) -> None:
+    try:
+        import matplotlib
+    except ImportError as error:
+        message = "matplotlib is not installed: pip install 'cloverwalk[plots]'"
+        raise CommandError(message, EXIT_USAGE, "no_matplotlib") from error
+    matplotlib.use("Agg")
+    from matplotlib import pyplot
+
+    times = [one.at_s for one in seconds]
+    figure, (first, work, lost) = pyplot.subplots(3, 1, figsize=(9, 9), sharex=True)
+    for share, label in ((0.5, "median"), (NINETY_FIFTH, "95 in 100")):
+        first.plot(times, [one.first_ms_at(share) for one in seconds], label=label)
+    first.set_ylabel("first event, ms")
+    work.plot(times, [one.online for one in seconds], label="online at replicas")
+    work.plot(times, [one.batch for one in seconds], label="items at replicas")
+    work.plot(times, [one.unlisted for one in seconds], label="items not listed")
+    work.set_ylabel("in flight")
+    lost.bar(times, [one.given_up_by_code.total() for one in seconds], label="given up")
+    lost.set_ylabel("requests a second")
+    lost.set_xlabel("time, s")
+    for axes in (first, work, lost):
+        axes.legend()
+    try:
+        figure.savefig(path, dpi=110)
+    except OSError as error:
+        raise CommandError(f"{path}: {error.strerror}", EXIT_USAGE, "not_written") from error
+    finally:
+        pyplot.close(figure)
--- /dev/null
+++ b/src/cloverwalk/telemetry/timeline.py
@@ -0,0 +1,115 @@
+"""What a fleet did second by second, out of the log lines of its nodes."""
+
+import statistics
+from collections import Counter
+from collections.abc import Iterable
+
+import attrs
+
+from cloverwalk.core import catalogue
+from cloverwalk.telemetry.story import LogLine
+
+PERCENT = 100
+NINETY_FIFTH = 0.95
+
+
+@attrs.define
+class Second:
+    """One second of a fleet. Work in flight is that at the end of the second."""
+
+    at_s: int
+    answered: int = 0
+    first_ms: list[float] = attrs.Factory(list)
+    """Time from each answered request to its first event."""
+
+    given_up_by_code: Counter[str] = attrs.Factory(Counter)
+    online: int = 0
+    batch: int = 0
+    unlisted: int = 0
+    """Items of jobs that are open and whose results are not listed yet."""
+
+    def first_ms_at(self, share: float) -> float | None:
+        """Return the time within which ``share`` of the first events came, None without any.
+
+        >>> second = Second(0, first_ms=[10.0, 20.0, 30.0, 40.0])
+        >>> second.first_ms_at(0.5), Second(1).first_ms_at(0.5)
+        (25.0, None)
+        """
+        if not self.first_ms:
+            return None
+        if len(self.first_ms) == 1:
+            return self.first_ms[0]
+        cuts = statistics.quantiles(self.first_ms, n=PERCENT, method="inclusive")
+        return cuts[round(share * PERCENT) - 1]
+
+
+class _Fleet:
+    """Work in flight, followed line by line. What a node had is gone with its process."""
+
+    def __init__(self) -> None:
+        self.online: set[tuple[str, str]] = set()
+        self.batch: set[tuple[str, str]] = set()
+        self.unlisted_by_job: dict[str, int] = {}
+
+    def take(self, line: LogLine) -> None:
+        """Follow one line."""
+        request = str(line.fields.get("request", ""))
+        key = (line.node, request)
+        match line.number:
+            case catalogue.SERVING_STARTED:
+                self.online = {one for one in self.online if one[0] != line.node}
+                self.batch = {one for one in self.batch if one[0] != line.node}
+            case catalogue.REPLICA_CHOSEN:
+                self.online.add(key)
+            case catalogue.REPLICA_FAILED | catalogue.REQUEST_ANSWERED | catalogue.REQUEST_ENDED:
+                self.online.discard(key)
+            case catalogue.ITEM_STARTED:
+                self.batch.add(key)
+            case catalogue.ITEM_RUN_ENDED:
+                self.batch.discard(key)
+            case catalogue.JOB_TAKEN if line.fields.get("outcome") == "taken":
+                self.unlisted_by_job[request] = int(line.fields.get("items", 0))
+            case catalogue.ITEM_LISTED:
+                job = str(line.fields.get("job", ""))
+                if job in self.unlisted_by_job:
+                    self.unlisted_by_job[job] -= 1
+            case catalogue.JOB_ENDED:
+                self.unlisted_by_job.pop(request, None)
+
+
+def timeline_of(lines: Iterable[LogLine]) -> list[Second]:
+    """Return every second from the first line to the last.
+
+    Lines that a node left out under load are missing: the figures are then too low.
+    """
+    ordered = sorted(lines, key=lambda line: line.time_s)
+    if not ordered:
+        return []
+    fleet = _Fleet()
+    seconds = [Second(int(ordered[0].time_s // 1))]
+    for line in ordered:
+        while line.time_s >= seconds[-1].at_s + 1:
+            _close(seconds[-1], fleet)
+            seconds.append(Second(seconds[-1].at_s + 1))
+        fleet.take(line)
+        _count(seconds[-1], line)
+    _close(seconds[-1], fleet)
+    return seconds
+
+
+def _close(second: Second, fleet: _Fleet) -> None:
+    second.online = len(fleet.online)
+    second.batch = len(fleet.batch)
+    second.unlisted = sum(fleet.unlisted_by_job.values())
+
+
+def _count(second: Second, line: LogLine) -> None:
+    match line.number:
+        case catalogue.REQUEST_ANSWERED:
+            second.answered += 1
+            if (first_ms := line.fields.get("first_ms")) is not None:
+                second.first_ms.append(float(first_ms))
+        case catalogue.REQUEST_ENDED:
+            second.given_up_by_code[str(line.fields.get("outcome", ""))] += 1
+        case catalogue.CALL_REFUSED | catalogue.JOB_REFUSED:
+            second.given_up_by_code[str(line.fields.get("code", ""))] += 1
