Online requests beyond the slots are told when to come back, or wait in order

Cause: replicas serve in order of arrival. Ruled out: order alone (none is served sooner by it than the slots allow); refusing late (held requests are never refused).

A request goes to a replica where it is expected to be in time, or where a slot is free. Another one gets 503 at once with the time at which the crowd is expected to be over, as crowds lasted here before; it has reached no replica. One that came back already is not turned away again: it waits at its node for a free slot, behind those that can be in time and before every item. Less urgent routes make no queue in which more urgent ones would be late. Times in a slot, to the first event and waits are learnt by route.

--- /dev/null
+++ b/src/cloverwalk/gateway/admission.py
@@ -0,0 +1,200 @@
+"""Which online requests go to a replica while there are more of them than slots. A pure policy.
+
+Replicas serve in order of arrival. If everything were sent at once, a burst would make nearly all
+requests late. So a request is sent only where it is expected to be in time, or where a slot is
+free. Another one is told at once to come back when the crowd is expected to be over; if it can't
+be, since it came back already, it waits here for a free slot, behind those that can be in time.
+"""
+
+import enum
+from collections.abc import Sequence
+from random import Random
+
+import attrs
+
+from cloverwalk.gateway.configuration import Route, RouteKind
+from cloverwalk.gateway.service_times import ServiceTimes
+
+MARGIN_SHARE = 0.15
+"""Share of the latency objective kept for what nodes have not heard of each other."""
+
+LEAST_RETURN_S = 0.4
+"""A shorter wait is waited here: coming back would take as long."""
+
+RETURN_SHARE = 0.3
+"""Share of a caller's time that it may be told to stay away for."""
+
+RETURN_SPREAD = 0.3
+"""Return times are spread by this share, so that callers do not come back all at once."""
+
+FIRST_GUESS_CROWD_S = 1.2
+CROWD_WEIGHT = 0.3
+LASTING_SHARE = 0.5
+"""A crowd that lasts longer than usual is expected to go on for this share of its time so far."""
+
+CROWD_OVER_S = 0.5
+"""A crowd is over when no request has met it for so long."""
+
+CAME_BACK_AFTER_S = 0.2
+"""A request with this much less time than others of its route was sent before."""
+
+LONGEST_HOLD_S = 1.5
+"""A request that waits here is sent after this time at the latest, to whatever replica is best."""
+
+
+class Verdict(enum.Enum):
+    """What to do with a request that has a best replica."""
+
+    SEND = "send"
+    HOLD = "hold"
+    RETURN = "return"
+
+
+def slot_wait_ms(slots: int, online: int, hold_ms: float) -> float:
+    """Return how long one more online request is expected to wait for a slot of a replica.
+
+    Batch work does not count: it gives way.
+
+    >>> slot_wait_ms(8, 7, 800.0), slot_wait_ms(8, 9, 800.0)
+    (0.0, 200.0)
+    """
+    return max(0, online + 1 - slots) * hold_ms / slots
+
+
+@attrs.frozen
+class Prospect:
+    """What a request can expect at its best replica."""
+
+    wait_ms: float
+    """Expected wait for a slot there."""
+
+    start_ms: float
+    """Expected time from a slot to its first event."""
+
+    left_ms: float
+    """What is left of its latency objective."""
+
+    objective_ms: float
+
+    most_wait_ms: float
+    """The longest queue that requests of its route may make, for the sake of more urgent ones."""
+
+    @property
+    def is_in_time(self) -> bool:
+        """Whether the first event is expected within the objective."""
+        margin_ms = MARGIN_SHARE * self.objective_ms
+        needed_ms = self.wait_ms + self.start_ms + margin_ms
+        return needed_ms <= self.left_ms and self.wait_ms <= self.most_wait_ms
+
+
+def decide(prospect: Prospect, may_return: bool, is_first: bool) -> Verdict:
+    """Return what to do; ``is_first`` tells that no other request waits here before it.
+
+    >>> late = Prospect(300.0, start_ms=80.0, left_ms=300.0, objective_ms=300.0, most_wait_ms=200.0)
+    >>> decide(late, may_return=True, is_first=True), decide(late, may_return=False, is_first=True)
+    (<Verdict.RETURN: 'return'>, <Verdict.HOLD: 'hold'>)
+    """
+    if prospect.is_in_time or (is_first and prospect.wait_ms == 0.0):
+        return Verdict.SEND
+    return Verdict.RETURN if may_return else Verdict.HOLD
+
+
+def most_wait_ms(route: Route, routes: Sequence[Route], times: ServiceTimes) -> float:
+    """Return the longest queue that a request of a route may join.
+
+    Requests of a less urgent route may not fill queues in which more urgent ones would be late.
+    """
+    services = set(route.services)
+    urgent = [
+        one
+        for one in routes
+        if one.kind is not RouteKind.BATCH
+        and one.priority <= route.priority
+        and services.intersection(one.services)
+    ]
+    return max(
+        0.0,
+        min(
+            1000 * one.target_latency_s * (1 - MARGIN_SHARE) - times.start_ms(one.name)
+            for one in urgent
+        ),
+    )
+
+
+class CrowdWatch:
+    """How long crowds last here, as seen from requests that met one.
+
+    >>> watch = CrowdWatch()
+    >>> watch.meet(10.0)
+    >>> round(watch.rest_s(10.3), 1)
+    0.9
+    """
+
+    def __init__(self) -> None:
+        self._usual_s = FIRST_GUESS_CROWD_S
+        self._since: float | None = None
+        self._met_at = float("-inf")
+
+    def meet(self, now: float) -> None:
+        """A request finds no place in time."""
+        self._close(now)
+        if self._since is None:
+            self._since = now
+        self._met_at = now
+
+    def _close(self, now: float) -> None:
+        if self._since is None or now - self._met_at < CROWD_OVER_S:
+            return
+        lasted_s = self._met_at - self._since
+        self._usual_s += CROWD_WEIGHT * (lasted_s - self._usual_s)
+        self._since = None
+
+    def rest_s(self, now: float) -> float:
+        """Return for how much longer the present crowd is expected to last."""
+        self._close(now)
+        if self._since is None:
+            return 0.0
+        lasted_s = now - self._since
+        return max(self._usual_s - lasted_s, LASTING_SHARE * lasted_s)
+
+
+def return_after_s(
+    wait_s: float, rest_s: float, time_left_s: float, random: Random
+) -> float | None:
+    """Return when a request should come back; None when it had better wait here.
+
+    >>> return_after_s(0.1, 0.1, 5.0, Random(1)) is None
+    True
+    >>> 0.7 <= return_after_s(0.5, 1.0, 5.0, Random(1)) <= 1.3
+    True
+    """
+    longest_s = RETURN_SHARE * time_left_s
+    expected_s = max(wait_s, rest_s)
+    if expected_s < LEAST_RETURN_S or longest_s < LEAST_RETURN_S:
+        return None
+    spread_s = expected_s * (1 + RETURN_SPREAD * (2 * random.random() - 1))
+    return min(longest_s, max(LEAST_RETURN_S, spread_s))
+
+
+class ReturnBook:
+    """Tells requests that come for the first time from those that came back.
+
+    A caller's remaining time is longest at its first attempt.
+
+    >>> book = ReturnBook()
+    >>> book.came_back("r", 5.0), book.came_back("r", 3.9), book.came_back("r", 5.0)
+    (False, True, False)
+    """
+
+    def __init__(self) -> None:
+        self._longest_s: dict[str, float] = {}
+
+    def came_back(self, route: str, time_left_s: float | None) -> bool:
+        """Whether a request with so much time left was sent before; unknown counts as yes."""
+        if time_left_s is None:
+            return True
+        longest_s = self._longest_s.get(route)
+        if longest_s is None or time_left_s > longest_s:
+            self._longest_s[route] = time_left_s
+            return False
+        return time_left_s < longest_s - CAME_BACK_AFTER_S
--- a/src/cloverwalk/gateway/progress.py
+++ b/src/cloverwalk/gateway/progress.py
@@ -28,6 +28,12 @@
     work: Work | None = None
     """The present attempt, as the load of its replica counts it."""
 
+    sent_at: float | None = None
+    """When the present attempt began (steady clock, seconds)."""
+
+    expected_wait_ms: float = 0.0
+    """How long the present attempt was expected to wait for a slot, before any correction."""
+
     first_event_at: float | None = None
     last_replica: str = ""
     last_failure: str = ""
--- a/src/cloverwalk/gateway/relay.py
+++ b/src/cloverwalk/gateway/relay.py
@@ -5,11 +5,23 @@
 """
 
 from collections.abc import Awaitable, Callable
+from random import Random
 
 import curio
 
 from cloverwalk.core import catalogue
 from cloverwalk.fleet.load import LoadBook
+from cloverwalk.gateway.admission import (
+    LONGEST_HOLD_S,
+    CrowdWatch,
+    Prospect,
+    ReturnBook,
+    Verdict,
+    decide,
+    most_wait_ms,
+    return_after_s,
+    slot_wait_ms,
+)
 from cloverwalk.gateway.answer_relay import EVENT_SILENCE_S, FIRST_EVENT_SILENCE_S, AnswerRelay
 from cloverwalk.gateway.configuration import ConfigurationHolder, Route, RouteKind
 from cloverwalk.gateway.errors import ClientGoneError, GatewayError, ReplicaError
@@ -25,6 +37,8 @@
     choose,
     expected_reading_ms,
 )
+from cloverwalk.gateway.service_times import ServiceTimes
+from cloverwalk.gateway.waiting_line import Place, WaitingLine
 from cloverwalk.telemetry.log import ServingLog
 from cloverwalk.telemetry.metrics import ServingMetrics
 
@@ -33,6 +47,8 @@
 
 RETRY_AFTER_S = 0.2
 LEAST_USEFUL_S = 0.01
+LOOK_EVERY_S = 0.01
+"""How often a request that waits for a slot looks for one."""
 
 
 MakeRoom = Callable[[Replica], Awaitable[None]]
@@ -53,6 +69,7 @@
         metrics: ServingMetrics,
         clock: Callable[[], float],
         make_room: MakeRoom,
+        random: Random,
     ) -> None:
         self._zone = zone
         self._codec = codec
@@ -64,6 +81,11 @@
         self._metrics = metrics
         self._clock = clock
         self._make_room = make_room
+        self._random = random
+        self._times = ServiceTimes()
+        self._crowd = CrowdWatch()
+        self._returns = ReturnBook()
+        self._line = WaitingLine()
         self._rotation = WeightedRotation()
         self._answers = AnswerRelay(codec, directory, loads, metrics, clock)
 
@@ -111,39 +133,101 @@
 
     async def _serve(self, request: ClientRequest, progress: RequestProgress, reply: Reply) -> None:
         while True:
-            replica = self._choose(request, progress)
+            replica = await self._find_place(request, progress)
             try:
                 await self._attempt(request, progress, replica, reply)
                 return
             except ReplicaError as error:
                 self._note_failure(request, progress, replica, error, reply)
 
-    def _choose(self, request: ClientRequest, progress: RequestProgress) -> Replica:
+    async def _find_place(self, request: ClientRequest, progress: RequestProgress) -> Replica:
+        """Return the replica to send to, once there is a place; see ``admission``."""
+        is_new = not self._returns.came_back(progress.route.name, request.fields.deadline_s)
+        place: Place | None = None
+        try:
+            while True:
+                chosen = self._choose(request, progress)
+                prospect = self._prospect(request, progress, chosen)
+                is_first = self._line.is_first(place)
+                verdict = decide(prospect, is_new and place is None, is_first)
+                if verdict is Verdict.SEND or self._must_send(request, progress):
+                    progress.expected_wait_ms = self._slot_wait_ms(progress, chosen)
+                    self._note_choice(request, progress, chosen)
+                    return chosen.replica
+                if verdict is Verdict.RETURN:
+                    self._turn_away(request, progress, prospect)
+                place = place or self._line.join(progress.route.priority, request.received_at)
+                await curio.sleep(LOOK_EVERY_S)
+        finally:
+            if place is not None:
+                self._line.leave(place)
+
+    def _must_send(self, request: ClientRequest, progress: RequestProgress) -> bool:
+        """Whether a request goes to a replica whatever it can expect there."""
+        has_begun = progress.may_have_run or bool(progress.refused)
+        return has_begun or self._clock() - request.received_at >= LONGEST_HOLD_S
+
+    def _prospect(
+        self, request: ClientRequest, progress: RequestProgress, chosen: Candidate
+    ) -> Prospect:
         route = progress.route
+        times = self._times
+        routes = self._configuration.current.routes if self._configuration.current else (route,)
+        elapsed_ms = (self._clock() - request.received_at) * 1000
+        objective_ms = route.target_latency_s * 1000
+        return Prospect(
+            times.wait_factor(route.name) * self._slot_wait_ms(progress, chosen),
+            times.start_ms(route.name),
+            objective_ms - elapsed_ms,
+            objective_ms,
+            most_wait_ms(route, (route, *routes), times),
+        )
+
+    def _slot_wait_ms(self, progress: RequestProgress, chosen: Candidate) -> float:
+        hold_ms = self._times.hold_ms(progress.route.name)
+        return slot_wait_ms(chosen.replica.slots, chosen.in_flight.online, hold_ms)
+
+    def _turn_away(
+        self, request: ClientRequest, progress: RequestProgress, prospect: Prospect
+    ) -> None:
+        """Raise the refusal that tells a request when to come back, if that is worth it."""
+        now = self._clock()
+        self._crowd.meet(now)
+        rest_s = self._crowd.rest_s(now)
+        time_left_s = progress.deadline - now
+        after_s = return_after_s(prospect.wait_ms / 1000, rest_s, time_left_s, self._random)
+        if after_s is not None:
+            raise GatewayError(503, "crowded", "all slots are taken by online requests", after_s)
+
+    def _choose(self, request: ClientRequest, progress: RequestProgress) -> Candidate:
         if progress.tried and not self._may_try_again(progress):
             raise GatewayError(502, "attempts_used", progress.last_failure)
         if len(progress.refused) >= MAX_REFUSALS:
             raise self._refusal(progress, "replicas_full")
-        now = self._clock()
-        candidates = self._candidates(progress, now)
-        demand = self._demand(request, route)
+        candidates = self._candidates(progress, self._clock())
+        demand = self._demand(request, progress.route)
         chosen = choose(candidates, demand)
         if chosen is None:
             raise self._refusal(progress, "no_replica")
         progress.reading_ms = expected_reading_ms(chosen, candidates, demand)
+        return chosen
+
+    def _note_choice(
+        self, request: ClientRequest, progress: RequestProgress, chosen: Candidate
+    ) -> None:
+        now = self._clock()
         self._log.write(
             catalogue.REPLICA_CHOSEN,
             request=request.fields.request_id,
             replica=chosen.replica.replica_id,
-            among=len(candidates),
             online=chosen.in_flight.online,
             batch=chosen.in_flight.batch,
             reading_ms=round(chosen.in_flight.reading_ms),
+            waited_ms=round((now - request.received_at) * 1000, 1),
             list_age_s=round(now - self._directory.confirmed_at, 3),
             configuration=self._configuration.version,
             after_event=progress.last_event_id,
         )
-        return chosen.replica
 
     def _candidates(self, progress: RequestProgress, now: float) -> list[Candidate]:
         """Return the replicas that were not asked yet, or else those that were tried before."""
@@ -211,6 +295,7 @@
         # Counted first: requests that come at the same moment must see each other.
         work = self._loads.begin(replica.replica_id, False, now, progress.reading_ms)
         progress.work = work
+        progress.sent_at = now
         try:
             await self._make_room(replica)
             await self._attempt_counted(request, progress, replica, reply)
@@ -261,9 +346,24 @@
             await self._answers.relay_stream(request, progress, connection, head, reply)
         else:
             await self._answers.relay_plain(request, progress, connection, head, reply)
+        self._learn(progress)
         self._note_end(request, progress, "answered", head.status)
         return head
 
+    def _learn(self, progress: RequestProgress) -> None:
+        """Take the times of a request that was answered at its first attempt."""
+        if progress.sent_at is None or progress.tried or progress.refused:
+            return
+        now = self._clock()
+        began_at = progress.first_event_at or now
+        took_ms = (began_at - progress.sent_at) * 1000
+        if progress.expected_wait_ms > 0:
+            self._times.note_wait(progress.route.name, progress.expected_wait_ms, took_ms)
+        else:
+            self._times.note_start(progress.route.name, took_ms)
+        holds_since = progress.first_event_at or progress.sent_at
+        self._times.note_hold(progress.route.name, (now - holds_since) * 1000)
+
     async def _send_and_read_head(
         self,
         request: ClientRequest,
--- /dev/null
+++ b/src/cloverwalk/gateway/service_times.py
@@ -0,0 +1,102 @@
+"""How long requests of a route take at a replica, learnt from those that were served."""
+
+import attrs
+
+LEARNING_WEIGHT = 0.05
+"""Share of a new measurement in a running average: about the last 20 requests count."""
+
+WAIT_LEARNING_WEIGHT = 0.1
+"""The same for waits, of which there are few."""
+
+FIRST_GUESS_HOLD_MS = 500.0
+"""Time in a slot before any was measured; too long a guess only makes a new node cautious."""
+
+FIRST_GUESS_START_MS = 80.0
+"""Time to the first event at a replica with a free slot before any was measured."""
+
+LEAST_WAIT_FACTOR = 0.5
+MOST_WAIT_FACTOR = 4.0
+"""Bounds of the correction: one odd moment must not turn requests away for long."""
+
+
+@attrs.define
+class RunningAverage:
+    """An average in which older measurements fade; the first one replaces the guess.
+
+    >>> average = RunningAverage(500.0, weight=0.5)
+    >>> average.note(100.0), average.note(200.0), average.value
+    (None, None, 150.0)
+    """
+
+    value: float
+    weight: float
+    _count: int = 0
+
+    def note(self, measured: float) -> None:
+        """Take a measurement."""
+        self._count += 1
+        self.value += max(self.weight, 1 / self._count) * (measured - self.value)
+
+
+def _hold() -> RunningAverage:
+    return RunningAverage(FIRST_GUESS_HOLD_MS, LEARNING_WEIGHT)
+
+
+def _start() -> RunningAverage:
+    return RunningAverage(FIRST_GUESS_START_MS, LEARNING_WEIGHT)
+
+
+@attrs.define
+class _RouteTimes:
+    hold: RunningAverage = attrs.Factory(_hold)
+    start: RunningAverage = attrs.Factory(_start)
+    wait_factor: float = 1.0
+
+
+class ServiceTimes:
+    """Times by route.
+
+    >>> times = ServiceTimes()
+    >>> times.note_start("r", 100.0)
+    >>> times.start_ms("r"), times.hold_ms("r")
+    (100.0, 500.0)
+    """
+
+    def __init__(self) -> None:
+        self._by_route: dict[str, _RouteTimes] = {}
+
+    def _of(self, route: str) -> _RouteTimes:
+        return self._by_route.setdefault(route, _RouteTimes())
+
+    def hold_ms(self, route: str) -> float:
+        """Return the time from the first event to the end: a request keeps its slot so long."""
+        return self._of(route).hold.value
+
+    def start_ms(self, route: str) -> float:
+        """Return the time from sending to the first event, where a slot is free."""
+        return self._of(route).start.value
+
+    def wait_factor(self, route: str) -> float:
+        """Return how much longer requests waited for a slot than was expected.
+
+        Nodes hear of each other's requests late, and running ones do not end one after the other.
+        """
+        return self._of(route).wait_factor
+
+    def note_start(self, route: str, took_ms: float) -> None:
+        """A request that found a free slot had its first event after so long."""
+        self._of(route).start.note(took_ms)
+
+    def note_hold(self, route: str, took_ms: float) -> None:
+        """A request was served; its events took so long."""
+        self._of(route).hold.note(took_ms)
+
+    def note_wait(self, route: str, expected_ms: float, took_ms: float) -> None:
+        """A request that was expected to wait for a slot had its first event after so long.
+
+        ``expected_ms`` is the expected wait without the correction.
+        """
+        times = self._of(route)
+        factor = max(0.0, took_ms - times.start.value) / expected_ms
+        factor = min(MOST_WAIT_FACTOR, max(LEAST_WAIT_FACTOR, factor))
+        times.wait_factor += WAIT_LEARNING_WEIGHT * (factor - times.wait_factor)
--- a/src/cloverwalk/serving/node.py
+++ b/src/cloverwalk/serving/node.py
@@ -237,6 +237,7 @@
             self._metrics,
             self._clock,
             self._runner.make_room,
+            self._random,
         )
         calls = CallHandler(
             self._adapter, self._configuration, relay, self._jobs, self._log, self._metrics
--- a/tests/serving/test_online.py
+++ b/tests/serving/test_online.py
@@ -345,3 +345,40 @@
         assert answer.status == 504
 
     in_world(test)
+
+
+def test_requests_beyond_the_slots_are_told_at_once_to_come_back_and_never_run() -> None:
+    async def test(world: FleetWorld) -> None:
+        await world.start(replicas=1, events=40, event_s=0.05)
+        replica = world.replicas[0]
+        assert (await world.ask("/chat/first")).status == 200
+        tasks = [await curio.spawn(world.ask, "/chat/a") for _ in range(replica.slots)]
+        await world.until(lambda: replica.running == replica.slots)
+        began = len(replica.arrivals)
+        answers = [await world.ask("/chat/b") for _ in range(3)]
+        assert [one.status for one in answers] == [503, 503, 503]
+        assert all(0.3 < float(one.headers["retry-after"]) < 1.1 for one in answers)
+        assert len(replica.arrivals) == began
+        for task in tasks:
+            assert (await task.join()).is_whole
+
+    in_world(test)
+
+
+def test_a_request_that_came_back_waits_for_a_slot_before_any_item() -> None:
+    async def test(world: FleetWorld) -> None:
+        await world.start(replicas=1, events=40, event_s=0.02)
+        replica = world.replicas[0]
+        assert (await world.ask("/chat/first")).status == 200
+        tasks = [await curio.spawn(world.ask, "/chat/a") for _ in range(replica.slots)]
+        await world.until(lambda: replica.running == replica.slots)
+        assert (await world.hand_in("j", count=12)).status == 202
+        seen = len(replica.arrivals)
+        answer = await world.ask("/chat/back", request_id="back", deadline_ms=2200)
+        assert (answer.status, answer.is_whole) == (200, True)
+        assert replica.arrivals[seen].request_id == "back"
+        for task in tasks:
+            assert (await task.join()).is_whole
+        await world.until_done("j", 12)
+
+    in_world(test)
