Items take every free slot, in one order over the fleet, and give way whole

- No reserve and no peak.
Slots are kept for the rise of online work over the last quarter second instead: what comes next then does not cut what has just begun.
- All items beyond the slots give way, first those without output; what was asked of a peer does not count until it is heard again; a peer passes on what it lacks.
- Waiting items of the fleet take the free slots in one order, ties by a hash.
- An item that a full replica has not begun after 0.25 s is taken back.
- Digests to other zones every 0.06 s while work changes, before 0.2 s.

test_items_due_sooner_go_first: the replica's 8 slots are all taken now, before 7; all five urgent items must still be among as many arrivals as there are slots. test_batch_never_takes_the_reserve went with the reserve; in its place stand the exact room, and that no item is left before online work that has a slot.

--- a/src/cloverwalk/fleet/digest.py
+++ b/src/cloverwalk/fleet/digest.py
@@ -45,6 +45,8 @@
     node: str
     replica_id: str
     count: int
+    hops: int = 0
+    """How often the request may be passed on, for items that the node does not have."""
 
 
 class ConfigurationCopy(Struct, tag="configuration", array_like=True):
@@ -96,7 +98,7 @@
     """Return a message as it is on the wire.
 
     >>> encode_datagram(YieldSlots("n1", "r1", 2))
-    b'21:["yield","n1","r1",2],'
+    b'23:["yield","n1","r1",2,0],'
     """
     return bytes(pynetstring.encode(_encoder.encode(message)))
 
--- a/src/cloverwalk/fleet/load.py
+++ b/src/cloverwalk/fleet/load.py
@@ -1,11 +1,14 @@
 """Work in flight at each replica, over all nodes that were heard lately."""
 
+from collections import deque
+from typing import NamedTuple
+
 import attrs
 from msgspec import Struct
 
 PEER_LOAD_VALID_S = 1.5
-PEAK_BUCKET_S = 0.25
-PEAK_BUCKETS = 1
+TREND_S = 0.25
+"""Time over which growth of online work is looked at: about what an item needs to pay its start."""
 
 
 class InFlight(Struct):
@@ -22,6 +25,13 @@
         return self.online + self.batch
 
 
+class PeerBatch(NamedTuple):
+    """How many items a peer has at a replica."""
+
+    node: str
+    items: int
+
+
 PeerLoads = dict[str, tuple[int, int, int]]
 """What a peer tells by replica: online work, batch work, time to read its prompts in ms."""
 
@@ -35,29 +45,40 @@
     reading_ms: float
     """What is left to read of its prompt, as estimated; 0 from its first output on."""
 
+    has_output: bool = False
+    """Whether the replica has put something out: the work has a slot."""
+
 
 class _PeerLoad(Struct):
     heard_at: float
     loads: PeerLoads
 
 
-class _Peak:
-    """The highest number seen in a sliding window."""
+class OnlineTrend:
+    """How fast the online work of a group of replicas grows.
+
+    >>> trend = OnlineTrend()
+    >>> trend.note(10, now=1.0), trend.note(16, now=1.2)
+    (None, None)
+    >>> trend.rise()
+    6
+    >>> trend.note(9, now=2.0)
+    >>> trend.rise()
+    0
+    """
 
     def __init__(self) -> None:
-        self._buckets: dict[int, int] = {}
+        self._seen: deque[tuple[float, int]] = deque()
 
-    def note(self, value: int, now: float) -> None:
-        bucket = int(now / PEAK_BUCKET_S)
-        if value > self._buckets.get(bucket, -1):
-            self._buckets[bucket] = value
-        if len(self._buckets) > PEAK_BUCKETS + 1:
-            for old in [one for one in self._buckets if one < bucket - PEAK_BUCKETS]:
-                del self._buckets[old]
+    def note(self, online: int, now: float) -> None:
+        """Take the online work of this moment."""
+        self._seen.append((now, online))
+        while now - self._seen[0][0] > TREND_S:
+            self._seen.popleft()
 
-    def value(self, now: float) -> int:
-        first = int(now / PEAK_BUCKET_S) - PEAK_BUCKETS
-        return max((v for b, v in self._buckets.items() if b >= first), default=0)
+    def rise(self) -> int:
+        """Return how much more there is than at the lowest point of the last moments."""
+        return self._seen[-1][1] - min(online for _, online in self._seen)
 
 
 class LoadBook:
@@ -79,7 +100,6 @@
         """Grows with every change of ``own``."""
 
         self._peers: dict[str, _PeerLoad] = {}
-        self._peaks: dict[str, _Peak] = {}
 
     def begin(self, replica_id: str, is_batch: bool, now: float, reading_ms: float = 0.0) -> Work:
         """Work was sent to a replica; the result is passed to ``note_output`` and ``end``."""
@@ -90,11 +110,11 @@
             own.batch += 1
         else:
             own.online += 1
-            self.note_peak(replica_id, now)
         return Work(replica_id, is_batch, reading_ms)
 
     def note_output(self, work: Work) -> None:
         """Work has put something out: its prompt was read."""
+        work.has_output = True
         if work.reading_ms == 0.0:
             return
         self.own[work.replica_id].reading_ms -= work.reading_ms
@@ -115,9 +135,7 @@
 
     def hear(self, node: str, loads: PeerLoads, now: float) -> None:
         """Take what a peer told of its work by replica."""
-        self._peers[node] = _PeerLoad(now, loads)
-        for replica_id in loads:
-            self.note_peak(replica_id, now)
+        self._peers[node] = _PeerLoad(now, dict(loads))
 
     def forget(self, node: str) -> None:
         """A peer is gone, and its connections with it."""
@@ -139,22 +157,21 @@
                 total.reading_ms += max(0.0, reading_ms - age_s * 1000)
         return total
 
-    def note_peak(self, replica_id: str, now: float) -> None:
-        """Remember the online work of this moment."""
-        online = self.total(replica_id, now).online
-        self._peaks.setdefault(replica_id, _Peak()).note(online, now)
-
-    def online_peak(self, replica_id: str, now: float) -> int:
-        """Return the most online work at once within the last seconds."""
-        peak = self._peaks.get(replica_id)
-        return 0 if peak is None else peak.value(now)
-
-    def heaviest_batch_peer(self, replica_id: str, now: float) -> str | None:
-        """Return the peer with the most batch work at a replica, or None."""
-        best, most = None, 0
-        for node in sorted(self._peers):
-            peer = self._peers[node]
-            batch = peer.loads.get(replica_id, (0, 0, 0))[1]
-            if now - peer.heard_at < PEER_LOAD_VALID_S and batch > most:
-                best, most = node, batch
-        return best
+    def batch_at_peers(self, replica_id: str, now: float) -> list[PeerBatch]:
+        """Return the peers with batch work at a replica, those with the most first."""
+        there = [
+            PeerBatch(node, peer.loads[replica_id][1])
+            for node, peer in self._peers.items()
+            if now - peer.heard_at < PEER_LOAD_VALID_S and replica_id in peer.loads
+        ]
+        return sorted(
+            (one for one in there if one.items > 0), key=lambda one: (-one.items, one.node)
+        )
+
+    def note_asked(self, node: str, replica_id: str, count: int) -> None:
+        """A peer was asked to suspend items: they no longer count, until its next digest."""
+        peer = self._peers.get(node)
+        if peer is None or replica_id not in peer.loads:
+            return
+        online, batch, reading_ms = peer.loads[replica_id]
+        peer.loads[replica_id] = (online, max(0, batch - count), reading_ms)
--- a/src/cloverwalk/fleet/peers.py
+++ b/src/cloverwalk/fleet/peers.py
@@ -30,7 +30,7 @@
 SEND_EVERY_S = 0.03
 """Shortest time between digests to the own zone; they are sent when the load changed."""
 
-OTHER_ZONES_EVERY_S = 0.2
+OTHER_ZONES_EVERY_S = 0.06
 """Shortest time between digests to other zones, whose bytes cost more."""
 
 QUIET_EVERY_S = 0.5
@@ -84,7 +84,7 @@
         codec: PeerCodec,
         log: ServingLog,
         clock: Callable[[], float],
-        on_yield: Callable[[str, int], Awaitable[None]],
+        on_yield: Callable[[str, int, int], Awaitable[None]],
         on_store_returned: Callable[[], Awaitable[None]],
         random: Random,
     ) -> None:
@@ -126,16 +126,21 @@
         """Return peers heard lately, sorted by name."""
         return [self.peers[node] for node in sorted(self.peers) if not self.peers[node].is_lost]
 
-    def waiting_at_peers(self) -> list[dict[str, list[tuple[int, int]]]]:
-        """Return what each peer told lately of its waiting batch items."""
+    @property
+    def node(self) -> str:
+        """This node's name."""
+        return self._node
+
+    def waiting_at_peers(self) -> dict[str, dict[str, list[tuple[int, int]]]]:
+        """Return what each peer told lately of its waiting batch items, by node."""
         now = self._clock()
-        return [
-            peer.digest.waiting
+        return {
+            peer.node: peer.digest.waiting
             for peer in self.live()
             if peer.digest is not None
             and not peer.digest.is_leaving
             and now - peer.heard_at < PEER_LOAD_VALID_S
-        ]
+        }
 
     def has_replaced(self, incarnation: str) -> bool:
         """Whether a process was heard that runs in place of an earlier one."""
@@ -209,11 +214,11 @@
         except OSError:
             return
 
-    async def ask_for_slots(self, node: str, replica_id: str, count: int) -> None:
+    async def ask_for_slots(self, node: str, replica_id: str, count: int, hops: int) -> None:
         """Ask a peer to suspend batch work at a replica."""
         peer = self.peers.get(node)
         if peer is not None:
-            message = YieldSlots(self._node, replica_id, count)
+            message = YieldSlots(self._node, replica_id, count, hops)
             await self._send_to(peer.host, encode_datagram(message))
 
     async def tell_store_returned(self) -> None:
@@ -240,7 +245,7 @@
             case Digest():
                 await self._hear(message, host)
             case YieldSlots():
-                await self._on_yield(message.replica_id, message.count)
+                await self._on_yield(message.replica_id, message.count, message.hops)
             case StoreReturned():
                 await self._on_store_returned()
             case ConfigurationCopy():
--- a/src/cloverwalk/jobs/runner.py
+++ b/src/cloverwalk/jobs/runner.py
@@ -1,21 +1,20 @@
 """Runs the items of this node's jobs on room that online work leaves."""
 
 from collections.abc import Callable
-from random import Random
 from typing import Any
 
 import attrs
 import curio
 
 from cloverwalk.core import catalogue
-from cloverwalk.fleet.load import LoadBook, Work
+from cloverwalk.fleet.load import LoadBook, OnlineTrend, Work
 from cloverwalk.fleet.peers import PeerNetwork
 from cloverwalk.gateway.configuration import ConfigurationHolder, Route, RouteKind
 from cloverwalk.gateway.errors import ReplicaError
 from cloverwalk.gateway.replicas import Replica, ReplicaDirectory
 from cloverwalk.gateway.selection import reading_ms
 from cloverwalk.jobs.item_call import ItemCaller, ItemFailedError, ItemImpossibleError
-from cloverwalk.jobs.order import PeersQueue, may_start, summarise
+from cloverwalk.jobs.order import FreeSlots, PeersQueue, summarise
 from cloverwalk.jobs.run import ItemRun, JobRun, Phase
 from cloverwalk.jobs.share import batch_room, may_read_more, must_yield
 from cloverwalk.telemetry.log import ServingLog
@@ -23,8 +22,16 @@
 
 TICK_S = 0.05
 RETRY_S = 0.3
-SUSPENDED_S = 0.25
+SUSPENDED_S = 0.05
+"""Pause of an item that gave way; by then the nodes have heard of the online work."""
+
 STARTS_PER_TICK = 6
+MAX_YIELD_HOPS = 3
+"""How often a request for slots is passed on to a node that was heard to have items there."""
+
+WITHDRAW_AFTER_S = 0.25
+"""An item without output for so long at a replica with more work than slots waits in its queue."""
+
 ROUTE_GONE_S = 4.0
 """A job whose route is missing for so long can't be run any more."""
 
@@ -44,6 +51,10 @@
         self.task: Any = None
         self.gives_way = False
 
+    def yield_rank(self) -> tuple[bool, float, float]:
+        """Return what items are sorted by when some must give way."""
+        return (self.work.has_output, -self.job.record.due_ms, -self.started_at)
+
 
 @attrs.frozen
 class _Waiting:
@@ -64,6 +75,19 @@
         return (not self.can_be_in_time, self.due_ms)
 
 
+@attrs.define
+class _PoolRoom:
+    """What is free at the replicas that take the same items, as of one tick."""
+
+    slots: FreeSlots
+    kept_for_online: int
+    """Slots for the online work that is expected within the next moments."""
+
+    queue: PeersQueue
+    started: int = 0
+    """Items of this node that took a slot in this tick."""
+
+
 def _pool_name(services: list[str]) -> str:
     return ",".join(services)
 
@@ -108,9 +132,7 @@
         log: ServingLog,
         metrics: ServingMetrics,
         clock: Callable[[], float],
-        random: Random,
     ) -> None:
-        self._random = random
         self._configuration = configuration
         self._directory = directory
         self._loads = loads
@@ -126,7 +148,9 @@
         self._running: dict[tuple[str, int], _Running] = {}
         self._wake = curio.Event()
         self._pace = ItemPace()
+        self._trends: dict[str, OnlineTrend] = {}
         self._routeless_since: dict[str, float] = {}
+        self._tell_now = False
         self.is_stopping = False
 
     # --- jobs ---
@@ -135,6 +159,8 @@
         """Run a job that this node owns now, in place of an earlier run of it."""
         await self.drop(job.job_id)
         self.jobs[job.job_id] = job
+        # Peers must hear at once of items that are due before theirs.
+        self._tell_now = True
         await self._wake.set()
 
     async def drop(self, job_id: str) -> None:
@@ -161,6 +187,7 @@
             async with curio.ignore_after(TICK_S):
                 await self._wake.wait()
             self._wake.clear()
+            await self._withdraw_queued()
             if self._may_run():
                 await self._start_some()
             else:
@@ -177,9 +204,10 @@
 
     async def _start_some(self) -> None:
         queue = self._queue()
+        rooms = {_pool_name(one.pool): self._pool_room(one.pool) for one in queue}
         started = 0
         for waiting in queue:
-            replica = self._place(waiting)
+            replica = self._place(waiting, rooms[_pool_name(waiting.pool)])
             if replica is None:
                 continue
             await self._start(waiting.job, waiting.one, replica)
@@ -187,7 +215,8 @@
             if started >= STARTS_PER_TICK:
                 break
         self._tell_peers(queue)
-        if started:
+        if started or self._tell_now:
+            self._tell_now = False
             await self._peers.send_digest()
 
     def _queue(self) -> list[_Waiting]:
@@ -252,33 +281,35 @@
         route = self._route(job)
         return [] if route is None else route.services
 
-    def _place(self, waiting: _Waiting) -> Replica | None:
-        """Return a replica with room for an item that no peer's item comes before."""
-        usable = [one for service in waiting.pool for one in self._directory.usable(service)]
-        rooms = {one.replica_id: self._room(one) for one in usable}
-        queue = PeersQueue.of(_pool_name(waiting.pool), self._peers.waiting_at_peers())
-        ahead = queue.ahead_of(waiting.due_ms, waiting.can_be_in_time)
-        if not may_start(sum(rooms.values()), ahead):
-            return None
-        open_now = [one for one in usable if rooms[one.replica_id] > 0 and self._is_open(one)]
-        if not open_now:
+    def _pool_room(self, pool: list[str]) -> _PoolRoom:
+        """Return what is free for items at the replicas of some services."""
+        now = self._clock()
+        name = _pool_name(pool)
+        usable = [one for service in pool for one in self._directory.usable(service)]
+        trend = self._trends.setdefault(name, OnlineTrend())
+        trend.note(sum(self._loads.total(one.replica_id, now).online for one in usable), now)
+        slots = FreeSlots({one.replica_id: self._room(one) for one in usable})
+        queue = PeersQueue.of(name, self._peers.node, self._peers.waiting_at_peers())
+        return _PoolRoom(slots, trend.rise(), queue)
+
+    def _place(self, waiting: _Waiting, room: _PoolRoom) -> Replica | None:
+        """Return a replica with a slot for an item after those of peers that come before it."""
+        ahead = room.queue.ahead_of(waiting.due_ms, waiting.can_be_in_time)
+        position = ahead + room.started
+        if position >= room.slots.total - room.kept_for_online:
             return None
-        for replica in open_now:
-            if replica.replica_id == waiting.one.replica_id:
-                return replica
-        # All nodes see the same rooms: a choice by chance keeps them from meeting at one.
-        return self._random.choices(open_now, [rooms[one.replica_id] for one in open_now])[0]
+        key = room.slots.take(position, waiting.one.replica_id)
+        replica = None if key is None else self._directory.find(key)
+        if replica is not None:
+            room.started += 1
+        return replica
 
     def _room(self, replica: Replica) -> int:
         now = self._clock()
-        key = replica.replica_id
-        if self._directory.is_suspect(key, now):
+        in_flight = self._loads.total(replica.replica_id, now)
+        if self._directory.is_suspect(replica.replica_id, now) or not may_read_more(in_flight):
             return 0
-        peak = self._loads.online_peak(key, now)
-        return batch_room(replica.slots, self._loads.total(key, now), peak)
-
-    def _is_open(self, replica: Replica) -> bool:
-        return may_read_more(self._loads.total(replica.replica_id, self._clock()))
+        return batch_room(replica.slots, in_flight)
 
     async def _start(self, job: JobRun, one: ItemRun, replica: Replica) -> None:
         now = self._clock()
@@ -347,24 +378,49 @@
     # --- giving way ---
 
     async def make_room(self, replica: Replica) -> None:
-        """Online work needs a slot of a full replica: suspend an item there, here or at a peer."""
-        now = self._clock()
-        if not must_yield(replica.slots, self._loads.total(replica.replica_id, now)):
-            return
-        if await self.suspend_some(replica.replica_id, 1):
+        """Online work was counted: items beyond the slots give way, here or at peers."""
+        count = must_yield(replica.slots, self._loads.total(replica.replica_id, self._clock()))
+        if count > 0:
+            await self.give_slots(replica.replica_id, count, MAX_YIELD_HOPS)
+
+    async def give_slots(self, replica_id: str, count: int, hops: int) -> None:
+        """Suspend items at a replica; ask peers for those that this node does not have."""
+        count -= await self._suspend_some(replica_id, count)
+        if count <= 0 or hops <= 0:
             return
-        peer = self._loads.heaviest_batch_peer(replica.replica_id, now)
-        if peer is not None:
-            await self._peers.ask_for_slots(peer, replica.replica_id, 1)
-
-    async def suspend_some(self, replica_id: str, count: int) -> int:
-        """Suspend items at a replica, those due last first; return how many gave way."""
+        for peer in self._loads.batch_at_peers(replica_id, self._clock()):
+            asked = min(count, peer.items)
+            self._loads.note_asked(peer.node, replica_id, asked)
+            await self._peers.ask_for_slots(peer.node, replica_id, asked, hops - 1)
+            count -= asked
+            if count <= 0:
+                return
+
+    async def _suspend_some(self, replica_id: str, count: int) -> int:
+        """Suspend items at a replica; return how many gave way.
+
+        First those that have put out nothing in this run: they may still wait in the replica's
+        queue, before the online request. Then those due last.
+        """
         there = [one for one in self._running.values() if one.replica_id == replica_id]
         there = [one for one in there if not one.gives_way and one.task is not None]
-        there.sort(key=lambda one: (-one.job.record.due_ms, -one.started_at))
+        there.sort(key=_Running.yield_rank)
         chosen = there[:count]
         for running in chosen:
             running.gives_way = True
         for running in chosen:
             await running.task.cancel()
         return len(chosen)
+
+    async def _withdraw_queued(self) -> None:
+        """Take back items that a full replica has not begun; another may have a free slot."""
+        now = self._clock()
+        for running in list(self._running.values()):
+            if running.work.has_output or now - running.started_at < WITHDRAW_AFTER_S:
+                continue
+            replica = self._directory.find(running.replica_id)
+            if running.gives_way or running.task is None or replica is None:
+                continue
+            if self._loads.total(running.replica_id, now).total > replica.slots:
+                running.gives_way = True
+                await running.task.cancel()
--- a/src/cloverwalk/serving/node.py
+++ b/src/cloverwalk/serving/node.py
@@ -176,7 +176,6 @@
             self._log,
             self._metrics,
             self._clock,
-            self._random,
         )
         self._lister = ResultLister(
             committer, self._view, cache, self._runner.drop, self._log, self._clock
@@ -443,8 +442,8 @@
     def _on_item_finished(self, job: JobRun) -> None:
         self._lister.note(job)
 
-    async def _on_yield(self, replica_id: str, count: int) -> None:
-        await self._runner.suspend_some(replica_id, count)
+    async def _on_yield(self, replica_id: str, count: int, hops: int) -> None:
+        await self._runner.give_slots(replica_id, count, hops)
 
     async def _housekeeping(self) -> None:
         while True:
