Sums by zone in large fleets, begun items first, doubts shared, more tries

Zones are remembered now, also from the members' rows. - 983 attempts of 9 s met seven crashed replicas, which looked empty; 256 requests were refused after three of them. Eight may be tried, and a node tells which replicas failed to it: others put a cost on them, no more, since it may be the node that is at fault. - While there is more work than slots no item came to its end for 12 s: items due sooner took the slots of begun ones in each pause of online work. Begun items count as due sooner by the time that items take.

--- a/src/cloverwalk/fleet/load.py
+++ b/src/cloverwalk/fleet/load.py
@@ -1,14 +1,14 @@
 """Work in flight at each replica, over all nodes that were heard lately."""
 
-from collections import deque
+from collections.abc import Iterable
 from typing import NamedTuple
 
 import attrs
 from msgspec import Struct
 
 PEER_LOAD_VALID_S = 1.5
-TREND_S = 0.25
-"""Time over which growth of online work is looked at: about what an item needs to pay its start."""
+SUMS_VALID_S = 0.005
+"""How long sums are kept without a change; only the estimate of what is still read drifts."""
 
 
 class InFlight(Struct):
@@ -25,6 +25,10 @@
         return self.online + self.batch
 
 
+NOTHING = InFlight()
+"""Work in flight at a replica that has none; not to be changed."""
+
+
 class PeerBatch(NamedTuple):
     """How many items a peer has at a replica."""
 
@@ -54,33 +58,6 @@
     loads: PeerLoads
 
 
-class OnlineTrend:
-    """How fast the online work of a group of replicas grows.
-
-    >>> trend = OnlineTrend()
-    >>> trend.note(10, now=1.0), trend.note(16, now=1.2)
-    (None, None)
-    >>> trend.rise()
-    6
-    >>> trend.note(9, now=2.0)
-    >>> trend.rise()
-    0
-    """
-
-    def __init__(self) -> None:
-        self._seen: deque[tuple[float, int]] = deque()
-
-    def note(self, online: int, now: float) -> None:
-        """Take the online work of this moment."""
-        self._seen.append((now, online))
-        while now - self._seen[0][0] > TREND_S:
-            self._seen.popleft()
-
-    def rise(self) -> int:
-        """Return how much more there is than at the lowest point of the last moments."""
-        return self._seen[-1][1] - min(online for _, online in self._seen)
-
-
 class LoadBook:
     """Own work in flight, and what peers told of theirs.
 
@@ -100,6 +77,11 @@
         """Grows with every change of ``own``."""
 
         self._peers: dict[str, _PeerLoad] = {}
+        self._version = 0
+        self._sums: dict[str, InFlight] = {}
+        self._summed_at = float("-inf")
+        self._summed_version = -1
+        self._summed_revision = -1
 
     def begin(self, replica_id: str, is_batch: bool, now: float, reading_ms: float = 0.0) -> Work:
         """Work was sent to a replica; the result is passed to ``note_output`` and ``end``."""
@@ -136,26 +118,58 @@
     def hear(self, node: str, loads: PeerLoads, now: float) -> None:
         """Take what a peer told of its work by replica."""
         self._peers[node] = _PeerLoad(now, dict(loads))
+        self._version += 1
 
     def forget(self, node: str) -> None:
         """A peer is gone, and its connections with it."""
         self._peers.pop(node, None)
+        self._version += 1
 
     def total(self, replica_id: str, now: float) -> InFlight:
         """Return the work in flight of all nodes that were heard lately.
 
-        What peers had to read is taken to be read on since they told of it.
+        What peers had to read is taken to be read on since they told of it. The sums of all
+        replicas are worked out together, and again after any change or ``SUMS_VALID_S``.
         """
-        own = self.own.get(replica_id)
-        total = InFlight() if own is None else InFlight(own.online, own.batch, own.reading_ms)
+        is_current = (
+            self._summed_version == self._version and self._summed_revision == self.revision
+        )
+        if not is_current or not 0 <= now - self._summed_at < SUMS_VALID_S:
+            self._sum_up(now)
+        return self._sums.get(replica_id, NOTHING)
+
+    def _sum_up(self, now: float) -> None:
+        self._summed_at = now
+        self._summed_version = self._version
+        self._summed_revision = self.revision
+        sums = {
+            key: InFlight(own.online, own.batch, own.reading_ms) for key, own in self.own.items()
+        }
         for peer in self._peers.values():
             age_s = now - peer.heard_at
-            if age_s < PEER_LOAD_VALID_S and replica_id in peer.loads:
-                online, batch, reading_ms = peer.loads[replica_id]
+            if age_s >= PEER_LOAD_VALID_S:
+                continue
+            for key, (online, batch, reading_ms) in peer.loads.items():
+                total = sums.setdefault(key, InFlight())
                 total.online += online
                 total.batch += batch
                 total.reading_ms += max(0.0, reading_ms - age_s * 1000)
-        return total
+        self._sums = sums
+
+    def sum_of(self, nodes: Iterable[str], now: float) -> PeerLoads:
+        """Return the work of this node and some peers by replica."""
+        heard = [self._peers[node] for node in nodes if node in self._peers]
+        fresh = [one for one in heard if now - one.heard_at < PEER_LOAD_VALID_S]
+        sums = {
+            key: (own.online, own.batch, round(own.reading_ms)) for key, own in self.own.items()
+        }
+        for peer in fresh:
+            age_ms = (now - peer.heard_at) * 1000
+            for key, (online, batch, reading_ms) in peer.loads.items():
+                left_ms = max(0, round(reading_ms - age_ms))
+                before = sums.get(key, (0, 0, 0))
+                sums[key] = (before[0] + online, before[1] + batch, before[2] + left_ms)
+        return sums
 
     def batch_at_peers(self, replica_id: str, now: float) -> list[PeerBatch]:
         """Return the peers with batch work at a replica, those with the most first."""
@@ -175,3 +189,4 @@
             return
         online, batch, reading_ms = peer.loads[replica_id]
         peer.loads[replica_id] = (online, max(0, batch - count), reading_ms)
+        self._version += 1
--- a/src/cloverwalk/fleet/peers.py
+++ b/src/cloverwalk/fleet/peers.py
@@ -18,11 +18,15 @@
     PeerDatagram,
     ReplicaCopy,
     StoreReturned,
+    Waiting,
     YieldSlots,
+    ZoneSummary,
     decode_datagram,
     encode_datagram,
+    merge_waiting,
 )
 from cloverwalk.fleet.load import PEER_LOAD_VALID_S, LoadBook
+from cloverwalk.fleet.zones import HeardSummary, ZoneMap, relay_of, zone_name
 from cloverwalk.gateway.configuration import ConfigurationHolder
 from cloverwalk.gateway.replicas import ReplicaDirectory
 from cloverwalk.telemetry.log import ServingLog
@@ -33,6 +37,9 @@
 OTHER_ZONES_EVERY_S = 0.06
 """Shortest time between digests to other zones, whose bytes cost more."""
 
+MAX_DATAGRAMS_PER_S = 300.0
+"""Digests, and sums of a zone, that a node sends at the most; a large fleet hears less often."""
+
 QUIET_EVERY_S = 0.5
 """Longest time between digests."""
 
@@ -44,8 +51,11 @@
 DIRECTORY_STALE_MS = 1500
 DIRECTORY_FRESH_MS = 800
 INTRODUCE_HOSTS = 16
-MAX_PEERS = 32
-"""Peers that get digests; those of the own zone come first."""
+FAR_PEER_LOST_AFTER_S = 12.0
+"""The same for nodes of other zones in a large fleet: each hears from one every 3 s or so."""
+
+RELAY_HEARD_S = 1.2
+"""A peer that was silent for so long does not speak for its zone: its digests come every 0.5 s."""
 
 
 class Peer(Struct):
@@ -84,7 +94,7 @@
         codec: PeerCodec,
         log: ServingLog,
         clock: Callable[[], float],
-        on_yield: Callable[[str, int, int], Awaitable[None]],
+        on_yield: Callable[[YieldSlots], Awaitable[None]],
         on_store_returned: Callable[[], Awaitable[None]],
         random: Random,
     ) -> None:
@@ -103,24 +113,28 @@
         self._on_yield = on_yield
         self._on_store_returned = on_store_returned
         self._random = random
-        self._hosts: set[str] = {host for host in seeds if host != address[0]}
+        self._hosts = ZoneMap(address[0], zone)
+        for host in seeds:
+            self._hosts.add(host)
+        self._summary_by_zone: dict[str, HeardSummary] = {}
+        self._summary_sequence = 0
+        self._summary_sent_at = float("-inf")
         self.peers: dict[str, Peer] = {}
         self.is_leaving = False
         self._sequence = 0
         self._sent_revision = -1
-        self.waiting: dict[str, list[tuple[int, int]]] = {}
+        self.waiting: Waiting = {}
         """Own waiting batch items by pool, as the next digest tells them."""
 
-        self._sent_waiting: dict[str, list[tuple[int, int]]] = {}
+        self._sent_waiting: Waiting = {}
         self._sent_at = float("-inf")
         self._sent_to_all_at = float("-inf")
         self._sock: Any = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         self._sock.bind(address)
 
-    def add_host(self, host: str) -> None:
-        """A node of the fleet is at this host."""
-        if host != self._own_host:
-            self._hosts.add(host)
+    def add_host(self, host: str, zone: str = "") -> None:
+        """A node of the fleet is at this host, in this zone where that is known."""
+        self._hosts.add(host, zone)
 
     def live(self) -> list[Peer]:
         """Return peers heard lately, sorted by name."""
@@ -131,16 +145,32 @@
         """This node's name."""
         return self._node
 
-    def waiting_at_peers(self) -> dict[str, dict[str, list[tuple[int, int]]]]:
-        """Return what each peer told lately of its waiting batch items, by node."""
+    def waiting_at_peers(self) -> dict[str, Waiting]:
+        """Return what waits at the peers, as told lately: by node, or by zone from its relay."""
         now = self._clock()
-        return {
+        waiting = {
             peer.node: peer.digest.waiting
-            for peer in self.live()
-            if peer.digest is not None
-            and not peer.digest.is_leaving
-            and now - peer.heard_at < PEER_LOAD_VALID_S
+            for peer in self._heard_lately(now, PEER_LOAD_VALID_S)
+            if peer.digest is not None and not peer.digest.is_leaving
         }
+        for summary in self._summary_by_zone.values():
+            if now - summary.heard_at < PEER_LOAD_VALID_S:
+                waiting[zone_name(summary.zone)] = summary.waiting
+        return waiting
+
+    def _heard_lately(self, now: float, within_s: float) -> list[Peer]:
+        """Return the peers whose digests count: all, or those of the own zone in a large fleet."""
+        return [
+            peer
+            for peer in self.live()
+            if now - peer.heard_at < within_s
+            and (not self._hosts.is_large or peer.zone == self._zone)
+        ]
+
+    def is_in_zone(self, node: str) -> bool:
+        """Whether a peer is of this node's zone."""
+        peer = self.peers.get(node)
+        return peer is not None and peer.zone == self._zone
 
     def has_replaced(self, incarnation: str) -> bool:
         """Whether a process was heard that runs in place of an earlier one."""
@@ -160,8 +190,19 @@
             self._expire(now)
             changed = self._loads.revision != self._sent_revision
             changed = changed or self.waiting != self._sent_waiting
-            if changed or now - self._sent_at >= QUIET_EVERY_S:
+            if changed and self._may_send(now) or now - self._sent_at >= QUIET_EVERY_S:
                 await self.send_digest()
+            if self._hosts.is_large:
+                await self._speak_for_zone(now)
+
+    def _may_send(self, now: float) -> bool:
+        """Whether so little was sent lately that the own zone may get another digest."""
+        return now - self._sent_at >= len(self._hosts.near()) / MAX_DATAGRAMS_PER_S
+
+    async def send_digest_now(self) -> None:
+        """Tell the present digest at once, or as soon as the pace allows it."""
+        if self._may_send(self._clock()):
+            await self.send_digest()
 
     async def send_digest(self) -> None:
         """Tell the present digest to the peers."""
@@ -170,7 +211,8 @@
         self._sent_at = now
         self._sent_revision = self._loads.revision
         self._sent_waiting = self.waiting
-        is_for_all = now - self._sent_to_all_at >= OTHER_ZONES_EVERY_S
+        every_s = QUIET_EVERY_S if self._hosts.is_large else OTHER_ZONES_EVERY_S
+        is_for_all = now - self._sent_to_all_at >= every_s
         if is_for_all:
             self._sent_to_all_at = now
         age_ms = min(1e6, (now - self._directory.confirmed_at) * 1000)
@@ -190,21 +232,32 @@
             self.is_leaving,
             len(self._hosts),
             self.waiting,
+            self._directory.suspects(now),
         )
         data = encode_datagram(digest)
-        for host in self._audience(is_for_all):
+        for host in self._hosts.audience(is_for_all, self._random):
             await self._send_to(host, data)
 
-    def _audience(self, is_for_all: bool) -> list[str]:
-        far = {peer.host for peer in self.live() if peer.zone != self._zone}
-        near = sorted(self._hosts - far)
-        if not is_for_all:
-            return near
-        room = max(0, MAX_PEERS - len(near))
-        others = sorted(far)
-        if len(others) > room:
-            others = self._random.sample(others, room)
-        return [*near, *others]
+    async def _speak_for_zone(self, now: float) -> None:
+        """Tell the other zones this zone's work, if it is time and this node is its relay."""
+        far = self._hosts.far()
+        every_s = max(OTHER_ZONES_EVERY_S, len(far) / MAX_DATAGRAMS_PER_S)
+        if now - self._summary_sent_at < every_s:
+            return
+        near = self._heard_lately(now, RELAY_HEARD_S)
+        staying = [one.node for one in near if one.digest and not one.digest.is_leaving]
+        if self.is_leaving or relay_of(self._zone, [self._node, *staying]) != self._node:
+            return
+        self._summary_sent_at = now
+        self._summary_sequence += 1
+        loads = self._loads.sum_of([one.node for one in near], now)
+        waiting = [self.waiting, *(one.digest.waiting for one in near if one.digest)]
+        summary = ZoneSummary(
+            self._node, self._zone, self._summary_sequence, loads, merge_waiting(waiting)
+        )
+        data = encode_datagram(summary)
+        for host in far:
+            await self._send_to(host, data)
 
     async def _send_to(self, host: str, data: bytes) -> None:
         if len(data) > MAX_DATAGRAM_BYTES:
@@ -215,7 +268,12 @@
             return
 
     async def ask_for_slots(self, node: str, replica_id: str, count: int, hops: int) -> None:
-        """Ask a peer to suspend batch work at a replica."""
+        """Ask a peer, or a zone through its relay, to suspend batch work at a replica."""
+        for summary in self._summary_by_zone.values():
+            if zone_name(summary.zone) == node:
+                message = YieldSlots(self._node, replica_id, count, hops, is_for_zone=True)
+                await self._send_to(summary.host, encode_datagram(message))
+                return
         peer = self.peers.get(node)
         if peer is not None:
             message = YieldSlots(self._node, replica_id, count, hops)
@@ -224,7 +282,7 @@
     async def tell_store_returned(self) -> None:
         """Tell the peers that the store answers again; they need not find out themselves."""
         data = encode_datagram(StoreReturned(self._node))
-        for host in self._audience(True):
+        for host in self._hosts.audience(True, self._random):
             await self._send_to(host, data)
 
     # --- receiving ---
@@ -245,7 +303,9 @@
             case Digest():
                 await self._hear(message, host)
             case YieldSlots():
-                await self._on_yield(message.replica_id, message.count, message.hops)
+                await self._on_yield(message)
+            case ZoneSummary():
+                self._hear_zone(message, host)
             case StoreReturned():
                 await self._on_store_returned()
             case ConfigurationCopy():
@@ -260,8 +320,7 @@
         if digest.node == self._node:
             return
         now = self._clock()
-        is_new_host = host not in self._hosts
-        self.add_host(host)
+        is_new_host = self._hosts.add(host, digest.zone)
         peer = self.peers.get(digest.node)
         if peer is None or peer.is_lost:
             self._log.write(catalogue.PEER_HEARD, peer=digest.node, host=host)
@@ -273,12 +332,26 @@
         peer.heard_at = now
         peer.host = host
         peer.digest = digest
-        self._loads.hear(digest.node, digest.loads, now)
+        if digest.zone == self._zone or not self._hosts.is_large:
+            self._loads.hear(digest.node, digest.loads, now)
+        self._directory.hear_suspects(digest.suspects, now)
         if is_new_host or digest.knows_members + 1 < len(self._hosts):
-            hosts = sorted(self._hosts)[:INTRODUCE_HOSTS]
+            hosts = self._hosts.all()
+            hosts = self._random.sample(hosts, min(INTRODUCE_HOSTS, len(hosts)))
             await self._send_to(host, encode_datagram(Introduction(self._node, hosts)))
         await self._help(peer, digest, now)
 
+    def _hear_zone(self, summary: ZoneSummary, host: str) -> None:
+        known = self._summary_by_zone.get(summary.zone)
+        is_old = known is not None and summary.sequence <= known.sequence
+        if summary.zone == self._zone or (is_old and known and known.relay == summary.node):
+            return
+        now = self._clock()
+        self._summary_by_zone[summary.zone] = HeardSummary(
+            summary.zone, summary.node, host, summary.sequence, now, summary.waiting
+        )
+        self._loads.hear(zone_name(summary.zone), summary.loads, now)
+
     async def _help(self, peer: Peer, digest: Digest, now: float) -> None:
         """Send a peer what it lacks, if it does not get it from the store soon."""
         if now - peer.copied_at < COPY_EVERY_S:
@@ -316,9 +389,13 @@
 
     def _expire(self, now: float) -> None:
         for peer in self.peers.values():
-            if not peer.is_lost and now - peer.heard_at > PEER_LOST_AFTER_S:
+            if not peer.is_lost and now - peer.heard_at > self._lost_after_s(peer):
                 peer.is_lost = True
                 self._loads.forget(peer.node)
                 self._log.write(
                     catalogue.PEER_LOST, peer=peer.node, silent_s=round(now - peer.heard_at, 2)
                 )
+
+    def _lost_after_s(self, peer: Peer) -> float:
+        is_far = self._hosts.is_large and peer.zone != self._zone
+        return FAR_PEER_LOST_AFTER_S if is_far else PEER_LOST_AFTER_S
--- a/src/cloverwalk/gateway/relay.py
+++ b/src/cloverwalk/gateway/relay.py
@@ -42,8 +42,9 @@
 from cloverwalk.telemetry.log import ServingLog
 from cloverwalk.telemetry.metrics import ServingMetrics
 
-MAX_REFUSALS = 3
-"""Replicas that may say 'not run' before the request is refused."""
+MAX_REFUSALS = 8
+"""Replicas that may be unreachable or say 'not run' before the request is refused. Each costs some
+milliseconds; with three, requests were refused while seven of 45 replicas were down."""
 
 RETRY_AFTER_S = 0.2
 LEAST_USEFUL_S = 0.01
@@ -239,6 +240,7 @@
                 one,
                 self._loads.total(one.replica_id, now),
                 self._directory.is_suspect(one.replica_id, now),
+                self._directory.is_doubted(one.replica_id, now),
             )
             for one in fresh or usable
         ]
--- a/src/cloverwalk/gateway/replicas.py
+++ b/src/cloverwalk/gateway/replicas.py
@@ -4,6 +4,8 @@
 
 FIRST_SUSPICION_S = 0.5
 LONGEST_SUSPICION_S = 3.0
+HEARD_SUSPICION_S = 0.6
+"""How long another node's word counts: its digests, at least every 0.5 s, renew it."""
 
 
 class Replica(Struct, frozen=True):
@@ -32,6 +34,7 @@
         self._replicas: dict[str, Replica] = {}
         self._removed: dict[str, int] = {}
         self._suspicions: dict[str, _Suspicion] = {}
+        self._heard: dict[str, float] = {}
         self.version = 0
         """Newest version of the store that the directory reflects."""
 
@@ -70,6 +73,7 @@
             return False
         self._removed[replica_id] = max(version, self._removed.get(replica_id, 0))
         self._suspicions.pop(replica_id, None)
+        self._heard.pop(replica_id, None)
         return self._replicas.pop(replica_id, None) is not None
 
     def replace(self, replicas: list[Replica], version: int) -> list[str]:
@@ -100,11 +104,25 @@
             pause_s = min(LONGEST_SUSPICION_S, 2 * known.pause_s)
         self._suspicions[replica_id] = _Suspicion(now + pause_s, pause_s)
 
+    def suspects(self, now: float) -> list[str]:
+        """Return the replicas that failed at this node and are avoided, sorted."""
+        return sorted(key for key, one in self._suspicions.items() if now < one.until)
+
+    def hear_suspects(self, replica_ids: list[str], now: float) -> None:
+        """Replicas failed at another node just now; this is not told on."""
+        for replica_id in replica_ids:
+            self._heard[replica_id] = now + HEARD_SUSPICION_S
+
     def clear_suspicion(self, replica_id: str) -> None:
         """A replica answered: it is as good as any other again."""
         self._suspicions.pop(replica_id, None)
+        self._heard.pop(replica_id, None)
 
     def is_suspect(self, replica_id: str, now: float) -> bool:
-        """Whether a replica failed lately."""
+        """Whether a replica failed here lately."""
         known = self._suspicions.get(replica_id)
         return known is not None and now < known.until
+
+    def is_doubted(self, replica_id: str, now: float) -> bool:
+        """Whether a replica failed at another node lately: it may be that node's own fault."""
+        return now < self._heard.get(replica_id, now)
--- a/src/cloverwalk/gateway/selection.py
+++ b/src/cloverwalk/gateway/selection.py
@@ -15,6 +15,10 @@
 from cloverwalk.gateway.replicas import Replica
 
 SUSPECT_COST_MS = 10_000.0
+DOUBT_COST_MS = 60.0
+"""Cost of a replica that failed at another node: about that of a full one over an empty one. A dead
+replica looks empty, and all would go there first."""
+
 FULL_COST_MS = 60.0
 """Expected wait for each request that is already there beyond the slots."""
 
@@ -41,6 +45,7 @@
     replica: Replica
     in_flight: InFlight
     is_suspect: bool
+    is_doubted: bool = False
 
 
 class Demand(Struct, frozen=True):
@@ -100,6 +105,7 @@
 def _cost_ms(candidate: Candidate, demand: Demand, homes: set[str]) -> float:
     replica = candidate.replica
     cost = SUSPECT_COST_MS if candidate.is_suspect else 0.0
+    cost += DOUBT_COST_MS if candidate.is_doubted else 0.0
     in_flight = candidate.in_flight
     cost += in_flight.reading_ms
     used = in_flight.online / replica.slots
--- a/src/cloverwalk/jobs/order.py
+++ b/src/cloverwalk/jobs/order.py
@@ -11,19 +11,11 @@
 import attrs
 
 from cloverwalk.core.hashing import rendezvous_score
+from cloverwalk.fleet.digest import Waiting, WaitingGroup, first_groups
 
 DUE_STEP_MS = 500
 """Due times are told in steps of this length."""
 
-MAX_GROUPS = 8
-"""Groups of one pool that a node tells; what is due later joins the last of them."""
-
-WaitingGroup = tuple[int, int]
-"""A due time, in steps of the store's clock, and how many items wait for it."""
-
-Waiting = dict[str, list[WaitingGroup]]
-"""Waiting items by pool; a pool is a set of services that take the same items."""
-
 
 def due_step(due_ms: float) -> int:
     """Return the step that a due time falls into."""
@@ -36,12 +28,7 @@
     >>> summarise([10_200.0, 10_300.0, 4_000.0])
     [(8, 1), (20, 2)]
     """
-    groups = sorted(Counter(due_step(one) for one in due_ms).items())
-    told, rest = groups[:MAX_GROUPS], groups[MAX_GROUPS:]
-    if rest:
-        step, count = told[-1]
-        told[-1] = (step, count + sum(count for _, count in rest))
-    return told
+    return first_groups(Counter(due_step(one) for one in due_ms))
 
 
 @attrs.frozen
--- a/src/cloverwalk/jobs/run.py
+++ b/src/cloverwalk/jobs/run.py
@@ -45,6 +45,12 @@
     saved: int = 0
     """Events of the output that the store holds."""
 
+    first_began_at: float | None = None
+    """When it was first sent to a replica by this owner (steady clock, seconds)."""
+
+    ran_s: float = 0.0
+    """Time at replicas in earlier runs of this owner."""
+
 
 class JobRun:
     """A job that this node owns."""
@@ -90,8 +96,10 @@
         ready = [one for one in self.items if one.phase is Phase.PENDING and one.not_before <= now]
         return sorted(ready, key=lambda one: (not one.texts, one.index))
 
-    def begin(self, one: ItemRun, replica_id: str) -> None:
+    def begin(self, one: ItemRun, replica_id: str, now: float) -> None:
         """An item was sent to a replica."""
+        if one.first_began_at is None:
+            one.first_began_at = now
         one.phase = Phase.RUNNING
         one.replica_id = replica_id
 
--- a/src/cloverwalk/jobs/runner.py
+++ b/src/cloverwalk/jobs/runner.py
@@ -7,14 +7,16 @@
 import curio
 
 from cloverwalk.core import catalogue
-from cloverwalk.fleet.load import LoadBook, OnlineTrend, Work
+from cloverwalk.fleet.load import LoadBook, Work
 from cloverwalk.fleet.peers import PeerNetwork
+from cloverwalk.fleet.trend import OnlineTrend
 from cloverwalk.gateway.configuration import ConfigurationHolder, Route, RouteKind
 from cloverwalk.gateway.errors import ReplicaError
 from cloverwalk.gateway.replicas import Replica, ReplicaDirectory
 from cloverwalk.gateway.selection import reading_ms
 from cloverwalk.jobs.item_call import ItemCaller, ItemFailedError, ItemImpossibleError
 from cloverwalk.jobs.order import FreeSlots, PeersQueue, summarise
+from cloverwalk.jobs.pace import ItemPace
 from cloverwalk.jobs.run import ItemRun, JobRun, Phase
 from cloverwalk.jobs.share import batch_room, may_read_more, must_yield
 from cloverwalk.telemetry.log import ServingLog
@@ -35,9 +37,6 @@
 ROUTE_GONE_S = 4.0
 """A job whose route is missing for so long can't be run any more."""
 
-PACE_WEIGHT = 0.1
-LEAST_EVENTS_LEFT = 20.0
-
 
 class _Running:
     """An item at a replica."""
@@ -51,10 +50,6 @@
         self.task: Any = None
         self.gives_way = False
 
-    def yield_rank(self) -> tuple[bool, float, float]:
-        """Return what items are sorted by when some must give way."""
-        return (self.work.has_output, -self.job.record.due_ms, -self.started_at)
-
 
 @attrs.frozen
 class _Waiting:
@@ -64,15 +59,12 @@
     one: ItemRun
     pool: list[str]
     can_be_in_time: bool
-
-    @property
-    def due_ms(self) -> float:
-        """When the item is due, by the store's clock."""
-        return self.job.record.due_ms
+    order_ms: float
+    """Due time, by the store's clock; earlier for an item that was begun, see ``pace``."""
 
     def rank(self) -> tuple[bool, float]:
         """Return what waiting items are sorted by."""
-        return (not self.can_be_in_time, self.due_ms)
+        return (not self.can_be_in_time, self.order_ms)
 
 
 @attrs.define
@@ -92,30 +84,6 @@
     return ",".join(services)
 
 
-class ItemPace:
-    """Running averages of what an item takes.
-
-    >>> pace = ItemPace()
-    >>> pace.note(events=200, began_with=0, took_s=4.0)
-    >>> round(pace.remaining_s(events_so_far=100), 1) > 0
-    True
-    """
-
-    def __init__(self) -> None:
-        self._events = 200.0
-        self._event_s = 0.025
-
-    def note(self, events: int, began_with: int, took_s: float) -> None:
-        """An item ended with so many events, the last of them made in ``took_s`` seconds."""
-        self._events += PACE_WEIGHT * (events - self._events)
-        if events > began_with:
-            self._event_s += PACE_WEIGHT * (took_s / (events - began_with) - self._event_s)
-
-    def remaining_s(self, events_so_far: int) -> float:
-        """Return the seconds that an item is expected to need still."""
-        return max(LEAST_EVENTS_LEFT, self._events - events_so_far) * self._event_s
-
-
 class BatchRunner:
     """Starts, suspends and ends runs of items."""
 
@@ -217,13 +185,13 @@
         self._tell_peers(queue)
         if started or self._tell_now:
             self._tell_now = False
-            await self._peers.send_digest()
+            await self._peers.send_digest_now()
 
     def _queue(self) -> list[_Waiting]:
-        """Pending items: those that can still be in time first, by due time."""
+        """Pending items: those that can still be in time first, in the order of the fleet."""
         now = self._clock()
         waiting = [
-            _Waiting(job, one, pool, self._can_be_in_time(job, one))
+            self._waiting(job, one, pool)
             for job in self.jobs.values()
             if (pool := self._pool(job))
             for one in job.pending(now)
@@ -231,16 +199,20 @@
         waiting.sort(key=_Waiting.rank)
         return waiting
 
-    def _can_be_in_time(self, job: JobRun, one: ItemRun) -> bool:
-        needed_ms = self._pace.remaining_s(len(one.texts)) * 1000
-        return self._store_now_ms() + needed_ms <= job.record.due_ms
+    def _waiting(self, job: JobRun, one: ItemRun, pool: list[str]) -> _Waiting:
+        due_ms = job.record.due_ms
+        can_be_in_time = self._pace.can_be_in_time(one, due_ms - self._store_now_ms())
+        return _Waiting(job, one, pool, can_be_in_time, self._pace.order_ms(one, due_ms))
+
+    def _trend(self, pool: list[str]) -> OnlineTrend:
+        return self._trends.setdefault(_pool_name(pool), OnlineTrend())
 
     def _tell_peers(self, queue: list[_Waiting]) -> None:
         """Let the next digest say what still waits here."""
         due_ms: dict[str, list[float]] = {}
         for waiting in queue:
             if waiting.one.phase is Phase.PENDING and waiting.can_be_in_time:
-                due_ms.setdefault(_pool_name(waiting.pool), []).append(waiting.due_ms)
+                due_ms.setdefault(_pool_name(waiting.pool), []).append(waiting.order_ms)
         self._peers.waiting = {pool: summarise(dues) for pool, dues in due_ms.items()}
 
     def _give_up_old(self) -> None:
@@ -283,10 +255,10 @@
 
     def _pool_room(self, pool: list[str]) -> _PoolRoom:
         """Return what is free for items at the replicas of some services."""
-        now = self._clock()
         name = _pool_name(pool)
         usable = [one for service in pool for one in self._directory.usable(service)]
-        trend = self._trends.setdefault(name, OnlineTrend())
+        now = self._clock()
+        trend = self._trend(pool)
         trend.note(sum(self._loads.total(one.replica_id, now).online for one in usable), now)
         slots = FreeSlots({one.replica_id: self._room(one) for one in usable})
         queue = PeersQueue.of(name, self._peers.node, self._peers.waiting_at_peers())
@@ -294,7 +266,7 @@
 
     def _place(self, waiting: _Waiting, room: _PoolRoom) -> Replica | None:
         """Return a replica with a slot for an item after those of peers that come before it."""
-        ahead = room.queue.ahead_of(waiting.due_ms, waiting.can_be_in_time)
+        ahead = room.queue.ahead_of(waiting.order_ms, waiting.can_be_in_time)
         position = ahead + room.started
         if position >= room.slots.total - room.kept_for_online:
             return None
@@ -313,7 +285,7 @@
 
     async def _start(self, job: JobRun, one: ItemRun, replica: Replica) -> None:
         now = self._clock()
-        job.begin(one, replica.replica_id)
+        job.begin(one, replica.replica_id, now)
         prompt = self._caller.prompt(one)
         own_tokens = prompt[-1].tokens if prompt else 0
         work = self._loads.begin(replica.replica_id, True, now, reading_ms(own_tokens))
@@ -337,7 +309,9 @@
         began_with = len(one.texts)
         try:
             await self._caller.run(job, one, replica, lambda: self._loads.note_output(running.work))
-            self._pace.note(len(one.texts), began_with, self._clock() - running.started_at)
+            took_s = self._clock() - running.started_at
+            self._pace.note_run(len(one.texts), began_with, took_s)
+            self._pace.note_item(one, self._clock(), took_s)
             job.succeed(one)
             outcome = "succeeded"
         except ItemImpossibleError:
@@ -358,6 +332,7 @@
         job, one = running.job, running.one
         self._loads.end(running.work)
         self._running.pop((job.job_id, one.index), None)
+        one.ran_s += self._clock() - running.started_at
         if one.phase is Phase.RUNNING:
             pause_s = SUSPENDED_S if outcome == "suspended" else RETRY_S
             job.suspend(one, self._clock() + pause_s)
@@ -386,25 +361,37 @@
     async def give_slots(self, replica_id: str, count: int, hops: int) -> None:
         """Suspend items at a replica; ask peers for those that this node does not have."""
         count -= await self._suspend_some(replica_id, count)
-        if count <= 0 or hops <= 0:
-            return
+        if hops > 0:
+            await self._ask_peers(replica_id, count, hops - 1, lambda _: True)
+
+    async def give_zone_slots(self, replica_id: str, count: int) -> None:
+        """Suspend items at a replica, here or at other nodes of this zone."""
+        count -= await self._suspend_some(replica_id, count)
+        await self._ask_peers(replica_id, count, 0, self._peers.is_in_zone)
+
+    async def _ask_peers(
+        self, replica_id: str, count: int, hops: int, may_ask: Callable[[str], bool]
+    ) -> None:
         for peer in self._loads.batch_at_peers(replica_id, self._clock()):
+            if count <= 0:
+                return
+            if not may_ask(peer.node):
+                continue
             asked = min(count, peer.items)
             self._loads.note_asked(peer.node, replica_id, asked)
-            await self._peers.ask_for_slots(peer.node, replica_id, asked, hops - 1)
+            await self._peers.ask_for_slots(peer.node, replica_id, asked, hops)
             count -= asked
-            if count <= 0:
-                return
 
     async def _suspend_some(self, replica_id: str, count: int) -> int:
         """Suspend items at a replica; return how many gave way.
 
         First those that have put out nothing in this run: they may still wait in the replica's
-        queue, before the online request. Then those due last.
+        queue, before the online request. Then those that can't be in time, then those with the
+        most time to spare.
         """
         there = [one for one in self._running.values() if one.replica_id == replica_id]
         there = [one for one in there if not one.gives_way and one.task is not None]
-        there.sort(key=_Running.yield_rank)
+        there.sort(key=self._yield_rank)
         chosen = there[:count]
         for running in chosen:
             running.gives_way = True
@@ -412,6 +399,11 @@
             await running.task.cancel()
         return len(chosen)
 
+    def _yield_rank(self, running: _Running) -> tuple[bool, bool, float]:
+        left_ms = running.job.record.due_ms - self._store_now_ms()
+        spare_ms = left_ms - self._pace.remaining_s(running.one) * 1000
+        return (running.work.has_output, spare_ms >= 0, -spare_ms)
+
     async def _withdraw_queued(self) -> None:
         """Take back items that a full replica has not begun; another may have a free slot."""
         now = self._clock()
--- a/src/cloverwalk/serving/node.py
+++ b/src/cloverwalk/serving/node.py
@@ -11,6 +11,7 @@
 
 from cloverwalk.core import catalogue
 from cloverwalk.core.clock import Clock
+from cloverwalk.fleet.digest import YieldSlots
 from cloverwalk.fleet.follower import TableFollower
 from cloverwalk.fleet.load import LoadBook
 from cloverwalk.fleet.members import (
@@ -392,7 +393,7 @@
 
     async def _on_members(self, page: RowPage) -> None:
         for member in self._members.take(page):
-            self._peers.add_host(member.host)
+            self._peers.add_host(member.host, member.zone)
 
     async def _on_jobs(self, page: RowPage) -> None:
         self._knowledge.note_clock(page)
@@ -442,8 +443,11 @@
     def _on_item_finished(self, job: JobRun) -> None:
         self._lister.note(job)
 
-    async def _on_yield(self, replica_id: str, count: int, hops: int) -> None:
-        await self._runner.give_slots(replica_id, count, hops)
+    async def _on_yield(self, asked: YieldSlots) -> None:
+        if asked.is_for_zone:
+            await self._runner.give_zone_slots(asked.replica_id, asked.count)
+        else:
+            await self._runner.give_slots(asked.replica_id, asked.count, asked.hops)
 
     async def _housekeeping(self) -> None:
         while True:
--- a/tests/serving/job_world.py
+++ b/tests/serving/job_world.py
@@ -104,7 +104,7 @@
 
 def finish(job: JobRun, one: ItemRun, text: str) -> None:
     """Run an item to its end."""
-    job.begin(one, "r1")
+    job.begin(one, "r1", 0.0)
     for number, word in enumerate(text.split()):
         assert job.take_event(one, number, word)
     job.succeed(one)
--- a/tests/serving/test_jobs.py
+++ b/tests/serving/test_jobs.py
@@ -265,7 +265,7 @@
     record = JobRecord("j", "h", "/", 0.0, 0.0, 0.0, 3, 1, 10, 1, "n1")
     job = JobRun(record, 1, submission("j", count=1).items)
     item = job.items[0]
-    job.begin(item, "r1")
+    job.begin(item, "r1", 0.0)
     saved: list[PartialOutput] = []
     for number in range(1, 10):
         assert job.take_event(item, number, "x" * 9000)
--- a/tests/serving/test_online.py
+++ b/tests/serving/test_online.py
@@ -382,3 +382,16 @@
         await world.until_done("j", 12)
 
     in_world(test)
+
+
+def test_a_request_finds_the_one_replica_of_many_that_still_lives() -> None:
+    async def test(world: FleetWorld) -> None:
+        await world.start(replicas=1)
+        for _ in range(6):
+            replica = await world.add_replica()
+            await replica._sock.close()
+        await world.until(lambda: len(world.nodes[0]._directory.all()) == 7)
+        answer = await world.ask("/chat/a")
+        assert (answer.status, answer.is_whole) == (200, True)
+
+    in_world(test)
--- a/tests/serving/test_store_health.py
+++ b/tests/serving/test_store_health.py
@@ -120,7 +120,7 @@
         node = OwnerNode("n1", store, HandClock())
         await node.submit(submission("j"), batch_route())
         job = node.jobs["j"]
-        job.begin(job.items[0], "r1")
+        job.begin(job.items[0], "r1", 0.0)
         assert job.take_event(job.items[0], 1, "word")
 
         class OneJob:
--- a/tests/unit/test_serving_parts.py
+++ b/tests/unit/test_serving_parts.py
@@ -12,7 +12,7 @@
 from cloverwalk.gateway.event_stream import EventSplitter
 from cloverwalk.gateway.messages import ClientRequest
 from cloverwalk.gateway.replicas import Replica, ReplicaDirectory
-from cloverwalk.gateway.selection import WeightedRotation
+from cloverwalk.gateway.selection import Candidate, Demand, WeightedRotation, choose
 from cloverwalk.jobs.share import batch_room, must_yield
 from cloverwalk.platform import names
 from cloverwalk.platform.codec import PlatformCodec
@@ -170,3 +170,29 @@
     files = [one for one in SOURCE.rglob("*.py") if one.parent.name != "platform"]
     knowing = [str(one) for one in files if word in one.read_text().lower()]
     assert knowing == []
+
+
+def test_a_replica_that_failed_at_another_node_is_doubted_for_a_moment_and_not_told_on() -> None:
+    directory = ReplicaDirectory()
+    directory.hear_suspects(["r"], 10.0)
+    assert directory.is_doubted("r", 10.5)
+    assert not directory.is_suspect("r", 10.5)
+    assert directory.suspects(10.5) == []
+    assert not directory.is_doubted("r", 11.0)
+    directory.hear_suspects(["r"], 11.0)
+    directory.clear_suspicion("r")
+    assert not directory.is_doubted("r", 11.1)
+    directory.suspect("r", 12.0)
+    assert directory.suspects(12.1) == ["r"]
+
+
+def test_a_dead_replica_that_looks_empty_is_not_chosen_first() -> None:
+    busy = Replica("r1", "s", "h", 1, "z1", 8, False, 1)
+    dead = Replica("r2", "s", "h", 2, "z1", 8, False, 1)
+    candidates = [
+        Candidate(busy, InFlight(online=4), False),
+        Candidate(dead, InFlight(), False, True),
+    ]
+    chosen = choose(candidates, Demand("z1", 100))
+    assert chosen is not None
+    assert chosen.replica.replica_id == "r1"
