--- a/src/cloverwalk/fleet/peers.py
+++ b/src/cloverwalk/fleet/peers.py
@@ -172,6 +172,11 @@
         peer = self.peers.get(node)
         return peer is not None and peer.zone == self._zone
 
+    def store_serves_a_peer(self) -> bool:
+        """Whether the store has answered any peer lately."""
+        digests = [peer.digest for peer in self.live() if peer.digest is not None]
+        return any(one.directory_age_ms <= DIRECTORY_STALE_MS for one in digests)
+
     def has_replaced(self, incarnation: str) -> bool:
         """Whether a process was heard that runs in place of an earlier one."""
         node = incarnation.rpartition(".")[0]
--- a/src/cloverwalk/jobs/intake.py
+++ b/src/cloverwalk/jobs/intake.py
@@ -41,6 +41,12 @@
 REFUSE_AFTER_S = 0.6
 """A store that takes nothing for so long: the client is told, and comes back sooner."""
 
+REFUSE_AFTER_SERVED_ELSEWHERE_S = 0.1
+"""The same while the store serves other nodes: there the client has its answer in time."""
+
+ELSEWHERE_RETRY_AFTER_S = 0.02
+"""A client that comes back reaches another node; one that the store serves need not wait."""
+
 MAX_CONFLICTS = 40
 MAX_PAYLOAD_ROWS = 12
 """Rows of items that go into one transaction."""
@@ -71,6 +77,8 @@
         clock: Callable[[], float],
         log: ServingLog,
         on_taken: OnTaken,
+        is_served_elsewhere: Callable[[], bool],
+        is_store_lost: Callable[[], bool],
     ) -> None:
         self._owner = owner
         self._store = store
@@ -81,6 +89,8 @@
         self._clock = clock
         self._log = log
         self._on_taken = on_taken
+        self._is_served_elsewhere = is_served_elsewhere
+        self._is_store_lost = is_store_lost
         self._quotas: dict[str, tuple[QuotaRow, int]] = {}
         self.in_hand: set[str] = set()
         """Jobs that are being taken: their records may be there before their runs."""
@@ -90,6 +100,8 @@
         if self._view.find(submission.job_id) is not None:
             self._note(submission, "known")
             return
+        if self._is_store_lost() and self._is_served_elsewhere():
+            raise self._unsettled(submission, CommitOutcome(CommitStatus.NOT_DONE))
         self.in_hand.add(submission.job_id)
         try:
             await self._settle(submission, route, until)
@@ -97,7 +109,9 @@
             self.in_hand.discard(submission.job_id)
 
     async def _settle(self, submission: Submission, route: Route, until: float) -> None:
-        refuse_at = self._clock() + REFUSE_AFTER_S
+        is_elsewhere = self._is_served_elsewhere()
+        refuse_after_s = REFUSE_AFTER_SERVED_ELSEWHERE_S if is_elsewhere else REFUSE_AFTER_S
+        refuse_at = self._clock() + refuse_after_s
         for _ in range(MAX_CONFLICTS):
             record = self._new_record(submission, route)
             payload = payload_puts(record.job_id, submission.items)
@@ -240,7 +254,9 @@
         if is_unknown:
             return JobError(504, "store_unsure", "the store did not answer in time")
         message = "the store takes no writes now"
-        return JobError(503, "store_unavailable", message, STORE_RETRY_AFTER_S)
+        is_elsewhere = self._is_served_elsewhere()
+        retry_after_s = ELSEWHERE_RETRY_AFTER_S if is_elsewhere else STORE_RETRY_AFTER_S
+        return JobError(503, "store_unavailable", message, retry_after_s)
 
     def _note(self, submission: Submission, outcome: str) -> None:
         self._log.write(
--- a/src/cloverwalk/serving/node.py
+++ b/src/cloverwalk/serving/node.py
@@ -63,7 +63,6 @@
 STOP_MARGIN_S = 0.7
 PROBE_EVERY_MS = 100.0
 PROBE_TIMEOUT_S = 0.3
-OTHER_PEER_STORE_MS = 1500
 RESERVED_DESCRIPTORS = 800
 SIDE_CONNECTIONS = 32
 
@@ -193,6 +192,8 @@
             self._clock,
             self._log,
             self._on_job_taken,
+            self._peers.store_serves_a_peer,
+            lambda: self._health.is_lost,
         )
         self._jobs = JobService(
             intake, reader, self._runner, self._view, committer, self._log, self._clock
@@ -433,8 +434,7 @@
         """With a lease, or while no peer reaches the store either: then nobody takes over."""
         if self._renewal.is_valid():
             return True
-        digests = [peer.digest for peer in self._peers.live() if peer.digest is not None]
-        return all(one.directory_age_ms > OTHER_PEER_STORE_MS for one in digests)
+        return not self._peers.store_serves_a_peer()
 
     async def _on_job_taken(self, job: JobRun) -> None:
         if not self.is_leaving and job.job_id not in self._runner.jobs:
--- a/tests/serving/test_jobs.py
+++ b/tests/serving/test_jobs.py
@@ -93,6 +93,31 @@
     curio.run(main)
 
 
+@pytest.mark.parametrize("is_elsewhere", [True, False])
+def test_a_client_is_sent_on_at_once_while_the_store_serves_other_nodes(
+    is_elsewhere: bool,
+) -> None:
+    async def main() -> None:
+        store = MemoryStore()
+        store.commit_faults.extend([REFUSED] * 200)
+        node = OwnerNode("n1", store, HandClock(0.01))
+        node.is_served_elsewhere = is_elsewhere
+        with pytest.raises(JobError) as refused:
+            await node.submit(submission("j"), batch_route())
+        assert refused.value.status == 503
+        tries = 200 - len(store.commit_faults)
+        assert tries <= 3 if is_elsewhere else tries >= 4
+        assert (refused.value.retry_after_s or 1.0) <= (0.05 if is_elsewhere else 0.3)
+        await node.health.note_failure()
+        left = len(store.commit_faults)
+        with pytest.raises(JobError) as again:
+            await node.submit(submission("k"), batch_route())
+        assert again.value.status == 503
+        assert (len(store.commit_faults) == left) == is_elsewhere
+
+    curio.run(main)
+
+
 def test_a_lost_answer_does_not_list_results_twice() -> None:
     """Found on trouble-3 of the parish: the group grew while its outcome was not known."""
 
