--- a/src/cloverwalk/fleet/peers.py
+++ b/src/cloverwalk/fleet/peers.py
@@ -34,9 +34,15 @@
 SEND_EVERY_S = 0.03
 """Shortest time between digests to the own zone; they are sent when the load changed."""
 
-OTHER_ZONES_EVERY_S = 0.06
+OTHER_ZONES_EVERY_S = 0.2
 """Shortest time between digests to other zones, whose bytes cost more."""
 
+OTHER_ZONES_CROWDED_EVERY_S = 0.06
+"""The same while online work fills replicas: where the next request goes depends on each one."""
+
+CROWDED_SHARE = 0.75
+"""Share of a replica's slots with online work from which its load is told faster."""
+
 MAX_DATAGRAMS_PER_S = 300.0
 """Digests, and sums of a zone, that a node sends at the most; a large fleet hears less often."""
 
@@ -216,7 +222,7 @@
         self._sent_at = now
         self._sent_revision = self._loads.revision
         self._sent_waiting = self.waiting
-        every_s = QUIET_EVERY_S if self._hosts.is_large else OTHER_ZONES_EVERY_S
+        every_s = QUIET_EVERY_S if self._hosts.is_large else self._far_every_s(now)
         is_for_all = now - self._sent_to_all_at >= every_s
         if is_for_all:
             self._sent_to_all_at = now
@@ -243,10 +249,18 @@
         for host in self._hosts.audience(is_for_all, self._random):
             await self._send_to(host, data)
 
+    def _far_every_s(self, now: float) -> float:
+        """Return how often other zones are told of changed work."""
+        for replica in self._directory.all():
+            online = self._loads.total(replica.replica_id, now).online
+            if online >= CROWDED_SHARE * replica.slots:
+                return OTHER_ZONES_CROWDED_EVERY_S
+        return OTHER_ZONES_EVERY_S
+
     async def _speak_for_zone(self, now: float) -> None:
         """Tell the other zones this zone's work, if it is time and this node is its relay."""
         far = self._hosts.far()
-        every_s = max(OTHER_ZONES_EVERY_S, len(far) / MAX_DATAGRAMS_PER_S)
+        every_s = max(self._far_every_s(now), len(far) / MAX_DATAGRAMS_PER_S)
         if now - self._summary_sent_at < every_s:
             return
         near = self._heard_lately(now, RELAY_HEARD_S)
--- a/src/cloverwalk/fleet/trend.py
+++ b/src/cloverwalk/fleet/trend.py
@@ -1,9 +1,9 @@
-"""How the online work of a group of replicas grows: batch work must not start just before it."""
+"""The online work of a group of replicas over the last moments."""
 
 from collections import deque
 
-RISE_S = 0.25
-"""Time over which growth is looked at: about what an item needs to pay its start."""
+TREND_S = 0.25
+"""Time over which online work is averaged: some of the pauses between a node's looks at it."""
 
 
 class OnlineTrend:
@@ -12,11 +12,11 @@
     >>> trend = OnlineTrend()
     >>> trend.note(10, now=1.0), trend.note(16, now=1.2)
     (None, None)
-    >>> trend.rise()
-    6
+    >>> trend.mean()
+    13.0
     >>> trend.note(9, now=2.0)
-    >>> trend.rise()
-    0
+    >>> trend.mean()
+    9.0
     """
 
     def __init__(self) -> None:
@@ -25,9 +25,9 @@
     def note(self, online: int, now: float) -> None:
         """Take the online work of this moment."""
         self._lately.append((now, online))
-        while now - self._lately[0][0] > RISE_S:
+        while now - self._lately[0][0] > TREND_S:
             self._lately.popleft()
 
-    def rise(self) -> int:
-        """Return how much more online work there is than at the least of the last moments."""
-        return self._lately[-1][1] - min(online for _, online in self._lately)
+    def mean(self) -> float:
+        """Return the mean online work of the last moments."""
+        return sum(online for _, online in self._lately) / len(self._lately)
--- a/src/cloverwalk/gateway/relay.py
+++ b/src/cloverwalk/gateway/relay.py
@@ -70,6 +70,7 @@
         metrics: ServingMetrics,
         clock: Callable[[], float],
         make_room: MakeRoom,
+        times: ServiceTimes,
         random: Random,
     ) -> None:
         self._zone = zone
@@ -83,7 +84,7 @@
         self._clock = clock
         self._make_room = make_room
         self._random = random
-        self._times = ServiceTimes()
+        self._times = times
         self._crowd = CrowdWatch()
         self._returns = ReturnBook()
         self._line = WaitingLine()
--- a/src/cloverwalk/gateway/service_times.py
+++ b/src/cloverwalk/gateway/service_times.py
@@ -64,6 +64,7 @@
 
     def __init__(self) -> None:
         self._by_route: dict[str, _RouteTimes] = {}
+        self._any_hold = _hold()
 
     def _of(self, route: str) -> _RouteTimes:
         return self._by_route.setdefault(route, _RouteTimes())
@@ -72,6 +73,11 @@
         """Return the time from the first event to the end: a request keeps its slot so long."""
         return self._of(route).hold.value
 
+    @property
+    def mean_hold_ms(self) -> float:
+        """The time for which online requests of any route keep their slots."""
+        return self._any_hold.value
+
     def start_ms(self, route: str) -> float:
         """Return the time from sending to the first event, where a slot is free."""
         return self._of(route).start.value
@@ -90,6 +96,7 @@
     def note_hold(self, route: str, took_ms: float) -> None:
         """A request was served; its events took so long."""
         self._of(route).hold.note(took_ms)
+        self._any_hold.note(took_ms)
 
     def note_wait(self, route: str, expected_ms: float, took_ms: float) -> None:
         """A request that was expected to wait for a slot had its first event after so long.
--- a/src/cloverwalk/jobs/runner.py
+++ b/src/cloverwalk/jobs/runner.py
@@ -18,13 +18,13 @@
 from cloverwalk.jobs.order import FreeSlots, PeersQueue, summarise
 from cloverwalk.jobs.pace import ItemPace
 from cloverwalk.jobs.run import ItemRun, JobRun, Phase
-from cloverwalk.jobs.share import batch_room, may_read_more, must_yield
+from cloverwalk.jobs.share import batch_room, kept_free, may_read_more, must_yield
 from cloverwalk.telemetry.log import ServingLog
 from cloverwalk.telemetry.metrics import ServingMetrics
 
 TICK_S = 0.05
 RETRY_S = 0.3
-SUSPENDED_S = 0.05
+SUSPENDED_S = 0.1
 """Pause of an item that gave way; by then the nodes have heard of the online work."""
 
 STARTS_PER_TICK = 6
@@ -72,9 +72,6 @@
     """What is free at the replicas that take the same items, as of one tick."""
 
     slots: FreeSlots
-    kept_for_online: int
-    """Slots for the online work that is expected within the next moments."""
-
     queue: PeersQueue
     started: int = 0
     """Items of this node that took a slot in this tick."""
@@ -97,6 +94,7 @@
         may_start: Callable[[], bool],
         on_finished: Callable[[JobRun], Any],
         store_now_ms: Callable[[], float],
+        hold_ms: Callable[[], float],
         log: ServingLog,
         metrics: ServingMetrics,
         clock: Callable[[], float],
@@ -109,6 +107,7 @@
         self._may_start = may_start
         self._on_finished = on_finished
         self._store_now_ms = store_now_ms
+        self._hold_ms = hold_ms
         self._log = log
         self._metrics = metrics
         self._clock = clock
@@ -260,28 +259,27 @@
         now = self._clock()
         trend = self._trend(pool)
         trend.note(sum(self._loads.total(one.replica_id, now).online for one in usable), now)
-        slots = FreeSlots({one.replica_id: self._room(one) for one in usable})
+        kept = kept_free(trend.mean(), len(usable), self._hold_ms())
+        slots = FreeSlots({one.replica_id: self._room(one, kept) for one in usable})
         queue = PeersQueue.of(name, self._peers.node, self._peers.waiting_at_peers())
-        return _PoolRoom(slots, trend.rise(), queue)
+        return _PoolRoom(slots, queue)
 
     def _place(self, waiting: _Waiting, room: _PoolRoom) -> Replica | None:
         """Return a replica with a slot for an item after those of peers that come before it."""
         ahead = room.queue.ahead_of(waiting.order_ms, waiting.can_be_in_time)
         position = ahead + room.started
-        if position >= room.slots.total - room.kept_for_online:
-            return None
         key = room.slots.take(position, waiting.one.replica_id)
         replica = None if key is None else self._directory.find(key)
         if replica is not None:
             room.started += 1
         return replica
 
-    def _room(self, replica: Replica) -> int:
+    def _room(self, replica: Replica, kept: int) -> int:
         now = self._clock()
         in_flight = self._loads.total(replica.replica_id, now)
         if self._directory.is_suspect(replica.replica_id, now) or not may_read_more(in_flight):
             return 0
-        return batch_room(replica.slots, in_flight)
+        return batch_room(replica.slots, in_flight, kept)
 
     async def _start(self, job: JobRun, one: ItemRun, replica: Replica) -> None:
         now = self._clock()
--- a/src/cloverwalk/serving/node.py
+++ b/src/cloverwalk/serving/node.py
@@ -29,6 +29,7 @@
 from cloverwalk.gateway.replica_connection import ReplicaPool
 from cloverwalk.gateway.reply import Reply
 from cloverwalk.gateway.server import GatewayServer
+from cloverwalk.gateway.service_times import ServiceTimes
 from cloverwalk.jobs.checkpoint import Checkpointer
 from cloverwalk.jobs.commit import Committer
 from cloverwalk.jobs.intake import JobIntake
@@ -100,6 +101,7 @@
         self._members = MemberBook(self._clock)
         self._health = StoreHealth(Clock(self._clock))
         self._store = WatchedStore(self._adapter.store(self._settings), self._health)
+        self._times = ServiceTimes()
         self._pool = ReplicaPool(self._adapter.codec, self._clock)
 
     def _build_fleet(self, incarnation: str) -> None:
@@ -173,6 +175,7 @@
             self._may_start_batch,
             self._on_item_finished,
             self._knowledge.store_now_ms,
+            lambda: self._times.mean_hold_ms,
             self._log,
             self._metrics,
             self._clock,
@@ -238,6 +241,7 @@
             self._metrics,
             self._clock,
             self._runner.make_room,
+            self._times,
             self._random,
         )
         calls = CallHandler(
