A relay that was started again is heard at once

Cause: the sequence of a zone's sums began anew with the process and the receivers could not tell: its sums were dropped for as long as the earlier process had run. The run is told now. Test first: test_a_relay_that_was_started_again_is_heard_at_once failed.

--- a/src/cloverwalk/fleet/digest.py
+++ b/src/cloverwalk/fleet/digest.py
@@ -64,9 +64,13 @@
 
 
 class ZoneSummary(Struct, tag="zone", array_like=True):
-    """The work in flight of all nodes of a zone by replica, and what waits there by pool."""
+    """The work in flight of all nodes of a zone by replica, and what waits there by pool.
+
+    ``run`` is the last part of the sender's incarnation; ``sequence`` counts within it.
+    """
 
     node: str
+    run: str
     zone: str
     sequence: int
     loads: dict[str, tuple[int, int, int]]
--- a/src/cloverwalk/fleet/peers.py
+++ b/src/cloverwalk/fleet/peers.py
@@ -146,6 +146,11 @@
         """Return peers heard lately, sorted by name."""
         return [self.peers[node] for node in sorted(self.peers) if not self.peers[node].is_lost]
 
+    @property
+    def _run(self) -> str:
+        """The part of the incarnation that a restart changes."""
+        return self._incarnation.rpartition(".")[2]
+
     @property
     def node(self) -> str:
         """This node's name."""
@@ -233,7 +238,7 @@
         }
         digest = Digest(
             self._node,
-            self._incarnation.rpartition(".")[2],
+            self._run,
             self._zone,
             self._sequence,
             self._configuration.version,
@@ -272,7 +277,7 @@
         loads = self._loads.sum_of([one.node for one in near], now)
         waiting = [self.waiting, *(one.digest.waiting for one in near if one.digest)]
         summary = ZoneSummary(
-            self._node, self._zone, self._summary_sequence, loads, merge_waiting(waiting)
+            self._node, self._run, self._zone, self._summary_sequence, loads, merge_waiting(waiting)
         )
         data = encode_datagram(summary)
         for host in far:
@@ -362,12 +367,22 @@
 
     def _hear_zone(self, summary: ZoneSummary, host: str) -> None:
         known = self._summary_by_zone.get(summary.zone)
-        is_old = known is not None and summary.sequence <= known.sequence
-        if summary.zone == self._zone or (is_old and known and known.relay == summary.node):
+        is_late = (
+            known is not None
+            and (known.relay, known.run) == (summary.node, summary.run)
+            and summary.sequence <= known.sequence
+        )
+        if summary.zone == self._zone or is_late:
             return
         now = self._clock()
         self._summary_by_zone[summary.zone] = HeardSummary(
-            summary.zone, summary.node, host, summary.sequence, now, summary.waiting
+            summary.zone,
+            summary.node,
+            summary.run,
+            host,
+            summary.sequence,
+            now,
+            summary.waiting,
         )
         self._loads.hear(zone_name(summary.zone), summary.loads, now)
 
--- a/src/cloverwalk/fleet/zones.py
+++ b/src/cloverwalk/fleet/zones.py
@@ -97,6 +97,7 @@
 
     zone: str
     relay: str
+    run: str
     host: str
     sequence: int
     heard_at: float
--- a/tests/serving/test_large_fleet.py
+++ b/tests/serving/test_large_fleet.py
@@ -25,7 +25,7 @@
 class Node:
     """The network of one node, without its loops: a test sends and receives by hand."""
 
-    def __init__(self, number: int, port: int) -> None:
+    def __init__(self, number: int, port: int, run: str = "0a") -> None:
         self.name = f"n{number:02d}"
         self.zone = ZONES[number % len(ZONES)]
         self.host = f"127.0.1.{number + 1}"
@@ -34,7 +34,7 @@
         self.yields: list[YieldSlots] = []
         self.network = PeerNetwork(
             self.name,
-            f"{self.name}.0a",
+            f"{self.name}.{run}",
             self.zone,
             (self.host, port),
             [],
@@ -64,7 +64,7 @@
     """Networks of nodes in three zones that know each other's hosts."""
 
     def __init__(self) -> None:
-        port = free_port()
+        port = self.port = free_port()
         self.nodes = [Node(number, port) for number in range(len(ZONES) * NODES_A_ZONE)]
         assert len(self.nodes) > MAX_PEERS + 1
         for node in self.nodes:
@@ -154,6 +154,27 @@
     in_large_fleet(test)
 
 
+def test_a_relay_that_was_started_again_is_heard_at_once() -> None:
+    async def test(fleet: LargeFleet) -> None:
+        for _ in range(12):
+            await fleet.round()
+        relay = relay_of("z2", [one.name for one in fleet.nodes if one.zone == "z2"])
+        index = next(i for i, one in enumerate(fleet.nodes) if one.name == relay)
+        old = fleet.nodes[index]
+        await old.network._sock.close()
+        fleet.nodes[index] = again = Node(index, fleet.port, run="0b")
+        again.now = old.now
+        for other in fleet.nodes:
+            again.network.add_host(other.host, other.zone)
+        again.loads.begin("r", is_batch=True, now=again.now)
+        for _ in range(ROUNDS):
+            await fleet.round()
+        for node in fleet.nodes:
+            assert node.loads.total("r", node.now) == InFlight(0, 1)
+
+    in_large_fleet(test)
+
+
 def test_slots_of_another_zone_are_asked_for_at_its_relay() -> None:
     async def test(fleet: LargeFleet) -> None:
         holder = next(one for one in fleet.nodes if one.zone == "z3")
