--- a/tests/serving/test_online.py
+++ b/tests/serving/test_online.py
@@ -181,7 +181,9 @@
 
 def test_peers_learn_of_a_long_prompt_until_its_first_event() -> None:
     async def test(world: FleetWorld) -> None:
-        await world.start(replicas=1, nodes=2, event_s=0.4)
+        # The first event comes after 0.6 s: so long the peer has to hear of the prompt.
+        await world.start(replicas=1, nodes=2, event_s=0.6)
+        await world.until(lambda: all(one._peers.live() for one in world.nodes))
         headers = [
             (names.REQUEST_ID.decode(), "long"),
             (names.DEADLINE_MS.decode(), "3000"),
