Silent nodes are tried again; work of a node that decides alone adds to what it was told

A node whose contacts were all silent reported to none of them any more, and only the coordinator's pings, sixty seconds long, could find it; and while told sums were valid, its own placements did not count beside them. Tests: test_a_node_that_was_cut_off_finds_the_ coordinator_again, test_a_node_that_decides_alone_adds_its_own_work_to_what_it_was_told.

--- a/src/cloverwalk/fleet/coordinator.py
+++ b/src/cloverwalk/fleet/coordinator.py
@@ -312,7 +312,7 @@
     def take_totals(self, totals: dict[str, NodeLoad], now: float) -> None:
         """Take the fleet's work, for decisions of this node alone."""
         if not self.is_active:
-            self._scheduler.book.take_snapshot(totals, now)
+            self._scheduler.book.take_snapshot(totals, now, knows_all=False)
 
     def order_take_over(self, incarnation: str, job_ids: list[str]) -> None:
         """Have a node run jobs that have no owner."""
--- a/src/cloverwalk/fleet/leader.py
+++ b/src/cloverwalk/fleet/leader.py
@@ -68,12 +68,9 @@
         """Whether the coordinator is silent."""
         return self.current is not None and self.current.holder.host in self._silent
 
-    @property
-    def silent_holder(self) -> Contact | None:
-        """The coordinator while it is silent."""
-        if self.current is None or not self.has_lost_coordinator:
-            return None
-        return self.current.holder
+    def silent_contacts(self) -> list[Contact]:
+        """Return the coordinator and the standbys that do not answer."""
+        return [one for one in self._contacts() if one.host in self._silent]
 
     def _contacts(self) -> list[Contact]:
         if self.current is None:
--- a/src/cloverwalk/fleet/link.py
+++ b/src/cloverwalk/fleet/link.py
@@ -164,6 +164,8 @@
                 await curio.sleep(gap_s)
             self._wake.clear()
             await self._report()
+            if is_lost:
+                self._try_silent()
 
     async def note_change(self) -> None:
         """Loads, waiting items or the like have changed: the coordinator should know soon."""
@@ -181,18 +183,15 @@
         target = self._leader.target()
         if target is None or target.node == self._identity.node:
             await self._tell_self([])
-            self._look_for_coordinator()
-            return
-        self._send(target, [])
-        holder = self._leader.silent_holder
-        if holder is not None and holder.node != self._identity.node:
-            self._transport.send(holder.host, self._new_report(holder.host, [], False))
-
-    def _look_for_coordinator(self) -> None:
-        """Ask the nodes that the settings name, where nobody is known to coordinate."""
-        if self._leader.current is not None:
-            return
-        for host in self._seeds:
+        else:
+            self._send(target, [])
+
+    def _try_silent(self) -> None:
+        """Report to the nodes that did not answer, too: they may be back."""
+        hosts = [one.host for one in self._leader.silent_contacts()]
+        if self._leader.current is None:
+            hosts = self._seeds
+        for host in hosts:
             self._transport.send(host, self._new_report(host, [], False))
 
     def _send(self, target: Contact, asks: list[Ask]) -> None:
--- a/src/cloverwalk/scheduling/slot_book.py
+++ b/src/cloverwalk/scheduling/slot_book.py
@@ -47,10 +47,12 @@
 
     >>> book = SlotBook()
     >>> book.hear("n1", {"r1": NodeLoad(2, 3)}, settled=0)
+    {'r1'}
     >>> book.expect("n1", 1, "r1", online=1, now=0.0)
     >>> book.total("r1", now=0.1)
     InFlight(online=3, batch=3)
     >>> book.hear("n1", {"r1": NodeLoad(3, 2)}, settled=1)
+    {'r1'}
     >>> book.total("r1", now=0.2)
     InFlight(online=3, batch=2)
     """
@@ -60,6 +62,9 @@
         self._sums: dict[str, InFlight] = {}
         self._snapshot: dict[str, NodeLoad] = {}
         self._snapshot_until = float("-inf")
+        self._adds = False
+        self._base: dict[str, int] = {}
+        """Online work that was known here when the snapshot came; it stands in there as well."""
 
     # --- changes ---
 
@@ -109,10 +114,18 @@
                 self._drop(work, decision)
         return changed
 
-    def take_snapshot(self, totals: dict[str, NodeLoad], now: float) -> None:
-        """Take another coordinator's sums; they count until the nodes have reported here."""
+    def take_snapshot(
+        self, totals: dict[str, NodeLoad], now: float, *, knows_all: bool = True
+    ) -> None:
+        """Take another coordinator's sums; they count until the nodes have reported here.
+
+        Where they never will, since this node decides for itself alone, ``knows_all`` is False:
+        work that comes here is added to the sums.
+        """
         self._snapshot = totals
         self._snapshot_until = now + SNAPSHOT_VALID_S
+        self._base = {} if knows_all else {key: one.online for key, one in self._sums.items()}
+        self._adds = not knows_all
 
     def _drop(self, work: _NodeWork, decision: _Decision) -> None:
         work.unsettled.remove(decision)
@@ -137,7 +150,8 @@
         told = self._snapshot.get(replica_id) if now < self._snapshot_until else None
         if told is None:
             return known
-        return InFlight(max(known.online, told.online), max(known.batch, told.batch))
+        news = max(0, known.online - self._base.get(replica_id, 0)) if self._adds else 0
+        return InFlight(max(known.online, told.online + news), max(known.batch, told.batch))
 
     def totals(self) -> dict[str, NodeLoad]:
         """Return the work of all nodes by replica, without what another coordinator told."""
--- a/tests/serving/test_coordination.py
+++ b/tests/serving/test_coordination.py
@@ -226,6 +226,22 @@
     in_fleet(SMALL, test)
 
 
+def test_a_node_that_was_cut_off_finds_the_coordinator_again() -> None:
+    async def test(world: CoordinationWorld) -> None:
+        await world.run(2.0)
+        node = plain_node(world)
+        world.wire.silent.add(node.host)
+        for host in {one.host for one in world.nodes} - {node.host}:
+            node.leader.note_silent(host)
+        assert node.follows == ""
+        world.wire.silent.clear()
+        node.link._try_silent()
+        await world.deliver()
+        assert node.follows == world.coordinator.name
+
+    in_fleet(SMALL, test)
+
+
 def test_a_standby_knows_the_fleets_work_when_it_takes_over() -> None:
     async def test(world: CoordinationWorld) -> None:
         asking = next(one for one in world.nodes if not one.coordinator.is_active)
--- a/tests/serving/test_scheduler.py
+++ b/tests/serving/test_scheduler.py
@@ -375,3 +375,11 @@
     book.hear("n1", {"r": NodeLoad(1, 0)}, settled=0)
     assert (book.total("r", 10.5).online, book.total("r", 10.5).batch) == (5, 2)
     assert book.total("r", 12.0).online == 1
+
+
+def test_a_node_that_decides_alone_adds_its_own_work_to_what_it_was_told() -> None:
+    book = SlotBook()
+    book.hear("n1", {"r": NodeLoad(1, 0)}, settled=0)
+    book.take_snapshot({"r": NodeLoad(5, 2)}, now=10.0, knows_all=False)
+    book.expect("n1", 1, "r", online=1, now=10.1)
+    assert book.total("r", 10.2).online == 6
