The choice of a replica is logged with its inputs again; gauges of the coordinator

The inputs of a choice are at the coordinator now, and the line replica_chosen had lost them. The placement brings them along.

--- a/src/cloverwalk/fleet/messages.py
+++ b/src/cloverwalk/fleet/messages.py
@@ -138,6 +138,12 @@
     """Expected wait for a slot, before any correction."""
 
     retry_after_s: float = 0.0
+    online: int = 0
+    """Online work at the replica when it was chosen; for the log, as the next two."""
+
+    batch: int = 0
+    reading_ms: int = 0
+    """Time that the replica needed for prompts which were sent before."""
 
 
 class Contact(Struct, array_like=True, frozen=True):
--- a/src/cloverwalk/fleet/places.py
+++ b/src/cloverwalk/fleet/places.py
@@ -32,13 +32,19 @@
 class Place:
     """The answer to a request that asked for a place."""
 
-    verdict: Verdict
-    replica_id: str = ""
+    placement: Placement
     work: Work | None = None
     """The request as the load of its replica counts it, where the verdict is SEND."""
 
-    wait_ms: float = 0.0
-    retry_after_s: float = 0.0
+    @property
+    def verdict(self) -> Verdict:
+        """Whether the request goes to a replica, has to come back, or goes nowhere."""
+        return self.placement.verdict
+
+    @property
+    def replica_id(self) -> str:
+        """The replica that it goes to."""
+        return self.placement.replica_id
 
 
 @attrs.define
@@ -142,13 +148,7 @@
             work = None
             if placement.verdict is Verdict.SEND:
                 work = self._loads.begin(placement.replica_id, is_batch=False)
-            pending.place = Place(
-                placement.verdict,
-                placement.replica_id,
-                work,
-                float(placement.wait_ms),
-                placement.retry_after_s,
-            )
+            pending.place = Place(placement, work)
         await pending.event.set()
 
     def take_withdrawn(self) -> list[int]:
--- a/src/cloverwalk/gateway/relay.py
+++ b/src/cloverwalk/gateway/relay.py
@@ -121,7 +121,7 @@
             place = await self._link.place(ask, request.received_at + LONGEST_HOLD_S)
             if place.verdict is Verdict.RETURN:
                 message = "all slots are taken by online requests"
-                raise GatewayError(503, "crowded", message, place.retry_after_s)
+                raise GatewayError(503, "crowded", message, place.placement.retry_after_s)
             if place.verdict is Verdict.NONE:
                 raise self._refusal(progress, "no_replica")
             replica = self._directory.find(place.replica_id)
@@ -167,12 +167,15 @@
     def _note_choice(self, request: ClientRequest, progress: RequestProgress, place: Place) -> None:
         now = self._clock()
         progress.work = place.work
-        progress.expected_wait_ms = place.wait_ms
+        progress.expected_wait_ms = float(place.placement.wait_ms)
         self._log.write(
             catalogue.REPLICA_CHOSEN,
             request=request.fields.request_id,
             replica=place.replica_id,
-            expected_wait_ms=round(place.wait_ms),
+            online=place.placement.online,
+            batch=place.placement.batch,
+            reading_ms=place.placement.reading_ms,
+            expected_wait_ms=place.placement.wait_ms,
             waited_ms=round((now - request.received_at) * 1000, 1),
             list_age_s=round(now - self._directory.confirmed_at, 3),
             after_event=progress.last_event_id,
--- a/src/cloverwalk/scheduling/online.py
+++ b/src/cloverwalk/scheduling/online.py
@@ -140,8 +140,9 @@
         if verdict is Verdict.HOLD:
             self._hold(held)
             return None
+        self._place(held, chosen, wait_ms, now)
         reading_ms = expected_reading_ms(chosen, candidates, demand)
-        self._place(held, chosen.replica.replica_id, wait_ms, reading_ms, now)
+        self._replicas.note_reading(chosen.replica.replica_id, reading_ms, now)
         return chosen.replica.replica_id
 
     def _refuse(self, held: _Held, placement: Placement) -> str:
@@ -156,15 +157,21 @@
             placement = Placement(held.ask.number, Verdict.HOLD)
             self._outbox.of(held.node).placements.append(placement)
 
-    def _place(
-        self, held: _Held, replica_id: str, wait_ms: float, reading_ms: float, now: float
-    ) -> None:
+    def _place(self, held: _Held, chosen: Candidate, wait_ms: float, now: float) -> None:
         self._held.pop((held.node, held.ask.number), None)
         decisions = self._outbox.of(held.node)
-        placement = Placement(held.ask.number, Verdict.SEND, replica_id, round(wait_ms))
+        replica_id = chosen.replica.replica_id
+        placement = Placement(
+            held.ask.number,
+            Verdict.SEND,
+            replica_id,
+            round(wait_ms),
+            online=chosen.in_flight.online,
+            batch=chosen.in_flight.batch,
+            reading_ms=round(chosen.reading_ms),
+        )
         decisions.placements.append(placement)
         self._book.expect(held.node, decisions.number, replica_id, online=1, now=now)
-        self._replicas.note_reading(replica_id, reading_ms, now)
 
     # --- what it can expect ---
 
--- a/src/cloverwalk/serving/node.py
+++ b/src/cloverwalk/serving/node.py
@@ -283,6 +283,10 @@
         metrics.gauge("cloverwalk_replica_connections_opened", "Opened", self._pool.opened)
         metrics.gauge("cloverwalk_jobs_owned", "Jobs run here", len(self._batch.runner.jobs))
         metrics.gauge("cloverwalk_client_connections", "Open", self._clients.connection_count)
+        coordinator = self._fleet.coordinator
+        known = len(coordinator.roster.live()) if coordinator.is_active else 0
+        metrics.gauge("cloverwalk_coordinator_term", "Term followed", self._fleet.leader.term)
+        metrics.gauge("cloverwalk_coordinated_nodes", "Nodes that report here", known)
         content_type = (b"Content-Type", b"text/plain; version=0.0.4")
         await reply.respond(200, [content_type], metrics.render())
 
