--- a/tests/serving/test_coordination.py
+++ b/tests/serving/test_coordination.py
@@ -323,6 +323,7 @@
         node.link.waiting = {"model": [WaitingGroup(1, 5)]}
         await node.link._report()
         assert recorder.grants == []
+        assert all(one.batch == 0 for one in node.scheduler.totals().values())
 
     in_fleet(SMALL, test)
 
