--- a/bench/standing.py
+++ b/bench/standing.py
@@ -6,14 +6,9 @@
 Usage: standing.py [--nodes 1,15,40] [--per-node 0,1] [--seconds 10] [--replicas 8]
 """
 
-import json
 import os
-import subprocess
 import sys
-import tempfile
 import time
-from collections.abc import Iterator
-from contextlib import contextmanager
 from pathlib import Path
 from typing import Any
 
@@ -24,11 +19,11 @@
 ROOT = Path(__file__).resolve().parent.parent
 sys.path.insert(0, str(ROOT / "tests" / "serving"))
 
-from fleet_world import HOST, FleetWorld, configuration, free_port  # noqa: E402
+from fleet_world import FleetWorld, configuration  # noqa: E402
+from node_processes import ZONES, node_processes  # noqa: E402
 
 from cloverwalk.platform import names  # noqa: E402
 
-ZONES = ("z1", "z2", "z3")
 WARM_UP_S = 6.0
 """Starts, introductions and first reads are not part of the standing cost."""
 
@@ -50,49 +45,6 @@
     store_calls: int
 
 
-def settings_text(number: int, ports: list[int], store_port: int) -> str:
-    """Return the settings file of a node, in the platform's form."""
-    host = f"127.0.1.{number + 1}"
-    zone = ZONES[number % len(ZONES)]
-    seeds = json.dumps([f"127.0.1.{one + 1}:{ports[2]}" for one in range(3)])
-    return "\n".join(
-        [
-            f'node = "front-{zone}-{number}"',
-            f'ip = "{host}"',
-            f'zone = "{zone}"',
-            f"ephemeral_ports = [{ports[2]}, {ports[3]}]",
-            f"seeds = {seeds}",
-            "[listen]",
-            f'front = "{host}:{ports[0]}"',
-            f'ready = "{host}:{ports[1]}"',
-            "[platform]",
-            f'address = "127.0.0.1:{store_port}"',
-            "",
-        ]
-    )
-
-
-@contextmanager
-def node_processes(count: int, ports: list[int], store_port: int) -> Iterator[list[int]]:
-    """Start the node program ``count`` times; end what was started."""
-    started: list[subprocess.Popen[bytes]] = []
-    with tempfile.TemporaryDirectory() as folder:
-        try:
-            for number in range(count):
-                path = Path(folder) / f"{number}.toml"
-                path.write_text(settings_text(number, ports, store_port))
-                environment = {**os.environ, names.SETTINGS_VARIABLE: str(path)}
-                command = [sys.executable, str(ROOT / "deploy" / "node.py")]
-                process = subprocess.Popen(command, env=environment, stdout=subprocess.DEVNULL)
-                started.append(process)
-            yield [one.pid for one in started]
-        finally:
-            for process in started:
-                process.kill()
-            for process in started:
-                process.wait()
-
-
 def cpu_s(pid: int) -> float:
     """Return the processor time that a process has used, in seconds."""
     fields = Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()
@@ -168,18 +120,18 @@
 async def measure(count: int, per_node_s: float, seconds: float, replicas: int) -> dict[str, Any]:
     """Return the cost of a node and second in a fleet of ``count`` nodes."""
     world = FleetWorld()
-    ports = [free_port() for _ in range(4)]
     try:
         await world.spawn(world.store.run)
         world.store.put(names.OPERATOR_TABLE, names.CONFIGURATION_KEY, configuration(1))
         for _ in range(replicas):
             await world.add_replica(events=20, event_s=0.02)
         await world.spawn(_beat, world)
-        with node_processes(count, ports, world.store_port) as pids:
-            hosts = [f"127.0.1.{number + 1}" for number in range(count)]
-            await _until_ready(world, [(host, ports[1]) for host in hosts])
+        with node_processes(count, world.store_port) as nodes:
+            pids = [one.pid for one in nodes]
+            await _until_ready(world, [one.ready_address for one in nodes])
             if per_node_s > 0:
-                await world.spawn(_load, world, [(host, ports[0]) for host in hosts], per_node_s)
+                addresses = [one.client_address for one in nodes]
+                await world.spawn(_load, world, addresses, per_node_s)
             await curio.sleep(WARM_UP_S)
             before = take(pids, world)
             await curio.sleep(seconds)
@@ -189,7 +141,6 @@
     node_seconds = count * (after.at - before.at)
     return {
         "nodes": count,
-        "host": HOST,
         "requests": per_node_s,
         "core": round((after.cpu_s - before.cpu_s) / node_seconds, 4),
         "waits": round((after.waits - before.waits) / node_seconds, 1),
--- /dev/null
+++ b/tests/serving/node_processes.py
@@ -0,0 +1,92 @@
+"""The real node program as separate processes on loopback, for tests and measurements."""
+
+import json
+import os
+import signal
+import subprocess
+import sys
+import tempfile
+from collections.abc import Iterator
+from contextlib import contextmanager
+from pathlib import Path
+
+from fleet_world import free_port
+
+from cloverwalk.platform import names
+
+PROGRAM = Path(__file__).resolve().parents[2] / "deploy" / "node.py"
+ZONES = ("z1", "z2", "z3")
+SEEDS = 3
+
+
+class NodeProcess:
+    """One process; it is ended with its fleet."""
+
+    def __init__(self, number: int, ports: list[int], store_port: int, folder: Path) -> None:
+        self.host = f"127.0.1.{number + 1}"
+        self.zone = ZONES[number % len(ZONES)]
+        self.node = f"front-{self.zone}-{number}"
+        self.client_address = (self.host, ports[0])
+        self.ready_address = (self.host, ports[1])
+        self._settings = folder / f"{number}.toml"
+        self._settings.write_text(self._settings_text(ports, store_port))
+        self.popen = self._start()
+
+    def _settings_text(self, ports: list[int], store_port: int) -> str:
+        """Return the settings file of the node, in the platform's form."""
+        client, ready, first, last = ports
+        seeds = json.dumps([f"127.0.1.{one + 1}:{first}" for one in range(SEEDS)])
+        return "\n".join(
+            [
+                f'node = "{self.node}"',
+                f'ip = "{self.host}"',
+                f'zone = "{self.zone}"',
+                f"ephemeral_ports = [{first}, {last}]",
+                f"seeds = {seeds}",
+                "[listen]",
+                f'front = "{self.host}:{client}"',
+                f'ready = "{self.host}:{ready}"',
+                "[platform]",
+                f'address = "127.0.0.1:{store_port}"',
+                "",
+            ]
+        )
+
+    def _start(self) -> "subprocess.Popen[bytes]":
+        environment = {**os.environ, names.SETTINGS_VARIABLE: str(self._settings)}
+        command = [sys.executable, str(PROGRAM)]
+        return subprocess.Popen(command, env=environment, stdout=subprocess.DEVNULL)
+
+    @property
+    def pid(self) -> int:
+        """The id of the process."""
+        return self.popen.pid
+
+    def send_signal(self, number: signal.Signals) -> None:
+        """Send a signal to the process."""
+        self.popen.send_signal(number)
+
+    def kill(self) -> None:
+        """End the process as a kill does."""
+        self.popen.kill()
+        self.popen.wait()
+
+    def restart(self) -> None:
+        """Start the program anew, with the same settings."""
+        self.kill()
+        self.popen = self._start()
+
+
+@contextmanager
+def node_processes(count: int, store_port: int) -> Iterator[list[NodeProcess]]:
+    """Start a fleet; end what was started."""
+    ports = [free_port() for _ in range(4)]
+    started: list[NodeProcess] = []
+    with tempfile.TemporaryDirectory() as folder:
+        try:
+            for number in range(count):
+                started.append(NodeProcess(number, ports, store_port, Path(folder)))
+            yield started
+        finally:
+            for process in started:
+                process.kill()
--- /dev/null
+++ b/tests/serving/test_fleet_processes.py
@@ -0,0 +1,112 @@
+"""Real processes of the node program: killed, frozen and restarted from outside."""
+
+import json
+import signal
+from collections.abc import Awaitable, Callable
+
+import curio
+import pytest
+from fleet_world import FleetWorld, configuration, in_world
+from node_processes import NodeProcess, node_processes
+
+from cloverwalk.platform import names
+
+READY_WITHIN_S = 60.0
+NODES = 4
+
+
+class ProcessFleet:
+    """Nodes as processes before a store and replicas in this one."""
+
+    def __init__(self, world: FleetWorld, nodes: list[NodeProcess]) -> None:
+        self.world = world
+        self.nodes = nodes
+
+    async def until_ready(self, node: NodeProcess) -> None:
+        async with curio.timeout_after(READY_WITHIN_S):
+            while not await self._is_ready(node):
+                await curio.sleep(0.1)
+
+    async def _is_ready(self, node: NodeProcess) -> bool:
+        try:
+            answer = await self.world.call("GET", names.READY_PATH, address=node.ready_address)
+        except OSError:
+            return False
+        return answer.status == 200
+
+    def coordinator_name(self) -> str:
+        """Return the node that the store's row names, empty without a row."""
+        row = self.world.store.rows.values("role").get("coordinator")
+        return "" if row is None else str(json.loads(row)["holder"][0])
+
+    async def coordinator(self) -> NodeProcess:
+        await self.world.until(lambda: bool(self.coordinator_name()))
+        name = self.coordinator_name()
+        return next(one for one in self.nodes if one.node == name)
+
+    async def ask(self, node: NodeProcess) -> bool:
+        answer = await self.world.ask("/chat/a", address=node.client_address)
+        return answer.status == 200 and answer.is_whole
+
+    async def until_followed_by_another(self, node: NodeProcess) -> None:
+        async with curio.timeout_after(READY_WITHIN_S):
+            while self.coordinator_name() == node.node:
+                await curio.sleep(0.05)
+
+
+def in_process_fleet(test: Callable[[ProcessFleet], Awaitable[None]]) -> None:
+    async def main(world: FleetWorld) -> None:
+        await world.spawn(world.store.run)
+        world.store.put(names.OPERATOR_TABLE, names.CONFIGURATION_KEY, configuration(1))
+        for _ in range(2):
+            await world.add_replica(events=10, event_s=0.01)
+        with node_processes(NODES, world.store_port) as nodes:
+            fleet = ProcessFleet(world, nodes)
+            for node in nodes:
+                await fleet.until_ready(node)
+            await test(fleet)
+
+    in_world(main)
+
+
+@pytest.mark.parametrize("how", [signal.SIGKILL, signal.SIGSTOP])
+def test_requests_go_on_while_the_coordinator_is_gone_or_frozen(how: signal.Signals) -> None:
+    async def test(fleet: ProcessFleet) -> None:
+        lost = await fleet.coordinator()
+        others = [one for one in fleet.nodes if one is not lost]
+        assert all([await fleet.ask(one) for one in others])
+        lost.send_signal(how)
+        assert all([await fleet.ask(one) for one in others for _ in range(3)])
+        await fleet.until_followed_by_another(lost)
+        assert all([await fleet.ask(one) for one in others])
+        if how is signal.SIGSTOP:
+            lost.send_signal(signal.SIGCONT)
+            assert await fleet.ask(lost)
+
+    in_process_fleet(test)
+
+
+def test_a_job_of_a_killed_process_goes_on_and_its_restart_is_found() -> None:
+    async def test(fleet: ProcessFleet) -> None:
+        world = fleet.world
+        holder = await fleet.coordinator()
+        owner = next(one for one in fleet.nodes if one is not holder)
+        headers = [(names.REQUEST_ID.decode(), "j")]
+        body = json.dumps(
+            {"requests": [{"id": f"j-{n}", "path": f"/jobs/{n}", "tokens": 1} for n in range(6)]}
+        ).encode()
+        taken = await world.call("POST", "/jobs/x", body, headers, address=owner.client_address)
+        assert taken.status == 202
+        owner.restart()
+        target = f"{names.JOB_PREFIX}j?since_revision=0"
+        async with curio.timeout_after(READY_WITHIN_S):
+            while True:
+                answer = await world.call("GET", target, address=holder.client_address)
+                if answer.status == 200 and len(json.loads(answer.body)["results"]) == 6:
+                    break
+                await curio.sleep(0.1)
+        await fleet.until_ready(owner)
+        again = await world.call("GET", target, address=owner.client_address)
+        assert json.loads(again.body) == json.loads(answer.body)
+
+    in_process_fleet(test)
