--- a/tests/processes/cluster.py
+++ b/tests/processes/cluster.py
@@ -119,6 +119,10 @@
         for zone in zones:
             self.add_node(f"{zone}-n", zone)
         wait_for(lambda: self.owned_replicas() == len(zones), "an owner for every replica")
+        wait_for(
+            lambda: all(self.has_own_replica(zone) for zone in zones),
+            "each node to have its own zone's replica, which an earlier node took at first",
+        )
         body = json.dumps({"tenant": "parish", "name": "quiz"}).encode()
         self.session = call(self.any_node(), "POST", "/v1/sessions", body).json()["session_id"]
 
@@ -193,6 +197,12 @@
         """Set the platform's fault switches."""
         call(self.platform.address, "PUT", "/v1/faults", json.dumps(faults).encode())
 
+    def has_own_replica(self, zone: str) -> bool:
+        """Whether a zone's node has taken the zone's replica."""
+        resource = f'replica/{zone}-r"'
+        lines = self.nodes[f"{zone}-n"].lines
+        return any("lease_taken" in line and resource in line for line in lines)
+
     def starts(self) -> list[str]:
         """Return the request ids of the engines' logs of starts."""
         return [
--- a/tests/processes/test_processes.py
+++ b/tests/processes/test_processes.py
@@ -81,10 +81,11 @@
     node = cluster.nodes["depot-n"]
     other = cluster.nodes["levee-n"]
     job_id = cluster.submit(150, "heap", tokens=60)
+    seen = len(other.lines)
     node.send_signal(signal.SIGSTOP)
     taken_over = 'replica/depot-r"'
     wait_for(
-        lambda: any("lease_taken" in line and taken_over in line for line in other.lines),
+        lambda: any("lease_taken" in line and taken_over in line for line in other.lines[seen:]),
         "the takeover of the frozen node's replica",
     )
     node.send_signal(signal.SIGCONT)
