--- a/src/cloverwalk/fleet/coordinator.py
+++ b/src/cloverwalk/fleet/coordinator.py
@@ -251,8 +251,10 @@
         now = self._clock()
         remembered_s = REMEMBERED_S if self.is_active else 0.0
         for known in self.roster.expire(now, remembered_s):
-            silent_s = round(now - known.heard_at, 2)
-            self._log.write(catalogue.PEER_LOST, peer=known.contact.node, silent_s=silent_s)
+            if self.is_active:
+                # Elsewhere a node that turned back to the coordinator is not lost.
+                silent_s = round(now - known.heard_at, 2)
+                self._log.write(catalogue.PEER_LOST, peer=known.contact.node, silent_s=silent_s)
             self._scheduler.forget(known.contact.node, now)
         self._scheduler.tick(now)
         await self.tell_decisions()
--- a/src/cloverwalk/gateway/configuration.py
+++ b/src/cloverwalk/gateway/configuration.py
@@ -105,7 +105,7 @@
     def __init__(self) -> None:
         self.current: Configuration | None = None
         self.raw: bytes = b""
-        """The stored form of ``current``, for peers that can't read the store."""
+        """The stored form of ``current``, for nodes that can't read the store."""
 
     @property
     def version(self) -> int:
