--- a/src/cloverwalk/jobs/__init__.py
+++ b/src/cloverwalk/jobs/__init__.py
@@ -1,1 +1,1 @@
-"""Batch jobs: taken, owned by one node at a time, run beside online work, listed once and read anywhere."""
+"""Batch jobs: taken, owned by one node at a time, run beside online work, and listed once."""
