A record is never written with a time of the store that was not read

The time was learnt from pages of followed tables only.

Change: every answered call tells the store's time (WatchedStore to StoreClock); it is unknown before the first. A hand-in reads its record first where the time is unknown, and is refused where that fails. Nothing is given up or swept without a known time. An answer that lay unread does not set the time back.

--- a/src/cloverwalk/jobs/intake.py
+++ b/src/cloverwalk/jobs/intake.py
@@ -80,7 +80,7 @@
         committer: Committer,
         view: JobView,
         reader: JobReader,
-        store_now_ms: Callable[[], float],
+        store_now_ms: Callable[[], float | None],
         clock: Callable[[], float],
         log: ServingLog,
         on_taken: OnTaken,
@@ -122,7 +122,7 @@
         refuse_after_s = REFUSE_AFTER_SERVED_ELSEWHERE_S if is_elsewhere else REFUSE_AFTER_S
         refuse_at = self._clock() + refuse_after_s
         for _ in range(MAX_CONFLICTS):
-            record = self._new_record(submission, route)
+            record = self._new_record(submission, route, await self._now_ms(submission))
             payload = payload_puts(record.job_id, submission.items)
             record.payload_rows = len(payload)
             payload = await self._put_ahead(submission, payload, until)
@@ -143,8 +143,20 @@
 
     # --- steps ---
 
-    def _new_record(self, submission: Submission, route: Route) -> JobRecord:
+    async def _now_ms(self, submission: Submission) -> float:
+        """Return the store's time; a process that has just started reads something to learn it.
+
+        The configuration may have come from a peer. Times that were guessed would have the items
+        given up too early.
+        """
+        if self._store_now_ms() is None:
+            await self._reader.read_record(submission.job_id)
         now_ms = self._store_now_ms()
+        if now_ms is None:
+            raise self._unsettled(submission, CommitOutcome(CommitStatus.NOT_DONE))
+        return now_ms
+
+    def _new_record(self, submission: Submission, route: Route, now_ms: float) -> JobRecord:
         tokens = sum(item.tokens for item in submission.items)
         return JobRecord(
             submission.job_id,
--- a/src/cloverwalk/jobs/runner.py
+++ b/src/cloverwalk/jobs/runner.py
@@ -56,7 +56,7 @@
         link: CoordinatorLink,
         on_finished: Callable[[JobRun], Awaitable[None]],
         on_orphans: Callable[[list[str]], Awaitable[None]],
-        store_now_ms: Callable[[], float],
+        store_now_ms: Callable[[], float | None],
         log: ServingLog,
         metrics: ServingMetrics,
         clock: Callable[[], float],
@@ -163,11 +163,16 @@
 
     def _waiting_item(self, job: JobRun, one: ItemRun) -> WaitingItem:
         due_ms = job.record.due_ms
-        can_be_in_time = self._pace.can_be_in_time(one, due_ms - self._store_now_ms())
+        can_be_in_time = self._pace.can_be_in_time(one, self._left_ms(job))
         replica_id = one.replica_id if self._directory.find(one.replica_id) else ""
         order_ms = self._pace.order_ms(one, due_ms)
         return WaitingItem(order_ms, can_be_in_time, replica_id, self._reading_ms(one))
 
+    def _left_ms(self, job: JobRun) -> float:
+        """Return the time until a job is due; all the time while the store's is not known."""
+        now_ms = self._store_now_ms()
+        return float("inf") if now_ms is None else job.record.due_ms - now_ms
+
     def _reading_ms(self, one: ItemRun) -> float:
         prompt = self._caller.prompt(one)
         return reading_ms(prompt[-1].tokens) if prompt else 0.0
@@ -176,7 +181,8 @@
         """End items past their retention, and those whose route is gone for good."""
         now_ms = self._store_now_ms()
         for job in list(self.jobs.values()):
-            if now_ms <= job.record.give_up_ms and not self._has_lost_its_route(job):
+            is_past = now_ms is not None and now_ms > job.record.give_up_ms
+            if not is_past and not self._has_lost_its_route(job):
                 continue
             waiting = [one for one in job.items if one.phase is Phase.PENDING]
             for one in waiting:
@@ -186,7 +192,9 @@
                     catalogue.ITEMS_GIVEN_UP,
                     job=job.job_id,
                     items=len(waiting),
-                    past_retention=now_ms > job.record.give_up_ms,
+                    past_retention=is_past,
+                    accepted_ms=round(job.record.accepted_ms),
+                    store_ms=None if now_ms is None else round(now_ms),
                     configuration=self._configuration.version,
                 )
                 await self._on_finished(job)
@@ -336,6 +344,6 @@
         return len(chosen)
 
     def _yield_rank(self, running: _Running) -> tuple[bool, bool, float]:
-        left_ms = running.job.record.due_ms - self._store_now_ms()
+        left_ms = self._left_ms(running.job)
         spare_ms = left_ms - self._pace.remaining_s(running.one) * 1000
         return (running.work.has_output, spare_ms >= 0, -spare_ms)
--- a/src/cloverwalk/jobs/sweeper.py
+++ b/src/cloverwalk/jobs/sweeper.py
@@ -44,7 +44,7 @@
         view: JobView,
         store: Store,
         committer: Committer,
-        store_now_ms: Callable[[], float],
+        store_now_ms: Callable[[], float | None],
         status_s: float,
         log: ServingLog,
     ) -> None:
@@ -76,7 +76,10 @@
                 return
 
     def _is_old(self, record: JobRecord) -> bool:
-        return not record.is_open and self._store_now_ms() > record.accepted_ms + self._kept_ms
+        now_ms = self._store_now_ms()
+        if record.is_open or now_ms is None:
+            return False
+        return now_ms > record.accepted_ms + self._kept_ms
 
     async def _remove(self, known: KnownJob) -> None:
         job_id = known.record.job_id
--- a/src/cloverwalk/platform/store_client.py
+++ b/src/cloverwalk/platform/store_client.py
@@ -41,7 +41,7 @@
 class _RowsAnswer(Struct):
     rows: list[_WireRow] = []
     ver: int = 0
-    now_ms: float = 0.0
+    now_ms: float | None = None
     more: bool = False
 
 
@@ -99,7 +99,7 @@
     async def read_table(self, table: str) -> RowPage:
         """Return the rows of all parts of a table."""
         parts = [""] if table in names.EMPTY_PART_TABLES else await self._parts(table)
-        whole = RowPage([], 0, 0.0)
+        whole = RowPage([], 0, None)
         versions: list[int] = []
         for part in parts or [""]:
             await self._read_part(table, part, whole, versions)
--- a/src/cloverwalk/serving/batch_parts.py
+++ b/src/cloverwalk/serving/batch_parts.py
@@ -26,6 +26,7 @@
 from cloverwalk.serving.fleet_parts import FleetParts
 from cloverwalk.serving.knowledge import FleetKnowledge
 from cloverwalk.serving.settings import ServingSettings
+from cloverwalk.store.clock import StoreClock
 from cloverwalk.store.health import StoreHealth
 from cloverwalk.store.types import RowPage, Store
 from cloverwalk.telemetry.log import ServingLog
@@ -50,12 +51,12 @@
         pool: ReplicaPool,
         store: Store,
         health: StoreHealth,
+        store_clock: StoreClock,
         log: ServingLog,
         metrics: ServingMetrics,
         clock: Callable[[], float],
         random: Random,
     ) -> None:
-        self._knowledge = knowledge
         self._fleet = fleet
         incarnation = fleet.identity.incarnation
         self.view = JobView()
@@ -70,7 +71,7 @@
             fleet.link,
             self._on_finished,
             self._on_orphans,
-            knowledge.store_now_ms,
+            store_clock.now_ms,
             log,
             metrics,
             clock,
@@ -86,7 +87,7 @@
             committer,
             self.view,
             self.reader,
-            knowledge.store_now_ms,
+            store_clock.now_ms,
             clock,
             log,
             self._on_taken,
@@ -127,7 +128,7 @@
             self.view,
             store,
             committer,
-            knowledge.store_now_ms,
+            store_clock.now_ms,
             settings.status_s,
             log,
         )
@@ -148,7 +149,6 @@
         return job_id in self.runner.jobs
 
     async def _on_jobs(self, page: RowPage) -> None:
-        self._knowledge.note_clock(page)
         await self.view.take(page)
 
     async def _on_taken(self, job: JobRun) -> None:
--- a/src/cloverwalk/serving/knowledge.py
+++ b/src/cloverwalk/serving/knowledge.py
@@ -1,4 +1,4 @@
-"""What a node knows from the store: configuration, replicas, time. Peers may add to it."""
+"""What a node knows from the store: configuration and replicas. Peers may add to it."""
 
 from collections.abc import Callable
 
@@ -17,25 +17,11 @@
         self._adapter = adapter
         self._log = log
         self._clock = clock
-        self._clock_ms = 0.0
-        self._clock_at: float | None = None
         self.configuration = ConfigurationHolder()
         self.directory = ReplicaDirectory()
 
-    def note_clock(self, page: RowPage) -> None:
-        """Take the store's time from an answer."""
-        self._clock_ms = page.now_ms
-        self._clock_at = self._clock()
-
-    def store_now_ms(self) -> float:
-        """Return the store's time, in ms, 0 before it is known."""
-        if self._clock_at is None:
-            return 0.0
-        return self._clock_ms + (self._clock() - self._clock_at) * 1000
-
     async def on_configuration(self, page: RowPage) -> None:
         """Take rows of the configuration's table."""
-        self.note_clock(page)
         for row in page.rows:
             if row.row_key.key == self._adapter.configuration_key and row.value is not None:
                 self.take_configuration(row.value)
@@ -100,6 +86,5 @@
         self._log.write(catalogue.REPLICA_REMOVED, replica=replica_id, version=version)
 
     def _confirm_directory(self, page: RowPage) -> None:
-        self.note_clock(page)
         self.directory.version = max(self.directory.version, page.version)
         self.directory.confirmed_at = self._clock()
--- a/src/cloverwalk/serving/node.py
+++ b/src/cloverwalk/serving/node.py
@@ -27,6 +27,7 @@
 from cloverwalk.serving.fleet_parts import DIRECTORY_PAUSE_S, FleetParts
 from cloverwalk.serving.knowledge import FleetKnowledge
 from cloverwalk.serving.settings import ServingSettings
+from cloverwalk.store.clock import StoreClock
 from cloverwalk.store.health import StoreHealth, WatchedStore
 from cloverwalk.store.types import StoreError
 from cloverwalk.telemetry.log import ServingLog
@@ -82,7 +83,10 @@
         self._directory = self._knowledge.directory
         self._loads = LoadBook()
         self._health = StoreHealth(Clock(self._clock))
-        self._store = WatchedStore(self._adapter.store(self._settings), self._health)
+        self._store_clock = StoreClock(Clock(self._clock))
+        self._store = WatchedStore(
+            self._adapter.store(self._settings), self._health, self._store_clock
+        )
         self._pool = ReplicaPool(self._adapter.codec, self._clock)
 
     def _build_fleet(self) -> None:
@@ -106,6 +110,7 @@
             self._pool,
             self._store,
             self._health,
+            self._store_clock,
             self._log,
             self._metrics,
             self._clock,
--- a/src/cloverwalk/store/health.py
+++ b/src/cloverwalk/store/health.py
@@ -7,6 +7,7 @@
 import curio
 
 from cloverwalk.core.clock import Clock
+from cloverwalk.store.clock import StoreClock
 from cloverwalk.store.types import (
     CommitOutcome,
     CommitStatus,
@@ -94,17 +95,23 @@
 
 
 class WatchedStore:
-    """A store whose answers and failures are noted."""
+    """A store whose answers and failures are noted, and the time that answers tell."""
 
-    def __init__(self, store: Store, health: StoreHealth) -> None:
+    def __init__(self, store: Store, health: StoreHealth, time: StoreClock) -> None:
         self._store = store
         self._health = health
+        self._time = time
+
+    async def _note_answer(self, now_ms: float | None) -> None:
+        if now_ms is not None:
+            self._time.note(now_ms)
+        await self._health.note_answer()
 
     async def commit(self, transaction: Transaction, timeout_s: float) -> CommitOutcome:
         """Try once to commit; never raises."""
         outcome = await self._store.commit(transaction, timeout_s)
         if outcome.status in (CommitStatus.COMMITTED, CommitStatus.CONFLICT):
-            await self._health.note_answer()
+            await self._note_answer(outcome.now_ms)
         else:
             await self._health.note_failure()
         return outcome
@@ -118,7 +125,7 @@
         except StoreError:
             await self._health.note_failure()
             raise
-        await self._health.note_answer()
+        await self._note_answer(page.now_ms)
         return page
 
     async def read_table(self, table: str) -> RowPage:
@@ -128,7 +135,7 @@
         except StoreError:
             await self._health.note_failure()
             raise
-        await self._health.note_answer()
+        await self._note_answer(page.now_ms)
         return page
 
     async def changes(self, table: str, since: int, wait_s: float) -> RowPage:
@@ -141,5 +148,5 @@
         except StoreError:
             await self._health.note_failure()
             raise
-        await self._health.note_answer()
+        await self._note_answer(page.now_ms)
         return page
--- a/src/cloverwalk/store/types.py
+++ b/src/cloverwalk/store/types.py
@@ -81,7 +81,9 @@
 
     status: CommitStatus
     version: int = 0
-    now_ms: float = 0.0
+    now_ms: float | None = None
+    """The store's time; None where no answer told it."""
+
     conflicts: list[Row] = []
     """With CONFLICT: the rows of the expectations as they are."""
 
@@ -98,7 +100,9 @@
 
     rows: list[Row]
     version: int
-    now_ms: float
+    now_ms: float | None
+    """The store's time; None where the answer did not tell it."""
+
     has_more: bool = False
 
 
--- a/tests/serving/coordination_world.py
+++ b/tests/serving/coordination_world.py
@@ -31,6 +31,7 @@
 from cloverwalk.gateway.replicas import Replica, ReplicaDirectory
 from cloverwalk.gateway.service_times import ServiceTimes
 from cloverwalk.scheduling.scheduler import Scheduler
+from cloverwalk.store.clock import StoreClock
 from cloverwalk.store.health import StoreHealth, WatchedStore
 from cloverwalk.telemetry.log import ServingLog
 
@@ -89,7 +90,7 @@
         self.configuration = world.configuration()
         self.directory = ReplicaDirectory()
         self.health = StoreHealth(Clock(clock))
-        self.store = WatchedStore(world.store, self.health)
+        self.store = WatchedStore(world.store, self.health, StoreClock(Clock(clock)))
         self.leader = LeaderView(self.identity, world.now)
         transport = world.wire.sender(self.host)
         self.scheduler = Scheduler(self.directory, self.configuration, ServiceTimes(), random)
--- a/tests/serving/job_world.py
+++ b/tests/serving/job_world.py
@@ -1,6 +1,7 @@
 """Jobs of several owners over one store in memory, with time by hand."""
 
 import os
+from collections.abc import Callable
 from random import Random
 
 from cloverwalk.core.clock import Clock
@@ -69,13 +70,14 @@
         self.cache = ResultCache()
         self.reader = JobReader(store, self.view, self._is_run_here, self.cache, clock)
         self.is_served_elsewhere = False
+        self.told_ms: Callable[[], float | None] = lambda: store.now_ms
         self.intake = JobIntake(
             name,
             store,
             self.committer,
             self.view,
             self.reader,
-            lambda: store.now_ms,
+            lambda: self.told_ms(),
             clock,
             log,
             self._taken,
--- a/tests/serving/test_jobs.py
+++ b/tests/serving/test_jobs.py
@@ -45,6 +45,33 @@
     curio.run(main)
 
 
+def test_a_process_that_knows_no_time_of_the_store_reads_it_before_it_takes_a_job() -> None:
+    async def main() -> None:
+        store = MemoryStore()
+        store.now_ms = 50_000.0
+        node = OwnerNode("n1", store, HandClock())
+        node.told_ms = lambda: store.now_ms if store.reads else None
+        await node.submit(submission("j"), batch_route())
+        record = await node.reader.find("j")
+        assert record.accepted_ms == 50_000.0
+        assert record.give_up_ms == 110_000.0
+
+    curio.run(main)
+
+
+def test_no_job_is_taken_while_the_time_of_the_store_is_unknown() -> None:
+    async def main() -> None:
+        store = MemoryStore()
+        node = OwnerNode("n1", store, HandClock())
+        node.told_ms = lambda: None
+        with pytest.raises(JobError) as refused:
+            await node.submit(submission("j"), batch_route())
+        assert refused.value.status == 503
+        assert store.commits == 0
+
+    curio.run(main)
+
+
 def test_a_job_with_long_items_comes_back_whole() -> None:
     async def main() -> None:
         store = MemoryStore()
--- a/tests/serving/test_store_health.py
+++ b/tests/serving/test_store_health.py
@@ -14,6 +14,7 @@
 from cloverwalk.jobs.records import PARTIAL_TABLE
 from cloverwalk.jobs.run import JobRun
 from cloverwalk.serving import node as node_module
+from cloverwalk.store.clock import StoreClock
 from cloverwalk.store.health import StoreHealth, WatchedStore
 from cloverwalk.store.types import CommitStatus, Put, RowKey, StoreError, Transaction
 
@@ -70,7 +71,7 @@
     async def test() -> None:
         inner = MemoryStore()
         health = StoreHealth(Clock(HandClock()))
-        store = WatchedStore(inner, health)
+        store = WatchedStore(inner, health, StoreClock(Clock(HandClock())))
         put = Transaction(puts=[Put(RowKey("t", "", "k"), b"v")])
         for call in (
             lambda: store.commit(put, 1.0),
@@ -89,13 +90,59 @@
     in_time(test)
 
 
+def test_every_answer_tells_the_time_of_the_store() -> None:
+    async def test() -> None:
+        inner = MemoryStore()
+        put = Transaction(puts=[Put(RowKey("t", "", "k"), b"v")])
+        told = []
+        for call in ("commit", "read", "read_table", "changes"):
+            inner.now_ms += 5000.0
+            time = StoreClock(Clock(lambda: 1.0))
+            store = WatchedStore(inner, StoreHealth(Clock(HandClock())), time)
+            assert time.now_ms() is None
+            arguments = {
+                "commit": (put, 1.0),
+                "read": ("t", ""),
+                "read_table": ("t",),
+                "changes": ("t", 0, 0.01),
+            }
+            await getattr(store, call)(*arguments[call])
+            told.append(time.now_ms())
+        assert told == [5000.0, 10000.0, 15000.0, 20000.0]
+
+    in_time(test)
+
+
+def test_a_call_without_an_answer_tells_no_time() -> None:
+    async def test() -> None:
+        inner = MemoryStore()
+        inner.is_down = True
+        time = StoreClock(Clock(HandClock()))
+        store = WatchedStore(inner, StoreHealth(Clock(HandClock())), time)
+        put = Transaction(puts=[Put(RowKey("t", "", "k"), b"v")])
+        await store.commit(put, 1.0)
+        assert time.now_ms() is None
+
+    in_time(test)
+
+
+def test_an_answer_that_lay_unread_does_not_set_the_time_back() -> None:
+    now = HandClock(step_s=0.0)
+    time = StoreClock(Clock(now))
+    time.note(1000.0)
+    now.now += 4.0
+    time.note(1100.0)
+    estimate = time.now_ms()
+    assert estimate is not None and 4990.0 < estimate <= 5000.0
+
+
 def test_a_transaction_in_a_long_pause_is_repeated_at_once(monkeypatch: object) -> None:
     async def test() -> None:
         monkeypatch.setattr(commit, "FIRST_PAUSE_S", HOUR_MS / 1000)  # type: ignore[attr-defined]
         inner = MemoryStore()
         inner.is_down = True
         health = StoreHealth(Clock(HandClock()))
-        store = WatchedStore(inner, health)
+        store = WatchedStore(inner, health, StoreClock(Clock(HandClock())))
         committer = commit.Committer(store, health, lambda: 0.0)
         put = Transaction(puts=[Put(RowKey("t", "", "k"), b"v")])
         task = await curio.spawn(committer.settle, put, 2 * HOUR_MS)
