--- a/src/cloverwalk/fleet/coordinator.py
+++ b/src/cloverwalk/fleet/coordinator.py
@@ -49,6 +49,10 @@
 NODES_EVERY = 4
 """Each so many snapshots name all nodes."""
 
+COUNTED_SILENT_S = 1.5
+"""A node that was silent for so long may decide alone, and its part of the tenants' quotas is not
+given out here: one report of those that come each second is missing."""
+
 PING_LOST_EVERY_S = 1.0
 STORE_SERVES_MS = 3500
 """A node that the store answered within this time is served by it; an idle node's calls wait for
@@ -166,7 +170,7 @@
 
     def _take_share(self) -> None:
         """Count for the part of the fleet that reports here."""
-        heard = len(self.roster.live())
+        heard = self.roster.heard_since(self._clock() - COUNTED_SILENT_S)
         nodes = len(self.roster.by_name) if self.is_active else self._fleet_size
         self._scheduler.quotas.set_share(heard, nodes)
 
--- a/src/cloverwalk/fleet/places.py
+++ b/src/cloverwalk/fleet/places.py
@@ -125,6 +125,9 @@
                 return
             self._sender.note_no_answer(target, asked_at)
         await self._sender.decide_alone(ask)
+        if pending.place is None:
+            # It is held here, and that is known: only a place is waited for now.
+            pending.event.clear()
 
     def _timeout_s(self) -> float:
         expected_s = ROUND_TRIPS * self._round_trip_s
--- a/src/cloverwalk/fleet/roster.py
+++ b/src/cloverwalk/fleet/roster.py
@@ -64,6 +64,10 @@
                 del self.by_name[name]
         return lost
 
+    def heard_since(self, since: float) -> int:
+        """Return how many nodes reported after a time."""
+        return sum(one.heard_at >= since for one in self.by_name.values())
+
     def live(self) -> list[KnownNode]:
         """Return the nodes that are not lost, sorted by name."""
         return [
--- a/src/cloverwalk/scheduling/quotas.py
+++ b/src/cloverwalk/scheduling/quotas.py
@@ -26,12 +26,16 @@
 from cloverwalk.tenants.directory import Tenant
 
 CAREFUL_SHARE = 0.5
-"""Share of the tolerance that is used up where a count is not known; the rest is for requests on
-their way and for changes that are noticed late."""
+"""Share of the tolerance that a coordinator uses up where it does not know the count; the other
+half is for deputies."""
 
 ALONE_SHARE = 1 / 3
-"""Share of the fleet that may decide alone at the same time: a deputy gives a tenant that is far
-from its limit a token for each of its nodes, as long as the tolerance has so many for these."""
+"""Share of the fleet that may decide alone at the same time without more than the deputies' half of
+the tolerance, for a tenant that is far from its limit. Near it, all nodes may."""
+
+DEPUTY_RATE = 0.5
+"""Share of its part of a quota's rate that a deputy gives out: until a coordinator misses the
+deputy's nodes it gives out their part as well."""
 
 NEAR_SHARE = 0.5
 """A tenant whose bucket is emptier than this may be near its limit; deputies are told its name."""
@@ -247,7 +251,7 @@
     def _open(self, tenant: Tenant, now: float) -> _Account:
         """Return a bucket that was not used since this node has its role."""
         depth = self._depth(tenant, now)
-        bucket = TokenBucket(self._share * tenant.rate_per_s, depth, now)
+        bucket = TokenBucket(self._rate_per_s(tenant), depth, now)
         if self._is_coordinator:
             gained = bucket.rate_per_s * (now - self._since)
             bucket.drain_to(self._careful(tenant) + gained, now)
@@ -255,14 +259,18 @@
 
     def _limit(self, account: _Account, now: float) -> None:
         depth = max(0.0, self._depth(account.tenant, now) - account.held)
-        account.bucket.set_rate(self._share * account.tenant.rate_per_s, depth, now)
+        account.bucket.set_rate(self._rate_per_s(account.tenant), depth, now)
+
+    def _rate_per_s(self, tenant: Tenant) -> float:
+        part = 1.0 if self._is_coordinator else DEPUTY_RATE
+        return part * self._share * tenant.rate_per_s
 
     def _depth(self, tenant: Tenant, now: float) -> float:
         if self._is_coordinator:
             return max(1.0, self._share * tenant.depth)
         if tenant.name in self._near or now - self._near_at > NEAR_FRESH_S:
             return self._share * self._careful(tenant)
-        return self._share * self._bounds.tolerance(tenant) / ALONE_SHARE
+        return self._share * self._careful(tenant) / ALONE_SHARE
 
     def _careful(self, tenant: Tenant) -> float:
         return CAREFUL_SHARE * self._bounds.tolerance(tenant)
--- a/src/cloverwalk/tenants/identification.py
+++ b/src/cloverwalk/tenants/identification.py
@@ -16,8 +16,9 @@
     """Return the name of the tenant that sends a request; raise GatewayError 401.
 
     A configuration without tenants knows anonymous callers only. A caller of a public route needs
-    no key; one with a known key is still its tenant. ``is_job_call`` tells that the request is a
-    call on a job, which has the host of its route and a path of its own.
+    no key; one with a known key is still its tenant. A request without a route needs none either,
+    since it goes nowhere. ``is_job_call`` tells that the request is a call on a job, which has the
+    host of its route and a path of its own.
     """
     configuration = known.current
     if configuration is None or configuration.tenants is None:
@@ -27,11 +28,13 @@
     if tenant is not None:
         return tenant.name
     if is_job_call:
-        is_public = any(_takes_jobs_of_anybody(one, request.host) for one in configuration.routes)
+        needs_key = not any(
+            _takes_jobs_of_anybody(one, request.host) for one in configuration.routes
+        )
     else:
         route = configuration.find_route(request.host, request.path)
-        is_public = route is not None and route.is_public
-    if is_public:
+        needs_key = route is not None and not route.is_public
+    if not needs_key:
         return ANONYMOUS
     if digest is None:
         raise GatewayError(401, "key_missing", "a key is needed")
--- /dev/null
+++ b/tests/unit/test_quotas.py
@@ -0,0 +1,243 @@
+"""What tenants may send over the whole fleet holds for any order of sends, losses and takeovers."""
+
+from random import Random
+
+import attrs
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from cloverwalk.fleet.messages import DeputyGrants
+from cloverwalk.gateway.configuration import ClientLimits, Configuration, ConfigurationHolder
+from cloverwalk.scheduling.quotas import FleetQuotas, QuotaBounds, QuotaVerdict
+from cloverwalk.tenants.directory import Tenant
+
+BOUNDS = QuotaBounds(window_s=5.0, overshoot=0.1, slack=20.0)
+NODE_SILENT_S = 1.5
+
+
+def holder(*tenants: Tenant) -> ConfigurationHolder:
+    known = ConfigurationHolder()
+    known.offer(Configuration(1, (), {}, ClientLimits(), tenants))
+    return known
+
+
+def tenant(rate: float = 5.0, burst: float = 5.0) -> Tenant:
+    return Tenant("quiz", (), None, rate, burst)
+
+
+def coordinating(configuration: ConfigurationHolder, now: float = 0.0) -> FleetQuotas:
+    quotas = FleetQuotas(configuration, BOUNDS, Random(1))
+    quotas.coordinate(now)
+    return quotas
+
+
+def most_in_window(sent: list[float], window_s: float = BOUNDS.window_s) -> int:
+    """Return the most sends within any span of a window's length."""
+    return max(
+        (sum(at <= one <= at + window_s for one in sent) for at in sent),
+        default=0,
+    )
+
+
+def allowed(one: Tenant) -> float:
+    return one.rate_per_s * BOUNDS.window_s + one.burst
+
+
+def most(one: Tenant) -> float:
+    return allowed(one) + BOUNDS.tolerance(one)
+
+
+tenants = st.builds(
+    tenant,
+    st.floats(0.5, 60.0),
+    st.floats(1.0, 60.0),
+)
+
+
+@given(
+    tenants,
+    st.lists(
+        st.tuples(st.floats(0.0, 0.4), st.integers(1, 60), st.floats(0.0, 1.5), st.booleans()),
+        max_size=40,
+    ),
+)
+def test_a_coordinator_never_gives_out_more_than_the_quota(
+    one: Tenant, bursts: list[tuple[float, int, float, bool]]
+) -> None:
+    """Requests come in bursts; some wait before they are sent, and some leave meanwhile."""
+    quotas = coordinating(holder(one), now=-100.0)
+    now, sent = 0.0, []
+    waiting: list[tuple[float, bool]] = []
+    for pause_s, count, held_s, leaves in bursts:
+        now += pause_s
+        for due in [due for due in waiting if due[0] <= now]:
+            waiting.remove(due)
+            if due[1]:
+                quotas.release("quiz", now)
+            else:
+                quotas.spend("quiz", now)
+                sent.append(now)
+        for _ in range(count):
+            if quotas.reserve("quiz", now) is QuotaVerdict.TAKEN:
+                waiting.append((now + held_s, leaves))
+        for due in [due for due in waiting if due[0] <= now and not due[1]]:
+            waiting.remove(due)
+            quotas.spend("quiz", now)
+            sent.append(now)
+    assert most_in_window(sent) <= allowed(one) + 1
+
+
+@given(tenants, st.integers(1, 80), st.floats(0.3, 6.0), st.booleans())
+def test_a_takeover_keeps_the_quota(
+    one: Tenant, per_step: int, taken_over_at: float, has_levels: bool
+) -> None:
+    """A tenant that sends far too much, and a coordinator that is lost at any moment."""
+    configuration = holder(one)
+    first = coordinating(configuration, now=-100.0)
+    heir = FleetQuotas(configuration, BOUNDS, Random(2))
+    counting, sent = first, []
+    for step in range(200):
+        now = 0.05 * step
+        if counting is first and now >= taken_over_at:
+            heir.coordinate(now)
+            counting = heir
+        elif has_levels and counting is first and step % 5 == 0:
+            heir.take_levels(first.levels(now))
+        for _ in range(per_step):
+            if counting.reserve("quiz", now) is QuotaVerdict.TAKEN:
+                counting.spend("quiz", now)
+                sent.append(now)
+    assert most_in_window(sent) <= most(one)
+
+
+@attrs.define
+class Cut:
+    """A fleet of which some nodes decide alone from a moment on."""
+
+    nodes: int
+    alone: int
+    reports: bool
+
+    def sends(self, one: Tenant, per_step: int, seed: int) -> list[float]:
+        configuration = holder(one)
+        main = coordinating(configuration, now=-100.0)
+        deputies = [
+            FleetQuotas(configuration, BOUNDS, Random(seed + number))
+            for number in range(self.alone)
+        ]
+        sent: list[float] = []
+        for step in range(200):
+            now = 0.05 * step
+            if not self.reports and now > NODE_SILENT_S:
+                main.set_share(self.nodes - self.alone, self.nodes)
+            for number, deputy in enumerate(deputies):
+                if step == 0:
+                    deputy.take_near_limit([], now)
+                deputy.set_share(1, self.nodes)
+                if self.reports:
+                    main.hear_deputy(f"n{number}", "0a", deputy.deputy_grants(now), now)
+            for quotas in [main, *deputies]:
+                for _ in range(per_step):
+                    if quotas.reserve("quiz", now) is QuotaVerdict.TAKEN:
+                        quotas.spend("quiz", now)
+                        sent.append(now)
+        return sent
+
+
+@given(
+    st.sampled_from([tenant(1, 1), tenant(5, 5), tenant(15, 15), tenant(66, 66)]),
+    st.sampled_from([(3, 1), (15, 5), (61, 10), (61, 20)]),
+    st.booleans(),
+    st.integers(0, 1000),
+)
+def test_nodes_that_decide_alone_keep_the_quota(
+    one: Tenant, fleet: tuple[int, int], reports: bool, seed: int
+) -> None:
+    """A third of the nodes at the most, each with more requests than it may send."""
+    sent = Cut(fleet[0], fleet[1], reports).sends(one, 4, seed)
+    assert most_in_window(sent) <= most(one)
+
+
+def test_a_tenant_far_from_its_limit_is_served_by_a_node_alone() -> None:
+    quotas = FleetQuotas(holder(tenant(15, 15)), BOUNDS, Random(1))
+    quotas.take_near_limit([], 0.0)
+    quotas.set_share(1, 12)
+    assert quotas.reserve("quiz", 0.0) is QuotaVerdict.TAKEN
+
+
+def test_a_node_that_knows_nothing_of_the_fleet_gives_out_nothing() -> None:
+    quotas = FleetQuotas(holder(tenant()), BOUNDS, Random(1))
+    quotas.set_share(1, 0)
+    assert quotas.reserve("quiz", 0.0) is QuotaVerdict.UNKNOWN
+    assert not quotas.knows_fleet
+
+
+def test_a_tenant_without_a_limit_is_never_refused() -> None:
+    quotas = coordinating(holder(tenant(rate=0.0)))
+    verdicts = {quotas.reserve("quiz", 0.0) for _ in range(1000)}
+    verdicts |= {quotas.reserve("", 0.0) for _ in range(1000)}
+    assert verdicts == {QuotaVerdict.TAKEN}
+
+
+def test_a_refusal_says_when_there_is_a_token() -> None:
+    quotas = coordinating(holder(tenant(rate=2.0, burst=1.0)), now=-100.0)
+    assert quotas.reserve("quiz", 0.0) is QuotaVerdict.TAKEN
+    quotas.spend("quiz", 0.0)
+    assert quotas.reserve("quiz", 0.1) is QuotaVerdict.OVER
+    wait_s = quotas.wait_s("quiz", 0.1)
+    assert wait_s == pytest.approx(0.4)
+    assert quotas.reserve("quiz", 0.1 + wait_s) is QuotaVerdict.TAKEN
+
+
+def test_a_request_that_is_not_sent_gives_its_token_back() -> None:
+    quotas = coordinating(holder(tenant(rate=0.1, burst=1.0)), now=-100.0)
+    assert quotas.reserve("quiz", 0.0) is QuotaVerdict.TAKEN
+    assert quotas.reserve("quiz", 0.0) is QuotaVerdict.OVER
+    quotas.release("quiz", 0.0)
+    assert quotas.reserve("quiz", 0.0) is QuotaVerdict.TAKEN
+
+
+def test_a_repeat_is_counted_and_goes_without_a_token() -> None:
+    quotas = coordinating(holder(tenant(rate=1.0, burst=2.0)), now=-100.0)
+    quotas.charge("quiz", 0.0)
+    quotas.charge("quiz", 0.0)
+    quotas.charge("quiz", 0.0)
+    assert quotas.reserve("quiz", 1.5) is QuotaVerdict.OVER
+    assert quotas.reserve("quiz", 2.1) is QuotaVerdict.TAKEN
+
+
+def test_a_lower_quota_binds_at_once() -> None:
+    configuration = holder(tenant(rate=50.0, burst=50.0))
+    quotas = coordinating(configuration, now=-100.0)
+    lowered = Configuration(2, (), {}, ClientLimits(), (tenant(rate=1.0, burst=1.0),))
+    assert quotas.reserve("quiz", 0.0) is QuotaVerdict.TAKEN
+    quotas.spend("quiz", 0.0)
+    configuration.offer(lowered)
+    verdicts = [quotas.reserve("quiz", 0.1) for _ in range(3)]
+    assert verdicts == [QuotaVerdict.TAKEN, QuotaVerdict.OVER, QuotaVerdict.OVER]
+
+
+def test_what_a_deputy_gave_out_is_counted_once() -> None:
+    quotas = coordinating(holder(tenant(rate=0.1, burst=10.0)), now=-100.0)
+    quotas.hear_deputy("n1", "0a", None, 0.0)
+    for _ in range(3):
+        quotas.hear_deputy("n1", "0a", DeputyGrants(0, {"quiz": 4}), 0.0)
+    quotas.hear_deputy("n1", "0a", DeputyGrants(0, {"quiz": 6}), 0.0)
+    quotas.hear_deputy("n1", "0a", DeputyGrants(1, {"quiz": 1}), 0.0)
+    assert quotas.levels(0.0) == {"quiz": 3.0}
+
+
+def test_the_first_report_after_a_takeover_charges_nothing() -> None:
+    quotas = coordinating(holder(tenant(rate=1.0, burst=10.0)), now=-1.0)
+    quotas.hear_deputy("n1", "0a", DeputyGrants(0, {"quiz": 400}), 0.0)
+    assert quotas.reserve("quiz", 0.0) is QuotaVerdict.TAKEN
+
+
+def test_a_process_that_stood_still_gives_out_no_more_than_the_tolerance() -> None:
+    one = tenant(rate=60.0, burst=60.0)
+    quotas = coordinating(holder(one), now=-100.0)
+    assert quotas.reserve("quiz", 0.0) is QuotaVerdict.TAKEN
+    quotas.distrust(4.0)
+    given_out = sum(quotas.reserve("quiz", 4.0) is QuotaVerdict.TAKEN for _ in range(100))
+    assert given_out <= BOUNDS.tolerance(one)
