--- a/tests/serving/coordination_world.py
+++ b/tests/serving/coordination_world.py
@@ -35,6 +35,7 @@
 from cloverwalk.store.clock import StoreClock
 from cloverwalk.store.health import StoreHealth, WatchedStore
 from cloverwalk.telemetry.log import ServingLog
+from cloverwalk.tenants.directory import Tenant
 
 ZONES = ("z1", "z2", "z3")
 SEEDS = 3
@@ -160,7 +161,10 @@
     STEP_S = 0.25
     REPORT_STEPS = 4
 
-    def __init__(self, nodes: int, replicas: int = 4) -> None:
+    def __init__(
+        self, nodes: int, replicas: int = 4, tenants: tuple[Tenant, ...] | None = None
+    ) -> None:
+        self.tenants = tenants
         self.now = 1000.0
         self.store = MemoryStore()
         self.wire = Wire()
@@ -175,7 +179,7 @@
         holder = ConfigurationHolder()
         parts = (RoutePart("model", 1.0),)
         route = Route("chat", "h", "/chat/", RouteKind.STREAM, parts, 5.0, 0.3, 2)
-        holder.offer(Configuration(1, (route,), {}, ClientLimits()))
+        holder.offer(Configuration(1, (route,), {}, ClientLimits(), self.tenants))
         return holder
 
     def know_replicas(self, node: FleetNode) -> None:
