--- a/src/cloverwalk/cli/main.py
+++ b/src/cloverwalk/cli/main.py
@@ -22,6 +22,7 @@
 from cloverwalk.cli.session import session
 from cloverwalk.cli.settings import settings
 from cloverwalk.cli.table import table
+from cloverwalk.cli.tenants import tenants
 from cloverwalk.config.loader import SettingsError
 
 
@@ -62,6 +63,7 @@
     experiment,
     explain,
     report,
+    tenants,
 )
 for command in COMMANDS:
     cli.add_command(command)
--- /dev/null
+++ b/src/cloverwalk/cli/tenants.py
@@ -0,0 +1,123 @@
+"""``cloverwalk tenants``."""
+
+import re
+
+import attrs
+import click
+import curio
+
+from cloverwalk.cli.api import json_option, print_json
+from cloverwalk.cli.errors import EXIT_UNREACHABLE, EXIT_USAGE, CommandError
+from cloverwalk.http.client import HttpPool
+from cloverwalk.http.errors import HttpError
+from cloverwalk.telemetry.tenant_metrics import TenantOutcome
+
+TIMEOUT_S = 5.0
+METRICS_PATH = "/metrics"
+HEAD = (
+    "tenant                    node                    answered  over quota  ended  rate/s  burst"
+)
+_ADDRESS = re.compile(r"^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$")
+_SAMPLE = re.compile(r"^cloverwalk_tenant_(\w+)\{([^}]*)\} (\S+)$")
+_LABEL = re.compile(r'(\w+)="((?:[^"\\]|\\.)*)"')
+
+
+@attrs.define
+class TenantUse:
+    """What one node tells of one tenant."""
+
+    tenant: str
+    node: str
+    counts: dict[str, int] = attrs.Factory(dict)
+    rate_per_s: float | None = None
+    burst: float | None = None
+
+    @property
+    def total(self) -> int:
+        """Ended requests."""
+        return sum(self.counts.values())
+
+
+def parse_metrics(node: str, text: str) -> list[TenantUse]:
+    """Return what a node's metrics tell of tenants.
+
+    >>> text = 'cloverwalk_tenant_requests_total{tenant="quiz",outcome="answered"} 3.0'
+    >>> parse_metrics("n1", text)[0].counts
+    {'answered': 3}
+    """
+    by_tenant: dict[str, TenantUse] = {}
+    for line in text.splitlines():
+        sample = _SAMPLE.match(line)
+        if sample is None:
+            continue
+        labels = dict(_LABEL.findall(sample.group(2)))
+        use = by_tenant.setdefault(labels["tenant"], TenantUse(labels["tenant"], node))
+        figure = float(sample.group(3))
+        match sample.group(1):
+            case "requests_total":
+                use.counts[labels["outcome"]] = round(figure)
+            case "rate_per_s":
+                use.rate_per_s = figure
+            case "burst":
+                use.burst = figure
+    return list(by_tenant.values())
+
+
+@click.command()
+@click.argument("addresses", nargs=-1, required=True, metavar="HOST:PORT...")
+@click.option("--tenant", "only", help="Only this tenant.")
+@json_option
+def tenants(addresses: tuple[str, ...], only: str | None, as_json: bool) -> None:
+    """Tell use, quota and refusals by tenant and node, from the nodes' metrics addresses.
+
+    A node names its 20 largest tenants; the others stand as one. Counts are since its start.
+
+    Example: cloverwalk tenants 10.1.0.10:7735 10.2.0.11:7735
+    """
+    for address in addresses:
+        if not _ADDRESS.match(address):
+            raise CommandError(f"{address!r} is not an address such as 10.1.0.10:7735", EXIT_USAGE)
+    uses: list[TenantUse] = []
+    silent: list[str] = []
+    for address in addresses:
+        try:
+            text = curio.run(_fetch, address)
+        except HttpError as error:
+            silent.append(f"{address}: {error}")
+            continue
+        uses += parse_metrics(address, text)
+    for problem in silent:
+        click.echo(f"no answer from {problem}", err=True)
+    if len(silent) == len(addresses):
+        raise CommandError("no node answered", EXIT_UNREACHABLE)
+    _print([one for one in uses if only in (None, one.tenant)], as_json)
+
+
+async def _fetch(address: str) -> str:
+    pool = HttpPool(address)
+    try:
+        response = await pool.call("GET", METRICS_PATH, b"", {}, timeout_s=TIMEOUT_S)
+    finally:
+        await pool.close()
+    return response.body.decode()
+
+
+def _print(uses: list[TenantUse], as_json: bool) -> None:
+    uses.sort(key=lambda one: (-one.total, one.tenant, one.node))
+    if as_json:
+        print_json([attrs.asdict(one) for one in uses])
+        return
+    click.echo(HEAD)
+    for one in uses:
+        answered, over, ended = (
+            one.counts.get(outcome, 0)
+            for outcome in (TenantOutcome.ANSWERED, TenantOutcome.OVER_QUOTA, TenantOutcome.ENDED)
+        )
+        click.echo(
+            f"{one.tenant:24}  {one.node:22}  {answered:8}  {over:10}  {ended:5}"
+            f"  {_limit(one.rate_per_s):>6}  {_limit(one.burst):>5}"
+        )
+
+
+def _limit(figure: float | None) -> str:
+    return "-" if figure is None else f"{figure:g}"
--- a/src/cloverwalk/gateway/relay.py
+++ b/src/cloverwalk/gateway/relay.py
@@ -25,6 +25,7 @@
 from cloverwalk.gateway.selection import WeightedRotation
 from cloverwalk.telemetry.log import ServingLog
 from cloverwalk.telemetry.metrics import ServingMetrics
+from cloverwalk.telemetry.tenant_metrics import TenantOutcome
 from cloverwalk.tenants.refusals import RefusalMemory
 
 MAX_REFUSALS = 8
@@ -36,6 +37,7 @@
 """A client that comes back reaches another node, which need not be waited for."""
 
 LEAST_USEFUL_S = 0.01
+OVER_QUOTA = TenantOutcome.OVER_QUOTA
 
 
 class OnlineRelay:
@@ -376,6 +378,7 @@
         took_s = self._clock() - request.received_at
         first = progress.first_event_at
         self._metrics.request_ended(progress.route.name, outcome, took_s)
+        self._metrics.tenants.note(request.tenant, _tenant_outcome(outcome))
         number = catalogue.REQUEST_ANSWERED if outcome == "answered" else catalogue.REQUEST_ENDED
         self._log.write(
             number,
@@ -394,8 +397,14 @@
         )
 
 
+def _tenant_outcome(outcome: str) -> str:
+    if outcome in (TenantOutcome.ANSWERED, OVER_QUOTA):
+        return outcome
+    return TenantOutcome.ENDED
+
+
 def _over_quota(retry_after_s: float) -> GatewayError:
-    return GatewayError(429, "over_quota", "the tenant has sent what it may", retry_after_s)
+    return GatewayError(429, OVER_QUOTA, "the tenant has sent what it may", retry_after_s)
 
 
 def _token_use(progress: RequestProgress) -> TokenUse:
--- a/src/cloverwalk/serving/node.py
+++ b/src/cloverwalk/serving/node.py
@@ -291,6 +291,7 @@
     async def _answer_metrics(self, request: ClientRequest, reply: Reply) -> None:
         metrics = self._metrics
         now = self._clock()
+        metrics.directory = self._configuration.tenants
         metrics.gauge("cloverwalk_configuration_version", "In force", self._configuration.version)
         age_s = min(1e6, now - self._directory.confirmed_at)
         metrics.gauge("cloverwalk_replica_list_age_seconds", "Since confirmed", age_s)
--- a/src/cloverwalk/telemetry/metrics.py
+++ b/src/cloverwalk/telemetry/metrics.py
@@ -11,6 +11,8 @@
 import attrs
 
 from cloverwalk.gateway.messages import ReplicaLoad
+from cloverwalk.telemetry.tenant_metrics import TenantMetrics
+from cloverwalk.tenants.directory import TenantDirectory
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
@@ -47,9 +49,13 @@
 
 
 class ServingMetrics:
-    """All figures of one process. Labels are bounded: routes, replicas, outcomes."""
+    """All figures of one process; labels are bounded: routes, replicas, outcomes, large tenants."""
 
     def __init__(self) -> None:
+        self.tenants = TenantMetrics()
+        self.directory = TenantDirectory()
+        """The tenants in force, whose quotas are told."""
+
         self._requests: Counter[tuple[str, str]] = Counter()
         self._failures: Counter[str] = Counter()
         self._items: Counter[str] = Counter()
@@ -131,6 +137,7 @@
         yield running
         for name, (help_text, figure) in self._gauges.items():
             yield GaugeMetricFamily(name, help_text, value=figure)
+        yield from self.tenants.collect(self.directory)
 
     def render(self) -> bytes:
         """Return all figures as text."""
--- /dev/null
+++ b/src/cloverwalk/telemetry/tenant_metrics.py
@@ -0,0 +1,82 @@
+"""Requests by tenant, with a bounded number of labels."""
+
+from collections import Counter
+from typing import TYPE_CHECKING
+
+import attrs
+
+from cloverwalk.tenants.directory import TenantDirectory
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+    from prometheus_client.metrics_core import Metric
+
+MOST_LABELS = 20
+"""Tenants told by name, those with the most requests; the others are told as one. A node's answer
+grows by some 3 KB at this number, whatever the number of tenants."""
+
+OTHERS = "(others)"
+"""Stands for the tenants that are not told by name."""
+
+
+class TenantOutcome:
+    """What became of a tenant's request."""
+
+    ANSWERED = "answered"
+    OVER_QUOTA = "over_quota"
+    ENDED = "ended"
+    """Without a replica's answer, for another reason."""
+
+
+@attrs.define
+class TenantMetrics:
+    """Counts of one process.
+
+    >>> metrics = TenantMetrics()
+    >>> metrics.note("quiz", TenantOutcome.ANSWERED)
+    >>> metrics.counts(most=1)
+    {('quiz', 'answered'): 1}
+    """
+
+    _counts: Counter[tuple[str, str]] = attrs.Factory(Counter)
+    _totals: Counter[str] = attrs.Factory(Counter)
+
+    def note(self, tenant: str, outcome: str) -> None:
+        """Count a request that has ended; requests without a tenant are not counted here."""
+        if tenant:
+            self._counts[tenant, outcome] += 1
+            self._totals[tenant] += 1
+
+    def counts(self, most: int = MOST_LABELS) -> dict[tuple[str, str], int]:
+        """Return counts by tenant and outcome, of the ``most`` largest tenants by name."""
+        named = {name for name, _ in self._totals.most_common(most)}
+        told: Counter[tuple[str, str]] = Counter()
+        for (tenant, outcome), count in self._counts.items():
+            told[tenant if tenant in named else OTHERS, outcome] += count
+        return dict(sorted(told.items()))
+
+    def collect(self, directory: TenantDirectory) -> "Iterator[Metric]":
+        """Return counts and quotas in the client library's form."""
+        from prometheus_client.metrics_core import CounterMetricFamily, GaugeMetricFamily
+
+        requests = CounterMetricFamily(
+            "cloverwalk_tenant_requests", "Ended requests", labels=["tenant", "outcome"]
+        )
+        rates = GaugeMetricFamily(
+            "cloverwalk_tenant_rate_per_s", "Quota over the fleet", labels=["tenant"]
+        )
+        bursts = GaugeMetricFamily(
+            "cloverwalk_tenant_burst", "Quota over the fleet", labels=["tenant"]
+        )
+        counts = self.counts()
+        for (tenant, outcome), count in counts.items():
+            requests.add_metric([tenant, outcome], count)
+        for name in sorted({tenant for tenant, _ in counts}):
+            tenant_known = directory.by_name.get(name)
+            if tenant_known is not None and tenant_known.has_limit:
+                rates.add_metric([name], tenant_known.rate_per_s)
+                bursts.add_metric([name], tenant_known.burst)
+        yield requests
+        yield rates
+        yield bursts
--- a/tests/serving/test_tenants.py
+++ b/tests/serving/test_tenants.py
@@ -7,6 +7,7 @@
 import curio
 import h11
 import pytest
+from click.testing import CliRunner
 from fleet_world import (
     HOST,
     Answer,
@@ -18,9 +19,18 @@
     with_key,
 )
 
+from cloverwalk.cli import tenants as tenants_command
+from cloverwalk.cli.errors import EXIT_USAGE
+from cloverwalk.cli.main import cli
 from cloverwalk.core import catalogue
 from cloverwalk.fleet import messages, transport
 from cloverwalk.platform import names
+from cloverwalk.telemetry.tenant_metrics import (
+    MOST_LABELS,
+    OTHERS,
+    TenantMetrics,
+    TenantOutcome,
+)
 
 TENANT = names.TENANT.decode().lower()
 AUTHORIZATION = names.AUTHORIZATION.decode().lower()
@@ -377,3 +387,53 @@
             assert (await world.ask("/chat/a", key=FIRST)).status == 200
 
     in_world(test)
+
+
+def test_the_command_tells_use_and_quota_by_tenant_and_node(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    texts: dict[str, str] = {}
+
+    async def test(world: FleetWorld) -> None:
+        await started(world, rate_per_s=1.0, burst=1)
+        for _ in range(30):
+            await world.ask("/chat/a", key=FIRST)
+        await world.ask("/chat/a", key=OTHER)
+        address = world.nodes[0]._settings.metrics_address
+        answer = await world.call("GET", "/metrics", address=address)
+        texts["127.0.0.2:7735"] = answer.body.decode()
+
+    in_world(test)
+
+    async def fetch(address: str) -> str:
+        return texts[address]
+
+    monkeypatch.setattr(tenants_command, "_fetch", fetch)
+    told = CliRunner().invoke(cli, ["tenants", "127.0.0.2:7735", "--json"])
+    assert told.exit_code == 0
+    by_tenant = {one["tenant"]: one for one in json.loads(told.output)}
+    quiz = by_tenant["quiz"]
+    assert (quiz["rate_per_s"], quiz["burst"]) == (1.0, 1.0)
+    assert quiz["counts"]["answered"] + quiz["counts"]["over_quota"] == 30
+    assert quiz["counts"]["over_quota"] > 0
+    assert by_tenant["archive"]["counts"] == {"answered": 1}
+    assert by_tenant["archive"]["rate_per_s"] is None
+    table = CliRunner().invoke(cli, ["tenants", "127.0.0.2:7735", "--tenant", "archive"])
+    assert table.output.splitlines()[1].split()[:3] == ["archive", "127.0.0.2:7735", "1"]
+
+
+def test_the_command_says_which_address_is_none() -> None:
+    told = CliRunner().invoke(cli, ["tenants", "nowhere"])
+    assert told.exit_code == EXIT_USAGE
+    assert "'nowhere' is not an address" in told.output
+
+
+def test_metrics_name_the_largest_tenants_only() -> None:
+    metrics = TenantMetrics()
+    for number in range(100):
+        for _ in range(number + 1):
+            metrics.note(f"t{number}", TenantOutcome.ANSWERED)
+    counts = metrics.counts()
+    assert len(counts) == MOST_LABELS + 1
+    assert counts["t99", TenantOutcome.ANSWERED] == 100
+    assert counts[OTHERS, TenantOutcome.ANSWERED] == sum(range(1, 81))
