--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -38,6 +38,8 @@
 COORDINATION = "tests/serving/test_coordination.py::"
 ADMISSION = "tests/unit/test_admission.py::"
 PARTS = "tests/unit/test_serving_parts.py::"
+TENANTS = "tests/serving/test_tenants.py::"
+QUOTAS = "tests/unit/test_quotas.py::"
 MUTANTS = [
     Mutant(
         "an earlier record is ignored",
@@ -615,6 +617,70 @@
         "",
         COORDINATION + "test_requests_go_on_with_a_standby_while_the_coordinator_is_silent",
     ),
+    Mutant(
+        "serving: keys are looked up in the first configuration",
+        "gateway/configuration.py",
+        "        self.tenants = TenantDirectory(configuration.tenants or ())",
+        "        if not self.tenants.by_name:\n"
+        "            self.tenants = TenantDirectory(configuration.tenants or ())",
+        TENANTS + "test_a_key_that_was_taken_away_is_refused_on_a_kept_connection",
+    ),
+    Mutant(
+        "serving: a client names its tenant",
+        "platform/codec.py",
+        "        names.TENANT.lower(),\n",
+        "",
+        TENANTS + "test_a_replica_gets_the_name_of_the_tenant_and_no_key",
+    ),
+    Mutant(
+        "serving: the key goes to the replica",
+        "serving/calls.py",
+        "            request.headers = self._codec.without_key(request.headers)",
+        "            pass",
+        TENANTS + "test_no_key_stands_in_any_output",
+    ),
+    Mutant(
+        "serving: a takeover begins with full buckets",
+        "scheduling/quotas.py",
+        "            bucket.drain_to(self._careful(tenant) + gained, now)",
+        "            pass",
+        QUOTAS + "test_a_takeover_keeps_the_quota",
+    ),
+    Mutant(
+        "serving: each deputy gives out the whole quota",
+        "scheduling/quotas.py",
+        "        share = min(1.0, heard / nodes) if nodes > 0 else 0.0",
+        "        share = 1.0",
+        QUOTAS + "test_nodes_that_decide_alone_keep_the_quota",
+    ),
+    Mutant(
+        "serving: what deputies gave out is not counted",
+        "scheduling/quotas.py",
+        "            account.bucket.take_on_credit(now, float(count))",
+        "            pass",
+        QUOTAS + "test_what_a_deputy_gave_out_is_counted_once",
+    ),
+    Mutant(
+        "serving: any tenant reads any job",
+        "jobs/service.py",
+        "        if record.tenant != tenant:",
+        "        if False:",
+        TENANTS + "test_a_job_belongs_to_its_tenant",
+    ),
+    Mutant(
+        "serving: tenants share a quota of waiting tokens",
+        "jobs/records.py",
+        'f"{route_name}/{tenant}" if tenant else route_name',
+        "route_name",
+        TENANTS + "test_the_waiting_tokens_of_one_tenant_are_not_anothers",
+    ),
+    Mutant(
+        "serving: a job is taken at time zero",
+        "jobs/intake.py",
+        "        now_ms = self._store_now_ms()\n        if now_ms is None:",
+        "        now_ms = self._store_now_ms() or 0.0\n        if now_ms is None:",
+        JOBS + "test_no_job_is_taken_while_the_time_of_the_store_is_unknown",
+    ),
 ]
 
 
