--- a/src/cloverwalk/gateway/configuration.py
+++ b/src/cloverwalk/gateway/configuration.py
@@ -62,7 +62,6 @@
     name: str
     slots: int
     max_connections: int
-    cache_tokens: int = 0
 
 
 class ClientLimits(Struct, frozen=True, array_like=True):
--- a/src/cloverwalk/gateway/messages.py
+++ b/src/cloverwalk/gateway/messages.py
@@ -25,8 +25,6 @@
     deadline_s: float | None = None
     last_event_id: int | None = None
     prompt: tuple[PromptPart, ...] = ()
-    prompt_tokens: int = 0
-    max_output_tokens: int = 0
     wait_s: float = 0.0
     key_digest: str | None = None
     """Digest of the caller's key; None when it sent none."""
--- a/src/cloverwalk/gateway/server.py
+++ b/src/cloverwalk/gateway/server.py
@@ -21,9 +21,6 @@
 LINGER_S = 0.5
 BODY_TIMEOUT_S = 10.0
 MAX_PIPELINED_BYTES = 262_144
-CONNECTION_RESERVE = 64
-"""Descriptors kept for replicas, the store and files, beyond those of clients."""
-
 OnRequest = Callable[[ClientRequest, Reply], Awaitable[None]]
 
 
--- a/src/cloverwalk/jobs/intake.py
+++ b/src/cloverwalk/jobs/intake.py
@@ -240,9 +240,6 @@
         record = await self._reader.read_record(job_id)
         return record is None or not record.is_open
 
-    async def _is_missing(self, job_id: str) -> bool:
-        return await self._reader.read_record(job_id) is None
-
     async def _check_quota(
         self, quota: QuotaRow, over: set[str], record: JobRecord, route: Route
     ) -> None:
@@ -261,7 +258,7 @@
         waiting = waiting_tokens(QuotaRow(left), self._view)
         if waiting <= limit:
             return
-        if record.job_id in quota.jobs and not await self._is_missing(record.job_id):
+        if record.job_id in quota.jobs and await self._reader.read_record(record.job_id):
             # It was taken before: the transaction finds its record.
             return
         self._log.write(
--- a/src/cloverwalk/jobs/lister.py
+++ b/src/cloverwalk/jobs/lister.py
@@ -14,7 +14,7 @@
     result_puts,
 )
 from cloverwalk.jobs.result_cache import ResultCache
-from cloverwalk.jobs.run import ItemRun, JobRun, Phase
+from cloverwalk.jobs.run import ItemRun, JobRun
 from cloverwalk.jobs.view import JobView
 from cloverwalk.store.types import CommitOutcome, CommitStatus, Expectation, Put, Transaction
 from cloverwalk.telemetry.log import ServingLog
@@ -147,7 +147,3 @@
         else:
             job.record = present
             job.version = row.version
-
-    def has_unlisted(self, job: JobRun) -> bool:
-        """Whether a job has finished items without a position."""
-        return any(one.phase is Phase.FINISHED for one in job.items)
--- a/src/cloverwalk/jobs/runner.py
+++ b/src/cloverwalk/jobs/runner.py
@@ -220,11 +220,6 @@
         route = configuration.find_route(job.record.host, job.record.path)
         return route if route is not None and route.kind is RouteKind.BATCH else None
 
-    def _pool(self, job: JobRun) -> list[str]:
-        """Return the services that take a job's items, none when its route is gone."""
-        route = self._route(job)
-        return [] if route is None else route.services
-
     def _services(self, job: JobRun) -> list[str]:
         """Return the services that take a job's items, none when its route is gone."""
         route = self._route(job)
--- a/src/cloverwalk/platform/documents.py
+++ b/src/cloverwalk/platform/documents.py
@@ -63,7 +63,6 @@
 
 class _Engine(Struct):
     slots: int = DEFAULT_SLOTS
-    kv_cache_tokens: int = 0
 
 
 class _Service(Struct):
@@ -136,10 +135,7 @@
     """Return a configuration; raise ValueError when it is not valid."""
     wire = _decode(_configuration_decoder, raw)
     services = {
-        one.name: Service(
-            one.name, one.engine.slots, one.max_connections, one.engine.kv_cache_tokens
-        )
-        for one in wire.services
+        one.name: Service(one.name, one.engine.slots, one.max_connections) for one in wire.services
     }
     limits = ClientLimits(
         wire.limits.max_header_bytes,
--- a/src/cloverwalk/scheduling/quotas.py
+++ b/src/cloverwalk/scheduling/quotas.py
@@ -15,7 +15,6 @@
 """
 
 import enum
-from collections import Counter
 from random import Random
 
 import attrs
@@ -23,6 +22,7 @@
 from cloverwalk.core.token_bucket import TokenBucket
 from cloverwalk.fleet.messages import DeputyGrants
 from cloverwalk.gateway.configuration import ConfigurationHolder
+from cloverwalk.scheduling.deputies import DeputyBook, GrantLog
 from cloverwalk.tenants.directory import Tenant
 
 CAREFUL_SHARE = 0.5
@@ -43,9 +43,6 @@
 NEAR_FRESH_S = 5.0
 """For how long a deputy goes by what it was told of tenants near their limits."""
 
-REPORTED_S = 10.0
-"""Grants of a deputy are reported for so long after the last one: twice a usual window."""
-
 
 class QuotaVerdict(enum.Enum):
     """Whether a tenant may send a request."""
@@ -92,15 +89,6 @@
     """Tokens of requests that wait for a place."""
 
 
-@attrs.define
-class _Deputy:
-    """What a node has reported of tokens that it gave out itself."""
-
-    run: str
-    series: int
-    counts: dict[str, int]
-
-
 class FleetQuotas:
     """Counts tokens by tenant. ``reserve`` comes first; ``spend`` or ``release`` follows."""
 
@@ -120,10 +108,8 @@
         self._told_levels: dict[str, float] = {}
         self._near: frozenset[str] = frozenset()
         self._near_at = float("-inf")
-        self._granted: Counter[str] = Counter()
-        self._granted_at = float("-inf")
-        self._series = 0
-        self._deputies: dict[str, _Deputy] = {}
+        self._granted = GrantLog()
+        self._deputies = DeputyBook()
 
     # --- in which role this node counts ---
 
@@ -131,7 +117,7 @@
         """This node counts for the fleet from now on."""
         self._is_coordinator = True
         self._since = now
-        self._deputies = {}
+        self._deputies = DeputyBook(now)
         self._accounts = {}
         self._change_share(1.0)
         for name, level in self._told_levels.items():
@@ -223,8 +209,7 @@
 
     def _note_granted(self, name: str, now: float) -> None:
         if not self._is_coordinator:
-            self._granted[name] += 1
-            self._granted_at = now
+            self._granted.note(name, now)
 
     # --- buckets ---
 
@@ -304,30 +289,11 @@
 
     def deputy_grants(self, now: float) -> DeputyGrants | None:
         """Return what this node gave out as a deputy lately; None is nothing."""
-        if self._granted and now - self._granted_at > REPORTED_S:
-            self._granted = Counter()
-            self._series += 1
-        return DeputyGrants(self._series, dict(self._granted)) if self._granted else None
+        return self._granted.report(now)
 
     def hear_deputy(self, node: str, run: str, grants: DeputyGrants | None, now: float) -> None:
-        """Count what a node gave out itself since it last told.
-
-        The first report after a takeover tells where its counts stand; what it gave out before is
-        within the care that a takeover takes.
-        """
-        known = self._deputies.get(node)
-        told = grants or DeputyGrants(0, {})
-        is_first = known is None and now - self._since < REPORTED_S
-        before: dict[str, int] = {}
-        if known is not None and known.run == run and known.series == told.series:
-            before = known.counts
-        if not is_first:
-            for name, count in told.counts.items():
-                self._charge_many(name, count - before.get(name, 0), now)
-        if grants is not None or known is None or known.run != run:
-            self._deputies[node] = _Deputy(run, told.series, told.counts)
-
-    def _charge_many(self, name: str, count: int, now: float) -> None:
-        account = self._account(name, now)
-        if account is not None and count > 0:
-            account.bucket.take_on_credit(now, float(count))
+        """Count what a node gave out itself since it last told."""
+        for name, count in self._deputies.news(node, run, grants, now).items():
+            account = self._account(name, now)
+            if account is not None:
+                account.bucket.take_on_credit(now, float(count))
--- a/src/cloverwalk/scheduling/share.py
+++ b/src/cloverwalk/scheduling/share.py
@@ -29,7 +29,7 @@
     time in which a replica reads the prompt of a waiting item, on average.
 
     >>> kept_free(60.0, 24.0), kept_free(60.0, 5.0), kept_free(2.0, 24.0)
-    (12, 2, 0)
+    (12, 3, 0)
     """
     pays_after_ms = max(PAYS_START_LEAST_MS, PAYS_START_RATIO * reading_ms)
     return round(arrivals_per_s * pays_after_ms / 1000)
