--- a/src/cloverwalk/scheduling/share.py
+++ b/src/cloverwalk/scheduling/share.py
@@ -12,8 +12,8 @@
 """An item that gives way sooner than this many times the reading of its prompt was hardly worth
 its start: the prompt is read, and the replica's other work held up. With prompts of 24 ms (1,200
 tokens) 200 ms had measured best: without it, runs cut in a day doubled (469 to 998), and items came
-late. With prompts of 5 ms, 200 ms kept 60 of 216 slots idle in a burst; the ratio gave 0.038 more
-of a day's worth there, mean of six pairs of days on fleets of 36 and of 6 replicas."""
+late. With prompts of 5 ms, 200 ms kept 60 of 216 slots idle in a burst; the ratio gave 0.031 more
+of a day's worth there, mean of ten pairs of days on fleets of 6 to 45 replicas."""
 
 PAYS_START_LEAST_MS = 20.0
 """The same for items of any prompt: a grant, a connection and a revoke take milliseconds each."""
