--- a/tests/processes/cluster.py
+++ b/tests/processes/cluster.py
@@ -123,6 +123,10 @@
             lambda: all(self.has_own_replica(zone) for zone in zones),
             "each node to have its own zone's replica, which an earlier node took at first",
         )
+        wait_for(
+            lambda: all(self.has_started(node) for node in self.nodes.values()),
+            "each node to have read the weight table: it refuses all calls before",
+        )
         body = json.dumps({"tenant": "parish", "name": "quiz"}).encode()
         self.session = call(self.any_node(), "POST", "/v1/sessions", body).json()["session_id"]
 
@@ -197,6 +201,10 @@
         """Set the platform's fault switches."""
         call(self.platform.address, "PUT", "/v1/faults", json.dumps(faults).encode())
 
+    def has_started(self, node: Process) -> bool:
+        """Whether a node takes calls."""
+        return call(node.address, "GET", "/v1/sessions").status == 200
+
     def has_own_replica(self, zone: str) -> bool:
         """Whether a zone's node has taken the zone's replica."""
         resource = f'replica/{zone}-r"'
