--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -681,6 +681,35 @@
         "        now_ms = self._store_now_ms() or 0.0\n        if now_ms is None:",
         JOBS + "test_no_job_is_taken_while_the_time_of_the_store_is_unknown",
     ),
+    Mutant(
+        "serving: totals of many replicas are told each second",
+        "fleet/coordinator.py",
+        "        if entries <= TOTALS_ENTRIES_PER_S * TOTALS_EVERY_S:",
+        "        if entries >= 0:",
+        COORDINATION + "test_totals_of_many_replicas_are_told_rarely",
+    ),
+    Mutant(
+        "serving: a long list of replicas is sent to nodes that read it themselves",
+        "fleet/coordinator.py",
+        "        if parts > 1 and known.report.store_age_ms < STORE_SERVES_MS:\n            return\n",
+        "",
+        COORDINATION + "test_a_long_list_of_replicas_is_left_to_the_store",
+    ),
+    Mutant(
+        "serving: a list of replicas is taken before all its parts have come",
+        "fleet/directory_sync.py",
+        "        if len(self._parts) < update.parts:\n            return None\n",
+        "",
+        COORDINATION + "test_a_long_list_reaches_a_node_that_the_store_refuses_in_parts",
+    ),
+    Mutant(
+        "serving: connections that rest outlive a silent one",
+        "gateway/replica_connection.py",
+        "            doubtful = [one for one in idle if one.released_at < connection.acquired_at]",
+        "            doubtful: list[ReplicaConnection] = []",
+        "tests/serving/test_silent_connections.py::"
+        "test_one_request_is_late_by_all_silent_connections_to_replicas",
+    ),
 ]
 
 
