Sight: what a job was taken with, why its items are dead, and how well the store's time is known

job_taken tells accepted_ms, due_ms, give_up_ms, the store's time with its width, and the version of the configuration. items_dead (418, in place of items_given_up) names the items, the reason and what it rests on. Reasons are types in jobs/item_end.py, and JobRun takes no end without one. StoreClock tells the store's time as an interval: each answer bounds it on both sides. Decisions are as before: the lower bound in every place.

--- a/src/cloverwalk/jobs/intake.py
+++ b/src/cloverwalk/jobs/intake.py
@@ -24,6 +24,7 @@
 )
 from cloverwalk.jobs.run import JobRun
 from cloverwalk.jobs.view import JobView
+from cloverwalk.store.clock import StoreTime
 from cloverwalk.store.types import (
     CommitOutcome,
     CommitStatus,
@@ -72,6 +73,9 @@
     tenant: str = ""
     """Who hands it in; empty for callers without a key."""
 
+    configuration: int = -1
+    """Version of the configuration that has the route it came by."""
+
 
 class JobIntake:
     """Takes jobs into the store."""
@@ -83,7 +87,7 @@
         committer: Committer,
         view: JobView,
         reader: JobReader,
-        store_now_ms: Callable[[], float | None],
+        store_time: Callable[[], StoreTime | None],
         clock: Callable[[], float],
         log: ServingLog,
         on_taken: OnTaken,
@@ -96,7 +100,7 @@
         self._committer = committer
         self._view = view
         self._reader = reader
-        self._store_now_ms = store_now_ms
+        self._store_time = store_time
         self._clock = clock
         self._log = log
         self._on_taken = on_taken
@@ -112,7 +116,7 @@
         known = self._view.find(submission.job_id)
         if known is not None:
             _check_owner(known.record, submission)
-            self._note(submission, "known")
+            self._note(submission, "known", known.record)
             return
         if self._is_store_lost() and self._is_served_elsewhere():
             raise self._unsettled(submission, CommitOutcome(CommitStatus.NOT_DONE))
@@ -127,7 +131,7 @@
         refuse_after_s = REFUSE_AFTER_SERVED_ELSEWHERE_S if is_elsewhere else REFUSE_AFTER_S
         refuse_at = self._clock() + refuse_after_s
         for _ in range(MAX_CONFLICTS):
-            record = self._new_record(submission, route, await self._now_ms(submission))
+            record = self._new_record(submission, route, await self._time(submission))
             payload = payload_puts(record.job_id, submission.items)
             record.payload_rows = len(payload)
             payload = await self._put_ahead(submission, payload, until)
@@ -148,21 +152,22 @@
 
     # --- steps ---
 
-    async def _now_ms(self, submission: Submission) -> float:
+    async def _time(self, submission: Submission) -> StoreTime:
         """Return the store's time; a process that has just started reads something to learn it.
 
         The configuration may have come from a peer. Times that were guessed would have the items
         given up too early.
         """
-        if self._store_now_ms() is None:
+        if self._store_time() is None:
             await self._reader.read_record(submission.job_id)
-        now_ms = self._store_now_ms()
-        if now_ms is None:
+        time = self._store_time()
+        if time is None:
             raise self._unsettled(submission, CommitOutcome(CommitStatus.NOT_DONE))
-        return now_ms
+        return time
 
-    def _new_record(self, submission: Submission, route: Route, now_ms: float) -> JobRecord:
+    def _new_record(self, submission: Submission, route: Route, time: StoreTime) -> JobRecord:
         tokens = sum(item.tokens for item in submission.items)
+        now_ms = time.earliest_ms
         return JobRecord(
             submission.job_id,
             submission.host,
@@ -177,6 +182,7 @@
             self._owner,
             waiting_tokens=tokens,
             tenant=submission.tenant,
+            configuration=submission.configuration,
         )
 
     async def _put_ahead(
@@ -295,7 +301,7 @@
             if put.row_key == key:
                 self._quotas[key] = (decode_quota(put.value), outcome.version)
         await self._view.put(record, outcome.version)
-        self._note(submission, "taken")
+        self._note(submission, "taken", record)
         await self._on_taken(JobRun(record, outcome.version, submission.items))
 
     async def _found(self, submission: Submission, row: Row) -> None:
@@ -303,7 +309,7 @@
         record = decode_record(row.value)
         await self._view.put(record, row.version)
         _check_owner(record, submission)
-        self._note(submission, "found")
+        self._note(submission, "found", record)
         if record.owner == self._owner and record.is_open:
             # The answer to an own transaction was lost.
             await self._on_taken(JobRun(record, row.version, submission.items))
@@ -322,13 +328,21 @@
         retry_after_s = ELSEWHERE_RETRY_AFTER_S if is_elsewhere else STORE_RETRY_AFTER_S
         return JobError(503, "store_unavailable", message, retry_after_s)
 
-    def _note(self, submission: Submission, outcome: str) -> None:
+    def _note(self, submission: Submission, outcome: str, record: JobRecord) -> None:
+        time = self._store_time()
         self._log.write(
             catalogue.JOB_TAKEN,
             request=submission.job_id,
             tenant=submission.tenant,
             outcome=outcome,
             items=len(submission.items),
+            owner=record.owner,
+            accepted_ms=round(record.accepted_ms),
+            due_ms=round(record.due_ms),
+            give_up_ms=round(record.give_up_ms),
+            store_ms=None if time is None else round(time.earliest_ms),
+            unsure_ms=None if time is None else round(time.width_ms),
+            configuration=record.configuration,
         )
 
 
--- a/src/cloverwalk/jobs/records.py
+++ b/src/cloverwalk/jobs/records.py
@@ -92,6 +92,9 @@
     tenant: str = ""
     """Who handed it in, and may read and end it; empty for callers without a key."""
 
+    configuration: int = -1
+    """Version of the configuration whose route took it; -1 where that is not known."""
+
     @property
     def is_open(self) -> bool:
         """Whether items may still run."""
--- a/src/cloverwalk/jobs/run.py
+++ b/src/cloverwalk/jobs/run.py
@@ -9,6 +9,7 @@
 import msgspec
 from msgspec import Struct
 
+from cloverwalk.jobs.item_end import AttemptsUsed, ItemEnd
 from cloverwalk.jobs.records import ItemResult, ItemState, JobItem, JobRecord, PartialOutput
 
 MAX_GROUP = 24
@@ -38,6 +39,9 @@
     last_event_id: int | None = None
     texts: list[str] = []
     result: ItemResult | None = None
+    end: ItemEnd | None = None
+    """Why the item is dead; None for one that is not."""
+
     not_before: float = 0.0
     replica_id: str = ""
     """Where it runs, or ran last: its prompt may still be kept there."""
@@ -136,12 +140,13 @@
         """A run failed by its own fault."""
         one.failures += 1
         if one.failures >= self.record.max_attempts:
-            self.kill(one)
+            self.end(one, AttemptsUsed(one.replica_id, one.failures, self.record.max_attempts))
         else:
             self.suspend(one, not_before)
 
-    def kill(self, one: ItemRun) -> None:
-        """An item can never be done."""
+    def end(self, one: ItemRun, evidence: ItemEnd) -> None:
+        """An item is ended without a result, for a reason that is allowed."""
+        one.end = evidence
         self._finish(one, ItemState.DEAD, "")
 
     def _finish(self, one: ItemRun, state: ItemState, text: str) -> None:
--- a/src/cloverwalk/jobs/runner.py
+++ b/src/cloverwalk/jobs/runner.py
@@ -3,6 +3,7 @@
 from collections.abc import Awaitable, Callable
 from typing import Any
 
+import attrs
 import curio
 
 from cloverwalk.core import catalogue
@@ -12,10 +13,17 @@
 from cloverwalk.gateway.errors import SILENT, ReplicaError
 from cloverwalk.gateway.replicas import Replica, ReplicaDirectory
 from cloverwalk.gateway.selection import reading_ms
-from cloverwalk.jobs.item_call import ItemCaller, ItemFailedError, ItemImpossibleError
+from cloverwalk.jobs.item_call import (
+    UNPROCESSABLE,
+    ItemCaller,
+    ItemFailedError,
+    ItemImpossibleError,
+)
+from cloverwalk.jobs.item_end import Impossible, ItemEnd, RouteWatch, past_retention
 from cloverwalk.jobs.order import WaitingItem, summarise
 from cloverwalk.jobs.pace import ItemPace
 from cloverwalk.jobs.run import ItemRun, JobRun, Phase
+from cloverwalk.store.clock import StoreTime
 from cloverwalk.telemetry.log import ServingLog
 from cloverwalk.telemetry.metrics import ServingMetrics
 
@@ -23,8 +31,6 @@
 """How often waiting items are looked at though nothing has happened: some become late."""
 
 RETRY_S = 0.3
-ROUTE_GONE_S = 4.0
-"""A job whose route is missing for so long can't be run any more."""
 
 
 class _Running:
@@ -56,7 +62,7 @@
         link: CoordinatorLink,
         on_finished: Callable[[JobRun], Awaitable[None]],
         on_orphans: Callable[[list[str]], Awaitable[None]],
-        store_now_ms: Callable[[], float | None],
+        store_time: Callable[[], StoreTime | None],
         log: ServingLog,
         metrics: ServingMetrics,
         clock: Callable[[], float],
@@ -68,7 +74,7 @@
         self._link = link
         self._on_finished = on_finished
         self._on_orphans = on_orphans
-        self._store_now_ms = store_now_ms
+        self._store_time = store_time
         self._log = log
         self._metrics = metrics
         self._clock = clock
@@ -77,7 +83,7 @@
         self._wake = curio.Event()
         self._has_jobs = curio.Event()
         self._pace = ItemPace()
-        self._routeless_since: dict[str, float] = {}
+        self._route_watch = RouteWatch()
         self._has_ended = False
         """Whether a run has ended since the last report was asked for."""
 
@@ -95,7 +101,7 @@
     async def drop(self, job_id: str) -> None:
         """Stop a job: it is done, ended, or owned by another node."""
         job = self.jobs.pop(job_id, None)
-        self._routeless_since.pop(job_id, None)
+        self._route_watch.forget(job_id)
         if job is None:
             return
         job.is_dropped = True
@@ -177,41 +183,47 @@
 
     def _left_ms(self, job: JobRun) -> float:
         """Return the time until a job is due; all the time while the store's is not known."""
-        now_ms = self._store_now_ms()
-        return float("inf") if now_ms is None else job.record.due_ms - now_ms
+        time = self._store_time()
+        return float("inf") if time is None else job.record.due_ms - time.earliest_ms
 
     def _reading_ms(self, one: ItemRun) -> float:
         prompt = self._caller.prompt(one)
         return reading_ms(prompt[-1].tokens) if prompt else 0.0
 
     async def _give_up_old(self) -> None:
-        """End items past their retention, and those whose route is gone for good."""
-        now_ms = self._store_now_ms()
+        """End waiting items past their retention, and those whose route is gone for good."""
         for job in list(self.jobs.values()):
-            is_past = now_ms is not None and now_ms > job.record.give_up_ms
-            if not is_past and not self._has_lost_its_route(job):
+            evidence = self._end_of_all(job)
+            if evidence is None:
                 continue
             waiting = [one for one in job.items if one.phase is Phase.PENDING]
             for one in waiting:
-                job.kill(one)
+                job.end(one, evidence)
             if waiting:
-                self._log.write(
-                    catalogue.ITEMS_GIVEN_UP,
-                    job=job.job_id,
-                    items=len(waiting),
-                    past_retention=is_past,
-                    accepted_ms=round(job.record.accepted_ms),
-                    store_ms=None if now_ms is None else round(now_ms),
-                    configuration=self._configuration.version,
-                )
+                self._note_dead(job, waiting, evidence)
                 await self._on_finished(job)
 
-    def _has_lost_its_route(self, job: JobRun) -> bool:
+    def _end_of_all(self, job: JobRun) -> ItemEnd | None:
+        """Return what ends every unfinished item of a job, if anything does."""
+        return past_retention(job.record, self._store_time()) or self._end_of_route(job)
+
+    def _end_of_route(self, job: JobRun) -> ItemEnd | None:
         if self._configuration.current is None or self._route(job) is not None:
-            self._routeless_since.pop(job.job_id, None)
-            return False
-        since = self._routeless_since.setdefault(job.job_id, self._clock())
-        return self._clock() - since > ROUTE_GONE_S
+            self._route_watch.note_present(job.job_id)
+            return None
+        version, now_ms = self._configuration.version, self._clock() * 1000
+        return self._route_watch.note_missing(job.record, version, now_ms)
+
+    def _note_dead(self, job: JobRun, dead: list[ItemRun], evidence: ItemEnd) -> None:
+        """Write one line for all items that end together, so that none is left out."""
+        self._log.write(
+            catalogue.ITEMS_DEAD,
+            requests=[one.item.item_id for one in dead],
+            job=job.job_id,
+            epoch=job.record.epoch,
+            reason=evidence.reason,
+            **attrs.asdict(evidence),
+        )
 
     def _route(self, job: JobRun) -> Route | None:
         configuration = self._configuration.current
@@ -292,7 +304,7 @@
             job.succeed(one)
             outcome = "succeeded"
         except ItemImpossibleError:
-            job.kill(one)
+            job.end(one, Impossible(replica.replica_id, UNPROCESSABLE))
             outcome = "impossible"
         except ItemFailedError:
             job.fail(one, self._clock() + RETRY_S)
@@ -324,6 +336,8 @@
             ran_ms=round((self._clock() - running.started_at) * 1000),
         )
         if one.phase is Phase.FINISHED:
+            if one.end is not None:
+                self._note_dead(job, [one], one.end)
             await self._on_finished(job)
         self._has_ended = True
         await self._wake.set()
--- a/src/cloverwalk/jobs/sweeper.py
+++ b/src/cloverwalk/jobs/sweeper.py
@@ -17,6 +17,7 @@
     part_of,
 )
 from cloverwalk.jobs.view import JobView, KnownJob
+from cloverwalk.store.clock import StoreTime
 from cloverwalk.store.types import (
     CommitStatus,
     Expectation,
@@ -44,7 +45,7 @@
         view: JobView,
         store: Store,
         committer: Committer,
-        store_now_ms: Callable[[], float | None],
+        store_time: Callable[[], StoreTime | None],
         status_s: float,
         log: ServingLog,
     ) -> None:
@@ -53,7 +54,7 @@
         self._view = view
         self._store = store
         self._committer = committer
-        self._store_now_ms = store_now_ms
+        self._store_time = store_time
         self._kept_ms = status_s * 1000 + MARGIN_MS
         self._log = log
 
@@ -76,10 +77,10 @@
                 return
 
     def _is_old(self, record: JobRecord) -> bool:
-        now_ms = self._store_now_ms()
-        if record.is_open or now_ms is None:
+        time = self._store_time()
+        if record.is_open or time is None:
             return False
-        return now_ms > record.accepted_ms + self._kept_ms
+        return time.earliest_ms > record.accepted_ms + self._kept_ms
 
     async def _remove(self, known: KnownJob) -> None:
         job_id = known.record.job_id
--- a/src/cloverwalk/serving/calls.py
+++ b/src/cloverwalk/serving/calls.py
@@ -126,7 +126,12 @@
             for item in items:
                 item.headers = self._without_key(item.headers)
         submission = Submission(
-            request.fields.request_id, request.host, request.path, items, request.tenant
+            request.fields.request_id,
+            request.host,
+            request.path,
+            items,
+            request.tenant,
+            self._configuration.version,
         )
         await self._jobs.submit(submission, route, request.fields.deadline_s)
         headers = self._adapter.json_headers
--- a/src/cloverwalk/store/clock.py
+++ b/src/cloverwalk/store/clock.py
@@ -1,5 +1,7 @@
 """The store's time at this node, as its answers tell it."""
 
+import attrs
+
 from cloverwalk.core.clock import Clock
 
 MOST_DRIFT = 200e-6
@@ -7,36 +9,66 @@
 clocks are specified for (100 ppm)."""
 
 
+@attrs.frozen
+class StoreTime:
+    """The store's time (ms): an interval that surely holds it.
+
+    What asks whether a time is over takes ``earliest_ms``; what sets a time until which something
+    is kept takes ``latest_ms``. The other way round either comes too early by the width, which is
+    that of the fastest answer so far: some ms, and seconds where the only one lay unread.
+    """
+
+    earliest_ms: float
+    latest_ms: float
+
+    @property
+    def width_ms(self) -> float:
+        """How far the time is unsure."""
+        return self.latest_ms - self.earliest_ms
+
+
 class StoreClock:
     """Estimates the store's time between its answers. It is unknown before the first one.
 
-    An answer may lie unread for a while, so what it tells is never ahead of the store: the estimate
-    goes by the answer that came fastest, less what the clocks may have drifted since.
+    The store reads its clock after a call was sent and before its answer is read, so each answer
+    bounds the difference of the two clocks on both sides. The closest bounds are kept, less what
+    the clocks may have drifted since.
     """
 
     def __init__(self, clock: Clock) -> None:
         self._clock = clock
-        self._ahead_ms: float | None = None
-        self._told_at_ms = 0.0
+        self._least_ahead_ms = float("-inf")
+        self._most_ahead_ms = float("inf")
+        self._told_at_ms: float | None = None
+
+    def steady_ms(self) -> float:
+        """Return this machine's steady time, to be noted before a call."""
+        return self._clock.now_ms()
 
-    def note(self, store_ms: float) -> None:
-        """Take the time that an answer told."""
+    def note(self, store_ms: float, asked_at_ms: float) -> None:
+        """Take the time that the answer to a call sent at ``asked_at_ms`` (steady) told."""
         at_ms = self._clock.now_ms()
-        told_ms = store_ms - at_ms
-        if self._ahead_ms is not None:
+        if self._told_at_ms is not None:
             drift_ms = MOST_DRIFT * (at_ms - self._told_at_ms)
-            told_ms = max(told_ms, self._ahead_ms - drift_ms)
-        self._ahead_ms = told_ms
+            self._least_ahead_ms -= drift_ms
+            self._most_ahead_ms += drift_ms
+        self._least_ahead_ms = max(self._least_ahead_ms, store_ms - at_ms)
+        self._most_ahead_ms = min(self._most_ahead_ms, store_ms - asked_at_ms)
         self._told_at_ms = at_ms
 
-    def now_ms(self) -> float | None:
+    def now(self) -> StoreTime | None:
         """Return the store's time, None before any answer told it.
 
         >>> clock = StoreClock(Clock(lambda: 2.0))
-        >>> clock.now_ms() is None
+        >>> clock.now() is None
         True
-        >>> clock.note(500.0)
-        >>> clock.now_ms()
-        500.0
+        >>> clock.note(500.0, asked_at_ms=1990.0)
+        >>> clock.now()
+        StoreTime(earliest_ms=500.0, latest_ms=510.0)
         """
-        return None if self._ahead_ms is None else self._clock.now_ms() + self._ahead_ms
+        if self._told_at_ms is None:
+            return None
+        now_ms = self._clock.now_ms()
+        drift_ms = MOST_DRIFT * (now_ms - self._told_at_ms)
+        earliest_ms = now_ms + self._least_ahead_ms - drift_ms
+        return StoreTime(earliest_ms, now_ms + self._most_ahead_ms + drift_ms)
--- a/src/cloverwalk/store/health.py
+++ b/src/cloverwalk/store/health.py
@@ -102,16 +102,17 @@
         self._health = health
         self._time = time
 
-    async def _note_answer(self, now_ms: float | None) -> None:
+    async def _note_answer(self, now_ms: float | None, asked_at_ms: float) -> None:
         if now_ms is not None:
-            self._time.note(now_ms)
+            self._time.note(now_ms, asked_at_ms)
         await self._health.note_answer()
 
     async def commit(self, transaction: Transaction, timeout_s: float) -> CommitOutcome:
         """Try once to commit; never raises."""
+        asked_at_ms = self._time.steady_ms()
         outcome = await self._store.commit(transaction, timeout_s)
         if outcome.status in (CommitStatus.COMMITTED, CommitStatus.CONFLICT):
-            await self._note_answer(outcome.now_ms)
+            await self._note_answer(outcome.now_ms, asked_at_ms)
         else:
             await self._health.note_failure()
         return outcome
@@ -120,26 +121,29 @@
         self, table: str, part: str, start: str = "", end: str = "", limit: int = 500
     ) -> RowPage:
         """Return rows with ``start`` <= key < ``end`` in order of their keys."""
+        asked_at_ms = self._time.steady_ms()
         try:
             page = await self._store.read(table, part, start, end, limit)
         except StoreError:
             await self._health.note_failure()
             raise
-        await self._note_answer(page.now_ms)
+        await self._note_answer(page.now_ms, asked_at_ms)
         return page
 
     async def read_table(self, table: str) -> RowPage:
         """Return the rows of all parts of a table."""
+        asked_at_ms = self._time.steady_ms()
         try:
             page = await self._store.read_table(table)
         except StoreError:
             await self._health.note_failure()
             raise
-        await self._note_answer(page.now_ms)
+        await self._note_answer(page.now_ms, asked_at_ms)
         return page
 
     async def changes(self, table: str, since: int, wait_s: float) -> RowPage:
         """Return the changes after a version; raise HistoryLostError when they are gone."""
+        asked_at_ms = self._time.steady_ms()
         try:
             page = await self._store.changes(table, since, wait_s)
         except HistoryLostError:
@@ -148,5 +152,5 @@
         except StoreError:
             await self._health.note_failure()
             raise
-        await self._note_answer(page.now_ms)
+        await self._note_answer(page.now_ms, asked_at_ms)
         return page
--- a/src/cloverwalk/telemetry/story.py
+++ b/src/cloverwalk/telemetry/story.py
@@ -47,7 +47,8 @@
 
     def names(self, wanted: str) -> bool:
         """Whether the line is about a request, item or job."""
-        return wanted in (self.fields.get("request"), self.fields.get("job"))
+        named = (self.fields.get("request"), self.fields.get("job"))
+        return wanted in named or wanted in self.fields.get("requests", ())
 
     def text(self) -> str:
         """Return the line for a reader."""
@@ -106,4 +107,6 @@
 def _is_of_job(line: LogLine, jobs: set[str]) -> bool:
     if "request" in line.fields:
         return line.fields["request"] in jobs
+    if "requests" in line.fields:
+        return False
     return line.fields.get("job") in jobs
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -677,8 +677,8 @@
     Mutant(
         "serving: a job is taken at time zero",
         "jobs/intake.py",
-        "        now_ms = self._store_now_ms()\n        if now_ms is None:",
-        "        now_ms = self._store_now_ms() or 0.0\n        if now_ms is None:",
+        "        time = self._store_time()\n        if time is None:",
+        "        time = self._store_time() or StoreTime(0.0, 0.0)\n        if time is None:",
         JOBS + "test_no_job_is_taken_while_the_time_of_the_store_is_unknown",
     ),
     Mutant(
--- a/tests/serving/job_world.py
+++ b/tests/serving/job_world.py
@@ -15,7 +15,8 @@
 from cloverwalk.jobs.result_cache import ResultCache
 from cloverwalk.jobs.run import ItemRun, JobRun
 from cloverwalk.jobs.view import JobView
-from cloverwalk.store.health import StoreHealth
+from cloverwalk.store.clock import StoreTime
+from cloverwalk.store.health import StoreHealth, WatchedStore
 from cloverwalk.telemetry.log import ServingLog
 
 
@@ -47,6 +48,11 @@
     )
 
 
+def exactly(now_ms: float) -> StoreTime:
+    """Return a time of the store that is known to the millisecond."""
+    return StoreTime(now_ms, now_ms)
+
+
 def submission(job_id: str, count: int = 3, tokens: int = 10) -> Submission:
     items = [
         JobItem(f"{job_id}-{number}", f"/jobs/{number}", [], b"body %d" % number, tokens)
@@ -58,7 +64,13 @@
 class OwnerNode:
     """The batch side of one node, without replicas."""
 
-    def __init__(self, name: str, store: MemoryStore, clock: HandClock) -> None:
+    def __init__(
+        self,
+        name: str,
+        store: MemoryStore | WatchedStore,
+        clock: Callable[[], float],
+        told: Callable[[], StoreTime | None] | None = None,
+    ) -> None:
         self.name = name
         self.store = store
         self.clock = clock
@@ -70,14 +82,14 @@
         self.cache = ResultCache()
         self.reader = JobReader(store, self.view, self._is_run_here, self.cache, clock)
         self.is_served_elsewhere = False
-        self.told_ms: Callable[[], float | None] = lambda: store.now_ms
+        self.told = told or self._exact_time
         self.intake = JobIntake(
             name,
             store,
             self.committer,
             self.view,
             self.reader,
-            lambda: self.told_ms(),
+            lambda: self.told(),
             clock,
             log,
             self._taken,
@@ -87,6 +99,10 @@
         )
         self.lister = ResultLister(self.committer, self.view, self.cache, self._drop, log, clock)
 
+    def _exact_time(self) -> StoreTime:
+        assert isinstance(self.store, MemoryStore)
+        return exactly(self.store.now_ms)
+
     def _is_run_here(self, job_id: str) -> bool:
         return job_id in self.jobs
 
--- a/tests/serving/test_jobs.py
+++ b/tests/serving/test_jobs.py
@@ -6,7 +6,7 @@
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
-from job_world import HandClock, OwnerNode, batch_route, finish, submission
+from job_world import HandClock, OwnerNode, batch_route, exactly, finish, submission
 
 from cloverwalk.emulator.memory_store import CommitFault, MemoryStore
 from cloverwalk.jobs.errors import JobError
@@ -50,7 +50,7 @@
         store = MemoryStore()
         store.now_ms = 50_000.0
         node = OwnerNode("n1", store, HandClock())
-        node.told_ms = lambda: store.now_ms if store.reads else None
+        node.told = lambda: exactly(store.now_ms) if store.reads else None
         await node.submit(submission("j"), batch_route())
         record = await node.reader.find("j")
         assert record.accepted_ms == 50_000.0
@@ -63,7 +63,7 @@
     async def main() -> None:
         store = MemoryStore()
         node = OwnerNode("n1", store, HandClock())
-        node.told_ms = lambda: None
+        node.told = lambda: None
         with pytest.raises(JobError) as refused:
             await node.submit(submission("j"), batch_route())
         assert refused.value.status == 503
@@ -360,20 +360,20 @@
             finish(job, one, "a b")
         await node.lister.list_finished(job)
         log = ServingLog("n1", node.clock, os.open(os.devnull, os.O_WRONLY))
-        now_ms = 0.0
+        now = exactly(0.0)
         sweeper = JobSweeper(
             "n1",
             lambda: ["n1"],
             node.view,
             store,
             node.committer,
-            lambda: now_ms,
+            lambda: now,
             120.0,
             log,
         )
         await sweeper.sweep()
         assert sorted(store.values(JOB_TABLE)) == ["old", "open"]
-        now_ms = 181_000.0
+        now = exactly(181_000.0)
         await sweeper.sweep()
         assert sorted(store.values(JOB_TABLE)) == ["open"]
         assert store.values(RESULT_TABLE) == {}
--- a/tests/serving/test_store_health.py
+++ b/tests/serving/test_store_health.py
@@ -4,7 +4,9 @@
 
 import curio
 from fleet_world import FleetWorld, in_world
-from job_world import HandClock, OwnerNode, batch_route, submission
+from hypothesis import given
+from hypothesis import strategies as st
+from job_world import HandClock, OwnerNode, batch_route, exactly, submission
 
 from cloverwalk.core.clock import Clock
 from cloverwalk.emulator.memory_store import MemoryStore
@@ -99,7 +101,7 @@
             inner.now_ms += 5000.0
             time = StoreClock(Clock(lambda: 1.0))
             store = WatchedStore(inner, StoreHealth(Clock(HandClock())), time)
-            assert time.now_ms() is None
+            assert time.now() is None
             arguments = {
                 "commit": (put, 1.0),
                 "read": ("t", ""),
@@ -107,8 +109,8 @@
                 "changes": ("t", 0, 0.01),
             }
             await getattr(store, call)(*arguments[call])
-            told.append(time.now_ms())
-        assert told == [5000.0, 10000.0, 15000.0, 20000.0]
+            told.append(time.now())
+        assert told == [exactly(at_ms) for at_ms in (5000.0, 10000.0, 15000.0, 20000.0)]
 
     in_time(test)
 
@@ -121,7 +123,7 @@
         store = WatchedStore(inner, StoreHealth(Clock(HandClock())), time)
         put = Transaction(puts=[Put(RowKey("t", "", "k"), b"v")])
         await store.commit(put, 1.0)
-        assert time.now_ms() is None
+        assert time.now() is None
 
     in_time(test)
 
@@ -129,11 +131,42 @@
 def test_an_answer_that_lay_unread_does_not_set_the_time_back() -> None:
     now = HandClock(step_s=0.0)
     time = StoreClock(Clock(now))
-    time.note(1000.0)
+    time.note(1000.0, asked_at_ms=time.steady_ms())
     now.now += 4.0
-    time.note(1100.0)
-    estimate = time.now_ms()
-    assert estimate is not None and 4990.0 < estimate <= 5000.0
+    time.note(1100.0, asked_at_ms=time.steady_ms() - 3900.0)
+    estimate = time.now()
+    assert estimate is not None and 4990.0 < estimate.earliest_ms <= 5000.0
+    assert 5000.0 <= estimate.latest_ms < 5010.0
+
+
+@given(
+    zero_ms=st.floats(-1e6, 1e6),
+    calls=st.lists(
+        st.tuples(st.floats(0, 5), st.floats(0, 5), st.floats(0, 60), st.floats(-1e-4, 1e-4)),
+        min_size=1,
+        max_size=8,
+    ),
+)
+def test_the_time_of_the_store_lies_within_the_bounds(
+    zero_ms: float, calls: list[tuple[float, float, float, float]]
+) -> None:
+    """Whatever answers take to come and to be read, and whatever the clocks drift between them."""
+    now = HandClock(step_s=0.0)
+    time = StoreClock(Clock(now))
+    store_ms = zero_ms
+    for out_s, back_s, rest_s, drift in calls:
+        asked_at_ms = time.steady_ms()
+        now.now += out_s
+        store_ms += out_s * 1000
+        told_ms = store_ms
+        now.now += back_s
+        store_ms += back_s * 1000
+        time.note(told_ms, asked_at_ms)
+        now.now += rest_s
+        store_ms += rest_s * 1000 * (1 + drift)
+        known = time.now()
+        assert known is not None
+        assert known.earliest_ms - 0.01 <= store_ms <= known.latest_ms + 0.01
 
 
 def test_a_transaction_in_a_long_pause_is_repeated_at_once(monkeypatch: object) -> None:
