Nothing ends work for good by a time or a version that is unknown or roughly known

The estimate is a lower bound, right for 'is it over' and wrong for 'from when': where the first answer lay unread for 4 s, items died 4 s too early. And a route counted as ended by any configuration, also by one older than the job.

Change: retention and the record's age count from the latest that the store's time can be, the due time and 'is it over' from the earliest. A route has ended only by a version newer than the one the job was taken under. Items, and rows that are swept, end by evidence of jobs/evidence.py alone.

Four mutants added.

--- a/src/cloverwalk/jobs/item_end.py
+++ b/src/cloverwalk/jobs/evidence.py
@@ -1,7 +1,9 @@
-"""What may end an item without a result, and the evidence that each reason needs.
+"""What may end work for good, and the evidence that each reason needs.
 
-An item that is listed as dead is lost for its caller. So nothing else ends one: `JobRun` takes no
-item's end without one of the types below, and their values are logged with it.
+An item that is listed as dead is lost for its caller, and so is a record that is removed. So
+nothing else ends them: `JobRun` takes no item's end without one of the types below, the sweeper
+removes no record without one, and their values are logged. Evidence is never made from a time or a
+version that is not known, nor from one that may lie on the wrong side of the limit.
 """
 
 from typing import ClassVar
@@ -47,7 +49,7 @@
 
 @attrs.frozen
 class RouteEnded:
-    """No route of the configuration in force takes the job's items, for some time now."""
+    """A configuration newer than the one that the job was taken under lacks its route."""
 
     reason: ClassVar[str] = "route_ended"
     accepted_configuration: int
@@ -69,8 +71,29 @@
     return PastRetention(record.accepted_ms, record.give_up_ms, time.earliest_ms, time.width_ms)
 
 
+@attrs.frozen
+class StatusPast:
+    """Nobody may ask for the job any more. All times are of the store's clock, ms."""
+
+    accepted_ms: float
+    kept_ms: float
+    store_ms: float
+
+
+def status_past(record: JobRecord, time: StoreTime | None, kept_ms: float) -> StatusPast | None:
+    """Return the evidence that a job's rows may go; none while it is open or the time unknown."""
+    if record.is_open or time is None or time.earliest_ms <= record.accepted_ms + kept_ms:
+        return None
+    return StatusPast(record.accepted_ms, kept_ms, time.earliest_ms)
+
+
 class RouteWatch:
-    """Notices that the routes of jobs are gone for good."""
+    """Notices that the routes of jobs are gone for good.
+
+    A node that is cut off may run a job under a configuration older than the one that has its
+    route. That tells nothing: such a node would list the items of a job that it has just taken over
+    as dead.
+    """
 
     GONE_AFTER_MS = 4000.0
     """A route that is moved may be missing for one version; nodes learn of the next within the
@@ -90,6 +113,9 @@
 
         Return the evidence once that has lasted.
         """
+        if configuration <= record.configuration:
+            self.note_present(record.job_id)
+            return None
         missing_ms = now_ms - self._missing_since_ms.setdefault(record.job_id, now_ms)
         if missing_ms <= self.GONE_AFTER_MS:
             return None
--- a/src/cloverwalk/jobs/intake.py
+++ b/src/cloverwalk/jobs/intake.py
@@ -167,19 +167,20 @@
 
     def _new_record(self, submission: Submission, route: Route, time: StoreTime) -> JobRecord:
         tokens = sum(item.tokens for item in submission.items)
-        now_ms = time.earliest_ms
         return JobRecord(
             submission.job_id,
             submission.host,
             submission.path,
-            now_ms,
-            now_ms + route.completion_target_s * 1000,
-            now_ms + route.retention_s * 1000,
-            route.max_attempts,
-            len(submission.items),
-            tokens,
-            0,
-            self._owner,
+            # Items are kept for the whole retention however late the store's time was read: by
+            # the other bound they died sooner by as much (4 s where a first answer lay unread).
+            accepted_ms=time.latest_ms,
+            due_ms=time.earliest_ms + route.completion_target_s * 1000,
+            give_up_ms=time.latest_ms + route.retention_s * 1000,
+            max_attempts=route.max_attempts,
+            total=len(submission.items),
+            tokens=tokens,
+            payload_rows=0,
+            owner=self._owner,
             waiting_tokens=tokens,
             tenant=submission.tenant,
             configuration=submission.configuration,
--- a/src/cloverwalk/jobs/run.py
+++ b/src/cloverwalk/jobs/run.py
@@ -9,7 +9,7 @@
 import msgspec
 from msgspec import Struct
 
-from cloverwalk.jobs.item_end import AttemptsUsed, ItemEnd
+from cloverwalk.jobs.evidence import AttemptsUsed, ItemEnd
 from cloverwalk.jobs.records import ItemResult, ItemState, JobItem, JobRecord, PartialOutput
 
 MAX_GROUP = 24
--- a/src/cloverwalk/jobs/runner.py
+++ b/src/cloverwalk/jobs/runner.py
@@ -13,13 +13,13 @@
 from cloverwalk.gateway.errors import SILENT, ReplicaError
 from cloverwalk.gateway.replicas import Replica, ReplicaDirectory
 from cloverwalk.gateway.selection import reading_ms
+from cloverwalk.jobs.evidence import Impossible, ItemEnd, RouteWatch, past_retention
 from cloverwalk.jobs.item_call import (
     UNPROCESSABLE,
     ItemCaller,
     ItemFailedError,
     ItemImpossibleError,
 )
-from cloverwalk.jobs.item_end import Impossible, ItemEnd, RouteWatch, past_retention
 from cloverwalk.jobs.order import WaitingItem, summarise
 from cloverwalk.jobs.pace import ItemPace
 from cloverwalk.jobs.run import ItemRun, JobRun, Phase
--- a/src/cloverwalk/jobs/sweeper.py
+++ b/src/cloverwalk/jobs/sweeper.py
@@ -2,16 +2,17 @@
 
 from collections.abc import Callable
 
+import attrs
 import curio
 
 from cloverwalk.core import catalogue
 from cloverwalk.core.hashing import rendezvous_owner
 from cloverwalk.jobs.commit import Committer
+from cloverwalk.jobs.evidence import StatusPast, status_past
 from cloverwalk.jobs.records import (
     PARTIAL_TABLE,
     PAYLOAD_TABLE,
     RESULT_TABLE,
-    JobRecord,
     job_key,
     keys_end,
     part_of,
@@ -67,22 +68,17 @@
     async def sweep(self) -> None:
         """Remove the old jobs that fall to this node."""
         for known in self._view.all():
-            if not self._is_old(known.record):
+            evidence = status_past(known.record, self._store_time(), self._kept_ms)
+            if evidence is None:
                 continue
             if rendezvous_owner(known.record.job_id, self._members()) != self._name:
                 continue
             try:
-                await self._remove(known)
+                await self._remove(known, evidence)
             except StoreError:
                 return
 
-    def _is_old(self, record: JobRecord) -> bool:
-        time = self._store_time()
-        if record.is_open or time is None:
-            return False
-        return time.earliest_ms > record.accepted_ms + self._kept_ms
-
-    async def _remove(self, known: KnownJob) -> None:
+    async def _remove(self, known: KnownJob, evidence: StatusPast) -> None:
         job_id = known.record.job_id
         for table in (RESULT_TABLE, PARTIAL_TABLE, PAYLOAD_TABLE):
             while keys := await self._keys(table, job_id):
@@ -93,7 +89,7 @@
         key = job_key(job_id)
         transaction = Transaction([Expectation(key, known.version)], removals=[key])
         await self._committer.once(transaction)
-        self._log.write(catalogue.JOB_REMOVED, job=job_id)
+        self._log.write(catalogue.JOB_REMOVED, job=job_id, **attrs.asdict(evidence))
 
     async def _keys(self, table: str, job_id: str) -> list[RowKey]:
         part = part_of(job_id)
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -40,6 +40,7 @@
 PARTS = "tests/unit/test_serving_parts.py::"
 TENANTS = "tests/serving/test_tenants.py::"
 QUOTAS = "tests/unit/test_quotas.py::"
+ITEM_ENDS = "tests/serving/test_item_ends.py::"
 MUTANTS = [
     Mutant(
         "an earlier record is ignored",
@@ -681,6 +682,36 @@
         "        time = self._store_time() or StoreTime(0.0, 0.0)\n        if time is None:",
         JOBS + "test_no_job_is_taken_while_the_time_of_the_store_is_unknown",
     ),
+    Mutant(
+        "serving: a job's retention is counted from the least that the store's time can be",
+        "jobs/intake.py",
+        "            give_up_ms=time.latest_ms +",
+        "            give_up_ms=time.earliest_ms +",
+        ITEM_ENDS
+        + "test_a_job_is_kept_for_its_retention_whenever_its_process_first_heard_the_store",
+    ),
+    Mutant(
+        "serving: retention is over by the most that the store's time can be",
+        "jobs/evidence.py",
+        "    if time is None or time.earliest_ms <= record.give_up_ms:",
+        "    if time is None or time.latest_ms <= record.give_up_ms:",
+        ITEM_ENDS
+        + "test_a_job_is_kept_for_its_retention_whenever_its_process_first_heard_the_store",
+    ),
+    Mutant(
+        "serving: a route has ended by any configuration that lacks it",
+        "jobs/evidence.py",
+        "        if configuration <= record.configuration:",
+        "        if False:",
+        ITEM_ENDS + "test_a_route_that_an_older_configuration_lacks_has_not_ended",
+    ),
+    Mutant(
+        "serving: the time of the store is set back by an answer that lay unread",
+        "store/clock.py",
+        "max(self._least_ahead_ms, store_ms - at_ms)",
+        "store_ms - at_ms",
+        HEALTH + "test_an_answer_that_lay_unread_does_not_set_the_time_back",
+    ),
     Mutant(
         "serving: totals of many replicas are told each second",
         "fleet/coordinator.py",
--- a/tests/serving/test_item_ends.py
+++ b/tests/serving/test_item_ends.py
@@ -36,7 +36,7 @@
     Route,
 )
 from cloverwalk.gateway.replicas import ReplicaDirectory
-from cloverwalk.jobs.item_end import PastRetention, RouteEnded
+from cloverwalk.jobs.evidence import PastRetention, RouteEnded
 from cloverwalk.jobs.run import ItemRun, JobRun, Phase
 from cloverwalk.jobs.runner import BatchRunner
 from cloverwalk.store.clock import StoreClock
