--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -695,8 +695,7 @@
         "jobs/evidence.py",
         "    if time is None or time.earliest_ms <= record.give_up_ms:",
         "    if time is None or time.latest_ms <= record.give_up_ms:",
-        ITEM_ENDS
-        + "test_a_job_is_kept_for_its_retention_whenever_its_process_first_heard_the_store",
+        ITEM_ENDS + "test_a_new_owner_that_knows_the_time_roughly_gives_nothing_up_early",
     ),
     Mutant(
         "serving: a route has ended by any configuration that lacks it",
--- a/tests/serving/test_item_ends.py
+++ b/tests/serving/test_item_ends.py
@@ -182,6 +182,25 @@
     curio.run(main)
 
 
+def test_a_new_owner_that_knows_the_time_roughly_gives_nothing_up_early() -> None:
+    async def main() -> None:
+        time = WorldTime(12.0)
+        store = SlowStore(time)
+        owner = Owner("n1", store, time, configuration=1)
+        sent_at = time.now
+        await owner.submit(submission("j"), batch_route())
+        later = Owner("n2", store, time, configuration=1)
+        store.answer_s = 4.0
+        await later.reader.read_record("j")
+        later.jobs["j"] = owner.jobs["j"]
+        await later.run_job("j")
+        await later.look_for(RETENTION_S + 10.0)
+        assert len(later.dead) == 3
+        assert all(died_at - sent_at >= RETENTION_S for died_at, _ in later.dead.values())
+
+    curio.run(main)
+
+
 def test_a_route_that_an_older_configuration_lacks_has_not_ended() -> None:
     """A new owner may lag behind the node that took the job, for as long as it is cut off."""
 
