--- a/tests/serving/test_item_ends.py
+++ b/tests/serving/test_item_ends.py
@@ -65,22 +65,25 @@
 
 
 class SlowStore(MemoryStore):
-    """A store that reads its clock at once, and whose answers take ``answer_s`` to be read."""
+    """A store that calls reach after ``call_s``, and whose answers take ``answer_s`` to be read."""
 
     def __init__(self, time: WorldTime) -> None:
         super().__init__()
         self._time = time
+        self.call_s = 0.0
         self.answer_s = 0.0
 
     async def read(
         self, table: str, part: str, start: str = "", end: str = "", limit: int = 500
     ) -> RowPage:
+        self._time.now += self.call_s
         self.now_ms = self._time.store_ms
         page = await super().read(table, part, start, end, limit)
         self._time.now += self.answer_s
         return page
 
     async def commit(self, transaction: Transaction, timeout_s: float) -> CommitOutcome:
+        self._time.now += self.call_s
         self.now_ms = self._time.store_ms
         outcome = await super().commit(transaction, timeout_s)
         self._time.now += self.answer_s
@@ -190,7 +193,7 @@
         sent_at = time.now
         await owner.submit(submission("j"), batch_route())
         later = Owner("n2", store, time, configuration=1)
-        store.answer_s = 4.0
+        store.call_s = 4.0
         await later.reader.read_record("j")
         later.jobs["j"] = owner.jobs["j"]
         await later.run_job("j")
