--- a/src/cloverwalk/emulator/platform_replica.py
+++ b/src/cloverwalk/emulator/platform_replica.py
@@ -24,6 +24,8 @@
     SECOND_ANSWER = "send another answer after the whole one"
     LATE_ANSWER = "send an answer to another request first"
     REFUSE = "say that it did not run"
+    REFUSE_AND_CUT = "say that it did not run, and break the connection within that answer"
+    UNPROVED_REFUSAL = "run it and answer ``unproved_status`` without saying that it did not run"
     FAIL = "answer 500"
     IMPOSSIBLE = "answer 422"
     SILENT = "never answer"
@@ -59,6 +61,7 @@
         self.event_padding = 0
         """Characters added to the data of each event."""
 
+        self.unproved_status = 503
         self.misdeeds: deque[Misdeed | None] = deque()
         self.always: Misdeed | None = None
         self.arrivals: list[Arrival] = []
@@ -96,6 +99,9 @@
         if misdeed is Misdeed.REFUSE:
             await self._refuse(client, http, arrival, 503)
             return True
+        if misdeed is Misdeed.REFUSE_AND_CUT:
+            await self._refuse_and_cut(client, http, arrival)
+            return False
         if misdeed is Misdeed.SILENT:
             await curio.sleep(3600)
         arrival.has_run = True
@@ -139,6 +145,11 @@
         headers = [*self._headers(arrival), (names.NOT_EXECUTED, b"1")]
         await self._whole(client, http, status, headers, b"")
 
+    async def _refuse_and_cut(self, client: Any, http: h11.Connection, arrival: Arrival) -> None:
+        length = (b"Content-Length", b"10")
+        headers = [*self._headers(arrival), (names.NOT_EXECUTED, b"1"), length]
+        await client.sendall(http.send(h11.Response(status_code=503, headers=headers)) or b"")
+
     async def _whole(
         self,
         client: Any,
@@ -167,6 +178,9 @@
             status = 500 if misdeed is Misdeed.FAIL else 422
             await self._whole(client, http, status, signed, b"failed")
             return True
+        if misdeed is Misdeed.UNPROVED_REFUSAL:
+            await self._whole(client, http, self.unproved_status, signed, b"busy")
+            return True
         if misdeed is Misdeed.LATE_ANSWER:
             await client.sendall(_foreign_answer())
         if misdeed is Misdeed.UNSIGNED:
@@ -209,6 +223,10 @@
             data = await client.recv(1)
         return data == b""
 
+    def runs(self, request_id: str) -> int:
+        """Return how often the replica has begun to work on a request."""
+        return sum(one.has_run for one in self.arrivals if one.request_id == request_id)
+
     def document(self, service: str, zone: str, state: str = "ready") -> dict[str, Any]:
         """Return the entry that the replica keeps in the store."""
         host, port = self.address
--- /dev/null
+++ b/tests/serving/test_refusals.py
@@ -0,0 +1,75 @@
+"""An answer that promises "not run" is given only where no replica has begun.
+
+Clients here obey: after a promise they send the request again, with the same id, and the replicas
+count how often they began it.
+"""
+
+from fleet_world import Answer, FleetWorld, in_world
+
+from cloverwalk.emulator.platform_replica import Misdeed
+from cloverwalk.fleet.messages import Ask, Placement
+from cloverwalk.fleet.places import Place
+from cloverwalk.gateway.admission import Verdict
+
+PROMISES = (408, 421, 429, 503)
+SENDS = 2
+
+
+def runs(world: FleetWorld, request_id: str) -> int:
+    return sum(replica.runs(request_id) for replica in world.replicas)
+
+
+async def send_while_promised(world: FleetWorld, path: str, request_id: str) -> list[Answer]:
+    """Send a request, and send it again after a promise."""
+    answers = [await world.ask(path, request_id)]
+    while answers[-1].status in PROMISES and len(answers) < SENDS:
+        answers.append(await world.ask(path, request_id))
+    return answers
+
+
+def answer_next_asks(world: FleetWorld, verdicts: list[Verdict | None]) -> None:
+    """Have the first node's asks answered by these verdicts; None leaves it to the coordinator."""
+    link = world.nodes[0]._fleet.link
+    place = link.place
+
+    async def answer(ask: Ask, until: float) -> Place:
+        verdict = verdicts.pop(0) if verdicts else None
+        if verdict is None:
+            return await place(ask, until)
+        return Place(Placement(0, verdict, retry_after_s=0.3))
+
+    link.place = answer  # type: ignore[method-assign]
+
+
+def test_a_replicas_refusal_without_proof_is_no_promise() -> None:
+    async def test(world: FleetWorld) -> None:
+        await world.start(replicas=4)
+        for path, most_runs in (("/once/a", 1), ("/safe/a", 3)):
+            for status in PROMISES:
+                for replica in world.replicas:
+                    replica.always = Misdeed.UNPROVED_REFUSAL
+                    replica.unproved_status = status
+                request_id = f"{path[1:5]}-{status}"
+                answers = await send_while_promised(world, path, request_id)
+                assert [one.status for one in answers] == [502], request_id
+                assert "retry-after" not in answers[0].headers
+                assert runs(world, request_id) <= most_runs
+
+    in_world(test)
+
+
+def test_no_verdict_promises_not_run_after_a_run() -> None:
+    async def test(world: FleetWorld) -> None:
+        await world.start(replicas=2)
+        for replica in world.replicas:
+            replica.always = Misdeed.RESET_UNANSWERED
+        # A tenant's refusal is remembered for a moment: it comes last.
+        refusing = (Verdict.RETURN, Verdict.NONE, Verdict.QUOTA_UNKNOWN, Verdict.OVER_QUOTA)
+        for verdict in refusing:
+            answer_next_asks(world, [None, verdict])
+            answers = await send_while_promised(world, "/safe/a", verdict.value)
+            assert [one.status for one in answers] == [502], verdict
+            assert "retry-after" not in answers[0].headers
+            assert runs(world, verdict.value) == 1
+
+    in_world(test)
