Errors say why a call ends; what is known of the work gives the status

Cause: each place that raised an error chose the status, and whoever chose had to remember to look at what was sent. Four verdicts in the relay did not; a replica's signed 408, 421, 429 or 503 without its "not executed" header was handed on; the end of a job did not look at its last conflict.

Now GatewayError and JobError carry a reason and no status. final_answer (in core/final_answer.py) is the one way from an error to an answer, takes whatever knows the work, and FinalAnswer derives status and Retry-After from both: there is no parameter by which a promise could be given. What knows the work: the request's progress online (a failed attempt counts as run where bytes were sent and no proof came, whatever the error says), JobWrites for hand-ins and ends (a transaction that was sent may be done until its outcome or a conflict proves the opposite), and nothing for a request that could not be read. The handler of calls leaves online requests to the relay outside of its own error handling, so that an error of a begun request can't be answered as one that was not sent.

A replica's refusal whose body breaks off is a proof now as well: it was a 502 for a request that had not run. A "not executed" header on a success proves nothing.

Ruled out: giving up on a hand-in's promise after any lost answer in an earlier round. The conflict that ends the round shows that the rows have moved on and the job is not there; versions only rise and no quota row is removed, so the lost transaction is void for good and a 429 or 503 after it is true.

--- a/src/cloverwalk/emulator/platform_replica.py
+++ b/src/cloverwalk/emulator/platform_replica.py
@@ -23,6 +23,7 @@
     GARBAGE = "send what is not an answer"
     SECOND_ANSWER = "send another answer after the whole one"
     LATE_ANSWER = "send an answer to another request first"
+    LATE_REFUSAL = "say without an id that something did not run, then run it"
     REFUSE = "say that it did not run"
     REFUSE_AND_CUT = "say that it did not run, and break the connection within that answer"
     UNPROVED_REFUSAL = "run it and answer ``unproved_status`` without saying that it did not run"
@@ -183,6 +184,8 @@
             return True
         if misdeed is Misdeed.LATE_ANSWER:
             await client.sendall(_foreign_answer())
+        if misdeed is Misdeed.LATE_REFUSAL:
+            await client.sendall(_nameless_refusal())
         if misdeed is Misdeed.UNSIGNED:
             signed = self._headers(arrival)
         await self._stream(client, http, arrival, signed, misdeed)
@@ -251,3 +254,8 @@
         b"wrong",
     ]
     return b"\r\n".join(lines)
+
+
+def _nameless_refusal() -> bytes:
+    lines = [b"HTTP/1.1 503 Busy", names.NOT_EXECUTED + b": 1", b"Content-Length: 0", b"", b""]
+    return b"\r\n".join(lines)
--- a/src/cloverwalk/gateway/errors.py
+++ b/src/cloverwalk/gateway/errors.py
@@ -1,27 +1,17 @@
-"""Errors of the gateway, and the answers that they become."""
+"""Errors of the gateway."""
 
 from cloverwalk.core.errors import CloverwalkError
+from cloverwalk.core.final_answer import AnswerError
 
 SILENT = "silent"
 """Code of an exchange that was given up since nothing came."""
 
 
-class GatewayError(CloverwalkError):
-    """A request ends with an answer of this node's own.
-
-    ``was_not_run`` tells that it did not run and never will; only such an answer may use a
-    status that promises it (408, 421, 429, 503).
-    """
+class GatewayError(AnswerError):
+    """A request ends with an answer of this node's own."""
 
     default_code = "gateway"
 
-    def __init__(
-        self, status: int, code: str, message: str, retry_after_s: float | None = None
-    ) -> None:
-        super().__init__(message, code)
-        self.status = status
-        self.retry_after_s = retry_after_s
-
 
 class ClientGoneError(CloverwalkError):
     """The client closed its connection or does not take its answer."""
@@ -30,7 +20,10 @@
 
 
 class ReplicaError(CloverwalkError):
-    """An exchange with a replica failed; ``may_have_run`` tells whether it can have run."""
+    """An exchange with a replica failed; ``may_have_run`` tells whether it can have run.
+
+    An online request asks its progress instead, which knows what was sent.
+    """
 
     default_code = "replica_failed"
 
--- a/src/cloverwalk/gateway/progress.py
+++ b/src/cloverwalk/gateway/progress.py
@@ -1,24 +1,29 @@
 """What has happened to an online request so far."""
 
-from msgspec import Struct
+from msgspec import Struct, field
 
+from cloverwalk.core.final_answer import WorkState
 from cloverwalk.fleet.load import Work
 from cloverwalk.gateway.configuration import Route
 
 
 class RequestProgress(Struct):
-    """What has happened to a request so far."""
+    """What has happened to a request so far.
+
+    The one place that knows whether a replica can have begun: attempts are noted here as they
+    are sent, and a failed one counts as run unless its replica has proved that it was not.
+    """
 
     route: Route
     service: str
     deadline: float
-    tried: list[str]
+    last_event_id: int | None
+    tried: list[str] = field(default_factory=list)
     """Replicas that may have run the request."""
 
-    refused: list[str]
-    """Replicas that said that they did not."""
+    refused: list[str] = field(default_factory=list)
+    """Replicas that it was not sent to in the end, or that proved that they did not run it."""
 
-    last_event_id: int | None
     has_token: bool = False
     """Whether a token of the tenant's quota was taken for it."""
 
@@ -38,11 +43,35 @@
     last_replica: str = ""
     last_failure: str = ""
 
+    # --- attempts ---
+
+    def note_sending(self) -> None:
+        """The next byte goes to a replica."""
+        self.is_sent = True
+
+    def note_proved_not_run(self) -> None:
+        """The replica's answer proves that it has not run the present attempt."""
+        self.is_sent = False
+
+    def note_failed(self, replica_id: str, code: str) -> None:
+        """The present attempt failed: whether it can have run follows from what was sent."""
+        known = self.tried if self.is_sent else self.refused
+        known.append(replica_id)
+        self.is_sent = False
+        self.last_failure = code
+
+    # --- what follows ---
+
     @property
     def may_have_run(self) -> bool:
         """Whether any replica can have run the request."""
         return self.is_sent or bool(self.tried)
 
+    @property
+    def state(self) -> WorkState:
+        """What is known of the work, for the answer that ends the request."""
+        return WorkState.MAY_HAVE_BEGUN if self.may_have_run else WorkState.NOT_BEGUN
+
     @property
     def has_attempt_left(self) -> bool:
         """Whether another replica may run the request after the present one."""
--- a/src/cloverwalk/gateway/relay.py
+++ b/src/cloverwalk/gateway/relay.py
@@ -9,6 +9,7 @@
 import curio
 
 from cloverwalk.core import catalogue
+from cloverwalk.core.final_answer import Reason, final_answer
 from cloverwalk.fleet.link import CoordinatorLink
 from cloverwalk.fleet.load import LoadBook
 from cloverwalk.fleet.messages import Ask, Served, TokenUse
@@ -37,6 +38,7 @@
 """A client that comes back reaches another node, which need not be waited for."""
 
 LEAST_USEFUL_S = 0.01
+LEAST_FAILURE_STATUS = 400
 OVER_QUOTA = TenantOutcome.OVER_QUOTA
 
 
@@ -74,7 +76,7 @@
             async with curio.timeout_after(max(0.0, progress.deadline - self._clock())):
                 await self._serve(request, progress, reply)
         except curio.TaskTimeout:
-            await self._give_up(request, progress, reply, self._timeout_error(progress))
+            await self._give_up(request, progress, reply, _out_of_time())
         except GatewayError as error:
             await self._give_up(request, progress, reply, error)
         except ClientGoneError as error:
@@ -97,16 +99,9 @@
             route,
             service,
             request.received_at + allowed_s,
-            [],
-            [],
             request.fields.last_event_id,
         )
 
-    def _timeout_error(self, progress: RequestProgress) -> GatewayError:
-        if not progress.may_have_run:
-            return GatewayError(503, "deadline_passed", "no replica had room in time", 0.0)
-        return GatewayError(504, "deadline_passed", "the answer did not come in time")
-
     # --- attempts ---
 
     async def _serve(self, request: ClientRequest, progress: RequestProgress, reply: Reply) -> None:
@@ -122,23 +117,21 @@
         """Return the replica to send to, once there is a place; see ``scheduling.scheduler``."""
         while True:
             if progress.tried and not self._may_try_again(progress):
-                raise GatewayError(502, "attempts_used", progress.last_failure)
+                raise GatewayError(Reason.UNAVAILABLE, "attempts_used", progress.last_failure)
             if len(progress.refused) >= MAX_REFUSALS:
-                raise self._refusal(progress, "replicas_full")
+                raise _no_replica(progress, "replicas_full")
             ask = self._ask(request, progress)
             self._check_remembered(ask)
             place = await self._link.place(ask, request.received_at + LONGEST_HOLD_S)
             if place.verdict is Verdict.RETURN:
-                message = "all slots are taken by online requests"
-                raise GatewayError(503, "crowded", message, place.placement.retry_after_s)
+                raise _crowded(place.placement.retry_after_s)
             if place.verdict is Verdict.NONE:
-                raise self._refusal(progress, "no_replica")
+                raise _no_replica(progress, "no_replica")
             if place.verdict is Verdict.OVER_QUOTA:
                 self._refusals.learn(request.tenant, place.placement.retry_after_s)
                 raise _over_quota(place.placement.retry_after_s)
             if place.verdict is Verdict.QUOTA_UNKNOWN:
-                message = "nobody who counts the tenant's requests answers this node"
-                raise GatewayError(503, "quota_unknown", message, ELSEWHERE_RETRY_AFTER_S)
+                raise _quota_unknown()
             replica = self._directory.find(place.replica_id)
             if replica is not None:
                 self._note_choice(request, progress, place)
@@ -211,11 +204,6 @@
     def _may_try_again(self, progress: RequestProgress) -> bool:
         return progress.route.may_repeat and len(progress.tried) < progress.route.max_attempts
 
-    def _refusal(self, progress: RequestProgress, code: str) -> GatewayError:
-        if progress.may_have_run:
-            return GatewayError(502, code, progress.last_failure or "no replica took the request")
-        return GatewayError(503, code, "no replica takes the request now", RETRY_AFTER_S)
-
     def _note_failure(
         self,
         request: ClientRequest,
@@ -224,17 +212,15 @@
         error: ReplicaError,
         reply: Reply,
     ) -> None:
-        progress.is_sent = False
-        known = progress.tried if error.may_have_run else progress.refused
-        known.append(replica.replica_id)
-        progress.last_failure = error.code
+        may_have_run = progress.is_sent
+        progress.note_failed(replica.replica_id, error.code)
         self._metrics.attempt_failed(error.code)
         self._log.write(
             catalogue.REPLICA_FAILED,
             request=request.fields.request_id,
             replica=replica.replica_id,
             code=error.code,
-            may_have_run=error.may_have_run,
+            may_have_run=may_have_run,
             after_event=progress.last_event_id,
         )
         if reply.has_begun and not progress.route.is_resumable:
@@ -248,7 +234,7 @@
         try:
             now = self._clock()
             if progress.deadline - now < LEAST_USEFUL_S:
-                raise self._timeout_error(progress)
+                raise _out_of_time()
             progress.sent_at = now
             progress.has_token = True
             await self._attempt_counted(request, progress, replica, reply)
@@ -294,7 +280,8 @@
         head = await self._send_and_read_head(request, progress, replica, connection)
         if head.fields.load is not None:
             self._metrics.replica_load(replica.replica_id, head.fields.load)
-        if head.fields.was_not_run:
+        if _proves_not_run(head):
+            progress.note_proved_not_run()
             await self._drain_refusal(connection)
             if head.status == 421:
                 self._directory.suspect(replica.replica_id, self._clock())
@@ -339,7 +326,7 @@
         )
         try:
             async with curio.timeout_after(self._first_answer_limit_s(progress, remaining_s)):
-                progress.is_sent = True
+                progress.note_sending()
                 await connection.send(request.method, request.target, headers, request.body)
                 return await connection.read_head(request.fields.request_id)
         except OSError as error:
@@ -370,11 +357,12 @@
     async def _give_up(
         self, request: ClientRequest, progress: RequestProgress, reply: Reply, error: GatewayError
     ) -> None:
-        self._note_end(request, progress, error.code, error.status)
+        answer = final_answer(error, progress)
+        self._note_end(request, progress, answer.code, answer.status)
         if reply.has_begun:
-            raise ClientGoneError(f"the answer is broken off: {error.code}")
-        headers = self._codec.own_headers(request.fields.request_id, error.retry_after_s)
-        await reply.respond(error.status, headers, f"{error.code}: {error}\n".encode())
+            raise ClientGoneError(f"the answer is broken off: {answer.code}")
+        headers = self._codec.own_headers(request.fields.request_id, answer.retry_after_s)
+        await reply.respond(answer.status, headers, answer.body)
 
     def _note_end(
         self, request: ClientRequest, progress: RequestProgress, outcome: str, status: int
@@ -392,6 +380,7 @@
             configuration=self._link.configuration_version,
             outcome=outcome,
             status=status,
+            work=progress.state.value,
             replica=progress.last_replica,
             tried=len(progress.tried),
             refused=len(progress.refused),
@@ -407,8 +396,33 @@
     return TenantOutcome.ENDED
 
 
+def _proves_not_run(head: AnswerHead) -> bool:
+    """Whether an answer says that its replica did not run the request; no success says so."""
+    return head.fields.was_not_run and head.status >= LEAST_FAILURE_STATUS
+
+
+def _out_of_time() -> GatewayError:
+    return GatewayError(Reason.OUT_OF_TIME, "deadline_passed", "the time for it is over", 0.0)
+
+
+def _crowded(retry_after_s: float) -> GatewayError:
+    message = "all slots are taken by online requests"
+    return GatewayError(Reason.UNAVAILABLE, "crowded", message, retry_after_s)
+
+
+def _no_replica(progress: RequestProgress, code: str) -> GatewayError:
+    message = progress.last_failure or "no replica takes the request now"
+    return GatewayError(Reason.UNAVAILABLE, code, message, RETRY_AFTER_S)
+
+
 def _over_quota(retry_after_s: float) -> GatewayError:
-    return GatewayError(429, OVER_QUOTA, "the tenant has sent what it may", retry_after_s)
+    message = "the tenant has sent what it may"
+    return GatewayError(Reason.OVER_QUOTA, OVER_QUOTA, message, retry_after_s)
+
+
+def _quota_unknown() -> GatewayError:
+    message = "nobody who counts the tenant's requests answers this node"
+    return GatewayError(Reason.UNAVAILABLE, "quota_unknown", message, ELSEWHERE_RETRY_AFTER_S)
 
 
 def _token_use(progress: RequestProgress) -> TokenUse:
--- a/src/cloverwalk/gateway/server.py
+++ b/src/cloverwalk/gateway/server.py
@@ -11,6 +11,7 @@
 import h11
 from curio import socket
 
+from cloverwalk.core.final_answer import NOTHING_SENT, FinalAnswer, Reason, final_answer
 from cloverwalk.gateway.configuration import ClientLimits
 from cloverwalk.gateway.errors import ClientGoneError, GatewayError
 from cloverwalk.gateway.messages import ClientRequest, GatewayCodec, RawHeaders
@@ -21,6 +22,9 @@
 LINGER_S = 0.5
 BODY_TIMEOUT_S = 10.0
 MAX_PIPELINED_BYTES = 262_144
+INVALID_HTTP = {431: Reason.HEADERS_TOO_LARGE, 501: Reason.NOT_IMPLEMENTED}
+"""By the status that the HTTP library proposes; any other one is an invalid request."""
+
 OnRequest = Callable[[ClientRequest, Reply], Awaitable[None]]
 
 
@@ -65,12 +69,13 @@
             raise _ConnectionEnded
         size = len(event.target) + sum(len(n) + len(v) + 4 for n, v in event.headers)
         if size > limits.max_header_bytes:
-            raise GatewayError(431, "headers_too_large", f"over {limits.max_header_bytes} bytes")
+            message = f"over {limits.max_header_bytes} bytes"
+            raise GatewayError(Reason.HEADERS_TOO_LARGE, "headers_too_large", message)
         return event
 
     async def _read_body(self, head: h11.Request) -> bytes:
         limit = self._server.limits().max_body_bytes
-        too_large = GatewayError(413, "body_too_large", f"over {limit} bytes")
+        too_large = GatewayError(Reason.BODY_TOO_LARGE, "body_too_large", f"over {limit} bytes")
         for name, value in head.headers:
             if name == b"content-length" and int(value) > limit:
                 raise too_large
@@ -111,10 +116,6 @@
                 self._http.start_next_cycle()
         except (_ConnectionEnded, ClientGoneError, OSError):
             pass
-        except h11.RemoteProtocolError as error:
-            await self._refuse(GatewayError(error.error_status_hint, "invalid_http", str(error)))
-        except GatewayError as error:
-            await self._refuse(error)
         finally:
             await self._sock.close()
 
@@ -123,7 +124,15 @@
             request = await self._read_request()
         except curio.TaskTimeout:
             if not self.is_idle:
-                await self._refuse(GatewayError(408, "request_timeout", "not whole in time"))
+                message = "not whole in time"
+                await self._refuse(GatewayError(Reason.INCOMPLETE, "request_timeout", message))
+            return False
+        except h11.RemoteProtocolError as error:
+            reason = INVALID_HTTP.get(error.error_status_hint, Reason.INVALID)
+            await self._refuse(GatewayError(reason, "invalid_http", str(error)))
+            return False
+        except GatewayError as error:
+            await self._refuse(error)
             return False
         reply = Reply(self._sock, self._http, self._server.is_stopping)
         self.is_serving = True
@@ -177,15 +186,16 @@
             self._http.receive_data(data)
 
     async def _refuse(self, error: GatewayError) -> None:
-        """Answer a request that could not be read, then close."""
+        """Answer a request that could not be read, then close. Nobody has heard of it yet."""
         if self._http.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
             return
-        self._server.on_refused(error)
+        answer = final_answer(error, NOTHING_SENT)
+        self._server.on_refused(answer)
         reply = Reply(self._sock, self._http, closes_after=True)
-        headers = self._server.codec.own_headers("", error.retry_after_s)
+        headers = self._server.codec.own_headers("", answer.retry_after_s)
         try:
             async with curio.timeout_after(LINGER_S):
-                await reply.respond(error.status, headers, str(error).encode())
+                await reply.respond(answer.status, headers, answer.message.encode())
                 await self._linger()
         except (ClientGoneError, OSError, curio.TaskTimeout, h11.LocalProtocolError):
             return
@@ -211,7 +221,7 @@
         codec: GatewayCodec,
         limits: Callable[[], ClientLimits],
         on_request: OnRequest,
-        on_refused: Callable[[GatewayError], None],
+        on_refused: Callable[[FinalAnswer], None],
         clock: Callable[[], float],
         max_connections: int,
     ) -> None:
--- a/src/cloverwalk/jobs/errors.py
+++ b/src/cloverwalk/jobs/errors.py
@@ -1,19 +1,19 @@
 """Errors of the batch side."""
 
-from cloverwalk.core.errors import CloverwalkError
+from cloverwalk.core.final_answer import AnswerError, Reason
+from cloverwalk.store.types import CommitStatus
 
 
-class JobError(CloverwalkError):
-    """A call on a job ends with this status.
-
-    Only 429 and 503 promise that nothing of the job runs; 504 says that it is not known.
-    """
+class JobError(AnswerError):
+    """A call on a job ends with an answer that is not a success."""
 
     default_code = "job_refused"
 
-    def __init__(
-        self, status: int, code: str, message: str, retry_after_s: float | None = None
-    ) -> None:
-        super().__init__(message, code)
-        self.status = status
-        self.retry_after_s = retry_after_s
+
+def unsettled(status: CommitStatus, retry_after_s: float) -> JobError:
+    """Return the error of a transaction that was neither committed nor in conflict."""
+    if status is CommitStatus.UNKNOWN:
+        message = "the store did not answer in time"
+        return JobError(Reason.OUT_OF_TIME, "store_unsure", message, retry_after_s)
+    message = "the store takes no writes now"
+    return JobError(Reason.UNAVAILABLE, "store_unavailable", message, retry_after_s)
--- a/src/cloverwalk/jobs/intake.py
+++ b/src/cloverwalk/jobs/intake.py
@@ -6,9 +6,10 @@
 from msgspec import Struct
 
 from cloverwalk.core import catalogue
+from cloverwalk.core.final_answer import Reason
 from cloverwalk.gateway.configuration import Route
 from cloverwalk.jobs.commit import Committer
-from cloverwalk.jobs.errors import JobError
+from cloverwalk.jobs.errors import JobError, unsettled
 from cloverwalk.jobs.quota import admit, waiting_tokens
 from cloverwalk.jobs.reader import JobReader
 from cloverwalk.jobs.records import (
@@ -24,6 +25,7 @@
 )
 from cloverwalk.jobs.run import JobRun
 from cloverwalk.jobs.view import JobView
+from cloverwalk.jobs.writes import JobWrites
 from cloverwalk.store.types import (
     CommitOutcome,
     CommitStatus,
@@ -107,8 +109,13 @@
         self.in_hand: set[str] = set()
         """Jobs that are being taken: their records may be there before their runs."""
 
-    async def submit(self, submission: Submission, route: Route, until: float) -> None:
-        """Take a job, or find that it was taken; raise JobError otherwise."""
+    async def submit(
+        self, submission: Submission, route: Route, until: float, writes: JobWrites
+    ) -> None:
+        """Take a job, or find that it was taken; raise JobError otherwise.
+
+        ``writes`` learns what is known of the job's transactions.
+        """
         known = self._view.find(submission.job_id)
         if known is not None:
             _check_owner(known.record, submission)
@@ -118,11 +125,13 @@
             raise self._unsettled(submission, CommitOutcome(CommitStatus.NOT_DONE))
         self.in_hand.add(submission.job_id)
         try:
-            await self._settle(submission, route, until)
+            await self._settle(submission, route, until, writes)
         finally:
             self.in_hand.discard(submission.job_id)
 
-    async def _settle(self, submission: Submission, route: Route, until: float) -> None:
+    async def _settle(
+        self, submission: Submission, route: Route, until: float, writes: JobWrites
+    ) -> None:
         is_elsewhere = self._is_served_elsewhere()
         refuse_after_s = REFUSE_AFTER_SERVED_ELSEWHERE_S if is_elsewhere else REFUSE_AFTER_S
         refuse_at = self._clock() + refuse_after_s
@@ -132,7 +141,8 @@
             record.payload_rows = len(payload)
             payload = await self._put_ahead(submission, payload, until)
             transaction = await self._transaction(record, payload, route)
-            outcome = await self._committer.settle(transaction, until, refuse_at)
+            settling = self._committer.settle(transaction, until, refuse_at)
+            outcome = await writes.settle(settling)
             if outcome.status is CommitStatus.COMMITTED:
                 await self._took(submission, record, outcome, route, transaction)
                 return
@@ -143,8 +153,10 @@
                 await self._found(submission, existing)
                 return
             # Whatever was sent before can't take effect any more: its expectations are void.
+            writes.note_void()
             self._learn_quota(quota_key(route.name, submission.tenant), outcome)
-        raise JobError(503, "quota_contended", "too many jobs at once", STORE_RETRY_AFTER_S)
+        message = "too many jobs at once"
+        raise JobError(Reason.UNAVAILABLE, "quota_contended", message, STORE_RETRY_AFTER_S)
 
     # --- steps ---
 
@@ -213,7 +225,8 @@
         try:
             page = await self._store.read(key.table, key.part, key.key, key.key + "\x01", 1)
         except StoreError as error:
-            raise JobError(503, error.code, str(error), STORE_RETRY_AFTER_S) from error
+            retry_after_s = STORE_RETRY_AFTER_S
+            raise JobError(Reason.UNAVAILABLE, error.code, str(error), retry_after_s) from error
         row = page.rows[0] if page.rows else Row(key, None, 0)
         self._quotas[key] = (decode_quota(row.value), row.version)
         return self._quotas[key]
@@ -271,7 +284,7 @@
             limit=route.max_queued_tokens,
         )
         message = f"{waiting} tokens wait, {route.max_queued_tokens} may"
-        raise JobError(429, "quota", message, QUOTA_RETRY_AFTER_S)
+        raise JobError(Reason.OVER_QUOTA, "quota", message, QUOTA_RETRY_AFTER_S)
 
     def _learn_quota(self, key: RowKey, outcome: CommitOutcome) -> None:
         row = outcome.conflict(key)
@@ -309,18 +322,11 @@
             await self._on_taken(JobRun(record, row.version, submission.items))
 
     def _unsettled(self, submission: Submission, outcome: CommitOutcome) -> JobError:
-        is_unknown = outcome.status is CommitStatus.UNKNOWN
-        self._log.write(
-            catalogue.JOB_REFUSED,
-            request=submission.job_id,
-            code="store_unsure" if is_unknown else "store_unavailable",
-        )
-        if is_unknown:
-            return JobError(504, "store_unsure", "the store did not answer in time")
-        message = "the store takes no writes now"
         is_elsewhere = self._is_served_elsewhere()
         retry_after_s = ELSEWHERE_RETRY_AFTER_S if is_elsewhere else STORE_RETRY_AFTER_S
-        return JobError(503, "store_unavailable", message, retry_after_s)
+        error = unsettled(outcome.status, retry_after_s)
+        self._log.write(catalogue.JOB_REFUSED, request=submission.job_id, code=error.code)
+        return error
 
     def _note(self, submission: Submission, outcome: str) -> None:
         self._log.write(
@@ -335,4 +341,5 @@
 def _check_owner(record: JobRecord, submission: Submission) -> None:
     """Raise JobError where a job that is there belongs to another tenant."""
     if record.tenant != submission.tenant:
-        raise JobError(409, "job_id_taken", "a job can't be handed in with this id")
+        message = "a job can't be handed in with this id"
+        raise JobError(Reason.ID_TAKEN, "job_id_taken", message)
--- a/src/cloverwalk/jobs/reader.py
+++ b/src/cloverwalk/jobs/reader.py
@@ -5,6 +5,7 @@
 import curio
 from msgspec import Struct
 
+from cloverwalk.core.final_answer import Reason
 from cloverwalk.jobs.errors import JobError
 from cloverwalk.jobs.records import (
     PAYLOAD_TABLE,
@@ -81,7 +82,7 @@
             return known.record
         record = await self.read_record(job_id)
         if record is None:
-            raise JobError(404, "no_such_job", "no such job")
+            raise JobError(Reason.NOT_FOUND, "no_such_job", "no such job")
         return record
 
     async def read_record(self, job_id: str) -> JobRecord | None:
@@ -98,7 +99,7 @@
         try:
             return await self._store.read(table, part, start, end)
         except StoreError as error:
-            raise JobError(503, error.code, str(error), RETRY_AFTER_S) from error
+            raise JobError(Reason.UNAVAILABLE, error.code, str(error), RETRY_AFTER_S) from error
 
     async def _results(self, record: JobRecord, position: int) -> list[ItemResult]:
         wanted = min(record.listed, position + MAX_RESULTS)
@@ -115,7 +116,8 @@
             size += len(result.text)
             at += 1
         if not results and position < record.listed:
-            raise JobError(503, "result_not_read", "the result could not be read", RETRY_AFTER_S)
+            message = "the result could not be read"
+            raise JobError(Reason.UNAVAILABLE, "result_not_read", message, RETRY_AFTER_S)
         return results
 
     async def _load(self, record: JobRecord, position: int, end: int) -> bool:
@@ -145,5 +147,6 @@
                 break
             start = page.rows[-1].row_key.key + "\x01"
         if len(rows) < record.payload_rows:
-            raise JobError(503, "payload_not_read", "the items could not be read", RETRY_AFTER_S)
+            message = "the items could not be read"
+            raise JobError(Reason.UNAVAILABLE, "payload_not_read", message, RETRY_AFTER_S)
         return decode_items(join_pieces(rows)["p"])
--- a/src/cloverwalk/jobs/service.py
+++ b/src/cloverwalk/jobs/service.py
@@ -3,15 +3,17 @@
 from collections.abc import Callable
 
 from cloverwalk.core import catalogue
+from cloverwalk.core.final_answer import Reason
 from cloverwalk.gateway.configuration import Route
 from cloverwalk.jobs.commit import Committer
-from cloverwalk.jobs.errors import JobError
+from cloverwalk.jobs.errors import JobError, unsettled
 from cloverwalk.jobs.intake import JobIntake, Submission
 from cloverwalk.jobs.reader import JobReader, ResultPage
 from cloverwalk.jobs.records import JobRecord, decode_record, encode, job_key
 from cloverwalk.jobs.run import replace_record
 from cloverwalk.jobs.runner import BatchRunner
 from cloverwalk.jobs.view import JobView
+from cloverwalk.jobs.writes import JobWrites
 from cloverwalk.store.types import (
     CommitStatus,
     Expectation,
@@ -25,6 +27,7 @@
 
 END_S = 3.2
 MAX_END_CONFLICTS = 20
+END_RETRY_AFTER_S = 0.2
 
 
 class JobService:
@@ -48,10 +51,12 @@
         self._log = log
         self._clock = clock
 
-    async def submit(self, submission: Submission, route: Route, deadline_s: float | None) -> None:
+    async def submit(
+        self, submission: Submission, route: Route, deadline_s: float | None, writes: JobWrites
+    ) -> None:
         """Take a job; returns once the store holds it."""
         allowed_s = SUBMIT_S if deadline_s is None else min(SUBMIT_S, 0.8 * deadline_s)
-        await self._intake.submit(submission, route, self._clock() + allowed_s)
+        await self._intake.submit(submission, route, self._clock() + allowed_s, writes)
 
     async def read(self, job_id: str, tenant: str, position: int, wait_s: float) -> ResultPage:
         """Return results of a tenant's job from a position on."""
@@ -64,7 +69,7 @@
         # Who handed a job in never changes, so any version of its record tells it.
         record = await self._reader.find(job_id) if known is None else known.record
         if record.tenant != tenant:
-            raise JobError(404, "no_such_job", "no such job")
+            raise JobError(Reason.NOT_FOUND, "no_such_job", "no such job")
         return record
 
     async def item_body(self, job_id: str, tenant: str, item_id: str) -> bytes:
@@ -75,14 +80,14 @@
             one = job.find(item_id)
             if one is not None:
                 return one.item.body
-            raise JobError(404, "no_such_item", "no such item")
+            raise JobError(Reason.NOT_FOUND, "no_such_item", "no such item")
         record = await self._reader.find(job_id)
         for item in await self._reader.items(record):
             if item.item_id == item_id:
                 return item.body
-        raise JobError(404, "no_such_item", "no such item")
+        raise JobError(Reason.NOT_FOUND, "no_such_item", "no such item")
 
-    async def end(self, job_id: str, tenant: str) -> None:
+    async def end(self, job_id: str, tenant: str, writes: JobWrites) -> None:
         """End a tenant's job: none of its items starts any more."""
         until = self._clock() + END_S
         await self._find(job_id, tenant)
@@ -91,22 +96,27 @@
         version = 0 if known is None else known.version
         for _ in range(MAX_END_CONFLICTS):
             if not record.is_open:
-                await self._runner.drop(job_id)
-                return
+                break
             ended = replace_record(record, is_ended=True)
             key = job_key(job_id)
             transaction = Transaction([Expectation(key, version)], [Put(key, encode(ended))])
-            outcome = await self._committer.settle(transaction, until)
+            outcome = await writes.settle(self._committer.settle(transaction, until))
             if outcome.status is CommitStatus.COMMITTED:
                 await self._ended(ended, outcome.version)
                 return
             row = outcome.conflict(key)
             if outcome.status is not CommitStatus.CONFLICT:
-                raise JobError(504, "store_unsure", "the store did not answer in time")
+                raise unsettled(outcome.status, END_RETRY_AFTER_S)
             if row is None or row.value is None:
-                raise JobError(404, "no_such_job", "no such job")
+                raise JobError(Reason.NOT_FOUND, "no_such_job", "no such job")
             record, version = decode_record(row.value), row.version
-        raise JobError(503, "job_contended", "the job changes too fast", 0.2)
+            if record.is_open:
+                writes.note_void()
+        if record.is_open:
+            message = "the job changes too fast"
+            raise JobError(Reason.UNAVAILABLE, "job_contended", message, END_RETRY_AFTER_S)
+        # Ended before, or by a transaction of this call whose answer was lost.
+        await self._runner.drop(job_id)
 
     async def _ended(self, record: JobRecord, version: int) -> None:
         self._log.write(catalogue.JOB_ENDED, request=record.job_id, listed=record.listed)
--- a/src/cloverwalk/jobs/takeover.py
+++ b/src/cloverwalk/jobs/takeover.py
@@ -5,6 +5,7 @@
 import curio
 
 from cloverwalk.core import catalogue
+from cloverwalk.core.final_answer import Reason
 from cloverwalk.jobs.checkpoint import take_within
 from cloverwalk.jobs.commit import Committer
 from cloverwalk.jobs.errors import JobError
@@ -125,7 +126,8 @@
         pieces = join_pieces(await self._rows(RESULT_TABLE, record.job_id))
         results = [decode_result(value) for value in pieces.values()]
         if len(results) < record.listed:
-            raise JobError(503, "results_not_read", "listed results are not there yet")
+            message = "listed results are not there yet"
+            raise JobError(Reason.UNAVAILABLE, "results_not_read", message)
         segments = await self._rows(PARTIAL_TABLE, record.job_id)
         partials = [decode_partial(value) for _, value in segments]
         job.restore({one.item_id for one in results}, partials)
--- a/src/cloverwalk/platform/codec.py
+++ b/src/cloverwalk/platform/codec.py
@@ -2,6 +2,7 @@
 
 from urllib.parse import parse_qs, unquote, urlsplit
 
+from cloverwalk.core.final_answer import Reason
 from cloverwalk.gateway.errors import GatewayError
 from cloverwalk.gateway.messages import (
     AnswerFields,
@@ -70,7 +71,8 @@
     try:
         return float(text)
     except ValueError:
-        raise GatewayError(400, "header_invalid", f"{name.decode()} is not a number") from None
+        message = f"{name.decode()} is not a number"
+        raise GatewayError(Reason.INVALID, "header_invalid", message) from None
 
 
 def _prompt(text: str | None) -> tuple[PromptPart, ...]:
@@ -178,7 +180,8 @@
             if method == "GET":
                 position = parse_qs(url.query).get("since_revision", ["0"])[0]
                 if not position.isdecimal():
-                    raise GatewayError(400, "position_invalid", "since_revision is a number")
+                    message = "since_revision is a number"
+                    raise GatewayError(Reason.INVALID, "position_invalid", message)
                 return ReadJob(job_id, int(position))
         if url.path.startswith(names.ITEM_PREFIX) and method == "GET":
             job_id = unquote(url.path[len(names.ITEM_PREFIX) :])
--- a/src/cloverwalk/serving/calls.py
+++ b/src/cloverwalk/serving/calls.py
@@ -3,21 +3,25 @@
 from collections.abc import Callable
 
 from cloverwalk.core import catalogue
+from cloverwalk.core.final_answer import AnswerError, FinalAnswer, Reason, final_answer
 from cloverwalk.gateway.configuration import ConfigurationHolder, Route, RouteKind
 from cloverwalk.gateway.errors import GatewayError
 from cloverwalk.gateway.messages import ClientRequest, EndJob, JobCall, ReadItem, ReadJob
 from cloverwalk.gateway.relay import OnlineRelay
 from cloverwalk.gateway.reply import Reply
-from cloverwalk.jobs.errors import JobError
 from cloverwalk.jobs.intake import Submission
 from cloverwalk.jobs.records import MAX_ITEMS
 from cloverwalk.jobs.service import JobService
+from cloverwalk.jobs.writes import JobWrites
 from cloverwalk.serving.adapter import Adapter
 from cloverwalk.telemetry.log import ServingLog
 from cloverwalk.telemetry.metrics import ServingMetrics
 from cloverwalk.tenants.identification import identify
 
 LONGEST_WAIT_S = 1.0
+STARTING_S = 1.0
+"""A process that has just started has its configuration by then, as a rule."""
+
 STOPPING_RETRY_AFTER_S = 0.02
 """A client that comes back reaches another node, which need not be waited for."""
 
@@ -46,37 +50,51 @@
 
     async def handle(self, request: ClientRequest, reply: Reply) -> None:
         """Serve one request to its final answer."""
+        writes = JobWrites()
         try:
-            await self._dispatch(request, reply)
-        except (GatewayError, JobError) as error:
-            self._log.write(
-                catalogue.CALL_REFUSED,
-                request=request.fields.request_id,
-                target=request.target[:80],
-                tenant=request.tenant,
-                status=error.status,
-                code=error.code,
-                configuration=self._configuration.version,
-            )
-            self._metrics.request_ended("call", error.code, 0.0)
-            headers = self._codec.own_headers(request.fields.request_id, error.retry_after_s)
-            await reply.respond(error.status, headers, f"{error.code}: {error}\n".encode())
+            route = await self._dispatch(request, reply, writes)
+        except AnswerError as error:
+            await self._refuse(request, reply, final_answer(error, writes))
+            return
+        if route is not None:
+            # The relay knows what it sends, and makes the final answer by that.
+            await self._relay.handle(request, route, reply)
+
+    async def _refuse(self, request: ClientRequest, reply: Reply, answer: FinalAnswer) -> None:
+        self._log.write(
+            catalogue.CALL_REFUSED,
+            request=request.fields.request_id,
+            target=request.target[:80],
+            tenant=request.tenant,
+            status=answer.status,
+            code=answer.code,
+            work=answer.work.value,
+            configuration=self._configuration.version,
+        )
+        self._metrics.request_ended("call", answer.code, 0.0)
+        headers = self._codec.own_headers(request.fields.request_id, answer.retry_after_s)
+        await reply.respond(answer.status, headers, answer.body)
 
-    async def _dispatch(self, request: ClientRequest, reply: Reply) -> None:
+    async def _dispatch(
+        self, request: ClientRequest, reply: Reply, writes: JobWrites
+    ) -> Route | None:
+        """Serve a call on a job or a hand-in; return the route of an online request."""
         if self._configuration.current is None:
-            raise GatewayError(503, "no_configuration", "this node is starting", 1.0)
+            message = "this node is starting"
+            raise GatewayError(Reason.UNAVAILABLE, "no_configuration", message, STARTING_S)
         call = self._codec.job_call(request.method, request.target)
         self._identify(request, is_job_call=call is not None)
         if call is not None:
-            await self._job_call(request, call, reply)
-            return
+            await self._job_call(request, call, reply, writes)
+            return None
         if not self._may_begin():
-            raise GatewayError(503, "stopping", "this node ends too soon", STOPPING_RETRY_AFTER_S)
+            message = "this node ends too soon"
+            raise GatewayError(Reason.UNAVAILABLE, "stopping", message, STOPPING_RETRY_AFTER_S)
         route = self._route(request)
-        if route.kind is RouteKind.BATCH:
-            await self._submit(request, route, reply)
-        else:
-            await self._relay.handle(request, route, reply)
+        if route.kind is not RouteKind.BATCH:
+            return route
+        await self._submit(request, route, reply, writes)
+        return None
 
     def _identify(self, request: ClientRequest, is_job_call: bool) -> None:
         """Set who calls; the key goes no further than here."""
@@ -90,10 +108,12 @@
         if configuration is not None:
             route = configuration.find_route(request.host, request.path)
         if route is None:
-            raise GatewayError(404, "no_route", "no route has this host and path")
+            raise GatewayError(Reason.NOT_FOUND, "no_route", "no route has this host and path")
         return route
 
-    async def _job_call(self, request: ClientRequest, call: JobCall, reply: Reply) -> None:
+    async def _job_call(
+        self, request: ClientRequest, call: JobCall, reply: Reply, writes: JobWrites
+    ) -> None:
         match call:
             case ReadJob():
                 wait_s = min(LONGEST_WAIT_S, request.fields.wait_s)
@@ -104,31 +124,35 @@
                 body = await self._jobs.item_body(call.job_id, request.tenant, call.item_id)
                 await reply.respond(200, self._codec.own_headers("", None), body)
             case EndJob():
-                await self._jobs.end(call.job_id, request.tenant)
+                await self._jobs.end(call.job_id, request.tenant, writes)
                 await reply.respond(200, self._adapter.json_headers, b"{}")
 
     def _without_key(self, headers: list[tuple[str, str]]) -> list[tuple[str, str]]:
         raw = [(name.encode(), value.encode()) for name, value in headers]
         return [(name.decode(), value.decode()) for name, value in self._codec.without_key(raw)]
 
-    async def _submit(self, request: ClientRequest, route: Route, reply: Reply) -> None:
+    async def _submit(
+        self, request: ClientRequest, route: Route, reply: Reply, writes: JobWrites
+    ) -> None:
         if request.method != "POST" or not request.fields.request_id:
-            raise GatewayError(400, "not_a_job", "a job is handed in by POST, with an id")
+            raise GatewayError(
+                Reason.INVALID, "not_a_job", "a job is handed in by POST, with an id"
+            )
         try:
             items = self._adapter.job_items(request.body)
         except ValueError as error:
-            raise GatewayError(400, "job_invalid", str(error)) from error
+            raise GatewayError(Reason.INVALID, "job_invalid", str(error)) from error
         if not items or len(items) > MAX_ITEMS:
-            raise GatewayError(400, "job_invalid", f"a job has 1 to {MAX_ITEMS} items")
+            raise GatewayError(Reason.INVALID, "job_invalid", f"a job has 1 to {MAX_ITEMS} items")
         if len({one.item_id for one in items}) != len(items):
-            raise GatewayError(400, "job_invalid", "two items have the same id")
+            raise GatewayError(Reason.INVALID, "job_invalid", "two items have the same id")
         if self._configuration.has_tenants:
             for item in items:
                 item.headers = self._without_key(item.headers)
         submission = Submission(
             request.fields.request_id, request.host, request.path, items, request.tenant
         )
-        await self._jobs.submit(submission, route, request.fields.deadline_s)
+        await self._jobs.submit(submission, route, request.fields.deadline_s, writes)
         headers = self._adapter.json_headers
         self._metrics.request_ended(route.name, "taken", 0.0)
         await reply.respond(202, headers, b"{}")
--- a/src/cloverwalk/serving/node.py
+++ b/src/cloverwalk/serving/node.py
@@ -11,11 +11,11 @@
 
 from cloverwalk.core import catalogue
 from cloverwalk.core.clock import Clock
+from cloverwalk.core.final_answer import FinalAnswer
 from cloverwalk.fleet.follower import TableFollower
 from cloverwalk.fleet.load import LoadBook
 from cloverwalk.fleet.messages import StoreReturned
 from cloverwalk.gateway.configuration import ClientLimits
-from cloverwalk.gateway.errors import GatewayError
 from cloverwalk.gateway.messages import ClientRequest
 from cloverwalk.gateway.relay import OnlineRelay
 from cloverwalk.gateway.replica_connection import ReplicaPool
@@ -306,8 +306,10 @@
         content_type = (b"Content-Type", b"text/plain; version=0.0.4")
         await reply.respond(200, [content_type], metrics.render())
 
-    def _on_refused(self, error: GatewayError) -> None:
-        self._log.write(catalogue.CALL_REFUSED, status=error.status, code=error.code)
+    def _on_refused(self, answer: FinalAnswer) -> None:
+        self._log.write(
+            catalogue.CALL_REFUSED, status=answer.status, code=answer.code, work=answer.work.value
+        )
 
     def _limits(self) -> ClientLimits:
         current = self._configuration.current
--- a/src/cloverwalk/tenants/identification.py
+++ b/src/cloverwalk/tenants/identification.py
@@ -4,6 +4,7 @@
 opened under an earlier one.
 """
 
+from cloverwalk.core.final_answer import Reason
 from cloverwalk.gateway.configuration import ConfigurationHolder, Route, RouteKind
 from cloverwalk.gateway.errors import GatewayError
 from cloverwalk.gateway.messages import ClientRequest
@@ -13,7 +14,7 @@
 
 
 def identify(request: ClientRequest, known: ConfigurationHolder, is_job_call: bool) -> str:
-    """Return the name of the tenant that sends a request; raise GatewayError 401.
+    """Return the name of the tenant that sends a request; raise GatewayError (no key).
 
     A configuration without tenants knows anonymous callers only. A caller of a public route needs
     no key; one with a known key is still its tenant. A request without a route needs none either,
@@ -37,8 +38,8 @@
     if not needs_key:
         return ANONYMOUS
     if digest is None:
-        raise GatewayError(401, "key_missing", "a key is needed")
-    raise GatewayError(401, "key_unknown", "this key is not known")
+        raise GatewayError(Reason.NO_KEY, "key_missing", "a key is needed")
+    raise GatewayError(Reason.NO_KEY, "key_unknown", "this key is not known")
 
 
 def _takes_jobs_of_anybody(route: Route, host: str) -> bool:
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -381,9 +381,9 @@
     ),
     Mutant(
         "serving: an unsure hand-in is called not run",
-        "jobs/intake.py",
-        "        if is_unknown:\n            return JobError(504",
-        "        if is_unknown:\n            return JobError(503",
+        "jobs/writes.py",
+        "        if outcome.status is CommitStatus.NOT_DONE:",
+        "        if outcome.status is not CommitStatus.COMMITTED:",
         JOBS + "test_an_unsure_hand_in_does_not_promise_that_nothing_runs",
     ),
     Mutant(
@@ -396,8 +396,8 @@
     Mutant(
         "serving: a job that was not read is denied",
         "jobs/reader.py",
-        "            raise JobError(503, error.code, str(error), RETRY_AFTER_S) from error",
-        "            raise JobError(404, error.code, str(error), RETRY_AFTER_S) from error",
+        "JobError(Reason.UNAVAILABLE, error.code,",
+        "JobError(Reason.NOT_FOUND, error.code,",
         JOBS + "test_a_missing_job_is_denied_only_when_the_store_surely_has_none",
     ),
     Mutant(
@@ -445,8 +445,8 @@
     Mutant(
         "serving: a node without a configuration denies",
         "serving/calls.py",
-        'GatewayError(503, "no_configuration"',
-        'GatewayError(404, "no_configuration"',
+        'GatewayError(Reason.UNAVAILABLE, "no_configuration"',
+        'GatewayError(Reason.NOT_FOUND, "no_configuration"',
         ONLINE + "test_a_node_without_a_configuration_is_not_ready_and_denies_nothing",
     ),
     Mutant(
--- a/tests/serving/job_world.py
+++ b/tests/serving/job_world.py
@@ -5,9 +5,11 @@
 from random import Random
 
 from cloverwalk.core.clock import Clock
+from cloverwalk.core.final_answer import FinalAnswer, final_answer
 from cloverwalk.emulator.memory_store import MemoryStore
 from cloverwalk.gateway.configuration import Route, RouteKind, RoutePart
 from cloverwalk.jobs.commit import Committer
+from cloverwalk.jobs.errors import JobError
 from cloverwalk.jobs.intake import JobIntake, Submission
 from cloverwalk.jobs.lister import ResultLister
 from cloverwalk.jobs.reader import JobReader
@@ -15,6 +17,7 @@
 from cloverwalk.jobs.result_cache import ResultCache
 from cloverwalk.jobs.run import ItemRun, JobRun
 from cloverwalk.jobs.view import JobView
+from cloverwalk.jobs.writes import JobWrites
 from cloverwalk.store.health import StoreHealth
 from cloverwalk.telemetry.log import ServingLog
 
@@ -55,6 +58,15 @@
     return Submission(job_id, "h.example", "/jobs/x", items)
 
 
+class RefusedError(Exception):
+    """A call on a job got this answer."""
+
+    def __init__(self, answer: FinalAnswer) -> None:
+        super().__init__(answer)
+        self.status = answer.status
+        self.retry_after_s = answer.retry_after_s
+
+
 class OwnerNode:
     """The batch side of one node, without replicas."""
 
@@ -99,7 +111,11 @@
             job.is_dropped = True
 
     async def submit(self, one: Submission, route: Route, allowed_s: float = 3.0) -> None:
-        await self.intake.submit(one, route, self.clock() + allowed_s)
+        writes = JobWrites()
+        try:
+            await self.intake.submit(one, route, self.clock() + allowed_s, writes)
+        except JobError as error:
+            raise RefusedError(final_answer(error, writes)) from error
 
     async def see_store(self) -> None:
         """Catch up with the job table."""
--- a/tests/serving/test_job_refusals.py
+++ b/tests/serving/test_job_refusals.py
@@ -6,14 +6,14 @@
 import curio
 from job_world import HandClock, OwnerNode, batch_route, submission
 
+from cloverwalk.core.final_answer import PROMISING_STATUSES, final_answer
 from cloverwalk.emulator.memory_store import CommitFault, MemoryStore
 from cloverwalk.jobs.errors import JobError
 from cloverwalk.jobs.records import JOB_TABLE, decode_record, job_key
 from cloverwalk.jobs.service import MAX_END_CONFLICTS, JobService
+from cloverwalk.jobs.writes import JobWrites
 from cloverwalk.store.types import CommitOutcome, Put, Transaction
 
-PROMISES = (408, 421, 429, 503)
-
 
 class BusyStore(MemoryStore):
     """Other writers change a job's record just before each of the coming commits."""
@@ -38,11 +38,13 @@
     return JobService(node.intake, node.reader, runner, node.view, node.committer, log, node.clock)
 
 
-async def status_of(call: Any) -> int:
+async def end_status(node: OwnerNode) -> int:
+    """Return the status of the answer to an end of the job "j"."""
+    writes = JobWrites()
     try:
-        await call
+        await service_of(node).end("j", "", writes)
     except JobError as error:
-        return error.status
+        return final_answer(error, writes).status
     return 200
 
 
@@ -53,9 +55,9 @@
         await node.submit(submission("j"), batch_route())
         store.changes_ahead = MAX_END_CONFLICTS - 1
         store.commit_faults.extend([None] * store.changes_ahead + [CommitFault.LOST_ANSWER])
-        status = await status_of(service_of(node).end("j", ""))
+        status = await end_status(node)
         is_ended = decode_record(store.values(JOB_TABLE)["j"]).is_ended
         assert is_ended
-        assert status not in PROMISES
+        assert status not in PROMISING_STATUSES
 
     curio.run(main)
--- a/tests/serving/test_jobs.py
+++ b/tests/serving/test_jobs.py
@@ -6,8 +6,9 @@
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
-from job_world import HandClock, OwnerNode, batch_route, finish, submission
+from job_world import HandClock, OwnerNode, RefusedError, batch_route, finish, submission
 
+from cloverwalk.core.final_answer import NOTHING_SENT, final_answer
 from cloverwalk.emulator.memory_store import CommitFault, MemoryStore
 from cloverwalk.jobs.errors import JobError
 from cloverwalk.jobs.records import (
@@ -64,7 +65,7 @@
         store = MemoryStore()
         node = OwnerNode("n1", store, HandClock())
         node.told_ms = lambda: None
-        with pytest.raises(JobError) as refused:
+        with pytest.raises(RefusedError) as refused:
             await node.submit(submission("j"), batch_route())
         assert refused.value.status == 503
         assert store.commits == 0
@@ -108,12 +109,12 @@
         store = MemoryStore()
         store.commit_faults.extend([LATE] * 200)
         node = OwnerNode("n1", store, HandClock(0.05))
-        with pytest.raises(JobError) as caught:
+        with pytest.raises(RefusedError) as caught:
             await node.submit(submission("j"), batch_route())
         assert caught.value.status == 504
         store.commit_faults.clear()
         store.commit_faults.extend([REFUSED] * 200)
-        with pytest.raises(JobError) as refused:
+        with pytest.raises(RefusedError) as refused:
             await node.submit(submission("k"), batch_route())
         assert refused.value.status == 503
 
@@ -129,7 +130,7 @@
         store.commit_faults.extend([REFUSED] * 200)
         node = OwnerNode("n1", store, HandClock(0.01))
         node.is_served_elsewhere = is_elsewhere
-        with pytest.raises(JobError) as refused:
+        with pytest.raises(RefusedError) as refused:
             await node.submit(submission("j"), batch_route())
         assert refused.value.status == 503
         tries = 200 - len(store.commit_faults)
@@ -137,7 +138,7 @@
         assert (refused.value.retry_after_s or 1.0) <= (0.05 if is_elsewhere else 0.3)
         await node.health.note_failure()
         left = len(store.commit_faults)
-        with pytest.raises(JobError) as again:
+        with pytest.raises(RefusedError) as again:
             await node.submit(submission("k"), batch_route())
         assert again.value.status == 503
         assert (len(store.commit_faults) == left) == is_elsewhere
@@ -246,7 +247,7 @@
         ]
         for task in tasks:
             await task.wait()
-            refused += isinstance(task.exception, JobError) and task.exception.status == 429
+            refused += isinstance(task.exception, RefusedError) and task.exception.status == 429
         assert refused == 3
         assert len(store.values(JOB_TABLE)) == 3
 
@@ -258,7 +259,7 @@
         store = MemoryStore()
         node = OwnerNode("n1", store, HandClock())
         await node.submit(submission("j", 3, 100), batch_route(400))
-        with pytest.raises(JobError):
+        with pytest.raises(RefusedError):
             await node.submit(submission("k", 3, 100), batch_route(400))
         job = node.jobs["j"]
         for one in job.items[:2]:
@@ -284,7 +285,9 @@
             await node.reader.read("nothing", 0, 0.0)
         with pytest.raises(JobError) as down_unseen:
             await node.reader.read("other", 0, 0.0)
-        statuses = [one.value.status for one in (sure, down, down_unseen)]
+        statuses = [
+            final_answer(one.value, NOTHING_SENT).status for one in (sure, down, down_unseen)
+        ]
         assert statuses == [404, 503, 503]
 
     curio.run(main)
--- a/tests/serving/test_refusals.py
+++ b/tests/serving/test_refusals.py
@@ -73,3 +73,32 @@
             assert runs(world, verdict.value) == 1
 
     in_world(test)
+
+
+def test_a_refusal_that_breaks_off_is_still_a_proof() -> None:
+    async def test(world: FleetWorld) -> None:
+        await world.start(replicas=2)
+        for replica in world.replicas:
+            replica.always = Misdeed.REFUSE_AND_CUT
+        refused = await world.ask("/once/a", "refused")
+        assert refused.status == 503
+        assert float(refused.headers["retry-after"]) > 0
+        assert runs(world, "refused") == 0
+        world.replicas[1].always = None
+        assert (await world.ask("/once/a", "served")).event_ids() == [1, 2, 3, 4]
+
+    in_world(test)
+
+
+def test_a_late_refusal_of_another_request_proves_nothing() -> None:
+    async def test(world: FleetWorld) -> None:
+        await world.start(replicas=1)
+        for turn in range(6):
+            # The connection is kept: what comes first on it need not belong to this request.
+            world.replicas[0].misdeeds.append(Misdeed.LATE_REFUSAL if turn else None)
+            request_id = f"id-{turn}"
+            answers = await send_while_promised(world, "/once/a", request_id)
+            assert [one.status for one in answers] == [200]
+            assert runs(world, request_id) == 1
+
+    in_world(test)
