Test: a failure of the store's own is not "nothing was done", red as it stands

The store's client takes every status but 200 and 412 for "not done", also a 500, 502 or 504. The users' pages say of 503 only that nothing was done (and name 429 and 507 as refusals). A hand-in that was written and answered 500 was told 503, a promise, although its items run. Seen failing: answer 503 with the job in the store.

--- a/src/cloverwalk/emulator/platform_store_server.py
+++ b/src/cloverwalk/emulator/platform_store_server.py
@@ -40,6 +40,9 @@
         self.lose_answers = 0
         """So many coming writes are done and not answered."""
 
+        self.failing_status = 0
+        """Status by which coming writes are answered though they are done; 0: none."""
+
         self.write_delay_s = 0.0
         """Time between the effect of a write and its answer."""
 
@@ -79,6 +82,9 @@
         if request.method == "POST" and self.lose_answers > 0:
             self.lose_answers -= 1
             raise ClientGoneError("the answer is lost")
+        if request.method == "POST" and self.failing_status:
+            await reply.respond(self.failing_status, [], b"")
+            return
         if request.method == "POST" and self.write_delay_s > 0:
             await curio.sleep(self.write_delay_s)
         body = json.dumps(document).encode()
--- a/tests/serving/test_job_refusals.py
+++ b/tests/serving/test_job_refusals.py
@@ -4,6 +4,7 @@
 from typing import Any
 
 import curio
+from fleet_world import FleetWorld, in_world
 from job_world import HandClock, OwnerNode, batch_route, submission
 
 from cloverwalk.core.final_answer import PROMISING_STATUSES, final_answer
@@ -61,3 +62,20 @@
         assert status not in PROMISING_STATUSES
 
     curio.run(main)
+
+
+def test_a_failure_of_the_store_does_not_say_that_nothing_was_done() -> None:
+    """Of the store's failures only some say that nothing was done."""
+
+    async def test(world: FleetWorld) -> None:
+        await world.start(replicas=1)
+        for status in (500, 502, 504):
+            world.store.failing_status = status
+            answer = await world.hand_in(f"j{status}", count=1)
+            world.store.failing_status = 0
+            is_taken = f"j{status}" in world.store.rows.values(JOB_TABLE)
+            assert is_taken
+            assert answer.status not in PROMISING_STATUSES, status
+            assert (await world.hand_in(f"j{status}", count=1)).status == 202
+
+    in_world(test)
