A failure of the store that does not say "nothing was done" is an unknown outcome

The store's client calls a write not done only by answers that say so: statuses below 500, 503 and 507.

--- a/src/cloverwalk/platform/store_client.py
+++ b/src/cloverwalk/platform/store_client.py
@@ -24,6 +24,9 @@
 READ_TIMEOUT_S = 1.2
 WAIT_MARGIN_S = 0.8
 PAGE_ROWS = 500
+REFUSING_STATUSES = (503, 507)
+"""Of the store's failures these tell that nothing was done; of others that is not known."""
+
 JSON_HEADERS = {"Content-Type": "application/json"}
 
 Body = TypeVar("Body")
@@ -71,10 +74,9 @@
             return CommitOutcome(CommitStatus.UNKNOWN)
         except HttpError:
             return CommitOutcome(CommitStatus.NOT_DONE)
-        if response.status in (429, 503):
-            return CommitOutcome(CommitStatus.NOT_DONE)
         if response.status not in (200, 412):
-            return CommitOutcome(CommitStatus.NOT_DONE)
+            is_refused = response.status < 500 or response.status in REFUSING_STATUSES
+            return CommitOutcome(CommitStatus.NOT_DONE if is_refused else CommitStatus.UNKNOWN)
         try:
             answer = _rows_decoder.decode(response.body)
         except msgspec.DecodeError:
