Property tests: a promise only where nothing has begun, online and for jobs

Online: a client, the server, the handler of calls, the relay and real connections to three stand-in replicas, with any order of answers to asks (also such as no coordinator gives), replicas that refuse, cut, fall silent, fail, answer twice or refuse without proof, places that come after the deadline, and a node that stops in between. Jobs: hand-ins (without, with a tight and with a wide quota) and ends over a store that loses, delays and refuses writes, while other writers change the rows and late transactions are done in between.

--- a/src/cloverwalk/emulator/platform_replica.py
+++ b/src/cloverwalk/emulator/platform_replica.py
@@ -30,6 +30,7 @@
     FAIL = "answer 500"
     IMPOSSIBLE = "answer 422"
     SILENT = "never answer"
+    RUN_SILENTLY = "run it and never answer"
     RESET_UNANSWERED = "run it and break the connection"
     UNSIGNED = "answer without a signature"
 
@@ -172,6 +173,8 @@
         signed = [*self._headers(arrival), (names.SIGNATURE, b"signature")]
         if misdeed is Misdeed.RESET_UNANSWERED:
             return False
+        if misdeed is Misdeed.RUN_SILENTLY:
+            await curio.sleep(3600)
         if misdeed is Misdeed.GARBAGE:
             await client.sendall(b"\x00\x01 this is not an answer\r\n\r\n")
             return False
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -40,6 +40,9 @@
 PARTS = "tests/unit/test_serving_parts.py::"
 TENANTS = "tests/serving/test_tenants.py::"
 QUOTAS = "tests/unit/test_quotas.py::"
+PROMISED = "tests/serving/test_promises.py::test_a_promise_is_given_only_where_no_replica_began"
+REFUSALS = "tests/serving/test_refusals.py::"
+JOB_REFUSALS = "tests/serving/test_job_refusals.py::"
 MUTANTS = [
     Mutant(
         "an earlier record is ignored",
@@ -710,6 +713,83 @@
         "tests/serving/test_silent_connections.py::"
         "test_one_request_is_late_by_all_silent_connections_to_replicas",
     ),
+    Mutant(
+        "serving: refusals: the final answer is made without a look at the work",
+        "core/final_answer.py",
+        "str(error), work.state, error.wait_s)",
+        "str(error), WorkState.NOT_BEGUN, error.wait_s)",
+        PROMISED,
+    ),
+    Mutant(
+        "serving: refusals: the progress always says that nothing has begun",
+        "gateway/progress.py",
+        "        return WorkState.MAY_HAVE_BEGUN if self.may_have_run else WorkState.NOT_BEGUN",
+        "        return WorkState.NOT_BEGUN",
+        PROMISED,
+    ),
+    Mutant(
+        "serving: refusals: the progress forgets failed attempts",
+        "gateway/progress.py",
+        "        known = self.tried if self.is_sent else self.refused",
+        "        known = self.refused",
+        PROMISED,
+    ),
+    Mutant(
+        "serving: refusals: sending is not noted",
+        "gateway/progress.py",
+        "        self.is_sent = True",
+        "        self.is_sent = False",
+        PROMISED,
+    ),
+    Mutant(
+        "serving: refusals: any refusing status of a replica is a proof",
+        "gateway/relay.py",
+        "    return head.fields.was_not_run and head.status >= LEAST_FAILURE_STATUS",
+        "    return head.status in (408, 421, 429, 503)",
+        PROMISED,
+    ),
+    Mutant(
+        "serving: refusals: a replica's refusal without proof is handed on",
+        "gateway/answer_relay.py",
+        "        if head.status in PROMISING_STATUSES:",
+        "        if False:",
+        PROMISED,
+    ),
+    Mutant(
+        "serving: refusals: callers are invited to repeat what may have begun",
+        "core/final_answer.py",
+        "        return self.wait_s if self.work is WorkState.NOT_BEGUN else None",
+        "        return self.wait_s",
+        REFUSALS + "test_no_verdict_promises_not_run_after_a_run",
+    ),
+    Mutant(
+        "serving: refusals: a refusal that breaks off is no proof",
+        "gateway/relay.py",
+        "            progress.note_proved_not_run()\n",
+        "",
+        REFUSALS + "test_a_refusal_that_breaks_off_is_still_a_proof",
+    ),
+    Mutant(
+        "serving: refusals: a transaction that was sent counts as not done",
+        "jobs/writes.py",
+        "        may_be_done, self._may_be_done = self._may_be_done, True",
+        "        may_be_done, self._may_be_done = self._may_be_done, False",
+        JOB_REFUSALS + "test_a_refused_hand_in_is_never_in_the_store",
+    ),
+    Mutant(
+        "serving: refusals: an end without an answer counts as not done",
+        "jobs/writes.py",
+        "        if outcome.status is CommitStatus.NOT_DONE:",
+        "        if outcome.status is not CommitStatus.COMMITTED:",
+        JOB_REFUSALS + "test_a_refused_end_never_takes_effect",
+    ),
+    Mutant(
+        "serving: refusals: any failure of the store says that nothing was done",
+        "platform/store_client.py",
+        "            is_refused = response.status < 500 or response.status in REFUSING_STATUSES",
+        "            is_refused = True",
+        JOB_REFUSALS + "test_a_failure_of_the_store_does_not_say_that_nothing_was_done",
+    ),
 ]
 
 
--- a/tests/serving/test_job_refusals.py
+++ b/tests/serving/test_job_refusals.py
@@ -1,34 +1,64 @@
 """A call on a job that is answered with a promise has done nothing, and never will."""
 
+from collections import deque
+from enum import Enum
 from types import SimpleNamespace
 from typing import Any
 
 import curio
+import pytest
 from fleet_world import FleetWorld, in_world
-from job_world import HandClock, OwnerNode, batch_route, submission
+from hypothesis import given
+from hypothesis import strategies as st
+from job_world import HandClock, OwnerNode, RefusedError, batch_route, submission
 
 from cloverwalk.core.final_answer import PROMISING_STATUSES, final_answer
 from cloverwalk.emulator.memory_store import CommitFault, MemoryStore
 from cloverwalk.jobs.errors import JobError
-from cloverwalk.jobs.records import JOB_TABLE, decode_record, job_key
+from cloverwalk.jobs.records import (
+    JOB_TABLE,
+    QUOTA_TABLE,
+    QuotaRow,
+    decode_record,
+    encode,
+    job_key,
+    quota_key,
+)
 from cloverwalk.jobs.service import MAX_END_CONFLICTS, JobService
 from cloverwalk.jobs.writes import JobWrites
-from cloverwalk.store.types import CommitOutcome, Put, Transaction
+from cloverwalk.store.types import CommitOutcome, Put, RowKey, Transaction
+
+
+class Meanwhile(Enum):
+    """What happens just before a commit."""
+
+    ROWS_CHANGE = "other writers change the job's record and the quota row"
+    LATE_WRITES = "transactions without an answer are done now, if they still hold"
 
 
 class BusyStore(MemoryStore):
-    """Other writers change a job's record just before each of the coming commits."""
+    """Things happen between the commits of a call."""
 
     def __init__(self) -> None:
         super().__init__()
-        self.changes_ahead = 0
+        self.meanwhile: deque[Meanwhile | None] = deque()
 
     async def commit(self, transaction: Transaction, timeout_s: float) -> CommitOutcome:
-        if self.changes_ahead > 0:
-            self.changes_ahead -= 1
-            self.apply(Transaction(puts=[Put(job_key("j"), self.values(JOB_TABLE)["j"])]))
+        match self.meanwhile.popleft() if self.meanwhile else None:
+            case Meanwhile.ROWS_CHANGE:
+                self._write_anew(job_key("j"))
+                self._write_anew(quota_key("jobs"))
+            case Meanwhile.LATE_WRITES:
+                self.run_late()
         return await super().commit(transaction, timeout_s)
 
+    def _write_anew(self, key: RowKey) -> None:
+        value = self.values(key.table).get(key.key)
+        if value is None and key.table == QUOTA_TABLE:
+            value = encode(QuotaRow())
+        if value is not None:
+            self.apply(Transaction(puts=[Put(key, value)]))
+
 
 def service_of(node: OwnerNode) -> JobService:
     async def drop(job_id: str) -> None:
@@ -39,6 +69,25 @@
     return JobService(node.intake, node.reader, runner, node.view, node.committer, log, node.clock)
 
 
+async def hand_in_status(node: OwnerNode, max_queued_tokens: int) -> int:
+    """Return the status of the answer to a hand-in of the job "j"."""
+    try:
+        await node.submit(submission("j"), batch_route(max_queued_tokens))
+    except RefusedError as refused:
+        return refused.status
+    return 202
+
+
+def without_pauses(node: OwnerNode) -> OwnerNode:
+    """Have a node repeat its transactions at once; its clock moves all the same."""
+
+    async def pause(pause_ms: float) -> None:
+        await curio.sleep(0)
+
+    node.health.pause = pause  # type: ignore[method-assign]
+    return node
+
+
 async def end_status(node: OwnerNode) -> int:
     """Return the status of the answer to an end of the job "j"."""
     writes = JobWrites()
@@ -54,8 +103,9 @@
         store = BusyStore()
         node = OwnerNode("n1", store, HandClock(0.0001))
         await node.submit(submission("j"), batch_route())
-        store.changes_ahead = MAX_END_CONFLICTS - 1
-        store.commit_faults.extend([None] * store.changes_ahead + [CommitFault.LOST_ANSWER])
+        conflicts = MAX_END_CONFLICTS - 1
+        store.meanwhile.extend([Meanwhile.ROWS_CHANGE] * conflicts)
+        store.commit_faults.extend([None] * conflicts + [CommitFault.LOST_ANSWER])
         status = await end_status(node)
         is_ended = decode_record(store.values(JOB_TABLE)["j"]).is_ended
         assert is_ended
@@ -79,3 +129,73 @@
             assert (await world.hand_in(f"j{status}", count=1)).status == 202
 
     in_world(test)
+
+
+faults = st.sampled_from(
+    [None, None, CommitFault.LOST_ANSWER, CommitFault.LATE, CommitFault.NOT_DONE]
+)
+moves = st.sampled_from([None, Meanwhile.ROWS_CHANGE, Meanwhile.LATE_WRITES])
+courses = st.lists(st.tuples(faults, moves), max_size=30)
+LONG = 300
+"""More commits than a call has time for."""
+
+Course = list[tuple[CommitFault | None, Meanwhile | None]]
+
+
+def follow(store: BusyStore, course: Course, at_last: CommitFault | None) -> None:
+    """Have the coming commits meet a course of events, and one and the same fault after it."""
+    store.commit_faults.extend(fault for fault, _ in course)
+    store.commit_faults.extend([at_last] * LONG)
+    store.meanwhile.extend(move for _, move in course)
+
+
+@pytest.mark.parametrize("max_queued_tokens", [0, 25, 1000])
+@given(course=courses, at_last=faults)
+def test_a_refused_hand_in_is_never_in_the_store(
+    max_queued_tokens: int, course: Course, at_last: CommitFault | None
+) -> None:
+    """Whatever is lost, late, refused or changed between the rounds of one hand-in."""
+
+    async def main() -> None:
+        store = BusyStore()
+        follow(store, course, at_last)
+        node = without_pauses(OwnerNode("n1", store, HandClock(0.05)))
+        status = await hand_in_status(node, max_queued_tokens)
+        store.run_late()
+        is_taken = "j" in store.values(JOB_TABLE)
+        assert not (is_taken and status in PROMISING_STATUSES)
+        assert is_taken or status != 202
+
+    curio.run(main)
+
+
+@given(course=courses, at_last=faults)
+def test_a_refused_end_never_takes_effect(course: Course, at_last: CommitFault | None) -> None:
+    async def main() -> None:
+        store = BusyStore()
+        node = without_pauses(OwnerNode("n1", store, HandClock(0.05)))
+        await node.submit(submission("j"), batch_route())
+        follow(store, course, at_last)
+        status = await end_status(node)
+        store.run_late()
+        is_ended = decode_record(store.values(JOB_TABLE)["j"]).is_ended
+        assert not (is_ended and status in PROMISING_STATUSES)
+        assert is_ended or status != 200
+
+    curio.run(main)
+
+
+def test_a_lost_hand_in_that_conflicts_is_void_and_its_refusal_true() -> None:
+    """The first round's transaction has no answer; the quota row has moved on; then no store."""
+
+    async def main() -> None:
+        store = BusyStore()
+        store.meanwhile.extend([None, Meanwhile.ROWS_CHANGE])
+        store.commit_faults.extend([CommitFault.LATE, None, *[CommitFault.NOT_DONE] * 300])
+        node = without_pauses(OwnerNode("n1", store, HandClock(0.01)))
+        assert await hand_in_status(node, 1000) == 503
+        assert store.late
+        store.run_late()
+        assert store.values(JOB_TABLE) == {}
+
+    curio.run(main)
--- /dev/null
+++ b/tests/serving/test_promises.py
@@ -0,0 +1,212 @@
+"""Whatever happens to a request, it is promised not to have run only where no replica began it."""
+
+import os
+import time
+from typing import Any
+
+import curio
+import h11
+from fleet_world import HOST, free_port, read_answer
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from cloverwalk.emulator.platform_replica import Misdeed, PlatformReplica
+from cloverwalk.fleet.load import LoadBook
+from cloverwalk.fleet.messages import Ask, Placement, Served
+from cloverwalk.fleet.places import Place
+from cloverwalk.gateway.admission import Verdict
+from cloverwalk.gateway.configuration import (
+    ClientLimits,
+    Configuration,
+    ConfigurationHolder,
+    Route,
+    RouteKind,
+    RoutePart,
+)
+from cloverwalk.gateway.relay import OnlineRelay
+from cloverwalk.gateway.replica_connection import ReplicaPool
+from cloverwalk.gateway.replicas import Replica, ReplicaDirectory
+from cloverwalk.gateway.server import GatewayServer
+from cloverwalk.platform import names
+from cloverwalk.platform.adapter import PlatformAdapter
+from cloverwalk.serving.calls import CallHandler
+from cloverwalk.telemetry.log import ServingLog
+from cloverwalk.telemetry.metrics import ServingMetrics
+from cloverwalk.tenants.refusals import RefusalMemory
+
+PROMISES = (408, 421, 429, 503)
+REPLICAS = 3
+UNKNOWN_REPLICA = "i-unknown"
+DEAD_REPLICA = "i-dead"
+DEADLINE_MS = 80
+NEVER = 100
+LATE = "the place comes after the deadline"
+
+Step = Verdict | str
+"""How an ask is answered: refused by a verdict, sent to the replica named, or late."""
+
+refusing = st.sampled_from(
+    [Verdict.RETURN, Verdict.NONE, Verdict.OVER_QUOTA, Verdict.QUOTA_UNKNOWN]
+)
+sending = st.sampled_from([*(f"i-{n}" for n in range(REPLICAS)), UNKNOWN_REPLICA, DEAD_REPLICA])
+steps = st.lists(st.one_of(sending, sending, sending, refusing, st.just(LATE)), max_size=5)
+misdeeds = st.lists(
+    st.sampled_from(
+        [
+            None,
+            Misdeed.CUT,
+            Misdeed.GARBAGE,
+            Misdeed.SECOND_ANSWER,
+            Misdeed.LATE_ANSWER,
+            Misdeed.REFUSE,
+            Misdeed.REFUSE_AND_CUT,
+            Misdeed.UNPROVED_REFUSAL,
+            Misdeed.FAIL,
+            Misdeed.RUN_SILENTLY,
+            Misdeed.RESET_UNANSWERED,
+            Misdeed.UNSIGNED,
+        ]
+    ),
+    min_size=1,
+    max_size=6,
+)
+paths = st.sampled_from(["/safe/a", "/chat/a", "/once/a"])
+
+
+class ScriptedLink:
+    """A coordinator that answers asks as it is told, whether that makes sense or not."""
+
+    configuration_version = 1
+
+    def __init__(self, script: list[Step], loads: LoadBook) -> None:
+        self._script = script
+        self._loads = loads
+        self._turn = 0
+
+    async def place(self, ask: Ask, until: float) -> Place:
+        """Return the next answer of the script; then one replica after the other."""
+        await curio.sleep(0)
+        self._turn += 1
+        step = self._script.pop(0) if self._script else f"i-{self._turn % REPLICAS}"
+        if isinstance(step, Verdict):
+            return Place(Placement(0, step, retry_after_s=0.2))
+        if step == LATE:
+            await curio.sleep(2 * DEADLINE_MS / 1000)
+            step = "i-0"
+        return Place(Placement(0, Verdict.SEND, step), self._loads.begin(step, is_batch=False))
+
+    async def note_change(self) -> None:
+        """Nobody is told."""
+
+    def note_served(self, served: Served) -> None:
+        """Nobody is told."""
+
+
+class World:
+    """One node's whole way from a client's socket to its replicas'."""
+
+    def __init__(self, script: list[Step], misdeeds_by_replica: list[list[Misdeed | None]]) -> None:
+        self.replicas = [
+            PlatformReplica(f"i-{number}", ("127.0.0.1", free_port())) for number in range(REPLICAS)
+        ]
+        for replica, planned in zip(self.replicas, misdeeds_by_replica, strict=True):
+            replica.misdeeds.extend(planned)
+        adapter = PlatformAdapter()
+        log = ServingLog("n1", time.monotonic, os.open(os.devnull, os.O_WRONLY))
+        metrics = ServingMetrics()
+        holder = ConfigurationHolder()
+        holder.offer(Configuration(1, _routes(), {}, ClientLimits()))
+        loads = LoadBook()
+        link: Any = ScriptedLink(script, loads)
+        relay = OnlineRelay(
+            adapter.codec,
+            self._directory(),
+            loads,
+            ReplicaPool(adapter.codec, time.monotonic),
+            log,
+            metrics,
+            time.monotonic,
+            link,
+            RefusalMemory(log, time.monotonic),
+        )
+        self.may_begin = True
+        jobs: Any = None
+        calls = CallHandler(adapter, holder, relay, jobs, log, metrics, lambda: self.may_begin)
+        self.address = ("127.0.0.1", free_port())
+        self.server = GatewayServer(
+            self.address,
+            adapter.codec,
+            ClientLimits,
+            calls.handle,
+            lambda answer: None,
+            time.monotonic,
+            8,
+        )
+
+    def _directory(self) -> ReplicaDirectory:
+        directory = ReplicaDirectory()
+        for replica in self.replicas:
+            host, port = replica.address
+            directory.put(Replica(replica.replica_id, "model", host, port, "z", 8, False, 1))
+        dead = Replica(DEAD_REPLICA, "model", "127.0.0.1", free_port(), "z", 8, False, 1)
+        directory.put(dead)
+        return directory
+
+    async def ask(self, path: str, request_id: str) -> int:
+        """Send a request; return the status of its answer, 0 for none."""
+        headers = [
+            ("Host", HOST),
+            (names.REQUEST_ID.decode(), request_id),
+            (names.DEADLINE_MS.decode(), str(DEADLINE_MS)),
+            ("Content-Length", "0"),
+        ]
+        http = h11.Connection(h11.CLIENT)
+        data = http.send(h11.Request(method="POST", target=path, headers=headers)) or b""
+        data += http.send(h11.EndOfMessage()) or b""
+        sock = await curio.open_connection(*self.address)
+        try:
+            await sock.sendall(data)
+            return (await read_answer(sock, http)).status
+        finally:
+            await sock.close()
+
+
+def _routes() -> tuple[Route, ...]:
+    part = (RoutePart("model", 1.0),)
+    return (
+        Route("safe", HOST, "/safe/", RouteKind.SAFE, part, 3.0, 0.2, 3),
+        Route("chat", HOST, "/chat/", RouteKind.STREAM, part, 3.0, 0.2, 3, is_resumable=True),
+        Route("once", HOST, "/once/", RouteKind.STREAM, part, 3.0, 0.2, 1),
+    )
+
+
+@settings(max_examples=120)
+@given(
+    st.lists(paths, min_size=2, max_size=4),
+    steps,
+    st.lists(misdeeds, min_size=REPLICAS, max_size=REPLICAS),
+    st.sampled_from([NEVER, NEVER, NEVER, 3, 2, 1]),
+)
+def test_a_promise_is_given_only_where_no_replica_began(
+    asked: list[str],
+    script: list[Step],
+    misdeeds_by_replica: list[list[Misdeed | None]],
+    stops_before: int,
+) -> None:
+    async def main() -> None:
+        world = World(list(script), misdeeds_by_replica)
+        loops = [world.server.serve, *(one.run for one in world.replicas)]
+        tasks = [await curio.spawn(loop, daemon=True) for loop in loops]
+        statuses: dict[str, int] = {}
+        for turn, path in enumerate(asked):
+            world.may_begin = turn < stops_before
+            statuses[f"id-{turn}"] = await world.ask(path, f"id-{turn}")
+        for task in tasks:
+            await task.cancel()
+        runs = {key: sum(one.runs(key) for one in world.replicas) for key in statuses}
+        untrue = [key for key in statuses if statuses[key] in PROMISES and runs[key]]
+        assert untrue == []
+        for turn, path in enumerate(asked):
+            assert runs[f"id-{turn}"] <= (1 if path == "/once/a" else 3)
+
+    curio.run(main)
