--- a/src/cloverwalk/pipeline/problem.py
+++ b/src/cloverwalk/pipeline/problem.py
@@ -7,11 +7,18 @@
 from cloverwalk.core.constants import RETRY_AFTER_S
 from cloverwalk.core.errors import CloverwalkError
 from cloverwalk.core.events import Header, SendReply
+from cloverwalk.core.final_answer import PROMISING_STATUSES
 from cloverwalk.core.types import Outcome
 
+UNPROMISING_STATUS = 502
+"""Stands for a promising status where the work may have begun."""
+
 
 class PipelineError(CloverwalkError):
-    """A request ends with a problem answer."""
+    """A request ends with a problem answer.
+
+    A status that promises "not run" holds only for the outcome ``not_run``.
+    """
 
     default_code = "bad_request"
 
@@ -25,12 +32,24 @@
         retry_after_s: float | None = None,
     ) -> None:
         super().__init__(detail, code)
-        self.status = status
+        self._wanted_status = status
         self.detail = detail
         self.field = field
         self.outcome = outcome
         self.retry_after_s = retry_after_s
 
+    @property
+    def status(self) -> int:
+        """The status that is true of the outcome."""
+        if self.outcome is not Outcome.NOT_RUN and self._wanted_status in PROMISING_STATUSES:
+            return UNPROMISING_STATUS
+        return self._wanted_status
+
+    def note_outcome(self, outcome: Outcome) -> None:
+        """Take what is known of the request, where the error itself says that it has not run."""
+        if self.outcome is Outcome.NOT_RUN:
+            self.outcome = outcome
+
 
 class ProblemBody(Struct, frozen=True, omit_defaults=True):
     """The body of a problem answer."""
--- a/src/cloverwalk/pipeline/reply.py
+++ b/src/cloverwalk/pipeline/reply.py
@@ -235,6 +235,8 @@
         """End a request with a problem, at once."""
         if request.stage is Stage.ENDED:
             return
+        # Whoever gives up need not know what was sent: the request does.
+        error.note_outcome(request.outcome_if_given_up)
         if error.outcome is Outcome.NOT_RUN:
             self._context.metrics.refused.labels(error.code).inc()
             self._context.log(
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -783,6 +783,20 @@
         "        if outcome.status is not CommitStatus.COMMITTED:",
         JOB_REFUSALS + "test_a_refused_end_never_takes_effect",
     ),
+    Mutant(
+        "refusals: the daemon's status is any that was wanted",
+        "pipeline/problem.py",
+        "        if self.outcome is not Outcome.NOT_RUN and",
+        "        if False and",
+        S + "test_at_most_once.py::test_a_request_that_started_is_never_told_to_be_not_run",
+    ),
+    Mutant(
+        "refusals: the daemon gives up without a look at the request",
+        "pipeline/reply.py",
+        "        error.note_outcome(request.outcome_if_given_up)\n",
+        "",
+        "tests/unit/test_problem.py::test_who_gives_up_need_not_know_what_was_sent",
+    ),
     Mutant(
         "serving: refusals: any failure of the store says that nothing was done",
         "platform/store_client.py",
