The log and explain tell what was known of the work at a refusal

Lines 313 and 314 carry work (not_begun or may_have_begun) beside the status and the counts of replicas, and cloverwalk explain prints below them what was known and what the status promises. Answered requests don't carry it: their line is the one that is written most.

--- a/src/cloverwalk/cli/explain.py
+++ b/src/cloverwalk/cli/explain.py
@@ -6,7 +6,9 @@
 
 from cloverwalk.cli.api import json_option, print_json
 from cloverwalk.cli.errors import EXIT_USAGE, CommandError
-from cloverwalk.telemetry.story import LogLine, parse_line, story_of
+from cloverwalk.telemetry.story import LogLine, known_of_work, parse_line, story_of
+
+NOTE_INDENT = "    "
 
 
 @click.command()
@@ -19,7 +21,7 @@
     """Print the story of a request, item or job from the logs of many nodes.
 
     Lines are in order of time; what the nodes learned meanwhile (configuration, replicas,
-    store, peers) stands between them.
+    store, peers) stands between them. Below a refusal stands what was known of the work.
 
     Example: cloverwalk explain 9c41d07be2a35f68 node-*.log
     """
@@ -47,3 +49,6 @@
         return
     for line in story:
         click.echo(line.text())
+        known = known_of_work(line)
+        if known:
+            click.echo(f"{NOTE_INDENT}{known}")
--- a/src/cloverwalk/gateway/relay.py
+++ b/src/cloverwalk/gateway/relay.py
@@ -380,7 +380,7 @@
             configuration=self._link.configuration_version,
             outcome=outcome,
             status=status,
-            work=progress.state.value,
+            work=None if outcome == "answered" else progress.state.value,
             replica=progress.last_replica,
             tried=len(progress.tried),
             refused=len(progress.refused),
--- a/src/cloverwalk/telemetry/story.py
+++ b/src/cloverwalk/telemetry/story.py
@@ -8,6 +8,7 @@
 from msgspec import Struct
 
 from cloverwalk.core import catalogue
+from cloverwalk.core.final_answer import PROMISING_STATUSES, WorkState
 
 BEFORE_S = 3.0
 """Changes of belief this long before a request's first line belong to its story."""
@@ -31,6 +32,7 @@
         catalogue.LINES_DROPPED,
     }
 )
+REFUSALS = frozenset({catalogue.REQUEST_ENDED, catalogue.CALL_REFUSED})
 COMMON = frozenset({"at", "t", "node", "number", "event", "level"})
 _LEADING_TIME = re.compile(r"^\s*(-?\d+\.\d+)\s")
 
@@ -55,6 +57,37 @@
         return f"{self.time_s:.3f} {self.node} {self.number} {self.event} {shown}"
 
 
+def known_of_work(line: LogLine) -> str:
+    """Return what was known of the work when a call was refused; empty for other lines.
+
+    >>> fields = {"work": "may_have_begun", "tried": 2, "refused": 1, "status": 502}
+    >>> known_of_work(LogLine(1.0, "n1", 313, "request_ended", "warning", fields))
+    'the work may have begun: 2 replicas may have run it, 1 did not; 502 promises nothing'
+    >>> fields = {"work": "not_begun", "status": 503}
+    >>> known_of_work(LogLine(1.0, "n1", 314, "call_refused", "warning", fields))
+    'the work had not begun: nothing was sent; 503 promises that it never will'
+    """
+    work = line.fields.get("work")
+    if line.number not in REFUSALS or work is None:
+        return ""
+    begun = work != WorkState.NOT_BEGUN.value
+    status = line.fields.get("status", 0)
+    promise = f"{status} promises nothing"
+    if status in PROMISING_STATUSES:
+        promise = f"{status} promises that it never will"
+    state = "may have begun" if begun else "had not begun"
+    return f"the work {state}: {_what_was_sent(line, begun)}; {promise}"
+
+
+def _what_was_sent(line: LogLine, begun: bool) -> str:
+    tried, refused = line.fields.get("tried", 0), line.fields.get("refused", 0)
+    if not begun:
+        return f"{refused} replicas did not take it" if refused else "nothing was sent"
+    if not tried:
+        return "it was sent, and no final answer came"
+    return f"{tried} replicas may have run it, {refused} did not"
+
+
 def parse_line(text: str) -> LogLine | None:
     """Return a log line, or None when the text is none.
 
--- a/tests/serving/test_refusals.py
+++ b/tests/serving/test_refusals.py
@@ -4,12 +4,16 @@
 count how often they began it.
 """
 
+from pathlib import Path
+
 from fleet_world import Answer, FleetWorld, in_world
 
+from cloverwalk.core.catalogue import REQUEST_ENDED
 from cloverwalk.emulator.platform_replica import Misdeed
 from cloverwalk.fleet.messages import Ask, Placement
 from cloverwalk.fleet.places import Place
 from cloverwalk.gateway.admission import Verdict
+from cloverwalk.telemetry.story import known_of_work, parse_line
 
 PROMISES = (408, 421, 429, 503)
 SENDS = 2
@@ -102,3 +106,20 @@
             assert runs(world, request_id) == 1
 
     in_world(test)
+
+
+def test_the_log_tells_what_was_known_of_the_work(tmp_path: Path) -> None:
+    async def test(world: FleetWorld) -> None:
+        log = tmp_path / "n1.log"
+        log.touch()
+        world.log_path = str(log)
+        await world.start(replicas=1)
+        for request_id, misdeed in (("not", Misdeed.REFUSE), ("may", Misdeed.RESET_UNANSWERED)):
+            world.replicas[0].always = misdeed
+            await world.ask("/once/a", request_id)
+        lines = [line for text in log.read_text().splitlines() if (line := parse_line(text))]
+        ended = {one.fields["request"]: one for one in lines if one.number == REQUEST_ENDED}
+        assert known_of_work(ended["not"]).startswith("the work had not begun")
+        assert known_of_work(ended["may"]).startswith("the work may have begun")
+
+    in_world(test)
--- a/tests/unit/test_explain.py
+++ b/tests/unit/test_explain.py
@@ -2,6 +2,7 @@
 
 from pathlib import Path
 
+import pytest
 from click.testing import CliRunner
 
 from cloverwalk.cli.errors import EXIT_SETTINGS, EXIT_USAGE
@@ -45,6 +46,32 @@
     assert "i2" not in result.output
 
 
+REFUSED = """\
+{"node":"n1","number":313,"level":"warning","at":1.0,"t":1.0,"request":"r1","status":502,"work":"may_have_begun","tried":1,"refused":2,"event":"request_ended"}
+{"node":"n1","number":313,"level":"warning","at":2.0,"t":2.0,"request":"r2","status":503,"work":"not_begun","tried":0,"refused":2,"event":"request_ended"}
+{"node":"n1","number":314,"level":"warning","at":3.0,"t":3.0,"request":"j1","status":504,"work":"may_have_begun","event":"call_refused"}
+{"node":"n1","number":312,"level":"info","at":4.0,"t":4.0,"request":"r3","status":200,"work":null,"event":"request_answered"}
+"""
+
+
+@pytest.mark.parametrize(
+    ("request_id", "known"),
+    [
+        ("r1", "may have begun: 1 replicas may have run it, 2 did not; 502 promises nothing"),
+        ("r2", "had not begun: 2 replicas did not take it; 503 promises that it never will"),
+        ("j1", "may have begun: it was sent, and no final answer came; 504 promises nothing"),
+        ("r3", ""),
+    ],
+)
+def test_a_refusals_story_tells_what_was_known_of_the_work(
+    tmp_path: Path, request_id: str, known: str
+) -> None:
+    (tmp_path / "n1.log").write_text(REFUSED)
+    result = CliRunner().invoke(cli, ["explain", request_id, str(tmp_path / "n1.log")])
+    notes = [line.strip() for line in result.output.splitlines()[1:]]
+    assert notes == ([f"the work {known}"] if known else [])
+
+
 def test_an_id_that_no_line_names_is_said_so(tmp_path: Path) -> None:
     (tmp_path / "n1.log").write_text(NODE_1)
     result = CliRunner().invoke(cli, ["explain", "other", str(tmp_path / "n1.log")])
