--- a/src/cloverwalk/emulator/platform_replica.py
+++ b/src/cloverwalk/emulator/platform_replica.py
@@ -24,6 +24,7 @@
     SECOND_ANSWER = "send another answer after the whole one"
     LATE_ANSWER = "send an answer to another request first"
     LATE_REFUSAL = "say without an id that something did not run, then run it"
+    PROOF_ON_SUCCESS = "run it, answer 200 and say that it did not run"
     REFUSE = "say that it did not run"
     REFUSE_AND_CUT = "say that it did not run, and break the connection within that answer"
     UNPROVED_REFUSAL = "run it and answer ``unproved_status`` without saying that it did not run"
@@ -189,6 +190,8 @@
             await client.sendall(_foreign_answer())
         if misdeed is Misdeed.LATE_REFUSAL:
             await client.sendall(_nameless_refusal())
+        if misdeed is Misdeed.PROOF_ON_SUCCESS:
+            signed.append((names.NOT_EXECUTED, b"1"))
         if misdeed is Misdeed.UNSIGNED:
             signed = self._headers(arrival)
         await self._stream(client, http, arrival, signed, misdeed)
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -748,6 +748,13 @@
         "    return head.status in (408, 421, 429, 503)",
         PROMISED,
     ),
+    Mutant(
+        "serving: refusals: a success proves that nothing was run",
+        "gateway/relay.py",
+        "    return head.fields.was_not_run and head.status >= LEAST_FAILURE_STATUS",
+        "    return head.fields.was_not_run",
+        REFUSALS + "test_a_success_proves_no_refusal",
+    ),
     Mutant(
         "serving: refusals: a replica's refusal without proof is handed on",
         "gateway/answer_relay.py",
--- a/tests/serving/test_promises.py
+++ b/tests/serving/test_promises.py
@@ -65,6 +65,7 @@
             Misdeed.RUN_SILENTLY,
             Misdeed.RESET_UNANSWERED,
             Misdeed.UNSIGNED,
+            Misdeed.PROOF_ON_SUCCESS,
         ]
     ),
     min_size=1,
--- a/tests/serving/test_refusals.py
+++ b/tests/serving/test_refusals.py
@@ -108,6 +108,18 @@
     in_world(test)
 
 
+def test_a_success_proves_no_refusal() -> None:
+    async def test(world: FleetWorld) -> None:
+        await world.start(replicas=2)
+        for replica in world.replicas:
+            replica.always = Misdeed.PROOF_ON_SUCCESS
+        answers = await send_while_promised(world, "/once/a", "id-1")
+        assert [one.status for one in answers] == [200]
+        assert runs(world, "id-1") == 1
+
+    in_world(test)
+
+
 def test_the_log_tells_what_was_known_of_the_work(tmp_path: Path) -> None:
     async def test(world: FleetWorld) -> None:
         log = tmp_path / "n1.log"
