--- a/src/cloverwalk/emulator/platform_replica.py
+++ b/src/cloverwalk/emulator/platform_replica.py
@@ -23,10 +23,15 @@
     GARBAGE = "send what is not an answer"
     SECOND_ANSWER = "send another answer after the whole one"
     LATE_ANSWER = "send an answer to another request first"
+    LATE_REFUSAL = "say without an id that something did not run, then run it"
+    PROOF_ON_SUCCESS = "run it, answer 200 and say that it did not run"
     REFUSE = "say that it did not run"
+    REFUSE_AND_CUT = "say that it did not run, and break the connection within that answer"
+    UNPROVED_REFUSAL = "run it and answer ``unproved_status`` without saying that it did not run"
     FAIL = "answer 500"
     IMPOSSIBLE = "answer 422"
     SILENT = "never answer"
+    RUN_SILENTLY = "run it and never answer"
     RESET_UNANSWERED = "run it and break the connection"
     UNSIGNED = "answer without a signature"
 
@@ -59,6 +64,7 @@
         self.event_padding = 0
         """Characters added to the data of each event."""
 
+        self.unproved_status = 503
         self.misdeeds: deque[Misdeed | None] = deque()
         self.always: Misdeed | None = None
         self.arrivals: list[Arrival] = []
@@ -96,6 +102,9 @@
         if misdeed is Misdeed.REFUSE:
             await self._refuse(client, http, arrival, 503)
             return True
+        if misdeed is Misdeed.REFUSE_AND_CUT:
+            await self._refuse_and_cut(client, http, arrival)
+            return False
         if misdeed is Misdeed.SILENT:
             await curio.sleep(3600)
         arrival.has_run = True
@@ -139,6 +148,11 @@
         headers = [*self._headers(arrival), (names.NOT_EXECUTED, b"1")]
         await self._whole(client, http, status, headers, b"")
 
+    async def _refuse_and_cut(self, client: Any, http: h11.Connection, arrival: Arrival) -> None:
+        length = (b"Content-Length", b"10")
+        headers = [*self._headers(arrival), (names.NOT_EXECUTED, b"1"), length]
+        await client.sendall(http.send(h11.Response(status_code=503, headers=headers)) or b"")
+
     async def _whole(
         self,
         client: Any,
@@ -160,6 +174,8 @@
         signed = [*self._headers(arrival), (names.SIGNATURE, b"signature")]
         if misdeed is Misdeed.RESET_UNANSWERED:
             return False
+        if misdeed is Misdeed.RUN_SILENTLY:
+            await curio.sleep(3600)
         if misdeed is Misdeed.GARBAGE:
             await client.sendall(b"\x00\x01 this is not an answer\r\n\r\n")
             return False
@@ -167,8 +183,15 @@
             status = 500 if misdeed is Misdeed.FAIL else 422
             await self._whole(client, http, status, signed, b"failed")
             return True
+        if misdeed is Misdeed.UNPROVED_REFUSAL:
+            await self._whole(client, http, self.unproved_status, signed, b"busy")
+            return True
         if misdeed is Misdeed.LATE_ANSWER:
             await client.sendall(_foreign_answer())
+        if misdeed is Misdeed.LATE_REFUSAL:
+            await client.sendall(_nameless_refusal())
+        if misdeed is Misdeed.PROOF_ON_SUCCESS:
+            signed.append((names.NOT_EXECUTED, b"1"))
         if misdeed is Misdeed.UNSIGNED:
             signed = self._headers(arrival)
         await self._stream(client, http, arrival, signed, misdeed)
@@ -209,6 +232,10 @@
             data = await client.recv(1)
         return data == b""
 
+    def runs(self, request_id: str) -> int:
+        """Return how often the replica has begun to work on a request."""
+        return sum(one.has_run for one in self.arrivals if one.request_id == request_id)
+
     def document(self, service: str, zone: str, state: str = "ready") -> dict[str, Any]:
         """Return the entry that the replica keeps in the store."""
         host, port = self.address
@@ -233,3 +260,8 @@
         b"wrong",
     ]
     return b"\r\n".join(lines)
+
+
+def _nameless_refusal() -> bytes:
+    lines = [b"HTTP/1.1 503 Busy", names.NOT_EXECUTED + b": 1", b"Content-Length: 0", b"", b""]
+    return b"\r\n".join(lines)
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -41,6 +41,9 @@
 TENANTS = "tests/serving/test_tenants.py::"
 QUOTAS = "tests/unit/test_quotas.py::"
 ITEM_ENDS = "tests/serving/test_item_ends.py::"
+PROMISED = "tests/serving/test_promises.py::test_a_promise_is_given_only_where_no_replica_began"
+REFUSALS = "tests/serving/test_refusals.py::"
+JOB_REFUSALS = "tests/serving/test_job_refusals.py::"
 MUTANTS = [
     Mutant(
         "an earlier record is ignored",
@@ -382,9 +385,9 @@
     ),
     Mutant(
         "serving: an unsure hand-in is called not run",
-        "jobs/intake.py",
-        "        if is_unknown:\n            return JobError(504",
-        "        if is_unknown:\n            return JobError(503",
+        "jobs/writes.py",
+        "        if outcome.status is CommitStatus.NOT_DONE:",
+        "        if outcome.status is not CommitStatus.COMMITTED:",
         JOBS + "test_an_unsure_hand_in_does_not_promise_that_nothing_runs",
     ),
     Mutant(
@@ -397,8 +400,8 @@
     Mutant(
         "serving: a job that was not read is denied",
         "jobs/reader.py",
-        "            raise JobError(503, error.code, str(error), RETRY_AFTER_S) from error",
-        "            raise JobError(404, error.code, str(error), RETRY_AFTER_S) from error",
+        "JobError(Reason.UNAVAILABLE, error.code,",
+        "JobError(Reason.NOT_FOUND, error.code,",
         JOBS + "test_a_missing_job_is_denied_only_when_the_store_surely_has_none",
     ),
     Mutant(
@@ -446,8 +449,8 @@
     Mutant(
         "serving: a node without a configuration denies",
         "serving/calls.py",
-        'GatewayError(503, "no_configuration"',
-        'GatewayError(404, "no_configuration"',
+        'GatewayError(Reason.UNAVAILABLE, "no_configuration"',
+        'GatewayError(Reason.NOT_FOUND, "no_configuration"',
         ONLINE + "test_a_node_without_a_configuration_is_not_ready_and_denies_nothing",
     ),
     Mutant(
@@ -740,6 +743,104 @@
         "tests/serving/test_silent_connections.py::"
         "test_one_request_is_late_by_all_silent_connections_to_replicas",
     ),
+    Mutant(
+        "serving: refusals: the final answer is made without a look at the work",
+        "core/final_answer.py",
+        "str(error), work.state, error.wait_s)",
+        "str(error), WorkState.NOT_BEGUN, error.wait_s)",
+        PROMISED,
+    ),
+    Mutant(
+        "serving: refusals: the progress always says that nothing has begun",
+        "gateway/progress.py",
+        "        return WorkState.MAY_HAVE_BEGUN if self.may_have_run else WorkState.NOT_BEGUN",
+        "        return WorkState.NOT_BEGUN",
+        PROMISED,
+    ),
+    Mutant(
+        "serving: refusals: the progress forgets failed attempts",
+        "gateway/progress.py",
+        "        known = self.tried if self.is_sent else self.refused",
+        "        known = self.refused",
+        PROMISED,
+    ),
+    Mutant(
+        "serving: refusals: sending is not noted",
+        "gateway/progress.py",
+        "        self.is_sent = True",
+        "        self.is_sent = False",
+        PROMISED,
+    ),
+    Mutant(
+        "serving: refusals: any refusing status of a replica is a proof",
+        "gateway/relay.py",
+        "    return head.fields.was_not_run and head.status >= LEAST_FAILURE_STATUS",
+        "    return head.status in (408, 421, 429, 503)",
+        PROMISED,
+    ),
+    Mutant(
+        "serving: refusals: a success proves that nothing was run",
+        "gateway/relay.py",
+        "    return head.fields.was_not_run and head.status >= LEAST_FAILURE_STATUS",
+        "    return head.fields.was_not_run",
+        REFUSALS + "test_a_success_proves_no_refusal",
+    ),
+    Mutant(
+        "serving: refusals: a replica's refusal without proof is handed on",
+        "gateway/answer_relay.py",
+        "        if head.status in PROMISING_STATUSES:",
+        "        if False:",
+        PROMISED,
+    ),
+    Mutant(
+        "serving: refusals: callers are invited to repeat what may have begun",
+        "core/final_answer.py",
+        "        return self.wait_s if self.work is WorkState.NOT_BEGUN else None",
+        "        return self.wait_s",
+        REFUSALS + "test_no_verdict_promises_not_run_after_a_run",
+    ),
+    Mutant(
+        "serving: refusals: a refusal that breaks off is no proof",
+        "gateway/relay.py",
+        "            progress.note_proved_not_run()\n",
+        "",
+        REFUSALS + "test_a_refusal_that_breaks_off_is_still_a_proof",
+    ),
+    Mutant(
+        "serving: refusals: a transaction that was sent counts as not done",
+        "jobs/writes.py",
+        "        may_be_done, self._may_be_done = self._may_be_done, True",
+        "        may_be_done, self._may_be_done = self._may_be_done, False",
+        JOB_REFUSALS + "test_a_refused_hand_in_is_never_in_the_store",
+    ),
+    Mutant(
+        "serving: refusals: an end without an answer counts as not done",
+        "jobs/writes.py",
+        "        if outcome.status is CommitStatus.NOT_DONE:",
+        "        if outcome.status is not CommitStatus.COMMITTED:",
+        JOB_REFUSALS + "test_a_refused_end_never_takes_effect",
+    ),
+    Mutant(
+        "refusals: the daemon's status is any that was wanted",
+        "pipeline/problem.py",
+        "        if self.outcome is not Outcome.NOT_RUN and",
+        "        if False and",
+        S + "test_at_most_once.py::test_a_request_that_started_is_never_told_to_be_not_run",
+    ),
+    Mutant(
+        "refusals: the daemon gives up without a look at the request",
+        "pipeline/reply.py",
+        "        error.note_outcome(request.outcome_if_given_up)\n",
+        "",
+        "tests/unit/test_problem.py::test_who_gives_up_need_not_know_what_was_sent",
+    ),
+    Mutant(
+        "serving: refusals: any failure of the store says that nothing was done",
+        "platform/store_client.py",
+        "            is_refused = response.status < 500 or response.status in REFUSING_STATUSES",
+        "            is_refused = True",
+        JOB_REFUSALS + "test_a_failure_of_the_store_does_not_say_that_nothing_was_done",
+    ),
 ]
 
 
