A test of what a node reports while items give way

test_batch_gives_its_slots_to_online_requests fails now and then: 11 of 50 runs of, four processes at a time, with 9 to 11 requests running at a replica of 8 slots.

Runs with each report, order and run of an item written down show the cause. A report says up to which order its figures hold. A node that is told to suspend items waited for one after the other, and settled the order when the last had closed. A report that left in between (each ask is one) lacked the items that had closed already, and told the order as not carried out, so the coordinator took them off twice. In one failed run its sum of items at the replica fell to -4, and it granted five slots where two were free. Later orders meanwhile passed the waiting one and settled before it, and the settled number went back when it was done.

Of 32 runs of that were written down, four processes at a time, the sum of items fell below zero in 26, and slots that were not free were granted in 9 (15 grants), the 4 that failed among them.

The tests do without sockets and without chance: a run of an item that gives way closes when the test says so.

--- /dev/null
+++ b/tests/serving/test_item_slots.py
@@ -0,0 +1,217 @@
+"""Slots of items at their node: what is reported while orders are carried out. No sockets."""
+
+import os
+from collections.abc import Awaitable, Callable
+from typing import cast
+
+import curio
+import pytest
+from coordination_world import CoordinationWorld, FleetNode
+
+from cloverwalk.fleet.messages import Orders, Report
+from cloverwalk.gateway.configuration import Configuration, Route, RouteKind, RoutePart
+from cloverwalk.gateway.messages import PromptPart
+from cloverwalk.gateway.replicas import Replica
+from cloverwalk.jobs.item_call import ItemCaller
+from cloverwalk.jobs.records import JobItem, JobRecord
+from cloverwalk.jobs.run import ItemRun, JobRun
+from cloverwalk.jobs.runner import BatchRunner
+from cloverwalk.telemetry.log import ServingLog
+from cloverwalk.telemetry.metrics import ServingMetrics
+
+REPLICA = "r0"
+SLOTS = 8
+ITEMS = 12
+DUE_MS = 20_000.0
+
+
+class SlowlyClosing:
+    """Runs items for ever; of those that give way, only ``may_close`` end at once."""
+
+    def __init__(self) -> None:
+        self.may_close = 0
+        self.given_way = 0
+        self.all_may_close = curio.Event()
+
+    def prompt(self, one: ItemRun) -> tuple[PromptPart, ...]:
+        return ()
+
+    async def run(
+        self, job: JobRun, one: ItemRun, replica: Replica, on_output: Callable[[], None]
+    ) -> None:
+        try:
+            await curio.Event().wait()
+        finally:
+            self.given_way += 1
+            if self.given_way > self.may_close:
+                await self.all_may_close.wait()
+
+
+class OwnerWorld:
+    """A fleet of two nodes; the one that does not coordinate owns a job and follows orders."""
+
+    def __init__(self, world: CoordinationWorld) -> None:
+        self.world = world
+        self.holder = world.coordinator
+        self.node = next(one for one in world.nodes if one is not self.holder)
+        self.caller = SlowlyClosing()
+        self.runner = runner_of(self.node, self.caller, world)
+        self._number = self.holder.scheduler.last_number(self.node.name) + 1
+
+    async def order(self, change: int) -> int:
+        """Have the node start or suspend items, as its coordinator would; return the number."""
+        leadership = self.holder.leader.current
+        assert leadership is not None
+        self._number += 1
+        orders = Orders(
+            leadership,
+            self.holder.identity.incarnation,
+            self._number,
+            1,
+            0,
+            0,
+            0,
+            True,
+            grants={REPLICA: change} if change > 0 else {},
+            revokes={REPLICA: -change} if change < 0 else {},
+        )
+        await self.node.link.take_orders(orders, self.holder.host)
+        return self._number
+
+    async def report(self) -> tuple[int, int]:
+        """Have the node report; return up to which order, and how many items it counts."""
+        self.world.wire.waiting.clear()
+        await self.node.link._report()
+        reports = [one for _, _, one in self.world.wire.waiting if isinstance(one, Report)]
+        load = reports[-1].loads.get(REPLICA)
+        return reports[-1].settled, 0 if load is None else load.batch
+
+
+def runner_of(node: FleetNode, caller: SlowlyClosing, world: CoordinationWorld) -> BatchRunner:
+    """Give a node a runner of items, and a configuration that has their route."""
+    parts = (RoutePart("model", 1.0),)
+    route = Route("jobs", "h", "/jobs/", RouteKind.BATCH, parts, 30.0, 0.4, 3)
+    current = node.configuration.current
+    assert current is not None
+    routes = (*current.routes, route)
+    node.configuration.offer(Configuration(2, routes, {}, current.limits, current.tenants))
+
+    async def ignore(_: object) -> None:
+        return
+
+    clock: Callable[[], float] = lambda: world.now  # noqa: E731
+    runner = BatchRunner(
+        node.configuration,
+        node.directory,
+        node.loads,
+        cast(ItemCaller, caller),
+        node.link,
+        ignore,
+        ignore,
+        lambda: 0.0,
+        ServingLog(node.name, clock, os.open(os.devnull, os.O_WRONLY)),
+        ServingMetrics(),
+        clock,
+    )
+    node.link.batch = runner
+    return runner
+
+
+def job(node: FleetNode) -> JobRun:
+    items = [JobItem(f"j-{number}", "/jobs/x", [], b"", 1) for number in range(ITEMS)]
+    owner = node.identity.incarnation
+    record = JobRecord("j", "h", "/jobs/x", 0.0, DUE_MS, 2 * DUE_MS, 3, ITEMS, ITEMS, 1, owner)
+    return JobRun(record, 1, items)
+
+
+def with_running_items(test: Callable[[OwnerWorld], Awaitable[None]]) -> None:
+    """Run a test with a node whose items have all slots of a replica."""
+
+    async def main() -> None:
+        world = CoordinationWorld(2)
+        await world.start()
+        owner = OwnerWorld(world)
+        await owner.runner.add(job(owner.node))
+        await owner.order(SLOTS)
+        # The runs begin.
+        await curio.sleep(0)
+        try:
+            await test(owner)
+        finally:
+            await owner.caller.all_may_close.set()
+            await owner.runner.drop("j")
+
+    curio.run(main)
+
+
+@pytest.mark.parametrize("closed", [0, 1, 2, 3])
+def test_a_report_counts_an_order_wholly_or_not_at_all(closed: int) -> None:
+    """However many of the items that give way have closed their connections."""
+
+    async def test(owner: OwnerWorld) -> None:
+        owner.caller.may_close = closed
+        before, items = await owner.report()
+        assert items == SLOTS
+        carrying_out = await curio.spawn(owner.order, -3, daemon=True)
+        for _ in range(10):
+            await curio.sleep(0)
+            settled, items = await owner.report()
+            assert items == (SLOTS if settled == before else SLOTS - 3)
+        await owner.caller.all_may_close.set()
+        after = await carrying_out.join()
+        assert await owner.report() == (after, SLOTS - 3)
+
+    with_running_items(test)
+
+
+def test_orders_settle_in_their_order_while_items_give_way() -> None:
+    """An order that comes while items still give way to an earlier one is counted on top of it."""
+
+    async def test(owner: OwnerWorld) -> None:
+        before, _ = await owner.report()
+        items_by_settled = {before: SLOTS, before + 1: SLOTS - 3, before + 2: SLOTS - 1}
+        revoking = await curio.spawn(owner.order, -3, daemon=True)
+        await curio.sleep(0)
+        granting = await curio.spawn(owner.order, 2, daemon=True)
+        told = []
+        for turn in range(10):
+            await curio.sleep(0)
+            told.append(await owner.report())
+            if turn == 5:
+                await owner.caller.all_may_close.set()
+        await revoking.join()
+        await granting.join()
+        told.append(await owner.report())
+        assert told == [(settled, items_by_settled[settled]) for settled, _ in told]
+        assert told == sorted(told, key=lambda one: one[0])
+        assert told[-1][0] == before + 2
+
+    with_running_items(test)
+
+
+def test_a_run_that_gives_way_leaves_the_loads_once() -> None:
+    async def test(owner: OwnerWorld) -> None:
+        giving_way = await curio.spawn(owner.order, -SLOTS, daemon=True)
+        await curio.sleep(0)
+        await owner.caller.all_may_close.set()
+        await giving_way.join()
+        await curio.sleep(0)
+        assert owner.node.loads.own == {}
+        assert len(owner.runner.jobs["j"].pending(owner.world.now)) == ITEMS
+        settled = await owner.order(SLOTS)
+        assert await owner.report() == (settled, SLOTS)
+
+    with_running_items(test)
+
+
+def test_orders_do_not_wait_until_items_have_given_way() -> None:
+    """A coordinator that owns jobs itself has orders of other nodes to send as well."""
+
+    async def test(owner: OwnerWorld) -> None:
+        giving_way = await curio.spawn(owner.order, -3, daemon=True)
+        for _ in range(10):
+            await curio.sleep(0)
+        assert owner.caller.given_way == 3
+        assert giving_way.terminated
+
+    with_running_items(test)
