Mutants and a proof of orders that count once

Three mutants of the mend before: an order settles after its items have closed, items that give way count until they have closed, orders wait for items to close. Each is noticed by a test of tests/serving/test_item_slots.py.

--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -36,6 +36,7 @@
 HEALTH = "tests/serving/test_store_health.py::"
 SCHEDULER = "tests/serving/test_scheduler.py::"
 COORDINATION = "tests/serving/test_coordination.py::"
+ITEM_SLOTS = "tests/serving/test_item_slots.py::"
 ADMISSION = "tests/unit/test_admission.py::"
 PARTS = "tests/unit/test_serving_parts.py::"
 TENANTS = "tests/serving/test_tenants.py::"
@@ -568,6 +569,48 @@
         "        pass",
         SCHEDULER + "test_items_give_way_for_each_online_request_and_no_more",
     ),
+    Mutant(
+        "serving: an order settles when its items have given way",
+        "fleet/link.py",
+        "        self._settled[host] = (orders.sender, orders.number)\n        target =",
+        "        target =",
+        ITEM_SLOTS + "test_orders_settle_in_their_order_while_items_give_way",
+        more=(
+            (
+                "fleet/link.py",
+                "        if orders.grants or orders.revokes:\n",
+                "        self._settled[host] = (orders.sender, orders.number)\n"
+                "        if orders.grants or orders.revokes:\n",
+            ),
+            (
+                "jobs/runner.py",
+                "        for running in giving_way:\n"
+                "            await running.task.cancel(blocking=False)",
+                "        for running in giving_way:\n            await running.task.cancel()",
+            ),
+        ),
+    ),
+    Mutant(
+        "serving: items that give way count until they have closed",
+        "jobs/runner.py",
+        "            self._loads.end(running.work)\n        return chosen",
+        "        return chosen",
+        ITEM_SLOTS + "test_a_report_counts_an_order_wholly_or_not_at_all",
+        more=(
+            (
+                "jobs/runner.py",
+                "        if not running.gives_way:\n            self._loads.end",
+                "        if True:\n            self._loads.end",
+            ),
+        ),
+    ),
+    Mutant(
+        "serving: orders wait until items have given way",
+        "jobs/runner.py",
+        "        for running in giving_way:\n            await running.task.cancel(blocking=False)",
+        "        for running in giving_way:\n            await running.task.cancel()",
+        ITEM_SLOTS + "test_orders_do_not_wait_until_items_have_given_way",
+    ),
     Mutant(
         "serving: items take slots before held requests",
         "scheduling/online.py",
