--- a/tests/serving/test_item_slots.py
+++ b/tests/serving/test_item_slots.py
@@ -16,6 +16,7 @@
 from cloverwalk.jobs.records import JobItem, JobRecord
 from cloverwalk.jobs.run import ItemRun, JobRun
 from cloverwalk.jobs.runner import BatchRunner
+from cloverwalk.store.clock import StoreTime
 from cloverwalk.telemetry.log import ServingLog
 from cloverwalk.telemetry.metrics import ServingMetrics
 
@@ -108,7 +109,7 @@
         node.link,
         ignore,
         ignore,
-        lambda: 0.0,
+        lambda: StoreTime(0.0, 0.0),
         ServingLog(node.name, clock, os.open(os.devnull, os.O_WRONLY)),
         ServingMetrics(),
         clock,
