--- a/tests/serving/test_item_ends.py
+++ b/tests/serving/test_item_ends.py
@@ -34,6 +34,8 @@
     Configuration,
     ConfigurationHolder,
     Route,
+    RouteKind,
+    RoutePart,
 )
 from cloverwalk.gateway.replicas import ReplicaDirectory
 from cloverwalk.jobs.evidence import PastRetention, RouteEnded
@@ -231,6 +233,41 @@
     curio.run(main)
 
 
+def test_a_frozen_owner_that_missed_the_version_with_the_route_gives_nothing_up() -> None:
+    async def main() -> None:
+        time = WorldTime(12.0)
+        store = SlowStore(time)
+        owner = Owner("n1", store, time, configuration=7)
+        await owner.submit(replace(submission("j"), configuration=7), batch_route())
+        await owner.run_job("j")
+        owner.know_routes(8)
+        await owner.look_for(LOOK_S)
+        time.now += 8.0
+        await owner.runner._give_up_old()
+        owner.know_routes(9, batch_route())
+        await owner.look_for(10.0)
+        assert owner.dead == {}
+
+    curio.run(main)
+
+
+def test_a_longer_prefix_of_another_kind_does_not_end_a_batch_route() -> None:
+    async def main() -> None:
+        time = WorldTime(12.0)
+        owner = Owner("n1", SlowStore(time), time, configuration=1)
+        await owner.submit(submission("j"), batch_route())
+        await owner.run_job("j")
+        nearer = Route(
+            "near", "h.example", "/jobs/x", RouteKind.SAFE, (RoutePart("s", 1.0),), 5.0, 0.4, 3
+        )
+        owner.know_routes(2, batch_route(), nearer)
+        await owner.look_for(20.0)
+        assert owner.dead == {}
+        assert owner.runner._services(owner.jobs["j"]) == ["s"]
+
+    curio.run(main)
+
+
 def test_the_log_tells_for_each_dead_item_the_reason_and_from_what(tmp_path: Path) -> None:
     async def main() -> None:
         log_path = tmp_path / "log"
--- a/tests/serving/test_jobs.py
+++ b/tests/serving/test_jobs.py
@@ -112,6 +112,26 @@
     curio.run(main)
 
 
+def test_a_resent_job_that_its_node_has_taken_over_is_not_begun_anew() -> None:
+    """The takeover restores what an earlier owner listed; the hand-in knows nothing of that."""
+
+    async def main() -> None:
+        store = MemoryStore()
+        first = OwnerNode("n1", store, HandClock())
+        await first.submit(submission("j"), batch_route())
+        job = first.jobs["j"]
+        finish(job, job.items[0], "a b")
+        await first.lister.list_finished(job)
+        taken_over = replace_record(job.record, owner="n2", epoch=2)
+        put = Put(job_key("j"), encode(taken_over))
+        await store.commit(Transaction([Expectation(job_key("j"), job.version)], [put]), 1.0)
+        heir = OwnerNode("n2", store, HandClock())
+        await heir.submit(submission("j"), batch_route())
+        assert heir.jobs == {}
+
+    curio.run(main)
+
+
 def test_an_unsure_hand_in_does_not_promise_that_nothing_runs() -> None:
     async def main() -> None:
         store = MemoryStore()
