A route ends when the store says so twice, and a job that was taken over is begun by its takeover only

A node that stood still or is cut off may lack a route that is there; a route that a longer prefix of another kind shadows is there too; and a hand-in that found its own record took nothing for listed.

Change: the evidence that a route has ended is a call to the store, 4 s or more after the first look without it, that still tells none; a job's route is the longest batch prefix; a hand-in starts a run only of a record of the first epoch without results. The comparison of versions went: the call covers it, and records without a version.

--- a/src/cloverwalk/gateway/configuration.py
+++ b/src/cloverwalk/gateway/configuration.py
@@ -95,14 +95,23 @@
         >>> configuration.find_route("h", "/y") is None
         True
         """
+        return max(self._routes_of(host, path), key=_prefix_length, default=None)
+
+    def find_batch_route(self, host: str, path: str) -> Route | None:
+        """Return the batch route with the longest prefix of ``path``, also behind other routes.
+
+        A job keeps its route when a longer prefix is added for requests of another kind.
+        """
+        batch = [one for one in self._routes_of(host, path) if one.kind is RouteKind.BATCH]
+        return max(batch, key=_prefix_length, default=None)
+
+    def _routes_of(self, host: str, path: str) -> list[Route]:
         name = host.rsplit(":", 1)[0].lower()
-        best: Route | None = None
-        for route in self.routes:
-            if route.host != name or not path.startswith(route.prefix):
-                continue
-            if best is None or len(route.prefix) > len(best.prefix):
-                best = route
-        return best
+        return [one for one in self.routes if one.host == name and path.startswith(one.prefix)]
+
+
+def _prefix_length(route: Route) -> int:
+    return len(route.prefix)
 
 
 class ConfigurationHolder:
--- a/src/cloverwalk/jobs/evidence.py
+++ b/src/cloverwalk/jobs/evidence.py
@@ -49,7 +49,7 @@
 
 @attrs.frozen
 class RouteEnded:
-    """A configuration newer than the one that the job was taken under lacks its route."""
+    """The store has told a configuration without the job's route, some time after it was missed."""
 
     reason: ClassVar[str] = "route_ended"
     accepted_configuration: int
@@ -58,7 +58,8 @@
     configuration: int
     """Version that lacks the route."""
 
-    missing_ms: float
+    confirmed_ms: float
+    """From the first look without the route to the call by which the store confirmed that."""
 
 
 ItemEnd = Impossible | AttemptsUsed | PastRetention | RouteEnded
@@ -90,14 +91,14 @@
 class RouteWatch:
     """Notices that the routes of jobs are gone for good.
 
-    A node that is cut off may run a job under a configuration older than the one that has its
-    route. That tells nothing: such a node would list the items of a job that it has just taken over
-    as dead.
+    Time alone tells nothing, nor does the configuration that a node has: one that is cut off, stood
+    still or has just taken a job over may lack a route that is there, and would list the job's
+    items as dead. So the store must have been asked again ``GONE_AFTER_MS`` after the first look.
     """
 
     GONE_AFTER_MS = 4000.0
-    """A route that is moved may be missing for one version; nodes learn of the next within the
-    bound of a change in force, 2 to 4 s by the platform's settings."""
+    """A route that is moved may be missing for one version; the next comes within some seconds
+    (platform's settings: 2 to 4 s until a change is in force)."""
 
     def __init__(self) -> None:
         self._missing_since_ms: dict[str, float] = {}
@@ -107,19 +108,18 @@
         self._missing_since_ms.pop(job_id, None)
 
     def note_missing(
-        self, record: JobRecord, configuration: int, now_ms: float
+        self, record: JobRecord, configuration: int, now_ms: float, confirmed_at_ms: float
     ) -> RouteEnded | None:
         """No route takes the job's items at ``now_ms`` (steady clock).
 
-        Return the evidence once that has lasted.
+        ``confirmed_at_ms`` is when the last call began by which the store told the configuration.
+        Return the evidence once there is any.
         """
-        if configuration <= record.configuration:
-            self.note_present(record.job_id)
+        since_ms = self._missing_since_ms.setdefault(record.job_id, now_ms)
+        confirmed_ms = confirmed_at_ms - since_ms
+        if confirmed_ms <= self.GONE_AFTER_MS:
             return None
-        missing_ms = now_ms - self._missing_since_ms.setdefault(record.job_id, now_ms)
-        if missing_ms <= self.GONE_AFTER_MS:
-            return None
-        return RouteEnded(record.configuration, configuration, missing_ms)
+        return RouteEnded(record.configuration, configuration, confirmed_ms)
 
     def forget(self, job_id: str) -> None:
         """The job is not run here any more."""
--- a/src/cloverwalk/jobs/intake.py
+++ b/src/cloverwalk/jobs/intake.py
@@ -324,8 +324,10 @@
         await self._view.put(record, row.version)
         _check_owner(record, submission)
         self._note(submission, "found", record)
-        if record.owner == self._owner and record.is_open:
-            # The answer to an own transaction was lost.
+        is_new = record.epoch == 1 and record.listed == 0
+        if record.owner == self._owner and record.is_open and is_new:
+            # The answer to an own transaction was lost. A job that was taken over is begun by the
+            # takeover, which reads what is listed: begun here, its items were listed once more.
             await self._on_taken(JobRun(record, row.version, submission.items))
 
     def _unsettled(self, submission: Submission, outcome: CommitOutcome) -> JobError:
--- a/src/cloverwalk/jobs/runner.py
+++ b/src/cloverwalk/jobs/runner.py
@@ -9,7 +9,7 @@
 from cloverwalk.core import catalogue
 from cloverwalk.fleet.link import BatchSide, CoordinatorLink
 from cloverwalk.fleet.load import LoadBook, Work
-from cloverwalk.gateway.configuration import ConfigurationHolder, Route, RouteKind
+from cloverwalk.gateway.configuration import ConfigurationHolder, Route
 from cloverwalk.gateway.errors import SILENT, ReplicaError
 from cloverwalk.gateway.replicas import Replica, ReplicaDirectory
 from cloverwalk.gateway.selection import reading_ms
@@ -64,6 +64,7 @@
         on_finished: Callable[[JobRun], Awaitable[None]],
         on_orphans: Callable[[list[str]], Awaitable[None]],
         store_time: Callable[[], StoreTime | None],
+        configuration_confirmed_at: Callable[[], float],
         log: ServingLog,
         metrics: ServingMetrics,
         clock: Callable[[], float],
@@ -76,6 +77,7 @@
         self._on_finished = on_finished
         self._on_orphans = on_orphans
         self._store_time = store_time
+        self._configuration_confirmed_at = configuration_confirmed_at
         self._log = log
         self._metrics = metrics
         self._clock = clock
@@ -213,7 +215,8 @@
             self._route_watch.note_present(job.job_id)
             return None
         version, now_ms = self._configuration.version, self._clock() * 1000
-        return self._route_watch.note_missing(job.record, version, now_ms)
+        confirmed_ms = self._configuration_confirmed_at() * 1000
+        return self._route_watch.note_missing(job.record, version, now_ms, confirmed_ms)
 
     def _note_dead(self, job: JobRun, dead: list[ItemRun], evidence: ItemEnd) -> None:
         """Write one line for all items that end together, so that none is left out."""
@@ -230,8 +233,7 @@
         configuration = self._configuration.current
         if configuration is None:
             return None
-        route = configuration.find_route(job.record.host, job.record.path)
-        return route if route is not None and route.kind is RouteKind.BATCH else None
+        return configuration.find_batch_route(job.record.host, job.record.path)
 
     def _services(self, job: JobRun) -> list[str]:
         """Return the services that take a job's items, none when its route is gone."""
--- a/src/cloverwalk/serving/node.py
+++ b/src/cloverwalk/serving/node.py
@@ -112,6 +112,7 @@
             self._store,
             self._health,
             self._store_clock,
+            lambda: self._configuration_follower.confirmed_at,
             self._log,
             self._metrics,
             self._clock,
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -746,10 +746,31 @@
     Mutant(
         "serving: a route has ended by any configuration that lacks it",
         "jobs/evidence.py",
-        "        if configuration <= record.configuration:",
-        "        if False:",
+        "        confirmed_ms = confirmed_at_ms - since_ms",
+        "        confirmed_ms = now_ms - since_ms",
+        ITEM_ENDS + "test_a_route_that_an_older_configuration_lacks_has_not_ended",
+    ),
+    Mutant(
+        "serving: a route has ended with the first look without it",
+        "jobs/evidence.py",
+        "        if confirmed_ms <= self.GONE_AFTER_MS:",
+        "        if confirmed_ms < 0:",
         ITEM_ENDS + "test_a_route_that_an_older_configuration_lacks_has_not_ended",
     ),
+    Mutant(
+        "serving: a shadowed batch route has ended",
+        "jobs/runner.py",
+        "configuration.find_batch_route(job",
+        "configuration.find_route(job",
+        ITEM_ENDS + "test_a_longer_prefix_of_another_kind_does_not_end_a_batch_route",
+    ),
+    Mutant(
+        "serving: a hand-in begins anew what its node has taken over",
+        "jobs/intake.py",
+        "        is_new = record.epoch == 1 and record.listed == 0",
+        "        is_new = True",
+        JOBS + "test_a_resent_job_that_its_node_has_taken_over_is_not_begun_anew",
+    ),
     Mutant(
         "serving: the time of the store is set back by an answer that lay unread",
         "store/clock.py",
--- a/tests/serving/test_item_ends.py
+++ b/tests/serving/test_item_ends.py
@@ -117,6 +117,7 @@
         super().__init__(name, store, time, self.heard.now)
         self.configuration = ConfigurationHolder()
         self.configuration.offer(Configuration(configuration, (batch_route(),), {}, ClientLimits()))
+        self.confirmed_at = float("-inf")
         self.dead: dict[str, tuple[float, ItemRun]] = {}
         self._time = time
         self.runner = BatchRunner(
@@ -128,6 +129,7 @@
             self._note_finished,
             self._take_over,
             self.heard.now,
+            lambda: self.confirmed_at,
             ServingLog(name, time, os.open(log_path, os.O_WRONLY | os.O_APPEND)),
             None,  # type: ignore[arg-type]
             time,
@@ -145,13 +147,16 @@
         await self.runner.add(self.jobs[job_id])
 
     def know_routes(self, version: int, *routes: Route) -> None:
+        """Have a configuration that the store has not confirmed: a peer told it."""
         self.configuration.offer(Configuration(version, routes, {}, ClientLimits()))
 
-    async def look_for(self, seconds: float) -> None:
-        """Let time pass, with the looks that the runner has at its jobs."""
+    async def look_for(self, seconds: float, is_confirmed: bool = False) -> None:
+        """Let time pass, with looks of the runner; the store may confirm the configuration."""
         until = self._time.now + seconds
         while self._time.now < until:
             self._time.now += LOOK_S
+            if is_confirmed:
+                self.confirmed_at = self._time.now
             await self.runner._give_up_old()
 
 
@@ -221,10 +226,14 @@
         await behind.look_for(30.0)
         assert behind.dead == {}
         behind.know_routes(7, batch_route())
-        await behind.look_for(10.0)
+        await behind.look_for(10.0, is_confirmed=True)
         assert behind.dead == {}
         behind.know_routes(8)
+        await behind.look_for(3.5, is_confirmed=True)
+        assert behind.dead == {}
         await behind.look_for(10.0)
+        assert behind.dead == {}
+        await behind.look_for(LOOK_S, is_confirmed=True)
         assert {one.end.reason for _, one in behind.dead.values() if one.end} == {"route_ended"}
         evidence = next(one.end for _, one in behind.dead.values())
         assert isinstance(evidence, RouteEnded)
@@ -241,11 +250,11 @@
         await owner.submit(replace(submission("j"), configuration=7), batch_route())
         await owner.run_job("j")
         owner.know_routes(8)
-        await owner.look_for(LOOK_S)
+        await owner.look_for(LOOK_S, is_confirmed=True)
         time.now += 8.0
         await owner.runner._give_up_old()
         owner.know_routes(9, batch_route())
-        await owner.look_for(10.0)
+        await owner.look_for(10.0, is_confirmed=True)
         assert owner.dead == {}
 
     curio.run(main)
@@ -261,7 +270,7 @@
             "near", "h.example", "/jobs/x", RouteKind.SAFE, (RoutePart("s", 1.0),), 5.0, 0.4, 3
         )
         owner.know_routes(2, batch_route(), nearer)
-        await owner.look_for(20.0)
+        await owner.look_for(20.0, is_confirmed=True)
         assert owner.dead == {}
         assert owner.runner._services(owner.jobs["j"]) == ["s"]
 
--- a/tests/serving/test_item_slots.py
+++ b/tests/serving/test_item_slots.py
@@ -110,6 +110,7 @@
         ignore,
         ignore,
         lambda: StoreTime(0.0, 0.0),
+        lambda: world.now,
         ServingLog(node.name, clock, os.open(os.devnull, os.O_WRONLY)),
         ServingMetrics(),
         clock,
