A reset that the sender is told, a cut failure and an item's earlier run end nothing

- A connection remembers that sending on it failed.
An end of the connection that is read after that is a reset and no end of the answer.
- A 422 or 500 to an item counts once its body was read to its end, for which it has the time of an answer.
One that is cut breaks the run off, and the item is run again.
- A connection remembers the last 64 ids that went over it, and is not used for a request with one of them; such a request gets another connection.
Replicas serve the requests of a connection in order, so an excess answer comes soon after its request.

Ruled out: telling a second answer apart by its first event or its status, since a second 422 or 500 has none; closing connections of items after each run, which costs a new connection an item.

--- a/src/cloverwalk/gateway/relay.py
+++ b/src/cloverwalk/gateway/relay.py
@@ -262,7 +262,8 @@
         self, request: ClientRequest, progress: RequestProgress, replica: Replica, reply: Reply
     ) -> None:
         try:
-            connection = await self._pool.acquire((replica.host, replica.port))
+            address = (replica.host, replica.port)
+            connection = await self._pool.acquire(address, request.fields.request_id)
         except ReplicaError:
             self._directory.suspect(replica.replica_id, self._clock())
             raise
--- a/src/cloverwalk/gateway/replica_connection.py
+++ b/src/cloverwalk/gateway/replica_connection.py
@@ -1,5 +1,6 @@
 """Kept connections to replicas. A connection that holds anything unexplained is not used again."""
 
+from collections import deque
 from collections.abc import Callable
 from typing import Any
 
@@ -20,6 +21,9 @@
 KEEP_ALIVE_MARGIN_S = 1.0
 MAX_IDLE_PER_REPLICA = 24
 MAX_SKIPPED_ANSWERS = 2
+REMEMBERED_IDS = 64
+"""Requests that a connection remembers. An answer in excess comes in the place of the next one or
+soon after: the replica serves the requests of a connection in order."""
 
 
 class AnswerHead(Struct):
@@ -41,8 +45,9 @@
         self._codec = codec
         self._http = h11.Connection(h11.CLIENT)
         self._request: h11.Request | None = None
-        self._request_id = ""
+        self._remembered_ids: deque[str] = deque(maxlen=REMEMBERED_IDS)
         self._sender: Any = None
+        self._has_sending_failed = False
         self._answer_closes = False
         self._is_drained = False
         """Whether the last read got all that was there: another would find nothing yet."""
@@ -86,11 +91,17 @@
         try:
             await self._sock.sendall(data)
         except OSError:
+            self._has_sending_failed = True
             return False
         return True
 
+    def has_carried(self, request_id: str) -> bool:
+        """Whether a request with this id went over it: a late answer to that one looks the same."""
+        return request_id in self._remembered_ids
+
     async def read_head(self, request_id: str) -> AnswerHead:
         """Return the head of the answer to ``request_id``; skip answers to other requests."""
+        self._remembered_ids.append(request_id)
         for _ in range(MAX_SKIPPED_ANSWERS + 1):
             head = await self._read_any_head()
             answered = head.fields.request_id
@@ -177,6 +188,9 @@
         if self._is_drained:
             await _read_wait(self._sock._fileno)
         data: bytes = await self._sock.recv(READ_BYTES)
+        if not data and self._has_sending_failed:
+            # The kernel tells a reset once, and it told the sender: this is no proper end.
+            raise ConnectionResetError("the connection broke while the request was sent")
         self._is_drained = 0 < len(data) < READ_BYTES
         return data
 
@@ -226,11 +240,16 @@
         self.opened = 0
         """Connections opened since the start."""
 
-    async def acquire(self, address: tuple[str, int]) -> ReplicaConnection:
-        """Return an idle connection or a new one; raise ReplicaError when none can be had."""
+    async def acquire(self, address: tuple[str, int], request_id: str) -> ReplicaConnection:
+        """Return a connection for a request; raise ReplicaError when none can be had.
+
+        It is a new one, or an idle one that has not carried a request with the same id.
+        """
         idle = self._idle.get(address, [])
-        while idle:
-            connection = idle.pop()
+        for connection in reversed(idle.copy()):
+            if connection.has_carried(request_id):
+                continue
+            idle.remove(connection)
             if self._clock() < connection.usable_until and not connection.has_unread():
                 connection.acquired_at = self._clock()
                 return connection
--- a/src/cloverwalk/jobs/item_call.py
+++ b/src/cloverwalk/jobs/item_call.py
@@ -24,8 +24,6 @@
 
 ANSWER_SILENCE_S = 3.0
 EVENT_SILENCE_S = 1.5
-UNPROCESSABLE = 422
-INTERNAL_ERROR = 500
 
 
 class ItemFailedError(Exception):
@@ -36,6 +34,10 @@
     """The replica says that the item can never be done."""
 
 
+FAILURES: dict[int, type[Exception]] = {422: ItemImpossibleError, 500: ItemFailedError}
+"""What a replica's whole and signed answer with this status says of an item."""
+
+
 class ItemCaller(Struct):
     """What a run of an item needs."""
 
@@ -55,7 +57,8 @@
 
         Raises ReplicaError when the run broke off, ItemFailedError or ItemImpossibleError.
         """
-        connection = await self.pool.acquire((replica.host, replica.port))
+        address = (replica.host, replica.port)
+        connection = await self.pool.acquire(address, one.item.item_id)
         is_kept = False
         try:
             if self.directory.find(replica.replica_id) is None:
@@ -93,15 +96,23 @@
             raise ReplicaError("no answer in time", True, SILENT) from error
         if head.fields.was_not_run:
             raise ReplicaError(f"the replica answered {head.status}", False, "not_run")
-        if head.status == UNPROCESSABLE and head.fields.is_signed:
-            raise ItemImpossibleError
-        if head.status == INTERNAL_ERROR and head.fields.is_signed:
-            raise ItemFailedError
+        if head.status in FAILURES and head.fields.is_signed:
+            await self._read_failure(connection)
+            raise FAILURES[head.status]
         if head.status != 200 or not head.fields.is_signed:
             raise ReplicaError(f"the replica answered {head.status}", True, "unusable")
         await self._take_events(job, one, connection, on_output)
         return head.fields.keep_alive_s
 
+    async def _read_failure(self, connection: ReplicaConnection) -> None:
+        """Read the body of a failure to its end: one that was cut says nothing of the item."""
+        try:
+            async with curio.timeout_after(ANSWER_SILENCE_S):
+                while await connection.read_body() is not None:
+                    pass
+        except curio.TaskTimeout as error:
+            raise ReplicaError("the failure did not end in time", True, SILENT) from error
+
     def _request(self, job: JobRun, one: ItemRun) -> ClientRequest:
         headers = _raw_headers(one)
         names = {name.lower() for name, _ in headers}
--- a/tests/serving/scripted_replica.py
+++ b/tests/serving/scripted_replica.py
@@ -12,15 +12,20 @@
 from curio.traps import _read_wait
 from msgspec import Struct
 
+from cloverwalk.gateway.answer_relay import AnswerRelay
 from cloverwalk.gateway.configuration import Route, RouteKind, RoutePart
-from cloverwalk.gateway.errors import ReplicaError
-from cloverwalk.gateway.replica_connection import ReplicaConnection, ReplicaPool
+from cloverwalk.gateway.errors import ClientGoneError, ReplicaError
+from cloverwalk.gateway.messages import ClientRequest, RequestFields
+from cloverwalk.gateway.progress import RequestProgress
+from cloverwalk.gateway.replica_connection import AnswerHead, ReplicaConnection, ReplicaPool
 from cloverwalk.gateway.replicas import Replica, ReplicaDirectory
+from cloverwalk.gateway.reply import Reply
 from cloverwalk.jobs.item_call import ItemCaller, ItemFailedError, ItemImpossibleError
 from cloverwalk.jobs.records import JobItem, JobRecord
 from cloverwalk.jobs.run import ItemRun, JobRun
 from cloverwalk.platform import names
 from cloverwalk.platform.codec import PlatformCodec
+from cloverwalk.telemetry.metrics import ServingMetrics
 
 READ_BYTES = 65536
 TEST_LIMIT_S = 20.0
@@ -163,6 +168,37 @@
     return f"id: {number}\ndata: {data}\n\n".encode()
 
 
+class RecordedReply(Reply):
+    """A reply to a request that keeps what its client would get."""
+
+    def __init__(self) -> None:
+        http = h11.Connection(h11.SERVER)
+        http.receive_data(b"POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n\r\n")
+        assert isinstance(http.next_event(), h11.Request)
+        assert isinstance(http.next_event(), h11.EndOfMessage)
+        super().__init__(None, http, closes_after=False)
+        self._sent = bytearray()
+
+    def _try_send(self, data: bytes) -> bytes:
+        self._sent += data
+        return b""
+
+    def seen(self) -> tuple[bytes, bool]:
+        """Return the body as far as the client got it, and whether it looks whole."""
+        http = h11.Connection(h11.CLIENT)
+        http.send(h11.Request(method="POST", target="/a", headers=[("Host", "h")]))
+        http.send(h11.EndOfMessage())
+        http.receive_data(bytes(self._sent))
+        body = b""
+        while (event := http.next_event()) is not h11.NEED_DATA:
+            if isinstance(event, h11.Data):
+                body += bytes(event.data)
+            elif isinstance(event, h11.EndOfMessage):
+                assert http.trailing_data[0] == b""
+                return body, True
+        return body, False
+
+
 class Outcome(Struct, frozen=True):
     """What a caller takes for the end of its request."""
 
@@ -184,11 +220,13 @@
         host, port = address
         self.replica = Replica("i-0", "s", host, port, "z", 8, False, 1)
         self.directory.put(self.replica)
+        metrics = ServingMetrics()
+        self.answers = AnswerRelay(self.codec, self.directory, metrics, time.monotonic)
         self.items = ItemCaller(self.codec, self.pool, self.directory, time.monotonic)
 
     async def acquire(self, request_id: str) -> ReplicaConnection:
         """Return a connection for a request."""
-        return await self.pool.acquire(self.address)
+        return await self.pool.acquire(self.address, request_id)
 
     async def send(
         self, connection: ReplicaConnection, request_id: str, method: str = "POST", size: int = 1
@@ -222,6 +260,41 @@
         await self.pool.release(connection, head.fields.keep_alive_s)
         return Outcome(body, head.status)
 
+    async def relay(self, request_id: str, reply: Reply) -> str:
+        """Relay the stream of a request that may be resumed; return how that ended."""
+        fields = RequestFields(request_id)
+        now = time.monotonic()
+        request = ClientRequest("POST", "/a", [(b"Host", b"h")], b"", "h", fields, now)
+        progress = RequestProgress(stream_route(), "s", now + 30.0, [], [], None)
+        while True:
+            try:
+                await self._relay_once(request, progress, reply)
+                return "answered"
+            except ClientGoneError:
+                return "broken_off"
+            except ReplicaError as error:
+                progress.tried.append(self.replica.replica_id)
+                if len(progress.tried) >= progress.route.max_attempts:
+                    return error.code
+
+    async def _relay_once(
+        self, request: ClientRequest, progress: RequestProgress, reply: Reply
+    ) -> None:
+        request_id, last = request.fields.request_id, progress.last_event_id
+        connection = await self.acquire(request_id)
+        head: AnswerHead | None = None
+        try:
+            headers = self.codec.headers_to_replica(request, "i-0", None, last)
+            await connection.send("POST", "/a", headers, b"prompt")
+            head = await connection.read_head(request_id)
+            is_stream = head.status == 200
+            relay = self.answers.relay_stream if is_stream else self.answers.relay_plain
+            await relay(request, progress, connection, head, reply)
+        except BaseException:
+            await connection.close()
+            raise
+        await self.pool.release(connection, head.fields.keep_alive_s)
+
     async def run_item(self, job: JobRun, one: ItemRun) -> str:
         """Run an item once; return how that ended."""
         job.begin(one, self.replica.replica_id, time.monotonic())
