Failing tests: answers framed by another request, with two lengths, continued by another

- The end of an answer depends on its request's method for HEAD and CONNECT.
A late answer that is skipped before the answer to a HEAD request is taken to have no body, and its body is read as the answer that is due.
- An answer in chunks that also has a length is passed on under that length when it is long: a client that has so many bytes takes the answer for whole.
- A long plain answer on a route that may be resumed, cut on the way, goes on with the events of another replica and looks whole.

Ruled out: a skipped answer with status 204 or 304, whose end its status tells.

--- a/tests/serving/test_replica_answers.py
+++ b/tests/serving/test_replica_answers.py
@@ -8,6 +8,7 @@
     Callers,
     End,
     Framing,
+    RecordedReply,
     ScriptedReplica,
     Step,
     against,
@@ -17,11 +18,14 @@
     item_job,
 )
 
+from cloverwalk.gateway.answer_relay import MAX_BUFFERED_ANSWER_BYTES
 from cloverwalk.gateway.errors import ReplicaError
 
 LONG_BODY_BYTES = 16_000_000
 """More than the kernel takes for a replica that does not read."""
 
+LONG_ANSWER_BYTES = MAX_BUFFERED_ANSWER_BYTES + 100_000
+
 
 def test_a_reset_that_the_sending_of_the_request_meets_ends_no_answer() -> None:
     def script(call: Call) -> list[Step]:
@@ -77,3 +81,46 @@
         assert one.texts == ["own", "own"]
 
     against(script, test)
+
+
+def test_an_answer_is_not_skipped_where_its_end_is_told_by_its_request() -> None:
+    # The body of the late answer reads like an answer to the request that is due.
+    late = answer("a", answer("b", b""))
+
+    def script(call: Call) -> list[Step]:
+        return [answer("a", b"own")] if call.turn == 0 else [late, answer("b", b""), End.FIN]
+
+    async def test(replica: ScriptedReplica, callers: Callers) -> None:
+        assert (await callers.exchange("a")).body == b"own"
+        outcome = await callers.exchange("b", method="HEAD")
+        assert (outcome.body, outcome.code) == (None, "foreign_answer")
+
+    against(script, test)
+
+
+def test_an_answer_with_two_lengths_is_none() -> None:
+    two = answer("a", b"whole", Framing.CHUNKED, more=((b"Content-Length", b"3"),))
+
+    def script(call: Call) -> list[Step]:
+        return [two]
+
+    async def test(replica: ScriptedReplica, callers: Callers) -> None:
+        outcome = await callers.exchange("a")
+        assert (outcome.body, outcome.code) == (None, "not_http")
+
+    against(script, test)
+
+
+def test_a_long_answer_that_was_cut_is_not_continued_by_another_one() -> None:
+    body = bytes(LONG_ANSWER_BYTES)
+    cut = answer("a", body, Framing.CHUNKED, status=404).removesuffix(b"0\r\n\r\n")
+
+    def script(call: Call) -> list[Step]:
+        return [answer("a", event(1, "1"))] if call.connection else [cut, End.FIN]
+
+    async def test(replica: ScriptedReplica, callers: Callers) -> None:
+        reply = RecordedReply()
+        assert await callers.relay("a", reply) == "broken_off"
+        assert reply.seen() == (body, False)
+
+    against(script, test)
