Answers are framed as their own request says, once, and only events are continued

- An answer to another request is skipped only where its end does not depend on a method; before the answer to a HEAD or CONNECT request it ends the exchange.
After such a request its connection is not kept, so no excess answer to it is read with another end.
The skipping ends at whatever is no part of a body.
- An answer in chunks that also has a length is not an answer.
- A long plain answer that broke off is broken off for its client, on every route.

Ruled out: ignoring the length of an answer in chunks, as HTTP allows; it also advises to treat such an answer as an attack, and no replica has cause to send one.

--- a/src/cloverwalk/gateway/answer_relay.py
+++ b/src/cloverwalk/gateway/answer_relay.py
@@ -4,7 +4,7 @@
 
 import curio
 
-from cloverwalk.gateway.errors import SILENT, ReplicaError
+from cloverwalk.gateway.errors import SILENT, ClientGoneError, ReplicaError
 from cloverwalk.gateway.event_stream import EventSplitter, StreamEvent
 from cloverwalk.gateway.messages import ClientRequest, GatewayCodec
 from cloverwalk.gateway.progress import RequestProgress
@@ -72,8 +72,12 @@
         headers = self._codec.headers_to_client(head.headers)
         await reply.begin(head.status, headers, head.content_length)
         await reply.write(b"".join(parts))
-        while (data := await connection.read_body()) is not None:
-            await reply.write(data)
+        try:
+            while (data := await connection.read_body()) is not None:
+                await reply.write(data)
+        except ReplicaError as error:
+            # Only events go on at another replica.
+            raise ClientGoneError(f"the answer broke off: {error}", "answer_cut") from error
         await reply.finish()
 
     async def relay_stream(
--- a/src/cloverwalk/gateway/replica_connection.py
+++ b/src/cloverwalk/gateway/replica_connection.py
@@ -21,6 +21,9 @@
 KEEP_ALIVE_MARGIN_S = 1.0
 MAX_IDLE_PER_REPLICA = 24
 MAX_SKIPPED_ANSWERS = 2
+FRAMING_METHODS = (b"HEAD", b"CONNECT")
+"""Methods whose answers end elsewhere than the same answers to other requests."""
+
 REMEMBERED_IDS = 64
 """Requests that a connection remembers. An answer in excess comes in the place of the next one or
 soon after: the replica serves the requests of a connection in order."""
@@ -107,9 +110,16 @@
             answered = head.fields.request_id
             if answered == request_id or (answered is None and self._exchanges == 1):
                 return head
+            if self._frames_answers:
+                break
             await self._skip_answer()
         raise ReplicaError("the answers belong to other requests", True, "foreign_answer")
 
+    @property
+    def _frames_answers(self) -> bool:
+        """Whether the present request tells where its answer ends, which is wrong for others."""
+        return self._request is not None and self._request.method in FRAMING_METHODS
+
     async def _read_any_head(self) -> AnswerHead:
         while True:
             event = await self._next_event()
@@ -119,17 +129,24 @@
                 raise ReplicaError("the connection ended before an answer", True, "no_answer")
         headers = event.headers.raw_items()
         length: int | None = None
+        is_chunked = False
         for name, value in event.headers:
             if name == b"content-length":
                 length = int(value)
+            elif name == b"transfer-encoding":
+                is_chunked = True
             elif name == b"connection" and b"close" in value.lower():
                 self._answer_closes = True
+        if is_chunked and length is not None:
+            raise ReplicaError("not an answer: it has two lengths", True, "not_http")
         fields = self._codec.answer_fields(headers)
         return AnswerHead(event.status_code, event.reason, headers, fields, length)
 
     async def _skip_answer(self) -> None:
-        while not isinstance(await self._next_event(), h11.EndOfMessage):
+        while isinstance(event := await self._next_event(), h11.Data):
             pass
+        if not isinstance(event, h11.EndOfMessage):
+            raise ReplicaError("an answer to another request broke off", True, "answer_cut")
         rest, is_closed = self._http.trailing_data
         if is_closed or self._answer_closes:
             raise ReplicaError("the connection ended before an answer", True, "no_answer")
@@ -205,6 +222,9 @@
                 return False
         if self._answer_closes or self._http.their_state is not h11.DONE:
             return False
+        if self._frames_answers:
+            # A second answer to it would be read with another end by the next request.
+            return False
         if self._http.our_state is not h11.DONE or self._http.trailing_data[0]:
             return False
         self._http.start_next_cycle()
--- a/tests/serving/test_replica_answers.py
+++ b/tests/serving/test_replica_answers.py
@@ -98,6 +98,29 @@
     against(script, test)
 
 
+def test_the_skipping_of_an_answer_ends_whatever_the_method_is() -> None:
+    def script(call: Call) -> list[Step]:
+        return [answer("a", b"own")] if call.turn == 0 else [answer("a", b"late"), End.FIN]
+
+    async def test(replica: ScriptedReplica, callers: Callers) -> None:
+        await callers.exchange("a")
+        assert (await callers.exchange("b", method="CONNECT")).code == "foreign_answer"
+
+    against(script, test)
+
+
+def test_a_connection_is_not_kept_after_a_request_that_frames_its_answer() -> None:
+    def script(call: Call) -> list[Step]:
+        return [answer(call.request_id, b"")]
+
+    async def test(replica: ScriptedReplica, callers: Callers) -> None:
+        for request_id in ("a", "b"):
+            assert (await callers.exchange(request_id, method="HEAD")).body == b""
+        assert [call.connection for call in replica.calls] == [0, 1]
+
+    against(script, test)
+
+
 def test_an_answer_with_two_lengths_is_none() -> None:
     two = answer("a", b"whole", Framing.CHUNKED, more=((b"Content-Length", b"3"),))
 
