Failing tests: runs that begin anew, events without ids, events lost with a bad one

- A run that was asked to go on behind event n and begins anew is joined behind event n: events that the caller has are skipped, whichever run they are of.
Online and for items.
- On a route that may be resumed, an event whose id is garbled or gone is passed on; the next one does not follow, and the run that goes on sends the same event again under its id.
- Events count as passed on before they are.
Where one that does not follow came in the same read, those before it never reach the client, and the run that goes on leaves them out.

Ruled out: events cut at any byte, which are never passed on, and line ends by CR LF, where no event ends and the stream is taken as cut.

--- a/tests/serving/test_replica_answers.py
+++ b/tests/serving/test_replica_answers.py
@@ -147,3 +147,61 @@
         assert reply.seen() == (body, False)
 
     against(script, test)
+
+
+def test_a_run_that_does_not_go_on_where_it_was_asked_to_is_not_joined() -> None:
+    whole = event(1, "own") + event(2, "own") + event(3, "own")
+    anew = event(1, "anew") + event(2, "anew") + event(3, "anew")
+
+    def script(call: Call) -> list[Step]:
+        turn = call.connection % 3
+        cut = answer(call.request_id, whole)[: -len(event(3, "own")) - 1]
+        return [
+            [cut, answer(call.request_id, anew), answer(call.request_id, event(3, "own"))][turn],
+            End.FIN,
+        ]
+
+    async def test(replica: ScriptedReplica, callers: Callers) -> None:
+        reply = RecordedReply()
+        assert await callers.relay("a", reply) == "answered"
+        assert reply.seen() == (whole, True)
+        job, one = item_job()
+        outcomes = [await callers.run_item(job, one) for _ in range(3)]
+        assert outcomes == ["not_http", "invalid_stream", "succeeded"]
+        assert one.texts == ["own"] * 3
+
+    against(script, test)
+
+
+def test_an_event_whose_id_is_garbled_is_not_passed_on_twice() -> None:
+    whole = event(1, "1") + event(2, "2") + event(3, "3")
+
+    def script(call: Call) -> list[Step]:
+        if call.last_event_id is None:
+            return [answer("a", whole.replace(b"id: 2", b"id: \xf62"))]
+        return [answer("a", event(2, "2") + event(3, "3"))]
+
+    async def test(replica: ScriptedReplica, callers: Callers) -> None:
+        reply = RecordedReply()
+        assert await callers.relay("a", reply) == "answered"
+        assert reply.seen() == (whole, True)
+
+    against(script, test)
+
+
+def test_events_that_came_with_one_out_of_order_are_not_lost() -> None:
+    whole = event(1, "1") + event(2, "2") + event(3, "3")
+
+    def script(call: Call) -> list[Step]:
+        if call.last_event_id is None:
+            return [answer("a", whole.replace(event(2, "2"), b""))]
+        return [answer("a", whole[len(event(1, "1")) * call.last_event_id :])]
+
+    async def test(replica: ScriptedReplica, callers: Callers) -> None:
+        reply = RecordedReply()
+        outcome = await callers.relay("a", reply)
+        body, is_whole = reply.seen()
+        assert whole.startswith(body)
+        assert is_whole == (outcome == "answered")
+
+    against(script, test)
