Failing tests: repeated fields, glued heads, answers before the request

- Where an answer names two ids the first one counts, so an answer that is garbled between two requests may be taken for either; for an item its 422 is its end.
- A part of an answer in excess, followed by the answer that is due, reads like one head: the status of the first with the id and signature of the second.
- On a new connection an answer without an id is taken for the first request's, also when it came before the request was sent.

Ruled out: parts that end within a field's name or a status code, which h11 refuses.

--- a/tests/serving/scripted_replica.py
+++ b/tests/serving/scripted_replica.py
@@ -79,6 +79,8 @@
         self.address: tuple[str, int] = self._sock.getsockname()
         self.calls: list[Call] = []
         self.clients: list[Any] = []
+        self.greeting = b""
+        """What each caller is sent before its first request."""
 
     async def run(self) -> None:
         """Serve until cancelled."""
@@ -87,6 +89,8 @@
                 client, _ = await self._sock.accept()
                 client.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
                 self.clients.append(client)
+                if self.greeting:
+                    await client.sendall(self.greeting)
                 await tasks.spawn(self._serve, client, len(self.clients) - 1)
 
     async def _serve(self, client: Any, connection: int) -> None:
@@ -308,11 +312,14 @@
             return error.code
         return "succeeded"
 
+    def resting(self) -> list[ReplicaConnection]:
+        """Return the connections that rest."""
+        return list(self.pool._idle.get(self.address, []))
+
     async def close(self) -> None:
         """Close all connections that rest."""
-        for idle in list(self.pool._idle.values()):
-            for connection in idle:
-                await connection.close()
+        for connection in self.resting():
+            await connection.close()
 
 
 def item_job() -> tuple[JobRun, ItemRun]:
--- a/tests/serving/test_replica_answers.py
+++ b/tests/serving/test_replica_answers.py
@@ -16,10 +16,12 @@
     end,
     event,
     item_job,
+    readable,
 )
 
 from cloverwalk.gateway.answer_relay import MAX_BUFFERED_ANSWER_BYTES
 from cloverwalk.gateway.errors import ReplicaError
+from cloverwalk.platform import names
 
 LONG_BODY_BYTES = 16_000_000
 """More than the kernel takes for a replica that does not read."""
@@ -202,3 +204,55 @@
         assert is_whole == (outcome == "answered")
 
     against(script, test)
+
+
+def test_an_answer_with_two_ids_or_signatures_is_that_of_no_request() -> None:
+    fields = {"a": (names.REQUEST_ID, b"other"), "b": (names.SIGNATURE, b"other")}
+    item = answer("item-1", b"", status=422, more=((names.REQUEST_ID, b"a"),))
+
+    def script(call: Call) -> list[Step]:
+        if call.request_id == "item-1":
+            return [item, End.FIN]
+        return [answer(call.request_id, b"x", status=422, more=(fields[call.request_id],)), End.FIN]
+
+    async def test(replica: ScriptedReplica, callers: Callers) -> None:
+        assert (await callers.exchange("a")).body is None
+        connection = await callers.acquire("b")
+        await callers.send(connection, "b")
+        assert not (await connection.read_head("b")).fields.is_signed
+        await connection.close()
+        assert await callers.run_item(*item_job()) == "no_answer"
+
+    against(script, test)
+
+
+def test_a_head_that_begins_with_a_part_of_another_is_none() -> None:
+    parts = [b"HTTP/1.1 422 ", b"HTTP/1.1 422 Some-Reason\r\nContent-Type: te"]
+
+    def script(call: Call) -> list[Step]:
+        own = answer(call.request_id, b"own")
+        return [own] if call.turn == 0 else [parts[call.connection], own, End.FIN]
+
+    async def test(replica: ScriptedReplica, callers: Callers) -> None:
+        for number, _ in enumerate(parts):
+            assert (await callers.exchange(f"first-{number}")).body == b"own"
+            assert (await callers.exchange(f"second-{number}")).code == "not_http"
+
+    against(script, test)
+
+
+def test_what_came_before_the_first_request_is_no_answer_to_it() -> None:
+    def script(call: Call) -> list[Step]:
+        return [answer(call.request_id, b"own")]
+
+    async def test(replica: ScriptedReplica, callers: Callers) -> None:
+        replica.greeting = answer(None, b"to nobody")
+        connection = await callers.acquire("a")
+        await readable(connection)
+        with pytest.raises(ReplicaError) as caught:
+            await callers.send(connection, "a")
+        assert not caught.value.may_have_run
+        await connection.close()
+        assert replica.calls == []
+
+    against(script, test)
