An answer has one id, one signature and one head, and comes after its request

- Repeated ids are one list, which is no request's id; a signature counts where there is one, and it is not empty.
- On a kept connection a head whose reason or fields hold a status line is not an answer: an earlier part stands before it.
- Bytes that came before the first request of a connection end it.
Nothing was sent, so the request may go elsewhere whatever its route is.
Resets are told by sending, as before.

Ruled out: requiring an id of each answer, since a replica answers a request without one with 400 and echoes none; looking for status lines in answers on new connections, where nothing can come before. A first send that looks at the connection costs one call of the kernel a new connection.

--- a/src/cloverwalk/gateway/replica_connection.py
+++ b/src/cloverwalk/gateway/replica_connection.py
@@ -1,5 +1,6 @@
 """Kept connections to replicas. A connection that holds anything unexplained is not used again."""
 
+import re
 from collections import deque
 from collections.abc import Callable
 from typing import Any
@@ -21,6 +22,7 @@
 KEEP_ALIVE_MARGIN_S = 1.0
 MAX_IDLE_PER_REPLICA = 24
 MAX_SKIPPED_ANSWERS = 2
+STATUS_LINE = re.compile(rb"HTTP/1\.[01] \d{3}\b")
 FRAMING_METHODS = (b"HEAD", b"CONNECT")
 """Methods whose answers end elsewhere than the same answers to other requests."""
 
@@ -76,6 +78,8 @@
         length = (b"Content-Length", str(len(body)).encode())
         self._request = h11.Request(method=method, target=target, headers=[*headers, length])
         data = self._feed_request(body)
+        if self._exchanges == 0 and self._has_bytes():
+            raise ReplicaError("bytes came before the first request", False, "unasked_answer")
         self._exchanges += 1
         self._has_ended = False
         if len(data) <= SEND_IN_LINE_BYTES:
@@ -139,6 +143,8 @@
                 self._answer_closes = True
         if is_chunked and length is not None:
             raise ReplicaError("not an answer: it has two lengths", True, "not_http")
+        if self.was_kept and _holds_status_line(event):
+            raise ReplicaError("not an answer: a part of another comes first", True, "not_http")
         fields = self._codec.answer_fields(headers)
         return AnswerHead(event.status_code, event.reason, headers, fields, length)
 
@@ -242,6 +248,13 @@
             return True
         return True
 
+    def _has_bytes(self) -> bool:
+        """Whether bytes came; what is wrong with the connection is told by sending on it."""
+        try:
+            return bool(self._sock._socket.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT))
+        except OSError:
+            return False
+
     async def close(self) -> None:
         """Close at once; a replica stops the work of a closed connection."""
         sender, self._sender = self._sender, None
@@ -250,6 +263,12 @@
         await self._sock.close()
 
 
+def _holds_status_line(event: h11.Response) -> bool:
+    """Whether a head continues a part of an earlier answer, within its reason or a field."""
+    values = [event.reason, *(value for _, value in event.headers)]
+    return any(STATUS_LINE.search(value) for value in values)
+
+
 class ReplicaPool:
     """Idle connections by address."""
 
--- a/src/cloverwalk/platform/codec.py
+++ b/src/cloverwalk/platform/codec.py
@@ -51,6 +51,11 @@
     return None
 
 
+def _find_all(headers: RawHeaders, name: bytes) -> list[str]:
+    wanted = name.lower()
+    return [value.decode("latin-1").strip() for key, value in headers if key.lower() == wanted]
+
+
 def _key_digest(headers: RawHeaders) -> str | None:
     """Return the digest of the caller's key, None when it sent none."""
     wanted = names.AUTHORIZATION.lower()
@@ -122,9 +127,12 @@
 
     def answer_fields(self, headers: RawHeaders) -> AnswerFields:
         """Return what a replica's headers say."""
+        # Repeated fields are one list: an answer with two ids is that of no request.
+        request_ids = _find_all(headers, names.REQUEST_ID)
+        signatures = _find_all(headers, names.SIGNATURE)
         return AnswerFields(
-            _find(headers, names.REQUEST_ID),
-            _find(headers, names.SIGNATURE) is not None,
+            ", ".join(request_ids) if request_ids else None,
+            len(signatures) == 1 and bool(signatures[0]),
             _find(headers, names.NOT_EXECUTED) is not None,
             _load(_find(headers, names.SERVER_LOAD)),
             _keep_alive_s(headers),
