Failing tests: ids that fall within a run, a connection that ended with its answer

- An event whose id is garbled to one that came before is skipped as known.
As the last one of a run it is missing, and the answer looks whole.
- A connection that ended with an answer without length is put aside as if it could serve another request.
The next acquisition finds its end, so nothing was sent on it; it is held for nothing.

Ruled out: a first event whose id is garbled to another number. The platform's page names no first id, so it can't be told from a right one.

--- a/tests/serving/test_replica_answers.py
+++ b/tests/serving/test_replica_answers.py
@@ -1,6 +1,7 @@
 """Answers in excess, late, cut, without length or garbled: each reaches its own request or none."""
 
 import itertools
+from collections.abc import Iterator
 
 import pytest
 from scripted_replica import (
@@ -21,8 +22,17 @@
 
 from cloverwalk.gateway.answer_relay import MAX_BUFFERED_ANSWER_BYTES
 from cloverwalk.gateway.errors import ReplicaError
+from cloverwalk.jobs import item_call
 from cloverwalk.platform import names
 
+
+@pytest.fixture(autouse=True, scope="module")
+def items_are_read_at_once() -> Iterator[None]:
+    with pytest.MonkeyPatch.context() as patch:
+        patch.setattr(item_call, "READ_EVERY_S", 0.0)
+        yield
+
+
 LONG_BODY_BYTES = 16_000_000
 """More than the kernel takes for a replica that does not read."""
 
@@ -256,3 +266,29 @@
         assert replica.calls == []
 
     against(script, test)
+
+
+def test_a_stream_whose_ids_fall_is_not_whole() -> None:
+    garbled = event(1, "1") + event(2, "2") + event(1, "3")
+
+    def script(call: Call) -> list[Step]:
+        return [answer(call.request_id, garbled), End.FIN]
+
+    async def test(replica: ScriptedReplica, callers: Callers) -> None:
+        reply = RecordedReply()
+        assert await callers.relay("a", reply) == "invalid_stream"
+        assert not reply.seen()[1]
+        assert await callers.run_item(*item_job()) == "invalid_stream"
+
+    against(script, test)
+
+
+def test_a_connection_that_ended_with_its_answer_does_not_rest() -> None:
+    def script(call: Call) -> list[Step]:
+        return [answer(call.request_id, b"own", Framing.UNTIL_CLOSE), End.FIN]
+
+    async def test(replica: ScriptedReplica, callers: Callers) -> None:
+        assert (await callers.exchange("a")).body == b"own"
+        assert callers.resting() == []
+
+    against(script, test)
