Ids of a run rise by one, and a property test over cuts, faults and orders

EventOrder takes the next id only, online and for items; nothing in a run is skipped any more, since a run goes on where it was asked to. A connection whose end was read is not put aside.

The property test (300 cases each, over loopback sockets) plays two plain requests on a kept connection, with any cut, split, framing and end of each answer and any bytes in excess with the first answer, at rest, before sending and in place of the next; streams of three runs, and items of three runs with late failures in place of the next answer, with cuts, garbled ids and runs that begin anew; and failures of items cut anywhere. What it holds: an answer is the request's own and whole, or none; a stream has each event once in order and looks whole only at its end; an item ends by whole runs of its own.

Ruled out: skipping an event only where its id is that of the last one. Garbled to that id, the last event of a run would be missing unnoticed.

--- a/src/cloverwalk/gateway/answer_relay.py
+++ b/src/cloverwalk/gateway/answer_relay.py
@@ -88,7 +88,7 @@
         head: AnswerHead,
         reply: Reply,
     ) -> None:
-        """Pass on a stream's events behind those that the client has."""
+        """Pass on the events of a run, which go on behind those that the client has."""
         splitter = EventSplitter()
         order = EventOrder(progress.last_event_id)
         if not reply.has_begun:
@@ -136,8 +136,8 @@
         fresh: list[bytes] = []
         try:
             for event in events:
-                if self._is_fresh(progress, order, event):
-                    fresh.append(event.raw)
+                self._check(progress, order, event)
+                fresh.append(event.raw)
         except ValueError as error:
             raise ReplicaError(str(error), True, "invalid_stream") from error
         finally:
@@ -171,11 +171,10 @@
     def _may_move(self, progress: RequestProgress) -> bool:
         return progress.route.is_resumable and progress.has_attempt_left
 
-    def _is_fresh(self, progress: RequestProgress, order: EventOrder, event: StreamEvent) -> bool:
-        """Return whether the client does not have an event yet."""
+    def _check(self, progress: RequestProgress, order: EventOrder, event: StreamEvent) -> None:
+        """Raise ValueError when an event is not the next one."""
         if event.event_id is not None:
-            return order.take(event.event_id)
-        if event.data and progress.route.is_resumable:
+            order.take(event.event_id)
+        elif event.data and progress.route.is_resumable:
             # Another run would send it again, with its id.
             raise ValueError("an event has no id")
-        return True
--- a/src/cloverwalk/gateway/event_stream.py
+++ b/src/cloverwalk/gateway/event_stream.py
@@ -37,31 +37,25 @@
 
 
 class EventOrder:
-    """Tells the new events of one run from those that its reader has.
+    """Holds that the events of a run follow each other, and what the run was asked to go on behind.
 
     >>> order = EventOrder(after=1)
-    >>> [order.take(number) for number in (2, 2, 3)]
-    [True, False, True]
+    >>> order.take(2)
+    >>> order.take(2)
+    Traceback (most recent call last):
+    ...
+    ValueError: event 2 does not follow event 2
     """
 
     def __init__(self, after: int | None) -> None:
-        self._after = after
         self.last = after
         """Id of the last event that the reader has."""
 
-    def take(self, event_id: int) -> bool:
-        """Return whether an event is new. Raises ValueError when it does not follow the last one.
-
-        A run that was asked to go on and begins before that place is another run.
-        """
-        if self.last is not None and event_id <= self.last:
-            if self.last == self._after:
-                raise ValueError("the run does not go on where it was asked to")
-            return False
+    def take(self, event_id: int) -> None:
+        """Take the next event's id. Raises ValueError when it does not follow the last one."""
         if self.last is not None and event_id != self.last + 1:
-            raise ValueError("an event is missing")
+            raise ValueError(f"event {event_id} does not follow event {self.last}")
         self.last = event_id
-        return True
 
 
 def _parse(raw: bytes) -> StreamEvent:
--- a/src/cloverwalk/gateway/replica_connection.py
+++ b/src/cloverwalk/gateway/replica_connection.py
@@ -231,7 +231,8 @@
         if self._frames_answers:
             # A second answer to it would be read with another end by the next request.
             return False
-        if self._http.our_state is not h11.DONE or self._http.trailing_data[0]:
+        rest, is_closed = self._http.trailing_data
+        if self._http.our_state is not h11.DONE or rest or is_closed:
             return False
         self._http.start_next_cycle()
         limit_s = IDLE_LIMIT_S if keep_alive_s is None else keep_alive_s - KEEP_ALIVE_MARGIN_S
--- a/src/cloverwalk/jobs/item_call.py
+++ b/src/cloverwalk/jobs/item_call.py
@@ -165,7 +165,8 @@
     """Add an event to a run. Raises ValueError when it does not belong there."""
     if event.event_id is None:
         raise ValueError("an event has no id")
-    if order.take(event.event_id) and not job.take_event(one, event.event_id, event.data):
+    order.take(event.event_id)
+    if not job.take_event(one, event.event_id, event.data):
         raise ValueError("an event is missing")
 
 
--- a/tests/serving/scripted_replica.py
+++ b/tests/serving/scripted_replica.py
@@ -189,6 +189,8 @@
 
     def seen(self) -> tuple[bytes, bool]:
         """Return the body as far as the client got it, and whether it looks whole."""
+        if not self._sent:
+            return b"", False
         http = h11.Connection(h11.CLIENT)
         http.send(h11.Request(method="POST", target="/a", headers=[("Host", "h")]))
         http.send(h11.EndOfMessage())
@@ -244,13 +246,14 @@
         request_id: str,
         before_send: Callable[[ReplicaConnection], Awaitable[None]] | None = None,
         method: str = "POST",
+        size: int = 1,
     ) -> Outcome:
         """Send a request that is no stream, and read its answer."""
         connection = await self.acquire(request_id)
         try:
             if before_send is not None:
                 await before_send(connection)
-            await self.send(connection, request_id, method)
+            await self.send(connection, request_id, method, size)
             head = await connection.read_head(request_id)
             body = b""
             while (data := await connection.read_body()) is not None:
--- a/tests/serving/test_replica_answers.py
+++ b/tests/serving/test_replica_answers.py
@@ -2,13 +2,18 @@
 
 import itertools
 from collections.abc import Iterator
+from enum import Enum
 
 import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from msgspec import Struct
 from scripted_replica import (
     Call,
     Callers,
     End,
     Framing,
+    Outcome,
     RecordedReply,
     ScriptedReplica,
     Step,
@@ -22,6 +27,7 @@
 
 from cloverwalk.gateway.answer_relay import MAX_BUFFERED_ANSWER_BYTES
 from cloverwalk.gateway.errors import ReplicaError
+from cloverwalk.gateway.replica_connection import SEND_IN_LINE_BYTES, ReplicaConnection
 from cloverwalk.jobs import item_call
 from cloverwalk.platform import names
 
@@ -292,3 +298,268 @@
         assert callers.resting() == []
 
     against(script, test)
+
+
+# --- any bytes, any cut, any order ---
+
+INTERIM = b"HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n"
+EVENTS = 4
+MOST_RUNS = 3
+EXAMPLES = 300
+SIZES = [0, 1, 2 * SEND_IN_LINE_BYTES]
+"""Bytes of a request's body; the longest are sent beside the reading of the answer."""
+
+
+class Spoilt(Struct, frozen=True):
+    """One answer to a request: how its body ends, where it is cut, and what comes before it."""
+
+    framing: Framing
+    body: bytes
+    splits: tuple[int, ...]
+    """Places at which the bytes are sent apart."""
+
+    cut: int | None
+    """Bytes after which the connection ends; None: all are sent."""
+
+    way: End
+    has_interim: bool
+    """Whether an interim answer comes first."""
+
+
+class When(Enum):
+    """When an answer in excess comes."""
+
+    WITH_THE_FIRST = "in the same bytes"
+    AT_REST = "while the connection rests"
+    BEFORE_SENDING = "after the connection was taken, before the request was sent"
+    IN_PLACE = "when the next answer is due"
+
+
+bodies = st.binary(max_size=24)
+answers = st.builds(
+    Spoilt,
+    st.sampled_from(Framing),
+    bodies,
+    st.lists(st.integers(1, 200), max_size=3).map(tuple),
+    st.none() | st.integers(0, 260),
+    st.sampled_from(End),
+    st.booleans(),
+)
+excess_ids = st.sampled_from([("a",), (None,), ("",), ("a, b",), ("a", "b"), ("b", "a")])
+excess_answers = st.builds(
+    lambda ids, body, framing, status, more: answer(
+        ids[0],
+        b"excess" + body,
+        framing,
+        status,
+        (*((names.REQUEST_ID, one.encode()) for one in ids[1:]), *more),
+    ),
+    excess_ids,
+    bodies,
+    st.sampled_from([Framing.LENGTH, Framing.CHUNKED]),
+    st.sampled_from([200, 204, 304, 404, 422, 500]),
+    st.sampled_from([(), ((b"Connection", b"close"),)]),
+)
+excesses = st.builds(
+    lambda parts, cut: b"".join(parts)[:cut],
+    st.lists(excess_answers | bodies, min_size=1, max_size=3),
+    st.none() | st.integers(1, 300),
+)
+
+
+def whole_body(request_id: str, spoilt: Spoilt) -> bytes:
+    return request_id.encode() + b":" + spoilt.body
+
+
+def whole_bytes(request_id: str, spoilt: Spoilt) -> bytes:
+    data = answer(request_id, whole_body(request_id, spoilt), spoilt.framing)
+    return (INTERIM if spoilt.has_interim else b"") + data
+
+
+def is_spoilt(request_id: str, spoilt: Spoilt) -> bool:
+    return spoilt.cut is not None and spoilt.cut < len(whole_bytes(request_id, spoilt))
+
+
+def steps(request_id: str, spoilt: Spoilt, is_last: bool = False) -> list[Step]:
+    """Return how an answer is sent; the connection ends where it must."""
+    data = whole_bytes(request_id, spoilt)
+    ends = is_last or spoilt.framing is Framing.UNTIL_CLOSE or is_spoilt(request_id, spoilt)
+    data = data[: spoilt.cut]
+    places = [0, *sorted(one for one in set(spoilt.splits) if one < len(data)), len(data)]
+    pieces: list[Step] = [data[one:other] for one, other in itertools.pairwise(places)]
+    return [*pieces, spoilt.way] if ends else pieces
+
+
+def check_outcome(request_id: str, spoilt: Spoilt, outcome: Outcome, is_clean: bool) -> None:
+    """An answer is the request's own and whole, or none."""
+    own = whole_body(request_id, spoilt)
+    if outcome.body is None:
+        assert not is_clean, outcome
+        return
+    assert outcome.status == 200
+    if spoilt.framing is not Framing.UNTIL_CLOSE:
+        assert outcome.body == own
+        return
+    # An answer without length is whole at the end of its connection, unless that is a reset.
+    assert spoilt.way is End.FIN
+    assert own.startswith(outcome.body)
+
+
+@settings(max_examples=EXAMPLES)
+@given(answers, answers, excesses | st.none(), st.sampled_from(When), st.sampled_from(SIZES))
+def test_no_bytes_of_one_request_reach_another_and_nothing_cut_looks_whole(
+    first: Spoilt, second: Spoilt, excess: bytes | None, when: When, size: int
+) -> None:
+    def script(call: Call) -> list[Step]:
+        if call.request_id == "b":
+            before = [excess] if excess and when is When.IN_PLACE and call.turn > 0 else []
+            return [*before, *steps("b", second, is_last=True)]
+        own = steps("a", first)
+        return [*own, excess] if excess and when is When.WITH_THE_FIRST else own
+
+    async def test(replica: ScriptedReplica, callers: Callers) -> None:
+        outcome = await callers.exchange("a", size=size)
+        is_clean = not is_spoilt("a", first) and first.way is End.FIN
+        check_outcome("a", first, outcome, is_clean)
+        idle = callers.resting()
+        if excess and idle and when is When.AT_REST:
+            await replica.clients[0].sendall(excess)
+            await readable(idle[0])
+
+        async def before_send(connection: ReplicaConnection) -> None:
+            if excess and connection in idle and when is When.BEFORE_SENDING:
+                await replica.clients[0].sendall(excess)
+                await readable(connection)
+
+        outcome = await callers.exchange("b", before_send, size=size)
+        is_untouched = not excess or replica.calls[-1].connection > 0
+        is_clean = not is_spoilt("b", second) and second.way is End.FIN and is_untouched
+        check_outcome("b", second, outcome, is_clean)
+
+    against(script, test)
+
+
+class Run(Struct, frozen=True):
+    """One run of a stream: what is wrong with it, and where it is cut."""
+
+    framing: Framing
+    cut: int | None
+    way: End
+    garbled: int | None
+    """Event that is garbled; None: none is. The first is not given another number: which one a
+    stream begins with is not agreed."""
+
+    fault: bytes
+    """What stands in place of the garbled event's id."""
+
+    begins_anew: bool
+    splits: tuple[int, ...]
+
+
+any_run = st.builds(
+    Run,
+    st.sampled_from(Framing),
+    st.none() | st.integers(0, 330),
+    st.sampled_from(End),
+    st.none() | st.integers(1, EVENTS),
+    st.sampled_from([b"", b"id: x\n", b"id: \n", b"id: 9\n", b"id: 1\n", b"id: 3\r\n", b"\n"]),
+    st.booleans(),
+    st.lists(st.integers(1, 300), max_size=4).map(tuple),
+)
+
+
+def run_bytes(call: Call, number: int, run: Run) -> bytes:
+    """Return a run's bytes. Data of a run that ignores where it was to go on say so."""
+    is_anew = run.begins_anew and call.last_event_id is not None
+    begin = 0 if is_anew or call.last_event_id is None else call.last_event_id
+    events = [
+        event(one, f"anew {number}" if is_anew else f"own {one}")
+        for one in range(begin + 1, EVENTS + 1)
+    ]
+    if run.garbled is not None and begin < run.garbled:
+        place = run.garbled - begin - 1
+        _, _, rest = events[place].partition(b"\n")
+        is_number = run.garbled == 1 and run.fault.strip()[-1:].isdigit()
+        events[place] = (b"" if is_number else run.fault) + rest
+    return answer(call.request_id, b"".join(events), run.framing)
+
+
+def run_steps(call: Call, number: int, run: Run) -> list[Step]:
+    data = run_bytes(call, number, run)[: run.cut]
+    places = [0, *sorted(one for one in set(run.splits) if one < len(data)), len(data)]
+    return [*(data[one:other] for one, other in itertools.pairwise(places)), run.way]
+
+
+OWN_EVENTS = [event(number, f"own {number}") for number in range(1, EVENTS + 1)]
+three_runs = st.lists(any_run, min_size=MOST_RUNS, max_size=MOST_RUNS)
+
+
+def may_end_early(calls: list[Call], runs: list[Run]) -> bool:
+    """Whether the last run ended as one without length does, by the end of its connection."""
+    last = runs[len(calls) - 1]
+    return last.framing is Framing.UNTIL_CLOSE and last.way is End.FIN
+
+
+@settings(max_examples=EXAMPLES)
+@given(three_runs)
+def test_a_stream_has_each_event_once_and_looks_whole_only_at_its_end(runs: list[Run]) -> None:
+    def script(call: Call) -> list[Step]:
+        return run_steps(call, call.connection, runs[call.connection])
+
+    async def test(replica: ScriptedReplica, callers: Callers) -> None:
+        reply = RecordedReply()
+        outcome = await callers.relay("a", reply)
+        body, is_whole = reply.seen()
+        assert is_whole == (outcome == "answered")
+        *events, rest = body.split(b"\n\n")
+        assert rest == b""
+        assert [one + b"\n\n" for one in events] == OWN_EVENTS[: len(events)]
+        if is_whole and not may_end_early(replica.calls, runs):
+            assert len(events) == EVENTS
+
+    against(script, test)
+
+
+@settings(max_examples=EXAMPLES)
+@given(three_runs, st.sampled_from([422, 500]))
+def test_an_item_ends_only_by_whole_runs_of_its_own(runs: list[Run], status: int) -> None:
+    late = answer("item-1", b"late", status=status)
+
+    def script(call: Call) -> list[Step]:
+        own = run_steps(call, call.connection, runs[call.connection])
+        return [late, *own] if call.turn > 0 else own
+
+    async def test(replica: ScriptedReplica, callers: Callers) -> None:
+        job, one = item_job()
+        for number in range(MOST_RUNS):
+            outcome = await callers.run_item(job, one)
+            assert outcome not in ("impossible", "failed")
+            assert one.texts == [f"own {n + 1}" for n in range(len(one.texts))]
+            assert replica.calls[-1].connection == number
+            if outcome == "succeeded":
+                assert len(one.texts) == EVENTS or may_end_early(replica.calls, runs)
+                return
+
+    against(script, test)
+
+
+@given(st.sampled_from([422, 500]), st.sampled_from(Framing), st.integers(0, 200), st.booleans())
+def test_an_item_fails_only_by_a_whole_answer(
+    status: int, framing: Framing, cut: int, is_reset: bool
+) -> None:
+    way = End.RESET if is_reset else End.FIN
+    whole = answer("item-1", b"it failed", framing, status)
+
+    def script(call: Call) -> list[Step]:
+        return [whole[:cut], way]
+
+    async def test(replica: ScriptedReplica, callers: Callers) -> None:
+        outcome = await callers.run_item(*item_job())
+        is_whole = cut >= len(whole)
+        has_head = cut >= whole.index(b"\r\n\r\n") + 4
+        if framing is Framing.UNTIL_CLOSE:
+            is_whole = has_head and way is End.FIN
+        said = "impossible" if status == 422 else "failed"
+        assert outcome == said if is_whole and not is_reset else outcome != said or is_whole
+
+    against(script, test)
