Failing test: garbled bytes in an item's text

Bytes of an event that are no UTF-8 are replaced by U+FFFD in an item's text, which is listed as succeeded and is not what the replica put out. Online events are passed on as the bytes that came, so nothing is replaced there.

--- a/tests/serving/test_replica_answers.py
+++ b/tests/serving/test_replica_answers.py
@@ -289,6 +289,22 @@
     against(script, test)
 
 
+def test_an_item_has_no_text_of_bytes_that_are_none() -> None:
+    own = event(1, "caf\u00e9 \ufffd")
+    garbled = own.replace("\u00e9".encode(), b"\xe9")
+
+    def script(call: Call) -> list[Step]:
+        return [answer(call.request_id, garbled if call.connection == 0 else own), End.FIN]
+
+    async def test(replica: ScriptedReplica, callers: Callers) -> None:
+        job, one = item_job()
+        assert await callers.run_item(job, one) == "invalid_stream"
+        assert await callers.run_item(job, one) == "succeeded"
+        assert one.texts == ["caf\u00e9 \ufffd"]
+
+    against(script, test)
+
+
 def test_a_connection_that_ended_with_its_answer_does_not_rest() -> None:
     def script(call: Call) -> list[Step]:
         return [answer(call.request_id, b"own", Framing.UNTIL_CLOSE), End.FIN]
