Bytes that are no text end a run of an item

Where an event's data hold U+FFFD, its bytes are decoded strictly: the replica's own character passes, bytes that are no UTF-8 break the run off, and another goes on behind the last good event.

Ruled out: strict decoding of every event, online ones included, where the bytes pass unchanged.

--- a/src/cloverwalk/jobs/item_call.py
+++ b/src/cloverwalk/jobs/item_call.py
@@ -22,6 +22,9 @@
 """Nobody waits for single events of an item: what has come in this time is taken at once. A slot is
 given back so much later at the most, 2 in 100 of an item's time."""
 
+REPLACEMENT = "\ufffd"
+"""Stands in an event's data for bytes that are no UTF-8."""
+
 ANSWER_SILENCE_S = 3.0
 EVENT_SILENCE_S = 1.5
 
@@ -165,6 +168,9 @@
     """Add an event to a run. Raises ValueError when it does not belong there."""
     if event.event_id is None:
         raise ValueError("an event has no id")
+    if REPLACEMENT in event.data:
+        # It is the replica's own character, or stands for bytes that are no text.
+        event.raw.decode("utf-8")
     order.take(event.event_id)
     if not job.take_event(one, event.event_id, event.data):
         raise ValueError("an event is missing")
