--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -39,6 +39,7 @@
 ADMISSION = "tests/unit/test_admission.py::"
 PARTS = "tests/unit/test_serving_parts.py::"
 TENANTS = "tests/serving/test_tenants.py::"
+ANSWERS = "tests/serving/test_replica_answers.py::"
 QUOTAS = "tests/unit/test_quotas.py::"
 MUTANTS = [
     Mutant(
@@ -710,6 +711,141 @@
         "tests/serving/test_silent_connections.py::"
         "test_one_request_is_late_by_all_silent_connections_to_replicas",
     ),
+    Mutant(
+        "answers: runs of one item share a connection",
+        "gateway/replica_connection.py",
+        "            if connection.has_carried(request_id):",
+        "            if False:",
+        ANSWERS
+        + "test_a_second_answer_to_an_earlier_run_of_an_item_is_not_taken_for_the_present_one",
+    ),
+    Mutant(
+        "answers: an answer is taken whatever its id",
+        "gateway/replica_connection.py",
+        "            if answered == request_id or (answered is None and self._exchanges == 1):",
+        "            if True:",
+        ANSWERS + "test_no_bytes_of_one_request_reach_another_and_nothing_cut_looks_whole",
+    ),
+    Mutant(
+        "answers: unread bytes of a connection that rests are not looked at",
+        "gateway/replica_connection.py",
+        "            if self._clock() < connection.usable_until and not connection.has_unread():",
+        "            if self._clock() < connection.usable_until:",
+        ANSWERS + "test_no_bytes_of_one_request_reach_another_and_nothing_cut_looks_whole",
+    ),
+    Mutant(
+        "answers: bytes read behind an answer are not looked at",
+        "gateway/replica_connection.py",
+        "is not h11.DONE or rest or is_closed:",
+        "is not h11.DONE or is_closed:",
+        ANSWERS + "test_no_bytes_of_one_request_reach_another_and_nothing_cut_looks_whole",
+    ),
+    Mutant(
+        "answers: a connection that ended rests",
+        "gateway/replica_connection.py",
+        "is not h11.DONE or rest or is_closed:",
+        "is not h11.DONE or rest:",
+        ANSWERS + "test_a_connection_that_ended_with_its_answer_does_not_rest",
+    ),
+    Mutant(
+        "answers: a cut answer counts as ended",
+        "gateway/replica_connection.py",
+        '            raise ReplicaError(f"not an answer: {error}", True, "not_http") from error',
+        "            return h11.EndOfMessage()",
+        ANSWERS + "test_no_bytes_of_one_request_reach_another_and_nothing_cut_looks_whole",
+    ),
+    Mutant(
+        "answers: a reset that the sender is told counts as an end",
+        "gateway/replica_connection.py",
+        "        if not data and self._has_sending_failed:",
+        "        if False:",
+        ANSWERS + "test_a_reset_that_the_sending_of_the_request_meets_ends_no_answer",
+    ),
+    Mutant(
+        "answers: an answer is skipped with the end that another request tells",
+        "gateway/replica_connection.py",
+        "            if self._frames_answers:",
+        "            if False:",
+        ANSWERS + "test_an_answer_is_not_skipped_where_its_end_is_told_by_its_request",
+    ),
+    Mutant(
+        "answers: an answer may have two lengths",
+        "gateway/replica_connection.py",
+        "        if is_chunked and length is not None:",
+        "        if False:",
+        ANSWERS + "test_an_answer_with_two_lengths_is_none",
+    ),
+    Mutant(
+        "answers: a head may hold a part of another",
+        "gateway/replica_connection.py",
+        "        if self.was_kept and _holds_status_line(event):",
+        "        if False:",
+        ANSWERS + "test_a_head_that_begins_with_a_part_of_another_is_none",
+    ),
+    Mutant(
+        "answers: bytes before the first request are an answer to it",
+        "gateway/replica_connection.py",
+        "        if self._exchanges == 0 and self._has_bytes():",
+        "        if False:",
+        ANSWERS + "test_what_came_before_the_first_request_is_no_answer_to_it",
+    ),
+    Mutant(
+        "answers: the first of two ids counts",
+        "platform/codec.py",
+        '            ", ".join(request_ids) if request_ids else None,',
+        "            request_ids[0] if request_ids else None,",
+        ANSWERS + "test_an_answer_with_two_ids_or_signatures_is_that_of_no_request",
+    ),
+    Mutant(
+        "answers: a long answer that was cut goes on at another replica",
+        "gateway/answer_relay.py",
+        '            raise ClientGoneError(f"the answer broke off: {error}", "answer_cut") from '
+        "error",
+        "            raise",
+        ANSWERS + "test_a_long_answer_that_was_cut_is_not_continued_by_another_one",
+    ),
+    Mutant(
+        "answers: events of a run may leave one out",
+        "gateway/event_stream.py",
+        "        if self.last is not None and event_id != self.last + 1:",
+        "        if False:",
+        ANSWERS + "test_a_stream_has_each_event_once_and_looks_whole_only_at_its_end",
+    ),
+    Mutant(
+        "answers: events without ids pass where streams are resumed",
+        "gateway/answer_relay.py",
+        "        elif event.data and progress.route.is_resumable:",
+        "        elif False:",
+        ANSWERS + "test_a_stream_has_each_event_once_and_looks_whole_only_at_its_end",
+    ),
+    Mutant(
+        "answers: a stream may end within an event",
+        "gateway/answer_relay.py",
+        "        if splitter.rest:\n            raise",
+        "        if False:\n            raise",
+        ANSWERS + "test_a_stream_has_each_event_once_and_looks_whole_only_at_its_end",
+    ),
+    Mutant(
+        "answers: an item's run may end within an event",
+        "jobs/item_call.py",
+        "        if splitter.rest:\n            raise",
+        "        if False:\n            raise",
+        ANSWERS + "test_an_item_ends_only_by_whole_runs_of_its_own",
+    ),
+    Mutant(
+        "answers: a failure that was cut ends an item",
+        "jobs/item_call.py",
+        "            await self._read_failure(connection)\n",
+        "",
+        ANSWERS + "test_an_item_fails_only_by_a_whole_answer",
+    ),
+    Mutant(
+        "answers: bytes that are no text are an item's",
+        "jobs/item_call.py",
+        "    if REPLACEMENT in event.data:",
+        "    if False:",
+        ANSWERS + "test_an_item_has_no_text_of_bytes_that_are_none",
+    ),
 ]
 
 
--- a/tests/serving/test_replica_answers.py
+++ b/tests/serving/test_replica_answers.py
@@ -430,14 +430,18 @@
         if call.request_id == "b":
             before = [excess] if excess and when is When.IN_PLACE and call.turn > 0 else []
             return [*before, *steps("b", second, is_last=True)]
-        own = steps("a", first)
-        return [*own, excess] if excess and when is When.WITH_THE_FIRST else own
+        *begin, last = steps("a", first)
+        if excess and when is When.WITH_THE_FIRST and isinstance(last, bytes):
+            return [*begin, last + excess]
+        return [*begin, last]
 
     async def test(replica: ScriptedReplica, callers: Callers) -> None:
         outcome = await callers.exchange("a", size=size)
         is_clean = not is_spoilt("a", first) and first.way is End.FIN
         check_outcome("a", first, outcome, is_clean)
         idle = callers.resting()
+        if excess and when is When.WITH_THE_FIRST:
+            assert not idle
         if excess and idle and when is When.AT_REST:
             await replica.clients[0].sendall(excess)
             await readable(idle[0])
@@ -448,6 +452,8 @@
                 await readable(connection)
 
         outcome = await callers.exchange("b", before_send, size=size)
+        if excess and when is When.AT_REST:
+            assert replica.calls[-1].connection > 0
         is_untouched = not excess or replica.calls[-1].connection > 0
         is_clean = not is_spoilt("b", second) and second.way is End.FIN and is_untouched
         check_outcome("b", second, outcome, is_clean)
@@ -511,9 +517,12 @@
 
 
 def may_end_early(calls: list[Call], runs: list[Run]) -> bool:
-    """Whether the last run ended as one without length does, by the end of its connection."""
-    last = runs[len(calls) - 1]
-    return last.framing is Framing.UNTIL_CLOSE and last.way is End.FIN
+    """Whether the last run ended as one without length does, with its connection."""
+    call, number = calls[-1], len(calls) - 1
+    run = runs[number]
+    _, _, body = run_bytes(call, number, run)[: run.cut].partition(b"\r\n\r\n")
+    is_between_events = not body or body.endswith(b"\n\n")
+    return run.framing is Framing.UNTIL_CLOSE and run.way is End.FIN and is_between_events
 
 
 @settings(max_examples=EXAMPLES)
