--- a/src/cloverwalk/gateway/answer_relay.py
+++ b/src/cloverwalk/gateway/answer_relay.py
@@ -5,8 +5,8 @@
 import curio
 
 from cloverwalk.core.final_answer import PROMISING_STATUSES
-from cloverwalk.gateway.errors import SILENT, ReplicaError
-from cloverwalk.gateway.event_stream import EventSplitter, StreamEvent
+from cloverwalk.gateway.errors import SILENT, ClientGoneError, ReplicaError
+from cloverwalk.gateway.event_stream import EventOrder, EventSplitter, StreamEvent
 from cloverwalk.gateway.messages import ClientRequest, GatewayCodec
 from cloverwalk.gateway.progress import RequestProgress
 from cloverwalk.gateway.replica_connection import AnswerHead, ReplicaConnection
@@ -76,8 +76,12 @@
         headers = self._codec.headers_to_client(head.headers)
         await reply.begin(head.status, headers, head.content_length)
         await reply.write(b"".join(parts))
-        while (data := await connection.read_body()) is not None:
-            await reply.write(data)
+        try:
+            while (data := await connection.read_body()) is not None:
+                await reply.write(data)
+        except ReplicaError as error:
+            # Only events go on at another replica.
+            raise ClientGoneError(f"the answer broke off: {error}", "answer_cut") from error
         await reply.finish()
 
     async def relay_stream(
@@ -88,8 +92,9 @@
         head: AnswerHead,
         reply: Reply,
     ) -> None:
-        """Pass on a stream's events behind those that the client has."""
+        """Pass on the events of a run, which go on behind those that the client has."""
         splitter = EventSplitter()
+        order = EventOrder(progress.last_event_id)
         if not reply.has_begun:
             await reply.begin(head.status, self._codec.headers_to_client(head.headers), None)
         heard_at = self._clock()
@@ -101,7 +106,7 @@
                     # One timeout covers many events: it only asks when the last of them came.
                     while (data := await connection.read_body()) is not None:
                         heard_at = self._clock()
-                        if not self._pass_on(request, progress, splitter, data, reply):
+                        if not self._pass_on(request, progress, splitter, order, data, reply):
                             break
                     is_open = data is not None
             except curio.TaskTimeout as error:
@@ -109,6 +114,10 @@
                     self._directory.suspect(progress.last_replica, self._clock())
                     raise ReplicaError("the stream fell silent", True, SILENT) from error
                 continue
+            except ReplicaError:
+                # Another run may go on behind the events that were passed on.
+                await reply.flush()
+                raise
             await reply.flush()
         if splitter.rest:
             raise ReplicaError("the stream ended within an event", True, "answer_cut")
@@ -119,6 +128,7 @@
         request: ClientRequest,
         progress: RequestProgress,
         splitter: EventSplitter,
+        order: EventOrder,
         data: bytes,
         reply: Reply,
     ) -> bool:
@@ -127,9 +137,25 @@
             events = splitter.feed(data)
         except ValueError as error:
             raise ReplicaError(str(error), True, "invalid_stream") from error
-        fresh = self._fresh_events(progress, events)
-        if not fresh:
-            return True
+        fresh: list[bytes] = []
+        try:
+            for event in events:
+                self._check(progress, order, event)
+                fresh.append(event.raw)
+        except ValueError as error:
+            raise ReplicaError(str(error), True, "invalid_stream") from error
+        finally:
+            is_taken = not fresh or self._write_events(request, progress, fresh, reply)
+            progress.last_event_id = order.last
+        return is_taken
+
+    def _write_events(
+        self,
+        request: ClientRequest,
+        progress: RequestProgress,
+        fresh: list[bytes],
+        reply: Reply,
+    ) -> bool:
         if progress.first_event_at is None:
             progress.first_event_at = self._clock()
             self._metrics.first_event(
@@ -149,16 +175,10 @@
     def _may_move(self, progress: RequestProgress) -> bool:
         return progress.route.is_resumable and progress.has_attempt_left
 
-    def _fresh_events(self, progress: RequestProgress, events: list[StreamEvent]) -> list[bytes]:
-        """Return the events that the client does not have yet."""
-        fresh: list[bytes] = []
-        for event in events:
-            if event.event_id is not None:
-                last = progress.last_event_id
-                if last is not None and event.event_id <= last:
-                    continue
-                if last is not None and event.event_id != last + 1:
-                    raise ReplicaError("an event is missing", True, "invalid_stream")
-                progress.last_event_id = event.event_id
-            fresh.append(event.raw)
-        return fresh
+    def _check(self, progress: RequestProgress, order: EventOrder, event: StreamEvent) -> None:
+        """Raise ValueError when an event is not the next one."""
+        if event.event_id is not None:
+            order.take(event.event_id)
+        elif event.data and progress.route.is_resumable:
+            # Another run would send it again, with its id.
+            raise ValueError("an event has no id")
--- a/src/cloverwalk/gateway/event_stream.py
+++ b/src/cloverwalk/gateway/event_stream.py
@@ -1,4 +1,4 @@
-"""Whole events out of the bytes of an event stream."""
+"""Whole events out of the bytes of an event stream, and their order."""
 
 from msgspec import Struct
 
@@ -36,6 +36,28 @@
         return [_parse(block + EVENT_END) for block in whole]
 
 
+class EventOrder:
+    """Holds that the events of a run follow each other, and what the run was asked to go on behind.
+
+    >>> order = EventOrder(after=1)
+    >>> order.take(2)
+    >>> order.take(2)
+    Traceback (most recent call last):
+    ...
+    ValueError: event 2 does not follow event 2
+    """
+
+    def __init__(self, after: int | None) -> None:
+        self.last = after
+        """Id of the last event that the reader has."""
+
+    def take(self, event_id: int) -> None:
+        """Take the next event's id. Raises ValueError when it does not follow the last one."""
+        if self.last is not None and event_id != self.last + 1:
+            raise ValueError(f"event {event_id} does not follow event {self.last}")
+        self.last = event_id
+
+
 def _parse(raw: bytes) -> StreamEvent:
     event_id: int | None = None
     data: list[str] = []
--- a/src/cloverwalk/gateway/replica_connection.py
+++ b/src/cloverwalk/gateway/replica_connection.py
@@ -1,5 +1,7 @@
 """Kept connections to replicas. A connection that holds anything unexplained is not used again."""
 
+import re
+from collections import deque
 from collections.abc import Callable
 from typing import Any
 
@@ -20,6 +22,13 @@
 KEEP_ALIVE_MARGIN_S = 1.0
 MAX_IDLE_PER_REPLICA = 24
 MAX_SKIPPED_ANSWERS = 2
+STATUS_LINE = re.compile(rb"HTTP/1\.[01] \d{3}\b")
+FRAMING_METHODS = (b"HEAD", b"CONNECT")
+"""Methods whose answers end elsewhere than the same answers to other requests."""
+
+REMEMBERED_IDS = 64
+"""Requests that a connection remembers. An answer in excess comes in the place of the next one or
+soon after: the replica serves the requests of a connection in order."""
 
 
 class AnswerHead(Struct):
@@ -41,8 +50,9 @@
         self._codec = codec
         self._http = h11.Connection(h11.CLIENT)
         self._request: h11.Request | None = None
-        self._request_id = ""
+        self._remembered_ids: deque[str] = deque(maxlen=REMEMBERED_IDS)
         self._sender: Any = None
+        self._has_sending_failed = False
         self._answer_closes = False
         self._is_drained = False
         """Whether the last read got all that was there: another would find nothing yet."""
@@ -68,6 +78,8 @@
         length = (b"Content-Length", str(len(body)).encode())
         self._request = h11.Request(method=method, target=target, headers=[*headers, length])
         data = self._feed_request(body)
+        if self._exchanges == 0 and self._has_bytes():
+            raise ReplicaError("bytes came before the first request", False, "unasked_answer")
         self._exchanges += 1
         self._has_ended = False
         if len(data) <= SEND_IN_LINE_BYTES:
@@ -86,19 +98,32 @@
         try:
             await self._sock.sendall(data)
         except OSError:
+            self._has_sending_failed = True
             return False
         return True
 
+    def has_carried(self, request_id: str) -> bool:
+        """Whether a request with this id went over it: a late answer to that one looks the same."""
+        return request_id in self._remembered_ids
+
     async def read_head(self, request_id: str) -> AnswerHead:
         """Return the head of the answer to ``request_id``; skip answers to other requests."""
+        self._remembered_ids.append(request_id)
         for _ in range(MAX_SKIPPED_ANSWERS + 1):
             head = await self._read_any_head()
             answered = head.fields.request_id
             if answered == request_id or (answered is None and self._exchanges == 1):
                 return head
+            if self._frames_answers:
+                break
             await self._skip_answer()
         raise ReplicaError("the answers belong to other requests", True, "foreign_answer")
 
+    @property
+    def _frames_answers(self) -> bool:
+        """Whether the present request tells where its answer ends, which is wrong for others."""
+        return self._request is not None and self._request.method in FRAMING_METHODS
+
     async def _read_any_head(self) -> AnswerHead:
         while True:
             event = await self._next_event()
@@ -108,17 +133,26 @@
                 raise ReplicaError("the connection ended before an answer", True, "no_answer")
         headers = event.headers.raw_items()
         length: int | None = None
+        is_chunked = False
         for name, value in event.headers:
             if name == b"content-length":
                 length = int(value)
+            elif name == b"transfer-encoding":
+                is_chunked = True
             elif name == b"connection" and b"close" in value.lower():
                 self._answer_closes = True
+        if is_chunked and length is not None:
+            raise ReplicaError("not an answer: it has two lengths", True, "not_http")
+        if self.was_kept and _holds_status_line(event):
+            raise ReplicaError("not an answer: a part of another comes first", True, "not_http")
         fields = self._codec.answer_fields(headers)
         return AnswerHead(event.status_code, event.reason, headers, fields, length)
 
     async def _skip_answer(self) -> None:
-        while not isinstance(await self._next_event(), h11.EndOfMessage):
+        while isinstance(event := await self._next_event(), h11.Data):
             pass
+        if not isinstance(event, h11.EndOfMessage):
+            raise ReplicaError("an answer to another request broke off", True, "answer_cut")
         rest, is_closed = self._http.trailing_data
         if is_closed or self._answer_closes:
             raise ReplicaError("the connection ended before an answer", True, "no_answer")
@@ -177,6 +211,9 @@
         if self._is_drained:
             await _read_wait(self._sock._fileno)
         data: bytes = await self._sock.recv(READ_BYTES)
+        if not data and self._has_sending_failed:
+            # The kernel tells a reset once, and it told the sender: this is no proper end.
+            raise ConnectionResetError("the connection broke while the request was sent")
         self._is_drained = 0 < len(data) < READ_BYTES
         return data
 
@@ -191,7 +228,11 @@
                 return False
         if self._answer_closes or self._http.their_state is not h11.DONE:
             return False
-        if self._http.our_state is not h11.DONE or self._http.trailing_data[0]:
+        if self._frames_answers:
+            # A second answer to it would be read with another end by the next request.
+            return False
+        rest, is_closed = self._http.trailing_data
+        if self._http.our_state is not h11.DONE or rest or is_closed:
             return False
         self._http.start_next_cycle()
         limit_s = IDLE_LIMIT_S if keep_alive_s is None else keep_alive_s - KEEP_ALIVE_MARGIN_S
@@ -208,6 +249,13 @@
             return True
         return True
 
+    def _has_bytes(self) -> bool:
+        """Whether bytes came; what is wrong with the connection is told by sending on it."""
+        try:
+            return bool(self._sock._socket.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT))
+        except OSError:
+            return False
+
     async def close(self) -> None:
         """Close at once; a replica stops the work of a closed connection."""
         sender, self._sender = self._sender, None
@@ -216,6 +264,12 @@
         await self._sock.close()
 
 
+def _holds_status_line(event: h11.Response) -> bool:
+    """Whether a head continues a part of an earlier answer, within its reason or a field."""
+    values = [event.reason, *(value for _, value in event.headers)]
+    return any(STATUS_LINE.search(value) for value in values)
+
+
 class ReplicaPool:
     """Idle connections by address."""
 
@@ -226,17 +280,27 @@
         self.opened = 0
         """Connections opened since the start."""
 
-    async def acquire(self, address: tuple[str, int]) -> ReplicaConnection:
-        """Return an idle connection or a new one; raise ReplicaError when none can be had."""
-        idle = self._idle.get(address, [])
-        while idle:
-            connection = idle.pop()
+    async def acquire(self, address: tuple[str, int], request_id: str) -> ReplicaConnection:
+        """Return a connection for a request; raise ReplicaError when none can be had.
+
+        It is a new one, or an idle one that has not carried a request with the same id.
+        """
+        while (connection := self._take_idle(address, request_id)) is not None:
             if self._clock() < connection.usable_until and not connection.has_unread():
                 connection.acquired_at = self._clock()
                 return connection
             await connection.close()
         return await self._open(address)
 
+    def _take_idle(self, address: tuple[str, int], request_id: str) -> ReplicaConnection | None:
+        """Take the idle connection that was used last and has not carried ``request_id``."""
+        idle = self._idle.get(address, [])
+        fresh = [one for one in idle if not one.has_carried(request_id)]
+        if not fresh:
+            return None
+        idle.remove(fresh[-1])
+        return fresh[-1]
+
     async def _open(self, address: tuple[str, int]) -> ReplicaConnection:
         try:
             async with curio.timeout_after(CONNECT_TIMEOUT_S):
--- a/src/cloverwalk/jobs/evidence.py
+++ b/src/cloverwalk/jobs/evidence.py
@@ -16,11 +16,10 @@
 
 @attrs.frozen
 class Impossible:
-    """A replica answered that the item can never be done."""
+    """A replica answered this item's run, whole and signed, that it can never be done."""
 
     reason: ClassVar[str] = "impossible"
     replica: str
-    status: int
 
 
 @attrs.frozen
--- a/src/cloverwalk/jobs/item_call.py
+++ b/src/cloverwalk/jobs/item_call.py
@@ -6,7 +6,7 @@
 from msgspec import Struct
 
 from cloverwalk.gateway.errors import SILENT, ReplicaError
-from cloverwalk.gateway.event_stream import EventSplitter
+from cloverwalk.gateway.event_stream import EventOrder, EventSplitter, StreamEvent
 from cloverwalk.gateway.messages import (
     ClientRequest,
     GatewayCodec,
@@ -22,10 +22,11 @@
 """Nobody waits for single events of an item: what has come in this time is taken at once. A slot is
 given back so much later at the most, 2 in 100 of an item's time."""
 
+REPLACEMENT = "\ufffd"
+"""Stands in an event's data for bytes that are no UTF-8."""
+
 ANSWER_SILENCE_S = 3.0
 EVENT_SILENCE_S = 1.5
-UNPROCESSABLE = 422
-INTERNAL_ERROR = 500
 
 
 class ItemFailedError(Exception):
@@ -36,6 +37,10 @@
     """The replica says that the item can never be done."""
 
 
+FAILURES: dict[int, type[Exception]] = {422: ItemImpossibleError, 500: ItemFailedError}
+"""What a replica's whole and signed answer with this status says of an item."""
+
+
 class ItemCaller(Struct):
     """What a run of an item needs."""
 
@@ -55,7 +60,8 @@
 
         Raises ReplicaError when the run broke off, ItemFailedError or ItemImpossibleError.
         """
-        connection = await self.pool.acquire((replica.host, replica.port))
+        address = (replica.host, replica.port)
+        connection = await self.pool.acquire(address, one.item.item_id)
         is_kept = False
         try:
             if self.directory.find(replica.replica_id) is None:
@@ -93,15 +99,23 @@
             raise ReplicaError("no answer in time", True, SILENT) from error
         if head.fields.was_not_run:
             raise ReplicaError(f"the replica answered {head.status}", False, "not_run")
-        if head.status == UNPROCESSABLE and head.fields.is_signed:
-            raise ItemImpossibleError
-        if head.status == INTERNAL_ERROR and head.fields.is_signed:
-            raise ItemFailedError
+        if head.status in FAILURES and head.fields.is_signed:
+            await self._read_failure(connection)
+            raise FAILURES[head.status]
         if head.status != 200 or not head.fields.is_signed:
             raise ReplicaError(f"the replica answered {head.status}", True, "unusable")
         await self._take_events(job, one, connection, on_output)
         return head.fields.keep_alive_s
 
+    async def _read_failure(self, connection: ReplicaConnection) -> None:
+        """Read the body of a failure to its end: one that was cut says nothing of the item."""
+        try:
+            async with curio.timeout_after(ANSWER_SILENCE_S):
+                while await connection.read_body() is not None:
+                    pass
+        except curio.TaskTimeout as error:
+            raise ReplicaError("the failure did not end in time", True, SILENT) from error
+
     def _request(self, job: JobRun, one: ItemRun) -> ClientRequest:
         headers = _raw_headers(one)
         names = {name.lower() for name, _ in headers}
@@ -127,14 +141,14 @@
         on_output: Callable[[], None],
     ) -> None:
         splitter = EventSplitter()
+        order = EventOrder(one.last_event_id)
         while (data := await self._next_data(connection)) is not None:
             try:
                 events = splitter.feed(data)
+                for event in events:
+                    _take_event(job, one, order, event)
             except ValueError as error:
                 raise ReplicaError(str(error), True, "invalid_stream") from error
-            for event in events:
-                if not job.take_event(one, event.event_id, event.data):
-                    raise ReplicaError("an event is missing", True, "invalid_stream")
             if events:
                 on_output()
             await curio.sleep(READ_EVERY_S)
@@ -150,5 +164,17 @@
             raise ReplicaError("the stream fell silent", True, SILENT) from error
 
 
+def _take_event(job: JobRun, one: ItemRun, order: EventOrder, event: StreamEvent) -> None:
+    """Add an event to a run. Raises ValueError when it does not belong there."""
+    if event.event_id is None:
+        raise ValueError("an event has no id")
+    if REPLACEMENT in event.data:
+        # It is the replica's own character, or stands for bytes that are no text.
+        event.raw.decode("utf-8")
+    order.take(event.event_id)
+    if not job.take_event(one, event.event_id, event.data):
+        raise ValueError("an event is missing")
+
+
 def _raw_headers(one: ItemRun) -> RawHeaders:
     return [(name.encode(), value.encode()) for name, value in one.item.headers]
--- a/src/cloverwalk/jobs/runner.py
+++ b/src/cloverwalk/jobs/runner.py
@@ -14,12 +14,7 @@
 from cloverwalk.gateway.replicas import Replica, ReplicaDirectory
 from cloverwalk.gateway.selection import reading_ms
 from cloverwalk.jobs.evidence import Impossible, ItemEnd, RouteWatch, past_retention
-from cloverwalk.jobs.item_call import (
-    UNPROCESSABLE,
-    ItemCaller,
-    ItemFailedError,
-    ItemImpossibleError,
-)
+from cloverwalk.jobs.item_call import ItemCaller, ItemFailedError, ItemImpossibleError
 from cloverwalk.jobs.order import WaitingItem, summarise
 from cloverwalk.jobs.pace import ItemPace
 from cloverwalk.jobs.run import ItemRun, JobRun, Phase
@@ -312,7 +307,7 @@
             job.succeed(one)
             outcome = "succeeded"
         except ItemImpossibleError:
-            job.end(one, Impossible(replica.replica_id, UNPROCESSABLE))
+            job.end(one, Impossible(replica.replica_id))
             outcome = "impossible"
         except ItemFailedError:
             job.fail(one, self._clock() + RETRY_S)
--- /dev/null
+++ b/tests/serving/test_replica_answers.py
@@ -0,0 +1,600 @@
+"""Answers in excess, late, cut, without length or garbled: each reaches its own request or none."""
+
+import itertools
+from collections.abc import Iterator
+from enum import Enum
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from msgspec import Struct
+from scripted_replica import (
+    TEST_LIMIT_S,
+    Call,
+    Callers,
+    End,
+    Framing,
+    Outcome,
+    RecordedReply,
+    ScriptedReplica,
+    Step,
+    against,
+    answer,
+    end,
+    event,
+    item_job,
+    readable,
+)
+
+from cloverwalk.gateway import answer_relay, replica_connection
+from cloverwalk.gateway.answer_relay import MAX_BUFFERED_ANSWER_BYTES
+from cloverwalk.gateway.errors import ReplicaError
+from cloverwalk.gateway.replica_connection import SEND_IN_LINE_BYTES, ReplicaConnection
+from cloverwalk.jobs import item_call
+from cloverwalk.platform import names
+
+
+@pytest.fixture(autouse=True, scope="module")
+def no_limit_of_time_decides() -> Iterator[None]:
+    with pytest.MonkeyPatch.context() as patch:
+        patch.setattr(item_call, "READ_EVERY_S", 0.0)
+        patch.setattr(replica_connection, "CONNECT_TIMEOUT_S", TEST_LIMIT_S)
+        for module, name in (
+            (item_call, "ANSWER_SILENCE_S"),
+            (item_call, "EVENT_SILENCE_S"),
+            (answer_relay, "FIRST_EVENT_SILENCE_S"),
+            (answer_relay, "EVENT_SILENCE_S"),
+        ):
+            patch.setattr(module, name, TEST_LIMIT_S)
+        yield
+
+
+LONG_BODY_BYTES = 16_000_000
+"""More than the kernel takes for a replica that does not read."""
+
+LONG_ANSWER_BYTES = MAX_BUFFERED_ANSWER_BYTES + 100_000
+
+
+def test_a_reset_that_the_sending_of_the_request_meets_ends_no_answer() -> None:
+    def script(call: Call) -> list[Step]:
+        return [answer(call.request_id, b"half of the", Framing.UNTIL_CLOSE)]
+
+    async def test(replica: ScriptedReplica, callers: Callers) -> None:
+        connection = await callers.acquire("a")
+        await callers.send(connection, "a", size=LONG_BODY_BYTES)
+        await connection.read_head("a")
+        assert await connection.read_body() == b"half of the"
+        await end(replica.clients[0], End.RESET)
+        # The kernel tells a reset once; here the sender is told.
+        await connection._sender.wait()
+        with pytest.raises(ReplicaError):
+            await connection.read_body()
+        await connection.close()
+
+    against(script, test, reads_bodies=False)
+
+
+def test_an_item_does_not_fail_by_an_answer_that_was_cut() -> None:
+    cases = list(itertools.product((422, 500), (Framing.LENGTH, Framing.CHUNKED), End))
+
+    def script(call: Call) -> list[Step]:
+        status, framing, way = cases[call.connection]
+        return [answer(call.request_id, b"it failed", framing, status)[:-3], way]
+
+    async def test(replica: ScriptedReplica, callers: Callers) -> None:
+        for _ in cases:
+            assert await callers.run_item(*item_job()) in ("not_http", "reset")
+
+    against(script, test)
+
+
+def test_a_second_answer_to_an_earlier_run_of_an_item_is_not_taken_for_the_present_one() -> None:
+    for status in (200, 422, 500):
+        late = answer("item-1", event(1, "late") + event(2, "late"), status=status)
+        check_late_second_answer(late)
+
+
+def check_late_second_answer(late: bytes) -> None:
+    def script(call: Call) -> list[Step]:
+        events = event(1, "own") if call.last_event_id is None else b""
+        own = answer(call.request_id, events + event(2, "own"))
+        return [own] if call.turn == 0 else [late, own]
+
+    async def test(replica: ScriptedReplica, callers: Callers) -> None:
+        assert await callers.run_item(*item_job()) == "succeeded"
+        # The job is taken over again, with what was saved of its output.
+        job, one = item_job()
+        assert job.take_event(one, 1, "own")
+        assert await callers.run_item(job, one) == "succeeded"
+        assert one.texts == ["own", "own"]
+
+    against(script, test)
+
+
+def test_an_answer_is_not_skipped_where_its_end_is_told_by_its_request() -> None:
+    # The body of the late answer reads like an answer to the request that is due.
+    late = answer("a", answer("b", b""))
+
+    def script(call: Call) -> list[Step]:
+        return [answer("a", b"own")] if call.turn == 0 else [late, answer("b", b""), End.FIN]
+
+    async def test(replica: ScriptedReplica, callers: Callers) -> None:
+        assert (await callers.exchange("a")).body == b"own"
+        outcome = await callers.exchange("b", method="HEAD")
+        assert (outcome.body, outcome.code) == (None, "foreign_answer")
+
+    against(script, test)
+
+
+def test_the_skipping_of_an_answer_ends_whatever_the_method_is() -> None:
+    def script(call: Call) -> list[Step]:
+        return [answer("a", b"own")] if call.turn == 0 else [answer("a", b"late"), End.FIN]
+
+    async def test(replica: ScriptedReplica, callers: Callers) -> None:
+        await callers.exchange("a")
+        assert (await callers.exchange("b", method="CONNECT")).code == "foreign_answer"
+
+    against(script, test)
+
+
+def test_a_connection_is_not_kept_after_a_request_that_frames_its_answer() -> None:
+    def script(call: Call) -> list[Step]:
+        return [answer(call.request_id, b"")]
+
+    async def test(replica: ScriptedReplica, callers: Callers) -> None:
+        for request_id in ("a", "b"):
+            assert (await callers.exchange(request_id, method="HEAD")).body == b""
+        assert [call.connection for call in replica.calls] == [0, 1]
+
+    against(script, test)
+
+
+def test_an_answer_with_two_lengths_is_none() -> None:
+    two = answer("a", b"whole", Framing.CHUNKED, more=((b"Content-Length", b"3"),))
+
+    def script(call: Call) -> list[Step]:
+        return [two]
+
+    async def test(replica: ScriptedReplica, callers: Callers) -> None:
+        outcome = await callers.exchange("a")
+        assert (outcome.body, outcome.code) == (None, "not_http")
+
+    against(script, test)
+
+
+def test_a_long_answer_that_was_cut_is_not_continued_by_another_one() -> None:
+    body = bytes(LONG_ANSWER_BYTES)
+    cut = answer("a", body, Framing.CHUNKED, status=404).removesuffix(b"0\r\n\r\n")
+
+    def script(call: Call) -> list[Step]:
+        return [answer("a", event(1, "1"))] if call.connection else [cut, End.FIN]
+
+    async def test(replica: ScriptedReplica, callers: Callers) -> None:
+        reply = RecordedReply()
+        assert await callers.relay("a", reply) == "broken_off"
+        assert reply.seen() == (body, False)
+
+    against(script, test)
+
+
+def test_a_run_that_does_not_go_on_where_it_was_asked_to_is_not_joined() -> None:
+    first, rest = event(1, "own"), event(2, "own") + event(3, "own")
+    anew = event(1, "anew") + event(2, "anew") + event(3, "anew")
+    bodies = [answer("a", first + rest)[:-30], answer("a", anew), answer("a", rest)]
+
+    def script(call: Call) -> list[Step]:
+        own = bodies[call.connection % 3].replace(b": a\r\n", f": {call.request_id}\r\n".encode())
+        return [own, End.FIN]
+
+    async def test(replica: ScriptedReplica, callers: Callers) -> None:
+        reply = RecordedReply()
+        assert await callers.relay("a", reply) == "answered"
+        assert reply.seen() == (first + rest, True)
+        job, one = item_job()
+        outcomes = [await callers.run_item(job, one) for _ in range(3)]
+        assert outcomes == ["not_http", "invalid_stream", "succeeded"]
+        assert one.texts == ["own"] * 3
+
+    against(script, test)
+
+
+def test_an_event_whose_id_is_garbled_is_not_passed_on_twice() -> None:
+    whole = event(1, "1") + event(2, "2") + event(3, "3")
+
+    def script(call: Call) -> list[Step]:
+        if call.last_event_id is None:
+            return [answer("a", whole.replace(b"id: 2", b"id: \xf62"))]
+        return [answer("a", event(2, "2") + event(3, "3"))]
+
+    async def test(replica: ScriptedReplica, callers: Callers) -> None:
+        reply = RecordedReply()
+        assert await callers.relay("a", reply) == "answered"
+        assert reply.seen() == (whole, True)
+
+    against(script, test)
+
+
+def test_events_that_came_with_one_out_of_order_are_not_lost() -> None:
+    whole = event(1, "1") + event(2, "2") + event(3, "3")
+
+    def script(call: Call) -> list[Step]:
+        if call.last_event_id is None:
+            return [answer("a", whole.replace(event(2, "2"), b""))]
+        return [answer("a", whole[len(event(1, "1")) * call.last_event_id :])]
+
+    async def test(replica: ScriptedReplica, callers: Callers) -> None:
+        reply = RecordedReply()
+        outcome = await callers.relay("a", reply)
+        body, is_whole = reply.seen()
+        assert whole.startswith(body)
+        assert is_whole == (outcome == "answered")
+
+    against(script, test)
+
+
+def test_an_answer_with_two_ids_or_signatures_is_that_of_no_request() -> None:
+    fields = {"a": (names.REQUEST_ID, b"other"), "b": (names.SIGNATURE, b"other")}
+    item = answer("item-1", b"", status=422, more=((names.REQUEST_ID, b"a"),))
+
+    def script(call: Call) -> list[Step]:
+        if call.request_id == "item-1":
+            return [item, End.FIN]
+        return [answer(call.request_id, b"x", status=422, more=(fields[call.request_id],)), End.FIN]
+
+    async def test(replica: ScriptedReplica, callers: Callers) -> None:
+        assert (await callers.exchange("a")).body is None
+        connection = await callers.acquire("b")
+        await callers.send(connection, "b")
+        assert not (await connection.read_head("b")).fields.is_signed
+        await connection.close()
+        assert await callers.run_item(*item_job()) == "not_http"
+
+    against(script, test)
+
+
+def test_a_head_that_begins_with_a_part_of_another_is_none() -> None:
+    parts = [b"HTTP/1.1 422 ", b"HTTP/1.1 422 Some-Reason\r\nContent-Type: te"]
+
+    def script(call: Call) -> list[Step]:
+        own = answer(call.request_id, b"own")
+        return [own] if call.turn == 0 else [parts[call.connection], own, End.FIN]
+
+    async def test(replica: ScriptedReplica, callers: Callers) -> None:
+        for number, _ in enumerate(parts):
+            assert (await callers.exchange(f"first-{number}")).body == b"own"
+            assert (await callers.exchange(f"second-{number}")).code == "not_http"
+
+    against(script, test)
+
+
+def test_what_came_before_the_first_request_is_no_answer_to_it() -> None:
+    def script(call: Call) -> list[Step]:
+        return [answer(call.request_id, b"own")]
+
+    async def test(replica: ScriptedReplica, callers: Callers) -> None:
+        replica.greeting = answer(None, b"to nobody")
+        connection = await callers.acquire("a")
+        await readable(connection)
+        with pytest.raises(ReplicaError) as caught:
+            await callers.send(connection, "a")
+        assert not caught.value.may_have_run
+        await connection.close()
+        assert replica.calls == []
+
+    against(script, test)
+
+
+def test_a_stream_whose_ids_fall_is_not_whole() -> None:
+    garbled = event(1, "1") + event(2, "2") + event(1, "3")
+
+    def script(call: Call) -> list[Step]:
+        return [answer(call.request_id, garbled), End.FIN]
+
+    async def test(replica: ScriptedReplica, callers: Callers) -> None:
+        reply = RecordedReply()
+        assert await callers.relay("a", reply) == "invalid_stream"
+        assert not reply.seen()[1]
+        assert await callers.run_item(*item_job()) == "invalid_stream"
+
+    against(script, test)
+
+
+def test_an_item_has_no_text_of_bytes_that_are_none() -> None:
+    own = event(1, "caf\u00e9 \ufffd")
+    garbled = own.replace("\u00e9".encode(), b"\xe9")
+
+    def script(call: Call) -> list[Step]:
+        return [answer(call.request_id, garbled if call.connection == 0 else own), End.FIN]
+
+    async def test(replica: ScriptedReplica, callers: Callers) -> None:
+        job, one = item_job()
+        assert await callers.run_item(job, one) == "invalid_stream"
+        assert await callers.run_item(job, one) == "succeeded"
+        assert one.texts == ["caf\u00e9 \ufffd"]
+
+    against(script, test)
+
+
+def test_a_connection_that_ended_with_its_answer_does_not_rest() -> None:
+    def script(call: Call) -> list[Step]:
+        return [answer(call.request_id, b"own", Framing.UNTIL_CLOSE), End.FIN]
+
+    async def test(replica: ScriptedReplica, callers: Callers) -> None:
+        assert (await callers.exchange("a")).body == b"own"
+        assert callers.resting() == []
+
+    against(script, test)
+
+
+# --- any bytes, any cut, any order ---
+
+INTERIM = b"HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n"
+EVENTS = 4
+MOST_RUNS = 3
+EXAMPLES = 300
+SIZES = [0, 1, 2 * SEND_IN_LINE_BYTES]
+"""Bytes of a request's body; the longest are sent beside the reading of the answer."""
+
+
+class Spoilt(Struct, frozen=True):
+    """One answer to a request: how its body ends, where it is cut, and what comes before it."""
+
+    framing: Framing
+    body: bytes
+    splits: tuple[int, ...]
+    """Places at which the bytes are sent apart."""
+
+    cut: int | None
+    """Bytes after which the connection ends; None: all are sent."""
+
+    way: End
+    has_interim: bool
+    """Whether an interim answer comes first."""
+
+
+class When(Enum):
+    """When an answer in excess comes."""
+
+    WITH_THE_FIRST = "in the same bytes"
+    AT_REST = "while the connection rests"
+    BEFORE_SENDING = "after the connection was taken, before the request was sent"
+    IN_PLACE = "when the next answer is due"
+
+
+bodies = st.binary(max_size=24)
+answers = st.builds(
+    Spoilt,
+    st.sampled_from(Framing),
+    bodies,
+    st.lists(st.integers(1, 200), max_size=3).map(tuple),
+    st.none() | st.integers(0, 260),
+    st.sampled_from(End),
+    st.booleans(),
+)
+excess_ids = st.sampled_from([("a",), (None,), ("",), ("a, b",), ("a", "b"), ("b", "a")])
+excess_answers = st.builds(
+    lambda ids, body, framing, status, more: answer(
+        ids[0],
+        b"excess" + body,
+        framing,
+        status,
+        (*((names.REQUEST_ID, one.encode()) for one in ids[1:]), *more),
+    ),
+    excess_ids,
+    bodies,
+    st.sampled_from([Framing.LENGTH, Framing.CHUNKED]),
+    st.sampled_from([200, 204, 304, 404, 422, 500]),
+    st.sampled_from([(), ((b"Connection", b"close"),)]),
+)
+excesses = st.builds(
+    lambda parts, cut: b"".join(parts)[:cut],
+    st.lists(excess_answers | bodies, min_size=1, max_size=3),
+    st.none() | st.integers(1, 300),
+)
+
+
+def whole_body(request_id: str, spoilt: Spoilt) -> bytes:
+    return request_id.encode() + b":" + spoilt.body
+
+
+def whole_bytes(request_id: str, spoilt: Spoilt) -> bytes:
+    data = answer(request_id, whole_body(request_id, spoilt), spoilt.framing)
+    return (INTERIM if spoilt.has_interim else b"") + data
+
+
+def is_spoilt(request_id: str, spoilt: Spoilt) -> bool:
+    return spoilt.cut is not None and spoilt.cut < len(whole_bytes(request_id, spoilt))
+
+
+def steps(request_id: str, spoilt: Spoilt, is_last: bool = False) -> list[Step]:
+    """Return how an answer is sent; the connection ends where it must."""
+    data = whole_bytes(request_id, spoilt)
+    ends = is_last or spoilt.framing is Framing.UNTIL_CLOSE or is_spoilt(request_id, spoilt)
+    data = data[: spoilt.cut]
+    places = [0, *sorted(one for one in set(spoilt.splits) if one < len(data)), len(data)]
+    pieces: list[Step] = [data[one:other] for one, other in itertools.pairwise(places)]
+    return [*pieces, spoilt.way] if ends else pieces
+
+
+def check_outcome(request_id: str, spoilt: Spoilt, outcome: Outcome, is_clean: bool) -> None:
+    """An answer is the request's own and whole, or none."""
+    own = whole_body(request_id, spoilt)
+    if outcome.body is None:
+        assert not is_clean, outcome
+        return
+    assert outcome.status == 200
+    if spoilt.framing is not Framing.UNTIL_CLOSE:
+        assert outcome.body == own
+        return
+    # An answer without length is whole at the end of its connection, unless that is a reset.
+    assert spoilt.way is End.FIN
+    assert own.startswith(outcome.body)
+
+
+@settings(max_examples=EXAMPLES)
+@given(answers, answers, excesses | st.none(), st.sampled_from(When), st.sampled_from(SIZES))
+def test_no_bytes_of_one_request_reach_another_and_nothing_cut_looks_whole(
+    first: Spoilt, second: Spoilt, excess: bytes | None, when: When, size: int
+) -> None:
+    def script(call: Call) -> list[Step]:
+        if call.request_id == "b":
+            before = [excess] if excess and when is When.IN_PLACE and call.turn > 0 else []
+            return [*before, *steps("b", second, is_last=True)]
+        *begin, last = steps("a", first)
+        if excess and when is When.WITH_THE_FIRST and isinstance(last, bytes):
+            return [*begin, last + excess]
+        return [*begin, last]
+
+    async def test(replica: ScriptedReplica, callers: Callers) -> None:
+        outcome = await callers.exchange("a", size=size)
+        is_clean = not is_spoilt("a", first) and first.way is End.FIN
+        check_outcome("a", first, outcome, is_clean)
+        idle = callers.resting()
+        if excess and when is When.WITH_THE_FIRST:
+            assert not idle
+        if excess and idle and when is When.AT_REST:
+            await replica.clients[0].sendall(excess)
+            await readable(idle[0])
+
+        async def before_send(connection: ReplicaConnection) -> None:
+            if excess and connection in idle and when is When.BEFORE_SENDING:
+                await replica.clients[0].sendall(excess)
+                await readable(connection)
+
+        outcome = await callers.exchange("b", before_send, size=size)
+        if excess and when is When.AT_REST:
+            assert replica.calls[-1].connection > 0
+        is_untouched = not excess or replica.calls[-1].connection > 0
+        is_clean = not is_spoilt("b", second) and second.way is End.FIN and is_untouched
+        check_outcome("b", second, outcome, is_clean)
+
+    against(script, test)
+
+
+class Run(Struct, frozen=True):
+    """One run of a stream: what is wrong with it, and where it is cut."""
+
+    framing: Framing
+    cut: int | None
+    way: End
+    garbled: int | None
+    """Event that is garbled; None: none is. The first is not given another number: which one a
+    stream begins with is not agreed."""
+
+    fault: bytes
+    """What stands in place of the garbled event's id."""
+
+    begins_anew: bool
+    splits: tuple[int, ...]
+
+
+any_run = st.builds(
+    Run,
+    st.sampled_from(Framing),
+    st.none() | st.integers(0, 330),
+    st.sampled_from(End),
+    st.none() | st.integers(1, EVENTS),
+    st.sampled_from([b"", b"id: x\n", b"id: \n", b"id: 9\n", b"id: 1\n", b"id: 3\r\n", b"\n"]),
+    st.booleans(),
+    st.lists(st.integers(1, 300), max_size=4).map(tuple),
+)
+
+
+def run_bytes(call: Call, number: int, run: Run) -> bytes:
+    """Return a run's bytes. Data of a run that ignores where it was to go on say so."""
+    is_anew = run.begins_anew and call.last_event_id is not None
+    begin = 0 if is_anew or call.last_event_id is None else call.last_event_id
+    events = [
+        event(one, f"anew {number}" if is_anew else f"own {one}")
+        for one in range(begin + 1, EVENTS + 1)
+    ]
+    if run.garbled is not None and begin < run.garbled:
+        place = run.garbled - begin - 1
+        _, _, rest = events[place].partition(b"\n")
+        is_number = run.garbled == 1 and run.fault.strip()[-1:].isdigit()
+        events[place] = (b"" if is_number else run.fault) + rest
+    return answer(call.request_id, b"".join(events), run.framing)
+
+
+def run_steps(call: Call, number: int, run: Run) -> list[Step]:
+    data = run_bytes(call, number, run)[: run.cut]
+    places = [0, *sorted(one for one in set(run.splits) if one < len(data)), len(data)]
+    return [*(data[one:other] for one, other in itertools.pairwise(places)), run.way]
+
+
+OWN_EVENTS = [event(number, f"own {number}") for number in range(1, EVENTS + 1)]
+three_runs = st.lists(any_run, min_size=MOST_RUNS, max_size=MOST_RUNS)
+
+
+def may_end_early(calls: list[Call], runs: list[Run]) -> bool:
+    """Whether the last run ended as one without length does, with its connection."""
+    call, number = calls[-1], len(calls) - 1
+    run = runs[number]
+    _, _, body = run_bytes(call, number, run)[: run.cut].partition(b"\r\n\r\n")
+    is_between_events = not body or body.endswith(b"\n\n")
+    return run.framing is Framing.UNTIL_CLOSE and run.way is End.FIN and is_between_events
+
+
+@settings(max_examples=EXAMPLES)
+@given(three_runs)
+def test_a_stream_has_each_event_once_and_looks_whole_only_at_its_end(runs: list[Run]) -> None:
+    def script(call: Call) -> list[Step]:
+        return run_steps(call, call.connection, runs[call.connection])
+
+    async def test(replica: ScriptedReplica, callers: Callers) -> None:
+        reply = RecordedReply()
+        outcome = await callers.relay("a", reply)
+        body, is_whole = reply.seen()
+        assert is_whole == (outcome == "answered")
+        *events, rest = body.split(b"\n\n")
+        assert rest == b""
+        assert [one + b"\n\n" for one in events] == OWN_EVENTS[: len(events)]
+        if is_whole and not may_end_early(replica.calls, runs):
+            assert len(events) == EVENTS
+
+    against(script, test)
+
+
+@settings(max_examples=EXAMPLES)
+@given(three_runs, st.sampled_from([422, 500]))
+def test_an_item_ends_only_by_whole_runs_of_its_own(runs: list[Run], status: int) -> None:
+    late = answer("item-1", b"late", status=status)
+
+    def script(call: Call) -> list[Step]:
+        own = run_steps(call, call.connection, runs[call.connection])
+        return [late, *own] if call.turn > 0 else own
+
+    async def test(replica: ScriptedReplica, callers: Callers) -> None:
+        job, one = item_job()
+        for number in range(MOST_RUNS):
+            outcome = await callers.run_item(job, one)
+            assert outcome not in ("impossible", "failed")
+            assert one.texts == [f"own {n + 1}" for n in range(len(one.texts))]
+            assert [call.connection for call in replica.calls] == [*range(number + 1)], outcome
+            if outcome == "succeeded":
+                assert len(one.texts) == EVENTS or may_end_early(replica.calls, runs)
+                return
+
+    against(script, test)
+
+
+@given(st.sampled_from([422, 500]), st.sampled_from(Framing), st.integers(0, 200), st.booleans())
+def test_an_item_fails_only_by_a_whole_answer(
+    status: int, framing: Framing, cut: int, is_reset: bool
+) -> None:
+    way = End.RESET if is_reset else End.FIN
+    whole = answer("item-1", b"it failed", framing, status)
+
+    def script(call: Call) -> list[Step]:
+        return [whole[:cut], way]
+
+    async def test(replica: ScriptedReplica, callers: Callers) -> None:
+        outcome = await callers.run_item(*item_job())
+        is_whole = cut >= len(whole)
+        has_head = cut >= whole.index(b"\r\n\r\n") + 4
+        if framing is Framing.UNTIL_CLOSE:
+            is_whole = has_head and way is End.FIN
+        said = "impossible" if status == 422 else "failed"
+        assert outcome == said if is_whole and not is_reset else outcome != said or is_whole
+
+    against(script, test)
