--- a/tests/serving/test_batch.py
+++ b/tests/serving/test_batch.py
@@ -70,6 +70,23 @@
     in_world(test)
 
 
+def test_items_have_the_attempts_of_the_route_in_force() -> None:
+    async def test(world: FleetWorld) -> None:
+        await world.start(replicas=1)
+        world.replicas[0].always = Misdeed.FAIL
+        assert (await world.hand_in("j", count=1)).status == 202
+        raised = route(
+            "jobs", "/jobs/", "batch", completion_target_ms=20000, retention_s=60, max_attempts=5
+        )
+        document = configuration(2, [raised])
+        world.store.put(names.OPERATOR_TABLE, names.CONFIGURATION_KEY, document)
+        results = await world.until_done("j", 1)
+        assert results[0]["state"] == "dead_letter"
+        assert len(world.replicas[0].arrivals) == 5
+
+    in_world(test)
+
+
 def test_an_ended_job_starts_nothing_more() -> None:
     async def test(world: FleetWorld) -> None:
         await world.start(replicas=1, nodes=2, events=500, event_s=0.02)
--- a/tests/serving/test_item_ends.py
+++ b/tests/serving/test_item_ends.py
@@ -277,6 +277,21 @@
     curio.run(main)
 
 
+def test_a_retention_that_was_raised_holds_for_jobs_that_wait() -> None:
+    async def main() -> None:
+        time = WorldTime(12.0)
+        owner = Owner("n1", SlowStore(time), time, configuration=1)
+        await owner.submit(submission("j"), batch_route())
+        await owner.run_job("j")
+        owner.know_routes(2, replace(batch_route(), retention_s=2 * RETENTION_S))
+        await owner.look_for(2 * RETENTION_S - LOOK_S)
+        assert owner.dead == {}
+        await owner.look_for(3 * LOOK_S)
+        assert len(owner.dead) == 3
+
+    curio.run(main)
+
+
 def test_the_log_tells_for_each_dead_item_the_reason_and_from_what(tmp_path: Path) -> None:
     async def main() -> None:
         log_path = tmp_path / "log"
--- a/tests/serving/test_store_health.py
+++ b/tests/serving/test_store_health.py
@@ -139,6 +139,21 @@
     assert 5000.0 <= estimate.latest_ms < 5010.0
 
 
+def test_a_machine_that_was_suspended_knows_the_time_again() -> None:
+    """Its steady clock stood still and the store's did not: the answer contradicts the bounds."""
+    now = HandClock(step_s=0.0)
+    time = StoreClock(Clock(now))
+    time.note(1000.0, asked_at_ms=time.steady_ms())
+    now.now += 1.0
+    time.note(32_000.0, asked_at_ms=time.steady_ms() - 4.0)
+    known = time.now()
+    assert known is not None
+    assert (known.earliest_ms, known.latest_ms) == (32_000.0, 32_004.0)
+    now.now += 1.0
+    time.note(1_000.0, asked_at_ms=time.steady_ms())
+    assert time.now() == exactly(1_000.0)
+
+
 @given(
     zero_ms=st.floats(-1e6, 1e6),
     calls=st.lists(
