What a newer version allows holds for jobs that wait; a contradicted clock is learnt anew

Cause, found by the review: a job kept the retention and the attempts of the version that took it, and a route without a retention had one of zero; the bounds of the store's time never let go, so a machine whose steady clock had stood still set its times early for hours (drift mends 30 s in 20 h, by calculation).

Change: the longer retention and the larger number of attempts of the two versions count; no retention is none; an answer that contradicts the bounds replaces them and is logged (612). Besides: a removal is logged only when it was done, and an answer of the store without a version is none.

--- a/src/cloverwalk/core/catalogue.py
+++ b/src/cloverwalk/core/catalogue.py
@@ -98,6 +98,9 @@
 FEED_BACK = _event(511, "feed_back", _I, "A table of the store is followed again.")
 HISTORY_LOST = _event(512, "history_lost", _W, "Changes of a table are gone; it is read anew.")
 CONFIGURATION_TAKEN = _event(610, "configuration_taken", _I, "A newer configuration is in force.")
+STORE_CLOCK_JUMPED = _event(
+    612, "store_clock_jumped", _W, "An answer of the store contradicts its time as known so far."
+)
 CONFIGURATION_INVALID = _event(611, "configuration_invalid", _E, "A configuration can't be read.")
 UNEXPECTED = _event(900, "unexpected", _E, "A fault in the program; please report it.")
 LINES_DROPPED = _event(902, "lines_dropped", _W, "Lines were left out, counted by number.")
--- a/src/cloverwalk/jobs/evidence.py
+++ b/src/cloverwalk/jobs/evidence.py
@@ -10,6 +10,7 @@
 
 import attrs
 
+from cloverwalk.gateway.configuration import Route
 from cloverwalk.jobs.records import JobRecord
 from cloverwalk.store.clock import StoreTime
 
@@ -64,11 +65,35 @@
 ItemEnd = Impossible | AttemptsUsed | PastRetention | RouteEnded
 
 
-def past_retention(record: JobRecord, time: StoreTime | None) -> PastRetention | None:
-    """Return the evidence that a job's items may be given up; none while the time is unknown."""
-    if time is None or time.earliest_ms <= record.give_up_ms:
+def past_retention(
+    record: JobRecord, route: Route | None, time: StoreTime | None
+) -> PastRetention | None:
+    """Return the evidence that a job's items may be given up; none while the time is unknown.
+
+    The longer of two retentions counts: of the version that took the job, and of ``route`` now.
+    """
+    if time is None:
+        return None
+    kept_ms = record.give_up_ms - record.accepted_ms
+    if route is not None:
+        kept_ms = max(kept_ms, route.retention_s * 1000)
+    give_up_ms = record.accepted_ms + kept_ms
+    is_kept_for_good = kept_ms <= 0
+    if is_kept_for_good or time.earliest_ms <= give_up_ms:
+        return None
+    return PastRetention(record.accepted_ms, give_up_ms, time.earliest_ms, time.width_ms)
+
+
+def attempts_used(
+    replica: str, failures: int, record: JobRecord, route: Route | None
+) -> AttemptsUsed | None:
+    """Return the evidence that an item has failed as often as it may, by either version."""
+    allowed = record.max_attempts
+    if route is not None:
+        allowed = max(allowed, route.max_attempts)
+    if failures < allowed:
         return None
-    return PastRetention(record.accepted_ms, record.give_up_ms, time.earliest_ms, time.width_ms)
+    return AttemptsUsed(replica, failures, allowed)
 
 
 @attrs.frozen
--- a/src/cloverwalk/jobs/run.py
+++ b/src/cloverwalk/jobs/run.py
@@ -9,7 +9,8 @@
 import msgspec
 from msgspec import Struct
 
-from cloverwalk.jobs.evidence import AttemptsUsed, ItemEnd
+from cloverwalk.gateway.configuration import Route
+from cloverwalk.jobs.evidence import ItemEnd, attempts_used
 from cloverwalk.jobs.records import ItemResult, ItemState, JobItem, JobRecord, PartialOutput
 
 MAX_GROUP = 24
@@ -136,13 +137,14 @@
         """A run came to its proper end."""
         self._finish(one, ItemState.SUCCEEDED, "\n".join(one.texts))
 
-    def fail(self, one: ItemRun, not_before: float) -> None:
-        """A run failed by its own fault."""
+    def fail(self, one: ItemRun, not_before: float, route: Route | None) -> None:
+        """A run failed by its own fault; ``route`` takes the job's items now."""
         one.failures += 1
-        if one.failures >= self.record.max_attempts:
-            self.end(one, AttemptsUsed(one.replica_id, one.failures, self.record.max_attempts))
-        else:
+        evidence = attempts_used(one.replica_id, one.failures, self.record, route)
+        if evidence is None:
             self.suspend(one, not_before)
+        else:
+            self.end(one, evidence)
 
     def end(self, one: ItemRun, evidence: ItemEnd) -> None:
         """An item is ended without a result, for a reason that is allowed."""
--- a/src/cloverwalk/jobs/runner.py
+++ b/src/cloverwalk/jobs/runner.py
@@ -203,7 +203,8 @@
 
     def _end_of_all(self, job: JobRun) -> ItemEnd | None:
         """Return what ends every unfinished item of a job, if anything does."""
-        return past_retention(job.record, self._store_time()) or self._end_of_route(job)
+        over = past_retention(job.record, self._route(job), self._store_time())
+        return over or self._end_of_route(job)
 
     def _end_of_route(self, job: JobRun) -> ItemEnd | None:
         if self._configuration.current is None or self._route(job) is not None:
@@ -310,7 +311,7 @@
             job.end(one, Impossible(replica.replica_id))
             outcome = "impossible"
         except ItemFailedError:
-            job.fail(one, self._clock() + RETRY_S)
+            job.fail(one, self._clock() + RETRY_S, self._route(job))
             outcome = "failed"
         except ReplicaError as error:
             outcome = error.code
--- a/src/cloverwalk/jobs/sweeper.py
+++ b/src/cloverwalk/jobs/sweeper.py
@@ -88,7 +88,9 @@
         # The record goes last: while it is there, the rest is found again.
         key = job_key(job_id)
         transaction = Transaction([Expectation(key, known.version)], removals=[key])
-        await self._committer.once(transaction)
+        outcome = await self._committer.once(transaction)
+        if outcome.status is not CommitStatus.COMMITTED:
+            return
         self._log.write(catalogue.JOB_REMOVED, job=job_id, **attrs.asdict(evidence))
 
     async def _keys(self, table: str, job_id: str) -> list[RowKey]:
--- a/src/cloverwalk/platform/store_client.py
+++ b/src/cloverwalk/platform/store_client.py
@@ -42,8 +42,10 @@
 
 
 class _RowsAnswer(Struct):
+    ver: int
+    """Named by each answer about rows: a body without it is none, and says nothing of rows."""
+
     rows: list[_WireRow] = []
-    ver: int = 0
     now_ms: float | None = None
     more: bool = False
 
--- a/src/cloverwalk/serving/node.py
+++ b/src/cloverwalk/serving/node.py
@@ -84,12 +84,15 @@
         self._directory = self._knowledge.directory
         self._loads = LoadBook()
         self._health = StoreHealth(Clock(self._clock))
-        self._store_clock = StoreClock(Clock(self._clock))
+        self._store_clock = StoreClock(Clock(self._clock), self._note_store_clock)
         self._store = WatchedStore(
             self._adapter.store(self._settings), self._health, self._store_clock
         )
         self._pool = ReplicaPool(self._adapter.codec, self._clock)
 
+    def _note_store_clock(self, jump_ms: float) -> None:
+        self._log.write(catalogue.STORE_CLOCK_JUMPED, jump_ms=round(jump_ms, 1))
+
     def _build_fleet(self) -> None:
         self._fleet = FleetParts(
             self._settings,
--- a/src/cloverwalk/store/clock.py
+++ b/src/cloverwalk/store/clock.py
@@ -1,5 +1,7 @@
 """The store's time at this node, as its answers tell it."""
 
+from collections.abc import Callable
+
 import attrs
 
 from cloverwalk.core.clock import Clock
@@ -27,16 +29,23 @@
         return self.latest_ms - self.earliest_ms
 
 
+def _ignore(_jump_ms: float) -> None:
+    """Tell nobody."""
+
+
 class StoreClock:
     """Estimates the store's time between its answers. It is unknown before the first one.
 
     The store reads its clock after a call was sent and before its answer is read, so each answer
     bounds the difference of the two clocks on both sides. The closest bounds are kept, less what
-    the clocks may have drifted since.
+    the clocks may have drifted since. An answer that contradicts them shows that a clock stood
+    still or was set, as of a machine that was suspended: it alone counts then, and ``on_jump`` is
+    told by how much (ms).
     """
 
-    def __init__(self, clock: Clock) -> None:
+    def __init__(self, clock: Clock, on_jump: Callable[[float], None] = _ignore) -> None:
         self._clock = clock
+        self._on_jump = on_jump
         self._least_ahead_ms = float("-inf")
         self._most_ahead_ms = float("inf")
         self._told_at_ms: float | None = None
@@ -48,12 +57,17 @@
     def note(self, store_ms: float, asked_at_ms: float) -> None:
         """Take the time that the answer to a call sent at ``asked_at_ms`` (steady) told."""
         at_ms = self._clock.now_ms()
+        least_ms, most_ms = store_ms - at_ms, store_ms - asked_at_ms
         if self._told_at_ms is not None:
             drift_ms = MOST_DRIFT * (at_ms - self._told_at_ms)
             self._least_ahead_ms -= drift_ms
             self._most_ahead_ms += drift_ms
-        self._least_ahead_ms = max(self._least_ahead_ms, store_ms - at_ms)
-        self._most_ahead_ms = min(self._most_ahead_ms, store_ms - asked_at_ms)
+        jump_ms = max(least_ms - self._most_ahead_ms, self._least_ahead_ms - most_ms)
+        if jump_ms > 0:
+            self._on_jump(jump_ms)
+            self._least_ahead_ms, self._most_ahead_ms = least_ms, most_ms
+        self._least_ahead_ms = max(self._least_ahead_ms, least_ms)
+        self._most_ahead_ms = min(self._most_ahead_ms, most_ms)
         self._told_at_ms = at_ms
 
     def now(self) -> StoreTime | None:
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -458,8 +458,8 @@
     Mutant(
         "serving: an item is tried without end",
         "jobs/run.py",
-        "        if one.failures >= self.record.max_attempts:",
-        "        if False:",
+        "        if evidence is None:",
+        "        if True:",
         BATCH + "test_items_that_can_not_be_done_are_dead_after_their_attempts",
     ),
     Mutant(
@@ -740,8 +740,8 @@
     Mutant(
         "serving: retention is over by the most that the store's time can be",
         "jobs/evidence.py",
-        "    if time is None or time.earliest_ms <= record.give_up_ms:",
-        "    if time is None or time.latest_ms <= record.give_up_ms:",
+        "    if is_kept_for_good or time.earliest_ms <= give_up_ms:",
+        "    if is_kept_for_good or time.latest_ms <= give_up_ms:",
         ITEM_ENDS + "test_a_new_owner_that_knows_the_time_roughly_gives_nothing_up_early",
     ),
     Mutant(
@@ -751,6 +751,42 @@
         "        confirmed_ms = now_ms - since_ms",
         ITEM_ENDS + "test_a_route_that_an_older_configuration_lacks_has_not_ended",
     ),
+    Mutant(
+        "serving: a record's age is counted from the least that the store's time can be",
+        "jobs/intake.py",
+        "            accepted_ms=time.latest_ms,",
+        "            accepted_ms=time.earliest_ms,",
+        ITEM_ENDS
+        + "test_a_job_is_kept_for_its_retention_whenever_its_process_first_heard_the_store",
+    ),
+    Mutant(
+        "serving: the time of the store is kept against an answer that contradicts it",
+        "store/clock.py",
+        "        if jump_ms > 0:",
+        "        if False:",
+        HEALTH + "test_a_machine_that_was_suspended_knows_the_time_again",
+    ),
+    Mutant(
+        "serving: a job keeps the retention of the version that took it",
+        "jobs/evidence.py",
+        "        kept_ms = max(kept_ms, route.retention_s * 1000)",
+        "        pass",
+        ITEM_ENDS + "test_a_retention_that_was_raised_holds_for_jobs_that_wait",
+    ),
+    Mutant(
+        "serving: a job keeps the attempts of the version that took it",
+        "jobs/evidence.py",
+        "        allowed = max(allowed, route.max_attempts)",
+        "        pass",
+        BATCH + "test_items_have_the_attempts_of_the_route_in_force",
+    ),
+    Mutant(
+        "serving: no retention is one of zero",
+        "jobs/evidence.py",
+        "    is_kept_for_good = kept_ms <= 0",
+        "    is_kept_for_good = False",
+        ITEM_ENDS + "test_a_route_that_tells_no_retention_gives_nothing_up",
+    ),
     Mutant(
         "serving: a route has ended with the first look without it",
         "jobs/evidence.py",
@@ -775,8 +811,8 @@
     Mutant(
         "serving: the time of the store is set back by an answer that lay unread",
         "store/clock.py",
-        "max(self._least_ahead_ms, store_ms - at_ms)",
-        "store_ms - at_ms",
+        "max(self._least_ahead_ms, least_ms)",
+        "least_ms",
         HEALTH + "test_an_answer_that_lay_unread_does_not_set_the_time_back",
     ),
     Mutant(
--- a/tests/serving/test_item_ends.py
+++ b/tests/serving/test_item_ends.py
@@ -292,6 +292,20 @@
     curio.run(main)
 
 
+def test_a_route_that_tells_no_retention_gives_nothing_up() -> None:
+    async def main() -> None:
+        time = WorldTime(12.0)
+        owner = Owner("n1", SlowStore(time), time, configuration=1)
+        untold = replace(batch_route(), retention_s=0.0)
+        owner.know_routes(2, untold)
+        await owner.submit(submission("j"), untold)
+        await owner.run_job("j")
+        await owner.look_for(2 * RETENTION_S)
+        assert owner.dead == {}
+
+    curio.run(main)
+
+
 def test_the_log_tells_for_each_dead_item_the_reason_and_from_what(tmp_path: Path) -> None:
     async def main() -> None:
         log_path = tmp_path / "log"
