Log how long a start takes, stage by stage; table over a fleet

Each process now writes two lines: `node_ready` (first answer and first refusal of the store, first datagram of a peer, coordinator, configuration and replicas with their source) and `first_request_placed`, in milliseconds since the process began. Readiness asks whether the list of replicas is empty without sorting it.

No change of behaviour; no figures yet.

--- a/src/cloverwalk/cli/report.py
+++ b/src/cloverwalk/cli/report.py
@@ -7,10 +7,12 @@
 
 from cloverwalk.cli.api import json_option, print_json
 from cloverwalk.cli.errors import EXIT_USAGE, CommandError
+from cloverwalk.telemetry.starts import StageTimes, stages_of
 from cloverwalk.telemetry.story import LogLine, parse_line
 from cloverwalk.telemetry.timeline import NINETY_FIFTH, Second, timeline_of
 
 HEAD = "second  answered  first p50 ms  p95 ms  online  batch  unlisted  given up"
+STARTS_HEAD = f"{'stage':32}  starts  p50 ms  p95 ms  last ms"
 
 
 @click.command()
@@ -22,8 +24,9 @@
     type=click.Path(path_type=Path, dir_okay=False),
     help="Also write a picture (PNG) here; needs matplotlib.",
 )
+@click.option("--starts", is_flag=True, help="Tell how long starts of processes took instead.")
 @json_option
-def report(logs: tuple[Path, ...], plot: Path | None, as_json: bool) -> None:
+def report(logs: tuple[Path, ...], plot: Path | None, starts: bool, as_json: bool) -> None:
     """Tell second by second what a fleet did, from the logs of its nodes.
 
     Answers and their first events, work in flight at replicas, items that wait for their
@@ -35,6 +38,9 @@
     for path in logs:
         with path.open(encoding="utf-8", errors="replace") as file:
             lines += [line for text in file if (line := parse_line(text)) is not None]
+    if starts:
+        _show_starts(stages_of(lines), as_json)
+        return
     seconds = timeline_of(lines)
     if not seconds:
         raise CommandError("the files hold no log line of a node", EXIT_USAGE, "not_logged")
@@ -48,6 +54,30 @@
         click.echo(_row(one))
 
 
+def _show_starts(stages: list[StageTimes], as_json: bool) -> None:
+    if not stages:
+        raise CommandError("the files hold no start of a node", EXIT_USAGE, "not_logged")
+    if as_json:
+        print_json([_stage_document(one) for one in stages])
+        return
+    click.echo(STARTS_HEAD)
+    for one in stages:
+        click.echo(
+            f"{one.stage:32}  {len(one.after_ms):6}  {one.at(0.5):6.0f}"
+            f"  {one.at(NINETY_FIFTH):6.0f}  {one.after_ms[-1]:7.0f}"
+        )
+
+
+def _stage_document(one: StageTimes) -> dict[str, Any]:
+    return {
+        "stage": one.stage,
+        "starts": len(one.after_ms),
+        "p50_ms": one.at(0.5),
+        "p95_ms": one.at(NINETY_FIFTH),
+        "last_ms": one.after_ms[-1],
+    }
+
+
 def _document(one: Second) -> dict[str, Any]:
     return {
         "at_s": one.at_s,
--- a/src/cloverwalk/core/catalogue.py
+++ b/src/cloverwalk/core/catalogue.py
@@ -63,6 +63,10 @@
 SETTINGS_REFUSED = _event(108, "settings_refused", _E, "Changed settings are not valid.")
 PEER_HEARD = _event(111, "peer_heard", _I, "A node was heard for the first time, or again.")
 PEER_LOST = _event(112, "peer_lost", _W, "A node was not heard for some time.")
+NODE_READY = _event(113, "node_ready", _I, "A process has what it needs to serve.")
+FIRST_REQUEST_PLACED = _event(
+    114, "first_request_placed", _I, "A process serves its first request."
+)
 COORDINATOR_KNOWN = _event(205, "coordinator_known", _I, "Another leadership is in force.")
 COORDINATOR_TAKEN = _event(206, "coordinator_taken", _I, "This node coordinates from now on.")
 COORDINATOR_RESIGNED = _event(207, "coordinator_resigned", _W, "Another node coordinates now.")
--- a/src/cloverwalk/fleet/link.py
+++ b/src/cloverwalk/fleet/link.py
@@ -93,6 +93,9 @@
         self._log = log
         self._clock = clock
         self.batch = BatchSide()
+        self.on_placed: Callable[[], None] = _ignore
+        """Called when an online request has its place."""
+
         self.on_leadership: Callable[[], Awaitable[None]] = _nothing
         self.waiting: Waiting = {}
         """Own waiting items, as the next report tells them."""
@@ -206,7 +209,9 @@
 
     async def place(self, ask: Ask, until: float) -> Place:
         """Return where a request goes, or why it goes nowhere, before ``until``."""
-        return await self._places.place(ask, until)
+        place = await self._places.place(ask, until)
+        self.on_placed()
+        return place
 
     async def send_ask(self, ask: Ask) -> Contact | None:
         """Send an ask to the coordinator or its stand-in; None: this node has to decide."""
@@ -303,3 +308,7 @@
 
 async def _nothing() -> None:
     return
+
+
+def _ignore() -> None:
+    return
--- a/src/cloverwalk/gateway/replicas.py
+++ b/src/cloverwalk/gateway/replicas.py
@@ -51,6 +51,11 @@
         """Return every known replica, sorted by id."""
         return [self._replicas[key] for key in sorted(self._replicas)]
 
+    @property
+    def is_empty(self) -> bool:
+        """Whether no replica is known."""
+        return not self._replicas
+
     def find(self, replica_id: str) -> Replica | None:
         """Return a replica that may still be sent to, or None."""
         replica = self._replicas.get(replica_id)
--- a/src/cloverwalk/serving/fleet_parts.py
+++ b/src/cloverwalk/serving/fleet_parts.py
@@ -18,6 +18,7 @@
 from cloverwalk.store.health import StoreHealth
 from cloverwalk.store.types import Store
 from cloverwalk.telemetry.log import ServingLog
+from cloverwalk.telemetry.startup import Stage
 
 DIRECTORY_STALE_S = 1.5
 """A list of replicas that was not confirmed for so long is read from the store by the node itself.
@@ -80,6 +81,7 @@
             clock,
         )
         self.coordinator.deliver_locally = self._deliver_locally
+        self.link.on_placed = knowledge.startup.note_placed
         self.election = Election(
             self.identity,
             self.leader,
@@ -92,6 +94,8 @@
             clock,
             random,
         )
+        self._take_leadership = self.link.on_leadership
+        self.link.on_leadership = self._on_leadership
 
     async def receive(self) -> None:
         """Take datagrams until cancelled."""
@@ -99,6 +103,7 @@
 
     async def take(self, message: Datagram, host: str) -> None:
         """Pass a datagram to the part that it is for."""
+        self._knowledge.startup.note(Stage.PEER)
         match message:
             case Report():
                 await self.coordinator.hear(message, host)
@@ -112,6 +117,11 @@
                     self.coordinator.tell_store_returned()
             case _:
                 await self.link.take(message, host)
+                self._knowledge.note_directory("peer")
+
+    async def _on_leadership(self) -> None:
+        self._knowledge.startup.note(Stage.COORDINATOR)
+        await self._take_leadership()
 
     async def _deliver_locally(self, orders: object) -> None:
         await self.link.take(orders, self.identity.host)  # type: ignore[arg-type]
--- a/src/cloverwalk/serving/knowledge.py
+++ b/src/cloverwalk/serving/knowledge.py
@@ -8,15 +8,23 @@
 from cloverwalk.serving.adapter import Adapter
 from cloverwalk.store.types import RowPage
 from cloverwalk.telemetry.log import ServingLog
+from cloverwalk.telemetry.startup import Stage, StartupLog
 
 
 class FleetKnowledge:
     """Turns rows into what the node goes by; older rows never replace newer ones."""
 
-    def __init__(self, adapter: Adapter, log: ServingLog, clock: Callable[[], float]) -> None:
+    def __init__(
+        self,
+        adapter: Adapter,
+        log: ServingLog,
+        clock: Callable[[], float],
+        startup: StartupLog,
+    ) -> None:
         self._adapter = adapter
         self._log = log
         self._clock = clock
+        self.startup = startup
         self.configuration = ConfigurationHolder()
         self.directory = ReplicaDirectory()
 
@@ -49,6 +57,7 @@
             tenants=None if configuration.tenants is None else len(configuration.tenants),
             source=source,
         )
+        self.startup.note(Stage.CONFIGURATION, source)
 
     async def on_all_replicas(self, page: RowPage) -> None:
         """Take the whole list of replicas."""
@@ -96,3 +105,9 @@
     def _confirm_directory(self, page: RowPage) -> None:
         self.directory.version = max(self.directory.version, page.version)
         self.directory.confirmed_at = self._clock()
+        self.note_directory("store")
+
+    def note_directory(self, source: str) -> None:
+        """The list of replicas was told; ``source`` tells in the log by whom."""
+        if not self.directory.is_empty:
+            self.startup.note(Stage.REPLICAS, source)
--- a/src/cloverwalk/serving/node.py
+++ b/src/cloverwalk/serving/node.py
@@ -32,6 +32,7 @@
 from cloverwalk.store.types import StoreError
 from cloverwalk.telemetry.log import ServingLog
 from cloverwalk.telemetry.metrics import ServingMetrics
+from cloverwalk.telemetry.startup import Stage, StartupLog
 from cloverwalk.tenants.refusals import RefusalMemory
 
 CONFIGURATION_PAUSE_S = 0.05
@@ -68,6 +69,9 @@
         self._random = Random(SystemRandom().getrandbits(64))
         self._log = ServingLog(settings.node, self._clock, log_descriptor)
         self._metrics = ServingMetrics()
+        # Loading the program takes processor time, and nothing else yet.
+        began_at = self._clock() - time.process_time()
+        self._startup = StartupLog(self._log, self._clock, began_at)
         self._stop = curio.UniversalEvent()
         self._reload = curio.UniversalEvent()
         self.is_leaving = False
@@ -79,11 +83,12 @@
     # --- parts ---
 
     def _build_state(self) -> None:
-        self._knowledge = FleetKnowledge(self._adapter, self._log, self._clock)
+        self._knowledge = FleetKnowledge(self._adapter, self._log, self._clock, self._startup)
         self._configuration = self._knowledge.configuration
         self._directory = self._knowledge.directory
         self._loads = LoadBook()
         self._health = StoreHealth(Clock(self._clock))
+        self._health.on_call = self._note_store_call
         self._store_clock = StoreClock(Clock(self._clock))
         self._store = WatchedStore(
             self._adapter.store(self._settings), self._health, self._store_clock
@@ -280,7 +285,7 @@
         return (
             not self.is_leaving
             and self._configuration.current is not None
-            and bool(self._directory.all())
+            and not self._directory.is_empty
         )
 
     async def _answer_ready(self, request: ClientRequest, reply: Reply) -> None:
@@ -340,6 +345,10 @@
         if target is not None:
             self._fleet.transport.send(target.host, StoreReturned(self._settings.node))
 
+    def _note_store_call(self, is_answered: bool) -> None:
+        stage = Stage.STORE_ANSWER if is_answered else Stage.STORE_REFUSAL
+        self._startup.note(stage)
+
     async def _housekeeping(self) -> None:
         while True:
             await curio.sleep(HOUSEKEEPING_S)
--- a/src/cloverwalk/store/health.py
+++ b/src/cloverwalk/store/health.py
@@ -4,6 +4,8 @@
 results and output of running items, must be stored as soon as the store is back.
 """
 
+from collections.abc import Callable
+
 import curio
 
 from cloverwalk.core.clock import Clock
@@ -22,6 +24,10 @@
 """Where one part of the store is lost and others are not, pauses are at least so long."""
 
 
+def _ignore(_is_answered: bool) -> None:
+    return
+
+
 class StoreHealth:
     """Whether the last call to the store was answered."""
 
@@ -36,6 +42,9 @@
         self.answered_at_ms = float("-inf")
         """When a call was last answered."""
 
+        self.on_call: Callable[[bool], None] = _ignore
+        """Told of each call whether it was answered."""
+
     def lost_for_ms(self) -> float:
         """Return for how long the store has not answered, 0 while it does."""
         return 0.0 if self.lost_at_ms is None else self._clock.now_ms() - self.lost_at_ms
@@ -51,6 +60,7 @@
 
     async def note_failure(self) -> None:
         """A call got no answer, or a refusal."""
+        self.on_call(False)
         if self.lost_at_ms is not None:
             return
         self.lost_at_ms = self._clock.now_ms()
@@ -59,6 +69,7 @@
 
     async def note_answer(self) -> None:
         """A call was answered."""
+        self.on_call(True)
         self.answered_at_ms = self._clock.now_ms()
         if self.lost_at_ms is None:
             return
--- /dev/null
+++ b/src/cloverwalk/telemetry/starts.py
@@ -0,0 +1,68 @@
+"""How long the starts of a fleet's processes took, by stage, out of the log lines of its nodes."""
+
+import statistics
+from collections.abc import Iterable
+
+import attrs
+
+from cloverwalk.core import catalogue
+from cloverwalk.telemetry.story import LogLine
+
+PERCENT = 100
+READY = "ready"
+FIRST_PLACE = "first_request_placed"
+
+
+@attrs.frozen
+class StageTimes:
+    """One stage over many starts: times from the start of a process to the stage, sorted."""
+
+    stage: str
+    after_ms: tuple[float, ...]
+
+    def at(self, share: float) -> float:
+        """Return the time within which ``share`` of the starts had reached the stage.
+
+        >>> StageTimes("ready", (10.0, 20.0, 30.0)).at(0.5)
+        20.0
+        """
+        if len(self.after_ms) == 1:
+            return self.after_ms[0]
+        cuts = statistics.quantiles(self.after_ms, n=PERCENT, method="inclusive")
+        return cuts[round(share * PERCENT) - 1]
+
+
+def stages_of(lines: Iterable[LogLine]) -> list[StageTimes]:
+    """Return the stages by their median, from the lines of starts that became ready.
+
+    The source of configuration and replicas is part of a stage's name. Stages that come after
+    ready, such as the coordinator, are counted where the line of the first place tells them.
+    """
+    starts: dict[tuple[str, int], dict[str, float]] = {}
+    numbers: dict[str, int] = {}
+    for line in lines:
+        if line.number == catalogue.SERVING_STARTED:
+            numbers[line.node] = numbers.get(line.node, 0) + 1
+        elif line.number in (catalogue.NODE_READY, catalogue.FIRST_REQUEST_PLACED):
+            start = starts.setdefault((line.node, numbers.get(line.node, 0)), {})
+            start.update(_stages(line))
+    after_ms: dict[str, list[float]] = {}
+    for start in starts.values():
+        for stage, stage_ms in start.items():
+            after_ms.setdefault(stage, []).append(stage_ms)
+    found = [StageTimes(stage, tuple(sorted(times))) for stage, times in after_ms.items()]
+    return sorted(found, key=lambda one: (one.at(0.5), one.stage))
+
+
+def _stages(line: LogLine) -> dict[str, float]:
+    sources = {
+        "configuration": line.fields.get("configuration_from"),
+        "replicas": line.fields.get("replicas_from"),
+    }
+    stages: dict[str, float] = {}
+    for name, stage_ms in line.fields.get("stages_ms", {}).items():
+        source = sources.get(name)
+        stages[f"{name} from {source}" if source else name] = float(stage_ms)
+    own = READY if line.number == catalogue.NODE_READY else FIRST_PLACE
+    stages[own] = float(line.fields.get("after_ms", 0.0))
+    return stages
--- /dev/null
+++ b/src/cloverwalk/telemetry/startup.py
@@ -0,0 +1,70 @@
+"""How long a process takes from its start until it serves, stage by stage, in two log lines."""
+
+import enum
+from collections.abc import Callable
+
+from cloverwalk.core import catalogue
+from cloverwalk.telemetry.log import ServingLog
+
+
+class Stage(enum.Enum):
+    """What a node that starts waits for."""
+
+    STORE_ANSWER = "store_answer"
+    STORE_REFUSAL = "store_refusal"
+    """The first call without a usable answer."""
+
+    PEER = "peer"
+    """The first datagram of another node."""
+
+    COORDINATOR = "coordinator"
+    CONFIGURATION = "configuration"
+    REPLICAS = "replicas"
+
+
+NEEDED_TO_SERVE = (Stage.CONFIGURATION, Stage.REPLICAS)
+
+
+class StartupLog:
+    """Notes when each stage was first reached; writes one line at ready, one at the first place.
+
+    ``started_at`` is when the process began (steady clock, seconds).
+    """
+
+    def __init__(self, log: ServingLog, clock: Callable[[], float], started_at: float) -> None:
+        self._log = log
+        self._clock = clock
+        self._started_at = started_at
+        self._after_ms: dict[Stage, int] = {}
+        self._source_by_stage: dict[Stage, str] = {}
+        self._is_ready = False
+        self._has_placed = False
+
+    def note(self, stage: Stage, source: str = "") -> None:
+        """A stage is reached; only its first time counts."""
+        if stage in self._after_ms:
+            return
+        self._after_ms[stage] = self._elapsed_ms()
+        self._source_by_stage[stage] = source
+        if not self._is_ready and all(one in self._after_ms for one in NEEDED_TO_SERVE):
+            self._is_ready = True
+            self._write(catalogue.NODE_READY)
+
+    def note_placed(self) -> None:
+        """An online request got its place."""
+        if not self._has_placed:
+            self._has_placed = True
+            self._write(catalogue.FIRST_REQUEST_PLACED)
+
+    def _elapsed_ms(self) -> int:
+        return round((self._clock() - self._started_at) * 1000)
+
+    def _write(self, number: int) -> None:
+        stages_ms = {stage.value: after_ms for stage, after_ms in self._after_ms.items()}
+        self._log.write(
+            number,
+            after_ms=self._elapsed_ms(),
+            stages_ms=stages_ms,
+            configuration_from=self._source_by_stage.get(Stage.CONFIGURATION),
+            replicas_from=self._source_by_stage.get(Stage.REPLICAS),
+        )
--- /dev/null
+++ b/tests/unit/test_startup.py
@@ -0,0 +1,80 @@
+"""What is told of a start: one line at ready, one at the first place, and a table of many."""
+
+import json
+import os
+from pathlib import Path
+
+from click.testing import CliRunner
+
+from cloverwalk.cli.main import cli
+from cloverwalk.telemetry.log import ServingLog
+from cloverwalk.telemetry.starts import stages_of
+from cloverwalk.telemetry.startup import Stage, StartupLog
+from cloverwalk.telemetry.story import parse_line
+
+
+class Start:
+    """One process whose time is moved by hand."""
+
+    def __init__(self, node: str, path: Path) -> None:
+        self.now = 50.0
+        descriptor = os.open(path, os.O_WRONLY | os.O_APPEND | os.O_CREAT)
+        log = ServingLog(node, lambda: self.now, descriptor)
+        self.startup = StartupLog(log, lambda: self.now, self.now)
+
+    def note(self, at_ms: int, stage: Stage, source: str = "") -> None:
+        self.now = 50.0 + at_ms / 1000
+        self.startup.note(stage, source)
+
+
+def lines_of(path: Path) -> list[dict[str, object]]:
+    return [json.loads(text) for text in path.read_text().splitlines()]
+
+
+def test_one_line_tells_how_a_node_became_ready(tmp_path: Path) -> None:
+    path = tmp_path / "log"
+    start = Start("n1", path)
+    start.note(300, Stage.STORE_REFUSAL)
+    start.note(500, Stage.CONFIGURATION, "peer")
+    assert not path.read_text()
+    start.note(700, Stage.REPLICAS, "store")
+    start.note(900, Stage.REPLICAS, "peer")
+    start.note(950, Stage.CONFIGURATION, "store")
+    (line,) = lines_of(path)
+    assert line["event"] == "node_ready"
+    assert line["after_ms"] == 700
+    assert line["stages_ms"] == {"store_refusal": 300, "configuration": 500, "replicas": 700}
+    assert (line["configuration_from"], line["replicas_from"]) == ("peer", "store")
+
+
+def test_only_the_first_place_is_told(tmp_path: Path) -> None:
+    path = tmp_path / "log"
+    start = Start("n1", path)
+    start.note(40, Stage.COORDINATOR)
+    for _ in range(3):
+        start.startup.note_placed()
+    (line,) = lines_of(path)
+    assert line["event"] == "first_request_placed"
+    assert line["stages_ms"] == {"coordinator": 40}
+
+
+def test_the_report_tells_stages_over_the_fleet(tmp_path: Path) -> None:
+    path = tmp_path / "log"
+    for number, ready_ms in enumerate((100, 200, 900)):
+        start = Start(f"n{number}", path)
+        start.note(ready_ms // 2, Stage.CONFIGURATION, "store")
+        start.note(ready_ms, Stage.REPLICAS, "peer" if number == 2 else "store")
+    lines = [line for text in path.read_text().splitlines() if (line := parse_line(text))]
+    by_stage = {one.stage: one.after_ms for one in stages_of(lines)}
+    assert by_stage["ready"] == (100, 200, 900)
+    assert by_stage["replicas from peer"] == (900,)
+    told = CliRunner().invoke(cli, ["report", "--starts", "--json", str(path)])
+    (ready,) = [one for one in json.loads(told.output) if one["stage"] == "ready"]
+    assert (ready["starts"], ready["p50_ms"], ready["last_ms"]) == (3, 200, 900)
+
+
+def test_logs_without_a_start_are_refused(tmp_path: Path) -> None:
+    path = tmp_path / "log"
+    path.write_text("nothing\n")
+    refused = CliRunner().invoke(cli, ["report", "--starts", str(path)])
+    assert refused.exit_code != 0
