--- a/src/cloverwalk/emulator/platform_store_server.py
+++ b/src/cloverwalk/emulator/platform_store_server.py
@@ -99,7 +99,7 @@
                 query.get("target_version", ""),
                 int(query.get("limit", "500")),
             )
-            return 200, {**self._stamp(), "rows": _wire(page.rows), "more": page.has_more}
+            return 200, {**self._stamp(), "rows": wire_rows(page.rows), "more": page.has_more}
         if url.path == names.FEED_PATH:
             return await self._feed(query)
         return 404, {}
@@ -110,20 +110,16 @@
             page = await self.rows.changes(query["table"], int(query["since_revision"]), wait_s)
         except HistoryLostError:
             return 410, {}
-        return 200, {**self._stamp(), "rows": _wire(page.rows)}
+        return 200, {**self._stamp(), "rows": wire_rows(page.rows)}
 
     async def _transaction(self, wire: Any) -> tuple[int, Any]:
-        transaction = Transaction(
-            [Expectation(_key(one), one["ver"]) for one in wire["expected_revision"]],
-            [Put(_key(one), b64decode(one["value"])) for one in wire["put"]],
-            [_key(one) for one in wire["remove"]],
-        )
+        transaction = transaction_of(wire)
         if transaction.spans_parts and not wire.get("across"):
             return 400, {}
         outcome = self.rows.apply(transaction)
         if outcome.status is CommitStatus.COMMITTED:
             return 200, self._stamp()
-        return 412, {**self._stamp(), "rows": _wire(outcome.conflicts)}
+        return 412, {**self._stamp(), "rows": wire_rows(outcome.conflicts)}
 
     def _stamp(self) -> dict[str, Any]:
         return {"ver": self.rows.version, "now_ms": self.rows.now_ms}
@@ -136,7 +132,17 @@
     return RowKey(wire["table"], wire.get("part", ""), wire["key"])
 
 
-def _wire(rows: list[Row]) -> list[dict[str, Any]]:
+def transaction_of(wire: Any) -> Transaction:
+    """Return the transaction that a body describes."""
+    return Transaction(
+        [Expectation(_key(one), one["ver"]) for one in wire["expected_revision"]],
+        [Put(_key(one), b64decode(one["value"])) for one in wire["put"]],
+        [_key(one) for one in wire["remove"]],
+    )
+
+
+def wire_rows(rows: list[Row]) -> list[dict[str, Any]]:
+    """Return rows as an answer carries them."""
     wire = []
     for row in rows:
         key = row.row_key
--- a/src/cloverwalk/serving/node.py
+++ b/src/cloverwalk/serving/node.py
@@ -1,6 +1,5 @@
 """One serving node as a process: what it is made of, and its life from start to stop."""
 
-import contextlib
 import gc
 import signal
 import time
@@ -13,7 +12,6 @@
 from cloverwalk.core.clock import Clock
 from cloverwalk.fleet.follower import TableFollower
 from cloverwalk.fleet.load import LoadBook
-from cloverwalk.fleet.messages import StoreReturned
 from cloverwalk.gateway.configuration import ClientLimits
 from cloverwalk.gateway.errors import GatewayError
 from cloverwalk.gateway.messages import ClientRequest
@@ -27,9 +25,9 @@
 from cloverwalk.serving.fleet_parts import DIRECTORY_PAUSE_S, FleetParts
 from cloverwalk.serving.knowledge import FleetKnowledge
 from cloverwalk.serving.settings import ServingSettings
+from cloverwalk.serving.store_watch import StoreWatch
 from cloverwalk.store.clock import StoreClock
 from cloverwalk.store.health import StoreHealth, WatchedStore
-from cloverwalk.store.types import StoreError
 from cloverwalk.telemetry.log import ServingLog
 from cloverwalk.telemetry.metrics import ServingMetrics
 from cloverwalk.telemetry.startup import Stage, StartupLog
@@ -45,14 +43,6 @@
 """Share of the grace time, before the end, in which nothing new begins: 2.8 of 8 s, more than most
 requests take. The platform sends requests to leaving nodes where few of a zone are ready."""
 
-PROBE_EVERY_MS = 100.0
-"""How often the coordinator asks a lost store whether it is back; it tells the other nodes."""
-
-FAR_PROBE_EVERY_MS = 400.0
-"""The same at other nodes, which may be the only ones that the store turned away."""
-
-PROBE_TIMEOUT_S = 0.3
-PROBE_TABLE = "role"
 RESERVED_DESCRIPTORS = 800
 SIDE_CONNECTIONS = 32
 
@@ -107,6 +97,7 @@
             self._clock,
             self._random,
         )
+        self._store_watch = StoreWatch(self._store, self._health, self._fleet)
         self._batch = BatchParts(
             self._adapter,
             self._settings,
@@ -218,7 +209,7 @@
             self._fleet.election.run,
             self._configuration_follower.run,
             self._replica_follower.run,
-            self._probe_loop,
+            self._store_watch.run,
             self._housekeeping,
             *self._batch.loops(),
         ]
@@ -318,32 +309,7 @@
         current = self._configuration.current
         return ClientLimits() if current is None else current.limits
 
-    # --- the store's return ---
-
-    async def _probe_loop(self) -> None:
-        """While the store is lost, ask for a small row often: its return must be known at once."""
-        while True:
-            await self._health.wait_until_lost()
-            while self._health.is_lost:
-                is_near = self._fleet.coordinator.is_active
-                pause_ms = PROBE_EVERY_MS if is_near else FAR_PROBE_EVERY_MS
-                await self._health.wait_for_hint(pause_ms)
-                await self._probe_store()
-            self._tell_store_returned()
-
-    async def _probe_store(self) -> None:
-        async with curio.ignore_after(PROBE_TIMEOUT_S):
-            with contextlib.suppress(StoreError):
-                await self._store.read(PROBE_TABLE, "", "coordinator", "", 1)
-
-    def _tell_store_returned(self) -> None:
-        """Tell the nodes at once, or the coordinator, which tells them."""
-        if self._fleet.coordinator.is_active:
-            self._fleet.coordinator.tell_store_returned()
-            return
-        target = self._fleet.leader.target()
-        if target is not None:
-            self._fleet.transport.send(target.host, StoreReturned(self._settings.node))
+    # --- housekeeping ---
 
     def _note_store_call(self, is_answered: bool) -> None:
         stage = Stage.STORE_ANSWER if is_answered else Stage.STORE_REFUSAL
--- /dev/null
+++ b/src/cloverwalk/serving/store_watch.py
@@ -0,0 +1,53 @@
+"""Notices at once that a lost store answers again, and has the other nodes told."""
+
+import contextlib
+
+import curio
+
+from cloverwalk.fleet.messages import StoreReturned
+from cloverwalk.serving.fleet_parts import FleetParts
+from cloverwalk.store.health import StoreHealth
+from cloverwalk.store.types import Store, StoreError
+
+PROBE_EVERY_MS = 100.0
+"""How often the coordinator asks a lost store whether it is back; it tells the other nodes."""
+
+FAR_PROBE_EVERY_MS = 400.0
+"""The same at other nodes, which may be the only ones that the store turned away."""
+
+PROBE_TIMEOUT_S = 0.3
+PROBE_TABLE = "role"
+
+
+class StoreWatch:
+    """While the store is lost, asks for a small row often."""
+
+    def __init__(self, store: Store, health: StoreHealth, fleet: FleetParts) -> None:
+        self._store = store
+        self._health = health
+        self._fleet = fleet
+
+    async def run(self) -> None:
+        """Watch until cancelled."""
+        while True:
+            await self._health.wait_until_lost()
+            while self._health.is_lost:
+                is_near = self._fleet.coordinator.is_active
+                pause_ms = PROBE_EVERY_MS if is_near else FAR_PROBE_EVERY_MS
+                await self._health.wait_for_hint(pause_ms)
+                await self._probe()
+            self._tell_returned()
+
+    async def _probe(self) -> None:
+        async with curio.ignore_after(PROBE_TIMEOUT_S):
+            with contextlib.suppress(StoreError):
+                await self._store.read(PROBE_TABLE, "", "coordinator", "", 1)
+
+    def _tell_returned(self) -> None:
+        """Tell the nodes at once, or the coordinator, which tells them."""
+        if self._fleet.coordinator.is_active:
+            self._fleet.coordinator.tell_store_returned()
+            return
+        target = self._fleet.leader.target()
+        if target is not None:
+            self._fleet.transport.send(target.host, StoreReturned(self._fleet.identity.node))
--- a/src/cloverwalk/telemetry/startup.py
+++ b/src/cloverwalk/telemetry/startup.py
@@ -37,7 +37,9 @@
         self._started_at = started_at
         self._after_ms: dict[Stage, int] = {}
         self._source_by_stage: dict[Stage, str] = {}
-        self._is_ready = False
+        self.is_ready = False
+        """Whether what serving needs was known once."""
+
         self._has_placed = False
 
     def note(self, stage: Stage, source: str = "") -> None:
@@ -46,8 +48,8 @@
             return
         self._after_ms[stage] = self._elapsed_ms()
         self._source_by_stage[stage] = source
-        if not self._is_ready and all(one in self._after_ms for one in NEEDED_TO_SERVE):
-            self._is_ready = True
+        if not self.is_ready and all(one in self._after_ms for one in NEEDED_TO_SERVE):
+            self.is_ready = True
             self._write(catalogue.NODE_READY)
 
     def note_placed(self) -> None:
--- a/tests/serving/test_store_health.py
+++ b/tests/serving/test_store_health.py
@@ -13,7 +13,7 @@
 from cloverwalk.jobs.checkpoint import Checkpointer
 from cloverwalk.jobs.records import PARTIAL_TABLE
 from cloverwalk.jobs.run import JobRun
-from cloverwalk.serving import node as node_module
+from cloverwalk.serving import store_watch
 from cloverwalk.store.clock import StoreClock
 from cloverwalk.store.health import StoreHealth, WatchedStore
 from cloverwalk.store.types import CommitStatus, Put, RowKey, StoreError, Transaction
@@ -46,8 +46,8 @@
 
 def test_a_node_that_learns_of_the_return_first_tells_its_peers(monkeypatch: object) -> None:
     async def test(world: FleetWorld) -> None:
-        monkeypatch.setattr(node_module, "PROBE_EVERY_MS", HOUR_MS)  # type: ignore[attr-defined]
-        monkeypatch.setattr(node_module, "FAR_PROBE_EVERY_MS", HOUR_MS)  # type: ignore[attr-defined]
+        monkeypatch.setattr(store_watch, "PROBE_EVERY_MS", HOUR_MS)  # type: ignore[attr-defined]
+        monkeypatch.setattr(store_watch, "FAR_PROBE_EVERY_MS", HOUR_MS)  # type: ignore[attr-defined]
         monkeypatch.setattr(follower, "FIRST_RETRY_S", HOUR_MS)  # type: ignore[attr-defined]
         monkeypatch.setattr(follower, "LONGEST_RETRY_S", HOUR_MS)  # type: ignore[attr-defined]
         monkeypatch.setattr(election, "VERIFY_EVERY_S", HOUR_MS)  # type: ignore[attr-defined]
