--- a/tests/serving/returning_world.py
+++ b/tests/serving/returning_world.py
@@ -58,6 +58,9 @@
 
 ZONES = ("z1", "z2", "z3")
 SEEDS = 3
+RESET, SILENT = 0, -1
+"""Stand for a status where a call is refused without an answer."""
+
 LINK_BYTES_PER_S = 3_750_000
 """A node's own link: 30 Mbit/s."""
 
@@ -123,7 +126,7 @@
         self.bytes_sent = 0
         self.by_second: Counter[int] = Counter()
         self.refuses: Callable[[str], int | None] = lambda host: None
-        """Tells for a host the status that it is refused with; 0 is a reset, -1 silence."""
+        """Tells for a host the status that a call is refused with, None where it is served."""
 
     def put(self, table: str, key: str, document: Any) -> None:
         put = Put(RowKey(table, "", key), json.dumps(document).encode())
@@ -143,9 +146,9 @@
         self.by_second[math.floor(self.time.now)] += 1
         await curio.sleep(STORE_TIME_S)
         refusal = self.refuses(host)
-        if refusal == 0:
+        if refusal == RESET:
             raise LostAnswerError("reset")
-        if refusal == -1:
+        if refusal == SILENT:
             await curio.sleep(3600)
         if refusal is not None:
             return HttpResponse(refusal, {}, b"")
--- a/tests/serving/test_return.py
+++ b/tests/serving/test_return.py
@@ -4,7 +4,14 @@
 
 import curio
 import pytest
-from returning_world import ReturningWorld, SimulatedTime, in_simulated_time, node_host
+from returning_world import (
+    RESET,
+    SILENT,
+    ReturningWorld,
+    SimulatedTime,
+    in_simulated_time,
+    node_host,
+)
 
 from cloverwalk.fleet.coordinator import TELL_RETURNED_EVERY_S
 
@@ -17,7 +24,6 @@
 READS_PER_S = 6000.0
 WRITES_PER_S = 1200.0
 MIDDLE, LARGE = 30, 100
-RESET, SILENT = 0, -1
 REFUSED_SHARE = 0.7
 REFUSED_FOR_S = 6.0
 
