Returning fleets over six starts; their mutants; probes that back off tried and not kept

Six starts each of 60 nodes, in simulated time, from the first start to the last node that is served.

Tried and not kept: probes of a store that answers 429 back off, 0.4 s doubling to 3.2 s with jitter of a half to either side.

--- a/bench/returning.py
+++ b/bench/returning.py
@@ -41,14 +41,21 @@
 @click.option("--reads", default=6000.0, help="Reading calls a second that the store takes.")
 @click.option("--refusal", type=click.Choice(list(STATUS_BY_NAME)), help="For each third node.")
 @click.option("--share", default=1.0, help="Part of their calls that are refused.")
+@click.option("--first-run", default=0, help="Other starts of processes, other times.")
 @click.option("--core", is_flag=True, help="The coordinator and its standbys are refused too.")
 def main(
-    nodes: int, replicas: int, reads: float, refusal: str | None, share: float, core: bool
+    nodes: int,
+    replicas: int,
+    reads: float,
+    refusal: str | None,
+    share: float,
+    first_run: int,
+    core: bool,
 ) -> None:
     """Print when the last node was ready and served, and what it took."""
 
     async def measure(time: SimulatedTime) -> None:
-        world = ReturningWorld(time, nodes, replicas, reads, WRITES_PER_S)
+        world = ReturningWorld(time, nodes, replicas, reads, WRITES_PER_S, first_run)
         await world.start_all()
         await world.until(lambda one: one.serves, LONGEST_S)
         await curio.sleep(SETTLE_S)
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -36,6 +36,7 @@
 HEALTH = "tests/serving/test_store_health.py::"
 SCHEDULER = "tests/serving/test_scheduler.py::"
 COORDINATION = "tests/serving/test_coordination.py::"
+RETURN = "tests/serving/test_return.py::"
 ADMISSION = "tests/unit/test_admission.py::"
 PARTS = "tests/unit/test_serving_parts.py::"
 TENANTS = "tests/serving/test_tenants.py::"
@@ -711,6 +712,41 @@
         "tests/serving/test_silent_connections.py::"
         "test_one_request_is_late_by_all_silent_connections_to_replicas",
     ),
+    Mutant(
+        "serving: return of a fleet: a coordinator follows its earlier process",
+        "fleet/leader.py",
+        "        if leadership.term <= self.term or self._is_of_earlier_process(leadership):",
+        "        if leadership.term <= self.term:",
+        RETURN + "test_all_nodes_serve_soon_after_all_were_killed",
+    ),
+    Mutant(
+        "serving: return of a fleet: who has heard nobody waits as in a fleet that runs",
+        "fleet/election.py",
+        "        if self._leader.is_unheard:",
+        "        if False:",
+        RETURN + "test_a_fleet_whose_coordinator_and_standbys_are_refused_serves_soon",
+    ),
+    Mutant(
+        "serving: return of a fleet: nodes that start are sent copies",
+        "fleet/coordinator.py",
+        "        if report.configuration_version < 0 and self._is_starting(known, now):",
+        "        if False:",
+        COORDINATION + "test_a_node_that_starts_and_is_not_refused_by_the_store_is_sent_no_copies",
+    ),
+    Mutant(
+        "serving: return of a fleet: the first list is sent as a change",
+        "fleet/coordinator.py",
+        "        if not before:",
+        "        if False:",
+        COORDINATION + "test_the_first_list_of_a_new_coordinator_is_not_sent_to_all_nodes",
+    ),
+    Mutant(
+        "serving: return of a fleet: each answer of the store is told to all",
+        "fleet/coordinator.py",
+        "        self._must_tell_returned = now - self._told_returned_at < TELL_RETURNED_EVERY_S",
+        "        self._must_tell_returned = False",
+        RETURN + "test_a_store_that_refuses_many_calls_is_not_told_of_for_each_answer",
+    ),
 ]
 
 
--- a/tests/serving/returning_world.py
+++ b/tests/serving/returning_world.py
@@ -382,6 +382,7 @@
         replicas: int,
         reads_per_s: float,
         writes_per_s: float,
+        first_run: int = 0,
     ) -> None:
         self.time = time
         self.log_descriptor = os.open(os.devnull, os.O_WRONLY)
@@ -392,11 +393,13 @@
         self.wire = Wire()
         self.nodes: list[ReturningNode] = []
         self._count = nodes
-        self._runs = 0
+        self._runs = first_run
+        self._is_wired = False
 
     async def start_all(self) -> None:
         """Start all nodes at once, as the platform does."""
-        if self._runs == 0:
+        if not self._is_wired:
+            self._is_wired = True
             await curio.spawn(self.wire.run, daemon=True)
         self._runs += 1
         random = Random(self._runs)
