Stand-ins: cheaper feeds, more faults of the store, replicas that tell what they run

A soak runs dozens of nodes against one stand-in of the store, and each waiting feed scanned all changes of all tables 200 times a second; each read sorted all rows. Changes are now kept by table and keys by part, and the pause of a waiting feed can be set.

The store can be slow, answer late, lose or refuse a share of its calls. A replica has a queue before its slots where one is set, may stutter, notices a caller that leaves while it is silent, and tells an observer when a run begins and how it ends, before the last bytes go out. Types of runs stand in a module of their own. Without an observer nothing changes for the tests of before.

--- a/src/cloverwalk/emulator/memory_store.py
+++ b/src/cloverwalk/emulator/memory_store.py
@@ -1,5 +1,6 @@
 """A store in memory with the faults of a real one, for tests and demonstrations."""
 
+from bisect import bisect_right
 from collections import deque
 from enum import Enum
 
@@ -17,6 +18,7 @@
 )
 
 WAIT_STEP_S = 0.005
+"""How often a waiting feed looks for changes, unless the owner of the store says otherwise."""
 
 
 class CommitFault(Enum):
@@ -32,8 +34,10 @@
 
     def __init__(self) -> None:
         self._rows: dict[RowKey, Row] = {}
-        self._changes: list[Row] = []
+        self._keys_by_part: dict[tuple[str, str], set[RowKey]] = {}
+        self._changes_by_table: dict[str, list[Row]] = {}
         self._oldest_version = 0
+        self.wait_step_s = WAIT_STEP_S
         self.version = 0
         self.now_ms = 0.0
         self.is_down = False
@@ -66,12 +70,11 @@
     ) -> RowPage:
         """Return rows with ``start`` <= key < ``end`` in order of their keys."""
         await self._reach()
+        keys = self._keys_by_part.get((table, part), set())
         rows = [
-            row
-            for key, row in sorted(self._rows.items())
-            if (key.table, key.part) == (table, part)
-            and key.key >= start
-            and (not end or key.key < end)
+            self._rows[key]
+            for key in sorted(keys)
+            if key.key >= start and (not end or key.key < end)
         ]
         return RowPage(rows[:limit], self.version, self.now_ms, len(rows) > limit)
 
@@ -88,13 +91,12 @@
             await self._reach()
             if since < self._oldest_version:
                 raise HistoryLostError("compacted")
-            rows = [
-                row for row in self._changes if row.version > since and row.row_key.table == table
-            ]
+            changes = self._changes_by_table.get(table, [])
+            rows = changes[bisect_right(changes, since, key=lambda row: row.version) :]
             if rows or waited_s >= wait_s:
                 return RowPage(rows, self.version, self.now_ms)
-            await curio.sleep(WAIT_STEP_S)
-            waited_s += WAIT_STEP_S
+            await curio.sleep(self.wait_step_s)
+            waited_s += self.wait_step_s
 
     async def _reach(self) -> None:
         await curio.sleep(0)
@@ -117,12 +119,18 @@
         for key in transaction.removals:
             if key in self._rows:
                 del self._rows[key]
-                self._changes.append(Row(key, None, self.version))
+                self._keys_by_part[key.table, key.part].discard(key)
+                self._note_change(Row(key, None, self.version))
         return CommitOutcome(CommitStatus.COMMITTED, self.version, self.now_ms)
 
     def _set(self, row: Row) -> None:
-        self._rows[row.row_key] = row
-        self._changes.append(row)
+        key = row.row_key
+        self._rows[key] = row
+        self._keys_by_part.setdefault((key.table, key.part), set()).add(key)
+        self._note_change(row)
+
+    def _note_change(self, row: Row) -> None:
+        self._changes_by_table.setdefault(row.row_key.table, []).append(row)
 
     def _version_of(self, key: RowKey) -> int:
         row = self._rows.get(key)
@@ -140,12 +148,12 @@
 
     def forget_history(self) -> None:
         """Drop the changes so far."""
-        self._changes.clear()
+        self._changes_by_table.clear()
         self._oldest_version = self.version
 
     def parts(self, table: str) -> set[str]:
         """Return the parts of a table that hold rows."""
-        return {key.part for key in self._rows if key.table == table}
+        return {part for (one, part), keys in self._keys_by_part.items() if one == table and keys}
 
     def values(self, table: str) -> dict[str, bytes]:
         """Return the values of a table by key."""
--- a/src/cloverwalk/emulator/platform_replica.py
+++ b/src/cloverwalk/emulator/platform_replica.py
@@ -3,46 +3,23 @@
 Text of a request's event n is ``ID:n``, so that any replica goes on where another stopped.
 """
 
-import enum
+import contextlib
 from collections import deque
+from collections.abc import Callable
 from typing import Any
 
 import curio
 import h11
-from msgspec import Struct
 
+from cloverwalk.emulator.replica_runs import Arrival, Misdeed, ReplicaObserver, RunEnd
 from cloverwalk.platform import names
 
 READ_BYTES = 65536
+STUTTER_S = 0.4
+"""Pause of a stuttering stream; less than the silence after which a node moves on."""
 
-
-class Misdeed(enum.Enum):
-    """What a replica does with one answer."""
-
-    CUT = "break the connection after half of the events"
-    GARBAGE = "send what is not an answer"
-    SECOND_ANSWER = "send another answer after the whole one"
-    LATE_ANSWER = "send an answer to another request first"
-    REFUSE = "say that it did not run"
-    FAIL = "answer 500"
-    IMPOSSIBLE = "answer 422"
-    SILENT = "never answer"
-    RESET_UNANSWERED = "run it and break the connection"
-    UNSIGNED = "answer without a signature"
-
-
-class Arrival(Struct):
-    """A request that reached the replica."""
-
-    request_id: str
-    target: str
-    headers: dict[str, str]
-    raw_headers: list[tuple[bytes, bytes]]
-    body: bytes
-    has_run: bool = False
-    is_finished: bool = False
-    was_left: bool = False
-    """The caller closed the connection before the end."""
+WAIT_STEP_S = 0.01
+"""How often a waiting request looks for a free slot."""
 
 
 class PlatformReplica:
@@ -59,11 +36,23 @@
         self.event_padding = 0
         """Characters added to the data of each event."""
 
+        self.max_waiting: int | None = None
+        """Requests that may wait for a slot, others are refused; None: all run at once."""
+
+        self.observer: ReplicaObserver | None = None
+        self.choose_misdeed: Callable[[Arrival], Misdeed | None] | None = None
+        """Asked for each request where it is set."""
+
+        self.events_of: Callable[[Arrival], int] | None = None
+        """Number of events of an answer, in place of ``events``."""
+
+        self.waiting = 0
         self.misdeeds: deque[Misdeed | None] = deque()
         self.always: Misdeed | None = None
         self.arrivals: list[Arrival] = []
         self.running = 0
         self.most_running = 0
+        self._serving: set[Any] = set()
         self._sock = curio.tcp_server_socket(*address, backlog=128)
 
     async def run(self) -> None:
@@ -73,7 +62,14 @@
                 client, _ = await self._sock.accept()
                 await curio.spawn(self._serve, client, daemon=True)
 
+    async def crash(self) -> None:
+        """Break all connections off; ``run`` is cancelled by who started it."""
+        for task in list(self._serving):
+            await task.cancel()
+
     async def _serve(self, client: Any) -> None:
+        task = await curio.current_task()
+        self._serving.add(task)
         http = h11.Connection(h11.SERVER)
         try:
             while await self._serve_one(client, http):
@@ -81,6 +77,7 @@
         except (OSError, h11.ProtocolError):
             pass
         finally:
+            self._serving.discard(task)
             await client.close()
 
     async def _serve_one(self, client: Any, http: h11.Connection) -> bool:
@@ -88,23 +85,77 @@
         if arrival is None:
             return False
         self.arrivals.append(arrival)
-        misdeed = self.misdeeds.popleft() if self.misdeeds else self.always
+        misdeed = self._next_misdeed(arrival)
         expected = arrival.headers.get(names.EXPECT_INSTANCE.decode().lower())
         if expected not in (None, self.replica_id):
             await self._refuse(client, http, arrival, 421)
             return True
-        if misdeed is Misdeed.REFUSE:
+        if misdeed is Misdeed.REFUSE or self._is_full():
             await self._refuse(client, http, arrival, 503)
             return True
-        if misdeed is Misdeed.SILENT:
-            await curio.sleep(3600)
-        arrival.has_run = True
+        if not await self._wait_for_slot(client):
+            return False
+        return await self._run_counted(client, http, arrival, misdeed)
+
+    def _next_misdeed(self, arrival: Arrival) -> Misdeed | None:
+        if self.choose_misdeed is not None:
+            return self.choose_misdeed(arrival)
+        return self.misdeeds.popleft() if self.misdeeds else self.always
+
+    # --- slots ---
+
+    def _is_full(self) -> bool:
+        if self.max_waiting is None:
+            return False
+        return self.running >= self.slots and self.waiting >= self.max_waiting
+
+    async def _wait_for_slot(self, client: Any) -> bool:
+        """Wait for a free slot; return False when the caller leaves before."""
+        if self.max_waiting is None:
+            return True
+        self.waiting += 1
+        try:
+            while self.running >= self.slots:
+                if await self._caller_left(client, WAIT_STEP_S):
+                    return False
+        finally:
+            self.waiting -= 1
+        return True
+
+    async def _run_counted(
+        self, client: Any, http: h11.Connection, arrival: Arrival, misdeed: Misdeed | None
+    ) -> bool:
         self.running += 1
         self.most_running = max(self.most_running, self.running)
+        if self.observer is not None:
+            self.observer.began(self.replica_id, arrival)
         try:
+            if misdeed is Misdeed.SILENT:
+                await self._stay_silent(client, arrival)
+                return False
+            arrival.has_run = True
             return await self._run(client, http, arrival, misdeed)
+        except OSError:
+            self._end(arrival, RunEnd.LEFT)
+            raise
         finally:
             self.running -= 1
+            self._end(arrival, RunEnd.CRASHED)
+
+    async def _stay_silent(self, client: Any, arrival: Arrival) -> None:
+        while not await self._caller_left(client, 3600.0):
+            pass
+        self._end(arrival, RunEnd.LEFT)
+
+    def _end(self, arrival: Arrival, end: RunEnd) -> None:
+        """Note the first reason why a run ended."""
+        if arrival.end is not None:
+            return
+        arrival.end = end
+        if self.observer is not None:
+            self.observer.ended(self.replica_id, arrival)
+
+    # --- messages ---
 
     async def _read(self, client: Any, http: h11.Connection) -> Arrival | None:
         head: h11.Request | None = None
@@ -121,7 +172,9 @@
                 headers = {n.decode(): v.decode() for n, v in head.headers}
                 request_id = headers.get(names.REQUEST_ID.decode().lower(), "")
                 raw = head.headers.raw_items()
-                return Arrival(request_id, head.target.decode(), headers, raw, body)
+                method = head.method.decode()
+                target = head.target.decode()
+                return Arrival(request_id, target, headers, raw, body, method=method)
             else:
                 return None
 
@@ -158,6 +211,8 @@
         self, client: Any, http: h11.Connection, arrival: Arrival, misdeed: Misdeed | None
     ) -> bool:
         signed = [*self._headers(arrival), (names.SIGNATURE, b"signature")]
+        if misdeed in (Misdeed.RESET_UNANSWERED, Misdeed.GARBAGE):
+            self._end(arrival, RunEnd.CUT)
         if misdeed is Misdeed.RESET_UNANSWERED:
             return False
         if misdeed is Misdeed.GARBAGE:
@@ -165,6 +220,7 @@
             return False
         if misdeed in (Misdeed.FAIL, Misdeed.IMPOSSIBLE):
             status = 500 if misdeed is Misdeed.FAIL else 422
+            self._end(arrival, RunEnd.FAILED if status == 500 else RunEnd.IMPOSSIBLE)
             await self._whole(client, http, status, signed, b"failed")
             return True
         if misdeed is Misdeed.LATE_ANSWER:
@@ -189,25 +245,37 @@
         await client.sendall(http.send(head) or b"")
         last = arrival.headers.get(names.LAST_EVENT_ID.decode().lower())
         first = 1 if last is None else int(last) + 1
-        for number in range(first, self.events + 1):
-            if await self._caller_left(client):
+        events = self.events if self.events_of is None else self.events_of(arrival)
+        for number in range(first, events + 1):
+            pause_s = STUTTER_S if misdeed is Misdeed.STUTTER and number % 4 == 0 else self.event_s
+            if await self._caller_left(client, pause_s):
                 arrival.was_left = True
                 raise OSError("the caller left")
-            padding = "x" * self.event_padding
-            text = f"id: {number}\ndata: {arrival.request_id}:{number}{padding}\n\n".encode()
-            if misdeed is Misdeed.CUT and number > self.events // 2:
+            text = self._event(arrival, number)
+            if misdeed is Misdeed.CUT and number > events // 2:
+                self._end(arrival, RunEnd.CUT)
                 await client.sendall(http.send(h11.Data(data=text[: len(text) // 2])) or b"")
                 return
             await client.sendall(http.send(h11.Data(data=text)) or b"")
         arrival.is_finished = True
+        self._end(arrival, RunEnd.FINISHED)
         await client.sendall(http.send(h11.EndOfMessage()) or b"")
 
-    async def _caller_left(self, client: Any) -> bool:
-        """Wait for the time of an event; return whether the caller closed meanwhile."""
+    def _event(self, arrival: Arrival, number: int) -> bytes:
+        """Return an event; runs are told apart where an observer numbers them."""
+        run = f":{arrival.run}" if self.observer is not None else ""
+        padding = "x" * self.event_padding
+        return f"id: {number}\ndata: {arrival.request_id}:{number}{run}{padding}\n\n".encode()
+
+    async def _caller_left(self, client: Any, wait_s: float) -> bool:
+        """Wait for some time; return whether the caller closed meanwhile."""
         data: bytes | None = None
-        async with curio.ignore_after(self.event_s):
-            data = await client.recv(1)
-        return data == b""
+        async with curio.ignore_after(wait_s):
+            with contextlib.suppress(ConnectionError):
+                data = await client.recv(1)
+                return data == b""
+            return True
+        return False
 
     def document(self, service: str, zone: str, state: str = "ready") -> dict[str, Any]:
         """Return the entry that the replica keeps in the store."""
--- a/src/cloverwalk/emulator/platform_store_server.py
+++ b/src/cloverwalk/emulator/platform_store_server.py
@@ -3,6 +3,7 @@
 import json
 import time
 from base64 import b64decode, b64encode
+from random import Random
 from typing import Any
 from urllib.parse import parse_qs, urlsplit
 
@@ -43,6 +44,19 @@
         self.write_delay_s = 0.0
         """Time between the effect of a write and its answer."""
 
+        self.delay_s = 0.0
+        """Time between a call and its effect."""
+
+        self.answer_delay_s = 0.0
+        """Time between the effect of any call and its answer."""
+
+        self.refuse_share = 0.0
+        """Share of the calls that get 503; nothing is done."""
+
+        self.lose_share = 0.0
+        """Share of the writes that are done and not answered."""
+
+        self.random = Random(0)
         self.calls = 0
         self.server = GatewayServer(
             address,
@@ -72,18 +86,27 @@
         self.rows.now_ms = time.monotonic() * 1000
         if self.is_silent:
             await curio.sleep(3600)
-        if self.is_busy:
+        if self.is_busy or self.random.random() < self.refuse_share:
             await reply.respond(503, [], b"")
             return
+        if self.delay_s > 0:
+            await curio.sleep(self.delay_s)
         status, document = await self._call(request)
-        if request.method == "POST" and self.lose_answers > 0:
-            self.lose_answers -= 1
+        if request.method == "POST" and self._loses_answer():
             raise ClientGoneError("the answer is lost")
         if request.method == "POST" and self.write_delay_s > 0:
             await curio.sleep(self.write_delay_s)
+        if self.answer_delay_s > 0:
+            await curio.sleep(self.answer_delay_s)
         body = json.dumps(document).encode()
         await reply.respond(status, [(b"Content-Type", b"application/json")], body)
 
+    def _loses_answer(self) -> bool:
+        if self.lose_answers > 0:
+            self.lose_answers -= 1
+            return True
+        return self.random.random() < self.lose_share
+
     async def _call(self, request: ClientRequest) -> tuple[int, Any]:
         url = urlsplit(request.target)
         query = {key: values[0] for key, values in parse_qs(url.query).items()}
--- a/tests/serving/test_batch.py
+++ b/tests/serving/test_batch.py
@@ -6,7 +6,7 @@
 import pytest
 from fleet_world import FleetWorld, configuration, in_world, route
 
-from cloverwalk.emulator.platform_replica import Misdeed
+from cloverwalk.emulator.replica_runs import Misdeed
 from cloverwalk.platform import names
 
 
--- a/tests/serving/test_online.py
+++ b/tests/serving/test_online.py
@@ -5,7 +5,7 @@
 from curio import socket
 from fleet_world import HOST, FleetWorld, configuration, free_port, in_world, route
 
-from cloverwalk.emulator.platform_replica import Misdeed
+from cloverwalk.emulator.replica_runs import Misdeed
 from cloverwalk.gateway import reply
 from cloverwalk.platform import names
 
