A soak of the node's program as processes, with faults from a seed and checked promises

`cloverwalk soak` starts nodes as separate processes on a loopback network of its own, beside the stand-ins of store and replicas, clients with keys of several tenants, and proxies before each node, each replica and the store. A schedule drawn from the seed signals, restarts and freezes nodes, disturbs links, store and replicas, changes keys, quotas and routes, and lets herds come, in series that overlap. What clients and replicas see is kept as JSON lines and checked as it comes; a broken promise is printed at once and the folder with logs and history is kept.

--- a/src/cloverwalk/cli/main.py
+++ b/src/cloverwalk/cli/main.py
@@ -21,6 +21,7 @@
 from cloverwalk.cli.run import emulator, node
 from cloverwalk.cli.session import session
 from cloverwalk.cli.settings import settings
+from cloverwalk.cli.soak import soak
 from cloverwalk.cli.table import table
 from cloverwalk.cli.tenants import tenants
 from cloverwalk.config.loader import SettingsError
@@ -64,6 +65,7 @@
     explain,
     report,
     tenants,
+    soak,
 )
 for command in COMMANDS:
     cli.add_command(command)
--- /dev/null
+++ b/src/cloverwalk/cli/soak.py
@@ -0,0 +1,142 @@
+"""``cloverwalk soak``: the serving node's program under faults, as separate processes."""
+
+import os
+import re
+import shutil
+import tempfile
+from pathlib import Path
+
+import click
+
+from cloverwalk.cli.errors import EXIT_REFUSED, EXIT_USAGE, CommandError
+from cloverwalk.soak.draw import draw_plan
+from cloverwalk.soak.errors import SoakInputError, SoakStartError
+from cloverwalk.soak.plan import LONGEST_MINUTES, MOST_NODES, Plan, load_plan
+from cloverwalk.soak.report import HEADINGS, summary_lines, table_row
+from cloverwalk.soak.run import Soak, SoakResult
+
+NODE_BYTES = 100_000_000
+"""Memory that one process is taken to need; a node under this load has 60 MB."""
+
+MEMORY_SHARE = 0.5
+"""Share of the machine's memory that a soak may use."""
+
+EXIT_STOPPED = 130
+"""Ended by a signal before its time."""
+
+
+@click.command()
+@click.option(
+    "--minutes",
+    type=click.FloatRange(0, LONGEST_MINUTES, min_open=True),
+    default=1.0,
+    show_default=True,
+    help="How long faults go on; start and healing come on top.",
+)
+@click.option("--seed", type=click.IntRange(0), default=1, show_default=True)
+@click.option("--seeds", "seed_range", metavar="FIRST-LAST", help="One soak after the other.")
+@click.option("--nodes", type=click.IntRange(1), default=3, show_default=True)
+@click.option(
+    "--schedule",
+    "schedule_path",
+    type=click.Path(path_type=Path, dir_okay=False),
+    help="A schedule.json of an earlier soak, in place of seed, minutes and nodes.",
+)
+@click.option(
+    "--out",
+    type=click.Path(path_type=Path, file_okay=False),
+    help="Folder for logs and histories; they are kept. By default only those of broken soaks are.",
+)
+@click.option("--show", is_flag=True, help="Print the schedule only.")
+def soak(
+    minutes: float,
+    seed: int,
+    seed_range: str | None,
+    nodes: int,
+    schedule_path: Path | None,
+    out: Path | None,
+    show: bool,
+) -> None:
+    """Run serving nodes as processes under faults and check what they promise.
+
+    Exit codes: 0 every promise was kept; 1 one was broken, logs and history are kept; 2 bad input;
+    130 stopped by a signal.
+
+    Example: cloverwalk soak --minutes 1 --seed 7 --nodes 4
+    """
+    try:
+        plans = _plans(minutes, seed, seed_range, nodes, schedule_path)
+        for plan in plans:
+            check_room(plan.nodes)
+    except SoakInputError as error:
+        raise CommandError(str(error), EXIT_USAGE) from error
+    if show:
+        for plan in plans:
+            print_schedule(plan)
+        return
+    results: list[SoakResult] = []
+    for plan in plans:
+        results.append(run_one(plan, out))
+        if results[-1].was_stopped:
+            break
+    if len(plans) > 1:
+        click.echo(HEADINGS)
+        for result in results:
+            click.echo(table_row(result))
+    if any(one.violations for one in results):
+        raise click.exceptions.Exit(EXIT_REFUSED)
+    if any(one.was_stopped for one in results):
+        raise click.exceptions.Exit(EXIT_STOPPED)
+
+
+def _plans(
+    minutes: float, seed: int, seed_range: str | None, nodes: int, schedule_path: Path | None
+) -> list[Plan]:
+    if nodes > MOST_NODES:
+        raise SoakInputError(f"--nodes: {nodes} is more than {MOST_NODES}")
+    if schedule_path is not None:
+        return [load_plan(schedule_path)]
+    if seed_range is None:
+        return [draw_plan(seed, nodes, minutes)]
+    found = re.fullmatch(r"(\d+)-(\d+)", seed_range)
+    if found is None or int(found[1]) > int(found[2]):
+        raise SoakInputError(f"--seeds: {seed_range!r} is not FIRST-LAST")
+    return [draw_plan(one, nodes, minutes) for one in range(int(found[1]), int(found[2]) + 1)]
+
+
+def check_room(nodes: int) -> None:
+    """Raise SoakInputError when the machine has no memory for so many processes."""
+    memory = os.sysconf("SC_PHYS_PAGES") * os.sysconf("SC_PAGE_SIZE")
+    most = int(memory * MEMORY_SHARE / NODE_BYTES)
+    if nodes > most:
+        raise SoakInputError(f"--nodes: this machine has memory for {most}, {nodes} are asked for")
+
+
+def print_schedule(plan: Plan) -> None:
+    """Print the seed and the steps."""
+    click.echo(
+        f"seed {plan.seed}: {plan.nodes} nodes, {plan.replicas} replicas,"
+        f" {plan.duration_s:g} s, {len(plan.actions)} steps"
+    )
+    for action in plan.actions:
+        click.echo(action.line())
+
+
+def run_one(plan: Plan, out: Path | None) -> SoakResult:
+    """Run one soak and print what came of it."""
+    print_schedule(plan)
+    if out is None:
+        folder = Path(tempfile.mkdtemp(prefix=f"cloverwalk-soak-{plan.seed}-"))
+    else:
+        folder = out / f"seed-{plan.seed}"
+    try:
+        result = Soak(plan, folder, click.echo).run()
+    except SoakStartError as error:
+        raise CommandError(f"{error}; logs are in {folder}", EXIT_REFUSED) from error
+    for line in summary_lines(result):
+        click.echo(line)
+    if out is None and result.is_clean:
+        shutil.rmtree(folder)
+    else:
+        click.echo(f"logs and history: {folder}")
+    return result
--- /dev/null
+++ b/src/cloverwalk/soak/connection.py
@@ -0,0 +1,149 @@
+"""A client's connection: one request after the other, and everything that comes back."""
+
+from typing import Any
+
+import attrs
+import curio
+import h11
+
+from cloverwalk.gateway.event_stream import EventSplitter
+from cloverwalk.platform import names
+from cloverwalk.soak.events import AnswerEnd
+
+READ_BYTES = 65536
+CONNECT_S = 2.0
+
+
+@attrs.define
+class Answer:
+    """What came back for one request."""
+
+    end: str = AnswerEnd.BROKEN
+    status: int = 0
+    headers: dict[str, str] = attrs.Factory(dict)
+    body: bytes = b""
+
+    @property
+    def is_whole(self) -> bool:
+        """Whether the answer looks complete."""
+        return self.end == AnswerEnd.WHOLE
+
+    def header(self, name: bytes) -> str:
+        """Return a header, empty where there is none."""
+        return self.headers.get(name.decode().lower(), "")
+
+    @property
+    def is_signed(self) -> bool:
+        """Whether it is a replica's answer."""
+        return bool(self.header(names.SIGNATURE))
+
+    def texts(self) -> list[str]:
+        """Return the data of its whole events; what is no event stands there as it is."""
+        splitter = EventSplitter()
+        texts = [one.data for one in splitter.feed(self.body)]
+        if splitter.rest and self.is_whole:
+            texts.append(splitter.rest.decode("utf-8", "replace"))
+        return texts
+
+
+class ClientConnection:
+    """One connection to a node."""
+
+    def __init__(self, sock: Any) -> None:
+        self._sock = sock
+        self._http = h11.Connection(h11.CLIENT)
+        self.answer = Answer()
+
+    @classmethod
+    async def open(cls, address: tuple[str, int]) -> "ClientConnection | None":
+        """Connect; None when that fails."""
+        try:
+            async with curio.timeout_after(CONNECT_S):
+                return cls(await curio.open_connection(*address))
+        except (OSError, curio.TaskTimeout):
+            return None
+
+    async def has_unasked_bytes(self) -> bool:
+        """Whether bytes came while no request was waiting; the end of the connection is none."""
+        data: bytes | None = None
+        try:
+            async with curio.ignore_after(0.0):
+                data = await self._sock.recv(READ_BYTES)
+        except OSError:
+            return False
+        if data:
+            return True
+        return bool(self._http.trailing_data[0])
+
+    async def call(
+        self, method: str, target: str, headers: list[tuple[str, str]], body: bytes
+    ) -> Answer:
+        """Send a request and read to the end of its answer; ``answer`` grows meanwhile."""
+        self.answer = Answer()
+        try:
+            await self._send(method, target, headers, body)
+            await self._read()
+        except h11.RemoteProtocolError:
+            self.answer.end = AnswerEnd.INVALID
+        except OSError:
+            self.answer.end = AnswerEnd.BROKEN
+        return self.answer
+
+    async def _send(
+        self, method: str, target: str, headers: list[tuple[str, str]], body: bytes
+    ) -> None:
+        lines = [*headers, ("Content-Length", str(len(body)))]
+        data = self._http.send(h11.Request(method=method, target=target, headers=lines)) or b""
+        if body:
+            data += self._http.send(h11.Data(data=body)) or b""
+        data += self._http.send(h11.EndOfMessage()) or b""
+        await self._sock.sendall(data)
+
+    async def _read(self) -> None:
+        answer = self.answer
+        while True:
+            event = self._http.next_event()
+            if event is h11.NEED_DATA:
+                data = await self._sock.recv(READ_BYTES)
+                if not data:
+                    return
+                self._http.receive_data(data)
+            elif isinstance(event, h11.Response):
+                answer.status = event.status_code
+                answer.headers = {n.decode(): v.decode("latin-1") for n, v in event.headers}
+            elif isinstance(event, h11.Data):
+                answer.body += bytes(event.data)
+            elif isinstance(event, h11.EndOfMessage):
+                answer.end = AnswerEnd.WHOLE
+                return
+
+    def may_go_on(self) -> bool:
+        """Prepare for the next request; False when the connection must be closed."""
+        if self._http.our_state is h11.DONE and self._http.their_state is h11.DONE:
+            self._http.start_next_cycle()
+            return True
+        return False
+
+    async def close(self) -> None:
+        """Close the connection."""
+        await self._sock.close()
+
+
+async def call_once(
+    address: tuple[str, int],
+    method: str,
+    target: str,
+    headers: list[tuple[str, str]],
+    body: bytes,
+    timeout_s: float,
+) -> Answer:
+    """Call over a connection of its own; an answer with status 0 is none."""
+    connection = await ClientConnection.open(address)
+    if connection is None:
+        return Answer()
+    try:
+        async with curio.ignore_after(timeout_s):
+            return await connection.call(method, target, headers, body)
+        return Answer()
+    finally:
+        await connection.close()
--- /dev/null
+++ b/src/cloverwalk/soak/deployment.py
@@ -0,0 +1,210 @@
+"""Routes, tenants and services of a soak, and the operator that changes them."""
+
+from typing import Any
+
+import attrs
+
+from cloverwalk.emulator.platform_store_server import PlatformStoreServer
+from cloverwalk.platform import names
+from cloverwalk.soak.events import ConfigurationWritten, RouteFact, TenantFact
+from cloverwalk.soak.history import History
+
+HOST = "soak.example"
+SERVICES = ("alpha", "beta")
+SLOTS = 8
+TIMEOUT_MS = 4_000
+LONG_TIMEOUT_MS = 60_000
+"""For streams whose clients leave: far more than any of them lasts."""
+
+JOB_TARGET_MS = 20_000
+LONG_RETENTION_S = 3_600.0
+"""Longer than any soak: such items may not be given up for their age."""
+
+SHORT_RETENTION_S = 6.0
+QUEUED_TOKENS = 400
+"""Tokens that may wait on the route with a limit: some jobs of ten items."""
+
+UNKNOWN_KEY = "key-of-nobody"
+
+
+@attrs.frozen
+class RouteSpec:
+    """A route that clients use."""
+
+    name: str
+    kind: str
+    service: str
+    max_attempts: int = 3
+    timeout_ms: int = TIMEOUT_MS
+    is_resumable: bool = False
+    is_public: bool = False
+    retention_s: float = 0.0
+    max_queued_tokens: int = 0
+
+    @property
+    def prefix(self) -> str:
+        """The prefix of its paths."""
+        return f"/{self.name}/"
+
+    @property
+    def is_batch(self) -> bool:
+        """Whether it takes jobs."""
+        return self.kind == "batch"
+
+    @property
+    def may_repeat(self) -> bool:
+        """Whether a request may run more than once."""
+        return self.kind == "safe" or self.is_resumable
+
+    def document(self) -> dict[str, Any]:
+        """Return the route as the operator writes it."""
+        return {
+            "name": self.name,
+            "host": HOST,
+            "path_prefix": self.prefix,
+            "route_kind": self.kind,
+            "timeout_ms": self.timeout_ms,
+            "target_latency_ms": 500,
+            "service": self.service,
+            "max_attempts": self.max_attempts,
+            "resumable": self.is_resumable,
+            "public": self.is_public,
+            "completion_target_ms": JOB_TARGET_MS if self.is_batch else 0,
+            "retention_s": self.retention_s,
+            "max_queued_tokens": self.max_queued_tokens,
+        }
+
+    def fact(self) -> RouteFact:
+        """Return the route for the history."""
+        return RouteFact(
+            self.name,
+            self.prefix,
+            [self.service],
+            self.max_attempts,
+            self.is_batch,
+            self.is_public,
+            self.max_queued_tokens,
+        )
+
+
+ROUTES = (
+    RouteSpec("chat", "streaming", "alpha", is_resumable=True),
+    RouteSpec("once", "streaming", "alpha"),
+    RouteSpec("safe", "safe", "alpha"),
+    RouteSpec("unsafe", "unsafe", "beta"),
+    RouteSpec("open", "safe", "beta", is_public=True),
+    RouteSpec("long", "streaming", "beta", timeout_ms=LONG_TIMEOUT_MS, is_resumable=True),
+    RouteSpec("moved", "safe", "alpha"),
+    RouteSpec("flicker", "safe", "beta"),
+    RouteSpec("jobs", "batch", "beta", retention_s=LONG_RETENTION_S),
+    RouteSpec(
+        "limited", "batch", "alpha", retention_s=LONG_RETENTION_S, max_queued_tokens=QUEUED_TOKENS
+    ),
+    RouteSpec("brief", "batch", "alpha", retention_s=SHORT_RETENTION_S),
+    RouteSpec("flickerjobs", "batch", "beta", retention_s=LONG_RETENTION_S),
+)
+REMOVABLE_ROUTES = ("flicker", "flickerjobs")
+MOVABLE_ROUTES = ("moved",)
+
+
+@attrs.define
+class TenantState:
+    """A tenant and the keys that it has had."""
+
+    name: str
+    rate_per_s: float = 0.0
+    burst: float = 0.0
+    keys: list[str] = attrs.Factory(list)
+    old_keys: list[str] = attrs.Factory(list)
+    issued: int = 0
+
+    def issue_key(self) -> None:
+        """Give the tenant one more key."""
+        self.issued += 1
+        self.keys.append(f"key-{self.name}-{self.issued}")
+
+    def fact(self) -> TenantFact:
+        """Return the tenant for the history."""
+        return TenantFact(self.name, list(self.keys), self.rate_per_s, self.burst)
+
+    def document(self) -> dict[str, Any]:
+        """Return the tenant as the operator writes it."""
+        return {
+            "name": self.name,
+            "api_keys": list(self.keys),
+            "rate_per_s": self.rate_per_s,
+            "burst": self.burst,
+        }
+
+
+QUOTAS = {"archive": (0.0, 0.0), "hall": (0.0, 0.0), "news": (8.0, 8.0), "quiz": (16.0, 20.0)}
+"""Requests a second and at once by tenant; 0 is no limit."""
+
+LIMITED_TENANTS = ("news", "quiz")
+KEYS_AT_START = 2
+
+
+class Operator:
+    """Writes the configuration into the store."""
+
+    def __init__(self, store: PlatformStoreServer, history: History) -> None:
+        self._store = store
+        self._history = history
+        self.version = 0
+        self.routes = {one.name: one for one in ROUTES}
+        self.tenants = {
+            name: TenantState(name, rate, burst) for name, (rate, burst) in QUOTAS.items()
+        }
+        for tenant in self.tenants.values():
+            for _ in range(KEYS_AT_START):
+                tenant.issue_key()
+
+    def write(self) -> None:
+        """Write a new version."""
+        self.version += 1
+        document = {
+            "version": self.version,
+            "routes": [one.document() for one in self.routes.values()],
+            "services": [{"name": name, "engine": {"slots": SLOTS}} for name in SERVICES],
+            "limits": {"idle_timeout_ms": 15_000, "max_body_bytes": 1_000_000},
+            "tenants": [one.document() for one in self.tenants.values()],
+        }
+        # Noted first: a node may act on it as soon as the store has it.
+        self._history.note(
+            ConfigurationWritten(
+                version=self.version,
+                routes=[one.fact() for one in self.routes.values()],
+                tenants=[one.fact() for one in self.tenants.values()],
+            )
+        )
+        self._store.put(names.OPERATOR_TABLE, names.CONFIGURATION_KEY, document)
+
+    def replace_key(self, name: str) -> None:
+        """Take the oldest key of a tenant away and give it a new one."""
+        tenant = self.tenants[name]
+        tenant.old_keys.append(tenant.keys.pop(0))
+        tenant.issue_key()
+        self.write()
+
+    def set_quota(self, name: str, rate_per_s: float) -> None:
+        """Change what a tenant may send."""
+        self.tenants[name].rate_per_s = rate_per_s
+        self.write()
+
+    def remove_route(self, name: str) -> None:
+        """Remove a route."""
+        if self.routes.pop(name, None) is not None:
+            self.write()
+
+    def restore_route(self, name: str) -> None:
+        """Add a route that was removed."""
+        if name not in self.routes:
+            self.routes[name] = next(one for one in ROUTES if one.name == name)
+            self.write()
+
+    def move_route(self, name: str) -> None:
+        """Move a route to the other service."""
+        route = self.routes[name]
+        other = next(one for one in SERVICES if one != route.service)
+        self.routes[name] = attrs.evolve(route, service=other)
+        self.write()
--- /dev/null
+++ b/src/cloverwalk/soak/history.py
@@ -0,0 +1,53 @@
+"""The history of a soak: events in order, kept as JSON lines."""
+
+from collections.abc import Callable, Iterator
+from pathlib import Path
+from typing import Any
+
+import msgspec
+
+from cloverwalk.soak.errors import SoakInputError
+from cloverwalk.soak.events import Event
+
+_decoder = msgspec.json.Decoder(Event)
+
+
+class History:
+    """Writes events to a file and passes them on as they come."""
+
+    def __init__(self, path: Path, clock: Callable[[], float]) -> None:
+        self._file = path.open("wb", buffering=1 << 16)
+        self._clock = clock
+        self._began_at = clock()
+        self._listeners: list[Callable[[Any], None]] = []
+        self.count = 0
+
+    def now(self) -> float:
+        """Return the seconds since the start."""
+        return round(self._clock() - self._began_at, 4)
+
+    def listen(self, listener: Callable[[Any], None]) -> None:
+        """Pass every event on to a listener."""
+        self._listeners.append(listener)
+
+    def note(self, event: Any) -> None:
+        """Stamp an event with the time and keep it."""
+        stamped = msgspec.structs.replace(event, at=self.now())
+        self._file.write(msgspec.json.encode(stamped) + b"\n")
+        self.count += 1
+        for listener in self._listeners:
+            listener(stamped)
+
+    def close(self) -> None:
+        """Write what is buffered."""
+        self._file.close()
+
+
+def read_history(path: Path) -> Iterator[Any]:
+    """Return the events of a file; raise SoakInputError where a line is none."""
+    with path.open("rb") as file:
+        for number, line in enumerate(file, 1):
+            try:
+                yield _decoder.decode(line)
+            except msgspec.DecodeError as error:
+                raise SoakInputError(f"{path}:{number}: {error}") from error
