--- a/src/cloverwalk/cli/soak.py
+++ b/src/cloverwalk/cli/soak.py
@@ -16,7 +16,7 @@
 from cloverwalk.soak.run import Soak, SoakResult
 
 NODE_BYTES = 100_000_000
-"""Memory that one process is taken to need; a node under this load has 60 MB."""
+"""Memory that one process is taken to need; a node has 36 MB under the load of a soak."""
 
 MEMORY_SHARE = 0.5
 """Share of the machine's memory that a soak may use."""
--- a/src/cloverwalk/emulator/platform_replica.py
+++ b/src/cloverwalk/emulator/platform_replica.py
@@ -18,6 +18,8 @@
 STUTTER_S = 0.4
 """Pause of a stuttering stream; less than the silence after which a node moves on."""
 
+STUTTER_EVERY = 4
+SILENCE_STEP_S = 3600.0
 WAIT_STEP_S = 0.01
 """How often a waiting request looks for a free slot."""
 
@@ -131,8 +133,9 @@
             self.observer.began(self.replica_id, arrival)
         try:
             if misdeed is Misdeed.SILENT:
-                await self._stay_silent(client, arrival)
-                return False
+                while not await self._caller_left(client, SILENCE_STEP_S):
+                    continue
+                raise OSError("the caller left")
             arrival.has_run = True
             return await self._run(client, http, arrival, misdeed)
         except OSError:
@@ -142,18 +145,12 @@
             self.running -= 1
             self._end(arrival, RunEnd.CRASHED)
 
-    async def _stay_silent(self, client: Any, arrival: Arrival) -> None:
-        while not await self._caller_left(client, 3600.0):
-            pass
-        self._end(arrival, RunEnd.LEFT)
-
     def _end(self, arrival: Arrival, end: RunEnd) -> None:
         """Note the first reason why a run ended."""
-        if arrival.end is not None:
-            return
-        arrival.end = end
-        if self.observer is not None:
-            self.observer.ended(self.replica_id, arrival)
+        if arrival.end is None:
+            arrival.end = end
+            if self.observer is not None:
+                self.observer.ended(self.replica_id, arrival)
 
     # --- messages ---
 
@@ -247,8 +244,8 @@
         first = 1 if last is None else int(last) + 1
         events = self.events if self.events_of is None else self.events_of(arrival)
         for number in range(first, events + 1):
-            pause_s = STUTTER_S if misdeed is Misdeed.STUTTER and number % 4 == 0 else self.event_s
-            if await self._caller_left(client, pause_s):
+            stutters = misdeed is Misdeed.STUTTER and number % STUTTER_EVERY == 0
+            if await self._caller_left(client, STUTTER_S if stutters else self.event_s):
                 arrival.was_left = True
                 raise OSError("the caller left")
             text = self._event(arrival, number)
--- a/src/cloverwalk/soak/check_jobs.py
+++ b/src/cloverwalk/soak/check_jobs.py
@@ -5,7 +5,8 @@
 import attrs
 
 from cloverwalk.emulator.replica_runs import RunEnd
-from cloverwalk.soak.events import (
+from cloverwalk.soak.events import RunBegan, RunEnded
+from cloverwalk.soak.job_events import (
     ItemFact,
     ItemRead,
     JobAnswered,
@@ -14,8 +15,6 @@
     JobRead,
     JobSent,
     ResultFact,
-    RunBegan,
-    RunEnded,
 )
 from cloverwalk.soak.texts import RunFact, text_problem
 from cloverwalk.soak.violations import Versions, Violation
--- a/src/cloverwalk/soak/check_nodes.py
+++ b/src/cloverwalk/soak/check_nodes.py
@@ -18,6 +18,12 @@
 )
 from cloverwalk.soak.violations import Versions, Violation
 
+READY_AFTER_STOP_S = 4.0
+"""A process that was told to stop is not ready so long after; the platform's rule."""
+
+HANG_S = 15.0
+"""A stop takes 8 s at the most; a busy machine is no reason for nearly twice that."""
+
 
 @attrs.define
 class _Process:
@@ -76,11 +82,15 @@
         process.has_answered |= seen.status != 0
         if process.stop_sent_at is None or seen.asked_at < process.stop_sent_at:
             return
+        waited_s = seen.asked_at - process.stop_sent_at
         if seen.status != 200:
             process.was_unready_after_stop = True
         elif process.was_unready_after_stop:
             message = f"process {seen.pid} is ready again though it stops"
             yield Violation(seen.at, "readiness", seen.node, message)
+        elif waited_s > READY_AFTER_STOP_S and "SIGSTOP" not in process.signals:
+            message = f"process {seen.pid} is ready {waited_s:.1f} s after SIGTERM"
+            yield Violation(seen.at, "readiness", seen.node, message)
 
     def _on_settled(self, event: NodeSettled) -> Iterator[Violation]:
         newest = self._versions.written[-1].version
@@ -93,10 +103,6 @@
             yield Violation(event.at, "configuration", event.node, message)
 
 
-HANG_S = 15.0
-"""A stop takes 8 s at the most; a busy machine is no reason for nearly twice that."""
-
-
 @attrs.define
 class _Sent:
     tenant: str
--- a/src/cloverwalk/soak/check_requests.py
+++ b/src/cloverwalk/soak/check_requests.py
@@ -93,6 +93,8 @@
         sent = request.sent
         if (run.method, run.target, run.body) != (sent.method, sent.target, sent.body):
             yield _broken(run, "unasked", "method, target or body are not the client's")
+        if sent.is_part:
+            yield _broken(run, "unasked", "it runs though only a part of it was sent")
         if len(request.runs) > 1 and not sent.may_repeat:
             runs = [one.run for one in request.runs]
             yield _broken(run, "run twice", f"runs {runs} of a request that may run once")
@@ -163,13 +165,13 @@
     # --- answers ---
 
     def _on_answer(self, answer: AnswerSeen) -> Iterator[Violation]:
-        if answer.end == AnswerEnd.UNASKED:
+        if answer.end is AnswerEnd.UNASKED:
             yield Violation(answer.at, "answers", "", "bytes came while no request was waiting")
             return
         request = self._requests[answer.request]
         request.answer = answer
         self._count(answer)
-        if answer.end == AnswerEnd.INVALID:
+        if answer.end is AnswerEnd.INVALID:
             yield _broken(answer, "answers", "bytes came that are no answer")
         if _promises_not_run(answer) and request.runs:
             runs = [one.run for one in request.runs]
@@ -178,13 +180,13 @@
             yield _broken(answer, "answers", f"it belongs to {answer.answered_id!r}")
         if 200 <= answer.status < 300:
             yield from self._check_success(request, answer)
-        elif answer.is_signed and answer.status >= 400 and answer.end == AnswerEnd.WHOLE:
+        elif answer.is_signed and answer.status >= 400 and answer.end is AnswerEnd.WHOLE:
             yield from self._check_failure(request, answer)
         yield from self._check_denial(request, answer)
         yield from self._check_planned_stop(request, answer)
 
     def _count(self, answer: AnswerSeen) -> None:
-        name = str(answer.status) if answer.end == AnswerEnd.WHOLE else answer.end
+        name = str(answer.status) if answer.end is AnswerEnd.WHOLE else answer.end.value
         self.counts[name] = self.counts.get(name, 0) + 1
 
     def _check_success(self, request: _Request, answer: AnswerSeen) -> Iterator[Violation]:
@@ -194,7 +196,7 @@
             yield _broken(answer, "answers", "a success without the request's id")
         if not request.runs:
             yield _broken(answer, "answers", "a success of a request that no replica ran")
-        wanted = request.sent.events if answer.end == AnswerEnd.WHOLE else None
+        wanted = request.sent.events if answer.end is AnswerEnd.WHOLE else None
         problem = text_problem(answer.request, answer.texts, self._runs, wanted)
         if problem:
             yield _broken(answer, "answers", problem)
@@ -221,7 +223,7 @@
 
     def _check_planned_stop(self, request: _Request, answer: AnswerSeen) -> Iterator[Violation]:
         """Report a request that a planned stop cut after it had been passed on."""
-        if answer.end == AnswerEnd.WHOLE or not request.runs:
+        if answer.end is AnswerEnd.WHOLE or not request.runs:
             return
         ends = {request.ends.get(one.run) for one in request.runs}
         if ends & {RunEnd.CUT.value, RunEnd.CRASHED.value}:
@@ -243,7 +245,7 @@
 
 
 def _promises_not_run(answer: AnswerSeen) -> bool:
-    return answer.end == AnswerEnd.WHOLE and answer.status in PROMISES_NOT_RUN
+    return answer.end is AnswerEnd.WHOLE and answer.status in PROMISES_NOT_RUN
 
 
 def _broken(event: RunBegan | AnswerSeen, promise: str, message: str) -> Violation:
--- a/src/cloverwalk/soak/clients.py
+++ b/src/cloverwalk/soak/clients.py
@@ -30,6 +30,12 @@
 UNKNOWN_SHARE = 0.03
 OLD_KEY_SHARE = 0.04
 LEAVE_SHARE = 0.05
+PART_SHARE = 0.02
+"""Share of requests that are sent in part only."""
+
+PART_WAIT_S = 3.0
+"""For so long the rest does not come; twice the time that a node waits for a head."""
+
 ONLINE_ROUTES = [one for one in ROUTES if not one.is_batch and one.name != "long"]
 LONG_ROUTE = next(one for one in ROUTES if one.name == "long")
 
@@ -45,10 +51,12 @@
     body: bytes
     events: int
     leave_after_s: float | None = None
+    sent_share: float = 1.0
+    """Share of its bytes that are sent at all."""
 
     def headers(self) -> list[tuple[str, str]]:
         """Return its headers."""
-        deadline_ms = DEADLINE_MS if self.leave_after_s is None else self.route.timeout_ms
+        deadline_ms = self.route.timeout_ms if self.route is LONG_ROUTE else DEADLINE_MS
         headers = [
             ("Host", HOST),
             (names.REQUEST_ID.decode(), self.request_id),
@@ -80,7 +88,11 @@
         key = self._key(random, tenant, route)
         body = f"prompt of {request_id} ".encode() * random.randint(1, 20)
         target = f"{route.prefix}{random.randint(1, 99)}?q={number}"
-        return OnlineRequest(request_id, route, target, key, body, events, leave_after_s)
+        request = OnlineRequest(request_id, route, target, key, body, events, leave_after_s)
+        if random.random() < PART_SHARE and not tenant:
+            share = random.uniform(0.1, 0.95)
+            return attrs.evolve(request, leave_after_s=PART_WAIT_S, sent_share=share)
+        return request
 
     def _key(self, random: Random, tenant: str, route: RouteSpec) -> str:
         tenants = self._operator.tenants
@@ -165,9 +177,12 @@
         self._note_sent(node, request)
         limit_s = DEADLINE_MS / 1000 + PATIENCE_S
         async with curio.ignore_after(request.leave_after_s or limit_s):
-            await connection.call("POST", request.target, request.headers(), request.body)
+            await connection.call(
+                "POST", request.target, request.headers(), request.body, request.sent_share
+            )
             self._note_answer(connection, request)
-            return connection.answer.is_whole and connection.may_go_on()
+            is_sent = request.sent_share == 1.0
+            return is_sent and connection.answer.is_whole and connection.may_go_on()
         self._history.note(
             ClientLeft(
                 request=request.request_id,
@@ -188,6 +203,7 @@
                 key=request.key,
                 events=request.events,
                 may_repeat=request.route.may_repeat,
+                is_part=request.sent_share < 1.0,
             )
         )
 
--- a/src/cloverwalk/soak/connection.py
+++ b/src/cloverwalk/soak/connection.py
@@ -18,7 +18,7 @@
 class Answer:
     """What came back for one request."""
 
-    end: str = AnswerEnd.BROKEN
+    end: AnswerEnd = AnswerEnd.BROKEN
     status: int = 0
     headers: dict[str, str] = attrs.Factory(dict)
     body: bytes = b""
@@ -76,12 +76,21 @@
         return bool(self._http.trailing_data[0])
 
     async def call(
-        self, method: str, target: str, headers: list[tuple[str, str]], body: bytes
+        self,
+        method: str,
+        target: str,
+        headers: list[tuple[str, str]],
+        body: bytes,
+        sent_share: float = 1.0,
     ) -> Answer:
-        """Send a request and read to the end of its answer; ``answer`` grows meanwhile."""
+        """Send a request and read to the end of its answer; ``answer`` grows meanwhile.
+
+        ``sent_share`` is the share of the request's bytes that are sent at all.
+        """
         self.answer = Answer()
         try:
-            await self._send(method, target, headers, body)
+            data = self._request(method, target, headers, body)
+            await self._sock.sendall(data[: int(sent_share * len(data))])
             await self._read()
         except h11.RemoteProtocolError:
             self.answer.end = AnswerEnd.INVALID
@@ -89,15 +98,14 @@
             self.answer.end = AnswerEnd.BROKEN
         return self.answer
 
-    async def _send(
+    def _request(
         self, method: str, target: str, headers: list[tuple[str, str]], body: bytes
-    ) -> None:
+    ) -> bytes:
         lines = [*headers, ("Content-Length", str(len(body)))]
         data = self._http.send(h11.Request(method=method, target=target, headers=lines)) or b""
         if body:
             data += self._http.send(h11.Data(data=body)) or b""
-        data += self._http.send(h11.EndOfMessage()) or b""
-        await self._sock.sendall(data)
+        return data + (self._http.send(h11.EndOfMessage()) or b"")
 
     async def _read(self) -> None:
         answer = self.answer
--- a/src/cloverwalk/soak/deployment.py
+++ b/src/cloverwalk/soak/deployment.py
@@ -24,6 +24,11 @@
 QUEUED_TOKENS = 400
 """Tokens that may wait on the route with a limit: some jobs of ten items."""
 
+CLIENT_LIMITS = {
+    "header_timeout_ms": 1_500,
+    "idle_timeout_ms": 15_000,
+    "max_body_bytes": 1_000_000,
+}
 UNKNOWN_KEY = "key-of-nobody"
 
 
@@ -166,7 +171,7 @@
             "version": self.version,
             "routes": [one.document() for one in self.routes.values()],
             "services": [{"name": name, "engine": {"slots": SLOTS}} for name in SERVICES],
-            "limits": {"idle_timeout_ms": 15_000, "max_body_bytes": 1_000_000},
+            "limits": CLIENT_LIMITS,
             "tenants": [one.document() for one in self.tenants.values()],
         }
         # Noted first: a node may act on it as soon as the store has it.
--- a/src/cloverwalk/soak/events.py
+++ b/src/cloverwalk/soak/events.py
@@ -3,6 +3,8 @@
 All times are seconds since the start of the soak, from one steady clock.
 """
 
+import enum
+
 from msgspec import Struct
 
 
@@ -129,10 +131,12 @@
     """Number of events of its whole answer."""
 
     may_repeat: bool
+    is_part: bool = False
+    """Only a part of its bytes is sent."""
 
 
-class AnswerEnd:
-    """How reading an answer ended, as texts of ``AnswerSeen.end``."""
+class AnswerEnd(enum.StrEnum):
+    """How reading an answer ended."""
 
     WHOLE = "whole"
     BROKEN = "broken"
@@ -149,7 +153,7 @@
     """A client read an answer, or the connection ended."""
 
     request: str
-    end: str
+    end: AnswerEnd
     status: int = 0
     answered_id: str = ""
     is_signed: bool = False
@@ -193,108 +197,7 @@
     end: str
 
 
-# --- jobs ---
-
-
-class ItemFact(Struct, frozen=True):
-    """An item as it was handed in."""
-
-    item: str
-    target: str
-    body: str
-    tokens: int
-    events: int
-
-
-class JobSent(SoakEvent, frozen=True):
-    """A client hands a job in from now on; the same job may be sent again."""
-
-    job: str
-    route: str
-    tenant: str
-    key: str
-    items: list[ItemFact]
-    max_attempts: int
-    retention_s: float
-    max_queued_tokens: int
-
-
-class JobAnswered(SoakEvent, frozen=True):
-    """The answer to one hand-in; status 0 is none."""
-
-    job: str
-    status: int
-
-
-class ResultFact(Struct, frozen=True):
-    """One listed result."""
-
-    item: str
-    state: str
-    text: str
-
-
-class JobRead(SoakEvent, frozen=True):
-    """A read of a job; results stand there for status 200 only."""
-
-    job: str
-    node: str
-    position: int
-    status: int
-    total: int = 0
-    results: list[ResultFact] = []
-    is_last: bool = False
-    """Read after all faults, when the job had had its time."""
-
-
-class ItemRead(SoakEvent, frozen=True):
-    """The body of an item was asked for."""
-
-    job: str
-    item: str
-    status: int
-    body: str = ""
-
-
-class JobEndSent(SoakEvent, frozen=True):
-    """A client asks for a job's end."""
-
-    job: str
-
-
-class JobEndAnswered(SoakEvent, frozen=True):
-    """The answer to that; status 0 is none."""
-
-    job: str
-    status: int
-
-
 class AllQuiet(SoakEvent, frozen=True):
     """After the last client: runs that are still at work at replicas."""
 
     running: list[int]
-
-
-Event = (
-    ConfigurationWritten
-    | NodeStarted
-    | NodeSignalled
-    | NodeGone
-    | ReadinessSeen
-    | VersionTold
-    | NodeSettled
-    | FaultBegan
-    | FaultEnded
-    | RequestSent
-    | AnswerSeen
-    | ClientLeft
-    | RunBegan
-    | RunEnded
-    | JobSent
-    | JobAnswered
-    | JobRead
-    | ItemRead
-    | JobEndSent
-    | JobEndAnswered
-    | AllQuiet
-)
--- a/src/cloverwalk/soak/history.py
+++ b/src/cloverwalk/soak/history.py
@@ -7,7 +7,55 @@
 import msgspec
 
 from cloverwalk.soak.errors import SoakInputError
-from cloverwalk.soak.events import Event
+from cloverwalk.soak.events import (
+    AllQuiet,
+    AnswerSeen,
+    ClientLeft,
+    ConfigurationWritten,
+    FaultBegan,
+    FaultEnded,
+    NodeGone,
+    NodeSettled,
+    NodeSignalled,
+    NodeStarted,
+    ReadinessSeen,
+    RequestSent,
+    RunBegan,
+    RunEnded,
+    VersionTold,
+)
+from cloverwalk.soak.job_events import (
+    ItemRead,
+    JobAnswered,
+    JobEndAnswered,
+    JobEndSent,
+    JobRead,
+    JobSent,
+)
+
+Event = (
+    ConfigurationWritten
+    | NodeStarted
+    | NodeSignalled
+    | NodeGone
+    | ReadinessSeen
+    | VersionTold
+    | NodeSettled
+    | FaultBegan
+    | FaultEnded
+    | RequestSent
+    | AnswerSeen
+    | ClientLeft
+    | RunBegan
+    | RunEnded
+    | JobSent
+    | JobAnswered
+    | JobRead
+    | ItemRead
+    | JobEndSent
+    | JobEndAnswered
+    | AllQuiet
+)
 
 _decoder = msgspec.json.Decoder(Event)
 
--- a/src/cloverwalk/soak/job_clients.py
+++ b/src/cloverwalk/soak/job_clients.py
@@ -13,7 +13,8 @@
 from cloverwalk.platform import names
 from cloverwalk.soak.connection import Answer, call_once
 from cloverwalk.soak.deployment import HOST, ROUTES, Operator, RouteSpec
-from cloverwalk.soak.events import (
+from cloverwalk.soak.history import History
+from cloverwalk.soak.job_events import (
     ItemFact,
     ItemRead,
     JobAnswered,
@@ -23,7 +24,6 @@
     JobSent,
     ResultFact,
 )
-from cloverwalk.soak.history import History
 from cloverwalk.soak.processes import NodeProcess
 from cloverwalk.soak.replicas import FAILING, IMPOSSIBLE, digest
 
--- a/src/cloverwalk/soak/run.py
+++ b/src/cloverwalk/soak/run.py
@@ -31,7 +31,7 @@
 
 STEADY_PER_NODE = 2
 MOST_STEADY = 24
-JOB_CLIENTS = 3
+LEAST_JOB_CLIENTS = 3
 EAGER_SHARE = 1.5
 """Requests of an eager tenant, as a share of its rate at the start."""
 
@@ -239,7 +239,7 @@
             self._clients.append(
                 await curio.spawn(self._online.run_eager, tenant, rate_per_s, random)
             )
-        for number in range(JOB_CLIENTS):
+        for number in range(max(LEAST_JOB_CLIENTS, len(self._nodes) // 2)):
             random = Random(f"soak-job-client/{self._plan.seed}/{number}")
             self._clients.append(await curio.spawn(self._jobs.run_steady, random))
 
--- a/tests/soak/test_soak_checker.py
+++ b/tests/soak/test_soak_checker.py
@@ -14,26 +14,28 @@
     ConfigurationWritten,
     FaultBegan,
     FaultEnded,
-    ItemFact,
-    ItemRead,
-    JobAnswered,
-    JobEndAnswered,
-    JobEndSent,
-    JobRead,
-    JobSent,
     NodeGone,
     NodeSettled,
     NodeSignalled,
     NodeStarted,
     ReadinessSeen,
     RequestSent,
-    ResultFact,
     RouteFact,
     RunBegan,
     RunEnded,
     TenantFact,
     VersionTold,
 )
+from cloverwalk.soak.job_events import (
+    ItemFact,
+    ItemRead,
+    JobAnswered,
+    JobEndAnswered,
+    JobEndSent,
+    JobRead,
+    JobSent,
+    ResultFact,
+)
 
 CHAT = RouteFact("chat", "/chat/", ["alpha"], 3)
 OPEN = RouteFact("open", "/open/", ["alpha"], 3, is_public=True)
@@ -151,6 +153,7 @@
     assert broken_promises(sent(), began(target="/chat/2")) == ["unasked"]
     assert broken_promises(sent(), began(body="e")) == ["unasked"]
     assert broken_promises(sent(), began(method="GET")) == ["unasked"]
+    assert broken_promises(sent(is_part=True), began()) == ["unasked"]
 
 
 @pytest.mark.parametrize(
@@ -340,6 +343,9 @@
 
     assert broken_promises(stop, seen(1.1, 200), seen(1.6, 503)) == []
     assert broken_promises(stop, seen(1.1, 503), seen(1.6, 200)) == ["readiness"]
+    assert broken_promises(stop, seen(5.5, 200)) == ["readiness"]
+    freeze = after(1.5, NodeSignalled(node="n1", pid=1, signal="SIGSTOP"))
+    assert broken_promises(stop, freeze, seen(5.5, 200)) == []
 
 
 def test_a_node_that_does_not_heal_is_reported() -> None:
