--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -40,6 +40,7 @@
 PARTS = "tests/unit/test_serving_parts.py::"
 TENANTS = "tests/serving/test_tenants.py::"
 QUOTAS = "tests/unit/test_quotas.py::"
+SOAK = "tests/soak/test_soak_short.py::test_a_short_soak_breaks_no_promise"
 MUTANTS = [
     Mutant(
         "an earlier record is ignored",
@@ -710,6 +711,27 @@
         "tests/serving/test_silent_connections.py::"
         "test_one_request_is_late_by_all_silent_connections_to_replicas",
     ),
+    Mutant(
+        "soak: a request that replicas broke off is called not run",
+        "gateway/relay.py",
+        '            raise GatewayError(502, "attempts_used", progress.last_failure)',
+        '            raise GatewayError(503, "attempts_used", progress.last_failure)',
+        SOAK,
+    ),
+    Mutant(
+        "soak: items are given up soon after their hand-in",
+        "jobs/runner.py",
+        "now_ms > job.record.give_up_ms",
+        "now_ms > job.record.accepted_ms + 2000",
+        SOAK,
+    ),
+    Mutant(
+        "soak: any request is repeated",
+        "gateway/configuration.py",
+        "        return self.kind is RouteKind.SAFE or self.is_resumable",
+        "        return True",
+        SOAK,
+    ),
 ]
 
 
