--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -47,6 +47,7 @@
 PROMISED = "tests/serving/test_promises.py::test_a_promise_is_given_only_where_no_replica_began"
 REFUSALS = "tests/serving/test_refusals.py::"
 JOB_REFUSALS = "tests/serving/test_job_refusals.py::"
+SOAK = "tests/soak/test_soak_short.py::test_a_short_soak_breaks_no_promise"
 MUTANTS = [
     Mutant(
         "an earlier record is ignored",
@@ -1099,6 +1100,27 @@
         "        self._must_tell_returned = False",
         RETURN + "test_a_store_that_refuses_many_calls_is_not_told_of_for_each_answer",
     ),
+    Mutant(
+        "soak: a request that replicas broke off is called not run",
+        "core/final_answer.py",
+        "str(error), work.state, error.wait_s)",
+        "str(error), WorkState.NOT_BEGUN, error.wait_s)",
+        SOAK,
+    ),
+    Mutant(
+        "soak: items are given up soon after their hand-in",
+        "jobs/evidence.py",
+        "time.earliest_ms <= give_up_ms:",
+        "time.earliest_ms <= record.accepted_ms + 2000:",
+        SOAK,
+    ),
+    Mutant(
+        "soak: any request is repeated",
+        "gateway/configuration.py",
+        "        return self.kind is RouteKind.SAFE or self.is_resumable",
+        "        return True",
+        SOAK,
+    ),
 ]
 
 
--- a/tests/serving/returning_world.py
+++ b/tests/serving/returning_world.py
@@ -192,8 +192,8 @@
         return json.dumps({**self._stamp(), "rows": wire_rows(rows)}).encode()
 
     def _since(self, table: str, since: int) -> list[Any]:
-        newest = self.rows._changes[-100:]
-        return [row for row in newest if row.version > since and row.row_key.table == table]
+        newest = self.rows._changes_by_table.get(table, [])[-100:]
+        return [row for row in newest if row.version > since]
 
     async def _transaction(self, body: bytes) -> tuple[int, bytes]:
         outcome = self.rows.apply(transaction_of(json.loads(body)))
--- a/tests/serving/test_promises.py
+++ b/tests/serving/test_promises.py
@@ -10,7 +10,8 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from cloverwalk.emulator.platform_replica import Misdeed, PlatformReplica
+from cloverwalk.emulator.platform_replica import PlatformReplica
+from cloverwalk.emulator.replica_runs import Misdeed
 from cloverwalk.fleet.load import LoadBook
 from cloverwalk.fleet.messages import Ask, Placement, Served
 from cloverwalk.fleet.places import Place
--- a/tests/serving/test_refusals.py
+++ b/tests/serving/test_refusals.py
@@ -9,7 +9,7 @@
 from fleet_world import Answer, FleetWorld, in_world
 
 from cloverwalk.core.catalogue import REQUEST_ENDED
-from cloverwalk.emulator.platform_replica import Misdeed
+from cloverwalk.emulator.replica_runs import Misdeed
 from cloverwalk.fleet.messages import Ask, Placement
 from cloverwalk.fleet.places import Place
 from cloverwalk.gateway.admission import Verdict
