--- a/tests/serving/test_store_health.py
+++ b/tests/serving/test_store_health.py
@@ -16,6 +16,7 @@
 from cloverwalk.jobs.records import PARTIAL_TABLE
 from cloverwalk.jobs.run import JobRun
 from cloverwalk.serving import store_watch
+from cloverwalk.serving.node import ServingNode
 from cloverwalk.store.clock import StoreClock
 from cloverwalk.store.health import StoreHealth, WatchedStore
 from cloverwalk.store.types import CommitStatus, Put, RowKey, StoreError, Transaction
@@ -46,6 +47,13 @@
     in_time(test)
 
 
+def have_all_feeds_failed(node: ServingNode) -> bool:
+    """Whether the last call of each table that a node has followed was refused."""
+    feeds = (node._configuration_follower, node._replica_follower, node._batch.follower)
+    followed = [feed for feed in feeds if feed.confirmed_at > float("-inf")]
+    return all(feed._lost_since is not None for feed in followed)
+
+
 def test_a_node_that_learns_of_the_return_first_tells_its_peers(monkeypatch: object) -> None:
     async def test(world: FleetWorld) -> None:
         monkeypatch.setattr(store_watch, "PROBE_EVERY_MS", HOUR_MS)  # type: ignore[attr-defined]
@@ -57,8 +65,8 @@
         await world.until(lambda: len(world.coordinator_roster()) == 3)
         world.store.is_busy = True
         healths = [node._health for node in world.nodes]
-        feeds = [node._configuration_follower for node in world.nodes]
-        await world.until(lambda: all(feed._lost_since is not None for feed in feeds))
+        # A feed that was under way is answered, after another one of its node may have failed.
+        await world.until(lambda: all(have_all_feeds_failed(node) for node in world.nodes))
         assert all(one.is_lost for one in healths)
         world.store.is_busy = False
         # One that is no coordinator learns it first: the others hear of it by way of that one.
