--- /dev/null
+++ b/src/cloverwalk/gateway/content.py
@@ -0,0 +1,36 @@
+"""Names a request by what it asks for, so that a repetition under another id is known again."""
+
+import hashlib
+
+from cloverwalk.gateway.messages import ClientRequest
+
+CONTENT_BYTES = 10
+"""Length of a name: among 4,096 of them two are alike by chance once in 10^17 processes. The hash is
+cryptographic, since a caller could else make a request that is taken for another one."""
+
+
+def content_id(request: ClientRequest) -> str:
+    """Return the name of a request's content: caller, host, method, target and body.
+
+    Neither the body nor a key can be found out by it.
+    """
+    return content_name(
+        request.tenant, request.host, request.method, request.target, body=request.body
+    )
+
+
+def content_name(*parts: str, body: bytes) -> str:
+    """Return the name of the content that consists of some texts and a body.
+
+    >>> content_name("t", "h", body=b"") == content_name("th", "", body=b"")
+    False
+    >>> len(content_name("t", "h", body=b"12"))
+    20
+    """
+    digest = hashlib.blake2b(digest_size=CONTENT_BYTES)
+    for part in parts:
+        raw = part.encode()
+        digest.update(b"%d:" % len(raw))
+        digest.update(raw)
+    digest.update(body)
+    return digest.hexdigest()
--- a/src/cloverwalk/gateway/relay.py
+++ b/src/cloverwalk/gateway/relay.py
@@ -17,6 +17,7 @@
 from cloverwalk.gateway.admission import LONGEST_HOLD_S, Verdict
 from cloverwalk.gateway.answer_relay import EVENT_SILENCE_S, FIRST_EVENT_SILENCE_S, AnswerRelay
 from cloverwalk.gateway.configuration import Route, RouteKind
+from cloverwalk.gateway.content import content_id
 from cloverwalk.gateway.errors import SILENT, ClientGoneError, GatewayError, ReplicaError
 from cloverwalk.gateway.messages import ClientRequest, GatewayCodec
 from cloverwalk.gateway.progress import RequestProgress
@@ -218,6 +219,7 @@
         self._log.write(
             catalogue.REPLICA_FAILED,
             request=request.fields.request_id,
+            content=content_id(request) if may_have_run else None,
             replica=replica.replica_id,
             code=error.code,
             may_have_run=may_have_run,
