--- /dev/null
+++ b/tests/serving/test_crashing_requests.py
@@ -0,0 +1,152 @@
+"""A request that ends each replica which runs it is sent on to a few replicas only.
+
+Seen: one request came again and again, with another id and at another node each time; each
+repetition was sent to as many replicas as a route allows, and 12 of 18 replicas ended under it.
+How: each node forgot with the attempt which replicas had ended, and nobody knew a repetition again.
+Proved by the replicas' own count of what reached them, in these tests and on the users' record.
+"""
+
+from typing import Any
+
+import curio
+from fleet_world import Answer, FleetWorld, free_port, in_world
+
+from cloverwalk.emulator.platform_replica import PlatformReplica
+from cloverwalk.emulator.replica_runs import Arrival, Misdeed
+from cloverwalk.platform import names
+
+GUILTY = b"ends whoever runs it"
+INNOCENT = b"popular"
+MOST_ENDED = 6
+"""Three replicas, and three retries more (users' rules)."""
+
+RETURN_S = 0.1
+LOOK_S = 0.002
+
+
+class CrashingWorld:
+    """Replicas that end when they run the guilty request, and come back as new instances."""
+
+    def __init__(self, world: FleetWorld) -> None:
+        self.world = world
+        self.reached: list[str] = []
+        """Replicas that the guilty request reached."""
+
+        self._dying: list[PlatformReplica] = []
+        self._tasks: dict[str, Any] = {}
+        self._count = 0
+
+    async def start(self, replicas: int = 5, nodes: int = 3) -> None:
+        await self.world.start(replicas=0, nodes=0)
+        for _ in range(replicas):
+            await self._add(None)
+        await self.world.spawn(self._bury)
+        await self.add_nodes(nodes)
+
+    async def add_nodes(self, count: int) -> None:
+        for _ in range(count):
+            await self.world.add_node()
+        await self.world.until(lambda: all(one.is_ready for one in self.world.nodes[-count:]))
+
+    async def _add(self, address: tuple[str, int] | None) -> None:
+        self._count += 1
+        name = f"i-{self._count}"
+        replica = PlatformReplica(name, address or ("127.0.0.1", free_port()))
+        replica.choose_misdeed = lambda arrival: self._choose(replica, arrival)
+        self.world.replicas.append(replica)
+        task = await curio.spawn(replica.run, daemon=True)
+        self.world.tasks.append(task)
+        self._tasks[name] = task
+        self.world.store.put(names.REPLICA_TABLE, name, replica.document("model", "z1"))
+
+    def _choose(self, replica: PlatformReplica, arrival: Arrival) -> Misdeed | None:
+        if arrival.body != GUILTY:
+            return None
+        self.reached.append(replica.replica_id)
+        self._dying.append(replica)
+        return Misdeed.RUN_SILENTLY
+
+    async def _bury(self) -> None:
+        while True:
+            await curio.sleep(LOOK_S)
+            while self._dying:
+                await self.end(self._dying.pop(0))
+
+    async def end(self, replica: PlatformReplica) -> None:
+        """End a replica as a crash does; it comes back as another instance."""
+        task = self._tasks.pop(replica.replica_id, None)
+        if task is None:
+            return
+        await task.cancel()
+        await replica.crash()
+        await self.world.spawn(self._come_back, replica)
+
+    async def _come_back(self, replica: PlatformReplica) -> None:
+        await curio.sleep(RETURN_S)
+        self.world.store.remove(names.REPLICA_TABLE, replica.replica_id)
+        await self._add(replica.address)
+
+    async def ask(self, body: bytes, node: int = 0, path: str = "/chat/a") -> Answer:
+        headers = [
+            (names.REQUEST_ID.decode(), self.world.new_id()),
+            (names.DEADLINE_MS.decode(), "3000"),
+        ]
+        return await self.world.call("POST", path, body, headers, node)
+
+    async def until_back(self, replicas: int = 5) -> None:
+        """Wait until all replicas are back and every node knows them."""
+
+        def are_known() -> bool:
+            ids = sorted(self._tasks)
+            return len(ids) == replicas and all(
+                [one.replica_id for one in node._directory.usable("model")] == ids
+                for node in self.live_nodes()
+            )
+
+        await self.world.until(are_known)
+
+    def live_nodes(self) -> list[Any]:
+        tasks = zip(self.world.nodes, self.world.node_tasks, strict=True)
+        return [node for node, task in tasks if not task.terminated]
+
+
+def in_crashing_world(test: Any) -> None:
+    async def main(world: FleetWorld) -> None:
+        await test(CrashingWorld(world))
+
+    in_world(main)
+
+
+def test_a_request_that_comes_again_elsewhere_is_known_again() -> None:
+    async def test(crashing: CrashingWorld) -> None:
+        await crashing.start()
+        answers = []
+        for turn in range(6):
+            answers.append(await crashing.ask(GUILTY, node=turn % 3))
+            await crashing.until_back()
+        assert len(crashing.reached) <= MOST_ENDED
+        # Nothing was sent, and nobody is told to come back with it.
+        assert answers[-1].status == 503
+        assert "retry-after" not in answers[-1].headers
+        for node in range(3):
+            assert (await crashing.ask(INNOCENT, node=node)).status == 200
+
+    in_crashing_world(test)
+
+
+def test_a_restarted_fleet_knows_it_from_the_store() -> None:
+    async def test(crashing: CrashingWorld) -> None:
+        await crashing.start(nodes=1)
+        await crashing.ask(GUILTY)
+        await crashing.until_back()
+        for index in range(len(crashing.world.nodes)):
+            await crashing.world.kill_node(index)
+        crashing.world.nodes.clear()
+        crashing.world.node_tasks.clear()
+        await crashing.add_nodes(1)
+        for _ in range(4):
+            await crashing.ask(GUILTY)
+            await crashing.until_back()
+        assert len(crashing.reached) <= MOST_ENDED
+
+    in_crashing_world(test)
