--- a/src/cloverwalk/gateway/crash_ledger.py
+++ b/src/cloverwalk/gateway/crash_ledger.py
@@ -23,10 +23,10 @@
 """Ended replicas from which all nodes are told. A crash makes some 17 cases with one, which only
 the coordinator has to know: it adds up what nodes tell."""
 
-TRIAL_PAUSES_S = (10.0, 60.0, 600.0)
+TRIAL_PAUSES_S = (3.0, 60.0, 600.0)
 """Pause before each trial of a contained request, from its last crash; the last one holds for all
-further trials. An innocent one, which an outage of all replicas may have brought here, is back in
-10 s. A guilty one ends two replicas in the ten minutes after the third."""
+further trials. An innocent one, which an outage of all replicas may have brought here, is back when
+the replicas are (about 3 s). A guilty one ends two replicas in the ten minutes after the third."""
 
 TRIAL_LIMIT_S = 10.0
 """A trial without an outcome is over after this time, longer than online requests last."""
@@ -176,9 +176,9 @@
         >>> ledger = CrashLedger()
         >>> [ledger.note_crash("c", replica, 5.0) for replica in ("r1", "r2", "r2", "r3")]
         [False, False, False, True]
-        >>> ledger.containment("c", 6.0).value, ledger.containment("c", 15.0).value
+        >>> ledger.containment("c", 6.0).value, ledger.containment("c", 8.0).value
         ('contained', 'trial_due')
-        >>> ledger.note_answer("c", 15.5), ledger.containment("c", 16.0).value
+        >>> ledger.note_answer("c", 8.5), ledger.containment("c", 8.6).value
         (True, 'free')
         """
         case = self._cases.get(content)
--- a/tests/serving/test_crashing_requests.py
+++ b/tests/serving/test_crashing_requests.py
@@ -9,15 +9,21 @@
 from typing import Any
 
 import curio
-from fleet_world import Answer, FleetWorld, free_port, in_world
+import pytest
+from fleet_world import HOST, Answer, FleetWorld, free_port, in_world
 
 from cloverwalk.emulator.platform_replica import PlatformReplica
 from cloverwalk.emulator.replica_runs import Arrival, Misdeed
 from cloverwalk.fleet.case_keeper import CASE_TABLE
+from cloverwalk.gateway import crash_ledger
+from cloverwalk.gateway.content import content_name
 from cloverwalk.platform import names
 
 GUILTY = b"ends whoever runs it"
+GUILTY_ITEM = b"item 1"
 INNOCENT = b"popular"
+NEIGHBOUR = b"runs long"
+CUT_OFF = b"its connection is reset"
 MOST_ENDED = 6
 """Three replicas, and three retries more (users' rules)."""
 
@@ -25,6 +31,12 @@
 LOOK_S = 0.002
 
 
+@pytest.fixture(autouse=True)
+def no_trials(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Trials depend on how long a test takes; tests of their own have them."""
+    monkeypatch.setattr(crash_ledger, "TRIAL_PAUSES_S", (3600.0,))
+
+
 class CrashingWorld:
     """Replicas that end when they run the guilty request, and come back as new instances."""
 
@@ -33,6 +45,9 @@
         self.reached: list[str] = []
         """Replicas that the guilty request reached."""
 
+        self.neighbour_hangs = False
+        """Whether neighbours run for long; until the guilty request comes."""
+
         self._dying: list[PlatformReplica] = []
         self._tasks: dict[str, Any] = {}
         self._count = 0
@@ -61,9 +76,14 @@
         self.world.store.put(names.REPLICA_TABLE, name, replica.document("model", "z1"))
 
     def _choose(self, replica: PlatformReplica, arrival: Arrival) -> Misdeed | None:
-        if arrival.body != GUILTY:
+        if arrival.body.startswith(NEIGHBOUR) and self.neighbour_hangs:
+            return Misdeed.RUN_SILENTLY
+        if arrival.body == CUT_OFF:
+            return Misdeed.RESET_UNANSWERED
+        if arrival.body not in (GUILTY, GUILTY_ITEM):
             return None
         self.reached.append(replica.replica_id)
+        self.neighbour_hangs = False
         self._dying.append(replica)
         return Misdeed.RUN_SILENTLY
 
@@ -106,6 +126,10 @@
 
         await self.world.until(are_known)
 
+    def content(self, body: bytes, path: str = "/chat/a") -> str:
+        """Return the name of what ``ask`` sends."""
+        return content_name("", HOST, "POST", path, body=body)
+
     def stored(self) -> dict[str, bytes]:
         """Return the rows of contained requests."""
         return self.world.store.rows.values(CASE_TABLE)
@@ -158,3 +182,55 @@
         assert len(crashing.reached) == before <= MOST_ENDED
 
     in_crashing_world(test)
+
+
+def test_a_reset_connection_is_no_evidence() -> None:
+    async def test(crashing: CrashingWorld) -> None:
+        await crashing.start(nodes=1)
+        for _ in range(4):
+            answer = await crashing.ask(CUT_OFF)
+            # Each attempt may have run, so nothing is promised.
+            assert answer.status == 502
+        node = crashing.world.nodes[0]
+        await crashing.world.until(lambda: not node._witness._looks)
+        assert node._knowledge.crashes.is_empty
+        assert sum(one.runs(f"req{4:04d}") for one in crashing.world.replicas) == 3
+
+    in_crashing_world(test)
+
+
+def test_neighbours_are_told_apart_from_the_guilty_request() -> None:
+    """They run at a replica that ends; they are answered elsewhere, and that clears them."""
+
+    async def test(crashing: CrashingWorld) -> None:
+        await crashing.start(nodes=1)
+        world = crashing.world
+        ledger = world.nodes[0]._knowledge.crashes
+        bodies = [NEIGHBOUR + b" %d" % number for number in range(8)]
+        crashing.neighbour_hangs = True
+        neighbours = [await curio.spawn(crashing.ask, body) for body in bodies]
+        await world.until(lambda: sum(one.running for one in world.replicas) == len(bodies))
+        await crashing.ask(GUILTY)
+        for one in neighbours:
+            await one.join()
+        await crashing.until_back()
+        for body in bodies:
+            assert (await crashing.ask(body)).status == 200
+        assert list(ledger.contained()) == [crashing.content(GUILTY)]
+
+    in_crashing_world(test)
+
+
+def test_an_item_that_ends_its_replicas_keeps_nothing_back() -> None:
+    async def test(crashing: CrashingWorld) -> None:
+        await crashing.start(nodes=2)
+        assert (await crashing.world.hand_in("j1", count=6)).status == 202
+        results = await crashing.world.until_done("j1", 5)
+        assert sorted(one["id"] for one in results) == [f"j1-{one}" for one in (0, 2, 3, 4, 5)]
+        await crashing.world.until(lambda: bool(crashing.stored()))
+        await crashing.until_back()
+        assert len(crashing.reached) == crash_ledger.CONTAINED_FROM
+        # It is not given up: nothing has shown that it can never be done.
+        assert len((await crashing.world.read_job("j1"))["results"]) == 5
+
+    in_crashing_world(test)
