Steady time of a serving node goes on while its machine is suspended

Cause: every lease, age and timer ran on CLOCK_MONOTONIC, which stands still while a machine is suspended, so a node believed itself as fresh as before. Now the node's one clock is CLOCK_BOOTTIME, and a suspension is to it what a freeze is, for which leases, quotas and lists are proved. Its length is logged. Left: timers of the event loop run on CLOCK_MONOTONIC, so what waits when a machine is suspended ends later by the time slept at the most.

--- a/src/cloverwalk/core/catalogue.py
+++ b/src/cloverwalk/core/catalogue.py
@@ -67,6 +67,7 @@
 FIRST_REQUEST_PLACED = _event(
     114, "first_request_placed", _I, "A process serves its first request."
 )
+MACHINE_SUSPENDED = _event(115, "machine_suspended", _W, "The machine was suspended for a time.")
 COORDINATOR_KNOWN = _event(205, "coordinator_known", _I, "Another leadership is in force.")
 COORDINATOR_TAKEN = _event(206, "coordinator_taken", _I, "This node coordinates from now on.")
 COORDINATOR_RESIGNED = _event(207, "coordinator_resigned", _W, "Another node coordinates now.")
--- a/src/cloverwalk/serving/node.py
+++ b/src/cloverwalk/serving/node.py
@@ -9,7 +9,7 @@
 import curio
 
 from cloverwalk.core import catalogue
-from cloverwalk.core.clock import Clock
+from cloverwalk.core.clock import Clock, SuspensionWatch, steady_s
 from cloverwalk.core.final_answer import FinalAnswer
 from cloverwalk.fleet.case_keeper import CaseKeeper
 from cloverwalk.fleet.follower import TableFollower
@@ -57,7 +57,8 @@
     ) -> None:
         self._adapter = adapter
         self._settings = settings
-        self._clock: Callable[[], float] = time.monotonic
+        self._clock: Callable[[], float] = steady_s
+        self._suspensions = SuspensionWatch()
         self._random = Random(SystemRandom().getrandbits(64))
         self._log = ServingLog(settings.node, self._clock, log_descriptor)
         self._metrics = ServingMetrics()
@@ -351,6 +352,10 @@
             await self._pool.close_expired()
             self._refusals.expire()
             self._witness.expire()
+            slept_s = self._suspensions.look()
+            if slept_s > 0:
+                # Ages and leases have gone on: the node is as one that stood still for so long.
+                self._log.write(catalogue.MACHINE_SUSPENDED, slept_s=round(slept_s, 3))
 
 
 def run_node(adapter: Adapter) -> None:
