--- a/src/cloverwalk/gateway/progress.py
+++ b/src/cloverwalk/gateway/progress.py
@@ -39,6 +39,9 @@
     expected_wait_ms: float = 0.0
     """How long the present attempt was expected to wait for a slot, before any correction."""
 
+    contained: str | None = None
+    """Its content, where it is sent to no replica since replicas have ended under it."""
+
     first_event_at: float | None = None
     last_replica: str = ""
     last_failure: str = ""
--- a/src/cloverwalk/gateway/relay.py
+++ b/src/cloverwalk/gateway/relay.py
@@ -138,7 +138,7 @@
             if place.verdict is Verdict.QUOTA_UNKNOWN:
                 raise _quota_unknown()
             if place.verdict is Verdict.CONTAINED:
-                raise self._contained(request)
+                raise self._contained(request, progress)
             replica = self._directory.find(place.replica_id)
             if replica is not None:
                 self._note_choice(request, progress, place)
@@ -160,12 +160,12 @@
             return ""
         content = content_id(request)
         if self._witness.is_contained(content):
-            raise self._contained(request)
+            raise self._contained(request, progress)
         return content if self._witness.ledger.crashes(content) else ""
 
-    def _contained(self, request: ClientRequest) -> GatewayError:
+    def _contained(self, request: ClientRequest, progress: RequestProgress) -> GatewayError:
         """Return the answer to a request that is sent to no replica; nobody should repeat it."""
-        content = content_id(request)
+        content = progress.contained = content_id(request)
         crashes = self._witness.ledger.crashes(content)
         self._metrics.containment("refused")
         message = f"{crashes} servers ended while they ran this request ({content})"
@@ -419,6 +419,7 @@
             outcome=outcome,
             status=status,
             work=None if outcome == "answered" else progress.state.value,
+            content=progress.contained,
             replica=progress.last_replica,
             tried=len(progress.tried),
             refused=len(progress.refused),
--- a/src/cloverwalk/telemetry/story.py
+++ b/src/cloverwalk/telemetry/story.py
@@ -118,12 +118,16 @@
 def story_of(lines: Iterable[LogLine], wanted: str) -> list[LogLine]:
     """Return the lines about ``wanted`` and what its nodes learned meanwhile, in order of time.
 
-    An item's story has the lines of its job as far as they name no other item.
+    An item's story has the lines of its job as far as they name no other item. Where replicas have
+    ended under the request, the lines about its content are there too, of whatever request.
     """
     known = list(lines)
     own = [line for line in known if line.names(wanted)]
     jobs = {str(line.fields["job"]) for line in own if "job" in line.fields} - {wanted}
     own += [line for line in known if _is_of_job(line, jobs)]
+    contents = {content for line in own for content in _contents(line, wanted)}
+    told = {id(line) for line in own}
+    own += [line for line in known if id(line) not in told and contents & _contents(line)]
     if not own:
         return []
     first = min(line.time_s for line in own) - BEFORE_S
@@ -137,6 +141,15 @@
     return sorted([*own, *beliefs], key=lambda line: line.time_s)
 
 
+def _contents(line: LogLine, wanted: str | None = None) -> set[str]:
+    """Return the contents that a line names; of ``wanted`` alone where it names many requests."""
+    requests, contents = line.fields.get("requests", []), line.fields.get("contents", [])
+    if requests and wanted is not None:
+        return {one for name, one in zip(requests, contents, strict=False) if name == wanted}
+    single = line.fields.get("content")
+    return {*contents, *([single] if single else [])}
+
+
 def _is_of_job(line: LogLine, jobs: set[str]) -> bool:
     if "request" in line.fields:
         return line.fields["request"] in jobs
--- a/tests/unit/test_explain.py
+++ b/tests/unit/test_explain.py
@@ -72,6 +72,23 @@
     assert notes == ([f"the work {known}"] if known else [])
 
 
+CRASHES = """\
+{"node":"n1","number":317,"level":"warning","at":10.0,"t":2.0,"replica":"r1","found":"refuses","requests":["a","b"],"contents":["guilty","other"],"event":"replica_broke_off"}
+{"node":"n1","number":317,"level":"warning","at":11.0,"t":3.0,"replica":"r2","found":"refuses","requests":["c"],"contents":["other"],"event":"replica_broke_off"}
+{"node":"n2","number":318,"level":"warning","at":12.0,"t":4.0,"contents":["guilty"],"replicas":3,"source":"n1","event":"request_contained"}
+{"node":"n2","number":313,"level":"warning","at":13.0,"t":5.0,"request":"z","content":"guilty","outcome":"request_contained","status":503,"work":"not_begun","event":"request_ended"}
+"""
+
+
+def test_a_contained_requests_story_tells_which_replicas_ended(tmp_path: Path) -> None:
+    """By its content: they ended under other ids, at other nodes."""
+    (tmp_path / "all.log").write_text(CRASHES)
+    result = CliRunner().invoke(cli, ["explain", "z", str(tmp_path / "all.log")])
+    assert result.exit_code == 0
+    assert "replica=r1" in result.output and "request_contained" in result.output
+    assert "replica=r2" not in result.output
+
+
 def test_an_id_that_no_line_names_is_said_so(tmp_path: Path) -> None:
     (tmp_path / "n1.log").write_text(NODE_1)
     result = CliRunner().invoke(cli, ["explain", "other", str(tmp_path / "n1.log")])
