Resets at each point of a request's way; mutants of containment and of the clock

The stand-in replica now resets connections, before an answer and within one; a request whose connection was reset after it was sent is noticed when it counts as not run (the mutant passed all tests of the serving node before).

--- a/src/cloverwalk/emulator/platform_replica.py
+++ b/src/cloverwalk/emulator/platform_replica.py
@@ -4,6 +4,8 @@
 """
 
 import contextlib
+import socket
+import struct
 from collections import deque
 from collections.abc import Callable
 from typing import Any
@@ -217,9 +219,11 @@
         self, client: Any, http: h11.Connection, arrival: Arrival, misdeed: Misdeed | None
     ) -> bool:
         signed = [*self._headers(arrival), (names.SIGNATURE, b"signature")]
-        if misdeed in (Misdeed.RESET_UNANSWERED, Misdeed.GARBAGE):
+        if misdeed in (Misdeed.RESET_UNANSWERED, Misdeed.RESET, Misdeed.GARBAGE):
             self._end(arrival, RunEnd.CUT)
-        if misdeed is Misdeed.RESET_UNANSWERED:
+        if misdeed is Misdeed.RESET:
+            _reset_at_close(client)
+        if misdeed in (Misdeed.RESET_UNANSWERED, Misdeed.RESET):
             return False
         if misdeed is Misdeed.RUN_SILENTLY:
             await curio.sleep(3600)
@@ -245,7 +249,7 @@
         await self._stream(client, http, arrival, signed, misdeed)
         if misdeed is Misdeed.SECOND_ANSWER:
             await client.sendall(_foreign_answer())
-        return misdeed is not Misdeed.CUT
+        return misdeed not in (Misdeed.CUT, Misdeed.RESET_MIDWAY)
 
     async def _stream(
         self,
@@ -267,6 +271,10 @@
                 arrival.was_left = True
                 raise OSError("the caller left")
             text = self._event(arrival, number)
+            if misdeed is Misdeed.RESET_MIDWAY and number > events // 2:
+                self._end(arrival, RunEnd.CUT)
+                _reset_at_close(client)
+                return
             if misdeed is Misdeed.CUT and number > events // 2:
                 self._end(arrival, RunEnd.CUT)
                 await client.sendall(http.send(h11.Data(data=text[: len(text) // 2])) or b"")
@@ -310,6 +318,11 @@
         }
 
 
+def _reset_at_close(client: Any) -> None:
+    """Have the peer of a connection see a reset, not an end, once it is closed."""
+    client._socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+
+
 def _foreign_answer() -> bytes:
     lines = [
         b"HTTP/1.1 200 OK",
--- a/src/cloverwalk/emulator/replica_runs.py
+++ b/src/cloverwalk/emulator/replica_runs.py
@@ -23,6 +23,8 @@
     SILENT = "never answer"
     RUN_SILENTLY = "run it and never answer"
     RESET_UNANSWERED = "run it and break the connection"
+    RESET = "run it and reset the connection before any answer"
+    RESET_MIDWAY = "reset the connection after half of the events"
     UNSIGNED = "answer without a signature"
     STUTTER = "pause between events"
 
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -43,6 +43,8 @@
 TENANTS = "tests/serving/test_tenants.py::"
 ANSWERS = "tests/serving/test_replica_answers.py::"
 QUOTAS = "tests/unit/test_quotas.py::"
+CRASHING = "tests/serving/test_crashing_requests.py::"
+CASES = "tests/serving/test_crash_cases.py::"
 ITEM_ENDS = "tests/serving/test_item_ends.py::"
 PROMISED = "tests/serving/test_promises.py::test_a_promise_is_given_only_where_no_replica_began"
 REFUSALS = "tests/serving/test_refusals.py::"
@@ -1100,6 +1102,76 @@
         "        self._must_tell_returned = False",
         RETURN + "test_a_store_that_refuses_many_calls_is_not_told_of_for_each_answer",
     ),
+    Mutant(
+        "crashes: a node keeps to itself what it has seen",
+        "fleet/case_sync.py",
+        "        self.take(report.cases, report.node)",
+        "        report.cases.clear()",
+        CASES + "test_a_guilty_request_reaches_few_replicas_whatever_happens",
+    ),
+    Mutant(
+        "crashes: an ended replica is no evidence",
+        "gateway/crash_witness.py",
+        "        if found is not Reachability.REFUSES:",
+        "        if found is not None:",
+        CRASHING + "test_a_request_that_comes_again_elsewhere_is_known_again",
+    ),
+    Mutant(
+        "crashes: a reset connection is evidence",
+        "gateway/crash_witness.py",
+        "        if found is not Reachability.REFUSES:",
+        "        if found is Reachability.SILENT:",
+        CRASHING + "test_a_reset_connection_is_no_evidence",
+    ),
+    Mutant(
+        "crashes: answers clear nobody",
+        "gateway/crash_ledger.py",
+        "        return self._clear(content, at)",
+        "        return False",
+        CASES + "test_a_popular_request_is_not_contained_for_its_neighbour",
+    ),
+    Mutant(
+        "crashes: a node forgets what it answered before it heard of a case",
+        "gateway/crash_ledger.py",
+        "        fresh = {key: at for key, at in crashed_at.items() if at > answered_at}",
+        "        fresh = crashed_at",
+        CASES + "test_the_order_in_which_cases_are_told_makes_no_difference",
+    ),
+    Mutant(
+        "crashes: the store's rows are not read",
+        "fleet/case_keeper.py",
+        '        self._cases.take(copies, "store")',
+        "        copies.clear()",
+        CRASHING + "test_a_restarted_fleet_knows_it_from_the_store",
+    ),
+    Mutant(
+        "crashes: every node grants trials",
+        "gateway/crash_ledger.py",
+        "        if containment is Containment.TRIAL_DUE and self.grants_trials:",
+        "        if containment is Containment.TRIAL_DUE:",
+        CASES + "test_trials_come_one_at_a_time_and_ever_more_rarely",
+    ),
+    Mutant(
+        "crashes: items are sent on",
+        "jobs/runner.py",
+        "        if self._witness.ledger.is_empty:\n            return pending",
+        "        return pending",
+        CRASHING + "test_an_item_that_ends_its_replicas_keeps_nothing_back",
+    ),
+    Mutant(
+        "refusals: a reset after the request counts as not run",
+        "gateway/progress.py",
+        "        known = self.tried if self.is_sent else self.refused",
+        '        known = self.tried if self.is_sent and code != "reset" else self.refused',
+        REFUSALS + "test_a_connection_that_is_reset_after_the_request_promises_nothing",
+    ),
+    Mutant(
+        "clock: the node's time stands still while its machine is suspended",
+        "core/clock.py",
+        "    return time.clock_gettime(time.CLOCK_BOOTTIME)",
+        "    return time.monotonic()",
+        "tests/unit/test_clock.py::test_steady_time_goes_on_while_the_machine_is_suspended",
+    ),
     Mutant(
         "soak: a request that replicas broke off is called not run",
         "core/final_answer.py",
--- a/tests/serving/test_crashing_requests.py
+++ b/tests/serving/test_crashing_requests.py
@@ -17,6 +17,7 @@
 from cloverwalk.fleet.case_keeper import CASE_TABLE
 from cloverwalk.gateway import crash_ledger
 from cloverwalk.gateway.content import content_name
+from cloverwalk.jobs import runner
 from cloverwalk.platform import names
 
 GUILTY = b"ends whoever runs it"
@@ -79,7 +80,7 @@
         if arrival.body.startswith(NEIGHBOUR) and self.neighbour_hangs:
             return Misdeed.RUN_SILENTLY
         if arrival.body == CUT_OFF:
-            return Misdeed.RESET_UNANSWERED
+            return Misdeed.RESET
         if arrival.body not in (GUILTY, GUILTY_ITEM):
             return None
         self.reached.append(replica.replica_id)
@@ -221,7 +222,12 @@
     in_crashing_world(test)
 
 
-def test_an_item_that_ends_its_replicas_keeps_nothing_back() -> None:
+def test_an_item_that_ends_its_replicas_keeps_nothing_back(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    # It would be sent again this soon, several times while the second job runs.
+    monkeypatch.setattr(runner, "RETRY_S", 0.05)
+
     async def test(crashing: CrashingWorld) -> None:
         await crashing.start(nodes=2)
         assert (await crashing.world.hand_in("j1", count=6)).status == 202
@@ -229,6 +235,9 @@
         assert sorted(one["id"] for one in results) == [f"j1-{one}" for one in (0, 2, 3, 4, 5)]
         await crashing.world.until(lambda: bool(crashing.stored()))
         await crashing.until_back()
+        # The second job has the same item once more.
+        assert (await crashing.world.hand_in("j2", count=30)).status == 202
+        await crashing.world.until_done("j2", 29)
         assert len(crashing.reached) == crash_ledger.CONTAINED_FROM
         # It is not given up: nothing has shown that it can never be done.
         assert len((await crashing.world.read_job("j1"))["results"]) == 5
--- a/tests/serving/test_promises.py
+++ b/tests/serving/test_promises.py
@@ -67,6 +67,8 @@
             Misdeed.FAIL,
             Misdeed.RUN_SILENTLY,
             Misdeed.RESET_UNANSWERED,
+            Misdeed.RESET,
+            Misdeed.RESET_MIDWAY,
             Misdeed.UNSIGNED,
             Misdeed.PROOF_ON_SUCCESS,
         ]
--- a/tests/serving/test_refusals.py
+++ b/tests/serving/test_refusals.py
@@ -6,6 +6,7 @@
 
 from pathlib import Path
 
+import pytest
 from fleet_world import Answer, FleetWorld, in_world
 
 from cloverwalk.core.catalogue import REQUEST_ENDED
@@ -62,6 +63,22 @@
     in_world(test)
 
 
+@pytest.mark.parametrize("misdeed", [Misdeed.RESET, Misdeed.RESET_MIDWAY])
+def test_a_connection_that_is_reset_after_the_request_promises_nothing(misdeed: Misdeed) -> None:
+    async def test(world: FleetWorld) -> None:
+        await world.start(replicas=4)
+        for replica in world.replicas:
+            replica.always = misdeed
+        for path, most_runs in (("/once/a", 1), ("/safe/a", 3), ("/chat/a", 3)):
+            request_id = f"{path[1:5]}-{misdeed.name}"
+            (answer,) = await send_while_promised(world, path, request_id)
+            assert answer.status not in PROMISES
+            assert not answer.is_whole or answer.status == 502
+            assert 1 <= runs(world, request_id) <= most_runs
+
+    in_world(test)
+
+
 def test_no_verdict_promises_not_run_after_a_run() -> None:
     async def test(world: FleetWorld) -> None:
         await world.start(replicas=2)
