--- a/src/cloverwalk/gateway/crash_ledger.py
+++ b/src/cloverwalk/gateway/crash_ledger.py
@@ -46,8 +46,9 @@
 with the fewest crashes go first, and of these the oldest: a flood of others can't push out a
 contained one."""
 
-MOST_INSTANCES = 32
-"""Ended replicas that a case names; more make no difference."""
+MOST_INSTANCES = 8
+"""Ended replicas that a case names, the newest: more make no difference, and ``MOST_SHARED`` cases
+fit into a datagram of 60,000 bytes."""
 
 CONTENT_CHARACTERS = 20
 
@@ -167,14 +168,15 @@
         if not fresh:
             return False
         case = self._cases.setdefault(content, _Case())
-        was_contained, before = case.is_contained, case.crashes
+        was_contained, before = case.is_contained, set(case.crashed_at)
         for replica_id, at in fresh.items():
-            if replica_id in case.crashed_at or case.crashes < MOST_INSTANCES:
-                case.crashed_at[replica_id] = max(at, case.crashed_at.get(replica_id, at))
-        if case.crashes != before:
+            case.crashed_at[replica_id] = max(at, case.crashed_at.get(replica_id, at))
+        newest = sorted(case.crashed_at.items(), key=lambda entry: (entry[1], entry[0]))
+        case.crashed_at = dict(newest[-MOST_INSTANCES:])
+        if set(case.crashed_at) != before:
             case.trial_until = float("-inf")
             self._note_change(case.crashes)
-            self._evict()
+            self._evict(case.crashes)
         return case.is_contained and not was_contained
 
     def _clear(self, content: str, at: float) -> bool:
@@ -302,9 +304,13 @@
                 ended.append(content)
         return ended
 
-    def _evict(self) -> None:
-        self._keep(MOST_CASES, list(self._cases))
-        self._keep(MOST_SHARED, self._shared())
+    def _evict(self, crashes: int) -> None:
+        """Keep the bounds after a case got to so many crashes."""
+        if len(self._cases) > MOST_CASES:
+            # A part at once: to sort all of them takes milliseconds.
+            self._keep(MOST_CASES * 9 // 10, list(self._cases))
+        if crashes >= SHARED_FROM:
+            self._keep(MOST_SHARED, self._shared())
 
     def _keep(self, most: int, among: list[str]) -> None:
         if len(among) <= most:
--- a/tests/serving/test_crash_cases.py
+++ b/tests/serving/test_crash_cases.py
@@ -9,9 +9,11 @@
 from hypothesis import strategies as st
 
 from cloverwalk.fleet.messages import CrashCases, Report, encode_datagram
+from cloverwalk.fleet.transport import MAX_DATAGRAM_BYTES
 from cloverwalk.gateway.crash_ledger import (
     CONTAINED_FROM,
     MOST_CASES,
+    MOST_INSTANCES,
     MOST_SHARED,
     REMEMBERED_S,
     SHARED_FROM,
@@ -77,7 +79,8 @@
     for number in range(CONTAINED_FROM):
         ledger.note_crash(GUILTY, f"r{number}", 10.0)
     now = 10.0
-    for step, pause_s in enumerate([*TRIAL_PAUSES_S, TRIAL_PAUSES_S[-1]]):
+    last_s = TRIAL_PAUSES_S[-1]
+    for step, pause_s in enumerate([*TRIAL_PAUSES_S, *(last_s for _ in range(MOST_INSTANCES))]):
         assert ledger.containment(GUILTY, now + pause_s - 0.1) is Containment.CONTAINED
         now += pause_s
         # A node that does not coordinate sends it only with the coordinator's leave.
@@ -101,7 +104,11 @@
     assert ledger.containment(GUILTY, 2.0) is Containment.CONTAINED
     assert len(ledger._cases) <= MOST_CASES
     assert len(ledger.shared(3.0)) <= MOST_SHARED
-    assert len(encode_datagram(CrashCases(ledger.shared(3.0)))) < 25_000
+    for number in range(MOST_SHARED):
+        for crash in range(2 * MOST_INSTANCES):
+            ledger.note_crash(f"{number:020d}", f"i-{crash:010d}", 2.0 + crash)
+    assert len(ledger.shared(3.0)) == MOST_SHARED
+    assert len(encode_datagram(CrashCases(ledger.shared(3.0)))) < MAX_DATAGRAM_BYTES
 
 
 def test_old_cases_are_forgotten() -> None:
