A request that was sent to an ended replica is no suspect

A request has to be delivered: over a new connection, or its connection broke more than a round trip later. Suspects get connections of their own.

--- a/src/cloverwalk/gateway/crash_witness.py
+++ b/src/cloverwalk/gateway/crash_witness.py
@@ -1,9 +1,10 @@
 """Finds out whether a replica has ended when it breaks connections off, and who was there then.
 
-The one place for what counts as evidence that a replica ended under a request: the connection broke
-after the request was sent and before its answer was whole, while the replica was in full service;
+The one place for what counts as evidence that a replica ended under a request: the request had been
+delivered, its connection broke before the answer was whole, while the replica was in full service,
 and just after that nothing listens at its address. A reset on the way, a cut, silence, a spoilt
-answer, a replica that drains or that was told to leave are no evidence.
+answer, a request that was sent to a replica which had ended already, a replica that drains or that
+was told to leave are no evidence.
 """
 
 from collections.abc import Awaitable, Callable
@@ -25,6 +26,10 @@
 """Pauses before each look at the address: a process may close its connections a moment before the
 port. A replica's next instance comes seconds later (``reuse_after_s`` of the platform is 2)."""
 
+DELIVERED_S = 0.02
+"""A kept connection whose replica has ended breaks one round trip after the next request is sent, 1
+to 2 ms between zones. One that breaks later than this had reached a living replica."""
+
 SETTLE_S = 0.05
 """How long the next attempt of a request waits for the first look. It takes one round trip, 1 to
 2 ms between zones; without this wait the next replica gets the request before the crash counts."""
@@ -33,6 +38,17 @@
 """Requests that one line names; a replica runs 6 to 17 at once."""
 
 
+@attrs.frozen
+class Delivery:
+    """How a request was sent to a replica."""
+
+    is_new_connection: bool
+    """Whether the connection was opened for it: the replica lived then."""
+
+    sent_at: float
+    """Steady clock, seconds."""
+
+
 @attrs.define
 class _Look:
     """A look at one replica's address."""
@@ -70,17 +86,33 @@
     # --- what happens to requests ---
 
     async def note_failure(
-        self, request_id: str, content: str, replica: Replica, code: str
+        self,
+        request_id: str,
+        content: str,
+        replica: Replica,
+        code: str,
+        delivery: Delivery | None,
     ) -> None:
         """An attempt that may have run failed at a replica."""
         if code not in BROKEN_OFF or self._directory.find(replica.replica_id) is None:
             return
+        if delivery is None or not self._has_arrived(delivery):
+            return
         look = self._looks.get(replica.replica_id)
         if look is None:
             look = self._looks[replica.replica_id] = _Look(self._clock())
             await curio.spawn(self._look, replica, look, daemon=True)
         look.requests[request_id] = content
 
+    def _has_arrived(self, delivery: Delivery) -> bool:
+        """Whether a request whose connection just broke had reached a living replica."""
+        took_s = self._clock() - delivery.sent_at
+        return delivery.is_new_connection or took_s >= DELIVERED_S
+
+    def is_suspect(self, content: str) -> bool:
+        """Whether replicas have ended under a request: it is sent over a new connection."""
+        return self.ledger.crashes(content) > 0
+
     def note_answer(self, content: str) -> None:
         """A replica answered a request whole: it lives on.
 
--- a/src/cloverwalk/gateway/progress.py
+++ b/src/cloverwalk/gateway/progress.py
@@ -5,6 +5,7 @@
 from cloverwalk.core.final_answer import WorkState
 from cloverwalk.fleet.load import Work
 from cloverwalk.gateway.configuration import Route
+from cloverwalk.gateway.crash_witness import Delivery
 
 
 class RequestProgress(Struct):
@@ -39,6 +40,12 @@
     expected_wait_ms: float = 0.0
     """How long the present attempt was expected to wait for a slot, before any correction."""
 
+    delivery: Delivery | None = None
+    """How the present attempt was sent, once it was."""
+
+    is_suspect: bool = False
+    """Whether replicas have ended under its content."""
+
     contained: str | None = None
     """Its content, where it is sent to no replica since replicas have ended under it."""
 
--- a/src/cloverwalk/gateway/relay.py
+++ b/src/cloverwalk/gateway/relay.py
@@ -18,7 +18,7 @@
 from cloverwalk.gateway.answer_relay import EVENT_SILENCE_S, FIRST_EVENT_SILENCE_S, AnswerRelay
 from cloverwalk.gateway.configuration import Route, RouteKind
 from cloverwalk.gateway.content import content_id
-from cloverwalk.gateway.crash_witness import CrashWitness
+from cloverwalk.gateway.crash_witness import CrashWitness, Delivery
 from cloverwalk.gateway.errors import SILENT, ClientGoneError, GatewayError, ReplicaError
 from cloverwalk.gateway.messages import ClientRequest, GatewayCodec
 from cloverwalk.gateway.progress import RequestProgress
@@ -161,7 +161,8 @@
         content = content_id(request)
         if self._witness.is_contained(content):
             raise self._contained(request, progress)
-        return content if self._witness.ledger.crashes(content) else ""
+        progress.is_suspect = self._witness.is_suspect(content)
+        return content if progress.is_suspect else ""
 
     def _contained(self, request: ClientRequest, progress: RequestProgress) -> GatewayError:
         """Return the answer to a request that is sent to no replica; nobody should repeat it."""
@@ -258,7 +259,8 @@
         )
         if content is not None:
             request_id = request.fields.request_id
-            await self._witness.note_failure(request_id, content, replica, error.code)
+            delivery = progress.delivery
+            await self._witness.note_failure(request_id, content, replica, error.code, delivery)
         if reply.has_begun and not progress.route.is_resumable:
             raise ClientGoneError("the answer broke off at the replica", "answer_cut")
 
@@ -285,7 +287,10 @@
     ) -> None:
         try:
             address = (replica.host, replica.port)
-            connection = await self._pool.acquire(address, request.fields.request_id)
+            # Nothing tells whether a kept one still leads to a living replica.
+            must_be_new = bool(progress.tried) or progress.is_suspect
+            request_id = request.fields.request_id
+            connection = await self._pool.acquire(address, request_id, must_be_new)
         except ReplicaError:
             self._directory.suspect(replica.replica_id, self._clock())
             raise
@@ -365,6 +370,7 @@
         try:
             async with curio.timeout_after(self._first_answer_limit_s(progress, remaining_s)):
                 progress.note_sending()
+                progress.delivery = Delivery(connection.is_new, self._clock())
                 await connection.send(request.method, request.target, headers, request.body)
                 return await connection.read_head(request.fields.request_id)
         except OSError as error:
--- a/src/cloverwalk/gateway/replica_connection.py
+++ b/src/cloverwalk/gateway/replica_connection.py
@@ -80,6 +80,11 @@
         self.released_at = float("-inf")
         """When it was last put aside: what came before was answered."""
 
+    @property
+    def is_new(self) -> bool:
+        """Whether nothing was sent over it yet."""
+        return self._exchanges == 0
+
     @property
     def was_kept(self) -> bool:
         """Whether an earlier exchange went over it."""
@@ -305,11 +310,15 @@
         await sock.close()
         return Reachability.LISTENS
 
-    async def acquire(self, address: tuple[str, int], request_id: str) -> ReplicaConnection:
+    async def acquire(
+        self, address: tuple[str, int], request_id: str, must_be_new: bool = False
+    ) -> ReplicaConnection:
         """Return a connection for a request; raise ReplicaError when none can be had.
 
         It is a new one, or an idle one that has not carried a request with the same id.
         """
+        if must_be_new:
+            return await self._open(address)
         while (connection := self._take_idle(address, request_id)) is not None:
             if self._clock() < connection.usable_until and not connection.has_unread():
                 connection.acquired_at = self._clock()
--- a/src/cloverwalk/jobs/item_call.py
+++ b/src/cloverwalk/jobs/item_call.py
@@ -6,6 +6,7 @@
 from msgspec import Struct
 
 from cloverwalk.gateway.content import content_id
+from cloverwalk.gateway.crash_witness import Delivery
 from cloverwalk.gateway.errors import SILENT, ReplicaError
 from cloverwalk.gateway.event_stream import EventOrder, EventSplitter, StreamEvent
 from cloverwalk.gateway.messages import (
@@ -61,14 +62,21 @@
         return one.content
 
     async def run(
-        self, job: JobRun, one: ItemRun, replica: Replica, on_output: Callable[[], None]
+        self,
+        job: JobRun,
+        one: ItemRun,
+        replica: Replica,
+        on_output: Callable[[], None],
+        must_be_new: bool = False,
     ) -> None:
         """Run an item to its end; events are added to the run as they come.
 
+        ``must_be_new`` has it sent over a connection of its own.
         Raises ReplicaError when the run broke off, ItemFailedError or ItemImpossibleError.
         """
         address = (replica.host, replica.port)
-        connection = await self.pool.acquire(address, one.item.item_id)
+        one.delivery = None
+        connection = await self.pool.acquire(address, one.item.item_id, must_be_new)
         is_kept = False
         try:
             if self.directory.find(replica.replica_id) is None:
@@ -98,6 +106,7 @@
         )
         try:
             async with curio.timeout_after(ANSWER_SILENCE_S):
+                one.delivery = Delivery(connection.is_new, self.clock())
                 await connection.send("POST", one.item.path, headers, one.item.body)
                 head = await connection.read_head(one.item.item_id)
         except OSError as error:
--- a/src/cloverwalk/jobs/run.py
+++ b/src/cloverwalk/jobs/run.py
@@ -10,6 +10,7 @@
 from msgspec import Struct
 
 from cloverwalk.gateway.configuration import Route
+from cloverwalk.gateway.crash_witness import Delivery
 from cloverwalk.jobs.evidence import ItemEnd, attempts_used
 from cloverwalk.jobs.records import ItemResult, ItemState, JobItem, JobRecord, PartialOutput
 
@@ -50,6 +51,9 @@
     content: str = ""
     """Name of its content, once somebody has asked for it; see ``gateway.content``."""
 
+    delivery: Delivery | None = None
+    """How its last run was sent, once it was."""
+
     saved: int = 0
     """Events of the output that the store holds."""
 
--- a/src/cloverwalk/jobs/runner.py
+++ b/src/cloverwalk/jobs/runner.py
@@ -318,7 +318,8 @@
         began_with = len(one.texts)
         is_answered = False
         try:
-            await self._caller.run(job, one, replica, running.note_output)
+            is_suspect = self._is_suspect(job, one)
+            await self._caller.run(job, one, replica, running.note_output, is_suspect)
             took_s = self._clock() - running.started_at
             self._pace.note_run(len(one.texts), began_with, took_s)
             self._pace.note_item(one, self._clock(), took_s)
@@ -338,7 +339,8 @@
             if error.may_have_run and len(one.texts) == began_with:
                 # One that has put something out does not end its replica as it begins.
                 content = self._caller.content(job, one)
-                await self._witness.note_failure(one.item.item_id, content, replica, error.code)
+                item_id, delivery = one.item.item_id, one.delivery
+                await self._witness.note_failure(item_id, content, replica, error.code, delivery)
             if error.code in ("reset", "unreachable", SILENT):
                 self._directory.suspect(replica.replica_id, self._clock())
         finally:
@@ -346,6 +348,11 @@
                 self._witness.note_answer(self._caller.content(job, one))
             await self._end_run(running, outcome)
 
+    def _is_suspect(self, job: JobRun, one: ItemRun) -> bool:
+        if self._witness.ledger.is_empty:
+            return False
+        return self._witness.is_suspect(self._caller.content(job, one))
+
     async def _end_run(self, running: _Running, outcome: str) -> None:
         job, one = running.job, running.one
         if not running.gives_way:
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -1123,6 +1123,20 @@
         "        if found is Reachability.SILENT:",
         CRASHING + "test_a_reset_connection_is_no_evidence",
     ),
+    Mutant(
+        "crashes: a request that was sent to an ended replica is a suspect",
+        "gateway/crash_witness.py",
+        "        return delivery.is_new_connection or took_s >= DELIVERED_S",
+        "        return took_s >= 0",
+        "tests/serving/test_crash_witness.py::test_a_request_that_came_after_the_end_is_no_suspect",
+    ),
+    Mutant(
+        "crashes: suspects are sent over kept connections",
+        "gateway/replica_connection.py",
+        "        if must_be_new:",
+        "        if False:",
+        "tests/serving/test_crash_witness.py::test_a_suspect_can_have_a_connection_of_its_own",
+    ),
     Mutant(
         "crashes: answers clear nobody",
         "gateway/crash_ledger.py",
--- /dev/null
+++ b/tests/serving/test_crash_witness.py
@@ -0,0 +1,125 @@
+"""What counts as evidence that a replica ended under a request."""
+
+import os
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+import curio
+import pytest
+from fleet_world import free_port
+from job_world import HandClock
+
+from cloverwalk.emulator.platform_replica import PlatformReplica
+from cloverwalk.gateway.crash_ledger import CrashLedger
+from cloverwalk.gateway.crash_witness import BROKEN_OFF, DELIVERED_S, CrashWitness, Delivery
+from cloverwalk.gateway.errors import SILENT
+from cloverwalk.gateway.replica_connection import Reachability, ReplicaPool
+from cloverwalk.gateway.replicas import Replica, ReplicaDirectory
+from cloverwalk.platform.codec import PlatformCodec
+from cloverwalk.telemetry.log import ServingLog
+from cloverwalk.telemetry.metrics import ServingMetrics
+
+CONTENT = "c" * 20
+REPLICA = Replica("r1", "model", "127.0.0.1", 1, "z1", 8, False, version=1)
+
+
+class Looks:
+    """What each look at the address finds; the last one for all further looks."""
+
+    def __init__(self, *found: Reachability) -> None:
+        self._found = list(found)
+        self.count = 0
+
+    async def probe(self, address: tuple[str, int]) -> Reachability:
+        self.count += 1
+        return self._found.pop(0) if len(self._found) > 1 else self._found[0]
+
+
+def crashes_after(
+    looks: Looks,
+    code: str = "reset",
+    is_new: bool = True,
+    took_s: float = 0.0,
+    replica: Replica | None = REPLICA,
+) -> int:
+    """Return how many crashes are counted after a failure at a replica."""
+    clock = HandClock(step_s=0.0)
+    directory, ledger = ReplicaDirectory(), CrashLedger()
+    if replica is not None:
+        directory.put(replica)
+    pool: Any = looks
+    log = ServingLog("n1", clock, os.open(os.devnull, os.O_WRONLY))
+    witness = CrashWitness(ledger, directory, pool, log, ServingMetrics(), clock)
+
+    async def main() -> None:
+        delivery = Delivery(is_new, clock.now)
+        clock.now += took_s
+        await witness.note_failure("q1", CONTENT, REPLICA, code, delivery)
+        while witness._looks:
+            await curio.sleep(0.01)
+
+    curio.run(main)
+    return ledger.crashes(CONTENT)
+
+
+REFUSES, LISTENS, SILENCE = Reachability.REFUSES, Reachability.LISTENS, Reachability.SILENT
+
+
+@pytest.mark.parametrize("code", sorted(BROKEN_OFF))
+def test_a_replica_that_broke_off_and_refuses_has_ended(code: str) -> None:
+    assert crashes_after(Looks(REFUSES), code) == 1
+
+
+def test_a_port_that_closes_after_the_connections_is_noticed() -> None:
+    assert crashes_after(Looks(LISTENS, LISTENS, REFUSES)) == 1
+
+
+def test_a_replica_that_listens_or_says_nothing_may_live() -> None:
+    assert crashes_after(Looks(LISTENS)) == 0
+    assert crashes_after(Looks(SILENCE)) == 0
+
+
+@pytest.mark.parametrize("code", [SILENT, "not_run", "unsigned", "replica_error", "unreachable"])
+def test_other_failures_are_not_looked_after(code: str) -> None:
+    looks = Looks(REFUSES)
+    assert crashes_after(looks, code) == 0
+    assert looks.count == 0
+
+
+def test_a_replica_that_leaves_as_planned_is_no_evidence() -> None:
+    assert crashes_after(Looks(REFUSES), replica=None) == 0
+
+
+def test_a_request_that_came_after_the_end_is_no_suspect() -> None:
+    """It was sent over a kept connection whose end the node had not seen yet."""
+    assert crashes_after(Looks(REFUSES), is_new=False, took_s=DELIVERED_S / 2) == 0
+    assert crashes_after(Looks(REFUSES), is_new=False, took_s=2 * DELIVERED_S) == 1
+
+
+def with_replica(test: Callable[[ReplicaPool, tuple[str, int]], Awaitable[None]]) -> None:
+    async def main() -> None:
+        address = ("127.0.0.1", free_port())
+        serving = await curio.spawn(PlatformReplica("r1", address).run, daemon=True)
+        await test(ReplicaPool(PlatformCodec(), HandClock()), address)
+        await serving.cancel()
+
+    curio.run(main)
+
+
+def test_a_suspect_can_have_a_connection_of_its_own() -> None:
+    async def test(pool: ReplicaPool, address: tuple[str, int]) -> None:
+        kept = await pool.acquire(address, "q1")
+        await pool.release_unused(kept)
+        own = await pool.acquire(address, "q2", must_be_new=True)
+        assert own is not kept and own.is_new
+        assert await pool.acquire(address, "q3") is kept
+
+    with_replica(test)
+
+
+def test_a_look_tells_a_port_without_a_process() -> None:
+    async def test(pool: ReplicaPool, address: tuple[str, int]) -> None:
+        assert await pool.probe(address) is Reachability.LISTENS
+        assert await pool.probe(("127.0.0.1", free_port())) is Reachability.REFUSES
+
+    with_replica(test)
--- a/tests/serving/test_crashing_requests.py
+++ b/tests/serving/test_crashing_requests.py
@@ -222,6 +222,27 @@
     in_crashing_world(test)
 
 
+def test_a_request_that_was_sent_to_an_ended_replica_is_no_suspect() -> None:
+    """Replicas end one after the other by themselves; requests go on to the next one."""
+
+    async def test(crashing: CrashingWorld) -> None:
+        await crashing.start(nodes=1)
+        world = crashing.world
+        for number in range(20):
+            # Each replica has a kept connection.
+            await crashing.ask(b"warm %d" % number)
+        for replica in list(world.replicas):
+            await crashing.end(replica)
+        ledger = world.nodes[0]._knowledge.crashes
+        answers = [await crashing.ask(b"sent late %d" % number) for number in range(8)]
+        assert {one.status for one in answers} <= {200, 502, 503}
+        assert ledger.is_empty
+        await crashing.until_back()
+        assert (await crashing.ask(b"sent late 0")).status == 200
+
+    in_crashing_world(test)
+
+
 def test_an_item_that_ends_its_replicas_keeps_nothing_back(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
--- a/tests/serving/test_item_slots.py
+++ b/tests/serving/test_item_slots.py
@@ -39,7 +39,12 @@
         return ()
 
     async def run(
-        self, job: JobRun, one: ItemRun, replica: Replica, on_output: Callable[[], None]
+        self,
+        job: JobRun,
+        one: ItemRun,
+        replica: Replica,
+        on_output: Callable[[], None],
+        must_be_new: bool,
     ) -> None:
         try:
             await curio.Event().wait()
