--- /dev/null
+++ b/src/cloverwalk/gateway/containment.py
@@ -0,0 +1,51 @@
+"""Where online requests meet containment: before each attempt, after failures and answers."""
+
+from cloverwalk.gateway import refusals
+from cloverwalk.gateway.content import content_id
+from cloverwalk.gateway.crash_witness import CrashWitness
+from cloverwalk.gateway.errors import GatewayError
+from cloverwalk.gateway.messages import ClientRequest
+from cloverwalk.gateway.progress import RequestProgress
+from cloverwalk.gateway.replicas import Replica
+from cloverwalk.telemetry.metrics import ServingMetrics
+
+
+class ContainmentGate:
+    """Keeps requests under which replicas end from further replicas.
+
+    Without it each repetition of one goes to as many replicas as its route allows: 12 of 18 ended
+    under one within 40 s.
+    """
+
+    def __init__(self, witness: CrashWitness, metrics: ServingMetrics) -> None:
+        self._witness = witness
+        self._metrics = metrics
+
+    async def check(self, request: ClientRequest, progress: RequestProgress) -> str:
+        """Return a suspect's content, empty for others; raise the answer of a contained one."""
+        if progress.tried:
+            await self._witness.settle(content_id(request))
+        if self._witness.ledger.is_empty:
+            return ""
+        content = content_id(request)
+        if self._witness.is_contained(content):
+            raise self.refusal(request, progress)
+        progress.is_suspect = self._witness.is_suspect(content)
+        return content if progress.is_suspect else ""
+
+    def refusal(self, request: ClientRequest, progress: RequestProgress) -> GatewayError:
+        """Return the answer to a request that goes to no replica any more."""
+        content = progress.contained = content_id(request)
+        self._metrics.containment("refused")
+        return refusals.contained(content, self._witness.ledger.crashes(content))
+
+    async def note_failure(
+        self, request: ClientRequest, progress: RequestProgress, replica: Replica, code: str
+    ) -> None:
+        """An attempt that may have run failed at a replica."""
+        request_id, content = request.fields.request_id, content_id(request)
+        await self._witness.note_failure(request_id, content, replica, code, progress.delivery)
+
+    def note_answer(self, request: ClientRequest) -> None:
+        """A replica answered the request whole."""
+        self._witness.note_answer(content_id(request))
--- /dev/null
+++ b/src/cloverwalk/gateway/refusals.py
@@ -0,0 +1,52 @@
+"""Why an online request ends with an answer of this node's own, and when its caller may return."""
+
+from cloverwalk.core.final_answer import Reason
+from cloverwalk.gateway.errors import GatewayError
+from cloverwalk.telemetry.tenant_metrics import TenantOutcome
+
+RETRY_AFTER_S = 0.2
+ELSEWHERE_RETRY_AFTER_S = 0.02
+"""A client that comes back reaches another node, which need not be waited for."""
+
+OVER_QUOTA = TenantOutcome.OVER_QUOTA
+CONTAINED = "request_contained"
+
+
+def out_of_time() -> GatewayError:
+    """Return the refusal of a request whose time is over."""
+    return GatewayError(Reason.OUT_OF_TIME, "deadline_passed", "the time for it is over", 0.0)
+
+
+def attempts_used(last_failure: str) -> GatewayError:
+    """Return the answer to a request that may go to no further replica."""
+    return GatewayError(Reason.UNAVAILABLE, "attempts_used", last_failure)
+
+
+def crowded(retry_after_s: float) -> GatewayError:
+    """Return the refusal of a request that has to come back."""
+    message = "all slots are taken by online requests"
+    return GatewayError(Reason.UNAVAILABLE, "crowded", message, retry_after_s)
+
+
+def no_replica(code: str, last_failure: str) -> GatewayError:
+    """Return the refusal where no replica takes a request."""
+    message = last_failure or "no replica takes the request now"
+    return GatewayError(Reason.UNAVAILABLE, code, message, RETRY_AFTER_S)
+
+
+def over_quota(retry_after_s: float) -> GatewayError:
+    """Return the refusal of a tenant that has sent what it may."""
+    message = "the tenant has sent what it may"
+    return GatewayError(Reason.OVER_QUOTA, OVER_QUOTA, message, retry_after_s)
+
+
+def quota_unknown() -> GatewayError:
+    """Return the refusal of a node that can't tell whether a tenant may send more."""
+    message = "nobody who counts the tenant's requests answers this node"
+    return GatewayError(Reason.UNAVAILABLE, "quota_unknown", message, ELSEWHERE_RETRY_AFTER_S)
+
+
+def contained(content: str, crashes: int) -> GatewayError:
+    """Return the refusal of a request that ends replicas; nobody should come back with it."""
+    message = f"{crashes} servers ended while they ran this request ({content})"
+    return GatewayError(Reason.UNAVAILABLE, CONTAINED, message)
--- a/src/cloverwalk/gateway/relay.py
+++ b/src/cloverwalk/gateway/relay.py
@@ -9,16 +9,18 @@
 import curio
 
 from cloverwalk.core import catalogue
-from cloverwalk.core.final_answer import Reason, final_answer
+from cloverwalk.core.final_answer import final_answer
 from cloverwalk.fleet.link import CoordinatorLink
 from cloverwalk.fleet.load import LoadBook
 from cloverwalk.fleet.messages import Ask, Served, TokenUse
 from cloverwalk.fleet.places import Place
+from cloverwalk.gateway import refusals
 from cloverwalk.gateway.admission import LONGEST_HOLD_S, Verdict
 from cloverwalk.gateway.answer_relay import EVENT_SILENCE_S, FIRST_EVENT_SILENCE_S, AnswerRelay
 from cloverwalk.gateway.configuration import Route, RouteKind
+from cloverwalk.gateway.containment import ContainmentGate
 from cloverwalk.gateway.content import content_id
-from cloverwalk.gateway.crash_witness import CrashWitness, Delivery
+from cloverwalk.gateway.crash_witness import Delivery
 from cloverwalk.gateway.errors import SILENT, ClientGoneError, GatewayError, ReplicaError
 from cloverwalk.gateway.messages import ClientRequest, GatewayCodec
 from cloverwalk.gateway.progress import RequestProgress
@@ -35,13 +37,8 @@
 """Replicas that may be unreachable or say 'not run' before the request is refused. Each costs some
 milliseconds; with three, requests were refused while seven of 45 replicas were down."""
 
-RETRY_AFTER_S = 0.2
-ELSEWHERE_RETRY_AFTER_S = 0.02
-"""A client that comes back reaches another node, which need not be waited for."""
-
 LEAST_USEFUL_S = 0.01
 LEAST_FAILURE_STATUS = 400
-OVER_QUOTA = TenantOutcome.OVER_QUOTA
 
 
 class OnlineRelay:
@@ -58,7 +55,7 @@
         clock: Callable[[], float],
         link: CoordinatorLink,
         refusals: RefusalMemory,
-        witness: CrashWitness,
+        containment: ContainmentGate,
     ) -> None:
         self._codec = codec
         self._directory = directory
@@ -69,7 +66,7 @@
         self._clock = clock
         self._link = link
         self._refusals = refusals
-        self._witness = witness
+        self._containment = containment
         self._rotation = WeightedRotation()
         self._answers = AnswerRelay(codec, directory, metrics, clock)
 
@@ -80,7 +77,7 @@
             async with curio.timeout_after(max(0.0, progress.deadline - self._clock())):
                 await self._serve(request, progress, reply)
         except curio.TaskTimeout:
-            await self._give_up(request, progress, reply, _out_of_time())
+            await self._give_up(request, progress, reply, refusals.out_of_time())
         except GatewayError as error:
             await self._give_up(request, progress, reply, error)
         except ClientGoneError as error:
@@ -121,24 +118,24 @@
         """Return the replica to send to, once there is a place; see ``scheduling.scheduler``."""
         while True:
             if progress.tried and not self._may_try_again(progress):
-                raise GatewayError(Reason.UNAVAILABLE, "attempts_used", progress.last_failure)
+                raise refusals.attempts_used(progress.last_failure)
             if len(progress.refused) >= MAX_REFUSALS:
-                raise _no_replica(progress, "replicas_full")
-            suspected = await self._check_contained(request, progress)
+                raise refusals.no_replica("replicas_full", progress.last_failure)
+            suspected = await self._containment.check(request, progress)
             ask = self._ask(request, progress, suspected)
             self._check_remembered(ask)
             place = await self._link.place(ask, request.received_at + LONGEST_HOLD_S)
             if place.verdict is Verdict.RETURN:
-                raise _crowded(place.placement.retry_after_s)
+                raise refusals.crowded(place.placement.retry_after_s)
             if place.verdict is Verdict.NONE:
-                raise _no_replica(progress, "no_replica")
+                raise refusals.no_replica("no_replica", progress.last_failure)
             if place.verdict is Verdict.OVER_QUOTA:
                 self._refusals.learn(request.tenant, place.placement.retry_after_s)
-                raise _over_quota(place.placement.retry_after_s)
+                raise refusals.over_quota(place.placement.retry_after_s)
             if place.verdict is Verdict.QUOTA_UNKNOWN:
-                raise _quota_unknown()
+                raise refusals.quota_unknown()
             if place.verdict is Verdict.CONTAINED:
-                raise self._contained(request, progress)
+                raise self._containment.refusal(request, progress)
             replica = self._directory.find(place.replica_id)
             if replica is not None:
                 self._note_choice(request, progress, place)
@@ -148,37 +145,13 @@
             progress.refused.append(place.replica_id)
             await self._end_work(place)
 
-    async def _check_contained(self, request: ClientRequest, progress: RequestProgress) -> str:
-        """Return the content of a suspect, empty for others; raise the answer of a contained one.
-
-        Without it a request under which replicas end is sent to as many as a route allows at each
-        repetition: 12 of 18 replicas ended under one within 40 s.
-        """
-        if progress.tried:
-            await self._witness.settle(content_id(request))
-        if self._witness.ledger.is_empty:
-            return ""
-        content = content_id(request)
-        if self._witness.is_contained(content):
-            raise self._contained(request, progress)
-        progress.is_suspect = self._witness.is_suspect(content)
-        return content if progress.is_suspect else ""
-
-    def _contained(self, request: ClientRequest, progress: RequestProgress) -> GatewayError:
-        """Return the answer to a request that is sent to no replica; nobody should repeat it."""
-        content = progress.contained = content_id(request)
-        crashes = self._witness.ledger.crashes(content)
-        self._metrics.containment("refused")
-        message = f"{crashes} servers ended while they ran this request ({content})"
-        return GatewayError(Reason.UNAVAILABLE, "request_contained", message)
-
     def _check_remembered(self, ask: Ask) -> None:
         """Raise the refusal of a tenant that the coordinator has refused just now."""
         if ask.token is not TokenUse.NEW:
             return
         rest_s = self._refusals.rest_s(ask.tenant)
         if rest_s > 0:
-            raise _over_quota(rest_s)
+            raise refusals.over_quota(rest_s)
 
     async def _end_work(self, place: Place) -> None:
         if place.work is not None:
@@ -245,22 +218,19 @@
         reply: Reply,
     ) -> None:
         may_have_run = progress.is_sent
-        content = content_id(request) if may_have_run else None
         progress.note_failed(replica.replica_id, error.code)
         self._metrics.attempt_failed(error.code)
         self._log.write(
             catalogue.REPLICA_FAILED,
             request=request.fields.request_id,
-            content=content,
+            content=content_id(request) if may_have_run else None,
             replica=replica.replica_id,
             code=error.code,
             may_have_run=may_have_run,
             after_event=progress.last_event_id,
         )
-        if content is not None:
-            request_id = request.fields.request_id
-            delivery = progress.delivery
-            await self._witness.note_failure(request_id, content, replica, error.code, delivery)
+        if may_have_run:
+            await self._containment.note_failure(request, progress, replica, error.code)
         if reply.has_begun and not progress.route.is_resumable:
             raise ClientGoneError("the answer broke off at the replica", "answer_cut")
 
@@ -272,7 +242,7 @@
         try:
             now = self._clock()
             if progress.deadline - now < LEAST_USEFUL_S:
-                raise _out_of_time()
+                raise refusals.out_of_time()
             progress.sent_at = now
             progress.has_token = True
             await self._attempt_counted(request, progress, replica, reply)
@@ -336,7 +306,7 @@
         else:
             await self._answers.relay_plain(request, progress, connection, head, reply)
         self._learn(progress)
-        self._witness.note_answer(content_id(request))
+        self._containment.note_answer(request)
         self._note_end(request, progress, "answered", head.status)
         return head
 
@@ -436,7 +406,7 @@
 
 
 def _tenant_outcome(outcome: str) -> str:
-    if outcome in (TenantOutcome.ANSWERED, OVER_QUOTA):
+    if outcome in (TenantOutcome.ANSWERED, TenantOutcome.OVER_QUOTA):
         return outcome
     return TenantOutcome.ENDED
 
@@ -446,30 +416,6 @@
     return head.fields.was_not_run and head.status >= LEAST_FAILURE_STATUS
 
 
-def _out_of_time() -> GatewayError:
-    return GatewayError(Reason.OUT_OF_TIME, "deadline_passed", "the time for it is over", 0.0)
-
-
-def _crowded(retry_after_s: float) -> GatewayError:
-    message = "all slots are taken by online requests"
-    return GatewayError(Reason.UNAVAILABLE, "crowded", message, retry_after_s)
-
-
-def _no_replica(progress: RequestProgress, code: str) -> GatewayError:
-    message = progress.last_failure or "no replica takes the request now"
-    return GatewayError(Reason.UNAVAILABLE, code, message, RETRY_AFTER_S)
-
-
-def _over_quota(retry_after_s: float) -> GatewayError:
-    message = "the tenant has sent what it may"
-    return GatewayError(Reason.OVER_QUOTA, OVER_QUOTA, message, retry_after_s)
-
-
-def _quota_unknown() -> GatewayError:
-    message = "nobody who counts the tenant's requests answers this node"
-    return GatewayError(Reason.UNAVAILABLE, "quota_unknown", message, ELSEWHERE_RETRY_AFTER_S)
-
-
 def _token_use(progress: RequestProgress) -> TokenUse:
     if not progress.has_token:
         return TokenUse.NEW
--- a/src/cloverwalk/serving/node.py
+++ b/src/cloverwalk/serving/node.py
@@ -15,6 +15,7 @@
 from cloverwalk.fleet.follower import TableFollower
 from cloverwalk.fleet.load import LoadBook
 from cloverwalk.gateway.configuration import ClientLimits
+from cloverwalk.gateway.containment import ContainmentGate
 from cloverwalk.gateway.crash_witness import CrashWitness
 from cloverwalk.gateway.messages import ClientRequest
 from cloverwalk.gateway.relay import OnlineRelay
@@ -177,7 +178,7 @@
             self._clock,
             self._fleet.link,
             self._refusals,
-            self._witness,
+            ContainmentGate(self._witness, self._metrics),
         )
         calls = CallHandler(
             self._adapter,
--- a/tests/serving/test_promises.py
+++ b/tests/serving/test_promises.py
@@ -24,6 +24,7 @@
     RouteKind,
     RoutePart,
 )
+from cloverwalk.gateway.containment import ContainmentGate
 from cloverwalk.gateway.crash_ledger import CrashLedger
 from cloverwalk.gateway.crash_witness import CrashWitness
 from cloverwalk.gateway.relay import OnlineRelay
@@ -126,6 +127,7 @@
         link: Any = ScriptedLink(script, loads)
         directory = self._directory()
         pool = ReplicaPool(adapter.codec, time.monotonic)
+        witness = CrashWitness(CrashLedger(), directory, pool, log, metrics, time.monotonic)
         relay = OnlineRelay(
             adapter.codec,
             directory,
@@ -136,7 +138,7 @@
             time.monotonic,
             link,
             RefusalMemory(log, time.monotonic),
-            CrashWitness(CrashLedger(), directory, pool, log, metrics, time.monotonic),
+            ContainmentGate(witness, metrics),
         )
         self.may_begin = True
         jobs: Any = None
