--- a/src/cloverwalk/soak/replicas.py
+++ b/src/cloverwalk/soak/replicas.py
@@ -188,8 +188,8 @@
         # the steps here are more than 0.1 s apart.
         await place.carrying.cancel()
         await place.task.cancel()
-        await place.proxy.reset()
         await place.replica.crash()
+        await place.proxy.reset()
 
     # --- faults ---
 
