A second signal within the handler of the first one blocks nothing

The handler sets an event with a lock; a signal that interrupts it waits for that lock on the same thread. Shown by a test that hangs on the code before. The same in the earlier daemon and the soak.

--- a/src/cloverwalk/node/daemon.py
+++ b/src/cloverwalk/node/daemon.py
@@ -12,6 +12,7 @@
 from cloverwalk.core import catalogue
 from cloverwalk.core import events as ev
 from cloverwalk.core.constants import TICK_S
+from cloverwalk.core.once_flag import OnceFlag
 from cloverwalk.core.peer_messages import Envelope
 from cloverwalk.engine.client import EngineClient
 from cloverwalk.http.server import HttpServer
@@ -54,6 +55,7 @@
         self._instructions: deque[ev.Instruction] = deque()
         self._is_carrying_out = False
         self._stop = curio.UniversalEvent()
+        self._stop_flag = OnceFlag()
         self._stopped = curio.Event()
 
     @property
@@ -65,7 +67,8 @@
 
     def request_stop(self) -> None:
         """Begin a planned stop; safe to call from a signal handler."""
-        self._stop.set()
+        if self._stop_flag.take():
+            self._stop.set()
 
     async def run(self) -> None:
         """Serve until a planned stop is complete."""
--- a/src/cloverwalk/serving/node.py
+++ b/src/cloverwalk/serving/node.py
@@ -11,6 +11,7 @@
 from cloverwalk.core import catalogue
 from cloverwalk.core.clock import Clock, SuspensionWatch, steady_s
 from cloverwalk.core.final_answer import FinalAnswer
+from cloverwalk.core.once_flag import OnceFlag
 from cloverwalk.fleet.case_keeper import CaseKeeper
 from cloverwalk.fleet.follower import TableFollower
 from cloverwalk.fleet.load import LoadBook
@@ -68,6 +69,8 @@
         self._startup = StartupLog(self._log, self._clock, began_at)
         self._stop = curio.UniversalEvent()
         self._reload = curio.UniversalEvent()
+        self._stop_flag = OnceFlag()
+        self._reload_flag = OnceFlag()
         self.is_leaving = False
         self._last_begin_at = float("inf")
         self._build_state()
@@ -258,19 +261,26 @@
 
     def request_stop(self) -> None:
         """Begin a planned stop; safe to call from a signal handler."""
-        self._stop.set()
+        if self._stop_flag.take():
+            self._stop.set()
+
+    def request_reload(self) -> None:
+        """Have the settings read again; safe to call from a signal handler."""
+        if self._reload_flag.take():
+            self._reload.set()
 
     def install_signals(self) -> None:
         """Stop on SIGTERM and SIGINT, read the settings again on SIGHUP."""
         signal.signal(signal.SIGTERM, lambda *_: self.request_stop())
         signal.signal(signal.SIGINT, lambda *_: self.request_stop())
-        signal.signal(signal.SIGHUP, lambda *_: self._reload.set())
+        signal.signal(signal.SIGHUP, lambda *_: self.request_reload())
 
     async def _reload_loop(self) -> None:
         """On SIGHUP the settings are checked; addresses hold until the next start."""
         while True:
             await self._reload.wait()
             self._reload.clear()
+            self._reload_flag.reset()
             try:
                 settings = self._adapter.load_settings()
             except Exception as error:
--- a/src/cloverwalk/soak/run.py
+++ b/src/cloverwalk/soak/run.py
@@ -12,6 +12,7 @@
 import curio
 import msgspec
 
+from cloverwalk.core.once_flag import OnceFlag
 from cloverwalk.emulator.platform_store_server import PlatformStoreServer
 from cloverwalk.soak.addresses import SoakNetwork, find_network
 from cloverwalk.soak.checker import Checker
@@ -83,6 +84,7 @@
         self._folder = folder
         self._report = report
         self._stop = curio.UniversalEvent()
+        self._stop_flag = OnceFlag()
         self._ends_at = float("inf")
         """When clients stop, in the history's time."""
 
@@ -148,7 +150,7 @@
         # A warning of its own for each timeout that a busy loop sees late.
         logging.getLogger("curio").setLevel(logging.ERROR)
         earlier = {
-            number: signal.signal(number, lambda *_: self._stop.set())
+            number: signal.signal(number, lambda *_: self._request_stop())
             for number in (signal.SIGINT, signal.SIGTERM)
         }
         try:
@@ -172,6 +174,11 @@
             was_stopped,
         )
 
+    def _request_stop(self) -> None:
+        """End the soak; safe to call from a signal handler."""
+        if self._stop_flag.take():
+            self._stop.set()
+
     async def _main(self) -> bool:
         """Return whether the soak came to its end."""
         try:
--- a/tests/serving/test_online.py
+++ b/tests/serving/test_online.py
@@ -1,5 +1,7 @@
 """Online requests at real sockets: each answer is the replica's whole one, or looks broken."""
 
+import threading
+
 import curio
 import pytest
 from curio import socket
@@ -96,6 +98,31 @@
     in_world(test)
 
 
+@pytest.mark.parametrize("name", ["stop", "reload"])
+def test_a_signal_within_the_handler_of_the_one_before_blocks_nothing(name: str) -> None:
+    """A node that got SIGTERM twice within a millisecond neither stopped nor answered any more."""
+
+    async def test(world: FleetWorld) -> None:
+        await world.start(replicas=1)
+        node = world.nodes[0]
+        event = getattr(node, f"_{name}")
+        request = getattr(node, f"request_{name}")
+        unblock = event._unblock_waiters
+
+        def interrupted() -> None:
+            # The event's lock is held here, as where a signal interrupts its ``set``.
+            request()
+            unblock()
+
+        event._unblock_waiters = interrupted
+        handler = threading.Thread(target=request, daemon=True)
+        handler.start()
+        handler.join(timeout=2.0)
+        assert not handler.is_alive()
+
+    in_world(test)
+
+
 @pytest.mark.parametrize("misdeed", [Misdeed.GARBAGE, Misdeed.RESET_UNANSWERED])
 def test_what_may_have_run_is_not_called_not_run(misdeed: Misdeed) -> None:
     async def test(world: FleetWorld) -> None:
