--- a/bench/crashing.py
+++ b/bench/crashing.py
@@ -45,7 +45,7 @@
     for node in world.nodes:
         node.cases.for_report = list  # type: ignore[method-assign]
         node.cases.hear = lambda report, known: None  # type: ignore[method-assign]
-        node.cases.push = lambda nodes: None  # type: ignore[method-assign]
+        node.cases.push = lambda others: None  # type: ignore[method-assign]
 
 
 async def play(seed: int, prepare: Callable[[CoordinationWorld], None]) -> tuple[int, int, int]:
--- a/src/cloverwalk/fleet/case_sync.py
+++ b/src/cloverwalk/fleet/case_sync.py
@@ -79,14 +79,14 @@
         known.cases_at = now
         self._transport.send(known.contact.host, CrashCases(self.ledger.shared(now)))
 
-    def push(self, nodes: list[KnownNode]) -> None:
-        """Tell all nodes what has changed since the last call."""
+    def push(self, others: Callable[[], list[KnownNode]]) -> None:
+        """Tell all nodes what has changed since the last call; asked for with each tick."""
         if self._told_changes == self.ledger.changes:
             return
         self._told_changes = self.ledger.changes
         now = self._clock()
         message = CrashCases(self.ledger.shared(now))
-        for known in nodes:
+        for known in others():
             known.cases_at = now
             self._transport.send(known.contact.host, message)
 
--- a/src/cloverwalk/fleet/coordinator.py
+++ b/src/cloverwalk/fleet/coordinator.py
@@ -346,7 +346,7 @@
         self._take_share()
         self._near_limit = self._scheduler.quotas.near_limit(now)
         self._push_directory(now)
-        self._cases.push(self._others())
+        self._cases.push(self._others)
         if self._must_tell_returned:
             self.tell_store_returned()
         if now - self._snapshot_at >= SNAPSHOT_EVERY_S:
