An answer that clears a node's only case is told to the others

Found by reading the change: a node without cases reported nothing, not even that an answer had cleared one, so a request that was contained wrongly stayed so at all other nodes. The new test failed before ([3, 0, 3, 3, 3] crashes known, should be none). Its mutant is noticed.

--- a/src/cloverwalk/fleet/case_sync.py
+++ b/src/cloverwalk/fleet/case_sync.py
@@ -57,7 +57,7 @@
 
     def for_report(self) -> list[CaseCopy]:
         """Return what the coordinator may not know."""
-        if self.ledger.is_empty:
+        if not self.ledger.has_news:
             return []
         now = self._clock()
         differs = self._coordinator_digest != self.ledger.digest
--- a/src/cloverwalk/gateway/crash_ledger.py
+++ b/src/cloverwalk/gateway/crash_ledger.py
@@ -136,6 +136,11 @@
         """Whether there is no case, as on most days: contents need not be looked up then."""
         return not self._cases
 
+    @property
+    def has_news(self) -> bool:
+        """Whether other nodes may have to hear of a case, or that an answer cleared one."""
+        return bool(self._cases or self._cleared_at)
+
     # --- what was seen ---
 
     def note_crash(self, content: str, replica_id: str, at: float) -> bool:
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -1151,6 +1151,13 @@
         "        fresh = crashed_at",
         CASES + "test_the_order_in_which_cases_are_told_makes_no_difference",
     ),
+    Mutant(
+        "crashes: an answer that clears the only case is not told",
+        "fleet/case_sync.py",
+        "        if not self.ledger.has_news:",
+        "        if self.ledger.is_empty:",
+        CASES + "test_an_answer_that_clears_a_nodes_only_case_is_told_to_all",
+    ),
     Mutant(
         "crashes: the store's rows are not read",
         "fleet/case_keeper.py",
--- a/tests/serving/test_crash_cases.py
+++ b/tests/serving/test_crash_cases.py
@@ -322,6 +322,24 @@
     curio.run(test)
 
 
+def test_an_answer_that_clears_a_nodes_only_case_is_told_to_all() -> None:
+    """Its ledger is empty then; the coordinator and the others still have the case."""
+
+    async def test() -> None:
+        world = CoordinationWorld(NODES)
+        await world.start()
+        for number in range(CONTAINED_FROM):
+            world.coordinator.ledger.note_crash(POPULAR, f"r{number}", world.now)
+        await world.run(2.0)
+        assert [one.ledger.crashes(POPULAR) for one in world.nodes] == [CONTAINED_FROM] * NODES
+        node = next(one for one in world.nodes if not one.coordinator.is_active)
+        node.ledger.note_answer(POPULAR, world.now)
+        await world.run(2.0)
+        assert [one.ledger.crashes(POPULAR) for one in world.nodes] == [0] * NODES
+
+    curio.run(test)
+
+
 def test_a_quiet_fleet_tells_nothing_of_cases() -> None:
     async def test() -> None:
         world = CoordinationWorld(NODES)
