Scheduling: admission, selection and service times stand with the coordinator's policies

They are used by the coordinator alone; only the rotation of weighted parts belongs to the gateway, as gateway/rotation.py.

--- a/src/cloverwalk/fleet/messages.py
+++ b/src/cloverwalk/fleet/messages.py
@@ -12,10 +12,10 @@
 from msgspec import Struct
 
 from cloverwalk.core.errors import CloverwalkError
-from cloverwalk.gateway.admission import Verdict
 from cloverwalk.gateway.configuration import Configuration
 from cloverwalk.gateway.crash_ledger import CaseCopy
 from cloverwalk.gateway.replicas import Replica
+from cloverwalk.scheduling.admission import Verdict
 
 
 class DatagramError(CloverwalkError):
--- a/src/cloverwalk/fleet/places.py
+++ b/src/cloverwalk/fleet/places.py
@@ -12,7 +12,7 @@
 
 from cloverwalk.fleet.load import LoadBook, Work
 from cloverwalk.fleet.messages import Ask, Contact, Placement
-from cloverwalk.gateway.admission import Verdict
+from cloverwalk.scheduling.admission import Verdict
 
 ASK_TIMEOUT_LEAST_S = 0.03
 ASK_TIMEOUT_MAX_S = 0.12
--- a/src/cloverwalk/gateway/relay.py
+++ b/src/cloverwalk/gateway/relay.py
@@ -15,7 +15,6 @@
 from cloverwalk.fleet.messages import Ask, Served, TokenUse
 from cloverwalk.fleet.places import Place
 from cloverwalk.gateway import refusals
-from cloverwalk.gateway.admission import LONGEST_HOLD_S, Verdict
 from cloverwalk.gateway.answer_relay import EVENT_SILENCE_S, FIRST_EVENT_SILENCE_S, AnswerRelay
 from cloverwalk.gateway.configuration import Route, RouteKind
 from cloverwalk.gateway.containment import ContainmentGate
@@ -27,7 +26,8 @@
 from cloverwalk.gateway.replica_connection import AnswerHead, ReplicaConnection, ReplicaPool
 from cloverwalk.gateway.replicas import Replica, ReplicaDirectory
 from cloverwalk.gateway.reply import Reply
-from cloverwalk.gateway.selection import WeightedRotation
+from cloverwalk.gateway.rotation import WeightedRotation
+from cloverwalk.scheduling.admission import LONGEST_HOLD_S, Verdict
 from cloverwalk.telemetry.log import ServingLog
 from cloverwalk.telemetry.metrics import ServingMetrics
 from cloverwalk.telemetry.tenant_metrics import TenantOutcome
--- a/src/cloverwalk/jobs/runner.py
+++ b/src/cloverwalk/jobs/runner.py
@@ -13,12 +13,12 @@
 from cloverwalk.gateway.crash_witness import CrashWitness
 from cloverwalk.gateway.errors import SILENT, ReplicaError
 from cloverwalk.gateway.replicas import Replica, ReplicaDirectory
-from cloverwalk.gateway.selection import reading_ms
 from cloverwalk.jobs.evidence import Impossible, ItemEnd, RouteWatch, past_retention
 from cloverwalk.jobs.item_call import ItemCaller, ItemFailedError, ItemImpossibleError
 from cloverwalk.jobs.order import WaitingItem, summarise
 from cloverwalk.jobs.pace import ItemPace
 from cloverwalk.jobs.run import ItemRun, JobRun, Phase
+from cloverwalk.scheduling.selection import reading_ms
 from cloverwalk.store.clock import StoreTime
 from cloverwalk.telemetry.log import ServingLog
 from cloverwalk.telemetry.metrics import ServingMetrics
--- a/src/cloverwalk/gateway/admission.py
+++ b/src/cloverwalk/scheduling/admission.py
@@ -13,7 +13,7 @@
 import attrs
 
 from cloverwalk.gateway.configuration import Route, RouteKind
-from cloverwalk.gateway.service_times import ServiceTimes
+from cloverwalk.scheduling.service_times import ServiceTimes
 
 MARGIN_SHARE = 0.15
 """Share of the latency objective kept for what nodes have not heard of each other."""
--- a/src/cloverwalk/scheduling/online.py
+++ b/src/cloverwalk/scheduling/online.py
@@ -1,11 +1,13 @@
-"""Places for online requests: at once, later, or told to come back; see ``gateway.admission``."""
+"""Places for online requests: at once, later, or told to come back; see ``admission``."""
 
 from random import Random
 
 import attrs
 
 from cloverwalk.fleet.messages import Ask, Placement, TokenUse
-from cloverwalk.gateway.admission import (
+from cloverwalk.gateway.configuration import ConfigurationHolder, Route
+from cloverwalk.gateway.crash_ledger import CrashLedger
+from cloverwalk.scheduling.admission import (
     LONGEST_HOLD_S,
     CrowdWatch,
     Prospect,
@@ -16,14 +18,12 @@
     return_after_s,
     slot_wait_ms,
 )
-from cloverwalk.gateway.configuration import ConfigurationHolder, Route
-from cloverwalk.gateway.crash_ledger import CrashLedger
-from cloverwalk.gateway.selection import Candidate, Demand, choose, expected_reading_ms
-from cloverwalk.gateway.service_times import ServiceTimes
 from cloverwalk.scheduling.arrivals import ArrivalRate
 from cloverwalk.scheduling.decisions import Outbox
 from cloverwalk.scheduling.quotas import FleetQuotas, QuotaVerdict
 from cloverwalk.scheduling.replica_view import ReplicaView
+from cloverwalk.scheduling.selection import Candidate, Demand, choose, expected_reading_ms
+from cloverwalk.scheduling.service_times import ServiceTimes
 from cloverwalk.scheduling.slot_book import SlotBook
 
 HELD_UNASKED_S = 0.8
--- a/src/cloverwalk/scheduling/replica_view.py
+++ b/src/cloverwalk/scheduling/replica_view.py
@@ -5,7 +5,7 @@
 
 from cloverwalk.fleet.messages import Ask
 from cloverwalk.gateway.replicas import Replica, ReplicaDirectory
-from cloverwalk.gateway.selection import Candidate
+from cloverwalk.scheduling.selection import Candidate
 from cloverwalk.scheduling.share import batch_room, may_read_more
 from cloverwalk.scheduling.slot_book import SlotBook
 
--- a/src/cloverwalk/scheduling/scheduler.py
+++ b/src/cloverwalk/scheduling/scheduler.py
@@ -12,12 +12,12 @@
 from cloverwalk.gateway.configuration import ConfigurationHolder
 from cloverwalk.gateway.crash_ledger import CrashLedger
 from cloverwalk.gateway.replicas import ReplicaDirectory
-from cloverwalk.gateway.service_times import ServiceTimes
 from cloverwalk.scheduling.batch import BatchGrants
 from cloverwalk.scheduling.decisions import Decisions, Outbox
 from cloverwalk.scheduling.online import OnlineQueue
 from cloverwalk.scheduling.quotas import FleetQuotas, QuotaBounds
 from cloverwalk.scheduling.replica_view import ReplicaView
+from cloverwalk.scheduling.service_times import ServiceTimes
 from cloverwalk.scheduling.slot_book import SlotBook
 
 
--- a/src/cloverwalk/serving/fleet_parts.py
+++ b/src/cloverwalk/serving/fleet_parts.py
@@ -12,8 +12,8 @@
 from cloverwalk.fleet.load import LoadBook
 from cloverwalk.fleet.messages import ConfigurationCopy, Datagram, Report, Snapshot, StoreReturned
 from cloverwalk.fleet.transport import DatagramTransport
-from cloverwalk.gateway.service_times import ServiceTimes
 from cloverwalk.scheduling.scheduler import Scheduler
+from cloverwalk.scheduling.service_times import ServiceTimes
 from cloverwalk.serving.knowledge import FleetKnowledge
 from cloverwalk.serving.settings import ServingSettings
 from cloverwalk.store.health import StoreHealth
--- a/tests/serving/coordination_world.py
+++ b/tests/serving/coordination_world.py
@@ -34,9 +34,9 @@
 )
 from cloverwalk.gateway.crash_ledger import CrashLedger
 from cloverwalk.gateway.replicas import Replica, ReplicaDirectory
-from cloverwalk.gateway.service_times import ServiceTimes
 from cloverwalk.scheduling.quotas import QuotaBounds
 from cloverwalk.scheduling.scheduler import Scheduler
+from cloverwalk.scheduling.service_times import ServiceTimes
 from cloverwalk.store.clock import StoreClock
 from cloverwalk.store.health import StoreHealth, WatchedStore
 from cloverwalk.telemetry.log import ServingLog
--- a/tests/serving/test_coordination.py
+++ b/tests/serving/test_coordination.py
@@ -30,7 +30,7 @@
 from cloverwalk.fleet.places import ASK_TIMEOUT_MAX_S, MOST_ASKED, Place
 from cloverwalk.fleet.roster import NODE_SILENT_S
 from cloverwalk.fleet.transport import MAX_DATAGRAM_BYTES
-from cloverwalk.gateway.admission import Verdict
+from cloverwalk.scheduling.admission import Verdict
 from cloverwalk.store.types import Expectation, Put, Transaction
 
 LARGE = 195
--- a/tests/serving/test_fleet_quotas.py
+++ b/tests/serving/test_fleet_quotas.py
@@ -8,8 +8,8 @@
 from coordination_world import CoordinationWorld, FleetNode
 
 from cloverwalk.fleet.messages import Ask
-from cloverwalk.gateway.admission import Verdict
 from cloverwalk.gateway.configuration import ClientLimits, Configuration
+from cloverwalk.scheduling.admission import Verdict
 from cloverwalk.scheduling.quotas import QuotaBounds
 from cloverwalk.tenants.directory import Tenant
 
--- a/tests/serving/test_promises.py
+++ b/tests/serving/test_promises.py
@@ -15,7 +15,6 @@
 from cloverwalk.fleet.load import LoadBook
 from cloverwalk.fleet.messages import Ask, Placement, Served
 from cloverwalk.fleet.places import Place
-from cloverwalk.gateway.admission import Verdict
 from cloverwalk.gateway.configuration import (
     ClientLimits,
     Configuration,
@@ -33,6 +32,7 @@
 from cloverwalk.gateway.server import GatewayServer
 from cloverwalk.platform import names
 from cloverwalk.platform.adapter import PlatformAdapter
+from cloverwalk.scheduling.admission import Verdict
 from cloverwalk.serving.calls import CallHandler
 from cloverwalk.telemetry.log import ServingLog
 from cloverwalk.telemetry.metrics import ServingMetrics
--- a/tests/serving/test_refusals.py
+++ b/tests/serving/test_refusals.py
@@ -13,7 +13,7 @@
 from cloverwalk.emulator.replica_runs import Misdeed
 from cloverwalk.fleet.messages import Ask, Placement
 from cloverwalk.fleet.places import Place
-from cloverwalk.gateway.admission import Verdict
+from cloverwalk.scheduling.admission import Verdict
 from cloverwalk.telemetry.story import known_of_work, parse_line
 
 PROMISES = (408, 421, 429, 503)
--- a/tests/serving/test_scheduler.py
+++ b/tests/serving/test_scheduler.py
@@ -8,7 +8,6 @@
 from hypothesis import strategies as st
 
 from cloverwalk.fleet.messages import Ask, NodeLoad, Placement, Report, Served, WaitingGroup
-from cloverwalk.gateway.admission import LONGEST_HOLD_S, Verdict
 from cloverwalk.gateway.configuration import (
     ClientLimits,
     Configuration,
@@ -19,11 +18,12 @@
 )
 from cloverwalk.gateway.crash_ledger import CrashLedger
 from cloverwalk.gateway.replicas import Replica, ReplicaDirectory
-from cloverwalk.gateway.service_times import ServiceTimes
+from cloverwalk.scheduling.admission import LONGEST_HOLD_S, Verdict
 from cloverwalk.scheduling.online import HELD_UNASKED_S
 from cloverwalk.scheduling.quotas import QuotaBounds
 from cloverwalk.scheduling.replica_view import MOST_CONSIDERED
 from cloverwalk.scheduling.scheduler import Scheduler
+from cloverwalk.scheduling.service_times import ServiceTimes
 from cloverwalk.scheduling.slot_book import UNSETTLED_S, SlotBook
 
 SLOTS = 8
--- a/tests/unit/test_admission.py
+++ b/tests/unit/test_admission.py
@@ -5,7 +5,8 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from cloverwalk.gateway.admission import (
+from cloverwalk.gateway.configuration import Route, RouteKind, RoutePart
+from cloverwalk.scheduling.admission import (
     LEAST_RETURN_S,
     RETURN_SHARE,
     CrowdWatch,
@@ -17,8 +18,7 @@
     return_after_s,
     slot_wait_ms,
 )
-from cloverwalk.gateway.configuration import Route, RouteKind, RoutePart
-from cloverwalk.gateway.service_times import MOST_WAIT_FACTOR, ServiceTimes
+from cloverwalk.scheduling.service_times import MOST_WAIT_FACTOR, ServiceTimes
 
 MS = st.floats(0.0, 5000.0)
 
--- a/tests/unit/test_serving_parts.py
+++ b/tests/unit/test_serving_parts.py
@@ -11,10 +11,11 @@
 from cloverwalk.gateway.event_stream import EventSplitter
 from cloverwalk.gateway.messages import ClientRequest
 from cloverwalk.gateway.replicas import Replica, ReplicaDirectory
-from cloverwalk.gateway.selection import Candidate, Demand, WeightedRotation, choose
+from cloverwalk.gateway.rotation import WeightedRotation
 from cloverwalk.platform import names
 from cloverwalk.platform.codec import PlatformCodec
 from cloverwalk.platform.documents import decode_configuration
+from cloverwalk.scheduling.selection import Candidate, Demand, choose
 from cloverwalk.scheduling.share import batch_room, kept_free, must_yield
 
 SOURCE = Path(__file__).resolve().parents[2] / "src" / "cloverwalk"
