Figures of load, length, memory and limits are read at the edge; one place says which parts are on

Cause: the adapter dropped what the new deployments tell: a replica's load with a fourth figure was read as none, the tokens of a request, its length hint, a replica's memory and the machine's link and memory were not read at all. So no decision could use them.

Change: decoded once into types (ReplicaLoad.slowdown, RequestFields, Service.memory_tokens, ServingSettings.machine); odd figures are dropped and said to be odd. scheduling/features.py says which parts of the policy are on and why, logged as feature_changed (613). Messages between nodes have fields for the parts to come, empty until then. Nothing decides by any of it yet.

Ruled out: switching parts on by name or kind of deployment; each asks its configuration, its settings or what replicas tell.

Tests: tests/unit/test_outside_figures.py; no figure measured.

--- a/src/cloverwalk/core/catalogue.py
+++ b/src/cloverwalk/core/catalogue.py
@@ -113,6 +113,9 @@
 FEED_BACK = _event(511, "feed_back", _I, "A table of the store is followed again.")
 HISTORY_LOST = _event(512, "history_lost", _W, "Changes of a table are gone; it is read anew.")
 CONFIGURATION_TAKEN = _event(610, "configuration_taken", _I, "A newer configuration is in force.")
+FEATURE_CHANGED = _event(
+    613, "feature_changed", _I, "A part of the policy is on or off from now on, and why."
+)
 STORE_CLOCK_JUMPED = _event(
     612, "store_clock_jumped", _W, "An answer of the store contradicts its time as known so far."
 )
--- a/src/cloverwalk/fleet/messages.py
+++ b/src/cloverwalk/fleet/messages.py
@@ -29,6 +29,8 @@
 
     online: int = 0
     batch: int = 0
+    tokens: int = 0
+    """Memory that this work may take at the replica, in tokens; 0 where nobody counts it."""
 
 
 class WaitingGroup(Struct, array_like=True, frozen=True):
@@ -44,6 +46,15 @@
     reading_ms: int = 0
     """How long a replica reads the prompt of one of them, about."""
 
+    tenant: str = ""
+    """Whose items they are; empty where callers have no keys, or where nobody shares by tenant."""
+
+    rest_ms: int = 0
+    """How long one of them still runs at a replica of the usual pace, about; 0: not told."""
+
+    tokens: int = 0
+    """Memory that one of them may take at a replica, in tokens; 0: not told."""
+
 
 Waiting = dict[str, list[WaitingGroup]]
 """Waiting items by pool: the services that take them."""
@@ -106,6 +117,13 @@
     content: str = ""
     """Its content, where a replica has ended under it; empty for all others."""
 
+    tokens: int = 0
+    """Memory that it may take at a replica, in tokens: its prompt and the most that may come out;
+    0: its caller did not say."""
+
+    output_tokens: int = 0
+    """How many tokens are expected to come out; 0: its caller did not say."""
+
 
 class Served(Struct, array_like=True, frozen=True):
     """Times of an online request that was answered at its first attempt, in ms."""
@@ -121,6 +139,25 @@
     expected_wait_ms: int
     """How long it was expected to wait for a slot, before any correction."""
 
+    events: int = 0
+    """Events of its answer."""
+
+    slowdown_percent: int = 0
+    """What the replica told of its pace as the answer began: 100 is its usual one, 200 twice as
+    long; 0: it told nothing."""
+
+
+class ReplicaTiming(Struct, array_like=True, frozen=True):
+    """How an item ran at a replica, in ms."""
+
+    replica_id: str
+    events: int
+    took_ms: int
+    """From its first event in this run to its last."""
+
+    slowdown_percent: int = 0
+    """As in ``Served``."""
+
 
 class Report(Struct, tag="report", array_like=True):
     """The state of a node, and what it wants to know.
@@ -166,6 +203,12 @@
     cases_digest: int = 0
     """Digest of the cases that all nodes should know."""
 
+    timings: list[ReplicaTiming] = []
+    """How items ran that have ended since the last report; bounded by the sender."""
+
+    fullness_percent: int = 0
+    """How much of what the node's machine can carry is in use, by whatever is scarcest there."""
+
     @property
     def incarnation(self) -> str:
         """The name under which the process owns jobs."""
@@ -263,6 +306,19 @@
     wait_factor: float
 
 
+class PaceFigures(Struct, array_like=True, frozen=True):
+    """What was learnt of a replica's pace, as factors of its service's usual time."""
+
+    usual: float
+    """What its kind of machine takes; changes slowly."""
+
+    now: float
+    """What it took lately, its neighbours' work included."""
+
+    age_ms: int
+    """Time since ``now`` was last measured or told."""
+
+
 class Snapshot(Struct, tag="snapshot", array_like=True):
     """What the coordinator knows, in short, for its standbys."""
 
@@ -277,6 +333,12 @@
     quota_levels: dict[str, float] = {}
     """Tokens that are left, by tenant, where it is not the whole quota."""
 
+    paces: dict[str, PaceFigures] = {}
+    """By replica, where it differs from its service's usual one."""
+
+    used_shares: dict[str, float] = {}
+    """Slot time that tenants have had ahead of others, in ms, by tenant."""
+
 
 class RemovedReplica(Struct, array_like=True, frozen=True):
     """A replica that is gone as of a version."""
--- a/src/cloverwalk/gateway/configuration.py
+++ b/src/cloverwalk/gateway/configuration.py
@@ -62,6 +62,11 @@
     name: str
     slots: int
     max_connections: int
+    memory_tokens: int = 0
+    """Tokens that a replica's memory holds; 0: the configuration does not say."""
+
+    tokens_an_event: int = 1
+    """The most tokens that one event of a stream may hold."""
 
 
 class ClientLimits(Struct, frozen=True, array_like=True):
--- a/src/cloverwalk/gateway/messages.py
+++ b/src/cloverwalk/gateway/messages.py
@@ -29,6 +29,14 @@
     key_digest: str | None = None
     """Digest of the caller's key; None when it sent none."""
 
+    prompt_tokens: int = 0
+    most_output_tokens: int = 0
+    """The most tokens that may come out; 0, as for ``prompt_tokens``: the caller did not say."""
+
+    hinted_output_tokens: int = 0
+    """The caller's estimate of the tokens that come out, right at the median and often far off; 0:
+    none."""
+
 
 class ReplicaLoad(Struct, frozen=True):
     """What a replica told of its load."""
@@ -36,6 +44,11 @@
     running: int
     waiting: int
     slots: int
+    slowdown: float | None = None
+    """How long work takes there now, as a multiple of its usual time; None: it does not say."""
+
+    has_odd_slowdown: bool = False
+    """Whether it told a figure for ``slowdown`` that can't be one."""
 
 
 class AnswerFields(Struct):
--- a/src/cloverwalk/jobs/order.py
+++ b/src/cloverwalk/jobs/order.py
@@ -43,8 +43,9 @@
 def summarise(items: Iterable[WaitingItem]) -> list[WaitingGroup]:
     """Return waiting items as they are told, those due first in front.
 
-    >>> summarise([WaitingItem(8_200.0, True, "", 5.0), WaitingItem(8_100.0, True, "", 7.0)])
-    [WaitingGroup(due_step=32, items=2, replica_id='', reading_ms=6)]
+    >>> items = [WaitingItem(8_200.0, True, "", 5.0), WaitingItem(8_100.0, True, "", 7.0)]
+    >>> summarise(items) == [WaitingGroup(32, 2, reading_ms=6)]
+    True
     """
     by_key: dict[tuple[int, str], list[float]] = {}
     for one in items:
--- a/src/cloverwalk/platform/codec.py
+++ b/src/cloverwalk/platform/codec.py
@@ -40,6 +40,12 @@
         names.TENANT.lower(),
     }
 )
+MOST_SLOWDOWN_PERCENT = 10_000
+"""A replica a hundred times slower than usual serves nobody: a larger figure is an error."""
+
+MOST_DIGITS = 9
+"""Longer figures are no counts of tokens or requests; turning them into numbers would take time."""
+
 MALFORMED_KEY = ""
 """Stands for the digest of a credential that is none; it belongs to no tenant."""
 
@@ -90,11 +96,34 @@
 
 
 def _load(text: str | None) -> ReplicaLoad | None:
-    figures = (text or "").split(",")
-    if len(figures) != 3 or not all(one.strip().isdecimal() for one in figures):
+    figures = [one.strip() for one in (text or "").split(",")]
+    counts = figures[:3]
+    if len(counts) != 3 or not all(_is_count(one) for one in counts):
         return None
-    running, waiting, slots = (int(one) for one in figures)
-    return ReplicaLoad(running, waiting, slots)
+    running, waiting, slots = (int(one) for one in counts)
+    if len(figures) == 3:
+        return ReplicaLoad(running, waiting, slots)
+    percent = int(figures[3]) if _is_count(figures[3]) else 0
+    if len(figures) > 4 or not 0 < percent <= MOST_SLOWDOWN_PERCENT:
+        return ReplicaLoad(running, waiting, slots, has_odd_slowdown=True)
+    return ReplicaLoad(running, waiting, slots, percent / 100)
+
+
+def _is_count(text: str) -> bool:
+    return text.isascii() and text.isdecimal() and len(text) <= MOST_DIGITS
+
+
+def _token_usage(text: str | None) -> tuple[int, int]:
+    """Return the tokens of the prompt and the most that may come out; zeros where not told."""
+    figures = [one.strip() for one in (text or "").split(",")]
+    if len(figures) != 2 or not all(_is_count(one) for one in figures):
+        return 0, 0
+    return int(figures[0]), int(figures[1])
+
+
+def _length_hint(text: str | None) -> int:
+    """Return the expected tokens of output, zero where there is no usable hint."""
+    return int(text) if text is not None and _is_count(text) else 0
 
 
 def _without_connection_headers(headers: RawHeaders) -> RawHeaders:
@@ -113,6 +142,8 @@
         deadline_ms = _number(headers, names.DEADLINE_MS)
         last_event = _number(headers, names.LAST_EVENT_ID)
         wait_ms = _number(headers, names.WAIT_MS)
+        usage = _token_usage(_find(headers, names.TOKEN_USAGE))
+        prompt_tokens, most_output_tokens = usage
         return RequestFields(
             _find(headers, names.REQUEST_ID) or "",
             None if deadline_ms is None else deadline_ms / 1000,
@@ -120,6 +151,9 @@
             _prompt(_find(headers, names.PREFIX_HASH)),
             wait_s=0.0 if wait_ms is None else wait_ms / 1000,
             key_digest=_key_digest(headers),
+            prompt_tokens=prompt_tokens,
+            most_output_tokens=most_output_tokens,
+            hinted_output_tokens=_length_hint(_find(headers, names.LENGTH_HINT)),
         )
 
     def without_key(self, headers: RawHeaders) -> RawHeaders:
--- a/src/cloverwalk/platform/documents.py
+++ b/src/cloverwalk/platform/documents.py
@@ -63,6 +63,9 @@
 
 class _Engine(Struct):
     slots: int = DEFAULT_SLOTS
+    kv_cache_tokens: int = 0
+    stride: int = 1
+    """The most tokens that one event may hold."""
 
 
 class _Service(Struct):
@@ -135,7 +138,14 @@
     """Return a configuration; raise ValueError when it is not valid."""
     wire = _decode(_configuration_decoder, raw)
     services = {
-        one.name: Service(one.name, one.engine.slots, one.max_connections) for one in wire.services
+        one.name: Service(
+            one.name,
+            one.engine.slots,
+            one.max_connections,
+            max(0, one.engine.kv_cache_tokens),
+            max(1, one.engine.stride),
+        )
+        for one in wire.services
     }
     limits = ClientLimits(
         wire.limits.max_header_bytes,
--- a/src/cloverwalk/platform/settings.py
+++ b/src/cloverwalk/platform/settings.py
@@ -8,7 +8,10 @@
 
 from cloverwalk.platform import names
 from cloverwalk.scheduling.quotas import QuotaBounds
-from cloverwalk.serving.settings import ServingSettings
+from cloverwalk.serving.settings import MachineLimits, ServingSettings
+
+MEMORY_PRESSURE = "pressure"
+"""The contract under which replicas and nodes can run out of memory by what they hold."""
 
 
 class PlatformSettingsError(ValueError):
@@ -27,6 +30,8 @@
     """Share of each of the cores that the machine may use."""
 
     cpu_cores: float = 1.0
+    memory_mb: float = 0.0
+    link_mbps: float = 0.0
 
 
 class _Bounds(Struct):
@@ -49,6 +54,7 @@
     platform: _Platform
     ephemeral_ports: tuple[int, int]
     seeds: list[str] = []
+    contracts: list[str] = []
     limits: _Limits = field(default_factory=_Limits)
     bounds: _Bounds = field(default_factory=_Bounds)
 
@@ -84,9 +90,19 @@
         file.bounds.status_s,
         file.limits.cpu_share * file.limits.cpu_cores,
         _quota_bounds(file.bounds),
+        _machine_limits(file.limits),
+        MEMORY_PRESSURE in file.contracts,
     )
 
 
+def _machine_limits(limits: _Limits) -> MachineLimits:
+    for name in ("memory_mb", "link_mbps"):
+        if getattr(limits, name) < 0:
+            raise PlatformSettingsError(f"limits.{name}: {getattr(limits, name)} is below 0")
+    bytes_per_s = limits.link_mbps * 1e6 / 8
+    return MachineLimits(int(limits.memory_mb * 1_000_000), bytes_per_s)
+
+
 def _quota_bounds(bounds: _Bounds) -> QuotaBounds:
     if bounds.quota_window_s <= 0:
         raise PlatformSettingsError(f"bounds.quota_window_s: {bounds.quota_window_s} is no time")
--- a/src/cloverwalk/scheduling/batch.py
+++ b/src/cloverwalk/scheduling/batch.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable, Iterable
 
 import attrs
+import msgspec
 
 from cloverwalk.fleet.messages import Waiting, WaitingGroup
 from cloverwalk.scheduling.decisions import Outbox
@@ -162,14 +163,14 @@
 
 
 def _with_items(group: WaitingGroup, items: int) -> WaitingGroup:
-    return WaitingGroup(group.due_step, items, group.replica_id, group.reading_ms)
+    return msgspec.structs.replace(group, items=items)
 
 
 def _without_first(groups: list[WaitingGroup], count: int) -> list[WaitingGroup]:
     """Return groups without their first items.
 
-    >>> _without_first([WaitingGroup(1, 2), WaitingGroup(2, 5)], 3)
-    [WaitingGroup(due_step=2, items=4, replica_id='', reading_ms=0)]
+    >>> _without_first([WaitingGroup(1, 2), WaitingGroup(2, 5)], 3) == [WaitingGroup(2, 4)]
+    True
     """
     kept: list[WaitingGroup] = []
     for group in groups:
--- /dev/null
+++ b/src/cloverwalk/scheduling/features.py
@@ -0,0 +1,132 @@
+"""Which parts of the policy are on, and why.
+
+A deployment gets a part only where its configuration, its settings or what its replicas tell call
+for it; all others are served as if the part did not exist. Every decision that belongs to such a
+part asks here, so one place tells an operator what is in force.
+"""
+
+import enum
+from collections.abc import Callable
+
+import attrs
+
+from cloverwalk.gateway.configuration import Configuration, ConfigurationHolder
+
+
+class Feature(enum.Enum):
+    """A part of the policy that not every deployment needs."""
+
+    REPLICA_PACE = "replica_pace"
+    """Choice of replicas and expected times go by how fast each replica works."""
+
+    FAIR_SHARES = "fair_shares"
+    """Tenants share what room there is when there is too little."""
+
+    REPLICA_MEMORY = "replica_memory"
+    """What requests hold in a replica's memory is counted against its size."""
+
+    NODE_CAPACITY = "node_capacity"
+    """A node turns requests away before its machine is full."""
+
+
+@attrs.frozen
+class FeatureState:
+    """Whether a part is on."""
+
+    feature: Feature
+    is_on: bool
+    reason: str
+    """What calls for it, or what is missing, in words for an operator."""
+
+
+class Features:
+    """Answers which parts are on; what replicas tell is noted as it comes.
+
+    >>> features = Features(ConfigurationHolder(), is_memory_scarce=True)
+    >>> features.is_on(Feature.REPLICA_MEMORY), features.is_on(Feature.REPLICA_PACE)
+    (False, False)
+    >>> features.note_told_pace("s")
+    >>> features.is_on(Feature.REPLICA_PACE)
+    True
+    """
+
+    def __init__(self, configuration: ConfigurationHolder, is_memory_scarce: bool = False) -> None:
+        self._configuration = configuration
+        self._is_memory_scarce = is_memory_scarce
+        self._tells_pace: set[str] = set()
+        self._known: dict[Feature, FeatureState] = {}
+        self.on_change: Callable[[FeatureState], None] = _nobody
+
+    def note_told_pace(self, service: str) -> None:
+        """A replica of a service told how fast it works now."""
+        if service in self._tells_pace:
+            return
+        self._tells_pace.add(service)
+        self.look()
+
+    def tells_pace(self, service: str) -> bool:
+        """Whether replicas of a service tell how fast they work."""
+        return service in self._tells_pace
+
+    def is_on(self, feature: Feature) -> bool:
+        """Whether a part is in force."""
+        return self._state(feature).is_on
+
+    def states(self) -> list[FeatureState]:
+        """Return all parts, in the order of their declaration."""
+        return [self._state(one) for one in Feature]
+
+    def look(self) -> None:
+        """Tell what has changed since the last look; to be called after news."""
+        for state in self.states():
+            if self._known.get(state.feature) != state:
+                self._known[state.feature] = state
+                self.on_change(state)
+
+    def _state(self, feature: Feature) -> FeatureState:
+        match feature:
+            case Feature.REPLICA_PACE:
+                return self._pace()
+            case Feature.FAIR_SHARES:
+                return self._shares()
+            case Feature.REPLICA_MEMORY:
+                return self._memory()
+            case Feature.NODE_CAPACITY:
+                return self._capacity()
+
+    def _pace(self) -> FeatureState:
+        feature = Feature.REPLICA_PACE
+        if self._tells_pace:
+            told = ", ".join(sorted(self._tells_pace))
+            return FeatureState(feature, True, f"replicas tell their pace: {told}")
+        return FeatureState(feature, False, "no replica tells its pace")
+
+    def _shares(self) -> FeatureState:
+        feature = Feature.FAIR_SHARES
+        if self._configuration.has_tenants:
+            return FeatureState(feature, True, "the configuration names tenants")
+        return FeatureState(feature, False, "the configuration names no tenants")
+
+    def _memory(self) -> FeatureState:
+        feature = Feature.REPLICA_MEMORY
+        if not self._is_memory_scarce:
+            return FeatureState(feature, False, "the settings do not say that memory is scarce")
+        if not _tells_memory(self._configuration.current):
+            return FeatureState(feature, False, "no service tells its replicas' memory")
+        return FeatureState(feature, True, "memory is scarce, and services tell their replicas'")
+
+    def _capacity(self) -> FeatureState:
+        feature = Feature.NODE_CAPACITY
+        if self._is_memory_scarce:
+            return FeatureState(feature, True, "the settings say that memory is scarce")
+        return FeatureState(feature, False, "the settings do not say that memory is scarce")
+
+
+def _tells_memory(configuration: Configuration | None) -> bool:
+    if configuration is None:
+        return False
+    return any(one.memory_tokens > 0 for one in configuration.services.values())
+
+
+def _nobody(state: FeatureState) -> None:
+    return
--- a/src/cloverwalk/scheduling/scheduler.py
+++ b/src/cloverwalk/scheduling/scheduler.py
@@ -14,6 +14,7 @@
 from cloverwalk.gateway.replicas import ReplicaDirectory
 from cloverwalk.scheduling.batch import BatchGrants
 from cloverwalk.scheduling.decisions import Decisions, Outbox
+from cloverwalk.scheduling.features import Features
 from cloverwalk.scheduling.online import OnlineQueue
 from cloverwalk.scheduling.quotas import FleetQuotas, QuotaBounds
 from cloverwalk.scheduling.replica_view import ReplicaView
@@ -32,7 +33,9 @@
         quota_bounds: QuotaBounds,
         ledger: CrashLedger,
         random: Random,
+        features: Features | None = None,
     ) -> None:
+        self.features = features or Features(configuration)
         self.times = times
         self.quotas = FleetQuotas(configuration, quota_bounds, random)
         self.book = SlotBook()
--- a/src/cloverwalk/serving/fleet_parts.py
+++ b/src/cloverwalk/serving/fleet_parts.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 from random import Random
 
+from cloverwalk.core import catalogue
 from cloverwalk.fleet.case_sync import CaseSync
 from cloverwalk.fleet.coordinator import Coordinator
 from cloverwalk.fleet.election import Election
@@ -12,6 +13,7 @@
 from cloverwalk.fleet.load import LoadBook
 from cloverwalk.fleet.messages import ConfigurationCopy, Datagram, Report, Snapshot, StoreReturned
 from cloverwalk.fleet.transport import DatagramTransport
+from cloverwalk.scheduling.features import Features, FeatureState
 from cloverwalk.scheduling.scheduler import Scheduler
 from cloverwalk.scheduling.service_times import ServiceTimes
 from cloverwalk.serving.knowledge import FleetKnowledge
@@ -48,8 +50,11 @@
         self._knowledge = knowledge
         self._health = health
         self._clock = clock
+        self._log = log
         self.transport = DatagramTransport(settings.peer_address, log)
         self.leader = LeaderView(self.identity, clock())
+        self.features = Features(knowledge.configuration, settings.is_memory_scarce)
+        self.features.on_change = self._note_feature
         self.scheduler = Scheduler(
             knowledge.directory,
             knowledge.configuration,
@@ -57,6 +62,7 @@
             settings.quota_bounds,
             knowledge.crashes,
             random,
+            self.features,
         )
         self.cases = CaseSync(knowledge.crashes, self.transport, log, clock)
         self.coordinator = Coordinator(
@@ -102,6 +108,15 @@
         self._take_leadership = self.link.on_leadership
         self.link.on_leadership = self._on_leadership
 
+    def _note_feature(self, state: FeatureState) -> None:
+        self._log.write(
+            catalogue.FEATURE_CHANGED,
+            feature=state.feature.value,
+            is_on=state.is_on,
+            reason=state.reason,
+            configuration=self._knowledge.configuration.version,
+        )
+
     async def receive(self) -> None:
         """Take datagrams until cancelled."""
         await self.transport.receive(self.take)
--- a/src/cloverwalk/serving/node.py
+++ b/src/cloverwalk/serving/node.py
@@ -360,6 +360,7 @@
     async def _housekeeping(self) -> None:
         while True:
             await curio.sleep(HOUSEKEEPING_S)
+            self._fleet.features.look()
             await self._pool.close_expired()
             self._refusals.expire()
             self._witness.expire()
--- a/src/cloverwalk/serving/settings.py
+++ b/src/cloverwalk/serving/settings.py
@@ -5,6 +5,14 @@
 from cloverwalk.scheduling.quotas import QuotaBounds
 
 
+class MachineLimits(Struct, frozen=True):
+    """What a machine gives the process; 0 stands for a limit that is not told."""
+
+    memory_bytes: int = 0
+    link_bytes_per_s: float = 0.0
+    """What its link carries, in each direction."""
+
+
 class ServingSettings(Struct, frozen=True):
     """Checked settings of one process."""
 
@@ -30,3 +38,7 @@
 
     quota_bounds: QuotaBounds = QuotaBounds()
     """How far counts of tenants' requests may be off."""
+
+    machine: MachineLimits = MachineLimits()
+    is_memory_scarce: bool = False
+    """Whether replicas and nodes can run out of memory by what they hold for requests."""
--- /dev/null
+++ b/tests/unit/test_outside_figures.py
@@ -0,0 +1,114 @@
+"""What callers, replicas and the configuration tell of load, length, memory and limits."""
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from cloverwalk.gateway.configuration import (
+    ClientLimits,
+    Configuration,
+    ConfigurationHolder,
+    Service,
+)
+from cloverwalk.gateway.messages import ReplicaLoad
+from cloverwalk.platform.codec import PlatformCodec
+from cloverwalk.platform.documents import decode_configuration
+from cloverwalk.platform.settings import PlatformSettingsError, load_settings
+from cloverwalk.scheduling.features import Feature, Features, FeatureState
+from cloverwalk.serving.settings import MachineLimits
+
+SETTINGS = """
+node = "n"
+ip = "127.0.0.1"
+zone = "z"
+ephemeral_ports = [7720, 7735]
+contracts = ["base", "pressure"]
+[listen]
+front = "127.0.0.1:1"
+ready = "127.0.0.1:2"
+[platform]
+address = "127.0.0.1:3"
+[limits]
+memory_mb = 160
+link_mbps = 11.0
+"""
+
+
+def _load(text: str) -> ReplicaLoad | None:
+    return PlatformCodec().answer_fields([(b"X-Cloverwalk-Server-Load", text.encode())]).load
+
+
+def test_a_replica_tells_how_long_work_takes_there() -> None:
+    assert _load("3,0,8") == ReplicaLoad(3, 0, 8)
+    assert _load("3, 1, 8, 250") == ReplicaLoad(3, 1, 8, slowdown=2.5)
+
+
+@pytest.mark.parametrize("odd", ["0", "-5", "nan", "1e3", "99999", "", "\u0665", "1" * 5000])
+def test_an_odd_pace_is_dropped_and_its_counts_are_kept(odd: str) -> None:
+    header = (b"X-Cloverwalk-Server-Load", f"3,0,8,{odd}".encode())
+    load = PlatformCodec().answer_fields([header]).load
+    assert load == ReplicaLoad(3, 0, 8, has_odd_slowdown=True)
+
+
+@given(st.text(max_size=30))
+def test_no_told_load_raises(text: str) -> None:
+    PlatformCodec().answer_fields([(b"X-Cloverwalk-Server-Load", text.encode("utf-8"))])
+
+
+def test_a_request_tells_its_length() -> None:
+    headers = [(b"X-Cloverwalk-Token-Usage", b"1460,80"), (b"X-Cloverwalk-Length-Hint", b"35")]
+    fields = PlatformCodec().request_fields(headers)
+    told = (fields.prompt_tokens, fields.most_output_tokens, fields.hinted_output_tokens)
+    assert told == (1460, 80, 35)
+
+
+@pytest.mark.parametrize("odd", ["", "1460", "a,b", "1,-2", "1,2,3", "9" * 4000 + ",1"])
+def test_an_odd_length_counts_as_not_told(odd: str) -> None:
+    headers = [(b"X-Cloverwalk-Token-Usage", odd.encode())]
+    headers.append((b"X-Cloverwalk-Length-Hint", b"-1"))
+    fields = PlatformCodec().request_fields(headers)
+    assert (fields.prompt_tokens, fields.most_output_tokens) == (0, 0)
+    assert fields.hinted_output_tokens == 0
+
+
+def test_a_service_tells_the_memory_of_its_replicas() -> None:
+    raw = b'{"version":1,"services":[{"name":"s","engine":{"slots":8,"kv_cache_tokens":72000,'
+    raw += b'"stride":13}}]}'
+    assert decode_configuration(raw).services["s"] == Service("s", 8, 0, 72000, 13)
+
+
+def test_settings_tell_what_the_machine_carries(tmp_path_factory: pytest.TempPathFactory) -> None:
+    path = tmp_path_factory.mktemp("settings") / "local.toml"
+    path.write_text(SETTINGS)
+    settings = load_settings(path)
+    assert settings.machine == MachineLimits(160_000_000, 1_375_000.0)
+    assert settings.is_memory_scarce
+    path.write_text(SETTINGS.replace("11.0", "-1"))
+    with pytest.raises(PlatformSettingsError, match="limits.link_mbps"):
+        load_settings(path)
+
+
+def test_each_part_is_told_once_and_again_when_it_changes() -> None:
+    holder = ConfigurationHolder()
+    features = Features(holder, is_memory_scarce=True)
+    told: list[FeatureState] = []
+    features.on_change = told.append
+    features.look()
+    features.look()
+    assert [one.feature for one in told] == list(Feature)
+    assert [one.feature for one in told if one.is_on] == [Feature.NODE_CAPACITY]
+    told.clear()
+    services = {"s": Service("s", 8, 0, memory_tokens=72000)}
+    holder.offer(Configuration(1, (), services, ClientLimits(), tenants=()))
+    features.look()
+    assert {one.feature for one in told if one.is_on} == {
+        Feature.FAIR_SHARES,
+        Feature.REPLICA_MEMORY,
+    }
+
+
+def test_a_deployment_that_calls_for_nothing_gets_nothing() -> None:
+    holder = ConfigurationHolder()
+    services = {"s": Service("s", 8, 0, memory_tokens=72000)}
+    holder.offer(Configuration(1, (), services, ClientLimits()))
+    assert not any(one.is_on for one in Features(holder).states())
