Sight: slot-seconds by use at the coordinator, and why requests and items were late

Cause: nothing told whether a late item had no slot, gave way or had a slow replica, nor why slots stood idle while items waited; decisions under load were guesses.

A property test holds that the uses add up to slots times time. Not told: output of runs that is thrown away, since the coordinator does not see output.

No decision changes.

--- a/src/cloverwalk/cli/report.py
+++ b/src/cloverwalk/cli/report.py
@@ -3,15 +3,24 @@
 from pathlib import Path
 from typing import Any
 
+import attrs
 import click
 
 from cloverwalk.cli.api import json_option, print_json
 from cloverwalk.cli.errors import EXIT_USAGE, CommandError
+from cloverwalk.scheduling.slot_time import SlotUse
+from cloverwalk.telemetry.load_report import (
+    LateCount,
+    SlotSecond,
+    late_counts_of,
+    slot_seconds_of,
+)
 from cloverwalk.telemetry.starts import StageTimes, stages_of
 from cloverwalk.telemetry.story import LogLine, parse_line
 from cloverwalk.telemetry.timeline import NINETY_FIFTH, Second, timeline_of
 
 HEAD = "second  answered  first p50 ms  p95 ms  online  batch  unlisted  given up"
+LATE_HEAD = "second  kind     cause           count  tenant"
 STARTS_HEAD = f"{'stage':32}  starts  p50 ms  p95 ms  last ms"
 
 
@@ -25,8 +34,17 @@
     help="Also write a picture (PNG) here; needs matplotlib.",
 )
 @click.option("--starts", is_flag=True, help="Tell how long starts of processes took instead.")
+@click.option("--slots", is_flag=True, help="Tell what replicas' slots were used for instead.")
+@click.option("--late", is_flag=True, help="Tell why requests and items were late instead.")
 @json_option
-def report(logs: tuple[Path, ...], plot: Path | None, starts: bool, as_json: bool) -> None:
+def report(
+    logs: tuple[Path, ...],
+    plot: Path | None,
+    starts: bool,
+    slots: bool,
+    late: bool,
+    as_json: bool,
+) -> None:
     """Tell second by second what a fleet did, from the logs of its nodes.
 
     Answers and their first events, work in flight at replicas, items that wait for their
@@ -41,6 +59,12 @@
     if starts:
         _show_starts(stages_of(lines), as_json)
         return
+    if slots:
+        _show_slots(slot_seconds_of(lines), as_json)
+        return
+    if late:
+        _show_late(late_counts_of(lines), as_json)
+        return
     seconds = timeline_of(lines)
     if not seconds:
         raise CommandError("the files hold no log line of a node", EXIT_USAGE, "not_logged")
@@ -54,6 +78,29 @@
         click.echo(_row(one))
 
 
+def _show_slots(seconds: list[SlotSecond], as_json: bool) -> None:
+    if not seconds:
+        raise CommandError("the files hold no line of a coordinator", EXIT_USAGE, "not_logged")
+    if as_json:
+        print_json([attrs.asdict(one) for one in seconds])
+        return
+    uses = [use for use in SlotUse if any(use.value in one.seconds_by_use for one in seconds)]
+    click.echo("second  " + "  ".join(f"{use.value:>11}" for use in uses))
+    for one in seconds:
+        told = "  ".join(f"{one.seconds_by_use.get(use.value, 0.0):11.1f}" for use in uses)
+        click.echo(f"{one.at_s:6}  {told}")
+
+
+def _show_late(counts: list[LateCount], as_json: bool) -> None:
+    if as_json:
+        print_json([attrs.asdict(one) for one in counts])
+        return
+    click.echo(LATE_HEAD)
+    for one in counts:
+        kind = "item" if one.is_item else "request"
+        click.echo(f"{one.at_s:6}  {kind:7}  {one.cause:14}  {one.count:5}  {one.tenant}".rstrip())
+
+
 def _show_starts(stages: list[StageTimes], as_json: bool) -> None:
     if not stages:
         raise CommandError("the files hold no start of a node", EXIT_USAGE, "not_logged")
--- a/src/cloverwalk/core/catalogue.py
+++ b/src/cloverwalk/core/catalogue.py
@@ -109,6 +109,9 @@
 ITEM_STARTED = _event(420, "item_started", _I, "An item goes to this replica.")
 ITEM_RUN_ENDED = _event(421, "item_run_ended", _I, "A run of an item ended or gave way.")
 ITEM_LISTED = _event(422, "item_listed", _I, "An item's result has its position.")
+SLOT_TIME = _event(
+    430, "slot_time", _I, "Slot-seconds of the replicas since the last such line, by use."
+)
 FEED_LOST = _event(510, "feed_lost", _W, "A table of the store can't be followed.")
 FEED_BACK = _event(511, "feed_back", _I, "A table of the store is followed again.")
 HISTORY_LOST = _event(512, "history_lost", _W, "Changes of a table are gone; it is read anew.")
--- a/src/cloverwalk/fleet/coordinator.py
+++ b/src/cloverwalk/fleet/coordinator.py
@@ -113,6 +113,9 @@
         self._clock = clock
         self.roster = Roster()
         self.deliver_locally: DeliverLocally = _nobody
+        self.on_tick: Callable[[float], None] = _ignore
+        """Called with the time at each tick of the coordinator, not of a standby."""
+
         self.active_since: float | None = None
         """Since when this node holds the role; None while it does not."""
 
@@ -343,6 +346,7 @@
         await self.tell_decisions()
         if not self.is_active:
             return
+        self.on_tick(now)
         self._take_share()
         self._near_limit = self._scheduler.quotas.near_limit(now)
         self._push_directory(now)
@@ -449,3 +453,7 @@
 
 async def _nobody(_orders: Orders) -> None:
     return
+
+
+def _ignore(now: float) -> None:
+    return
--- a/src/cloverwalk/fleet/places.py
+++ b/src/cloverwalk/fleet/places.py
@@ -36,6 +36,9 @@
     work: Work | None = None
     """The request as the load of its replica counts it, where the verdict is SEND."""
 
+    was_held: bool = False
+    """Whether it was held for a slot before."""
+
     @property
     def verdict(self) -> Verdict:
         """Whether the request goes to a replica, has to come back, or goes nowhere."""
@@ -54,6 +57,7 @@
     event: curio.Event = attrs.Factory(curio.Event)
     place: Place | None = None
     is_held: bool = False
+    was_held: bool = False
 
 
 class AskSender(Protocol):
@@ -147,11 +151,12 @@
         if pending is None or pending.place is not None:
             return
         pending.is_held = placement.verdict is Verdict.HOLD
+        pending.was_held = pending.was_held or pending.is_held
         if not pending.is_held:
             work = None
             if placement.verdict is Verdict.SEND:
                 work = self._loads.begin(placement.replica_id, is_batch=False)
-            pending.place = Place(placement, work)
+            pending.place = Place(placement, work, pending.was_held)
         await pending.event.set()
 
     def take_withdrawn(self) -> list[int]:
--- /dev/null
+++ b/src/cloverwalk/gateway/late_watch.py
@@ -0,0 +1,40 @@
+"""Tells why requests of this node were late."""
+
+from cloverwalk.gateway.messages import ClientRequest
+from cloverwalk.gateway.progress import RequestProgress
+from cloverwalk.scheduling.service_times import ServiceTimes
+from cloverwalk.telemetry.lateness import RequestTimes, request_cause
+from cloverwalk.telemetry.metrics import ServingMetrics
+
+
+class LateWatch:
+    """Counts late requests by cause, against what this node has seen of their routes."""
+
+    def __init__(self, metrics: ServingMetrics) -> None:
+        self._metrics = metrics
+        self._usual = ServiceTimes()
+
+    def note(self, request: ClientRequest, progress: RequestProgress) -> str | None:
+        """Return why a request's first event was late; None for one in time or without any."""
+        first_at, sent_at = progress.first_event_at, progress.sent_at
+        if first_at is None or sent_at is None:
+            return None
+        route = progress.route
+        failures = len(progress.tried) + len(progress.refused)
+        cause = request_cause(
+            RequestTimes(
+                route.target_latency_s * 1000,
+                (first_at - request.received_at) * 1000,
+                (sent_at - request.received_at) * 1000,
+                progress.expected_wait_ms,
+                self._usual.start_ms(route.name),
+                progress.was_held,
+                failures,
+            )
+        )
+        if cause is None:
+            if not failures and progress.expected_wait_ms == 0:
+                self._usual.note_start(route.name, (first_at - sent_at) * 1000)
+            return None
+        self._metrics.late(route.name, cause.value)
+        return cause.value
--- a/src/cloverwalk/gateway/progress.py
+++ b/src/cloverwalk/gateway/progress.py
@@ -40,6 +40,9 @@
     expected_wait_ms: float = 0.0
     """How long the present attempt was expected to wait for a slot, before any correction."""
 
+    was_held: bool = False
+    """Whether it was held for a slot before the present attempt."""
+
     delivery: Delivery | None = None
     """How the present attempt was sent, once it was."""
 
--- a/src/cloverwalk/gateway/relay.py
+++ b/src/cloverwalk/gateway/relay.py
@@ -21,6 +21,7 @@
 from cloverwalk.gateway.content import content_id
 from cloverwalk.gateway.crash_witness import Delivery
 from cloverwalk.gateway.errors import SILENT, ClientGoneError, GatewayError, ReplicaError
+from cloverwalk.gateway.late_watch import LateWatch
 from cloverwalk.gateway.messages import ClientRequest, GatewayCodec
 from cloverwalk.gateway.progress import RequestProgress
 from cloverwalk.gateway.replica_connection import AnswerHead, ReplicaConnection, ReplicaPool
@@ -69,6 +70,7 @@
         self._containment = containment
         self._rotation = WeightedRotation()
         self._answers = AnswerRelay(codec, directory, metrics, clock)
+        self._lateness = LateWatch(metrics)
 
     async def handle(self, request: ClientRequest, route: Route, reply: Reply) -> None:
         """Serve a request of an online route."""
@@ -192,6 +194,7 @@
         now = self._clock()
         progress.work = place.work
         progress.expected_wait_ms = float(place.placement.wait_ms)
+        progress.was_held = place.was_held
         self._log.write(
             catalogue.REPLICA_CHOSEN,
             request=request.fields.request_id,
@@ -401,6 +404,7 @@
             refused=len(progress.refused),
             took_ms=round(took_s * 1000, 1),
             first_ms=None if first is None else round((first - request.received_at) * 1000, 1),
+            late=self._lateness.note(request, progress),
             last_event=progress.last_event_id,
         )
 
--- a/src/cloverwalk/gateway/replicas.py
+++ b/src/cloverwalk/gateway/replicas.py
@@ -51,6 +51,11 @@
         """Return every known replica, sorted by id."""
         return [self._replicas[key] for key in sorted(self._replicas)]
 
+    @property
+    def count(self) -> int:
+        """How many replicas are known, those that leave included."""
+        return len(self._replicas)
+
     @property
     def is_empty(self) -> bool:
         """Whether no replica is known."""
--- a/src/cloverwalk/jobs/run.py
+++ b/src/cloverwalk/jobs/run.py
@@ -63,6 +63,10 @@
     ran_s: float = 0.0
     """Time at replicas in earlier runs of this owner."""
 
+    last_run_s: float = 0.0
+    suspensions: int = 0
+    """Runs of this owner that gave way to online requests."""
+
 
 class JobRun:
     """A job that this node owns."""
--- a/src/cloverwalk/jobs/runner.py
+++ b/src/cloverwalk/jobs/runner.py
@@ -20,6 +20,7 @@
 from cloverwalk.jobs.run import ItemRun, JobRun, Phase
 from cloverwalk.scheduling.selection import reading_ms
 from cloverwalk.store.clock import StoreTime
+from cloverwalk.telemetry.lateness import ItemTimes, item_cause
 from cloverwalk.telemetry.log import ServingLog
 from cloverwalk.telemetry.metrics import ServingMetrics
 
@@ -358,7 +359,9 @@
         if not running.gives_way:
             self._loads.end(running.work)
         self._running.pop((job.job_id, one.index), None)
-        one.ran_s += self._clock() - running.started_at
+        one.last_run_s = self._clock() - running.started_at
+        one.ran_s += one.last_run_s
+        one.suspensions += outcome == "suspended"
         if one.phase is Phase.RUNNING:
             pause_s = 0.0 if outcome == "suspended" else RETRY_S
             job.suspend(one, self._clock() + pause_s)
@@ -372,6 +375,7 @@
             failures=one.failures,
             last_event=one.last_event_id,
             ran_ms=round((self._clock() - running.started_at) * 1000),
+            late=self._note_lateness(job, one),
         )
         if one.phase is Phase.FINISHED:
             if one.end is not None:
@@ -380,6 +384,26 @@
         self._has_ended = True
         await self._wake.set()
 
+    def _note_lateness(self, job: JobRun, one: ItemRun) -> str | None:
+        """Return why a finished item is late; None for one in time, or not finished."""
+        if one.phase is not Phase.FINISHED or one.end is not None:
+            return None
+        cause = item_cause(
+            ItemTimes(
+                -self._left_ms(job),
+                job.record.due_ms - job.record.accepted_ms,
+                one.ran_s * 1000,
+                one.last_run_s * 1000,
+                one.failures,
+                one.suspensions,
+            )
+        )
+        if cause is None:
+            return None
+        route = self._route(job)
+        self._metrics.late("" if route is None else route.name, cause.value)
+        return cause.value
+
     def _give_way(self, replica_id: str, count: int) -> list[_Running]:
         """Return the items at a replica that give way; from now on they have no slot there.
 
--- a/src/cloverwalk/scheduling/batch.py
+++ b/src/cloverwalk/scheduling/batch.py
@@ -1,5 +1,6 @@
 """Slots for batch items: granted in one order over the fleet, revoked for online requests."""
 
+from collections import Counter
 from collections.abc import Callable, Iterable
 
 import attrs
@@ -101,10 +102,7 @@
         all_usable = self._replicas.usable(services)
         usable = self._replicas.sample(all_usable, changed)
         room = {one.replica_id: self._replicas.room(one, now) for one in usable}
-        reading_ms = self._reading_ms(pool)
-        kept = sum(
-            kept_free(self._arrivals_per_s(service, now), reading_ms) for service in services
-        )
+        kept = self._kept_free(pool, now)
         free = sum(room.values()) - round(kept * len(usable) / max(1, len(all_usable)))
         if free <= 0:
             return
@@ -123,6 +121,24 @@
             if free <= 0 or not open_ids:
                 return
 
+    def _kept_free(self, pool: str, now: float) -> int:
+        """Return how many slots the items of a pool leave free."""
+        reading_ms = self._reading_ms(pool)
+        return sum(
+            kept_free(self._arrivals_per_s(service, now), reading_ms) for service in pool.split(",")
+        )
+
+    def waiting_items(self, now: float) -> tuple[Counter[str], Counter[str]]:
+        """Return waiting items and slots kept free of them, by the first service of their pool."""
+        items: Counter[str] = Counter()
+        kept: Counter[str] = Counter()
+        for waiting in self._waiting.values():
+            for pool, groups in waiting.items():
+                items[pool.split(",")[0]] += sum(one.items for one in groups)
+        for pool in {pool for waiting in self._waiting.values() for pool in waiting}:
+            kept[pool.split(",")[0]] += self._kept_free(pool, now)
+        return items, kept
+
     def _reading_ms(self, pool: str) -> float:
         """Return how long a replica reads the prompt of a waiting item, on average."""
         groups = [one for waiting in self._waiting.values() for one in waiting.get(pool, [])]
--- a/src/cloverwalk/scheduling/replica_view.py
+++ b/src/cloverwalk/scheduling/replica_view.py
@@ -8,6 +8,7 @@
 from cloverwalk.scheduling.selection import Candidate
 from cloverwalk.scheduling.share import batch_room, may_read_more
 from cloverwalk.scheduling.slot_book import SlotBook
+from cloverwalk.scheduling.slot_time import ReplicaUse
 
 SUSPECT_RUN_S = 1.0
 """How long a suspect counts at its replica; online requests last 0.02 to 0.5 s there."""
@@ -126,6 +127,29 @@
             return 0
         return batch_room(replica.slots, self._book.total(replica_id, now))
 
+    @property
+    def count(self) -> int:
+        """How many replicas are known."""
+        return self._directory.count
+
+    def uses(self, now: float) -> list[ReplicaUse]:
+        """Return what the slots of all replicas are used for."""
+        return [self._use(one, now) for one in self._directory.all()]
+
+    def _use(self, replica: Replica, now: float) -> ReplicaUse:
+        replica_id = replica.replica_id
+        work = self._book.total(replica_id, now)
+        failed = self._directory.is_suspect(replica_id, now)
+        return ReplicaUse(
+            replica.service,
+            replica.slots,
+            work.online,
+            work.batch,
+            replica.is_draining,
+            failed or self._directory.is_doubted(replica_id, now),
+            self.may_read(replica_id, now),
+        )
+
     def may_read(self, replica_id: str, now: float) -> bool:
         """Whether a replica may be sent the prompt of an item now."""
         return may_read_more(self.reading_ms(replica_id, now))
--- a/src/cloverwalk/scheduling/scheduler.py
+++ b/src/cloverwalk/scheduling/scheduler.py
@@ -5,6 +5,7 @@
 request needs them.
 """
 
+from collections import Counter
 from collections.abc import Iterable
 from random import Random
 
@@ -20,6 +21,7 @@
 from cloverwalk.scheduling.replica_view import ReplicaView
 from cloverwalk.scheduling.service_times import ServiceTimes
 from cloverwalk.scheduling.slot_book import SlotBook
+from cloverwalk.scheduling.slot_time import ReplicaUse
 
 
 class Scheduler:
@@ -116,6 +118,19 @@
         """Return the work of all nodes by replica."""
         return self.book.totals()
 
+    @property
+    def replica_count(self) -> int:
+        """How many replicas are known."""
+        return self._replicas.count
+
+    def replica_uses(self, now: float) -> list[ReplicaUse]:
+        """Return what the slots of all replicas are used for."""
+        return self._replicas.uses(now)
+
+    def waiting_items(self, now: float) -> tuple[Counter[str], Counter[str]]:
+        """Return waiting items and slots kept free of them, by service."""
+        return self._batch.waiting_items(now)
+
     @property
     def waiting(self) -> dict[str, Waiting]:
         """What waits, by node."""
--- a/src/cloverwalk/serving/fleet_parts.py
+++ b/src/cloverwalk/serving/fleet_parts.py
@@ -16,6 +16,8 @@
 from cloverwalk.scheduling.features import Features, FeatureState
 from cloverwalk.scheduling.scheduler import Scheduler
 from cloverwalk.scheduling.service_times import ServiceTimes
+from cloverwalk.scheduling.slot_time import SlotUse
+from cloverwalk.scheduling.slot_watch import SlotWatch
 from cloverwalk.serving.knowledge import FleetKnowledge
 from cloverwalk.serving.settings import ServingSettings
 from cloverwalk.store.health import StoreHealth
@@ -91,6 +93,8 @@
             log,
             clock,
         )
+        self.slots = SlotWatch(self.scheduler, self._note_slot_time)
+        self.coordinator.on_tick = self.slots.tick
         self.coordinator.deliver_locally = self._deliver_locally
         self.link.on_placed = knowledge.startup.note_placed
         self.election = Election(
@@ -108,6 +112,10 @@
         self._take_leadership = self.link.on_leadership
         self.link.on_leadership = self._on_leadership
 
+    def _note_slot_time(self, uses: dict[SlotUse, float]) -> None:
+        told = {use.value: round(seconds, 2) for use, seconds in uses.items() if seconds > 0}
+        self._log.write(catalogue.SLOT_TIME, **told)
+
     def _note_feature(self, state: FeatureState) -> None:
         self._log.write(
             catalogue.FEATURE_CHANGED,
--- a/src/cloverwalk/serving/node.py
+++ b/src/cloverwalk/serving/node.py
@@ -337,6 +337,8 @@
         metrics.gauge("cloverwalk_client_connections", "Open", self._clients.connection_count)
         coordinator = self._fleet.coordinator
         known = len(coordinator.roster.live()) if coordinator.is_active else 0
+        uses = self._fleet.slots.time.seconds
+        metrics.slot_seconds = {use.value: seconds for use, seconds in uses.items()}
         metrics.gauge("cloverwalk_coordinator_term", "Term followed", self._fleet.leader.term)
         metrics.gauge("cloverwalk_coordinated_nodes", "Nodes that report here", known)
         content_type = (b"Content-Type", b"text/plain; version=0.0.4")
--- /dev/null
+++ b/src/cloverwalk/telemetry/load_report.py
@@ -0,0 +1,56 @@
+"""What slots were used for and why requests were late, out of the log lines of a fleet."""
+
+from collections import Counter
+from collections.abc import Iterable
+
+import attrs
+
+from cloverwalk.core import catalogue
+from cloverwalk.telemetry.story import LogLine
+
+
+@attrs.frozen
+class SlotSecond:
+    """Slot-seconds that a coordinator told at one moment, by use."""
+
+    at_s: int
+    seconds_by_use: dict[str, float]
+
+
+@attrs.frozen
+class LateCount:
+    """Late requests or items of one second, tenant and cause."""
+
+    at_s: int
+    tenant: str
+    """Empty for callers without a key."""
+
+    is_item: bool
+    cause: str
+    count: int
+
+
+def slot_seconds_of(lines: Iterable[LogLine]) -> list[SlotSecond]:
+    """Return what coordinators told, in order of time; figures that are no numbers are left out."""
+    told: dict[int, Counter[str]] = {}
+    for line in lines:
+        if line.number != catalogue.SLOT_TIME:
+            continue
+        uses = told.setdefault(int(line.time_s // 1), Counter())
+        for use, seconds in line.fields.items():
+            if isinstance(seconds, int | float):
+                uses[use] += seconds  # type: ignore[assignment]
+    return [SlotSecond(at_s, dict(uses)) for at_s, uses in sorted(told.items())]
+
+
+def late_counts_of(lines: Iterable[LogLine]) -> list[LateCount]:
+    """Return late requests and items, by second, tenant and cause."""
+    counts: Counter[tuple[int, str, bool, str]] = Counter()
+    for line in lines:
+        cause = line.fields.get("late")
+        if not isinstance(cause, str):
+            continue
+        is_item = line.number == catalogue.ITEM_RUN_ENDED
+        tenant = str(line.fields.get("tenant", ""))
+        counts[int(line.time_s // 1), tenant, is_item, cause] += 1
+    return [LateCount(*key, count) for key, count in sorted(counts.items())]
--- a/src/cloverwalk/telemetry/metrics.py
+++ b/src/cloverwalk/telemetry/metrics.py
@@ -6,6 +6,7 @@
 
 from bisect import bisect_left
 from collections import Counter
+from collections.abc import Mapping
 from typing import TYPE_CHECKING
 
 import attrs
@@ -56,6 +57,10 @@
         self.directory = TenantDirectory()
         """The tenants in force, whose quotas are told."""
 
+        self.slot_seconds: Mapping[str, float] = {}
+        """Slot-seconds of the replicas by use, as counted by this node while it coordinated."""
+
+        self._late: Counter[tuple[str, str]] = Counter()
         self._requests: Counter[tuple[str, str]] = Counter()
         self._failures: Counter[str] = Counter()
         self._items: Counter[str] = Counter()
@@ -71,6 +76,10 @@
         self._requests[route, outcome] += 1
         self._durations.setdefault(route, Latencies()).observe(took_s)
 
+    def late(self, route: str, cause: str) -> None:
+        """A request or an item was late."""
+        self._late[route, cause] += 1
+
     def first_event(self, route: str, took_s: float) -> None:
         """A stream began."""
         self._first_events.setdefault(route, Latencies()).observe(took_s)
@@ -113,6 +122,18 @@
         for (route, outcome), count in self._requests.items():
             requests.add_metric([route, outcome], count)
         yield requests
+        late = CounterMetricFamily(
+            "cloverwalk_late", "Late requests and items, by cause", labels=["route", "cause"]
+        )
+        for (route, cause), count in self._late.items():
+            late.add_metric([route, cause], count)
+        yield late
+        slots = CounterMetricFamily(
+            "cloverwalk_slot_seconds", "Slot-seconds of the replicas, by use", labels=["use"]
+        )
+        for use, seconds in self.slot_seconds.items():
+            slots.add_metric([use], seconds)
+        yield slots
         for name, help_text, counts, label in (
             ("cloverwalk_attempt_failures", "Failed attempts", self._failures, "code"),
             ("cloverwalk_items", "Ended runs of items", self._items, "outcome"),
--- /dev/null
+++ b/tests/unit/test_load_sight.py
@@ -0,0 +1,143 @@
+"""What an operator sees of the load: slot time by use, and causes of lateness."""
+
+import json
+from pathlib import Path
+
+import pytest
+from click.testing import CliRunner
+from hypothesis import given
+from hypothesis import strategies as st
+
+from cloverwalk.cli.report import report
+from cloverwalk.scheduling.slot_time import LONGEST_LOOK_S, ReplicaUse, SlotTime, SlotUse
+from cloverwalk.telemetry.lateness import (
+    ItemTimes,
+    LateCause,
+    RequestTimes,
+    item_cause,
+    request_cause,
+)
+
+REPLICAS = st.lists(
+    st.builds(
+        ReplicaUse,
+        st.sampled_from(["s", "t"]),
+        st.integers(1, 16),
+        st.integers(0, 20),
+        st.integers(0, 20),
+        st.booleans(),
+        st.booleans(),
+        st.booleans(),
+    ),
+    max_size=8,
+)
+COUNTS = st.dictionaries(st.sampled_from(["s", "t", "u"]), st.integers(0, 60))
+
+
+@given(st.lists(st.tuples(REPLICAS, COUNTS, COUNTS, st.floats(0.0, LONGEST_LOOK_S)), max_size=6))
+def test_uses_add_up_to_slots_times_time(
+    looks: list[tuple[list[ReplicaUse], dict[str, int], dict[str, int], float]],
+) -> None:
+    time = SlotTime()
+    now = expected = 0.0
+    time.look([], {}, {}, now)
+    for replicas, waiting, kept, passed_s in looks:
+        now += passed_s
+        time.look(replicas, waiting, kept, now)
+        expected += passed_s * sum(one.slots for one in replicas)
+    assert sum(time.seconds.values()) == pytest.approx(expected)
+    assert all(seconds >= 0 for seconds in time.seconds.values())
+
+
+def _use(replica: ReplicaUse, waiting: int, kept: int = 0) -> dict[SlotUse, float]:
+    time = SlotTime()
+    time.look([], {}, {}, 0.0)
+    time.look([replica], {replica.service: waiting}, {replica.service: kept}, 1.0)
+    return {use: seconds for use, seconds in time.seconds.items() if seconds}
+
+
+def test_a_slot_that_is_idle_beside_waiting_items_has_its_reason() -> None:
+    free = ReplicaUse("s", 4, online=1, batch=1)
+    assert _use(free, waiting=0)[SlotUse.IDLE] == 2
+    assert _use(free, waiting=9)[SlotUse.NOT_GRANTED] == 2
+    assert _use(free, waiting=9, kept=1)[SlotUse.KEPT_FREE] == 1
+    assert _use(free, waiting=1)[SlotUse.IDLE] == 1
+    suspected = ReplicaUse("s", 4, 0, 0, is_suspected=True)
+    assert _use(suspected, waiting=9) == {SlotUse.SUSPECTED: 4}
+    reading = ReplicaUse("s", 4, 0, 0, may_read=False)
+    assert _use(reading, waiting=9) == {SlotUse.READING: 4}
+    assert _use(ReplicaUse("s", 4, 0, 1, is_draining=True), 9)[SlotUse.DRAINING] == 3
+
+
+def test_time_without_a_look_is_not_counted_for_long() -> None:
+    time = SlotTime()
+    time.look([], {}, {}, 0.0)
+    time.look([ReplicaUse("s", 2, 0, 0)], {}, {}, 500.0)
+    assert time.seconds[SlotUse.IDLE] == 2 * LONGEST_LOOK_S
+
+
+@pytest.mark.parametrize(
+    ("times", "cause"),
+    [
+        (RequestTimes(300, 299, 10, 0, 60), None),
+        (RequestTimes(300, 400, 10, 0, 60, failures=1), LateCause.REPLICA_FAILED),
+        (RequestTimes(30, 90, 1, 0, 60), LateCause.CAME_LATE),
+        (RequestTimes(300, 400, 10, 200, 60), LateCause.NO_SLOT),
+        (RequestTimes(300, 400, 330, 0, 60), LateCause.COORDINATOR),
+        (RequestTimes(300, 400, 10, 0, 60), LateCause.SLOW_REPLICA),
+        (RequestTimes(100, 110, 10, 0, 60), LateCause.OTHER),
+    ],
+)
+def test_a_late_request_has_one_cause(times: RequestTimes, cause: LateCause | None) -> None:
+    assert request_cause(times) is cause
+
+
+@pytest.mark.parametrize(
+    ("times", "cause"),
+    [
+        (ItemTimes(0, 18_000, 5_000, 5_000), None),
+        (ItemTimes(1, 2_000, 5_000, 5_000), LateCause.CAME_LATE),
+        (ItemTimes(1, 18_000, 9_000, 5_000, failures=1, suspensions=1), LateCause.REPLICA_FAILED),
+        (ItemTimes(1, 18_000, 9_000, 5_000, suspensions=1), LateCause.GAVE_WAY),
+        (ItemTimes(1, 18_000, 12_000, 12_000), LateCause.SLOW_REPLICA),
+        (ItemTimes(1, 18_000, 5_000, 5_000), LateCause.NO_SLOT),
+    ],
+)
+def test_a_late_item_has_one_cause(times: ItemTimes, cause: LateCause | None) -> None:
+    assert item_cause(times) is cause
+
+
+def _log(path: Path) -> str:
+    common = {"node": "n1", "level": "info"}
+    lines = [
+        {**common, "number": 430, "event": "slot_time", "at": 7.2, "online": 3.5, "idle": 1.0},
+        {**common, "number": 430, "event": "slot_time", "at": 8.2, "online": "x", "items": 2},
+        {**common, "number": 312, "event": "request_answered", "at": 7.4, "tenant": "a"}
+        | {"request": "r", "late": "no_slot"},
+        {**common, "number": 421, "event": "item_run_ended", "at": 7.5, "late": "gave_way"},
+        {**common, "number": 312, "event": "request_answered", "at": 7.6, "late": None},
+    ]
+    path.write_text("".join(json.dumps(one) + "\n" for one in lines))
+    return str(path)
+
+
+def test_the_report_shows_uses_of_slots(tmp_path: Path) -> None:
+    shown = CliRunner().invoke(report, [_log(tmp_path / "n1.log"), "--slots", "--json"])
+    assert json.loads(shown.output) == [
+        {"at_s": 7, "seconds_by_use": {"online": 3.5, "idle": 1.0}},
+        {"at_s": 8, "seconds_by_use": {"items": 2}},
+    ]
+    table = CliRunner().invoke(report, [_log(tmp_path / "n1.log"), "--slots"])
+    assert [line.split() for line in table.output.splitlines()] == [
+        ["second", "online", "items", "idle"],
+        ["7", "3.5", "0.0", "1.0"],
+        ["8", "0.0", "2.0", "0.0"],
+    ]
+
+
+def test_the_report_shows_causes_of_lateness(tmp_path: Path) -> None:
+    shown = CliRunner().invoke(report, [_log(tmp_path / "n1.log"), "--late"])
+    assert [line.split() for line in shown.output.splitlines()[1:]] == [
+        ["7", "item", "gave_way", "1"],
+        ["7", "request", "no_slot", "1", "a"],
+    ]
