Replica memory: a request is placed only where its prompt and the most that may come out fit

Cause: a replica's room was its slots only. One whose requests grow beyond its memory falls over with all of them, and nothing counted what requests hold there; the tokens that callers tell were not read.

Change: where the settings say that memory is scarce and a service tells its replicas' memory, nodes report the tokens of their work, asks and waiting items tell theirs, and scheduling/replica_memory.py says where they fit. An online request counts beside online work only: items give way for memory as they do for slots. A request larger than any replica is refused at once (too_large, 503 without a time to come back); one without room is held as others are, and is not sent into a full replica in the end.

Ways weighed: expected output (hints are often far off, and hundreds at once could meet) against the most that may come out, which is told and can't be exceeded; kept the second: eight requests at their most take a small part of the memory that replicas have here, so it costs no slot.

Off elsewhere: a property test shows the same answers with and without tokens.

--- a/src/cloverwalk/fleet/link.py
+++ b/src/cloverwalk/fleet/link.py
@@ -185,7 +185,10 @@
     def _new_report(self, host: str, asks: list[Ask], has_lost: bool) -> Report:
         self._sequence += 1
         self._sent_at = now = self._clock()
-        loads = {key: NodeLoad(one.online, one.batch) for key, one in self._loads.own.items()}
+        loads = {
+            key: NodeLoad(one.online, one.batch, one.tokens, one.batch_tokens)
+            for key, one in self._loads.own.items()
+        }
         report = Report(
             self._identity.node,
             self._identity.run,
--- a/src/cloverwalk/fleet/load.py
+++ b/src/cloverwalk/fleet/load.py
@@ -9,6 +9,11 @@
 
     online: int = 0
     batch: int = 0
+    tokens: int = 0
+    """Memory that it may take at the replica, in tokens."""
+
+    batch_tokens: int = 0
+    """The part of ``tokens`` that items take."""
 
     @property
     def total(self) -> int:
@@ -26,6 +31,7 @@
 
     replica_id: str
     is_batch: bool
+    tokens: int = 0
     has_output: bool = False
     """Whether the replica has put something out: the work has a slot."""
 
@@ -38,30 +44,37 @@
     >>> book.begin("r1", is_batch=True).has_output
     False
     >>> book.own["r1"]
-    InFlight(online=1, batch=1)
+    InFlight(online=1, batch=1, tokens=0, batch_tokens=0)
     >>> book.end(work)
     >>> book.own["r1"]
-    InFlight(online=0, batch=1)
+    InFlight(online=0, batch=1, tokens=0, batch_tokens=0)
     """
 
-    def __init__(self) -> None:
+    def __init__(self, counts_tokens: bool = False) -> None:
         self.own: dict[str, InFlight] = {}
+        self.counts_tokens = counts_tokens
+        """Whether replicas' memory is scarce; else nobody asks for tokens, and none are told."""
 
-    def begin(self, replica_id: str, is_batch: bool) -> Work:
+    def begin(self, replica_id: str, is_batch: bool, tokens: int = 0) -> Work:
         """Work was sent to a replica; the result is passed to ``end``."""
+        tokens = tokens if self.counts_tokens else 0
         own = self.own.setdefault(replica_id, InFlight())
         if is_batch:
             own.batch += 1
+            own.batch_tokens += tokens
         else:
             own.online += 1
-        return Work(replica_id, is_batch)
+        own.tokens += tokens
+        return Work(replica_id, is_batch, tokens)
 
     def end(self, work: Work) -> None:
         """Work ended at a replica, or its connection was closed."""
         own = self.own[work.replica_id]
         if work.is_batch:
             own.batch -= 1
+            own.batch_tokens -= work.tokens
         else:
             own.online -= 1
+        own.tokens -= work.tokens
         if own.total == 0:
             del self.own[work.replica_id]
--- a/src/cloverwalk/fleet/messages.py
+++ b/src/cloverwalk/fleet/messages.py
@@ -32,6 +32,9 @@
     tokens: int = 0
     """Memory that this work may take at the replica, in tokens; 0 where nobody counts it."""
 
+    batch_tokens: int = 0
+    """The part of ``tokens`` that items take."""
+
 
 class WaitingGroup(Struct, array_like=True, frozen=True):
     """Batch items of a node that wait for a slot and are due at about the same time."""
--- a/src/cloverwalk/fleet/places.py
+++ b/src/cloverwalk/fleet/places.py
@@ -54,6 +54,7 @@
 class _Pending:
     """An ask without its final answer."""
 
+    tokens: int
     event: curio.Event = attrs.Factory(curio.Event)
     place: Place | None = None
     is_held: bool = False
@@ -96,7 +97,7 @@
         began_at = self._clock()
         self._number += 1
         ask = msgspec.structs.replace(ask, number=self._number)
-        pending = self._pending[ask.number] = _Pending()
+        pending = self._pending[ask.number] = _Pending(ask.tokens)
         try:
             await self._ask(ask, pending)
             while pending.place is None:
@@ -155,7 +156,7 @@
         if not pending.is_held:
             work = None
             if placement.verdict is Verdict.SEND:
-                work = self._loads.begin(placement.replica_id, is_batch=False)
+                work = self._loads.begin(placement.replica_id, False, pending.tokens)
             pending.place = Place(placement, work, pending.was_held)
         await pending.event.set()
 
--- a/src/cloverwalk/gateway/messages.py
+++ b/src/cloverwalk/gateway/messages.py
@@ -37,6 +37,11 @@
     """The caller's estimate of the tokens that come out, right at the median and often far off; 0:
     none."""
 
+    @property
+    def most_tokens(self) -> int:
+        """Tokens that the request may take of a replica's memory; 0: the caller did not say."""
+        return self.prompt_tokens + self.most_output_tokens
+
 
 class ReplicaLoad(Struct, frozen=True):
     """What a replica told of its load."""
--- a/src/cloverwalk/gateway/refusals.py
+++ b/src/cloverwalk/gateway/refusals.py
@@ -46,6 +46,12 @@
     return GatewayError(Reason.UNAVAILABLE, "quota_unknown", message, ELSEWHERE_RETRY_AFTER_S)
 
 
+def too_large() -> GatewayError:
+    """Return the refusal of a request that no replica has the memory for; it is so for good."""
+    message = "no replica has the memory for its prompt and the most that may come out"
+    return GatewayError(Reason.UNAVAILABLE, "too_large", message)
+
+
 def contained(content: str, crashes: int) -> GatewayError:
     """Return the refusal of a request that ends replicas; nobody should come back with it."""
     message = f"{crashes} servers ended while they ran this request ({content})"
--- a/src/cloverwalk/gateway/relay.py
+++ b/src/cloverwalk/gateway/relay.py
@@ -136,6 +136,8 @@
                 raise refusals.over_quota(place.placement.retry_after_s)
             if place.verdict is Verdict.QUOTA_UNKNOWN:
                 raise refusals.quota_unknown()
+            if place.verdict is Verdict.TOO_LARGE:
+                raise refusals.too_large()
             if place.verdict is Verdict.CONTAINED:
                 raise self._containment.refusal(request, progress)
             replica = self._directory.find(place.replica_id)
@@ -183,6 +185,7 @@
             request.tenant,
             _token_use(progress),
             suspected,
+            fields.most_tokens if self._loads.counts_tokens else 0,
         )
 
     def _must_send(self, request: ClientRequest, progress: RequestProgress) -> bool:
--- a/src/cloverwalk/jobs/order.py
+++ b/src/cloverwalk/jobs/order.py
@@ -32,6 +32,8 @@
     replica_id: str
     reading_ms: float
     priority: int = 0
+    tokens: int = 0
+    """Memory that it may take at a replica; 0 where nobody asks."""
 
     @property
     def due_step(self) -> int:
@@ -47,15 +49,21 @@
     >>> summarise(items) == [WaitingGroup(32, 2, reading_ms=6)]
     True
     """
-    by_key: dict[tuple[int, str], list[float]] = {}
+    by_key: dict[tuple[int, str], list[WaitingItem]] = {}
     for one in items:
-        by_key.setdefault((one.due_step, one.replica_id), []).append(one.reading_ms)
-    groups = [
-        WaitingGroup(step, len(reading), replica_id, round(sum(reading) / len(reading)))
-        for (step, replica_id), reading in sorted(by_key.items())
-    ]
+        by_key.setdefault((one.due_step, one.replica_id), []).append(one)
+    groups = [_group(step, replica_id, told) for (step, replica_id), told in sorted(by_key.items())]
     if len(groups) <= MAX_GROUPS:
         return groups
     told, rest = groups[: MAX_GROUPS - 1], groups[MAX_GROUPS - 1 :]
     count = sum(one.items for one in rest)
-    return [*told, WaitingGroup(rest[0].due_step, count, "", rest[0].reading_ms)]
+    tokens = max(one.tokens for one in rest)
+    last = WaitingGroup(rest[0].due_step, count, "", rest[0].reading_ms, tokens=tokens)
+    return [*told, last]
+
+
+def _group(step: int, replica_id: str, items: list[WaitingItem]) -> WaitingGroup:
+    """Return items of one step as they are told; the largest one's memory stands for each."""
+    reading_ms = sum(one.reading_ms for one in items) / len(items)
+    tokens = max(one.tokens for one in items)
+    return WaitingGroup(step, len(items), replica_id, round(reading_ms), tokens=tokens)
--- a/src/cloverwalk/jobs/runner.py
+++ b/src/cloverwalk/jobs/runner.py
@@ -188,7 +188,10 @@
         replica_id = one.replica_id if self._directory.find(one.replica_id) else ""
         order_ms = self._pace.order_ms(one, due_ms)
         priority = self._priority(job)
-        return WaitingItem(order_ms, can_be_in_time, replica_id, self._reading_ms(one), priority)
+        tokens = one.item.tokens if self._loads.counts_tokens else 0
+        return WaitingItem(
+            order_ms, can_be_in_time, replica_id, self._reading_ms(one), priority, tokens
+        )
 
     def _priority(self, job: JobRun) -> int:
         """Return the rank of a job: its tenant's, or its route's."""
@@ -298,7 +301,7 @@
     async def _start(self, job: JobRun, one: ItemRun, replica: Replica) -> None:
         now = self._clock()
         job.begin(one, replica.replica_id, now)
-        work = self._loads.begin(replica.replica_id, is_batch=True)
+        work = self._loads.begin(replica.replica_id, True, one.item.tokens)
         running = _Running(job, one, work, now)
         self._running[job.job_id, one.index] = running
         self._log.write(
--- a/src/cloverwalk/scheduling/admission.py
+++ b/src/cloverwalk/scheduling/admission.py
@@ -57,6 +57,9 @@
     QUOTA_UNKNOWN = "quota_unknown"
     """This node can't tell whether its tenant may send it; another one can."""
 
+    TOO_LARGE = "too_large"
+    """No replica has the memory for it."""
+
     CONTAINED = "contained"
     """Replicas have ended under it."""
 
--- a/src/cloverwalk/scheduling/batch.py
+++ b/src/cloverwalk/scheduling/batch.py
@@ -9,7 +9,7 @@
 from cloverwalk.fleet.messages import Waiting, WaitingGroup
 from cloverwalk.scheduling.decisions import Outbox
 from cloverwalk.scheduling.replica_view import ReplicaView
-from cloverwalk.scheduling.share import kept_free, must_yield
+from cloverwalk.scheduling.share import kept_free
 from cloverwalk.scheduling.slot_book import SlotBook
 
 
@@ -76,7 +76,7 @@
             replica = self._replicas.find(replica_id)
             if replica is None:
                 continue
-            excess = must_yield(replica.slots, self._book.total(replica_id, now))
+            excess = self._replicas.must_yield(replica, now)
             holders = self._book.holders(replica_id) if excess > 0 else []
             for holder in holders:
                 if excess <= 0:
@@ -87,7 +87,8 @@
     def _revoke(self, node: str, replica_id: str, count: int, now: float) -> None:
         decisions = self._outbox.of(node)
         decisions.revokes[replica_id] = decisions.revokes.get(replica_id, 0) + count
-        self._book.expect(node, decisions.number, replica_id, batch=-count, now=now)
+        tokens = -self._replicas.yielded_tokens(replica_id, count, now)
+        self._book.expect(node, decisions.number, replica_id, batch=-count, tokens=tokens, now=now)
 
     # --- granting ---
 
@@ -111,7 +112,10 @@
         open_ids = {key for key in room if room[key] > 0 and may_read(key, now)}
         for claim in self._claims(pool):
             while claim.left > 0 and free > 0 and open_ids:
-                replica_id = self._best(claim, open_ids, room, zones)
+                fitting = self._where_it_fits(claim, open_ids, now)
+                if not fitting:
+                    break
+                replica_id = self._best(claim, fitting, room, zones)
                 self._grant_one(claim, replica_id, now)
                 free -= 1
                 room[replica_id] -= 1
@@ -163,11 +167,20 @@
         own_zone = self._zones.get(claim.node, "")
         return min(open_ids, key=lambda key: (zones[key] != own_zone, -room[key], key))
 
+    def _where_it_fits(self, claim: _Claim, open_ids: set[str], now: float) -> set[str]:
+        """Return the replicas whose memory has room for one of a claim's items."""
+        tokens = claim.group.tokens
+        if tokens == 0:
+            return open_ids
+        return {key for key in open_ids if self._replicas.fits(key, tokens, now)}
+
     def _grant_one(self, claim: _Claim, replica_id: str, now: float) -> None:
         claim.left -= 1
         decisions = self._outbox.of(claim.node)
         decisions.grants[replica_id] = decisions.grants.get(replica_id, 0) + 1
-        self._book.expect(claim.node, decisions.number, replica_id, batch=1, now=now)
+        self._book.expect(
+            claim.node, decisions.number, replica_id, batch=1, tokens=claim.group.tokens, now=now
+        )
         self._replicas.note_reading(replica_id, float(claim.group.reading_ms), now)
 
     def _leave(self, claim: _Claim) -> None:
--- a/src/cloverwalk/scheduling/online.py
+++ b/src/cloverwalk/scheduling/online.py
@@ -91,6 +91,9 @@
         if ask.content and not self._ledger.may_place(ask.content, now):
             self._outbox.of(node).placements.append(Placement(ask.number, Verdict.CONTAINED))
             return ""
+        if not self._replicas.can_ever_fit(ask):
+            self._outbox.of(node).placements.append(Placement(ask.number, Verdict.TOO_LARGE))
+            return ""
         refusal = self._take_token(ask, now)
         if refusal is not None:
             self._outbox.of(node).placements.append(refusal)
@@ -159,6 +162,9 @@
         candidates = self._replicas.candidates(held.node, held.ask, now)
         demand = _demand(held.zone, held.ask)
         chosen = choose(candidates, demand)
+        if chosen is None and self._replicas.has_usable(held.ask.service):
+            # Each has too little memory left; it is as if all their slots were taken.
+            return self._wait_for_memory(held, now)
         if chosen is None:
             return self._refuse(held, Placement(held.ask.number, Verdict.NONE), now)
         wait_ms = self._wait_ms(held.ask.route, chosen)
@@ -182,6 +188,13 @@
         self._replicas.note_reading(chosen.replica.replica_id, reading_ms, now)
         return chosen.replica.replica_id
 
+    def _wait_for_memory(self, held: _Held, now: float) -> str | None:
+        """Hold a request until a replica has memory for it, or refuse it in the end."""
+        if held.ask.must_place or now - held.asked_at >= LONGEST_HOLD_S:
+            return self._refuse(held, Placement(held.ask.number, Verdict.NONE), now)
+        self._hold(held)
+        return None
+
     def _refuse(self, held: _Held, placement: Placement, now: float) -> str:
         self._held.pop((held.node, held.ask.number), None)
         if held.has_token:
@@ -214,7 +227,9 @@
             reading_ms=round(chosen.reading_ms),
         )
         decisions.placements.append(placement)
-        self._book.expect(held.node, decisions.number, replica_id, online=1, now=now)
+        self._book.expect(
+            held.node, decisions.number, replica_id, online=1, tokens=held.ask.tokens, now=now
+        )
         if held.ask.content:
             self._replicas.note_sent_suspect(replica_id, held.ask.content, now)
 
--- a/src/cloverwalk/scheduling/replica_view.py
+++ b/src/cloverwalk/scheduling/replica_view.py
@@ -5,8 +5,9 @@
 
 from cloverwalk.fleet.messages import Ask
 from cloverwalk.gateway.replicas import Replica, ReplicaDirectory
+from cloverwalk.scheduling.replica_memory import ReplicaMemory
 from cloverwalk.scheduling.selection import Candidate
-from cloverwalk.scheduling.share import batch_room, may_read_more
+from cloverwalk.scheduling.share import batch_room, may_read_more, must_yield
 from cloverwalk.scheduling.slot_book import SlotBook
 from cloverwalk.scheduling.slot_time import ReplicaUse
 
@@ -22,7 +23,14 @@
 class ReplicaView:
     """What may be sent to which replica."""
 
-    def __init__(self, directory: ReplicaDirectory, book: SlotBook, random: Random) -> None:
+    def __init__(
+        self,
+        directory: ReplicaDirectory,
+        book: SlotBook,
+        memory: ReplicaMemory,
+        random: Random,
+    ) -> None:
+        self._memory = memory
         self._random = random
         self._directory = directory
         self._book = book
@@ -82,8 +90,9 @@
     # --- what may be sent where ---
 
     def candidates(self, node: str, ask: Ask, now: float) -> list[Candidate]:
-        """Return the replicas that a request was not at yet, or else all."""
+        """Return the replicas that a request was not at yet, or else all, where it fits."""
         usable = self.sample(self._directory.usable(ask.service))
+        usable = list(self._memory.where_online_fits(usable, ask.tokens, now))
         fresh = [one for one in usable if one.replica_id not in ask.avoid]
         suspects = self._suspects.get(node, set())
         return [
@@ -110,6 +119,28 @@
                 by_id[replica_id] = replica
         return list(by_id.values())
 
+    def can_ever_fit(self, ask: Ask) -> bool:
+        """Whether a request fits into an empty replica of its service."""
+        return self._memory.can_ever_fit(ask.service, ask.tokens)
+
+    def has_usable(self, service: str) -> bool:
+        """Whether any replica of a service takes new work, full ones included."""
+        return bool(self._directory.usable(service))
+
+    def must_yield(self, replica: Replica, now: float) -> int:
+        """Return how many items have to give way at a replica, for slots or for memory."""
+        by_slots = must_yield(replica.slots, self._book.total(replica.replica_id, now))
+        return max(by_slots, self._memory.must_yield(replica, now))
+
+    def yielded_tokens(self, replica_id: str, items: int, now: float) -> int:
+        """Return about how much memory comes free when so many items give way."""
+        return self._memory.yielded_tokens(replica_id, items, now)
+
+    def fits(self, replica_id: str, tokens: int, now: float) -> bool:
+        """Whether a request that may take so many tokens fits into a replica's memory now."""
+        replica = self._directory.find(replica_id)
+        return replica is not None and self._memory.fits(replica, tokens, now)
+
     def usable(self, services: list[str]) -> list[Replica]:
         """Return the replicas of some services that take new work."""
         return [one for service in services for one in self._directory.usable(service)]
--- a/src/cloverwalk/scheduling/scheduler.py
+++ b/src/cloverwalk/scheduling/scheduler.py
@@ -18,6 +18,7 @@
 from cloverwalk.scheduling.features import Features
 from cloverwalk.scheduling.online import OnlineQueue
 from cloverwalk.scheduling.quotas import FleetQuotas, QuotaBounds
+from cloverwalk.scheduling.replica_memory import ReplicaMemory
 from cloverwalk.scheduling.replica_view import ReplicaView
 from cloverwalk.scheduling.service_times import ServiceTimes
 from cloverwalk.scheduling.slot_book import SlotBook
@@ -42,7 +43,8 @@
         self.quotas = FleetQuotas(configuration, quota_bounds, random)
         self.book = SlotBook()
         self._outbox = Outbox()
-        self._replicas = ReplicaView(directory, self.book, random)
+        memory = ReplicaMemory(configuration, self.book, self.features)
+        self._replicas = ReplicaView(directory, self.book, memory, random)
         self._online = OnlineQueue(
             self._replicas,
             self.book,
--- a/src/cloverwalk/scheduling/slot_book.py
+++ b/src/cloverwalk/scheduling/slot_book.py
@@ -34,6 +34,7 @@
     online: int
     batch: int
     made_at: float
+    tokens: int = 0
 
 
 @attrs.define
@@ -50,11 +51,11 @@
     {'r1'}
     >>> book.expect("n1", 1, "r1", online=1, now=0.0)
     >>> book.total("r1", now=0.1)
-    InFlight(online=3, batch=3)
+    InFlight(online=3, batch=3, tokens=0, batch_tokens=0)
     >>> book.hear("n1", {"r1": NodeLoad(3, 2)}, settled=1)
     {'r1'}
     >>> book.total("r1", now=0.2)
-    InFlight(online=3, batch=2)
+    InFlight(online=3, batch=2, tokens=0, batch_tokens=0)
     """
 
     def __init__(self) -> None:
@@ -88,12 +89,14 @@
         *,
         online: int = 0,
         batch: int = 0,
+        tokens: int = 0,
         now: float,
     ) -> None:
         """Count a decision until its node reports that it has settled it."""
         work = self._work.setdefault(node, _NodeWork())
-        work.unsettled.append(_Decision(number, replica_id, online, batch, now))
-        self._change(replica_id, online, batch)
+        decision = _Decision(number, replica_id, online, batch, now, tokens)
+        work.unsettled.append(decision)
+        self._change(replica_id, _expected(decision), 1)
 
     def forget(self, node: str) -> set[str]:
         """A node is gone, and its connections with it; return the replicas concerned."""
@@ -129,17 +132,19 @@
 
     def _drop(self, work: _NodeWork, decision: _Decision) -> None:
         work.unsettled.remove(decision)
-        self._change(decision.replica_id, -decision.online, -decision.batch)
+        self._change(decision.replica_id, _expected(decision), -1)
 
     def _add(self, loads: dict[str, NodeLoad], sign: int) -> None:
         for replica_id, load in loads.items():
-            self._change(replica_id, sign * load.online, sign * load.batch)
+            self._change(replica_id, load, sign)
 
-    def _change(self, replica_id: str, online: int, batch: int) -> None:
+    def _change(self, replica_id: str, load: NodeLoad, sign: int) -> None:
         known = self._sums.setdefault(replica_id, InFlight())
-        known.online += online
-        known.batch += batch
-        if known.online == 0 and known.batch == 0:
+        known.online += sign * load.online
+        known.batch += sign * load.batch
+        known.tokens += sign * load.tokens
+        known.batch_tokens += sign * load.batch_tokens
+        if known == NOTHING:
             del self._sums[replica_id]
 
     # --- figures ---
@@ -151,7 +156,12 @@
         if told is None:
             return known
         news = max(0, known.online - self._base.get(replica_id, 0)) if self._adds else 0
-        return InFlight(max(known.online, told.online + news), max(known.batch, told.batch))
+        return InFlight(
+            max(known.online, told.online + news),
+            max(known.batch, told.batch),
+            max(known.tokens, told.tokens),
+            max(known.batch_tokens, told.batch_tokens),
+        )
 
     @property
     def replica_count(self) -> int:
@@ -160,7 +170,7 @@
 
     def totals(self) -> dict[str, NodeLoad]:
         """Return the work of all nodes by replica, without what another coordinator told."""
-        return {key: NodeLoad(one.online, one.batch) for key, one in self._sums.items()}
+        return {key: NodeLoad(one.online, one.batch, one.tokens) for key, one in self._sums.items()}
 
     def holders(self, replica_id: str) -> list[Holder]:
         """Return the nodes with items at a replica, those with the most first.
@@ -181,3 +191,9 @@
         """Return how many items a node was told to start and has not reported yet."""
         work = self._work.get(node)
         return 0 if work is None else sum(max(0, one.batch) for one in work.unsettled)
+
+
+def _expected(decision: _Decision) -> NodeLoad:
+    """Return the work that a decision adds; an order concerns online work or items, not both."""
+    batch_tokens = decision.tokens if decision.batch else 0
+    return NodeLoad(decision.online, decision.batch, decision.tokens, batch_tokens)
--- a/src/cloverwalk/serving/node.py
+++ b/src/cloverwalk/serving/node.py
@@ -83,7 +83,7 @@
         self._knowledge = FleetKnowledge(self._adapter, self._log, self._clock, self._startup)
         self._configuration = self._knowledge.configuration
         self._directory = self._knowledge.directory
-        self._loads = LoadBook()
+        self._loads = LoadBook(counts_tokens=self._settings.is_memory_scarce)
         self._health = StoreHealth(Clock(self._clock))
         self._health.on_call = self._note_store_call
         self._store_clock = StoreClock(Clock(self._clock), self._note_store_clock)
--- /dev/null
+++ b/tests/serving/test_replica_memory.py
@@ -0,0 +1,129 @@
+"""Requests are placed only where a replica's memory holds them at their most."""
+
+from random import Random
+
+from hypothesis import given
+from hypothesis import strategies as st
+from test_scheduler import Fleet
+
+from cloverwalk.fleet.load import LoadBook
+from cloverwalk.fleet.messages import NodeLoad, WaitingGroup
+from cloverwalk.gateway.configuration import ClientLimits, Configuration, Service
+from cloverwalk.scheduling.admission import LONGEST_HOLD_S, Verdict
+from cloverwalk.scheduling.features import Features
+from cloverwalk.scheduling.quotas import QuotaBounds
+from cloverwalk.scheduling.replica_memory import UNTOLD_SHARE
+from cloverwalk.scheduling.scheduler import Scheduler
+
+MEMORY = 10_000
+LIMIT = int(MEMORY * (1 - UNTOLD_SHARE))
+
+
+def small_fleet(replicas: int = 2, is_scarce: bool = True) -> Fleet:
+    """Return a fleet whose replicas have little memory for their eight slots."""
+    fleet = Fleet(replicas=replicas)
+    old = fleet.scheduler
+    holder = old.features._configuration
+    assert holder.current is not None
+    services = {"model": Service("model", 8, 0, MEMORY)}
+    routes = holder.current.routes
+    holder.offer(Configuration(2, routes, services, ClientLimits()))
+    fleet.scheduler = Scheduler(
+        fleet.directory,
+        holder,
+        old.times,
+        QuotaBounds(slack=20.0),
+        old._online._ledger,
+        Random(1),
+        Features(holder, is_scarce),
+    )
+    return fleet
+
+
+def tokens_at(fleet: Fleet, replica_id: str) -> int:
+    return fleet.scheduler.book.total(replica_id, fleet.now).tokens
+
+
+@given(st.lists(st.integers(1, LIMIT), min_size=1, max_size=14))
+def test_no_burst_of_long_requests_fills_a_replica_beyond_its_memory(sizes: list[int]) -> None:
+    fleet = small_fleet()
+    for size in sizes:
+        fleet.ask(0, tokens=size)
+        assert all(tokens_at(fleet, key) <= LIMIT for key in ("r0", "r1"))
+
+
+def test_a_request_larger_than_any_replica_is_refused_at_once() -> None:
+    fleet = small_fleet()
+    assert fleet.verdict(0, fleet.ask(0, tokens=LIMIT + 1)) is Verdict.TOO_LARGE
+    assert fleet.verdict(0, fleet.ask(0, tokens=LIMIT)) is Verdict.SEND
+
+
+def test_a_request_without_room_waits_for_it() -> None:
+    fleet = small_fleet(replicas=1)
+    fleet.ask(0, tokens=LIMIT)
+    number = fleet.ask(1, tokens=500)
+    assert fleet.verdict(1, number) is Verdict.HOLD
+    fleet.nodes[0].online = {}
+    fleet.tell(0)
+    assert fleet.verdict(1, number) is Verdict.SEND
+
+
+def test_a_request_that_finds_no_room_for_long_is_refused_and_not_sent() -> None:
+    fleet = small_fleet(replicas=1)
+    fleet.ask(0, tokens=LIMIT)
+    number = fleet.ask(1, tokens=500)
+    fleet.now += LONGEST_HOLD_S
+    fleet.tell(1)
+    assert fleet.verdict(1, number) is Verdict.NONE
+
+
+def test_items_give_way_where_they_hold_the_memory_that_an_online_request_needs() -> None:
+    fleet = small_fleet(replicas=1)
+    report = fleet.nodes[0].report()
+    report.loads = {"r0": NodeLoad(0, 4, 8_000, 8_000)}
+    fleet.scheduler.hear(report, fleet.now)
+    number = fleet.ask(1, tokens=5_000)
+    assert fleet.verdict(1, number) is Verdict.SEND
+    book = fleet.scheduler.book
+    assert book.total("r0", fleet.now).batch == 2
+    assert tokens_at(fleet, "r0") <= LIMIT
+
+
+def test_an_item_goes_where_it_fits_and_holds_up_no_smaller_one() -> None:
+    fleet = small_fleet(replicas=2)
+    report = fleet.nodes[0].report()
+    report.loads = {"r0": NodeLoad(1, 0, 9_000, 0), "r1": NodeLoad(1, 0, 5_000, 0)}
+    fleet.scheduler.hear(report, fleet.now)
+    fleet.nodes[1].waiting = [WaitingGroup(1, 2, tokens=4_000), WaitingGroup(2, 1, tokens=500)]
+    told = fleet.nodes[1].report()
+    fleet.scheduler.hear(told, fleet.now)
+    grants = fleet.scheduler.take_decisions()["n1"].grants
+    assert grants == {"r1": 1, "r0": 1}
+
+
+def test_a_takeover_counts_the_memory_that_the_coordinator_before_knew() -> None:
+    fleet = small_fleet(replicas=1)
+    fleet.scheduler.book.take_snapshot({"r0": NodeLoad(2, 0, 9_500, 0)}, fleet.now)
+    assert fleet.verdict(0, fleet.ask(0, tokens=1_000)) is Verdict.HOLD
+
+
+@given(st.lists(st.integers(0, 3 * MEMORY), min_size=1, max_size=12))
+def test_memory_decides_nothing_where_nobody_says_that_it_is_scarce(sizes: list[int]) -> None:
+    with_tokens, without = small_fleet(is_scarce=False), small_fleet(is_scarce=False)
+    for size in sizes:
+        with_tokens.ask(0, tokens=size)
+        without.ask(0)
+    told = [one.nodes[0].placements for one in (with_tokens, without)]
+    assert told[0] == told[1]
+
+
+def test_a_node_tells_no_tokens_where_memory_is_not_scarce() -> None:
+    book = LoadBook()
+    work = book.begin("r1", True, 700)
+    assert book.own["r1"].tokens == 0
+    scarce = LoadBook(counts_tokens=True)
+    scarce.begin("r1", False, 300)
+    work = scarce.begin("r1", True, 700)
+    assert (scarce.own["r1"].tokens, scarce.own["r1"].batch_tokens) == (1000, 700)
+    scarce.end(work)
+    assert (scarce.own["r1"].tokens, scarce.own["r1"].batch_tokens) == (300, 0)
