--- /dev/null
+++ b/src/cloverwalk/cli/features.py
@@ -0,0 +1,58 @@
+"""``cloverwalk features``."""
+
+from pathlib import Path
+
+import click
+
+from cloverwalk.cli.api import json_option, print_json
+from cloverwalk.cli.errors import EXIT_USAGE, CommandError
+from cloverwalk.core import catalogue
+from cloverwalk.telemetry.story import LogLine, parse_line
+
+HEAD = "part              state  nodes  why"
+
+
+@click.command()
+@click.argument(
+    "logs", nargs=-1, required=True, type=click.Path(path_type=Path, exists=True, dir_okay=False)
+)
+@json_option
+def features(logs: tuple[Path, ...], as_json: bool) -> None:
+    """Tell which parts of the policy are on, and why, from the logs of nodes.
+
+    A part that only the coordinator decides by may be known to fewer nodes than others.
+
+    Example: cloverwalk features node-*.log
+    """
+    rows = _last_states(_lines(logs))
+    if not rows:
+        raise CommandError("the files name no part of the policy", EXIT_USAGE, "not_logged")
+    if as_json:
+        keys = ("feature", "is_on", "reason", "nodes")
+        print_json([dict(zip(keys, one, strict=True)) for one in rows])
+        return
+    click.echo(HEAD)
+    for feature, is_on, reason, nodes in rows:
+        click.echo(f"{feature:16}  {'on' if is_on else 'off':5}  {nodes:5}  {reason}")
+
+
+def _lines(logs: tuple[Path, ...]) -> list[LogLine]:
+    lines: list[LogLine] = []
+    for path in logs:
+        with path.open(encoding="utf-8", errors="replace") as file:
+            lines += [line for text in file if (line := parse_line(text)) is not None]
+    return sorted(lines, key=lambda line: line.time_s)
+
+
+def _last_states(lines: list[LogLine]) -> list[tuple[str, bool, str, int]]:
+    """Return the last word of each node on each part, with how many nodes say the same."""
+    last: dict[tuple[str, str], tuple[bool, str]] = {}
+    for line in lines:
+        if line.number == catalogue.FEATURE_CHANGED:
+            feature = str(line.fields.get("feature", ""))
+            state = bool(line.fields.get("is_on")), str(line.fields.get("reason", ""))
+            last[feature, line.node] = state
+    counts: dict[tuple[str, bool, str], int] = {}
+    for (feature, _node), (is_on, reason) in last.items():
+        counts[feature, is_on, reason] = counts.get((feature, is_on, reason), 0) + 1
+    return [(*key, count) for key, count in sorted(counts.items())]
--- a/src/cloverwalk/cli/main.py
+++ b/src/cloverwalk/cli/main.py
@@ -15,6 +15,7 @@
 from cloverwalk.cli.errors import EXIT_SETTINGS, CommandError
 from cloverwalk.cli.experiment import experiment
 from cloverwalk.cli.explain import explain
+from cloverwalk.cli.features import features
 from cloverwalk.cli.fleet import fleet
 from cloverwalk.cli.platform import platform
 from cloverwalk.cli.report import report
@@ -64,6 +65,7 @@
     experiment,
     explain,
     report,
+    features,
     tenants,
     soak,
 )
--- a/tests/unit/test_load_sight.py
+++ b/tests/unit/test_load_sight.py
@@ -7,9 +7,13 @@
 from click.testing import CliRunner
 from hypothesis import given
 from hypothesis import strategies as st
+from test_scheduler import SLOTS, Fleet
 
+from cloverwalk.cli.features import features
 from cloverwalk.cli.report import report
+from cloverwalk.fleet.messages import WaitingGroup
 from cloverwalk.scheduling.slot_time import LONGEST_LOOK_S, ReplicaUse, SlotTime, SlotUse
+from cloverwalk.scheduling.slot_watch import SlotWatch
 from cloverwalk.telemetry.lateness import (
     ItemTimes,
     LateCause,
@@ -141,3 +145,35 @@
         ["7", "item", "gave_way", "1"],
         ["7", "request", "no_slot", "1", "a"],
     ]
+
+
+def test_a_command_tells_which_parts_are_on_and_why(tmp_path: Path) -> None:
+    def line(node: str, at: float, is_on: bool, reason: str) -> str:
+        told = {"node": node, "number": 613, "event": "feature_changed", "level": "info"}
+        more = {"at": at, "feature": "fair_shares", "is_on": is_on, "reason": reason}
+        return json.dumps({**told, **more}) + "\n"
+
+    path = tmp_path / "n.log"
+    early = [line("n1", 1.0, False, "no tenants"), line("n2", 1.1, False, "no tenants")]
+    path.write_text("".join([*early, line("n1", 2.0, True, "tenants")]))
+    shown = CliRunner().invoke(features, [str(path), "--json"])
+    assert [(one["is_on"], one["nodes"]) for one in json.loads(shown.output)] == [
+        (False, 1),
+        (True, 1),
+    ]
+    assert CliRunner().invoke(features, [_log(tmp_path / "n1.log")]).exit_code != 0
+
+
+def test_the_coordinator_tells_each_second_what_slots_were_used_for() -> None:
+    fleet = Fleet(replicas=2)
+    told: list[dict[SlotUse, float]] = []
+    watch = SlotWatch(fleet.scheduler, told.append)
+    fleet.ask(0)
+    fleet.nodes[1].waiting = [WaitingGroup(5, 3)]
+    fleet.tell(1)
+    for tick in range(60):
+        watch.tick(fleet.now + tick * 0.05)
+    assert len(told) == 2
+    assert told[-1][SlotUse.ONLINE] == pytest.approx(1.0, abs=0.3)
+    assert told[-1][SlotUse.ITEMS] == pytest.approx(3.0, abs=0.8)
+    assert sum(told[-1].values()) == pytest.approx(2 * SLOTS, abs=4.0)
