Entries of replicas that can't be read name no replica to use

An unreadable change was skipped and the entry before it stayed in use, while a whole read took the same entry as gone; a state that is not known counted as draining, and slots below 1 as one. Now every entry is checked whole (fields, types, state, slots, address, id, time of start), and one that names no replica to use removes what was known under its key as of its version, so changes, whole reads and what peers are told say the same. A newer good entry brings the replica back. Logged once a version, counted.

--- a/src/cloverwalk/gateway/replicas.py
+++ b/src/cloverwalk/gateway/replicas.py
@@ -23,6 +23,9 @@
     version: int
     """Version of the entry in the store."""
 
+    born_ms: int = 0
+    """Unix time of its start; 0: not told. Another one under the same id is another start."""
+
 
 class _Suspicion(Struct):
     until: float
--- a/src/cloverwalk/platform/documents.py
+++ b/src/cloverwalk/platform/documents.py
@@ -1,9 +1,11 @@
 """JSON bodies of the platform: configuration, replica entries, jobs and results."""
 
+import ipaddress
+import re
 from typing import TypeVar
 
 import msgspec
-from msgspec import Struct, field
+from msgspec import UNSET, Struct, UnsetType, field
 
 from cloverwalk.gateway.configuration import (
     ClientLimits,
@@ -21,6 +23,20 @@
 Document = TypeVar("Document")
 
 DEFAULT_SLOTS = 8
+REPLICA_ID = re.compile(r"[!-~]{1,200}")
+"""Keys of the store have at most 200 bytes; an id goes into a header of requests."""
+
+ADDRESS = re.compile(r"\[?([0-9A-Fa-f:.]+)\]?:([0-9]{1,5})")
+MOST_PORT = 65_535
+MOST_SLOTS = 100_000
+"""More requests at once than any engine runs; sums of slots stay small numbers."""
+
+LATEST_BORN_MS = 4_102_444_800_000
+"""The year 2100: a time in another unit (microseconds) lies far beyond it."""
+
+STATES = {"ready": False, "draining": True}
+"""Whether a replica is leaving, by its state."""
+
 KINDS = {
     "safe": RouteKind.SAFE,
     "unsafe": RouteKind.UNSAFE,
@@ -90,11 +106,17 @@
 
 
 class _Replica(Struct):
+    """An entry; all of its fields are checked, as another writer's may look much the same."""
+
     service: str
     address: str
-    zone: str = ""
-    slots: int = DEFAULT_SLOTS
-    state: str = "ready"
+    zone: str
+    slots: int
+    state: str
+    seq: int = 0
+    cold_left_ms: float = 0.0
+    born: int | UnsetType = UNSET
+    """Unix time of its start, in ms; left out by earlier versions of the platform."""
 
 
 class _Item(Struct):
@@ -130,7 +152,7 @@
 def _decode(decoder: "msgspec.json.Decoder[Document]", raw: bytes) -> Document:
     try:
         return decoder.decode(raw)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
         raise ValueError(str(error)) from error
 
 
@@ -206,21 +228,51 @@
 
 
 def decode_replica(replica_id: str, raw: bytes, version: int) -> Replica:
-    """Return a replica's entry; raise ValueError when it is not valid."""
+    """Return a replica's entry; raise ValueError when it names no replica to use."""
     wire = _decode(_replica_decoder, raw)
-    host, _, port = wire.address.rpartition(":")
+    if not REPLICA_ID.fullmatch(replica_id):
+        raise ValueError("the id is no name that a header can carry")
+    if not wire.service:
+        raise ValueError("service: it is empty")
+    if not 1 <= wire.slots <= MOST_SLOTS:
+        raise ValueError(f"slots: {str(wire.slots)[:20]}")
+    if wire.state not in STATES:
+        raise ValueError(f"state: {wire.state[:20]!r} is not known")
+    host, port = _address(wire.address)
     return Replica(
         replica_id,
         wire.service,
         host,
-        int(port),
+        port,
         wire.zone,
-        max(1, wire.slots),
-        wire.state != "ready",
+        wire.slots,
+        STATES[wire.state],
         version,
+        _born_ms(wire.born),
     )
 
 
+def _address(told: str) -> tuple[str, int]:
+    """Return host and port of an address that can be connected to."""
+    parts = ADDRESS.fullmatch(told)
+    if parts is None:
+        raise ValueError(f"address: {told[:60]!r}")
+    host, port = parts[1], int(parts[2])
+    known = ipaddress.ip_address(host)
+    if known.is_unspecified or known.is_multicast or not 1 <= port <= MOST_PORT:
+        raise ValueError(f"address: {told[:60]!r}")
+    return host, port
+
+
+def _born_ms(told: int | UnsetType) -> int:
+    """Return the time of a start, 0 where it is not told."""
+    if isinstance(told, UnsetType):
+        return 0
+    if not 1 <= told < LATEST_BORN_MS:
+        raise ValueError(f"born: {str(told)[:20]}")
+    return told
+
+
 def decode_job(body: bytes) -> list[JobItem]:
     """Return the items of a job; raise ValueError when it is not valid."""
     wire = _decode(_job_decoder, body)
--- a/src/cloverwalk/serving/knowledge.py
+++ b/src/cloverwalk/serving/knowledge.py
@@ -7,8 +7,9 @@
 from cloverwalk.gateway.crash_ledger import CrashLedger
 from cloverwalk.gateway.replicas import Replica, ReplicaDirectory
 from cloverwalk.serving.adapter import Adapter
-from cloverwalk.store.types import RowPage
+from cloverwalk.store.types import Row, RowPage
 from cloverwalk.telemetry.log import ServingLog
+from cloverwalk.telemetry.metrics import ServingMetrics
 from cloverwalk.telemetry.startup import Stage, StartupLog
 
 
@@ -29,6 +30,11 @@
         self.configuration = ConfigurationHolder()
         self.directory = ReplicaDirectory()
         self.crashes = CrashLedger()
+        self.metrics = ServingMetrics()
+        """Counts entries that can't be read; set to the node's by who wires it."""
+
+        self._invalid: dict[str, int] = {}
+        """Versions of entries that can't be read, by key: each is told once."""
 
     async def on_configuration(self, page: RowPage) -> None:
         """Take rows of the configuration's table."""
@@ -62,33 +68,44 @@
         self.startup.note(Stage.CONFIGURATION, source)
 
     async def on_all_replicas(self, page: RowPage) -> None:
-        """Take the whole list of replicas."""
-        replicas = self._decode_replicas(page)
+        """Take the whole list of replicas; entries that can't be read are not in it."""
+        replicas = [one for row in page.rows if (one := self._decode(row)) is not None]
         for key in self.directory.replace(replicas, page.version):
             self._forget_replica(key, page.version)
         self._confirm_directory(page)
 
     async def on_replicas(self, page: RowPage) -> None:
-        """Take changes of the list of replicas."""
+        """Take changes of the list of replicas; one that can't be read removes its replica."""
         for row in page.rows:
-            if row.value is None and self.directory.remove(row.row_key.key, row.version):
+            replica = self._decode(row)
+            if replica is not None:
+                self._put_replica(replica)
+            elif self.directory.remove(row.row_key.key, row.version):
                 self._forget_replica(row.row_key.key, row.version)
-        for replica in self._decode_replicas(page):
-            self._put_replica(replica)
         self._confirm_directory(page)
 
-    def _decode_replicas(self, page: RowPage) -> list[Replica]:
-        replicas: list[Replica] = []
-        for row in page.rows:
-            if row.value is None:
-                continue
-            try:
-                replica = self._adapter.replica(row.row_key.key, row.value, row.version)
-            except ValueError as error:
-                self._log.write(catalogue.REPLICA_INVALID, error=str(error)[:300])
-                continue
-            replicas.append(replica)
-        return replicas
+    def _decode(self, row: Row) -> Replica | None:
+        """Return the replica that a row names to use, None where it names none."""
+        key = row.row_key.key
+        if row.value is None:
+            self._invalid.pop(key, None)
+            return None
+        try:
+            replica = self._adapter.replica(key, row.value, row.version)
+        except ValueError as error:
+            self._note_invalid(key, row.version, str(error))
+            return None
+        self._invalid.pop(key, None)
+        return replica
+
+    def _note_invalid(self, key: str, version: int, error: str) -> None:
+        if self._invalid.get(key) == version:
+            return
+        self._invalid[key] = version
+        self.metrics.replica_entry_invalid()
+        self._log.write(
+            catalogue.REPLICA_INVALID, replica=key[:200], version=version, error=error[:300]
+        )
 
     def _put_replica(self, replica: Replica) -> None:
         if not self.directory.put(replica):
--- a/src/cloverwalk/serving/node.py
+++ b/src/cloverwalk/serving/node.py
@@ -81,6 +81,7 @@
 
     def _build_state(self) -> None:
         self._knowledge = FleetKnowledge(self._adapter, self._log, self._clock, self._startup)
+        self._knowledge.metrics = self._metrics
         self._configuration = self._knowledge.configuration
         self._directory = self._knowledge.directory
         self._loads = LoadBook()
--- a/src/cloverwalk/telemetry/metrics.py
+++ b/src/cloverwalk/telemetry/metrics.py
@@ -66,6 +66,8 @@
         self._items: Counter[str] = Counter()
         self._broken_off: Counter[str] = Counter()
         self._containments: Counter[str] = Counter()
+        self._invalid_entries = 0
+        self._restarts = 0
         self._durations: dict[str, Latencies] = {}
         self._first_events: dict[str, Latencies] = {}
         self._running: dict[str, int] = {}
@@ -96,6 +98,14 @@
         """A request was contained, was refused for it, or is free again."""
         self._containments[event] += 1
 
+    def replica_entry_invalid(self) -> None:
+        """An entry of the list of replicas names no replica to use."""
+        self._invalid_entries += 1
+
+    def replica_restarted(self) -> None:
+        """A replica started again under its id."""
+        self._restarts += 1
+
     def item_ended(self, outcome: str) -> None:
         """A run of an item ended."""
         self._items[outcome] += 1
@@ -144,6 +154,11 @@
             for value, count in counts.items():
                 counter.add_metric([value], count)
             yield counter
+        for name, help_text, total in (
+            ("cloverwalk_replica_entries_invalid", "Entries not used", self._invalid_entries),
+            ("cloverwalk_replica_restarts", "Starts under a known id", self._restarts),
+        ):
+            yield CounterMetricFamily(name, help_text, value=total)
         for name, help_text, by_route in (
             (
                 "cloverwalk_request_seconds",
