Replicas that start again under their id: their runs of before are over

An entry's time of start was ignored, so a replica that came back under its id counted as the one before: requests in flight behind a cut link waited there for silence or their own end (one that may not be repeated until its time was over), kept connections led to the process that was gone, items went back for a prompt that nobody kept, and two ends of one id counted once against a request.

The list now knows which start an entry is of, ordered by the store's version alone; an earlier start that is told late (by a peer, or by a write that the store did late) is not taken, unless it goes on being told. On a new start its suspicion and what was counted as read there are dropped, idle connections go unused, and exchanges that were begun while the list still named the start before, and are quiet, are broken off. No clock of the replica is compared with the node's: they may differ by seconds.

Eight mutants, each noticed.

--- a/src/cloverwalk/core/catalogue.py
+++ b/src/cloverwalk/core/catalogue.py
@@ -77,6 +77,9 @@
 REPLICA_REMOVED = _event(212, "replica_removed", _I, "A replica's entry is gone.")
 REPLICA_INVALID = _event(213, "replica_invalid", _W, "A replica's entry can't be read.")
 DIRECTORY_COPIED = _event(214, "directory_copied", _I, "The list of replicas came from a peer.")
+REPLICA_RESTARTED = _event(
+    215, "replica_restarted", _W, "A replica started again under its id; its runs are gone."
+)
 REPLICA_CHOSEN = _event(310, "replica_chosen", _I, "A request goes to this replica.")
 REPLICA_FAILED = _event(311, "replica_failed", _W, "An attempt at a replica failed or was refused.")
 REQUEST_ANSWERED = _event(312, "request_answered", _I, "A request has a replica's whole answer.")
--- a/src/cloverwalk/emulator/platform_replica.py
+++ b/src/cloverwalk/emulator/platform_replica.py
@@ -37,6 +37,10 @@
         self.events = events
         self.event_s = event_s
         self.slots = 8
+        self.seq = 0
+        self.born_ms = 0
+        """Told in its entry, 0: not told. It starts again under its id with another one."""
+
         self.event_padding = 0
         """Characters added to the data of each event."""
 
@@ -307,6 +311,8 @@
     def document(self, service: str, zone: str, state: str = "ready") -> dict[str, Any]:
         """Return the entry that the replica keeps in the store."""
         host, port = self.address
+        self.seq += 1
+        born = {"born": self.born_ms} if self.born_ms else {}
         return {
             "service": service,
             "address": f"{host}:{port}",
@@ -314,7 +320,8 @@
             "version": "v1",
             "slots": self.slots,
             "state": state,
-            "seq": 1,
+            "seq": self.seq,
+            **born,
         }
 
 
--- a/src/cloverwalk/gateway/crash_ledger.py
+++ b/src/cloverwalk/gateway/crash_ledger.py
@@ -144,7 +144,10 @@
     # --- what was seen ---
 
     def note_crash(self, content: str, replica_id: str, at: float) -> bool:
-        """A replica ended while it had the request; return whether that contains it now."""
+        """A replica ended while it had the request; return whether that contains it now.
+
+        ``replica_id`` names one start of a replica: its next one counts for itself.
+        """
         is_contained = self._add_crashes(content, {replica_id: at})
         case = self._cases.get(content)
         if case is not None:
@@ -164,6 +167,10 @@
             del self._answered_at[next(iter(self._answered_at))]
         return self._clear(content, at)
 
+    def was_answered_since(self, content: str, at: float) -> bool:
+        """Whether a whole answer to a request is known from after a time."""
+        return self._answered_at.get(content, float("-inf")) > at
+
     def _add_crashes(self, content: str, crashed_at: dict[str, float]) -> bool:
         answered_at = self._answered_at.get(content, float("-inf"))
         fresh = {key: at for key, at in crashed_at.items() if at > answered_at}
--- a/src/cloverwalk/gateway/crash_witness.py
+++ b/src/cloverwalk/gateway/crash_witness.py
@@ -5,6 +5,10 @@
 and just after that nothing listens at its address. A reset on the way, a cut, silence, a spoilt
 answer, a request that was sent to a replica which had ended already, a replica that drains or that
 was told to leave are no evidence.
+
+A replica that has started again under its id has ended, whatever its connections tell: requests
+that were still without an answer there when that was learnt are counted, once for each start, see
+``restarts``.
 """
 
 from collections.abc import Awaitable, Callable
@@ -14,6 +18,7 @@
 
 from cloverwalk.core import catalogue
 from cloverwalk.gateway.crash_ledger import Containment, CrashLedger
+from cloverwalk.gateway.errors import RESTARTED
 from cloverwalk.gateway.replica_connection import Reachability, ReplicaPool
 from cloverwalk.gateway.replicas import Replica, ReplicaDirectory
 from cloverwalk.telemetry.log import ServingLog
@@ -98,6 +103,9 @@
         delivery: Delivery | None,
     ) -> None:
         """An attempt that may have run failed at a replica."""
+        if code == RESTARTED:
+            await self._note_restarted(request_id, content, replica, delivery)
+            return
         if code not in BROKEN_OFF or self._directory.find(replica.replica_id) is None:
             return
         if delivery is None or not self._has_arrived(delivery):
@@ -109,6 +117,28 @@
             await curio.spawn(self._look, replica, look, daemon=True)
         look.requests[request_id] = content
 
+    async def _note_restarted(
+        self, request_id: str, content: str, replica: Replica, delivery: Delivery | None
+    ) -> None:
+        """A request was at a start of a replica that has ended."""
+        # Behind a cut link nothing tells that a request reached the far end of a kept connection.
+        if delivery is None or not delivery.is_new_connection:
+            return
+        if self.ledger.was_answered_since(content, delivery.sent_at):
+            return
+        self._metrics.replica_broke_off(RESTARTED)
+        self._log.write(
+            catalogue.REPLICA_BROKE_OFF,
+            replica=replica.replica_id,
+            found=RESTARTED,
+            looked_ms=0,
+            requests=[request_id],
+            contents=[content],
+        )
+        if self.ledger.note_crash(content, replica.start_id, self._clock()):
+            self.note_contained(content, "seen")
+        await self.on_seen()
+
     def _has_arrived(self, delivery: Delivery) -> bool:
         """Whether a request whose connection just broke had reached a living replica."""
         took_s = self._clock() - delivery.sent_at
@@ -188,7 +218,7 @@
         if found is not Reachability.REFUSES:
             return
         for content in sorted(set(look.requests.values())):
-            if self.ledger.note_crash(content, replica.replica_id, look.broken_at):
+            if self.ledger.note_crash(content, replica.start_id, look.broken_at):
                 self.note_contained(content, "seen")
 
 
--- a/src/cloverwalk/gateway/errors.py
+++ b/src/cloverwalk/gateway/errors.py
@@ -7,6 +7,10 @@
 """Code of an exchange that was given up since nothing came."""
 
 
+RESTARTED = "restarted"
+"""Code of an exchange whose replica has started again meanwhile."""
+
+
 class GatewayError(AnswerError):
     """A request ends with an answer of this node's own."""
 
--- a/src/cloverwalk/gateway/replica_connection.py
+++ b/src/cloverwalk/gateway/replica_connection.py
@@ -1,10 +1,12 @@
 """Kept connections to replicas. A connection that holds anything unexplained is not used again."""
 
+import contextlib
 import enum
 import re
 from collections import deque
 from collections.abc import Callable
 from typing import Any
+from weakref import WeakSet
 
 import curio
 import h11
@@ -12,7 +14,8 @@
 from curio.traps import _read_wait
 from msgspec import Struct
 
-from cloverwalk.gateway.errors import ReplicaError
+from cloverwalk.core.clock import steady_s
+from cloverwalk.gateway.errors import RESTARTED, ReplicaError
 from cloverwalk.gateway.messages import AnswerFields, GatewayCodec, RawHeaders
 from cloverwalk.http.silence import watch_silence
 
@@ -56,8 +59,15 @@
 class ReplicaConnection:
     """One connection; one exchange at a time."""
 
-    def __init__(self, sock: Any, address: tuple[str, int], codec: GatewayCodec) -> None:
+    def __init__(
+        self,
+        sock: Any,
+        address: tuple[str, int],
+        codec: GatewayCodec,
+        clock: Callable[[], float] = steady_s,
+    ) -> None:
         self.address = address
+        self._clock = clock
         self._sock = sock
         self._codec = codec
         self._http = h11.Connection(h11.CLIENT)
@@ -73,6 +83,12 @@
         self._has_ended = False
         """Whether the body of the present answer was read to its end."""
 
+        self._is_closed = False
+        self._is_broken_off = False
+        self.opened_at = clock()
+        self.quiet_since = self.opened_at
+        """When bytes came last, or the present request was sent if that was later."""
+
         self.usable_until = float("inf")
         self.acquired_at = float("-inf")
         """When the present exchange got it (steady clock, seconds)."""
@@ -93,12 +109,15 @@
     async def send(self, method: str, target: str, headers: RawHeaders, body: bytes) -> None:
         """Send a whole request; a long body is sent beside the reading of the answer."""
         length = (b"Content-Length", str(len(body)).encode())
+        if self._is_broken_off:
+            raise ReplicaError("the replica has started again", False, RESTARTED)
         self._request = h11.Request(method=method, target=target, headers=[*headers, length])
         data = self._feed_request(body)
         if self._exchanges == 0 and self._has_bytes():
             raise ReplicaError("bytes came before the first request", False, "unasked_answer")
         self._exchanges += 1
         self._has_ended = False
+        self.quiet_since = self._clock()
         if len(data) <= SEND_IN_LINE_BYTES:
             await self._sock.sendall(data)
             return
@@ -228,6 +247,9 @@
         if self._is_drained:
             await _read_wait(self._sock._fileno)
         data: bytes = await self._sock.recv(READ_BYTES)
+        if not data and self._is_broken_off:
+            raise ReplicaError("the replica has started again", True, RESTARTED)
+        self.quiet_since = self._clock()
         if not data and self._has_sending_failed:
             # The kernel tells a reset once, and it told the sender: this is no proper end.
             raise ConnectionResetError("the connection broke while the request was sent")
@@ -273,8 +295,23 @@
         except OSError:
             return False
 
+    def break_off(self) -> None:
+        """End the present exchange: its replica is gone. What came before can still be read."""
+        if self._is_closed or self._is_broken_off:
+            return
+        self._is_broken_off = True
+        # One that is reset already tells so itself.
+        with contextlib.suppress(OSError):
+            self._sock._socket.shutdown(socket.SHUT_RDWR)
+
+    @property
+    def can_be_broken_off(self) -> bool:
+        """Whether it is open, and nobody has ended it yet."""
+        return not self._is_closed and not self._is_broken_off
+
     async def close(self) -> None:
         """Close at once; a replica stops the work of a closed connection."""
+        self._is_closed = True
         sender, self._sender = self._sender, None
         if sender is not None and not sender.terminated:
             await sender.cancel()
@@ -294,6 +331,9 @@
         self._codec = codec
         self._clock = clock
         self._idle: dict[tuple[str, int], list[ReplicaConnection]] = {}
+        self._all: WeakSet[ReplicaConnection] = WeakSet()
+        """Those that may be in use, too: closed ones among them do no harm."""
+
         self.opened = 0
         """Connections opened since the start."""
 
@@ -344,7 +384,9 @@
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         watch_silence(sock)
         self.opened += 1
-        return ReplicaConnection(sock, address, self._codec)
+        connection = ReplicaConnection(sock, address, self._codec, self._clock)
+        self._all.add(connection)
+        return connection
 
     async def release(self, connection: ReplicaConnection, keep_alive_s: float | None) -> None:
         """Take back a connection whose answer was read to its end."""
@@ -360,6 +402,33 @@
         """Take back a connection on which nothing was sent since it was acquired."""
         self._idle.setdefault(connection.address, []).append(connection)
 
+    def discard_idle(self, address: tuple[str, int]) -> int:
+        """Use no idle connection to an address any more; return how many there were."""
+        idle = self._idle.get(address, [])
+        for connection in idle:
+            connection.usable_until = float("-inf")
+        return len(idle)
+
+    def break_off(self, address: tuple[str, int], opened_before: float, quiet_before: float) -> int:
+        """Break off exchanges at an address; return how many. Times are of the steady clock.
+
+        Concerned are those over connections opened before one time, on which nothing has moved
+        since another.
+        """
+        idle = self._idle.get(address, [])
+        found = [
+            one
+            for one in self._all
+            if one.address == address
+            and one.can_be_broken_off
+            and one.opened_at < opened_before
+            and one.quiet_since < quiet_before
+            and one not in idle
+        ]
+        for connection in found:
+            connection.break_off()
+        return len(found)
+
     async def close_silent(self, connection: ReplicaConnection) -> None:
         """Close a connection without an answer, and those that may be as dead.
 
--- a/src/cloverwalk/gateway/replicas.py
+++ b/src/cloverwalk/gateway/replicas.py
@@ -1,5 +1,12 @@
-"""The replicas that may be sent to, and those that failed lately."""
+"""The replicas that may be sent to, and those that failed lately.
 
+The store's version orders the entries of a replica; ``born_ms`` only tells its starts apart. Clocks
+of machines differ, so no time of a start is compared with a time of this node.
+"""
+
+from collections.abc import Callable
+
+import attrs
 import msgspec
 import xxhash
 from msgspec import Struct
@@ -10,6 +17,12 @@
 """How long another node's word counts: its reports, at least one a second, renew it."""
 
 
+LATE_ENTRIES = 2
+"""So many entries in a row with an earlier start than the one known are taken for writes that the
+store did after the replica which sent them had ended: it has one under way, and one that it sent
+again. A replica that runs writes on, so after these its clock was set back."""
+
+
 class Replica(Struct, frozen=True, array_like=True):
     """One running instance behind a service."""
 
@@ -26,12 +39,34 @@
     born_ms: int = 0
     """Unix time of its start; 0: not told. Another one under the same id is another start."""
 
+    @property
+    def start_id(self) -> str:
+        """Name of this start of the replica, short: it goes into messages and stored cases."""
+        return f"{self.replica_id}@{self.born_ms & 0xFFFFFF:x}" if self.born_ms else self.replica_id
+
+    def may_be_start(self, born_ms: int) -> bool:
+        """Whether this may be the start that began at a time; 0 there or here: not told."""
+        return self.born_ms == born_ms or 0 in (self.born_ms, born_ms)
+
 
 class _Suspicion(Struct):
     until: float
     pause_s: float
 
 
+@attrs.define
+class _Start:
+    """The last start of a replica that was told; known also while its entry is gone."""
+
+    replica: Replica
+    late_version: int = 0
+    late_entries: int = 0
+
+
+OnNewStart = Callable[[Replica, Replica], None]
+"""Called with the start before and the new one."""
+
+
 class ReplicaDirectory:
     """The known replicas by id; the newest version of an entry wins."""
 
@@ -40,6 +75,10 @@
         self._removed: dict[str, int] = {}
         self._suspicions: dict[str, _Suspicion] = {}
         self._heard: dict[str, float] = {}
+        self._starts: dict[str, _Start] = {}
+        self.on_new_start: list[OnNewStart] = []
+        """Told when a replica has started again under its id, before its list is confirmed."""
+
         self.version = 0
         """Newest version of the store that the directory reflects."""
 
@@ -88,10 +127,7 @@
         Replicas renew their entries all the time; versions alone make no difference.
         """
         if self._fingerprint is None:
-            described = "\n".join(
-                repr(msgspec.structs.astuple(msgspec.structs.replace(one, version=0)))
-                for one in self.all()
-            )
+            described = "\n".join(_described(one) for one in self.all())
             self._fingerprint = xxhash.xxh64_intdigest(described.encode()) >> 16
         return self._fingerprint
 
@@ -102,11 +138,35 @@
             return False
         if self._removed.get(replica.replica_id, -1) >= replica.version:
             return False
+        if self._is_late(replica):
+            return False
         self._replicas[replica.replica_id] = replica
-        if known is not None and not _differs(known, replica):
+        differs = known is None or _differs(known, replica)
+        if differs:
+            self._note_change()
+        self._note_start(replica)
+        return differs
+
+    def _is_late(self, replica: Replica) -> bool:
+        """Whether an entry is of a start that has ended, though the store took it just now."""
+        start = self._starts.get(replica.replica_id)
+        if start is None or not 0 < replica.born_ms < start.replica.born_ms:
             return False
-        self._note_change()
-        return True
+        if replica.version > start.late_version:
+            start.late_version = replica.version
+            start.late_entries += 1
+        return start.late_entries <= LATE_ENTRIES
+
+    def _note_start(self, replica: Replica) -> None:
+        if not replica.born_ms:
+            return
+        before = self._starts.get(replica.replica_id)
+        self._starts[replica.replica_id] = _Start(replica)
+        if before is None or before.replica.born_ms == replica.born_ms:
+            return
+        self.clear_suspicion(replica.replica_id)
+        for tell in self.on_new_start:
+            tell(before.replica, replica)
 
     def remove(self, replica_id: str, version: int) -> bool:
         """Forget a replica unless a newer entry of it is known; return whether it was there."""
@@ -176,3 +236,9 @@
 def _differs(known: Replica, replica: Replica) -> bool:
     """Whether more than the version of an entry has changed."""
     return msgspec.structs.replace(known, version=replica.version) != replica
+
+
+def _described(replica: Replica) -> str:
+    """Return what an entry says but its version; as before where no start is told."""
+    fields = msgspec.structs.astuple(msgspec.structs.replace(replica, version=0))
+    return repr(fields if replica.born_ms else fields[:-1])
--- /dev/null
+++ b/src/cloverwalk/gateway/restarts.py
@@ -0,0 +1,91 @@
+"""What a node does when a replica has started again under its id: its runs of before are gone.
+
+A connection mostly tells so itself, by a reset. Behind a cut link it tells nothing, and a request
+would wait there until silence or its own time ends it. This module breaks off what was in flight at
+the start before, so that it is resumed elsewhere or gets its truthful failure at once.
+
+Which exchanges those are is told without the replica's clock, which may differ from this node's by
+seconds: their connections were opened while the list still named the start before, and nothing has
+come over them for ``QUIET_S``. The others may be at the new start already and are left alone.
+"""
+
+from collections.abc import Callable
+
+import attrs
+
+from cloverwalk.core import catalogue
+from cloverwalk.gateway.crash_witness import CrashWitness
+from cloverwalk.gateway.replica_connection import ReplicaPool
+from cloverwalk.gateway.replicas import Replica, ReplicaDirectory
+from cloverwalk.telemetry.log import ServingLog
+from cloverwalk.telemetry.metrics import ServingMetrics
+
+QUIET_S = 0.25
+"""A replica that runs has put something out within this time, mostly: prompts are read in some 10
+to 100 ms, and events come some ms apart."""
+
+
+@attrs.frozen
+class _Restart:
+    """A new start whose node still looks for exchanges at the one before."""
+
+    address: tuple[str, int]
+    opened_before: float
+    learnt_at: float
+
+
+class RestartWatch:
+    """Ends what belongs to earlier starts of replicas."""
+
+    def __init__(
+        self,
+        directory: ReplicaDirectory,
+        pool: ReplicaPool,
+        witness: CrashWitness,
+        log: ServingLog,
+        metrics: ServingMetrics,
+        clock: Callable[[], float],
+    ) -> None:
+        self._directory = directory
+        self._pool = pool
+        self._witness = witness
+        self._log = log
+        self._metrics = metrics
+        self._clock = clock
+        self._open: list[_Restart] = []
+        directory.on_new_start.append(self._note)
+
+    def _note(self, before: Replica, replica: Replica) -> None:
+        now = self._clock()
+        address = (before.host, before.port)
+        discarded = broken_off = 0
+        if not self._is_reused(before):
+            restart = _Restart(address, self._directory.confirmed_at, now)
+            discarded = self._pool.discard_idle(address)
+            broken_off = self._pool.break_off(address, restart.opened_before, now - QUIET_S)
+            self._open.append(restart)
+        self._metrics.replica_restarted()
+        self._log.write(
+            catalogue.REPLICA_RESTARTED,
+            replica=replica.replica_id,
+            version=replica.version,
+            born_ms=replica.born_ms,
+            before_ms=before.born_ms,
+            broken_off=broken_off,
+            connections=discarded,
+        )
+
+    def _is_reused(self, before: Replica) -> bool:
+        """Whether an address belongs to another replica by now."""
+        return any(
+            (one.host, one.port) == (before.host, before.port)
+            and one.replica_id != before.replica_id
+            for one in self._directory.all()
+        )
+
+    def look(self) -> None:
+        """Break off what had moved just before a new start was learnt, and not since."""
+        now = self._clock()
+        for restart in [one for one in self._open if now - one.learnt_at >= QUIET_S]:
+            self._open.remove(restart)
+            self._pool.break_off(restart.address, restart.opened_before, restart.learnt_at)
--- a/src/cloverwalk/jobs/run.py
+++ b/src/cloverwalk/jobs/run.py
@@ -48,6 +48,9 @@
     replica_id: str = ""
     """Where it runs, or ran last: its prompt may still be kept there."""
 
+    born_ms: int = 0
+    """Which start of that replica it was, see ``Replica``: the next one keeps no prompt."""
+
     content: str = ""
     """Name of its content, once somebody has asked for it; see ``gateway.content``."""
 
@@ -112,12 +115,13 @@
         ready = [one for one in self.items if one.phase is Phase.PENDING and one.not_before <= now]
         return sorted(ready, key=lambda one: (not one.texts, one.index))
 
-    def begin(self, one: ItemRun, replica_id: str, now: float) -> None:
+    def begin(self, one: ItemRun, replica_id: str, now: float, born_ms: int = 0) -> None:
         """An item was sent to a replica."""
         if one.first_began_at is None:
             one.first_began_at = now
         one.phase = Phase.RUNNING
         one.replica_id = replica_id
+        one.born_ms = born_ms
 
     def take_event(self, one: ItemRun, event_id: int | None, data: str) -> bool:
         """Add an event's data; return False when it does not follow the last one.
--- a/src/cloverwalk/jobs/runner.py
+++ b/src/cloverwalk/jobs/runner.py
@@ -185,7 +185,8 @@
     def _waiting_item(self, job: JobRun, one: ItemRun) -> WaitingItem:
         due_ms = job.record.due_ms
         can_be_in_time = self._pace.can_be_in_time(one, self._left_ms(job))
-        replica_id = one.replica_id if self._directory.find(one.replica_id) else ""
+        kept_at = self._directory.find(one.replica_id)
+        replica_id = one.replica_id if kept_at and kept_at.may_be_start(one.born_ms) else ""
         order_ms = self._pace.order_ms(one, due_ms)
         priority = self._priority(job)
         return WaitingItem(order_ms, can_be_in_time, replica_id, self._reading_ms(one), priority)
@@ -297,7 +298,7 @@
 
     async def _start(self, job: JobRun, one: ItemRun, replica: Replica) -> None:
         now = self._clock()
-        job.begin(one, replica.replica_id, now)
+        job.begin(one, replica.replica_id, now, replica.born_ms)
         work = self._loads.begin(replica.replica_id, is_batch=True)
         running = _Running(job, one, work, now)
         self._running[job.job_id, one.index] = running
--- a/src/cloverwalk/scheduling/replica_view.py
+++ b/src/cloverwalk/scheduling/replica_view.py
@@ -31,6 +31,13 @@
         self._sent_suspects: dict[str, list[tuple[float, str]]] = {}
         """Suspects by the replica that they were sent to: when, and their content."""
 
+        directory.on_new_start.append(self._forget_start)
+
+    def _forget_start(self, before: Replica, replica: Replica) -> None:
+        """A replica has started again: what was sent to it before is gone."""
+        self._read_until.pop(replica.replica_id, None)
+        self._sent_suspects.pop(replica.replica_id, None)
+
     # --- failures ---
 
     def hear_suspects(self, node: str, suspects: list[str], now: float) -> None:
--- a/src/cloverwalk/serving/node.py
+++ b/src/cloverwalk/serving/node.py
@@ -22,6 +22,7 @@
 from cloverwalk.gateway.relay import OnlineRelay
 from cloverwalk.gateway.replica_connection import ReplicaPool
 from cloverwalk.gateway.reply import Reply
+from cloverwalk.gateway.restarts import RestartWatch
 from cloverwalk.gateway.server import GatewayServer
 from cloverwalk.serving.adapter import Adapter
 from cloverwalk.serving.batch_parts import BatchParts
@@ -101,6 +102,10 @@
             self._clock,
         )
 
+        self._restarts = RestartWatch(
+            self._directory, self._pool, self._witness, self._log, self._metrics, self._clock
+        )
+
     def _note_store_clock(self, jump_ms: float) -> None:
         self._log.write(catalogue.STORE_CLOCK_JUMPED, jump_ms=round(jump_ms, 1))
 
@@ -364,6 +369,7 @@
         while True:
             await curio.sleep(HOUSEKEEPING_S)
             self._fleet.features.look()
+            self._restarts.look()
             await self._pool.close_expired()
             self._refusals.expire()
             self._witness.expire()
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -49,6 +49,8 @@
 PROMISED = "tests/serving/test_promises.py::test_a_promise_is_given_only_where_no_replica_began"
 REFUSALS = "tests/serving/test_refusals.py::"
 JOB_REFUSALS = "tests/serving/test_job_refusals.py::"
+ENTRIES = "tests/serving/test_replica_entries.py::"
+RESTARTED = "tests/serving/test_restarted_replicas.py::"
 SOAK = "tests/soak/test_soak_short.py::test_a_short_soak_breaks_no_promise"
 MUTANTS = [
     Mutant(
@@ -1200,6 +1202,64 @@
         "str(error), WorkState.NOT_BEGUN, error.wait_s)",
         SOAK,
     ),
+    Mutant(
+        "entries: one that can't be read leaves the one before it in use",
+        "serving/knowledge.py",
+        "            elif self.directory.remove(row.row_key.key, row.version):",
+        "            elif not row.value and self.directory.remove(row.row_key.key, row.version):",
+        ENTRIES + "test_changes_and_a_whole_read_tell_the_same",
+    ),
+    Mutant(
+        "entries: a state that is not known counts as leaving",
+        "platform/documents.py",
+        "    if wire.state not in STATES:",
+        "    if not wire.state:",
+        ENTRIES + "test_an_odd_entry_names_no_replica_to_use",
+        (("platform/documents.py", "STATES[wire.state]", 'wire.state != "ready"'),),
+    ),
+    Mutant(
+        "restarts: exchanges at the start before are left to silence",
+        "gateway/restarts.py",
+        "self._pool.break_off(address, restart.opened_before, now - QUIET_S)",
+        "0",
+        RESTARTED + "test_a_request_that_may_not_be_repeated_gets_its_failure_at_once",
+        (("gateway/restarts.py", "            self._open.append(restart)", "            pass"),),
+    ),
+    Mutant(
+        "restarts: what may be at the new start is broken off too",
+        "gateway/restarts.py",
+        "_Restart(address, self._directory.confirmed_at, now)",
+        "_Restart(address, now, now)",
+        RESTARTED + "test_what_was_sent_since_the_list_was_confirmed_is_left_alone",
+    ),
+    Mutant(
+        "restarts: kept connections to the start before are used",
+        "gateway/restarts.py",
+        "self._pool.discard_idle(address)",
+        "0",
+        RESTARTED + "test_kept_connections_to_the_start_before_are_not_used",
+    ),
+    Mutant(
+        "restarts: late news brings the earlier start back",
+        "gateway/replicas.py",
+        "        if self._is_late(replica):",
+        "        if False:",
+        RESTARTED + "test_late_news_does_not_bring_the_earlier_start_back",
+    ),
+    Mutant(
+        "restarts: items go back to a prompt that is gone",
+        "jobs/runner.py",
+        "kept_at and kept_at.may_be_start(one.born_ms)",
+        "kept_at",
+        RESTARTED + "test_items_go_on_elsewhere_and_forget_the_prompt_that_was_kept",
+    ),
+    Mutant(
+        "restarts: two starts of a replica count once against a request",
+        "gateway/crash_witness.py",
+        "            if self.ledger.note_crash(content, replica.start_id, look.broken_at):",
+        "            if self.ledger.note_crash(content, replica.replica_id, look.broken_at):",
+        RESTARTED + "test_a_start_that_refuses_counts_for_itself",
+    ),
     Mutant(
         "soak: items are given up soon after their hand-in",
         "jobs/evidence.py",
--- a/tests/serving/test_replica_entries.py
+++ b/tests/serving/test_replica_entries.py
@@ -39,6 +39,17 @@
     return msgspec.json.encode({k: v for k, v in {**GOOD, **changed}.items() if v is not None})
 
 
+ODD_VALUES: dict[str, list[Any]] = {
+    "service": ["", [], 5],
+    "address": ["", "10.0.0.1", ":80", "10.0.0.1:", "10.0.0.1:x", "10.0.0.1:0", "10.0.0.1:65536"]
+    + ["10.0.0.1:-1", "a b:80", "0.0.0.0:80", "10.0.0.1:\u0661", "10.0.0.1: 80", []],
+    "zone": [[], 5],
+    "slots": [0, -1, 2.5, True, "8", 10**30, []],
+    "state": ["resting", "READY", "", 1, []],
+    "cold_left_ms": ["0", []],
+    "seq": ["1", 1.5, []],
+    "born": [0, -1, 1.5, True, "1790000000000", 10**30, 1_790_000_000_000_000, []],
+}
 ODD = [
     b"",
     b"\xff\x00\xfe",
@@ -47,15 +58,7 @@
     b'{"service": "s"',
     b'{"x":' + b"[" * 20_000,
     *(entry(**{name: None}) for name in ("service", "address", "zone", "slots", "state")),
-    *(entry(**{name: value}) for name in GOOD if name != "version" for value in ([], {})),
-    *(entry(state=one) for one in ("resting", "READY", "", 1)),
-    *(entry(slots=one) for one in (0, -1, 2.5, True, "8", 10**30)),
-    *(entry(address=one) for one in ("", "10.0.0.1", ":80", "10.0.0.1:", "10.0.0.1:x")),
-    *(entry(address=one) for one in ("10.0.0.1:0", "10.0.0.1:65536", "10.0.0.1:-1", "a b:80")),
-    *(entry(address=one) for one in ("0.0.0.0:80", "10.0.0.1:\u0661", "10.0.0.1: 80")),
-    *(entry(born=one) for one in (0, -1, 1.5, True, "1790000000000", 10**30, [])),
-    entry(born=1_790_000_000_000_000),
-    entry(service=""),
+    *(entry(**{name: value}) for name, values in ODD_VALUES.items() for value in values),
 ]
 
 
