--- a/src/cloverwalk/soak/draw.py
+++ b/src/cloverwalk/soak/draw.py
@@ -11,6 +11,7 @@
     NODE_KINDS,
     OPERATOR_KINDS,
     REPLICA_KINDS,
+    START_KINDS,
     STORE_KINDS,
     WAYS,
     Action,
@@ -59,6 +60,7 @@
             (5.0, self._replica_steps),
             (6.0, self._operator_steps),
             (9.0, self._herd_steps),
+            (8.0, self._start_steps),
         )
         for mean_s, draw in series:
             at_s = QUIET_S + self._random.uniform(0, mean_s)
@@ -148,6 +150,11 @@
         target = [self._random.randrange(self._replicas)]
         return [Action(at_s, kind, target, self._time(0.5, 4.0))]
 
+    def _start_steps(self, at_s: float) -> list[Action]:
+        target = [self._random.randrange(self._replicas)]
+        kind = self._random.choice(START_KINDS)
+        return [Action(round(at_s, 2), kind, target, self._time(0.5, 4.0))]
+
     def _operator_steps(self, at_s: float) -> list[Action]:
         kind = self._random.choice(OPERATOR_KINDS)
         at_s = round(at_s, 2)
--- a/src/cloverwalk/soak/faults.py
+++ b/src/cloverwalk/soak/faults.py
@@ -123,6 +123,8 @@
             ActionKind.REPLICA_MISDEED: self._misbehave,
             ActionKind.REPLICA_CRASH: self._end_replicas,
             ActionKind.REPLICA_DRAIN: self._end_replicas,
+            ActionKind.REPLICA_RESTART: self._end_replicas,
+            ActionKind.ENTRY_ODD: self._end_replicas,
             ActionKind.KEY_REPLACE: self._operate,
             ActionKind.QUOTA_CHANGE: self._operate,
             ActionKind.ROUTE_REMOVE: self._operate,
@@ -175,10 +177,14 @@
         self._replicas.behave(fault)
 
     async def _end_replicas(self, fault: int, action: Action) -> None:
-        is_crash = action.kind is ActionKind.REPLICA_CRASH
-        end = self._replicas.crash if is_crash else self._replicas.drain
+        ends = {
+            ActionKind.REPLICA_CRASH: self._replicas.crash,
+            ActionKind.REPLICA_DRAIN: self._replicas.drain,
+            ActionKind.REPLICA_RESTART: self._replicas.restart,
+            ActionKind.ENTRY_ODD: self._replicas.spoil_entry,
+        }
         for number in action.targets:
-            await end(number, action.duration_s)
+            await ends[action.kind](number, action.duration_s)
 
     async def _operate(self, fault: int, action: Action) -> None:
         match action.kind:
--- a/src/cloverwalk/soak/plan.py
+++ b/src/cloverwalk/soak/plan.py
@@ -37,6 +37,8 @@
     REPLICA_MISDEED = "replica_misdeed"
     REPLICA_CRASH = "replica_crash"
     REPLICA_DRAIN = "replica_drain"
+    REPLICA_RESTART = "replica_restart"
+    ENTRY_ODD = "entry_odd"
     KEY_REPLACE = "key_replace"
     QUOTA_CHANGE = "quota_change"
     ROUTE_REMOVE = "route_remove"
@@ -66,6 +68,9 @@
     ActionKind.REPLICA_CRASH,
     ActionKind.REPLICA_DRAIN,
 )
+START_KINDS = (ActionKind.REPLICA_RESTART, ActionKind.REPLICA_RESTART, ActionKind.ENTRY_ODD)
+"""Replicas that start again under their id, and entries of another writer."""
+
 OPERATOR_KINDS = (
     ActionKind.KEY_REPLACE,
     ActionKind.QUOTA_CHANGE,
@@ -167,7 +172,7 @@
         return f"name: {action.name!r} is none of {', '.join(names)}"
     if action.kind is ActionKind.LINK_CUT and action.way not in WAYS:
         return f"way: {action.way!r} is none of {', '.join(WAYS)}"
-    is_replica = action.kind in REPLICA_KINDS or action.name == "replicas"
+    is_replica = action.kind in (*REPLICA_KINDS, *START_KINDS) or action.name == "replicas"
     most = plan.replicas if is_replica else plan.nodes
     if any(not 0 <= one < most for one in action.targets):
         return f"targets: {action.targets} are not all below {most}"
--- a/src/cloverwalk/soak/replicas.py
+++ b/src/cloverwalk/soak/replicas.py
@@ -38,6 +38,17 @@
 CRASHING_AWAY_S = 2.0
 """A replica that ended under a request is back after this time."""
 
+FIRST_BORN_MS = 1_790_000_000_000
+ODD_FIELDS: tuple[dict[str, object], ...] = (
+    {"state": "resting"},
+    {"slots": 0},
+    {"address": "nowhere"},
+    {"zone": 7},
+    {"born": 1.5},
+    {"service": None},
+)
+"""What another writer makes of an entry."""
+
 LOOK_S = 0.005
 """How often replicas are looked at that have to end: so long they run the request."""
 
@@ -158,13 +169,15 @@
                 if task is not None:
                     await task.cancel()
 
-    async def _come(self, place: _Place) -> None:
-        """Start a new incarnation and register it."""
+    async def _come(self, place: _Place, known_id: str = "") -> None:
+        """Start a replica, under a new id or a known one, and register it."""
         if place.carrying.terminated:
             place.proxy.listen()
             place.carrying = await curio.spawn(place.proxy.run, daemon=True)
-        name = f"i-{place.number}-{next(self._starts)}"
+        start = next(self._starts)
+        name = known_id or f"i-{place.number}-{start}"
         replica = PlatformReplica(name, place.address, event_s=EVENT_S)
+        replica.born_ms = FIRST_BORN_MS + start
         replica.slots = SLOTS
         replica.max_waiting = MAX_WAITING
         replica.observer = self.notes
@@ -176,11 +189,15 @@
         self._register(place, "ready")
 
     def _register(self, place: _Place, state: str) -> None:
+        assert place.replica is not None
+        document = self._document(place, state)
+        self._store.put(names.REPLICA_TABLE, place.replica.replica_id, document)
+
+    def _document(self, place: _Place, state: str) -> dict[str, Any]:
         assert place.replica is not None
         document = place.replica.document(place.service, f"z{place.number % 3 + 1}", state)
         host, port = place.proxy.address
-        document["address"] = f"{host}:{port}"
-        self._store.put(names.REPLICA_TABLE, place.replica.replica_id, document)
+        return {**document, "address": f"{host}:{port}"}
 
     async def _go(self, place: _Place) -> None:
         assert place.replica is not None
@@ -206,6 +223,32 @@
         await self._come(place)
         place.is_busy = False
 
+    async def restart(self, number: int, away_s: float) -> None:
+        """End a replica behind silent connections; it starts again under its id."""
+        place = self.places[number]
+        if place.is_busy or place.replica is None:
+            return
+        place.is_busy = True
+        place.proxy.silence()
+        await place.carrying.cancel()
+        await place.task.cancel()
+        await place.replica.crash()
+        await curio.sleep(away_s)
+        await self._come(place, place.replica.replica_id)
+        place.is_busy = False
+
+    async def spoil_entry(self, number: int, duration_s: float) -> None:
+        """Let another writer change a replica's entry; it is good again later."""
+        place = self.places[number]
+        if place.is_busy or place.replica is None:
+            return
+        place.is_busy = True
+        odd = {**self._document(place, "ready"), **self._random.choice(ODD_FIELDS)}
+        self._store.put(names.REPLICA_TABLE, place.replica.replica_id, odd)
+        await curio.sleep(duration_s)
+        self._register(place, "ready")
+        place.is_busy = False
+
     async def drain(self, number: int, away_s: float) -> None:
         """End a replica as planned; another one takes its place."""
         place = self.places[number]
