--- a/src/cloverwalk/gateway/replica_connection.py
+++ b/src/cloverwalk/gateway/replica_connection.py
@@ -25,6 +25,10 @@
 IDLE_LIMIT_S = 8.0
 KEEP_ALIVE_MARGIN_S = 1.0
 MAX_IDLE_PER_REPLICA = 24
+REFUSAL_REMEMBERED_S = 30.0
+"""How long it is known that an address refused: a replica that is back is in the list within some
+seconds, and later news of a start has another cause."""
+
 MAX_SKIPPED_ANSWERS = 2
 STATUS_LINE = re.compile(rb"HTTP/1\.[01] \d{3}\b")
 FRAMING_METHODS = (b"HEAD", b"CONNECT")
@@ -334,6 +338,9 @@
         self._all: WeakSet[ReplicaConnection] = WeakSet()
         """Those that may be in use, too: closed ones among them do no harm."""
 
+        self._refused_at: dict[tuple[str, int], float] = {}
+        """When an address last refused a connection: no process was there then."""
+
         self.opened = 0
         """Connections opened since the start."""
 
@@ -343,6 +350,7 @@
             async with curio.timeout_after(CONNECT_TIMEOUT_S):
                 sock = await curio.open_connection(*address)
         except ConnectionRefusedError:
+            self._refused_at[address] = self._clock()
             return Reachability.REFUSES
         except (OSError, curio.TaskTimeout):
             return Reachability.SILENT
@@ -380,6 +388,8 @@
             async with curio.timeout_after(CONNECT_TIMEOUT_S):
                 sock = await curio.open_connection(*address)
         except (OSError, curio.TaskTimeout) as error:
+            if isinstance(error, ConnectionRefusedError):
+                self._refused_at[address] = self._clock()
             raise ReplicaError(f"no connection: {error!r}", False, "unreachable") from error
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         watch_silence(sock)
@@ -409,6 +419,10 @@
             connection.usable_until = float("-inf")
         return len(idle)
 
+    def take_refusal(self, address: tuple[str, int]) -> float:
+        """Return when an address refused a connection lately, and forget it; inf: it did not."""
+        return self._refused_at.pop(address, float("inf"))
+
     def break_off(self, address: tuple[str, int], opened_before: float, quiet_before: float) -> int:
         """Break off exchanges at an address; return how many. Times are of the steady clock.
 
@@ -448,6 +462,9 @@
     async def close_expired(self) -> None:
         """Close connections that were idle for too long."""
         now = self._clock()
+        for address, refused_at in list(self._refused_at.items()):
+            if now - refused_at >= REFUSAL_REMEMBERED_S:
+                del self._refused_at[address]
         for address, idle in list(self._idle.items()):
             kept = [one for one in idle if now < one.usable_until and not one.has_unread()]
             expired = [one for one in idle if one not in kept]
--- a/src/cloverwalk/gateway/restarts.py
+++ b/src/cloverwalk/gateway/restarts.py
@@ -6,7 +6,9 @@
 
 Which exchanges those are is told without the replica's clock, which may differ from this node's by
 seconds: their connections were opened while the list still named the start before, and nothing has
-come over them for ``QUIET_S``. The others may be at the new start already and are left alone.
+come over them for ``QUIET_S``. One opened after the address had refused another is at the new
+start, whose entry may come seconds late where the replica is cut off from the store. All that may
+be at the new start already is left alone.
 """
 
 from collections.abc import Callable
@@ -60,7 +62,8 @@
         address = (before.host, before.port)
         discarded = broken_off = 0
         if not self._is_reused(before):
-            restart = _Restart(address, self._directory.confirmed_at, now)
+            opened_before = min(self._directory.confirmed_at, self._pool.take_refusal(address))
+            restart = _Restart(address, opened_before, now)
             discarded = self._pool.discard_idle(address)
             broken_off = self._pool.break_off(address, restart.opened_before, now - QUIET_S)
             self._open.append(restart)
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -1228,10 +1228,17 @@
     Mutant(
         "restarts: what may be at the new start is broken off too",
         "gateway/restarts.py",
-        "_Restart(address, self._directory.confirmed_at, now)",
+        "_Restart(address, opened_before, now)",
         "_Restart(address, now, now)",
         RESTARTED + "test_what_was_sent_since_the_list_was_confirmed_is_left_alone",
     ),
+    Mutant(
+        "restarts: an address that refused tells nothing",
+        "gateway/restarts.py",
+        "min(self._directory.confirmed_at, self._pool.take_refusal(address))",
+        "self._directory.confirmed_at",
+        RESTARTED + "test_what_was_sent_after_its_address_had_refused_is_left_alone",
+    ),
     Mutant(
         "restarts: kept connections to the start before are used",
         "gateway/restarts.py",
--- a/tests/serving/test_restarted_replicas.py
+++ b/tests/serving/test_restarted_replicas.py
@@ -6,7 +6,8 @@
 import curio
 import msgspec
 import pytest
-from fleet_world import FleetWorld, configuration, in_world, route
+import xxhash
+from fleet_world import FleetWorld, configuration, free_port, in_world, route
 from hypothesis import given
 from hypothesis import strategies as st
 from job_world import HandClock
@@ -18,7 +19,7 @@
 from cloverwalk.gateway import restarts
 from cloverwalk.gateway.crash_ledger import CrashLedger
 from cloverwalk.gateway.crash_witness import CrashWitness, Delivery
-from cloverwalk.gateway.errors import RESTARTED
+from cloverwalk.gateway.errors import RESTARTED, ReplicaError
 from cloverwalk.gateway.replica_connection import Reachability, ReplicaPool
 from cloverwalk.gateway.replicas import LATE_ENTRIES, Replica, ReplicaDirectory
 from cloverwalk.jobs.runner import BatchRunner
@@ -244,36 +245,72 @@
     in_world(test)
 
 
-def test_what_was_sent_since_the_list_was_confirmed_is_left_alone() -> None:
-    """It may be at the new start already: nothing tells which one it reached."""
+class Connection:
+    """A connection to a replica, and whether it was broken off."""
+
+    can_be_broken_off = True
+    address = ("10.0.0.1", 80)
 
-    class Connection:
-        can_be_broken_off = True
-        address = ("10.0.0.1", 80)
+    def __init__(self, opened_at: float, quiet_since: float) -> None:
+        self.opened_at, self.quiet_since = opened_at, quiet_since
+        self.is_broken_off = False
 
-        def __init__(self, opened_at: float, quiet_since: float) -> None:
-            self.opened_at, self.quiet_since = opened_at, quiet_since
-            self.is_broken_off = False
+    def break_off(self) -> None:
+        self.is_broken_off = True
 
-        def break_off(self) -> None:
-            self.is_broken_off = True
 
+def broken_off(*connections: Connection, refused_at: float | None = None) -> list[bool]:
+    """Return which are broken off at 100.0, when a list that was confirmed at 99.0 is outdated."""
     clock = HandClock(step_s=0.0)
-    codec: Any = None
-    pool, directory = ReplicaPool(codec, clock), ReplicaDirectory()
+    none: Any = None
+    pool, directory = ReplicaPool(none, clock), ReplicaDirectory()
     log = ServingLog("n1", clock, os.open(os.devnull, os.O_WRONLY))
-    witness: Any = None
-    watch = restarts.RestartWatch(directory, pool, witness, log, ServingMetrics(), clock)
-    old, moving, young = Connection(90, 91), Connection(90, 99.9), Connection(99.5, 99.5)
+    watch = restarts.RestartWatch(directory, pool, none, log, ServingMetrics(), clock)
     known: Any = pool._all
-    known.update([old, moving, young])
+    known.update(connections)
+    if refused_at is not None:
+        pool._refused_at[Connection.address] = refused_at
     directory.put(start(1, 5))
     directory.confirmed_at = 99.0
     directory.put(start(2, 9))
-    assert [one.is_broken_off for one in (old, moving, young)] == [True, False, False]
+    found = [one.is_broken_off for one in connections]
     clock.now += restarts.QUIET_S
     watch.look()
-    assert [one.is_broken_off for one in (old, moving, young)] == [True, True, False]
+    assert all(one.is_broken_off for one, before in zip(connections, found, strict=True) if before)
+    return found + [one.is_broken_off for one in connections]
+
+
+def test_what_was_sent_since_the_list_was_confirmed_is_left_alone() -> None:
+    """It may be at the new start already: nothing tells which one it reached."""
+    old, moving, young = Connection(90, 91), Connection(90, 99.9), Connection(99.5, 99.5)
+    assert broken_off(old, moving, young) == [True, False, False, True, True, False]
+
+
+def test_what_was_sent_after_its_address_had_refused_is_left_alone() -> None:
+    """It is at the new start, whose entry came late."""
+    old, new = Connection(90, 91), Connection(97, 98)
+    assert broken_off(old, new) == [True, True] * 2
+    assert broken_off(Connection(90, 91), Connection(97, 98), refused_at=95.0) == [True, False] * 2
+
+
+def test_an_address_that_refuses_is_remembered_until_the_next_start() -> None:
+    async def main() -> None:
+        codec: Any = None
+        pool, address = ReplicaPool(codec, HandClock()), ("127.0.0.1", free_port())
+        assert await pool.probe(address) is Reachability.REFUSES
+        probed_at = pool.take_refusal(address)
+        assert probed_at < float("inf") == pool.take_refusal(address)
+        with pytest.raises(ReplicaError):
+            await pool.acquire(address, "q1")
+        assert probed_at < pool.take_refusal(address) < float("inf")
+
+    curio.run(main)
+
+
+def test_a_list_in_which_no_start_is_told_says_what_it_said_before() -> None:
+    told = ("r1", "model", "10.0.0.1", 80, "z1", 8, False, 0)
+    expected = xxhash.xxh64_intdigest(repr(told).encode()) >> 16
+    assert Starts(start(3, 0)).directory.fingerprint == expected
 
 
 # --- evidence against requests ---
