--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -570,17 +570,34 @@
     Mutant(
         "serving: decisions count only when they are reported",
         "scheduling/slot_book.py",
-        "        self._change(replica_id, online, batch)\n\n    def forget",
+        "        self._change(replica_id, _expected(decision), 1)\n\n    def forget",
         "\n    def forget",
         SCHEDULER + "test_every_free_slot_goes_to_waiting_items_at_once_and_none_twice",
     ),
     Mutant(
         "serving: items that were told to give way still count",
         "scheduling/batch.py",
-        "        self._book.expect(node, decisions.number, replica_id, batch=-count, now=now)",
+        "        self._book.expect(node, decisions.number, replica_id, batch=-count, tokens=tokens, "
+        "now=now)",
         "        pass",
         SCHEDULER + "test_items_give_way_for_each_online_request_and_no_more",
     ),
+    Mutant(
+        "memory: a request is placed beside more than fits",
+        "scheduling/replica_memory.py",
+        "return limit == 0 or work.tokens - work.batch_tokens + tokens <= limit",
+        "return limit == 0 or tokens <= limit",
+        "tests/serving/test_replica_memory.py::"
+        "test_no_burst_of_long_requests_fills_a_replica_beyond_its_memory",
+    ),
+    Mutant(
+        "memory: items keep the memory that an online request needs",
+        "scheduling/replica_view.py",
+        "return max(by_slots, self._memory.must_yield(replica, now))",
+        "return by_slots",
+        "tests/serving/test_replica_memory.py::"
+        "test_items_give_way_where_they_hold_the_memory_that_an_online_request_needs",
+    ),
     Mutant(
         "serving: an order settles when its items have given way",
         "fleet/link.py",
