A zone that is cut off is served by a standby of its own; whole zones that can't be reached are avoided

Cause: standbys were the first three able nodes by name, often all of one zone, so a zone that was cut off had nobody who grants slots to its items. Replicas across a cut were found out one by one. In force only where the settings name zones that may be lost.

--- a/src/cloverwalk/core/catalogue.py
+++ b/src/cloverwalk/core/catalogue.py
@@ -73,6 +73,16 @@
 COORDINATOR_RESIGNED = _event(207, "coordinator_resigned", _W, "Another node coordinates now.")
 COORDINATOR_SILENT = _event(208, "coordinator_silent", _W, "The coordinator does not answer.")
 ROLE_INVALID = _event(209, "role_invalid", _W, "The row of the coordinator can't be read.")
+ZONE_UNREACHABLE = _event(
+    116, "zone_unreachable", _W, "A zone can't be reached from another one, as seen here."
+)
+ZONE_REACHABLE = _event(117, "zone_reachable", _I, "A zone is reached again, or it is tried.")
+ZONE_SERVED = _event(
+    230, "zone_served", _W, "A standby serves nodes of its zone: the coordinator is silent there."
+)
+ZONE_SERVED_NO_MORE = _event(
+    231, "zone_served_no_more", _I, "The nodes of a zone have a coordinator again."
+)
 REPLICA_CHANGED = _event(211, "replica_changed", _I, "A replica came, or began to leave.")
 REPLICA_REMOVED = _event(212, "replica_removed", _I, "A replica's entry is gone.")
 REPLICA_INVALID = _event(213, "replica_invalid", _W, "A replica's entry can't be read.")
--- a/src/cloverwalk/fleet/coordinator.py
+++ b/src/cloverwalk/fleet/coordinator.py
@@ -33,6 +33,7 @@
 from cloverwalk.gateway.configuration import ConfigurationHolder
 from cloverwalk.gateway.replicas import Replica, ReplicaDirectory
 from cloverwalk.scheduling.decisions import Decisions
+from cloverwalk.scheduling.features import Feature
 from cloverwalk.scheduling.scheduler import Scheduler
 from cloverwalk.store.health import StoreHealth
 from cloverwalk.telemetry.log import ServingLog
@@ -133,6 +134,21 @@
         self._fleet_size = 0
         """How many nodes the coordinator said that there are; 0 before it did."""
 
+        self._serves_zone = False
+        """Whether nodes report to this standby, since the coordinator does not answer them."""
+
+        self._serve_own_zone()
+
+    @property
+    def bears_zone_loss(self) -> bool:
+        """Whether a whole zone may be cut off or lost."""
+        return self._scheduler.features.is_on(Feature.ZONE_LOSS)
+
+    def _serve_own_zone(self) -> None:
+        """Grant items slots of the own zone only, as a standby: others grant elsewhere."""
+        if self.bears_zone_loss:
+            self._scheduler.grant_within(self._identity.zone)
+
     @property
     def is_active(self) -> bool:
         """Whether this node coordinates."""
@@ -146,6 +162,8 @@
         if self.active_since is None:
             self.active_since = now
             self._scheduler.quotas.coordinate(now)
+            self._scheduler.grant_within("")
+            self._note_served_zone()
             self._cases.ledger.grants_trials = True
             self._told_directory = {one.replica_id: one for one in self._directory.all()}
             self._told_fingerprint = self._directory.fingerprint
@@ -160,6 +178,7 @@
         """Another node holds the role."""
         if self.is_active:
             self._scheduler.quotas.resign(self._clock())
+            self._serve_own_zone()
         self._cases.ledger.grants_trials = False
         self.active_since = None
         self._is_active.clear()
@@ -189,6 +208,7 @@
         await self._has_work.set()
         if not self.is_active:
             self._take_share()
+            self._note_served_zone()
         elif report.node != self._identity.node:
             grants = report.deputy_grants
             self._scheduler.quotas.hear_deputy(report.node, report.run, grants, now)
@@ -207,8 +227,26 @@
         """Count for the part of the fleet that reports here."""
         heard = self.roster.heard_since(self._clock() - COUNTED_SILENT_S)
         nodes = len(self.roster.by_name) if self.is_active else self._fleet_size
+        if self.active_since is not None and self.bears_zone_loss:
+            # Nodes that have not turned here since may be served by a coordinator elsewhere.
+            is_recent = self._clock() - self.active_since < REMEMBERED_S
+            nodes = max(nodes, self._fleet_size) if is_recent else nodes
         self._scheduler.quotas.set_share(heard, nodes)
 
+    def _note_served_zone(self) -> None:
+        """Log when this standby begins and ends to serve nodes of its zone."""
+        if not self.bears_zone_loss:
+            return
+        own = self._identity
+        live = self.roster.live()
+        others = [one for one in live if one.contact.node != own.node]
+        serves = not self.is_active and bool(others) and self._leader.has_lost_coordinator
+        if serves == self._serves_zone:
+            return
+        self._serves_zone = serves
+        event = catalogue.ZONE_SERVED if serves else catalogue.ZONE_SERVED_NO_MORE
+        self._log.write(event, zone=own.zone, nodes=len(live), term=self._leader.term)
+
     async def tell_decisions(self) -> None:
         """Send what the scheduler has decided."""
         now = self._clock()
@@ -345,7 +383,10 @@
         self._scheduler.tick(now)
         await self.tell_decisions()
         if not self.is_active:
+            self._note_served_zone()
             return
+        if self.bears_zone_loss:
+            self._note_zones(now)
         self.on_tick(now)
         self._take_share()
         self._near_limit = self._scheduler.quotas.near_limit(now)
@@ -363,6 +404,13 @@
                     known.contact.host, self._orders(known.contact.node, None, now)
                 )
 
+    def _note_zones(self, now: float) -> None:
+        """Tell which zones' nodes are heard, and which are silent as a whole."""
+        own_zone = self._identity.zone
+        heard = self.roster.heard_by_zone()
+        for zone in sorted(set(heard) - {own_zone}):
+            self._scheduler.reach.hear_nodes(own_zone, zone, heard[zone], now)
+
     def _push_directory(self, now: float) -> None:
         """Tell every node at once what has changed in the list of replicas."""
         if self._directory.fingerprint == self._told_fingerprint:
--- a/src/cloverwalk/fleet/election.py
+++ b/src/cloverwalk/fleet/election.py
@@ -261,13 +261,18 @@
         return (found.holder.node, found.run) == (self._identity.node, self._identity.run)
 
     def _standbys(self) -> tuple[Contact, ...]:
-        chosen = self._coordinator.roster.choose_standbys(self._identity.node, self._identity.zone)
+        chosen = self._able_standbys()
         if chosen or self._leader.current is None:
             return chosen
         present = self._leader.current
         others = [*present.standbys, present.holder]
         return tuple(one for one in others if one.node != self._identity.node)
 
+    def _able_standbys(self) -> tuple[Contact, ...]:
+        by_zone = self._coordinator.bears_zone_loss
+        own = self._identity
+        return self._coordinator.roster.choose_standbys(own.node, own.zone, by_zone)
+
     async def _write(self, expected: int, standbys: tuple[Contact, ...]) -> None:
         role = RoleRow(self._identity.contact, self._identity.run, standbys)
         transaction = Transaction(
@@ -319,9 +324,7 @@
             await self._took(found.term, found.standbys)
         elif row.version == self._leader.term:
             self._usurped_since = None
-            standbys = self._coordinator.roster.choose_standbys(
-                self._identity.node, self._identity.zone
-            )
+            standbys = self._able_standbys()
             if self._needs_standbys(standbys):
                 await self._write(row.version, standbys)
         elif self.is_leaving:
@@ -338,9 +341,17 @@
         return any(one.contact.node != self._identity.node for one in live)
 
     def _needs_standbys(self, able: tuple[Contact, ...]) -> bool:
-        """Whether a named standby is gone or leaving, or there are too few."""
+        """Whether a named standby is gone or leaving, there are too few, or a zone has none."""
         current = self._leader.current
         if current is None:
             return False
-        live = {one.contact for one in self._coordinator.roster.live() if not one.report.is_leaving}
-        return len(current.standbys) < len(able) or any(one not in live for one in current.standbys)
+        live = {
+            (one.contact.node, one.contact.host)
+            for one in self._coordinator.roster.live()
+            if not one.report.is_leaving
+        }
+        if len(current.standbys) < len(able):
+            return True
+        if {one.zone for one in able} - {one.zone for one in current.standbys}:
+            return True
+        return any((one.node, one.host) not in live for one in current.standbys)
--- a/src/cloverwalk/fleet/leader.py
+++ b/src/cloverwalk/fleet/leader.py
@@ -76,7 +76,11 @@
         return leadership.holder.node == own.node and leadership.run != own.run
 
     def target(self) -> Contact | None:
-        """Return the node to turn to: the coordinator, or the first standby that answers."""
+        """Return the node to turn to: the coordinator, or the first standby that answers.
+
+        That of the own zone goes first, and may be this node: a zone that is cut off is served
+        after the coordinator's silence, not after that of each standby elsewhere.
+        """
         return next((one for one in self._contacts() if one.host not in self._silent), None)
 
     @property
@@ -84,6 +88,12 @@
         """Whether the coordinator is silent."""
         return self.current is not None and self.current.holder.host in self._silent
 
+    @property
+    def serves_zone(self) -> bool:
+        """Whether this node is its zone's standby, and the coordinator is silent."""
+        target = self.target()
+        return self.has_lost_coordinator and target is not None and self._is_own_node(target)
+
     def silent_contacts(self) -> list[Contact]:
         """Return the coordinator and the standbys that do not answer."""
         return [one for one in self._contacts() if one.host in self._silent]
@@ -91,8 +101,13 @@
     def _contacts(self) -> list[Contact]:
         if self.current is None:
             return []
-        others = [one for one in self.current.standbys if one.node != self._identity.node]
-        return [self.current.holder, *others]
+        standbys = self.current.standbys
+        near = [one for one in standbys if one.zone and one.zone == self._identity.zone]
+        others = [one for one in standbys if one not in near and not self._is_own_node(one)]
+        return [self.current.holder, *near, *others]
+
+    def _is_own_node(self, contact: Contact) -> bool:
+        return contact.node == self._identity.node
 
     def note_silent(self, host: str) -> None:
         """A node did not answer."""
--- a/src/cloverwalk/fleet/link.py
+++ b/src/cloverwalk/fleet/link.py
@@ -6,6 +6,7 @@
 
 from collections.abc import Awaitable, Callable
 
+import attrs
 import curio
 
 from cloverwalk.core import catalogue
@@ -48,6 +49,14 @@
 HEARD_LATELY_S = 0.3
 """A coordinator that was heard within this time is asked once more before a standby."""
 
+UNANSWERED_S = 0.5
+"""A report that got no word back for so long, though the node was reported to again, tells that
+the coordinator is silent; it acknowledges each 0.4 s. Items of a node without online requests are
+served by its zone's standby within 1.6 s of a cut by it, and never without it."""
+
+UNANSWERED_STEP_S = 0.3
+"""Time between reports while one has no answer."""
+
 NEVER_MS = 1_000_000
 """Told as the age of the store's last answer while the store is lost."""
 
@@ -69,6 +78,15 @@
         """Run jobs that have no owner."""
 
 
+@attrs.define
+class _Unanswered:
+    """A node that has sent nothing since a report to it."""
+
+    target: Contact
+    since: float
+    reports: int = 0
+
+
 class CoordinatorLink:
     """Reports to the coordinator and acts on its orders."""
 
@@ -118,6 +136,7 @@
         self._sent_at = float("-inf")
         self._heard_at = float("-inf")
         self._wake = curio.Event()
+        self._unanswered: _Unanswered | None = None
 
     def use_seeds(self, seeds: list[str]) -> None:
         """Take hosts of nodes that may know who coordinates."""
@@ -130,6 +149,8 @@
         while True:
             is_lost = self._leader.has_lost_coordinator or self._leader.is_unheard
             longest_s = STANDBY_HEARTBEAT_S if is_lost else HEARTBEAT_S
+            if self._unanswered is not None:
+                longest_s = min(longest_s, UNANSWERED_STEP_S)
             rest_s = self._sent_at + longest_s - self._clock()
             if rest_s > 0:
                 async with curio.ignore_after(rest_s):
@@ -155,12 +176,29 @@
 
     async def _report(self) -> None:
         """Report to the coordinator, or to whoever stands in for it."""
+        self._judge_silence()
         target = self._leader.target()
         if target is None or target.node == self._identity.node:
             await self._tell_self([])
         else:
             self._send(target, [])
 
+    def _judge_silence(self) -> None:
+        """Turn away from a node that has answered no report lately."""
+        waits = self._unanswered
+        if waits is None or self._clock() - waits.since < UNANSWERED_S or waits.reports < 2:
+            return
+        self._unanswered = None
+        self._note_silent(waits.target)
+
+    def _note_report(self, target: Contact) -> None:
+        """A report is sent; only where zones are cut off its answer is waited for."""
+        if not self._coordinator.bears_zone_loss:
+            return
+        if self._unanswered is None or self._unanswered.target != target:
+            self._unanswered = _Unanswered(target, self._clock())
+        self._unanswered.reports += 1
+
     def _try_silent(self) -> None:
         """Report to the nodes that did not answer, too: they may be back."""
         hosts = {one.host for one in self._leader.silent_contacts()}
@@ -171,14 +209,18 @@
             self._transport.send(host, self._new_report(host, [], False))
 
     def _send(self, target: Contact, asks: list[Ask]) -> None:
+        self._note_report(target)
         is_standby = self._leader.has_lost_coordinator
         self._transport.send(target.host, self._new_report(target.host, asks, is_standby))
 
     async def _tell_self(self, asks: list[Ask]) -> None:
-        """Have this node's own coordinator decide; alone, it grants no slots to items."""
+        """Have this node's own coordinator decide; alone, it grants no slots to items.
+
+        Its zone's standby isn't alone: it grants slots within the zone, to its own items too.
+        """
         host = self._identity.host
         report = self._new_report(host, asks, not self._coordinator.is_active)
-        if not self._coordinator.is_active:
+        if not self._coordinator.is_active and not self._leader.serves_zone:
             report.waiting = {}
         await self._coordinator.hear(report, host)
 
@@ -238,8 +280,10 @@
 
     def note_no_answer(self, target: Contact, asked_at: float) -> None:
         """An ask had no answer; one that was heard lately gets another chance."""
-        if asked_at - self._heard_at <= HEARD_LATELY_S:
-            return
+        if asked_at - self._heard_at > HEARD_LATELY_S:
+            self._note_silent(target)
+
+    def _note_silent(self, target: Contact) -> None:
         if self._leader.current is not None and target == self._leader.current.holder:
             self._log.write(
                 catalogue.COORDINATOR_SILENT,
@@ -253,6 +297,8 @@
 
     async def take(self, message: Datagram, host: str) -> None:
         """Take a message of the coordinator or of another node."""
+        if self._unanswered is not None and self._unanswered.target.host == host:
+            self._unanswered = None
         match message:
             case Orders():
                 await self.take_orders(message, host)
--- a/src/cloverwalk/fleet/messages.py
+++ b/src/cloverwalk/fleet/messages.py
@@ -240,6 +240,8 @@
 
     node: str
     host: str
+    zone: str = ""
+    """Told for standbys where each zone has one of its own; empty elsewhere."""
 
 
 class Leadership(Struct, array_like=True, frozen=True):
--- a/src/cloverwalk/fleet/roster.py
+++ b/src/cloverwalk/fleet/roster.py
@@ -12,6 +12,9 @@
 read it from the store."""
 
 STANDBYS = 3
+MOST_STANDBYS = 8
+"""The same where each zone has one: snapshots go to each four times a second."""
+
 FULL_CORE = 1.0
 """Nodes with less than this coordinate only where no other can."""
 
@@ -72,6 +75,17 @@
         """Return how many nodes reported after a time."""
         return sum(one.heard_at >= since for one in self.by_name.values())
 
+    def heard_by_zone(self) -> dict[str, list[float]]:
+        """Return when the known nodes of each zone were last heard; those that leave are not told.
+
+        Lost nodes are among them until they are forgotten.
+        """
+        heard: dict[str, list[float]] = {}
+        for one in self.by_name.values():
+            if not one.report.is_leaving:
+                heard.setdefault(one.report.zone, []).append(one.heard_at)
+        return heard
+
     def live(self) -> list[KnownNode]:
         """Return the nodes that are not lost, sorted by name."""
         return [
@@ -96,13 +110,31 @@
         """Return the processes that may run jobs, sorted."""
         return [one.report.incarnation for one in self.live() if not one.report.is_leaving]
 
-    def choose_standbys(self, own_node: str, own_zone: str) -> tuple[Contact, ...]:
+    def choose_standbys(
+        self, own_node: str, own_zone: str, by_zone: bool = False
+    ) -> tuple[Contact, ...]:
         """Return the nodes that should take over, strong ones of other zones first.
 
-        Present standbys need not be kept: whoever takes over learns all within a second.
+        Present standbys need not be kept: whoever takes over learns all within a second. With
+        ``by_zone`` each other zone has one first, and contacts tell their zones, so that a zone
+        that is cut off finds its own.
         """
         able = [
             one for one in self.live() if one.contact.node != own_node and not one.report.is_leaving
         ]
         able.sort(key=lambda one: (one.report.cores < FULL_CORE, one.report.zone == own_zone))
+        if by_zone:
+            return _by_zone(able, own_zone)
         return tuple(one.contact for one in able[:STANDBYS])
+
+
+def _by_zone(able: list[KnownNode], own_zone: str) -> tuple[Contact, ...]:
+    """Return the first node of each other zone, and as many more as there are places left."""
+    firsts: dict[str, KnownNode] = {}
+    for one in able:
+        if one.report.zone != own_zone:
+            firsts.setdefault(one.report.zone, one)
+    chosen = list(firsts.values())[:MOST_STANDBYS]
+    rest = [one for one in able if all(one is not other for other in chosen)]
+    chosen += rest[: max(0, STANDBYS - len(chosen))]
+    return tuple(Contact(one.contact.node, one.contact.host, one.report.zone) for one in chosen)
--- a/src/cloverwalk/platform/settings.py
+++ b/src/cloverwalk/platform/settings.py
@@ -8,7 +8,7 @@
 
 from cloverwalk.platform import names
 from cloverwalk.scheduling.quotas import QuotaBounds
-from cloverwalk.serving.settings import MachineLimits, ServingSettings
+from cloverwalk.serving.settings import MachineLimits, ServingSettings, Tolerance
 
 MEMORY_PRESSURE = "pressure"
 """The contract under which replicas and nodes can run out of memory by what they hold."""
@@ -42,6 +42,12 @@
     quota_slack: float = QuotaBounds().slack
 
 
+class _Tolerate(Struct):
+    zones: int = 0
+    regions: int = 0
+    machines: int = 0
+
+
 class _Platform(Struct):
     address: str
 
@@ -57,6 +63,7 @@
     contracts: list[str] = []
     limits: _Limits = field(default_factory=_Limits)
     bounds: _Bounds = field(default_factory=_Bounds)
+    tolerate: _Tolerate = field(default_factory=_Tolerate)
 
 
 def _address(text: str, name: str) -> tuple[str, int]:
@@ -92,6 +99,7 @@
         _quota_bounds(file.bounds),
         _machine_limits(file.limits),
         MEMORY_PRESSURE in file.contracts,
+        _tolerance(file.tolerate),
     )
 
 
@@ -103,6 +111,13 @@
     return MachineLimits(int(limits.memory_mb * 1_000_000), bytes_per_s)
 
 
+def _tolerance(tolerate: _Tolerate) -> Tolerance:
+    for name in ("zones", "regions", "machines"):
+        if getattr(tolerate, name) < 0:
+            raise PlatformSettingsError(f"tolerate.{name}: {getattr(tolerate, name)} is below 0")
+    return Tolerance(tolerate.zones, tolerate.regions, tolerate.machines)
+
+
 def _quota_bounds(bounds: _Bounds) -> QuotaBounds:
     if bounds.quota_window_s <= 0:
         raise PlatformSettingsError(f"bounds.quota_window_s: {bounds.quota_window_s} is no time")
--- a/src/cloverwalk/scheduling/batch.py
+++ b/src/cloverwalk/scheduling/batch.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from cloverwalk.fleet.messages import Waiting, WaitingGroup
+from cloverwalk.gateway.replicas import Replica
 from cloverwalk.scheduling.decisions import Outbox
 from cloverwalk.scheduling.replica_view import ReplicaView
 from cloverwalk.scheduling.share import kept_free, must_yield
@@ -43,6 +44,8 @@
         self._arrivals_per_s = arrivals_per_s
         self._waiting: dict[str, Waiting] = {}
         self._zones: dict[str, str] = {}
+        self.zone = ""
+        """The zone whose replicas items get slots of; empty: all."""
 
     # --- what waits ---
 
@@ -99,7 +102,7 @@
     def _grant(self, pool: str, changed: list[str], now: float) -> None:
         """Give free slots to the items of a pool, those due first in front."""
         services = pool.split(",")
-        all_usable = self._replicas.usable(services)
+        all_usable = self._within_zone(self._replicas.usable(services))
         usable = self._replicas.sample(all_usable, changed)
         room = {one.replica_id: self._replicas.room(one, now) for one in usable}
         kept = self._kept_free(pool, now)
@@ -110,8 +113,11 @@
         may_read = self._replicas.may_read
         open_ids = {key for key in room if room[key] > 0 and may_read(key, now)}
         for claim in self._claims(pool):
-            while claim.left > 0 and free > 0 and open_ids:
-                replica_id = self._best(claim, open_ids, room, zones)
+            while claim.left > 0 and free > 0:
+                reachable_ids = self._reachable_ids(claim.node, open_ids, now)
+                if not reachable_ids:
+                    break
+                replica_id = self._best(claim, reachable_ids, room, zones)
                 self._grant_one(claim, replica_id, now)
                 free -= 1
                 room[replica_id] -= 1
@@ -121,6 +127,18 @@
             if free <= 0 or not open_ids:
                 return
 
+    def _within_zone(self, usable: list[Replica]) -> list[Replica]:
+        return [one for one in usable if one.zone == self.zone] if self.zone else usable
+
+    def _reachable_ids(self, node: str, open_ids: set[str], now: float) -> set[str]:
+        """Return the replicas with room in zones that a node reaches."""
+        if not self._replicas.is_cut(node):
+            return open_ids
+        found = [self._replicas.find(one) for one in open_ids]
+        replicas = [one for one in found if one is not None]
+        reachable = self._replicas.reachable(node, replicas, now)
+        return {one.replica_id for one in reachable}
+
     def _kept_free(self, pool: str, now: float) -> int:
         """Return how many slots the items of a pool leave free."""
         reading_ms = self._reading_ms(pool)
@@ -169,6 +187,7 @@
         decisions.grants[replica_id] = decisions.grants.get(replica_id, 0) + 1
         self._book.expect(claim.node, decisions.number, replica_id, batch=1, now=now)
         self._replicas.note_reading(replica_id, float(claim.group.reading_ms), now)
+        self._replicas.note_sent(claim.node, replica_id, now)
 
     def _leave(self, claim: _Claim) -> None:
         """Keep what is left of a group until its node reports again."""
--- a/src/cloverwalk/scheduling/features.py
+++ b/src/cloverwalk/scheduling/features.py
@@ -28,6 +28,9 @@
     NODE_CAPACITY = "node_capacity"
     """A node turns requests away before its machine is full."""
 
+    ZONE_LOSS = "zone_loss"
+    """Each zone is served on its own while it is cut off, or while another one is lost."""
+
 
 @attrs.frozen
 class FeatureState:
@@ -50,9 +53,15 @@
     True
     """
 
-    def __init__(self, configuration: ConfigurationHolder, is_memory_scarce: bool = False) -> None:
+    def __init__(
+        self,
+        configuration: ConfigurationHolder,
+        is_memory_scarce: bool = False,
+        lost_zones: int = 0,
+    ) -> None:
         self._configuration = configuration
         self._is_memory_scarce = is_memory_scarce
+        self._lost_zones = lost_zones
         self._tells_pace: set[str] = set()
         self._known: dict[Feature, FeatureState] = {}
         self.on_change: Callable[[FeatureState], None] = _nobody
@@ -93,6 +102,8 @@
                 return self._memory()
             case Feature.NODE_CAPACITY:
                 return self._capacity()
+            case Feature.ZONE_LOSS:
+                return self._zone_loss()
 
     def _pace(self) -> FeatureState:
         feature = Feature.REPLICA_PACE
@@ -121,6 +132,12 @@
             return FeatureState(feature, True, "the settings say that memory is scarce")
         return FeatureState(feature, False, "the settings do not say that memory is scarce")
 
+    def _zone_loss(self) -> FeatureState:
+        feature = Feature.ZONE_LOSS
+        if self._lost_zones > 0:
+            return FeatureState(feature, True, "the settings say that a whole zone may be lost")
+        return FeatureState(feature, False, "the settings name no zone that may be lost")
+
 
 def _tells_memory(configuration: Configuration | None) -> bool:
     if configuration is None:
--- a/src/cloverwalk/scheduling/online.py
+++ b/src/cloverwalk/scheduling/online.py
@@ -5,7 +5,7 @@
 import attrs
 
 from cloverwalk.fleet.messages import Ask, Placement, TokenUse
-from cloverwalk.gateway.configuration import ConfigurationHolder, Route
+from cloverwalk.gateway.configuration import ConfigurationHolder, Route, RouteKind
 from cloverwalk.gateway.crash_ledger import CrashLedger
 from cloverwalk.scheduling.admission import (
     LONGEST_HOLD_S,
@@ -20,9 +20,17 @@
 )
 from cloverwalk.scheduling.arrivals import ArrivalRate
 from cloverwalk.scheduling.decisions import Outbox
+from cloverwalk.scheduling.features import Feature, Features
 from cloverwalk.scheduling.quotas import FleetQuotas, QuotaVerdict
 from cloverwalk.scheduling.replica_view import ReplicaView
-from cloverwalk.scheduling.selection import Candidate, Demand, choose, expected_reading_ms
+from cloverwalk.scheduling.selection import (
+    OTHER_ZONE_MS,
+    STREAM_OTHER_ZONE_MS,
+    Candidate,
+    Demand,
+    choose,
+    expected_reading_ms,
+)
 from cloverwalk.scheduling.service_times import ServiceTimes
 from cloverwalk.scheduling.slot_book import SlotBook
 
@@ -61,7 +69,9 @@
         quotas: FleetQuotas,
         ledger: CrashLedger,
         random: Random,
+        features: Features,
     ) -> None:
+        self._features = features
         self._quotas = quotas
         self._ledger = ledger
         self._replicas = replicas
@@ -157,7 +167,7 @@
         Returns the replica that it goes to, an empty text for a refusal, None when it is held.
         """
         candidates = self._replicas.candidates(held.node, held.ask, now)
-        demand = _demand(held.zone, held.ask)
+        demand = self._demand(held)
         chosen = choose(candidates, demand)
         if chosen is None:
             return self._refuse(held, Placement(held.ask.number, Verdict.NONE), now)
@@ -215,6 +225,7 @@
         )
         decisions.placements.append(placement)
         self._book.expect(held.node, decisions.number, replica_id, online=1, now=now)
+        self._replicas.note_sent(held.node, replica_id, now)
         if held.ask.content:
             self._replicas.note_sent_suspect(replica_id, held.ask.content, now)
 
@@ -250,6 +261,26 @@
         wait_s, rest_s = prospect.wait_ms / 1000, self._crowd.rest_s(now)
         return return_after_s(wait_s, rest_s, ask.time_left_ms / 1000, self._random)
 
+    def _demand(self, held: _Held) -> Demand:
+        ask = held.ask
+        return Demand(
+            held.zone,
+            ask.size_bytes,
+            ask.shared_part,
+            ask.shared_tokens,
+            ask.own_tokens,
+            self._other_zone_ms(ask),
+        )
+
+    def _other_zone_ms(self, ask: Ask) -> float:
+        """Return what another zone costs a request: more for one that a cut would end for good.
 
-def _demand(zone: str, ask: Ask) -> Demand:
-    return Demand(zone, ask.size_bytes, ask.shared_part, ask.shared_tokens, ask.own_tokens)
+        It is at most the time that the request has to spare: it rather crosses than is late.
+        """
+        route = self._route(ask.route)
+        is_lost_by_cut = route is not None and route.kind is RouteKind.STREAM
+        is_lost_by_cut = is_lost_by_cut and route is not None and not route.is_resumable
+        if not is_lost_by_cut or not self._features.is_on(Feature.ZONE_LOSS):
+            return OTHER_ZONE_MS
+        spare_ms = ask.objective_left_ms - self._times.start_ms(ask.route)
+        return max(OTHER_ZONE_MS, min(STREAM_OTHER_ZONE_MS, spare_ms))
--- a/src/cloverwalk/scheduling/replica_view.py
+++ b/src/cloverwalk/scheduling/replica_view.py
@@ -5,10 +5,12 @@
 
 from cloverwalk.fleet.messages import Ask
 from cloverwalk.gateway.replicas import Replica, ReplicaDirectory
+from cloverwalk.scheduling.features import Feature, Features
 from cloverwalk.scheduling.selection import Candidate
 from cloverwalk.scheduling.share import batch_room, may_read_more
 from cloverwalk.scheduling.slot_book import SlotBook
 from cloverwalk.scheduling.slot_time import ReplicaUse
+from cloverwalk.scheduling.zone_reach import ZoneReach
 
 SUSPECT_RUN_S = 1.0
 """How long a suspect counts at its replica; online requests last 0.02 to 0.5 s there."""
@@ -22,7 +24,19 @@
 class ReplicaView:
     """What may be sent to which replica."""
 
-    def __init__(self, directory: ReplicaDirectory, book: SlotBook, random: Random) -> None:
+    def __init__(
+        self,
+        directory: ReplicaDirectory,
+        book: SlotBook,
+        random: Random,
+        reach: ZoneReach,
+        features: Features,
+    ) -> None:
+        self._reach = reach
+        self._features = features
+        self._zones: dict[str, str] = {}
+        """The zones of nodes, by name."""
+
         self._random = random
         self._directory = directory
         self._book = book
@@ -33,6 +47,10 @@
 
     # --- failures ---
 
+    def hear_zone(self, node: str, zone: str) -> None:
+        """A node tells where it stands."""
+        self._zones[node] = zone
+
     def hear_suspects(self, node: str, suspects: list[str], now: float) -> None:
         """Replicas failed at a node; news of it counts for all nodes."""
         known = self._suspects.get(node, set())
@@ -41,14 +59,54 @@
         for replica_id in suspects:
             if replica_id not in known:
                 self._directory.suspect(replica_id, now)
-
-    def note_answer(self, replica_id: str) -> None:
-        """A replica answered a request."""
+                self._note_failure(node, replica_id, now)
+
+    def _note_failure(self, node: str, replica_id: str, now: float) -> None:
+        replica = self._directory.find(replica_id)
+        zone = self._zones.get(node, "")
+        if replica is None or not self._features.is_on(Feature.ZONE_LOSS):
+            return
+        others = sum(one.zone == replica.zone for one in self._directory.usable(replica.service))
+        self._reach.note_failure(zone, replica.zone, replica_id, others, now)
+
+    def note_answer(self, node: str, replica_id: str, now: float) -> None:
+        """A replica answered a request of a node."""
         self._directory.clear_suspicion(replica_id)
+        replica = self._directory.find(replica_id)
+        if replica is not None:
+            self._reach.note_answer(self._zones.get(node, ""), replica.zone, now)
 
     def forget(self, node: str) -> None:
         """A node is gone, and its word with it."""
         self._suspects.pop(node, None)
+        self._zones.pop(node, None)
+
+    # --- zones that can't be reached ---
+
+    def is_cut(self, node: str) -> bool:
+        """Whether some zone can't be reached from a node's."""
+        return self._reach.has_shut(self._zones.get(node, ""))
+
+    def reachable(self, node: str, replicas: list[Replica], now: float) -> list[Replica]:
+        """Return the replicas in zones that a node reaches, or where a probe is due."""
+        if not self.is_cut(node):
+            return replicas
+        zone = self._zones.get(node, "")
+        return [one for one in replicas if self._reach.may_send(zone, one.zone, now)]
+
+    def note_sent(self, node: str, replica_id: str, now: float) -> None:
+        """A request or an item of a node was sent to a replica: it may be a probe."""
+        replica = self._directory.find(replica_id)
+        if replica is not None:
+            self._reach.note_sent(self._zones.get(node, ""), replica.zone, now)
+
+    def _with_room(self, node: str, replicas: list[Replica], now: float) -> list[Replica]:
+        """Return the replicas in zones that a node reaches, if there is room, or else all."""
+        near = self.reachable(node, replicas, now)
+        if len(near) == len(replicas):
+            return replicas
+        has_room = any(self._book.total(one.replica_id, now).online < one.slots for one in near)
+        return near if has_room else replicas
 
     # --- prompts ---
 
@@ -83,7 +141,7 @@
 
     def candidates(self, node: str, ask: Ask, now: float) -> list[Candidate]:
         """Return the replicas that a request was not at yet, or else all."""
-        usable = self.sample(self._directory.usable(ask.service))
+        usable = self.sample(self._with_room(node, self._directory.usable(ask.service), now))
         fresh = [one for one in usable if one.replica_id not in ask.avoid]
         suspects = self._suspects.get(node, set())
         return [
--- a/src/cloverwalk/scheduling/scheduler.py
+++ b/src/cloverwalk/scheduling/scheduler.py
@@ -22,6 +22,7 @@
 from cloverwalk.scheduling.service_times import ServiceTimes
 from cloverwalk.scheduling.slot_book import SlotBook
 from cloverwalk.scheduling.slot_time import ReplicaUse
+from cloverwalk.scheduling.zone_reach import ZoneReach
 
 
 class Scheduler:
@@ -42,7 +43,8 @@
         self.quotas = FleetQuotas(configuration, quota_bounds, random)
         self.book = SlotBook()
         self._outbox = Outbox()
-        self._replicas = ReplicaView(directory, self.book, random)
+        self.reach = ZoneReach()
+        self._replicas = ReplicaView(directory, self.book, random, self.reach, self.features)
         self._online = OnlineQueue(
             self._replicas,
             self.book,
@@ -52,6 +54,7 @@
             self.quotas,
             ledger,
             random,
+            self.features,
         )
         self._batch = BatchGrants(
             self._replicas, self.book, self._outbox, self._online.arrivals_per_s
@@ -62,19 +65,20 @@
         node = report.node
         changed = self.book.hear(node, report.loads, report.settled)
         self._batch.hear(node, report.zone, report.waiting)
+        self._replicas.hear_zone(node, report.zone)
         self._replicas.hear_suspects(node, report.suspects, now)
         for number in report.withdrawn:
             self._online.withdraw(node, number, now)
         for served in report.served:
-            self._learn(served)
+            self._learn(node, served, now)
         for ask in report.asks:
             replica_id = self._online.answer(node, report.zone, ask, now)
             if replica_id:
                 self._batch.make_room([replica_id], now)
         self._settle(changed, now)
 
-    def _learn(self, served: Served) -> None:
-        self._replicas.note_answer(served.replica_id)
+    def _learn(self, node: str, served: Served, now: float) -> None:
+        self._replicas.note_answer(node, served.replica_id, now)
         self.times.note_hold(served.route, served.hold_ms)
         if served.expected_wait_ms > 0:
             self.times.note_wait(served.route, served.expected_wait_ms, served.start_ms)
@@ -89,8 +93,13 @@
         self._online.forget(node, now)
         self._settle(changed, now)
 
+    def grant_within(self, zone: str) -> None:
+        """Grant items only slots of replicas of a zone; empty: of all."""
+        self._batch.zone = zone
+
     def tick(self, now: float) -> None:
         """Do what is due by time alone."""
+        self.reach.tick(now)
         changed = self.book.expire(now)
         self._online.expire(now)
         self._settle(changed, now)
--- a/src/cloverwalk/scheduling/selection.py
+++ b/src/cloverwalk/scheduling/selection.py
@@ -46,6 +46,11 @@
 OTHER_ZONE_MS = 5.0
 OTHER_ZONE_MS_PER_KB = 1.5
 
+STREAM_OTHER_ZONE_MS = 150.0
+"""The same for a stream that may not be resumed, where zones may be cut from each other: it would
+be lost. More than ``LOAD_COST_MS`` and ``CROWDED_COST_MS`` together: it stays where a slot is free,
+and leaves for a wait of some three requests."""
+
 
 class Candidate(Struct, frozen=True):
     """A replica that could take a request, with what is known of its load."""
@@ -73,6 +78,9 @@
     own_tokens: int = 0
     """Tokens of the part of its prompt that nobody shares."""
 
+    other_zone_ms: float = OTHER_ZONE_MS
+    """Cost of a replica of another zone, besides that of the bytes."""
+
 
 def reading_ms(tokens: int) -> float:
     """Return the time that a replica is expected to read a prompt of so many tokens for."""
@@ -132,5 +140,5 @@
     if homes and replica.replica_id not in homes:
         cost += reading_ms(demand.shared_tokens)
     if replica.zone != demand.zone:
-        cost += OTHER_ZONE_MS + OTHER_ZONE_MS_PER_KB * demand.size_bytes / 1024
+        cost += demand.other_zone_ms + OTHER_ZONE_MS_PER_KB * demand.size_bytes / 1024
     return cost
--- a/src/cloverwalk/serving/fleet_parts.py
+++ b/src/cloverwalk/serving/fleet_parts.py
@@ -18,6 +18,7 @@
 from cloverwalk.scheduling.service_times import ServiceTimes
 from cloverwalk.scheduling.slot_time import SlotUse
 from cloverwalk.scheduling.slot_watch import SlotWatch
+from cloverwalk.scheduling.zone_reach import ReachChange
 from cloverwalk.serving.knowledge import FleetKnowledge
 from cloverwalk.serving.settings import ServingSettings
 from cloverwalk.store.health import StoreHealth
@@ -55,7 +56,9 @@
         self._log = log
         self.transport = DatagramTransport(settings.peer_address, log)
         self.leader = LeaderView(self.identity, clock())
-        self.features = Features(knowledge.configuration, settings.is_memory_scarce)
+        self.features = Features(
+            knowledge.configuration, settings.is_memory_scarce, settings.tolerance.zones
+        )
         self.features.on_change = self._note_feature
         self.scheduler = Scheduler(
             knowledge.directory,
@@ -66,6 +69,7 @@
             random,
             self.features,
         )
+        self.scheduler.reach.on_change = self._note_reach
         self.cases = CaseSync(knowledge.crashes, self.transport, log, clock)
         self.coordinator = Coordinator(
             self.identity,
@@ -116,6 +120,12 @@
         told = {use.value: round(seconds, 2) for use, seconds in uses.items() if seconds > 0}
         self._log.write(catalogue.SLOT_TIME, **told)
 
+    def _note_reach(self, change: ReachChange) -> None:
+        event = catalogue.ZONE_REACHABLE if change.is_reachable else catalogue.ZONE_UNREACHABLE
+        self._log.write(
+            event, zone=change.zone, source=change.source, evidence=change.evidence.value
+        )
+
     def _note_feature(self, state: FeatureState) -> None:
         self._log.write(
             catalogue.FEATURE_CHANGED,
--- a/src/cloverwalk/serving/node.py
+++ b/src/cloverwalk/serving/node.py
@@ -340,6 +340,8 @@
         uses = self._fleet.slots.time.seconds
         metrics.slot_seconds = {use.value: seconds for use, seconds in uses.items()}
         metrics.gauge("cloverwalk_coordinator_term", "Term followed", self._fleet.leader.term)
+        shut = self._fleet.scheduler.reach.shut_count
+        metrics.gauge("cloverwalk_zones_unreachable", "Pairs of zones, as seen here", shut)
         metrics.gauge("cloverwalk_coordinated_nodes", "Nodes that report here", known)
         content_type = (b"Content-Type", b"text/plain; version=0.0.4")
         await reply.respond(200, [content_type], metrics.render())
--- a/src/cloverwalk/serving/settings.py
+++ b/src/cloverwalk/serving/settings.py
@@ -13,6 +13,14 @@
     """What its link carries, in each direction."""
 
 
+class Tolerance(Struct, frozen=True):
+    """What may be lost at once while all others are served; 0 stands for nothing of the kind."""
+
+    zones: int = 0
+    regions: int = 0
+    machines: int = 0
+
+
 class ServingSettings(Struct, frozen=True):
     """Checked settings of one process."""
 
@@ -42,3 +50,6 @@
     machine: MachineLimits = MachineLimits()
     is_memory_scarce: bool = False
     """Whether replicas and nodes can run out of memory by what they hold for requests."""
+
+    tolerance: Tolerance = Tolerance()
+    """What the deployment has to bear the loss of."""
