Tests of a zone that is cut off; a coordinator that takes over counts nodes that have not turned to it

A standby in a cut zone that takes the role by the store's row knew its own zone's nodes only, and gave out whole quotas beside the other side's two thirds. With zones that may be lost, the fleet's size as the coordinator before told it counts for as long as lost nodes are remembered.

--- a/src/cloverwalk/fleet/link.py
+++ b/src/cloverwalk/fleet/link.py
@@ -148,10 +148,7 @@
         """Report until cancelled: at each change, and now and then."""
         while True:
             is_lost = self._leader.has_lost_coordinator or self._leader.is_unheard
-            longest_s = STANDBY_HEARTBEAT_S if is_lost else HEARTBEAT_S
-            if self._unanswered is not None:
-                longest_s = min(longest_s, UNANSWERED_STEP_S)
-            rest_s = self._sent_at + longest_s - self._clock()
+            rest_s = self.report_due_at() - self._clock()
             if rest_s > 0:
                 async with curio.ignore_after(rest_s):
                     await self._wake.wait()
@@ -163,6 +160,14 @@
             if is_lost:
                 self._try_silent()
 
+    def report_due_at(self) -> float:
+        """Return when the next report goes out, if nothing changes before."""
+        is_lost = self._leader.has_lost_coordinator or self._leader.is_unheard
+        longest_s = STANDBY_HEARTBEAT_S if is_lost else HEARTBEAT_S
+        if self._unanswered is not None:
+            longest_s = min(longest_s, UNANSWERED_STEP_S)
+        return self._sent_at + longest_s
+
     async def note_change(self) -> None:
         """Loads, waiting items or the like have changed: the coordinator should know soon."""
         if self._clock() - self._sent_at >= REPORT_GAP_S:
--- a/tests/serving/coordination_world.py
+++ b/tests/serving/coordination_world.py
@@ -34,6 +34,7 @@
 )
 from cloverwalk.gateway.crash_ledger import CrashLedger
 from cloverwalk.gateway.replicas import Replica, ReplicaDirectory
+from cloverwalk.scheduling.features import Features
 from cloverwalk.scheduling.quotas import QuotaBounds
 from cloverwalk.scheduling.scheduler import Scheduler
 from cloverwalk.scheduling.service_times import ServiceTimes
@@ -52,6 +53,9 @@
     def __init__(self) -> None:
         self.waiting: list[tuple[str, str, Datagram]] = []
         self.silent: set[str] = set()
+        self.cut_zones: set[str] = set()
+        """Zones that are cut off from each other zone."""
+
         self.lost_kinds: set[type] = set()
         self.sent = 0
         self.asks = 0
@@ -68,6 +72,9 @@
         self.asks += len(message.asks) if isinstance(message, Report) else 0
         if source in self.silent or host in self.silent or type(message) in self.lost_kinds:
             return
+        zones = {_zone_of(source), _zone_of(host)}
+        if len(zones) > 1 and zones & self.cut_zones:
+            return
         data = encode_datagram(message)
         self.bytes_by_kind[type(message)] += len(data)
         self.longest = max(self.longest, len(data))
@@ -78,6 +85,11 @@
         self.waiting.append((source, host, decode_datagram(data)))
 
 
+def _zone_of(host: str) -> str:
+    number = host.removeprefix("h")
+    return ZONES[int(number) % len(ZONES)] if number.isdecimal() else ""
+
+
 class WireEnd:
     """The sender of one host."""
 
@@ -120,6 +132,7 @@
             QuotaBounds(slack=20.0),
             self.ledger,
             random,
+            Features(self.configuration, lost_zones=world.lost_zones),
         )
         self.coordinator = Coordinator(
             self.identity,
@@ -190,8 +203,13 @@
     REPORT_STEPS = 4
 
     def __init__(
-        self, nodes: int, replicas: int = 4, tenants: tuple[Tenant, ...] | None = None
+        self,
+        nodes: int,
+        replicas: int = 4,
+        tenants: tuple[Tenant, ...] | None = None,
+        lost_zones: int = 0,
     ) -> None:
+        self.lost_zones = lost_zones
         self.tenants = tenants
         self.now = 1000.0
         self.store = MemoryStore()
@@ -237,7 +255,8 @@
             self._steps += 1
             self.now += self.STEP_S
             for node in list(self.nodes):
-                if (self._steps + node.number) % self.REPORT_STEPS == 0:
+                is_due = bool(self.lost_zones) and self.now >= node.link.report_due_at()
+                if is_due or (self._steps + node.number) % self.REPORT_STEPS == 0:
                     await node.link._report()
             await self.deliver()
             for node in list(self.nodes):
--- a/tests/unit/test_outside_figures.py
+++ b/tests/unit/test_outside_figures.py
@@ -15,7 +15,7 @@
 from cloverwalk.platform.documents import decode_configuration
 from cloverwalk.platform.settings import PlatformSettingsError, load_settings
 from cloverwalk.scheduling.features import Feature, Features, FeatureState
-from cloverwalk.serving.settings import MachineLimits
+from cloverwalk.serving.settings import MachineLimits, Tolerance
 
 SETTINGS = """
 node = "n"
@@ -88,6 +88,18 @@
         load_settings(path)
 
 
+def test_settings_tell_what_may_be_lost(tmp_path_factory: pytest.TempPathFactory) -> None:
+    path = tmp_path_factory.mktemp("settings") / "local.toml"
+    path.write_text(SETTINGS)
+    assert load_settings(path).tolerance == Tolerance()
+    path.write_text(SETTINGS + "[tolerate]\nzones = 1\nmachines = 80\n")
+    assert load_settings(path).tolerance == Tolerance(1, 0, 80)
+    for odd in ("-1", "1.5", '"many"'):
+        path.write_text(SETTINGS + f"[tolerate]\nzones = {odd}\n")
+        with pytest.raises(PlatformSettingsError):
+            load_settings(path)
+
+
 def test_each_part_is_told_once_and_again_when_it_changes() -> None:
     holder = ConfigurationHolder()
     features = Features(holder, is_memory_scarce=True)
