--- a/src/cloverwalk/scheduling/online.py
+++ b/src/cloverwalk/scheduling/online.py
@@ -5,7 +5,7 @@
 import attrs
 
 from cloverwalk.fleet.messages import Ask, Placement, TokenUse
-from cloverwalk.gateway.configuration import ConfigurationHolder, Route, RouteKind
+from cloverwalk.gateway.configuration import ConfigurationHolder, Route
 from cloverwalk.gateway.crash_ledger import CrashLedger
 from cloverwalk.scheduling.admission import (
     LONGEST_HOLD_S,
@@ -25,7 +25,7 @@
 from cloverwalk.scheduling.replica_view import ReplicaView
 from cloverwalk.scheduling.selection import (
     OTHER_ZONE_MS,
-    STREAM_OTHER_ZONE_MS,
+    ONCE_OTHER_ZONE_MS,
     Candidate,
     Demand,
     choose,
@@ -278,9 +278,8 @@
         It is at most the time that the request has to spare: it rather crosses than is late.
         """
         route = self._route(ask.route)
-        is_lost_by_cut = route is not None and route.kind is RouteKind.STREAM
-        is_lost_by_cut = is_lost_by_cut and route is not None and not route.is_resumable
-        if not is_lost_by_cut or not self._features.is_on(Feature.ZONE_LOSS):
+        may_repeat = route is None or route.may_repeat
+        if may_repeat or not self._features.is_on(Feature.ZONE_LOSS):
             return OTHER_ZONE_MS
         spare_ms = ask.objective_left_ms - self._times.start_ms(ask.route)
-        return max(OTHER_ZONE_MS, min(STREAM_OTHER_ZONE_MS, spare_ms))
+        return max(OTHER_ZONE_MS, min(ONCE_OTHER_ZONE_MS, spare_ms))
--- a/src/cloverwalk/scheduling/selection.py
+++ b/src/cloverwalk/scheduling/selection.py
@@ -46,9 +46,9 @@
 OTHER_ZONE_MS = 5.0
 OTHER_ZONE_MS_PER_KB = 1.5
 
-STREAM_OTHER_ZONE_MS = 150.0
-"""The same for a stream that may not be resumed, where zones may be cut from each other: it would
-be lost. More than ``LOAD_COST_MS`` and ``CROWDED_COST_MS`` together: it stays where a slot is free,
+ONCE_OTHER_ZONE_MS = 150.0
+"""The same for a request that may not run again, where zones may be cut from each other: it would be
+lost. More than ``LOAD_COST_MS`` and ``CROWDED_COST_MS`` together: it stays where a slot is free,
 and leaves for a wait of some three requests."""
 
 
