--- a/src/cloverwalk/scheduling/online.py
+++ b/src/cloverwalk/scheduling/online.py
@@ -24,8 +24,8 @@
 from cloverwalk.scheduling.quotas import FleetQuotas, QuotaVerdict
 from cloverwalk.scheduling.replica_view import ReplicaView
 from cloverwalk.scheduling.selection import (
-    OTHER_ZONE_MS,
     ONCE_OTHER_ZONE_MS,
+    OTHER_ZONE_MS,
     Candidate,
     Demand,
     choose,
--- a/src/cloverwalk/scheduling/selection.py
+++ b/src/cloverwalk/scheduling/selection.py
@@ -47,7 +47,7 @@
 OTHER_ZONE_MS_PER_KB = 1.5
 
 ONCE_OTHER_ZONE_MS = 150.0
-"""The same for a request that may not run again, where zones may be cut from each other: it would be
+"""The same for a request that may not run again, where zones may be cut from each other: it is then
 lost. More than ``LOAD_COST_MS`` and ``CROWDED_COST_MS`` together: it stays where a slot is free,
 and leaves for a wait of some three requests."""
 
