A node of a cut zone returns to its zone's first standby; silence is told by reports that need an answer

And nodes near a calm coordinator took it for silent after 0.6 s (silent_s in coordinator_silent): reports within 0.4 s of its last word are not acknowledged. Both tests failed first.

--- a/src/cloverwalk/fleet/link.py
+++ b/src/cloverwalk/fleet/link.py
@@ -11,7 +11,7 @@
 
 from cloverwalk.core import catalogue
 from cloverwalk.fleet.case_sync import CaseSync
-from cloverwalk.fleet.coordinator import Coordinator
+from cloverwalk.fleet.coordinator import ACK_EVERY_S, Coordinator
 from cloverwalk.fleet.directory_sync import DirectorySync
 from cloverwalk.fleet.identity import Identity
 from cloverwalk.fleet.leader import LeaderView
@@ -51,8 +51,9 @@
 
 UNANSWERED_S = 0.5
 """A report that got no word back for so long, though the node was reported to again, tells that
-the coordinator is silent; it acknowledges each 0.4 s. Items of a node without online requests are
-served by its zone's standby within 1.6 s of a cut by it, and never without it."""
+the coordinator is silent. Items of a node without online requests are served by its zone's standby
+within 1.6 s of a cut by it, and never without it. Only reports count that must be acknowledged:
+those that are sent ``ACK_EVERY_S`` after the last word."""
 
 UNANSWERED_STEP_S = 0.3
 """Time between reports while one has no answer."""
@@ -137,6 +138,8 @@
         self._heard_at = float("-inf")
         self._wake = curio.Event()
         self._unanswered: _Unanswered | None = None
+        self._target_heard = ("", float("-inf"))
+        """The node that is reported to, and when it last sent something."""
 
     def use_seeds(self, seeds: list[str]) -> None:
         """Take hosts of nodes that may know who coordinates."""
@@ -200,6 +203,9 @@
         """A report is sent; only where zones are cut off its answer is waited for."""
         if not self._coordinator.bears_zone_loss:
             return
+        host, heard_at = self._target_heard
+        if host == target.host and self._clock() - heard_at < ACK_EVERY_S:
+            return
         if self._unanswered is None or self._unanswered.target != target:
             self._unanswered = _Unanswered(target, self._clock())
         self._unanswered.reports += 1
@@ -302,13 +308,13 @@
 
     async def take(self, message: Datagram, host: str) -> None:
         """Take a message of the coordinator or of another node."""
-        if self._unanswered is not None and self._unanswered.target.host == host:
-            self._unanswered = None
+        self._note_word(host)
         match message:
             case Orders():
                 await self.take_orders(message, host)
             case Introduction():
                 await self.offer(message.leadership)
+                self._note_standby(host)
             case CrashCases():
                 if self._cases.take(message.cases, host):
                     await self.note_change()
@@ -317,6 +323,26 @@
                     # Another change was lost on the way; the report asks for the whole list.
                     await self._wake.set()
 
+    def _note_word(self, host: str) -> None:
+        """The node that is reported to, or was, has sent something."""
+        if self._unanswered is not None and self._unanswered.target.host == host:
+            self._unanswered = None
+        target = self._leader.target()
+        if target is not None and target.host == host:
+            self._target_heard = (host, self._clock())
+
+    def _note_standby(self, host: str) -> None:
+        """A node that does not coordinate has answered: as a standby it can be turned to again.
+
+        Without this the nodes of a cut zone were served by two of its standbys for the whole cut,
+        after some had missed one answer of the first; each granted all slots of the zone.
+        """
+        current = self._leader.current
+        if not self._coordinator.bears_zone_loss or current is None:
+            return
+        if host != current.holder.host:
+            self._leader.note_heard(host, self._clock())
+
     async def offer(self, leadership: Leadership) -> None:
         """Take news of who coordinates."""
         if not self._leader.offer(leadership, self._clock()):
--- a/tests/serving/test_zone_loss.py
+++ b/tests/serving/test_zone_loss.py
@@ -142,6 +142,44 @@
     in_zones(test)
 
 
+def test_a_standby_that_missed_one_answer_is_turned_to_again() -> None:
+    async def test(world: CoordinationWorld) -> None:
+        zone = other_zone(world)
+        world.store.is_down = True
+        world.wire.cut_zones.add(zone)
+        await world.run(SERVED_WITHIN_S)
+        first = next(one for one in zone_nodes(world, zone) if one.leader.serves_zone)
+        node = next(one for one in zone_nodes(world, zone) if one is not first)
+        assert node.follows == first.name
+        node.leader.note_silent(first.host)
+        assert node.follows != first.name
+        node.link._try_silent()
+        await world.deliver()
+        assert node.follows == first.name
+
+    in_zones(test)
+
+
+def test_reports_that_need_no_word_back_tell_no_silence() -> None:
+    async def test(world: CoordinationWorld) -> None:
+        node = next(one for one in zone_nodes(world, other_zone(world)) if one.follows)
+        holder = world.coordinator
+        await node.link._report()
+        await world.deliver()
+        # It was heard just now, so these are not acknowledged.
+        for pause_s in (0.1, 0.1, 0.15):
+            world.now += pause_s
+            await node.link._report()
+            await world.deliver()
+        world.now += 0.3
+        await node.link._report()
+        assert node.follows == holder.name
+        await world.deliver()
+        assert not node.leader.has_lost_coordinator
+
+    in_zones(test)
+
+
 def test_orders_of_the_other_side_of_a_cut_change_no_items() -> None:
     async def test(world: CoordinationWorld) -> None:
         zone = other_zone(world)
