--- a/src/cloverwalk/scheduling/replica_view.py
+++ b/src/cloverwalk/scheduling/replica_view.py
@@ -51,15 +51,22 @@
         """A node tells where it stands."""
         self._zones[node] = zone
 
-    def hear_suspects(self, node: str, suspects: list[str], now: float) -> None:
-        """Replicas failed at a node; news of it counts for all nodes."""
+    def hear_suspects(
+        self, node: str, suspects: list[str], now: float, *, has_returned: bool = False
+    ) -> None:
+        """Replicas failed at a node; news of it counts for all nodes.
+
+        What a node tells that ``has_returned`` is no news of its zone: a cut has just ended.
+        """
+        is_old = has_returned and node not in self._suspects
         known = self._suspects.get(node, set())
         self._suspects[node] = set(suspects)
         self._directory.hear_suspects(suspects, now)
         for replica_id in suspects:
             if replica_id not in known:
                 self._directory.suspect(replica_id, now)
-                self._note_failure(node, replica_id, now)
+                if not is_old:
+                    self._note_failure(node, replica_id, now)
 
     def _note_failure(self, node: str, replica_id: str, now: float) -> None:
         replica = self._directory.find(replica_id)
--- a/src/cloverwalk/scheduling/scheduler.py
+++ b/src/cloverwalk/scheduling/scheduler.py
@@ -66,7 +66,8 @@
         changed = self.book.hear(node, report.loads, report.settled)
         self._batch.hear(node, report.zone, report.waiting)
         self._replicas.hear_zone(node, report.zone)
-        self._replicas.hear_suspects(node, report.suspects, now)
+        has_returned = not report.has_lost_coordinator
+        self._replicas.hear_suspects(node, report.suspects, now, has_returned=has_returned)
         for number in report.withdrawn:
             self._online.withdraw(node, number, now)
         for served in report.served:
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -635,6 +635,30 @@
         "        if False:",
         COORDINATION + "test_orders_take_effect_once_and_only_those_of_the_node_that_is_followed",
     ),
+    Mutant(
+        "zones: standbys are chosen by name alone",
+        "fleet/roster.py",
+        "            return _by_zone(able, own_zone)",
+        "            pass",
+        "tests/serving/test_zone_loss.py::"
+        "test_each_other_zone_has_a_standby_and_its_place_is_filled_again",
+    ),
+    Mutant(
+        "zones: who takes the role forgets the nodes elsewhere",
+        "fleet/coordinator.py",
+        "            nodes = max(nodes, self._fleet_size) if is_recent else nodes",
+        "            pass",
+        "tests/serving/test_zone_loss.py::"
+        "test_a_zone_that_is_cut_off_gets_slots_within_it_and_turns_back",
+    ),
+    Mutant(
+        "zones: one failed replica shuts its zone out",
+        "scheduling/zone_reach.py",
+        "        if not link.is_shut and len(link.failed_at) >= needed:",
+        "        if not link.is_shut:",
+        "tests/serving/test_zone_loss.py::"
+        "test_few_failures_or_one_answer_between_them_shut_no_zone",
+    ),
     Mutant(
         "serving: a node that nobody answers starts items",
         "fleet/link.py",
--- a/tests/serving/test_zone_loss.py
+++ b/tests/serving/test_zone_loss.py
@@ -321,6 +321,7 @@
     )
     fleet.scheduler._replicas._features = features
     fleet.scheduler._online._features = features
+    fleet.tell(0)
     far = [f"r{number}" for number in range(replicas) if number % 2]
     fleet.nodes[0].suspects = far[:FAILED_REPLICAS]
     fleet.tell(0)
@@ -343,6 +344,16 @@
     assert sent_to(fleet, 1, fleet.ask(1)) % 2 == 1
 
 
+def test_failures_of_a_node_that_returns_shut_no_zone() -> None:
+    fleet = cut_fleet(replicas=20)
+    assert fleet.scheduler.reach.shut_count == 1
+    fleet.scheduler.forget("n0", fleet.now)
+    fleet.scheduler.reach.note_answer("z1", "z2", fleet.now)
+    fleet.nodes[0].suspects = [f"r{number}" for number in range(11, 20, 2)]
+    fleet.tell(0)
+    assert fleet.scheduler.reach.shut_count == 0
+
+
 def test_where_no_other_zone_has_room_a_cut_one_is_tried() -> None:
     fleet = cut_fleet()
     fleet.nodes[0].online = {f"r{number}": 8 for number in range(0, 20, 2)}
