--- a/src/cloverwalk/scheduling/batch.py
+++ b/src/cloverwalk/scheduling/batch.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from cloverwalk.fleet.messages import Waiting, WaitingGroup
+from cloverwalk.gateway.replicas import Replica
 from cloverwalk.scheduling.decisions import Outbox
 from cloverwalk.scheduling.replica_view import ReplicaView
 from cloverwalk.scheduling.share import kept_free
@@ -43,6 +44,8 @@
         self._arrivals_per_s = arrivals_per_s
         self._waiting: dict[str, Waiting] = {}
         self._zones: dict[str, str] = {}
+        self.zone = ""
+        """The zone whose replicas items get slots of; empty: all."""
 
     # --- what waits ---
 
@@ -100,7 +103,7 @@
     def _grant(self, pool: str, changed: list[str], now: float) -> None:
         """Give free slots to the items of a pool, those due first in front."""
         services = pool.split(",")
-        all_usable = self._replicas.usable(services)
+        all_usable = self._within_zone(self._replicas.usable(services))
         usable = self._replicas.sample(all_usable, changed)
         room = {one.replica_id: self._replicas.room(one, now) for one in usable}
         kept = self._kept_free(pool, now)
@@ -111,11 +114,12 @@
         may_read = self._replicas.may_read
         open_ids = {key for key in room if room[key] > 0 and may_read(key, now)}
         for claim in self._claims(pool):
-            while claim.left > 0 and free > 0 and open_ids:
-                fitting = self._where_it_fits(claim, open_ids, now)
-                if not fitting:
+            while claim.left > 0 and free > 0:
+                suitable_ids = self._reachable_ids(claim.node, open_ids, now)
+                suitable_ids = self._where_it_fits(claim, suitable_ids, now)
+                if not suitable_ids:
                     break
-                replica_id = self._best(claim, fitting, room, zones)
+                replica_id = self._best(claim, suitable_ids, room, zones)
                 self._grant_one(claim, replica_id, now)
                 free -= 1
                 room[replica_id] -= 1
@@ -125,6 +129,18 @@
             if free <= 0 or not open_ids:
                 return
 
+    def _within_zone(self, usable: list[Replica]) -> list[Replica]:
+        return [one for one in usable if one.zone == self.zone] if self.zone else usable
+
+    def _reachable_ids(self, node: str, open_ids: set[str], now: float) -> set[str]:
+        """Return the replicas with room in zones that a node reaches."""
+        if not self._replicas.is_cut(node):
+            return open_ids
+        found = [self._replicas.find(one) for one in open_ids]
+        replicas = [one for one in found if one is not None]
+        reachable = self._replicas.reachable(node, replicas, now)
+        return {one.replica_id for one in reachable}
+
     def _kept_free(self, pool: str, now: float) -> int:
         """Return how many slots the items of a pool leave free."""
         reading_ms = self._reading_ms(pool)
@@ -182,6 +198,7 @@
             claim.node, decisions.number, replica_id, batch=1, tokens=claim.group.tokens, now=now
         )
         self._replicas.note_reading(replica_id, float(claim.group.reading_ms), now)
+        self._replicas.note_sent(claim.node, replica_id, now)
 
     def _leave(self, claim: _Claim) -> None:
         """Keep what is left of a group until its node reports again."""
--- a/src/cloverwalk/scheduling/replica_view.py
+++ b/src/cloverwalk/scheduling/replica_view.py
@@ -5,11 +5,13 @@
 
 from cloverwalk.fleet.messages import Ask
 from cloverwalk.gateway.replicas import Replica, ReplicaDirectory
+from cloverwalk.scheduling.features import Feature, Features
 from cloverwalk.scheduling.replica_memory import ReplicaMemory
 from cloverwalk.scheduling.selection import Candidate
 from cloverwalk.scheduling.share import batch_room, may_read_more, must_yield
 from cloverwalk.scheduling.slot_book import SlotBook
 from cloverwalk.scheduling.slot_time import ReplicaUse
+from cloverwalk.scheduling.zone_reach import ZoneReach
 
 SUSPECT_RUN_S = 1.0
 """How long a suspect counts at its replica; online requests last 0.02 to 0.5 s there."""
@@ -28,9 +30,16 @@
         directory: ReplicaDirectory,
         book: SlotBook,
         memory: ReplicaMemory,
+        reach: ZoneReach,
+        features: Features,
         random: Random,
     ) -> None:
         self._memory = memory
+        self._reach = reach
+        self._features = features
+        self._zones: dict[str, str] = {}
+        """The zones of nodes, by name."""
+
         self._random = random
         self._directory = directory
         self._book = book
@@ -48,22 +57,73 @@
 
     # --- failures ---
 
-    def hear_suspects(self, node: str, suspects: list[str], now: float) -> None:
-        """Replicas failed at a node; news of it counts for all nodes."""
+    def hear_zone(self, node: str, zone: str) -> None:
+        """A node tells where it stands."""
+        self._zones[node] = zone
+
+    def hear_suspects(
+        self, node: str, suspects: list[str], now: float, *, has_returned: bool = False
+    ) -> None:
+        """Replicas failed at a node; news of it counts for all nodes.
+
+        What a node tells that ``has_returned`` is no news of its zone: a cut has just ended.
+        """
+        is_old = has_returned and node not in self._suspects
         known = self._suspects.get(node, set())
         self._suspects[node] = set(suspects)
         self._directory.hear_suspects(suspects, now)
         for replica_id in suspects:
             if replica_id not in known:
                 self._directory.suspect(replica_id, now)
+                if not is_old:
+                    self._note_failure(node, replica_id, now)
 
-    def note_answer(self, replica_id: str) -> None:
-        """A replica answered a request."""
+    def _note_failure(self, node: str, replica_id: str, now: float) -> None:
+        replica = self._directory.find(replica_id)
+        zone = self._zones.get(node, "")
+        if replica is None or not self._features.is_on(Feature.ZONE_LOSS):
+            return
+        others = sum(one.zone == replica.zone for one in self._directory.usable(replica.service))
+        self._reach.note_failure(zone, replica.zone, replica_id, others, now)
+
+    def note_answer(self, node: str, replica_id: str, now: float) -> None:
+        """A replica answered a request of a node."""
         self._directory.clear_suspicion(replica_id)
+        replica = self._directory.find(replica_id)
+        if replica is not None:
+            self._reach.note_answer(self._zones.get(node, ""), replica.zone, now)
 
     def forget(self, node: str) -> None:
         """A node is gone, and its word with it."""
         self._suspects.pop(node, None)
+        self._zones.pop(node, None)
+
+    # --- zones that can't be reached ---
+
+    def is_cut(self, node: str) -> bool:
+        """Whether some zone can't be reached from a node's."""
+        return self._reach.has_shut(self._zones.get(node, ""))
+
+    def reachable(self, node: str, replicas: list[Replica], now: float) -> list[Replica]:
+        """Return the replicas in zones that a node reaches, or where a probe is due."""
+        if not self.is_cut(node):
+            return replicas
+        zone = self._zones.get(node, "")
+        return [one for one in replicas if self._reach.may_send(zone, one.zone, now)]
+
+    def note_sent(self, node: str, replica_id: str, now: float) -> None:
+        """A request or an item of a node was sent to a replica: it may be a probe."""
+        replica = self._directory.find(replica_id)
+        if replica is not None:
+            self._reach.note_sent(self._zones.get(node, ""), replica.zone, now)
+
+    def _with_room(self, node: str, replicas: list[Replica], now: float) -> list[Replica]:
+        """Return the replicas in zones that a node reaches, if there is room, or else all."""
+        near = self.reachable(node, replicas, now)
+        if len(near) == len(replicas):
+            return replicas
+        has_room = any(self._book.total(one.replica_id, now).online < one.slots for one in near)
+        return near if has_room else replicas
 
     # --- prompts ---
 
@@ -98,8 +158,8 @@
 
     def candidates(self, node: str, ask: Ask, now: float) -> list[Candidate]:
         """Return the replicas that a request was not at yet, or else all, where it fits."""
-        usable = self.sample(self._directory.usable(ask.service))
-        usable = list(self._memory.where_online_fits(usable, ask.tokens, now))
+        usable = self._with_room(node, self._directory.usable(ask.service), now)
+        usable = list(self._memory.where_online_fits(self.sample(usable), ask.tokens, now))
         fresh = [one for one in usable if one.replica_id not in ask.avoid]
         suspects = self._suspects.get(node, set())
         return [
