Tenants of one rank share slot time; an order for overload

Cause: below their quotas tenants were served by rank and order of arrival, so one that sent five times as much as others took five times their room. Held requests went by arrival, and what could not be served before its deadline was held or queued until it passed.

Held requests of about equal shares go by their latest moment to start, those in time first. On where the configuration names tenants; the order also where replicas tell a pace.

Ruled out: one count for online work and items, since a tenant's items in idle slots would then cost its requests their places.

--- a/src/cloverwalk/fleet/coordinator.py
+++ b/src/cloverwalk/fleet/coordinator.py
@@ -267,6 +267,7 @@
             orders.placements = decisions.placements
             orders.grants = decisions.grants
             orders.revokes = decisions.revokes
+            orders.grants_by_tenant = decisions.grants_by_tenant
         return orders
 
     def _directory_age_ms(self, now: float) -> int:
@@ -406,6 +407,8 @@
             [one.contact for one in live],
             self.is_leaving,
             self._scheduler.quotas.levels(self._clock()),
+            used_shares=self._scheduler.shares.used(),
+            used_item_shares=self._scheduler.item_shares.used(),
         )
         for standby in current.standbys:
             if standby.node != self._identity.node:
--- a/src/cloverwalk/fleet/election.py
+++ b/src/cloverwalk/fleet/election.py
@@ -132,6 +132,8 @@
         self._nodes = snapshot.nodes or self._nodes
         self._scheduler.book.take_snapshot(snapshot.totals, now)
         self._scheduler.quotas.take_levels(snapshot.quota_levels)
+        self._scheduler.shares.take_used(snapshot.used_shares)
+        self._scheduler.item_shares.take_used(snapshot.used_item_shares)
         for route, known in snapshot.figures.items():
             self._scheduler.times.take_figures(
                 route, known.start_ms, known.hold_ms, known.wait_factor
--- a/src/cloverwalk/fleet/link.py
+++ b/src/cloverwalk/fleet/link.py
@@ -4,6 +4,7 @@
 when nobody answers.
 """
 
+from collections import Counter
 from collections.abc import Awaitable, Callable
 
 import curio
@@ -28,6 +29,7 @@
     Report,
     Served,
     Waiting,
+    WorkCorrection,
 )
 from cloverwalk.fleet.places import Place, PlaceDesk
 from cloverwalk.fleet.transport import Sender
@@ -62,6 +64,12 @@
     async def take_grants(self, grants: dict[str, int]) -> None:
         """Start items at replicas."""
 
+    async def take_tenant_grants(
+        self, grants: dict[str, int], by_tenant: dict[str, dict[str, int]]
+    ) -> None:
+        """Start items at replicas, of the tenants that ``by_tenant`` names by replica."""
+        await self.take_grants(grants)
+
     async def take_revokes(self, revokes: dict[str, int]) -> None:
         """Suspend items at replicas."""
 
@@ -114,6 +122,7 @@
         self._places = PlaceDesk(self, loads, clock)
         self._replicas = DirectorySync(directory, log, clock)
         self._served: list[Served] = []
+        self._corrections: Counter[tuple[str, int]] = Counter()
         self._sequence = 0
         self._sent_at = float("-inf")
         self._heard_at = float("-inf")
@@ -153,6 +162,14 @@
         """A request was answered; the next report tells its times."""
         self._served.append(served)
 
+    def note_correction(self, tenant: str, rank: int, more_ms: int) -> None:
+        """An item of a tenant held a slot for so much longer than expected, or shorter."""
+        self._corrections[tenant, rank] += more_ms
+
+    def _take_corrections(self) -> list[WorkCorrection]:
+        corrections, self._corrections = self._corrections, Counter()
+        return [WorkCorrection(*key, more_ms) for key, more_ms in corrections.items()]
+
     async def _report(self) -> None:
         """Report to the coordinator, or to whoever stands in for it."""
         target = self._leader.target()
@@ -207,6 +224,7 @@
             self._coordinator.deputy_grants(now),
             self._cases.for_report(),
             self._cases.ledger.digest,
+            corrections=self._take_corrections(),
         )
         self._served = []
         return report
@@ -311,7 +329,9 @@
         is_followed = target is not None and target.host == host
         if is_followed and orders.revokes:
             await self.batch.take_revokes(orders.revokes)
-        if is_followed and orders.grants:
+        if is_followed and orders.grants_by_tenant:
+            await self.batch.take_tenant_grants(orders.grants, orders.grants_by_tenant)
+        elif is_followed and orders.grants:
             await self.batch.take_grants(orders.grants)
         if orders.grants or orders.revokes:
             await self.note_change()
--- a/src/cloverwalk/fleet/messages.py
+++ b/src/cloverwalk/fleet/messages.py
@@ -146,6 +146,9 @@
     """What the replica told of its pace as the answer began: 100 is its usual one, 200 twice as
     long; 0: it told nothing."""
 
+    tenant: str = ""
+    """Who sent it; empty for callers without a key."""
+
 
 class ReplicaTiming(Struct, array_like=True, frozen=True):
     """How an item ran at a replica, in ms."""
@@ -159,6 +162,15 @@
     """As in ``Served``."""
 
 
+class WorkCorrection(Struct, array_like=True, frozen=True):
+    """Slot time that items of a tenant took beyond what was expected when they were granted."""
+
+    tenant: str
+    rank: int
+    more_ms: int
+    """Negative: less, also where they gave way."""
+
+
 class Report(Struct, tag="report", array_like=True):
     """The state of a node, and what it wants to know.
 
@@ -209,6 +221,9 @@
     fullness_percent: int = 0
     """How much of what the node's machine can carry is in use, by whatever is scarcest there."""
 
+    corrections: list[WorkCorrection] = []
+    """Those since the last report; none where nobody shares by tenant."""
+
     @property
     def incarnation(self) -> str:
         """The name under which the process owns jobs."""
@@ -234,6 +249,9 @@
     reading_ms: int = 0
     """Time that the replica needed for prompts which were sent before."""
 
+    ahead_ms: int = 0
+    """With RETURN: slot time by which its tenant is ahead of others, where that is the reason."""
+
 
 class Contact(Struct, array_like=True, frozen=True):
     """Where a node is reached."""
@@ -297,6 +315,9 @@
     cases_digest: int = 0
     """Digest of the sender's cases, as in a report."""
 
+    grants_by_tenant: dict[str, dict[str, int]] = {}
+    """Whose items the grants are for, by replica; what it leaves out is for any item."""
+
 
 class RouteFigures(Struct, array_like=True, frozen=True):
     """What was learnt of a route's requests."""
@@ -339,6 +360,9 @@
     used_shares: dict[str, float] = {}
     """Slot time that tenants have had ahead of others, in ms, by tenant."""
 
+    used_item_shares: dict[str, float] = {}
+    """The same for their items."""
+
 
 class RemovedReplica(Struct, array_like=True, frozen=True):
     """A replica that is gone as of a version."""
--- a/src/cloverwalk/gateway/refusals.py
+++ b/src/cloverwalk/gateway/refusals.py
@@ -1,6 +1,7 @@
 """Why an online request ends with an answer of this node's own, and when its caller may return."""
 
 from cloverwalk.core.final_answer import Reason
+from cloverwalk.fleet.messages import Placement
 from cloverwalk.gateway.errors import GatewayError
 from cloverwalk.telemetry.tenant_metrics import TenantOutcome
 
@@ -10,6 +11,8 @@
 
 OVER_QUOTA = TenantOutcome.OVER_QUOTA
 CONTAINED = "request_contained"
+OVER_SHARE = "over_share"
+NO_TIME = "no_time_left"
 
 
 def out_of_time() -> GatewayError:
@@ -28,6 +31,17 @@
     return GatewayError(Reason.UNAVAILABLE, "crowded", message, retry_after_s)
 
 
+def too_little_room(placement: Placement) -> GatewayError:
+    """Return the refusal of a request that found too little room, and why it was this one."""
+    if placement.retry_after_s <= 0:
+        message = "all slots are taken for longer than the caller waits"
+        return GatewayError(Reason.UNAVAILABLE, NO_TIME, message)
+    if placement.ahead_ms > 0:
+        message = f"the tenant has had {placement.ahead_ms} ms of slot time more than others"
+        return GatewayError(Reason.UNAVAILABLE, OVER_SHARE, message, placement.retry_after_s)
+    return crowded(placement.retry_after_s)
+
+
 def no_replica(code: str, last_failure: str) -> GatewayError:
     """Return the refusal where no replica takes a request."""
     message = last_failure or "no replica takes the request now"
--- a/src/cloverwalk/gateway/relay.py
+++ b/src/cloverwalk/gateway/relay.py
@@ -128,7 +128,7 @@
             self._check_remembered(ask)
             place = await self._link.place(ask, request.received_at + LONGEST_HOLD_S)
             if place.verdict is Verdict.RETURN:
-                raise refusals.crowded(place.placement.retry_after_s)
+                raise refusals.too_little_room(place.placement)
             if place.verdict is Verdict.NONE:
                 raise refusals.no_replica("no_replica", progress.last_failure)
             if place.verdict is Verdict.OVER_QUOTA:
@@ -308,12 +308,12 @@
             await self._answers.relay_stream(request, progress, connection, head, reply)
         else:
             await self._answers.relay_plain(request, progress, connection, head, reply)
-        self._learn(progress)
+        self._learn(request, progress)
         self._containment.note_answer(request)
         self._note_end(request, progress, "answered", head.status)
         return head
 
-    def _learn(self, progress: RequestProgress) -> None:
+    def _learn(self, request: ClientRequest, progress: RequestProgress) -> None:
         """Tell the times of a request that was answered at its first attempt."""
         if progress.sent_at is None or progress.tried or progress.refused:
             return
@@ -326,6 +326,7 @@
             round((began_at - progress.sent_at) * 1000),
             round((now - holds_since) * 1000),
             round(progress.expected_wait_ms),
+            tenant=request.tenant,
         )
         self._link.note_served(served)
 
--- a/src/cloverwalk/jobs/order.py
+++ b/src/cloverwalk/jobs/order.py
@@ -4,23 +4,17 @@
 priority in front. Items that can't be in time any more come last.
 """
 
-from collections.abc import Iterable
+from collections import Counter
+from collections.abc import Iterable, Mapping, Sequence
 
 import attrs
+import msgspec
 
 from cloverwalk.fleet.messages import WaitingGroup
-
-DUE_STEP_MS = 250
-"""Due times are told in steps of this length."""
-
-LATE_STEP = 1 << 50
-"""Step of items that can't be in time any more: behind all others."""
-
-PRIORITY_STEP = 1 << 40
-"""Step between items of tenants of one rank and the next; due times are far below it."""
+from cloverwalk.scheduling.due_steps import DUE_STEP_MS, LATE_STEP, PRIORITY_STEP
 
 MAX_GROUPS = 12
-"""Groups of one pool that are told; items that are due later join the last of them."""
+"""Groups of one pool that are told; items that are due later join the last of their tenant."""
 
 
 @attrs.frozen
@@ -32,6 +26,8 @@
     replica_id: str
     reading_ms: float
     priority: int = 0
+    tenant: str = ""
+    rest_ms: float = 0.0
 
     @property
     def due_step(self) -> int:
@@ -47,15 +43,50 @@
     >>> summarise(items) == [WaitingGroup(32, 2, reading_ms=6)]
     True
     """
-    by_key: dict[tuple[int, str], list[float]] = {}
+    by_key: dict[tuple[int, str, str], list[WaitingItem]] = {}
     for one in items:
-        by_key.setdefault((one.due_step, one.replica_id), []).append(one.reading_ms)
-    groups = [
-        WaitingGroup(step, len(reading), replica_id, round(sum(reading) / len(reading)))
-        for (step, replica_id), reading in sorted(by_key.items())
-    ]
+        by_key.setdefault((one.due_step, one.replica_id, one.tenant), []).append(one)
+    groups = [_group(key, ones) for key, ones in sorted(by_key.items())]
     if len(groups) <= MAX_GROUPS:
         return groups
     told, rest = groups[: MAX_GROUPS - 1], groups[MAX_GROUPS - 1 :]
-    count = sum(one.items for one in rest)
-    return [*told, WaitingGroup(rest[0].due_step, count, "", rest[0].reading_ms)]
+    first_by_tenant: dict[str, WaitingGroup] = {}
+    items_by_tenant: Counter[str] = Counter()
+    for group in rest:
+        first_by_tenant.setdefault(group.tenant, group)
+        items_by_tenant[group.tenant] += group.items
+    return [
+        *told,
+        *(
+            msgspec.structs.replace(group, items=items_by_tenant[tenant], replica_id="")
+            for tenant, group in first_by_tenant.items()
+        ),
+    ]
+
+
+def _group(key: tuple[int, str, str], items: list[WaitingItem]) -> WaitingGroup:
+    step, replica_id, tenant = key
+    reading_ms = round(sum(one.reading_ms for one in items) / len(items))
+    rest_ms = round(sum(one.rest_ms for one in items) / len(items))
+    return WaitingGroup(step, len(items), replica_id, reading_ms, tenant, rest_ms)
+
+
+def pick(tenants: Sequence[str], count: int, granted: Mapping[str, int]) -> list[int]:
+    """Return which of the waiting items start, by index; ``tenants`` are theirs, in their order.
+
+    Each tenant's first items start in the slots that were granted for it. A slot that its tenant
+    has no item for any more goes to the first of the others, so none stays free.
+
+    >>> pick(["a", "a", "b", "b"], 2, {"b": 1, "a": 1}), pick(["a", "a", "b"], 2, {"c": 1})
+    ([0, 2], [0, 1])
+    """
+    left = Counter(granted)
+    first: list[int] = []
+    others: list[int] = []
+    for index, tenant in enumerate(tenants):
+        if left[tenant] > 0:
+            left[tenant] -= 1
+            first.append(index)
+        else:
+            others.append(index)
+    return [*first, *others][:count]
--- a/src/cloverwalk/jobs/runner.py
+++ b/src/cloverwalk/jobs/runner.py
@@ -15,7 +15,7 @@
 from cloverwalk.gateway.replicas import Replica, ReplicaDirectory
 from cloverwalk.jobs.evidence import Impossible, ItemEnd, RouteWatch, past_retention
 from cloverwalk.jobs.item_call import ItemCaller, ItemFailedError, ItemImpossibleError
-from cloverwalk.jobs.order import WaitingItem, summarise
+from cloverwalk.jobs.order import WaitingItem, pick, summarise
 from cloverwalk.jobs.pace import ItemPace
 from cloverwalk.jobs.run import ItemRun, JobRun, Phase
 from cloverwalk.scheduling.selection import reading_ms
@@ -40,6 +40,9 @@
         self.replica_id = work.replica_id
         self.started_at = started_at
         self.task: Any = None
+        self.expected_ms = 0.0
+        """Slot time that it was expected to take when it was granted its slot."""
+
         self.gives_way = False
         """Whether it was told to give way: its work is not counted any more."""
 
@@ -188,7 +191,11 @@
         replica_id = one.replica_id if self._directory.find(one.replica_id) else ""
         order_ms = self._pace.order_ms(one, due_ms)
         priority = self._priority(job)
-        return WaitingItem(order_ms, can_be_in_time, replica_id, self._reading_ms(one), priority)
+        waiting = WaitingItem(order_ms, can_be_in_time, replica_id, self._reading_ms(one), priority)
+        if not self._configuration.has_tenants:
+            return waiting
+        rest_ms = self._pace.remaining_s(one) * 1000
+        return attrs.evolve(waiting, tenant=job.record.tenant, rest_ms=rest_ms)
 
     def _priority(self, job: JobRun) -> int:
         """Return the rank of a job: its tenant's, or its route's."""
@@ -261,18 +268,27 @@
 
     async def take_grants(self, grants: dict[str, int]) -> None:
         """Start as many items at each replica as there are slots for them."""
+        await self.take_tenant_grants(grants, {})
+
+    async def take_tenant_grants(
+        self, grants: dict[str, int], by_tenant: dict[str, dict[str, int]]
+    ) -> None:
+        """Start items at replicas: of the tenants that were granted slots, then any others."""
         if self.is_stopping:
             return
         for replica_id, count in grants.items():
             replica = self._directory.find(replica_id)
             if replica is None:
                 continue
-            for job, one in self._first_waiting(replica, count):
+            waiting = self._waiting_for(replica)
+            tenants = [job.record.tenant for job, _ in waiting]
+            for index in pick(tenants, count, by_tenant.get(replica_id, {})):
+                job, one = waiting[index]
                 await self._start(job, one, replica)
         await self._wake.set()
 
-    def _first_waiting(self, replica: Replica, count: int) -> list[tuple[JobRun, ItemRun]]:
-        """Return the items that come first, of those due together the ones of this replica."""
+    def _waiting_for(self, replica: Replica) -> list[tuple[JobRun, ItemRun]]:
+        """Return the items in their order, of those due together the ones of this replica first."""
         ranked: list[tuple[tuple[int, bool, float], JobRun, ItemRun]] = []
         for job in self.jobs.values():
             if replica.service not in self._services(job):
@@ -282,7 +298,7 @@
                 is_elsewhere = told.replica_id not in ("", replica.replica_id)
                 ranked.append(((told.due_step, is_elsewhere, told.due_ms), job, one))
         ranked.sort(key=lambda entry: entry[0])
-        return [(job, one) for _, job, one in ranked[:count]]
+        return [(job, one) for _, job, one in ranked]
 
     async def take_revokes(self, revokes: dict[str, int]) -> None:
         """Suspend items at replicas, where online requests need their slots."""
@@ -300,6 +316,7 @@
         job.begin(one, replica.replica_id, now)
         work = self._loads.begin(replica.replica_id, is_batch=True)
         running = _Running(job, one, work, now)
+        running.expected_ms = self._pace.remaining_s(one) * 1000
         self._running[job.job_id, one.index] = running
         self._log.write(
             catalogue.ITEM_STARTED,
@@ -361,6 +378,7 @@
         self._running.pop((job.job_id, one.index), None)
         one.last_run_s = self._clock() - running.started_at
         one.ran_s += one.last_run_s
+        self._note_correction(running)
         one.suspensions += outcome == "suspended"
         if one.phase is Phase.RUNNING:
             pause_s = 0.0 if outcome == "suspended" else RETRY_S
@@ -384,6 +402,14 @@
         self._has_ended = True
         await self._wake.set()
 
+    def _note_correction(self, running: _Running) -> None:
+        """Tell what the run took beyond what its tenant was charged for it."""
+        if not self._configuration.has_tenants:
+            return
+        tenant, rank = running.job.record.tenant, self._priority(running.job)
+        more_ms = running.one.last_run_s * 1000 - running.expected_ms
+        self._link.note_correction(tenant, rank, round(more_ms))
+
     def _note_lateness(self, job: JobRun, one: ItemRun) -> str | None:
         """Return why a finished item is late; None for one in time, or not finished."""
         if one.phase is not Phase.FINISHED or one.end is not None:
--- a/src/cloverwalk/scheduling/batch.py
+++ b/src/cloverwalk/scheduling/batch.py
@@ -1,17 +1,24 @@
 """Slots for batch items: granted in one order over the fleet, revoked for online requests."""
 
 from collections import Counter
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Iterator
+from heapq import heapify, heappop, heapreplace
 
 import attrs
 import msgspec
 
 from cloverwalk.fleet.messages import Waiting, WaitingGroup
 from cloverwalk.scheduling.decisions import Outbox
+from cloverwalk.scheduling.due_steps import band_of, rank_of
+from cloverwalk.scheduling.fair_shares import FairShares
+from cloverwalk.scheduling.features import Feature, Features
 from cloverwalk.scheduling.replica_view import ReplicaView
 from cloverwalk.scheduling.share import kept_free, must_yield
 from cloverwalk.scheduling.slot_book import SlotBook
 
+FIRST_GUESS_ITEM_MS = 2000.0
+"""Slot time of an item whose node has not told it; what it took is told at its end."""
+
 
 @attrs.define
 class _Claim:
@@ -26,6 +33,16 @@
         """What items over the fleet are sorted by."""
         return (self.group.due_step, self.node, self.group.replica_id)
 
+    @property
+    def band(self) -> int:
+        """Its lateness and rank: claims of one band may be ordered by shares."""
+        return band_of(self.group.due_step)
+
+    @property
+    def work_ms(self) -> float:
+        """The slot time that one of its items is expected to take."""
+        return float(self.group.rest_ms or FIRST_GUESS_ITEM_MS)
+
 
 class BatchGrants:
     """Grants and revokes."""
@@ -36,7 +53,10 @@
         book: SlotBook,
         outbox: Outbox,
         arrivals_per_s: Callable[[str, float], float],
+        features: Features,
     ) -> None:
+        self._features = features
+        self.shares = FairShares()
         self._replicas = replicas
         self._book = book
         self._outbox = outbox
@@ -54,7 +74,7 @@
             return
         granted = self._book.granted(node)
         self._waiting[node] = {
-            pool: _without_first(groups, granted) if granted else groups
+            pool: _without_granted(groups, granted) if granted else groups
             for pool, groups in waiting.items()
         }
 
@@ -97,7 +117,7 @@
             self._grant(pool, changed, now)
 
     def _grant(self, pool: str, changed: list[str], now: float) -> None:
-        """Give free slots to the items of a pool, those due first in front."""
+        """Give free slots to the items of a pool, one by one in their order."""
         services = pool.split(",")
         all_usable = self._replicas.usable(services)
         usable = self._replicas.sample(all_usable, changed)
@@ -109,17 +129,19 @@
         zones = {one.replica_id: one.zone for one in usable}
         may_read = self._replicas.may_read
         open_ids = {key for key in room if room[key] > 0 and may_read(key, now)}
-        for claim in self._claims(pool):
-            while claim.left > 0 and free > 0 and open_ids:
-                replica_id = self._best(claim, open_ids, room, zones)
-                self._grant_one(claim, replica_id, now)
-                free -= 1
-                room[replica_id] -= 1
-                if room[replica_id] <= 0 or not may_read(replica_id, now):
-                    open_ids.discard(replica_id)
-            self._leave(claim)
+        claims = self._claims(pool)
+        for claim in self._in_order(claims) if open_ids else ():
+            replica_id = self._best(claim, open_ids, room, zones)
+            self._grant_one(claim, replica_id, now)
+            free -= 1
+            room[replica_id] -= 1
+            if room[replica_id] <= 0 or not may_read(replica_id, now):
+                open_ids.discard(replica_id)
             if free <= 0 or not open_ids:
-                return
+                break
+        for claim in claims:
+            if claim.left < claim.group.items:
+                self._leave(claim)
 
     def _kept_free(self, pool: str, now: float) -> int:
         """Return how many slots the items of a pool leave free."""
@@ -153,6 +175,49 @@
         ]
         return sorted(claims, key=_Claim.rank)
 
+    def _in_order(self, claims: list[_Claim]) -> Iterator[_Claim]:
+        """Yield the claim whose item gets the next slot, until all are granted."""
+        if self._features.is_on(Feature.FAIR_SHARES):
+            yield from self._by_shares(claims)
+            return
+        for claim in claims:
+            while claim.left > 0:
+                yield claim
+
+    def _by_shares(self, claims: list[_Claim]) -> Iterator[_Claim]:
+        """Yield claims by band, then by their tenants' shares, then by due time.
+
+        What is yielded is granted; it is charged before.
+        """
+        lines: dict[tuple[int, str], list[_Claim]] = {}
+        for claim in claims:
+            lines.setdefault((claim.band, claim.group.tenant), []).append(claim)
+        for line in lines.values():
+            line.reverse()
+        heap = [self._place(line) for line in lines.values()]
+        heapify(heap)
+        while heap:
+            band, _, rank, tenant = heap[0]
+            line = lines[band, tenant]
+            claim = line[-1]
+            if claim.left <= 0:
+                line.pop()
+            else:
+                waiting = [other for in_band, _, _, other in heap if in_band == band]
+                share_rank = rank_of(claim.group.due_step)
+                self.shares.charge(share_rank, tenant, claim.work_ms, waiting)
+                yield claim
+            if line:
+                heapreplace(heap, self._place(line))
+            else:
+                heappop(heap)
+
+    def _place(self, line: list[_Claim]) -> tuple[int, int, tuple[int, str, str], str]:
+        """Return what the lines of tenants are sorted by; the next claim of one stands last."""
+        claim = line[-1]
+        step = self.shares.step(rank_of(claim.group.due_step), claim.group.tenant)
+        return (claim.band, step, claim.rank(), claim.group.tenant)
+
     def _best(
         self, claim: _Claim, open_ids: set[str], room: dict[str, int], zones: dict[str, str]
     ) -> str:
@@ -167,7 +232,12 @@
         claim.left -= 1
         decisions = self._outbox.of(claim.node)
         decisions.grants[replica_id] = decisions.grants.get(replica_id, 0) + 1
-        self._book.expect(claim.node, decisions.number, replica_id, batch=1, now=now)
+        tenant = claim.group.tenant
+        if tenant:
+            by_tenant = decisions.grants_by_tenant.setdefault(replica_id, {})
+            by_tenant[tenant] = by_tenant.get(tenant, 0) + 1
+        number = decisions.number
+        self._book.expect(claim.node, number, replica_id, batch=1, tenant=tenant, now=now)
         self._replicas.note_reading(replica_id, float(claim.group.reading_ms), now)
 
     def _leave(self, claim: _Claim) -> None:
@@ -182,16 +252,17 @@
     return msgspec.structs.replace(group, items=items)
 
 
-def _without_first(groups: list[WaitingGroup], count: int) -> list[WaitingGroup]:
-    """Return groups without their first items.
+def _without_granted(groups: list[WaitingGroup], granted: Counter[str]) -> list[WaitingGroup]:
+    """Return groups without the first items of the tenants that were granted slots.
 
-    >>> _without_first([WaitingGroup(1, 2), WaitingGroup(2, 5)], 3) == [WaitingGroup(2, 4)]
-    True
+    >>> _without_granted([WaitingGroup(1, 2), WaitingGroup(2, 5)], Counter({"": 3}))
+    [WaitingGroup(due_step=2, items=4, replica_id='', reading_ms=0, tenant='', rest_ms=0, tokens=0)]
     """
+    left = Counter(granted)
     kept: list[WaitingGroup] = []
     for group in groups:
-        taken = min(count, group.items)
-        count -= taken
+        taken = min(left[group.tenant], group.items)
+        left[group.tenant] -= taken
         if taken < group.items:
             kept.append(_with_items(group, group.items - taken))
     return kept
--- a/src/cloverwalk/scheduling/decisions.py
+++ b/src/cloverwalk/scheduling/decisions.py
@@ -13,6 +13,7 @@
     placements: list[Placement] = attrs.Factory(list)
     grants: dict[str, int] = attrs.Factory(dict)
     revokes: dict[str, int] = attrs.Factory(dict)
+    grants_by_tenant: dict[str, dict[str, int]] = attrs.Factory(dict)
 
 
 class Outbox:
--- a/src/cloverwalk/scheduling/features.py
+++ b/src/cloverwalk/scheduling/features.py
@@ -28,6 +28,9 @@
     NODE_CAPACITY = "node_capacity"
     """A node turns requests away before its machine is full."""
 
+    OVERLOAD_ORDER = "overload_order"
+    """Waiting requests go by what is lost if they wait; hopeless ones are refused at once."""
+
 
 @attrs.frozen
 class FeatureState:
@@ -93,6 +96,8 @@
                 return self._memory()
             case Feature.NODE_CAPACITY:
                 return self._capacity()
+            case Feature.OVERLOAD_ORDER:
+                return self._order()
 
     def _pace(self) -> FeatureState:
         feature = Feature.REPLICA_PACE
@@ -107,6 +112,14 @@
             return FeatureState(feature, True, "the configuration names tenants")
         return FeatureState(feature, False, "the configuration names no tenants")
 
+    def _order(self) -> FeatureState:
+        feature = Feature.OVERLOAD_ORDER
+        if self._configuration.has_tenants:
+            return FeatureState(feature, True, "the configuration names tenants")
+        if self._tells_pace:
+            return FeatureState(feature, True, "replicas tell their pace")
+        return FeatureState(feature, False, "no tenants are named, and no replica tells its pace")
+
     def _memory(self) -> FeatureState:
         feature = Feature.REPLICA_MEMORY
         if not self._is_memory_scarce:
--- a/src/cloverwalk/scheduling/scheduler.py
+++ b/src/cloverwalk/scheduling/scheduler.py
@@ -52,10 +52,13 @@
             self.quotas,
             ledger,
             random,
+            self.features,
         )
         self._batch = BatchGrants(
-            self._replicas, self.book, self._outbox, self._online.arrivals_per_s
+            self._replicas, self.book, self._outbox, self._online.arrivals_per_s, self.features
         )
+        self.shares = self._online.shares
+        self.item_shares = self._batch.shares
 
     def hear(self, report: Report, now: float) -> None:
         """Take a node's state and its asks, and decide what follows."""
@@ -66,7 +69,10 @@
         for number in report.withdrawn:
             self._online.withdraw(node, number, now)
         for served in report.served:
+            self._online.correct(served)
             self._learn(served)
+        for one in report.corrections:
+            self.item_shares.correct(one.rank, one.tenant, one.more_ms)
         for ask in report.asks:
             replica_id = self._online.answer(node, report.zone, ask, now)
             if replica_id:
--- a/src/cloverwalk/scheduling/slot_book.py
+++ b/src/cloverwalk/scheduling/slot_book.py
@@ -4,6 +4,7 @@
 reported yet counts besides. Sums by replica are kept up to date with each change.
 """
 
+from collections import Counter
 from typing import NamedTuple
 
 import attrs
@@ -34,6 +35,8 @@
     online: int
     batch: int
     made_at: float
+    tenant: str = ""
+    """Whose item a grant is for, where tenants share."""
 
 
 @attrs.define
@@ -88,11 +91,12 @@
         *,
         online: int = 0,
         batch: int = 0,
+        tenant: str = "",
         now: float,
     ) -> None:
         """Count a decision until its node reports that it has settled it."""
         work = self._work.setdefault(node, _NodeWork())
-        work.unsettled.append(_Decision(number, replica_id, online, batch, now))
+        work.unsettled.append(_Decision(number, replica_id, online, batch, now, tenant))
         self._change(replica_id, online, batch)
 
     def forget(self, node: str) -> set[str]:
@@ -177,7 +181,11 @@
         items = 0 if load is None else load.batch
         return items + sum(one.batch for one in work.unsettled if one.replica_id == replica_id)
 
-    def granted(self, node: str) -> int:
-        """Return how many items a node was told to start and has not reported yet."""
+    def granted(self, node: str) -> Counter[str]:
+        """Return how many items a node was told to start and has not reported yet, by tenant."""
+        granted: Counter[str] = Counter()
         work = self._work.get(node)
-        return 0 if work is None else sum(max(0, one.batch) for one in work.unsettled)
+        for one in [] if work is None else work.unsettled:
+            if one.batch > 0:
+                granted[one.tenant] += one.batch
+        return granted
--- a/tests/serving/test_scheduler.py
+++ b/tests/serving/test_scheduler.py
@@ -25,6 +25,7 @@
 from cloverwalk.scheduling.scheduler import Scheduler
 from cloverwalk.scheduling.service_times import ServiceTimes
 from cloverwalk.scheduling.slot_book import UNSETTLED_S, SlotBook
+from cloverwalk.tenants.directory import Tenant
 
 SLOTS = 8
 POOL = "model"
@@ -79,7 +80,9 @@
 class Fleet:
     """A scheduler, replicas and nodes, with time by hand."""
 
-    def __init__(self, replicas: int = 2, nodes: int = 3, zones: int = 1) -> None:
+    def __init__(
+        self, replicas: int = 2, nodes: int = 3, zones: int = 1, tenants: tuple[Tenant, ...] = ()
+    ) -> None:
         self.now = 100.0
         self.directory = ReplicaDirectory()
         for number in range(replicas):
@@ -89,7 +92,7 @@
             )
         holder = ConfigurationHolder()
         routes = (online_route("chat"), online_route("patient", priority=1))
-        holder.offer(Configuration(1, routes, {}, ClientLimits()))
+        holder.offer(Configuration(1, routes, {}, ClientLimits(), tenants or None))
         self.scheduler = Scheduler(
             self.directory,
             holder,
