--- a/src/cloverwalk/core/catalogue.py
+++ b/src/cloverwalk/core/catalogue.py
@@ -112,6 +112,12 @@
 SLOT_TIME = _event(
     430, "slot_time", _I, "Slot-seconds of the replicas since the last such line, by use."
 )
+TENANTS_HELD_BACK = _event(
+    440,
+    "tenants_held_back",
+    _I,
+    "Requests were sent away since their tenants had more than others.",
+)
 FEED_LOST = _event(510, "feed_lost", _W, "A table of the store can't be followed.")
 FEED_BACK = _event(511, "feed_back", _I, "A table of the store is followed again.")
 HISTORY_LOST = _event(512, "history_lost", _W, "Changes of a table are gone; it is read anew.")
--- a/src/cloverwalk/serving/fleet_parts.py
+++ b/src/cloverwalk/serving/fleet_parts.py
@@ -16,6 +16,7 @@
 from cloverwalk.scheduling.features import Features, FeatureState
 from cloverwalk.scheduling.scheduler import Scheduler
 from cloverwalk.scheduling.service_times import ServiceTimes
+from cloverwalk.scheduling.share_watch import HeldBack, ShareWatch
 from cloverwalk.scheduling.slot_time import SlotUse
 from cloverwalk.scheduling.slot_watch import SlotWatch
 from cloverwalk.serving.knowledge import FleetKnowledge
@@ -94,7 +95,9 @@
             clock,
         )
         self.slots = SlotWatch(self.scheduler, self._note_slot_time)
-        self.coordinator.on_tick = self.slots.tick
+        shares, item_shares = self.scheduler.shares, self.scheduler.item_shares
+        self.shares = ShareWatch(shares, item_shares, self._note_held_back)
+        self.coordinator.on_tick = self._tick
         self.coordinator.deliver_locally = self._deliver_locally
         self.link.on_placed = knowledge.startup.note_placed
         self.election = Election(
@@ -112,6 +115,18 @@
         self._take_leadership = self.link.on_leadership
         self.link.on_leadership = self._on_leadership
 
+    def _tick(self, now: float) -> None:
+        self.slots.tick(now)
+        self.shares.tick(now)
+
+    def _note_held_back(self, held_back: HeldBack) -> None:
+        self._log.write(
+            catalogue.TENANTS_HELD_BACK,
+            tenants=held_back.by_tenant,
+            others=held_back.others,
+            bad_figures=held_back.bad_figures,
+        )
+
     def _note_slot_time(self, uses: dict[SlotUse, float]) -> None:
         told = {use.value: round(seconds, 2) for use, seconds in uses.items() if seconds > 0}
         self._log.write(catalogue.SLOT_TIME, **told)
--- a/src/cloverwalk/serving/node.py
+++ b/src/cloverwalk/serving/node.py
@@ -339,6 +339,7 @@
         known = len(coordinator.roster.live()) if coordinator.is_active else 0
         uses = self._fleet.slots.time.seconds
         metrics.slot_seconds = {use.value: seconds for use, seconds in uses.items()}
+        metrics.share_ms = self._fleet.shares.slot_ms()
         metrics.gauge("cloverwalk_coordinator_term", "Term followed", self._fleet.leader.term)
         metrics.gauge("cloverwalk_coordinated_nodes", "Nodes that report here", known)
         content_type = (b"Content-Type", b"text/plain; version=0.0.4")
--- a/src/cloverwalk/telemetry/metrics.py
+++ b/src/cloverwalk/telemetry/metrics.py
@@ -57,6 +57,9 @@
         self.directory = TenantDirectory()
         """The tenants in force, whose quotas are told."""
 
+        self.share_ms: Mapping[tuple[str, str], int] = {}
+        """Slot time that tenants were given, by work and by whether they were ahead of others."""
+
         self.slot_seconds: Mapping[str, float] = {}
         """Slot-seconds of the replicas by use, as counted by this node while it coordinated."""
 
@@ -134,6 +137,14 @@
         for use, seconds in self.slot_seconds.items():
             slots.add_metric([use], seconds)
         yield slots
+        shares = CounterMetricFamily(
+            "cloverwalk_share_slot_ms",
+            "Slot time expected when work got its slot, by work and by its tenant's share",
+            labels=["work", "share"],
+        )
+        for (work, share), slot_ms in self.share_ms.items():
+            shares.add_metric([work, share], slot_ms)
+        yield shares
         for name, help_text, counts, label in (
             ("cloverwalk_attempt_failures", "Failed attempts", self._failures, "code"),
             ("cloverwalk_items", "Ended runs of items", self._items, "outcome"),
