--- a/src/cloverwalk/scheduling/online.py
+++ b/src/cloverwalk/scheduling/online.py
@@ -131,6 +131,9 @@
         self._squeezed_at: dict[int, float] = {}
         """When a request of a tenant within its share last found too little room, by rank."""
 
+        self._ahead_at: dict[int, float] = {}
+        """When a request of a tenant ahead of its share last came, by rank."""
+
         self._quotas = quotas
         self._ledger = ledger
         self._replicas = replicas
@@ -340,7 +343,12 @@
         if not self.shares.is_ahead(rank, tenant):
             if verdict is not Verdict.SEND:
                 self._squeezed_at[rank] = now
+            is_other_ahead = now - self._ahead_at.get(rank, float("-inf")) < CROWD_OVER_S
+            if verdict is Verdict.RETURN and is_other_ahead and held.line not in self._lines:
+                # It gets the next free slot before the tenant that is ahead.
+                verdict = Verdict.HOLD
             return verdict, 0
+        self._ahead_at[rank] = now
         if now - self._squeezed_at.get(rank, float("-inf")) >= CROWD_OVER_S:
             return verdict, 0
         if verdict is Verdict.SEND:
--- a/tests/serving/test_tenant_shares.py
+++ b/tests/serving/test_tenant_shares.py
@@ -95,6 +95,16 @@
     assert fleet.verdict(1, fleet.ask(1, tenant="other", **more)) is Verdict.SEND
 
 
+def test_while_one_tenant_is_ahead_each_other_one_has_a_request_that_waits() -> None:
+    fleet = busy_fleet()
+    for _ in range(4):
+        fleet.scheduler.shares.charge(0, "hot", 2000.0, ["small"])
+    late: dict[str, Any] = {"objective_left_ms": LATE_MS}
+    assert fleet.verdict(1, fleet.ask(1, tenant="hot", **late)) is Verdict.RETURN
+    verdicts = [fleet.verdict(1, fleet.ask(1, tenant="small", **late)) for _ in range(2)]
+    assert verdicts == [Verdict.HOLD, Verdict.RETURN]
+
+
 def test_what_is_hopeless_is_refused_at_once_without_a_time_to_come_back() -> None:
     fleet = busy_fleet()
     fleet.nodes[0].online["r0"] = 40 * SLOTS
