--- a/src/cloverwalk/core/fair_share.py
+++ b/src/cloverwalk/core/fair_share.py
@@ -65,6 +65,11 @@
         """
         start = self._start_time(key)
         reached = start - self._most_ahead
+        if reached <= self._system_time and self._most_ahead > 0:
+            # Nobody moves up, and the class is not beyond what is held against it.
+            self._finish[key] = start + cost / weight
+            self._forget_idle()
+            return
         finish = self._finish
         least = min([finish.get(one, 0.0) for one in waiting], default=start)
         behind = max(self._system_time, least)
--- a/src/cloverwalk/scheduling/fair_shares.py
+++ b/src/cloverwalk/scheduling/fair_shares.py
@@ -57,9 +57,6 @@
         self.held_back: Counter[str] = Counter()
         """Requests that were sent away for shares, by tenant, until ``take_held_back``."""
 
-        self.version = 0
-        """Goes up with each change of the order."""
-
         self.dropped = 0
         """Bad figures that were left out."""
 
@@ -94,14 +91,12 @@
 
     def charge(self, rank: int, tenant: str, work_ms: float, waiting: Iterable[str]) -> None:
         """A tenant's work gets a slot for an expected time; ``waiting`` are tenants that wait."""
-        self.version += 1
         work_ms = self._sane(work_ms)
         self.slot_ms["ahead" if self.is_ahead(rank, tenant) else "within"] += round(work_ms)
         self._of(rank).charge(tenant, work_ms, EQUAL_WEIGHT, waiting)
 
     def correct(self, rank: int, tenant: str, more_ms: float) -> None:
         """A tenant's work took so much more than was expected; a negative figure is less."""
-        self.version += 1
         sign = -1 if more_ms < 0 else 1
         self._of(rank).correct(tenant, sign * self._sane(abs(more_ms)), EQUAL_WEIGHT)
 
@@ -129,6 +124,5 @@
 
     def take_used(self, used: Mapping[str, float]) -> None:
         """Take the coordinator's count in place of an own one."""
-        self.version += 1
         self._told = {tenant: self._sane(by_ms) for tenant, by_ms in used.items()}
         self._by_rank.clear()
--- a/src/cloverwalk/scheduling/features.py
+++ b/src/cloverwalk/scheduling/features.py
@@ -58,6 +58,10 @@
         self._is_memory_scarce = is_memory_scarce
         self._tells_pace: set[str] = set()
         self._known: dict[Feature, FeatureState] = {}
+        self._found: dict[Feature, bool] = {}
+        """Which parts are on under ``_found_for``."""
+
+        self._found_for: Configuration | None = None
         self.on_change: Callable[[FeatureState], None] = _nobody
 
     def note_told_pace(self, service: str) -> None:
@@ -65,6 +69,7 @@
         if service in self._tells_pace:
             return
         self._tells_pace.add(service)
+        self._found.clear()
         self.look()
 
     def tells_pace(self, service: str) -> bool:
@@ -72,8 +77,15 @@
         return service in self._tells_pace
 
     def is_on(self, feature: Feature) -> bool:
-        """Whether a part is in force."""
-        return self._state(feature).is_on
+        """Whether a part is in force; decisions ask many times, so what was found is kept."""
+        current = self._configuration.current
+        if current is not self._found_for:
+            self._found_for = current
+            self._found.clear()
+        found = self._found.get(feature)
+        if found is None:
+            found = self._found[feature] = self._state(feature).is_on
+        return found
 
     def states(self) -> list[FeatureState]:
         """Return all parts, in the order of their declaration."""
--- a/src/cloverwalk/scheduling/online.py
+++ b/src/cloverwalk/scheduling/online.py
@@ -100,9 +100,6 @@
     """The held request that comes first, and for how long that holds."""
 
     held: _Held
-    version: int
-    """That of the shares."""
-
     until: float
     """When it becomes late."""
 
@@ -234,17 +231,19 @@
         yield from self._in_order(now)
 
     def _first(self, now: float) -> _Held | None:
-        """Return the held request that comes first; it is looked for when that may have changed.
+        """Return the held request that comes first.
 
-        Without this a decision with 200 held requests took half as long again.
+        It stays that until it is placed or late, its tenant is charged, or one comes that goes
+        before it. What changes of other tenants' shares meanwhile counts for the next one; looking
+        each time made a decision with 200 held requests a quarter longer.
         """
         known = self._known_first
-        if known is not None and known.version == self.shares.version and now <= known.until:
+        if known is not None and now <= known.until:
             return known.held
         held = self._find_first(now)
         if held is not None:
             until = held.late_at if now <= held.late_at else float("inf")
-            self._known_first = _First(held, self.shares.version, until)
+            self._known_first = _First(held, until)
         return held
 
     def _find_first(self, now: float) -> _Held | None:
@@ -389,7 +388,8 @@
         key = (held.node, held.ask.number)
         if key not in self._held:
             self._held[key] = held
-            if self._is_first(held, now):
+            known = self._known_first
+            if known is not None and self._place_of(held, now) < self._place_of(known.held, now):
                 self._known_first = None
             self._lines.setdefault(held.line, {})[key] = held
             placement = Placement(held.ask.number, Verdict.HOLD)
@@ -422,7 +422,10 @@
         """Count the slot time that a request is expected to take to its tenant."""
         if self._features.is_on(Feature.FAIR_SHARES):
             rank, work_ms = held.priority, self._times.hold_ms(held.ask.route)
-            waiting = [tenant for of_rank, tenant in self._lines if of_rank == rank]
+            known = self._known_first
+            if known is not None and known.held.line == held.line:
+                self._known_first = None
+            waiting = (tenant for of_rank, tenant in self._lines if of_rank == rank)
             self.shares.charge(rank, held.ask.tenant, work_ms, waiting)
 
     def correct(self, served: Served) -> None:
@@ -441,8 +444,10 @@
         first = self._first(now)
         if first is None or first is held:
             return True
-        place = (self._step(held.line), held.order(now))
-        return place <= (self._step(first.line), first.order(now))
+        return self._place_of(held, now) <= self._place_of(first, now)
+
+    def _place_of(self, held: _Held, now: float) -> tuple[tuple[int, int], OrderKey]:
+        return (self._step(held.line), held.order(now))
 
     def _priority(self, route: str, tenant: str) -> int:
         """Return the rank of requests of a route and tenant."""
--- a/tests/serving/test_tenant_shares.py
+++ b/tests/serving/test_tenant_shares.py
@@ -2,6 +2,8 @@
 
 from typing import Any
 
+import curio
+from coordination_world import CoordinationWorld
 from hypothesis import given
 from hypothesis import strategies as st
 from test_scheduler import SLOTS, Fleet
@@ -150,3 +152,24 @@
     ]
     fleet.tell(0)
     assert sum(fleet.work(f"r{number}")[1] for number in range(2)) == min(sum(items), 2 * SLOTS)
+
+
+def test_a_new_coordinator_goes_on_with_the_shares_of_the_one_before() -> None:
+    async def main() -> None:
+        world = CoordinationWorld(5, replicas=2, tenants=TENANTS)
+        await world.start()
+        await world.run(3.0)
+        old = world.coordinator
+        for _ in range(3):
+            old.scheduler.shares.charge(0, "hot", 1000.0, ["small"])
+            old.scheduler.item_shares.charge(0, "small", 500.0, ["hot"])
+        await world.run(0.5)
+        world.wire.silent.add(old.host)
+        world.kill(old)
+        await world.run(4.0)
+        new = world.coordinator.scheduler
+        assert world.coordinator is not old
+        assert new.shares.is_ahead(0, "hot") and not new.shares.is_ahead(0, "small")
+        assert new.item_shares.step(0, "small") > new.item_shares.step(0, "hot")
+
+    curio.run(main)
