A held request stays in its tenant's line when its number is asked for anew

Cause: a process that was started again counts its asks from 1; while an earlier one is still held its ask is replaced, and the line was looked up by the new tenant: KeyError at the coordinator. Found by reading; test_an_ask_that_comes_again_under_another_tenant_stays_in_its_line failed first.

--- a/src/cloverwalk/scheduling/online.py
+++ b/src/cloverwalk/scheduling/online.py
@@ -58,7 +58,9 @@
     ask: Ask
     asked_at: float
     heard_at: float
-    priority: int
+    line: _Line
+    """Its rank and the tenant that it came for, also where its number is asked for anew."""
+
     late_at: float = 0.0
     """When it has to start to be in time (steady clock, seconds)."""
 
@@ -70,12 +72,7 @@
 
     def rank(self) -> tuple[int, float]:
         """What the line is sorted by: the more urgent first, then the older."""
-        return (self.priority, self.asked_at)
-
-    @property
-    def line(self) -> _Line:
-        """Its rank and tenant."""
-        return (self.priority, self.ask.tenant)
+        return (self.line[0], self.asked_at)
 
     def order(self, now: float) -> OrderKey:
         """Return its place among requests of one rank."""
@@ -165,7 +162,7 @@
             self._outbox.of(node).placements.append(refusal)
             return ""
         priority = self._priority(ask.route, ask.tenant)
-        held = _Held(node, zone, ask, now, now, priority)
+        held = _Held(node, zone, ask, now, now, (priority, ask.tenant))
         held.has_token = ask.token is TokenUse.NEW
         held.expect(self._times.start_ms(ask.route))
         self._arrivals.setdefault(ask.service, ArrivalRate()).note(now)
@@ -338,7 +335,7 @@
         verdict = decide(prospect, may_return, is_first)
         if not self._features.is_on(Feature.FAIR_SHARES):
             return verdict, 0
-        rank, tenant = held.priority, held.ask.tenant
+        rank, tenant = held.line
         if not self.shares.is_ahead(rank, tenant):
             if verdict is not Verdict.SEND:
                 self._squeezed_at[rank] = now
@@ -421,12 +418,13 @@
     def _charge(self, held: _Held) -> None:
         """Count the slot time that a request is expected to take to its tenant."""
         if self._features.is_on(Feature.FAIR_SHARES):
-            rank, work_ms = held.priority, self._times.hold_ms(held.ask.route)
+            rank, tenant = held.line
+            work_ms = self._times.hold_ms(held.ask.route)
             known = self._known_first
             if known is not None and known.held.line == held.line:
                 self._known_first = None
-            waiting = (tenant for of_rank, tenant in self._lines if of_rank == rank)
-            self.shares.charge(rank, held.ask.tenant, work_ms, waiting)
+            waiting = (other for of_rank, other in self._lines if of_rank == rank)
+            self.shares.charge(rank, tenant, work_ms, waiting)
 
     def correct(self, served: Served) -> None:
         """Count what a request took beyond what was expected; before its times are learnt."""
@@ -474,7 +472,7 @@
             self._times.start_ms(route.name),
             held.ask.objective_left_ms - waited_ms,
             route.target_latency_s * 1000,
-            most_wait_ms(route, held.priority, routes, self._times),
+            most_wait_ms(route, held.line[0], routes, self._times),
         )
 
     def _return_after_s(self, prospect: Prospect, ask: Ask, now: float) -> float | None:
--- a/tests/serving/test_tenant_shares.py
+++ b/tests/serving/test_tenant_shares.py
@@ -8,7 +8,7 @@
 from hypothesis import strategies as st
 from test_scheduler import SLOTS, Fleet
 
-from cloverwalk.fleet.messages import Served, WaitingGroup, WorkCorrection
+from cloverwalk.fleet.messages import Ask, Served, WaitingGroup, WorkCorrection
 from cloverwalk.scheduling.admission import Verdict
 from cloverwalk.tenants.directory import Tenant
 
@@ -107,6 +107,16 @@
     assert verdicts == [Verdict.HOLD, Verdict.RETURN]
 
 
+def test_an_ask_that_comes_again_under_another_tenant_stays_in_its_line() -> None:
+    """A process that was started again counts its asks anew; the earlier ones may be held yet."""
+    fleet = busy_fleet()
+    number = hold(fleet, "small")
+    again = Ask(number, "chat", "model", deadline_ms=3000, time_left_ms=3000, tenant="other")
+    fleet.scheduler.hear(fleet.nodes[1].report([again]), fleet.now)
+    fleet.scheduler.forget("n1", fleet.now)
+    assert fleet.verdict(1, number) is Verdict.HOLD
+
+
 def test_what_is_hopeless_is_refused_at_once_without_a_time_to_come_back() -> None:
     fleet = busy_fleet()
     fleet.nodes[0].online["r0"] = 40 * SLOTS
