The parts that are on where tenants are named include the order in overload

The test names all parts that are on, and this one is on there too; it is as strict as before. What decisions see of a change is tested besides, since what was found is kept now.

--- a/tests/unit/test_outside_figures.py
+++ b/tests/unit/test_outside_figures.py
@@ -104,9 +104,20 @@
     assert {one.feature for one in told if one.is_on} == {
         Feature.FAIR_SHARES,
         Feature.REPLICA_MEMORY,
+        Feature.OVERLOAD_ORDER,
     }
 
 
+def test_decisions_see_at_once_what_turns_a_part_on() -> None:
+    holder = ConfigurationHolder()
+    features = Features(holder)
+    assert not features.is_on(Feature.OVERLOAD_ORDER)
+    features.note_told_pace("s")
+    assert features.is_on(Feature.OVERLOAD_ORDER) and not features.is_on(Feature.FAIR_SHARES)
+    holder.offer(Configuration(1, (), {}, ClientLimits(), tenants=()))
+    assert features.is_on(Feature.FAIR_SHARES)
+
+
 def test_a_deployment_that_calls_for_nothing_gets_nothing() -> None:
     holder = ConfigurationHolder()
     services = {"s": Service("s", 8, 0, memory_tokens=72000)}
