--- a/src/cloverwalk/scheduling/features.py
+++ b/src/cloverwalk/scheduling/features.py
@@ -30,6 +30,8 @@
 
     ZONE_LOSS = "zone_loss"
     """Each zone is served on its own while it is cut off, or while another one is lost."""
+    OVERLOAD_ORDER = "overload_order"
+    """Waiting requests go by what is lost if they wait; hopeless ones are refused at once."""
 
 
 @attrs.frozen
@@ -64,6 +66,10 @@
         self._lost_zones = lost_zones
         self._tells_pace: set[str] = set()
         self._known: dict[Feature, FeatureState] = {}
+        self._found: dict[Feature, bool] = {}
+        """Which parts are on under ``_found_for``."""
+
+        self._found_for: Configuration | None = None
         self.on_change: Callable[[FeatureState], None] = _nobody
 
     def note_told_pace(self, service: str) -> None:
@@ -71,6 +77,7 @@
         if service in self._tells_pace:
             return
         self._tells_pace.add(service)
+        self._found.clear()
         self.look()
 
     def tells_pace(self, service: str) -> bool:
@@ -78,8 +85,15 @@
         return service in self._tells_pace
 
     def is_on(self, feature: Feature) -> bool:
-        """Whether a part is in force."""
-        return self._state(feature).is_on
+        """Whether a part is in force; decisions ask many times, so what was found is kept."""
+        current = self._configuration.current
+        if current is not self._found_for:
+            self._found_for = current
+            self._found.clear()
+        found = self._found.get(feature)
+        if found is None:
+            found = self._found[feature] = self._state(feature).is_on
+        return found
 
     def states(self) -> list[FeatureState]:
         """Return all parts, in the order of their declaration."""
@@ -104,6 +118,8 @@
                 return self._capacity()
             case Feature.ZONE_LOSS:
                 return self._zone_loss()
+            case Feature.OVERLOAD_ORDER:
+                return self._order()
 
     def _pace(self) -> FeatureState:
         feature = Feature.REPLICA_PACE
@@ -118,6 +134,14 @@
             return FeatureState(feature, True, "the configuration names tenants")
         return FeatureState(feature, False, "the configuration names no tenants")
 
+    def _order(self) -> FeatureState:
+        feature = Feature.OVERLOAD_ORDER
+        if self._configuration.has_tenants:
+            return FeatureState(feature, True, "the configuration names tenants")
+        if self._tells_pace:
+            return FeatureState(feature, True, "replicas tell their pace")
+        return FeatureState(feature, False, "no tenants are named, and no replica tells its pace")
+
     def _memory(self) -> FeatureState:
         feature = Feature.REPLICA_MEMORY
         if not self._is_memory_scarce:
--- a/src/cloverwalk/serving/node.py
+++ b/src/cloverwalk/serving/node.py
@@ -345,6 +345,7 @@
         known = len(coordinator.roster.live()) if coordinator.is_active else 0
         uses = self._fleet.slots.time.seconds
         metrics.slot_seconds = {use.value: seconds for use, seconds in uses.items()}
+        metrics.share_ms = self._fleet.shares.slot_ms()
         metrics.gauge("cloverwalk_coordinator_term", "Term followed", self._fleet.leader.term)
         shut = self._fleet.scheduler.reach.shut_count
         metrics.gauge("cloverwalk_zones_unreachable", "Pairs of zones, as seen here", shut)
--- a/tests/serving/test_replica_memory.py
+++ b/tests/serving/test_replica_memory.py
@@ -81,6 +81,17 @@
     assert fleet.verdict(1, number) is Verdict.SEND
 
 
+def test_a_long_request_that_waits_for_room_holds_up_no_shorter_one() -> None:
+    fleet = small_fleet(replicas=1)
+    ask(fleet, 0, 8_000)
+    long, short = fleet.ask(1, tokens=5_000), fleet.ask(2, tokens=3_000)
+    assert fleet.verdict(1, long) is fleet.verdict(2, short) is Verdict.HOLD
+    fleet.nodes[0].online, fleet.nodes[0].tokens = {"r0": 1}, {"r0": 6_000}
+    fleet.tell(0)
+    assert fleet.verdict(1, long) is Verdict.HOLD
+    assert fleet.verdict(2, short) is Verdict.SEND
+
+
 def test_a_request_that_finds_no_room_for_long_is_refused_and_not_sent() -> None:
     fleet = small_fleet(replicas=1)
     ask(fleet, 0, LIMIT)
