Pace of replicas: choices go by how fast each replica works

Cause: one start and one hold a route served for all replicas, and prompts were expected to be read equally fast everywhere. Where replicas differ in speed or share their machines, requests were sent to slow ones as readily as to fast ones. Each replica's pace is learnt at the coordinator from its answers and from what it tells; in force only where replicas tell it.

--- a/src/cloverwalk/core/catalogue.py
+++ b/src/cloverwalk/core/catalogue.py
@@ -109,6 +109,12 @@
 ITEM_STARTED = _event(420, "item_started", _I, "An item goes to this replica.")
 ITEM_RUN_ENDED = _event(421, "item_run_ended", _I, "A run of an item ended or gave way.")
 ITEM_LISTED = _event(422, "item_listed", _I, "An item's result has its position.")
+REPLICA_PACE_CHANGED = _event(
+    330,
+    "replica_pace_changed",
+    _I,
+    "A replica works faster or slower than usual, or as usual again.",
+)
 SLOT_TIME = _event(
     430, "slot_time", _I, "Slot-seconds of the replicas since the last such line, by use."
 )
--- a/src/cloverwalk/fleet/coordinator.py
+++ b/src/cloverwalk/fleet/coordinator.py
@@ -22,6 +22,7 @@
     Leadership,
     NodeLoad,
     Orders,
+    PaceFigures,
     RemovedReplica,
     Report,
     RouteFigures,
@@ -33,6 +34,7 @@
 from cloverwalk.gateway.configuration import ConfigurationHolder
 from cloverwalk.gateway.replicas import Replica, ReplicaDirectory
 from cloverwalk.scheduling.decisions import Decisions
+from cloverwalk.scheduling.pace_handover import PaceTeller
 from cloverwalk.scheduling.scheduler import Scheduler
 from cloverwalk.store.health import StoreHealth
 from cloverwalk.telemetry.log import ServingLog
@@ -121,6 +123,7 @@
 
         self._told_directory: dict[str, Replica] = {}
         self._told_fingerprint: int | None = None
+        self._pace_teller = PaceTeller()
         self._snapshots = 0
         self._snapshot_at = float("-inf")
         self._pinged_at = float("-inf")
@@ -406,11 +409,16 @@
             [one.contact for one in live],
             self.is_leaving,
             self._scheduler.quotas.levels(self._clock()),
+            self._paces_due([one.node for one in current.standbys]),
         )
         for standby in current.standbys:
             if standby.node != self._identity.node:
                 self._transport.send(standby.host, snapshot)
 
+    def _paces_due(self, standbys: list[str]) -> dict[str, PaceFigures]:
+        now = self._clock()
+        return self._pace_teller.due(self._scheduler.paces.figures(now), standbys, now)
+
     # --- for other parts of the node ---
 
     def take_fleet(self, nodes: int, near_limit: list[str], now: float) -> None:
--- a/src/cloverwalk/fleet/election.py
+++ b/src/cloverwalk/fleet/election.py
@@ -132,6 +132,7 @@
         self._nodes = snapshot.nodes or self._nodes
         self._scheduler.book.take_snapshot(snapshot.totals, now)
         self._scheduler.quotas.take_levels(snapshot.quota_levels)
+        self._scheduler.take_paces(snapshot.paces, now)
         for route, known in snapshot.figures.items():
             self._scheduler.times.take_figures(
                 route, known.start_ms, known.hold_ms, known.wait_factor
--- a/src/cloverwalk/fleet/link.py
+++ b/src/cloverwalk/fleet/link.py
@@ -4,6 +4,7 @@
 when nobody answers.
 """
 
+from collections import deque
 from collections.abc import Awaitable, Callable
 
 import curio
@@ -25,6 +26,7 @@
     Leadership,
     NodeLoad,
     Orders,
+    ReplicaTiming,
     Report,
     Served,
     Waiting,
@@ -36,6 +38,10 @@
 from cloverwalk.store.health import StoreHealth
 from cloverwalk.telemetry.log import ServingLog
 
+MOST_TIMINGS = 16
+"""Timings of items in one report, some 600 bytes: enough for what ends between two reports, which
+follow each end; after a pause the newest say most."""
+
 HEARTBEAT_S = 1.0
 """Longest time between reports."""
 
@@ -114,6 +120,7 @@
         self._places = PlaceDesk(self, loads, clock)
         self._replicas = DirectorySync(directory, log, clock)
         self._served: list[Served] = []
+        self._timings: deque[ReplicaTiming] = deque(maxlen=MOST_TIMINGS)
         self._sequence = 0
         self._sent_at = float("-inf")
         self._heard_at = float("-inf")
@@ -153,6 +160,10 @@
         """A request was answered; the next report tells its times."""
         self._served.append(served)
 
+    def note_timing(self, timing: ReplicaTiming) -> None:
+        """A run of an item ended; the next report tells how fast its replica was."""
+        self._timings.append(timing)
+
     async def _report(self) -> None:
         """Report to the coordinator, or to whoever stands in for it."""
         target = self._leader.target()
@@ -207,8 +218,10 @@
             self._coordinator.deputy_grants(now),
             self._cases.for_report(),
             self._cases.ledger.digest,
+            timings=list(self._timings),
         )
         self._served = []
+        self._timings.clear()
         return report
 
     @property
--- a/src/cloverwalk/gateway/answer_relay.py
+++ b/src/cloverwalk/gateway/answer_relay.py
@@ -147,6 +147,8 @@
         finally:
             is_taken = not fresh or self._write_events(request, progress, fresh, reply)
             progress.last_event_id = order.last
+        progress.events += len(fresh)
+        progress.was_read_late |= not is_taken
         return is_taken
 
     def _write_events(
--- a/src/cloverwalk/gateway/progress.py
+++ b/src/cloverwalk/gateway/progress.py
@@ -53,6 +53,12 @@
     """Its content, where it is sent to no replica since replicas have ended under it."""
 
     first_event_at: float | None = None
+    events: int = 0
+    """Events of the answer that were passed on."""
+
+    was_read_late: bool = False
+    """Whether the client did not take some of them at once."""
+
     last_replica: str = ""
     last_failure: str = ""
 
--- a/src/cloverwalk/gateway/relay.py
+++ b/src/cloverwalk/gateway/relay.py
@@ -12,7 +12,7 @@
 from cloverwalk.core.final_answer import final_answer
 from cloverwalk.fleet.link import CoordinatorLink
 from cloverwalk.fleet.load import LoadBook
-from cloverwalk.fleet.messages import Ask, Served, TokenUse
+from cloverwalk.fleet.messages import Ask, TokenUse
 from cloverwalk.fleet.places import Place
 from cloverwalk.gateway import refusals
 from cloverwalk.gateway.answer_relay import EVENT_SILENCE_S, FIRST_EVENT_SILENCE_S, AnswerRelay
@@ -28,6 +28,7 @@
 from cloverwalk.gateway.replicas import Replica, ReplicaDirectory
 from cloverwalk.gateway.reply import Reply
 from cloverwalk.gateway.rotation import WeightedRotation
+from cloverwalk.gateway.served_times import served_times
 from cloverwalk.scheduling.admission import LONGEST_HOLD_S, Verdict
 from cloverwalk.telemetry.log import ServingLog
 from cloverwalk.telemetry.metrics import ServingMetrics
@@ -308,27 +309,13 @@
             await self._answers.relay_stream(request, progress, connection, head, reply)
         else:
             await self._answers.relay_plain(request, progress, connection, head, reply)
-        self._learn(progress)
+        served = served_times(progress, head.fields.load, self._clock())
+        if served is not None:
+            self._link.note_served(served)
         self._containment.note_answer(request)
         self._note_end(request, progress, "answered", head.status)
         return head
 
-    def _learn(self, progress: RequestProgress) -> None:
-        """Tell the times of a request that was answered at its first attempt."""
-        if progress.sent_at is None or progress.tried or progress.refused:
-            return
-        now = self._clock()
-        began_at = progress.first_event_at or now
-        holds_since = progress.first_event_at or progress.sent_at
-        served = Served(
-            progress.route.name,
-            progress.last_replica,
-            round((began_at - progress.sent_at) * 1000),
-            round((now - holds_since) * 1000),
-            round(progress.expected_wait_ms),
-        )
-        self._link.note_served(served)
-
     async def _send_and_read_head(
         self,
         request: ClientRequest,
--- /dev/null
+++ b/src/cloverwalk/gateway/served_times.py
@@ -0,0 +1,32 @@
+"""What a node tells the coordinator of a request that was answered."""
+
+from cloverwalk.fleet.messages import Served
+from cloverwalk.gateway.messages import ReplicaLoad
+from cloverwalk.gateway.progress import RequestProgress
+
+
+def served_times(progress: RequestProgress, load: ReplicaLoad | None, now: float) -> Served | None:
+    """Return the times of a request that ends now; None unless its first attempt was answered.
+
+    Events that the client took late say nothing of the replica, so they are not told.
+    """
+    if progress.sent_at is None or progress.tried or progress.refused:
+        return None
+    began_at = progress.first_event_at or now
+    holds_since = progress.first_event_at or progress.sent_at
+    return Served(
+        progress.route.name,
+        progress.last_replica,
+        round((began_at - progress.sent_at) * 1000),
+        round((now - holds_since) * 1000),
+        round(progress.expected_wait_ms),
+        0 if progress.was_read_late else progress.events,
+        told_percent(load),
+    )
+
+
+def told_percent(load: ReplicaLoad | None) -> int:
+    """Return what a replica told of its pace, 100 for its usual one; 0: nothing."""
+    if load is None or load.slowdown is None:
+        return 0
+    return round(load.slowdown * 100)
--- a/src/cloverwalk/jobs/item_call.py
+++ b/src/cloverwalk/jobs/item_call.py
@@ -18,7 +18,8 @@
 )
 from cloverwalk.gateway.replica_connection import ReplicaConnection, ReplicaPool
 from cloverwalk.gateway.replicas import Replica, ReplicaDirectory
-from cloverwalk.jobs.run import ItemRun, JobRun
+from cloverwalk.gateway.served_times import told_percent
+from cloverwalk.jobs.run import ItemRun, JobRun, RunTiming
 
 READ_EVERY_S = 0.1
 """Nobody waits for single events of an item: what has come in this time is taken at once. A slot is
@@ -75,7 +76,7 @@
         Raises ReplicaError when the run broke off, ItemFailedError or ItemImpossibleError.
         """
         address = (replica.host, replica.port)
-        one.delivery = None
+        one.delivery = one.timing = None
         connection = await self.pool.acquire(address, one.item.item_id, must_be_new)
         is_kept = False
         try:
@@ -120,7 +121,8 @@
             raise FAILURES[head.status]
         if head.status != 200 or not head.fields.is_signed:
             raise ReplicaError(f"the replica answered {head.status}", True, "unusable")
-        await self._take_events(job, one, connection, on_output)
+        one.timing = RunTiming(told_percent(head.fields.load))
+        await self._take_events(job, one, one.timing, connection, on_output)
         return head.fields.keep_alive_s
 
     async def _read_failure(self, connection: ReplicaConnection) -> None:
@@ -153,6 +155,7 @@
         self,
         job: JobRun,
         one: ItemRun,
+        timing: RunTiming,
         connection: ReplicaConnection,
         on_output: Callable[[], None],
     ) -> None:
@@ -166,6 +169,7 @@
             except ValueError as error:
                 raise ReplicaError(str(error), True, "invalid_stream") from error
             if events:
+                timing.note(len(events), self.clock())
                 on_output()
             await curio.sleep(READ_EVERY_S)
             connection.expect_data()
--- a/src/cloverwalk/jobs/order.py
+++ b/src/cloverwalk/jobs/order.py
@@ -9,15 +9,10 @@
 import attrs
 
 from cloverwalk.fleet.messages import WaitingGroup
+from cloverwalk.scheduling.due_steps import DUE_STEP_MS, LATE_STEP, PRIORITY_STEP
 
-DUE_STEP_MS = 250
-"""Due times are told in steps of this length."""
-
-LATE_STEP = 1 << 50
-"""Step of items that can't be in time any more: behind all others."""
-
-PRIORITY_STEP = 1 << 40
-"""Step between items of tenants of one rank and the next; due times are far below it."""
+REST_STEP_MS = 100
+"""What items still run is told in steps of this length; an estimate that moves less is no news."""
 
 MAX_GROUPS = 12
 """Groups of one pool that are told; items that are due later join the last of them."""
@@ -32,6 +27,8 @@
     replica_id: str
     reading_ms: float
     priority: int = 0
+    rest_ms: float = 0.0
+    """How long it still runs at a replica of the usual pace; 0: not told."""
 
     @property
     def due_step(self) -> int:
@@ -47,15 +44,23 @@
     >>> summarise(items) == [WaitingGroup(32, 2, reading_ms=6)]
     True
     """
-    by_key: dict[tuple[int, str], list[float]] = {}
+    by_key: dict[tuple[int, str], list[WaitingItem]] = {}
     for one in items:
-        by_key.setdefault((one.due_step, one.replica_id), []).append(one.reading_ms)
+        by_key.setdefault((one.due_step, one.replica_id), []).append(one)
     groups = [
-        WaitingGroup(step, len(reading), replica_id, round(sum(reading) / len(reading)))
-        for (step, replica_id), reading in sorted(by_key.items())
+        _group(step, replica_id, by_key[step, replica_id]) for step, replica_id in sorted(by_key)
     ]
     if len(groups) <= MAX_GROUPS:
         return groups
     told, rest = groups[: MAX_GROUPS - 1], groups[MAX_GROUPS - 1 :]
     count = sum(one.items for one in rest)
-    return [*told, WaitingGroup(rest[0].due_step, count, "", rest[0].reading_ms)]
+    first = rest[0]
+    last = WaitingGroup(first.due_step, count, "", first.reading_ms, rest_ms=first.rest_ms)
+    return [*told, last]
+
+
+def _group(due_step: int, replica_id: str, items: list[WaitingItem]) -> WaitingGroup:
+    reading_ms = round(sum(one.reading_ms for one in items) / len(items))
+    rest_ms = sum(one.rest_ms for one in items) / len(items)
+    rest_ms = round(rest_ms / REST_STEP_MS) * REST_STEP_MS
+    return WaitingGroup(due_step, len(items), replica_id, reading_ms, rest_ms=rest_ms)
--- a/src/cloverwalk/jobs/run.py
+++ b/src/cloverwalk/jobs/run.py
@@ -29,6 +29,24 @@
     LISTED = "listed"
 
 
+class RunTiming(Struct):
+    """How a run of an item went at its replica."""
+
+    told_percent: int
+    """What the replica told of its pace as the answer began, 100 for its usual one; 0: nothing."""
+
+    events: int = 0
+    first_at: float = 0.0
+    last_at: float = 0.0
+
+    def note(self, events: int, now: float) -> None:
+        """Events came."""
+        if self.events == 0:
+            self.first_at = now
+        self.events += events
+        self.last_at = now
+
+
 class ItemRun(Struct):
     """One item."""
 
@@ -54,6 +72,9 @@
     delivery: Delivery | None = None
     """How its last run was sent, once it was."""
 
+    timing: RunTiming | None = None
+    """How that run went, once it was answered."""
+
     saved: int = 0
     """Events of the output that the store holds."""
 
--- a/src/cloverwalk/jobs/runner.py
+++ b/src/cloverwalk/jobs/runner.py
@@ -9,6 +9,7 @@
 from cloverwalk.core import catalogue
 from cloverwalk.fleet.link import BatchSide, CoordinatorLink
 from cloverwalk.fleet.load import LoadBook, Work
+from cloverwalk.fleet.messages import ReplicaTiming
 from cloverwalk.gateway.configuration import ConfigurationHolder, Route
 from cloverwalk.gateway.crash_witness import CrashWitness
 from cloverwalk.gateway.errors import SILENT, ReplicaError
@@ -86,6 +87,9 @@
         self._has_jobs = curio.Event()
         self._pace = ItemPace()
         self._route_watch = RouteWatch()
+        self._tells_pace = False
+        """Whether a replica has told its pace here: then how long items still run matters."""
+
         self._has_ended = False
         """Whether a run has ended since the last report was asked for."""
 
@@ -188,7 +192,10 @@
         replica_id = one.replica_id if self._directory.find(one.replica_id) else ""
         order_ms = self._pace.order_ms(one, due_ms)
         priority = self._priority(job)
-        return WaitingItem(order_ms, can_be_in_time, replica_id, self._reading_ms(one), priority)
+        rest_ms = 1000 * self._pace.remaining_s(one) if self._tells_pace else 0.0
+        return WaitingItem(
+            order_ms, can_be_in_time, replica_id, self._reading_ms(one), priority, rest_ms
+        )
 
     def _priority(self, job: JobRun) -> int:
         """Return the rank of a job: its tenant's, or its route's."""
@@ -365,6 +372,7 @@
         if one.phase is Phase.RUNNING:
             pause_s = 0.0 if outcome == "suspended" else RETRY_S
             job.suspend(one, self._clock() + pause_s)
+        self._tell_timing(running)
         self._metrics.item_ended(outcome)
         self._log.write(
             catalogue.ITEM_RUN_ENDED,
@@ -384,6 +392,15 @@
         self._has_ended = True
         await self._wake.set()
 
+    def _tell_timing(self, running: _Running) -> None:
+        timing = running.one.timing
+        if timing is None or timing.events == 0:
+            return
+        self._tells_pace |= timing.told_percent > 0
+        took_ms = round((timing.last_at - timing.first_at) * 1000)
+        told = ReplicaTiming(running.replica_id, timing.events, took_ms, timing.told_percent)
+        self._link.note_timing(told)
+
     def _note_lateness(self, job: JobRun, one: ItemRun) -> str | None:
         """Return why a finished item is late; None for one in time, or not finished."""
         if one.phase is not Phase.FINISHED or one.end is not None:
--- a/src/cloverwalk/scheduling/batch.py
+++ b/src/cloverwalk/scheduling/batch.py
@@ -8,10 +8,21 @@
 
 from cloverwalk.fleet.messages import Waiting, WaitingGroup
 from cloverwalk.scheduling.decisions import Outbox
+from cloverwalk.scheduling.due_steps import due_ms
 from cloverwalk.scheduling.replica_view import ReplicaView
 from cloverwalk.scheduling.share import kept_free, must_yield
 from cloverwalk.scheduling.slot_book import SlotBook
 
+SOON_FACTOR = 2.0
+"""An item with less than this multiple of the time that it still runs is due soon: one more pause
+for online work would make it late at a usual replica."""
+
+FAST_BELOW = 0.9
+"""A replica whose pace is below this counts as fast; items with time to spare leave it alone."""
+
+StoreMs = Callable[[], float | None]
+"""Returns the present time of the store, in ms; None while it is not known."""
+
 
 @attrs.define
 class _Claim:
@@ -43,6 +54,7 @@
         self._arrivals_per_s = arrivals_per_s
         self._waiting: dict[str, Waiting] = {}
         self._zones: dict[str, str] = {}
+        self.store_ms: StoreMs = _not_known
 
     # --- what waits ---
 
@@ -156,19 +168,49 @@
     def _best(
         self, claim: _Claim, open_ids: set[str], room: dict[str, int], zones: dict[str, str]
     ) -> str:
-        """Return the replica that keeps the items' prompts, or the emptiest, nearest first."""
+        """Return the replica that keeps the items' prompts, or the emptiest, nearest first.
+
+        Where replicas differ in pace, only those count where the items end in time, if any do.
+        """
+        most = self._most_pace(claim.group)
+        if most is not None:
+            open_ids = self._in_time(open_ids, most) or open_ids
         preferred = claim.group.replica_id
         if preferred in open_ids:
             return preferred
+        if most is not None:
+            open_ids = self._by_haste(open_ids, most)
         own_zone = self._zones.get(claim.node, "")
         return min(open_ids, key=lambda key: (zones[key] != own_zone, -room[key], key))
 
+    def _most_pace(self, group: WaitingGroup) -> float | None:
+        """Return the pace at which items of a group just end in time; None: pace does not count."""
+        if not self._replicas.paces or group.rest_ms <= 0:
+            return None
+        store_ms = self.store_ms()
+        return None if store_ms is None else (due_ms(group.due_step) - store_ms) / group.rest_ms
+
+    def _in_time(self, open_ids: set[str], most: float) -> set[str]:
+        """Return the replicas where an item ends in time, by their pace."""
+        paces = self._replicas.paces
+        return {key for key in open_ids if paces.get(key, 1.0) <= most}
+
+    def _by_haste(self, open_ids: set[str], most: float) -> set[str]:
+        """Return the fast ones of some replicas for an item that is due soon, else the others.
+
+        All where there are none of these.
+        """
+        paces = self._replicas.paces
+        fast = {key for key in open_ids if paces.get(key, 1.0) < FAST_BELOW}
+        return (fast if most < SOON_FACTOR else open_ids - fast) or open_ids
+
     def _grant_one(self, claim: _Claim, replica_id: str, now: float) -> None:
         claim.left -= 1
         decisions = self._outbox.of(claim.node)
         decisions.grants[replica_id] = decisions.grants.get(replica_id, 0) + 1
         self._book.expect(claim.node, decisions.number, replica_id, batch=1, now=now)
-        self._replicas.note_reading(replica_id, float(claim.group.reading_ms), now)
+        pace = self._replicas.paces.get(replica_id, 1.0)
+        self._replicas.note_reading(replica_id, pace * claim.group.reading_ms, now)
 
     def _leave(self, claim: _Claim) -> None:
         """Keep what is left of a group until its node reports again."""
@@ -178,6 +220,10 @@
         self._waiting[claim.node][claim.pool] = [*groups[:index], *left, *groups[index + 1 :]]
 
 
+def _not_known() -> float | None:
+    return None
+
+
 def _with_items(group: WaitingGroup, items: int) -> WaitingGroup:
     return msgspec.structs.replace(group, items=items)
 
--- a/src/cloverwalk/scheduling/online.py
+++ b/src/cloverwalk/scheduling/online.py
@@ -157,7 +157,7 @@
         Returns the replica that it goes to, an empty text for a refusal, None when it is held.
         """
         candidates = self._replicas.candidates(held.node, held.ask, now)
-        demand = _demand(held.zone, held.ask)
+        demand = _demand(held.zone, held.ask, self._times.start_ms(held.ask.route))
         chosen = choose(candidates, demand)
         if chosen is None:
             return self._refuse(held, Placement(held.ask.number, Verdict.NONE), now)
@@ -166,7 +166,7 @@
         route = self._route(held.ask.route)
         is_overdue = held.ask.must_place or now - held.asked_at >= LONGEST_HOLD_S
         if route is not None and not is_overdue:
-            prospect = self._prospect(held, route, wait_ms, now)
+            prospect = self._prospect(held, route, wait_ms, chosen.pace, now)
             verdict = decide(prospect, may_return, self._is_first(held))
             if verdict is Verdict.RETURN:
                 after_s = self._return_after_s(prospect, held.ask, now)
@@ -230,16 +230,18 @@
         return next((one for one in current.routes if one.name == name), None)
 
     def _wait_ms(self, route: str, chosen: Candidate) -> float:
-        hold_ms = self._times.hold_ms(route)
+        hold_ms = chosen.pace * self._times.hold_ms(route)
         return slot_wait_ms(chosen.replica.slots, chosen.in_flight.online, hold_ms)
 
-    def _prospect(self, held: _Held, route: Route, wait_ms: float, now: float) -> Prospect:
+    def _prospect(
+        self, held: _Held, route: Route, wait_ms: float, pace: float, now: float
+    ) -> Prospect:
         current = self._configuration.current
         routes = (route,) if current is None else current.routes
         waited_ms = (now - held.heard_at) * 1000
         return Prospect(
             self._times.wait_factor(route.name) * wait_ms,
-            self._times.start_ms(route.name),
+            pace * self._times.start_ms(route.name),
             held.ask.objective_left_ms - waited_ms,
             route.target_latency_s * 1000,
             most_wait_ms(route, held.priority, routes, self._times),
@@ -251,5 +253,7 @@
         return return_after_s(wait_s, rest_s, ask.time_left_ms / 1000, self._random)
 
 
-def _demand(zone: str, ask: Ask) -> Demand:
-    return Demand(zone, ask.size_bytes, ask.shared_part, ask.shared_tokens, ask.own_tokens)
+def _demand(zone: str, ask: Ask, start_ms: float) -> Demand:
+    return Demand(
+        zone, ask.size_bytes, ask.shared_part, ask.shared_tokens, ask.own_tokens, start_ms
+    )
--- a/src/cloverwalk/scheduling/replica_view.py
+++ b/src/cloverwalk/scheduling/replica_view.py
@@ -1,6 +1,6 @@
 """The replicas as the scheduler sees them: work, failures, prompts that are still to be read."""
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 from random import Random
 
 from cloverwalk.fleet.messages import Ask
@@ -28,6 +28,10 @@
         self._book = book
         self._suspects: dict[str, set[str]] = {}
         self._read_until: dict[str, float] = {}
+        self.paces: Mapping[str, float] = {}
+        """How long work takes now by replica, as a multiple of its service's usual time; empty
+        while the choice does not go by it."""
+
         self._sent_suspects: dict[str, list[tuple[float, str]]] = {}
         """Suspects by the replica that they were sent to: when, and their content."""
 
@@ -86,6 +90,7 @@
         usable = self.sample(self._directory.usable(ask.service))
         fresh = [one for one in usable if one.replica_id not in ask.avoid]
         suspects = self._suspects.get(node, set())
+        paces = self.paces
         return [
             Candidate(
                 one,
@@ -94,6 +99,7 @@
                 self._directory.is_doubted(one.replica_id, now),
                 self.reading_ms(one.replica_id, now),
                 self._other_suspects(one.replica_id, ask.content, now),
+                paces.get(one.replica_id, 1.0),
             )
             for one in fresh or usable
         ]
--- a/src/cloverwalk/scheduling/scheduler.py
+++ b/src/cloverwalk/scheduling/scheduler.py
@@ -6,17 +6,25 @@
 """
 
 from collections import Counter
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 from random import Random
 
-from cloverwalk.fleet.messages import NodeLoad, Report, Served, Waiting
+from cloverwalk.fleet.messages import (
+    NodeLoad,
+    PaceFigures,
+    ReplicaTiming,
+    Report,
+    Served,
+    Waiting,
+)
 from cloverwalk.gateway.configuration import ConfigurationHolder
 from cloverwalk.gateway.crash_ledger import CrashLedger
 from cloverwalk.gateway.replicas import ReplicaDirectory
-from cloverwalk.scheduling.batch import BatchGrants
+from cloverwalk.scheduling.batch import BatchGrants, StoreMs
 from cloverwalk.scheduling.decisions import Decisions, Outbox
-from cloverwalk.scheduling.features import Features
+from cloverwalk.scheduling.features import Feature, Features
 from cloverwalk.scheduling.online import OnlineQueue
+from cloverwalk.scheduling.pace import Measurement, ReplicaPaces
 from cloverwalk.scheduling.quotas import FleetQuotas, QuotaBounds
 from cloverwalk.scheduling.replica_view import ReplicaView
 from cloverwalk.scheduling.service_times import ServiceTimes
@@ -39,6 +47,9 @@
     ) -> None:
         self.features = features or Features(configuration)
         self.times = times
+        self.paces = ReplicaPaces()
+        self._directory = directory
+        self._paced_fingerprint: int | None = None
         self.quotas = FleetQuotas(configuration, quota_bounds, random)
         self.book = SlotBook()
         self._outbox = Outbox()
@@ -57,29 +68,76 @@
             self._replicas, self.book, self._outbox, self._online.arrivals_per_s
         )
 
+    def use_store_time(self, store_ms: StoreMs) -> None:
+        """Have items be granted by what is left until they are due, in the store's time."""
+        self._batch.store_ms = store_ms
+
     def hear(self, report: Report, now: float) -> None:
         """Take a node's state and its asks, and decide what follows."""
         node = report.node
         changed = self.book.hear(node, report.loads, report.settled)
         self._batch.hear(node, report.zone, report.waiting)
         self._replicas.hear_suspects(node, report.suspects, now)
+        self._look_at_paces(now)
         for number in report.withdrawn:
             self._online.withdraw(node, number, now)
         for served in report.served:
-            self._learn(served)
+            self._learn(served, now)
+        for timing in report.timings:
+            self._learn_pace(timing, True, timing.events, timing.took_ms, now)
         for ask in report.asks:
             replica_id = self._online.answer(node, report.zone, ask, now)
             if replica_id:
                 self._batch.make_room([replica_id], now)
         self._settle(changed, now)
 
-    def _learn(self, served: Served) -> None:
+    def _learn(self, served: Served, now: float) -> None:
         self._replicas.note_answer(served.replica_id)
-        self.times.note_hold(served.route, served.hold_ms)
+        self._learn_pace(served, False, served.events, served.hold_ms, now)
+        usual = self.paces.usual(served.replica_id)
+        self.times.note_hold(served.route, served.hold_ms / usual)
         if served.expected_wait_ms > 0:
             self.times.note_wait(served.route, served.expected_wait_ms, served.start_ms)
         else:
-            self.times.note_start(served.route, served.start_ms)
+            self.times.note_start(served.route, served.start_ms / usual)
+
+    def _look_at_paces(self, now: float) -> None:
+        """Have choices go by the replicas' paces of this moment, where that is in force."""
+        if not self.features.is_on(Feature.REPLICA_PACE):
+            self._replicas.paces = {}
+            return
+        if self._paced_fingerprint != self._directory.fingerprint:
+            self._paced_fingerprint = self._directory.fingerprint
+            self.paces.note_replicas(self._directory.all(), now)
+        self.paces.refresh(now)
+        self._replicas.paces = self.paces.present
+
+    def _learn_pace(
+        self, told: Served | ReplicaTiming, is_item: bool, events: int, took_ms: int, now: float
+    ) -> None:
+        """Learn how fast a replica worked for an answer, where replicas tell their pace."""
+        replica = self._directory.find(told.replica_id)
+        if replica is None:
+            return
+        if told.slowdown_percent > 0:
+            self.features.note_told_pace(replica.service)
+        if not self.features.is_on(Feature.REPLICA_PACE):
+            return
+        # The answer has just ended, and the book does not count it any more.
+        running = self.book.total(replica.replica_id, now).total + 1
+        percent, fill = told.slowdown_percent, running / replica.slots
+        measured = Measurement(
+            replica.replica_id, replica.service, is_item, events, took_ms, percent, fill
+        )
+        self.paces.note(measured, now)
+
+    def take_paces(self, figures: Mapping[str, PaceFigures], now: float) -> None:
+        """Take the paces that another coordinator has learnt."""
+        self.paces.take(figures, now)
+        for replica_id in figures:
+            replica = self._directory.find(replica_id)
+            if replica is not None:
+                self.features.note_told_pace(replica.service)
 
     def forget(self, node: str, now: float) -> None:
         """A node is gone: its work ends, and its requests wait no more."""
@@ -92,6 +150,7 @@
     def tick(self, now: float) -> None:
         """Do what is due by time alone."""
         changed = self.book.expire(now)
+        self._look_at_paces(now)
         self._online.expire(now)
         self._settle(changed, now)
 
--- a/src/cloverwalk/scheduling/selection.py
+++ b/src/cloverwalk/scheduling/selection.py
@@ -1,9 +1,11 @@
 """Which replica a request goes to. A pure policy: figures in, a choice out.
 
 The cost of a replica is the time that the request is expected to wait and to be read there: prompts
-are read one after the other, so those that were sent before it count. Bytes that cross zones are
-charged besides. Requests that share a prompt meet at the same replicas, since every node ranks the
-replicas of a zone by the same hash.
+are read one after the other, so those that were sent before it count. At a replica that works more
+slowly than others all this takes longer, see ``pace``; a fast one gets more work until it is so
+full that the slow one serves as soon. Bytes that cross zones are charged besides. Requests that
+share a prompt meet at the same replicas, since every node ranks the replicas of a zone by the same
+hash.
 """
 
 from collections.abc import Sequence
@@ -60,6 +62,9 @@
     other_suspects: int = 0
     """Requests sent there lately under which replicas have ended, for one that is a suspect too."""
 
+    pace: float = 1.0
+    """How long work takes there, as a multiple of the service's usual time."""
+
 
 class Demand(Struct, frozen=True):
     """What a request asks for."""
@@ -73,6 +78,9 @@
     own_tokens: int = 0
     """Tokens of the part of its prompt that nobody shares."""
 
+    start_ms: float = 0.0
+    """How long its first event takes at a free slot of a replica of the usual pace."""
+
 
 def reading_ms(tokens: int) -> float:
     """Return the time that a replica is expected to read a prompt of so many tokens for."""
@@ -103,7 +111,8 @@
 def expected_reading_ms(chosen: Candidate, among: Sequence[Candidate], demand: Demand) -> float:
     """Return how long the chosen replica is expected to read the request's prompt for."""
     is_home = chosen.replica.replica_id in _home_by_zone(among, demand)
-    return reading_ms(demand.own_tokens + (0 if is_home else demand.shared_tokens))
+    tokens = demand.own_tokens + (0 if is_home else demand.shared_tokens)
+    return chosen.pace * reading_ms(tokens)
 
 
 def _home_by_zone(candidates: Sequence[Candidate], demand: Demand) -> set[str]:
@@ -117,20 +126,23 @@
 
 def _cost_ms(candidate: Candidate, demand: Demand, homes: set[str]) -> float:
     replica = candidate.replica
+    pace = candidate.pace
     cost = SUSPECT_COST_MS if candidate.is_suspect else 0.0
     cost += DOUBT_COST_MS if candidate.is_doubted else 0.0
     in_flight = candidate.in_flight
     cost += candidate.reading_ms
     cost += COMPANY_COST_MS * candidate.other_suspects
     used = in_flight.online / replica.slots
-    cost += LOAD_COST_MS * used
+    cost += pace * LOAD_COST_MS * used
     cost += CROWDED_COST_MS * max(0.0, used - CROWDED_FROM) / (1 - CROWDED_FROM)
     cost += BATCH_COST_MS * in_flight.batch / replica.slots
     if in_flight.batch and in_flight.total >= replica.slots:
         cost += CUT_COST_MS
-    cost += FULL_COST_MS * max(0, in_flight.online + 1 - replica.slots)
+    # A queue at a fast replica is short, but while another has a free slot nobody should queue.
+    cost += max(1.0, pace) * FULL_COST_MS * max(0, in_flight.online + 1 - replica.slots)
+    cost += (pace - 1.0) * demand.start_ms
     if homes and replica.replica_id not in homes:
-        cost += reading_ms(demand.shared_tokens)
+        cost += pace * reading_ms(demand.shared_tokens)
     if replica.zone != demand.zone:
         cost += OTHER_ZONE_MS + OTHER_ZONE_MS_PER_KB * demand.size_bytes / 1024
     return cost
--- a/src/cloverwalk/serving/batch_parts.py
+++ b/src/cloverwalk/serving/batch_parts.py
@@ -82,6 +82,8 @@
             clock,
         )
         fleet.link.batch = self.runner
+        self._store_time = store_clock.now
+        fleet.scheduler.use_store_time(self._store_ms)
         self.lister = ResultLister(committer, self.view, cache, self.runner.drop, log, clock)
         self.reader = JobReader(store, self.view, self._is_run_here, cache, clock)
         self.verifier = JobVerifier(self.runner, self.reader, log)
@@ -150,6 +152,10 @@
             self.sweeper.run,
         ]
 
+    def _store_ms(self) -> float | None:
+        time = self._store_time()
+        return None if time is None else time.earliest_ms
+
     def _is_run_here(self, job_id: str) -> bool:
         return job_id in self.runner.jobs
 
--- a/src/cloverwalk/serving/fleet_parts.py
+++ b/src/cloverwalk/serving/fleet_parts.py
@@ -66,6 +66,7 @@
             random,
             self.features,
         )
+        self.scheduler.paces.on_change = self._note_pace
         self.cases = CaseSync(knowledge.crashes, self.transport, log, clock)
         self.coordinator = Coordinator(
             self.identity,
@@ -116,6 +117,14 @@
         told = {use.value: round(seconds, 2) for use, seconds in uses.items() if seconds > 0}
         self._log.write(catalogue.SLOT_TIME, **told)
 
+    def _note_pace(self, replica_id: str, factor: float, is_unusual: bool) -> None:
+        self._log.write(
+            catalogue.REPLICA_PACE_CHANGED,
+            replica=replica_id,
+            pace=round(factor, 2),
+            is_unusual=is_unusual,
+        )
+
     def _note_feature(self, state: FeatureState) -> None:
         self._log.write(
             catalogue.FEATURE_CHANGED,
--- a/src/cloverwalk/serving/node.py
+++ b/src/cloverwalk/serving/node.py
@@ -338,6 +338,9 @@
         coordinator = self._fleet.coordinator
         known = len(coordinator.roster.live()) if coordinator.is_active else 0
         uses = self._fleet.slots.time.seconds
+        paces = self._fleet.scheduler.paces
+        metrics.replica_paces = paces.classes()
+        metrics.gauge("cloverwalk_pace_figures_dropped", "Left out as odd", paces.dropped)
         metrics.slot_seconds = {use.value: seconds for use, seconds in uses.items()}
         metrics.gauge("cloverwalk_coordinator_term", "Term followed", self._fleet.leader.term)
         metrics.gauge("cloverwalk_coordinated_nodes", "Nodes that report here", known)
--- a/src/cloverwalk/telemetry/metrics.py
+++ b/src/cloverwalk/telemetry/metrics.py
@@ -66,6 +66,10 @@
         self._items: Counter[str] = Counter()
         self._broken_off: Counter[str] = Counter()
         self._containments: Counter[str] = Counter()
+        self._odd_figures: Counter[str] = Counter()
+        self.replica_paces: Mapping[str, int] = {}
+        """Replicas by pace class, as this node has learnt it while it coordinated."""
+
         self._durations: dict[str, Latencies] = {}
         self._first_events: dict[str, Latencies] = {}
         self._running: dict[str, int] = {}
@@ -103,6 +107,7 @@
     def replica_load(self, replica_id: str, load: ReplicaLoad) -> None:
         """A replica told its load."""
         self._running[replica_id] = load.running
+        self._odd_figures["slowdown"] += load.has_odd_slowdown
 
     def gauge(self, name: str, help_text: str, value: float) -> None:
         """Set a plain figure."""
@@ -139,6 +144,7 @@
             ("cloverwalk_items", "Ended runs of items", self._items, "outcome"),
             ("cloverwalk_broken_off", "Replicas that broke off", self._broken_off, "found"),
             ("cloverwalk_containments", "Requests contained", self._containments, "event"),
+            ("cloverwalk_odd_figures", "Replicas' figures dropped", self._odd_figures, "figure"),
         ):
             counter = CounterMetricFamily(name, help_text, labels=[label])
             for value, count in counts.items():
@@ -168,6 +174,10 @@
         for replica_id, count in self._running.items():
             running.add_metric([replica_id], count)
         yield running
+        paces = GaugeMetricFamily("cloverwalk_replica_paces", "Replicas by pace", labels=["pace"])
+        for name, count in self.replica_paces.items():
+            paces.add_metric([name], count)
+        yield paces
         for name, (help_text, figure) in self._gauges.items():
             yield GaugeMetricFamily(name, help_text, value=figure)
         yield from self.tenants.collect(self.directory)
