--- a/src/cloverwalk/scheduling/batch.py
+++ b/src/cloverwalk/scheduling/batch.py
@@ -172,15 +172,13 @@
 
         Where replicas differ in pace, only those count where the items end in time, if any do.
         """
+        preferred = claim.group.replica_id
+        own_zone = self._zones.get(claim.node, "")
         most = self._most_pace(claim.group)
         if most is not None:
-            open_ids = self._in_time(open_ids, most) or open_ids
-        preferred = claim.group.replica_id
+            return self._best_by_pace(preferred, own_zone, most, open_ids, room, zones)
         if preferred in open_ids:
             return preferred
-        if most is not None:
-            open_ids = self._by_haste(open_ids, most)
-        own_zone = self._zones.get(claim.node, "")
         return min(open_ids, key=lambda key: (zones[key] != own_zone, -room[key], key))
 
     def _most_pace(self, group: WaitingGroup) -> float | None:
@@ -190,19 +188,33 @@
         store_ms = self.store_ms()
         return None if store_ms is None else (due_ms(group.due_step) - store_ms) / group.rest_ms
 
-    def _in_time(self, open_ids: set[str], most: float) -> set[str]:
-        """Return the replicas where an item ends in time, by their pace."""
-        paces = self._replicas.paces
-        return {key for key in open_ids if paces.get(key, 1.0) <= most}
-
-    def _by_haste(self, open_ids: set[str], most: float) -> set[str]:
-        """Return the fast ones of some replicas for an item that is due soon, else the others.
+    def _best_by_pace(
+        self,
+        preferred: str,
+        own_zone: str,
+        most: float,
+        open_ids: set[str],
+        room: dict[str, int],
+        zones: dict[str, str],
+    ) -> str:
+        """Return the best replica of those where an item ends in time, else of all.
 
-        All where there are none of these.
+        One that is due soon goes to a fast one; one with time to spare leaves these to others.
         """
-        paces = self._replicas.paces
-        fast = {key for key in open_ids if paces.get(key, 1.0) < FAST_BELOW}
-        return (fast if most < SOON_FACTOR else open_ids - fast) or open_ids
+        pace_of = self._replicas.paces.get
+        is_soon = most < SOON_FACTOR
+
+        def rank(key: str) -> tuple[bool, bool, bool, int, str]:
+            pace = pace_of(key, 1.0)
+            is_fast = pace < FAST_BELOW
+            return (pace > most, is_fast != is_soon, zones[key] != own_zone, -room[key], key)
+
+        if preferred in open_ids and pace_of(preferred, 1.0) <= most:
+            return preferred
+        best = min(open_ids, key=rank)
+        if preferred in open_ids and pace_of(best, 1.0) > most:
+            return preferred
+        return best
 
     def _grant_one(self, claim: _Claim, replica_id: str, now: float) -> None:
         claim.left -= 1
--- a/src/cloverwalk/scheduling/pace.py
+++ b/src/cloverwalk/scheduling/pace.py
@@ -85,7 +85,7 @@
 """Bounds of the classes that the metrics count by."""
 
 
-@attrs.frozen
+@attrs.define
 class Measurement:
     """How one answer ran at a replica, as a node told it."""
 
@@ -131,6 +131,10 @@
         quiet = max(self.error, self.told_error) < QUIET_ERROR
         return quiet or self.told_error < LEAST_GAIN * self.error
 
+    def is_faded(self, now: float) -> bool:
+        """Whether only the slow figure counts any more."""
+        return now >= max(self.told_at + TOLD_FADES_S, self.quick_at + MEASURED_FADES_S)
+
     def pace(self, now: float) -> float:
         """Return the present pace as a factor."""
         told_share = 0.0
@@ -160,6 +164,9 @@
         """When a replica that has started again was first seen."""
 
         self._refreshed_at = -math.inf
+        self._fading: set[str] = set()
+        """Replicas whose quick figure still counts."""
+
         self.present: dict[str, float] = {}
         """Paces now, of the replicas of which something is known; see ``refresh``."""
 
@@ -185,8 +192,12 @@
         if now - self._refreshed_at < REFRESH_EVERY_S:
             return
         self._refreshed_at = now
-        for replica_id, known in self._learnt.items():
-            self.present[replica_id] = known.pace(now)
+        for replica_id in list(self._fading):
+            known = self._learnt.get(replica_id)
+            if known is not None:
+                self.present[replica_id] = known.pace(now)
+            if known is None or known.is_faded(now):
+                self._fading.discard(replica_id)
 
     def classes(self) -> Counter[str]:
         """Return how many replicas are fast, usual and slow by their slow figure."""
@@ -210,7 +221,11 @@
             self._note_factor(measured.replica_id, known, factor, told, now)
         if told is not None:
             _note_told(known, told, began_at)
-        self.present[measured.replica_id] = known.pace(now)
+        self._show(measured.replica_id, known, now)
+
+    def _show(self, replica_id: str, known: _Learnt, now: float) -> None:
+        self.present[replica_id] = known.pace(now)
+        self._fading.add(replica_id)
 
     def _factor(self, measured: Measurement) -> float | None:
         """Return the logarithm of an answer's time against the usual one; None: not known."""
@@ -296,7 +311,7 @@
             known.quick_at = now - told.age_ms / 1000
             known.is_unusual = abs(usual) > UNUSUAL_FROM
             self._learnt[replica_id] = known
-            self.present[replica_id] = known.pace(now)
+            self._show(replica_id, known, now)
 
 
 def _service_average() -> RunningAverage:
--- a/src/cloverwalk/scheduling/scheduler.py
+++ b/src/cloverwalk/scheduling/scheduler.py
@@ -49,6 +49,9 @@
         self.times = times
         self.paces = ReplicaPaces()
         self._directory = directory
+        self._is_paced = False
+        """Whether choices go by pace, as of the last look."""
+
         self._paced_fingerprint: int | None = None
         self.quotas = FleetQuotas(configuration, quota_bounds, random)
         self.book = SlotBook()
@@ -103,7 +106,8 @@
 
     def _look_at_paces(self, now: float) -> None:
         """Have choices go by the replicas' paces of this moment, where that is in force."""
-        if not self.features.is_on(Feature.REPLICA_PACE):
+        self._is_paced = self.features.is_on(Feature.REPLICA_PACE)
+        if not self._is_paced:
             self._replicas.paces = {}
             return
         if self._paced_fingerprint != self._directory.fingerprint:
@@ -121,7 +125,7 @@
             return
         if told.slowdown_percent > 0:
             self.features.note_told_pace(replica.service)
-        if not self.features.is_on(Feature.REPLICA_PACE):
+        if not self._is_paced:
             return
         # The answer has just ended, and the book does not count it any more.
         running = self.book.total(replica.replica_id, now).total + 1
