--- a/src/cloverwalk/scheduling/batch.py
+++ b/src/cloverwalk/scheduling/batch.py
@@ -204,10 +204,10 @@
         pace_of = self._replicas.paces.get
         is_soon = most < SOON_FACTOR
 
-        def rank(key: str) -> tuple[bool, bool, bool, int, str]:
+        def rank(key: str) -> tuple[int, bool, int, str]:
             pace = pace_of(key, 1.0)
-            is_fast = pace < FAST_BELOW
-            return (pace > most, is_fast != is_soon, zones[key] != own_zone, -room[key], key)
+            misfit = 2 * (pace > most) + ((pace < FAST_BELOW) != is_soon)
+            return (misfit, zones[key] != own_zone, -room[key], key)
 
         if preferred in open_ids and pace_of(preferred, 1.0) <= most:
             return preferred
--- a/src/cloverwalk/scheduling/selection.py
+++ b/src/cloverwalk/scheduling/selection.py
@@ -134,13 +134,16 @@
     cost += COMPANY_COST_MS * candidate.other_suspects
     used = in_flight.online / replica.slots
     cost += pace * LOAD_COST_MS * used
-    cost += CROWDED_COST_MS * max(0.0, used - CROWDED_FROM) / (1 - CROWDED_FROM)
+    if used > CROWDED_FROM:
+        cost += CROWDED_COST_MS * (used - CROWDED_FROM) / (1 - CROWDED_FROM)
     cost += BATCH_COST_MS * in_flight.batch / replica.slots
     if in_flight.batch and in_flight.total >= replica.slots:
         cost += CUT_COST_MS
-    # A queue at a fast replica is short, but while another has a free slot nobody should queue.
-    cost += max(1.0, pace) * FULL_COST_MS * max(0, in_flight.online + 1 - replica.slots)
     cost += (pace - 1.0) * demand.start_ms
+    queue = in_flight.online + 1 - replica.slots
+    if queue > 0:
+        # That of a fast replica is short, but nobody should queue while another has a free slot.
+        cost += max(1.0, pace) * FULL_COST_MS * queue
     if homes and replica.replica_id not in homes:
         cost += pace * reading_ms(demand.shared_tokens)
     if replica.zone != demand.zone:
