--- a/src/cloverwalk/emulator/platform_replica.py
+++ b/src/cloverwalk/emulator/platform_replica.py
@@ -40,6 +40,9 @@
         self.event_padding = 0
         """Characters added to the data of each event."""
 
+        self.slowdown_percent: int | None = None
+        """What it tells of its pace, 100 for its usual one; None: nothing."""
+
         self.unproved_status = 503
         self.max_waiting: int | None = None
         """Requests that may wait for a slot, others are refused; None: all run at once."""
@@ -182,10 +185,12 @@
                 return None
 
     def _headers(self, arrival: Arrival) -> list[tuple[bytes, bytes]]:
-        load = f"{self.running},0,{self.slots}".encode()
+        load = f"{self.running},0,{self.slots}"
+        if self.slowdown_percent is not None:
+            load += f",{self.slowdown_percent}"
         return [
             (names.REQUEST_ID, arrival.request_id.encode()),
-            (names.SERVER_LOAD, load),
+            (names.SERVER_LOAD, load.encode()),
             (b"Keep-Alive", b"timeout=5"),
         ]
 
--- a/src/cloverwalk/scheduling/pace.py
+++ b/src/cloverwalk/scheduling/pace.py
@@ -5,7 +5,8 @@
 on that machine make. The slow one is learnt from answers: their time per event, against what other
 replicas of the service take with as many requests at once. The quick one is what a replica tells
 against what it tells on average, so it does not matter what it calls usual; where its word has not
-come true lately, it is what was measured last. Either fades back to the slow figure with its age.
+come true lately, it is what was measured last. Either fades back to the slow figure with its age,
+and only a slower one than that counts.
 """
 
 import math
@@ -142,7 +143,9 @@
             told_share = _share(now - self.told_at, TOLD_FADES_S)
         quick_share = (1 - told_share) * _share(now - self.quick_at, MEASURED_FADES_S)
         deviation = told_share * (self.told - self.told_usual) + quick_share * self.quick
-        return _bounded(math.exp(self.usual + deviation))
+        # Only slowness counts: else whoever told last that it is free, and may have ended since,
+        # would draw all requests from those that are free but were not heard.
+        return _bounded(math.exp(self.usual + max(0.0, deviation)))
 
 
 class ReplicaPaces:
--- a/tests/serving/test_pace.py
+++ b/tests/serving/test_pace.py
@@ -5,6 +5,7 @@
 
 import curio
 from coordination_world import CoordinationWorld
+from fleet_world import FleetWorld, in_world
 from hypothesis import given
 from hypothesis import strategies as st
 
@@ -263,6 +264,55 @@
     assert paces.present == {}
 
 
+# --- what nodes tell ---
+
+
+def test_nodes_tell_the_coordinator_how_fast_requests_and_items_ran() -> None:
+    async def test(world: FleetWorld) -> None:
+        await world.start(replicas=1, nodes=2, events=10)
+        await world.until(lambda: len(world.coordinator_roster()) == 2)
+        coordinator = world.coordinator()
+        assert coordinator is not None
+        fleet = coordinator._fleet
+        served: list[Served] = []
+        timings: list[ReplicaTiming] = []
+        hear = fleet.scheduler.hear
+
+        def watch(report: Report, now: float) -> None:
+            served.extend(report.served)
+            timings.extend(report.timings)
+            hear(report, now)
+
+        fleet.scheduler.hear = watch  # type: ignore[method-assign]
+        assert not fleet.features.is_on(Feature.REPLICA_PACE)
+        world.replicas[0].slowdown_percent = 250
+        for number in range(2):
+            assert (await world.ask("/chat/a", node=number)).status == 200
+        await world.until(lambda: len(served) == 2)
+        assert fleet.features.is_on(Feature.REPLICA_PACE)
+        assert {(one.replica_id, one.slowdown_percent) for one in served} == {("i-0", 250)}
+        assert {one.events for one in served} == {10}
+        await world.hand_in("j-1", count=2, node=1)
+        await world.until_done("j-1", 2, node=1)
+        await world.until(lambda: len(timings) == 2)
+        told = {(one.replica_id, one.events, one.slowdown_percent) for one in timings}
+        assert told == {("i-0", 10, 250)}
+
+    in_world(test)
+
+
+def test_a_figure_that_cannot_be_a_pace_is_counted_and_not_told() -> None:
+    async def test(world: FleetWorld) -> None:
+        await world.start(replicas=1, nodes=1)
+        world.replicas[0].slowdown_percent = -5
+        assert (await world.ask("/chat/a")).status == 200
+        node = world.nodes[0]
+        assert not node._fleet.features.is_on(Feature.REPLICA_PACE)
+        assert b'cloverwalk_odd_figures_total{figure="slowdown"} 1.0' in node._metrics.render()
+
+    in_world(test)
+
+
 # --- bytes ---
 
 
