--- a/tests/serving/test_pace.py
+++ b/tests/serving/test_pace.py
@@ -231,6 +231,18 @@
     assert fleet.pace("r1") < 1.5
 
 
+def test_a_replica_that_just_told_that_it_is_quick_draws_no_more_than_others_that_are_free() -> (
+    None
+):
+    """It may have ended since, or lie; the others have been quiet for a while."""
+    fleet = PacedFleet(replicas=2)
+    fleet.learn({})
+    fleet.now += 2.0
+    before = fleet.pace("r0")
+    fleet.answered("r0", 0.6, told=25)
+    assert math.isclose(fleet.pace("r0"), before, rel_tol=0.05)
+
+
 def test_some_odd_answers_do_not_move_a_pace_far() -> None:
     fleet = PacedFleet(replicas=2)
     fleet.learn({})
