--- a/src/cloverwalk/fleet/coordinator.py
+++ b/src/cloverwalk/fleet/coordinator.py
@@ -417,7 +417,8 @@
 
     def _paces_due(self, standbys: list[str]) -> dict[str, PaceFigures]:
         now = self._clock()
-        return self._pace_teller.due(self._scheduler.paces.figures(now), standbys, now)
+        paces = self._scheduler.paces
+        return paces.figures(self._pace_teller.due(paces.established(), standbys, now), now)
 
     # --- for other parts of the node ---
 
--- a/src/cloverwalk/scheduling/pace.py
+++ b/src/cloverwalk/scheduling/pace.py
@@ -71,7 +71,8 @@
 """Times between events are compared among replicas that are equally full, in steps of an eighth."""
 
 REFRESH_EVERY_S = 0.1
-"""Faded figures are worked out so often: a sixth of the time in which a told one fades."""
+"""Faded figures are worked out so often: a sixth of the time in which a told one fades. Where more
+than a thousand fade it is rarer, since each costs some 2 us."""
 
 UNUSUAL_FROM = math.log(1.25)
 USUAL_BELOW = math.log(1.1)
@@ -192,7 +193,7 @@
 
     def refresh(self, now: float) -> None:
         """Have figures fade, now and then."""
-        if now - self._refreshed_at < REFRESH_EVERY_S:
+        if now - self._refreshed_at < REFRESH_EVERY_S * (1 + len(self._fading) / 1000):
             return
         self._refreshed_at = now
         for replica_id in list(self._fading):
@@ -290,18 +291,18 @@
 
     # --- handover ---
 
-    def figures(self, now: float) -> dict[str, PaceFigures]:
-        """Return what is known of replicas whose slow figure is established."""
+    def established(self) -> dict[str, float]:
+        """Return the logarithms of slow figures that enough answers stand for."""
         return {
-            key: PaceFigures(
-                round(_bounded(math.exp(one.usual)), 2),
-                round(one.pace(now), 2),
-                min(MOST_TOOK_MS, round(1000 * max(0.0, now - max(one.told_at, one.quick_at)))),
-            )
+            key: one.usual
             for key, one in self._learnt.items()
             if one.answers >= ESTABLISHED_ANSWERS
         }
 
+    def figures(self, replica_ids: Iterable[str], now: float) -> dict[str, PaceFigures]:
+        """Return what is known of some replicas, as a snapshot tells it."""
+        return {key: _figures(self._learnt[key], now) for key in replica_ids}
+
     def take(self, figures: Mapping[str, PaceFigures], now: float) -> None:
         """Take what another coordinator has learnt."""
         for replica_id, told in figures.items():
@@ -343,6 +344,13 @@
         return math.log(event_ms / usual_ms)
 
 
+def _figures(known: _Learnt, now: float) -> PaceFigures:
+    age_s = max(0.0, now - max(known.told_at, known.quick_at))
+    age_ms = round(min(MOST_TOOK_MS, 1000 * age_s))
+    usual = _bounded(math.exp(known.usual))
+    return PaceFigures(round(usual, 2), round(known.pace(now), 2), age_ms)
+
+
 def _note_told(known: _Learnt, told: float, at: float) -> None:
     known.told_count += 1
     weight = max(USUAL_WEIGHT, 1 / (known.told_count + PRIOR_ANSWERS))
--- a/src/cloverwalk/scheduling/pace_handover.py
+++ b/src/cloverwalk/scheduling/pace_handover.py
@@ -5,8 +5,6 @@
 
 import attrs
 
-from cloverwalk.fleet.messages import PaceFigures
-
 TOLD_CHANGE = math.log(1.1)
 """A smaller change of the slow figure is not worth its bytes: it changes no choice by more than a
 few milliseconds."""
@@ -35,8 +33,8 @@
     """Remembers what the standbys were told.
 
     >>> teller = PaceTeller()
-    >>> known = {"r1": PaceFigures(1.6, 1.6, 0), "r2": PaceFigures(1.02, 1.4, 0)}
-    >>> [list(teller.due(known, ["n2"], at)) for at in (0.0, 0.25, 0.5)]
+    >>> known = {"r1": math.log(1.6), "r2": math.log(1.02)}
+    >>> [teller.due(known, ["n2"], at) for at in (0.0, 0.25, 0.5)]
     [['r1'], ['r1'], []]
     """
 
@@ -44,22 +42,23 @@
         self._told: dict[str, _Told] = {}
         self._standbys: list[str] = []
 
-    def due(
-        self, known: Mapping[str, PaceFigures], standbys: list[str], now: float
-    ) -> dict[str, PaceFigures]:
-        """Return what to tell now; new standbys are told all that differs from the usual."""
+    def due(self, known: Mapping[str, float], standbys: list[str], now: float) -> list[str]:
+        """Return the replicas to tell of now, by the logarithms of their slow figures.
+
+        New standbys are told all that differ from the usual.
+        """
         if standbys != self._standbys:
             self._standbys = standbys
             self._told = {}
         gone = self._told.keys() - known.keys()
         for replica_id in gone:
             del self._told[replica_id]
-        due: dict[str, PaceFigures] = {}
-        for replica_id, figures in known.items():
+        due: list[str] = []
+        for replica_id, usual in known.items():
             if len(due) == MOST_TOLD:
                 break
-            if self._is_due(replica_id, math.log(figures.usual), now):
-                due[replica_id] = figures
+            if self._is_due(replica_id, usual, now):
+                due.append(replica_id)
         return due
 
     def _is_due(self, replica_id: str, usual: float, now: float) -> bool:
--- a/tests/serving/test_pace.py
+++ b/tests/serving/test_pace.py
@@ -356,7 +356,7 @@
     teller = PaceTeller()
     told = 0
     for step, factor in enumerate(factors):
-        known = {f"r{number}": PaceFigures(factor, factor, 0) for number in range(2 * MOST_TOLD)}
+        known = {f"r{number}": math.log(factor) for number in range(2 * MOST_TOLD)}
         due = teller.due(known, ["n1", "n2", "n3"], 0.25 * step)
         assert len(due) <= MOST_TOLD
         told += "r0" in due
