--- a/src/cloverwalk/fleet/coordinator.py
+++ b/src/cloverwalk/fleet/coordinator.py
@@ -22,6 +22,7 @@
     Leadership,
     NodeLoad,
     Orders,
+    PaceFigures,
     RemovedReplica,
     Report,
     RouteFigures,
@@ -34,6 +35,7 @@
 from cloverwalk.gateway.replicas import Replica, ReplicaDirectory
 from cloverwalk.scheduling.decisions import Decisions
 from cloverwalk.scheduling.features import Feature
+from cloverwalk.scheduling.pace_handover import PaceTeller
 from cloverwalk.scheduling.scheduler import Scheduler
 from cloverwalk.store.health import StoreHealth
 from cloverwalk.telemetry.log import ServingLog
@@ -122,6 +124,7 @@
 
         self._told_directory: dict[str, Replica] = {}
         self._told_fingerprint: int | None = None
+        self._pace_teller = PaceTeller()
         self._snapshots = 0
         self._snapshot_at = float("-inf")
         self._pinged_at = float("-inf")
@@ -455,6 +458,7 @@
             [one.contact for one in live],
             self.is_leaving,
             self._scheduler.quotas.levels(self._clock()),
+            paces=self._paces_due([one.node for one in current.standbys]),
             used_shares=self._scheduler.shares.used(),
             used_item_shares=self._scheduler.item_shares.used(),
         )
@@ -462,6 +466,11 @@
             if standby.node != self._identity.node:
                 self._transport.send(standby.host, snapshot)
 
+    def _paces_due(self, standbys: list[str]) -> dict[str, PaceFigures]:
+        now = self._clock()
+        paces = self._scheduler.paces
+        return paces.figures(self._pace_teller.due(paces.established(), standbys, now), now)
+
     # --- for other parts of the node ---
 
     def take_fleet(self, nodes: int, near_limit: list[str], now: float) -> None:
--- a/src/cloverwalk/fleet/election.py
+++ b/src/cloverwalk/fleet/election.py
@@ -134,6 +134,7 @@
         self._scheduler.quotas.take_levels(snapshot.quota_levels)
         self._scheduler.shares.take_used(snapshot.used_shares)
         self._scheduler.item_shares.take_used(snapshot.used_item_shares)
+        self._scheduler.take_paces(snapshot.paces, now)
         for route, known in snapshot.figures.items():
             self._scheduler.times.take_figures(
                 route, known.start_ms, known.hold_ms, known.wait_factor
--- a/src/cloverwalk/fleet/link.py
+++ b/src/cloverwalk/fleet/link.py
@@ -4,7 +4,7 @@
 when nobody answers.
 """
 
-from collections import Counter
+from collections import Counter, deque
 from collections.abc import Awaitable, Callable
 
 import attrs
@@ -27,6 +27,7 @@
     Leadership,
     NodeLoad,
     Orders,
+    ReplicaTiming,
     Report,
     Served,
     Waiting,
@@ -39,6 +40,10 @@
 from cloverwalk.store.health import StoreHealth
 from cloverwalk.telemetry.log import ServingLog
 
+MOST_TIMINGS = 16
+"""Timings of items in one report, some 600 bytes: enough for what ends between two reports, which
+follow each end; after a pause the newest say most."""
+
 HEARTBEAT_S = 1.0
 """Longest time between reports."""
 
@@ -142,6 +147,7 @@
         self._replicas = DirectorySync(directory, log, clock)
         self._served: list[Served] = []
         self._corrections: Counter[tuple[str, int]] = Counter()
+        self._timings: deque[ReplicaTiming] = deque(maxlen=MOST_TIMINGS)
         self._sequence = 0
         self._sent_at = float("-inf")
         self._heard_at = float("-inf")
@@ -199,6 +205,10 @@
         corrections, self._corrections = self._corrections, Counter()
         return [WorkCorrection(*key, more_ms) for key, more_ms in corrections.items()]
 
+    def note_timing(self, timing: ReplicaTiming) -> None:
+        """A run of an item ended; the next report tells how fast its replica was."""
+        self._timings.append(timing)
+
     async def _report(self) -> None:
         """Report to the coordinator, or to whoever stands in for it."""
         self._judge_silence()
@@ -280,9 +290,11 @@
             self._coordinator.deputy_grants(now),
             self._cases.for_report(),
             self._cases.ledger.digest,
+            timings=list(self._timings),
             corrections=self._take_corrections(),
         )
         self._served = []
+        self._timings.clear()
         return report
 
     @property
--- a/src/cloverwalk/jobs/order.py
+++ b/src/cloverwalk/jobs/order.py
@@ -13,6 +13,9 @@
 from cloverwalk.fleet.messages import WaitingGroup
 from cloverwalk.scheduling.due_steps import DUE_STEP_MS, LATE_STEP, PRIORITY_STEP
 
+REST_STEP_MS = 100
+"""What items still run is told in steps of this length; an estimate that moves less is no news."""
+
 MAX_GROUPS = 12
 """Groups of one pool that are told; items that are due later join the last of their tenant."""
 
@@ -28,6 +31,8 @@
     priority: int = 0
     tenant: str = ""
     rest_ms: float = 0.0
+    """How long it still runs at a replica of the usual pace; 0: not told."""
+
     tokens: int = 0
     """Memory that it may take at a replica; 0 where nobody asks."""
 
@@ -77,7 +82,8 @@
     """Return items of one key as they are told; the largest one's memory stands for each."""
     step, replica_id, tenant = key
     reading_ms = round(sum(one.reading_ms for one in items) / len(items))
-    rest_ms = round(sum(one.rest_ms for one in items) / len(items))
+    rest_ms = sum(one.rest_ms for one in items) / len(items)
+    rest_ms = round(rest_ms / REST_STEP_MS) * REST_STEP_MS
     tokens = max(one.tokens for one in items)
     return WaitingGroup(step, len(items), replica_id, reading_ms, tenant, rest_ms, tokens)
 
--- a/src/cloverwalk/jobs/runner.py
+++ b/src/cloverwalk/jobs/runner.py
@@ -9,6 +9,7 @@
 from cloverwalk.core import catalogue
 from cloverwalk.fleet.link import BatchSide, CoordinatorLink
 from cloverwalk.fleet.load import LoadBook, Work
+from cloverwalk.fleet.messages import ReplicaTiming
 from cloverwalk.gateway.configuration import ConfigurationHolder, Route
 from cloverwalk.gateway.crash_witness import CrashWitness
 from cloverwalk.gateway.errors import SILENT, ReplicaError
@@ -89,6 +90,9 @@
         self._has_jobs = curio.Event()
         self._pace = ItemPace()
         self._route_watch = RouteWatch()
+        self._tells_pace = False
+        """Whether a replica has told its pace here: then how long items still run matters."""
+
         self._has_ended = False
         """Whether a run has ended since the last report was asked for."""
 
@@ -200,10 +204,11 @@
             priority,
             tokens=one.item.tokens if self._loads.counts_tokens else 0,
         )
-        if not self._configuration.has_tenants:
+        has_tenants = self._configuration.has_tenants
+        if not has_tenants and not self._tells_pace:
             return waiting
-        rest_ms = self._pace.remaining_s(one) * 1000
-        return attrs.evolve(waiting, tenant=job.record.tenant, rest_ms=rest_ms)
+        tenant = job.record.tenant if has_tenants else ""
+        return attrs.evolve(waiting, tenant=tenant, rest_ms=1000 * self._pace.remaining_s(one))
 
     def _priority(self, job: JobRun) -> int:
         """Return the rank of a job: its tenant's, or its route's."""
@@ -391,6 +396,7 @@
         if one.phase is Phase.RUNNING:
             pause_s = 0.0 if outcome == "suspended" else RETRY_S
             job.suspend(one, self._clock() + pause_s)
+        self._tell_timing(running)
         self._metrics.item_ended(outcome)
         self._log.write(
             catalogue.ITEM_RUN_ENDED,
@@ -418,6 +424,15 @@
         more_ms = running.one.last_run_s * 1000 - running.expected_ms
         self._link.note_correction(tenant, rank, round(more_ms))
 
+    def _tell_timing(self, running: _Running) -> None:
+        timing = running.one.timing
+        if timing is None or timing.events == 0:
+            return
+        self._tells_pace |= timing.told_percent > 0
+        took_ms = round((timing.last_at - timing.first_at) * 1000)
+        told = ReplicaTiming(running.replica_id, timing.events, took_ms, timing.told_percent)
+        self._link.note_timing(told)
+
     def _note_lateness(self, job: JobRun, one: ItemRun) -> str | None:
         """Return why a finished item is late; None for one in time, or not finished."""
         if one.phase is not Phase.FINISHED or one.end is not None:
--- a/src/cloverwalk/scheduling/batch.py
+++ b/src/cloverwalk/scheduling/batch.py
@@ -10,7 +10,7 @@
 from cloverwalk.fleet.messages import Waiting, WaitingGroup
 from cloverwalk.gateway.replicas import Replica
 from cloverwalk.scheduling.decisions import Outbox
-from cloverwalk.scheduling.due_steps import band_of, rank_of
+from cloverwalk.scheduling.due_steps import band_of, due_ms, rank_of
 from cloverwalk.scheduling.fair_shares import FairShares
 from cloverwalk.scheduling.features import Feature, Features
 from cloverwalk.scheduling.replica_view import ReplicaView
@@ -20,6 +20,16 @@
 FIRST_GUESS_ITEM_MS = 2000.0
 """Slot time of an item whose node has not told it; what it took is told at its end."""
 
+SOON_FACTOR = 2.0
+"""An item with less than this multiple of the time that it still runs is due soon: one more pause
+for online work would make it late at a usual replica."""
+
+FAST_BELOW = 0.9
+"""A replica whose pace is below this counts as fast; items with time to spare leave it alone."""
+
+StoreMs = Callable[[], float | None]
+"""Returns the present time of the store, in ms; None while it is not known."""
+
 
 @attrs.define
 class _Claim:
@@ -68,6 +78,7 @@
         self._zones: dict[str, str] = {}
         self.zone = ""
         """The zone whose replicas items get slots of; empty: all."""
+        self.store_ms: StoreMs = _not_known
 
     # --- what waits ---
 
@@ -246,11 +257,17 @@
     def _best(
         self, claim: _Claim, open_ids: set[str], room: dict[str, int], zones: dict[str, str]
     ) -> str:
-        """Return the replica that keeps the items' prompts, or the emptiest, nearest first."""
+        """Return the replica that keeps the items' prompts, or the emptiest, nearest first.
+
+        Where replicas differ in pace, only those count where the items end in time, if any do.
+        """
         preferred = claim.group.replica_id
+        own_zone = self._zones.get(claim.node, "")
+        most = self._most_pace(claim.group)
+        if most is not None:
+            return self._best_by_pace(preferred, own_zone, most, open_ids, room, zones)
         if preferred in open_ids:
             return preferred
-        own_zone = self._zones.get(claim.node, "")
         return min(open_ids, key=lambda key: (zones[key] != own_zone, -room[key], key))
 
     def _where_it_fits(self, claim: _Claim, open_ids: set[str], now: float) -> set[str]:
@@ -260,6 +277,41 @@
             return open_ids
         return {key for key in open_ids if self._replicas.fits(key, tokens, now)}
 
+    def _most_pace(self, group: WaitingGroup) -> float | None:
+        """Return the pace at which items of a group just end in time; None: pace does not count."""
+        if not self._replicas.paces or group.rest_ms <= 0:
+            return None
+        store_ms = self.store_ms()
+        return None if store_ms is None else (due_ms(group.due_step) - store_ms) / group.rest_ms
+
+    def _best_by_pace(
+        self,
+        preferred: str,
+        own_zone: str,
+        most: float,
+        open_ids: set[str],
+        room: dict[str, int],
+        zones: dict[str, str],
+    ) -> str:
+        """Return the best replica of those where an item ends in time, else of all.
+
+        One that is due soon goes to a fast one; one with time to spare leaves these to others.
+        """
+        pace_of = self._replicas.paces.get
+        is_soon = most < SOON_FACTOR
+
+        def rank(key: str) -> tuple[int, bool, int, str]:
+            pace = pace_of(key, 1.0)
+            misfit = 2 * (pace > most) + ((pace < FAST_BELOW) != is_soon)
+            return (misfit, zones[key] != own_zone, -room[key], key)
+
+        if preferred in open_ids and pace_of(preferred, 1.0) <= most:
+            return preferred
+        best = min(open_ids, key=rank)
+        if preferred in open_ids and pace_of(best, 1.0) > most:
+            return preferred
+        return best
+
     def _grant_one(self, claim: _Claim, replica_id: str, now: float) -> None:
         claim.left -= 1
         decisions = self._outbox.of(claim.node)
@@ -277,7 +329,8 @@
             tenant=tenant,
             now=now,
         )
-        self._replicas.note_reading(replica_id, float(claim.group.reading_ms), now)
+        pace = self._replicas.paces.get(replica_id, 1.0)
+        self._replicas.note_reading(replica_id, pace * claim.group.reading_ms, now)
         self._replicas.note_sent(claim.node, replica_id, now)
 
     def _leave(self, claim: _Claim) -> None:
@@ -288,6 +341,10 @@
         self._waiting[claim.node][claim.pool] = [*groups[:index], *left, *groups[index + 1 :]]
 
 
+def _not_known() -> float | None:
+    return None
+
+
 def _with_items(group: WaitingGroup, items: int) -> WaitingGroup:
     return msgspec.structs.replace(group, items=items)
 
--- a/src/cloverwalk/scheduling/due_steps.py
+++ b/src/cloverwalk/scheduling/due_steps.py
@@ -1,4 +1,4 @@
-"""How the order of waiting items is told as one number: lateness, then rank, then due time."""
+"""The numbers by which the fleet's waiting items are ordered: due times, and ranks above them."""
 
 DUE_STEP_MS = 250
 """Due times are told in steps of this length."""
@@ -26,3 +26,14 @@
     (0, 2, 1)
     """
     return band_of(due_step) % (LATE_STEP // PRIORITY_STEP)
+
+
+def due_ms(due_step: int) -> float:
+    """Return the due time of a step, in the store's time; infinite for items that are late anyhow.
+
+    >>> due_ms(40 + 2 * PRIORITY_STEP), due_ms(40 + LATE_STEP)
+    (10000.0, inf)
+    """
+    if due_step >= LATE_STEP:
+        return float("inf")
+    return float(due_step % PRIORITY_STEP * DUE_STEP_MS)
--- a/src/cloverwalk/scheduling/online.py
+++ b/src/cloverwalk/scheduling/online.py
@@ -322,7 +322,7 @@
         route = self._route(held.ask.route)
         is_overdue = held.ask.must_place or now - held.asked_at >= LONGEST_HOLD_S
         if route is not None and not is_overdue:
-            prospect = self._prospect(held, route, wait_ms, now)
+            prospect = self._prospect(held, route, wait_ms, chosen.pace, now)
             verdict, ahead_ms = self._decide(held, prospect, may_return, now)
             if verdict is Verdict.RETURN:
                 after_s = self._return_after_s(prospect, held.ask, now)
@@ -491,16 +491,18 @@
         return next((one for one in current.routes if one.name == name), None)
 
     def _wait_ms(self, route: str, chosen: Candidate) -> float:
-        hold_ms = self._times.hold_ms(route)
+        hold_ms = chosen.pace * self._times.hold_ms(route)
         return slot_wait_ms(chosen.replica.slots, chosen.in_flight.online, hold_ms)
 
-    def _prospect(self, held: _Held, route: Route, wait_ms: float, now: float) -> Prospect:
+    def _prospect(
+        self, held: _Held, route: Route, wait_ms: float, pace: float, now: float
+    ) -> Prospect:
         current = self._configuration.current
         routes = (route,) if current is None else current.routes
         waited_ms = (now - held.heard_at) * 1000
         return Prospect(
             self._times.wait_factor(route.name) * wait_ms,
-            self._times.start_ms(route.name),
+            pace * self._times.start_ms(route.name),
             held.ask.objective_left_ms - waited_ms,
             route.target_latency_s * 1000,
             most_wait_ms(route, held.line[0], routes, self._times),
@@ -520,6 +522,7 @@
             ask.shared_tokens,
             ask.own_tokens,
             self._other_zone_ms(ask),
+            self._times.start_ms(ask.route),
         )
 
     def _other_zone_ms(self, ask: Ask) -> float:
--- a/src/cloverwalk/serving/fleet_parts.py
+++ b/src/cloverwalk/serving/fleet_parts.py
@@ -71,6 +71,7 @@
             self.features,
         )
         self.scheduler.reach.on_change = self._note_reach
+        self.scheduler.paces.on_change = self._note_pace
         self.cases = CaseSync(knowledge.crashes, self.transport, log, clock)
         self.coordinator = Coordinator(
             self.identity,
@@ -141,6 +142,14 @@
             event, zone=change.zone, source=change.source, evidence=change.evidence.value
         )
 
+    def _note_pace(self, replica_id: str, factor: float, is_unusual: bool) -> None:
+        self._log.write(
+            catalogue.REPLICA_PACE_CHANGED,
+            replica=replica_id,
+            pace=round(factor, 2),
+            is_unusual=is_unusual,
+        )
+
     def _note_feature(self, state: FeatureState) -> None:
         self._log.write(
             catalogue.FEATURE_CHANGED,
