--- a/src/cloverwalk/core/catalogue.py
+++ b/src/cloverwalk/core/catalogue.py
@@ -68,6 +68,13 @@
     114, "first_request_placed", _I, "A process serves its first request."
 )
 MACHINE_SUSPENDED = _event(115, "machine_suspended", _W, "The machine was suspended for a time.")
+NODE_FULL = _event(
+    116, "node_full", _W, "The machine is nearly full, and fuller than its zone's; by resource."
+)
+NODE_TAKES_AGAIN = _event(117, "node_takes_again", _I, "The machine has room again.")
+FULLNESS_INVALID = _event(
+    118, "fullness_invalid", _W, "A figure of a machine's use can't be one; it was left out."
+)
 COORDINATOR_KNOWN = _event(205, "coordinator_known", _I, "Another leadership is in force.")
 COORDINATOR_TAKEN = _event(206, "coordinator_taken", _I, "This node coordinates from now on.")
 COORDINATOR_RESIGNED = _event(207, "coordinator_resigned", _W, "Another node coordinates now.")
@@ -96,6 +103,9 @@
     319, "containment_ended", _I, "A contained request was answered, or its case is old."
 )
 CASE_INVALID = _event(320, "case_invalid", _W, "A stored case of a request can't be read.")
+READERS_GIVEN_UP = _event(
+    340, "readers_given_up", _W, "Clients that don't read were given up; how many, and most bytes."
+)
 JOB_TAKEN = _event(410, "job_taken", _I, "A job is in the store, or was found there.")
 JOB_REFUSED = _event(411, "job_refused", _W, "A job was not taken, or it is not known.")
 JOB_DROPPED = _event(412, "job_dropped", _I, "A job ended, or another node owns it.")
--- a/src/cloverwalk/fleet/coordinator.py
+++ b/src/cloverwalk/fleet/coordinator.py
@@ -11,6 +11,7 @@
 
 from cloverwalk.core import catalogue
 from cloverwalk.fleet.case_sync import CaseSync
+from cloverwalk.fleet.fullness import median_by_zone
 from cloverwalk.fleet.identity import Identity
 from cloverwalk.fleet.leader import LeaderView
 from cloverwalk.fleet.messages import (
@@ -77,6 +78,9 @@
 of each third node refused, 200 nodes were sent 211,615 messages in 6 s without this bound
 (simulated time)."""
 
+FULLNESS_EVERY_S = 0.5
+"""How often the fleet's fullness is looked at: reports of a quiet node come each second."""
+
 PING_LOST_EVERY_S = 1.0
 STORE_SERVES_MS = 3500
 """A node that the store answered within this time is served by it; an idle node's calls wait for
@@ -130,6 +134,11 @@
         self._is_active = curio.Event()
         self.is_leaving = False
         self._near_limit: list[str] = []
+        self.must_hand_over: Callable[[], bool] = _never
+        """Whether this node's machine is too full to coordinate."""
+
+        self._fullness_by_zone: dict[str, int] = {}
+        self._fullness_at = float("-inf")
         self._fleet_size = 0
         """How many nodes the coordinator said that there are; 0 before it did."""
 
@@ -263,12 +272,17 @@
         if self.is_active:
             orders.nodes = len(self.roster.by_name)
             orders.near_limit = self._near_limit
+            orders.zone_fullness_percent = self._zone_fullness(node)
         if decisions is not None:
             orders.placements = decisions.placements
             orders.grants = decisions.grants
             orders.revokes = decisions.revokes
         return orders
 
+    def _zone_fullness(self, node: str) -> int:
+        known = self.roster.by_name.get(node)
+        return 0 if known is None else self._fullness_by_zone.get(known.report.zone, 0)
+
     def _directory_age_ms(self, now: float) -> int:
         return int(min(1e6, (now - self._directory.confirmed_at) * 1000))
 
@@ -349,6 +363,9 @@
         self.on_tick(now)
         self._take_share()
         self._near_limit = self._scheduler.quotas.near_limit(now)
+        if now - self._fullness_at >= FULLNESS_EVERY_S:
+            self._fullness_at = now
+            self._fullness_by_zone = median_by_zone(one.report for one in self.roster.live())
         self._push_directory(now)
         self._cases.push(self._others)
         if self._must_tell_returned:
@@ -389,6 +406,13 @@
         own = self._identity.node
         return [known for known in self.roster.live() if known.contact.node != own]
 
+    def _should_hand_over(self, current: Leadership) -> bool:
+        """Whether the first standby should coordinate: it has room, and this node has none."""
+        if not current.standbys or not self.must_hand_over():
+            return False
+        first = self.roster.by_name.get(current.standbys[0].node)
+        return first is not None and not first.is_lost and not first.report.is_full
+
     def _send_snapshot(self) -> None:
         current = self._leader.current
         if current is None:
@@ -404,7 +428,7 @@
                 for route, figures in self._scheduler.times.figures().items()
             },
             [one.contact for one in live],
-            self.is_leaving,
+            self.is_leaving or self._should_hand_over(current),
             self._scheduler.quotas.levels(self._clock()),
         )
         for standby in current.standbys:
@@ -457,3 +481,7 @@
 
 def _ignore(now: float) -> None:
     return
+
+
+def _never() -> bool:
+    return False
--- a/src/cloverwalk/fleet/link.py
+++ b/src/cloverwalk/fleet/link.py
@@ -109,6 +109,12 @@
         """Own waiting items, as the next report tells them."""
 
         self.is_leaving = False
+        self.fullness_percent = 0
+        """How full this node's machine is, as reports tell it; 0: nobody measures it."""
+
+        self.on_zone_fullness: Callable[[int], None] = _ignore_figure
+        """Called with how full the nodes of this zone are."""
+
         self._served_at = float("-inf")
         self._settled: dict[str, tuple[str, int]] = {}
         self._places = PlaceDesk(self, loads, clock)
@@ -207,6 +213,7 @@
             self._coordinator.deputy_grants(now),
             self._cases.for_report(),
             self._cases.ledger.digest,
+            fullness_percent=self.fullness_percent,
         )
         self._served = []
         return report
@@ -295,6 +302,7 @@
         self._served_at = now if orders.is_store_served else self._served_at
         self._replicas.confirm(orders)
         self._cases.note_coordinator(orders.cases_digest)
+        self.on_zone_fullness(orders.zone_fullness_percent)
         if orders.take_over:
             await self.batch.take_jobs(orders.take_over)
         self._coordinator.take_fleet(orders.nodes, orders.near_limit, now)
@@ -327,3 +335,7 @@
 
 def _ignore() -> None:
     return
+
+
+def _ignore_figure(percent: int) -> None:
+    return
--- a/src/cloverwalk/fleet/messages.py
+++ b/src/cloverwalk/fleet/messages.py
@@ -14,9 +14,12 @@
 from cloverwalk.core.errors import CloverwalkError
 from cloverwalk.gateway.configuration import Configuration
 from cloverwalk.gateway.crash_ledger import CaseCopy
+from cloverwalk.gateway.machine_room import FULL_AT
 from cloverwalk.gateway.replicas import Replica
 from cloverwalk.scheduling.admission import Verdict
 
+FULL_PERCENT = round(100 * FULL_AT)
+
 
 class DatagramError(CloverwalkError):
     """A datagram is not a message of a node."""
@@ -207,7 +210,13 @@
     """How items ran that have ended since the last report; bounded by the sender."""
 
     fullness_percent: int = 0
-    """How much of what the node's machine can carry is in use, by whatever is scarcest there."""
+    """How much of what the node's machine can carry is in use, by whatever is scarcest there; 0:
+    nobody measures it."""
+
+    @property
+    def is_full(self) -> bool:
+        """Whether the node's machine is nearly full, and gets what can go elsewhere last."""
+        return self.fullness_percent >= FULL_PERCENT
 
     @property
     def incarnation(self) -> str:
@@ -297,6 +306,9 @@
     cases_digest: int = 0
     """Digest of the sender's cases, as in a report."""
 
+    zone_fullness_percent: int = 0
+    """How full the nodes of the receiver's zone are in the middle; 0: not told."""
+
 
 class RouteFigures(Struct, array_like=True, frozen=True):
     """What was learnt of a route's requests."""
--- a/src/cloverwalk/fleet/roster.py
+++ b/src/cloverwalk/fleet/roster.py
@@ -97,12 +97,18 @@
         return [one.report.incarnation for one in self.live() if not one.report.is_leaving]
 
     def choose_standbys(self, own_node: str, own_zone: str) -> tuple[Contact, ...]:
-        """Return the nodes that should take over, strong ones of other zones first.
+        """Return the nodes that should take over, with room, strong and of other zones first.
 
         Present standbys need not be kept: whoever takes over learns all within a second.
         """
         able = [
             one for one in self.live() if one.contact.node != own_node and not one.report.is_leaving
         ]
-        able.sort(key=lambda one: (one.report.cores < FULL_CORE, one.report.zone == own_zone))
+        able.sort(
+            key=lambda one: (
+                one.report.is_full,
+                one.report.cores < FULL_CORE,
+                one.report.zone == own_zone,
+            )
+        )
         return tuple(one.contact for one in able[:STANDBYS])
--- a/src/cloverwalk/gateway/relay.py
+++ b/src/cloverwalk/gateway/relay.py
@@ -86,7 +86,7 @@
             self._note_end(request, progress, error.code, reply.status)
             raise
         except curio.TaskCancelled:
-            self._note_end(request, progress, "client_gone", reply.status)
+            self._note_end(request, progress, reply.lost_code, reply.status)
             raise
 
     def _begin(self, request: ClientRequest, route: Route) -> RequestProgress:
--- a/src/cloverwalk/gateway/reply.py
+++ b/src/cloverwalk/gateway/reply.py
@@ -7,23 +7,34 @@
 
 from cloverwalk.gateway.errors import ClientGoneError
 from cloverwalk.gateway.messages import RawHeaders
-
-SEND_STALL_S = 5.0
-"""A client that takes nothing for so long is given up, and the work for it with it."""
+from cloverwalk.gateway.outbox import SEND_STALL_S, Outbox
 
 
 class Reply:
-    """Writes one answer. Whatever is not finished is broken off, and looks so."""
+    """Writes one answer. Whatever is not finished is broken off, and looks so.
+
+    With an outbox, an answer that its client is slow to take waits there; without one, whoever
+    writes it waits.
+    """
 
-    def __init__(self, sock: Any, http: h11.Connection, closes_after: bool) -> None:
+    def __init__(
+        self, sock: Any, http: h11.Connection, closes_after: bool, outbox: Outbox | None = None
+    ) -> None:
         self._sock = sock
         self._http = http
         self._closes_after = closes_after
+        self._outbox = outbox
         self.has_begun = False
         self.is_finished = False
         self.status = 0
         self._unsent = b""
 
+    @property
+    def lost_code(self) -> str:
+        """Why the answer's client is lost, once it is."""
+        is_slow = self._outbox is not None and self._outbox.is_given_up
+        return "client_stalled" if is_slow else "client_gone"
+
     def close_after(self) -> None:
         """Tell the client that the connection ends with this answer."""
         self._closes_after = True
@@ -48,21 +59,25 @@
         await self._send(self._http.send(h11.Data(data=data)) or b"")
 
     def write_now(self, data: bytes) -> bool:
-        """Send a piece of the body without waiting; False: ``flush`` has to send the rest."""
-        self._unsent = self._try_send(self._http.send(h11.Data(data=data)) or b"")
-        return not self._unsent
+        """Send a piece of the body without waiting; False: ``flush`` has to be awaited next."""
+        unsent = self._try_send(self._http.send(h11.Data(data=data)) or b"")
+        if self._outbox is not None:
+            return not unsent or self._outbox.put(unsent)
+        self._unsent = unsent
+        return not unsent
 
     async def flush(self) -> None:
-        """Send what ``write_now`` could not; waits while the client does not read."""
+        """See to it that what ``write_now`` could not send is sent; waits where that is much."""
+        if self._outbox is not None:
+            await self._outbox.settle()
+            return
         unsent, self._unsent = self._unsent, b""
         await self._send(unsent)
 
     async def finish(self) -> None:
         """End the answer properly."""
         data = self._http.send(h11.EndOfMessage()) or b""
-        self.is_finished = True
-        if data:
-            await self._send(data)
+        await self._send_last(data)
 
     async def respond(self, status: int, headers: RawHeaders, body: bytes) -> None:
         """Send a whole answer."""
@@ -70,22 +85,46 @@
         if body:
             data += self._http.send(h11.Data(data=body)) or b""
         data += self._http.send(h11.EndOfMessage()) or b""
-        self.is_finished = True
-        await self._send(data)
+        await self._send_last(data)
+
+    async def drain(self) -> None:
+        """Return once the client has taken the whole answer."""
+        if self._outbox is None:
+            return
+        try:
+            await self._outbox.drain()
+        except (ClientGoneError, curio.CancelledError):
+            # Some of it is not out: nothing more may follow it.
+            self.is_finished = False
+            raise
+
+    async def close(self) -> None:
+        """Drop what was not sent."""
+        if self._outbox is not None:
+            await self._outbox.close()
 
     def _try_send(self, data: bytes) -> bytes:
         """Send what the socket takes at once; return the rest."""
+        if self._outbox is not None and self._outbox.waiting_bytes:
+            return data
         try:
-            return data[self._sock._socket.send(data) :]
+            size = self._sock._socket.send(data)
         except BlockingIOError:
             return data
         except OSError as error:
             raise ClientGoneError(repr(error)) from error
+        if self._outbox is not None:
+            self._outbox.note_sent(size)
+        return data[size:]
 
     async def _send(self, data: bytes) -> None:
         data = self._try_send(data)
         if not data:
             return
+        if self._outbox is not None:
+            self._outbox.put(data)
+            await self._outbox.settle()
+            return
         try:
             async with curio.timeout_after(SEND_STALL_S):
                 await self._sock.sendall(data)
@@ -97,3 +136,13 @@
             # A part of the data may be out: nothing more may follow it.
             self.is_finished = False
             raise
+
+    async def _send_last(self, data: bytes) -> None:
+        """Send the end of the answer; with an outbox the replica is free from here on."""
+        self.is_finished = True
+        if self._outbox is None:
+            if data:
+                await self._send(data)
+        elif unsent := self._try_send(data):
+            self._outbox.put(unsent)
+            await self._outbox.start()
--- a/src/cloverwalk/gateway/server.py
+++ b/src/cloverwalk/gateway/server.py
@@ -14,7 +14,9 @@
 from cloverwalk.core.final_answer import NOTHING_SENT, FinalAnswer, Reason, final_answer
 from cloverwalk.gateway.configuration import ClientLimits
 from cloverwalk.gateway.errors import ClientGoneError, GatewayError
+from cloverwalk.gateway.held_bytes import HeldBytes
 from cloverwalk.gateway.messages import ClientRequest, GatewayCodec, RawHeaders
+from cloverwalk.gateway.outbox import Outbox
 from cloverwalk.gateway.reply import Reply
 
 READ_BYTES = 65536
@@ -22,6 +24,9 @@
 LINGER_S = 0.5
 BODY_TIMEOUT_S = 10.0
 MAX_PIPELINED_BYTES = 262_144
+FULL_RETRY_AFTER_S = 0.05
+"""A client that comes back reaches another node, as a rule one with room."""
+
 INVALID_HTTP = {431: Reason.HEADERS_TOO_LARGE, 501: Reason.NOT_IMPLEMENTED}
 """By the status that the HTTP library proposes; any other one is an invalid request."""
 
@@ -41,6 +46,8 @@
         self._http = h11.Connection(h11.SERVER, max_incomplete_event_size=1 << 20)
         self.is_serving = False
         self.is_idle = True
+        self._held_bytes = 0
+        """What is held of the bodies of the present request and of those that came behind it."""
 
     # --- reading ---
 
@@ -79,6 +86,8 @@
         for name, value in head.headers:
             if name == b"content-length" and int(value) > limit:
                 raise too_large
+            if name == b"content-length":
+                self._check_room(int(value))
         parts: list[bytes] = []
         size = 0
         async with curio.timeout_after(BODY_TIMEOUT_S):
@@ -88,9 +97,28 @@
                 size += len(event.data)
                 if size > limit:
                     raise too_large
+                self._check_room(len(event.data))
+                self._hold(len(event.data))
                 parts.append(bytes(event.data))
         return b"".join(parts)
 
+    def _check_room(self, size: int) -> None:
+        """Raise GatewayError where the process has no memory for so much of a body."""
+        held = self._server.held
+        if held is not None and not held.has_room(size, self._server.clock()):
+            message = "this node has no room for the body"
+            raise GatewayError(Reason.UNAVAILABLE, "node_full", message, FULL_RETRY_AFTER_S)
+
+    def _hold(self, size: int) -> None:
+        if self._server.held is not None:
+            self._server.held.bodies += size
+            self._held_bytes += size
+
+    def _let_go(self) -> None:
+        if self._server.held is not None:
+            self._server.held.bodies -= self._held_bytes
+            self._held_bytes = 0
+
     async def _read_request(self) -> ClientRequest:
         head = await self._read_head()
         received_at = self._server.clock()
@@ -112,13 +140,19 @@
     async def serve(self) -> None:
         """Serve requests until the connection ends."""
         try:
-            while await self._serve_one():
+            while await self._serve_and_let_go():
                 self._http.start_next_cycle()
         except (_ConnectionEnded, ClientGoneError, OSError):
             pass
         finally:
             await self._sock.close()
 
+    async def _serve_and_let_go(self) -> bool:
+        try:
+            return await self._serve_one()
+        finally:
+            self._let_go()
+
     async def _serve_one(self) -> bool:
         try:
             request = await self._read_request()
@@ -134,7 +168,10 @@
         except GatewayError as error:
             await self._refuse(error)
             return False
-        reply = Reply(self._sock, self._http, self._server.is_stopping)
+        outbox = None
+        if self._server.held is not None:
+            outbox = Outbox(self._sock, self._server.held, self._server.clock)
+        reply = Reply(self._sock, self._http, self._server.is_stopping, outbox)
         self.is_serving = True
         self._server.serving_count += 1
         try:
@@ -142,6 +179,7 @@
         finally:
             self.is_serving = False
             self._server.serving_count -= 1
+            await reply.close()
         if not reply.is_finished:
             return False
         return self._http.our_state is h11.DONE and self._http.their_state is h11.DONE
@@ -167,6 +205,7 @@
         """
         try:
             await self._server.on_request(request, reply)
+            await reply.drain()
         except ClientGoneError as error:
             return error
         return None
@@ -183,6 +222,7 @@
                 await task.cancel(blocking=False)
                 return
             pipelined += len(data)
+            self._hold(len(data))
             self._http.receive_data(data)
 
     async def _refuse(self, error: GatewayError) -> None:
@@ -230,6 +270,9 @@
         self.on_request = on_request
         self.on_refused = on_refused
         self.clock = clock
+        self.held: HeldBytes | None = None
+        """What is held for clients, where that is bounded over the process."""
+
         self.is_stopping = False
         self.serving_count = 0
         self._max_connections = max_connections
--- a/src/cloverwalk/jobs/assigner.py
+++ b/src/cloverwalk/jobs/assigner.py
@@ -61,13 +61,13 @@
             self.assign()
 
     def assign(self) -> None:
-        """Give each orphan to a live node, the same one while it lives."""
+        """Give each orphan to a live node, the same one while it lives and has room."""
         now = self._clock()
         if not self._follower.is_fresh(now, JOBS_FRESH_S):
             return
         open_jobs = [one for one in self._view.all() if one.record.is_open]
         self._forget_all_but({one.record.job_id for one in open_jobs})
-        heirs = self._coordinator.roster.live_incarnations()
+        heirs = self._heirs()
         by_heir: dict[str, list[str]] = {}
         for known in open_jobs:
             heir = self._heir(known, heirs, now)
@@ -77,6 +77,12 @@
         for heir, job_ids in sorted(by_heir.items()):
             self._coordinator.order_take_over(heir, job_ids)
 
+    def _heirs(self) -> list[str]:
+        """Return the processes that may run jobs; those on full machines only if all are full."""
+        live = [one.report for one in self._coordinator.roster.live() if not one.report.is_leaving]
+        with_room = [one for one in live if not one.is_full]
+        return [one.incarnation for one in with_room or live]
+
     def _forget_all_but(self, open_ids: set[str]) -> None:
         self._ordered_at = {key: at for key, at in self._ordered_at.items() if key in open_ids}
         self._unchanged = {key: one for key, one in self._unchanged.items() if key in open_ids}
--- a/src/cloverwalk/jobs/run.py
+++ b/src/cloverwalk/jobs/run.py
@@ -20,6 +20,10 @@
 """Characters of output in one saved segment, about."""
 
 
+TEXT_OVERHEAD_BYTES = 57
+"""What a short text takes in memory beside its characters: the object, and its place in a list."""
+
+
 class Phase(Enum):
     """Where an item is at its owner."""
 
@@ -67,6 +71,9 @@
     suspensions: int = 0
     """Runs of this owner that gave way to online requests."""
 
+    output_bytes: int = 0
+    """About what its output takes in memory."""
+
 
 class JobRun:
     """A job that this node owns."""
@@ -75,6 +82,7 @@
         self.record = record
         self.version = version
         self.items = [ItemRun(index, item) for index, item in enumerate(items)]
+        self._body_bytes = sum(len(item.body) for item in items)
         self.is_dropped = False
         self._by_id = {one.item.item_id: one for one in self.items}
 
@@ -83,6 +91,12 @@
         """The job's id."""
         return self.record.job_id
 
+    @property
+    def held_bytes(self) -> int:
+        """About what its bodies, and the outputs that are not listed, take in memory."""
+        outputs = sum(one.output_bytes for one in self.items if one.phase is not Phase.LISTED)
+        return self._body_bytes + outputs
+
     def restore(self, listed_ids: set[str], partials: list[PartialOutput]) -> None:
         """Take over what an earlier owner left."""
         for one in self.items:
@@ -103,6 +117,7 @@
         one.failures = max(one.failures, max(segment.failures for segment in segments))
         if one.phase is Phase.PENDING and len(texts) > len(one.texts):
             one.texts = texts
+            one.output_bytes = sum(len(text) + TEXT_OVERHEAD_BYTES for text in texts)
             one.last_event_id = last_event_id
 
     def pending(self, now: float) -> list[ItemRun]:
@@ -137,6 +152,7 @@
             return False
         one.last_event_id = event_id
         one.texts.append(data)
+        one.output_bytes += len(data) + TEXT_OVERHEAD_BYTES
         return True
 
     def suspend(self, one: ItemRun, not_before: float) -> None:
--- a/src/cloverwalk/jobs/runner.py
+++ b/src/cloverwalk/jobs/runner.py
@@ -113,6 +113,11 @@
             await running.task.cancel(blocking=False)
         await self._wake.set()
 
+    @property
+    def held_bytes(self) -> int:
+        """About what own jobs take in memory."""
+        return sum(job.held_bytes for job in self.jobs.values())
+
     async def until_jobs(self) -> None:
         """Return when this node runs any job."""
         await self._has_jobs.wait()
--- a/src/cloverwalk/serving/calls.py
+++ b/src/cloverwalk/serving/calls.py
@@ -9,11 +9,13 @@
 from cloverwalk.gateway.messages import ClientRequest, EndJob, JobCall, ReadItem, ReadJob
 from cloverwalk.gateway.relay import OnlineRelay
 from cloverwalk.gateway.reply import Reply
+from cloverwalk.gateway.server import FULL_RETRY_AFTER_S
 from cloverwalk.jobs.intake import Submission
 from cloverwalk.jobs.records import MAX_ITEMS
 from cloverwalk.jobs.service import JobService
 from cloverwalk.jobs.writes import JobWrites
 from cloverwalk.serving.adapter import Adapter
+from cloverwalk.serving.room_watch import RoomWatch
 from cloverwalk.telemetry.log import ServingLog
 from cloverwalk.telemetry.metrics import ServingMetrics
 from cloverwalk.tenants.identification import identify
@@ -38,6 +40,7 @@
         log: ServingLog,
         metrics: ServingMetrics,
         may_begin: Callable[[], bool],
+        room: RoomWatch | None = None,
     ) -> None:
         self._adapter = adapter
         self._codec = adapter.codec
@@ -47,6 +50,7 @@
         self._log = log
         self._metrics = metrics
         self._may_begin = may_begin
+        self._room = room
 
     async def handle(self, request: ClientRequest, reply: Reply) -> None:
         """Serve one request to its final answer."""
@@ -90,6 +94,8 @@
         if not self._may_begin():
             message = "this node ends too soon"
             raise GatewayError(Reason.UNAVAILABLE, "stopping", message, STOPPING_RETRY_AFTER_S)
+        if self._room is not None and self._room.is_over:
+            raise _node_full("this node's machine is full")
         route = self._route(request)
         if route.kind is not RouteKind.BATCH:
             return route
@@ -149,6 +155,9 @@
         if self._configuration.has_tenants:
             for item in items:
                 item.headers = self._without_key(item.headers)
+        size = sum(len(one.body) for one in items)
+        if self._room is not None and not self._room.takes_job(size):
+            raise _node_full("this node has no room for the job")
         submission = Submission(
             request.fields.request_id,
             request.host,
@@ -161,3 +170,7 @@
         headers = self._adapter.json_headers
         self._metrics.request_ended(route.name, "taken", 0.0)
         await reply.respond(202, headers, b"{}")
+
+
+def _node_full(message: str) -> GatewayError:
+    return GatewayError(Reason.UNAVAILABLE, "node_full", message, FULL_RETRY_AFTER_S)
--- a/src/cloverwalk/serving/node.py
+++ b/src/cloverwalk/serving/node.py
@@ -23,11 +23,13 @@
 from cloverwalk.gateway.replica_connection import ReplicaPool
 from cloverwalk.gateway.reply import Reply
 from cloverwalk.gateway.server import GatewayServer
+from cloverwalk.scheduling.features import Feature
 from cloverwalk.serving.adapter import Adapter
 from cloverwalk.serving.batch_parts import BatchParts
 from cloverwalk.serving.calls import CallHandler
 from cloverwalk.serving.fleet_parts import DIRECTORY_PAUSE_S, FleetParts
 from cloverwalk.serving.knowledge import FleetKnowledge
+from cloverwalk.serving.room_watch import RoomWatch
 from cloverwalk.serving.settings import ServingSettings
 from cloverwalk.serving.store_watch import StoreWatch
 from cloverwalk.store.clock import StoreClock
@@ -183,7 +185,10 @@
             self._refusals,
             ContainmentGate(self._witness, self._metrics),
         )
-        calls = CallHandler(
+        most = max(64, settings.max_descriptors - RESERVED_DESCRIPTORS)
+        self._clients = self._server(settings.client_address, self._handle, most)
+        self._room = self._watch_room(most)
+        self._calls = CallHandler(
             self._adapter,
             self._configuration,
             relay,
@@ -191,9 +196,8 @@
             self._log,
             self._metrics,
             lambda: self._clock() < self._last_begin_at,
+            self._room,
         )
-        most = max(64, settings.max_descriptors - RESERVED_DESCRIPTORS)
-        self._clients = self._server(settings.client_address, calls.handle, most)
         self._ready = self._server(settings.ready_address, self._answer_ready, SIDE_CONNECTIONS)
         self._metrics_server: GatewayServer | None = None
         if settings.metrics_address is not None:
@@ -201,6 +205,26 @@
                 settings.metrics_address, self._answer_metrics, SIDE_CONNECTIONS
             )
 
+    def _watch_room(self, most_connections: int) -> RoomWatch | None:
+        """Return what watches this machine's room, where the settings call for it."""
+        if not self._fleet.features.is_on(Feature.NODE_CAPACITY):
+            return None
+        room = RoomWatch(
+            self._settings,
+            most_connections,
+            self._clients,
+            self._batch.runner,
+            self._fleet.link,
+            self._log,
+            self._clock,
+            time.process_time,
+        )
+        self._fleet.coordinator.must_hand_over = room.must_hand_over
+        return room
+
+    async def _handle(self, request: ClientRequest, reply: Reply) -> None:
+        await self._calls.handle(request, reply)
+
     def _server(
         self,
         address: tuple[str, int],
@@ -246,6 +270,8 @@
             self._housekeeping,
             *self._batch.loops(),
         ]
+        if self._room is not None:
+            loops.append(self._room.run)
         if self._metrics_server is not None:
             loops.append(self._metrics_server.serve)
         return loops
@@ -317,6 +343,7 @@
             not self.is_leaving
             and self._configuration.current is not None
             and not self._directory.is_empty
+            and (self._room is None or self._room.room.is_ready)
         )
 
     async def _answer_ready(self, request: ClientRequest, reply: Reply) -> None:
@@ -341,6 +368,8 @@
         metrics.slot_seconds = {use.value: seconds for use, seconds in uses.items()}
         metrics.gauge("cloverwalk_coordinator_term", "Term followed", self._fleet.leader.term)
         metrics.gauge("cloverwalk_coordinated_nodes", "Nodes that report here", known)
+        if self._room is not None:
+            self._room.tell(metrics)
         content_type = (b"Content-Type", b"text/plain; version=0.0.4")
         await reply.respond(200, [content_type], metrics.render())
 
--- /dev/null
+++ b/src/cloverwalk/serving/room_watch.py
@@ -0,0 +1,135 @@
+"""Watches how full this node's machine is, and tells the parts that decide by it."""
+
+from collections.abc import Callable
+
+import curio
+
+from cloverwalk.core import catalogue
+from cloverwalk.fleet.link import CoordinatorLink
+from cloverwalk.gateway.held_bytes import HELD_SHARE, HeldBytes
+from cloverwalk.gateway.machine_room import MachineRoom, MachineSize, RoomVerdict, Usage
+from cloverwalk.gateway.server import GatewayServer
+from cloverwalk.jobs.runner import BatchRunner
+from cloverwalk.serving.settings import ServingSettings
+from cloverwalk.telemetry.log import ServingLog
+from cloverwalk.telemetry.metrics import ServingMetrics
+
+LOOK_EVERY_S = 0.5
+"""The platform asks once a second whether a node is ready."""
+
+HAND_OVER_AFTER_S = 3.0
+"""A coordinator that was over its machine for so long gives its role away: two reports of each
+node have come in that time, so a standby's fullness is not a moment's."""
+
+
+class RoomWatch:
+    """Looks at what is in use while its loop runs."""
+
+    def __init__(
+        self,
+        settings: ServingSettings,
+        most_connections: int,
+        clients: GatewayServer,
+        runner: BatchRunner,
+        link: CoordinatorLink,
+        log: ServingLog,
+        clock: Callable[[], float],
+        processor_s: Callable[[], float],
+    ) -> None:
+        held_bytes = int(HELD_SHARE * settings.machine.memory_bytes)
+        size = MachineSize(
+            most_connections,
+            settings.machine.link_bytes_per_s,
+            min(1.0, settings.cores),
+            held_bytes,
+        )
+        self.held = HeldBytes(held_bytes)
+        self.room = MachineRoom(size, clock())
+        self._clients = clients
+        self._runner = runner
+        self._link = link
+        self._log = log
+        self._clock = clock
+        self._processor_s = processor_s
+        self._is_told_full = False
+        clients.held = self.held
+        link.on_zone_fullness = self._note_peers
+
+    @property
+    def is_over(self) -> bool:
+        """Whether new requests and jobs are refused."""
+        return self.room.verdict is RoomVerdict.OVER
+
+    def takes_job(self, size: int) -> bool:
+        """Whether there is memory for a job with so many bytes of bodies; counts it if so."""
+        if not self.held.has_room_for_job(size):
+            return False
+        # The next look counts it properly, or not at all where it was not taken.
+        self.held.jobs += size
+        return True
+
+    def must_hand_over(self) -> bool:
+        """Whether this node should not coordinate any more."""
+        return self.room.over_for_s(self._clock()) >= HAND_OVER_AFTER_S
+
+    def tell(self, metrics: ServingMetrics) -> None:
+        """Set the figures of this machine's room."""
+        metrics.fullness = {one.value: share for one, share in self.room.by_resource.items()}
+        metrics.gauge("cloverwalk_held_bytes", "Held in memory for others", self.held.total)
+        given_up = self.held.given_up_total
+        metrics.gauge("cloverwalk_readers_given_up", "Clients that don't read", given_up)
+
+    async def run(self) -> None:
+        """Look until cancelled."""
+        while True:
+            due_at = self._clock() + LOOK_EVERY_S
+            await curio.sleep(LOOK_EVERY_S)
+            self.look(max(0.0, self._clock() - due_at))
+
+    def look(self, late_s: float) -> None:
+        """Judge by what is in use now; the loop was late by ``late_s``."""
+        self.held.jobs = self._runner.held_bytes
+        usage = Usage(
+            self.held.sent_bytes,
+            self._processor_s(),
+            self._clients.connection_count,
+            self.held.total,
+            late_s,
+        )
+        if not self.room.look(usage, self._clock()):
+            self._log.write(catalogue.FULLNESS_INVALID, usage=repr(usage))
+        # 0 would say that nobody measures it.
+        self._link.fullness_percent = max(1, round(100 * self.room.fullness))
+        self._tell_full()
+        self._tell_given_up()
+
+    def _note_peers(self, percent: int) -> None:
+        if not self.room.note_peers(percent, self._clock()):
+            self._log.write(catalogue.FULLNESS_INVALID, zone_percent=percent)
+
+    def _tell_full(self) -> None:
+        is_full = self.room.verdict is not RoomVerdict.TAKES_ALL
+        if is_full == self._is_told_full:
+            return
+        self._is_told_full = is_full
+        self._log.write(
+            catalogue.NODE_FULL if is_full else catalogue.NODE_TAKES_AGAIN,
+            verdict=self.room.verdict.value,
+            scarcest=self.room.scarcest.value,
+            percent=self._link.fullness_percent,
+            **{one.value: round(100 * share) for one, share in self.room.by_resource.items()},
+        )
+
+    def _tell_given_up(self) -> None:
+        """One line for all clients that were given up since the last look."""
+        told = self.held.take_given_up()
+        if told.count == 0:
+            return
+        self._log.write(
+            catalogue.READERS_GIVEN_UP,
+            clients=told.count,
+            most_bytes=told.most_bytes,
+            longest_s=round(told.longest_s, 2),
+            held_bytes=self.held.total,
+            limit_bytes=self.held.limit,
+        )
--- a/src/cloverwalk/telemetry/metrics.py
+++ b/src/cloverwalk/telemetry/metrics.py
@@ -60,6 +60,9 @@
         self.slot_seconds: Mapping[str, float] = {}
         """Slot-seconds of the replicas by use, as counted by this node while it coordinated."""
 
+        self.fullness: Mapping[str, float] = {}
+        """How full this node's machine is, by resource; empty where nobody measures it."""
+
         self._late: Counter[tuple[str, str]] = Counter()
         self._requests: Counter[tuple[str, str]] = Counter()
         self._failures: Counter[str] = Counter()
@@ -134,6 +137,13 @@
         for use, seconds in self.slot_seconds.items():
             slots.add_metric([use], seconds)
         yield slots
+        if self.fullness:
+            fullness = GaugeMetricFamily(
+                "cloverwalk_machine_fullness", "Part in use, by resource", labels=["resource"]
+            )
+            for resource, share in self.fullness.items():
+                fullness.add_metric([resource], share)
+            yield fullness
         for name, help_text, counts, label in (
             ("cloverwalk_attempt_failures", "Failed attempts", self._failures, "code"),
             ("cloverwalk_items", "Ended runs of items", self._items, "outcome"),
--- a/tests/serving/fleet_world.py
+++ b/tests/serving/fleet_world.py
@@ -19,7 +19,7 @@
 from cloverwalk.platform.adapter import PlatformAdapter
 from cloverwalk.scheduling.quotas import QuotaBounds
 from cloverwalk.serving.node import ServingNode
-from cloverwalk.serving.settings import ServingSettings
+from cloverwalk.serving.settings import MachineLimits, ServingSettings
 
 WAIT_S = 10.0
 HOST = "site.example"
@@ -117,6 +117,9 @@
         self.log_path = ""
         """Where nodes write their logs; nowhere by default."""
 
+        self.scarce_memory_bytes = 0
+        """Memory of each node's machine, where it is scarce."""
+
     async def start(self, replicas: int = 2, nodes: int = 1, **replica_options: Any) -> None:
         await self.spawn(self.store.run)
         self.store.put(names.OPERATOR_TABLE, names.CONFIGURATION_KEY, configuration(1))
@@ -154,6 +157,8 @@
             4000,
             120.0,
             quota_bounds=QuotaBounds(slack=20.0),
+            machine=MachineLimits(self.scarce_memory_bytes),
+            is_memory_scarce=self.scarce_memory_bytes > 0,
         )
         descriptor = os.open(self.log_path or os.devnull, os.O_WRONLY | os.O_APPEND)
         node = ServingNode(PlatformAdapter(), settings, descriptor)
