--- a/src/cloverwalk/gateway/machine_room.py
+++ b/src/cloverwalk/gateway/machine_room.py
@@ -87,7 +87,7 @@
 
 @attrs.frozen
 class Usage:
-    """What is in use at one moment. The first two of the counts go on from the start."""
+    """What is in use at one moment. The first two go on all the time, from any figure."""
 
     sent_bytes: int = 0
     processor_s: float = 0.0
@@ -101,6 +101,11 @@
         """Whether these can be figures of a process."""
         return all(math.isfinite(one) and one >= 0 for one in attrs.astuple(self))
 
+    def follows(self, before: "Usage") -> bool:
+        """Whether these can be later figures of the same process."""
+        is_later = self.processor_s >= before.processor_s
+        return is_later and self.sent_bytes >= before.sent_bytes
+
 
 @attrs.define
 class _Average:
@@ -127,7 +132,7 @@
 
     def __init__(self, size: MachineSize, now: float) -> None:
         self._size = size
-        self._last = Usage()
+        self._last: Usage | None = None
         self._looked_at = now
         self._sent = _Average()
         self._processor = _Average()
@@ -170,19 +175,26 @@
         passed_s = now - self._looked_at
         if passed_s < 0 or not usage.is_valid:
             return False
-        self._measure(usage, passed_s)
-        self._looked_at, self._last = now, usage
+        before, self._last = self._last, usage
+        self._looked_at = now
+        if before is not None and not usage.follows(before):
+            self._set_ready(passed_s)
+            return False
+        if before is not None and passed_s > 0:
+            self._average(before, usage, passed_s)
+        self._measure(usage)
         self._judge(now)
         self._set_ready(passed_s)
         return True
 
-    def _measure(self, usage: Usage, passed_s: float) -> None:
-        if passed_s > 0:
-            sent = max(0, usage.sent_bytes - self._last.sent_bytes)
-            processor_s = max(0.0, usage.processor_s - self._last.processor_s)
-            self._sent.add(sent / passed_s, passed_s)
-            self._processor.add(processor_s / passed_s, passed_s)
-            self._late.add(usage.late_s, passed_s)
+    def _average(self, before: Usage, usage: Usage, passed_s: float) -> None:
+        sent = usage.sent_bytes - before.sent_bytes
+        processor_s = usage.processor_s - before.processor_s
+        self._sent.add(sent / passed_s, passed_s)
+        self._processor.add(processor_s / passed_s, passed_s)
+        self._late.add(usage.late_s, passed_s)
+
+    def _measure(self, usage: Usage) -> None:
         size = self._size
         self.by_resource = {
             Resource.CONNECTIONS: _share(usage.connections, size.connections),
--- a/tests/unit/test_machine_room.py
+++ b/tests/unit/test_machine_room.py
@@ -103,6 +103,7 @@
 def test_a_link_is_judged_by_its_average_not_by_one_burst() -> None:
     room = MachineRoom(SIZE, 0.0)
     room.note_peers(10, 0.1)
+    room.look(Usage(), 0.0)
     room.look(Usage(sent_bytes=200_000), 0.1)
     assert room.by_resource[Resource.LINK] < 2 * 0.1 / AVERAGE_S
     for turn in range(1, 21):
@@ -124,6 +125,20 @@
     assert unknown.verdict is RoomVerdict.TAKES_ALL
 
 
+def test_counts_that_did_not_begin_at_zero_are_no_use_of_the_machine() -> None:
+    # A process clock tells any figure at first; taken for use, a node that has just started was
+    # full for its first ten seconds.
+    room = MachineRoom(SIZE, 0.0)
+    for turn in range(1, 10):
+        room.note_peers(5, 0.5 * turn)
+        assert room.look(Usage(10**9, 70_000.0 + 0.01 * turn), 0.5 * turn)
+        assert room.fullness < 0.1
+    # One that goes back measures nothing.
+    assert not room.look(Usage(10**9, 1.0), 6.0)
+    assert room.look(Usage(10**9, 1.1), 6.5)
+    assert room.fullness < 0.3
+
+
 def test_what_was_told_of_the_peers_gets_old() -> None:
     room = MachineRoom(SIZE, 0.0)
     room.note_peers(round(100 * (1 - MARGIN)), 3.0)
