--- a/src/cloverwalk/gateway/machine_room.py
+++ b/src/cloverwalk/gateway/machine_room.py
@@ -26,6 +26,13 @@
 USABLE_PROCESSOR = 0.95
 """Share of its processor time that a process gets at the most; the kernel has the rest."""
 
+MOST_THREADS = 1.5
+"""A process with one busy thread can't spend more processor time than this many times what passes.
+A clock that says so measures something else, and the processor is left out from then on."""
+
+CLOCK_SLACK_S = 0.05
+"""The two clocks are not read at the same moment."""
+
 LATE_S = 0.1
 """A loop that is late by this delays both the start and the end of an answer by about a tenth of a
 second each. A busy processor whose loop is less late still serves in time."""
@@ -101,11 +108,6 @@
         """Whether these can be figures of a process."""
         return all(math.isfinite(one) and one >= 0 for one in attrs.astuple(self))
 
-    def follows(self, before: "Usage") -> bool:
-        """Whether these can be later figures of the same process."""
-        is_later = self.processor_s >= before.processor_s
-        return is_later and self.sent_bytes >= before.sent_bytes
-
 
 @attrs.define
 class _Average:
@@ -137,6 +139,7 @@
         self._sent = _Average()
         self._processor = _Average()
         self._late = _Average()
+        self._has_processor_clock = True
         self._peers = 0.0
         self._peers_at = float("-inf")
         self._changed_at = now
@@ -171,28 +174,37 @@
         return True
 
     def look(self, usage: Usage, now: float) -> bool:
-        """Judge by present figures; return whether they can be true. Others are left out."""
+        """Judge by present figures; return whether all can be true. Others are left out.
+
+        A process clock that can't be one is told once.
+        """
         passed_s = now - self._looked_at
         if passed_s < 0 or not usage.is_valid:
             return False
         before, self._last = self._last, usage
         self._looked_at = now
-        if before is not None and not usage.follows(before):
-            self._set_ready(passed_s)
-            return False
+        is_credible = True
         if before is not None and passed_s > 0:
-            self._average(before, usage, passed_s)
+            is_credible = self._average(before, usage, passed_s)
         self._measure(usage)
         self._judge(now)
         self._set_ready(passed_s)
-        return True
+        return is_credible
 
-    def _average(self, before: Usage, usage: Usage, passed_s: float) -> None:
-        sent = usage.sent_bytes - before.sent_bytes
-        processor_s = usage.processor_s - before.processor_s
+    def _average(self, before: Usage, usage: Usage, passed_s: float) -> bool:
+        """Take rates; return False where the process clock turns out to be none."""
+        sent = max(0, usage.sent_bytes - before.sent_bytes)
         self._sent.add(sent / passed_s, passed_s)
-        self._processor.add(processor_s / passed_s, passed_s)
         self._late.add(usage.late_s, passed_s)
+        if not self._has_processor_clock:
+            return True
+        spent_s = usage.processor_s - before.processor_s
+        if 0 <= spent_s <= MOST_THREADS * passed_s + CLOCK_SLACK_S:
+            self._processor.add(spent_s / passed_s, passed_s)
+            return True
+        self._has_processor_clock = False
+        self._processor = _Average()
+        return False
 
     def _measure(self, usage: Usage) -> None:
         size = self._size
