--- a/src/cloverwalk/gateway/server.py
+++ b/src/cloverwalk/gateway/server.py
@@ -102,10 +102,14 @@
                 parts.append(bytes(event.data))
         return b"".join(parts)
 
+    def _fits(self, size: int) -> bool:
+        """Whether the process has memory for so much more of what this client sends."""
+        held = self._server.held
+        return held is None or held.has_room(size, self._server.clock())
+
     def _check_room(self, size: int) -> None:
         """Raise GatewayError where the process has no memory for so much of a body."""
-        held = self._server.held
-        if held is not None and not held.has_room(size, self._server.clock()):
+        if not self._fits(size):
             message = "this node has no room for the body"
             raise GatewayError(Reason.UNAVAILABLE, "node_full", message, FULL_RETRY_AFTER_S)
 
@@ -223,6 +227,9 @@
                 return
             pipelined += len(data)
             self._hold(len(data))
+            if not self._fits(0):
+                # No more is read of what it sends ahead of its answer.
+                return
             self._http.receive_data(data)
 
     async def _refuse(self, error: GatewayError) -> None:
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -36,6 +36,8 @@
 HEALTH = "tests/serving/test_store_health.py::"
 SCHEDULER = "tests/serving/test_scheduler.py::"
 COORDINATION = "tests/serving/test_coordination.py::"
+FULL_NODES = "tests/serving/test_full_nodes.py::"
+ROOM = "tests/unit/test_machine_room.py::"
 ITEM_SLOTS = "tests/serving/test_item_slots.py::"
 RETURN = "tests/serving/test_return.py::"
 ADMISSION = "tests/unit/test_admission.py::"
@@ -523,6 +525,20 @@
         "        if False:",
         JOBS + "test_a_read_that_lags_behind_does_not_bring_a_removed_job_back",
     ),
+    Mutant(
+        "serving: what clients do not read grows without bound",
+        "gateway/held_bytes.py",
+        "        while self._readers and not self._fits(needed):",
+        "        while False:",
+        FULL_NODES + "test_clients_that_do_not_read_hold_a_bounded_part_of_the_memory_and_no_slots",
+    ),
+    Mutant(
+        "serving: a node as full as its zone turns work away",
+        "gateway/machine_room.py",
+        "        if ahead < (MARGIN / 2 if was_full else MARGIN):",
+        "        if False:",
+        ROOM + "test_a_node_whose_peers_are_as_full_or_unknown_turns_nothing_away",
+    ),
     Mutant(
         "serving: a client that does not read is kept",
         "gateway/reply.py",
--- a/tests/serving/test_full_nodes.py
+++ b/tests/serving/test_full_nodes.py
@@ -3,6 +3,7 @@
 import socket
 from collections.abc import Awaitable, Callable
 from functools import partial
+from pathlib import Path
 from typing import Any
 
 import curio
@@ -11,6 +12,7 @@
 from coordination_world import CoordinationWorld
 from fleet_world import HOST, FleetWorld, in_world, read_answer
 
+from cloverwalk.core import catalogue
 from cloverwalk.core.hashing import rendezvous_owner
 from cloverwalk.fleet.messages import FULL_PERCENT
 from cloverwalk.gateway import outbox
@@ -19,6 +21,7 @@
 from cloverwalk.jobs.assigner import JobAssigner
 from cloverwalk.platform import names
 from cloverwalk.serving.room_watch import HAND_OVER_AFTER_S
+from cloverwalk.telemetry.story import parse_line
 
 MEMORY_BYTES = 20_000_000
 LIMIT_BYTES = int(HELD_SHARE * MEMORY_BYTES)
@@ -40,8 +43,10 @@
         room.verdict, room.is_ready = verdict, is_ready
 
 
-async def start_with_long_answers(world: FleetWorld, replicas: int) -> None:
-    await world.start(replicas=replicas, events=EVENTS, event_s=0.001)
+async def start_with_long_answers(
+    world: FleetWorld, replicas: int, events: int = EVENTS, event_s: float = 0.001
+) -> None:
+    await world.start(replicas=replicas, events=events, event_s=event_s)
     for replica in world.replicas:
         replica.event_padding = PADDING
     # Connections inherit it: the kernel takes little, so that the node has to hold the rest.
@@ -123,12 +128,19 @@
     in_world(test)
 
 
-def test_a_client_that_takes_nothing_for_long_is_given_up(monkeypatch: pytest.MonkeyPatch) -> None:
+def test_a_client_that_takes_nothing_for_long_is_given_up(
+    monkeypatch: pytest.MonkeyPatch, tmp_path: Path
+) -> None:
+    log = tmp_path / "log"
+    log.touch()
+
     async def test(world: FleetWorld) -> None:
+        world.log_path = str(log)
         monkeypatch.setattr(outbox, "SEND_STALL_S", 0.2)
         world.scarce_memory_bytes = MEMORY_BYTES
-        await start_with_long_answers(world, replicas=1)
-        node = world.nodes[0]
+        # The stream goes on for much longer than the client is waited for.
+        await start_with_long_answers(world, replicas=1, events=400, event_s=0.05)
+        replica, node = world.replicas[0], world.nodes[0]
         assert node._room is not None
         held = node._room.held
         sock = await slow_client(world, "/chat/a")
@@ -136,6 +148,16 @@
         await world.until(lambda: node._clients.connection_count == 0)
         assert held.total == 0
         await sock.close()
+        address = node._settings.metrics_address
+        told = (await world.call("GET", "/metrics", address=address)).body.decode()
+        assert 'cloverwalk_machine_fullness{resource="memory"}' in told
+        assert "cloverwalk_readers_given_up 1.0" in told
+        lines = [line for text in log.read_text().splitlines() if (line := parse_line(text))]
+        ends = [one for one in lines if one.number == catalogue.REQUEST_ENDED]
+        assert [one.fields["outcome"] for one in ends] == ["client_stalled"]
+        assert not replica.arrivals[0].is_finished
+        assert replica.running == 0
+        await world.until(lambda: str(catalogue.READERS_GIVEN_UP) in log.read_text())
 
     in_world(test)
 
