--- a/src/cloverwalk/fleet/messages.py
+++ b/src/cloverwalk/fleet/messages.py
@@ -14,9 +14,12 @@
 from cloverwalk.core.errors import CloverwalkError
 from cloverwalk.gateway.configuration import Configuration
 from cloverwalk.gateway.crash_ledger import CaseCopy
+from cloverwalk.gateway.machine_room import FULL_AT
 from cloverwalk.gateway.replicas import Replica
 from cloverwalk.scheduling.admission import Verdict
 
+FULL_PERCENT = round(100 * FULL_AT)
+
 
 class DatagramError(CloverwalkError):
     """A datagram is not a message of a node."""
@@ -222,7 +225,13 @@
     """How items ran that have ended since the last report; bounded by the sender."""
 
     fullness_percent: int = 0
-    """How much of what the node's machine can carry is in use, by whatever is scarcest there."""
+    """How much of what the node's machine can carry is in use, by whatever is scarcest there; 0:
+    nobody measures it."""
+
+    @property
+    def is_full(self) -> bool:
+        """Whether the node's machine is nearly full, and gets what can go elsewhere last."""
+        return self.fullness_percent >= FULL_PERCENT
 
     corrections: list[WorkCorrection] = []
     """Those since the last report; none where nobody shares by tenant."""
@@ -323,6 +332,9 @@
     grants_by_tenant: dict[str, dict[str, int]] = {}
     """Whose items the grants are for, by replica; what it leaves out is for any item."""
 
+    zone_fullness_percent: int = 0
+    """How full the nodes of the receiver's zone are in the middle; 0: not told."""
+
 
 class RouteFigures(Struct, array_like=True, frozen=True):
     """What was learnt of a route's requests."""
--- a/src/cloverwalk/fleet/roster.py
+++ b/src/cloverwalk/fleet/roster.py
@@ -113,7 +113,7 @@
     def choose_standbys(
         self, own_node: str, own_zone: str, by_zone: bool = False
     ) -> tuple[Contact, ...]:
-        """Return the nodes that should take over, strong ones of other zones first.
+        """Return the nodes that should take over, with room, strong and of other zones first.
 
         Present standbys need not be kept: whoever takes over learns all within a second. With
         ``by_zone`` each other zone has one first, and contacts tell their zones, so that a zone
@@ -122,7 +122,13 @@
         able = [
             one for one in self.live() if one.contact.node != own_node and not one.report.is_leaving
         ]
-        able.sort(key=lambda one: (one.report.cores < FULL_CORE, one.report.zone == own_zone))
+        able.sort(
+            key=lambda one: (
+                one.report.is_full,
+                one.report.cores < FULL_CORE,
+                one.report.zone == own_zone,
+            )
+        )
         if by_zone:
             return _by_zone(able, own_zone)
         return tuple(one.contact for one in able[:STANDBYS])
--- a/src/cloverwalk/scheduling/pace.py
+++ b/src/cloverwalk/scheduling/pace.py
@@ -163,7 +163,7 @@
     def __init__(self) -> None:
         self._learnt: dict[str, _Learnt] = {}
         self._service_ms: dict[tuple[str, bool, int], _ServiceTime] = {}
-        self._processes: dict[str, tuple[str, int]] = {}
+        self._processes: dict[str, tuple[str, int, int]] = {}
         self._since: dict[str, float] = {}
         """When a replica that has started again was first seen."""
 
@@ -275,8 +275,8 @@
     # --- replicas come and go ---
 
     def note_replicas(self, replicas: Iterable[Replica], now: float) -> None:
-        """Forget replicas that are gone or have started again at another address."""
-        present = {one.replica_id: (one.host, one.port) for one in replicas}
+        """Forget replicas that are gone or have started again."""
+        present = {one.replica_id: (one.host, one.port, one.born_ms) for one in replicas}
         for replica_id, process in self._processes.items():
             if present.get(replica_id) != process:
                 self.restart(replica_id, now)
--- a/tests/serving/test_pace.py
+++ b/tests/serving/test_pace.py
@@ -4,6 +4,7 @@
 from random import Random
 
 import curio
+import msgspec
 from coordination_world import CoordinationWorld
 from fleet_world import FleetWorld, in_world
 from hypothesis import given
@@ -202,6 +203,17 @@
     assert fleet.pace("r0") == 1.0
 
 
+def test_a_replica_that_starts_again_at_its_address_begins_as_the_usual_one() -> None:
+    fleet = PacedFleet(replicas=2)
+    known = fleet.directory.find("r0")
+    assert known is not None
+    fleet.directory.put(msgspec.structs.replace(known, version=2, born_ms=1_000))
+    fleet.learn({"r0": 2.5})
+    assert fleet.pace("r0") > 1.5
+    fleet.directory.put(msgspec.structs.replace(known, version=3, born_ms=2_000))
+    assert fleet.pace("r0") == 1.0
+
+
 def test_a_replica_that_tells_nothing_unusual_and_is_slow_counts_as_slow() -> None:
     """It tells 100 while its neighbours take half of its machine for a while."""
     fleet = PacedFleet(replicas=3)
