--- a/src/cloverwalk/scheduling/pace.py
+++ b/src/cloverwalk/scheduling/pace.py
@@ -235,7 +235,8 @@
         """Return the logarithm of an answer's time against the usual one; None: not known."""
         if measured.events < LEAST_EVENTS or measured.took_ms <= 0:
             return None
-        load = min(LOAD_CLASSES, max(1, math.ceil(min(1.0, measured.fill) * LOAD_CLASSES)))
+        fill = min(1.0, max(0.0, measured.fill))
+        load = max(1, math.ceil(fill * LOAD_CLASSES))
         key = (measured.service, measured.is_item, load)
         service = self._service_ms.setdefault(key, _ServiceTime())
         return service.factor(measured.took_ms / (measured.events - 1))
