--- a/src/cloverwalk/fleet/coordinator.py
+++ b/src/cloverwalk/fleet/coordinator.py
@@ -4,39 +4,33 @@
 serves the nodes that the coordinator does not answer.
 """
 
-import math
 from collections.abc import Awaitable, Callable
 
 import curio
 
 from cloverwalk.core import catalogue
 from cloverwalk.fleet.case_sync import CaseSync
+from cloverwalk.fleet.copies import STORE_SERVES_MS, CopySender, directory_age_ms
 from cloverwalk.fleet.fullness import median_by_zone
 from cloverwalk.fleet.identity import Identity
 from cloverwalk.fleet.leader import LeaderView
 from cloverwalk.fleet.messages import (
-    ConfigurationCopy,
     Contact,
     DeputyGrants,
-    DirectoryUpdate,
     Introduction,
     Leadership,
     NodeLoad,
     Orders,
-    PaceFigures,
-    RemovedReplica,
     Report,
-    RouteFigures,
-    Snapshot,
     StoreReturned,
 )
 from cloverwalk.fleet.roster import REMEMBERED_S, KnownNode, Roster
+from cloverwalk.fleet.snapshots import SnapshotMaker
 from cloverwalk.fleet.transport import Sender
 from cloverwalk.gateway.configuration import ConfigurationHolder
-from cloverwalk.gateway.replicas import Replica, ReplicaDirectory
+from cloverwalk.gateway.replicas import ReplicaDirectory
 from cloverwalk.scheduling.decisions import Decisions
 from cloverwalk.scheduling.features import Feature
-from cloverwalk.scheduling.pace_handover import PaceTeller
 from cloverwalk.scheduling.scheduler import Scheduler
 from cloverwalk.store.health import StoreHealth
 from cloverwalk.telemetry.log import ServingLog
@@ -47,34 +41,17 @@
 ACK_EVERY_S = 0.4
 """A node that reports is told at least this often that it was heard."""
 
-COPY_EVERY_S = 0.5
-"""A node whose configuration or list of replicas is behind gets a copy this often at the most."""
-
 TOTALS_EVERY_S = 1.0
 TOTALS_ENTRIES_PER_S = 6500
 """Entries of totals that the coordinator sends to all nodes together, about 100 KB/s: larger fleets
 are told less often. They serve a node only that decides alone for a moment, and without this bound
 they took 9.2 MB/s at 300 nodes and 3,000 replicas (counted on the stand-ins)."""
 
-COPIED_REPLICAS = 300
-"""Replicas in one datagram of a whole list, about 27 KB. A longer list is sent in parts, and only
-to nodes that the store does not serve: the others read it there. Without this, 300 nodes whose
-lists of 3,000 replicas differed cost 37 MB/s, in datagrams that were all too long to be sent."""
-
 SNAPSHOT_EVERY_S = 0.25
-NODES_EVERY = 4
-"""Each so many snapshots name all nodes."""
-
 COUNTED_SILENT_S = 1.5
 """A node that was silent for so long may decide alone, and its part of the tenants' quotas is not
 given out here: one report of those that come each second is missing."""
 
-STARTING_S = 1.0
-"""A node that was first heard within this time and that the store does not refuse reads there what
-it lacks; copies would cross zones. 300 nodes that started at once, before 3,000 replicas, were
-sent 194 configurations and 1,136 messages with replicas otherwise, and none with it (simulated
-time)."""
-
 TELL_RETURNED_EVERY_S = 0.4
 """The nodes are told at most this often that the store answers again, which is how often they ask
 themselves. Where it refuses some calls of some nodes, it returns all the time: with 7 in 10 calls
@@ -85,10 +62,6 @@
 """How often the fleet's fullness is looked at: reports of a quiet node come each second."""
 
 PING_LOST_EVERY_S = 1.0
-STORE_SERVES_MS = 3500
-"""A node that the store answered within this time is served by it; an idle node's calls wait for
-2.5 s."""
-
 DeliverLocally = Callable[[Orders], Awaitable[None]]
 
 
@@ -126,10 +99,8 @@
         self.active_since: float | None = None
         """Since when this node holds the role; None while it does not."""
 
-        self._told_directory: dict[str, Replica] = {}
-        self._told_fingerprint: int | None = None
-        self._pace_teller = PaceTeller()
-        self._snapshots = 0
+        self._copies = CopySender(transport, configuration, directory)
+        self._snapshots = SnapshotMaker(scheduler, health)
         self._snapshot_at = float("-inf")
         self._pinged_at = float("-inf")
         self._told_returned_at = float("-inf")
@@ -177,8 +148,7 @@
             self._scheduler.grant_within("")
             self._note_served_zone()
             self._cases.ledger.grants_trials = True
-            self._told_directory = {one.replica_id: one for one in self._directory.all()}
-            self._told_fingerprint = self._directory.fingerprint
+            self._copies.note_known()
             await self._has_work.set()
             await self._is_active.set()
         known = {one.contact.host for one in self.roster.live()}
@@ -233,7 +203,7 @@
         await self.tell_decisions()
         if now - known.told_at >= ACK_EVERY_S:
             self._acknowledge(known, now)
-        self._help(known, now)
+        self._copies.help(known, now)
 
     def _take_share(self) -> None:
         """Count for the part of the fleet that reports here."""
@@ -306,7 +276,7 @@
             self._configuration.version,
             self._directory.fingerprint,
             self._directory.version,
-            self._directory_age_ms(now),
+            directory_age_ms(self._directory, now),
             self._store_serves_another(node),
         )
         orders.cases_digest = self._cases.ledger.digest
@@ -325,9 +295,6 @@
         known = self.roster.by_name.get(node)
         return 0 if known is None else self._fullness_by_zone.get(known.report.zone, 0)
 
-    def _directory_age_ms(self, now: float) -> int:
-        return int(min(1e6, (now - self._directory.confirmed_at) * 1000))
-
     def _store_serves_another(self, node: str) -> bool:
         """Whether the store has lately answered a node other than this one."""
         own = self._identity.node
@@ -339,44 +306,6 @@
             if one.contact.node not in (node, own)
         )
 
-    def _help(self, known: KnownNode, now: float) -> None:
-        """Send a node what it lacks."""
-        if now - known.copied_at < COPY_EVERY_S:
-            return
-        report, host = known.report, known.contact.host
-        if report.configuration_version < 0 and self._is_starting(known, now):
-            return
-        current = self._configuration.current
-        if current is not None and report.configuration_version < current.version:
-            known.copied_at = now
-            self._transport.send(host, ConfigurationCopy(current))
-        if report.directory != self._directory.fingerprint and self._directory.version > 0:
-            self._copy_directory(known, now)
-
-    def _is_starting(self, known: KnownNode, now: float) -> bool:
-        is_served = known.report.store_age_ms < STORE_SERVES_MS
-        return is_served and now - known.first_heard_at < STARTING_S
-
-    def _copy_directory(self, known: KnownNode, now: float) -> None:
-        """Send a node the whole list of replicas, unless it is long and the store tells it."""
-        replicas = self._directory.all()
-        parts = max(1, math.ceil(len(replicas) / COPIED_REPLICAS))
-        if parts > 1 and known.report.store_age_ms < STORE_SERVES_MS:
-            return
-        # A long list takes its time on the way; the next copy waits for so much longer.
-        known.copied_at = now + (parts - 1) * COPY_EVERY_S
-        for part in range(parts):
-            update = DirectoryUpdate(
-                None,
-                self._directory.fingerprint,
-                self._directory.version,
-                self._directory_age_ms(now),
-                replicas[part * COPIED_REPLICAS : (part + 1) * COPIED_REPLICAS],
-                part=part,
-                parts=parts,
-            )
-            self._transport.send(known.contact.host, update)
-
     # --- by time ---
 
     async def run(self) -> None:
@@ -411,13 +340,13 @@
         if now - self._fullness_at >= FULLNESS_EVERY_S:
             self._fullness_at = now
             self._fullness_by_zone = median_by_zone(one.report for one in self.roster.live())
-        self._push_directory(now)
+        self._copies.push_directory(self._others(), now)
         self._cases.push(self._others)
         if self._must_tell_returned:
             self.tell_store_returned()
         if now - self._snapshot_at >= SNAPSHOT_EVERY_S:
             self._snapshot_at = now
-            self._send_snapshot()
+            self._tell_standbys(now)
         if now - self._pinged_at >= PING_LOST_EVERY_S:
             self._pinged_at = now
             for known in self.roster.lost():
@@ -432,68 +361,28 @@
         for zone in sorted(set(heard) - {own_zone}):
             self._scheduler.reach.hear_nodes(own_zone, zone, heard[zone], now)
 
-    def _push_directory(self, now: float) -> None:
-        """Tell every node at once what has changed in the list of replicas."""
-        if self._directory.fingerprint == self._told_fingerprint:
-            return
-        before, since = self._told_directory, self._told_fingerprint
-        present = {one.replica_id: one for one in self._directory.all()}
-        self._told_directory, self._told_fingerprint = present, self._directory.fingerprint
-        if not before:
-            # The first list of this process is no change: nodes that lack it read it, or ask.
-            # At 300 nodes and 3,000 replicas it was encoded 246 times, too long to be sent.
-            return
-        changed = [one for key, one in present.items() if before.get(key) != one]
-        version = self._directory.version
-        removed = [RemovedReplica(key, version) for key in before if key not in present]
-        age_ms = self._directory_age_ms(now)
-        update = DirectoryUpdate(
-            since, self._directory.fingerprint, version, age_ms, changed, removed
-        )
-        for known in self._others():
-            self._transport.send(known.contact.host, update)
-
     def _others(self) -> list[KnownNode]:
         """Return the live nodes but this one."""
         own = self._identity.node
         return [known for known in self.roster.live() if known.contact.node != own]
 
-    def _should_hand_over(self, current: Leadership) -> bool:
-        """Whether the first standby should coordinate: it has room, and this node has none."""
-        if not current.standbys or not self.must_hand_over():
-            return False
-        first = self.roster.by_name.get(current.standbys[0].node)
-        return first is not None and not first.is_lost and not first.report.is_full
-
-    def _send_snapshot(self) -> None:
+    def _tell_standbys(self, now: float) -> None:
+        """Send the standbys what they need to take over."""
         current = self._leader.current
         if current is None:
             return
-        self._snapshots += 1
-        live = self.roster.live() if self._snapshots % NODES_EVERY == 0 else []
-        snapshot = Snapshot(
-            current,
-            int(min(1e6, self._health.age_ms())),
-            self._scheduler.totals(),
-            {
-                route: RouteFigures(*figures)
-                for route, figures in self._scheduler.times.figures().items()
-            },
-            [one.contact for one in live],
-            self.is_leaving or self._should_hand_over(current),
-            self._scheduler.quotas.levels(self._clock()),
-            paces=self._paces_due([one.node for one in current.standbys]),
-            used_shares=self._scheduler.shares.used(),
-            used_item_shares=self._scheduler.item_shares.used(),
-        )
+        is_leaving = self.is_leaving or self._should_hand_over(current)
+        snapshot = self._snapshots.make(current, self.roster.live(), is_leaving, now)
         for standby in current.standbys:
             if standby.node != self._identity.node:
                 self._transport.send(standby.host, snapshot)
 
-    def _paces_due(self, standbys: list[str]) -> dict[str, PaceFigures]:
-        now = self._clock()
-        paces = self._scheduler.paces
-        return paces.figures(self._pace_teller.due(paces.established(), standbys, now), now)
+    def _should_hand_over(self, current: Leadership) -> bool:
+        """Whether the first standby should coordinate: it has room, and this node has none."""
+        if not current.standbys or not self.must_hand_over():
+            return False
+        first = self.roster.by_name.get(current.standbys[0].node)
+        return first is not None and not first.is_lost and not first.report.is_full
 
     # --- for other parts of the node ---
 
--- /dev/null
+++ b/src/cloverwalk/fleet/snapshots.py
@@ -0,0 +1,48 @@
+"""Snapshots of what the coordinator knows, for its standbys."""
+
+from cloverwalk.fleet.messages import Leadership, PaceFigures, RouteFigures, Snapshot
+from cloverwalk.fleet.roster import KnownNode
+from cloverwalk.scheduling.pace_handover import PaceTeller
+from cloverwalk.scheduling.scheduler import Scheduler
+from cloverwalk.store.health import StoreHealth
+
+NODES_EVERY = 4
+"""Each so many snapshots name all nodes."""
+
+MOST_STORE_AGE_MS = 1e6
+"""An older answer of the store is told as this old."""
+
+
+class SnapshotMaker:
+    """Makes snapshots; some parts are left out of most of them to save bytes."""
+
+    def __init__(self, scheduler: Scheduler, health: StoreHealth) -> None:
+        self._scheduler = scheduler
+        self._health = health
+        self._pace_teller = PaceTeller()
+        self._made = 0
+
+    def make(
+        self, current: Leadership, live: list[KnownNode], is_leaving: bool, now: float
+    ) -> Snapshot:
+        """Return the next snapshot; ``live`` are the nodes that report."""
+        self._made += 1
+        scheduler = self._scheduler
+        times = scheduler.times.figures()
+        return Snapshot(
+            current,
+            int(min(MOST_STORE_AGE_MS, self._health.age_ms())),
+            scheduler.totals(),
+            {route: RouteFigures(*figures) for route, figures in times.items()},
+            [one.contact for one in live] if self._made % NODES_EVERY == 0 else [],
+            is_leaving,
+            scheduler.quotas.levels(now),
+            paces=self._paces_due([one.node for one in current.standbys], now),
+            used_shares=scheduler.shares.used(),
+            used_item_shares=scheduler.item_shares.used(),
+        )
+
+    def _paces_due(self, standbys: list[str], now: float) -> dict[str, PaceFigures]:
+        paces = self._scheduler.paces
+        due = self._pace_teller.due(paces.established(), standbys, now)
+        return paces.figures(due, now)
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -367,7 +367,7 @@
     ),
     Mutant(
         "serving: peers send no copies",
-        "fleet/coordinator.py",
+        "fleet/copies.py",
         "        if now - known.copied_at < COPY_EVERY_S:",
         "        if True:",
         ONLINE + "test_a_node_cut_off_from_the_store_learns_from_its_peers",
@@ -716,7 +716,7 @@
     ),
     Mutant(
         "serving: a lost change of the replicas stays lost",
-        "fleet/coordinator.py",
+        "fleet/copies.py",
         "report.directory != self._directory.fingerprint",
         "report.directory != report.directory",
         COORDINATION + "test_a_lost_change_of_the_replicas_is_made_good_within_a_report",
@@ -879,7 +879,7 @@
     ),
     Mutant(
         "serving: a long list of replicas is sent to nodes that read it themselves",
-        "fleet/coordinator.py",
+        "fleet/copies.py",
         "        if parts > 1 and known.report.store_age_ms < STORE_SERVES_MS:",
         "        if False:",
         COORDINATION + "test_a_long_list_of_replicas_is_left_to_the_store",
@@ -1141,14 +1141,14 @@
     ),
     Mutant(
         "serving: return of a fleet: nodes that start are sent copies",
-        "fleet/coordinator.py",
+        "fleet/copies.py",
         "        if report.configuration_version < 0 and self._is_starting(known, now):",
         "        if False:",
         COORDINATION + "test_a_node_that_starts_and_is_not_refused_by_the_store_is_sent_no_copies",
     ),
     Mutant(
         "serving: return of a fleet: the first list is sent as a change",
-        "fleet/coordinator.py",
+        "fleet/copies.py",
         "        if not before:",
         "        if False:",
         COORDINATION + "test_the_first_list_of_a_new_coordinator_is_not_sent_to_all_nodes",
--- a/tests/serving/test_coordination.py
+++ b/tests/serving/test_coordination.py
@@ -569,7 +569,7 @@
         ]
         coordinator = world.coordinator
         coordinator.directory.replace(world.replicas, 130)
-        coordinator.coordinator._told_fingerprint = coordinator.directory.fingerprint
+        coordinator.coordinator._copies.told_fingerprint = coordinator.directory.fingerprint
         world.wire.lose_next = 1 if is_lost else 0
         await world.run(12.0)
         assert node.directory.fingerprint == coordinator.directory.fingerprint
