Tests of two faults: evidence from a start that was to leave, and the size of a divided fleet

Both fail: a request that was broken off at a start which had told that it leaves counts as evidence that a replica ended under it; and nodes that a new coordinator serves beside a cut take the part of the fleet that it hears for the whole one.

--- a/tests/serving/test_restarted_replicas.py
+++ b/tests/serving/test_restarted_replicas.py
@@ -1,6 +1,7 @@
 """Replicas that start again under the id that they had."""
 
 import os
+from collections.abc import Sequence
 from typing import Any
 
 import curio
@@ -316,13 +317,17 @@
 # --- evidence against requests ---
 
 
-def crashes(*failures: tuple[Replica, bool], answered_at: float | None = None) -> int:
+def crashes(
+    *failures: tuple[Replica, bool],
+    answered_at: float | None = None,
+    entries: Sequence[Replica] = (),
+) -> int:
     """Return how many replicas ended under a request, by what was broken off."""
     clock = HandClock(step_s=0.0)
     ledger = CrashLedger()
     log = ServingLog("n1", clock, os.open(os.devnull, os.O_WRONLY))
     pool: Any = None
-    directory = ReplicaDirectory()
+    directory = Starts(*entries).directory
     witness = CrashWitness(ledger, directory, pool, log, ServingMetrics(), clock)
 
     async def main() -> None:
@@ -370,6 +375,15 @@
         return Reachability.REFUSES
 
 
+def test_a_start_that_was_about_to_leave_is_no_evidence() -> None:
+    """It was told to end: that a request was still there says nothing."""
+    leaving = start(2, 5, is_draining=True)
+    assert crashes((start(1, 5), True), entries=[start(1, 5), leaving, start(3, 9)]) == 0
+    renewed = [start(1, 5), leaving, start(3, 9), start(4, 9)]
+    assert crashes((start(1, 5), True), entries=renewed) == 0
+    assert crashes((start(4, 9), True), entries=[*renewed, start(5, 12)]) == 1
+
+
 def test_a_request_that_may_not_have_arrived_is_no_suspect() -> None:
     assert crashes((start(1, 5), False)) == 0
 
--- a/tests/serving/test_zone_loss.py
+++ b/tests/serving/test_zone_loss.py
@@ -180,6 +180,20 @@
     in_zones(test)
 
 
+def test_nodes_that_a_new_coordinator_serves_know_how_large_the_whole_fleet_is() -> None:
+    """Deciding alone after it, each gives out its part of quotas, and not that of a zone's node."""
+
+    async def test(world: CoordinationWorld) -> None:
+        cut = zone_nodes(world, other_zone(world))
+        world.wire.cut_zones.add(other_zone(world))
+        await world.run(2 * SERVED_WITHIN_S)
+        assert any(one.coordinator.is_active for one in cut)
+        others = [one for one in cut if not one.coordinator.is_active]
+        assert {one.coordinator._fleet_size for one in others} == {NODES}
+
+    in_zones(test)
+
+
 def test_orders_of_the_other_side_of_a_cut_change_no_items() -> None:
     async def test(world: CoordinationWorld) -> None:
         zone = other_zone(world)
