A start that told that it leaves is no evidence against the requests that were at it

A request that is broken off since its replica has started again counted as evidence that the replica ended under it, also where the start before was draining: its end was planned. The other way to this evidence, a connection that breaks, asks the list for that; here the list names the next start already. The directory now keeps whether the start before told that it leaves.

--- a/src/cloverwalk/gateway/crash_witness.py
+++ b/src/cloverwalk/gateway/crash_witness.py
@@ -124,6 +124,8 @@
         # Behind a cut link nothing tells that a request reached the far end of a kept connection.
         if delivery is None or not delivery.is_new_connection:
             return
+        if self._directory.has_left(replica):
+            return
         if self.ledger.was_answered_since(content, delivery.sent_at):
             return
         self._metrics.replica_broke_off(RESTARTED)
--- a/src/cloverwalk/gateway/replicas.py
+++ b/src/cloverwalk/gateway/replicas.py
@@ -61,6 +61,8 @@
     replica: Replica
     late_version: int = 0
     late_entries: int = 0
+    left_born_ms: int = 0
+    """The last start before it that told that it leaves; 0: none did."""
 
 
 OnNewStart = Callable[[Replica, Replica], None]
@@ -147,6 +149,11 @@
         self._note_start(replica)
         return differs
 
+    def has_left(self, replica: Replica) -> bool:
+        """Whether a start of a replica, which another one has followed, told that it leaves."""
+        known = self._starts.get(replica.replica_id)
+        return known is not None and 0 < replica.born_ms == known.left_born_ms
+
     def _is_late(self, replica: Replica) -> bool:
         """Whether an entry is of a start that has ended, though the store took it just now."""
         start = self._starts.get(replica.replica_id)
@@ -161,9 +168,14 @@
         if not replica.born_ms:
             return
         before = self._starts.get(replica.replica_id)
-        self._starts[replica.replica_id] = _Start(replica)
-        if before is None or before.replica.born_ms == replica.born_ms:
+        known = self._starts[replica.replica_id] = _Start(replica)
+        if before is None:
+            return
+        known.left_born_ms = before.left_born_ms
+        if before.replica.born_ms == replica.born_ms:
             return
+        if before.replica.is_draining:
+            known.left_born_ms = before.replica.born_ms
         self.clear_suspicion(replica.replica_id)
         for tell in self.on_new_start:
             tell(before.replica, replica)
