Nodes beside a cut are told the size of the whole fleet, not of the part that is heard

A standby that has taken the role counts its quotas by the fleet as it was before, but told its nodes the number of those that it hears. One of them that decides alone, or in its stead, gave out its part of that smaller fleet: three times as much in one of three zones. Both go by one figure now; where no zone may be lost it is the one from before.

--- a/src/cloverwalk/fleet/coordinator.py
+++ b/src/cloverwalk/fleet/coordinator.py
@@ -238,12 +238,16 @@
     def _take_share(self) -> None:
         """Count for the part of the fleet that reports here."""
         heard = self.roster.heard_since(self._clock() - COUNTED_SILENT_S)
+        self._scheduler.quotas.set_share(heard, self._fleet_nodes())
+
+    def _fleet_nodes(self) -> int:
+        """Return how many nodes the whole fleet has, as far as this one knows; 0: it doesn't."""
         nodes = len(self.roster.by_name) if self.is_active else self._fleet_size
         if self.active_since is not None and self.bears_zone_loss:
             # Nodes that have not turned here since may be served by a coordinator elsewhere.
             is_recent = self._clock() - self.active_since < REMEMBERED_S
             nodes = max(nodes, self._fleet_size) if is_recent else nodes
-        self._scheduler.quotas.set_share(heard, nodes)
+        return nodes
 
     def _note_served_zone(self) -> None:
         """Log when this standby begins and ends to serve nodes of its zone."""
@@ -311,7 +315,7 @@
         )
         orders.cases_digest = self._cases.ledger.digest
         if self.is_active:
-            orders.nodes = len(self.roster.by_name)
+            orders.nodes = self._fleet_nodes()
             orders.near_limit = self._near_limit
             orders.zone_fullness_percent = self._zone_fullness(node)
         if decisions is not None:
