--- a/tests/serving/test_zone_loss.py
+++ b/tests/serving/test_zone_loss.py
@@ -11,7 +11,7 @@
 from test_coordination import Recorder
 from test_scheduler import Fleet
 
-from cloverwalk.fleet.messages import Contact, Leadership, WaitingGroup
+from cloverwalk.fleet.messages import Contact, Leadership, Orders, WaitingGroup
 from cloverwalk.gateway.configuration import Configuration, RouteKind
 from cloverwalk.gateway.replicas import Replica
 from cloverwalk.scheduling.features import Feature, Features
@@ -194,6 +194,27 @@
     in_zones(test)
 
 
+def test_one_lost_answer_tells_no_silence() -> None:
+    """The coordinator takes it that it was told, and does not say so again at once."""
+
+    async def test(world: CoordinationWorld) -> None:
+        node = next(one for one in zone_nodes(world, other_zone(world)) if one.follows)
+        await node.link._report()
+        await world.deliver()
+        world.now += 1.0
+        world.wire.lost_kinds.add(Orders)
+        await node.link._report()
+        await world.deliver()
+        world.wire.lost_kinds.clear()
+        for _ in range(3):
+            world.now = max(world.now, node.link.report_due_at())
+            await node.link._report()
+            await world.deliver()
+            assert not node.leader.has_lost_coordinator
+
+    in_zones(test)
+
+
 def test_orders_of_the_other_side_of_a_cut_change_no_items() -> None:
     async def test(world: CoordinationWorld) -> None:
         zone = other_zone(world)
