Zone loss: one lost answer does not make a node take the coordinator for silent

The second report came 0.3 s after the first, but a coordinator answers each 0.4 s at most, counted from when it sent its last answer, lost or not. So a quiet node that missed one datagram judged 0.6 s after the first report, before any report that had to be answered, turned to its zone's standby and had slots granted there beside the coordinator. The report is repeated after 0.45 s now and judged 0.15 s later, so the time until a cut is found is as before. What is known of a node that is not reported to any more is dropped.

--- a/src/cloverwalk/fleet/link.py
+++ b/src/cloverwalk/fleet/link.py
@@ -56,14 +56,14 @@
 HEARD_LATELY_S = 0.3
 """A coordinator that was heard within this time is asked once more before a standby."""
 
-UNANSWERED_S = 0.5
-"""A report that got no word back for so long, though the node was reported to again, tells that
-the coordinator is silent. Items of a node without online requests are served by its zone's standby
-within 1.6 s of a cut by it, and never without it. Only reports count that must be acknowledged:
-those that are sent ``ACK_EVERY_S`` after the last word."""
+ASKED_AGAIN_S = ACK_EVERY_S + 0.05
+"""A report that got no word back is repeated so late that the coordinator answers it also where its
+answer to the first was lost; 0.05 s are left for reports that take longer on the way."""
 
-UNANSWERED_STEP_S = 0.3
-"""Time between reports while one has no answer."""
+ANSWER_S = 0.15
+"""Without a word for so long after that the coordinator is silent. Items of a node without online
+requests are served by its zone's standby within 1.6 s of a cut by it, and never without it. Only
+reports count that must be acknowledged: those that are sent ``ACK_EVERY_S`` after the last word."""
 
 NEVER_MS = 1_000_000
 """Told as the age of the store's last answer while the store is lost."""
@@ -98,7 +98,14 @@
 
     target: Contact
     since: float
-    reports: int = 0
+    asked_again_at: float | None = None
+
+    @property
+    def due_at(self) -> float:
+        """When to report to it again, or else to judge it."""
+        if self.asked_again_at is None:
+            return self.since + ASKED_AGAIN_S
+        return self.asked_again_at + ANSWER_S
 
 
 class CoordinatorLink:
@@ -188,9 +195,8 @@
         """Return when the next report goes out, if nothing changes before."""
         is_lost = self._leader.has_lost_coordinator or self._leader.is_unheard
         longest_s = STANDBY_HEARTBEAT_S if is_lost else HEARTBEAT_S
-        if self._unanswered is not None:
-            longest_s = min(longest_s, UNANSWERED_STEP_S)
-        return self._sent_at + longest_s
+        due_at = self._sent_at + longest_s
+        return due_at if self._unanswered is None else min(due_at, self._unanswered.due_at)
 
     async def note_change(self) -> None:
         """Loads, waiting items or the like have changed: the coordinator should know soon."""
@@ -227,10 +233,14 @@
     def _judge_silence(self) -> None:
         """Turn away from a node that has answered no report lately."""
         waits = self._unanswered
-        if waits is None or self._clock() - waits.since < UNANSWERED_S or waits.reports < 2:
+        if waits is None:
             return
-        self._unanswered = None
-        self._note_silent(waits.target)
+        if waits.target != self._leader.target():
+            # Nothing is sent there any more.
+            self._unanswered = None
+        elif waits.asked_again_at is not None and self._clock() >= waits.due_at:
+            self._unanswered = None
+            self._note_silent(waits.target)
 
     def _note_report(self, target: Contact) -> None:
         """A report is sent; only where zones are cut off its answer is waited for."""
@@ -239,9 +249,11 @@
         host, heard_at = self._target_heard
         if host == target.host and self._clock() - heard_at < ACK_EVERY_S:
             return
-        if self._unanswered is None or self._unanswered.target != target:
+        waits = self._unanswered
+        if waits is None or waits.target != target:
             self._unanswered = _Unanswered(target, self._clock())
-        self._unanswered.reports += 1
+        elif waits.asked_again_at is None and self._clock() >= waits.due_at:
+            waits.asked_again_at = self._clock()
 
     def _try_silent(self) -> None:
         """Report to the nodes that did not answer, too: they may be back."""
