--- a/tests/serving/test_zone_loss.py
+++ b/tests/serving/test_zone_loss.py
@@ -215,6 +215,24 @@
     in_zones(test)
 
 
+def test_a_node_that_is_not_reported_to_any_more_hurries_no_report() -> None:
+    async def test(world: CoordinationWorld) -> None:
+        node = next(one for one in zone_nodes(world, other_zone(world)) if one.follows)
+        world.wire.silent.add(node.host)
+        world.now += 1.0
+        await node.link._report()
+        assert node.link._unanswered is not None
+        for one in node.leader._contacts():
+            node.leader.note_silent(one.host)
+        for _ in range(3):
+            world.now += 1.0
+            await node.link._report()
+            assert node.link._unanswered is None
+            assert node.link.report_due_at() > world.now
+
+    in_zones(test)
+
+
 def test_orders_of_the_other_side_of_a_cut_change_no_items() -> None:
     async def test(world: CoordinationWorld) -> None:
         zone = other_zone(world)
