--- a/tests/serving/test_zone_loss.py
+++ b/tests/serving/test_zone_loss.py
@@ -11,6 +11,8 @@
 from test_coordination import Recorder
 from test_scheduler import Fleet
 
+from cloverwalk.fleet.identity import Identity
+from cloverwalk.fleet.leader import LeaderView
 from cloverwalk.fleet.messages import Contact, Leadership, Orders, WaitingGroup
 from cloverwalk.gateway.configuration import Configuration, RouteKind
 from cloverwalk.gateway.replicas import Replica
@@ -233,6 +235,16 @@
     in_zones(test)
 
 
+def test_a_standby_that_serves_itself_has_heard_nobody_by_that() -> None:
+    """A process that the store refuses goes on to look for others at the known hosts."""
+    view = LeaderView(Identity("n3", "0a", "h3", "z1"), now=0.0)
+    view.offer(Leadership(Contact("n1", "h1"), "0b", 7, (Contact("n3", "h3", "z1"),)), now=1.0)
+    view.note_silent("h1")
+    assert view.serves_zone
+    view.note_heard("h3", now=2.0)
+    assert view.is_unheard and view.heard_at == 1.0
+
+
 def test_orders_of_the_other_side_of_a_cut_change_no_items() -> None:
     async def test(world: CoordinationWorld) -> None:
         zone = other_zone(world)
