--- a/src/cloverwalk/fleet/leader.py
+++ b/src/cloverwalk/fleet/leader.py
@@ -116,7 +116,8 @@
     def note_heard(self, host: str, now: float) -> None:
         """A node was heard."""
         self._silent.discard(host)
-        if self.current is None:
+        if self.current is None or (host == self._identity.host and not self.is_own):
+            # Orders of a standby to itself are no word of another node.
             return
         if host == self.current.holder.host:
             self.holder_heard_at = now
