--- a/tests/serving/test_zone_loss.py
+++ b/tests/serving/test_zone_loss.py
@@ -11,7 +11,9 @@
 from test_coordination import Recorder
 from test_scheduler import Fleet
 
-from cloverwalk.fleet.messages import Contact, Leadership, WaitingGroup
+from cloverwalk.fleet.identity import Identity
+from cloverwalk.fleet.leader import LeaderView
+from cloverwalk.fleet.messages import Contact, Leadership, Orders, WaitingGroup
 from cloverwalk.gateway.configuration import Configuration, RouteKind
 from cloverwalk.gateway.replicas import Replica
 from cloverwalk.scheduling.features import Feature, Features
@@ -180,6 +182,69 @@
     in_zones(test)
 
 
+def test_nodes_that_a_new_coordinator_serves_know_how_large_the_whole_fleet_is() -> None:
+    """Deciding alone after it, each gives out its part of quotas, and not that of a zone's node."""
+
+    async def test(world: CoordinationWorld) -> None:
+        cut = zone_nodes(world, other_zone(world))
+        world.wire.cut_zones.add(other_zone(world))
+        await world.run(2 * SERVED_WITHIN_S)
+        assert any(one.coordinator.is_active for one in cut)
+        others = [one for one in cut if not one.coordinator.is_active]
+        assert {one.coordinator._fleet_size for one in others} == {NODES}
+
+    in_zones(test)
+
+
+def test_one_lost_answer_tells_no_silence() -> None:
+    """The coordinator takes it that it was told, and does not say so again at once."""
+
+    async def test(world: CoordinationWorld) -> None:
+        node = next(one for one in zone_nodes(world, other_zone(world)) if one.follows)
+        await node.link._report()
+        await world.deliver()
+        world.now += 1.0
+        world.wire.lost_kinds.add(Orders)
+        await node.link._report()
+        await world.deliver()
+        world.wire.lost_kinds.clear()
+        for _ in range(3):
+            world.now = max(world.now, node.link.report_due_at())
+            await node.link._report()
+            await world.deliver()
+            assert not node.leader.has_lost_coordinator
+
+    in_zones(test)
+
+
+def test_a_node_that_is_not_reported_to_any_more_hurries_no_report() -> None:
+    async def test(world: CoordinationWorld) -> None:
+        node = next(one for one in zone_nodes(world, other_zone(world)) if one.follows)
+        world.wire.silent.add(node.host)
+        world.now += 1.0
+        await node.link._report()
+        assert node.link._unanswered is not None
+        for one in node.leader._contacts():
+            node.leader.note_silent(one.host)
+        for _ in range(3):
+            world.now += 1.0
+            await node.link._report()
+            assert node.link._unanswered is None
+            assert node.link.report_due_at() > world.now
+
+    in_zones(test)
+
+
+def test_a_standby_that_serves_itself_has_heard_nobody_by_that() -> None:
+    """A process that the store refuses goes on to look for others at the known hosts."""
+    view = LeaderView(Identity("n3", "0a", "h3", "z1"), now=0.0)
+    view.offer(Leadership(Contact("n1", "h1"), "0b", 7, (Contact("n3", "h3", "z1"),)), now=1.0)
+    view.note_silent("h1")
+    assert view.serves_zone
+    view.note_heard("h3", now=2.0)
+    assert view.is_unheard and view.heard_at == 1.0
+
+
 def test_orders_of_the_other_side_of_a_cut_change_no_items() -> None:
     async def test(world: CoordinationWorld) -> None:
         zone = other_zone(world)
