Tests: memory of items after a takeover, a long request in front, a clock below zero, a dropped part

A takeover loses which tokens are items'; a request that waits for memory keeps late ones from free slots; a process clock below zero hides all figures of a node; an answer whose waiting part is dropped still counts as finished.

--- a/tests/serving/test_replica_memory.py
+++ b/tests/serving/test_replica_memory.py
@@ -2,6 +2,7 @@
 
 from random import Random
 
+import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 from test_scheduler import Fleet
@@ -131,6 +132,30 @@
     assert fleet.verdict(0, fleet.ask(0, tokens=1_000)) is Verdict.HOLD
 
 
+def test_a_takeover_knows_which_memory_items_hold_and_takes_it_back() -> None:
+    before, after = small_fleet(replicas=1), small_fleet(replicas=1)
+    report = before.nodes[0].report()
+    report.loads = {"r0": NodeLoad(0, 4, 8_000, 8_000)}
+    before.scheduler.hear(report, before.now)
+    after.scheduler.book.take_snapshot(before.scheduler.totals(), after.now)
+    assert after.verdict(1, after.ask(1, tokens=5_000)) is Verdict.SEND
+
+
+@pytest.mark.parametrize("is_ordered", [False, True])
+def test_a_late_request_gets_its_free_slot_while_a_long_one_waits_for_memory(
+    is_ordered: bool,
+) -> None:
+    fleet = small_fleet(replicas=1)
+    if is_ordered:
+        fleet.scheduler.features.note_told_pace("model")
+    ask(fleet, 0, 8_000)
+    long = fleet.ask(1, tokens=5_000, objective_left_ms=-200)
+    fleet.now += 0.01
+    late = fleet.ask(2, tokens=500, objective_left_ms=-100)
+    assert fleet.verdict(1, long) is Verdict.HOLD
+    assert fleet.verdict(2, late) is Verdict.SEND
+
+
 @given(st.lists(st.integers(0, 3 * MEMORY), min_size=1, max_size=12))
 def test_memory_decides_nothing_where_nobody_says_that_it_is_scarce(sizes: list[int]) -> None:
     with_tokens, without = small_fleet(is_scarce=False), small_fleet(is_scarce=False)
--- a/tests/unit/test_machine_room.py
+++ b/tests/unit/test_machine_room.py
@@ -1,5 +1,7 @@
 """When a node is full, under any course of its load: no network, time by hand."""
 
+import curio
+import h11
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
@@ -20,6 +22,8 @@
     RoomVerdict,
     Usage,
 )
+from cloverwalk.gateway.outbox import Outbox
+from cloverwalk.gateway.reply import Reply
 
 SIZE = MachineSize(connections=100, link_bytes_per_s=1e6, processor=0.4, held_bytes=1000)
 
@@ -139,6 +143,14 @@
     assert room.by_resource[Resource.PROCESSOR] == 0.0
 
 
+def test_a_process_clock_that_starts_below_zero_hides_no_other_figure() -> None:
+    room = MachineRoom(SIZE, 0.0)
+    for turn in range(1, 5):
+        now = 0.5 * turn
+        assert room.look(Usage(processor_s=0.01 * now - 70_000.0, connections=90), now)
+        assert (room.scarcest, room.fullness) == (Resource.CONNECTIONS, 0.9)
+
+
 def test_a_process_clock_faster_than_time_is_none_and_counts_nowhere() -> None:
     # Taken for use, all nodes but the first to be told of their peers were full at once.
     room = MachineRoom(SIZE, 0.0)
@@ -240,3 +252,33 @@
     # A limit that nobody told is none.
     assert HeldBytes().has_room_for_job(10**9)
     assert HeldBytes().has_room(10**9, 0.0)
+
+
+def test_an_answer_of_which_a_part_was_dropped_is_not_finished() -> None:
+    # Its task was cancelled between the last write and the wait for the client.
+    class FullSocket:
+        """Takes nothing."""
+
+        @property
+        def _socket(self) -> "FullSocket":
+            return self
+
+        def send(self, data: bytes) -> int:
+            raise BlockingIOError
+
+    async def answer() -> Reply:
+        sock = FullSocket()
+        http = h11.Connection(h11.SERVER)
+        http.receive_data(b"GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+        while not isinstance(http.next_event(), h11.EndOfMessage):
+            pass
+        reply = Reply(sock, http, False, Outbox(sock, HeldBytes(), lambda: 0.0))
+        reply._outbox.start = no_sender  # type: ignore[union-attr, method-assign]
+        await reply.respond(200, [], b"answer")
+        await reply.close()
+        return reply
+
+    async def no_sender() -> None:
+        return
+
+    assert not curio.run(answer).is_finished
