--- a/src/cloverwalk/scheduling/slot_book.py
+++ b/src/cloverwalk/scheduling/slot_book.py
@@ -174,7 +174,10 @@
 
     def totals(self) -> dict[str, NodeLoad]:
         """Return the work of all nodes by replica, without what another coordinator told."""
-        return {key: NodeLoad(one.online, one.batch, one.tokens) for key, one in self._sums.items()}
+        return {
+            key: NodeLoad(one.online, one.batch, one.tokens, one.batch_tokens)
+            for key, one in self._sums.items()
+        }
 
     def holders(self, replica_id: str) -> list[Holder]:
         """Return the nodes with items at a replica, those with the most first.
