A request that waits for memory keeps no other one from a free slot

Cause: a late request is placed at a free slot only if it comes first, and a long one that waits for memory counted as waiting before it. All late requests of the fleet, of any service, were told to come back or held while slots were free. Without that feature no request waits for memory, and nothing changes.

--- a/src/cloverwalk/scheduling/online.py
+++ b/src/cloverwalk/scheduling/online.py
@@ -469,9 +469,14 @@
 
     def _is_first(self, held: _Held, now: float) -> bool:
         if not self._features.is_on(Feature.OVERLOAD_ORDER):
-            return all(held.rank() <= other.rank() for other in self._held.values())
+            return all(
+                held.rank() <= other.rank()
+                for other in self._held.values()
+                if not other.waits_for_memory
+            )
         first = self._first(now)
-        if first is None or first is held:
+        # One that waits for memory takes no slot, and keeps nobody from one.
+        if first is None or first is held or first.waits_for_memory:
             return True
         return self._place_of(held, now) <= self._place_of(first, now)
 
