An answer of which a waiting part is dropped is not finished

Cause: a task that is cancelled after the last write and before the wait for the client left the answer marked as finished: a request that came behind it was answered after the gap on the same connection.

--- a/src/cloverwalk/gateway/reply.py
+++ b/src/cloverwalk/gateway/reply.py
@@ -99,8 +99,9 @@
             raise
 
     async def close(self) -> None:
-        """Drop what was not sent."""
+        """Drop what was not sent; an answer of which a part is dropped is not finished."""
         if self._outbox is not None:
+            self.is_finished = self.is_finished and not self._outbox.waiting_bytes
             await self._outbox.close()
 
     def _try_send(self, data: bytes) -> bytes:
