A process clock below zero hides none of a node's other figures

Cause: each look was dropped as a whole, so such a node measured nothing, told 1 percent and logged twice a second. Only differences of the clock count, so where it starts plays no part.

--- a/src/cloverwalk/gateway/machine_room.py
+++ b/src/cloverwalk/gateway/machine_room.py
@@ -94,7 +94,8 @@
 
 @attrs.frozen
 class Usage:
-    """What is in use at one moment. The first two go on all the time, from any figure."""
+    """What is in use at one moment. The first two go on all the time, from any figure; a process
+    clock also from one below zero."""
 
     sent_bytes: int = 0
     processor_s: float = 0.0
@@ -106,7 +107,10 @@
     @property
     def is_valid(self) -> bool:
         """Whether these can be figures of a process."""
-        return all(math.isfinite(one) and one >= 0 for one in attrs.astuple(self))
+        counts = (self.sent_bytes, self.connections, self.held_bytes, self.late_s)
+        return math.isfinite(self.processor_s) and all(
+            math.isfinite(one) and one >= 0 for one in counts
+        )
 
 
 @attrs.define
