Tests: jobs beyond their share beside online work; a full node's refusal closes the connection

Jobs that were taken over, or whose outputs grew, can be over the limit of what is held; then each body was refused and each waiting answer given up. A client that is refused by a full node and keeps its connection comes back to the same node.

--- a/tests/serving/test_full_nodes.py
+++ b/tests/serving/test_full_nodes.py
@@ -174,6 +174,8 @@
         for refused in (await world.ask("/once/a", "new"), await world.hand_in("k")):
             assert refused.status == 503
             assert "retry-after" in refused.headers
+            # On the same connection its client would come back to this node.
+            assert refused.headers["connection"] == "close"
         assert sum(one.runs("new") for one in world.replicas) == 0
         assert (await task.join()).is_whole
         assert {one["state"] for one in await world.until_done("j", 3)} == {"succeeded"}
--- a/tests/unit/test_machine_room.py
+++ b/tests/unit/test_machine_room.py
@@ -282,3 +282,14 @@
         return
 
     assert not curio.run(answer).is_finished
+
+
+def test_jobs_that_outgrew_their_share_keep_no_online_body_or_answer_out() -> None:
+    # A node that took over the jobs of lost ones, or whose items have long outputs.
+    held = HeldBytes(1000)
+    held.jobs = 5000
+    assert held.has_room(100, 1.0)
+    reader = FakeReader(held, 1.0)
+    reader.add(200, 2.0)
+    assert not reader.is_given_up
+    assert not held.has_room_for_job(1)
