Jobs leave no room to others only up to their share of what is held

Cause: has_room counted all of the jobs' bytes, and only hand-ins are bounded: a node that took over jobs, or whose items have long outputs, refused every online body for as long as they lasted, and gave up each client for whom anything waited.

--- a/src/cloverwalk/gateway/held_bytes.py
+++ b/src/cloverwalk/gateway/held_bytes.py
@@ -86,7 +86,7 @@
     def has_room(self, size: int, now: float) -> bool:
         """Whether a body may be read; slow readers make room for it."""
         needed = size * BODY_COPIES
-        if self.limit and self.total - self.answers + needed > self.limit:
+        if self.limit and self._counted - self.answers + needed > self.limit:
             # It would not fit without any reader either.
             return False
         self._make_room(needed, now)
@@ -130,7 +130,12 @@
         counted.bytes = size
 
     def _fits(self, needed: int) -> bool:
-        return not self.limit or self.total + needed <= self.limit
+        return not self.limit or self._counted + needed <= self.limit
+
+    @property
+    def _counted(self) -> int:
+        """What leaves no room: of jobs their share, beyond which taken over ones may grow."""
+        return self.total - self.jobs + min(self.jobs, int(HAND_IN_SHARE * self.limit))
 
     def _make_room(self, needed: int, now: float) -> None:
         while self._readers and not self._fits(needed):
