A full node's refusal closes the connection

Cause: the short Retry-After is meant to bring the client to another node. On a kept connection it came back to the same one; where connections are what is scarce, a refusal freed none, and the node stayed over.

--- a/src/cloverwalk/gateway/server.py
+++ b/src/cloverwalk/gateway/server.py
@@ -24,6 +24,7 @@
 LINGER_S = 0.5
 BODY_TIMEOUT_S = 10.0
 MAX_PIPELINED_BYTES = 262_144
+NODE_FULL = "node_full"
 FULL_RETRY_AFTER_S = 0.05
 """A client that comes back reaches another node, as a rule one with room."""
 
@@ -111,7 +112,7 @@
         """Raise GatewayError where the process has no memory for so much of a body."""
         if not self._fits(size):
             message = "this node has no room for the body"
-            raise GatewayError(Reason.UNAVAILABLE, "node_full", message, FULL_RETRY_AFTER_S)
+            raise GatewayError(Reason.UNAVAILABLE, NODE_FULL, message, FULL_RETRY_AFTER_S)
 
     def _hold(self, size: int) -> None:
         if self._server.held is not None:
--- a/src/cloverwalk/serving/calls.py
+++ b/src/cloverwalk/serving/calls.py
@@ -9,7 +9,7 @@
 from cloverwalk.gateway.messages import ClientRequest, EndJob, JobCall, ReadItem, ReadJob
 from cloverwalk.gateway.relay import OnlineRelay
 from cloverwalk.gateway.reply import Reply
-from cloverwalk.gateway.server import FULL_RETRY_AFTER_S
+from cloverwalk.gateway.server import FULL_RETRY_AFTER_S, NODE_FULL
 from cloverwalk.jobs.intake import Submission
 from cloverwalk.jobs.records import MAX_ITEMS
 from cloverwalk.jobs.service import JobService
@@ -58,6 +58,9 @@
         try:
             route = await self._dispatch(request, reply, writes)
         except AnswerError as error:
+            if error.code == NODE_FULL:
+                # On the same connection its client would come back to this node.
+                reply.close_after()
             await self._refuse(request, reply, final_answer(error, writes))
             return
         if route is not None:
@@ -173,4 +176,4 @@
 
 
 def _node_full(message: str) -> GatewayError:
-    return GatewayError(Reason.UNAVAILABLE, "node_full", message, FULL_RETRY_AFTER_S)
+    return GatewayError(Reason.UNAVAILABLE, NODE_FULL, message, FULL_RETRY_AFTER_S)
