Test: a node starts no larger items than its grant has memory for

A grant for a small item at a replica that has no memory for those due before it is used for the first of them: the replica gets more than it holds.

--- a/tests/serving/test_replica_memory.py
+++ b/tests/serving/test_replica_memory.py
@@ -10,6 +10,7 @@
 from cloverwalk.fleet.load import LoadBook
 from cloverwalk.fleet.messages import NodeLoad, WaitingGroup
 from cloverwalk.gateway.configuration import ClientLimits, Configuration, Service
+from cloverwalk.jobs.order import pick
 from cloverwalk.scheduling.admission import LONGEST_HOLD_S, Verdict
 from cloverwalk.scheduling.features import Features
 from cloverwalk.scheduling.quotas import QuotaBounds
@@ -126,6 +127,21 @@
     assert grants == {"r1": 1, "r0": 1}
 
 
+def test_the_node_starts_no_larger_items_than_were_granted() -> None:
+    fleet = small_fleet(replicas=2)
+    report = fleet.nodes[0].report()
+    report.loads = {"r0": NodeLoad(1, 0, 9_000, 0), "r1": NodeLoad(1, 0, 1_000, 0)}
+    fleet.scheduler.hear(report, fleet.now)
+    fleet.nodes[1].waiting = [WaitingGroup(1, 2, tokens=4_000), WaitingGroup(2, 1, tokens=500)]
+    fleet.scheduler.hear(fleet.nodes[1].report(), fleet.now)
+    told = fleet.scheduler.take_decisions()["n1"].grant_tokens
+    assert told == {"r1": 8_000, "r0": 500}
+    sizes = [4_000, 3_000, 500]
+    # The items due first would be started at r0, which has no memory for them, and fall over it.
+    assert pick(["", "", ""], 1, {}, sizes, told["r0"]) == [2]
+    assert pick(["", "", ""], 2, {}, sizes, told["r1"]) == [0, 1]
+
+
 def test_a_takeover_counts_the_memory_that_the_coordinator_before_knew() -> None:
     fleet = small_fleet(replicas=1)
     fleet.scheduler.book.take_snapshot({"r0": NodeLoad(2, 0, 9_500, 0)}, fleet.now)
