A node starts no larger items at a replica than its grant has memory for

Cause: the coordinator grants a slot to an item that fits, and tells the node a number of slots only. The node gave it to the item that is due first, which may be one that the replica has no memory for. Ruled out: the tenants' grants, which choose by tenant and not by size. Orders tell now how much memory a replica's grants are for, and the node's items take no more together. Empty where nobody counts memory, and from a coordinator that does not tell it: then all is as before.

--- a/src/cloverwalk/fleet/coordinator.py
+++ b/src/cloverwalk/fleet/coordinator.py
@@ -319,6 +319,7 @@
             orders.grants = decisions.grants
             orders.revokes = decisions.revokes
             orders.grants_by_tenant = decisions.grants_by_tenant
+            orders.grant_tokens = decisions.grant_tokens
         return orders
 
     def _zone_fullness(self, node: str) -> int:
--- a/src/cloverwalk/fleet/link.py
+++ b/src/cloverwalk/fleet/link.py
@@ -80,9 +80,15 @@
         """Start items at replicas."""
 
     async def take_tenant_grants(
-        self, grants: dict[str, int], by_tenant: dict[str, dict[str, int]]
+        self,
+        grants: dict[str, int],
+        by_tenant: dict[str, dict[str, int]],
+        tokens: dict[str, int],
     ) -> None:
-        """Start items at replicas, of the tenants that ``by_tenant`` names by replica."""
+        """Start items at replicas, of the tenants that ``by_tenant`` names by replica.
+
+        Together they may take the ``tokens`` of their replica; any, where these are empty.
+        """
         await self.take_grants(grants)
 
     async def take_revokes(self, revokes: dict[str, int]) -> None:
@@ -429,8 +435,10 @@
         is_followed = target is not None and target.host == host
         if is_followed and orders.revokes:
             await self.batch.take_revokes(orders.revokes)
-        if is_followed and orders.grants_by_tenant:
-            await self.batch.take_tenant_grants(orders.grants, orders.grants_by_tenant)
+        if is_followed and (orders.grants_by_tenant or orders.grant_tokens):
+            await self.batch.take_tenant_grants(
+                orders.grants, orders.grants_by_tenant, orders.grant_tokens
+            )
         elif is_followed and orders.grants:
             await self.batch.take_grants(orders.grants)
         if orders.grants or orders.revokes:
--- a/src/cloverwalk/fleet/messages.py
+++ b/src/cloverwalk/fleet/messages.py
@@ -335,6 +335,10 @@
     zone_fullness_percent: int = 0
     """How full the nodes of the receiver's zone are in the middle; 0: not told."""
 
+    grant_tokens: dict[str, int] = {}
+    """Memory that the items of ``grants`` may take together, by replica, in tokens; empty where
+    nobody counts it."""
+
 
 class RouteFigures(Struct, array_like=True, frozen=True):
     """What was learnt of a route's requests."""
--- a/src/cloverwalk/jobs/order.py
+++ b/src/cloverwalk/jobs/order.py
@@ -88,9 +88,18 @@
     return WaitingGroup(step, len(items), replica_id, reading_ms, tenant, rest_ms, tokens)
 
 
-def pick(tenants: Sequence[str], count: int, granted: Mapping[str, int]) -> list[int]:
+def pick(
+    tenants: Sequence[str],
+    count: int,
+    granted: Mapping[str, int],
+    tokens: Sequence[int] = (),
+    most_tokens: int | None = None,
+) -> list[int]:
     """Return which of the waiting items start, by index; ``tenants`` are theirs, in their order.
 
+    Where ``most_tokens`` is told, together they take no more of the replica's memory than that:
+    the slot may have been granted for a smaller item than the first.
+
     Each tenant's first items start in the slots that were granted for it. A slot that its tenant
     has no item for any more goes to the first of the others, so none stays free.
 
@@ -106,4 +115,19 @@
             first.append(index)
         else:
             others.append(index)
-    return [*first, *others][:count]
+    in_order = [*first, *others]
+    return (
+        in_order[:count] if most_tokens is None else _within(in_order, count, tokens, most_tokens)
+    )
+
+
+def _within(in_order: list[int], count: int, tokens: Sequence[int], most_tokens: int) -> list[int]:
+    """Return the first items that take no more memory together."""
+    chosen: list[int] = []
+    for index in in_order:
+        if len(chosen) == count:
+            break
+        if tokens[index] <= most_tokens:
+            most_tokens -= tokens[index]
+            chosen.append(index)
+    return chosen
--- a/src/cloverwalk/jobs/runner.py
+++ b/src/cloverwalk/jobs/runner.py
@@ -286,12 +286,18 @@
 
     async def take_grants(self, grants: dict[str, int]) -> None:
         """Start as many items at each replica as there are slots for them."""
-        await self.take_tenant_grants(grants, {})
+        await self.take_tenant_grants(grants, {}, {})
 
     async def take_tenant_grants(
-        self, grants: dict[str, int], by_tenant: dict[str, dict[str, int]]
+        self,
+        grants: dict[str, int],
+        by_tenant: dict[str, dict[str, int]],
+        tokens: dict[str, int],
     ) -> None:
-        """Start items at replicas: of the tenants that were granted slots, then any others."""
+        """Start items at replicas: of the tenants that were granted slots, then any others.
+
+        No more and no larger ones start than were found to fit into the replica's memory.
+        """
         if self.is_stopping:
             return
         for replica_id, count in grants.items():
@@ -300,7 +306,9 @@
                 continue
             waiting = self._waiting_for(replica)
             tenants = [job.record.tenant for job, _ in waiting]
-            for index in pick(tenants, count, by_tenant.get(replica_id, {})):
+            sizes = [one.item.tokens for _, one in waiting] if tokens else []
+            most = tokens.get(replica_id, 0) if tokens else None
+            for index in pick(tenants, count, by_tenant.get(replica_id, {}), sizes, most):
                 job, one = waiting[index]
                 await self._start(job, one, replica)
         await self._wake.set()
--- a/src/cloverwalk/scheduling/batch.py
+++ b/src/cloverwalk/scheduling/batch.py
@@ -316,7 +316,10 @@
         claim.left -= 1
         decisions = self._outbox.of(claim.node)
         decisions.grants[replica_id] = decisions.grants.get(replica_id, 0) + 1
-        tenant = claim.group.tenant
+        tenant, tokens = claim.group.tenant, claim.group.tokens
+        if tokens:
+            told = decisions.grant_tokens
+            told[replica_id] = told.get(replica_id, 0) + tokens
         if tenant:
             by_tenant = decisions.grants_by_tenant.setdefault(replica_id, {})
             by_tenant[tenant] = by_tenant.get(tenant, 0) + 1
--- a/src/cloverwalk/scheduling/decisions.py
+++ b/src/cloverwalk/scheduling/decisions.py
@@ -14,6 +14,7 @@
     grants: dict[str, int] = attrs.Factory(dict)
     revokes: dict[str, int] = attrs.Factory(dict)
     grants_by_tenant: dict[str, dict[str, int]] = attrs.Factory(dict)
+    grant_tokens: dict[str, int] = attrs.Factory(dict)
 
 
 class Outbox:
