--- a/tests/serving/test_item_slots.py
+++ b/tests/serving/test_item_slots.py
@@ -65,8 +65,11 @@
         self.runner = runner_of(self.node, self.caller, world)
         self._number = self.holder.scheduler.last_number(self.node.name) + 1
 
-    async def order(self, change: int) -> int:
-        """Have the node start or suspend items, as its coordinator would; return the number."""
+    async def order(self, change: int, tokens: int = 0) -> int:
+        """Have the node start or suspend items, as its coordinator would; return the number.
+
+        What starts may take ``tokens`` of the replica's memory, where the coordinator counts it.
+        """
         leadership = self.holder.leader.current
         assert leadership is not None
         self._number += 1
@@ -81,6 +84,7 @@
             True,
             grants={REPLICA: change} if change > 0 else {},
             revokes={REPLICA: -change} if change < 0 else {},
+            grant_tokens={REPLICA: tokens} if tokens else {},
         )
         await self.node.link.take_orders(orders, self.holder.host)
         return self._number
@@ -227,3 +231,18 @@
         assert giving_way.terminated
 
     with_running_items(test)
+
+
+def test_a_granted_slot_goes_to_no_larger_item_than_its_memory_holds() -> None:
+    async def test(owner: OwnerWorld) -> None:
+        items = owner.runner.jobs["j"].items
+        first, *others = [one for one in items if not one.replica_id]
+        first.item.tokens = 4_000
+        for one in others:
+            one.item.tokens = 100
+        await owner.order(3, tokens=250)
+        assert [one.replica_id for one in (first, *others)] == ["", REPLICA, REPLICA, ""]
+        await owner.order(1)
+        assert first.replica_id == REPLICA
+
+    with_running_items(test)
