Test: an item that no replica holds keeps no other one waiting

The largest item of a group stands for all; one beyond any replica's memory fits nowhere, so neither it nor the items that are due with it ever started.

--- a/tests/serving/test_item_slots.py
+++ b/tests/serving/test_item_slots.py
@@ -9,7 +9,14 @@
 from coordination_world import CoordinationWorld, FleetNode
 
 from cloverwalk.fleet.messages import Orders, Report
-from cloverwalk.gateway.configuration import Configuration, Route, RouteKind, RoutePart
+from cloverwalk.gateway.configuration import (
+    ClientLimits,
+    Configuration,
+    Route,
+    RouteKind,
+    RoutePart,
+    Service,
+)
 from cloverwalk.gateway.crash_witness import CrashWitness
 from cloverwalk.gateway.messages import PromptPart
 from cloverwalk.gateway.replicas import Replica
@@ -246,3 +253,30 @@
         assert first.replica_id == REPLICA
 
     with_running_items(test)
+
+
+@pytest.mark.parametrize("odd", [9_900, 10**15, -5])
+def test_an_item_that_no_replica_holds_keeps_no_other_one_waiting(odd: int) -> None:
+    """It is its replica's to refuse, as one of which nothing is told."""
+
+    async def test(owner: OwnerWorld) -> None:
+        configuration = owner.node.configuration
+        assert configuration.current is not None
+        services = {"model": Service("model", SLOTS, 0, 10_000)}
+        configuration.offer(
+            Configuration(3, configuration.current.routes, services, ClientLimits())
+        )
+        owner.node.loads.counts_tokens = True
+        first, *others = [one for one in owner.runner.jobs["j"].items if not one.replica_id]
+        first.item.tokens = odd
+        for one in others:
+            one.item.tokens = 100
+        await owner.runner._tell_waiting()
+        told = [one for groups in owner.node.link.waiting.values() for one in groups]
+        assert [one.tokens for one in told] == [100]
+        before = owner.node.loads.own[REPLICA].tokens
+        await owner.order(2, tokens=100)
+        assert first.replica_id == REPLICA
+        assert owner.node.loads.own[REPLICA].tokens == before + 100
+
+    with_running_items(test)
