An item that no replica holds counts as one that tells no memory

Cause: it fitted nowhere and was never refused; since the largest item of a group stands for all, those due with it waited as long. It goes to a replica now, which refuses it, and others go on. A figure below zero counts as none told. The test of grants by memory says now that its node counts tokens.

--- a/src/cloverwalk/jobs/runner.py
+++ b/src/cloverwalk/jobs/runner.py
@@ -19,6 +19,7 @@
 from cloverwalk.jobs.order import WaitingItem, pick, summarise
 from cloverwalk.jobs.pace import ItemPace
 from cloverwalk.jobs.run import ItemRun, JobRun, Phase
+from cloverwalk.scheduling.replica_memory import memory_limit
 from cloverwalk.scheduling.selection import reading_ms
 from cloverwalk.store.clock import StoreTime
 from cloverwalk.telemetry.lateness import ItemTimes, item_cause
@@ -207,7 +208,7 @@
             replica_id,
             self._reading_ms(one),
             priority,
-            tokens=one.item.tokens if self._loads.counts_tokens else 0,
+            tokens=self._tokens(job, one),
         )
         has_tenants = self._configuration.has_tenants
         if not has_tenants and not self._tells_pace:
@@ -215,6 +216,19 @@
         tenant = job.record.tenant if has_tenants else ""
         return attrs.evolve(waiting, tenant=tenant, rest_ms=1000 * self._pace.remaining_s(one))
 
+    def _tokens(self, job: JobRun, one: ItemRun) -> int:
+        """Return the memory that an item may take at a replica, 0 where nobody counts it.
+
+        One that no replica holds counts as nothing: its replica refuses it, and others go on.
+        """
+        current = self._configuration.current
+        if not self._loads.counts_tokens or current is None:
+            return 0
+        known = [current.services.get(name) for name in self._services(job)]
+        limits = [0 if service is None else memory_limit(service) for service in known]
+        can_fit = 0 in limits or one.item.tokens <= max(limits, default=0)
+        return max(0, one.item.tokens) if can_fit else 0
+
     def _priority(self, job: JobRun) -> int:
         """Return the rank of a job: its tenant's, or its route's."""
         route = self._route(job)
@@ -306,7 +320,7 @@
                 continue
             waiting = self._waiting_for(replica)
             tenants = [job.record.tenant for job, _ in waiting]
-            sizes = [one.item.tokens for _, one in waiting] if tokens else []
+            sizes = [self._tokens(job, one) for job, one in waiting] if tokens else []
             most = tokens.get(replica_id, 0) if tokens else None
             for index in pick(tenants, count, by_tenant.get(replica_id, {}), sizes, most):
                 job, one = waiting[index]
@@ -340,7 +354,7 @@
     async def _start(self, job: JobRun, one: ItemRun, replica: Replica) -> None:
         now = self._clock()
         job.begin(one, replica.replica_id, now, replica.born_ms)
-        work = self._loads.begin(replica.replica_id, True, one.item.tokens)
+        work = self._loads.begin(replica.replica_id, True, self._tokens(job, one))
         running = _Running(job, one, work, now)
         running.expected_ms = self._pace.remaining_s(one) * 1000
         self._running[job.job_id, one.index] = running
--- a/src/cloverwalk/scheduling/replica_memory.py
+++ b/src/cloverwalk/scheduling/replica_memory.py
@@ -9,7 +9,7 @@
 import math
 from collections.abc import Sequence
 
-from cloverwalk.gateway.configuration import ConfigurationHolder
+from cloverwalk.gateway.configuration import ConfigurationHolder, Service
 from cloverwalk.gateway.replicas import Replica
 from cloverwalk.scheduling.features import Feature, Features
 from cloverwalk.scheduling.slot_book import SlotBook
@@ -19,6 +19,11 @@
 reported yet, and replicas' allocation in blocks of some tokens."""
 
 
+def memory_limit(service: Service) -> int:
+    """Return what requests may take at a replica of a service; 0: nothing is told of it."""
+    return int(service.memory_tokens * (1 - UNTOLD_SHARE))
+
+
 class ReplicaMemory:
     """Tells where a request fits; everywhere, while nobody says that memory is scarce."""
 
@@ -35,7 +40,7 @@
         known = None if current is None else current.services.get(service)
         if known is None or not self._features.is_on(Feature.REPLICA_MEMORY):
             return 0
-        return int(known.memory_tokens * (1 - UNTOLD_SHARE))
+        return memory_limit(known)
 
     def can_ever_fit(self, service: str, tokens: int) -> bool:
         """Whether a request fits into an empty replica of a service."""
--- a/tests/serving/test_item_slots.py
+++ b/tests/serving/test_item_slots.py
@@ -242,6 +242,7 @@
 
 def test_a_granted_slot_goes_to_no_larger_item_than_its_memory_holds() -> None:
     async def test(owner: OwnerWorld) -> None:
+        owner.node.loads.counts_tokens = True
         items = owner.runner.jobs["j"].items
         first, *others = [one for one in items if not one.replica_id]
         first.item.tokens = 4_000
