--- a/tests/serving/test_item_slots.py
+++ b/tests/serving/test_item_slots.py
@@ -9,7 +9,14 @@
 from coordination_world import CoordinationWorld, FleetNode
 
 from cloverwalk.fleet.messages import Orders, Report
-from cloverwalk.gateway.configuration import Configuration, Route, RouteKind, RoutePart
+from cloverwalk.gateway.configuration import (
+    ClientLimits,
+    Configuration,
+    Route,
+    RouteKind,
+    RoutePart,
+    Service,
+)
 from cloverwalk.gateway.crash_witness import CrashWitness
 from cloverwalk.gateway.messages import PromptPart
 from cloverwalk.gateway.replicas import Replica
@@ -65,8 +72,11 @@
         self.runner = runner_of(self.node, self.caller, world)
         self._number = self.holder.scheduler.last_number(self.node.name) + 1
 
-    async def order(self, change: int) -> int:
-        """Have the node start or suspend items, as its coordinator would; return the number."""
+    async def order(self, change: int, tokens: int = 0) -> int:
+        """Have the node start or suspend items, as its coordinator would; return the number.
+
+        What starts may take ``tokens`` of the replica's memory, where the coordinator counts it.
+        """
         leadership = self.holder.leader.current
         assert leadership is not None
         self._number += 1
@@ -81,6 +91,7 @@
             True,
             grants={REPLICA: change} if change > 0 else {},
             revokes={REPLICA: -change} if change < 0 else {},
+            grant_tokens={REPLICA: tokens} if tokens else {},
         )
         await self.node.link.take_orders(orders, self.holder.host)
         return self._number
@@ -227,3 +238,46 @@
         assert giving_way.terminated
 
     with_running_items(test)
+
+
+def test_a_granted_slot_goes_to_no_larger_item_than_its_memory_holds() -> None:
+    async def test(owner: OwnerWorld) -> None:
+        owner.node.loads.counts_tokens = True
+        items = owner.runner.jobs["j"].items
+        first, *others = [one for one in items if not one.replica_id]
+        first.item.tokens = 4_000
+        for one in others:
+            one.item.tokens = 100
+        await owner.order(3, tokens=250)
+        assert [one.replica_id for one in (first, *others)] == ["", REPLICA, REPLICA, ""]
+        await owner.order(1)
+        assert first.replica_id == REPLICA
+
+    with_running_items(test)
+
+
+@pytest.mark.parametrize("odd", [9_900, 10**15, -5])
+def test_an_item_that_no_replica_holds_keeps_no_other_one_waiting(odd: int) -> None:
+    """It is its replica's to refuse, as one of which nothing is told."""
+
+    async def test(owner: OwnerWorld) -> None:
+        configuration = owner.node.configuration
+        assert configuration.current is not None
+        services = {"model": Service("model", SLOTS, 0, 10_000)}
+        configuration.offer(
+            Configuration(3, configuration.current.routes, services, ClientLimits())
+        )
+        owner.node.loads.counts_tokens = True
+        first, *others = [one for one in owner.runner.jobs["j"].items if not one.replica_id]
+        first.item.tokens = odd
+        for one in others:
+            one.item.tokens = 100
+        await owner.runner._tell_waiting()
+        told = [one for groups in owner.node.link.waiting.values() for one in groups]
+        assert [one.tokens for one in told] == [100]
+        before = owner.node.loads.own[REPLICA].tokens
+        await owner.order(2, tokens=100)
+        assert first.replica_id == REPLICA
+        assert owner.node.loads.own[REPLICA].tokens == before + 100
+
+    with_running_items(test)
--- a/tests/serving/test_replica_memory.py
+++ b/tests/serving/test_replica_memory.py
@@ -2,6 +2,7 @@
 
 from random import Random
 
+import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 from test_scheduler import Fleet
@@ -9,6 +10,7 @@
 from cloverwalk.fleet.load import LoadBook
 from cloverwalk.fleet.messages import NodeLoad, WaitingGroup
 from cloverwalk.gateway.configuration import ClientLimits, Configuration, Service
+from cloverwalk.jobs.order import pick
 from cloverwalk.scheduling.admission import LONGEST_HOLD_S, Verdict
 from cloverwalk.scheduling.features import Features
 from cloverwalk.scheduling.quotas import QuotaBounds
@@ -125,12 +127,51 @@
     assert grants == {"r1": 1, "r0": 1}
 
 
+def test_the_node_starts_no_larger_items_than_were_granted() -> None:
+    fleet = small_fleet(replicas=2)
+    report = fleet.nodes[0].report()
+    report.loads = {"r0": NodeLoad(1, 0, 9_000, 0), "r1": NodeLoad(1, 0, 1_000, 0)}
+    fleet.scheduler.hear(report, fleet.now)
+    fleet.nodes[1].waiting = [WaitingGroup(1, 2, tokens=4_000), WaitingGroup(2, 1, tokens=500)]
+    fleet.scheduler.hear(fleet.nodes[1].report(), fleet.now)
+    told = fleet.scheduler.take_decisions()["n1"].grant_tokens
+    assert told == {"r1": 8_000, "r0": 500}
+    sizes = [4_000, 3_000, 500]
+    # The items due first would be started at r0, which has no memory for them, and fall over it.
+    assert pick(["", "", ""], 1, {}, sizes, told["r0"]) == [2]
+    assert pick(["", "", ""], 2, {}, sizes, told["r1"]) == [0, 1]
+
+
 def test_a_takeover_counts_the_memory_that_the_coordinator_before_knew() -> None:
     fleet = small_fleet(replicas=1)
     fleet.scheduler.book.take_snapshot({"r0": NodeLoad(2, 0, 9_500, 0)}, fleet.now)
     assert fleet.verdict(0, fleet.ask(0, tokens=1_000)) is Verdict.HOLD
 
 
+def test_a_takeover_knows_which_memory_items_hold_and_takes_it_back() -> None:
+    before, after = small_fleet(replicas=1), small_fleet(replicas=1)
+    report = before.nodes[0].report()
+    report.loads = {"r0": NodeLoad(0, 4, 8_000, 8_000)}
+    before.scheduler.hear(report, before.now)
+    after.scheduler.book.take_snapshot(before.scheduler.totals(), after.now)
+    assert after.verdict(1, after.ask(1, tokens=5_000)) is Verdict.SEND
+
+
+@pytest.mark.parametrize("is_ordered", [False, True])
+def test_a_late_request_gets_its_free_slot_while_a_long_one_waits_for_memory(
+    is_ordered: bool,
+) -> None:
+    fleet = small_fleet(replicas=1)
+    if is_ordered:
+        fleet.scheduler.features.note_told_pace("model")
+    ask(fleet, 0, 8_000)
+    long = fleet.ask(1, tokens=5_000, objective_left_ms=-200)
+    fleet.now += 0.01
+    late = fleet.ask(2, tokens=500, objective_left_ms=-100)
+    assert fleet.verdict(1, long) is Verdict.HOLD
+    assert fleet.verdict(2, late) is Verdict.SEND
+
+
 @given(st.lists(st.integers(0, 3 * MEMORY), min_size=1, max_size=12))
 def test_memory_decides_nothing_where_nobody_says_that_it_is_scarce(sizes: list[int]) -> None:
     with_tokens, without = small_fleet(is_scarce=False), small_fleet(is_scarce=False)
