--- a/tests/serving/test_tenant_shares.py
+++ b/tests/serving/test_tenant_shares.py
@@ -1,5 +1,6 @@
 """Tenants share what room there is: the coordinator's decisions, without sockets."""
 
+from collections import Counter
 from typing import Any
 
 import curio
@@ -188,3 +189,18 @@
         assert new.item_shares.step(0, "small") > new.item_shares.step(0, "hot")
 
     curio.run(main)
+
+
+def test_many_slots_that_get_free_at_once_are_shared_too() -> None:
+    """A takeover or the end of a burst frees all slots in one decision; one tenant is due first."""
+    replicas = 16
+    fleet = Fleet(replicas=replicas, tenants=TENANTS)
+    fleet.nodes[0].waiting = [
+        WaitingGroup(1, 400, tenant="hot", rest_ms=2000),
+        WaitingGroup(5, 400, tenant="small", rest_ms=2000),
+    ]
+    fleet.scheduler.hear(fleet.nodes[0].report(), fleet.now)
+    granted = Counter[str]()
+    for by_tenant in fleet.scheduler.take_decisions()["n0"].grants_by_tenant.values():
+        granted.update(by_tenant)
+    assert granted == {"hot": replicas * SLOTS // 2, "small": replicas * SLOTS // 2}
