Shares: many slots that get free in one decision are shared too

The order of tenants was kept in a heap by how far each is ahead of the virtual time of the system. Charges move that time, so the kept figures of tenants that were not served were too high, and the one that is due first got nearly all: 125 of 128 slots of two tenants with equal shares. The heap is now by virtual time itself, which charges to others do not change.

--- a/src/cloverwalk/core/fair_share.py
+++ b/src/cloverwalk/core/fair_share.py
@@ -34,6 +34,10 @@
     def _start_time(self, key: ClassKey) -> float:
         return max(self._system_time, self._finish.get(key, 0.0))
 
+    def start_time(self, key: ClassKey) -> float:
+        """Return the virtual time at which a class starts; charges to others leave its order."""
+        return self._start_time(key)
+
     def ahead(self, key: ClassKey) -> float:
         """Return how far a class is ahead of one that was idle for long."""
         return self._start_time(key) - self._system_time
--- a/src/cloverwalk/scheduling/batch.py
+++ b/src/cloverwalk/scheduling/batch.py
@@ -251,8 +251,8 @@
     def _place(self, line: list[_Claim]) -> tuple[int, int, tuple[int, str, str], str]:
         """Return what the lines of tenants are sorted by; the next claim of one stands last."""
         claim = line[-1]
-        step = self.shares.step(rank_of(claim.group.due_step), claim.group.tenant)
-        return (claim.band, step, claim.rank(), claim.group.tenant)
+        place = self.shares.place(rank_of(claim.group.due_step), claim.group.tenant)
+        return (claim.band, place, claim.rank(), claim.group.tenant)
 
     def _best(
         self, claim: _Claim, open_ids: set[str], room: dict[str, int], zones: dict[str, str]
--- a/src/cloverwalk/scheduling/fair_shares.py
+++ b/src/cloverwalk/scheduling/fair_shares.py
@@ -78,6 +78,13 @@
         """Return the place of a tenant's work: a lower step comes first."""
         return int(self._of(rank).ahead(tenant) / STEP_MS)
 
+    def place(self, rank: int, tenant: str) -> int:
+        """Return the place of a tenant's work among others of its rank: a lower one comes first.
+
+        Unlike its step, it is not changed by what others are charged, so an order may keep it.
+        """
+        return int(self._of(rank).start_time(tenant) / STEP_MS)
+
     def steps(self, rank: int, tenants: Iterable[str]) -> dict[str, int]:
         """Return the places of several tenants' work."""
         ahead = self._of(rank).ahead_of(tenants)
--- a/src/cloverwalk/scheduling/online.py
+++ b/src/cloverwalk/scheduling/online.py
@@ -270,14 +270,14 @@
         lines = {key: list(line.values()) for key, line in self._lines.items()}
         for line in lines.values():
             line.sort(reverse=True, key=lambda one: one.order(now))
-        heap = [(step, lines[key][-1].order(now), key) for key, step in self._steps().items()]
+        heap = [(self._kept_place(key), lines[key][-1].order(now), key) for key in lines]
         heapify(heap)
         while heap:
             _, _, key = heap[0]
             line = lines[key]
             yield line.pop()
             if line:
-                heapreplace(heap, (self._step(key), line[-1].order(now), key))
+                heapreplace(heap, (self._kept_place(key), line[-1].order(now), key))
             else:
                 heappop(heap)
 
@@ -299,6 +299,12 @@
             return (line[0], 0)
         return (line[0], self.shares.step(*line))
 
+    def _kept_place(self, line: _Line) -> tuple[int, int]:
+        """Return a line's place as an order may keep it while others are charged."""
+        if not self._features.is_on(Feature.FAIR_SHARES):
+            return (line[0], 0)
+        return (line[0], self.shares.place(*line))
+
     # --- one request ---
 
     def _try(self, held: _Held, may_return: bool, now: float) -> str | None:
