Tests of charges and of free slots that fail

Slots for items without a tenant are not told as theirs; requests without a tenant are not charged for what they took; items that find no room change their tenant's count; one long run is held against a tenant beyond the bound; a late request is not given a free slot while another one waits for memory.

--- a/tests/serving/test_replica_memory.py
+++ b/tests/serving/test_replica_memory.py
@@ -2,6 +2,7 @@
 
 from random import Random
 
+import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 from test_scheduler import Fleet
@@ -14,12 +15,15 @@
 from cloverwalk.scheduling.quotas import QuotaBounds
 from cloverwalk.scheduling.replica_memory import UNTOLD_SHARE
 from cloverwalk.scheduling.scheduler import Scheduler
+from cloverwalk.tenants.directory import Tenant
 
 MEMORY = 10_000
 LIMIT = int(MEMORY * (1 - UNTOLD_SHARE))
 
 
-def small_fleet(replicas: int = 2, is_scarce: bool = True) -> Fleet:
+def small_fleet(
+    replicas: int = 2, is_scarce: bool = True, tenants: tuple[Tenant, ...] = ()
+) -> Fleet:
     """Return a fleet whose replicas have little memory for their eight slots."""
     fleet = Fleet(replicas=replicas)
     old = fleet.scheduler
@@ -27,7 +31,7 @@
     assert holder.current is not None
     services = {"model": Service("model", 8, 0, MEMORY)}
     routes = holder.current.routes
-    holder.offer(Configuration(2, routes, services, ClientLimits()))
+    holder.offer(Configuration(2, routes, services, ClientLimits(), tenants or None))
     fleet.scheduler = Scheduler(
         fleet.directory,
         holder,
@@ -151,3 +155,31 @@
     assert (scarce.own["r1"].tokens, scarce.own["r1"].batch_tokens) == (1000, 700)
     scarce.end(work)
     assert (scarce.own["r1"].tokens, scarce.own["r1"].batch_tokens) == (300, 0)
+
+
+def test_items_that_find_no_room_cost_their_tenant_nothing_and_earn_it_nothing() -> None:
+    """Reports come many times a second while a large item waits for memory."""
+    fleet = small_fleet(replicas=1, tenants=(Tenant("hot", ()), Tenant("small", ())))
+    shares = fleet.scheduler.item_shares
+    for _ in range(4):
+        shares.charge(0, "hot", 2000.0, ["small"])
+    before = shares.ahead_ms(0, "hot"), shares.slot_ms.total()
+    fleet.nodes[0].online, fleet.nodes[0].tokens = {"r0": 1}, {"r0": 9_000}
+    fleet.nodes[0].waiting = [WaitingGroup(1, 2, tenant="hot", rest_ms=2000, tokens=5_000)]
+    for _ in range(3):
+        fleet.tell(0)
+    assert fleet.work("r0") == (1, 0)
+    assert (shares.ahead_ms(0, "hot"), shares.slot_ms.total()) == before
+
+
+@pytest.mark.parametrize("tenants", [(), (Tenant("a", ()), Tenant("b", ()))])
+def test_a_late_request_gets_a_free_slot_while_a_larger_one_waits_for_memory(
+    tenants: tuple[Tenant, ...],
+) -> None:
+    fleet = small_fleet(replicas=1, tenants=tenants)
+    ask(fleet, 0, 8_000)
+    large = fleet.ask(1, tokens=5_000, tenant="a")
+    fleet.now += 0.01
+    late = fleet.ask(2, tokens=500, tenant="b", deadline_ms=3000, objective_left_ms=1)
+    assert fleet.verdict(1, large) is Verdict.HOLD
+    assert fleet.verdict(2, late) is Verdict.SEND
--- a/tests/serving/test_tenant_shares.py
+++ b/tests/serving/test_tenant_shares.py
@@ -204,3 +204,23 @@
     for by_tenant in fleet.scheduler.take_decisions()["n0"].grants_by_tenant.values():
         granted.update(by_tenant)
     assert granted == {"hot": replicas * SLOTS // 2, "small": replicas * SLOTS // 2}
+
+
+def test_slots_granted_for_items_without_a_tenant_are_told_as_theirs() -> None:
+    """Public routes take items of anybody; slots left out of the word go to whoever is due first."""
+    fleet = Fleet(replicas=1, tenants=TENANTS)
+    fleet.nodes[0].waiting = [
+        WaitingGroup(1, 20, tenant="hot", rest_ms=1000),
+        WaitingGroup(5, 20, rest_ms=1000),
+    ]
+    fleet.scheduler.hear(fleet.nodes[0].report(), fleet.now)
+    assert grants(fleet, 0) == {"hot": SLOTS // 2, "": SLOTS // 2}
+
+
+def test_a_request_without_a_tenant_is_charged_for_what_it_took() -> None:
+    fleet = Fleet(replicas=1, tenants=TENANTS)
+    fleet.ask(0, tenant="")
+    before_ms = fleet.scheduler.shares.ahead_ms(0, "")
+    served = Served("chat", "r0", 50, round(before_ms) + 700, 0)
+    fleet.scheduler.hear(fleet.nodes[0].report(served=[served]), fleet.now)
+    assert fleet.scheduler.shares.ahead_ms(0, "") == before_ms + 700
--- a/tests/unit/test_fair_shares.py
+++ b/tests/unit/test_fair_shares.py
@@ -96,6 +96,14 @@
     assert shares.step(0, "small") == 0
 
 
+def test_one_work_that_took_very_long_is_held_against_its_tenant_up_to_the_bound() -> None:
+    """A stream may hold a slot for minutes; its tenant must not wait as long for the others."""
+    shares = FairShares()
+    shares.charge(0, "a", 400.0, ["b"])
+    shares.correct(0, "a", 600_000.0)
+    assert shares.ahead_ms(0, "a") <= 2 * MOST_AHEAD_MS
+
+
 def test_what_was_not_used_is_given_back_and_bad_figures_are_dropped() -> None:
     shares = FairShares()
     shares.charge(0, "a", 2000.0, ["b"])
