Shares: work without a tenant has its slots and its charges; items without room cost nothing

Grants for items without a tenant were not named, so the owner started items of tenants that are due first in their slots. Requests without a tenant were charged the usual time, whatever they took. An item without room was charged and given back each time that work was granted: metrics counted slot time that nobody got, and a tenant beyond the bound was given back what had not been counted.

--- a/src/cloverwalk/scheduling/batch.py
+++ b/src/cloverwalk/scheduling/batch.py
@@ -42,6 +42,9 @@
     is_blocked: bool = False
     """Whether no free slot suits its items now."""
 
+    waiting: list[str] = attrs.Factory(list)
+    """Tenants with items of its band, as it is yielded."""
+
     def rank(self) -> tuple[int, str, str]:
         """What items over the fleet are sorted by."""
         return (self.group.due_step, self.node, self.group.replica_id)
@@ -221,7 +224,7 @@
     def _by_shares(self, claims: list[_Claim]) -> Iterator[_Claim]:
         """Yield claims by band, then by their tenants' shares, then by due time.
 
-        What is yielded is granted, and charged before; what has no slot to go to is given back.
+        What is yielded is granted and charged, or blocked, before the next one is asked for.
         """
         lines: dict[tuple[int, str], list[_Claim]] = {}
         for claim in claims:
@@ -237,12 +240,8 @@
             if claim.left <= 0 or claim.is_blocked:
                 line.pop()
             else:
-                waiting = [other for in_band, _, _, other in heap if in_band == band]
-                share_rank = rank_of(claim.group.due_step)
-                self.shares.charge(share_rank, tenant, claim.work_ms, waiting)
+                claim.waiting = [other for in_band, _, _, other in heap if in_band == band]
                 yield claim
-                if claim.is_blocked:
-                    self.shares.correct(share_rank, tenant, -claim.work_ms)
             if line:
                 heapreplace(heap, self._place(line))
             else:
@@ -312,12 +311,19 @@
             return preferred
         return best
 
+    def _charge(self, claim: _Claim) -> None:
+        """Count the slot time that an item is expected to take to its tenant."""
+        rank = rank_of(claim.group.due_step)
+        self.shares.charge(rank, claim.group.tenant, claim.work_ms, claim.waiting)
+
     def _grant_one(self, claim: _Claim, replica_id: str, now: float) -> None:
         claim.left -= 1
         decisions = self._outbox.of(claim.node)
         decisions.grants[replica_id] = decisions.grants.get(replica_id, 0) + 1
         tenant = claim.group.tenant
-        if tenant:
+        if self._features.is_on(Feature.FAIR_SHARES):
+            self._charge(claim)
+            # Also where it is nobody's: what is not named goes to the item that is due first.
             by_tenant = decisions.grants_by_tenant.setdefault(replica_id, {})
             by_tenant[tenant] = by_tenant.get(tenant, 0) + 1
         self._book.expect(
--- a/src/cloverwalk/scheduling/online.py
+++ b/src/cloverwalk/scheduling/online.py
@@ -465,7 +465,7 @@
 
     def correct(self, served: Served) -> None:
         """Count what a request took beyond what was expected; before its times are learnt."""
-        if not served.tenant or not self._features.is_on(Feature.FAIR_SHARES):
+        if not self._features.is_on(Feature.FAIR_SHARES):
             return
         rank = self._priority(served.route, served.tenant)
         more_ms = served.hold_ms - self._times.hold_ms(served.route)
--- a/tests/serving/test_tenant_shares.py
+++ b/tests/serving/test_tenant_shares.py
@@ -207,7 +207,7 @@
 
 
 def test_slots_granted_for_items_without_a_tenant_are_told_as_theirs() -> None:
-    """Public routes take items of anybody; slots left out of the word go to whoever is due first."""
+    """Public routes take items of anybody; a slot that is not named goes to any item."""
     fleet = Fleet(replicas=1, tenants=TENANTS)
     fleet.nodes[0].waiting = [
         WaitingGroup(1, 20, tenant="hot", rest_ms=1000),
