Shares: one long run is held against its tenant up to a bound

A correction was added whole: a stream of ten minutes had its tenant wait until each other one that waits had got as much. It puts a tenant ahead by twice the bound now: those that wait may be ahead of the virtual time by the bound themselves, so a smaller figure would drop usual corrections.

--- a/src/cloverwalk/core/fair_share.py
+++ b/src/cloverwalk/core/fair_share.py
@@ -83,9 +83,16 @@
         self._forget_idle()
 
     def correct(self, key: ClassKey, cost: float, weight: float) -> None:
-        """Count ``cost`` more, or less if it is negative, than was charged before."""
-        if key in self._finish:
-            self._finish[key] += cost / weight
+        """Count ``cost`` more, or less if it is negative, than was charged before.
+
+        More puts a class ahead by twice ``most_ahead`` at most: those that wait may be ahead by it
+        themselves.
+        """
+        if key not in self._finish:
+            return
+        finish = self._finish[key]
+        bound = max(finish, self._system_time + 2 * self._most_ahead)
+        self._finish[key] = min(bound, finish + cost / weight)
 
     def put_ahead(self, key: ClassKey, by: float) -> None:
         """Take how far a class is ahead from one who counted before; ``most_ahead`` at most."""
