A late request gets a free slot while a larger one waits for memory

Requests that are late go to a free slot only if no other one comes before them. One that waits for memory counted as such, though it can't use the slot: the slot stayed idle, and the request waited for the longest hold.

--- a/src/cloverwalk/scheduling/online.py
+++ b/src/cloverwalk/scheduling/online.py
@@ -474,12 +474,18 @@
     # --- what it can expect ---
 
     def _is_first(self, held: _Held, now: float) -> bool:
+        """Whether no other one comes before it that could use a free slot."""
         if not self._features.is_on(Feature.OVERLOAD_ORDER):
-            return all(held.rank() <= other.rank() for other in self._held.values())
+            others = (one for one in self._held.values() if not one.waits_for_memory)
+            return all(held.rank() <= other.rank() for other in others)
         first = self._first(now)
         if first is None or first is held:
             return True
-        return self._place_of(held, now) <= self._place_of(first, now)
+        place = self._place_of(held, now)
+        if first.waits_for_memory:
+            others = (one for one in self._held.values() if not one.waits_for_memory)
+            return all(place <= self._place_of(other, now) for other in others)
+        return place <= self._place_of(first, now)
 
     def _place_of(self, held: _Held, now: float) -> tuple[tuple[int, int], OrderKey]:
         return (self._step(held.line), held.order(now))
