Held requests: all are put into an order only where one waits for memory

After each placement all held requests were sorted to look at one more. What comes next is found for the decision itself anyway.

--- a/src/cloverwalk/scheduling/online.py
+++ b/src/cloverwalk/scheduling/online.py
@@ -232,11 +232,14 @@
             yield from sorted(self._held.values(), key=_Held.rank)
             return
         first = self._first(now)
-        if first is None:
-            return
-        yield first
-        # Mostly nothing else is placed: only now all are put into an order.
-        yield from self._in_order(now)
+        while first is not None:
+            yield first
+            if (first.node, first.ask.number) in self._held:
+                break
+            first = self._first(now)
+        if first is not None and first.waits_for_memory:
+            # Others may fit where it does not: only now all are put into an order.
+            yield from self._in_order(now)
 
     def _first(self, now: float) -> _Held | None:
         """Return the held request that comes first.
