--- a/tests/serving/test_pace.py
+++ b/tests/serving/test_pace.py
@@ -496,3 +496,15 @@
         fed.now += 0.05
     assert not fed.scheduler.features.is_on(Feature.REPLICA_PACE)
     assert fed.scheduler.paces.present == {}
+
+
+def test_a_standby_forgets_the_paces_of_replicas_that_are_gone_or_have_started_again() -> None:
+    """Replicas come and go for months at a standby that nobody reports to."""
+    fleet = PacedFleet(2)
+    figures = {key: PaceFigures(1.6, 1.6, 0) for key in (*fleet.ids, "gone")}
+    fleet.scheduler.take_paces(figures, fleet.now)
+    assert fleet.scheduler.paces.usual("r0") == 1.6
+    fleet.directory.put(Replica("r0", "model", "h", 99, "z1", SLOTS, False, 2))
+    fleet.directory.remove("r1", 2)
+    fleet.scheduler.take_paces({}, fleet.now)
+    assert fleet.scheduler.paces.established() == {}
