--- a/src/cloverwalk/scheduling/pace.py
+++ b/src/cloverwalk/scheduling/pace.py
@@ -281,6 +281,9 @@
         for replica_id, process in self._processes.items():
             if present.get(replica_id) != process:
                 self.restart(replica_id, now)
+        # Figures of another coordinator may be of replicas that were never seen here.
+        for replica_id in self._learnt.keys() - present.keys():
+            self.restart(replica_id, now)
         self._since = {key: at for key, at in self._since.items() if key in present}
         self._processes = present
 
--- a/src/cloverwalk/scheduling/scheduler.py
+++ b/src/cloverwalk/scheduling/scheduler.py
@@ -151,11 +151,13 @@
 
     def take_paces(self, figures: Mapping[str, PaceFigures], now: float) -> None:
         """Take the paces that another coordinator has learnt."""
-        self.paces.take(figures, now)
         for replica_id in figures:
             replica = self._directory.find(replica_id)
             if replica is not None:
                 self.features.note_told_pace(replica.service)
+        # A standby that nobody reports to decides nothing: it forgets here who is gone.
+        self._look_at_paces(now)
+        self.paces.take(figures, now)
 
     def forget(self, node: str, now: float) -> None:
         """A node is gone: its work ends, and its requests wait no more."""
