--- a/src/cloverwalk/core/fair_share.py
+++ b/src/cloverwalk/core/fair_share.py
@@ -38,6 +38,11 @@
         """Return the virtual time at which a class starts; charges to others leave its order."""
         return self._start_time(key)
 
+    def start_times(self, keys: Iterable[ClassKey]) -> dict[ClassKey, float]:
+        """Return the same of several classes."""
+        system_time, finish = self._system_time, self._finish
+        return {key: max(system_time, finish.get(key, 0.0)) for key in keys}
+
     def ahead(self, key: ClassKey) -> float:
         """Return how far a class is ahead of one that was idle for long."""
         return self._start_time(key) - self._system_time
--- a/src/cloverwalk/scheduling/batch.py
+++ b/src/cloverwalk/scheduling/batch.py
@@ -1,7 +1,8 @@
 """Slots for batch items: granted in one order over the fleet, revoked for online requests."""
 
+from bisect import bisect_left
 from collections import Counter
-from collections.abc import Callable, Iterable, Iterator
+from collections.abc import Callable, Collection, Iterable, Iterator
 from heapq import heapify, heappop, heapreplace
 
 import attrs
@@ -10,7 +11,7 @@
 from cloverwalk.fleet.messages import Waiting, WaitingGroup
 from cloverwalk.gateway.replicas import Replica
 from cloverwalk.scheduling.decisions import Outbox
-from cloverwalk.scheduling.due_steps import band_of, due_ms, rank_of
+from cloverwalk.scheduling.due_steps import band_end, due_ms, rank_of
 from cloverwalk.scheduling.fair_shares import FairShares
 from cloverwalk.scheduling.features import Feature, Features
 from cloverwalk.scheduling.replica_view import ReplicaView
@@ -42,24 +43,23 @@
     is_blocked: bool = False
     """Whether no free slot suits its items now."""
 
-    waiting: list[str] = attrs.Factory(list)
+    waiting: Collection[str] = ()
     """Tenants with items of its band, as it is yielded."""
 
     def rank(self) -> tuple[int, str, str]:
         """What items over the fleet are sorted by."""
         return (self.group.due_step, self.node, self.group.replica_id)
 
-    @property
-    def band(self) -> int:
-        """Its lateness and rank: claims of one band may be ordered by shares."""
-        return band_of(self.group.due_step)
-
     @property
     def work_ms(self) -> float:
         """The slot time that one of its items is expected to take."""
         return float(self.group.rest_ms or FIRST_GUESS_ITEM_MS)
 
 
+def _due_step(claim: _Claim) -> int:
+    return claim.group.due_step
+
+
 class BatchGrants:
     """Grants and revokes."""
 
@@ -224,34 +224,38 @@
     def _by_shares(self, claims: list[_Claim]) -> Iterator[_Claim]:
         """Yield claims by band, then by their tenants' shares, then by due time.
 
-        What is yielded is granted and charged, or blocked, before the next one is asked for.
+        What is yielded is granted and charged, or blocked, before the next one is asked for. Mostly
+        slots are gone within the first band, so the others are not looked at before.
         """
-        lines: dict[tuple[int, str], list[_Claim]] = {}
-        for claim in claims:
-            lines.setdefault((claim.band, claim.group.tenant), []).append(claim)
-        for line in lines.values():
-            line.reverse()
-        heap = [self._place(line) for line in lines.values()]
+        start = 0
+        while start < len(claims):
+            after = band_end(claims[start].group.due_step)
+            end = bisect_left(claims, after, start, key=_due_step)
+            yield from self._within_band(claims[start:end])
+            start = end
+
+    def _within_band(self, claims: list[_Claim]) -> Iterator[_Claim]:
+        rank = rank_of(claims[0].group.due_step)
+        lines: dict[str, list[_Claim]] = {}
+        for claim in reversed(claims):
+            lines.setdefault(claim.group.tenant, []).append(claim)
+        places = self.shares.places(rank, lines)
+        heap = [(places[tenant], line[-1].rank(), tenant) for tenant, line in lines.items()]
         heapify(heap)
         while heap:
-            band, _, rank, tenant = heap[0]
-            line = lines[band, tenant]
+            tenant = heap[0][-1]
+            line = lines[tenant]
             claim = line[-1]
             if claim.left <= 0 or claim.is_blocked:
                 line.pop()
             else:
-                claim.waiting = [other for in_band, _, _, other in heap if in_band == band]
+                claim.waiting = lines.keys()
                 yield claim
             if line:
-                heapreplace(heap, self._place(line))
+                heapreplace(heap, (self.shares.place(rank, tenant), line[-1].rank(), tenant))
             else:
                 heappop(heap)
-
-    def _place(self, line: list[_Claim]) -> tuple[int, int, tuple[int, str, str], str]:
-        """Return what the lines of tenants are sorted by; the next claim of one stands last."""
-        claim = line[-1]
-        place = self.shares.place(rank_of(claim.group.due_step), claim.group.tenant)
-        return (claim.band, place, claim.rank(), claim.group.tenant)
+                del lines[tenant]
 
     def _best(
         self, claim: _Claim, open_ids: set[str], room: dict[str, int], zones: dict[str, str]
--- a/src/cloverwalk/scheduling/due_steps.py
+++ b/src/cloverwalk/scheduling/due_steps.py
@@ -19,6 +19,16 @@
     return (due_step + PRIORITY_STEP // 2) // PRIORITY_STEP
 
 
+def band_end(due_step: int) -> int:
+    """Return the first step beyond the band of a step.
+
+    >>> step = 3 * PRIORITY_STEP + 5
+    >>> band_of(band_end(step) - 1) == band_of(step), band_of(band_end(step)) == band_of(step) + 1
+    (True, True)
+    """
+    return (band_of(due_step) + 1) * PRIORITY_STEP - PRIORITY_STEP // 2
+
+
 def rank_of(due_step: int) -> int:
     """Return the rank in a step.
 
--- a/src/cloverwalk/scheduling/fair_shares.py
+++ b/src/cloverwalk/scheduling/fair_shares.py
@@ -85,6 +85,11 @@
         """
         return int(self._of(rank).start_time(tenant) / STEP_MS)
 
+    def places(self, rank: int, tenants: Iterable[str]) -> dict[str, int]:
+        """Return the same of several tenants' work."""
+        starts = self._of(rank).start_times(tenants)
+        return {tenant: int(at_ms / STEP_MS) for tenant, at_ms in starts.items()}
+
     def steps(self, rank: int, tenants: Iterable[str]) -> dict[str, int]:
         """Return the places of several tenants' work."""
         ahead = self._of(rank).ahead_of(tenants)
