--- a/tests/serving/test_pace.py
+++ b/tests/serving/test_pace.py
@@ -325,6 +325,23 @@
     in_world(test)
 
 
+def test_nodes_tell_no_runs_of_items_while_no_replica_tells_its_pace() -> None:
+    async def test(world: FleetWorld) -> None:
+        await world.start(replicas=1, nodes=1, events=10)
+        link = world.nodes[0]._fleet.link
+        timings: list[ReplicaTiming] = []
+        link.note_timing = timings.append  # type: ignore[method-assign]
+        await world.hand_in("j-1", count=2)
+        await world.until_done("j-1", 2)
+        assert timings == []
+        world.replicas[0].slowdown_percent = 250
+        await world.hand_in("j-2", count=2)
+        await world.until_done("j-2", 2)
+        assert len(timings) == 2
+
+    in_world(test)
+
+
 def test_a_figure_that_cannot_be_a_pace_is_counted_and_not_told() -> None:
     async def test(world: FleetWorld) -> None:
         await world.start(replicas=1, nodes=1)
