--- a/src/cloverwalk/jobs/runner.py
+++ b/src/cloverwalk/jobs/runner.py
@@ -434,6 +434,9 @@
         if timing is None or timing.events == 0:
             return
         self._tells_pace |= timing.told_percent > 0
+        if not self._tells_pace:
+            # Nobody asks for it, and reports stay as small as they are without it.
+            return
         took_ms = round((timing.last_at - timing.first_at) * 1000)
         told = ReplicaTiming(running.replica_id, timing.events, took_ms, timing.told_percent)
         self._link.note_timing(told)
