--- a/tests/serving/test_pace.py
+++ b/tests/serving/test_pace.py
@@ -330,7 +330,7 @@
         await world.start(replicas=1, nodes=1, events=10)
         link = world.nodes[0]._fleet.link
         timings: list[ReplicaTiming] = []
-        link.note_timing = timings.append  # type: ignore[method-assign]
+        link.note_timing = timings.append  # type: ignore[method-assign, assignment]
         await world.hand_in("j-1", count=2)
         await world.until_done("j-1", 2)
         assert timings == []
