--- a/src/cloverwalk/core/fair_share.py
+++ b/src/cloverwalk/core/fair_share.py
@@ -34,6 +34,15 @@
     def _start_time(self, key: ClassKey) -> float:
         return max(self._system_time, self._finish.get(key, 0.0))
 
+    def start_time(self, key: ClassKey) -> float:
+        """Return the virtual time at which a class starts; charges to others leave its order."""
+        return self._start_time(key)
+
+    def start_times(self, keys: Iterable[ClassKey]) -> dict[ClassKey, float]:
+        """Return the same of several classes."""
+        system_time, finish = self._system_time, self._finish
+        return {key: max(system_time, finish.get(key, 0.0)) for key in keys}
+
     def ahead(self, key: ClassKey) -> float:
         """Return how far a class is ahead of one that was idle for long."""
         return self._start_time(key) - self._system_time
@@ -79,9 +88,16 @@
         self._forget_idle()
 
     def correct(self, key: ClassKey, cost: float, weight: float) -> None:
-        """Count ``cost`` more, or less if it is negative, than was charged before."""
-        if key in self._finish:
-            self._finish[key] += cost / weight
+        """Count ``cost`` more, or less if it is negative, than was charged before.
+
+        More puts a class ahead by twice ``most_ahead`` at most: those that wait may be ahead by it
+        themselves.
+        """
+        if key not in self._finish:
+            return
+        finish = self._finish[key]
+        bound = max(finish, self._system_time + 2 * self._most_ahead)
+        self._finish[key] = min(bound, finish + cost / weight)
 
     def put_ahead(self, key: ClassKey, by: float) -> None:
         """Take how far a class is ahead from one who counted before; ``most_ahead`` at most."""
--- a/src/cloverwalk/scheduling/online.py
+++ b/src/cloverwalk/scheduling/online.py
@@ -232,11 +232,14 @@
             yield from sorted(self._held.values(), key=_Held.rank)
             return
         first = self._first(now)
-        if first is None:
-            return
-        yield first
-        # Mostly nothing else is placed: only now all are put into an order.
-        yield from self._in_order(now)
+        while first is not None:
+            yield first
+            if (first.node, first.ask.number) in self._held:
+                break
+            first = self._first(now)
+        if first is not None and first.waits_for_memory:
+            # Others may fit where it does not: only now all are put into an order.
+            yield from self._in_order(now)
 
     def _first(self, now: float) -> _Held | None:
         """Return the held request that comes first.
@@ -270,14 +273,14 @@
         lines = {key: list(line.values()) for key, line in self._lines.items()}
         for line in lines.values():
             line.sort(reverse=True, key=lambda one: one.order(now))
-        heap = [(step, lines[key][-1].order(now), key) for key, step in self._steps().items()]
+        heap = [(self._kept_place(key), lines[key][-1].order(now), key) for key in lines]
         heapify(heap)
         while heap:
             _, _, key = heap[0]
             line = lines[key]
             yield line.pop()
             if line:
-                heapreplace(heap, (self._step(key), line[-1].order(now), key))
+                heapreplace(heap, (self._kept_place(key), line[-1].order(now), key))
             else:
                 heappop(heap)
 
@@ -299,6 +302,12 @@
             return (line[0], 0)
         return (line[0], self.shares.step(*line))
 
+    def _kept_place(self, line: _Line) -> tuple[int, int]:
+        """Return a line's place as an order may keep it while others are charged."""
+        if not self._features.is_on(Feature.FAIR_SHARES):
+            return (line[0], 0)
+        return (line[0], self.shares.place(*line))
+
     # --- one request ---
 
     def _try(self, held: _Held, may_return: bool, now: float) -> str | None:
@@ -459,7 +468,7 @@
 
     def correct(self, served: Served) -> None:
         """Count what a request took beyond what was expected; before its times are learnt."""
-        if not served.tenant or not self._features.is_on(Feature.FAIR_SHARES):
+        if not self._features.is_on(Feature.FAIR_SHARES):
             return
         rank = self._priority(served.route, served.tenant)
         more_ms = served.hold_ms - self._times.hold_ms(served.route)
@@ -468,17 +477,19 @@
     # --- what it can expect ---
 
     def _is_first(self, held: _Held, now: float) -> bool:
+        """Whether no other one comes before it that could use a free slot."""
         if not self._features.is_on(Feature.OVERLOAD_ORDER):
-            return all(
-                held.rank() <= other.rank()
-                for other in self._held.values()
-                if not other.waits_for_memory
-            )
+            others = (one for one in self._held.values() if not one.waits_for_memory)
+            return all(held.rank() <= other.rank() for other in others)
         first = self._first(now)
         # One that waits for memory takes no slot, and keeps nobody from one.
-        if first is None or first is held or first.waits_for_memory:
+        if first is None or first is held:
             return True
-        return self._place_of(held, now) <= self._place_of(first, now)
+        place = self._place_of(held, now)
+        if first.waits_for_memory:
+            others = (one for one in self._held.values() if not one.waits_for_memory)
+            return all(place <= self._place_of(other, now) for other in others)
+        return place <= self._place_of(first, now)
 
     def _place_of(self, held: _Held, now: float) -> tuple[tuple[int, int], OrderKey]:
         return (self._step(held.line), held.order(now))
--- a/tests/serving/test_pace.py
+++ b/tests/serving/test_pace.py
@@ -325,6 +325,23 @@
     in_world(test)
 
 
+def test_nodes_tell_no_runs_of_items_while_no_replica_tells_its_pace() -> None:
+    async def test(world: FleetWorld) -> None:
+        await world.start(replicas=1, nodes=1, events=10)
+        link = world.nodes[0]._fleet.link
+        timings: list[ReplicaTiming] = []
+        link.note_timing = timings.append  # type: ignore[method-assign, assignment]
+        await world.hand_in("j-1", count=2)
+        await world.until_done("j-1", 2)
+        assert timings == []
+        world.replicas[0].slowdown_percent = 250
+        await world.hand_in("j-2", count=2)
+        await world.until_done("j-2", 2)
+        assert len(timings) == 2
+
+    in_world(test)
+
+
 def test_a_figure_that_cannot_be_a_pace_is_counted_and_not_told() -> None:
     async def test(world: FleetWorld) -> None:
         await world.start(replicas=1, nodes=1)
@@ -496,3 +513,15 @@
         fed.now += 0.05
     assert not fed.scheduler.features.is_on(Feature.REPLICA_PACE)
     assert fed.scheduler.paces.present == {}
+
+
+def test_a_standby_forgets_the_paces_of_replicas_that_are_gone_or_have_started_again() -> None:
+    """Replicas come and go for months at a standby that nobody reports to."""
+    fleet = PacedFleet(2)
+    figures = {key: PaceFigures(1.6, 1.6, 0) for key in (*fleet.ids, "gone")}
+    fleet.scheduler.take_paces(figures, fleet.now)
+    assert fleet.scheduler.paces.usual("r0") == 1.6
+    fleet.directory.put(Replica("r0", "model", "h", 99, "z1", SLOTS, False, 2))
+    fleet.directory.remove("r1", 2)
+    fleet.scheduler.take_paces({}, fleet.now)
+    assert fleet.scheduler.paces.established() == {}
--- a/tests/serving/test_tenant_shares.py
+++ b/tests/serving/test_tenant_shares.py
@@ -1,5 +1,6 @@
 """Tenants share what room there is: the coordinator's decisions, without sockets."""
 
+from collections import Counter
 from typing import Any
 
 import curio
@@ -188,3 +189,38 @@
         assert new.item_shares.step(0, "small") > new.item_shares.step(0, "hot")
 
     curio.run(main)
+
+
+def test_many_slots_that_get_free_at_once_are_shared_too() -> None:
+    """A takeover or the end of a burst frees all slots in one decision; one tenant is due first."""
+    replicas = 16
+    fleet = Fleet(replicas=replicas, tenants=TENANTS)
+    fleet.nodes[0].waiting = [
+        WaitingGroup(1, 400, tenant="hot", rest_ms=2000),
+        WaitingGroup(5, 400, tenant="small", rest_ms=2000),
+    ]
+    fleet.scheduler.hear(fleet.nodes[0].report(), fleet.now)
+    granted = Counter[str]()
+    for by_tenant in fleet.scheduler.take_decisions()["n0"].grants_by_tenant.values():
+        granted.update(by_tenant)
+    assert granted == {"hot": replicas * SLOTS // 2, "small": replicas * SLOTS // 2}
+
+
+def test_slots_granted_for_items_without_a_tenant_are_told_as_theirs() -> None:
+    """Public routes take items of anybody; a slot that is not named goes to any item."""
+    fleet = Fleet(replicas=1, tenants=TENANTS)
+    fleet.nodes[0].waiting = [
+        WaitingGroup(1, 20, tenant="hot", rest_ms=1000),
+        WaitingGroup(5, 20, rest_ms=1000),
+    ]
+    fleet.scheduler.hear(fleet.nodes[0].report(), fleet.now)
+    assert grants(fleet, 0) == {"hot": SLOTS // 2, "": SLOTS // 2}
+
+
+def test_a_request_without_a_tenant_is_charged_for_what_it_took() -> None:
+    fleet = Fleet(replicas=1, tenants=TENANTS)
+    fleet.ask(0, tenant="")
+    before_ms = fleet.scheduler.shares.ahead_ms(0, "")
+    served = Served("chat", "r0", 50, round(before_ms) + 700, 0)
+    fleet.scheduler.hear(fleet.nodes[0].report(served=[served]), fleet.now)
+    assert fleet.scheduler.shares.ahead_ms(0, "") == before_ms + 700
