Pace: long-term and short-term figures by these names; what an answer teaches in three steps

'Slow' and 'quick' named both how fast a figure changes and how fast a replica is. Each of the three things that an answer teaches (whether to trust what is told, the long-term figure, the short-term one) is a method of its own. The classes of the metrics no longer share a name with the bound that items go by. No figure changes.

--- a/src/cloverwalk/scheduling/pace.py
+++ b/src/cloverwalk/scheduling/pace.py
@@ -1,12 +1,12 @@
 """How fast each replica works, learnt at the coordinator. Figures in, figures out; time is passed.
 
 A pace is a factor of the time that its service's replicas usually take: 2.0 is half as fast. It is
-the product of a slow figure, which the kind of machine makes, and of a quick one, which neighbours
-on that machine make. The slow one is learnt from answers: their time per event, against what other
-replicas of the service take with as many requests at once. The quick one is what a replica tells
-against what it tells on average, so it does not matter what it calls usual; where its word has not
-come true lately, it is what was measured last. Either fades back to the slow figure with its age,
-and only a slower one than that counts.
+the product of a long-term figure, which the kind of machine makes, and of a short-term one, which
+neighbours on that machine make. The long-term one is learnt from answers: their time per event,
+against what other replicas of the service take with as many requests at once. The short-term one is
+what a replica tells against what it tells on average, so it does not matter what it calls usual;
+where this has not improved the forecast lately, it is what was measured last. Either fades back to
+the long-term figure with its age, and only a slower one than that counts.
 """
 
 import math
@@ -32,7 +32,8 @@
 """The same for measured ones, of which there are fewer."""
 
 USUAL_WEIGHT = 0.04
-"""Share of an answer in the slow figure: about the last 25 count, seconds of a busy replica."""
+"""Share of an answer in the long-term figure: about the last 25 count, seconds of a busy
+replica."""
 
 PRIOR_ANSWERS = 4
 """A new replica's figure of 1.0 counts as so many answers: a single one says little."""
@@ -41,8 +42,8 @@
 """One answer counts as at most this factor away from what was expected: an event may wait behind
 another request's long prompt."""
 
-QUICK_WEIGHT = 0.4
-"""Share of an answer in the quick measured figure: the last two or three count."""
+SHORT_TERM_WEIGHT = 0.4
+"""Share of an answer in the measured short-term figure: the last two or three count."""
 
 TRUST_WEIGHT = 0.1
 TRUSTED_ANSWERS = 8
@@ -76,14 +77,14 @@
 
 UNUSUAL_FROM = math.log(1.25)
 USUAL_BELOW = math.log(1.1)
-"""A replica whose slow figure is beyond the first is logged as unusual, until it is below the
+"""A replica whose long-term figure is beyond the first is logged as unusual, until it is below the
 second; with one bound, it would be logged again and again."""
 
 ESTABLISHED_ANSWERS = 12
-"""Answers after which a slow figure is worth a line in the log and a place in a snapshot."""
+"""Answers after which a long-term figure is worth a line in the log and a place in a snapshot."""
 
-SLOW_FROM = 1.25
-FAST_BELOW = 0.8
+SLOW_CLASS_FROM = 1.25
+FAST_CLASS_TO = 0.8
 """Bounds of the classes that the metrics count by."""
 
 
@@ -115,10 +116,10 @@
     told_at: float = -math.inf
     told_usual: float = 0.0
     told_count: int = 0
-    quick: float = 0.0
-    quick_at: float = -math.inf
+    measured: float = 0.0
+    measured_at: float = -math.inf
     error: float = 0.0
-    """Average error of expecting the slow figure."""
+    """Average error of expecting the long-term figure."""
 
     told_error: float = 0.0
     """The same with what the replica told."""
@@ -134,16 +135,35 @@
         return quiet or self.told_error < LEAST_GAIN * self.error
 
     def is_faded(self, now: float) -> bool:
-        """Whether only the slow figure counts any more."""
-        return now >= max(self.told_at + TOLD_FADES_S, self.quick_at + MEASURED_FADES_S)
+        """Whether only the long-term figure counts any more."""
+        return now >= max(self.told_at + TOLD_FADES_S, self.measured_at + MEASURED_FADES_S)
+
+    def note_errors(self, deviation: float, told_deviation: float) -> None:
+        """Compare forecasts without and with what the replica told."""
+        self.error += TRUST_WEIGHT * (abs(deviation) - self.error)
+        rest = abs(deviation - told_deviation)
+        self.told_error += TRUST_WEIGHT * (rest - self.told_error)
+
+    def note_long_term(self, unexplained: float) -> None:
+        """Learn from the part of an answer's deviation that what was told does not explain."""
+        self.answers += 1
+        weight = max(USUAL_WEIGHT, 1 / (self.answers + PRIOR_ANSWERS))
+        self.usual += weight * _one_step(unexplained)
+        self.usual = _logarithm(math.exp(self.usual))
+
+    def note_short_term(self, deviation: float, now: float) -> None:
+        """Learn from an answer's deviation; what was measured before has faded meanwhile."""
+        before = _share(now - self.measured_at, MEASURED_FADES_S) * self.measured
+        self.measured = before + SHORT_TERM_WEIGHT * _one_step(deviation - before)
+        self.measured_at = now
 
     def pace(self, now: float) -> float:
         """Return the present pace as a factor."""
         told_share = 0.0
         if self.is_trusted:
             told_share = _share(now - self.told_at, TOLD_FADES_S)
-        quick_share = (1 - told_share) * _share(now - self.quick_at, MEASURED_FADES_S)
-        deviation = told_share * (self.told - self.told_usual) + quick_share * self.quick
+        measured_share = (1 - told_share) * _share(now - self.measured_at, MEASURED_FADES_S)
+        deviation = told_share * (self.told - self.told_usual) + measured_share * self.measured
         # Only slowness counts: else whoever told last that it is free, and may have ended since,
         # would draw all requests from those that are free but were not heard.
         return _bounded(math.exp(self.usual + max(0.0, deviation)))
@@ -169,7 +189,7 @@
 
         self._refreshed_at = -math.inf
         self._fading: set[str] = set()
-        """Replicas whose quick figure still counts."""
+        """Replicas whose short-term figure still counts."""
 
         self.present: dict[str, float] = {}
         """Paces now, of the replicas of which something is known; see ``refresh``."""
@@ -178,7 +198,7 @@
         """Figures that could not be right, and were not taken."""
 
         self.on_change: Callable[[str, float, bool], None] = _nobody
-        """Told a replica, its slow factor, and whether that is unusual from now on."""
+        """Told a replica, its long-term factor, and whether that is unusual from now on."""
 
     # --- what is asked ---
 
@@ -187,7 +207,7 @@
         return self.present.get(replica_id, 1.0)
 
     def usual(self, replica_id: str) -> float:
-        """Return the slow figure of a replica."""
+        """Return the long-term figure of a replica."""
         known = self._learnt.get(replica_id)
         return 1.0 if known is None else _bounded(math.exp(known.usual))
 
@@ -204,7 +224,7 @@
                 self._fading.discard(replica_id)
 
     def classes(self) -> Counter[str]:
-        """Return how many replicas are fast, usual and slow by their slow figure."""
+        """Return how many replicas are fast, usual and slow by their long-term figure."""
         return Counter(_class(math.exp(one.usual)) for one in self._learnt.values())
 
     # --- what is learnt ---
@@ -245,26 +265,18 @@
         self, replica_id: str, known: _Learnt, factor: float, told: float | None, now: float
     ) -> None:
         deviation = factor - known.usual
-        told_deviation = 0.0
+        unexplained = deviation
         if told is not None:
             told_deviation = told - known.told_usual
-            known.error += TRUST_WEIGHT * (abs(deviation) - known.error)
-            rest = abs(deviation - told_deviation)
-            known.told_error += TRUST_WEIGHT * (rest - known.told_error)
-        is_explained = told is not None and known.is_trusted
-        step = deviation - told_deviation if is_explained else deviation
-        known.answers += 1
-        weight = max(USUAL_WEIGHT, 1 / (known.answers + PRIOR_ANSWERS))
-        known.usual += weight * min(LONGEST_STEP, max(-LONGEST_STEP, step))
-        known.usual = _logarithm(math.exp(known.usual))
-        share = _share(now - known.quick_at, MEASURED_FADES_S)
-        before = share * known.quick
-        step = min(LONGEST_STEP, max(-LONGEST_STEP, deviation - before))
-        known.quick, known.quick_at = before + QUICK_WEIGHT * step, now
+            known.note_errors(deviation, told_deviation)
+            if known.is_trusted:
+                unexplained = deviation - told_deviation
+        known.note_long_term(unexplained)
+        known.note_short_term(deviation, now)
         self._look(replica_id, known)
 
     def _look(self, replica_id: str, known: _Learnt) -> None:
-        """Tell that a replica's slow figure has left the usual one, or is back."""
+        """Tell that a replica's long-term figure has left the usual one, or is back."""
         if known.answers < ESTABLISHED_ANSWERS:
             return
         bound = USUAL_BELOW if known.is_unusual else UNUSUAL_FROM
@@ -296,7 +308,7 @@
     # --- handover ---
 
     def established(self) -> dict[str, float]:
-        """Return the logarithms of slow figures that enough answers stand for."""
+        """Return the logarithms of long-term figures that enough answers stand for."""
         return {
             key: one.usual
             for key, one in self._learnt.items()
@@ -315,8 +327,8 @@
                 continue
             usual = math.log(told.usual)
             known = _Learnt(usual, ESTABLISHED_ANSWERS)
-            known.quick = math.log(told.now) - usual
-            known.quick_at = now - told.age_ms / 1000
+            known.measured = math.log(told.now) - usual
+            known.measured_at = now - told.age_ms / 1000
             known.is_unusual = abs(usual) > UNUSUAL_FROM
             self._learnt[replica_id] = known
             self._show(replica_id, known, now)
@@ -349,7 +361,7 @@
 
 
 def _figures(known: _Learnt, now: float) -> PaceFigures:
-    age_s = max(0.0, now - max(known.told_at, known.quick_at))
+    age_s = max(0.0, now - max(known.told_at, known.measured_at))
     age_ms = round(min(MOST_TOOK_MS, 1000 * age_s))
     usual = _bounded(math.exp(known.usual))
     return PaceFigures(round(usual, 2), round(known.pace(now), 2), age_ms)
@@ -382,6 +394,11 @@
     return max(0.0, 1.0 - max(0.0, age_s) / fades_s)
 
 
+def _one_step(deviation: float) -> float:
+    """Return a deviation as far as one answer counts."""
+    return min(LONGEST_STEP, max(-LONGEST_STEP, deviation))
+
+
 def _bounded(factor: float) -> float:
     return min(MOST_FACTOR, max(LEAST_FACTOR, factor))
 
@@ -391,9 +408,9 @@
 
 
 def _class(factor: float) -> str:
-    if factor >= SLOW_FROM:
+    if factor >= SLOW_CLASS_FROM:
         return "slow"
-    return "fast" if factor <= FAST_BELOW else "usual"
+    return "fast" if factor <= FAST_CLASS_TO else "usual"
 
 
 def _nobody(replica_id: str, factor: float, is_unusual: bool) -> None:
--- a/src/cloverwalk/scheduling/pace_handover.py
+++ b/src/cloverwalk/scheduling/pace_handover.py
@@ -6,8 +6,8 @@
 import attrs
 
 TOLD_CHANGE = math.log(1.1)
-"""A smaller change of the slow figure is not worth its bytes: it changes no choice by more than a
-few milliseconds."""
+"""A smaller change of the long-term figure is not worth its bytes: it changes no choice by more
+than a few milliseconds."""
 
 TELL_AGAIN_S = 5.0
 """Time between two tellings of one replica. With two copies to three standbys of some 32 bytes,
@@ -43,9 +43,9 @@
         self._standbys: list[str] = []
 
     def due(self, known: Mapping[str, float], standbys: list[str], now: float) -> list[str]:
-        """Return the replicas to tell of now, by the logarithms of their slow figures.
+        """Return the replicas to tell of now, by the logarithms of their long-term figures.
 
-        New standbys are told all that differ from the usual.
+        New standbys are told of all that differ from the usual.
         """
         if standbys != self._standbys:
             self._standbys = standbys
