--- a/src/cloverwalk/gateway/relay.py
+++ b/src/cloverwalk/gateway/relay.py
@@ -128,19 +128,7 @@
             ask = self._ask(request, progress, suspected)
             self._check_remembered(ask)
             place = await self._link.place(ask, request.received_at + LONGEST_HOLD_S)
-            if place.verdict is Verdict.RETURN:
-                raise refusals.too_little_room(place.placement)
-            if place.verdict is Verdict.NONE:
-                raise refusals.no_replica("no_replica", progress.last_failure)
-            if place.verdict is Verdict.OVER_QUOTA:
-                self._refusals.learn(request.tenant, place.placement.retry_after_s)
-                raise refusals.over_quota(place.placement.retry_after_s)
-            if place.verdict is Verdict.QUOTA_UNKNOWN:
-                raise refusals.quota_unknown()
-            if place.verdict is Verdict.TOO_LARGE:
-                raise refusals.too_large()
-            if place.verdict is Verdict.CONTAINED:
-                raise self._containment.refusal(request, progress)
+            self._check_verdict(request, progress, place)
             replica = self._directory.find(place.replica_id)
             if replica is not None:
                 self._note_choice(request, progress, place)
@@ -150,6 +138,27 @@
             progress.refused.append(place.replica_id)
             await self._end_work(place)
 
+    def _check_verdict(
+        self, request: ClientRequest, progress: RequestProgress, place: Place
+    ) -> None:
+        """Raise the refusal of a request that got no place."""
+        match place.verdict:
+            case Verdict.RETURN:
+                raise refusals.too_little_room(place.placement)
+            case Verdict.NONE:
+                raise refusals.no_replica("no_replica", progress.last_failure)
+            case Verdict.OVER_QUOTA:
+                self._refusals.learn(request.tenant, place.placement.retry_after_s)
+                raise refusals.over_quota(place.placement.retry_after_s)
+            case Verdict.QUOTA_UNKNOWN:
+                raise refusals.quota_unknown()
+            case Verdict.TOO_LARGE:
+                raise refusals.too_large()
+            case Verdict.CONTAINED:
+                raise self._containment.refusal(request, progress)
+            case Verdict.SEND | Verdict.HOLD:
+                return
+
     def _check_remembered(self, ask: Ask) -> None:
         """Raise the refusal of a tenant that the coordinator has refused just now."""
         if ask.token is not TokenUse.NEW:
