--- a/src/cloverwalk/fleet/link.py
+++ b/src/cloverwalk/fleet/link.py
@@ -392,8 +392,8 @@
     def _note_standby(self, host: str) -> None:
         """A node that does not coordinate has answered: as a standby it can be turned to again.
 
-        Without this the nodes of a cut zone were served by two of its standbys for the whole cut,
-        after some had missed one answer of the first; each granted all slots of the zone.
+        A node that misses one answer of its zone's first standby must return to it: two standbys
+        that serve the zone would each grant all of its slots.
         """
         current = self._leader.current
         if not self._coordinator.bears_zone_loss or current is None:
--- a/src/cloverwalk/scheduling/fair_shares.py
+++ b/src/cloverwalk/scheduling/fair_shares.py
@@ -1,11 +1,11 @@
 """Shares of slot time between tenants of one rank, by virtual time. A policy without I/O.
 
-Below their quotas tenants were served by rank and order of arrival: one that sent five times as
-much as others took five times their room, and small ones were late for it. Here each tenant's
-virtual time goes up by the slot time that its work is expected to take, and by the difference once
-it was served; among those that wait, the tenant that is furthest behind comes first. Ranks stay
-strict: each has a virtual time of its own. Online work and items are counted apart, since items run
-in what online work leaves, and what a tenant's items got there costs its requests nothing.
+Quotas do not share what room there is: in order of arrival a tenant that sends five times as much
+as others takes five times their room, and small ones are late for it. So each tenant's virtual time
+goes up by the slot time that its work is expected to take, and by the difference once it was
+served; among those that wait, the tenant that is furthest behind comes first. Ranks stay strict:
+each has a virtual time of its own. Online work and items are counted apart, since items run in what
+online work leaves, and what a tenant's items got there costs its requests nothing.
 
 The order is by steps, so that among tenants that are about equal it is lateness that decides.
 """
