--- a/src/cloverwalk/fleet/coordinator.py
+++ b/src/cloverwalk/fleet/coordinator.py
@@ -325,13 +325,7 @@
     async def tick(self) -> None:
         """Expire nodes and decisions, and tell the standbys and changes of the replicas."""
         now = self._clock()
-        remembered_s = REMEMBERED_S if self.is_active else 0.0
-        for known in self.roster.expire(now, remembered_s):
-            if self.is_active:
-                # Elsewhere a node that turned back to the coordinator is not lost.
-                silent_s = round(now - known.heard_at, 2)
-                self._log.write(catalogue.PEER_LOST, peer=known.contact.node, silent_s=silent_s)
-            self._scheduler.forget(known.contact.node, now)
+        self._expire_nodes(now)
         self._scheduler.tick(now)
         await self.tell_decisions()
         if not self.is_active:
@@ -342,9 +336,7 @@
         self.on_tick(now)
         self._take_share()
         self._near_limit = self._scheduler.quotas.near_limit(now)
-        if now - self._fullness_at >= FULLNESS_EVERY_S:
-            self._fullness_at = now
-            self._fullness_by_zone = median_by_zone(one.report for one in self.roster.live())
+        self._look_at_fullness(now)
         self._copies.push_directory(self._others(), now)
         self._cases.push(self._others)
         if self._must_tell_returned:
@@ -352,12 +344,33 @@
         if now - self._snapshot_at >= SNAPSHOT_EVERY_S:
             self._snapshot_at = now
             self._tell_standbys(now)
-        if now - self._pinged_at >= PING_LOST_EVERY_S:
-            self._pinged_at = now
-            for known in self.roster.lost():
-                self._transport.send(
-                    known.contact.host, self._orders(known.contact.node, None, now)
-                )
+        self._ping_lost(now)
+
+    def _expire_nodes(self, now: float) -> None:
+        """Forget the work of nodes that are silent for too long."""
+        remembered_s = REMEMBERED_S if self.is_active else 0.0
+        for known in self.roster.expire(now, remembered_s):
+            if self.is_active:
+                # Elsewhere a node that turned back to the coordinator is not lost.
+                silent_s = round(now - known.heard_at, 2)
+                self._log.write(catalogue.PEER_LOST, peer=known.contact.node, silent_s=silent_s)
+            self._scheduler.forget(known.contact.node, now)
+
+    def _look_at_fullness(self, now: float) -> None:
+        """Keep the median fullness of each zone's nodes up to date."""
+        if now - self._fullness_at < FULLNESS_EVERY_S:
+            return
+        self._fullness_at = now
+        self._fullness_by_zone = median_by_zone(one.report for one in self.roster.live())
+
+    def _ping_lost(self, now: float) -> None:
+        """Tell lost nodes who coordinates: they may have started anew."""
+        if now - self._pinged_at < PING_LOST_EVERY_S:
+            return
+        self._pinged_at = now
+        for known in self.roster.lost():
+            node = known.contact.node
+            self._transport.send(known.contact.host, self._orders(node, None, now))
 
     def _note_zones(self, now: float) -> None:
         """Tell which zones' nodes are heard, and which are silent as a whole."""
