--- a/src/cloverwalk/scheduling/online.py
+++ b/src/cloverwalk/scheduling/online.py
@@ -1,12 +1,9 @@
 """Places for online requests: at once, later, or told to come back; see ``admission``.
 
-While there is too little room, tenants of one rank share it (``fair_shares``), and the requests of
-one that have about the same share go by what is lost if they wait (``overload_order``).
+Those that wait are kept and ordered by ``held_requests``.
 """
 
-from collections.abc import Iterator, Sequence
-from heapq import heapify, heappop, heapreplace
-from operator import attrgetter
+from collections.abc import Sequence
 from random import Random
 
 import attrs
@@ -31,7 +28,8 @@
 from cloverwalk.scheduling.decisions import Outbox
 from cloverwalk.scheduling.fair_shares import FairShares
 from cloverwalk.scheduling.features import Feature, Features
-from cloverwalk.scheduling.overload_order import OrderKey, is_hopeless, order_key
+from cloverwalk.scheduling.held_requests import AskId, HeldRequest, HeldRequests, QueueKey
+from cloverwalk.scheduling.overload_order import is_hopeless
 from cloverwalk.scheduling.quotas import FleetQuotas, QuotaVerdict
 from cloverwalk.scheduling.replica_view import ReplicaView
 from cloverwalk.scheduling.selection import (
@@ -49,66 +47,16 @@
 """A held request that its node has not asked for again for so long is given up there."""
 
 
-_Key = tuple[str, int]
-"""Node and number of an ask."""
-
-_Line = tuple[int, str]
-"""Rank and tenant."""
-
-
-@attrs.define
-class _Held:
-    """An online request that waits for a slot, or is about to."""
-
-    node: str
-    zone: str
-    ask: Ask
-    asked_at: float
-    heard_at: float
-    line: _Line
-    """Its rank and the tenant that it came for, also where its number is asked for anew."""
-
-    late_at: float = 0.0
-    """When it has to start to be in time (steady clock, seconds)."""
-
-    hopeless_at: float = 0.0
-    """When it has to start to be served at all."""
-
-    has_token: bool = False
-    """Whether a token of its tenant's quota is set aside for it."""
-
-    waits_for_memory: bool = False
-    """Whether it was found larger than the room that any replica has: others may still fit."""
-
-    def rank(self) -> tuple[int, float]:
-        """What the line is sorted by: the more urgent first, then the older."""
-        return (self.line[0], self.asked_at)
-
-    def order(self, now: float) -> OrderKey:
-        """Return its place among requests of one rank."""
-        return order_key(self.asked_at, self.late_at, self.hopeless_at, now)
-
-    def expect(self, start_ms: float) -> None:
-        """Set its place in the order; ``start_ms`` is the time from a slot to the first event."""
-        self.late_at = self.asked_at + (self.ask.objective_left_ms - start_ms) / 1000
-        self.hopeless_at = self.asked_at + (self.ask.time_left_ms - start_ms) / 1000
-
-    def time_left_ms(self, now: float) -> float:
-        """Return the time until its caller gives up."""
-        return self.ask.time_left_ms - (now - self.heard_at) * 1000
-
-
-_BY_LATE = attrgetter("late_at", "asked_at")
-_BY_HOPELESS = attrgetter("hopeless_at", "asked_at")
-
-
 @attrs.frozen
-class _First:
-    """The held request that comes first, and for how long that holds."""
+class _Admission:
+    """Whether a request is sent, held, or told to come back."""
+
+    verdict: Verdict
+    ahead_ms: int = 0
+    """Slot time by which its tenant is ahead of others, where its share counted."""
 
-    held: _Held
-    until: float
-    """When it becomes late."""
+    return_after_s: float = 0.0
+    """With RETURN: when it should come back."""
 
 
 class OnlineQueue:
@@ -128,10 +76,7 @@
     ) -> None:
         self._features = features
         self.shares = FairShares()
-        self._lines: dict[_Line, dict[_Key, _Held]] = {}
-        """Held requests by rank and tenant; none is empty."""
-
-        self._known_first: _First | None = None
+        self._held = HeldRequests(features, self.shares)
         self._ahead_at: dict[int, float] = {}
         """When a request of a tenant ahead of its share last came, by rank."""
 
@@ -143,7 +88,6 @@
         self._configuration = configuration
         self._times = times
         self._random = random
-        self._held: dict[_Key, _Held] = {}
         self._arrivals: dict[str, ArrivalRate] = {}
         self._crowd = CrowdWatch()
         self._returns = ReturnBook()
@@ -157,7 +101,7 @@
 
     def answer(self, node: str, zone: str, ask: Ask, now: float) -> str:
         """Answer an ask; return the replica that got a request by it, empty for none."""
-        held = self._held.get((node, ask.number))
+        held = self._held.find((node, ask.number))
         if held is not None:
             held.ask, held.heard_at = ask, now
             return self._try(held, False, now) or ""
@@ -172,7 +116,7 @@
             self._outbox.of(node).placements.append(refusal)
             return ""
         priority = self._priority(ask.route, ask.tenant)
-        held = _Held(node, zone, ask, now, now, (priority, ask.tenant))
+        held = HeldRequest(node, zone, ask, now, now, QueueKey(priority, ask.tenant))
         held.has_token = ask.token is TokenUse.NEW
         held.expect(self._times.start_ms(ask.route))
         self._arrivals.setdefault(ask.service, ArrivalRate()).note(now)
@@ -201,24 +145,25 @@
 
     def forget(self, node: str, now: float) -> None:
         """A node is gone, and its requests with it."""
-        for key in [one for one in self._held if one[0] == node]:
-            self._drop(key, now)
+        for held in self._held.all():
+            if held.node == node:
+                self._drop(held.ask_id, now)
 
-    def _drop(self, key: tuple[str, int], now: float) -> None:
-        held = self._unhold(key)
+    def _drop(self, ask_id: AskId, now: float) -> None:
+        held = self._held.remove(ask_id)
         if held is not None and held.has_token:
             self._quotas.release(held.ask.tenant, now)
 
     def expire(self, now: float) -> None:
         """Give up requests that their nodes have not asked for again."""
-        for key, held in list(self._held.items()):
+        for held in self._held.all():
             if now - held.heard_at > HELD_UNASKED_S:
-                self._drop(key, now)
+                self._drop(held.ask_id, now)
 
     def try_held(self, now: float) -> list[str]:
         """Place waiting requests while there are slots; return the replicas that got one."""
         got: list[str] = []
-        for held in self._line(now):
+        for held in self._held.in_turn(now):
             replica_id = self._try(held, False, now)
             if replica_id is not None:
                 got.append(replica_id)
@@ -226,91 +171,9 @@
                 break
         return got
 
-    def _line(self, now: float) -> Iterator[_Held]:
-        """Yield held requests in their order; one is placed before the next is asked for."""
-        if not self._features.is_on(Feature.OVERLOAD_ORDER):
-            yield from sorted(self._held.values(), key=_Held.rank)
-            return
-        first = self._first(now)
-        while first is not None:
-            yield first
-            if (first.node, first.ask.number) in self._held:
-                break
-            first = self._first(now)
-        if first is not None and first.waits_for_memory:
-            # Others may fit where it does not: only now all are put into an order.
-            yield from self._in_order(now)
-
-    def _first(self, now: float) -> _Held | None:
-        """Return the held request that comes first.
-
-        It stays that until it is placed or late, its tenant is charged, or one comes that goes
-        before it. What changes of other tenants' shares meanwhile counts for the next one; looking
-        each time made a decision with 200 held requests a quarter longer.
-        """
-        known = self._known_first
-        if known is not None and now <= known.until:
-            return known.held
-        held = self._find_first(now)
-        if held is not None:
-            until = held.late_at if now <= held.late_at else float("inf")
-            self._known_first = _First(held, until)
-        return held
-
-    def _find_first(self, now: float) -> _Held | None:
-        steps = self._steps()
-        if not steps:
-            return None
-        least = min(steps.values())
-        first = [line for line, step in steps.items() if step == least]
-        held = [one for line in first for one in self._lines[line].values()]
-        in_time = [one for one in held if now <= one.late_at]
-        # The same as the least by ``order``, at a third of its cost.
-        return min(in_time, key=_BY_LATE) if in_time else min(held, key=_BY_HOPELESS)
-
-    def _in_order(self, now: float) -> Iterator[_Held]:
-        """Yield all held requests; shares change as their tenants' requests are placed."""
-        lines = {key: list(line.values()) for key, line in self._lines.items()}
-        for line in lines.values():
-            line.sort(reverse=True, key=lambda one: one.order(now))
-        heap = [(self._kept_place(key), lines[key][-1].order(now), key) for key in lines]
-        heapify(heap)
-        while heap:
-            _, _, key = heap[0]
-            line = lines[key]
-            yield line.pop()
-            if line:
-                heapreplace(heap, (self._kept_place(key), line[-1].order(now), key))
-            else:
-                heappop(heap)
-
-    def _steps(self) -> dict[_Line, tuple[int, int]]:
-        """Return rank and place of the tenants with held requests."""
-        if not self._features.is_on(Feature.FAIR_SHARES):
-            return {key: (key[0], 0) for key in self._lines}
-        tenants_by_rank: dict[int, list[str]] = {}
-        for rank, tenant in self._lines:
-            tenants_by_rank.setdefault(rank, []).append(tenant)
-        return {
-            (rank, tenant): (rank, step)
-            for rank, tenants in tenants_by_rank.items()
-            for tenant, step in self.shares.steps(rank, tenants).items()
-        }
-
-    def _step(self, line: _Line) -> tuple[int, int]:
-        if not self._features.is_on(Feature.FAIR_SHARES):
-            return (line[0], 0)
-        return (line[0], self.shares.step(*line))
-
-    def _kept_place(self, line: _Line) -> tuple[int, int]:
-        """Return a line's place as an order may keep it while others are charged."""
-        if not self._features.is_on(Feature.FAIR_SHARES):
-            return (line[0], 0)
-        return (line[0], self.shares.place(*line))
-
     # --- one request ---
 
-    def _try(self, held: _Held, may_return: bool, now: float) -> str | None:
+    def _try(self, held: HeldRequest, may_return: bool, now: float) -> str | None:
         """Answer a request for good, or hold it.
 
         Returns the replica that it goes to, an empty text for a refusal, None when it is held.
@@ -327,23 +190,10 @@
         wait_ms = self._wait_ms(held.ask.route, chosen)
         if wait_ms > 0 and self._is_hopeless(held, candidates, now):
             return self._refuse(held, Placement(held.ask.number, Verdict.RETURN), now)
-        verdict = Verdict.SEND
-        route = self._route(held.ask.route)
-        is_overdue = held.ask.must_place or now - held.asked_at >= LONGEST_HOLD_S
-        if route is not None and not is_overdue:
-            prospect = self._prospect(held, route, wait_ms, chosen.pace, now)
-            verdict, ahead_ms = self._decide(held, prospect, may_return, now)
-            if verdict is Verdict.RETURN:
-                after_s = self._return_after_s(prospect, held.ask, now)
-                if after_s is not None:
-                    placement = Placement(
-                        held.ask.number, verdict, retry_after_s=round(after_s, 3), ahead_ms=ahead_ms
-                    )
-                    if ahead_ms:
-                        self.shares.held_back[held.ask.tenant] += 1
-                    return self._refuse(held, placement, now)
-                verdict = Verdict.HOLD
-        if verdict is Verdict.HOLD:
+        admission = self._admit(held, chosen, wait_ms, may_return, now)
+        if admission.verdict is Verdict.RETURN:
+            return self._send_away(held, admission, now)
+        if admission.verdict is Verdict.HOLD:
             self._hold(held, now)
             return None
         self._place(held, chosen, wait_ms, now)
@@ -351,7 +201,7 @@
         self._replicas.note_reading(chosen.replica.replica_id, reading_ms, now)
         return chosen.replica.replica_id
 
-    def _wait_for_memory(self, held: _Held, now: float) -> str | None:
+    def _wait_for_memory(self, held: HeldRequest, now: float) -> str | None:
         """Hold a request until a replica has memory for it, or refuse it in the end."""
         if held.ask.must_place or now - held.asked_at >= LONGEST_HOLD_S:
             return self._refuse(held, Placement(held.ask.number, Verdict.NONE), now)
@@ -359,38 +209,56 @@
         self._hold(held, now)
         return None
 
+    def _admit(
+        self, held: HeldRequest, chosen: Candidate, wait_ms: float, may_return: bool, now: float
+    ) -> _Admission:
+        """Return whether a request is sent, held, or told when to come back."""
+        route = self._route(held.ask.route)
+        is_overdue = held.ask.must_place or now - held.asked_at >= LONGEST_HOLD_S
+        if route is None or is_overdue:
+            return _Admission(Verdict.SEND)
+        prospect = self._prospect(held, route, wait_ms, chosen.pace, now)
+        admission = self._decide(held, prospect, may_return, now)
+        if admission.verdict is not Verdict.RETURN:
+            return admission
+        after_s = self._return_after_s(prospect, held.ask, now)
+        if after_s is None:
+            return _Admission(Verdict.HOLD)
+        return attrs.evolve(admission, return_after_s=after_s)
+
     def _decide(
-        self, held: _Held, prospect: Prospect, may_return: bool, now: float
-    ) -> tuple[Verdict, int]:
-        """Return what to do, and by how much its tenant is ahead where that is the reason."""
-        is_first = prospect.wait_ms == 0.0 and self._is_first(held, now)
+        self, held: HeldRequest, prospect: Prospect, may_return: bool, now: float
+    ) -> _Admission:
+        """Decide by what a request can expect, and by its tenant's share where that counts."""
+        is_first = prospect.wait_ms == 0.0 and self._held.is_first(held, now)
         verdict = decide(prospect, may_return, is_first)
         if not self._features.is_on(Feature.FAIR_SHARES):
-            return verdict, 0
-        rank, tenant = held.line
+            return _Admission(verdict)
+        rank, tenant = held.queue
         if not self.shares.is_ahead(rank, tenant):
             is_other_ahead = now - self._ahead_at.get(rank, float("-inf")) < CROWD_OVER_S
-            if verdict is Verdict.RETURN and is_other_ahead and held.line not in self._lines:
+            is_next = is_other_ahead and not self._held.has_queue(held.queue)
+            if verdict is Verdict.RETURN and is_next:
                 # It gets the next free slot before the tenant that is ahead.
-                verdict = Verdict.HOLD
-            return verdict, 0
+                return _Admission(Verdict.HOLD)
+            return _Admission(verdict)
         self._ahead_at[rank] = now
         if not self._do_others_wait(rank, tenant):
-            return verdict, 0
+            return _Admission(verdict)
         if verdict is Verdict.SEND:
             most_ms = AHEAD_QUEUE_SHARE * prospect.most_wait_ms
             less = attrs.evolve(prospect, most_wait_ms=most_ms)
             verdict = decide(less, may_return, is_first)
-        return verdict, round(self.shares.ahead_ms(rank, tenant))
+        return _Admission(verdict, round(self.shares.ahead_ms(rank, tenant)))
 
     def _do_others_wait(self, rank: int, tenant: str) -> bool:
         """Whether a request is held of another tenant of a rank that is not ahead of its share."""
         return any(
-            of_rank == rank and other != tenant and not self.shares.is_ahead(rank, other)
-            for of_rank, other in self._lines
+            other != tenant and not self.shares.is_ahead(rank, other)
+            for other in self._held.tenants(rank)
         )
 
-    def _is_hopeless(self, held: _Held, candidates: Sequence[Candidate], now: float) -> bool:
+    def _is_hopeless(self, held: HeldRequest, candidates: Sequence[Candidate], now: float) -> bool:
         """Whether no replica can serve it before its deadline; one that may have run goes on."""
         if held.ask.token is TokenUse.AGAIN or held.ask.time_left_ms <= 0:
             return False
@@ -400,37 +268,32 @@
         waits = (self._wait_ms(held.ask.route, one) for one in candidates)
         return all(is_hopeless(wait_ms, start_ms, left_ms) for wait_ms in waits)
 
-    def _unhold(self, key: _Key) -> _Held | None:
-        held = self._held.pop(key, None)
-        if held is not None:
-            if self._known_first is not None and self._known_first.held is held:
-                self._known_first = None
-            line = self._lines[held.line]
-            del line[key]
-            if not line:
-                del self._lines[held.line]
-        return held
-
-    def _refuse(self, held: _Held, placement: Placement, now: float) -> str:
-        self._unhold((held.node, held.ask.number))
+    def _send_away(self, held: HeldRequest, admission: _Admission, now: float) -> str:
+        """Tell a request when to come back."""
+        if admission.ahead_ms:
+            self.shares.held_back[held.ask.tenant] += 1
+        placement = Placement(
+            held.ask.number,
+            Verdict.RETURN,
+            retry_after_s=round(admission.return_after_s, 3),
+            ahead_ms=admission.ahead_ms,
+        )
+        return self._refuse(held, placement, now)
+
+    def _refuse(self, held: HeldRequest, placement: Placement, now: float) -> str:
+        self._held.remove(held.ask_id)
         if held.has_token:
             self._quotas.release(held.ask.tenant, now)
         self._outbox.of(held.node).placements.append(placement)
         return ""
 
-    def _hold(self, held: _Held, now: float) -> None:
-        key = (held.node, held.ask.number)
-        if key not in self._held:
-            self._held[key] = held
-            known = self._known_first
-            if known is not None and self._place_of(held, now) < self._place_of(known.held, now):
-                self._known_first = None
-            self._lines.setdefault(held.line, {})[key] = held
+    def _hold(self, held: HeldRequest, now: float) -> None:
+        if self._held.add(held, now):
             placement = Placement(held.ask.number, Verdict.HOLD)
             self._outbox.of(held.node).placements.append(placement)
 
-    def _place(self, held: _Held, chosen: Candidate, wait_ms: float, now: float) -> None:
-        self._unhold((held.node, held.ask.number))
+    def _place(self, held: HeldRequest, chosen: Candidate, wait_ms: float, now: float) -> None:
+        self._held.remove(held.ask_id)
         self._charge(held)
         if held.has_token:
             self._quotas.spend(held.ask.tenant, now)
@@ -455,16 +318,13 @@
         if held.ask.content:
             self._replicas.note_sent_suspect(replica_id, held.ask.content, now)
 
-    def _charge(self, held: _Held) -> None:
+    def _charge(self, held: HeldRequest) -> None:
         """Count the slot time that a request is expected to take to its tenant."""
         if self._features.is_on(Feature.FAIR_SHARES):
-            rank, tenant = held.line
+            rank, tenant = held.queue
             work_ms = self._times.hold_ms(held.ask.route)
-            known = self._known_first
-            if known is not None and known.held.line == held.line:
-                self._known_first = None
-            waiting = (other for of_rank, other in self._lines if of_rank == rank)
-            self.shares.charge(rank, tenant, work_ms, waiting)
+            self._held.note_charged(held.queue)
+            self.shares.charge(rank, tenant, work_ms, self._held.tenants(rank))
 
     def correct(self, served: Served) -> None:
         """Count what a request took beyond what was expected; before its times are learnt."""
@@ -476,24 +336,6 @@
 
     # --- what it can expect ---
 
-    def _is_first(self, held: _Held, now: float) -> bool:
-        """Whether no other one comes before it that could use a free slot."""
-        if not self._features.is_on(Feature.OVERLOAD_ORDER):
-            others = (one for one in self._held.values() if not one.waits_for_memory)
-            return all(held.rank() <= other.rank() for other in others)
-        first = self._first(now)
-        # One that waits for memory takes no slot, and keeps nobody from one.
-        if first is None or first is held:
-            return True
-        place = self._place_of(held, now)
-        if first.waits_for_memory:
-            others = (one for one in self._held.values() if not one.waits_for_memory)
-            return all(place <= self._place_of(other, now) for other in others)
-        return place <= self._place_of(first, now)
-
-    def _place_of(self, held: _Held, now: float) -> tuple[tuple[int, int], OrderKey]:
-        return (self._step(held.line), held.order(now))
-
     def _priority(self, route: str, tenant: str) -> int:
         """Return the rank of requests of a route and tenant."""
         known = self._route(route)
@@ -511,7 +353,7 @@
         return slot_wait_ms(chosen.replica.slots, chosen.in_flight.online, hold_ms)
 
     def _prospect(
-        self, held: _Held, route: Route, wait_ms: float, pace: float, now: float
+        self, held: HeldRequest, route: Route, wait_ms: float, pace: float, now: float
     ) -> Prospect:
         current = self._configuration.current
         routes = (route,) if current is None else current.routes
@@ -521,7 +363,7 @@
             pace * self._times.start_ms(route.name),
             held.ask.objective_left_ms - waited_ms,
             route.target_latency_s * 1000,
-            most_wait_ms(route, held.line[0], routes, self._times),
+            most_wait_ms(route, held.queue.rank, routes, self._times),
         )
 
     def _return_after_s(self, prospect: Prospect, ask: Ask, now: float) -> float | None:
@@ -529,7 +371,7 @@
         wait_s, rest_s = prospect.wait_ms / 1000, self._crowd.rest_s(now)
         return return_after_s(wait_s, rest_s, ask.time_left_ms / 1000, self._random)
 
-    def _demand(self, held: _Held) -> Demand:
+    def _demand(self, held: HeldRequest) -> Demand:
         ask = held.ask
         return Demand(
             held.zone,
