--- a/src/cloverwalk/jobs/order.py
+++ b/src/cloverwalk/jobs/order.py
@@ -56,25 +56,23 @@
     groups = [_group(key, ones) for key, ones in sorted(by_key.items())]
     if len(groups) <= MAX_GROUPS:
         return groups
-    told, rest = groups[: MAX_GROUPS - 1], groups[MAX_GROUPS - 1 :]
+    return [*groups[: MAX_GROUPS - 1], *_merged(groups[MAX_GROUPS - 1 :])]
+
+
+def _merged(groups: list[WaitingGroup]) -> list[WaitingGroup]:
+    """Return one group a tenant, due as its first; the largest item's memory stands for each."""
     first_by_tenant: dict[str, WaitingGroup] = {}
     items_by_tenant: Counter[str] = Counter()
     tokens_by_tenant: Counter[str] = Counter()
-    for group in rest:
+    for group in groups:
         first_by_tenant.setdefault(group.tenant, group)
         items_by_tenant[group.tenant] += group.items
         tokens_by_tenant[group.tenant] = max(tokens_by_tenant[group.tenant], group.tokens)
     return [
-        *told,
-        *(
-            msgspec.structs.replace(
-                group,
-                items=items_by_tenant[tenant],
-                replica_id="",
-                tokens=tokens_by_tenant[tenant],
-            )
-            for tenant, group in first_by_tenant.items()
-        ),
+        msgspec.structs.replace(
+            group, items=items_by_tenant[tenant], replica_id="", tokens=tokens_by_tenant[tenant]
+        )
+        for tenant, group in first_by_tenant.items()
     ]
 
 
