--- a/src/cloverwalk/jobs/runner.py
+++ b/src/cloverwalk/jobs/runner.py
@@ -171,13 +171,14 @@
                     pool = ",".join(services)
                     by_pool.setdefault(pool, []).extend(self._waiting_items(job))
         waiting = {pool: summarise(items) for pool, items in by_pool.items() if items}
-        if waiting != self._link.waiting or self._loads_changed():
+        if waiting != self._link.waiting or self._take_has_ended():
             self._link.waiting = waiting
             await self._link.note_change()
 
-    def _loads_changed(self) -> bool:
-        changed, self._has_ended = self._has_ended, False
-        return changed
+    def _take_has_ended(self) -> bool:
+        """Return whether a run has ended since the last call; own loads have changed then."""
+        has_ended, self._has_ended = self._has_ended, False
+        return has_ended
 
     def _waiting_items(self, job: JobRun) -> list[WaitingItem]:
         return [self._waiting_item(job, one) for one in self._sendable(job)]
