--- a/src/cloverwalk/scheduling/batch.py
+++ b/src/cloverwalk/scheduling/batch.py
@@ -236,26 +236,26 @@
 
     def _within_band(self, claims: list[_Claim]) -> Iterator[_Claim]:
         rank = rank_of(claims[0].group.due_step)
-        lines: dict[str, list[_Claim]] = {}
+        queues: dict[str, list[_Claim]] = {}
         for claim in reversed(claims):
-            lines.setdefault(claim.group.tenant, []).append(claim)
-        places = self.shares.places(rank, lines)
-        heap = [(places[tenant], line[-1].rank(), tenant) for tenant, line in lines.items()]
+            queues.setdefault(claim.group.tenant, []).append(claim)
+        places = self.shares.places(rank, queues)
+        heap = [(places[tenant], queue[-1].rank(), tenant) for tenant, queue in queues.items()]
         heapify(heap)
         while heap:
             tenant = heap[0][-1]
-            line = lines[tenant]
-            claim = line[-1]
+            queue = queues[tenant]
+            claim = queue[-1]
             if claim.left <= 0 or claim.is_blocked:
-                line.pop()
+                queue.pop()
             else:
-                claim.waiting = lines.keys()
+                claim.waiting = queues.keys()
                 yield claim
-            if line:
-                heapreplace(heap, (self.shares.place(rank, tenant), line[-1].rank(), tenant))
+            if queue:
+                heapreplace(heap, (self.shares.place(rank, tenant), queue[-1].rank(), tenant))
             else:
                 heappop(heap)
-                del lines[tenant]
+                del queues[tenant]
 
     def _best(
         self, claim: _Claim, open_ids: set[str], room: dict[str, int], zones: dict[str, str]
