Entries of replicas: a field that is missing, whichever, names no replica to use

Cause: entries without version, seq or cold_left_ms were taken, though the platform says that fields missing or of another type name no replica; [127.0.0.1:80 and ::1:80 passed as addresses. Tests first: the list of odd entries leaves out each field in turn and has these addresses; it failed.

--- a/src/cloverwalk/emulator/platform_replica.py
+++ b/src/cloverwalk/emulator/platform_replica.py
@@ -325,6 +325,7 @@
             "version": "v1",
             "slots": self.slots,
             "state": state,
+            "cold_left_ms": 0,
             "seq": self.seq,
             **born,
         }
--- a/src/cloverwalk/platform/documents.py
+++ b/src/cloverwalk/platform/documents.py
@@ -26,7 +26,7 @@
 REPLICA_ID = re.compile(r"[!-~]{1,200}")
 """Keys of the store have at most 200 bytes; an id goes into a header of requests."""
 
-ADDRESS = re.compile(r"\[?([0-9A-Fa-f:.]+)\]?:([0-9]{1,5})")
+ADDRESS = re.compile(r"(?:([0-9.]+)|\[([0-9A-Fa-f:.]+)\]):([0-9]{1,5})")
 MOST_PORT = 65_535
 MOST_SLOTS = 100_000
 """More requests at once than any engine runs; sums of slots stay small numbers."""
@@ -112,9 +112,12 @@
     address: str
     zone: str
     slots: int
+    version: str
+    """Of the replica's software."""
+
     state: str
-    seq: int = 0
-    cold_left_ms: float = 0.0
+    seq: int
+    cold_left_ms: float
     born: int | UnsetType = UNSET
     """Unix time of its start, in ms; left out by earlier versions of the platform."""
 
@@ -257,7 +260,7 @@
     parts = ADDRESS.fullmatch(told)
     if parts is None:
         raise ValueError(f"address: {told[:60]!r}")
-    host, port = parts[1], int(parts[2])
+    host, port = parts[1] or parts[2], int(parts[3])
     known = ipaddress.ip_address(host)
     if known.is_unspecified or known.is_multicast or not 1 <= port <= MOST_PORT:
         raise ValueError(f"address: {told[:60]!r}")
--- a/tests/serving/test_replica_entries.py
+++ b/tests/serving/test_replica_entries.py
@@ -42,10 +42,12 @@
 ODD_VALUES: dict[str, list[Any]] = {
     "service": ["", [], 5],
     "address": ["", "10.0.0.1", ":80", "10.0.0.1:", "10.0.0.1:x", "10.0.0.1:0", "10.0.0.1:65536"]
-    + ["10.0.0.1:-1", "a b:80", "0.0.0.0:80", "10.0.0.1:\u0661", "10.0.0.1: 80", []],
+    + ["10.0.0.1:-1", "a b:80", "0.0.0.0:80", "10.0.0.1:\u0661", "10.0.0.1: 80", []]
+    + ["[127.0.0.1:80", "::1:80", "127.0.0.1]:80"],
     "zone": [[], 5],
     "slots": [0, -1, 2.5, True, "8", 10**30, []],
     "state": ["resting", "READY", "", 1, []],
+    "version": [1, []],
     "cold_left_ms": ["0", []],
     "seq": ["1", 1.5, []],
     "born": [0, -1, 1.5, True, "1790000000000", 10**30, 1_790_000_000_000_000, []],
@@ -57,7 +59,7 @@
     b"[]",
     b'{"service": "s"',
     b'{"x":' + b"[" * 20_000,
-    *(entry(**{name: None}) for name in ("service", "address", "zone", "slots", "state")),
+    *(entry(**{name: None}) for name in GOOD),
     *(entry(**{name: value}) for name, values in ODD_VALUES.items() for value in values),
 ]
 
