--- a/src/cloverwalk/core/catalogue.py
+++ b/src/cloverwalk/core/catalogue.py
@@ -68,15 +68,35 @@
     114, "first_request_placed", _I, "A process serves its first request."
 )
 MACHINE_SUSPENDED = _event(115, "machine_suspended", _W, "The machine was suspended for a time.")
+NODE_FULL = _event(
+    119, "node_full", _W, "The machine is nearly full, and fuller than its zone's; by resource."
+)
+NODE_TAKES_AGAIN = _event(120, "node_takes_again", _I, "The machine has room again.")
+FULLNESS_INVALID = _event(
+    121, "fullness_invalid", _W, "A figure of a machine's use can't be one; it was left out."
+)
 COORDINATOR_KNOWN = _event(205, "coordinator_known", _I, "Another leadership is in force.")
 COORDINATOR_TAKEN = _event(206, "coordinator_taken", _I, "This node coordinates from now on.")
 COORDINATOR_RESIGNED = _event(207, "coordinator_resigned", _W, "Another node coordinates now.")
 COORDINATOR_SILENT = _event(208, "coordinator_silent", _W, "The coordinator does not answer.")
 ROLE_INVALID = _event(209, "role_invalid", _W, "The row of the coordinator can't be read.")
+ZONE_UNREACHABLE = _event(
+    116, "zone_unreachable", _W, "A zone can't be reached from another one, as seen here."
+)
+ZONE_REACHABLE = _event(117, "zone_reachable", _I, "A zone is reached again, or it is tried.")
+ZONE_SERVED = _event(
+    230, "zone_served", _W, "A standby serves nodes of its zone: the coordinator is silent there."
+)
+ZONE_SERVED_NO_MORE = _event(
+    231, "zone_served_no_more", _I, "The nodes of a zone have a coordinator again."
+)
 REPLICA_CHANGED = _event(211, "replica_changed", _I, "A replica came, or began to leave.")
 REPLICA_REMOVED = _event(212, "replica_removed", _I, "A replica's entry is gone.")
 REPLICA_INVALID = _event(213, "replica_invalid", _W, "A replica's entry can't be read.")
 DIRECTORY_COPIED = _event(214, "directory_copied", _I, "The list of replicas came from a peer.")
+REPLICA_RESTARTED = _event(
+    215, "replica_restarted", _W, "A replica started again under its id; its runs are gone."
+)
 REPLICA_CHOSEN = _event(310, "replica_chosen", _I, "A request goes to this replica.")
 REPLICA_FAILED = _event(311, "replica_failed", _W, "An attempt at a replica failed or was refused.")
 REQUEST_ANSWERED = _event(312, "request_answered", _I, "A request has a replica's whole answer.")
@@ -96,6 +116,9 @@
     319, "containment_ended", _I, "A contained request was answered, or its case is old."
 )
 CASE_INVALID = _event(320, "case_invalid", _W, "A stored case of a request can't be read.")
+READERS_GIVEN_UP = _event(
+    340, "readers_given_up", _W, "Clients that don't read were given up; how many, and most bytes."
+)
 JOB_TAKEN = _event(410, "job_taken", _I, "A job is in the store, or was found there.")
 JOB_REFUSED = _event(411, "job_refused", _W, "A job was not taken, or it is not known.")
 JOB_DROPPED = _event(412, "job_dropped", _I, "A job ended, or another node owns it.")
@@ -109,9 +132,21 @@
 ITEM_STARTED = _event(420, "item_started", _I, "An item goes to this replica.")
 ITEM_RUN_ENDED = _event(421, "item_run_ended", _I, "A run of an item ended or gave way.")
 ITEM_LISTED = _event(422, "item_listed", _I, "An item's result has its position.")
+REPLICA_PACE_CHANGED = _event(
+    330,
+    "replica_pace_changed",
+    _I,
+    "A replica works faster or slower than usual, or as usual again.",
+)
 SLOT_TIME = _event(
     430, "slot_time", _I, "Slot-seconds of the replicas since the last such line, by use."
 )
+TENANTS_HELD_BACK = _event(
+    440,
+    "tenants_held_back",
+    _I,
+    "Requests were sent away since their tenants had more than others.",
+)
 FEED_LOST = _event(510, "feed_lost", _W, "A table of the store can't be followed.")
 FEED_BACK = _event(511, "feed_back", _I, "A table of the store is followed again.")
 HISTORY_LOST = _event(512, "history_lost", _W, "Changes of a table are gone; it is read anew.")
--- a/src/cloverwalk/emulator/platform_replica.py
+++ b/src/cloverwalk/emulator/platform_replica.py
@@ -37,9 +37,16 @@
         self.events = events
         self.event_s = event_s
         self.slots = 8
+        self.seq = 0
+        self.born_ms = 0
+        """Told in its entry, 0: not told. It starts again under its id with another one."""
+
         self.event_padding = 0
         """Characters added to the data of each event."""
 
+        self.slowdown_percent: int | None = None
+        """What it tells of its pace, 100 for its usual one; None: nothing."""
+
         self.unproved_status = 503
         self.max_waiting: int | None = None
         """Requests that may wait for a slot, others are refused; None: all run at once."""
@@ -182,10 +189,12 @@
                 return None
 
     def _headers(self, arrival: Arrival) -> list[tuple[bytes, bytes]]:
-        load = f"{self.running},0,{self.slots}".encode()
+        load = f"{self.running},0,{self.slots}"
+        if self.slowdown_percent is not None:
+            load += f",{self.slowdown_percent}"
         return [
             (names.REQUEST_ID, arrival.request_id.encode()),
-            (names.SERVER_LOAD, load),
+            (names.SERVER_LOAD, load.encode()),
             (b"Keep-Alive", b"timeout=5"),
         ]
 
@@ -307,6 +316,8 @@
     def document(self, service: str, zone: str, state: str = "ready") -> dict[str, Any]:
         """Return the entry that the replica keeps in the store."""
         host, port = self.address
+        self.seq += 1
+        born = {"born": self.born_ms} if self.born_ms else {}
         return {
             "service": service,
             "address": f"{host}:{port}",
@@ -314,7 +325,8 @@
             "version": "v1",
             "slots": self.slots,
             "state": state,
-            "seq": 1,
+            "seq": self.seq,
+            **born,
         }
 
 
--- a/src/cloverwalk/fleet/coordinator.py
+++ b/src/cloverwalk/fleet/coordinator.py
@@ -11,6 +11,7 @@
 
 from cloverwalk.core import catalogue
 from cloverwalk.fleet.case_sync import CaseSync
+from cloverwalk.fleet.fullness import median_by_zone
 from cloverwalk.fleet.identity import Identity
 from cloverwalk.fleet.leader import LeaderView
 from cloverwalk.fleet.messages import (
@@ -22,6 +23,7 @@
     Leadership,
     NodeLoad,
     Orders,
+    PaceFigures,
     RemovedReplica,
     Report,
     RouteFigures,
@@ -33,6 +35,8 @@
 from cloverwalk.gateway.configuration import ConfigurationHolder
 from cloverwalk.gateway.replicas import Replica, ReplicaDirectory
 from cloverwalk.scheduling.decisions import Decisions
+from cloverwalk.scheduling.features import Feature
+from cloverwalk.scheduling.pace_handover import PaceTeller
 from cloverwalk.scheduling.scheduler import Scheduler
 from cloverwalk.store.health import StoreHealth
 from cloverwalk.telemetry.log import ServingLog
@@ -77,6 +81,9 @@
 of each third node refused, 200 nodes were sent 211,615 messages in 6 s without this bound
 (simulated time)."""
 
+FULLNESS_EVERY_S = 0.5
+"""How often the fleet's fullness is looked at: reports of a quiet node come each second."""
+
 PING_LOST_EVERY_S = 1.0
 STORE_SERVES_MS = 3500
 """A node that the store answered within this time is served by it; an idle node's calls wait for
@@ -121,6 +128,7 @@
 
         self._told_directory: dict[str, Replica] = {}
         self._told_fingerprint: int | None = None
+        self._pace_teller = PaceTeller()
         self._snapshots = 0
         self._snapshot_at = float("-inf")
         self._pinged_at = float("-inf")
@@ -130,9 +138,29 @@
         self._is_active = curio.Event()
         self.is_leaving = False
         self._near_limit: list[str] = []
+        self.must_hand_over: Callable[[], bool] = _never
+        """Whether this node's machine is too full to coordinate."""
+
+        self._fullness_by_zone: dict[str, int] = {}
+        self._fullness_at = float("-inf")
         self._fleet_size = 0
         """How many nodes the coordinator said that there are; 0 before it did."""
 
+        self._serves_zone = False
+        """Whether nodes report to this standby, since the coordinator does not answer them."""
+
+        self._serve_own_zone()
+
+    @property
+    def bears_zone_loss(self) -> bool:
+        """Whether a whole zone may be cut off or lost."""
+        return self._scheduler.features.is_on(Feature.ZONE_LOSS)
+
+    def _serve_own_zone(self) -> None:
+        """Grant items slots of the own zone only, as a standby: others grant elsewhere."""
+        if self.bears_zone_loss:
+            self._scheduler.grant_within(self._identity.zone)
+
     @property
     def is_active(self) -> bool:
         """Whether this node coordinates."""
@@ -146,6 +174,8 @@
         if self.active_since is None:
             self.active_since = now
             self._scheduler.quotas.coordinate(now)
+            self._scheduler.grant_within("")
+            self._note_served_zone()
             self._cases.ledger.grants_trials = True
             self._told_directory = {one.replica_id: one for one in self._directory.all()}
             self._told_fingerprint = self._directory.fingerprint
@@ -160,6 +190,7 @@
         """Another node holds the role."""
         if self.is_active:
             self._scheduler.quotas.resign(self._clock())
+            self._serve_own_zone()
         self._cases.ledger.grants_trials = False
         self.active_since = None
         self._is_active.clear()
@@ -189,6 +220,7 @@
         await self._has_work.set()
         if not self.is_active:
             self._take_share()
+            self._note_served_zone()
         elif report.node != self._identity.node:
             grants = report.deputy_grants
             self._scheduler.quotas.hear_deputy(report.node, report.run, grants, now)
@@ -207,8 +239,26 @@
         """Count for the part of the fleet that reports here."""
         heard = self.roster.heard_since(self._clock() - COUNTED_SILENT_S)
         nodes = len(self.roster.by_name) if self.is_active else self._fleet_size
+        if self.active_since is not None and self.bears_zone_loss:
+            # Nodes that have not turned here since may be served by a coordinator elsewhere.
+            is_recent = self._clock() - self.active_since < REMEMBERED_S
+            nodes = max(nodes, self._fleet_size) if is_recent else nodes
         self._scheduler.quotas.set_share(heard, nodes)
 
+    def _note_served_zone(self) -> None:
+        """Log when this standby begins and ends to serve nodes of its zone."""
+        if not self.bears_zone_loss:
+            return
+        own = self._identity
+        live = self.roster.live()
+        others = [one for one in live if one.contact.node != own.node]
+        serves = not self.is_active and bool(others) and self._leader.has_lost_coordinator
+        if serves == self._serves_zone:
+            return
+        self._serves_zone = serves
+        event = catalogue.ZONE_SERVED if serves else catalogue.ZONE_SERVED_NO_MORE
+        self._log.write(event, zone=own.zone, nodes=len(live), term=self._leader.term)
+
     async def tell_decisions(self) -> None:
         """Send what the scheduler has decided."""
         now = self._clock()
@@ -263,12 +313,18 @@
         if self.is_active:
             orders.nodes = len(self.roster.by_name)
             orders.near_limit = self._near_limit
+            orders.zone_fullness_percent = self._zone_fullness(node)
         if decisions is not None:
             orders.placements = decisions.placements
             orders.grants = decisions.grants
             orders.revokes = decisions.revokes
+            orders.grants_by_tenant = decisions.grants_by_tenant
         return orders
 
+    def _zone_fullness(self, node: str) -> int:
+        known = self.roster.by_name.get(node)
+        return 0 if known is None else self._fullness_by_zone.get(known.report.zone, 0)
+
     def _directory_age_ms(self, now: float) -> int:
         return int(min(1e6, (now - self._directory.confirmed_at) * 1000))
 
@@ -345,10 +401,16 @@
         self._scheduler.tick(now)
         await self.tell_decisions()
         if not self.is_active:
+            self._note_served_zone()
             return
+        if self.bears_zone_loss:
+            self._note_zones(now)
         self.on_tick(now)
         self._take_share()
         self._near_limit = self._scheduler.quotas.near_limit(now)
+        if now - self._fullness_at >= FULLNESS_EVERY_S:
+            self._fullness_at = now
+            self._fullness_by_zone = median_by_zone(one.report for one in self.roster.live())
         self._push_directory(now)
         self._cases.push(self._others)
         if self._must_tell_returned:
@@ -363,6 +425,13 @@
                     known.contact.host, self._orders(known.contact.node, None, now)
                 )
 
+    def _note_zones(self, now: float) -> None:
+        """Tell which zones' nodes are heard, and which are silent as a whole."""
+        own_zone = self._identity.zone
+        heard = self.roster.heard_by_zone()
+        for zone in sorted(set(heard) - {own_zone}):
+            self._scheduler.reach.hear_nodes(own_zone, zone, heard[zone], now)
+
     def _push_directory(self, now: float) -> None:
         """Tell every node at once what has changed in the list of replicas."""
         if self._directory.fingerprint == self._told_fingerprint:
@@ -389,6 +458,13 @@
         own = self._identity.node
         return [known for known in self.roster.live() if known.contact.node != own]
 
+    def _should_hand_over(self, current: Leadership) -> bool:
+        """Whether the first standby should coordinate: it has room, and this node has none."""
+        if not current.standbys or not self.must_hand_over():
+            return False
+        first = self.roster.by_name.get(current.standbys[0].node)
+        return first is not None and not first.is_lost and not first.report.is_full
+
     def _send_snapshot(self) -> None:
         current = self._leader.current
         if current is None:
@@ -404,13 +480,21 @@
                 for route, figures in self._scheduler.times.figures().items()
             },
             [one.contact for one in live],
-            self.is_leaving,
+            self.is_leaving or self._should_hand_over(current),
             self._scheduler.quotas.levels(self._clock()),
+            paces=self._paces_due([one.node for one in current.standbys]),
+            used_shares=self._scheduler.shares.used(),
+            used_item_shares=self._scheduler.item_shares.used(),
         )
         for standby in current.standbys:
             if standby.node != self._identity.node:
                 self._transport.send(standby.host, snapshot)
 
+    def _paces_due(self, standbys: list[str]) -> dict[str, PaceFigures]:
+        now = self._clock()
+        paces = self._scheduler.paces
+        return paces.figures(self._pace_teller.due(paces.established(), standbys, now), now)
+
     # --- for other parts of the node ---
 
     def take_fleet(self, nodes: int, near_limit: list[str], now: float) -> None:
@@ -457,3 +541,7 @@
 
 def _ignore(now: float) -> None:
     return
+
+
+def _never() -> bool:
+    return False
--- a/src/cloverwalk/fleet/link.py
+++ b/src/cloverwalk/fleet/link.py
@@ -4,13 +4,15 @@
 when nobody answers.
 """
 
+from collections import Counter, deque
 from collections.abc import Awaitable, Callable
 
+import attrs
 import curio
 
 from cloverwalk.core import catalogue
 from cloverwalk.fleet.case_sync import CaseSync
-from cloverwalk.fleet.coordinator import Coordinator
+from cloverwalk.fleet.coordinator import ACK_EVERY_S, Coordinator
 from cloverwalk.fleet.directory_sync import DirectorySync
 from cloverwalk.fleet.identity import Identity
 from cloverwalk.fleet.leader import LeaderView
@@ -25,9 +27,11 @@
     Leadership,
     NodeLoad,
     Orders,
+    ReplicaTiming,
     Report,
     Served,
     Waiting,
+    WorkCorrection,
 )
 from cloverwalk.fleet.places import Place, PlaceDesk
 from cloverwalk.fleet.transport import Sender
@@ -36,6 +40,10 @@
 from cloverwalk.store.health import StoreHealth
 from cloverwalk.telemetry.log import ServingLog
 
+MOST_TIMINGS = 16
+"""Timings of items in one report, some 600 bytes: enough for what ends between two reports, which
+follow each end; after a pause the newest say most."""
+
 HEARTBEAT_S = 1.0
 """Longest time between reports."""
 
@@ -48,6 +56,15 @@
 HEARD_LATELY_S = 0.3
 """A coordinator that was heard within this time is asked once more before a standby."""
 
+UNANSWERED_S = 0.5
+"""A report that got no word back for so long, though the node was reported to again, tells that
+the coordinator is silent. Items of a node without online requests are served by its zone's standby
+within 1.6 s of a cut by it, and never without it. Only reports count that must be acknowledged:
+those that are sent ``ACK_EVERY_S`` after the last word."""
+
+UNANSWERED_STEP_S = 0.3
+"""Time between reports while one has no answer."""
+
 NEVER_MS = 1_000_000
 """Told as the age of the store's last answer while the store is lost."""
 
@@ -62,6 +79,12 @@
     async def take_grants(self, grants: dict[str, int]) -> None:
         """Start items at replicas."""
 
+    async def take_tenant_grants(
+        self, grants: dict[str, int], by_tenant: dict[str, dict[str, int]]
+    ) -> None:
+        """Start items at replicas, of the tenants that ``by_tenant`` names by replica."""
+        await self.take_grants(grants)
+
     async def take_revokes(self, revokes: dict[str, int]) -> None:
         """Suspend items at replicas."""
 
@@ -69,6 +92,15 @@
         """Run jobs that have no owner."""
 
 
+@attrs.define
+class _Unanswered:
+    """A node that has sent nothing since a report to it."""
+
+    target: Contact
+    since: float
+    reports: int = 0
+
+
 class CoordinatorLink:
     """Reports to the coordinator and acts on its orders."""
 
@@ -109,15 +141,26 @@
         """Own waiting items, as the next report tells them."""
 
         self.is_leaving = False
+        self.fullness_percent = 0
+        """How full this node's machine is, as reports tell it; 0: nobody measures it."""
+
+        self.on_zone_fullness: Callable[[int], None] = _ignore_figure
+        """Called with how full the nodes of this zone are."""
+
         self._served_at = float("-inf")
         self._settled: dict[str, tuple[str, int]] = {}
         self._places = PlaceDesk(self, loads, clock)
         self._replicas = DirectorySync(directory, log, clock)
         self._served: list[Served] = []
+        self._corrections: Counter[tuple[str, int]] = Counter()
+        self._timings: deque[ReplicaTiming] = deque(maxlen=MOST_TIMINGS)
         self._sequence = 0
         self._sent_at = float("-inf")
         self._heard_at = float("-inf")
         self._wake = curio.Event()
+        self._unanswered: _Unanswered | None = None
+        self._target_heard = ("", float("-inf"))
+        """The node that is reported to, and when it last sent something."""
 
     def use_seeds(self, seeds: list[str]) -> None:
         """Take hosts of nodes that may know who coordinates."""
@@ -129,8 +172,7 @@
         """Report until cancelled: at each change, and now and then."""
         while True:
             is_lost = self._leader.has_lost_coordinator or self._leader.is_unheard
-            longest_s = STANDBY_HEARTBEAT_S if is_lost else HEARTBEAT_S
-            rest_s = self._sent_at + longest_s - self._clock()
+            rest_s = self.report_due_at() - self._clock()
             if rest_s > 0:
                 async with curio.ignore_after(rest_s):
                     await self._wake.wait()
@@ -142,6 +184,14 @@
             if is_lost:
                 self._try_silent()
 
+    def report_due_at(self) -> float:
+        """Return when the next report goes out, if nothing changes before."""
+        is_lost = self._leader.has_lost_coordinator or self._leader.is_unheard
+        longest_s = STANDBY_HEARTBEAT_S if is_lost else HEARTBEAT_S
+        if self._unanswered is not None:
+            longest_s = min(longest_s, UNANSWERED_STEP_S)
+        return self._sent_at + longest_s
+
     async def note_change(self) -> None:
         """Loads, waiting items or the like have changed: the coordinator should know soon."""
         if self._clock() - self._sent_at >= REPORT_GAP_S:
@@ -153,14 +203,46 @@
         """A request was answered; the next report tells its times."""
         self._served.append(served)
 
+    def note_correction(self, tenant: str, rank: int, more_ms: int) -> None:
+        """An item of a tenant held a slot for so much longer than expected, or shorter."""
+        self._corrections[tenant, rank] += more_ms
+
+    def _take_corrections(self) -> list[WorkCorrection]:
+        corrections, self._corrections = self._corrections, Counter()
+        return [WorkCorrection(*key, more_ms) for key, more_ms in corrections.items()]
+
+    def note_timing(self, timing: ReplicaTiming) -> None:
+        """A run of an item ended; the next report tells how fast its replica was."""
+        self._timings.append(timing)
+
     async def _report(self) -> None:
         """Report to the coordinator, or to whoever stands in for it."""
+        self._judge_silence()
         target = self._leader.target()
         if target is None or target.node == self._identity.node:
             await self._tell_self([])
         else:
             self._send(target, [])
 
+    def _judge_silence(self) -> None:
+        """Turn away from a node that has answered no report lately."""
+        waits = self._unanswered
+        if waits is None or self._clock() - waits.since < UNANSWERED_S or waits.reports < 2:
+            return
+        self._unanswered = None
+        self._note_silent(waits.target)
+
+    def _note_report(self, target: Contact) -> None:
+        """A report is sent; only where zones are cut off its answer is waited for."""
+        if not self._coordinator.bears_zone_loss:
+            return
+        host, heard_at = self._target_heard
+        if host == target.host and self._clock() - heard_at < ACK_EVERY_S:
+            return
+        if self._unanswered is None or self._unanswered.target != target:
+            self._unanswered = _Unanswered(target, self._clock())
+        self._unanswered.reports += 1
+
     def _try_silent(self) -> None:
         """Report to the nodes that did not answer, too: they may be back."""
         hosts = {one.host for one in self._leader.silent_contacts()}
@@ -171,14 +253,18 @@
             self._transport.send(host, self._new_report(host, [], False))
 
     def _send(self, target: Contact, asks: list[Ask]) -> None:
+        self._note_report(target)
         is_standby = self._leader.has_lost_coordinator
         self._transport.send(target.host, self._new_report(target.host, asks, is_standby))
 
     async def _tell_self(self, asks: list[Ask]) -> None:
-        """Have this node's own coordinator decide; alone, it grants no slots to items."""
+        """Have this node's own coordinator decide; alone, it grants no slots to items.
+
+        Its zone's standby isn't alone: it grants slots within the zone, to its own items too.
+        """
         host = self._identity.host
         report = self._new_report(host, asks, not self._coordinator.is_active)
-        if not self._coordinator.is_active:
+        if not self._coordinator.is_active and not self._leader.serves_zone:
             report.waiting = {}
         await self._coordinator.hear(report, host)
 
@@ -210,8 +296,12 @@
             self._coordinator.deputy_grants(now),
             self._cases.for_report(),
             self._cases.ledger.digest,
+            timings=list(self._timings),
+            corrections=self._take_corrections(),
+            fullness_percent=self.fullness_percent,
         )
         self._served = []
+        self._timings.clear()
         return report
 
     @property
@@ -241,8 +331,10 @@
 
     def note_no_answer(self, target: Contact, asked_at: float) -> None:
         """An ask had no answer; one that was heard lately gets another chance."""
-        if asked_at - self._heard_at <= HEARD_LATELY_S:
-            return
+        if asked_at - self._heard_at > HEARD_LATELY_S:
+            self._note_silent(target)
+
+    def _note_silent(self, target: Contact) -> None:
         if self._leader.current is not None and target == self._leader.current.holder:
             self._log.write(
                 catalogue.COORDINATOR_SILENT,
@@ -256,11 +348,13 @@
 
     async def take(self, message: Datagram, host: str) -> None:
         """Take a message of the coordinator or of another node."""
+        self._note_word(host)
         match message:
             case Orders():
                 await self.take_orders(message, host)
             case Introduction():
                 await self.offer(message.leadership)
+                self._note_standby(host)
             case CrashCases():
                 if self._cases.take(message.cases, host):
                     await self.note_change()
@@ -269,6 +363,26 @@
                     # Another change was lost on the way; the report asks for the whole list.
                     await self._wake.set()
 
+    def _note_word(self, host: str) -> None:
+        """The node that is reported to, or was, has sent something."""
+        if self._unanswered is not None and self._unanswered.target.host == host:
+            self._unanswered = None
+        target = self._leader.target()
+        if target is not None and target.host == host:
+            self._target_heard = (host, self._clock())
+
+    def _note_standby(self, host: str) -> None:
+        """A node that does not coordinate has answered: as a standby it can be turned to again.
+
+        Without this the nodes of a cut zone were served by two of its standbys for the whole cut,
+        after some had missed one answer of the first; each granted all slots of the zone.
+        """
+        current = self._leader.current
+        if not self._coordinator.bears_zone_loss or current is None:
+            return
+        if host != current.holder.host:
+            self._leader.note_heard(host, self._clock())
+
     async def offer(self, leadership: Leadership) -> None:
         """Take news of who coordinates."""
         if not self._leader.offer(leadership, self._clock()):
@@ -298,6 +412,7 @@
         self._served_at = now if orders.is_store_served else self._served_at
         self._replicas.confirm(orders)
         self._cases.note_coordinator(orders.cases_digest)
+        self.on_zone_fullness(orders.zone_fullness_percent)
         if orders.take_over:
             await self.batch.take_jobs(orders.take_over)
         self._coordinator.take_fleet(orders.nodes, orders.near_limit, now)
@@ -314,7 +429,9 @@
         is_followed = target is not None and target.host == host
         if is_followed and orders.revokes:
             await self.batch.take_revokes(orders.revokes)
-        if is_followed and orders.grants:
+        if is_followed and orders.grants_by_tenant:
+            await self.batch.take_tenant_grants(orders.grants, orders.grants_by_tenant)
+        elif is_followed and orders.grants:
             await self.batch.take_grants(orders.grants)
         if orders.grants or orders.revokes:
             await self.note_change()
@@ -330,3 +447,7 @@
 
 def _ignore() -> None:
     return
+
+
+def _ignore_figure(percent: int) -> None:
+    return
--- a/src/cloverwalk/fleet/messages.py
+++ b/src/cloverwalk/fleet/messages.py
@@ -14,9 +14,12 @@
 from cloverwalk.core.errors import CloverwalkError
 from cloverwalk.gateway.configuration import Configuration
 from cloverwalk.gateway.crash_ledger import CaseCopy
+from cloverwalk.gateway.machine_room import FULL_AT
 from cloverwalk.gateway.replicas import Replica
 from cloverwalk.scheduling.admission import Verdict
 
+FULL_PERCENT = round(100 * FULL_AT)
+
 
 class DatagramError(CloverwalkError):
     """A datagram is not a message of a node."""
@@ -149,6 +152,9 @@
     """What the replica told of its pace as the answer began: 100 is its usual one, 200 twice as
     long; 0: it told nothing."""
 
+    tenant: str = ""
+    """Who sent it; empty for callers without a key."""
+
 
 class ReplicaTiming(Struct, array_like=True, frozen=True):
     """How an item ran at a replica, in ms."""
@@ -162,6 +168,15 @@
     """As in ``Served``."""
 
 
+class WorkCorrection(Struct, array_like=True, frozen=True):
+    """Slot time that items of a tenant took beyond what was expected when they were granted."""
+
+    tenant: str
+    rank: int
+    more_ms: int
+    """Negative: less, also where they gave way."""
+
+
 class Report(Struct, tag="report", array_like=True):
     """The state of a node, and what it wants to know.
 
@@ -210,7 +225,16 @@
     """How items ran that have ended since the last report; bounded by the sender."""
 
     fullness_percent: int = 0
-    """How much of what the node's machine can carry is in use, by whatever is scarcest there."""
+    """How much of what the node's machine can carry is in use, by whatever is scarcest there; 0:
+    nobody measures it."""
+
+    @property
+    def is_full(self) -> bool:
+        """Whether the node's machine is nearly full, and gets what can go elsewhere last."""
+        return self.fullness_percent >= FULL_PERCENT
+
+    corrections: list[WorkCorrection] = []
+    """Those since the last report; none where nobody shares by tenant."""
 
     @property
     def incarnation(self) -> str:
@@ -237,12 +261,17 @@
     reading_ms: int = 0
     """Time that the replica needed for prompts which were sent before."""
 
+    ahead_ms: int = 0
+    """With RETURN: slot time by which its tenant is ahead of others, where that is the reason."""
+
 
 class Contact(Struct, array_like=True, frozen=True):
     """Where a node is reached."""
 
     node: str
     host: str
+    zone: str = ""
+    """Told for standbys where each zone has one of its own; empty elsewhere."""
 
 
 class Leadership(Struct, array_like=True, frozen=True):
@@ -300,6 +329,12 @@
     cases_digest: int = 0
     """Digest of the sender's cases, as in a report."""
 
+    grants_by_tenant: dict[str, dict[str, int]] = {}
+    """Whose items the grants are for, by replica; what it leaves out is for any item."""
+
+    zone_fullness_percent: int = 0
+    """How full the nodes of the receiver's zone are in the middle; 0: not told."""
+
 
 class RouteFigures(Struct, array_like=True, frozen=True):
     """What was learnt of a route's requests."""
@@ -342,6 +377,9 @@
     used_shares: dict[str, float] = {}
     """Slot time that tenants have had ahead of others, in ms, by tenant."""
 
+    used_item_shares: dict[str, float] = {}
+    """The same for their items."""
+
 
 class RemovedReplica(Struct, array_like=True, frozen=True):
     """A replica that is gone as of a version."""
--- a/src/cloverwalk/jobs/run.py
+++ b/src/cloverwalk/jobs/run.py
@@ -20,6 +20,10 @@
 """Characters of output in one saved segment, about."""
 
 
+TEXT_OVERHEAD_BYTES = 57
+"""What a short text takes in memory beside its characters: the object, and its place in a list."""
+
+
 class Phase(Enum):
     """Where an item is at its owner."""
 
@@ -29,6 +33,24 @@
     LISTED = "listed"
 
 
+class RunTiming(Struct):
+    """How a run of an item went at its replica."""
+
+    told_percent: int
+    """What the replica told of its pace as the answer began, 100 for its usual one; 0: nothing."""
+
+    events: int = 0
+    first_at: float = 0.0
+    last_at: float = 0.0
+
+    def note(self, events: int, now: float) -> None:
+        """Events came."""
+        if self.events == 0:
+            self.first_at = now
+        self.events += events
+        self.last_at = now
+
+
 class ItemRun(Struct):
     """One item."""
 
@@ -48,12 +70,18 @@
     replica_id: str = ""
     """Where it runs, or ran last: its prompt may still be kept there."""
 
+    born_ms: int = 0
+    """Which start of that replica it was, see ``Replica``: the next one keeps no prompt."""
+
     content: str = ""
     """Name of its content, once somebody has asked for it; see ``gateway.content``."""
 
     delivery: Delivery | None = None
     """How its last run was sent, once it was."""
 
+    timing: RunTiming | None = None
+    """How that run went, once it was answered."""
+
     saved: int = 0
     """Events of the output that the store holds."""
 
@@ -67,6 +95,9 @@
     suspensions: int = 0
     """Runs of this owner that gave way to online requests."""
 
+    output_bytes: int = 0
+    """About what its output takes in memory."""
+
 
 class JobRun:
     """A job that this node owns."""
@@ -75,6 +106,7 @@
         self.record = record
         self.version = version
         self.items = [ItemRun(index, item) for index, item in enumerate(items)]
+        self._body_bytes = sum(len(item.body) for item in items)
         self.is_dropped = False
         self._by_id = {one.item.item_id: one for one in self.items}
 
@@ -83,6 +115,12 @@
         """The job's id."""
         return self.record.job_id
 
+    @property
+    def held_bytes(self) -> int:
+        """About what its bodies, and the outputs that are not listed, take in memory."""
+        outputs = sum(one.output_bytes for one in self.items if one.phase is not Phase.LISTED)
+        return self._body_bytes + outputs
+
     def restore(self, listed_ids: set[str], partials: list[PartialOutput]) -> None:
         """Take over what an earlier owner left."""
         for one in self.items:
@@ -103,6 +141,7 @@
         one.failures = max(one.failures, max(segment.failures for segment in segments))
         if one.phase is Phase.PENDING and len(texts) > len(one.texts):
             one.texts = texts
+            one.output_bytes = sum(len(text) + TEXT_OVERHEAD_BYTES for text in texts)
             one.last_event_id = last_event_id
 
     def pending(self, now: float) -> list[ItemRun]:
@@ -112,12 +151,13 @@
         ready = [one for one in self.items if one.phase is Phase.PENDING and one.not_before <= now]
         return sorted(ready, key=lambda one: (not one.texts, one.index))
 
-    def begin(self, one: ItemRun, replica_id: str, now: float) -> None:
+    def begin(self, one: ItemRun, replica_id: str, now: float, born_ms: int = 0) -> None:
         """An item was sent to a replica."""
         if one.first_began_at is None:
             one.first_began_at = now
         one.phase = Phase.RUNNING
         one.replica_id = replica_id
+        one.born_ms = born_ms
 
     def take_event(self, one: ItemRun, event_id: int | None, data: str) -> bool:
         """Add an event's data; return False when it does not follow the last one.
@@ -137,6 +177,7 @@
             return False
         one.last_event_id = event_id
         one.texts.append(data)
+        one.output_bytes += len(data) + TEXT_OVERHEAD_BYTES
         return True
 
     def suspend(self, one: ItemRun, not_before: float) -> None:
--- a/src/cloverwalk/jobs/runner.py
+++ b/src/cloverwalk/jobs/runner.py
@@ -9,13 +9,14 @@
 from cloverwalk.core import catalogue
 from cloverwalk.fleet.link import BatchSide, CoordinatorLink
 from cloverwalk.fleet.load import LoadBook, Work
+from cloverwalk.fleet.messages import ReplicaTiming
 from cloverwalk.gateway.configuration import ConfigurationHolder, Route
 from cloverwalk.gateway.crash_witness import CrashWitness
 from cloverwalk.gateway.errors import SILENT, ReplicaError
 from cloverwalk.gateway.replicas import Replica, ReplicaDirectory
 from cloverwalk.jobs.evidence import Impossible, ItemEnd, RouteWatch, past_retention
 from cloverwalk.jobs.item_call import ItemCaller, ItemFailedError, ItemImpossibleError
-from cloverwalk.jobs.order import WaitingItem, summarise
+from cloverwalk.jobs.order import WaitingItem, pick, summarise
 from cloverwalk.jobs.pace import ItemPace
 from cloverwalk.jobs.run import ItemRun, JobRun, Phase
 from cloverwalk.scheduling.selection import reading_ms
@@ -40,6 +41,9 @@
         self.replica_id = work.replica_id
         self.started_at = started_at
         self.task: Any = None
+        self.expected_ms = 0.0
+        """Slot time that it was expected to take when it was granted its slot."""
+
         self.gives_way = False
         """Whether it was told to give way: its work is not counted any more."""
 
@@ -86,6 +90,9 @@
         self._has_jobs = curio.Event()
         self._pace = ItemPace()
         self._route_watch = RouteWatch()
+        self._tells_pace = False
+        """Whether a replica has told its pace here: then how long items still run matters."""
+
         self._has_ended = False
         """Whether a run has ended since the last report was asked for."""
 
@@ -113,6 +120,11 @@
             await running.task.cancel(blocking=False)
         await self._wake.set()
 
+    @property
+    def held_bytes(self) -> int:
+        """About what own jobs take in memory."""
+        return sum(job.held_bytes for job in self.jobs.values())
+
     async def until_jobs(self) -> None:
         """Return when this node runs any job."""
         await self._has_jobs.wait()
@@ -185,13 +197,23 @@
     def _waiting_item(self, job: JobRun, one: ItemRun) -> WaitingItem:
         due_ms = job.record.due_ms
         can_be_in_time = self._pace.can_be_in_time(one, self._left_ms(job))
-        replica_id = one.replica_id if self._directory.find(one.replica_id) else ""
+        kept_at = self._directory.find(one.replica_id)
+        replica_id = one.replica_id if kept_at and kept_at.may_be_start(one.born_ms) else ""
         order_ms = self._pace.order_ms(one, due_ms)
         priority = self._priority(job)
-        tokens = one.item.tokens if self._loads.counts_tokens else 0
-        return WaitingItem(
-            order_ms, can_be_in_time, replica_id, self._reading_ms(one), priority, tokens
+        waiting = WaitingItem(
+            order_ms,
+            can_be_in_time,
+            replica_id,
+            self._reading_ms(one),
+            priority,
+            tokens=one.item.tokens if self._loads.counts_tokens else 0,
         )
+        has_tenants = self._configuration.has_tenants
+        if not has_tenants and not self._tells_pace:
+            return waiting
+        tenant = job.record.tenant if has_tenants else ""
+        return attrs.evolve(waiting, tenant=tenant, rest_ms=1000 * self._pace.remaining_s(one))
 
     def _priority(self, job: JobRun) -> int:
         """Return the rank of a job: its tenant's, or its route's."""
@@ -264,18 +286,27 @@
 
     async def take_grants(self, grants: dict[str, int]) -> None:
         """Start as many items at each replica as there are slots for them."""
+        await self.take_tenant_grants(grants, {})
+
+    async def take_tenant_grants(
+        self, grants: dict[str, int], by_tenant: dict[str, dict[str, int]]
+    ) -> None:
+        """Start items at replicas: of the tenants that were granted slots, then any others."""
         if self.is_stopping:
             return
         for replica_id, count in grants.items():
             replica = self._directory.find(replica_id)
             if replica is None:
                 continue
-            for job, one in self._first_waiting(replica, count):
+            waiting = self._waiting_for(replica)
+            tenants = [job.record.tenant for job, _ in waiting]
+            for index in pick(tenants, count, by_tenant.get(replica_id, {})):
+                job, one = waiting[index]
                 await self._start(job, one, replica)
         await self._wake.set()
 
-    def _first_waiting(self, replica: Replica, count: int) -> list[tuple[JobRun, ItemRun]]:
-        """Return the items that come first, of those due together the ones of this replica."""
+    def _waiting_for(self, replica: Replica) -> list[tuple[JobRun, ItemRun]]:
+        """Return the items in their order, of those due together the ones of this replica first."""
         ranked: list[tuple[tuple[int, bool, float], JobRun, ItemRun]] = []
         for job in self.jobs.values():
             if replica.service not in self._services(job):
@@ -285,7 +316,7 @@
                 is_elsewhere = told.replica_id not in ("", replica.replica_id)
                 ranked.append(((told.due_step, is_elsewhere, told.due_ms), job, one))
         ranked.sort(key=lambda entry: entry[0])
-        return [(job, one) for _, job, one in ranked[:count]]
+        return [(job, one) for _, job, one in ranked]
 
     async def take_revokes(self, revokes: dict[str, int]) -> None:
         """Suspend items at replicas, where online requests need their slots."""
@@ -300,9 +331,10 @@
 
     async def _start(self, job: JobRun, one: ItemRun, replica: Replica) -> None:
         now = self._clock()
-        job.begin(one, replica.replica_id, now)
+        job.begin(one, replica.replica_id, now, replica.born_ms)
         work = self._loads.begin(replica.replica_id, True, one.item.tokens)
         running = _Running(job, one, work, now)
+        running.expected_ms = self._pace.remaining_s(one) * 1000
         self._running[job.job_id, one.index] = running
         self._log.write(
             catalogue.ITEM_STARTED,
@@ -364,10 +396,12 @@
         self._running.pop((job.job_id, one.index), None)
         one.last_run_s = self._clock() - running.started_at
         one.ran_s += one.last_run_s
+        self._note_correction(running)
         one.suspensions += outcome == "suspended"
         if one.phase is Phase.RUNNING:
             pause_s = 0.0 if outcome == "suspended" else RETRY_S
             job.suspend(one, self._clock() + pause_s)
+        self._tell_timing(running)
         self._metrics.item_ended(outcome)
         self._log.write(
             catalogue.ITEM_RUN_ENDED,
@@ -387,6 +421,23 @@
         self._has_ended = True
         await self._wake.set()
 
+    def _note_correction(self, running: _Running) -> None:
+        """Tell what the run took beyond what its tenant was charged for it."""
+        if not self._configuration.has_tenants:
+            return
+        tenant, rank = running.job.record.tenant, self._priority(running.job)
+        more_ms = running.one.last_run_s * 1000 - running.expected_ms
+        self._link.note_correction(tenant, rank, round(more_ms))
+
+    def _tell_timing(self, running: _Running) -> None:
+        timing = running.one.timing
+        if timing is None or timing.events == 0:
+            return
+        self._tells_pace |= timing.told_percent > 0
+        took_ms = round((timing.last_at - timing.first_at) * 1000)
+        told = ReplicaTiming(running.replica_id, timing.events, took_ms, timing.told_percent)
+        self._link.note_timing(told)
+
     def _note_lateness(self, job: JobRun, one: ItemRun) -> str | None:
         """Return why a finished item is late; None for one in time, or not finished."""
         if one.phase is not Phase.FINISHED or one.end is not None:
--- a/src/cloverwalk/serving/fleet_parts.py
+++ b/src/cloverwalk/serving/fleet_parts.py
@@ -16,8 +16,10 @@
 from cloverwalk.scheduling.features import Features, FeatureState
 from cloverwalk.scheduling.scheduler import Scheduler
 from cloverwalk.scheduling.service_times import ServiceTimes
+from cloverwalk.scheduling.share_watch import HeldBack, ShareWatch
 from cloverwalk.scheduling.slot_time import SlotUse
 from cloverwalk.scheduling.slot_watch import SlotWatch
+from cloverwalk.scheduling.zone_reach import ReachChange
 from cloverwalk.serving.knowledge import FleetKnowledge
 from cloverwalk.serving.settings import ServingSettings
 from cloverwalk.store.health import StoreHealth
@@ -55,7 +57,9 @@
         self._log = log
         self.transport = DatagramTransport(settings.peer_address, log)
         self.leader = LeaderView(self.identity, clock())
-        self.features = Features(knowledge.configuration, settings.is_memory_scarce)
+        self.features = Features(
+            knowledge.configuration, settings.is_memory_scarce, settings.tolerance.zones
+        )
         self.features.on_change = self._note_feature
         self.scheduler = Scheduler(
             knowledge.directory,
@@ -66,6 +70,8 @@
             random,
             self.features,
         )
+        self.scheduler.reach.on_change = self._note_reach
+        self.scheduler.paces.on_change = self._note_pace
         self.cases = CaseSync(knowledge.crashes, self.transport, log, clock)
         self.coordinator = Coordinator(
             self.identity,
@@ -94,7 +100,9 @@
             clock,
         )
         self.slots = SlotWatch(self.scheduler, self._note_slot_time)
-        self.coordinator.on_tick = self.slots.tick
+        shares, item_shares = self.scheduler.shares, self.scheduler.item_shares
+        self.shares = ShareWatch(shares, item_shares, self._note_held_back)
+        self.coordinator.on_tick = self._tick
         self.coordinator.deliver_locally = self._deliver_locally
         self.link.on_placed = knowledge.startup.note_placed
         self.election = Election(
@@ -112,10 +120,36 @@
         self._take_leadership = self.link.on_leadership
         self.link.on_leadership = self._on_leadership
 
+    def _tick(self, now: float) -> None:
+        self.slots.tick(now)
+        self.shares.tick(now)
+
+    def _note_held_back(self, held_back: HeldBack) -> None:
+        self._log.write(
+            catalogue.TENANTS_HELD_BACK,
+            tenants=held_back.by_tenant,
+            others=held_back.others,
+            bad_figures=held_back.bad_figures,
+        )
+
     def _note_slot_time(self, uses: dict[SlotUse, float]) -> None:
         told = {use.value: round(seconds, 2) for use, seconds in uses.items() if seconds > 0}
         self._log.write(catalogue.SLOT_TIME, **told)
 
+    def _note_reach(self, change: ReachChange) -> None:
+        event = catalogue.ZONE_REACHABLE if change.is_reachable else catalogue.ZONE_UNREACHABLE
+        self._log.write(
+            event, zone=change.zone, source=change.source, evidence=change.evidence.value
+        )
+
+    def _note_pace(self, replica_id: str, factor: float, is_unusual: bool) -> None:
+        self._log.write(
+            catalogue.REPLICA_PACE_CHANGED,
+            replica=replica_id,
+            pace=round(factor, 2),
+            is_unusual=is_unusual,
+        )
+
     def _note_feature(self, state: FeatureState) -> None:
         self._log.write(
             catalogue.FEATURE_CHANGED,
--- a/src/cloverwalk/telemetry/metrics.py
+++ b/src/cloverwalk/telemetry/metrics.py
@@ -57,15 +57,27 @@
         self.directory = TenantDirectory()
         """The tenants in force, whose quotas are told."""
 
+        self.share_ms: Mapping[tuple[str, str], int] = {}
+        """Slot time that tenants were given, by work and by whether they were ahead of others."""
+
         self.slot_seconds: Mapping[str, float] = {}
         """Slot-seconds of the replicas by use, as counted by this node while it coordinated."""
 
+        self.fullness: Mapping[str, float] = {}
+        """How full this node's machine is, by resource; empty where nobody measures it."""
+
         self._late: Counter[tuple[str, str]] = Counter()
         self._requests: Counter[tuple[str, str]] = Counter()
         self._failures: Counter[str] = Counter()
         self._items: Counter[str] = Counter()
         self._broken_off: Counter[str] = Counter()
         self._containments: Counter[str] = Counter()
+        self._invalid_entries = 0
+        self._restarts = 0
+        self._odd_figures: Counter[str] = Counter()
+        self.replica_paces: Mapping[str, int] = {}
+        """Replicas by pace class, as this node has learnt it while it coordinated."""
+
         self._durations: dict[str, Latencies] = {}
         self._first_events: dict[str, Latencies] = {}
         self._running: dict[str, int] = {}
@@ -96,6 +108,14 @@
         """A request was contained, was refused for it, or is free again."""
         self._containments[event] += 1
 
+    def replica_entry_invalid(self) -> None:
+        """An entry of the list of replicas names no replica to use."""
+        self._invalid_entries += 1
+
+    def replica_restarted(self) -> None:
+        """A replica started again under its id."""
+        self._restarts += 1
+
     def item_ended(self, outcome: str) -> None:
         """A run of an item ended."""
         self._items[outcome] += 1
@@ -103,6 +123,7 @@
     def replica_load(self, replica_id: str, load: ReplicaLoad) -> None:
         """A replica told its load."""
         self._running[replica_id] = load.running
+        self._odd_figures["slowdown"] += load.has_odd_slowdown
 
     def gauge(self, name: str, help_text: str, value: float) -> None:
         """Set a plain figure."""
@@ -134,16 +155,37 @@
         for use, seconds in self.slot_seconds.items():
             slots.add_metric([use], seconds)
         yield slots
+        shares = CounterMetricFamily(
+            "cloverwalk_share_slot_ms",
+            "Slot time expected when work got its slot, by work and by its tenant's share",
+            labels=["work", "share"],
+        )
+        for (work, share), slot_ms in self.share_ms.items():
+            shares.add_metric([work, share], slot_ms)
+        yield shares
+        if self.fullness:
+            fullness = GaugeMetricFamily(
+                "cloverwalk_machine_fullness", "Part in use, by resource", labels=["resource"]
+            )
+            for resource, part in self.fullness.items():
+                fullness.add_metric([resource], part)
+            yield fullness
         for name, help_text, counts, label in (
             ("cloverwalk_attempt_failures", "Failed attempts", self._failures, "code"),
             ("cloverwalk_items", "Ended runs of items", self._items, "outcome"),
             ("cloverwalk_broken_off", "Replicas that broke off", self._broken_off, "found"),
             ("cloverwalk_containments", "Requests contained", self._containments, "event"),
+            ("cloverwalk_odd_figures", "Replicas' figures dropped", self._odd_figures, "figure"),
         ):
             counter = CounterMetricFamily(name, help_text, labels=[label])
             for value, count in counts.items():
                 counter.add_metric([value], count)
             yield counter
+        for name, help_text, total in (
+            ("cloverwalk_replica_entries_invalid", "Entries not used", self._invalid_entries),
+            ("cloverwalk_replica_restarts", "Starts under a known id", self._restarts),
+        ):
+            yield CounterMetricFamily(name, help_text, value=total)
         for name, help_text, by_route in (
             (
                 "cloverwalk_request_seconds",
@@ -168,6 +210,10 @@
         for replica_id, count in self._running.items():
             running.add_metric([replica_id], count)
         yield running
+        paces = GaugeMetricFamily("cloverwalk_replica_paces", "Replicas by pace", labels=["pace"])
+        for name, count in self.replica_paces.items():
+            paces.add_metric([name], count)
+        yield paces
         for name, (help_text, figure) in self._gauges.items():
             yield GaugeMetricFamily(name, help_text, value=figure)
         yield from self.tenants.collect(self.directory)
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -36,6 +36,8 @@
 HEALTH = "tests/serving/test_store_health.py::"
 SCHEDULER = "tests/serving/test_scheduler.py::"
 COORDINATION = "tests/serving/test_coordination.py::"
+FULL_NODES = "tests/serving/test_full_nodes.py::"
+ROOM = "tests/unit/test_machine_room.py::"
 ITEM_SLOTS = "tests/serving/test_item_slots.py::"
 RETURN = "tests/serving/test_return.py::"
 ADMISSION = "tests/unit/test_admission.py::"
@@ -49,6 +51,8 @@
 PROMISED = "tests/serving/test_promises.py::test_a_promise_is_given_only_where_no_replica_began"
 REFUSALS = "tests/serving/test_refusals.py::"
 JOB_REFUSALS = "tests/serving/test_job_refusals.py::"
+ENTRIES = "tests/serving/test_replica_entries.py::"
+RESTARTED = "tests/serving/test_restarted_replicas.py::"
 SOAK = "tests/soak/test_soak_short.py::test_a_short_soak_breaks_no_promise"
 MUTANTS = [
     Mutant(
@@ -523,6 +527,20 @@
         "        if False:",
         JOBS + "test_a_read_that_lags_behind_does_not_bring_a_removed_job_back",
     ),
+    Mutant(
+        "serving: what clients do not read grows without bound",
+        "gateway/held_bytes.py",
+        "        while self._readers and not self._fits(needed):",
+        "        while False:",
+        FULL_NODES + "test_clients_that_do_not_read_hold_a_bounded_part_of_the_memory_and_no_slots",
+    ),
+    Mutant(
+        "serving: a node as full as its zone turns work away",
+        "gateway/machine_room.py",
+        "        if ahead < (MARGIN / 2 if was_full else MARGIN):",
+        "        if False:",
+        ROOM + "test_a_node_whose_peers_are_as_full_or_unknown_turns_nothing_away",
+    ),
     Mutant(
         "serving: a client that does not read is kept",
         "gateway/reply.py",
@@ -568,17 +586,33 @@
     Mutant(
         "serving: decisions count only when they are reported",
         "scheduling/slot_book.py",
-        "        self._change(replica_id, online, batch)\n\n    def forget",
+        "        self._change(replica_id, _expected(decision), 1)\n\n    def forget",
         "\n    def forget",
         SCHEDULER + "test_every_free_slot_goes_to_waiting_items_at_once_and_none_twice",
     ),
     Mutant(
         "serving: items that were told to give way still count",
         "scheduling/batch.py",
-        "        self._book.expect(node, decisions.number, replica_id, batch=-count, now=now)",
-        "        pass",
+        "replica_id, batch=-count, tokens=tokens, now=now)",
+        "replica_id, batch=0, now=now)",
         SCHEDULER + "test_items_give_way_for_each_online_request_and_no_more",
     ),
+    Mutant(
+        "memory: a request is placed beside more than fits",
+        "scheduling/replica_memory.py",
+        "return limit == 0 or work.tokens - work.batch_tokens + tokens <= limit",
+        "return limit == 0 or tokens <= limit",
+        "tests/serving/test_replica_memory.py::"
+        "test_no_burst_of_long_requests_fills_a_replica_beyond_its_memory",
+    ),
+    Mutant(
+        "memory: items keep the memory that an online request needs",
+        "scheduling/replica_view.py",
+        "return max(by_slots, self._memory.must_yield(replica, now))",
+        "return by_slots",
+        "tests/serving/test_replica_memory.py::"
+        "test_items_give_way_where_they_hold_the_memory_that_an_online_request_needs",
+    ),
     Mutant(
         "serving: an order settles when its items have given way",
         "fleet/link.py",
@@ -635,6 +669,30 @@
         "        if False:",
         COORDINATION + "test_orders_take_effect_once_and_only_those_of_the_node_that_is_followed",
     ),
+    Mutant(
+        "zones: standbys are chosen by name alone",
+        "fleet/roster.py",
+        "            return _by_zone(able, own_zone)",
+        "            pass",
+        "tests/serving/test_zone_loss.py::"
+        "test_each_other_zone_has_a_standby_and_its_place_is_filled_again",
+    ),
+    Mutant(
+        "zones: who takes the role forgets the nodes elsewhere",
+        "fleet/coordinator.py",
+        "            nodes = max(nodes, self._fleet_size) if is_recent else nodes",
+        "            pass",
+        "tests/serving/test_zone_loss.py::"
+        "test_a_zone_that_is_cut_off_gets_slots_within_it_and_turns_back",
+    ),
+    Mutant(
+        "zones: one failed replica shuts its zone out",
+        "scheduling/zone_reach.py",
+        "        if not link.is_shut and len(link.failed_at) >= needed:",
+        "        if not link.is_shut:",
+        "tests/serving/test_zone_loss.py::"
+        "test_few_failures_or_one_answer_between_them_shut_no_zone",
+    ),
     Mutant(
         "serving: a node that nobody answers starts items",
         "fleet/link.py",
@@ -1200,6 +1258,71 @@
         "str(error), WorkState.NOT_BEGUN, error.wait_s)",
         SOAK,
     ),
+    Mutant(
+        "entries: one that can't be read leaves the one before it in use",
+        "serving/knowledge.py",
+        "            elif self.directory.remove(row.row_key.key, row.version):",
+        "            elif not row.value and self.directory.remove(row.row_key.key, row.version):",
+        ENTRIES + "test_changes_and_a_whole_read_tell_the_same",
+    ),
+    Mutant(
+        "entries: a state that is not known counts as leaving",
+        "platform/documents.py",
+        "    if wire.state not in STATES:",
+        "    if not wire.state:",
+        ENTRIES + "test_an_odd_entry_names_no_replica_to_use",
+        (("platform/documents.py", "STATES[wire.state]", 'wire.state != "ready"'),),
+    ),
+    Mutant(
+        "restarts: exchanges at the start before are left to silence",
+        "gateway/restarts.py",
+        "self._pool.break_off(address, restart.opened_before, now - QUIET_S)",
+        "0",
+        RESTARTED + "test_a_request_that_may_not_be_repeated_gets_its_failure_at_once",
+        (("gateway/restarts.py", "            self._open.append(restart)", "            pass"),),
+    ),
+    Mutant(
+        "restarts: what may be at the new start is broken off too",
+        "gateway/restarts.py",
+        "_Restart(address, opened_before, now)",
+        "_Restart(address, now, now)",
+        RESTARTED + "test_what_was_sent_since_the_list_was_confirmed_is_left_alone",
+    ),
+    Mutant(
+        "restarts: an address that refused tells nothing",
+        "gateway/restarts.py",
+        "min(self._directory.confirmed_at, self._pool.take_refusal(address))",
+        "self._directory.confirmed_at",
+        RESTARTED + "test_what_was_sent_after_its_address_had_refused_is_left_alone",
+    ),
+    Mutant(
+        "restarts: kept connections to the start before are used",
+        "gateway/restarts.py",
+        "self._pool.discard_idle(address)",
+        "0",
+        RESTARTED + "test_kept_connections_to_the_start_before_are_not_used",
+    ),
+    Mutant(
+        "restarts: late news brings the earlier start back",
+        "gateway/replicas.py",
+        "        if self._is_late(replica):",
+        "        if False:",
+        RESTARTED + "test_late_news_does_not_bring_the_earlier_start_back",
+    ),
+    Mutant(
+        "restarts: items go back to a prompt that is gone",
+        "jobs/runner.py",
+        "kept_at and kept_at.may_be_start(one.born_ms)",
+        "kept_at",
+        RESTARTED + "test_items_go_on_elsewhere_and_forget_the_prompt_that_was_kept",
+    ),
+    Mutant(
+        "restarts: two starts of a replica count once against a request",
+        "gateway/crash_witness.py",
+        "            if self.ledger.note_crash(content, replica.start_id, look.broken_at):",
+        "            if self.ledger.note_crash(content, replica.replica_id, look.broken_at):",
+        RESTARTED + "test_a_start_that_refuses_counts_for_itself",
+    ),
     Mutant(
         "soak: items are given up soon after their hand-in",
         "jobs/evidence.py",
--- a/tests/serving/test_scheduler.py
+++ b/tests/serving/test_scheduler.py
@@ -25,6 +25,7 @@
 from cloverwalk.scheduling.scheduler import Scheduler
 from cloverwalk.scheduling.service_times import ServiceTimes
 from cloverwalk.scheduling.slot_book import UNSETTLED_S, SlotBook
+from cloverwalk.tenants.directory import Tenant
 
 SLOTS = 8
 POOL = "model"
@@ -49,6 +50,9 @@
     sequence: int = 0
     online: dict[str, int] = attrs.Factory(dict)
     batch: dict[str, int] = attrs.Factory(dict)
+    tokens: dict[str, int] = attrs.Factory(dict)
+    """Memory that its online requests take, where a test counts it."""
+
     waiting: list[WaitingGroup] = attrs.Factory(list)
     placements: dict[int, Placement] = attrs.Factory(dict)
     suspects: list[str] = attrs.Factory(list)
@@ -56,7 +60,10 @@
     def report(self, asks: list[Ask] | None = None, served: list[Served] | None = None) -> Report:
         self.sequence += 1
         replicas = {*self.online, *self.batch}
-        loads = {key: NodeLoad(self.online.get(key, 0), self.batch.get(key, 0)) for key in replicas}
+        loads = {
+            key: NodeLoad(self.online.get(key, 0), self.batch.get(key, 0), self.tokens.get(key, 0))
+            for key in replicas
+        }
         return Report(
             self.name,
             "0a",
@@ -79,7 +86,9 @@
 class Fleet:
     """A scheduler, replicas and nodes, with time by hand."""
 
-    def __init__(self, replicas: int = 2, nodes: int = 3, zones: int = 1) -> None:
+    def __init__(
+        self, replicas: int = 2, nodes: int = 3, zones: int = 1, tenants: tuple[Tenant, ...] = ()
+    ) -> None:
         self.now = 100.0
         self.directory = ReplicaDirectory()
         for number in range(replicas):
@@ -89,7 +98,7 @@
             )
         holder = ConfigurationHolder()
         routes = (online_route("chat"), online_route("patient", priority=1))
-        holder.offer(Configuration(1, routes, {}, ClientLimits()))
+        holder.offer(Configuration(1, routes, {}, ClientLimits(), tenants or None))
         self.scheduler = Scheduler(
             self.directory,
             holder,
