--- a/tests/serving/returning_world.py
+++ b/tests/serving/returning_world.py
@@ -454,5 +454,6 @@
         "version": "v1",
         "slots": 8,
         "state": "ready",
+        "cold_left_ms": 0,
         "seq": 1,
     }
