Nothing reads two things that the parts for hard load brought: taken out

Features.tells_pace had no caller, and Ask.output_tokens was sent with each ask and never set or read: the length hint decides nothing.

--- a/src/cloverwalk/fleet/messages.py
+++ b/src/cloverwalk/fleet/messages.py
@@ -127,9 +127,6 @@
     """Memory that it may take at a replica, in tokens: its prompt and the most that may come out;
     0: its caller did not say."""
 
-    output_tokens: int = 0
-    """How many tokens are expected to come out; 0: its caller did not say."""
-
 
 class Served(Struct, array_like=True, frozen=True):
     """Times of an online request that was answered at its first attempt, in ms."""
--- a/src/cloverwalk/scheduling/features.py
+++ b/src/cloverwalk/scheduling/features.py
@@ -81,10 +81,6 @@
         self._found.clear()
         self.look()
 
-    def tells_pace(self, service: str) -> bool:
-        """Whether replicas of a service tell how fast they work."""
-        return service in self._tells_pace
-
     def is_on(self, feature: Feature) -> bool:
         """Whether a part is in force; decisions ask many times, so what was found is kept."""
         current = self._configuration.current
