Report configuration age in logs and metrics

An operator could see which configuration version a node answered with, but not whether it was still the newest: logs did not distinguish a node that had lost the store from one whose coordinator was behind.

Each node now records when its version was last known to be the newest: the start of the last answered call of the configuration feed, or the time derived from the age that the coordinator reports in its orders and configuration copies. request_answered, request_ended and call_refused log this age as configuration_age_ms; configuration_taken logs the sending host and how long the previous version had been unconfirmed. New gauges: cloverwalk_configuration_age_seconds and, at the coordinator, cloverwalk_nodes_with_older_configuration. Orders and configuration copies have a new last field, which older nodes ignore.

--- a/src/cloverwalk/fleet/coordinator.py
+++ b/src/cloverwalk/fleet/coordinator.py
@@ -216,6 +216,11 @@
             nodes = max(nodes, self._fleet_size) if is_recent else nodes
         return nodes
 
+    def count_nodes_with_older_configuration(self) -> int:
+        """Return the number of live nodes that last reported an older configuration version."""
+        version = self._configuration.version
+        return sum(entry.report.configuration_version < version for entry in self.registry.live())
+
     def _log_served_zone(self) -> None:
         """Log when this standby starts and stops serving nodes of its zone."""
         if not self.tolerates_zone_loss:
@@ -281,6 +286,7 @@
             self._is_store_available_to_other_nodes(node),
         )
         orders.crash_digest = self._crash_records.ledger.digest
+        orders.configuration_age_ms = self._configuration.age_ms(now)
         if self.is_active:
             orders.nodes = self._count_fleet_nodes()
             orders.near_limit = self._near_limit
--- a/src/cloverwalk/fleet/coordinator_client.py
+++ b/src/cloverwalk/fleet/coordinator_client.py
@@ -347,6 +347,11 @@
         """Version of the configuration that this node uses."""
         return self._configuration.version
 
+    @property
+    def configuration_age_ms(self) -> int:
+        """Time since this version was last known to be the newest, in ms."""
+        return self._configuration.age_ms(self._clock())
+
     # --- placement of online requests ---
 
     async def request_placement(self, request: PlacementRequest, until: float) -> PlacementResult:
@@ -454,6 +459,7 @@
             now if orders.is_store_served else self._store_available_elsewhere_at
         )
         self._directory_sync.confirm(orders)
+        self._confirm_configuration(orders, now)
         self._crash_records.record_coordinator_digest(orders.crash_digest)
         self.on_zone_utilization(orders.zone_utilization_percent)
         if orders.take_over:
@@ -463,6 +469,12 @@
             self._coordinator.apply_totals(orders.replica_loads, now)
         await self._apply_batch_orders(orders, host)
 
+    def _confirm_configuration(self, orders: Orders, now: float) -> None:
+        """Record when the sender last knew this node's configuration to be the newest."""
+        if orders.configuration_age_ms is not None:
+            confirmed_at = now - orders.configuration_age_ms / 1000
+            self._configuration.record_confirmation(orders.configuration_version, confirmed_at)
+
     async def _apply_batch_orders(self, orders: Orders, host: str) -> None:
         run, last_applied = self._last_applied_orders.get(host, ("", 0))
         if run == orders.sender and orders.number <= last_applied:
--- a/src/cloverwalk/fleet/follower.py
+++ b/src/cloverwalk/fleet/follower.py
@@ -23,12 +23,17 @@
     """Return at once, so that the table is always followed."""
 
 
+def _ignore_confirmation(confirmed_at: float) -> None:
+    return
+
+
 class TableFollower:
     """Passes the rows of one table and their changes to callbacks.
 
     ``on_full_read`` gets every row of the table, ``on_changes`` the rows changed since. A call that
     succeeds confirms all earlier rows, even if nothing has changed. ``wait_until_needed`` returns
     when the table has to be followed; a node whose coordinator sends all changes needn't follow it.
+    ``on_confirmed`` gets the start time of each answered call, after its rows have been applied.
     """
 
     def __init__(
@@ -43,9 +48,11 @@
         clock: Callable[[], float],
         random: Random,
         wait_until_needed: WaitUntilNeeded = follow_always,
+        on_confirmed: Callable[[float], None] = _ignore_confirmation,
     ) -> None:
         self.table = table
         self._wait_until_needed = wait_until_needed
+        self._on_confirmed = on_confirmed
         self._store = store
         self._health = health
         self._on_full_read = on_full_read
@@ -93,6 +100,7 @@
 
     def _record_answer(self, began_at: float) -> None:
         self.confirmed_at = began_at
+        self._on_confirmed(began_at)
         if self._failing_since is not None:
             lost_s = round(self._clock() - self._failing_since, 3)
             self._log.write(catalogue.FEED_BACK, table=self.table, lost_s=lost_s)
--- a/src/cloverwalk/fleet/messages.py
+++ b/src/cloverwalk/fleet/messages.py
@@ -346,6 +346,9 @@
     """Memory that the items of ``grants`` may use together, by replica, in tokens; empty if
     memory isn't counted."""
 
+    configuration_age_ms: int | None = None
+    """Time since the sender's configuration was last known to be the newest; None: not reported."""
+
 
 class RouteEstimates(Struct, array_like=True, frozen=True):
     """Learnt times of a route's requests."""
@@ -425,6 +428,8 @@
     """The whole configuration for a node that has an older one; it contains digests of keys."""
 
     configuration: Configuration
+    age_ms: int | None = None
+    """Time since the configuration was last known to be the newest; None: not reported."""
 
 
 class CrashCases(Struct, tag="crash_cases", array_like=True):
--- a/src/cloverwalk/fleet/state_sender.py
+++ b/src/cloverwalk/fleet/state_sender.py
@@ -65,7 +65,8 @@
         current = self._configuration.current
         if current is not None and report.configuration_version < current.version:
             entry.state_sent_at = now
-            self._transport.send(host, ConfigurationCopy(current))
+            copy = ConfigurationCopy(current, self._configuration.age_ms(now))
+            self._transport.send(host, copy)
         if report.directory != self._directory.fingerprint and self._directory.version > 0:
             self._copy_directory(entry, now)
 
--- a/src/cloverwalk/gateway/configuration.py
+++ b/src/cloverwalk/gateway/configuration.py
@@ -121,6 +121,10 @@
     return len(route.prefix)
 
 
+MAX_CONFIGURATION_AGE_MS = 1_000_000
+"""Upper bound of the reported age; also the age of a configuration that was never confirmed."""
+
+
 class ConfigurationHolder:
     """Holds the newest configuration; an older version never replaces it."""
 
@@ -129,6 +133,9 @@
         self.tenants = TenantDirectory()
         """The tenants of ``current``."""
 
+        self.confirmed_at = float("-inf")
+        """When the current version was last known to be the newest (monotonic clock, seconds)."""
+
     @property
     def version(self) -> int:
         """The current version, or -1 if there is none."""
@@ -139,6 +146,24 @@
         """Whether callers have keys."""
         return self.current is not None and self.current.tenants is not None
 
+    def age_ms(self, now: float) -> int:
+        """Return the time since the current version was last known to be the newest, in ms."""
+        return int(min(MAX_CONFIGURATION_AGE_MS, (now - self.confirmed_at) * 1000))
+
+    def record_confirmation(self, version: int, confirmed_at: float) -> None:
+        """Record that ``version`` was the newest at ``confirmed_at``; ignored if it isn't current.
+
+        >>> holder = ConfigurationHolder()
+        >>> holder.update_if_newer(Configuration(7, (), {}, ClientLimits()))
+        True
+        >>> holder.record_confirmation(6, 2.0)
+        >>> holder.record_confirmation(7, 1.0)
+        >>> holder.age_ms(1.5)
+        500
+        """
+        if version == self.version:
+            self.confirmed_at = max(self.confirmed_at, confirmed_at)
+
     def update_if_newer(self, configuration: Configuration) -> bool:
         """Replace the configuration by a newer one; return whether it was newer.
 
--- a/src/cloverwalk/gateway/relay.py
+++ b/src/cloverwalk/gateway/relay.py
@@ -405,6 +405,7 @@
             route=progress.route.name,
             tenant=request.tenant,
             configuration=self._coordinator_client.configuration_version,
+            configuration_age_ms=self._coordinator_client.configuration_age_ms,
             outcome=outcome,
             status=status,
             work=None if outcome == "answered" else progress.state.value,
--- a/src/cloverwalk/serving/fleet_parts.py
+++ b/src/cloverwalk/serving/fleet_parts.py
@@ -177,7 +177,7 @@
             case Snapshot():
                 await self.election.handle_snapshot(message, host)
             case ConfigurationCopy():
-                self._fleet_state.apply_configuration(message.configuration, "peer")
+                self._fleet_state.apply_configuration_copy(message, host)
             case StoreReturned():
                 await self._health.hint_recovery()
                 if self.coordinator.is_active and not self._health.is_unavailable:
--- a/src/cloverwalk/serving/fleet_state.py
+++ b/src/cloverwalk/serving/fleet_state.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 
 from cloverwalk.core import catalogue
+from cloverwalk.fleet.messages import ConfigurationCopy
 from cloverwalk.gateway.configuration import Configuration, ConfigurationHolder
 from cloverwalk.gateway.crash_ledger import CrashLedger
 from cloverwalk.gateway.replicas import Replica, ReplicaDirectory
@@ -54,8 +55,22 @@
             return
         self.apply_configuration(configuration, "store")
 
-    def apply_configuration(self, configuration: Configuration, source: str) -> None:
-        """Apply a configuration if it is newer; ``source`` is where it came from, for the log."""
+    def on_configuration_confirmed(self, confirmed_at: float) -> None:
+        """Record that the store had no newer valid configuration at ``confirmed_at``."""
+        self.configuration.record_confirmation(self.configuration.version, confirmed_at)
+
+    def apply_configuration_copy(self, copy: ConfigurationCopy, host: str) -> None:
+        """Apply a configuration sent by another node, and when it was last confirmed."""
+        self.apply_configuration(copy.configuration, "peer", host)
+        if copy.age_ms is not None:
+            confirmed_at = self._clock() - copy.age_ms / 1000
+            self.configuration.record_confirmation(copy.configuration.version, confirmed_at)
+
+    def apply_configuration(
+        self, configuration: Configuration, source: str, host: str | None = None
+    ) -> None:
+        """Apply a configuration if it is newer; ``source`` and ``host`` are logged."""
+        unconfirmed_ms = self.configuration.age_ms(self._clock())
         if not self.configuration.update_if_newer(configuration):
             return
         self._log.write(
@@ -64,6 +79,8 @@
             routes=len(configuration.routes),
             tenants=None if configuration.tenants is None else len(configuration.tenants),
             source=source,
+            host=host,
+            unconfirmed_ms=unconfirmed_ms,
         )
         self.startup.record_stage(Stage.CONFIGURATION, source)
 
--- a/src/cloverwalk/serving/node.py
+++ b/src/cloverwalk/serving/node.py
@@ -169,6 +169,7 @@
             self._log,
             self._clock,
             self._random,
+            on_confirmed=self._fleet_state.on_configuration_confirmed,
         )
         self._replica_follower = TableFollower(
             self._adapter.replica_table,
@@ -210,6 +211,7 @@
             self._metrics,
             lambda: self._clock() < self._accepts_until,
             self._resource_monitor,
+            self._clock,
         )
         self._ready = self._create_server(
             settings.ready_address, self._answer_ready, MAX_INTERNAL_CONNECTIONS
@@ -373,6 +375,11 @@
         metrics.gauge(
             "cloverwalk_configuration_version", "Version in force", self._configuration.version
         )
+        metrics.gauge(
+            "cloverwalk_configuration_age_seconds",
+            "Time since the version in force was last known to be the newest",
+            self._configuration.age_ms(now) / 1000,
+        )
         age_s = min(1e6, now - self._directory.confirmed_at)
         metrics.gauge(
             "cloverwalk_replica_list_age_seconds",
@@ -411,6 +418,11 @@
         metrics.gauge(
             "cloverwalk_coordinated_nodes", "Nodes that report to this coordinator", node_count
         )
+        metrics.gauge(
+            "cloverwalk_nodes_with_older_configuration",
+            "Nodes that report an older configuration to this coordinator",
+            coordinator.count_nodes_with_older_configuration() if coordinator.is_active else 0,
+        )
         if self._resource_monitor is not None:
             self._resource_monitor.update_metrics(metrics)
         content_type = (b"Content-Type", b"text/plain; version=0.0.4")
--- a/src/cloverwalk/serving/request_handler.py
+++ b/src/cloverwalk/serving/request_handler.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 
 from cloverwalk.core import catalogue
+from cloverwalk.core.clock import monotonic_s
 from cloverwalk.core.error_response import CallError, ErrorResponse, Reason, error_response
 from cloverwalk.gateway.configuration import ConfigurationHolder, Route, RouteKind
 from cloverwalk.gateway.errors import GatewayError
@@ -43,6 +44,7 @@
         metrics: ServingMetrics,
         accepts_requests: Callable[[], bool],
         resource_monitor: ResourceMonitor | None = None,
+        clock: Callable[[], float] = monotonic_s,
     ) -> None:
         self._adapter = adapter
         self._codec = adapter.codec
@@ -53,6 +55,7 @@
         self._metrics = metrics
         self._accepts_requests = accepts_requests
         self._resource_monitor = resource_monitor
+        self._clock = clock
 
     async def handle(self, request: ClientRequest, reply: Reply) -> None:
         """Handle one request until its response is sent."""
@@ -79,6 +82,7 @@
             code=response.code,
             work=response.work.value,
             configuration=self._configuration.version,
+            configuration_age_ms=self._configuration.age_ms(self._clock()),
         )
         self._metrics.request_ended("call", response.code, 0.0)
         headers = self._codec.local_reply_headers(request.fields.request_id, response.retry_after_s)
--- a/tests/serving/returning_world.py
+++ b/tests/serving/returning_world.py
@@ -331,6 +331,7 @@
             log,
             time,
             random,
+            on_confirmed=self.fleet_state.on_configuration_confirmed,
         )
         self._replica_follower = TableFollower(
             adapter.replica_table,
--- a/tests/serving/test_promises.py
+++ b/tests/serving/test_promises.py
@@ -89,6 +89,7 @@
     """A coordinator client with scripted placements, sensible or not."""
 
     configuration_version = 1
+    configuration_age_ms = 0
 
     def __init__(self, script: list[Step], loads: InFlightTracker) -> None:
         self._script = script
