Shorten the long poll of the configuration feed to 1.0 s

Symptom: a caller was refused under an older configuration more than 2 s after a newer one had been acknowledged, by a node without disturbance (one report).

Cause: a configuration feed call waits 2.5 s for a change, plus 0.8 s for the answer. If a connection fails without a reset while new connections work, only this timeout reveals it. The node then made its next call up to 3.45 s later and used the older version until then, longer than the 2 s within which a change has to be in force. After a change all nodes poll in step, so all of them were late at once.

The configuration feed now waits 1.0 s for a change, so the next call is made at most 1.95 s later. An idle node makes one call a second instead of one in 2.55 s.

--- a/src/cloverwalk/fleet/follower.py
+++ b/src/cloverwalk/fleet/follower.py
@@ -15,6 +15,10 @@
 LONG_POLL_TIMEOUT_S = 2.5
 """How long a call waits for a change; short, since a lost answer is noticed only by its timeout."""
 
+CONFIGURATION_LONG_POLL_TIMEOUT_S = 1.0
+"""Shorter for the configuration, since a change has to be in force on every node within 2 s: if a
+connection fails without a reset, the next call starts at most 1.95 s after the unanswered one."""
+
 OnRows = Callable[[RowPage], Awaitable[None]]
 WaitUntilNeeded = Callable[[], Awaitable[None]]
 
@@ -49,10 +53,12 @@
         random: Random,
         wait_until_needed: WaitUntilNeeded = follow_always,
         on_confirmed: Callable[[float], None] = _ignore_confirmation,
+        long_poll_timeout_s: float = LONG_POLL_TIMEOUT_S,
     ) -> None:
         self.table = table
         self._wait_until_needed = wait_until_needed
         self._on_confirmed = on_confirmed
+        self._long_poll_timeout_s = long_poll_timeout_s
         self._store = store
         self._health = health
         self._on_full_read = on_full_read
@@ -93,7 +99,7 @@
             page = await self._store.read_table(self.table)
             await self._on_full_read(page)
         else:
-            page = await self._store.changes(self.table, self._version, LONG_POLL_TIMEOUT_S)
+            page = await self._store.changes(self.table, self._version, self._long_poll_timeout_s)
             await self._on_changes(page)
         self._version = page.version
         self._record_answer(began_at)
--- a/src/cloverwalk/serving/node.py
+++ b/src/cloverwalk/serving/node.py
@@ -13,7 +13,7 @@
 from cloverwalk.core.error_response import ErrorResponse
 from cloverwalk.core.once_flag import OnceFlag
 from cloverwalk.fleet.crash_record_store import CrashRecordStore
-from cloverwalk.fleet.follower import TableFollower
+from cloverwalk.fleet.follower import CONFIGURATION_LONG_POLL_TIMEOUT_S, TableFollower
 from cloverwalk.fleet.in_flight import InFlightTracker
 from cloverwalk.gateway.configuration import ClientLimits
 from cloverwalk.gateway.containment import ContainmentGate
@@ -170,6 +170,7 @@
             self._clock,
             self._random,
             on_confirmed=self._fleet_state.on_configuration_confirmed,
+            long_poll_timeout_s=CONFIGURATION_LONG_POLL_TIMEOUT_S,
         )
         self._replica_follower = TableFollower(
             self._adapter.replica_table,
--- a/tests/serving/returning_world.py
+++ b/tests/serving/returning_world.py
@@ -25,7 +25,7 @@
 from cloverwalk.core.token_bucket import TokenBucket
 from cloverwalk.emulator.memory_store import MemoryStore
 from cloverwalk.emulator.platform_store_server import transaction_of, wire_rows
-from cloverwalk.fleet.follower import TableFollower
+from cloverwalk.fleet.follower import CONFIGURATION_LONG_POLL_TIMEOUT_S, TableFollower
 from cloverwalk.fleet.in_flight import InFlightTracker
 from cloverwalk.fleet.messages import Datagram, decode_datagram, encode_datagram
 from cloverwalk.fleet.transport import MAX_DATAGRAM_BYTES, OnDatagram
@@ -42,7 +42,7 @@
 from cloverwalk.serving.store_probe import StoreProbe
 from cloverwalk.store.clock import StoreClock
 from cloverwalk.store.health import MonitoredStore, StoreHealth
-from cloverwalk.store.types import CommitStatus, Put, RowKey, Transaction
+from cloverwalk.store.types import CommitOutcome, CommitStatus, Put, RowKey, Transaction
 from cloverwalk.telemetry.log import ServingLog
 from cloverwalk.telemetry.startup import StartupLog
 
@@ -128,6 +128,12 @@
         self.refuses: Callable[[str], int | None] = lambda host: None
         """Returns the status with which calls of a host are refused; None if they are served."""
 
+        self._answers_dropped_until = float("-inf")
+
+    def drop_pending_answers(self) -> None:
+        """Never answer the calls in flight, as if their connections failed without a reset."""
+        self._answers_dropped_until = self.time.now
+
     def put(self, table: str, key: str, document: Any) -> None:
         put = Put(RowKey(table, "", key), json.dumps(document).encode())
         self.rows.apply(Transaction(puts=[put]))
@@ -144,6 +150,7 @@
         query = {key: values[0] for key, values in parse_qs(url.query).items()}
         self.calls[f"{url.path} {query.get('table', '')}".strip()] += 1
         self.by_second[math.floor(self.time.now)] += 1
+        began_at = self.time.now
         await curio.sleep(STORE_TIME_S)
         refusal = self.refuses(host)
         if refusal == RESET:
@@ -158,6 +165,8 @@
             return HttpResponse(429, {}, b"")
         bucket.take(self.time.now)
         status, answer = await self._answer(url.path, path, query, body)
+        if began_at <= self._answers_dropped_until:
+            await curio.sleep(3600)
         self.bytes_sent += len(answer)
         await curio.sleep(self.link.transmit_time_s(len(answer), self.time.now))
         return HttpResponse(status, {}, answer)
@@ -196,14 +205,20 @@
         return [row for row in newest if row.version > since]
 
     async def _transaction(self, body: bytes) -> tuple[int, bytes]:
-        outcome = self.rows.apply(transaction_of(json.loads(body)))
+        outcome = await self.commit(transaction_of(json.loads(body)))
         if outcome.status is CommitStatus.COMMITTED:
-            changed, self._changed = self._changed, curio.Event()
-            await changed.set()
             return 200, json.dumps(self._stamp()).encode()
         rows = wire_rows(outcome.conflicts)
         return 412, json.dumps({**self._stamp(), "rows": rows}).encode()
 
+    async def commit(self, transaction: Transaction) -> CommitOutcome:
+        """Apply a transaction and wake the feed calls that wait for changes."""
+        outcome = self.rows.apply(transaction)
+        if outcome.status is CommitStatus.COMMITTED:
+            changed, self._changed = self._changed, curio.Event()
+            await changed.set()
+        return outcome
+
     def _stamp(self) -> dict[str, Any]:
         return {"ver": self.rows.version, "now_ms": self.time.now * 1000}
 
@@ -332,6 +347,7 @@
             time,
             random,
             on_confirmed=self.fleet_state.on_configuration_confirmed,
+            long_poll_timeout_s=CONFIGURATION_LONG_POLL_TIMEOUT_S,
         )
         self._replica_follower = TableFollower(
             adapter.replica_table,
@@ -415,6 +431,14 @@
             self.nodes.append(node)
             await node.start()
 
+    async def change_configuration(self, version: int) -> None:
+        """Commit a new version of the configuration, as an operator's edit does."""
+        put = Put(
+            RowKey(names.OPERATOR_TABLE, "", names.CONFIGURATION_KEY),
+            json.dumps(configuration(version)).encode(),
+        )
+        await self.store.commit(Transaction(puts=[put]))
+
     async def kill_all(self) -> None:
         """Kill all processes at once."""
         for node in self.nodes:
