Request newer configurations from the nodes that report them

Symptom: nodes that the store refused answered with an older configuration for as long as the store refused both them and the coordinator, although other nodes had a newer version.

Cause: copies of the configuration were sent only by the coordinator to other nodes. A coordinator that the store refused did not get a version that the nodes served by the store already had and reported to it.

The coordinator, or a standby that serves nodes, now requests a copy from a node that reports a newer version, at most once per 0.2 s. A node that has just read a version from the store reports it at once if its coordinator's own configuration was not confirmed within 1.5 s. A new version is sent at once to the nodes that the store does not serve, and copies of the configuration no longer wait for those of the replica list.

--- a/src/cloverwalk/fleet/coordinator.py
+++ b/src/cloverwalk/fleet/coordinator.py
@@ -201,6 +201,7 @@
         if now - entry.orders_sent_at >= ACK_INTERVAL_S:
             self._acknowledge(entry, now)
         self._state_sender.send_missing_state(entry, now)
+        self._state_sender.request_newer_configuration(entry, now)
 
     def _update_fleet_fraction(self) -> None:
         """Grant quotas for the part of the fleet that reports here."""
@@ -331,6 +332,7 @@
         self._expire_nodes(now)
         self._scheduler.tick(now)
         await self.send_decisions()
+        self._state_sender.push_configuration(self._peers(), now)
         if not self.is_active:
             self._log_served_zone()
             return
--- a/src/cloverwalk/fleet/coordinator_client.py
+++ b/src/cloverwalk/fleet/coordinator_client.py
@@ -67,6 +67,10 @@
 must be acknowledged. Without this timeout, nodes that have only batch items would never use a
 standby."""
 
+MAX_SERVED_CONFIGURATION_AGE_MS = 1500
+"""The store serves a coordinator whose configuration was confirmed within this time; longer than
+the 1.0 s that a call of the configuration feed waits."""
+
 MAX_STORE_AGE_MS = 1_000_000
 """Upper bound of the reported age of the store's last answer; sent while it is unavailable."""
 
@@ -164,6 +168,7 @@
         """Called with the median utilization of the nodes in this zone, in percent."""
 
         self._store_available_elsewhere_at = float("-inf")
+        self._coordinator_configuration_age_ms: int | None = None
         self._last_applied_orders: dict[str, tuple[str, int]] = {}
         self._placement_client = PlacementClient(self, loads, clock)
         self._directory_sync = DirectorySync(directory, log, clock)
@@ -222,6 +227,15 @@
         else:
             await self._report_requested.set()
 
+    async def report_stored_configuration(self) -> None:
+        """Report a version just read from the store, unless the store serves the coordinator too.
+
+        A coordinator that the store serves reads the version at about the same time.
+        """
+        age_ms = self._coordinator_configuration_age_ms
+        if age_ms is None or age_ms > MAX_SERVED_CONFIGURATION_AGE_MS:
+            await self._report_requested.set()
+
     def record_request_timing(self, timing: RequestTiming) -> None:
         """Add the timing of an answered request to the next report."""
         self._request_timings.append(timing)
@@ -471,6 +485,7 @@
 
     def _confirm_configuration(self, orders: Orders, now: float) -> None:
         """Record when the sender last knew this node's configuration to be the newest."""
+        self._coordinator_configuration_age_ms = orders.configuration_age_ms
         if orders.configuration_age_ms is not None:
             confirmed_at = now - orders.configuration_age_ms / 1000
             self._configuration.record_confirmation(orders.configuration_version, confirmed_at)
--- a/src/cloverwalk/fleet/messages.py
+++ b/src/cloverwalk/fleet/messages.py
@@ -432,6 +432,13 @@
     """Time since the configuration was last known to be the newest; None: not reported."""
 
 
+class ConfigurationRequest(Struct, tag="configuration_request", array_like=True):
+    """Asks a node that reported a newer configuration for a copy of it."""
+
+    version: int
+    """The version that the node reported."""
+
+
 class CrashCases(Struct, tag="crash_cases", array_like=True):
     """Crash records that all nodes should have."""
 
@@ -456,6 +463,7 @@
     | Snapshot
     | DirectoryUpdate
     | ConfigurationCopy
+    | ConfigurationRequest
     | CrashCases
     | Introduction
     | StoreReturned
--- a/src/cloverwalk/fleet/node_registry.py
+++ b/src/cloverwalk/fleet/node_registry.py
@@ -30,7 +30,10 @@
     """When orders were last sent to the node."""
 
     state_sent_at: float = float("-inf")
-    """When configuration or replica list were last sent; in the future after a long list."""
+    """When the replica list was last sent; in the future after a long list."""
+
+    configuration_sent_at: float = float("-inf")
+    """When the configuration was last sent to the node."""
 
     totals_sent_at: float = float("-inf")
     crash_records_sent_at: float = float("-inf")
--- a/src/cloverwalk/fleet/state_sender.py
+++ b/src/cloverwalk/fleet/state_sender.py
@@ -1,9 +1,18 @@
-"""Sends the configuration and the replica list from the coordinator to nodes that lack them."""
+"""Sends the configuration and the replica list from the coordinator to nodes that lack them.
+
+The store may refuse the coordinator while it serves other nodes, so the coordinator requests the
+configuration from a node that reports a newer version.
+"""
 
 import math
 from collections.abc import Iterable
 
-from cloverwalk.fleet.messages import ConfigurationCopy, DirectoryUpdate, RemovedReplica
+from cloverwalk.fleet.messages import (
+    ConfigurationCopy,
+    ConfigurationRequest,
+    DirectoryUpdate,
+    RemovedReplica,
+)
 from cloverwalk.fleet.node_registry import NodeEntry
 from cloverwalk.fleet.transport import Sender
 from cloverwalk.gateway.configuration import ConfigurationHolder
@@ -12,6 +21,9 @@
 COPY_INTERVAL_S = 0.5
 """Minimum time between copies of the configuration or replica list to one node."""
 
+CONFIGURATION_REQUEST_INTERVAL_S = 0.2
+"""Minimum time between requests for a newer configuration, after which a lost one is repeated."""
+
 MAX_REPLICAS_PER_COPY = 300
 """Replicas in one datagram of a whole list, about 27 KB. A longer list is sent in parts, and only
 to nodes that the store does not serve; the others read it from the store."""
@@ -50,26 +62,57 @@
         self.sent_fingerprint: int | None = None
         """Fingerprint of the list as of the last changes sent."""
 
+        self._configuration_requested_at = float("-inf")
+        self._pushed_configuration_version = configuration.version
+
     def mark_current_as_sent(self) -> None:
-        """Treat the current list as known to the nodes, so that only later changes are sent."""
+        """Treat the current state as known to the nodes, so that only later changes are sent."""
+        self._pushed_configuration_version = self._configuration.version
         self._sent_directory = {replica.replica_id: replica for replica in self._directory.all()}
         self.sent_fingerprint = self._directory.fingerprint
 
     def send_missing_state(self, entry: NodeEntry, now: float) -> None:
         """Send a node the configuration and replica list if its own are older."""
-        if now - entry.state_sent_at < COPY_INTERVAL_S:
-            return
-        report, host = entry.report, entry.contact.host
+        report = entry.report
         if report.configuration_version < 0 and self._is_starting(entry, now):
             return
-        current = self._configuration.current
-        if current is not None and report.configuration_version < current.version:
-            entry.state_sent_at = now
-            copy = ConfigurationCopy(current, self._configuration.age_ms(now))
-            self._transport.send(host, copy)
+        if now - entry.configuration_sent_at >= COPY_INTERVAL_S:
+            self._send_newer_configuration(entry, now)
+        if now - entry.state_sent_at < COPY_INTERVAL_S:
+            return
         if report.directory != self._directory.fingerprint and self._directory.version > 0:
             self._copy_directory(entry, now)
 
+    def request_newer_configuration(self, entry: NodeEntry, now: float) -> None:
+        """Request the configuration from a node that reports a newer version than this node has."""
+        version = entry.report.configuration_version
+        if version <= self._configuration.version:
+            return
+        if now - self._configuration_requested_at < CONFIGURATION_REQUEST_INTERVAL_S:
+            return
+        self._configuration_requested_at = now
+        self._transport.send(entry.contact.host, ConfigurationRequest(version))
+
+    def push_configuration(self, nodes: Iterable[NodeEntry], now: float) -> None:
+        """Send a new configuration to the nodes that the store does not serve.
+
+        The other nodes read it from the store at about the same time.
+        """
+        if self._pushed_configuration_version == self._configuration.version:
+            return
+        self._pushed_configuration_version = self._configuration.version
+        for entry in nodes:
+            if entry.report.store_age_ms >= MAX_SERVED_STORE_AGE_MS:
+                self._send_newer_configuration(entry, now)
+
+    def _send_newer_configuration(self, entry: NodeEntry, now: float) -> None:
+        current = self._configuration.current
+        if current is None or entry.report.configuration_version >= current.version:
+            return
+        entry.configuration_sent_at = now
+        copy = ConfigurationCopy(current, self._configuration.age_ms(now))
+        self._transport.send(entry.contact.host, copy)
+
     def _is_starting(self, entry: NodeEntry, now: float) -> bool:
         is_served = entry.report.store_age_ms < MAX_SERVED_STORE_AGE_MS
         return is_served and now - entry.first_seen_at < STARTUP_GRACE_S
--- a/src/cloverwalk/serving/fleet_parts.py
+++ b/src/cloverwalk/serving/fleet_parts.py
@@ -11,7 +11,14 @@
 from cloverwalk.fleet.identity import Identity
 from cloverwalk.fleet.in_flight import InFlightTracker
 from cloverwalk.fleet.leader import LeaderView
-from cloverwalk.fleet.messages import ConfigurationCopy, Datagram, Report, Snapshot, StoreReturned
+from cloverwalk.fleet.messages import (
+    ConfigurationCopy,
+    ConfigurationRequest,
+    Datagram,
+    Report,
+    Snapshot,
+    StoreReturned,
+)
 from cloverwalk.fleet.transport import DatagramTransport
 from cloverwalk.scheduling.fair_share_reporter import FairShareReporter, ThrottledRequests
 from cloverwalk.scheduling.features import Features, FeatureState
@@ -108,6 +115,7 @@
         self.coordinator.on_tick = self._tick
         self.coordinator.deliver_locally = self._deliver_locally
         self.coordinator_client.on_placement = fleet_state.startup.record_placement
+        fleet_state.on_stored_configuration = self.coordinator_client.report_stored_configuration
         self.election = Election(
             self.identity,
             self.leader,
@@ -178,6 +186,8 @@
                 await self.election.handle_snapshot(message, host)
             case ConfigurationCopy():
                 self._fleet_state.apply_configuration_copy(message, host)
+            case ConfigurationRequest():
+                self._send_configuration(host)
             case StoreReturned():
                 await self._health.hint_recovery()
                 if self.coordinator.is_active and not self._health.is_unavailable:
@@ -186,6 +196,12 @@
                 await self.coordinator_client.handle_message(message, host)
                 self._fleet_state.record_directory_source("peer")
 
+    def _send_configuration(self, host: str) -> None:
+        configuration = self._fleet_state.configuration
+        if configuration.current is not None:
+            age_ms = configuration.age_ms(self._clock())
+            self.transport.send(host, ConfigurationCopy(configuration.current, age_ms))
+
     async def _on_leadership(self) -> None:
         self._fleet_state.startup.record_stage(Stage.COORDINATOR)
         await self._client_on_leadership()
--- a/src/cloverwalk/serving/fleet_state.py
+++ b/src/cloverwalk/serving/fleet_state.py
@@ -1,6 +1,6 @@
 """The fleet state of a node: configuration, replicas and crash ledger, from the store or peers."""
 
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 
 from cloverwalk.core import catalogue
 from cloverwalk.fleet.messages import ConfigurationCopy
@@ -14,6 +14,10 @@
 from cloverwalk.telemetry.startup import Stage, StartupLog
 
 
+async def _ignore_configuration() -> None:
+    return
+
+
 class FleetState:
     """Applies rows of the store to the fleet state; older rows never replace newer ones."""
 
@@ -34,6 +38,9 @@
         self.metrics = ServingMetrics()
         """Counts invalid entries; ``ServingNode`` replaces it by the metrics of the node."""
 
+        self.on_stored_configuration: Callable[[], Awaitable[None]] = _ignore_configuration
+        """Called after a newer configuration from the store has been applied."""
+
         self._invalid_versions: dict[str, int] = {}
         """Versions of invalid entries, by key; each version is logged once."""
 
@@ -41,9 +48,9 @@
         """Apply rows of the configuration table."""
         for row in page.rows:
             if row.row_key.key == self._adapter.configuration_key and row.value is not None:
-                self._apply_stored_configuration(row.value)
+                await self._apply_stored_configuration(row.value)
 
-    def _apply_stored_configuration(self, raw: bytes) -> None:
+    async def _apply_stored_configuration(self, raw: bytes) -> None:
         try:
             configuration = self._adapter.decode_configuration(raw)
         except ValueError as error:
@@ -53,7 +60,8 @@
                 kept=self.configuration.version,
             )
             return
-        self.apply_configuration(configuration, "store")
+        if self.apply_configuration(configuration, "store"):
+            await self.on_stored_configuration()
 
     def on_configuration_confirmed(self, confirmed_at: float) -> None:
         """Record that the store had no newer valid configuration at ``confirmed_at``."""
@@ -68,11 +76,14 @@
 
     def apply_configuration(
         self, configuration: Configuration, source: str, host: str | None = None
-    ) -> None:
-        """Apply a configuration if it is newer; ``source`` and ``host`` are logged."""
+    ) -> bool:
+        """Apply a configuration if it is newer; return whether it was newer.
+
+        ``source`` and ``host`` are logged.
+        """
         unconfirmed_ms = self.configuration.age_ms(self._clock())
         if not self.configuration.update_if_newer(configuration):
-            return
+            return False
         self._log.write(
             catalogue.CONFIGURATION_TAKEN,
             version=configuration.version,
@@ -83,6 +94,7 @@
             unconfirmed_ms=unconfirmed_ms,
         )
         self.startup.record_stage(Stage.CONFIGURATION, source)
+        return True
 
     async def on_all_replicas(self, page: RowPage) -> None:
         """Replace the replica list by the rows of a full read, without invalid entries."""
--- a/tests/serving/returning_world.py
+++ b/tests/serving/returning_world.py
@@ -256,6 +256,8 @@
         self.receivers: dict[str, OnDatagram] = {}
         self.sent: Counter[str] = Counter()
         self.bytes_by_kind: Counter[str] = Counter()
+        self.messages_to_drop: Counter[str] = Counter()
+        """How many of the next messages to drop, by kind."""
 
     async def run(self) -> None:
         while True:
@@ -279,7 +281,9 @@
         kind = type(message).__name__
         self._wire.sent[kind] += 1
         self._wire.bytes_by_kind[kind] += len(data)
-        if len(data) <= MAX_DATAGRAM_BYTES:
+        if self._wire.messages_to_drop[kind] > 0:
+            self._wire.messages_to_drop[kind] -= 1
+        elif len(data) <= MAX_DATAGRAM_BYTES:
             self._wire.in_transit.append((self._host, host, data))
 
     async def receive(self, on_datagram: OnDatagram) -> None:
--- a/tests/serving/test_configuration_spread.py
+++ b/tests/serving/test_configuration_spread.py
@@ -2,9 +2,10 @@
 
 import curio
 import pytest
-from returning_world import ReturningWorld, SimulatedTime, in_simulated_time
+from returning_world import NO_ANSWER, RESET, ReturningWorld, SimulatedTime, in_simulated_time
 
 NODES = 12
+SERVED_NODES = 2
 READS_PER_S, WRITES_PER_S = 2000.0, 800.0
 CONFIGURATION_TIMEOUT_S = 2.0
 START_TIMEOUT_S = 30.0
@@ -25,6 +26,41 @@
     )
 
 
+# Guards against refused nodes keeping an older version while the store refuses the coordinator too.
+@pytest.mark.parametrize("refusal", [429, 503, RESET, NO_ANSWER])
+def test_configuration_reaches_refused_nodes_while_coordinator_is_refused(refusal: int) -> None:
+    async def test(time: SimulatedTime) -> None:
+        world = await start_fleet(time, NODES)
+        refused = world.leadership_hosts()
+        others = [node.host for node in world.nodes if node.host not in refused]
+        refused |= set(others[SERVED_NODES:])
+        world.store.refuses = lambda host: refusal if host in refused else None
+        for version in (2, 3):
+            await curio.sleep(3.0)
+            await world.change_configuration(version)
+            await wait_for_configuration(world, version)
+
+    in_simulated_time(test)
+
+
+# Guards against a request or copy that is not repeated after its datagram was lost.
+@pytest.mark.parametrize("kind", ["ConfigurationRequest", "ConfigurationCopy"])
+def test_lost_request_or_copy_of_configuration_is_repeated(kind: str) -> None:
+    async def test(time: SimulatedTime) -> None:
+        world = await start_fleet(time, NODES)
+        served_node = world.nodes[-1]
+        world.store.refuses = lambda host: None if host == served_node.host else 503
+        await curio.sleep(3.0)
+        world.wire.messages_to_drop[kind] = 1
+        await world.change_configuration(2)
+        await world.wait_until(
+            lambda node: node.fleet_state.configuration.version == 2, 2 * CONFIGURATION_TIMEOUT_S
+        )
+        assert world.wire.messages_to_drop[kind] == 0
+
+    in_simulated_time(test)
+
+
 # Guards against an unanswered feed call delaying a change beyond CONFIGURATION_TIMEOUT_S.
 @pytest.mark.parametrize("step", range(13))
 def test_configuration_change_is_in_force_in_time_after_unanswered_call(step: int) -> None:
