Reject full table reads older than an earlier answer

After the store had dropped its history, a follower applied the next full read even if it was older than an earlier answer, and continued from that version.

Such a read is now rejected with store_answer_outdated and repeated after the usual delay.

Test: test_full_read_older_than_an_earlier_answer_is_read_again (failed without this change).

--- a/src/cloverwalk/fleet/follower.py
+++ b/src/cloverwalk/fleet/follower.py
@@ -68,6 +68,9 @@
         self._clock = clock
         self._random = random
         self._version: int | None = None
+        self._newest_version = -1
+        """Newest version of an answer; kept when the table has to be read in full again."""
+
         self._failing_since: float | None = None
         self.confirmed_at = float("-inf")
         """When the last answered call began, in seconds of the monotonic clock."""
@@ -97,11 +100,15 @@
         began_at = self._clock()
         if self._version is None:
             page = await self._store.read_table(self.table)
+            if page.version < self._newest_version:
+                message = f"full read has version {page.version}, older than {self._newest_version}"
+                raise StoreError(message, "store_answer_outdated")
             await self._on_full_read(page)
         else:
             page = await self._store.changes(self.table, self._version, self._long_poll_timeout_s)
             await self._on_changes(page)
         self._version = page.version
+        self._newest_version = max(self._newest_version, page.version)
         self._record_answer(began_at)
 
     def _record_answer(self, began_at: float) -> None:
