Ignore cached quota refusals after the quota has changed

Symptom: callers got 429 for up to the Retry-After time of the old quota (50 s with 0.02 requests a second) after the operator had raised it.

Cause: a node caches refusals by tenant name, regardless of the configuration under which they were made.

--- a/src/cloverwalk/serving/node.py
+++ b/src/cloverwalk/serving/node.py
@@ -187,7 +187,7 @@
 
     def _build_gateway(self) -> None:
         settings = self._settings
-        self._quota_refusals = QuotaRefusalCache(self._log, self._clock)
+        self._quota_refusals = QuotaRefusalCache(self._configuration, self._log, self._clock)
         relay = OnlineRelay(
             self._adapter.codec,
             self._directory,
--- a/tests/serving/test_outdated_configuration.py
+++ b/tests/serving/test_outdated_configuration.py
@@ -2,14 +2,16 @@
 
 from typing import Any
 
+import curio
 import pytest
 from fleet_world import Answer, FleetWorld, configuration, in_world, route
-from test_tenants import FIRST_KEY, start_with_tenants
+from test_tenants import FIRST_KEY, put_configuration, start_with_tenants, with_tenants
 
 from cloverwalk.platform import names
 from cloverwalk.serving.settings import DEFAULT_CONFIGURATION_APPLY_S
 
 NEW_ROUTE = "/new/"
+RAISED_QUOTA_TIMEOUT_S = 2.0
 
 
 def with_new_route(version: int) -> dict[str, Any]:
@@ -84,3 +86,19 @@
         assert (await world.ask("/never/")).status == 404
 
     in_world(test)
+
+
+# Guards against a cached 429 that remains after the quota was raised or removed.
+@pytest.mark.parametrize("limits", [{"rate_per_s": 500.0, "burst": 500}, {}])
+def test_raised_quota_ends_cached_refusals(limits: dict[str, Any]) -> None:
+    async def test(world: FleetWorld) -> None:
+        await start_with_tenants(world, rate_per_s=0.02, burst=1)
+        answers = [await world.ask("/chat/a", key=FIRST_KEY) for _ in range(40)]
+        assert answers[-1].status == 429
+        assert float(answers[-1].headers["retry-after"]) > 5
+        await put_configuration(world, with_tenants(3, **limits))
+        async with curio.timeout_after(RAISED_QUOTA_TIMEOUT_S):
+            while (await world.ask("/chat/a", key=FIRST_KEY)).status != 200:
+                await curio.sleep(0.02)
+
+    in_world(test)
--- a/tests/serving/test_promises.py
+++ b/tests/serving/test_promises.py
@@ -145,7 +145,7 @@
             metrics,
             time.monotonic,
             coordinator_client,
-            QuotaRefusalCache(log, time.monotonic),
+            QuotaRefusalCache(holder, log, time.monotonic),
             ContainmentGate(witness, metrics),
         )
         self.may_begin = True
