Send long configurations to other nodes in compressed parts

A copy that does not fit one datagram is now compressed, once per version, and sent in parts of 40,000 bytes. A lost part is sent again with the next copy. Short copies are sent as before. More than 64 parts (2.56 MB compressed) are rejected by the receiver.

Tests: test_long_configuration_reaches_nodes_that_the_store_refuses (3,000 routes) and the tests of the parts in test_configuration_copy.py.

--- a/src/cloverwalk/fleet/coordinator.py
+++ b/src/cloverwalk/fleet/coordinator.py
@@ -217,6 +217,10 @@
             nodes = max(nodes, self._fleet_size) if is_recent else nodes
         return nodes
 
+    def send_configuration(self, host: str) -> None:
+        """Send a copy of this node's configuration to another node."""
+        self._state_sender.send_configuration(host, self._clock())
+
     def count_nodes_with_older_configuration(self) -> int:
         """Return the number of live nodes that last reported an older configuration version."""
         version = self._configuration.version
--- a/src/cloverwalk/fleet/messages.py
+++ b/src/cloverwalk/fleet/messages.py
@@ -432,6 +432,21 @@
     """Time since the configuration was last known to be the newest; None: not reported."""
 
 
+class ConfigurationPart(Struct, tag="configuration_part", array_like=True):
+    """A part of a compressed configuration that is too long for one datagram."""
+
+    version: int
+    part: int
+    """Index of this part, from 0."""
+
+    parts: int
+    data: bytes
+    """This part of the zlib-compressed JSON of the configuration."""
+
+    age_ms: int | None = None
+    """As in ``ConfigurationCopy``."""
+
+
 class ConfigurationRequest(Struct, tag="configuration_request", array_like=True):
     """Asks a node that reported a newer configuration for a copy of it."""
 
@@ -463,6 +478,7 @@
     | Snapshot
     | DirectoryUpdate
     | ConfigurationCopy
+    | ConfigurationPart
     | ConfigurationRequest
     | CrashCases
     | Introduction
--- a/src/cloverwalk/fleet/state_sender.py
+++ b/src/cloverwalk/fleet/state_sender.py
@@ -7,8 +7,8 @@
 import math
 from collections.abc import Iterable
 
+from cloverwalk.fleet.configuration_copy import ConfigurationEncoder
 from cloverwalk.fleet.messages import (
-    ConfigurationCopy,
     ConfigurationRequest,
     DirectoryUpdate,
     RemovedReplica,
@@ -62,6 +62,7 @@
         self.sent_fingerprint: int | None = None
         """Fingerprint of the list as of the last changes sent."""
 
+        self._configuration_encoder = ConfigurationEncoder(configuration)
         self._configuration_requested_at = float("-inf")
         self._pushed_configuration_version = configuration.version
 
@@ -110,8 +111,12 @@
         if current is None or entry.report.configuration_version >= current.version:
             return
         entry.configuration_sent_at = now
-        copy = ConfigurationCopy(current, self._configuration.age_ms(now))
-        self._transport.send(entry.contact.host, copy)
+        self.send_configuration(entry.contact.host, now)
+
+    def send_configuration(self, host: str, now: float) -> None:
+        """Send a copy of the configuration, in parts if it does not fit one datagram."""
+        for datagram in self._configuration_encoder.datagrams(now):
+            self._transport.send(host, datagram)
 
     def _is_starting(self, entry: NodeEntry, now: float) -> bool:
         is_served = entry.report.store_age_ms < MAX_SERVED_STORE_AGE_MS
--- a/src/cloverwalk/serving/fleet_parts.py
+++ b/src/cloverwalk/serving/fleet_parts.py
@@ -4,6 +4,7 @@
 from random import Random
 
 from cloverwalk.core import catalogue
+from cloverwalk.fleet.configuration_copy import ConfigurationAssembler
 from cloverwalk.fleet.coordinator import Coordinator
 from cloverwalk.fleet.coordinator_client import CoordinatorClient
 from cloverwalk.fleet.crash_record_sync import CrashRecordSync
@@ -13,8 +14,10 @@
 from cloverwalk.fleet.leader import LeaderView
 from cloverwalk.fleet.messages import (
     ConfigurationCopy,
+    ConfigurationPart,
     ConfigurationRequest,
     Datagram,
+    DatagramError,
     Report,
     Snapshot,
     StoreReturned,
@@ -64,6 +67,7 @@
         self._clock = clock
         self._log = log
         self.transport = DatagramTransport(settings.peer_address, log)
+        self._configuration_assembler = ConfigurationAssembler()
         self.leader = LeaderView(self.identity, clock())
         self.features = Features(
             fleet_state.configuration, settings.is_memory_scarce, settings.tolerance.zones
@@ -186,8 +190,10 @@
                 await self.election.handle_snapshot(message, host)
             case ConfigurationCopy():
                 self._fleet_state.apply_configuration_copy(message, host)
+            case ConfigurationPart():
+                self._apply_configuration_part(message, host)
             case ConfigurationRequest():
-                self._send_configuration(host)
+                self.coordinator.send_configuration(host)
             case StoreReturned():
                 await self._health.hint_recovery()
                 if self.coordinator.is_active and not self._health.is_unavailable:
@@ -196,11 +202,16 @@
                 await self.coordinator_client.handle_message(message, host)
                 self._fleet_state.record_directory_source("peer")
 
-    def _send_configuration(self, host: str) -> None:
-        configuration = self._fleet_state.configuration
-        if configuration.current is not None:
-            age_ms = configuration.age_ms(self._clock())
-            self.transport.send(host, ConfigurationCopy(configuration.current, age_ms))
+    def _apply_configuration_part(self, part: ConfigurationPart, host: str) -> None:
+        try:
+            configuration = self._configuration_assembler.add(part)
+        except DatagramError as error:
+            self._log.write(catalogue.BAD_PEER_MESSAGE, problem=str(error)[:200], host=host)
+            return
+        if configuration is not None:
+            self._fleet_state.apply_configuration_copy(
+                ConfigurationCopy(configuration, part.age_ms), host
+            )
 
     async def _on_leadership(self) -> None:
         self._fleet_state.startup.record_stage(Stage.COORDINATOR)
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -53,6 +53,8 @@
 JOB_REFUSALS = "tests/serving/test_job_refusals.py::"
 ENTRIES = "tests/serving/test_replica_entries.py::"
 RESTARTED = "tests/serving/test_restarted_replicas.py::"
+SPREAD = "tests/serving/test_configuration_spread.py::"
+OUTDATED = "tests/serving/test_outdated_configuration.py::"
 NAMES = "tests/unit/test_interface_names.py::test_interface_names_are_unchanged"
 SOAK = "tests/soak/test_soak_short.py::test_short_soak_has_no_violations"
 MUTANTS = [
@@ -1345,6 +1347,69 @@
         NAMES,
         (("platform/documents.py", "wire.gap_aim_ms", "wire.gap_ms"),),
     ),
+    Mutant(
+        "configuration: the feed has the long poll timeout of other tables",
+        "fleet/follower.py",
+        "CONFIGURATION_LONG_POLL_TIMEOUT_S = 0.8",
+        "CONFIGURATION_LONG_POLL_TIMEOUT_S = 2.5",
+        SPREAD + "test_configuration_change_is_in_force_in_time_after_unanswered_call",
+    ),
+    Mutant(
+        "configuration: a newer version is not requested from the node that reports it",
+        "fleet/state_sender.py",
+        "        if version <= self._configuration.version:",
+        "        if version >= 0:",
+        SPREAD + "test_configuration_reaches_refused_nodes_while_coordinator_is_refused",
+    ),
+    Mutant(
+        "configuration: a lost request for a newer version is not repeated",
+        "fleet/state_sender.py",
+        "CONFIGURATION_REQUEST_INTERVAL_S = 0.2",
+        "CONFIGURATION_REQUEST_INTERVAL_S = 3600.0",
+        SPREAD + "test_lost_request_or_copy_of_configuration_is_repeated",
+    ),
+    Mutant(
+        "configuration: the configuration age in orders is ignored",
+        "fleet/coordinator_client.py",
+        "            confirmed_at = now - orders.configuration_age_ms / 1000",
+        "            confirmed_at = now",
+        SPREAD + "test_age_of_configuration_is_known_from_store_and_from_coordinator",
+    ),
+    Mutant(
+        "configuration: a version too long for one datagram is not sent in parts",
+        "fleet/configuration_copy.py",
+        "        if not self._is_sent_in_parts:",
+        "        if self._encoded_configuration is current:",
+        SPREAD + "test_long_configuration_reaches_nodes_that_the_store_refuses",
+    ),
+    Mutant(
+        "configuration: unknown routes get 404 under an unconfirmed version",
+        "serving/request_handler.py",
+        "        if age_s <= self._configuration_apply_s:",
+        "        if age_s >= 0:",
+        OUTDATED + "test_unknown_route_gets_404_only_if_configuration_is_confirmed",
+    ),
+    Mutant(
+        "configuration: an invalid stored version confirms the current one",
+        "serving/fleet_state.py",
+        "            self._is_stored_configuration_invalid = True",
+        "            self._is_stored_configuration_invalid = False",
+        OUTDATED + "test_invalid_stored_configuration_does_not_confirm_current_version",
+    ),
+    Mutant(
+        "configuration: a cached quota refusal applies after the quota has changed",
+        "tenants/quota_refusals.py",
+        "        if refusal is None or refusal.quota != self._quota(tenant):",
+        "        if refusal is None:",
+        OUTDATED + "test_raised_quota_ends_cached_refusals",
+    ),
+    Mutant(
+        "configuration: a full read older than an earlier answer is applied",
+        "fleet/follower.py",
+        "            if page.version < self._newest_version:",
+        "            if page.version < 0:",
+        "tests/serving/test_follower.py::test_full_read_older_than_an_earlier_answer_is_read_again",
+    ),
 ]
 
 
--- a/tests/serving/returning_world.py
+++ b/tests/serving/returning_world.py
@@ -435,11 +435,13 @@
             self.nodes.append(node)
             await node.start()
 
-    async def change_configuration(self, version: int) -> None:
+    async def change_configuration(
+        self, version: int, routes: list[dict[str, Any]] | None = None
+    ) -> None:
         """Commit a new version of the configuration, as an operator's edit does."""
         put = Put(
             RowKey(names.OPERATOR_TABLE, "", names.CONFIGURATION_KEY),
-            json.dumps(configuration(version)).encode(),
+            json.dumps(configuration(version, routes)).encode(),
         )
         await self.store.commit(Transaction(puts=[put]))
 
--- a/tests/serving/test_configuration_spread.py
+++ b/tests/serving/test_configuration_spread.py
@@ -2,12 +2,14 @@
 
 import curio
 import pytest
+from fleet_world import route
 from returning_world import NO_ANSWER, RESET, ReturningWorld, SimulatedTime, in_simulated_time
 
 from cloverwalk.serving.settings import DEFAULT_CONFIGURATION_APPLY_S
 
 NODES = 12
 SERVED_NODES = 2
+LONG_CONFIGURATION_ROUTES = 3000
 READS_PER_S, WRITES_PER_S = 2000.0, 800.0
 CONFIGURATION_TIMEOUT_S = 2.0
 START_TIMEOUT_S = 30.0
@@ -63,6 +65,27 @@
     in_simulated_time(test)
 
 
+# Guards against dropping a configuration that is too long for one datagram.
+def test_long_configuration_reaches_nodes_that_the_store_refuses() -> None:
+    async def test(time: SimulatedTime) -> None:
+        world = await start_fleet(time, NODES)
+        served_node = world.nodes[-1]
+        world.store.refuses = lambda host: None if host == served_node.host else 503
+        await curio.sleep(3.0)
+        routes = [
+            route(f"r{number}", f"/r{number}/", "safe")
+            for number in range(LONG_CONFIGURATION_ROUTES)
+        ]
+        await world.change_configuration(2, routes)
+        await wait_for_configuration(world, 2)
+        for node in world.nodes:
+            configuration = node.fleet_state.configuration.current
+            assert configuration is not None
+            assert len(configuration.routes) == LONG_CONFIGURATION_ROUTES
+
+    in_simulated_time(test)
+
+
 # Guards against an unanswered feed call delaying a change beyond CONFIGURATION_TIMEOUT_S.
 @pytest.mark.parametrize("step", range(13))
 def test_configuration_change_is_in_force_in_time_after_unanswered_call(step: int) -> None:
