Design and typed interfaces of the parts for regions, warm-ups and drains

Cause: two deployments need a configuration that crosses a thin link once, a rate limit for replicas that warm up, drains of whole zones, and two builds side by side. Several parts share messages, settings and features.

Nothing uses them yet.

No behaviour changes.

--- a/src/cloverwalk/core/catalogue.py
+++ b/src/cloverwalk/core/catalogue.py
@@ -278,6 +278,59 @@
 CONFIGURATION_INVALID = _event(
     611, "configuration_invalid", _E, "A stored configuration is invalid; the one in force is kept."
 )
+ROLE_LEASE_HELD = _event(
+    122, "role_lease_held", _I, "The coordinator's lease holds; it may grant warm-up tokens."
+)
+ROLE_LEASE_LOST = _event(
+    123,
+    "role_lease_lost",
+    _W,
+    "The coordinator's lease has lapsed or given way; it grants no warm-up tokens.",
+)
+REPLICA_WARMING = _event(
+    216, "replica_warming", _I, "A replica is warming up or may be; the cause is given."
+)
+REPLICA_WARM = _event(217, "replica_warm", _I, "A replica is no longer warming up.")
+WARMUP_SEND_REFUSED = _event(
+    218,
+    "warmup_send_refused",
+    _I,
+    "Work was not sent to a replica that is warming up, as it had no valid token.",
+)
+ZONE_DRAINED = _event(
+    232, "zone_drained", _W, "The operator drains a zone; its replicas get no new work."
+)
+ZONE_DRAIN_LIFTED = _event(233, "zone_drain_lifted", _I, "A zone is no longer drained.")
+ZONE_DRAINS_UNCONFIRMED = _event(
+    234,
+    "zone_drains_unconfirmed",
+    _W,
+    "This node can't confirm which zones are drained and keeps to what it last knew.",
+)
+ZONE_DRAIN_UNKNOWN_ZONE = _event(
+    235, "zone_drain_unknown_zone", _W, "A drained zone is not one of the deployment's zones."
+)
+CONFIGURATION_SOURCES_CHANGED = _event(
+    620,
+    "configuration_sources_changed",
+    _I,
+    "The coordinator chose other nodes from which a region gets the configuration.",
+)
+CONFIGURATION_SOURCE_LOST = _event(
+    621,
+    "configuration_source_lost",
+    _W,
+    "A configuration source does not answer or is outdated; the next one is polled.",
+)
+CONFIGURATION_READ_NEEDED = _event(
+    622,
+    "configuration_read_needed",
+    _I,
+    "This node reads the configuration from the store itself; the reason is given.",
+)
+CONFIGURATION_PARTS_REPEATED = _event(
+    623, "configuration_parts_repeated", _I, "Lost parts of a configuration were requested again."
+)
 UNEXPECTED = _event(900, "unexpected", _E, "An unexpected error in the program; please report it.")
 LINES_DROPPED = _event(
     902, "lines_dropped", _W, "Log lines were dropped; the counts are given by event number."
--- /dev/null
+++ b/src/cloverwalk/fleet/configuration_publisher.py
@@ -0,0 +1,1 @@
+"""Answers polls for the configuration and sends its parts at a limited rate."""
--- /dev/null
+++ b/src/cloverwalk/fleet/configuration_subscription.py
@@ -0,0 +1,1 @@
+"""Polls configuration sources, and decides when this node reads the store itself."""
--- a/src/cloverwalk/fleet/messages.py
+++ b/src/cloverwalk/fleet/messages.py
@@ -181,6 +181,19 @@
     """Actual minus expected time; negative also where items were preempted."""
 
 
+class ZoneDrainCopy(Struct, array_like=True, frozen=True):
+    """The zones whose replicas get no new work, as a node knows them."""
+
+    version: int
+    """Store version up to which the node knows the drains; a higher one is newer."""
+
+    zones: tuple[str, ...]
+    """Names of the zones, sorted."""
+
+    age_ms: int
+    """Time since the drains were last known to be the newest."""
+
+
 class Report(Struct, tag="report", array_like=True):
     """The state of a node, with its placement requests.
 
@@ -239,6 +252,19 @@
     corrections: list[WorkCorrection] = []
     """Corrections since the last report; empty if fair shares are off."""
 
+    zone_drains: ZoneDrainCopy | None = None
+    """The zone drains that the node knows; None if it has never known any."""
+
+    configuration_age_ms: int | None = None
+    """Time since the node's configuration was last known to be the newest; None: not reported."""
+
+    polls_configuration: bool = False
+    """Whether the node gets the configuration from other nodes; see ``ConfigurationPoll``."""
+
+    store_round_trip_ms: int = 0
+    """Shortest recent time of a call of the store, which tells near nodes from far ones; 0:
+    unknown."""
+
     @property
     def incarnation(self) -> str:
         """The name under which the process owns jobs."""
@@ -267,6 +293,10 @@
     ahead_ms: int = 0
     """With RETRY_LATER: slot time beyond the tenant's fair share, if that is the reason."""
 
+    has_warmup_token: bool = False
+    """Whether the request was counted against the limit of a replica that is warming up. Without
+    it a node sends nothing to such a replica."""
+
 
 class Contact(Struct, array_like=True, frozen=True):
     """Name and address of a node."""
@@ -349,6 +379,20 @@
     configuration_age_ms: int | None = None
     """Time since the sender's configuration was last known to be the newest; None: not reported."""
 
+    zone_drains: ZoneDrainCopy | None = None
+    """The zone drains that the sender knows; None if it has never known any."""
+
+    configuration_sources: tuple[Contact, ...] = ()
+    """Nodes that the receiver polls for the configuration, the preferred one first; empty if it
+    reads the store itself."""
+
+    report_sequence: int = 0
+    """Sequence number of the last report of the receiver's process; 0: none."""
+
+    report_age_ms: int = 0
+    """Time from that report's arrival until these orders were made. The receiver knows when it
+    sent the report, so it knows an upper bound of the age of the orders."""
+
 
 class RouteEstimates(Struct, array_like=True, frozen=True):
     """Learnt times of a route's requests."""
@@ -395,6 +439,9 @@
     item_usage_by_tenant: dict[str, float] = {}
     """The same for batch items."""
 
+    warmups_ms: dict[str, int] = {}
+    """Remaining warm-up time by replica, of replicas that are warming up."""
+
 
 class RemovedReplica(Struct, array_like=True, frozen=True):
     """A replica that was removed at a store version."""
@@ -454,6 +501,36 @@
     """The version that the node reported."""
 
 
+class ConfigurationPoll(Struct, tag="configuration_poll", array_like=True, frozen=True):
+    """Asks a node for its configuration, if newer, and subscribes to changes for some time."""
+
+    version: int
+    """The version that the sender has, -1 if none."""
+
+
+class ConfigurationStatus(Struct, tag="configuration_status", array_like=True, frozen=True):
+    """Answers a poll, and announces a new version to the nodes that have polled recently."""
+
+    version: int
+    """The version that the sender has, -1 if none."""
+
+    age_ms: int
+    """Time since this version was last known to be the newest."""
+
+    parts: int = 0
+    """Number of parts of this version; 0 if it is sent as one ``ConfigurationCopy``."""
+
+    zone_drains: ZoneDrainCopy | None = None
+
+
+class ConfigurationPartRequest(Struct, tag="configuration_part_request", array_like=True):
+    """Asks for parts of a version that did not arrive."""
+
+    version: int
+    parts: list[int]
+    """Indexes of the missing parts; empty for all."""
+
+
 class CrashCases(Struct, tag="crash_cases", array_like=True):
     """Crash records that all nodes should have."""
 
@@ -480,6 +557,9 @@
     | ConfigurationCopy
     | ConfigurationPart
     | ConfigurationRequest
+    | ConfigurationPoll
+    | ConfigurationStatus
+    | ConfigurationPartRequest
     | CrashCases
     | Introduction
     | StoreReturned
--- a/src/cloverwalk/gateway/configuration.py
+++ b/src/cloverwalk/gateway/configuration.py
@@ -68,6 +68,12 @@
     tokens_an_event: int = 1
     """Maximum tokens in one event of a stream."""
 
+    warmup_s: float = 0.0
+    """How long a replica warms up after its start; 0 if it needn't."""
+
+    warmup_rate_per_s: float = 0.0
+    """Requests per second that a replica bears while it warms up; 0 is no limit."""
+
 
 class ClientLimits(Struct, frozen=True, array_like=True):
     """Limits on the size of a client's requests and on its timing."""
--- a/src/cloverwalk/gateway/replicas.py
+++ b/src/cloverwalk/gateway/replicas.py
@@ -39,6 +39,9 @@
     started_ms: int = 0
     """Unix time of its start, 0 if unknown. Each incarnation of a replica has its own."""
 
+    warmup_ms: int = 0
+    """Remaining warm-up time when the entry was written; 0 if it is warm."""
+
     @property
     def incarnation_id(self) -> str:
         """Short name of this incarnation, used in messages and stored crash records."""
@@ -263,6 +266,9 @@
 
 
 def _fingerprint_text(replica: Replica) -> str:
-    """Return an entry without its version, and without its start time if that is unknown."""
-    fields = msgspec.structs.astuple(msgspec.structs.replace(replica, version=0))
-    return repr(fields if replica.started_ms else fields[:-1])
+    """Return an entry without its version, warm-up time, and start time if that is unknown.
+
+    Builds that don't know the warm-up time must compute the same fingerprint.
+    """
+    *fields, _ = msgspec.structs.astuple(msgspec.structs.replace(replica, version=0))
+    return repr(tuple(fields) if replica.started_ms else tuple(fields[:-1]))
--- /dev/null
+++ b/src/cloverwalk/gateway/warmups.py
@@ -0,0 +1,1 @@
+"""Tracks which replicas are warming up, and until when."""
--- a/src/cloverwalk/platform/documents.py
+++ b/src/cloverwalk/platform/documents.py
@@ -1,6 +1,7 @@
 """Decodes and encodes JSON documents of the platform: configuration, replicas, jobs, results."""
 
 import ipaddress
+import math
 import re
 from typing import TypeVar
 
@@ -31,6 +32,9 @@
 MAX_SLOTS = 100_000
 """More than any engine runs at once; keeps sums of slots small."""
 
+MAX_WARMUP_MS = 3_600_000
+"""An hour; no replica warms up for longer."""
+
 MAX_STARTED_MS = 4_102_444_800_000
 """The year 2100; rejects a time in another unit, such as microseconds."""
 
@@ -87,6 +91,8 @@
 class _Service(Struct):
     name: str
     max_connections: int = 0
+    cold_start_s: float = 0.0
+    cold_per_s: float = 0.0
     engine: _Engine = field(default_factory=_Engine)
 
 
@@ -169,6 +175,8 @@
             service.max_connections,
             max(0, service.engine.kv_cache_tokens),
             max(1, service.engine.stride),
+            _non_negative(service.name, "cold_start_s", service.cold_start_s),
+            _non_negative(service.name, "cold_per_s", service.cold_per_s),
         )
         for service in wire.services
     }
@@ -183,6 +191,12 @@
     return Configuration(wire.version, routes, services, limits, tenants)
 
 
+def _non_negative(service: str, name: str, value: float) -> float:
+    if not 0 <= value < float("inf"):
+        raise ValueError(f"services[{service!r}].{name}: {value} is not a valid limit")
+    return value
+
+
 def _tenants(entries: list[_Tenant]) -> tuple[Tenant, ...]:
     """Return the tenants; raise ValueError with the invalid entry, but never with a key."""
     tenants = [_tenant(number, entry) for number, entry in enumerate(entries)]
@@ -252,6 +266,7 @@
         IS_DRAINING_BY_STATE[wire.state],
         version,
         _started_ms(wire.born),
+        _warmup_ms(wire.cold_left_ms),
     )
 
 
@@ -267,6 +282,13 @@
     return host, port
 
 
+def _warmup_ms(cold_left_ms: float) -> int:
+    """Return the remaining warm-up time in ms, rounded up."""
+    if not 0 <= cold_left_ms <= MAX_WARMUP_MS:
+        raise ValueError(f"cold_left_ms: {str(cold_left_ms)[:20]} is not from 0 to {MAX_WARMUP_MS}")
+    return math.ceil(cold_left_ms)
+
+
 def _started_ms(born: int | UnsetType) -> int:
     """Return the start time, 0 if the entry has none."""
     if isinstance(born, UnsetType):
--- a/src/cloverwalk/platform/settings.py
+++ b/src/cloverwalk/platform/settings.py
@@ -6,10 +6,12 @@
 import msgspec
 from msgspec import Struct, field
 
+from cloverwalk.core.warmup_limit import WarmupBounds
 from cloverwalk.platform import names
 from cloverwalk.scheduling.quotas import QuotaBounds
 from cloverwalk.serving.settings import (
     DEFAULT_CONFIGURATION_APPLY_S,
+    DEFAULT_ZONE_DRAIN_APPLY_S,
     MachineLimits,
     ServingSettings,
     Tolerance,
@@ -46,6 +48,9 @@
     quota_window_s: float = QuotaBounds().window_s
     quota_overshoot: float = QuotaBounds().overshoot
     quota_slack: float = QuotaBounds().slack
+    cold_overshoot: float = WarmupBounds().overshoot
+    cold_slack: float = WarmupBounds().slack
+    evacuate_ms: float = DEFAULT_ZONE_DRAIN_APPLY_S * 1000
 
 
 class _Tolerate(Struct):
@@ -67,6 +72,10 @@
     ephemeral_ports: tuple[int, int]
     seeds: list[str] = []
     contracts: list[str] = []
+    region: str = ""
+    zones: dict[str, str] = {}
+    """Region of each zone."""
+
     limits: _Limits = field(default_factory=_Limits)
     bounds: _Bounds = field(default_factory=_Bounds)
     tolerate: _Tolerate = field(default_factory=_Tolerate)
@@ -107,6 +116,10 @@
         MEMORY_PRESSURE in file.contracts,
         _configuration_apply_s(file.bounds),
         _tolerance(file.tolerate),
+        _warmup_bounds(file.bounds),
+        _zone_drain_apply_s(file.bounds),
+        file.region,
+        file.zones,
     )
 
 
@@ -126,6 +139,21 @@
     return bounds.config_apply_ms / 1000
 
 
+def _zone_drain_apply_s(bounds: _Bounds) -> float:
+    if bounds.evacuate_ms <= 0:
+        raise PlatformSettingsError(
+            f"bounds.evacuate_ms: {bounds.evacuate_ms} is not a positive time"
+        )
+    return bounds.evacuate_ms / 1000
+
+
+def _warmup_bounds(bounds: _Bounds) -> WarmupBounds:
+    for name in ("cold_overshoot", "cold_slack"):
+        if not 0 <= getattr(bounds, name) < float("inf"):
+            raise PlatformSettingsError(f"bounds.{name}: {getattr(bounds, name)} is below 0")
+    return WarmupBounds(bounds.cold_overshoot, bounds.cold_slack)
+
+
 def _tolerance(tolerate: _Tolerate) -> Tolerance:
     for name in ("zones", "regions", "machines"):
         if getattr(tolerate, name) < 0:
--- a/src/cloverwalk/scheduling/features.py
+++ b/src/cloverwalk/scheduling/features.py
@@ -35,6 +35,15 @@
     """Queued requests are ordered by the cost of waiting; those that will miss their deadline are
     refused at once."""
 
+    WARMUP_LIMITS = "warmup_limits"
+    """Replicas that are warming up get a limited rate of requests."""
+
+    ZONE_DRAINS = "zone_drains"
+    """The replicas of drained zones get no new work."""
+
+    CONFIGURATION_SOURCES = "configuration_sources"
+    """Few nodes of each region read the configuration; the others get it from them."""
+
 
 @attrs.frozen
 class FeatureState:
@@ -62,10 +71,13 @@
         configuration: ConfigurationHolder,
         is_memory_scarce: bool = False,
         lost_zones: int = 0,
+        regions: int = 1,
     ) -> None:
         self._configuration = configuration
         self._is_memory_scarce = is_memory_scarce
         self._lost_zones = lost_zones
+        self._regions = regions
+        self._drained_zones: tuple[str, ...] = ()
         self._services_with_slowdown: set[str] = set()
         self._notified: dict[Feature, FeatureState] = {}
         self._cached: dict[Feature, bool] = {}
@@ -82,6 +94,14 @@
         self._cached.clear()
         self.notify_changes()
 
+    def record_drained_zones(self, zones: tuple[str, ...]) -> None:
+        """Record the zones that are drained now."""
+        if zones == self._drained_zones:
+            return
+        self._drained_zones = zones
+        self._cached.clear()
+        self.notify_changes()
+
     def is_on(self, feature: Feature) -> bool:
         """Whether a feature is on; cached, since each decision checks several times."""
         current = self._configuration.current
@@ -121,6 +141,12 @@
                 return self._zone_loss_state()
             case Feature.OVERLOAD_ORDER:
                 return self._overload_order_state()
+            case Feature.WARMUP_LIMITS:
+                return self._warmup_state()
+            case Feature.ZONE_DRAINS:
+                return self._zone_drain_state()
+            case Feature.CONFIGURATION_SOURCES:
+                return self._configuration_sources_state()
 
     def _slowdown_state(self) -> FeatureState:
         feature = Feature.REPLICA_PACE
@@ -161,6 +187,29 @@
             return FeatureState(feature, True, "the settings say that memory is scarce")
         return FeatureState(feature, False, "the settings do not say that memory is scarce")
 
+    def _warmup_state(self) -> FeatureState:
+        feature = Feature.WARMUP_LIMITS
+        current = self._configuration.current
+        services = [] if current is None else current.services.values()
+        limited = sorted(service.name for service in services if service.warmup_rate_per_s > 0)
+        if limited:
+            return FeatureState(
+                feature, True, f"services limit replicas that warm up: {', '.join(limited)}"
+            )
+        return FeatureState(feature, False, "no service limits replicas that warm up")
+
+    def _zone_drain_state(self) -> FeatureState:
+        feature = Feature.ZONE_DRAINS
+        if self._drained_zones:
+            return FeatureState(feature, True, f"drained zones: {', '.join(self._drained_zones)}")
+        return FeatureState(feature, False, "no zone is drained")
+
+    def _configuration_sources_state(self) -> FeatureState:
+        feature = Feature.CONFIGURATION_SOURCES
+        if self._regions > 1:
+            return FeatureState(feature, True, f"the settings name {self._regions} regions")
+        return FeatureState(feature, False, "the settings name a single region")
+
     def _zone_loss_state(self) -> FeatureState:
         feature = Feature.ZONE_LOSS
         if self._lost_zones > 0:
--- a/src/cloverwalk/serving/settings.py
+++ b/src/cloverwalk/serving/settings.py
@@ -2,11 +2,15 @@
 
 from msgspec import Struct
 
+from cloverwalk.core.warmup_limit import WarmupBounds
 from cloverwalk.scheduling.quotas import QuotaBounds
 
 DEFAULT_CONFIGURATION_APPLY_S = 2.0
 """Default of ``ServingSettings.configuration_apply_s``."""
 
+DEFAULT_ZONE_DRAIN_APPLY_S = 5.0
+"""Default of ``ServingSettings.zone_drain_apply_s``."""
+
 
 class MachineLimits(Struct, frozen=True):
     """Resource limits of the machine; 0 means that a limit is not known."""
@@ -59,3 +63,15 @@
 
     tolerance: Tolerance = Tolerance()
     """Failures that the deployment must tolerate."""
+
+    warmup_bounds: WarmupBounds = WarmupBounds()
+    """Allowed deviation from the rate limit of replicas that are warming up."""
+
+    zone_drain_apply_s: float = DEFAULT_ZONE_DRAIN_APPLY_S
+    """Time within which a drain of a zone must be in force on every node."""
+
+    region: str = ""
+    """Region of the node's zone; empty if not configured."""
+
+    region_by_zone: dict[str, str] = {}
+    """Region of each zone of the deployment."""
