Split reports and orders out of the coordinator and its client

Change: ReportMaker and OrdersMaker create them, with the appended fields (zone drains, configuration age, age of the last report). Received zone drains are recorded at both ends. Nothing acts on them yet. Tests follow the moved methods; what they check is unchanged.

--- a/src/cloverwalk/fleet/coordinator.py
+++ b/src/cloverwalk/fleet/coordinator.py
@@ -23,12 +23,14 @@
     StoreReturned,
 )
 from cloverwalk.fleet.node_registry import LOST_NODE_RETENTION_S, NodeEntry, NodeRegistry
+from cloverwalk.fleet.orders_maker import OrdersMaker
 from cloverwalk.fleet.snapshots import SnapshotMaker
-from cloverwalk.fleet.state_sender import MAX_SERVED_STORE_AGE_MS, StateSender, directory_age_ms
+from cloverwalk.fleet.state_sender import StateSender
 from cloverwalk.fleet.transport import Sender
 from cloverwalk.fleet.utilization import median_by_zone
 from cloverwalk.gateway.configuration import ConfigurationHolder
 from cloverwalk.gateway.replicas import ReplicaDirectory
+from cloverwalk.gateway.zone_drains import ZoneDrains
 from cloverwalk.scheduling.decisions import Decisions
 from cloverwalk.scheduling.features import Feature
 from cloverwalk.scheduling.scheduler import Scheduler
@@ -75,6 +77,7 @@
         directory: ReplicaDirectory,
         health: StoreHealth,
         crash_records: CrashRecordSync,
+        zone_drains: ZoneDrains,
         log: ServingLog,
         clock: Callable[[], float],
     ) -> None:
@@ -84,11 +87,20 @@
         self._transport = transport
         self._scheduler = scheduler
         self._configuration = configuration
-        self._directory = directory
-        self._health = health
         self._log = log
         self._clock = clock
         self.registry = NodeRegistry()
+        self.orders_maker = OrdersMaker(
+            identity,
+            leader,
+            self.registry,
+            configuration,
+            directory,
+            health,
+            crash_records,
+            zone_drains,
+        )
+        self._zone_drains = zone_drains
         self.deliver_locally: DeliverLocally = _ignore_orders
         self.on_tick: Callable[[float], None] = _ignore_tick
         """Called with the time at each tick while this node is active, not at a standby."""
@@ -184,6 +196,7 @@
         if recorded is None:
             return
         entry, is_new = recorded
+        self._zone_drains.apply_copy(report.zone_drains, now)
         await self._has_work.set()
         if not self.is_active:
             self._update_fleet_fraction()
@@ -277,48 +290,17 @@
         return now - last_sent_at >= entry_count / MAX_TOTALS_ENTRIES_PER_S
 
     def _make_orders(self, node: str, decisions: Decisions | None, now: float) -> Orders:
-        current = self._leader.current or Leadership(
-            self._identity.contact, self._identity.run, self._leader.term
-        )
-        orders = Orders(
-            current,
-            self._identity.incarnation,
-            0 if decisions is None else decisions.number,
-            self._configuration.version,
-            self._directory.fingerprint,
-            self._directory.version,
-            directory_age_ms(self._directory, now),
-            self._is_store_available_to_other_nodes(node),
-        )
-        orders.crash_digest = self._crash_records.ledger.digest
-        orders.configuration_age_ms = self._configuration.age_ms(now)
+        orders = self.orders_maker.make(node, decisions, now)
         if self.is_active:
             orders.nodes = self._count_fleet_nodes()
             orders.near_limit = self._near_limit
             orders.zone_utilization_percent = self._zone_utilization(node)
-        if decisions is not None:
-            orders.placements = decisions.placements
-            orders.grants = decisions.grants
-            orders.revokes = decisions.revokes
-            orders.grants_by_tenant = decisions.grants_by_tenant
-            orders.grant_tokens = decisions.grant_tokens
         return orders
 
     def _zone_utilization(self, node: str) -> int:
         entry = self.registry.by_name.get(node)
         return 0 if entry is None else self._utilization_by_zone.get(entry.report.zone, 0)
 
-    def _is_store_available_to_other_nodes(self, node: str) -> bool:
-        """Whether the store has recently answered a node other than ``node``."""
-        local_node = self._identity.node
-        if node != local_node and not self._health.is_unavailable:
-            return True
-        return any(
-            entry.report.store_age_ms < MAX_SERVED_STORE_AGE_MS
-            for entry in self.registry.live()
-            if entry.contact.node not in (node, local_node)
-        )
-
     # --- periodic work ---
 
     async def run(self) -> None:
--- a/src/cloverwalk/fleet/coordinator_client.py
+++ b/src/cloverwalk/fleet/coordinator_client.py
@@ -4,7 +4,6 @@
 decides by itself from its own state.
 """
 
-from collections import Counter, deque
 from collections.abc import Awaitable, Callable
 
 import attrs
@@ -23,26 +22,21 @@
     Datagram,
     DirectoryUpdate,
     Introduction,
-    ItemTiming,
     Leadership,
-    NodeLoad,
     Orders,
     PlacementRequest,
     Report,
-    RequestTiming,
     WaitingByPool,
-    WorkCorrection,
 )
 from cloverwalk.fleet.placement_client import PlacementClient, PlacementResult
+from cloverwalk.fleet.report_maker import ReportMaker
 from cloverwalk.fleet.transport import Sender
 from cloverwalk.gateway.configuration import ConfigurationHolder
 from cloverwalk.gateway.replicas import ReplicaDirectory
+from cloverwalk.gateway.zone_drains import ZoneDrains
 from cloverwalk.store.health import StoreHealth
 from cloverwalk.telemetry.log import ServingLog
 
-MAX_ITEM_TIMINGS = 16
-"""Maximum number of item timings in one report, about 600 bytes; the newest are kept."""
-
 HEARTBEAT_INTERVAL_S = 1.0
 """Maximum time between reports."""
 
@@ -71,9 +65,6 @@
 """The store serves a coordinator whose configuration was confirmed within this time; longer than
 twice the long poll of the configuration feed."""
 
-MAX_STORE_AGE_MS = 1_000_000
-"""Upper bound of the reported age of the store's last answer; sent while it is unavailable."""
-
 
 class BatchOrderHandler:
     """Applies orders to the node's batch items; this base class ignores them.
@@ -135,18 +126,20 @@
         directory: ReplicaDirectory,
         health: StoreHealth,
         crash_records: CrashRecordSync,
+        zone_drains: ZoneDrains,
         seeds: list[str],
         log: ServingLog,
         clock: Callable[[], float],
     ) -> None:
+        self.reports = ReportMaker(
+            identity, loads, configuration, directory, health, crash_records, zone_drains
+        )
+        self._zone_drains = zone_drains
         self._identity = identity
         self._leader = leader
         self._coordinator = coordinator
         self._transport = transport
-        self._loads = loads
         self._configuration = configuration
-        self._directory = directory
-        self._health = health
         self._crash_records = crash_records
         self._seeds: list[str] = []
         self.use_seeds(seeds)
@@ -172,10 +165,6 @@
         self._last_applied_orders: dict[str, tuple[str, int]] = {}
         self._placement_client = PlacementClient(self, loads, clock)
         self._directory_sync = DirectorySync(directory, log, clock)
-        self._request_timings: list[RequestTiming] = []
-        self._corrections: Counter[tuple[str, int]] = Counter()
-        self._item_timings: deque[ItemTiming] = deque(maxlen=MAX_ITEM_TIMINGS)
-        self._sequence = 0
         self._report_sent_at = float("-inf")
         self._orders_received_at = float("-inf")
         self._report_requested = curio.Event()
@@ -236,22 +225,6 @@
         if age_ms is None or age_ms > MAX_SERVED_CONFIGURATION_AGE_MS:
             await self._report_requested.set()
 
-    def record_request_timing(self, timing: RequestTiming) -> None:
-        """Add the timing of an answered request to the next report."""
-        self._request_timings.append(timing)
-
-    def record_work_correction(self, tenant: str, rank: int, extra_ms: int) -> None:
-        """Add the difference between actual and expected slot time of an item."""
-        self._corrections[tenant, rank] += extra_ms
-
-    def _pop_corrections(self) -> list[WorkCorrection]:
-        corrections, self._corrections = self._corrections, Counter()
-        return [WorkCorrection(*key, extra_ms) for key, extra_ms in corrections.items()]
-
-    def record_item_timing(self, timing: ItemTiming) -> None:
-        """Add the timing of an item's run to the next report."""
-        self._item_timings.append(timing)
-
     async def _report(self) -> None:
         """Report to the coordinator, or to the standby that replaces it."""
         self._check_response_timeout()
@@ -317,43 +290,15 @@
     def _make_report(
         self, host: str, placement_requests: list[PlacementRequest], has_lost_coordinator: bool
     ) -> Report:
-        self._sequence += 1
-        self._report_sent_at = now = self._clock()
-        loads = {
-            key: NodeLoad(
-                in_flight.online, in_flight.batch, in_flight.tokens, in_flight.batch_tokens
-            )
-            for key, in_flight in self._loads.by_replica.items()
-        }
-        report = Report(
-            self._identity.node,
-            self._identity.run,
-            self._identity.zone,
-            self._sequence,
-            self._last_applied_orders.get(host, ("", 0))[1],
-            self._configuration.version,
-            self._directory.fingerprint,
-            MAX_STORE_AGE_MS
-            if self._health.is_unavailable
-            else int(min(MAX_STORE_AGE_MS, self._health.ms_since_answer())),
-            self._identity.cores,
-            loads,
-            self.waiting,
-            self._directory.suspects(now),
-            placement_requests,
-            self._placement_client.pop_withdrawn(),
-            self._request_timings,
-            self.is_leaving,
-            has_lost_coordinator,
-            self._coordinator.local_grants(now),
-            self._crash_records.records_for_report(),
-            self._crash_records.ledger.digest,
-            item_timings=list(self._item_timings),
-            corrections=self._pop_corrections(),
-            utilization_percent=self.utilization_percent,
-        )
-        self._request_timings = []
-        self._item_timings.clear()
+        self._report_sent_at = self._clock()
+        report = self.reports.make(self._report_sent_at, placement_requests)
+        report.last_applied_order = self._last_applied_orders.get(host, ("", 0))[1]
+        report.withdrawn = self._placement_client.pop_withdrawn()
+        report.waiting = self.waiting
+        report.is_leaving = self.is_leaving
+        report.has_lost_coordinator = has_lost_coordinator
+        report.local_grants = self._coordinator.local_grants(self._report_sent_at)
+        report.utilization_percent = self.utilization_percent
         return report
 
     @property
@@ -474,6 +419,7 @@
         )
         self._directory_sync.confirm(orders)
         self._confirm_configuration(orders, now)
+        self._zone_drains.apply_copy(orders.zone_drains, now)
         self._crash_records.record_coordinator_digest(orders.crash_digest)
         self.on_zone_utilization(orders.zone_utilization_percent)
         if orders.take_over:
--- /dev/null
+++ b/src/cloverwalk/fleet/orders_maker.py
@@ -0,0 +1,92 @@
+"""Creates the orders of the coordinator or a standby, with its state but without decisions."""
+
+from collections.abc import Callable
+
+from cloverwalk.fleet.crash_record_sync import CrashRecordSync
+from cloverwalk.fleet.identity import Identity
+from cloverwalk.fleet.leader import LeaderView
+from cloverwalk.fleet.messages import Contact, Leadership, Orders
+from cloverwalk.fleet.node_registry import NodeRegistry
+from cloverwalk.fleet.state_sender import MAX_SERVED_STORE_AGE_MS, directory_age_ms
+from cloverwalk.gateway.configuration import ConfigurationHolder
+from cloverwalk.gateway.replicas import ReplicaDirectory
+from cloverwalk.gateway.zone_drains import ZoneDrains
+from cloverwalk.scheduling.decisions import Decisions
+from cloverwalk.store.health import StoreHealth
+
+SourcesOf = Callable[[str], tuple[Contact, ...]]
+"""Returns the configuration sources of a node, by its name."""
+
+
+class OrdersMaker:
+    """Creates orders from what this node knows."""
+
+    def __init__(
+        self,
+        identity: Identity,
+        leader: LeaderView,
+        registry: NodeRegistry,
+        configuration: ConfigurationHolder,
+        directory: ReplicaDirectory,
+        health: StoreHealth,
+        crash_records: CrashRecordSync,
+        zone_drains: ZoneDrains,
+    ) -> None:
+        self._identity = identity
+        self._leader = leader
+        self._registry = registry
+        self._configuration = configuration
+        self._directory = directory
+        self._health = health
+        self._crash_records = crash_records
+        self._zone_drains = zone_drains
+        self.configuration_sources: SourcesOf = _no_sources
+
+    def make(self, node: str, decisions: Decisions | None, now: float) -> Orders:
+        """Return orders for a node, with the decisions if there are any."""
+        current = self._leader.current or Leadership(
+            self._identity.contact, self._identity.run, self._leader.term
+        )
+        orders = Orders(
+            current,
+            self._identity.incarnation,
+            0 if decisions is None else decisions.number,
+            self._configuration.version,
+            self._directory.fingerprint,
+            self._directory.version,
+            directory_age_ms(self._directory, now),
+            self._is_store_available_to_other_nodes(node),
+        )
+        orders.crash_digest = self._crash_records.ledger.digest
+        orders.configuration_age_ms = self._configuration.age_ms(now)
+        orders.zone_drains = self._zone_drains.copy(now)
+        orders.configuration_sources = self.configuration_sources(node)
+        self._add_report_age(orders, node, now)
+        if decisions is not None:
+            orders.placements = decisions.placements
+            orders.grants = decisions.grants
+            orders.revokes = decisions.revokes
+            orders.grants_by_tenant = decisions.grants_by_tenant
+            orders.grant_tokens = decisions.grant_tokens
+        return orders
+
+    def _add_report_age(self, orders: Orders, node: str, now: float) -> None:
+        entry = self._registry.by_name.get(node)
+        if entry is not None:
+            orders.report_sequence = entry.report.sequence
+            orders.report_age_ms = int((now - entry.last_seen_at) * 1000)
+
+    def _is_store_available_to_other_nodes(self, node: str) -> bool:
+        """Whether the store has recently answered a node other than ``node``."""
+        local_node = self._identity.node
+        if node != local_node and not self._health.is_unavailable:
+            return True
+        return any(
+            entry.report.store_age_ms < MAX_SERVED_STORE_AGE_MS
+            for entry in self._registry.live()
+            if entry.contact.node not in (node, local_node)
+        )
+
+
+def _no_sources(node: str) -> tuple[Contact, ...]:
+    return ()
--- /dev/null
+++ b/src/cloverwalk/fleet/report_maker.py
@@ -0,0 +1,129 @@
+"""Creates the reports of a node from its state and from what is recorded between reports."""
+
+from collections import Counter, deque
+
+from cloverwalk.fleet.crash_record_sync import CrashRecordSync
+from cloverwalk.fleet.identity import Identity
+from cloverwalk.fleet.in_flight import InFlightTracker
+from cloverwalk.fleet.messages import (
+    ItemTiming,
+    NodeLoad,
+    PlacementRequest,
+    Report,
+    RequestTiming,
+    WorkCorrection,
+)
+from cloverwalk.gateway.configuration import ConfigurationHolder
+from cloverwalk.gateway.replicas import ReplicaDirectory
+from cloverwalk.gateway.zone_drains import ZoneDrains
+from cloverwalk.store.health import StoreHealth
+
+MAX_ITEM_TIMINGS = 16
+"""Maximum number of item timings in one report, about 600 bytes; the newest are kept."""
+
+MAX_STORE_AGE_MS = 1_000_000
+"""Upper bound of the reported age of the store's last answer; sent while it is unavailable."""
+
+MAX_KEPT_SEND_TIMES = 512
+"""Reports whose send times are kept; at most a hundred are sent per second."""
+
+
+class ReportMaker:
+    """Collects what the next report contains. Times and corrections are reported once."""
+
+    def __init__(
+        self,
+        identity: Identity,
+        loads: InFlightTracker,
+        configuration: ConfigurationHolder,
+        directory: ReplicaDirectory,
+        health: StoreHealth,
+        crash_records: CrashRecordSync,
+        zone_drains: ZoneDrains,
+    ) -> None:
+        self._identity = identity
+        self._loads = loads
+        self._configuration = configuration
+        self._directory = directory
+        self._health = health
+        self._crash_records = crash_records
+        self._zone_drains = zone_drains
+        self.polls_configuration = False
+        """Whether this node gets the configuration from other nodes."""
+
+        self.store_round_trip_ms = 0
+        """Shortest recent time of a call of the store; 0: unknown."""
+
+        self._request_timings: list[RequestTiming] = []
+        self._corrections: Counter[tuple[str, int]] = Counter()
+        self._item_timings: deque[ItemTiming] = deque(maxlen=MAX_ITEM_TIMINGS)
+        self._sequence = 0
+        self._sent_at: dict[int, float] = {}
+        """Send times of recent reports by sequence number, in their order."""
+
+    def record_request_timing(self, timing: RequestTiming) -> None:
+        """Add the timing of an answered request to the next report."""
+        self._request_timings.append(timing)
+
+    def record_work_correction(self, tenant: str, rank: int, extra_ms: int) -> None:
+        """Add the difference between actual and expected slot time of an item."""
+        self._corrections[tenant, rank] += extra_ms
+
+    def record_item_timing(self, timing: ItemTiming) -> None:
+        """Add the timing of an item's run to the next report."""
+        self._item_timings.append(timing)
+
+    def sent_at(self, sequence: int) -> float | None:
+        """Return when a report was sent (monotonic clock, seconds), None if that is not kept."""
+        return self._sent_at.get(sequence)
+
+    def make(self, now: float, placement_requests: list[PlacementRequest]) -> Report:
+        """Return the next report; the caller adds what depends on its receiver."""
+        self._sequence += 1
+        self._record_send_time(now)
+        is_unavailable = self._health.is_unavailable
+        report = Report(
+            self._identity.node,
+            self._identity.run,
+            self._identity.zone,
+            self._sequence,
+            0,
+            self._configuration.version,
+            self._directory.fingerprint,
+            MAX_STORE_AGE_MS
+            if is_unavailable
+            else int(min(MAX_STORE_AGE_MS, self._health.ms_since_answer())),
+            self._identity.cores,
+            self._node_loads(),
+            suspects=self._directory.suspects(now),
+            placement_requests=placement_requests,
+            request_timings=self._request_timings,
+            crash_records=self._crash_records.records_for_report(),
+            crash_digest=self._crash_records.ledger.digest,
+            item_timings=list(self._item_timings),
+            corrections=self._pop_corrections(),
+            zone_drains=self._zone_drains.copy(now),
+            configuration_age_ms=self._configuration.age_ms(now),
+            polls_configuration=self.polls_configuration,
+            store_round_trip_ms=self.store_round_trip_ms,
+        )
+        self._request_timings = []
+        self._item_timings.clear()
+        return report
+
+    def _node_loads(self) -> dict[str, NodeLoad]:
+        return {
+            key: NodeLoad(
+                in_flight.online, in_flight.batch, in_flight.tokens, in_flight.batch_tokens
+            )
+            for key, in_flight in self._loads.by_replica.items()
+        }
+
+    def _pop_corrections(self) -> list[WorkCorrection]:
+        corrections, self._corrections = self._corrections, Counter()
+        return [WorkCorrection(*key, extra_ms) for key, extra_ms in corrections.items()]
+
+    def _record_send_time(self, now: float) -> None:
+        self._sent_at[self._sequence] = now
+        if len(self._sent_at) > MAX_KEPT_SEND_TIMES:
+            del self._sent_at[next(iter(self._sent_at))]
--- a/src/cloverwalk/gateway/relay.py
+++ b/src/cloverwalk/gateway/relay.py
@@ -334,7 +334,7 @@
         load = head.fields.load
         timing = request_timing(progress, load, request.tenant, self._clock())
         if timing is not None:
-            self._coordinator_client.record_request_timing(timing)
+            self._coordinator_client.reports.record_request_timing(timing)
         self._containment.record_answer(request)
         self._record_end(request, progress, "answered", head.status)
         return head
--- a/src/cloverwalk/jobs/runner.py
+++ b/src/cloverwalk/jobs/runner.py
@@ -475,7 +475,7 @@
             return
         tenant, rank = running.job.record.tenant, self._priority(running.job)
         extra_ms = running.item_run.last_run_s * 1000 - running.expected_ms
-        self._coordinator_client.record_work_correction(tenant, rank, round(extra_ms))
+        self._coordinator_client.reports.record_work_correction(tenant, rank, round(extra_ms))
 
     def _record_timing(self, running: _RunningItem) -> None:
         timing = running.item_run.timing
@@ -489,7 +489,7 @@
         item_timing = ItemTiming(
             running.replica_id, timing.events, took_ms, timing.reported_slowdown_percent
         )
-        self._coordinator_client.record_item_timing(item_timing)
+        self._coordinator_client.reports.record_item_timing(item_timing)
 
     def _record_lateness(self, job: JobRun, item_run: ItemRun) -> str | None:
         """Count a late item and return the cause; None if it is in time, dead or not finished."""
--- a/src/cloverwalk/serving/fleet_parts.py
+++ b/src/cloverwalk/serving/fleet_parts.py
@@ -96,6 +96,7 @@
             fleet_state.directory,
             health,
             self.crash_record_sync,
+            fleet_state.zone_drains,
             log,
             clock,
         )
@@ -109,6 +110,7 @@
             fleet_state.directory,
             health,
             self.crash_record_sync,
+            fleet_state.zone_drains,
             list(settings.seeds),
             log,
             clock,
--- a/src/cloverwalk/serving/fleet_state.py
+++ b/src/cloverwalk/serving/fleet_state.py
@@ -7,6 +7,7 @@
 from cloverwalk.gateway.configuration import Configuration, ConfigurationHolder
 from cloverwalk.gateway.crash_ledger import CrashLedger
 from cloverwalk.gateway.replicas import Replica, ReplicaDirectory
+from cloverwalk.gateway.zone_drains import ZoneDrains
 from cloverwalk.serving.adapter import Adapter
 from cloverwalk.store.types import Row, RowPage
 from cloverwalk.telemetry.log import ServingLog
@@ -34,6 +35,7 @@
         self.startup = startup
         self.configuration = ConfigurationHolder()
         self.directory = ReplicaDirectory()
+        self.zone_drains = ZoneDrains()
         self.crash_ledger = CrashLedger()
         self.metrics = ServingMetrics()
         """Counts invalid entries; ``ServingNode`` replaces it by the metrics of the node."""
--- a/tests/serving/coordination_world.py
+++ b/tests/serving/coordination_world.py
@@ -34,6 +34,7 @@
 )
 from cloverwalk.gateway.crash_ledger import CrashLedger
 from cloverwalk.gateway.replicas import Replica, ReplicaDirectory
+from cloverwalk.gateway.zone_drains import ZoneDrains
 from cloverwalk.scheduling.features import Features
 from cloverwalk.scheduling.quotas import QuotaBounds
 from cloverwalk.scheduling.scheduler import Scheduler
@@ -126,6 +127,7 @@
         self.loads = InFlightTracker()
         self.configuration = world.configuration()
         self.directory = ReplicaDirectory()
+        self.zone_drains = ZoneDrains()
         self.health = StoreHealth(Clock(clock))
         store_clock = StoreClock(Clock(clock))
         self.store = MonitoredStore(world.store, self.health, store_clock)
@@ -151,6 +153,7 @@
             self.directory,
             self.health,
             self.crash_records,
+            self.zone_drains,
             log,
             clock,
         )
@@ -167,6 +170,7 @@
             self.directory,
             self.health,
             self.crash_records,
+            self.zone_drains,
             [f"h{seed:03d}" for seed in range(SEEDS)],
             log,
             clock,
--- a/tests/serving/test_promises.py
+++ b/tests/serving/test_promises.py
@@ -113,6 +113,11 @@
     async def trigger_report(self) -> None:
         """Do nothing."""
 
+    @property
+    def reports(self) -> "ScriptedCoordinatorClient":
+        """Return this object, which takes timings as well."""
+        return self
+
     def record_request_timing(self, served: RequestTiming) -> None:
         """Do nothing."""
 
--- a/tests/serving/test_slowdown.py
+++ b/tests/serving/test_slowdown.py
@@ -357,7 +357,9 @@
         await world.start(replicas=1, nodes=1, events=10)
         client = world.nodes[0]._fleet.coordinator_client
         item_timings: list[ItemTiming] = []
-        client.record_item_timing = item_timings.append  # type: ignore[method-assign, assignment]
+        client.reports.record_item_timing = (  # type: ignore[method-assign]
+            item_timings.append  # type: ignore[assignment]
+        )
         await world.submit_job("j-1", count=2)
         await world.until_done("j-1", 2)
         assert item_timings == []
