Drained zones get no new work on any path

Cause: nodes exchanged the state of zone drains, but none read the operator's rows and nothing acted on the state.

Change: the rows are read with the configuration, by their presence alone; a full read replaces the set, an invalid configuration stops nothing, and an older page never undoes a newer copy. The replica directory finds no replica of a drained zone, so placements, grants, resumes, queued requests and the check before sending obey; the list and its fingerprint stay. Queued requests of a service without any replica left are refused in the next tick. The coordinator sends orders to all nodes in the tick after it learned of a change. A node is ready, and takes online requests, only once it knows the drains; it logs and counts changes, and logs once per spell when it can't confirm them.

The test of the start's log line expects the new stage: readiness needs one stage more, and the line must not come before it. The mutant of draining replicas names the one place that decides it now.

--- a/src/cloverwalk/fleet/coordinator.py
+++ b/src/cloverwalk/fleet/coordinator.py
@@ -101,6 +101,7 @@
             zone_drains,
         )
         self._zone_drains = zone_drains
+        self._pushed_drained_zones: tuple[str, ...] = ()
         self.deliver_locally: DeliverLocally = _ignore_orders
         self.on_tick: Callable[[float], None] = _ignore_tick
         """Called with the time at each tick while this node is active, not at a standby."""
@@ -196,7 +197,7 @@
         if recorded is None:
             return
         entry, is_new = recorded
-        self._zone_drains.apply_copy(report.zone_drains, now)
+        self._zone_drains.apply_copy(report.zone_drains, now, host)
         await self._has_work.set()
         if not self.is_active:
             self._update_fleet_fraction()
@@ -319,6 +320,7 @@
         self._scheduler.tick(now)
         await self.send_decisions()
         self._state_sender.push_configuration(self._peers(), now)
+        self._push_zone_drains(now)
         if not self.is_active:
             self._log_served_zone()
             return
@@ -337,6 +339,13 @@
             self._send_snapshots(now)
         self._ping_lost_nodes(now)
 
+    def _push_zone_drains(self, now: float) -> None:
+        """Send orders to all nodes when the drained zones have changed."""
+        if self._pushed_drained_zones != self._zone_drains.zones:
+            self._pushed_drained_zones = self._zone_drains.zones
+            for entry in self._peers():
+                self._acknowledge(entry, now)
+
     def _expire_nodes(self, now: float) -> None:
         """Remove the work of nodes that have stopped reporting."""
         retention_s = LOST_NODE_RETENTION_S if self.is_active else 0.0
--- a/src/cloverwalk/fleet/coordinator_client.py
+++ b/src/cloverwalk/fleet/coordinator_client.py
@@ -217,9 +217,9 @@
             await self._report_requested.set()
 
     async def report_stored_configuration(self) -> None:
-        """Report a version just read from the store, unless the store serves the coordinator too.
+        """Report a change just read from the store, unless the store serves the coordinator too.
 
-        A coordinator that the store serves reads the version at about the same time.
+        A coordinator that the store serves reads the change at about the same time.
         """
         age_ms = self._coordinator_configuration_age_ms
         if age_ms is None or age_ms > MAX_SERVED_CONFIGURATION_AGE_MS:
@@ -404,6 +404,7 @@
     async def handle_orders(self, orders: Orders, host: str) -> None:
         """Apply orders; grants and revokes that were applied before are ignored."""
         now = self._clock()
+        self._zone_drains.apply_copy(orders.zone_drains, now, host)
         await self.update_leadership(orders.leadership)
         for placement in orders.placements:
             await self._placement_client.handle_placement(placement)
@@ -419,7 +420,6 @@
         )
         self._directory_sync.confirm(orders)
         self._confirm_configuration(orders, now)
-        self._zone_drains.apply_copy(orders.zone_drains, now)
         self._crash_records.record_coordinator_digest(orders.crash_digest)
         self.on_zone_utilization(orders.zone_utilization_percent)
         if orders.take_over:
--- a/src/cloverwalk/gateway/crash_detector.py
+++ b/src/cloverwalk/gateway/crash_detector.py
@@ -105,7 +105,8 @@
         if code == RESTARTED:
             await self._record_restart(request_id, content, replica, delivery)
             return
-        if code not in POSSIBLE_CRASH_CODES or self._directory.find(replica.replica_id) is None:
+        is_running = self._directory.find_running(replica.replica_id) is not None
+        if code not in POSSIBLE_CRASH_CODES or not is_running:
             return
         if delivery is None or not self._was_delivered(delivery):
             return
--- a/src/cloverwalk/gateway/refusals.py
+++ b/src/cloverwalk/gateway/refusals.py
@@ -6,6 +6,7 @@
 from cloverwalk.telemetry.tenant_metrics import TenantOutcome
 
 RETRY_AFTER_S = 0.2
+DRAINED_RETRY_AFTER_S = 1.0
 ELSEWHERE_RETRY_AFTER_S = 0.02
 """A client that retries reaches another node, which needs no waiting time."""
 
@@ -50,6 +51,12 @@
     return GatewayError(Reason.UNAVAILABLE, code, message, RETRY_AFTER_S)
 
 
+def zones_drained() -> GatewayError:
+    """Return the error response if the zones of all replicas that could serve are drained."""
+    message = "the zones of all replicas of the service are drained"
+    return GatewayError(Reason.UNAVAILABLE, "zones_drained", message, DRAINED_RETRY_AFTER_S)
+
+
 def over_quota(retry_after_s: float) -> GatewayError:
     """Return the error response to a tenant that has used up its quota."""
     message = "the tenant has used up its quota"
--- a/src/cloverwalk/gateway/relay.py
+++ b/src/cloverwalk/gateway/relay.py
@@ -97,18 +97,20 @@
             allowed_s = min(allowed_s, request.fields.deadline_s)
         parts = [(part.service, part.weight) for part in route.parts]
         service = self._rotation.next(route.name, parts)
-        if not self._directory.usable(service):
-            usable_services = [
-                candidate for candidate in route.services if self._directory.usable(candidate)
-            ]
-            service = usable_services[0] if usable_services else service
         return RequestProgress(
             route,
-            service,
+            self._usable_service(route, service),
             request.received_at + allowed_s,
             request.fields.last_event_id,
         )
 
+    def _usable_service(self, route: Route, preferred: str) -> str:
+        """Return the preferred service if it has usable replicas, else another one of the route."""
+        if self._directory.usable(preferred):
+            return preferred
+        usable = [service for service in route.services if self._directory.usable(service)]
+        return usable[0] if usable else preferred
+
     # --- attempts ---
 
     async def _serve(self, request: ClientRequest, progress: RequestProgress, reply: Reply) -> None:
@@ -150,6 +152,8 @@
         match result.verdict:
             case PlacementVerdict.RETRY_LATER:
                 raise refusals.no_free_slot(result.placement)
+            case PlacementVerdict.NO_REPLICA if self._directory.is_drained(progress.service):
+                raise refusals.zones_drained()
             case PlacementVerdict.NO_REPLICA:
                 raise refusals.no_replica("no_replica", progress.last_failure)
             case PlacementVerdict.OVER_QUOTA:
--- a/src/cloverwalk/gateway/replicas.py
+++ b/src/cloverwalk/gateway/replicas.py
@@ -4,7 +4,7 @@
 apart. The clocks of machines differ, so it is never compared with a time of this node.
 """
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 import attrs
 import msgspec
@@ -98,6 +98,8 @@
         self.confirmed_at = float("-inf")
         """When the directory was last confirmed to match the store (monotonic clock, seconds)."""
 
+        self._drained_zones: frozenset[str] = frozenset()
+
     def all(self) -> list[Replica]:
         """Return every listed replica, sorted by id."""
         return [self._replicas[key] for key in sorted(self._replicas)]
@@ -112,11 +114,28 @@
         """Whether no replica is listed."""
         return not self._replicas
 
+    def drain_zones(self, zones: Iterable[str]) -> None:
+        """Set the zones whose replicas get no new work; they stay listed."""
+        self._drained_zones = frozenset(zones)
+        self._usable = {}
+
     def find(self, replica_id: str) -> Replica | None:
         """Return a replica if requests may be sent to it, else None."""
+        replica = self.find_running(replica_id)
+        return None if replica is None or replica.zone in self._drained_zones else replica
+
+    def find_running(self, replica_id: str) -> Replica | None:
+        """Return a replica that is not draining, also if its zone is drained, else None."""
         replica = self._replicas.get(replica_id)
         return None if replica is None or replica.is_draining else replica
 
+    def is_drained(self, service: str) -> bool:
+        """Whether a service has no usable replica, and would have if no zone were drained."""
+        return not self.usable(service) and any(
+            replica.service == service and not replica.is_draining
+            for replica in self._replicas.values()
+        )
+
     def usable(self, service: str) -> list[Replica]:
         """Return the replicas of a service that accept new work."""
         replicas = self._usable.get(service)
@@ -124,7 +143,7 @@
             replicas = [
                 replica
                 for replica in self.all()
-                if replica.service == service and not replica.is_draining
+                if replica.service == service and self.find(replica.replica_id) is not None
             ]
             self._usable[service] = replicas
         return replicas
--- a/src/cloverwalk/gateway/zone_drains.py
+++ b/src/cloverwalk/gateway/zone_drains.py
@@ -39,6 +39,9 @@
         self.confirmed_at = float("-inf")
         """When the drains were last known to be the newest (monotonic clock, seconds)."""
 
+        self.source_host = ""
+        """Host of the node that sent the current state; empty if it was read from the store."""
+
         self.listeners: list[ChangeListener] = []
 
     @property
@@ -50,12 +53,18 @@
         """Return the time since the drains were last known to be the newest, in ms."""
         return int(min(MAX_AGE_MS, (now - self.confirmed_at) * 1000))
 
-    def update(self, version: int, zones: Iterable[str], confirmed_at: float) -> bool:
+    def update(
+        self, version: int, zones: Iterable[str], confirmed_at: float, host: str = ""
+    ) -> bool:
         """Apply the state as of a store version unless a newer one is known; return whether the
-        drained zones changed."""
+        drained zones changed.
+
+        ``host`` is the node that sent the state; empty if it was read from the store.
+        """
         if version < self.version:
             return False
         self.version = version
+        self.source_host = host
         self.confirmed_at = max(self.confirmed_at, confirmed_at)
         previous, self.zones = self.zones, tuple(sorted(set(zones)))
         drained = tuple(zone for zone in self.zones if zone not in previous)
@@ -71,8 +80,15 @@
             return None
         return ZoneDrainCopy(self.version, self.zones, self.age_ms(now))
 
-    def apply_copy(self, copy: ZoneDrainCopy | None, now: float) -> bool:
-        """Apply the state that another node sent; return whether the drained zones changed."""
-        if copy is None:
+    def apply_copy(self, copy: ZoneDrainCopy | None, now: float, host: str = "") -> bool:
+        """Apply the state that the node at ``host`` sent; return whether the drained zones changed.
+
+        A copy of the version that is known already only confirms it.
+        """
+        if copy is None or copy.version < 0:
+            return False
+        confirmed_at = now - max(0, copy.age_ms) / 1000
+        if copy.version == self.version:
+            self.confirmed_at = max(self.confirmed_at, confirmed_at)
             return False
-        return self.update(copy.version, copy.zones, now - copy.age_ms / 1000)
+        return self.update(copy.version, copy.zones, confirmed_at, host)
--- a/src/cloverwalk/platform/adapter.py
+++ b/src/cloverwalk/platform/adapter.py
@@ -39,6 +39,11 @@
         """Return a stored replica entry."""
         return documents.decode_replica(replica_id, raw, version)
 
+    def drained_zone(self, key: str) -> str | None:
+        """Return the zone that a row of the configuration table drains, None for other rows."""
+        prefix = names.ZONE_DRAIN_KEY_PREFIX
+        return key.removeprefix(prefix) if key.startswith(prefix) else None
+
     def is_readiness_probe(self, target: str) -> bool:
         """Whether a request to the readiness address is a readiness probe."""
         return target.partition("?")[0] == names.READY_PATH
--- a/src/cloverwalk/platform/names.py
+++ b/src/cloverwalk/platform/names.py
@@ -25,6 +25,7 @@
 
 OPERATOR_TABLE = "op"
 CONFIGURATION_KEY = "config"
+ZONE_DRAIN_KEY_PREFIX = "evacuate/"
 REPLICA_TABLE = "servers"
 EMPTY_PART_TABLES = frozenset({OPERATOR_TABLE, REPLICA_TABLE, "role", "quota"})
 """Tables in which the part of every row key is empty."""
--- a/src/cloverwalk/scheduling/online.py
+++ b/src/cloverwalk/scheduling/online.py
@@ -170,6 +170,8 @@
     def place_queued(self, now: float) -> list[str]:
         """Place queued requests while slots are free; return the replicas that got one."""
         replica_ids: list[str] = []
+        if self._features.is_on(Feature.ZONE_DRAINS):
+            self._refuse_without_replica(now)
         for queued in self._queued.in_order(now):
             replica_id = self._place_or_queue(queued, False, now)
             if replica_id is not None:
@@ -178,6 +180,13 @@
                 break
         return replica_ids
 
+    def _refuse_without_replica(self, now: float) -> None:
+        """Refuse the queued requests of services without a usable replica."""
+        for queued in self._queued.all():
+            if not self._replicas.has_usable(queued.request.service):
+                placement = Placement(queued.request.number, PlacementVerdict.NO_REPLICA)
+                self._refuse(queued, placement, now)
+
     # --- one request ---
 
     def _place_or_queue(
--- a/src/cloverwalk/scheduling/replica_view.py
+++ b/src/cloverwalk/scheduling/replica_view.py
@@ -271,7 +271,7 @@
             replica.slots,
             work.online,
             work.batch,
-            replica.is_draining,
+            self._directory.find(replica_id) is None,
             failed or self._directory.is_peer_suspect(replica_id, now),
             self.may_prefill(replica_id, now),
         )
--- a/src/cloverwalk/serving/adapter.py
+++ b/src/cloverwalk/serving/adapter.py
@@ -35,6 +35,13 @@
         """Return a stored replica entry; raise ValueError if it is invalid."""
         ...
 
+    def drained_zone(self, key: str) -> str | None:
+        """Return the zone that a row of the configuration table drains, None for other rows.
+
+        The row drains the zone as long as it exists, whatever its value.
+        """
+        ...
+
     def is_readiness_probe(self, target: str) -> bool:
         """Whether a request to the readiness address is a readiness probe."""
         ...
--- a/src/cloverwalk/serving/fleet_parts.py
+++ b/src/cloverwalk/serving/fleet_parts.py
@@ -32,6 +32,7 @@
 from cloverwalk.scheduling.zone_reachability import ReachabilityChange
 from cloverwalk.serving.fleet_state import FleetState
 from cloverwalk.serving.settings import ServingSettings
+from cloverwalk.serving.zone_drain_monitor import ZoneDrainMonitor
 from cloverwalk.store.health import StoreHealth
 from cloverwalk.store.types import Store
 from cloverwalk.telemetry.log import ServingLog
@@ -73,6 +74,10 @@
             fleet_state.configuration, settings.is_memory_scarce, settings.tolerance.zones
         )
         self.features.on_change = self._log_feature
+        fleet_state.stored_zone_drains.known_zones = frozenset(settings.region_by_zone)
+        self.zone_drain_monitor = ZoneDrainMonitor(
+            fleet_state.zone_drains, self.features, settings, log, clock
+        )
         self.scheduler = Scheduler(
             fleet_state.directory,
             fleet_state.configuration,
@@ -188,6 +193,7 @@
         match message:
             case Report():
                 await self.coordinator.handle_report(message, host)
+                self._fleet_state.record_directory_source("peer")
             case Snapshot():
                 await self.election.handle_snapshot(message, host)
             case ConfigurationCopy():
@@ -232,6 +238,11 @@
                 return
             await self.coordinator.wait_until_active_or_timeout(remaining_s)
 
+    def check(self) -> None:
+        """Log what has changed by time alone."""
+        self.features.notify_changes()
+        self.zone_drain_monitor.check()
+
     def leave(self) -> None:
         """Begin a planned stop: give up coordination and receive no more jobs."""
         self.coordinator_client.is_leaving = True
--- a/src/cloverwalk/serving/fleet_state.py
+++ b/src/cloverwalk/serving/fleet_state.py
@@ -9,6 +9,7 @@
 from cloverwalk.gateway.replicas import Replica, ReplicaDirectory
 from cloverwalk.gateway.zone_drains import ZoneDrains
 from cloverwalk.serving.adapter import Adapter
+from cloverwalk.serving.stored_zone_drains import StoredZoneDrains
 from cloverwalk.store.types import Row, RowPage
 from cloverwalk.telemetry.log import ServingLog
 from cloverwalk.telemetry.metrics import ServingMetrics
@@ -36,19 +37,39 @@
         self.configuration = ConfigurationHolder()
         self.directory = ReplicaDirectory()
         self.zone_drains = ZoneDrains()
+        self.zone_drains.listeners.append(self._apply_zone_drains)
         self.crash_ledger = CrashLedger()
         self.metrics = ServingMetrics()
         """Counts invalid entries; ``ServingNode`` replaces it by the metrics of the node."""
 
         self.on_stored_configuration: Callable[[], Awaitable[None]] = _ignore_configuration
-        """Called after a newer configuration from the store has been applied."""
+        """Called after a newer configuration or a change of the drained zones from the store has
+        been applied."""
 
+        self.stored_zone_drains = StoredZoneDrains(adapter, self.zone_drains, log)
         self._is_stored_configuration_invalid = False
         self._invalid_versions: dict[str, int] = {}
         """Versions of invalid entries, by key; each version is logged once."""
 
+    @property
+    def is_complete(self) -> bool:
+        """Whether all that serving needs is known."""
+        return (
+            self.configuration.current is not None
+            and not self.directory.is_empty
+            and self.zone_drains.is_known
+        )
+
+    async def on_all_configuration(self, page: RowPage) -> None:
+        """Apply all rows of the configuration table."""
+        self.stored_zone_drains.clear()
+        await self.on_configuration(page)
+
     async def on_configuration(self, page: RowPage) -> None:
-        """Apply rows of the configuration table."""
+        """Apply changed rows of the configuration table."""
+        if self.stored_zone_drains.apply(page):
+            await self.on_stored_configuration()
+        self._record_zone_drain_source("store")
         for row in page.rows:
             if row.row_key.key == self._adapter.configuration_key and row.value is not None:
                 await self._apply_stored_configuration(row.value)
@@ -69,10 +90,12 @@
             await self.on_stored_configuration()
 
     def on_configuration_confirmed(self, confirmed_at: float) -> None:
-        """Record that the current version was the newest in the store at ``confirmed_at``.
+        """Record that the stored state was the newest in the store at ``confirmed_at``.
 
-        Does nothing if the latest stored version is invalid, as it may be newer.
+        The configuration isn't confirmed if its latest stored version is invalid, as it may be
+        newer.
         """
+        self.stored_zone_drains.confirm(confirmed_at)
         if self._is_stored_configuration_invalid:
             return
         self.configuration.record_confirmation(self.configuration.version, confirmed_at)
@@ -166,6 +189,14 @@
         self.record_directory_source("store")
 
     def record_directory_source(self, source: str) -> None:
-        """Record for the startup log that a replica list was received from ``source``."""
+        """Record for the startup log that state was received from ``source``."""
         if not self.directory.is_empty:
             self.startup.record_stage(Stage.REPLICAS, source)
+        self._record_zone_drain_source(source)
+
+    def _record_zone_drain_source(self, source: str) -> None:
+        if self.zone_drains.is_known:
+            self.startup.record_stage(Stage.ZONE_DRAINS, source)
+
+    def _apply_zone_drains(self, drained: tuple[str, ...], lifted: tuple[str, ...]) -> None:
+        self.directory.drain_zones(self.zone_drains.zones)
--- a/src/cloverwalk/serving/node.py
+++ b/src/cloverwalk/serving/node.py
@@ -163,7 +163,7 @@
             self._adapter.configuration_table,
             self._store,
             self._health,
-            self._fleet_state.on_configuration,
+            self._fleet_state.on_all_configuration,
             self._fleet_state.on_configuration,
             CONFIGURATION_FOLLOW_DELAY_S,
             self._log,
@@ -214,6 +214,7 @@
             self._resource_monitor,
             self._clock,
             settings.configuration_apply_s,
+            lambda: self._fleet_state.zone_drains.is_known,
         )
         self._ready = self._create_server(
             settings.ready_address, self._answer_ready, MAX_INTERNAL_CONNECTIONS
@@ -360,8 +361,7 @@
         """Whether the node answers readiness probes positively."""
         return (
             not self.is_leaving
-            and self._configuration.current is not None
-            and not self._directory.is_empty
+            and self._fleet_state.is_complete
             and (self._resource_monitor is None or self._resource_monitor.overload_monitor.is_ready)
         )
 
@@ -374,6 +374,7 @@
         metrics = self._metrics
         now = self._clock()
         metrics.tenant_directory = self._configuration.tenants
+        self._fleet.zone_drain_monitor.update_metrics(metrics)
         metrics.gauge(
             "cloverwalk_configuration_version", "Version in force", self._configuration.version
         )
@@ -393,11 +394,7 @@
         metrics.gauge(
             "cloverwalk_jobs_owned", "Jobs that this node runs", len(self._batch.runner.jobs)
         )
-        metrics.gauge(
-            "cloverwalk_client_connections",
-            "Open",
-            self._clients.connection_count,
-        )
+        metrics.gauge("cloverwalk_client_connections", "Open", self._clients.connection_count)
         coordinator = self._fleet.coordinator
         node_count = len(coordinator.registry.live()) if coordinator.is_active else 0
         seconds_by_use = self._fleet.slot_time_reporter.slot_time.seconds
@@ -451,7 +448,7 @@
     async def _housekeeping(self) -> None:
         while True:
             await curio.sleep(HOUSEKEEPING_INTERVAL_S)
-            self._fleet.features.notify_changes()
+            self._fleet.check()
             self._restart_handler.abort_stale()
             await self._pool.close_expired()
             self._quota_refusals.expire()
--- a/src/cloverwalk/serving/request_handler.py
+++ b/src/cloverwalk/serving/request_handler.py
@@ -54,7 +54,9 @@
         resource_monitor: ResourceMonitor | None = None,
         clock: Callable[[], float] = monotonic_s,
         configuration_apply_s: float = DEFAULT_CONFIGURATION_APPLY_S,
+        knows_zone_drains: Callable[[], bool] = lambda: True,
     ) -> None:
+        self._knows_zone_drains = knows_zone_drains
         self._adapter = adapter
         self._codec = adapter.codec
         self._configuration = configuration
@@ -116,10 +118,17 @@
             raise _node_full_error("this node is overloaded")
         route = self._find_route(request)
         if route.kind is not RouteKind.BATCH:
+            self._check_zone_drains()
             return route
         await self._submit(request, route, reply, writes)
         return None
 
+    def _check_zone_drains(self) -> None:
+        """Refuse a request while this node can't know which replicas may get it."""
+        if not self._knows_zone_drains():
+            message = "this node is starting"
+            raise GatewayError(Reason.UNAVAILABLE, "no_zone_drains", message, START_RETRY_AFTER_S)
+
     def _identify(self, request: ClientRequest, is_job_call: bool) -> None:
         """Set the tenant of a request and remove the key from its headers."""
         try:
--- a/src/cloverwalk/telemetry/metrics.py
+++ b/src/cloverwalk/telemetry/metrics.py
@@ -78,6 +78,9 @@
         self.replica_slowdowns: Mapping[str, int] = {}
         """Number of replicas by slowdown class, estimated while this node was the coordinator."""
 
+        self.zone_drain_changes: Mapping[str, int] = {}
+        """Number of changes of the zone drains, by kind."""
+
         self._durations: dict[str, Latencies] = {}
         self._first_events: dict[str, Latencies] = {}
         self._running: dict[str, int] = {}
@@ -186,6 +189,12 @@
                 self._invalid_values,
                 "figure",
             ),
+            (
+                "cloverwalk_zone_drain_changes",
+                "Changes of the zone drains",
+                self.zone_drain_changes,
+                "change",
+            ),
         ):
             counter = CounterMetricFamily(name, help_text, labels=[label])
             for value, count in counts.items():
--- a/src/cloverwalk/telemetry/startup.py
+++ b/src/cloverwalk/telemetry/startup.py
@@ -20,9 +20,10 @@
     COORDINATOR = "coordinator"
     CONFIGURATION = "configuration"
     REPLICAS = "replicas"
+    ZONE_DRAINS = "zone_drains"
 
 
-NEEDED_TO_SERVE = (Stage.CONFIGURATION, Stage.REPLICAS)
+NEEDED_TO_SERVE = (Stage.CONFIGURATION, Stage.REPLICAS, Stage.ZONE_DRAINS)
 
 
 class StartupLog:
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -449,16 +449,9 @@
     Mutant(
         "serving: a draining replica is used",
         "gateway/replicas.py",
-        "replica.service == service and not replica.is_draining",
-        "replica.service == service",
+        "        return None if replica is None or replica.is_draining else replica",
+        "        return replica",
         ONLINE + "test_draining_or_removed_replica_gets_no_new_requests",
-        (
-            (
-                "gateway/replicas.py",
-                "        return None if replica is None or replica.is_draining else replica",
-                "        return replica",
-            ),
-        ),
     ),
     Mutant(
         "serving: a node without a configuration denies",
--- a/tests/serving/coordination_world.py
+++ b/tests/serving/coordination_world.py
@@ -128,6 +128,9 @@
         self.configuration = world.configuration()
         self.directory = ReplicaDirectory()
         self.zone_drains = ZoneDrains()
+        self.zone_drains.listeners.append(
+            lambda drained, lifted: self.directory.drain_zones(self.zone_drains.zones)
+        )
         self.health = StoreHealth(Clock(clock))
         store_clock = StoreClock(Clock(clock))
         self.store = MonitoredStore(world.store, self.health, store_clock)
--- a/tests/serving/returning_world.py
+++ b/tests/serving/returning_world.py
@@ -344,7 +344,7 @@
             adapter.configuration_table,
             self.store,
             self.health,
-            self.fleet_state.on_configuration,
+            self.fleet_state.on_all_configuration,
             self.fleet_state.on_configuration,
             CONFIGURATION_FOLLOW_DELAY_S,
             log,
--- a/tests/unit/test_startup.py
+++ b/tests/unit/test_startup.py
@@ -37,13 +37,20 @@
     start.reach(300, Stage.STORE_REFUSAL)
     start.reach(500, Stage.CONFIGURATION, "peer")
     assert not path.read_text()
-    start.reach(700, Stage.REPLICAS, "store")
+    start.reach(600, Stage.REPLICAS, "store")
+    assert not path.read_text()
+    start.reach(700, Stage.ZONE_DRAINS, "peer")
     start.reach(900, Stage.REPLICAS, "peer")
     start.reach(950, Stage.CONFIGURATION, "store")
     (line,) = lines_of(path)
     assert line["event"] == "node_ready"
     assert line["after_ms"] == 700
-    assert line["stages_ms"] == {"store_refusal": 300, "configuration": 500, "replicas": 700}
+    assert line["stages_ms"] == {
+        "store_refusal": 300,
+        "configuration": 500,
+        "replicas": 600,
+        "zone_drains": 700,
+    }
     assert (line["configuration_from"], line["replicas_from"]) == ("peer", "store")
 
 
@@ -63,6 +70,7 @@
     for number, ready_ms in enumerate((100, 200, 900)):
         start = StartingProcess(f"n{number}", path)
         start.reach(ready_ms // 2, Stage.CONFIGURATION, "store")
+        start.reach(ready_ms // 2, Stage.ZONE_DRAINS, "store")
         start.reach(ready_ms, Stage.REPLICAS, "peer" if number == 2 else "store")
     lines = [line for text in path.read_text().splitlines() if (line := parse_line(text))]
     by_stage = {stage.stage: stage.after_ms for stage in startup_stages(lines)}
