The soak drains zones and checks that no work reaches them

Cause: no fault of the soak drained a zone, so nothing showed what processes make of one beside other faults.

Change: the action zone_drain writes the operator's row and removes it after 6 to 14 s; the history says when the store had it, and runs name their replica's zone. A run later than the bound in a drained zone is reported if its node was undisturbed as long as the change may take.

--- a/src/cloverwalk/soak/check_requests.py
+++ b/src/cloverwalk/soak/check_requests.py
@@ -70,6 +70,10 @@
         """Whether an id belongs to an online request."""
         return request in self._requests
 
+    def node_of(self, request: str) -> str:
+        """Return the node that got an online request, an empty string for others."""
+        return self._requests[request].sent.node if request in self._requests else ""
+
     def handle(self, event: object) -> Iterator[Violation]:
         """Process an event and yield the violations that it shows."""
         match event:
--- a/src/cloverwalk/soak/checker.py
+++ b/src/cloverwalk/soak/checker.py
@@ -7,6 +7,7 @@
 from cloverwalk.soak.check_jobs import JobChecks
 from cloverwalk.soak.check_nodes import NodeChecks, QuotaChecks
 from cloverwalk.soak.check_requests import RequestChecks
+from cloverwalk.soak.check_zone_drains import ZoneDrainChecks
 from cloverwalk.soak.events import RunBegan, RunEnded
 from cloverwalk.soak.processes import QUOTA_OVERSHOOT, QUOTA_SLACK, QUOTA_WINDOW_S
 from cloverwalk.soak.violations import Disturbances, Versions, Violation
@@ -23,6 +24,7 @@
         self._crashes = CrashChecks(self._disturbances)
         self._nodes = NodeChecks(self._versions)
         self._quotas = QuotaChecks(self._versions, QUOTA_WINDOW_S, QUOTA_OVERSHOOT, QUOTA_SLACK)
+        self._zone_drains = ZoneDrainChecks(self._disturbances, self._requests)
         self._at = 0.0
         self.violations: list[Violation] = []
         self.run_ends: Counter[str] = Counter()
@@ -44,6 +46,7 @@
             self.run_ends[event.end] += 1
         for checks in (self._requests, self._jobs, self._nodes, self._quotas, self._crashes):
             yield from checks.handle(event)
+        yield from self._zone_drains.handle(event)
 
     def _check_was_sent(self, run: RunBegan) -> Iterator[Violation]:
         if not self._requests.has_request(run.request) and not self._jobs.has_item(run.request):
--- a/src/cloverwalk/soak/deployment.py
+++ b/src/cloverwalk/soak/deployment.py
@@ -1,16 +1,24 @@
 """Routes, tenants and services of a soak, and the operator that changes the configuration."""
 
+from collections import Counter
 from typing import Any
 
 import attrs
 
 from cloverwalk.emulator.platform_store_server import PlatformStoreServer
 from cloverwalk.platform import names
-from cloverwalk.soak.events import ConfigurationWritten, RouteFact, TenantFact
+from cloverwalk.soak.events import (
+    ConfigurationWritten,
+    RouteFact,
+    TenantFact,
+    ZoneDrained,
+    ZoneDrainLifted,
+)
 from cloverwalk.soak.history import History
 
 HOST = "soak.example"
 SERVICES = ("alpha", "beta")
+ZONES = ("z1", "z2", "z3")
 SLOTS_PER_REPLICA = 8
 TIMEOUT_MS = 4_000
 LONG_TIMEOUT_MS = 60_000
@@ -160,6 +168,7 @@
         self._store = store
         self._history = history
         self.version = 0
+        self._drains_by_zone: Counter[str] = Counter()
         self.routes = {route.name: route for route in ROUTES}
         self.tenants = {
             name: TenantState(name, rate_per_s, burst)
@@ -191,6 +200,20 @@
         )
         self._store.put(names.OPERATOR_TABLE, names.CONFIGURATION_KEY, document)
 
+    def drain_zone(self, zone: str) -> None:
+        """Drain a zone; drains of a zone may overlap."""
+        self._drains_by_zone[zone] += 1
+        self._store.put(names.OPERATOR_TABLE, names.ZONE_DRAIN_KEY_PREFIX + zone, {})
+        self._history.record(ZoneDrained(zone=zone))
+
+    def lift_zone_drain(self, zone: str) -> None:
+        """Lift the drain of a zone, unless another drain of it goes on."""
+        self._drains_by_zone[zone] -= 1
+        if self._drains_by_zone[zone] == 0:
+            # Recorded first, since a node may use the zone as soon as the row is gone.
+            self._history.record(ZoneDrainLifted(zone=zone))
+            self._store.remove(names.OPERATOR_TABLE, names.ZONE_DRAIN_KEY_PREFIX + zone)
+
     def replace_key(self, name: str) -> None:
         """Revoke the oldest API key of a tenant and add a new one."""
         tenant = self.tenants[name]
--- a/src/cloverwalk/soak/draw.py
+++ b/src/cloverwalk/soak/draw.py
@@ -61,6 +61,7 @@
             (6.0, self._operator_actions),
             (9.0, self._herd_actions),
             (8.0, self._restart_actions),
+            (15.0, self._zone_drain_actions),
         )
         for mean_interval_s, draw in series:
             at_s = FAULT_FREE_START_S + self._random.uniform(0, mean_interval_s)
@@ -166,6 +167,12 @@
         duration_s = self._draw_value(1.0, 9.0) if kind is ActionKind.ROUTE_REMOVE else 0.0
         return [Action(at_s, kind, [], duration_s, name=name)]
 
+    def _zone_drain_actions(self, at_s: float) -> list[Action]:
+        kind = ActionKind.ZONE_DRAIN
+        zone = self._random.choice(names_of_kind(kind))
+        duration_s = min(self._duration_s, self._draw_value(6.0, 14.0))
+        return [Action(round(at_s, 2), kind, [], duration_s, name=zone)]
+
     def _herd_actions(self, at_s: float) -> list[Action]:
         kind = self._random.choice(HERD_KINDS)
         count = 120 if kind is ActionKind.HERD_REQUESTS else 12
--- a/src/cloverwalk/soak/events.py
+++ b/src/cloverwalk/soak/events.py
@@ -44,6 +44,18 @@
     tenants: list[TenantFact]
 
 
+class ZoneDrained(SoakEvent, frozen=True):
+    """The store has acknowledged that a zone is drained."""
+
+    zone: str
+
+
+class ZoneDrainLifted(SoakEvent, frozen=True):
+    """The operator lifts the drain of a zone; recorded just before the store has it."""
+
+    zone: str
+
+
 # --- nodes ---
 
 
@@ -195,6 +207,9 @@
     last_event: int | None = None
     """Number of the event after which it was asked to resume, None for a run from the start."""
 
+    zone: str = ""
+    """Zone of the replica."""
+
 
 class RunEnded(SoakEvent, frozen=True):
     """A run ended; ``end`` is the value of a ``RunEnd``."""
--- a/src/cloverwalk/soak/faults.py
+++ b/src/cloverwalk/soak/faults.py
@@ -104,7 +104,7 @@
     async def _run_action(self, action: Action) -> None:
         fault = next(self._fault_numbers)
         handler = self._handler_of(action)
-        if action.kind in OPERATOR_KINDS or action.kind in HERD_KINDS:
+        if action.kind in (*OPERATOR_KINDS, *HERD_KINDS, ActionKind.ZONE_DRAIN):
             await handler(fault, action)
             return
         nodes = (
@@ -135,6 +135,7 @@
             ActionKind.ROUTE_MOVE: self._change_configuration,
             ActionKind.HERD_REQUESTS: self._send_herd,
             ActionKind.HERD_JOBS: self._send_herd,
+            ActionKind.ZONE_DRAIN: self._drain_zone,
         }
         return handlers[action.kind]
 
@@ -203,6 +204,11 @@
                 await curio.sleep(action.duration_s)
                 self._operator.restore_route(action.name)
 
+    async def _drain_zone(self, fault: int, action: Action) -> None:
+        self._operator.drain_zone(action.name)
+        await curio.sleep(action.duration_s)
+        self._operator.lift_zone_drain(action.name)
+
     async def _send_herd(self, fault: int, action: Action) -> None:
         # A generator of its own: the order of other tasks must not change what a herd sends.
         random = Random(self._random.random())
--- a/src/cloverwalk/soak/history.py
+++ b/src/cloverwalk/soak/history.py
@@ -23,6 +23,8 @@
     RunBegan,
     RunEnded,
     VersionTold,
+    ZoneDrained,
+    ZoneDrainLifted,
 )
 from cloverwalk.soak.job_events import (
     ItemRead,
@@ -55,6 +57,8 @@
     | JobEndSent
     | JobEndAnswered
     | AllQuiet
+    | ZoneDrained
+    | ZoneDrainLifted
 )
 
 _decoder = msgspec.json.Decoder(Event)
--- a/src/cloverwalk/soak/plan.py
+++ b/src/cloverwalk/soak/plan.py
@@ -11,6 +11,7 @@
     MOVABLE_ROUTES,
     QUOTAS,
     REMOVABLE_ROUTES,
+    ZONES,
 )
 from cloverwalk.soak.errors import SoakInputError
 
@@ -47,6 +48,7 @@
     ROUTE_MOVE = "route_move"
     HERD_REQUESTS = "herd_requests"
     HERD_JOBS = "herd_jobs"
+    ZONE_DRAIN = "zone_drain"
 
 
 NODE_KINDS = (ActionKind.NODE_TERM, ActionKind.NODE_KILL, ActionKind.NODE_FREEZE)
@@ -206,4 +208,6 @@
         return REMOVABLE_ROUTES
     if kind is ActionKind.ROUTE_MOVE:
         return MOVABLE_ROUTES
+    if kind is ActionKind.ZONE_DRAIN:
+        return ZONES
     return ()
--- a/src/cloverwalk/soak/processes.py
+++ b/src/cloverwalk/soak/processes.py
@@ -12,11 +12,11 @@
 
 from cloverwalk.platform import names
 from cloverwalk.soak.addresses import SoakNetwork
+from cloverwalk.soak.deployment import ZONES
 from cloverwalk.soak.events import NodeGone, NodeSignalled, NodeStarted
 from cloverwalk.soak.history import History
 
 PROGRAM = "from cloverwalk.platform.program import main; main()"
-ZONES = ("z1", "z2", "z3")
 SEED_NODE_COUNT = 3
 POLL_INTERVAL_S = 0.05
 STOP_GRACE_S = 8.0
--- a/src/cloverwalk/soak/replicas.py
+++ b/src/cloverwalk/soak/replicas.py
@@ -14,7 +14,7 @@
 from cloverwalk.emulator.replica_runs import Arrival, Misdeed
 from cloverwalk.platform import names
 from cloverwalk.soak.addresses import SoakNetwork
-from cloverwalk.soak.deployment import SERVICES, SLOTS_PER_REPLICA
+from cloverwalk.soak.deployment import SERVICES, SLOTS_PER_REPLICA, ZONES
 from cloverwalk.soak.events import RunBegan, RunEnded
 from cloverwalk.soak.history import History
 from cloverwalk.soak.proxy import FaultProxy
@@ -73,6 +73,7 @@
         self._run_numbers: Iterator[int] = count(1)
         self.running: dict[int, Arrival] = {}
         self.service_by_replica: dict[str, str] = {}
+        self.zone_by_replica: dict[str, str] = {}
 
     def began(self, replica_id: str, arrival: Arrival) -> None:
         """Record that a replica started to run a request."""
@@ -91,6 +92,7 @@
                 tenant=arrival.headers.get(names.TENANT.decode().lower()),
                 has_key=names.AUTHORIZATION.decode().lower() in arrival.headers,
                 last_event=None if last_event is None else int(last_event),
+                zone=self.zone_by_replica[replica_id],
             )
         )
 
@@ -117,6 +119,11 @@
     is_changing: bool = False
     """Whether the replica is being crashed, drained, restarted or its entry is corrupted."""
 
+    @property
+    def zone(self) -> str:
+        """The zone of the address."""
+        return ZONES[self.number % len(ZONES)]
+
 
 class ReplicaFleet:
     """All replicas, and the faults that they are subject to."""
@@ -184,6 +191,7 @@
         replica.choose_event_count = requested_events
         replica.choose_misdeed = self._misdeed_chooser(replica_id, host.number)
         self.run_recorder.service_by_replica[replica_id] = host.service
+        self.run_recorder.zone_by_replica[replica_id] = host.zone
         host.replica = replica
         host.replica_task = await curio.spawn(replica.run, daemon=True)
         self._register(host, "ready")
@@ -195,7 +203,7 @@
 
     def _document(self, host: _ReplicaHost, state: str) -> dict[str, Any]:
         assert host.replica is not None
-        document = host.replica.document(host.service, f"z{host.number % 3 + 1}", state)
+        document = host.replica.document(host.service, host.zone, state)
         ip, port = host.proxy.address
         return {**document, "address": f"{ip}:{port}"}
 
--- a/src/cloverwalk/soak/violations.py
+++ b/src/cloverwalk/soak/violations.py
@@ -106,6 +106,14 @@
         spans = [span for span in self._disturbances_within(start, until) if span.affects(node)]
         return all(span.kind.startswith(NON_CONNECTION_KIND_PREFIXES) for span in spans)
 
+    def is_calm_but_for_replicas(self, since: float, until: float, node: str) -> bool:
+        """Like ``is_calm``, but faults of replicas and of their entries do not count."""
+        start = since - RECOVERY_S
+        if self._absent_since.get(node, until + 1) <= until:
+            return False
+        spans = [span for span in self._disturbances_within(start, until) if span.affects(node)]
+        return all(span.kind.startswith(("replica_", "entry_")) for span in spans)
+
     def is_calm_everywhere(self, since: float, until: float) -> bool:
         """Whether nothing disturbed the fleet from ``RECOVERY_S`` before ``since`` to ``until``.
 
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -54,6 +54,7 @@
 ENTRIES = "tests/serving/test_replica_entries.py::"
 RESTARTED = "tests/serving/test_restarted_replicas.py::"
 SPREAD = "tests/serving/test_configuration_spread.py::"
+DRAINS = "tests/serving/test_zone_drains.py::"
 OUTDATED = "tests/serving/test_outdated_configuration.py::"
 NAMES = "tests/unit/test_interface_names.py::test_interface_names_are_unchanged"
 SOAK = "tests/soak/test_soak_short.py::test_short_soak_has_no_violations"
@@ -1403,6 +1404,58 @@
         "            if page.version < 0:",
         "tests/serving/test_follower.py::test_full_read_older_than_an_earlier_answer_is_read_again",
     ),
+    Mutant(
+        "zone drains: replicas of drained zones are used",
+        "gateway/replicas.py",
+        "replica is None or replica.zone in self._drained_zones else replica",
+        "replica is None else replica",
+        DRAINS + "test_two_zones_are_drained_at_once_also_that_of_the_coordinator",
+    ),
+    Mutant(
+        "zone drains: a request is sent though its zone was drained while it connected",
+        "gateway/relay.py",
+        """        if self._directory.find(replica.replica_id) is None:
+            await self._pool""",
+        """        if False:
+            await self._pool""",
+        DRAINS + "test_the_last_check_before_sending_stops_requests",
+    ),
+    Mutant(
+        "zone drains: a granted item is sent though its zone was drained while it connected",
+        "jobs/item_call.py",
+        "            if self.directory.find(replica.replica_id) is None:",
+        "            if False:",
+        DRAINS + "test_items_that_were_granted_but_not_sent_stay_unsent",
+    ),
+    Mutant(
+        "zone drains: an older state replaces a newer one",
+        "gateway/zone_drains.py",
+        "        if version < self.version:",
+        "        if False:",
+        DRAINS + "test_the_newest_state_wins_in_any_order_of_reads_and_copies",
+    ),
+    Mutant(
+        "zone drains: a full read keeps drains whose rows are gone",
+        "serving/stored_zone_drains.py",
+        "        self._zones = set()\n\n    def apply",
+        "        pass\n\n    def apply",
+        DRAINS + "test_a_full_read_lifts_the_drains_whose_rows_are_gone",
+    ),
+    Mutant(
+        "zone drains: the coordinator doesn't send a change to all nodes at once",
+        "fleet/coordinator.py",
+        "        if self._pushed_drained_zones != self._zone_drains.zones:",
+        "        if False:",
+        DRAINS
+        + "test_the_coordinator_sends_a_drain_to_all_nodes_in_the_tick_after_it_learned_of_it",
+    ),
+    Mutant(
+        "zone drains: queued requests of a drained service wait on",
+        "scheduling/online.py",
+        "            self._refuse_without_replica(now)",
+        "            pass",
+        DRAINS + "test_queued_requests_are_refused_though_others_wait_before_them",
+    ),
 ]
 
 
--- a/tests/serving/test_zone_drains.py
+++ b/tests/serving/test_zone_drains.py
@@ -23,7 +23,7 @@
 
 from cloverwalk.core import catalogue
 from cloverwalk.emulator.replica_runs import Misdeed
-from cloverwalk.fleet.messages import WaitingGroup, ZoneDrainCopy
+from cloverwalk.fleet.messages import PlacementRequest, WaitingGroup, ZoneDrainCopy
 from cloverwalk.gateway.configuration import ConfigurationHolder
 from cloverwalk.gateway.replicas import Replica
 from cloverwalk.gateway.zone_drains import ZoneDrains
@@ -276,6 +276,24 @@
     assert all(placements[number].verdict is PlacementVerdict.NO_REPLICA for number in queued)
 
 
+# Order of arrival must not hold back a refusal: the request before it waits for another service.
+def test_queued_requests_are_refused_though_others_wait_before_them() -> None:
+    fleet = Fleet(replicas=1, nodes=1)
+    fleet.directory.put(Replica("o0", "other", "h", 9, "z2", SLOTS, False, version=1))
+    fleet.nodes[0].online = {"r0": SLOTS, "o0": SLOTS}
+    times: dict[str, Any] = {"objective_left_ms": 1, "deadline_ms": 5000, "time_left_ms": 900}
+    other = PlacementRequest(900, "chat", "other", **times)
+    fleet.scheduler.handle_report(fleet.nodes[0].report([other]), fleet.now)
+    fleet.now += 0.01
+    queued = fleet.request_placement(0, **times)
+    _drain(fleet, "z1")
+    fleet.scheduler.tick(fleet.now)
+    fleet.apply_decisions()
+    placements = fleet.nodes[0].placements
+    assert placements[900].verdict is PlacementVerdict.QUEUE
+    assert placements[queued].verdict is PlacementVerdict.NO_REPLICA
+
+
 # They would wait though another zone has free slots.
 def test_queued_requests_are_placed_in_the_zones_that_remain() -> None:
     fleet = Fleet(replicas=2, nodes=1, zones=2)
--- a/tests/soak/test_soak_checker.py
+++ b/tests/soak/test_soak_checker.py
@@ -25,6 +25,8 @@
     RunEnded,
     TenantFact,
     VersionTold,
+    ZoneDrained,
+    ZoneDrainLifted,
 )
 from cloverwalk.soak.job_events import (
     ItemFact,
@@ -598,3 +600,28 @@
     assert containment_violations([*repetitions(1, 2), sent, answer]) == ["q1"]
     crashing = msgspec.structs.replace(answer, request="x2")
     assert containment_violations([*repetitions(1, 2), crashing]) == []
+
+
+# --- drained zones ---
+
+
+# Work in a drained zone must be reported, and only that which came too late.
+@pytest.mark.parametrize(
+    ("run_at", "zone", "extra", "reported"),
+    [
+        (30.0, "z1", [], True),
+        (24.0, "z1", [], False),
+        (30.0, "z2", [], False),
+        (30.0, "z1", [at_time(28.0, ZoneDrainLifted(zone="z1"))], False),
+        (30.0, "z1", [at_time(26.0, FaultBegan(fault=1, kind="store_silent"))], False),
+        (30.0, "z1", [at_time(26.0, FaultBegan(fault=1, kind="replica_misdeed"))], True),
+        (30.0, "z1", [at_time(26.0, FaultBegan(fault=1, kind="node_kill", nodes=["n2"]))], True),
+    ],
+)
+def test_run_in_a_drained_zone_is_reported(
+    run_at: float, zone: str, extra: list[Any], reported: bool
+) -> None:
+    history = [at_time(20.0, ZoneDrained(zone="z1")), *extra]
+    history += [at_time(29.9, sent()), at_time(run_at, began(zone=zone))]
+    found = broken_promises(*history)
+    assert found == (["drained zones"] if reported else [])
--- a/tests/soak/test_soak_plan.py
+++ b/tests/soak/test_soak_plan.py
@@ -39,6 +39,7 @@
         (Action(1.0, ActionKind.LINK_CUT, [0], name="store", way="up"), "way"),
         (Action(1.0, ActionKind.ROUTE_REMOVE, name="chat"), "name"),
         (Action(1.0, ActionKind.HERD_JOBS, amount=1e9, name="quiz"), "amount"),
+        (Action(1.0, ActionKind.ZONE_DRAIN, name="z9"), "name"),
     ],
 )
 def test_action_with_invalid_value_is_rejected(action: Action, problem: str) -> None:
