A request whose service was drained meanwhile goes to another one of its route

Cause: a request chooses its service on arrival; if the zones of that service were drained before it got a replica, it was refused although another service of its route could serve it.

Change: on the verdict that no replica is left, a request that no replica has got yet changes to a usable service of its route.

Measured: the new test fails without the change and passes with it; tests/serving without test_fleet_processes.py: all passed.

--- a/src/cloverwalk/gateway/relay.py
+++ b/src/cloverwalk/gateway/relay.py
@@ -111,6 +111,16 @@
         usable = [service for service in route.services if self._directory.usable(service)]
         return usable[0] if usable else preferred
 
+    def _change_service(self, progress: RequestProgress) -> bool:
+        """Move an untried request whose service is drained to another one of its route."""
+        if progress.tried or not self._directory.is_drained(progress.service):
+            return False
+        previous, progress.service = (
+            progress.service,
+            self._usable_service(progress.route, progress.service),
+        )
+        return progress.service != previous
+
     # --- attempts ---
 
     async def _serve(self, request: ClientRequest, progress: RequestProgress, reply: Reply) -> None:
@@ -135,6 +145,8 @@
             result = await self._coordinator_client.request_placement(
                 placement_request, request.received_at + MAX_QUEUE_WAIT_S
             )
+            if result.verdict is PlacementVerdict.NO_REPLICA and self._change_service(progress):
+                continue
             self._check_verdict(request, progress, result)
             replica = self._directory.find(result.replica_id)
             if replica is not None:
--- a/tests/serving/test_zone_drains.py
+++ b/tests/serving/test_zone_drains.py
@@ -436,13 +436,19 @@
 # --- real nodes ---
 
 
-async def _start_zoned(world: FleetWorld, zones: list[str], **options: Any) -> None:
-    """Start replicas in these zones, and two nodes in zone z1."""
+async def _start_zoned(
+    world: FleetWorld, zones: list[str], services: tuple[str, ...] = ("model",), **options: Any
+) -> None:
+    """Start replicas in these zones, of the services by turns, and two nodes in zone z1."""
     await world.spawn(world.store.run)
-    world.store.put(names.OPERATOR_TABLE, names.CONFIGURATION_KEY, configuration(1))
-    for zone in zones:
+    document = configuration(1)
+    document["services"] = [{"name": name, "engine": {"slots": SLOTS}} for name in services]
+    parts = [{"service": name, "weight": 1} for name in services]
+    document["routes"] = [{**entry, "weighted_clusters": parts} for entry in document["routes"]]
+    world.store.put(names.OPERATOR_TABLE, names.CONFIGURATION_KEY, document)
+    for number, zone in enumerate(zones):
         replica = await world.add_replica(**options)
-        document = replica.document("model", zone)
+        document = replica.document(services[number % len(services)], zone)
         world.store.put(names.REPLICA_TABLE, replica.replica_id, document)
     for _ in range(2):
         await world.add_node()
@@ -529,6 +535,28 @@
     in_world(test)
 
 
+# Requests that wait for their placement have chosen their service before the drain.
+def test_requests_of_a_drained_service_go_to_another_one_of_their_route() -> None:
+    async def test(world: FleetWorld) -> None:
+        await _start_zoned(world, ["z1", "z2"], ("model", "other"))
+        client = world.nodes[0]._fleet.coordinator_client
+        request_placement = client.request_placement
+
+        drains = world.nodes[0]._fleet_state.zone_drains
+
+        async def drain_and_request(*args: Any) -> Any:
+            drains.update(max(10**9, drains.version + 1), ["z1"], 0.0)
+            return await request_placement(*args)
+
+        vars(client)["request_placement"] = drain_and_request
+        for _ in range(4):
+            drains.update(max(10**9, drains.version + 1), [], 0.0)
+            assert (await world.ask("/chat/a")).status == 200
+        assert _arrival_counts(world) == [0, 4]
+
+    in_world(test)
+
+
 # The zone is drained after the grant.
 def test_items_that_were_granted_but_not_sent_stay_unsent() -> None:
     async def test(world: FleetWorld) -> None:
