--- a/src/cloverwalk/gateway/relay.py
+++ b/src/cloverwalk/gateway/relay.py
@@ -97,18 +97,30 @@
             allowed_s = min(allowed_s, request.fields.deadline_s)
         parts = [(part.service, part.weight) for part in route.parts]
         service = self._rotation.next(route.name, parts)
-        if not self._directory.usable(service):
-            usable_services = [
-                candidate for candidate in route.services if self._directory.usable(candidate)
-            ]
-            service = usable_services[0] if usable_services else service
         return RequestProgress(
             route,
-            service,
+            self._usable_service(route, service),
             request.received_at + allowed_s,
             request.fields.last_event_id,
         )
 
+    def _usable_service(self, route: Route, preferred: str) -> str:
+        """Return the preferred service if it has usable replicas, else another one of the route."""
+        if self._directory.usable(preferred):
+            return preferred
+        usable = [service for service in route.services if self._directory.usable(service)]
+        return usable[0] if usable else preferred
+
+    def _change_service(self, progress: RequestProgress) -> bool:
+        """Move an untried request whose service is drained to another one of its route."""
+        if progress.tried or not self._directory.is_drained(progress.service):
+            return False
+        previous, progress.service = (
+            progress.service,
+            self._usable_service(progress.route, progress.service),
+        )
+        return progress.service != previous
+
     # --- attempts ---
 
     async def _serve(self, request: ClientRequest, progress: RequestProgress, reply: Reply) -> None:
@@ -133,6 +145,8 @@
             result = await self._coordinator_client.request_placement(
                 placement_request, request.received_at + MAX_QUEUE_WAIT_S
             )
+            if result.verdict is PlacementVerdict.NO_REPLICA and self._change_service(progress):
+                continue
             self._check_verdict(request, progress, result)
             replica = self._directory.find(result.replica_id)
             if replica is not None:
@@ -150,6 +164,8 @@
         match result.verdict:
             case PlacementVerdict.RETRY_LATER:
                 raise refusals.no_free_slot(result.placement)
+            case PlacementVerdict.NO_REPLICA if self._directory.is_drained(progress.service):
+                raise refusals.zones_drained()
             case PlacementVerdict.NO_REPLICA:
                 raise refusals.no_replica("no_replica", progress.last_failure)
             case PlacementVerdict.OVER_QUOTA:
