Look routes up by an index instead of a walk over all

Cause: each request walked all routes to find its own, the coordinator walked them again to find one by name, and a third time for the longest wait that a route may build up; a call on a job without a key walked them for public batch routes.

Change: RouteIndex finds by host and prefix, by name and by service; it can be built in steps. WaitLimits keeps the lowest limit of each service and priority: a heap of measured routes and the lowest target latency of the others. Reading the times of an unmeasured route no longer creates them; a standby that takes over then starts such a route from the initial times with the weight of none, where before it had the weight of many. A queued request whose route has become a batch route, without online routes on its service, no longer raises. A replaced long configuration is released in steps.

The walks are the reference of the property tests (tests/route_walk.py).

--- a/src/cloverwalk/gateway/configuration.py
+++ b/src/cloverwalk/gateway/configuration.py
@@ -1,9 +1,12 @@
 """The current configuration: routes, services and the limits of clients."""
 
 from enum import Enum
+from functools import cached_property
 
 from msgspec import Struct
 
+from cloverwalk.gateway.route_index import ROUTES_PER_STEP, RouteIndex
+from cloverwalk.gateway.steps import Steps, run_steps
 from cloverwalk.tenants.directory import Tenant, TenantDirectory
 
 
@@ -16,14 +19,14 @@
     BATCH = "batch"
 
 
-class RoutePart(Struct, frozen=True, array_like=True):
+class RoutePart(Struct, frozen=True, array_like=True, gc=False):
     """A service that gets a share of a route's requests."""
 
     service: str
     weight: float
 
 
-class Route(Struct, frozen=True, array_like=True):
+class Route(Struct, frozen=True, array_like=True, gc=False):
     """The requests of one host below one path prefix."""
 
     name: str
@@ -50,6 +53,11 @@
         """Whether a request may run again after a failure."""
         return self.kind is RouteKind.SAFE or self.is_resumable
 
+    @property
+    def is_batch(self) -> bool:
+        """Whether its requests are batch jobs."""
+        return self.kind is RouteKind.BATCH
+
     @property
     def services(self) -> list[str]:
         """The services of the route, without duplicates."""
@@ -84,7 +92,7 @@
     idle_timeout_s: float = 15.0
 
 
-class Configuration(Struct, frozen=True, array_like=True):
+class Configuration(Struct, frozen=True, array_like=True, dict=True):
     """One version of the configuration."""
 
     version: int
@@ -106,25 +114,23 @@
         >>> configuration.find_route("h", "/y") is None
         True
         """
-        return max(self._routes_of(host, path), key=_prefix_length, default=None)
+        return self.index.find(host, path)
 
     def find_batch_route(self, host: str, path: str) -> Route | None:
         """Return the batch route with the longest prefix of ``path``, ignoring other routes.
 
         A job keeps its route when a longer prefix is added for requests of another kind.
         """
-        batch = [route for route in self._routes_of(host, path) if route.kind is RouteKind.BATCH]
-        return max(batch, key=_prefix_length, default=None)
-
-    def _routes_of(self, host: str, path: str) -> list[Route]:
-        name = host.rsplit(":", 1)[0].lower()
-        return [
-            route for route in self.routes if route.host == name and path.startswith(route.prefix)
-        ]
+        return self.index.find_batch(host, path)
 
+    @cached_property
+    def index(self) -> RouteIndex:
+        """The index of the routes, built at the first use unless ``build_index`` was run."""
+        return run_steps(RouteIndex.build(self.routes))
 
-def _prefix_length(route: Route) -> int:
-    return len(route.prefix)
+    def build_index(self) -> Steps[None]:
+        """Build the index in steps, before the configuration is used."""
+        self.__dict__["index"] = yield from RouteIndex.build(self.routes)
 
 
 MAX_CONFIGURATION_AGE_MS = 1_000_000
@@ -139,6 +145,9 @@
         self.tenants = TenantDirectory()
         """The tenants of ``current``."""
 
+        self._replaced: list[Configuration] = []
+        """Long ones that ``release_replaced`` has not released yet."""
+
         self.confirmed_at = float("-inf")
         """When the current version was last known to be the newest (monotonic clock, seconds)."""
 
@@ -184,6 +193,17 @@
         """
         if configuration.version <= self.version:
             return False
+        if self.current is not None and len(self.current.routes) > ROUTES_PER_STEP:
+            self._replaced.append(self.current)
         self.current = configuration
         self.tenants = TenantDirectory(configuration.tenants or ())
         return True
+
+    def release_replaced(self) -> Steps[None]:
+        """Release replaced configurations in steps; released as a whole a long one blocks."""
+        while self._replaced:
+            routes = list(self._replaced.pop().routes)
+            yield
+            while routes:
+                del routes[-ROUTES_PER_STEP:]
+                yield
--- a/src/cloverwalk/scheduling/admission.py
+++ b/src/cloverwalk/scheduling/admission.py
@@ -8,14 +8,10 @@
 """
 
 import enum
-from collections.abc import Sequence
 from random import Random
 
 import attrs
 
-from cloverwalk.gateway.configuration import Route, RouteKind
-from cloverwalk.scheduling.service_times import ServiceTimes
-
 MARGIN_FRACTION = 0.15
 """Fraction of the latency objective that is kept for load which nodes have not reported yet."""
 
@@ -125,28 +121,6 @@
     return PlacementVerdict.RETRY_LATER if may_retry_later else PlacementVerdict.QUEUE
 
 
-def max_wait_ms(route: Route, priority: int, routes: Sequence[Route], times: ServiceTimes) -> float:
-    """Return the longest wait at which a request of a route and priority may join a queue.
-
-    Requests must not fill a queue in which those of more urgent routes would be late.
-    """
-    services = set(route.services)
-    urgent = [
-        other
-        for other in routes
-        if other.kind is not RouteKind.BATCH
-        and (other.priority <= priority or other == route)
-        and services.intersection(other.services)
-    ]
-    return max(
-        0.0,
-        min(
-            1000 * other.target_latency_s * (1 - MARGIN_FRACTION) - times.first_event_ms(other.name)
-            for other in urgent
-        ),
-    )
-
-
 class OverloadDurationEstimator:
     """Estimates how long overloads last, from the requests that could not be placed in time.
 
--- a/src/cloverwalk/scheduling/online.py
+++ b/src/cloverwalk/scheduling/online.py
@@ -20,7 +20,6 @@
     Prospect,
     RetryDetector,
     decide,
-    max_wait_ms,
     retry_after_s,
     slot_wait_ms,
 )
@@ -42,6 +41,7 @@
     expected_prefill_ms,
 )
 from cloverwalk.scheduling.service_times import ServiceTimes
+from cloverwalk.scheduling.wait_limits import WaitLimits
 
 QUEUED_REQUEST_TTL_S = 0.8
 """A queued request is dropped when its node has not repeated it for this time."""
@@ -87,6 +87,7 @@
         self._outbox = outbox
         self._configuration = configuration
         self._times = times
+        self._wait_limits = WaitLimits(times)
         self._random = random
         self._arrivals: dict[str, ArrivalRate] = {}
         self._overload = OverloadDurationEstimator()
@@ -388,7 +389,7 @@
         current = self._configuration.current
         if current is None:
             return None
-        return next((route for route in current.routes if route.name == name), None)
+        return current.index.first_named(name)
 
     def _wait_ms(self, route: str, chosen: Candidate) -> float:
         hold_ms = chosen.slowdown * self._times.hold_ms(route)
@@ -397,17 +398,21 @@
     def _prospect(
         self, queued: QueuedRequest, route: Route, wait_ms: float, slowdown: float, now: float
     ) -> Prospect:
-        current = self._configuration.current
-        routes = (route,) if current is None else current.routes
         waited_ms = (now - queued.last_asked_at) * 1000
         return Prospect(
             self._times.wait_factor(route.name) * wait_ms,
             slowdown * self._times.first_event_ms(route.name),
             queued.request.objective_left_ms - waited_ms,
             route.target_latency_s * 1000,
-            max_wait_ms(route, queued.queue.rank, routes, self._times),
+            self._max_wait_ms(route, queued.queue.rank),
         )
 
+    def _max_wait_ms(self, route: Route, priority: int) -> float:
+        current = self._configuration.current
+        if current is None:
+            return self._wait_limits.own_limit_ms(route)
+        return self._wait_limits.max_wait_ms(route, priority, current.index)
+
     def _retry_delay_s(
         self, prospect: Prospect, request: PlacementRequest, now: float
     ) -> float | None:
--- a/src/cloverwalk/scheduling/service_times.py
+++ b/src/cloverwalk/scheduling/service_times.py
@@ -1,5 +1,7 @@
 """Service times of requests by route, averaged over those that were served."""
 
+from collections.abc import Iterable
+
 import attrs
 
 LEARNING_WEIGHT = 0.05
@@ -58,6 +60,10 @@
     wait_factor: float = 1.0
 
 
+_INITIAL_TIMES = _RouteTimes()
+"""Times of a route before any measurement; never changed."""
+
+
 class ServiceTimes:
     """Service times by route.
 
@@ -69,8 +75,26 @@
 
     def __init__(self) -> None:
         self._by_route: dict[str, _RouteTimes] = {}
+        self._changed: set[str] = set()
+
+    def is_measured(self, route: str) -> bool:
+        """Whether the times of a route differ, or may differ, from the initial ones."""
+        return route in self._by_route
+
+    def measured_routes(self) -> Iterable[str]:
+        """Return the names of the routes that have been measured."""
+        return self._by_route
+
+    def take_changed(self) -> set[str]:
+        """Return the names of the routes whose times have changed since the last call."""
+        changed, self._changed = self._changed, set()
+        return changed
+
+    def _get(self, route: str) -> _RouteTimes:
+        return self._by_route.get(route, _INITIAL_TIMES)
 
     def _of(self, route: str) -> _RouteTimes:
+        self._changed.add(route)
         times = self._by_route.get(route)
         if times is None:
             times = self._by_route[route] = _RouteTimes()
@@ -78,11 +102,11 @@
 
     def hold_ms(self, route: str) -> float:
         """Return how long a request occupies its slot: from the first event to the end."""
-        return self._of(route).hold.value
+        return self._get(route).hold.value
 
     def first_event_ms(self, route: str) -> float:
         """Return the expected time from sending to the first event at a free slot."""
-        return self._of(route).start.value
+        return self._get(route).start.value
 
     def wait_factor(self, route: str) -> float:
         """Return the ratio of actual to expected waits for a slot.
@@ -90,7 +114,7 @@
         It differs from 1 since running requests do not end evenly, and the load of a replica is
         known with a delay.
         """
-        return self._of(route).wait_factor
+        return self._get(route).wait_factor
 
     def estimates(self) -> dict[str, tuple[float, float, float]]:
         """Return start and hold times in ms and the wait factor, by route."""
--- a/src/cloverwalk/tenants/identification.py
+++ b/src/cloverwalk/tenants/identification.py
@@ -5,7 +5,7 @@
 """
 
 from cloverwalk.core.error_response import Reason
-from cloverwalk.gateway.configuration import ConfigurationHolder, Route, RouteKind
+from cloverwalk.gateway.configuration import ConfigurationHolder
 from cloverwalk.gateway.errors import GatewayError
 from cloverwalk.gateway.messages import ClientRequest
 
@@ -29,9 +29,7 @@
     if tenant is not None:
         return tenant.name
     if is_job_call:
-        needs_key = not any(
-            _accepts_anonymous_jobs(candidate, request.host) for candidate in configuration.routes
-        )
+        needs_key = not configuration.index.has_public_jobs(request.host)
     else:
         route = configuration.find_route(request.host, request.path)
         needs_key = route is not None and not route.is_public
@@ -40,8 +38,3 @@
     if digest is None:
         raise GatewayError(Reason.NO_KEY, "key_missing", "the request has no API key")
     raise GatewayError(Reason.NO_KEY, "key_unknown", "the API key is not valid")
-
-
-def _accepts_anonymous_jobs(route: Route, host: str) -> bool:
-    is_same_host = route.host == host.rsplit(":", 1)[0].lower()
-    return is_same_host and route.is_public and route.kind is RouteKind.BATCH
--- a/tests/unit/test_admission.py
+++ b/tests/unit/test_admission.py
@@ -5,7 +5,13 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from cloverwalk.gateway.configuration import Route, RouteKind, RoutePart
+from cloverwalk.gateway.configuration import (
+    ClientLimits,
+    Configuration,
+    Route,
+    RouteKind,
+    RoutePart,
+)
 from cloverwalk.scheduling.admission import (
     MAX_RETRY_AFTER_FRACTION,
     MIN_RETRY_AFTER_S,
@@ -14,11 +20,11 @@
     Prospect,
     RetryDetector,
     decide,
-    max_wait_ms,
     retry_after_s,
     slot_wait_ms,
 )
 from cloverwalk.scheduling.service_times import MAX_WAIT_FACTOR, ServiceTimes
+from cloverwalk.scheduling.wait_limits import WaitLimits
 
 MS = st.floats(0.0, 5000.0)
 
@@ -30,6 +36,13 @@
     )
 
 
+def max_wait_ms(
+    route: Route, priority: int, routes: tuple[Route, ...], times: ServiceTimes
+) -> float:
+    index = Configuration(1, routes, {}, ClientLimits()).index
+    return WaitLimits(times).max_wait_ms(route, priority, index)
+
+
 @given(MS, MS, MS, MS, st.booleans())
 def test_request_with_a_free_slot_is_always_sent(
     start_ms: float,
