Decode long configurations in steps

Cause: a stored configuration of 20,000 routes was decoded in one step (142 ms, median of 7, before this change), in which the node did nothing else; looking for tenants that appear twice took a number of steps that grows with the square of theirs.

Errors name the entry (routes[N], tenants[N]).

The lists of interface names change since two lists of the stored document are kept encoded until their entries are decoded one by one; the names of their entries are still listed.

On a machine with half of a core the longest step, the outer pass over 5.8 MB of JSON, may take twice as long; not measured there.

--- a/src/cloverwalk/platform/adapter.py
+++ b/src/cloverwalk/platform/adapter.py
@@ -3,6 +3,7 @@
 from cloverwalk.gateway.configuration import Configuration
 from cloverwalk.gateway.messages import GatewayCodec, RawHeaders
 from cloverwalk.gateway.replicas import Replica
+from cloverwalk.gateway.steps import Steps
 from cloverwalk.jobs.reader import ResultPage
 from cloverwalk.jobs.records import JobItem
 from cloverwalk.platform import documents, names
@@ -31,9 +32,9 @@
         """Return a client of the store."""
         return PlatformStore(settings.store_address)
 
-    def decode_configuration(self, raw: bytes) -> Configuration:
-        """Return a stored configuration."""
-        return documents.decode_configuration(raw)
+    def decode_configuration(self, raw: bytes) -> Steps[Configuration]:
+        """Decode a stored configuration in steps."""
+        return documents.configuration_steps(raw)
 
     def decode_replica(self, replica_id: str, raw: bytes, version: int) -> Replica:
         """Return a stored replica entry."""
--- a/src/cloverwalk/platform/documents.py
+++ b/src/cloverwalk/platform/documents.py
@@ -6,7 +6,7 @@
 from typing import TypeVar
 
 import msgspec
-from msgspec import UNSET, Struct, UnsetType, field
+from msgspec import UNSET, Raw, Struct, UnsetType, field
 
 from cloverwalk.gateway.configuration import (
     ClientLimits,
@@ -17,6 +17,7 @@
     Service,
 )
 from cloverwalk.gateway.replicas import Replica
+from cloverwalk.gateway.steps import Steps, run_steps
 from cloverwalk.jobs.reader import ResultPage
 from cloverwalk.jobs.records import ItemState, JobItem
 from cloverwalk.tenants.directory import Tenant, digest_of
@@ -38,6 +39,9 @@
 MAX_STARTED_MS = 4_102_444_800_000
 """The year 2100; rejects a time in another unit, such as microseconds."""
 
+ENTRIES_PER_STEP = 200
+"""Routes or tenants that are decoded in one step."""
+
 IS_DRAINING_BY_STATE = {"ready": False, "draining": True}
 """Whether a replica is draining, by the state in its entry."""
 
@@ -49,12 +53,12 @@
 }
 
 
-class _WeightedService(Struct):
+class _WeightedService(Struct, gc=False):
     service: str
     weight: float = 1.0
 
 
-class _Route(Struct):
+class _Route(Struct, gc=False):
     name: str
     host: str
     path_prefix: str
@@ -104,11 +108,13 @@
 
 
 class _Configuration(Struct):
+    """A configuration; its lists that may be long are decoded in steps."""
+
     version: int
-    routes: list[_Route] = []
+    routes: list[Raw] = []
     services: list[_Service] = []
     limits: _Limits = field(default_factory=_Limits)
-    tenants: list[_Tenant] | None = None
+    tenants: list[Raw] | None = None
 
 
 class _Replica(Struct):
@@ -153,6 +159,8 @@
 
 
 _configuration_decoder = msgspec.json.Decoder(_Configuration)
+_route_decoder = msgspec.json.Decoder(_Route)
+_tenant_decoder = msgspec.json.Decoder(_Tenant)
 _replica_decoder = msgspec.json.Decoder(_Replica)
 _job_decoder = msgspec.json.Decoder(_Job)
 _RESULT_STATES = {ItemState.SUCCEEDED: "succeeded", ItemState.DEAD: "dead_letter"}
@@ -167,28 +175,58 @@
 
 def decode_configuration(raw: bytes) -> Configuration:
     """Return a configuration; raise ValueError if it is invalid."""
+    return run_steps(configuration_steps(raw))
+
+
+def configuration_steps(raw: bytes) -> Steps[Configuration]:
+    """Decode a configuration in steps; raise ValueError if it is invalid."""
     wire = _decode(_configuration_decoder, raw)
-    services = {
-        service.name: Service(
-            service.name,
-            service.engine.slots,
-            service.max_connections,
-            max(0, service.engine.kv_cache_tokens),
-            max(1, service.engine.stride),
-            _non_negative(service.name, "cold_start_s", service.cold_start_s),
-            _non_negative(service.name, "cold_per_s", service.cold_per_s),
-        )
-        for service in wire.services
-    }
+    services = {service.name: _service(service) for service in wire.services}
     limits = ClientLimits(
         wire.limits.max_header_bytes,
         wire.limits.max_body_bytes,
         wire.limits.header_timeout_ms / 1000,
         wire.limits.idle_timeout_ms / 1000,
     )
-    routes = tuple(_route(route) for route in wire.routes)
-    tenants = None if wire.tenants is None else _tenants(wire.tenants)
-    return Configuration(wire.version, routes, services, limits, tenants)
+    yield
+    routes = yield from _routes(wire.routes)
+    tenants = None
+    if wire.tenants is not None:
+        tenants = yield from _tenants(wire.tenants)
+    configuration = Configuration(wire.version, routes, services, limits, tenants)
+    yield from configuration.build_index()
+    return configuration
+
+
+def _service(wire: _Service) -> Service:
+    return Service(
+        wire.name,
+        wire.engine.slots,
+        wire.max_connections,
+        max(0, wire.engine.kv_cache_tokens),
+        max(1, wire.engine.stride),
+        _non_negative(wire.name, "cold_start_s", wire.cold_start_s),
+        _non_negative(wire.name, "cold_per_s", wire.cold_per_s),
+    )
+
+
+def _decode_entry(
+    decoder: "msgspec.json.Decoder[Document]", list_name: str, number: int, raw: Raw
+) -> Document:
+    """Decode an entry of a list; raise ValueError with the entry, but never with its values."""
+    try:
+        return _decode(decoder, bytes(raw))
+    except ValueError as error:
+        raise ValueError(f"{list_name}[{number}]: {error}") from error
+
+
+def _routes(entries: list[Raw]) -> Steps[tuple[Route, ...]]:
+    routes: list[Route] = []
+    for number, raw in enumerate(entries):
+        routes.append(_route(_decode_entry(_route_decoder, "routes", number, raw)))
+        if len(routes) % ENTRIES_PER_STEP == 0:
+            yield
+    return tuple(routes)
 
 
 def _non_negative(service: str, name: str, value: float) -> float:
@@ -197,18 +235,22 @@
     return value
 
 
-def _tenants(entries: list[_Tenant]) -> tuple[Tenant, ...]:
+def _tenants(entries: list[Raw]) -> Steps[tuple[Tenant, ...]]:
     """Return the tenants; raise ValueError with the invalid entry, but never with a key."""
-    tenants = [_tenant(number, entry) for number, entry in enumerate(entries)]
+    tenants: dict[str, Tenant] = {}
     owner_by_digest: dict[str, str] = {}
-    for number, tenant in enumerate(tenants):
-        if tenant.name in (earlier.name for earlier in tenants[:number]):
+    for number, raw in enumerate(entries):
+        tenant = _tenant(number, _decode_entry(_tenant_decoder, "tenants", number, raw))
+        if tenant.name in tenants:
             raise ValueError(f"tenants[{number}].name: {tenant.name!r} appears twice")
+        tenants[tenant.name] = tenant
         for position, digest in enumerate(tenant.key_digests):
             if owner_by_digest.setdefault(digest, tenant.name) != tenant.name:
                 reason = f"it is a key of {owner_by_digest[digest]!r} as well"
                 raise ValueError(f"tenants[{number}].api_keys[{position}]: {reason}")
-    return tuple(tenants)
+        if len(tenants) % ENTRIES_PER_STEP == 0:
+            yield
+    return tuple(tenants.values())
 
 
 def _tenant(number: int, wire: _Tenant) -> Tenant:
--- a/src/cloverwalk/serving/adapter.py
+++ b/src/cloverwalk/serving/adapter.py
@@ -5,6 +5,7 @@
 from cloverwalk.gateway.configuration import Configuration
 from cloverwalk.gateway.messages import GatewayCodec, RawHeaders
 from cloverwalk.gateway.replicas import Replica
+from cloverwalk.gateway.steps import Steps
 from cloverwalk.jobs.reader import ResultPage
 from cloverwalk.jobs.records import JobItem
 from cloverwalk.serving.settings import ServingSettings
@@ -27,8 +28,8 @@
         """Return a client of the store."""
         ...
 
-    def decode_configuration(self, raw: bytes) -> Configuration:
-        """Return a stored configuration; raise ValueError if it is invalid."""
+    def decode_configuration(self, raw: bytes) -> Steps[Configuration]:
+        """Decode a stored configuration in steps; raise ValueError if it is invalid."""
         ...
 
     def decode_replica(self, replica_id: str, raw: bytes, version: int) -> Replica:
--- a/src/cloverwalk/serving/fleet_parts.py
+++ b/src/cloverwalk/serving/fleet_parts.py
@@ -192,8 +192,10 @@
                 await self.election.handle_snapshot(message, host)
             case ConfigurationCopy():
                 self._fleet_state.apply_configuration_copy(message, host)
+                await self._fleet_state.release_replaced_configurations()
             case ConfigurationPart():
                 self._apply_configuration_part(message, host)
+                await self._fleet_state.release_replaced_configurations()
             case ConfigurationRequest():
                 self.coordinator.send_configuration(host)
             case StoreReturned():
--- a/src/cloverwalk/serving/fleet_state.py
+++ b/src/cloverwalk/serving/fleet_state.py
@@ -7,6 +7,7 @@
 from cloverwalk.gateway.configuration import Configuration, ConfigurationHolder
 from cloverwalk.gateway.crash_ledger import CrashLedger
 from cloverwalk.gateway.replicas import Replica, ReplicaDirectory
+from cloverwalk.gateway.steps import run_in_steps
 from cloverwalk.gateway.zone_drains import ZoneDrains
 from cloverwalk.serving.adapter import Adapter
 from cloverwalk.store.types import Row, RowPage
@@ -54,8 +55,9 @@
                 await self._apply_stored_configuration(row.value)
 
     async def _apply_stored_configuration(self, raw: bytes) -> None:
+        began_at = self._clock()
         try:
-            configuration = self._adapter.decode_configuration(raw)
+            configuration = await run_in_steps(self._adapter.decode_configuration(raw))
         except ValueError as error:
             self._is_stored_configuration_invalid = True
             self._log.write(
@@ -65,8 +67,14 @@
             )
             return
         self._is_stored_configuration_invalid = False
-        if self.apply_configuration(configuration, "store"):
+        decode_ms = round((self._clock() - began_at) * 1000)
+        if self.apply_configuration(configuration, "store", decode_ms=decode_ms):
             await self.on_stored_configuration()
+            await self.release_replaced_configurations()
+
+    async def release_replaced_configurations(self) -> None:
+        """Release the memory of replaced configurations without blocking other tasks."""
+        await run_in_steps(self.configuration.release_replaced())
 
     def on_configuration_confirmed(self, confirmed_at: float) -> None:
         """Record that the current version was the newest in the store at ``confirmed_at``.
@@ -85,11 +93,15 @@
             self.configuration.record_confirmation(copy.configuration.version, confirmed_at)
 
     def apply_configuration(
-        self, configuration: Configuration, source: str, host: str | None = None
+        self,
+        configuration: Configuration,
+        source: str,
+        host: str | None = None,
+        decode_ms: int | None = None,
     ) -> bool:
         """Apply a configuration if it is newer; return whether it was newer.
 
-        ``source`` and ``host`` are logged.
+        ``source``, ``host`` and ``decode_ms``, the time that its decoding took, are logged.
         """
         unconfirmed_ms = self.configuration.age_ms(self._clock())
         if not self.configuration.update_if_newer(configuration):
@@ -102,6 +114,7 @@
             source=source,
             host=host,
             unconfirmed_ms=unconfirmed_ms,
+            decode_ms=decode_ms,
         )
         self.startup.record_stage(Stage.CONFIGURATION, source)
         return True
