Don't begin a long read anew while it makes progress

Cause: a read had 1.2 s for the whole answer, a feed call 0.8 s beyond its wait. A long configuration over a link that many nodes share takes longer, so each of them ended its read and began it anew, for as long as the processes ran.

Change: reads of tables have a BodyTimeout: bytes that arrive move the time limit (0.8 s from the last ones), up to 8 s for the whole call. A connection that is silent before or at the end of a feed call's wait ends as before. Commits and the calls of other clients keep their limits. Long values of rows are decoded in steps.

--- a/src/cloverwalk/http/client.py
+++ b/src/cloverwalk/http/client.py
@@ -3,6 +3,7 @@
 import contextlib
 from typing import Any
 
+import attrs
 import curio
 import h11
 from curio import socket
@@ -23,6 +24,17 @@
     body: bytes
 
 
+@attrs.frozen
+class BodyTimeout:
+    """Time limits of a body that may be long; it may take as long as it makes progress."""
+
+    silence_s: float
+    """Longest time without received bytes; a body in time by the call's own limit goes on."""
+
+    total_s: float
+    """Longest time of the whole call."""
+
+
 def split_address(address: str) -> tuple[str, int]:
     """Split ``host:port`` into host and port."""
     host, _, port = address.rpartition(":")
@@ -96,6 +108,20 @@
             parts.append(part)
         return b"".join(parts)
 
+    async def read_slow_body(
+        self, deadline: float, last_deadline: float, silence_s: float
+    ) -> bytes:
+        """Read the body to its end; each part moves the deadline, at most to the last one."""
+        parts: list[bytes] = []
+        while True:
+            now = await curio.clock()
+            async with curio.timeout_after(max(0.0, min(deadline, last_deadline) - now)):
+                part = await self.next_part()
+            if part is None:
+                return b"".join(parts)
+            parts.append(part)
+            deadline = max(deadline, await curio.clock() + silence_s)
+
     async def read_response(self) -> HttpResponse:
         """Read the response with its body."""
         response = await self.head()
@@ -133,9 +159,11 @@
         body: bytes = b"",
         headers: dict[str, str] | None = None,
         timeout_s: float = 1.0,
+        body_timeout: BodyTimeout | None = None,
     ) -> HttpResponse:
         """Send a request and return its response.
 
+        With ``body_timeout`` a body that makes progress may take longer than ``timeout_s``.
         Raises NotSentError or LostAnswerError. If the server has closed a reused connection,
         the answer counts as lost, since the server may have read the request.
         """
@@ -143,9 +171,16 @@
         if connection is None:
             connection = await ClientConnection.open(self.address, timeout_s)
         try:
+            began_at = await curio.clock()
             async with curio.timeout_after(timeout_s):
                 await connection.send(method, path, headers or {}, body)
-                response = await connection.read_response()
+                response = await connection.head()
+                if body_timeout is None:
+                    response.body = await connection.read_body()
+            if body_timeout is not None:
+                response.body = await connection.read_slow_body(
+                    began_at + timeout_s, began_at + body_timeout.total_s, body_timeout.silence_s
+                )
         except (OSError, curio.TaskTimeout, h11.ProtocolError, LostAnswerError) as error:
             await connection.close()
             raise LostAnswerError(f"no answer from {self.address}: {error!r}") from error
--- a/src/cloverwalk/platform/store_client.py
+++ b/src/cloverwalk/platform/store_client.py
@@ -7,7 +7,8 @@
 import msgspec
 from msgspec import Struct
 
-from cloverwalk.http.client import HttpPool, HttpResponse
+from cloverwalk.gateway.steps import Steps, run_in_steps
+from cloverwalk.http.client import BodyTimeout, HttpPool, HttpResponse
 from cloverwalk.http.errors import HttpError, LostAnswerError
 from cloverwalk.platform import names
 from cloverwalk.store.types import (
@@ -23,7 +24,14 @@
 
 READ_TIMEOUT_S = 1.2
 WAIT_MARGIN_S = 0.8
+LONG_READ_TIMEOUT = BodyTimeout(silence_s=0.8, total_s=8.0)
+"""The limits of a body that arrives slowly. A feed call that goes silent before the end of its wait
+ends no later than without them."""
+
 PAGE_ROWS = 500
+CHARACTERS_PER_STEP = 1_048_576
+"""Encoded characters of a row's value that are decoded in one step; a multiple of 4."""
+
 NOT_DONE_STATUSES = (503, 507)
 """Server errors that prove that nothing was done; after others the outcome is unknown."""
 
@@ -99,7 +107,7 @@
             # The end of the range of keys, despite the name of the parameter.
             query["target_version"] = end
         response = await self._get(names.READ_PATH, query, READ_TIMEOUT_S)
-        return _page(response, table, part)
+        return await run_in_steps(decode_page(response.body, table, part))
 
     async def read_table(self, table: str) -> RowPage:
         """Return the rows of all parts of a table."""
@@ -133,7 +141,7 @@
                 # The last part of the previous page, despite the name of the parameter.
                 query["since_revision"] = parts[-1]
             response = await self._get(names.PARTS_PATH, query, READ_TIMEOUT_S)
-            answer = _decode(_parts_decoder, response)
+            answer = _decode(_parts_decoder, response.body)
             parts += answer.parts
             if not answer.more or not answer.parts:
                 return parts
@@ -146,7 +154,7 @@
             "wait_ms": str(int(wait_s * 1000)),
         }
         response = await self._get(names.FEED_PATH, query, wait_s + WAIT_MARGIN_S)
-        page = _page(response, table, None)
+        page = await run_in_steps(decode_page(response.body, table, None))
         # The version of a page must never go back.
         page.version = max(page.version, since)
         return page
@@ -155,7 +163,9 @@
 
     async def _get(self, path: str, query: dict[str, str], timeout_s: float) -> HttpResponse:
         try:
-            response = await self._call("GET", f"{path}?{urlencode(query)}", b"", timeout_s)
+            response = await self._call(
+                "GET", f"{path}?{urlencode(query)}", b"", timeout_s, LONG_READ_TIMEOUT
+            )
         except HttpError as error:
             raise StoreError(str(error), "store_silent") from error
         if response.status == 410:
@@ -164,34 +174,63 @@
             raise StoreError(f"the store answered {response.status}", "store_busy")
         return response
 
-    async def _call(self, method: str, path: str, body: bytes, timeout_s: float) -> HttpResponse:
+    async def _call(
+        self,
+        method: str,
+        path: str,
+        body: bytes,
+        timeout_s: float,
+        body_timeout: BodyTimeout | None = None,
+    ) -> HttpResponse:
         headers = JSON_HEADERS if body else {}
         try:
-            return await self._pool.call(method, path, body, headers, timeout_s)
+            return await self._pool.call(method, path, body, headers, timeout_s, body_timeout)
         except HttpError:
             # The other reused connections may be broken as well.
             await self._pool.close()
             raise
 
 
-def _decode(decoder: "msgspec.json.Decoder[Body]", response: HttpResponse) -> Body:
+def _decode(decoder: "msgspec.json.Decoder[Body]", body: bytes) -> Body:
     try:
-        return decoder.decode(response.body)
+        return decoder.decode(body)
     except msgspec.DecodeError as error:
         raise StoreError(str(error), "store_answer_invalid") from error
 
 
-def _page(response: HttpResponse, table: str, part: str | None) -> RowPage:
-    answer = _decode(_rows_decoder, response)
-    rows = [_row(row, table, part) for row in answer.rows]
+def decode_page(body: bytes, table: str, part: str | None) -> Steps[RowPage]:
+    """Decode an answer with rows in steps; raise StoreError if it is invalid."""
+    answer = _decode(_rows_decoder, body)
+    yield
+    rows = []
+    for wire in answer.rows:
+        if wire.value is not None and len(wire.value) > CHARACTERS_PER_STEP:
+            value = yield from _decode_long_value(wire.value)
+            rows.append(_row(wire, table, part, value))
+        else:
+            rows.append(_row(wire, table, part))
     return RowPage(rows, answer.ver, answer.now_ms, answer.more)
 
 
-def _row(wire: _WireRow, table: str = "", part: str | None = None) -> Row:
+def _decode_long_value(text: str) -> Steps[bytes]:
+    parts = []
+    for start in range(0, len(text), CHARACTERS_PER_STEP):
+        try:
+            parts.append(b64decode(text[start : start + CHARACTERS_PER_STEP], validate=True))
+        except ValueError as error:
+            raise StoreError(f"invalid value of a row: {error}", "store_answer_invalid") from error
+        yield
+    return b"".join(parts)
+
+
+def _row(
+    wire: _WireRow, table: str = "", part: str | None = None, value: bytes | None = None
+) -> Row:
+    """Return a row; ``value`` is its value if that has been decoded already."""
     key = RowKey(wire.table or table, wire.part or part or "", wire.key)
     if wire.gone or wire.value is None or wire.ver == 0:
         return Row(key, None, wire.ver)
-    return Row(key, b64decode(wire.value), wire.ver)
+    return Row(key, b64decode(wire.value) if value is None else value, wire.ver)
 
 
 def _wire_key(key: RowKey) -> dict[str, Any]:
