--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -575,9 +575,9 @@
     ),
     Mutant(
         "serving: patient requests fill the queues of urgent ones",
-        "scheduling/admission.py",
-        "        and (other.priority <= priority or other == route)",
-        "        and other == route",
+        "scheduling/wait_limits.py",
+        "            if urgent <= priority",
+        "            if urgent < 0",
         ADMISSION + "test_less_urgent_requests_do_not_make_urgent_ones_late",
     ),
     Mutant(
@@ -1410,6 +1410,36 @@
         "            if page.version < 0:",
         "tests/serving/test_follower.py::test_full_read_older_than_an_earlier_answer_is_read_again",
     ),
+    Mutant(
+        "configuration: the shortest matching prefix is found",
+        "gateway/route_index.py",
+        "        for length in reversed(self._lengths):",
+        "        for length in self._lengths:",
+        "tests/unit/test_route_index.py::test_index_finds_the_same_routes_as_a_walk",
+    ),
+    Mutant(
+        "configuration: limits of waits go by outdated service times",
+        "scheduling/wait_limits.py",
+        "        while measured and not measured[0].is_current(self._times):",
+        "        while False:",
+        "tests/unit/test_route_index.py::"
+        "test_wait_limits_follow_times_and_configurations_as_a_walk",
+    ),
+    Mutant(
+        "configuration: a long version is decoded without turns of other tasks",
+        "gateway/steps.py",
+        "        await curio.sleep(0)",
+        "        pass",
+        "tests/serving/test_configuration_swap.py::test_other_tasks_run_while_a_long_version_is_taken",
+    ),
+    Mutant(
+        "configuration: a long read that makes progress is begun anew",
+        "http/client.py",
+        "            deadline = max(deadline, await curio.clock() + silence_s)",
+        "            deadline = min(deadline, last_deadline)",
+        "tests/serving/test_slow_reads.py::"
+        "test_read_that_makes_progress_is_not_ended_by_the_limit_of_a_call",
+    ),
 ]
 
 
