Know which replicas may be warming up, and until when

Cause: an entry tells the remaining warm-up time only up to a heartbeat after the replica became slow, and nodes did not exchange that time, as the list's fingerprint leaves it out.

The replica list tells listeners of each entry with its kind. A changed warm-up time alone is sent to the nodes where a service has a warm-up rate.

A changed warm-up time no longer counts as a changed entry: it would have reset caches and written a log line with each heartbeat.

test_replica_entries gets more invalid warm-up times; the earlier ones stay.

--- a/src/cloverwalk/emulator/platform_replica.py
+++ b/src/cloverwalk/emulator/platform_replica.py
@@ -41,6 +41,9 @@
         self.started_at_ms = 0
         """Start time in its store entry, 0: omitted. A restart under the same id changes it."""
 
+        self.warmup_ms = 0
+        """Remaining warm-up time in its store entry."""
+
         self.event_padding = 0
         """Characters added to the data of each event."""
 
@@ -333,7 +336,7 @@
             "version": "v1",
             "slots": self.slots,
             "state": state,
-            "cold_left_ms": 0,
+            "cold_left_ms": self.warmup_ms,
             "seq": self.seq,
             **started_fields,
         }
--- a/src/cloverwalk/fleet/state_sender.py
+++ b/src/cloverwalk/fleet/state_sender.py
@@ -62,6 +62,9 @@
         self.sent_fingerprint: int | None = None
         """Fingerprint of the list as of the last changes sent."""
 
+        self._sent_warmup_revision = 0
+        """Revision of the list's warm-up times as of the last changes sent."""
+
         self._configuration_encoder = ConfigurationEncoder(configuration)
         self._configuration_requested_at = float("-inf")
         self._pushed_configuration_version = configuration.version
@@ -71,6 +74,7 @@
         self._pushed_configuration_version = self._configuration.version
         self._sent_directory = {replica.replica_id: replica for replica in self._directory.all()}
         self.sent_fingerprint = self._directory.fingerprint
+        self._sent_warmup_revision = self._directory.warmup_revision
 
     def send_missing_state(self, entry: NodeEntry, now: float) -> None:
         """Send a node the configuration and replica list if its own are older."""
@@ -142,10 +146,18 @@
             )
             self._transport.send(entry.contact.host, update)
 
+    def _has_new_warmups(self) -> bool:
+        """Whether warm-up times have changed that nodes go by."""
+        current = self._configuration.current
+        if current is None or not current.has_warmup_limits:
+            return False
+        return self._directory.warmup_revision != self._sent_warmup_revision
+
     def push_directory(self, nodes: Iterable[NodeEntry], now: float) -> None:
         """Send all nodes the changes of the replica list since the last call."""
-        if self._directory.fingerprint == self.sent_fingerprint:
+        if self._directory.fingerprint == self.sent_fingerprint and not self._has_new_warmups():
             return
+        self._sent_warmup_revision = self._directory.warmup_revision
         previous, since = self._sent_directory, self.sent_fingerprint
         current = {replica.replica_id: replica for replica in self._directory.all()}
         self._sent_directory, self.sent_fingerprint = current, self._directory.fingerprint
--- a/src/cloverwalk/gateway/configuration.py
+++ b/src/cloverwalk/gateway/configuration.py
@@ -94,6 +94,11 @@
     tenants: tuple[Tenant, ...] | None = None
     """The tenants that may call; None if callers have no keys."""
 
+    @property
+    def has_warmup_limits(self) -> bool:
+        """Whether a service limits the requests to replicas that are warming up."""
+        return any(service.warmup_rate_per_s > 0 for service in self.services.values())
+
     def find_route(self, host: str, path: str) -> Route | None:
         """Return the route with the longest prefix of ``path`` on ``host``.
 
--- a/src/cloverwalk/gateway/replicas.py
+++ b/src/cloverwalk/gateway/replicas.py
@@ -4,6 +4,7 @@
 apart. The clocks of machines differ, so it is never compared with a time of this node.
 """
 
+import enum
 from collections.abc import Callable
 
 import attrs
@@ -76,6 +77,25 @@
 """Called with the previous incarnation and the new one."""
 
 
+class EntryKind(enum.Enum):
+    """What a newer entry says about its replica."""
+
+    INITIAL = "initial"
+    """It is in the first list of this process."""
+
+    UPDATED = "updated"
+    NEW = "new"
+    RESTARTED = "restarted"
+    """It has another start time."""
+
+    RETURNED = "returned"
+    """It is listed again after its removal."""
+
+
+EntryListener = Callable[[Replica, EntryKind], None]
+"""Called with each entry that is applied."""
+
+
 class ReplicaDirectory:
     """The listed replicas by id; the newest version of an entry wins."""
 
@@ -88,6 +108,13 @@
         self.restart_listeners: list[RestartListener] = []
         """Called when a replica has restarted under its id, before the list is confirmed."""
 
+        self.entry_listeners: list[EntryListener] = []
+        self.warmup_revision = 0
+        """Counts changes of warm-up times, which the fingerprint leaves out."""
+
+        self._has_whole_list = False
+        """Whether a whole list has been applied, so that other entries are news."""
+
         self.version = 0
         """Newest version of the store that the directory reflects."""
 
@@ -145,7 +172,7 @@
         return self._fingerprint
 
     def put(self, replica: Replica) -> bool:
-        """Apply a newer entry; return whether anything but its version changed."""
+        """Apply a newer entry; return whether more than its version and warm-up time changed."""
         current = self._replicas.get(replica.replica_id)
         if current is not None and current.version >= replica.version:
             return False
@@ -153,13 +180,26 @@
             return False
         if self._is_late(replica):
             return False
+        kind = self._entry_kind(replica, current)
         self._replicas[replica.replica_id] = replica
+        self.warmup_revision += current is not None and current.warmup_ms != replica.warmup_ms
         differs = current is None or _differs(current, replica)
         if differs:
             self._reset_caches()
         self._record_incarnation(replica)
+        for listener in self.entry_listeners:
+            listener(replica, kind)
         return differs
 
+    def _entry_kind(self, replica: Replica, current: Replica | None) -> EntryKind:
+        if current is None and replica.replica_id in self._removed_versions:
+            return EntryKind.RETURNED
+        if current is None:
+            return EntryKind.NEW if self._has_whole_list else EntryKind.INITIAL
+        if not current.may_be_incarnation(replica.started_ms):
+            return EntryKind.RESTARTED
+        return EntryKind.UPDATED
+
     def was_draining(self, replica: Replica) -> bool:
         """Whether an incarnation of a replica was draining before the next one followed it."""
         incarnation = self._incarnations.get(replica.replica_id)
@@ -220,6 +260,7 @@
         missing = [key for key in sorted(self._replicas) if key not in listed]
         removed = [key for key in missing if self.remove(key, version)]
         self.version = max(self.version, version)
+        self._has_whole_list = True
         return removed
 
     def suspect(self, replica_id: str, now: float) -> None:
@@ -261,8 +302,9 @@
 
 
 def _differs(current: Replica, replica: Replica) -> bool:
-    """Whether more than the version of an entry has changed."""
-    return msgspec.structs.replace(current, version=replica.version) != replica
+    """Whether more than the version and the warm-up time of an entry has changed."""
+    same = msgspec.structs.replace(current, version=replica.version, warmup_ms=replica.warmup_ms)
+    return same != replica
 
 
 def _fingerprint_text(replica: Replica) -> str:
--- a/tests/serving/test_replica_entries.py
+++ b/tests/serving/test_replica_entries.py
@@ -50,7 +50,7 @@
     "slots": [0, -1, 2.5, True, "8", 10**30, []],
     "state": ["resting", "READY", "", 1, []],
     "version": [1, []],
-    "cold_left_ms": ["0", []],
+    "cold_left_ms": ["0", [], True, -1, -0.5, 3_600_001, 1e300, 10**30],
     "seq": ["1", 1.5, []],
     "born": [0, -1, 1.5, True, "1790000000000", 10**30, 1_790_000_000_000_000, []],
 }
