Limit the requests to replicas that are warming up

Cause: whether a replica that is warming up got more than it bears was luck: first attempts, retries, resumes and items of all nodes went there by cost.

Change: in force where a service has a warm-up rate. A placement at such a replica takes a token from the coordinator while its lease holds; replicas without one are no candidates, and requests wait in the queue as for a slot, are told to retry later, or are refused. Items get no slot there. Before it sends, each node checks its own view and the age of the token. The age counts from the grant, not from the sending of the orders: the coordinator may have been suspended in between. Sequence numbers of reports follow the machine's clock, so that a restarted process does not take the report that orders name for one of its own.

--- a/src/cloverwalk/fleet/coordinator_client.py
+++ b/src/cloverwalk/fleet/coordinator_client.py
@@ -405,8 +405,9 @@
         """Apply orders; grants and revokes that were applied before are ignored."""
         now = self._clock()
         await self.update_leadership(orders.leadership)
+        decided_at = self.reports.earliest_creation(orders)
         for placement in orders.placements:
-            await self._placement_client.handle_placement(placement)
+            await self._placement_client.handle_placement(placement, decided_at)
         current = self._leader.current
         if current is not None and orders.leadership.term < current.term:
             # The sender doesn't know yet that another node coordinates.
--- a/src/cloverwalk/fleet/election.py
+++ b/src/cloverwalk/fleet/election.py
@@ -19,6 +19,8 @@
 from cloverwalk.fleet.leader import LeaderView
 from cloverwalk.fleet.messages import Contact, Leadership, Snapshot
 from cloverwalk.fleet.node_registry import MIN_COORDINATOR_CORES
+from cloverwalk.fleet.role_lease import LeaseState, RoleLease
+from cloverwalk.scheduling.features import Feature
 from cloverwalk.scheduling.scheduler import Scheduler
 from cloverwalk.store.health import StoreHealth
 from cloverwalk.store.types import (
@@ -121,6 +123,11 @@
         self._superseded_since: float | None = None
         self._claim_jitter = self._random.random()
         self.is_leaving = False
+        self.lease = RoleLease()
+        """Lets this process grant warm-up tokens while it certainly holds the role."""
+
+        self._logged_lease_state = LeaseState.NONE
+        scheduler.warmup_tokens.use_lease(self.lease)
         client.on_leadership_change = self._on_leadership_change
 
     # --- received messages ---
@@ -139,6 +146,7 @@
         self._scheduler.online_shares.apply_usage(snapshot.usage_by_tenant)
         self._scheduler.item_shares.apply_usage(snapshot.item_usage_by_tenant)
         self._scheduler.apply_slowdowns(snapshot.slowdowns, now)
+        self._scheduler.warmup_tokens.apply_remaining(snapshot.warmups_ms, now)
         for route, estimate in snapshot.route_estimates.items():
             self._scheduler.times.apply_estimate(
                 route, estimate.first_event_ms, estimate.hold_ms, estimate.wait_factor
@@ -148,7 +156,10 @@
 
     async def _on_leadership_change(self) -> None:
         """Deactivate this node's coordinator if a newer leadership names another process."""
-        if self._leader.is_holder or not self._coordinator.is_active:
+        if self._leader.is_holder:
+            return
+        self.lease.give_up()
+        if not self._coordinator.is_active:
             return
         self._coordinator.deactivate()
         self._log.write(
@@ -197,6 +208,20 @@
         elif not self.is_leaving and self._should_claim(now):
             self._claim_jitter = self._random.random()
             await self._claim()
+        self._log_lease()
+
+    def _log_lease(self) -> None:
+        """Log changes of the lease where something depends on it."""
+        if not self._scheduler.features.is_on(Feature.WARMUP_LIMITS):
+            return
+        state, previous = self.lease.state(self._clock()), self._logged_lease_state
+        if state is previous:
+            return
+        self._logged_lease_state = state
+        if state is LeaseState.HELD:
+            self._log.write(catalogue.ROLE_LEASE_HELD, term=self._leader.term)
+        elif previous is LeaseState.HELD:
+            self._log.write(catalogue.ROLE_LEASE_LOST, term=self._leader.term, reason=state.value)
 
     def _should_claim(self, now: float) -> bool:
         rank = self._leader.standby_rank
@@ -257,13 +282,15 @@
 
     async def _claim(self) -> None:
         """Write this node into the row, unless another node has claimed the role meanwhile."""
+        started_at = self._clock()
         row = await self._read_row()
         if row is None:
             return
         found = self._decode(row)
         if found is not None and self._is_written_by_this_process(found):
-            await self._adopt_role(found.term, found.standbys)
+            await self._adopt_role(found.term, found.standbys, started_at)
             return
+        self.lease.give_up()
         is_newer = found is not None and found.term > self._leader.term
         if found is not None and is_newer and found.holder.node != self._identity.node:
             await self._client.update_leadership(found)
@@ -292,23 +319,30 @@
         transaction = Transaction(
             [Expectation(ROLE_KEY, expected_version)], [Put(ROLE_KEY, _encoder.encode(role))]
         )
+        started_at = self._clock()
         outcome = await self._store.commit(transaction, CLAIM_TIMEOUT_S)
         if outcome.status is CommitStatus.COMMITTED:
-            await self._adopt_role(outcome.version, standbys)
+            await self._adopt_role(outcome.version, standbys, started_at)
         elif outcome.status is CommitStatus.CONFLICT:
             row = outcome.conflict(ROLE_KEY)
             found = None if row is None else self._decode(row)
             if found is not None:
-                await self._resolve_conflict(found)
+                await self._resolve_conflict(found, started_at)
 
-    async def _resolve_conflict(self, found: Leadership) -> None:
+    async def _resolve_conflict(self, found: Leadership, started_at: float) -> None:
         """Handle a row written by another node, or by an unanswered write of this process."""
         if self._is_written_by_this_process(found):
-            await self._adopt_role(found.term, found.standbys)
-        elif not self._coordinator.is_active:
+            await self._adopt_role(found.term, found.standbys, started_at)
+            return
+        self.lease.give_up()
+        if not self._coordinator.is_active:
             await self._client.update_leadership(found)
 
-    async def _adopt_role(self, term: int, standbys: tuple[Contact, ...]) -> None:
+    async def _adopt_role(
+        self, term: int, standbys: tuple[Contact, ...], started_at: float
+    ) -> None:
+        """Hold the role, as a read or commit that began at ``started_at`` has shown."""
+        self.lease.adopt(started_at, self._clock())
         leadership = Leadership(self._identity.contact, self._identity.run, term, standbys)
         was_active = self._coordinator.is_active
         await self._client.update_leadership(leadership)
@@ -330,17 +364,19 @@
         A node that can't reach this one may have claimed the role. If its orders arrive, this node
         follows it; if they don't and other nodes still report here, this node claims the role back.
         """
+        started_at = self._clock()
         row = await self._read_row()
         if row is None:
             return
         now = self._clock()
         found = self._decode(row)
+        self._update_lease(row, found, started_at)
         if (
             found is not None
             and self._is_written_by_this_process(found)
             and row.version != self._leader.term
         ):
-            await self._adopt_role(found.term, found.standbys)
+            await self._adopt_role(found.term, found.standbys, started_at)
         elif row.version == self._leader.term:
             self._superseded_since = None
             standbys = self._choose_standbys()
@@ -354,6 +390,13 @@
         elif now - self._superseded_since >= VERIFY_INTERVAL_S and self._has_reporting_peers():
             await self._write(row.version, self._standbys())
 
+    def _update_lease(self, row: Row, found: Leadership | None, started_at: float) -> None:
+        """Confirm the lease if the row names this process, else give it up."""
+        if found is None or not self._is_written_by_this_process(found):
+            self.lease.give_up()
+        elif row.version == self._leader.term:
+            self.lease.confirm(started_at)
+
     def _has_reporting_peers(self) -> bool:
         """Whether another node reports to this one, so that part of the fleet follows it."""
         live = self._coordinator.registry.live()
--- a/src/cloverwalk/fleet/orders_maker.py
+++ b/src/cloverwalk/fleet/orders_maker.py
@@ -1,5 +1,6 @@
 """Creates the orders of the coordinator or a standby, with its state but without decisions."""
 
+import math
 from collections.abc import Callable
 
 from cloverwalk.fleet.crash_record_sync import CrashRecordSync
@@ -61,7 +62,8 @@
         orders.configuration_age_ms = self._configuration.age_ms(now)
         orders.zone_drains = self._zone_drains.copy(now)
         orders.configuration_sources = self.configuration_sources(node)
-        self._add_report_age(orders, node, now)
+        granted_at = None if decisions is None else decisions.warmup_granted_at
+        self._add_report_age(orders, node, now if granted_at is None else min(granted_at, now))
         if decisions is not None:
             orders.placements = decisions.placements
             orders.grants = decisions.grants
@@ -70,11 +72,15 @@
             orders.grant_tokens = decisions.grant_tokens
         return orders
 
-    def _add_report_age(self, orders: Orders, node: str, now: float) -> None:
+    def _add_report_age(self, orders: Orders, node: str, made_at: float) -> None:
+        """Add the last report and its age when the oldest decision was made.
+
+        Between the grant of a warm-up token and these orders the process may have been suspended.
+        """
         entry = self._registry.by_name.get(node)
         if entry is not None:
             orders.report_sequence = entry.report.sequence
-            orders.report_age_ms = int((now - entry.last_seen_at) * 1000)
+            orders.report_age_ms = math.floor((made_at - entry.last_seen_at) * 1000)
 
     def _is_store_available_to_other_nodes(self, node: str) -> bool:
         """Whether the store has recently answered a node other than ``node``."""
--- a/src/cloverwalk/fleet/placement_client.py
+++ b/src/cloverwalk/fleet/placement_client.py
@@ -40,6 +40,14 @@
     was_queued: bool = False
     """Whether it was queued for a slot before."""
 
+    decided_at: float = float("-inf")
+    """Earliest time at which it can have been decided (monotonic clock, seconds)."""
+
+    @property
+    def warmup_token_granted_at(self) -> float | None:
+        """Earliest time at which its warm-up token can have been granted; None without a token."""
+        return self.decided_at if self.placement.has_warmup_token else None
+
     @property
     def verdict(self) -> PlacementVerdict:
         """Whether the request is sent to a replica, has to be retried later, or is refused."""
@@ -152,8 +160,13 @@
             await pending.event.wait()
         pending.event.clear()
 
-    async def handle_placement(self, placement: Placement) -> None:
-        """Handle the answer to a placement request; late and repeated answers are ignored."""
+    async def handle_placement(
+        self, placement: Placement, decided_at: float = float("-inf")
+    ) -> None:
+        """Handle the answer to a placement request; late and repeated answers are ignored.
+
+        ``decided_at`` is the earliest time at which it can have been decided.
+        """
         pending = self._pending.get(placement.number)
         if pending is None or pending.result is not None:
             return
@@ -163,7 +176,7 @@
             work = None
             if placement.verdict is PlacementVerdict.SEND:
                 work = self._loads.begin(placement.replica_id, False, pending.tokens)
-            pending.result = PlacementResult(placement, work, pending.was_queued)
+            pending.result = PlacementResult(placement, work, pending.was_queued, decided_at)
         await pending.event.set()
 
     def pop_withdrawn(self) -> list[int]:
--- a/src/cloverwalk/fleet/report_maker.py
+++ b/src/cloverwalk/fleet/report_maker.py
@@ -2,12 +2,14 @@
 
 from collections import Counter, deque
 
+from cloverwalk.core.warmup_limit import earliest_grant
 from cloverwalk.fleet.crash_record_sync import CrashRecordSync
 from cloverwalk.fleet.identity import Identity
 from cloverwalk.fleet.in_flight import InFlightTracker
 from cloverwalk.fleet.messages import (
     ItemTiming,
     NodeLoad,
+    Orders,
     PlacementRequest,
     Report,
     RequestTiming,
@@ -24,6 +26,10 @@
 MAX_STORE_AGE_MS = 1_000_000
 """Upper bound of the reported age of the store's last answer; sent while it is unavailable."""
 
+SEQUENCES_PER_S = 1000
+"""Sequence numbers follow the machine's clock. So a process of a node uses none of an earlier one,
+whose last report the coordinator's orders may still name."""
+
 MAX_KEPT_SEND_TIMES = 512
 """Reports whose send times are kept; at most a hundred are sent per second."""
 
@@ -77,9 +83,19 @@
         """Return when a report was sent (monotonic clock, seconds), None if that is not kept."""
         return self._sent_at.get(sequence)
 
+    def earliest_creation(self, orders: Orders) -> float:
+        """Return the earliest time at which the decisions in orders can have been made.
+
+        Minus infinity if the report that they name is not known.
+        """
+        sent_at = self.sent_at(orders.report_sequence)
+        if sent_at is None:
+            return float("-inf")
+        return earliest_grant(sent_at, orders.report_age_ms / 1000)
+
     def make(self, now: float, placement_requests: list[PlacementRequest]) -> Report:
         """Return the next report; the caller adds what depends on its receiver."""
-        self._sequence += 1
+        self._sequence = max(self._sequence + 1, int(now * SEQUENCES_PER_S))
         self._record_send_time(now)
         is_unavailable = self._health.is_unavailable
         report = Report(
--- a/src/cloverwalk/fleet/snapshots.py
+++ b/src/cloverwalk/fleet/snapshots.py
@@ -42,6 +42,7 @@
             slowdowns=self._due_slowdowns([standby.node for standby in current.standbys], now),
             usage_by_tenant=scheduler.online_shares.usage(),
             item_usage_by_tenant=scheduler.item_shares.usage(),
+            warmups_ms=scheduler.warmup_tokens.remaining_ms(now),
         )
 
     def _due_slowdowns(self, standbys: list[str], now: float) -> dict[str, SlowdownEstimate]:
--- a/src/cloverwalk/gateway/progress.py
+++ b/src/cloverwalk/gateway/progress.py
@@ -32,6 +32,10 @@
     is_sent: bool = False
     """Whether bytes were sent to a replica whose answer is not known yet."""
 
+    warmup_token_granted_at: float | None = None
+    """Earliest time at which the warm-up token of the current attempt can have been granted; None
+    if it has none."""
+
     work: InFlightEntry | None = None
     """The current attempt, as counted in the load of its replica."""
 
--- a/src/cloverwalk/gateway/relay.py
+++ b/src/cloverwalk/gateway/relay.py
@@ -30,6 +30,7 @@
 from cloverwalk.gateway.reply import Reply
 from cloverwalk.gateway.request_timing import request_timing
 from cloverwalk.gateway.rotation import WeightedRotation
+from cloverwalk.gateway.warmup_gate import WarmupGate
 from cloverwalk.scheduling.admission import MAX_QUEUE_WAIT_S, PlacementVerdict
 from cloverwalk.telemetry.log import ServingLog
 from cloverwalk.telemetry.metrics import ServingMetrics
@@ -59,6 +60,7 @@
         coordinator_client: CoordinatorClient,
         quota_refusals: QuotaRefusalCache,
         containment: ContainmentGate,
+        warmup_gate: WarmupGate | None = None,
     ) -> None:
         self._codec = codec
         self._directory = directory
@@ -70,6 +72,7 @@
         self._coordinator_client = coordinator_client
         self._quota_refusals = quota_refusals
         self._containment = containment
+        self._warmup_gate = warmup_gate
         self._rotation = WeightedRotation()
         self._answers = AnswerRelay(codec, directory, metrics, clock)
         self._lateness_tracker = LatenessTracker(metrics)
@@ -216,6 +219,7 @@
     ) -> None:
         now = self._clock()
         progress.work = result.work
+        progress.warmup_token_granted_at = result.warmup_token_granted_at
         progress.expected_wait_ms = float(result.placement.wait_ms)
         progress.was_queued = result.was_queued
         self._log.write(
@@ -290,9 +294,11 @@
         except ReplicaError:
             self._directory.suspect(replica.replica_id, self._clock())
             raise
-        if self._directory.find(replica.replica_id) is None:
+        try:
+            self._check_may_send(request_id, progress, replica)
+        except ReplicaError:
             await self._pool.release_unused(connection)
-            raise ReplicaError("the replica is draining", False, "draining")
+            raise
         is_released = False
         try:
             progress.last_replica = replica.replica_id
@@ -307,6 +313,13 @@
             if not is_released:
                 await connection.close()
 
+    def _check_may_send(self, request_id: str, progress: RequestProgress, replica: Replica) -> None:
+        """Raise ReplicaError if the replica takes no new work since it was chosen."""
+        if self._directory.find(replica.replica_id) is None:
+            raise ReplicaError("the replica is draining", False, "draining")
+        if self._warmup_gate is not None:
+            self._warmup_gate.check(replica, request_id, progress.warmup_token_granted_at)
+
     async def _exchange(
         self,
         request: ClientRequest,
--- a/src/cloverwalk/jobs/item_call.py
+++ b/src/cloverwalk/jobs/item_call.py
@@ -19,6 +19,7 @@
 from cloverwalk.gateway.replica_connection import ReplicaConnection, ReplicaPool
 from cloverwalk.gateway.replicas import Replica, ReplicaDirectory
 from cloverwalk.gateway.request_timing import slowdown_percent
+from cloverwalk.gateway.warmup_gate import WarmupGate
 from cloverwalk.jobs.run import ItemRun, JobRun, RunTiming
 
 READ_INTERVAL_S = 0.1
@@ -54,6 +55,7 @@
     pool: ReplicaPool
     directory: ReplicaDirectory
     clock: Callable[[], float]
+    warmup_gate: WarmupGate | None = None
 
     def prompt(self, item_run: ItemRun) -> tuple[PromptPart, ...]:
         """Return the parts of an item's prompt, as far as its headers describe them."""
@@ -85,6 +87,9 @@
         try:
             if self.directory.find(replica.replica_id) is None:
                 raise ReplicaError("the replica is draining", False, "draining")
+            if self.warmup_gate is not None:
+                # Items get no tokens.
+                self.warmup_gate.check(replica, item_run.item.item_id, None)
             keep_alive_s = await self._exchange(job, item_run, replica, connection, on_output)
             is_released = True
             await self.pool.release(connection, keep_alive_s)
--- a/src/cloverwalk/scheduling/decisions.py
+++ b/src/cloverwalk/scheduling/decisions.py
@@ -15,6 +15,13 @@
     revokes: dict[str, int] = attrs.Factory(dict)
     grants_by_tenant: dict[str, dict[str, int]] = attrs.Factory(dict)
     grant_tokens: dict[str, int] = attrs.Factory(dict)
+    warmup_granted_at: float | None = None
+    """When the first warm-up token among the placements was granted (monotonic clock, seconds)."""
+
+    def record_warmup_token(self, now: float) -> None:
+        """Record that one of the placements has a warm-up token."""
+        granted_at = self.warmup_granted_at
+        self.warmup_granted_at = now if granted_at is None else min(granted_at, now)
 
 
 class Outbox:
--- a/src/cloverwalk/scheduling/online.py
+++ b/src/cloverwalk/scheduling/online.py
@@ -193,8 +193,8 @@
         demand = self._demand(queued)
         chosen = choose(candidates, demand)
         if chosen is None and self._replicas.has_usable(queued.request.service):
-            # No replica has enough free memory; handled like a lack of free slots.
-            return self._queue_for_memory(queued, now)
+            # No replica has enough free memory or a warm-up token; like a lack of free slots.
+            return self._queue_without_candidate(queued, may_retry_later, now)
         if chosen is None:
             return self._refuse(
                 queued, Placement(queued.request.number, PlacementVerdict.NO_REPLICA), now
@@ -204,7 +204,7 @@
             return self._refuse(
                 queued, Placement(queued.request.number, PlacementVerdict.RETRY_LATER), now
             )
-        admission = self._admit(queued, chosen, wait_ms, may_retry_later, now)
+        admission = self._admit(queued, chosen.slowdown, wait_ms, may_retry_later, now)
         if admission.verdict is PlacementVerdict.RETRY_LATER:
             return self._refuse_with_retry_time(queued, admission, now)
         if admission.verdict is PlacementVerdict.QUEUE:
@@ -215,12 +215,21 @@
         self._replicas.record_prefill(chosen.replica.replica_id, prefill_ms, now)
         return chosen.replica.replica_id
 
-    def _queue_for_memory(self, queued: QueuedRequest, now: float) -> str | None:
-        """Queue a request until a replica has memory for it; refuse it after the longest wait."""
+    def _queue_without_candidate(
+        self, queued: QueuedRequest, may_retry_later: bool, now: float
+    ) -> str | None:
+        """Queue a request until a replica can take it; refuse it after the longest wait."""
         if queued.request.must_place or now - queued.asked_at >= MAX_QUEUE_WAIT_S:
             return self._refuse(
                 queued, Placement(queued.request.number, PlacementVerdict.NO_REPLICA), now
             )
+        wait_ms = self._replicas.warmup_wait_ms(
+            queued.request.service, len(self._queued.all()), now
+        )
+        if wait_ms is not None:
+            admission = self._admit(queued, 1.0, wait_ms, may_retry_later, now)
+            if admission.verdict is PlacementVerdict.RETRY_LATER:
+                return self._refuse_with_retry_time(queued, admission, now)
         queued.waits_for_memory = True
         self._enqueue(queued, now)
         return None
@@ -228,7 +237,7 @@
     def _admit(
         self,
         queued: QueuedRequest,
-        chosen: Candidate,
+        slowdown: float,
         wait_ms: float,
         may_retry_later: bool,
         now: float,
@@ -238,7 +247,7 @@
         is_overdue = queued.request.must_place or now - queued.asked_at >= MAX_QUEUE_WAIT_S
         if route is None or is_overdue:
             return _Admission(PlacementVerdict.SEND)
-        prospect = self._prospect(queued, route, wait_ms, chosen.slowdown, now)
+        prospect = self._prospect(queued, route, wait_ms, slowdown, now)
         admission = self._decide_by_share(queued, prospect, may_retry_later, now)
         if admission.verdict is not PlacementVerdict.RETRY_LATER:
             return admission
@@ -334,6 +343,9 @@
             self._quotas.charge(queued.request.tenant, now)
         decisions = self._outbox.for_node(queued.node)
         replica_id = chosen.replica.replica_id
+        has_warmup_token = self._replicas.take_warmup_token(chosen.replica, now)
+        if has_warmup_token:
+            decisions.record_warmup_token(now)
         placement = Placement(
             queued.request.number,
             PlacementVerdict.SEND,
@@ -342,6 +354,7 @@
             online=chosen.in_flight.online,
             batch=chosen.in_flight.batch,
             prefill_ms=round(chosen.prefill_ms),
+            has_warmup_token=has_warmup_token,
         )
         decisions.placements.append(placement)
         self._load_tracker.expect(
--- a/src/cloverwalk/scheduling/replica_view.py
+++ b/src/cloverwalk/scheduling/replica_view.py
@@ -11,6 +11,7 @@
 from cloverwalk.scheduling.replica_memory import ReplicaMemory
 from cloverwalk.scheduling.selection import Candidate
 from cloverwalk.scheduling.slot_time import ReplicaUse
+from cloverwalk.scheduling.warmup_tokens import WarmupTokens
 from cloverwalk.scheduling.zone_reachability import ZoneReachability
 
 CRASH_SUSPECT_TTL_S = 1.0
@@ -33,8 +34,10 @@
         reachability: ZoneReachability,
         features: Features,
         random: Random,
+        warmup_tokens: WarmupTokens,
     ) -> None:
         self._memory = memory
+        self._warmup_tokens = warmup_tokens
         self._reachability = reachability
         self._features = features
         self._node_zones: dict[str, str] = {}
@@ -178,7 +181,8 @@
 
     def candidates(self, node: str, request: PlacementRequest, now: float) -> list[Candidate]:
         """Return the replicas where a request fits, without those it avoids if there are others."""
-        usable = self._reachable_with_free_slot(node, self._directory.usable(request.service), now)
+        usable = self._without_token_lack(self._directory.usable(request.service), now)
+        usable = self._reachable_with_free_slot(node, usable, now)
         usable = list(self._memory.with_memory_for_online(self.sample(usable), request.tokens, now))
         fresh = [replica for replica in usable if replica.replica_id not in request.avoid]
         suspects = self._suspects_by_node.get(node, set())
@@ -193,10 +197,33 @@
                 self.prefill_ms(replica.replica_id, now),
                 self._other_crash_suspects(replica.replica_id, request.content, now),
                 slowdowns.get(replica.replica_id, 1.0),
+                self._warmup_tokens.is_warming(replica, now),
             )
             for replica in fresh or usable
         ]
 
+    # --- warm-ups ---
+
+    def _without_token_lack(self, replicas: list[Replica], now: float) -> list[Replica]:
+        """Return the replicas without those that are warming up and have no free token."""
+        if not self._warmup_tokens.may_be_needed:
+            return replicas
+        return [replica for replica in replicas if self._warmup_tokens.may_place(replica, now)]
+
+    def take_warmup_token(self, replica: Replica, now: float) -> bool:
+        """Take a token for a request if the replica needs one; return whether one was taken."""
+        return self._warmup_tokens.take(replica, now)
+
+    def warmup_wait_ms(self, service: str, queued: int, now: float) -> float | None:
+        """Return the expected wait for a warm-up token behind ``queued`` requests.
+
+        None if a replica of the service isn't warming up, so that tokens are not what is lacking.
+        """
+        usable = self._directory.usable(service)
+        if not all(self._warmup_tokens.is_warming(replica, now) for replica in usable):
+            return None
+        return 1000 * self._warmup_tokens.wait_s(usable, queued, now)
+
     def sample(self, replicas: list[Replica], also: Iterable[str] = ()) -> list[Replica]:
         """Return the replicas that a decision compares: all, or a sample and those in ``also``."""
         if len(replicas) <= MAX_SAMPLED_REPLICAS:
@@ -245,8 +272,13 @@
         return self._directory.find(replica_id)
 
     def free_slots(self, replica: Replica, now: float) -> int:
-        """Return how many more items have a slot at a replica; 0 while it is suspected."""
+        """Return how many more items have a slot at a replica.
+
+        0 while it is suspected, and while it is warming up: online requests use all of its tokens.
+        """
         replica_id = replica.replica_id
+        if self._warmup_tokens.is_warming(replica, now):
+            return 0
         if self._directory.is_suspect(replica_id, now) or self._directory.is_peer_suspect(
             replica_id, now
         ):
--- a/src/cloverwalk/scheduling/scheduler.py
+++ b/src/cloverwalk/scheduling/scheduler.py
@@ -9,6 +9,7 @@
 from collections.abc import Iterable, Mapping
 from random import Random
 
+from cloverwalk.core.warmup_limit import WarmupBounds
 from cloverwalk.fleet.messages import (
     ItemTiming,
     NodeLoad,
@@ -20,6 +21,7 @@
 from cloverwalk.gateway.configuration import ConfigurationHolder
 from cloverwalk.gateway.crash_ledger import CrashLedger
 from cloverwalk.gateway.replicas import ReplicaDirectory
+from cloverwalk.gateway.warmups import Warmups
 from cloverwalk.scheduling.batch import BatchGrants, StoreTimeMs
 from cloverwalk.scheduling.decisions import Decisions, Outbox
 from cloverwalk.scheduling.features import Feature, Features
@@ -31,6 +33,7 @@
 from cloverwalk.scheduling.service_times import ServiceTimes
 from cloverwalk.scheduling.slot_time import ReplicaUse
 from cloverwalk.scheduling.slowdown import Measurement, ReplicaSlowdowns
+from cloverwalk.scheduling.warmup_tokens import WarmupTokens
 from cloverwalk.scheduling.zone_reachability import ZoneReachability
 
 
@@ -46,6 +49,8 @@
         ledger: CrashLedger,
         random: Random,
         features: Features | None = None,
+        warmups: Warmups | None = None,
+        warmup_bounds: WarmupBounds | None = None,
     ) -> None:
         self.features = features or Features(configuration)
         self.times = times
@@ -59,9 +64,16 @@
         self.load_tracker = ReplicaLoadTracker()
         self._outbox = Outbox()
         self.reachability = ZoneReachability()
+        self.warmup_tokens = WarmupTokens(warmups, warmup_bounds or WarmupBounds(), self.features)
         memory = ReplicaMemory(configuration, self.load_tracker, self.features)
         self._replicas = ReplicaView(
-            directory, self.load_tracker, memory, self.reachability, self.features, random
+            directory,
+            self.load_tracker,
+            memory,
+            self.reachability,
+            self.features,
+            random,
+            self.warmup_tokens,
         )
         self._online = OnlineQueue(
             self._replicas,
@@ -183,6 +195,7 @@
     def tick(self, now: float) -> None:
         """Expire outdated state and reassign the slots that become free by it."""
         self.reachability.tick(now)
+        self.warmup_tokens.tick(now)
         changed = self.load_tracker.expire(now)
         self._update_slowdowns(now)
         self._online.expire(now)
--- a/src/cloverwalk/scheduling/selection.py
+++ b/src/cloverwalk/scheduling/selection.py
@@ -46,6 +46,9 @@
 cheapest for all of them; one harmful request would then end the replicas of the others. Exceeds the
 cost of half load."""
 
+WARMUP_COST_MS = 40.0
+"""Cost of a replica that is warming up and therefore slow; exceeds that of half load."""
+
 PREFILL_TOKENS_PER_MS = 50.0
 OTHER_ZONE_COST_MS = 5.0
 OTHER_ZONE_COST_MS_PER_KB = 1.5
@@ -72,6 +75,9 @@
     slowdown: float = 1.0
     """Current slowdown: the factor on the usual service time of the service."""
 
+    is_warming: bool = False
+    """Whether the replica is warming up; it then has a free token."""
+
 
 class Demand(Struct, frozen=True):
     """What a request needs."""
@@ -147,6 +153,7 @@
     slowdown = candidate.slowdown
     cost = SUSPECT_COST_MS if candidate.is_suspect else 0.0
     cost += PEER_SUSPECT_COST_MS if candidate.is_peer_suspect else 0.0
+    cost += WARMUP_COST_MS if candidate.is_warming else 0.0
     in_flight = candidate.in_flight
     cost += candidate.prefill_ms
     cost += OTHER_CRASH_SUSPECT_COST_MS * candidate.other_crash_suspects
--- a/src/cloverwalk/serving/batch_parts.py
+++ b/src/cloverwalk/serving/batch_parts.py
@@ -67,7 +67,9 @@
         self.view = JobView()
         cache = ResultCache()
         committer = Committer(store, health, clock)
-        caller = ItemCaller(adapter.codec, pool, fleet_state.directory, clock)
+        caller = ItemCaller(
+            adapter.codec, pool, fleet_state.directory, clock, fleet_state.warmup_gate
+        )
         self.runner = BatchRunner(
             fleet_state.configuration,
             fleet_state.directory,
--- a/src/cloverwalk/serving/fleet_parts.py
+++ b/src/cloverwalk/serving/fleet_parts.py
@@ -35,6 +35,7 @@
 from cloverwalk.store.health import StoreHealth
 from cloverwalk.store.types import Store
 from cloverwalk.telemetry.log import ServingLog
+from cloverwalk.telemetry.metrics import ServingMetrics
 from cloverwalk.telemetry.startup import Stage
 
 MAX_DIRECTORY_AGE_S = 1.5
@@ -81,6 +82,8 @@
             fleet_state.crash_ledger,
             random,
             self.features,
+            fleet_state.warmups,
+            settings.warmup_bounds,
         )
         self.scheduler.reachability.on_change = self._log_reachability
         self.scheduler.slowdowns.on_change = self._log_slowdown
@@ -141,6 +144,23 @@
         self.slot_time_reporter.tick(now)
         self.fair_share_reporter.tick(now)
 
+    def update_metrics(self, metrics: ServingMetrics) -> None:
+        """Set the gauges of replicas that are warming up."""
+        tokens, gate = self.scheduler.warmup_tokens, self._fleet_state.warmup_gate
+        metrics.gauge(
+            "cloverwalk_replicas_warming",
+            "Replicas that may be warming up and get a limited rate, as this node knows",
+            len(tokens.remaining_ms(self._clock())),
+        )
+        metrics.gauge(
+            "cloverwalk_warmup_tokens_granted", "Warm-up tokens granted here", tokens.granted
+        )
+        metrics.gauge(
+            "cloverwalk_warmup_sends_refused",
+            "Work not sent to a replica that is warming up, for lack of a valid token",
+            gate.refused,
+        )
+
     def _log_throttled(self, throttled: ThrottledRequests) -> None:
         self._log.write(
             catalogue.TENANTS_HELD_BACK,
--- a/src/cloverwalk/serving/fleet_state.py
+++ b/src/cloverwalk/serving/fleet_state.py
@@ -7,6 +7,8 @@
 from cloverwalk.gateway.configuration import Configuration, ConfigurationHolder
 from cloverwalk.gateway.crash_ledger import CrashLedger
 from cloverwalk.gateway.replicas import Replica, ReplicaDirectory
+from cloverwalk.gateway.warmup_gate import WarmupGate
+from cloverwalk.gateway.warmups import Warmups
 from cloverwalk.gateway.zone_drains import ZoneDrains
 from cloverwalk.serving.adapter import Adapter
 from cloverwalk.store.types import Row, RowPage
@@ -36,6 +38,8 @@
         self.configuration = ConfigurationHolder()
         self.directory = ReplicaDirectory()
         self.zone_drains = ZoneDrains()
+        self.warmups = Warmups(self.directory, self.configuration, self.zone_drains, log, clock)
+        self.warmup_gate = WarmupGate(self.warmups, log, clock)
         self.crash_ledger = CrashLedger()
         self.metrics = ServingMetrics()
         """Counts invalid entries; ``ServingNode`` replaces it by the metrics of the node."""
--- a/src/cloverwalk/serving/node.py
+++ b/src/cloverwalk/serving/node.py
@@ -199,6 +199,7 @@
             self._fleet.coordinator_client,
             self._quota_refusals,
             ContainmentGate(self._crash_detector, self._metrics),
+            self._fleet_state.warmup_gate,
         )
         max_connections = max(64, settings.max_descriptors - RESERVED_DESCRIPTORS)
         self._clients = self._create_server(settings.client_address, self._handle, max_connections)
@@ -393,11 +394,8 @@
         metrics.gauge(
             "cloverwalk_jobs_owned", "Jobs that this node runs", len(self._batch.runner.jobs)
         )
-        metrics.gauge(
-            "cloverwalk_client_connections",
-            "Open",
-            self._clients.connection_count,
-        )
+        metrics.gauge("cloverwalk_client_connections", "Open", self._clients.connection_count)
+        self._fleet.update_metrics(metrics)
         coordinator = self._fleet.coordinator
         node_count = len(coordinator.registry.live()) if coordinator.is_active else 0
         seconds_by_use = self._fleet.slot_time_reporter.slot_time.seconds
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -53,6 +53,8 @@
 JOB_REFUSALS = "tests/serving/test_job_refusals.py::"
 ENTRIES = "tests/serving/test_replica_entries.py::"
 RESTARTED = "tests/serving/test_restarted_replicas.py::"
+WARMUP_LIMIT = "tests/unit/test_warmup_limit.py::"
+WARMUP_FLEET = "tests/serving/test_warmup_fleet.py::"
 SPREAD = "tests/serving/test_configuration_spread.py::"
 OUTDATED = "tests/serving/test_outdated_configuration.py::"
 NAMES = "tests/unit/test_interface_names.py::test_interface_names_are_unchanged"
@@ -1410,6 +1412,41 @@
         "            if page.version < 0:",
         "tests/serving/test_follower.py::test_full_read_older_than_an_earlier_answer_is_read_again",
     ),
+    Mutant(
+        "warm-up: a new coordinator grants while the previous lease may hold",
+        "fleet/role_lease.py",
+        "            self._grants_from = now + TAKEOVER_WAIT_S",
+        "            self._grants_from = now",
+        WARMUP_LIMIT + "test_takeover_while_the_old_lease_holds_keeps_the_limit",
+    ),
+    Mutant(
+        "warm-up: the limit does not count the life of tokens",
+        "core/warmup_limit.py",
+        "WINDOW_S = CLOCK_MARGIN * (1.0 + TOKEN_TTL_S)",
+        "WINDOW_S = CLOCK_MARGIN",
+        WARMUP_LIMIT + "test_second_after_a_held_burst_has_at_most_the_limit",
+    ),
+    Mutant(
+        "warm-up: a lease lasts though the store does not confirm it",
+        "fleet/role_lease.py",
+        "        return self._is_holder and self._grants_from <= now < self._held_until",
+        "        return self._is_holder and self._grants_from <= now",
+        WARMUP_FLEET + "test_coordinator_cut_off_from_the_store_stops_granting",
+    ),
+    Mutant(
+        "warm-up: the age of a token counts from when its orders were sent",
+        "fleet/orders_maker.py",
+        "now if granted_at is None else min(granted_at, now)",
+        "now",
+        WARMUP_FLEET + "test_token_granted_before_a_pause_of_the_coordinator_is_too_old",
+    ),
+    Mutant(
+        "warm-up: a changed warm-up time alone is not sent to the nodes",
+        "fleet/state_sender.py",
+        "sent_fingerprint and not self._has_new_warmups():",
+        "sent_fingerprint:",
+        WARMUP_FLEET + "test_change_of_the_warmup_time_alone_reaches_all_nodes",
+    ),
 ]
 
 
--- a/tests/serving/coordination_world.py
+++ b/tests/serving/coordination_world.py
@@ -6,6 +6,7 @@
 from random import Random
 
 from cloverwalk.core.clock import Clock
+from cloverwalk.core.warmup_limit import WarmupBounds
 from cloverwalk.emulator.memory_store import MemoryStore
 from cloverwalk.fleet.coordinator import Coordinator
 from cloverwalk.fleet.coordinator_client import CoordinatorClient
@@ -31,9 +32,12 @@
     Route,
     RouteKind,
     RoutePart,
+    Service,
 )
 from cloverwalk.gateway.crash_ledger import CrashLedger
 from cloverwalk.gateway.replicas import Replica, ReplicaDirectory
+from cloverwalk.gateway.warmup_gate import WarmupGate
+from cloverwalk.gateway.warmups import Warmups
 from cloverwalk.gateway.zone_drains import ZoneDrains
 from cloverwalk.scheduling.features import Features
 from cloverwalk.scheduling.quotas import QuotaBounds
@@ -46,6 +50,7 @@
 
 ZONES = ("z1", "z2", "z3")
 SEEDS = 3
+WARMUP_BOUNDS = WarmupBounds(1.5, 5.0)
 
 
 class Wire:
@@ -128,6 +133,8 @@
         self.configuration = world.configuration()
         self.directory = ReplicaDirectory()
         self.zone_drains = ZoneDrains()
+        self.warmups = Warmups(self.directory, self.configuration, self.zone_drains, log, clock)
+        self.warmup_gate = WarmupGate(self.warmups, log, clock)
         self.health = StoreHealth(Clock(clock))
         store_clock = StoreClock(Clock(clock))
         self.store = MonitoredStore(world.store, self.health, store_clock)
@@ -143,6 +150,8 @@
             self.ledger,
             random,
             Features(self.configuration, lost_zones=world.lost_zones),
+            self.warmups,
+            WARMUP_BOUNDS,
         )
         self.coordinator = Coordinator(
             self.identity,
@@ -220,7 +229,9 @@
         replicas: int = 4,
         tenants: tuple[Tenant, ...] | None = None,
         lost_zones: int = 0,
+        services: dict[str, Service] | None = None,
     ) -> None:
+        self.services = services or {}
         self.lost_zones = lost_zones
         self.tenants = tenants
         self.now = 1000.0
@@ -237,7 +248,9 @@
         holder = ConfigurationHolder()
         parts = (RoutePart("model", 1.0),)
         route = Route("chat", "h", "/chat/", RouteKind.STREAM, parts, 5.0, 0.3, 2)
-        holder.update_if_newer(Configuration(1, (route,), {}, ClientLimits(), self.tenants))
+        holder.update_if_newer(
+            Configuration(1, (route,), self.services, ClientLimits(), self.tenants)
+        )
         return holder
 
     def load_replicas(self, node: FleetNode) -> None:
