--- a/src/cloverwalk/fleet/coordinator_client.py
+++ b/src/cloverwalk/fleet/coordinator_client.py
@@ -406,8 +406,9 @@
         now = self._clock()
         self._zone_drains.apply_copy(orders.zone_drains, now, host)
         await self.update_leadership(orders.leadership)
+        decided_at = self.reports.earliest_creation(orders)
         for placement in orders.placements:
-            await self._placement_client.handle_placement(placement)
+            await self._placement_client.handle_placement(placement, decided_at)
         current = self._leader.current
         if current is not None and orders.leadership.term < current.term:
             # The sender doesn't know yet that another node coordinates.
--- a/src/cloverwalk/serving/fleet_state.py
+++ b/src/cloverwalk/serving/fleet_state.py
@@ -8,6 +8,8 @@
 from cloverwalk.gateway.crash_ledger import CrashLedger
 from cloverwalk.gateway.replicas import Replica, ReplicaDirectory
 from cloverwalk.gateway.steps import run_in_steps
+from cloverwalk.gateway.warmup_gate import WarmupGate
+from cloverwalk.gateway.warmups import Warmups
 from cloverwalk.gateway.zone_drains import ZoneDrains
 from cloverwalk.serving.adapter import Adapter
 from cloverwalk.serving.stored_zone_drains import StoredZoneDrains
@@ -39,6 +41,8 @@
         self.directory = ReplicaDirectory()
         self.zone_drains = ZoneDrains()
         self.zone_drains.listeners.append(self._apply_zone_drains)
+        self.warmups = Warmups(self.directory, self.configuration, self.zone_drains, log, clock)
+        self.warmup_gate = WarmupGate(self.warmups, log, clock)
         self.crash_ledger = CrashLedger()
         self.metrics = ServingMetrics()
         """Counts invalid entries; ``ServingNode`` replaces it by the metrics of the node."""
