Count refused messages of other nodes by kind

Cause: while nodes of two builds run, a node gets kinds of messages that it does not know. They were logged without their kind and counted nowhere.

Change: the log line and a counter name the kind; all kinds that this build does not know share one name, so the number of names is bounded.

--- a/src/cloverwalk/fleet/messages.py
+++ b/src/cloverwalk/fleet/messages.py
@@ -6,6 +6,7 @@
 """
 
 import enum
+from typing import get_args
 
 import msgspec
 import pynetstring
@@ -565,8 +566,17 @@
     | StoreReturned
 )
 
+MESSAGE_KINDS = frozenset(str(kind.__struct_config__.tag) for kind in get_args(Datagram))
+"""Tags of the messages that this build knows."""
+
+UNKNOWN_KIND = "unknown"
+"""Stands for all kinds that this build doesn't know, so that the number of names is bounded."""
+
+UNREADABLE_KIND = "unreadable"
+
 _encoder = msgspec.json.Encoder()
 _decoder = msgspec.json.Decoder(Datagram)
+_tag_decoder = msgspec.json.Decoder(list[msgspec.Raw])
 
 
 def encode_datagram(message: Datagram) -> bytes:
@@ -587,3 +597,19 @@
         return _decoder.decode(payloads[0])
     except (pynetstring.ParseError, msgspec.DecodeError, UnicodeDecodeError) as error:
         raise DatagramError(str(error)) from error
+
+
+def kind_of_refused(data: bytes) -> str:
+    """Return the kind of a datagram that can't be decoded, for logs and metrics.
+
+    >>> kind_of_refused(b'8:["orders"],'), kind_of_refused(b'9:["newer",1],')
+    ('unreadable', 'unreadable')
+    >>> kind_of_refused(b'10:["orders"],'), kind_of_refused(b'11:["newer",1],')
+    ('orders', 'unknown')
+    """
+    try:
+        payload = pynetstring.decode(data)[0]
+        tag = msgspec.json.decode(_tag_decoder.decode(payload)[0], type=str)
+    except (pynetstring.ParseError, msgspec.DecodeError, UnicodeDecodeError, IndexError):
+        return UNREADABLE_KIND
+    return tag if tag in MESSAGE_KINDS else UNKNOWN_KIND
--- a/src/cloverwalk/fleet/transport.py
+++ b/src/cloverwalk/fleet/transport.py
@@ -11,6 +11,7 @@
     DatagramError,
     decode_datagram,
     encode_datagram,
+    kind_of_refused,
 )
 from cloverwalk.telemetry.log import ServingLog
 
@@ -21,6 +22,12 @@
 """Datagrams that are read without a pause before other tasks run."""
 
 OnDatagram = Callable[[Datagram, str], Awaitable[None]]
+OnRefused = Callable[[str], None]
+"""Called with the kind of a datagram that can't be decoded; see ``kind_of_refused``."""
+
+
+def _ignore_refused(kind: str) -> None:
+    return
 
 
 class Sender(Protocol):
@@ -37,6 +44,7 @@
     def __init__(self, address: tuple[str, int], log: ServingLog) -> None:
         self._port = address[1]
         self._log = log
+        self.on_refused: OnRefused = _ignore_refused
         self._sock: Any = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         self._sock.bind(address)
 
@@ -71,7 +79,11 @@
         try:
             message = decode_datagram(data)
         except DatagramError as error:
-            self._log.write(catalogue.BAD_PEER_MESSAGE, problem=str(error)[:200], host=host)
+            kind = kind_of_refused(data)
+            self.on_refused(kind)
+            self._log.write(
+                catalogue.BAD_PEER_MESSAGE, problem=str(error)[:200], host=host, kind=kind
+            )
             return
         await on_datagram(message, host)
 
--- a/src/cloverwalk/serving/fleet_parts.py
+++ b/src/cloverwalk/serving/fleet_parts.py
@@ -180,6 +180,7 @@
 
     async def receive(self) -> None:
         """Receive datagrams until cancelled."""
+        self.transport.on_refused = self._fleet_state.metrics.peer_message_refused
         await self.transport.receive(self.handle_message)
 
     async def handle_message(self, message: Datagram, host: str) -> None:
--- a/src/cloverwalk/telemetry/metrics.py
+++ b/src/cloverwalk/telemetry/metrics.py
@@ -72,6 +72,7 @@
         self._items: Counter[str] = Counter()
         self._connection_closes: Counter[str] = Counter()
         self._containments: Counter[str] = Counter()
+        self._refused_messages: Counter[str] = Counter()
         self._invalid_entries = 0
         self._restarts = 0
         self._invalid_values: Counter[str] = Counter()
@@ -108,6 +109,10 @@
         """Count a request that was contained, refused while contained, or released."""
         self._containments[event] += 1
 
+    def peer_message_refused(self, kind: str) -> None:
+        """Count a message of another node that can't be decoded."""
+        self._refused_messages[kind] += 1
+
     def replica_entry_invalid(self) -> None:
         """Count an invalid entry of the replica list."""
         self._invalid_entries += 1
@@ -180,6 +185,12 @@
                 "found",
             ),
             ("cloverwalk_containments", "Requests contained", self._containments, "event"),
+            (
+                "cloverwalk_peer_messages_refused",
+                "Messages of other nodes that can't be decoded, by kind",
+                self._refused_messages,
+                "kind",
+            ),
             (
                 "cloverwalk_odd_figures",
                 "Invalid values in reports of replicas",
