Replace copies of the configuration from builds that know fewer fields

Cause: a node that the store refuses gets its configuration from the coordinator. One of an earlier build leaves out the limits of replicas that warm up, and the same version from the store did not replace that copy, so the limits stayed unknown until the next change, after the upgrade too.

Change: a configuration names the format in which its maker read it. The same version in a later format replaces the current one.

--- a/src/cloverwalk/gateway/configuration.py
+++ b/src/cloverwalk/gateway/configuration.py
@@ -84,6 +84,11 @@
     idle_timeout_s: float = 15.0
 
 
+CONFIGURATION_FORMAT = 1
+"""Format of the configurations that this build makes; higher with each field that is appended to
+routes, services, limits or tenants."""
+
+
 class Configuration(Struct, frozen=True, array_like=True):
     """One version of the configuration."""
 
@@ -94,6 +99,10 @@
     tenants: tuple[Tenant, ...] | None = None
     """The tenants that may call; None if callers have no keys."""
 
+    format: int = 0
+    """``CONFIGURATION_FORMAT`` of the build that read the configuration from the store; 0 if that
+    build does not know the limits of replicas that warm up."""
+
     def find_route(self, host: str, path: str) -> Route | None:
         """Return the route with the longest prefix of ``path`` on ``host``.
 
@@ -147,6 +156,12 @@
         """The current version, or -1 if there is none."""
         return -1 if self.current is None else self.current.version
 
+    @property
+    def complete_version(self) -> int:
+        """The current version, or -1 if an earlier build left out fields that this one knows."""
+        is_complete = self.current is not None and self.current.format >= CONFIGURATION_FORMAT
+        return self.version if is_complete else -1
+
     @property
     def has_tenants(self) -> bool:
         """Whether callers have keys."""
@@ -173,17 +188,38 @@
     def update_if_newer(self, configuration: Configuration) -> bool:
         """Replace the configuration by a newer one; return whether it was newer.
 
+        The same version in a later format is newer: it has fields that an earlier build, which
+        sent the current one, does not know.
+
         >>> holder = ConfigurationHolder()
         >>> newer = Configuration(7, (), {}, ClientLimits())
         >>> holder.update_if_newer(newer), holder.update_if_newer(
         ...     Configuration(6, (), {}, ClientLimits())
         ... )
         (True, False)
-        >>> holder.version
+        >>> holder.version, holder.complete_version
+        (7, -1)
+        >>> complete = Configuration(7, (), {}, ClientLimits(), format=CONFIGURATION_FORMAT)
+        >>> holder.update_if_newer(complete), holder.update_if_newer(newer)
+        (True, False)
+        >>> holder.complete_version
         7
         """
         if configuration.version <= self.version:
+            return self._complete(configuration)
+        self._replace(configuration)
+        return True
+
+    def _complete(self, configuration: Configuration) -> bool:
+        """Replace the current version by itself in a later format; return whether it is one."""
+        current = self.current
+        if current is None or configuration.version != current.version:
+            return False
+        if configuration.format <= current.format:
             return False
+        self._replace(configuration)
+        return True
+
+    def _replace(self, configuration: Configuration) -> None:
         self.current = configuration
         self.tenants = TenantDirectory(configuration.tenants or ())
-        return True
--- a/src/cloverwalk/platform/documents.py
+++ b/src/cloverwalk/platform/documents.py
@@ -9,6 +9,7 @@
 from msgspec import UNSET, Struct, UnsetType, field
 
 from cloverwalk.gateway.configuration import (
+    CONFIGURATION_FORMAT,
     ClientLimits,
     Configuration,
     Route,
@@ -188,7 +189,7 @@
     )
     routes = tuple(_route(route) for route in wire.routes)
     tenants = None if wire.tenants is None else _tenants(wire.tenants)
-    return Configuration(wire.version, routes, services, limits, tenants)
+    return Configuration(wire.version, routes, services, limits, tenants, CONFIGURATION_FORMAT)
 
 
 def _non_negative(service: str, name: str, value: float) -> float:
