Run soaks with two builds, and replace nodes one after the other

Cause: nothing showed an upgrade and its rollback with real processes.

Faults, changes of the configuration and open connections go on, and all checks stay. Kinds of actions that earlier builds are not made for are left out.

--- a/src/cloverwalk/cli/soak.py
+++ b/src/cloverwalk/cli/soak.py
@@ -4,12 +4,14 @@
 import re
 import shutil
 import tempfile
+from collections.abc import Callable
 from pathlib import Path
 
 import click
 
 from cloverwalk.cli.errors import EXIT_REFUSED, EXIT_USAGE, CommandError
-from cloverwalk.soak.draw import draw_plan
+from cloverwalk.soak.build_replacer import check_earlier_source
+from cloverwalk.soak.draw import draw_plan, draw_upgrade_plan
 from cloverwalk.soak.errors import SoakInputError, SoakStartError
 from cloverwalk.soak.plan import MAX_MINUTES, MAX_NODES, Plan, load_plan
 from cloverwalk.soak.report import HEADINGS, summary_lines, table_row
@@ -47,6 +49,11 @@
     type=click.Path(path_type=Path, file_okay=False),
     help="Folder for logs and histories. By default only those of failed soaks are kept.",
 )
+@click.option(
+    "--earlier-source",
+    type=click.Path(path_type=Path, file_okay=False),
+    help="Source folder of an earlier build: nodes are replaced by the current one, and back.",
+)
 @click.option("--show", is_flag=True, help="Print the schedule only.")
 def soak(
     minutes: float,
@@ -55,6 +62,7 @@
     nodes: int,
     schedule_path: Path | None,
     out: Path | None,
+    earlier_source: Path | None,
     show: bool,
 ) -> None:
     """Run serving nodes as processes under faults and check their guarantees.
@@ -65,9 +73,12 @@
     Example: cloverwalk soak --minutes 1 --seed 7 --nodes 4
     """
     try:
-        plans = _plans(minutes, seed, seed_range, nodes, schedule_path)
+        draw = draw_plan if earlier_source is None else draw_upgrade_plan
+        plans = _plans(draw, minutes, seed, seed_range, nodes, schedule_path)
         for plan in plans:
             check_memory(plan.nodes)
+            if plan.build_steps:
+                check_earlier_source(earlier_source)
     except SoakInputError as error:
         raise CommandError(str(error), EXIT_USAGE) from error
     if show:
@@ -76,7 +87,7 @@
         return
     results: list[SoakResult] = []
     for plan in plans:
-        results.append(run_soak(plan, out))
+        results.append(run_soak(plan, out, earlier_source))
         if results[-1].was_stopped:
             break
     if len(plans) > 1:
@@ -90,20 +101,24 @@
 
 
 def _plans(
-    minutes: float, seed: int, seed_range: str | None, nodes: int, schedule_path: Path | None
+    draw: Callable[[int, int, float], Plan],
+    minutes: float,
+    seed: int,
+    seed_range: str | None,
+    nodes: int,
+    schedule_path: Path | None,
 ) -> list[Plan]:
     if nodes > MAX_NODES:
         raise SoakInputError(f"--nodes: {nodes} is more than {MAX_NODES}")
     if schedule_path is not None:
         return [load_plan(schedule_path)]
     if seed_range is None:
-        return [draw_plan(seed, nodes, minutes)]
+        return [draw(seed, nodes, minutes)]
     seed_match = re.fullmatch(r"(\d+)-(\d+)", seed_range)
     if seed_match is None or int(seed_match[1]) > int(seed_match[2]):
         raise SoakInputError(f"--seeds: {seed_range!r} is not a range FIRST-LAST")
     return [
-        draw_plan(number, nodes, minutes)
-        for number in range(int(seed_match[1]), int(seed_match[2]) + 1)
+        draw(number, nodes, minutes) for number in range(int(seed_match[1]), int(seed_match[2]) + 1)
     ]
 
 
@@ -125,9 +140,11 @@
     )
     for action in plan.actions:
         click.echo(action.line())
+    for step in plan.build_steps:
+        click.echo(step.line())
 
 
-def run_soak(plan: Plan, out: Path | None) -> SoakResult:
+def run_soak(plan: Plan, out: Path | None, earlier_source: Path | None = None) -> SoakResult:
     """Run one soak and print its summary."""
     print_schedule(plan)
     if out is None:
@@ -135,7 +152,7 @@
     else:
         folder = out / f"seed-{plan.seed}"
     try:
-        result = Soak(plan, folder, click.echo).run()
+        result = Soak(plan, folder, click.echo, earlier_source).run()
     except SoakStartError as error:
         raise CommandError(f"{error}; logs are in {folder}", EXIT_REFUSED) from error
     for line in summary_lines(result):
--- a/src/cloverwalk/soak/draw.py
+++ b/src/cloverwalk/soak/draw.py
@@ -2,6 +2,9 @@
 
 from random import Random
 
+import msgspec
+
+from cloverwalk.soak.build_steps import draw_build_steps
 from cloverwalk.soak.deployment import QUOTAS
 from cloverwalk.soak.plan import (
     DIRECTIONS,
@@ -28,6 +31,22 @@
 
 CALM_PHASE_S = 6.0
 
+KINDS_OF_EARLIER_BUILDS = frozenset(
+    (
+        *NODE_KINDS,
+        *LINK_KINDS,
+        *STORE_KINDS,
+        *REPLICA_KINDS,
+        *RESTART_KINDS,
+        *HERD_KINDS,
+        ActionKind.KEY_REPLACE,
+        ActionKind.QUOTA_CHANGE,
+        ActionKind.ROUTE_REMOVE,
+        ActionKind.ROUTE_MOVE,
+    )
+)
+"""Kinds that earlier builds are made for; their nodes would break the promises of newer kinds."""
+
 
 def replica_count(nodes: int) -> int:
     """Return the number of replicas for a fleet; each service has at least two."""
@@ -41,6 +60,14 @@
     return Plan(seed, nodes, replica_count(nodes), minutes * 60, actions)
 
 
+def draw_upgrade_plan(seed: int, nodes: int, minutes: float) -> Plan:
+    """Return a schedule that also replaces nodes by another build, and back."""
+    plan = draw_plan(seed, nodes, minutes)
+    actions = [action for action in plan.actions if action.kind in KINDS_OF_EARLIER_BUILDS]
+    steps = draw_build_steps(seed, nodes, plan.duration_s)
+    return msgspec.structs.replace(plan, actions=actions, build_steps=steps)
+
+
 class _PlanDrawer:
     """Draws a series of actions for each group of kinds; the series overlap in time."""
 
--- a/src/cloverwalk/soak/events.py
+++ b/src/cloverwalk/soak/events.py
@@ -52,6 +52,8 @@
 
     node: str
     pid: int
+    build: str = ""
+    """The build that it runs, if the soak runs two."""
 
 
 class NodeSignalled(SoakEvent, frozen=True):
--- a/src/cloverwalk/soak/plan.py
+++ b/src/cloverwalk/soak/plan.py
@@ -6,6 +6,7 @@
 import msgspec
 from msgspec import Struct
 
+from cloverwalk.soak.build_steps import BuildStep, find_build_problem
 from cloverwalk.soak.deployment import (
     LIMITED_TENANTS,
     MOVABLE_ROUTES,
@@ -142,6 +143,8 @@
     replicas: int
     duration_s: float
     actions: list[Action]
+    build_steps: list[BuildStep] = []
+    """Replacements by another build; empty if all nodes run the same one."""
 
 
 def load_plan(path: Path) -> Plan:
@@ -171,6 +174,10 @@
         problem = _find_problem(action, plan)
         if problem:
             raise SoakInputError(f"{source}: actions[{number}]: {problem}")
+    for number, step in enumerate(plan.build_steps):
+        problem = find_build_problem(step, plan.nodes, plan.duration_s)
+        if problem:
+            raise SoakInputError(f"{source}: build_steps[{number}]: {problem}")
 
 
 def _find_problem(action: Action, plan: Plan) -> str:
--- a/src/cloverwalk/soak/processes.py
+++ b/src/cloverwalk/soak/processes.py
@@ -12,6 +12,7 @@
 
 from cloverwalk.platform import names
 from cloverwalk.soak.addresses import SoakNetwork
+from cloverwalk.soak.build_steps import Build
 from cloverwalk.soak.events import NodeGone, NodeSignalled, NodeStarted
 from cloverwalk.soak.history import History
 
@@ -53,6 +54,12 @@
         self.store_address = (self.host, network.port + 5)
         self.is_end_requested = False
         self.restart_delay_s = DEFAULT_RESTART_DELAY_S
+        self.build: Build | None = None
+        """The build of the next process; None if the soak runs a single build."""
+
+        self.source: Path | None = None
+        """Source folder of the next process; None for that of the soak itself."""
+
         self._network = network
         self._folder = folder
         self._history = history
@@ -110,6 +117,8 @@
         self.is_end_requested = False
         self._frozen.clear()
         environment = {**os.environ, names.SETTINGS_VARIABLE: str(self._settings)}
+        if self.source is not None:
+            environment["PYTHONPATH"] = str(self.source)
         with (
             (self._folder / f"{self.name}.log").open("ab") as log,
             (self._folder / f"{self.name}.err").open("ab") as errors,
@@ -122,7 +131,7 @@
                 stderr=errors,
                 start_new_session=True,
             )
-        self._history.record(NodeStarted(node=self.name, pid=self.pid))
+        self._history.record(NodeStarted(node=self.name, pid=self.pid, build=self.build or ""))
 
     def signal(self, signal_number: Signals) -> None:
         """Send a signal to the current process, if it is running."""
--- a/src/cloverwalk/soak/run.py
+++ b/src/cloverwalk/soak/run.py
@@ -15,6 +15,7 @@
 from cloverwalk.core.once_flag import OnceFlag
 from cloverwalk.emulator.platform_store_server import PlatformStoreServer
 from cloverwalk.soak.addresses import SoakNetwork, find_network
+from cloverwalk.soak.build_replacer import BuildReplacer
 from cloverwalk.soak.checker import Checker
 from cloverwalk.soak.clients import OnlineClients, RequestMaker
 from cloverwalk.soak.deployment import LIMITED_TENANTS, QUOTAS, Operator
@@ -79,7 +80,13 @@
 class Soak:
     """A fleet of node processes with emulated store and replicas, clients and faults."""
 
-    def __init__(self, plan: Plan, folder: Path, report: Callable[[str], None]) -> None:
+    def __init__(
+        self,
+        plan: Plan,
+        folder: Path,
+        report: Callable[[str], None],
+        earlier_source: Path | None = None,
+    ) -> None:
         self._plan = plan
         self._folder = folder
         self._report = report
@@ -98,6 +105,7 @@
         self._checker = Checker()
         self._history.add_listener(self._check)
         self._build(find_network())
+        self._replacer = BuildReplacer(plan.build_steps, self._nodes, earlier_source, self._history)
 
     def _build(self, network: SoakNetwork) -> None:
         plan, history = self._plan, self._history
@@ -210,7 +218,10 @@
         await self._start()
         self._ends_at = self._history.now() + self._plan.duration_s
         await self._start_clients()
+        replacements = await curio.spawn(self._replacer.run)
+        self._supervisors.append(replacements)
         await self._faults.run()
+        await replacements.join()
         self._report(f"{self._history.now():8.3f} all faults have ended")
         for client in self._clients:
             await client.join()
