--- /dev/null
+++ b/tests/builds/test_configuration_reach.py
@@ -0,0 +1,145 @@
+"""Configurations in a fleet of two builds, in simulated time.
+
+Nodes of earlier builds are nodes of this build whose messages are cut to what the earlier build
+knows: unknown kinds are dropped, and messages keep the number of fields of the recorded samples.
+"""
+
+import json
+
+import curio
+import pytest
+from builds.earlier import EARLIER_BUILDS
+from builds.test_recorded_samples import read_samples
+from fleet_world import route
+from returning_world import ReturningNode, ReturningWorld, SimulatedTime, in_simulated_time
+
+from cloverwalk.fleet.messages import ConfigurationCopy, Datagram, decode_datagram, encode_datagram
+from cloverwalk.fleet.transport import OnDatagram
+from cloverwalk.gateway.configuration import ClientLimits, Configuration, ConfigurationHolder
+from cloverwalk.platform.documents import decode_configuration
+
+NODES = 9
+START_TIMEOUT_S = 30.0
+CONFIGURATION_TIMEOUT_S = 3.0
+LONG_CONFIGURATION = [route(f"r{number}", f"/r{number}/", "safe") for number in range(3000)]
+BEFORE_PARTS = "1bb0755"
+"""A build that doesn't know the compressed parts of a long configuration."""
+
+
+class EarlierBuild:
+    """What an earlier build keeps of a message, by its recorded samples."""
+
+    def __init__(self, commit: str) -> None:
+        samples = read_samples(commit)[1]
+        datagrams = [sample for sample in samples if not sample["kind"].startswith("stored:")]
+        self._lengths = {
+            sample["kind"]: len(json.loads(sample["data"].partition(":")[2][:-1]))
+            for sample in datagrams
+        }
+
+    def cut(self, message: Datagram) -> Datagram | None:
+        """Return a message with the fields that the build knows, None if it is of another kind."""
+        fields = json.loads(encode_datagram(message).partition(b":")[2][:-1])
+        length = self._lengths.get(fields[0])
+        if length is None:
+            return None
+        data = json.dumps(fields[:length]).encode()
+        return decode_datagram(b"%d:%s," % (len(data), data))
+
+
+def make_earlier(world: ReturningWorld, hosts: set[str], build: EarlierBuild) -> None:
+    """Cut all messages from and to some hosts to what an earlier build sends and reads."""
+
+    def cutting(host: str, receive: OnDatagram) -> OnDatagram:
+        async def receive_cut(message: Datagram, source: str) -> None:
+            known = build.cut(message) if {host, source} & hosts else message
+            if known is not None:
+                await receive(known, source)
+
+        return receive_cut
+
+    for host, receive in list(world.wire.receivers.items()):
+        world.wire.receivers[host] = cutting(host, receive)
+
+
+async def start_mixed_fleet(time: SimulatedTime, commit: str) -> tuple[ReturningWorld, set[str]]:
+    """Start a fleet whose coordinator and standbys are of this build, the others of another."""
+    world = ReturningWorld(time, NODES, NODES, 2000.0, 800.0)
+    await world.start_all()
+    await world.wait_until(lambda node: node.serves, START_TIMEOUT_S)
+    await curio.sleep(5.0)
+    earlier = {node.host for node in world.nodes} - world.leadership_hosts()
+    make_earlier(world, earlier, EarlierBuild(commit))
+    return world, earlier
+
+
+async def wait_for_version(world: ReturningWorld, hosts: set[str], version: int) -> None:
+    await world.wait_until(
+        lambda node: node.host not in hosts or version_of(node) == version, CONFIGURATION_TIMEOUT_S
+    )
+
+
+def version_of(node: ReturningNode) -> int:
+    return node.fleet_state.configuration.version
+
+
+# Guards against refused nodes of earlier builds that keep an older configuration.
+@pytest.mark.parametrize("commit", EARLIER_BUILDS)
+def test_change_reaches_refused_nodes_of_earlier_builds(commit: str) -> None:
+    async def test(time: SimulatedTime) -> None:
+        world, earlier = await start_mixed_fleet(time, commit)
+        world.store.refuses = lambda host: 503 if host in earlier else None
+        for version in (2, 3):
+            await curio.sleep(3.0)
+            await world.change_configuration(version)
+            await wait_for_version(world, {node.host for node in world.nodes}, version)
+
+    in_simulated_time(test)
+
+
+# Guards against refused nodes that depend on a node of another build for a long configuration.
+def test_long_change_reaches_refused_nodes_of_build_that_knows_parts() -> None:
+    async def test(time: SimulatedTime) -> None:
+        world, earlier = await start_mixed_fleet(time, EARLIER_BUILDS[0])
+        world.store.refuses = lambda host: 503 if host in earlier else None
+        await curio.sleep(3.0)
+        await world.change_configuration(2, LONG_CONFIGURATION)
+        await wait_for_version(world, earlier, 2)
+
+    in_simulated_time(test)
+
+
+# Guards against a node of the build before parts that gets stuck once the store serves it again.
+def test_long_change_reaches_build_before_parts_when_store_serves_it() -> None:
+    async def test(time: SimulatedTime) -> None:
+        world, earlier = await start_mixed_fleet(time, BEFORE_PARTS)
+        world.store.refuses = lambda host: 503 if host in earlier else None
+        await curio.sleep(3.0)
+        await world.change_configuration(2, LONG_CONFIGURATION)
+        await wait_for_version(world, world.leadership_hosts(), 2)
+        await curio.sleep(5.0)
+        assert {version_of(node) for node in world.nodes if node.host in earlier} == {1}
+        world.store.refuses = lambda host: None
+        await wait_for_version(world, earlier, 2)
+
+    in_simulated_time(test)
+
+
+# Guards against limits that stay unknown after a copy from an earlier build, until the next change.
+@pytest.mark.parametrize("commit", EARLIER_BUILDS)
+def test_copy_of_earlier_build_is_replaced_by_the_complete_version(commit: str) -> None:
+    samples = [s for s in read_samples(commit)[1] if s["kind"] == "configuration"]
+    copy = decode_datagram(samples[-1]["data"].encode())
+    assert isinstance(copy, ConfigurationCopy)
+    holder = ConfigurationHolder()
+    assert holder.update_if_newer(copy.configuration)
+    assert (holder.version, holder.complete_version) == (copy.configuration.version, -1)
+    services = [{"name": "s", "cold_start_s": 4.0, "cold_per_s": 7.0}]
+    document = {"version": holder.version, "routes": [], "services": services, "limits": {}}
+    complete = decode_configuration(json.dumps(document).encode())
+    assert holder.update_if_newer(complete)
+    assert holder.complete_version == holder.version
+    assert not holder.update_if_newer(copy.configuration)
+    assert holder.current is not None and holder.current.services["s"].warmup_rate_per_s == 7.0
+    older = Configuration(holder.version - 1, (), {}, ClientLimits(), format=99)
+    assert not holder.update_if_newer(older)
--- /dev/null
+++ b/tests/builds/test_earlier_builds.py
@@ -0,0 +1,77 @@
+"""Earlier builds, taken from the history, read what this build sends and stores."""
+
+import json
+from pathlib import Path
+from typing import Any
+
+import pytest
+from builds import record
+from builds.earlier import EARLIER_BUILDS, ROOT, extract_source, run_record
+
+from cloverwalk.fleet.messages import CrashCases, Datagram, DirectoryUpdate, encode_datagram
+from cloverwalk.gateway.crash_ledger import CrashRecord
+from cloverwalk.gateway.replicas import Replica
+
+Build = tuple[str, Path]
+
+
+@pytest.fixture(scope="module", params=EARLIER_BUILDS)
+def build(request: pytest.FixtureRequest, tmp_path_factory: pytest.TempPathFactory) -> Build:
+    return request.param, extract_source(request.param, tmp_path_factory.mktemp("builds"))
+
+
+def assert_contains(value: Any, part: Any, path: str) -> None:
+    """Check that all named fields of ``part`` have the same values in ``value``."""
+    if isinstance(part, dict):
+        for name, expected in part.items():
+            assert name in value, f"{path}.{name}"
+            assert_contains(value[name], expected, f"{path}.{name}")
+    elif isinstance(part, list):
+        assert len(value) == len(part), path
+        for index, expected in enumerate(part):
+            assert_contains(value[index], expected, f"{path}[{index}]")
+    else:
+        assert value == part, path
+
+
+# Guards against a message or row that older nodes misread or can't read during an upgrade.
+def test_earlier_build_reads_what_this_build_makes(build: Build) -> None:
+    commit, source = build
+    lines = run_record(source, "samples", [])
+    known_kinds = {sample["kind"] for sample in lines[1:]}
+    samples = list(record.samples())
+    assert known_kinds <= {sample["kind"] for sample in samples}
+    answers = run_record(source, "read", samples)
+    for sample, answer in zip(samples, answers, strict=True):
+        path = f"{sample['kind']} {sample['variant']} at {commit}"
+        if sample["kind"] not in known_kinds:
+            assert "refused" in answer, path
+            continue
+        assert "fields" in answer, f"{path}: {answer}"
+        assert_contains(record.read(sample)["fields"], answer["fields"], path)
+
+
+# Guards against samples that were edited, or made by another build than their folder's name says.
+def test_recorded_samples_are_those_of_the_commit(build: Build) -> None:
+    commit, source = build
+    kept = (ROOT / "tests" / "builds" / commit / "samples.jsonl").read_text("utf-8")
+    assert run_record(source, "samples", []) == [json.loads(line) for line in kept.splitlines()]
+
+
+# Guards against nodes of two builds that send each other their lists all the time.
+def test_digests_are_equal_in_both_builds(build: Build) -> None:
+    _, source = build
+    replicas = [
+        Replica("r1", "s", "10.0.0.1", 80, "z1", 8, False, version=5),
+        Replica("r2", "s", "10.0.0.2", 80, "z2", 8, True, version=6, started_ms=1_700_000_000_000),
+        Replica("r3", "s", "10.0.0.3", 80, "z1", 8, False, version=7, warmup_ms=2500),
+        Replica("r4", "s", "10.0.0.4", 80, "z1", 8, False, 8, 1_700_000_000_001, warmup_ms=1),
+    ]
+    lists = [*([replica] for replica in replicas), replicas]
+    records = [CrashRecord(f"{number:020x}", {"r1": 5, "r2@1f": 9}) for number in range(3)]
+    messages: list[Datagram] = [DirectoryUpdate(None, 0, 1, 0, entries) for entries in lists]
+    messages.append(CrashCases(records))
+    samples = [{"kind": "any", "data": encode_datagram(message).decode()} for message in messages]
+    digests = [record.digests(sample) for sample in samples]
+    assert None not in digests and 0 not in digests
+    assert run_record(source, "digests", samples) == digests
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -57,6 +57,7 @@
 OUTDATED = "tests/serving/test_outdated_configuration.py::"
 NAMES = "tests/unit/test_interface_names.py::test_interface_names_are_unchanged"
 SOAK = "tests/soak/test_soak_short.py::test_short_soak_has_no_violations"
+SAMPLES = "tests/builds/test_recorded_samples.py::"
 MUTANTS = [
     Mutant(
         "an earlier record is ignored",
@@ -1410,6 +1411,43 @@
         "            if page.version < 0:",
         "tests/serving/test_follower.py::test_full_read_older_than_an_earlier_answer_is_read_again",
     ),
+    Mutant(
+        "builds: fields of a message are swapped",
+        "fleet/messages.py",
+        "    online: int = 0\n    batch: int = 0\n    tokens",
+        "    batch: int = 0\n    online: int = 0\n    tokens",
+        SAMPLES + "test_samples_of_earlier_builds_mean_the_same",
+    ),
+    Mutant(
+        "builds: the fingerprint of the replica list contains warm-up times",
+        "gateway/replicas.py",
+        "    *fields, _ = msgspec.structs.astuple(",
+        "    fields = msgspec.structs.astuple(",
+        SAMPLES + "test_fingerprint_does_not_depend_on_warmups",
+    ),
+    Mutant(
+        "builds: a copy from an earlier build keeps its gaps",
+        "gateway/configuration.py",
+        "        if configuration.format <= current.format:",
+        "        if configuration.format >= current.format:",
+        "tests/builds/test_configuration_reach.py"
+        "::test_copy_of_earlier_build_is_replaced_by_the_complete_version",
+    ),
+    Mutant(
+        "builds: all nodes of a soak run the same source",
+        "soak/processes.py",
+        "        if self.source is not None:",
+        "        if self.source is None:",
+        "tests/soak/test_soak_builds.py::test_nodes_run_the_source_of_their_build",
+    ),
+    Mutant(
+        "builds: refused messages are not counted",
+        "fleet/transport.py",
+        "            self.on_refused(kind)\n",
+        "",
+        "tests/builds/test_refused_messages.py"
+        "::test_refused_messages_are_dropped_logged_and_counted",
+    ),
 ]
 
 
