--- a/tests/builds/record.py
+++ b/tests/builds/record.py
@@ -5,14 +5,17 @@
     record.py samples          print a sample a line, as JSON
     record.py read < SAMPLES   print what this build reads in each sample
     record.py digests < SAMPLES  print this build's digests of replicas and crash records
+    record.py documents < DOCUMENTS  print what this build reads in the platform's documents
 """
 
 import enum
 import json
 import sys
 from collections.abc import Iterator
+from pathlib import Path
 from typing import Any, get_args
 
+import attrs
 import msgspec
 from msgspec import Struct
 from msgspec import inspect as kinds
@@ -24,6 +27,8 @@
 from cloverwalk.gateway.crash_ledger import CrashLedger
 from cloverwalk.gateway.replicas import Replica, ReplicaDirectory
 from cloverwalk.jobs import records
+from cloverwalk.platform.documents import decode_configuration, decode_replica
+from cloverwalk.platform.settings import load_settings
 
 STORED: dict[str, Any] = {
     "configuration": Configuration,
@@ -123,6 +128,8 @@
     """Return a value as JSON with the names of its fields, also of those sent by position."""
     if isinstance(value, Struct):
         return {name: named(getattr(value, name)) for name in value.__struct_fields__}
+    if attrs.has(type(value)):
+        return {part.name: named(getattr(value, part.name)) for part in attrs.fields(type(value))}
     if isinstance(value, dict):
         return {str(key): named(part) for key, part in value.items()}
     if isinstance(value, (list, tuple)):
@@ -178,13 +185,22 @@
     return None
 
 
+def documents(texts: dict[str, str]) -> dict[str, Any]:
+    """Return what this build reads in its settings file and in two documents of the store."""
+    return {
+        "settings": named(load_settings(Path(texts["settings"]))),
+        "configuration": named(decode_configuration(texts["configuration"].encode())),
+        "replica": named(decode_replica("r1", texts["replica"].encode(), 1)),
+    }
+
+
 def main() -> None:
     if sys.argv[1] == "samples":
         print(json.dumps({"keys": row_keys(), "fingerprints": fingerprints()}))
         for sample in samples():
             print(json.dumps({**sample, **read(sample)}))
         return
-    call = {"read": read, "digests": digests}[sys.argv[1]]
+    call = {"read": read, "digests": digests, "documents": documents}[sys.argv[1]]
     for line in sys.stdin:
         print(json.dumps(call(json.loads(line))))
 
--- a/tests/builds/test_earlier_builds.py
+++ b/tests/builds/test_earlier_builds.py
@@ -7,12 +7,41 @@
 import pytest
 from builds import record
 from builds.earlier import EARLIER_BUILDS, ROOT, extract_source, run_record
+from fleet_world import route
 
 from cloverwalk.fleet.messages import CrashCases, Datagram, DirectoryUpdate, encode_datagram
 from cloverwalk.gateway.crash_ledger import CrashRecord
 from cloverwalk.gateway.replicas import Replica
 
 Build = tuple[str, Path]
+SETTINGS = """
+node = "front-z1-0"
+ip = "127.0.0.1"
+zone = "z1"
+region = "r1"
+ephemeral_ports = [7002, 7003]
+[zones]
+z1 = "r1"
+z2 = "r2"
+[listen]
+front = "127.0.0.1:7000"
+ready = "127.0.0.1:7001"
+[platform]
+address = "127.0.0.1:7004"
+[bounds]
+cold_overshoot = 1.5
+cold_slack = 5
+evacuate_ms = 5000
+"""
+ENTRY = {
+    "service": "model",
+    "address": "10.0.0.1:80",
+    "zone": "z1",
+    "version": "v1",
+    "slots": 8,
+    "state": "ready",
+    "seq": 1,
+}
 
 
 @pytest.fixture(scope="module", params=EARLIER_BUILDS)
@@ -75,3 +104,26 @@
     digests = [record.digests(sample) for sample in samples]
     assert None not in digests and 0 not in digests
     assert run_record(source, "digests", samples) == digests
+
+
+# Guards against settings or documents of the new parts with which a rollback would not start.
+def test_earlier_build_reads_settings_and_documents_of_new_parts(
+    build: Build, tmp_path: Path
+) -> None:
+    commit, source = build
+    path = tmp_path / "settings.toml"
+    path.write_text(SETTINGS)
+    document = {
+        "version": 7,
+        "routes": [route("chat", "/chat/", "safe")],
+        "services": [{"name": "model", "cold_start_s": 4.0, "cold_per_s": 7.0}],
+        "limits": {},
+    }
+    entry = {**ENTRY, "cold_left_ms": 2500}
+    texts = {
+        "settings": str(path),
+        "configuration": json.dumps(document),
+        "replica": json.dumps(entry),
+    }
+    (earlier,) = run_record(source, "documents", [texts])
+    assert_contains(record.documents(texts), earlier, commit)
