Test configurations under coordinators of earlier builds

Cause: only refused nodes of earlier builds were tested, not earlier coordinators with refused nodes of this build.

Change: the simulated fleet can have its coordinator and standbys of the earlier build; a refused coordinator of the last landing gets the change from a node of this build.

--- a/tests/builds/test_configuration_reach.py
+++ b/tests/builds/test_configuration_reach.py
@@ -62,15 +62,21 @@
         world.wire.receivers[host] = cutting(host, receive)
 
 
-async def start_mixed_fleet(time: SimulatedTime, commit: str) -> tuple[ReturningWorld, set[str]]:
-    """Start a fleet whose coordinator and standbys are of this build, the others of another."""
+async def start_mixed_fleet(
+    time: SimulatedTime, commit: str, is_coordinator_earlier: bool = False
+) -> tuple[ReturningWorld, set[str]]:
+    """Start a fleet whose coordinator and standbys are of one build, and the others of another.
+
+    Return it with the hosts of the others.
+    """
     world = ReturningWorld(time, NODES, NODES, 2000.0, 800.0)
     await world.start_all()
     await world.wait_until(lambda node: node.serves, START_TIMEOUT_S)
     await curio.sleep(5.0)
-    earlier = {node.host for node in world.nodes} - world.leadership_hosts()
-    make_earlier(world, earlier, EarlierBuild(commit))
-    return world, earlier
+    leaders = world.leadership_hosts()
+    others = {node.host for node in world.nodes} - leaders
+    make_earlier(world, leaders if is_coordinator_earlier else others, EarlierBuild(commit))
+    return world, others
 
 
 async def wait_for_version(world: ReturningWorld, hosts: set[str], version: int) -> None:
@@ -97,6 +103,35 @@
     in_simulated_time(test)
 
 
+# Guards against refused nodes of this build that depend on messages of a newer coordinator.
+@pytest.mark.parametrize("commit", EARLIER_BUILDS)
+def test_change_reaches_refused_nodes_under_earlier_coordinator(commit: str) -> None:
+    async def test(time: SimulatedTime) -> None:
+        world, others = await start_mixed_fleet(time, commit, is_coordinator_earlier=True)
+        world.store.refuses = lambda host: 503 if host in others else None
+        for version in (2, 3):
+            await curio.sleep(3.0)
+            await world.change_configuration(version)
+            await wait_for_version(world, {node.host for node in world.nodes}, version)
+
+    in_simulated_time(test)
+
+
+# Guards against a change that a refused coordinator of the last landing can't get from this build.
+def test_change_reaches_refused_coordinator_of_last_landing() -> None:
+    async def test(time: SimulatedTime) -> None:
+        world, others = await start_mixed_fleet(
+            time, EARLIER_BUILDS[0], is_coordinator_earlier=True
+        )
+        served = min(others)
+        world.store.refuses = lambda host: None if host == served else 503
+        await curio.sleep(3.0)
+        await world.change_configuration(2)
+        await wait_for_version(world, {node.host for node in world.nodes}, 2)
+
+    in_simulated_time(test)
+
+
 # Guards against refused nodes that depend on a node of another build for a long configuration.
 def test_long_change_reaches_refused_nodes_of_build_that_knows_parts() -> None:
     async def test(time: SimulatedTime) -> None:
