--- a/tests/builds/earlier.py
+++ b/tests/builds/earlier.py
@@ -12,12 +12,20 @@
 import pytest
 
 ROOT = Path(__file__).resolve().parents[2]
+Sample = dict[str, Any]
 RECORD = Path(__file__).with_name("record.py")
 LAST_LANDING = "be91ba6"
 EARLIER_BUILDS = (LAST_LANDING, "1bb0755")
 """The last two landings; what they send and store must be read, and the other way around."""
 
 
+def read_samples(commit: str) -> tuple[Sample, list[Sample]]:
+    """Return the samples that a build recorded, after its keys of rows and its fingerprints."""
+    path = RECORD.parent / commit / "samples.jsonl"
+    constants, *samples = [json.loads(line) for line in path.read_text("utf-8").splitlines()]
+    return constants, samples
+
+
 def extract_source(commit: str, folder: Path) -> Path:
     """Return the ``src`` folder of a commit; fail the test if the clone lacks the commit."""
     command = ["git", "archive", "--format=tar", commit, "src"]
--- a/tests/builds/test_configuration_reach.py
+++ b/tests/builds/test_configuration_reach.py
@@ -8,8 +8,7 @@
 
 import curio
 import pytest
-from builds.earlier import EARLIER_BUILDS
-from builds.test_recorded_samples import read_samples
+from builds.earlier import EARLIER_BUILDS, read_samples
 from fleet_world import route
 from returning_world import ReturningNode, ReturningWorld, SimulatedTime, in_simulated_time
 
--- a/tests/builds/test_recorded_samples.py
+++ b/tests/builds/test_recorded_samples.py
@@ -1,12 +1,10 @@
 """Messages and stored values that earlier builds made mean the same to this build."""
 
-import json
-from pathlib import Path
 from typing import Any
 
 import pytest
 from builds import record
-from builds.earlier import EARLIER_BUILDS
+from builds.earlier import EARLIER_BUILDS, read_samples
 from msgspec import Struct
 
 from cloverwalk.fleet.messages import (
@@ -20,15 +18,6 @@
 from cloverwalk.jobs.records import ItemState
 from cloverwalk.scheduling.admission import PlacementVerdict
 
-Sample = dict[str, Any]
-
-
-def read_samples(commit: str) -> tuple[Sample, list[Sample]]:
-    """Return the samples that a build recorded, after its keys of rows and its fingerprints."""
-    path = Path(__file__).parent / commit / "samples.jsonl"
-    constants, *samples = [json.loads(line) for line in path.read_text("utf-8").splitlines()]
-    return constants, samples
-
 
 def compare(value: Any, recorded: Any, path: str) -> None:
     """Compare a decoded value with the recorded one; fields that came later must be unknown."""
