--- a/src/cloverwalk/gateway/configuration.py
+++ b/src/cloverwalk/gateway/configuration.py
@@ -93,6 +93,11 @@
     idle_timeout_s: float = 15.0
 
 
+CONFIGURATION_FORMAT = 1
+"""Format of the configurations that this build makes; higher with each field that is appended to
+routes, services, limits or tenants."""
+
+
 class Configuration(Struct, frozen=True, array_like=True, dict=True):
     """One version of the configuration."""
 
@@ -103,6 +108,10 @@
     tenants: tuple[Tenant, ...] | None = None
     """The tenants that may call; None if callers have no keys."""
 
+    format: int = 0
+    """``CONFIGURATION_FORMAT`` of the build that read the configuration from the store; 0 if that
+    build does not know the limits of replicas that warm up."""
+
     @property
     def has_warmup_limits(self) -> bool:
         """Whether a service limits the requests to replicas that are warming up."""
@@ -165,6 +174,12 @@
         """The current version, or -1 if there is none."""
         return -1 if self.current is None else self.current.version
 
+    @property
+    def complete_version(self) -> int:
+        """The current version, or -1 if an earlier build left out fields that this one knows."""
+        is_complete = self.current is not None and self.current.format >= CONFIGURATION_FORMAT
+        return self.version if is_complete else -1
+
     @property
     def has_tenants(self) -> bool:
         """Whether callers have keys."""
@@ -200,22 +215,43 @@
     def update_if_newer(self, configuration: Configuration) -> bool:
         """Replace the configuration by a newer one; return whether it was newer.
 
+        The same version in a later format is newer: it has fields that an earlier build, which
+        sent the current one, does not know.
+
         >>> holder = ConfigurationHolder()
         >>> newer = Configuration(7, (), {}, ClientLimits())
         >>> holder.update_if_newer(newer), holder.update_if_newer(
         ...     Configuration(6, (), {}, ClientLimits())
         ... )
         (True, False)
-        >>> holder.version
+        >>> holder.version, holder.complete_version
+        (7, -1)
+        >>> complete = Configuration(7, (), {}, ClientLimits(), format=CONFIGURATION_FORMAT)
+        >>> holder.update_if_newer(complete), holder.update_if_newer(newer)
+        (True, False)
+        >>> holder.complete_version
         7
         """
         if configuration.version <= self.version:
+            return self._complete(configuration)
+        self._replace(configuration)
+        return True
+
+    def _complete(self, configuration: Configuration) -> bool:
+        """Replace the current version by itself in a later format; return whether it is one."""
+        current = self.current
+        if current is None or configuration.version != current.version:
+            return False
+        if configuration.format <= current.format:
             return False
+        self._replace(configuration)
+        return True
+
+    def _replace(self, configuration: Configuration) -> None:
         if self.current is not None and len(self.current.routes) > ROUTES_PER_STEP:
             self._replaced.append(self.current)
         self.current = configuration
         self.tenants = TenantDirectory(configuration.tenants or ())
-        return True
 
     def release_replaced(self) -> Steps[None]:
         """Release replaced configurations in steps; released as a whole a long one blocks."""
--- a/src/cloverwalk/gateway/configuration_encoding.py
+++ b/src/cloverwalk/gateway/configuration_encoding.py
@@ -28,6 +28,7 @@
     services: dict[str, Service]
     limits: ClientLimits
     tenants: list[Raw] | None = None
+    format: int = 0
 
 
 _encoder = msgspec.json.Encoder()
@@ -40,7 +41,7 @@
     """Return a configuration as compressed JSON.
 
     >>> from cloverwalk.gateway.steps import run_steps
-    >>> configuration = Configuration(3, (), {}, ClientLimits())
+    >>> configuration = Configuration(3, (), {}, ClientLimits(), format=1)
     >>> run_steps(decode_copy(run_steps(encode_copy(configuration)))) == configuration
     True
     """
@@ -56,6 +57,7 @@
         configuration.services,
         configuration.limits,
         None if tenants is None else [Raw(_encoder.encode(tenant)) for tenant in tenants],
+        configuration.format,
     )
     yield
     encoded = _encoder.encode(envelope)
@@ -81,7 +83,7 @@
     except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
         raise ValueError(f"invalid configuration copy: {error}") from error
     configuration = Configuration(
-        envelope.version, routes, envelope.services, envelope.limits, tenants
+        envelope.version, routes, envelope.services, envelope.limits, tenants, envelope.format
     )
     yield from configuration.build_index()
     return configuration
--- a/src/cloverwalk/platform/documents.py
+++ b/src/cloverwalk/platform/documents.py
@@ -9,6 +9,7 @@
 from msgspec import UNSET, Raw, Struct, UnsetType, field
 
 from cloverwalk.gateway.configuration import (
+    CONFIGURATION_FORMAT,
     ClientLimits,
     Configuration,
     Route,
@@ -193,7 +194,9 @@
     tenants = None
     if wire.tenants is not None:
         tenants = yield from _tenants(wire.tenants)
-    configuration = Configuration(wire.version, routes, services, limits, tenants)
+    configuration = Configuration(
+        wire.version, routes, services, limits, tenants, CONFIGURATION_FORMAT
+    )
     yield from configuration.build_index()
     return configuration
 
