Test: decisions are those of a fleet without the drained replicas

Slots of a drained zone that still counted would overfill the others; the same requests and items at both fleets must end the same.

--- a/tests/serving/test_zone_drains.py
+++ b/tests/serving/test_zone_drains.py
@@ -307,6 +307,24 @@
     assert fleet.nodes[0].placements[queued].replica_id == "r1"
 
 
+# Slots of a drained zone that still counted would let too much work onto the zones that remain.
+def test_decisions_are_those_of_a_fleet_without_the_drained_replicas() -> None:
+    drained, removed = Fleet(replicas=6, zones=3), Fleet(replicas=6, zones=3)
+    _drain(drained, "z1")
+    for replica_id in ("r0", "r3"):
+        removed.directory.remove(replica_id, 9)
+    for fleet in (drained, removed):
+        fleet.nodes[1].waiting = [WaitingGroup(1, 10 * SLOTS)]
+        fleet.report_state(1)
+        for number in range(12 * SLOTS):
+            fleet.request_placement(number % 3)
+        fleet.scheduler.tick(fleet.now)
+        fleet.apply_decisions()
+    assert drained.nodes == removed.nodes
+    verdicts = {placed.verdict for node in drained.nodes for placed in node.placements.values()}
+    assert PlacementVerdict.SEND in verdicts and len(verdicts) > 1
+
+
 # Grants there would only come back.
 def test_items_get_no_slots_of_a_drained_zone() -> None:
     fleet = Fleet(replicas=2, nodes=1, zones=2)
