--- a/src/cloverwalk/gateway/configuration.py
+++ b/src/cloverwalk/gateway/configuration.py
@@ -212,6 +212,11 @@
         self.tenants = TenantDirectory(configuration.tenants or ())
         return True
 
+    @property
+    def has_replaced(self) -> bool:
+        """Whether there are replaced configurations to release."""
+        return bool(self._replaced)
+
     def release_replaced(self) -> Steps[None]:
         """Release replaced configurations in steps; released as a whole a long one blocks."""
         while self._replaced:
--- a/src/cloverwalk/serving/fleet_parts.py
+++ b/src/cloverwalk/serving/fleet_parts.py
@@ -3,6 +3,8 @@
 from collections.abc import Callable
 from random import Random
 
+import curio
+
 from cloverwalk.core import catalogue
 from cloverwalk.fleet.configuration_copy import ConfigurationAssembler
 from cloverwalk.fleet.coordinator import Coordinator
@@ -192,10 +194,10 @@
                 await self.election.handle_snapshot(message, host)
             case ConfigurationCopy():
                 self._fleet_state.apply_configuration_copy(message, host)
-                await self._fleet_state.release_replaced_configurations()
+                await self._release_replaced_configurations()
             case ConfigurationPart():
                 self._apply_configuration_part(message, host)
-                await self._fleet_state.release_replaced_configurations()
+                await self._release_replaced_configurations()
             case ConfigurationRequest():
                 self.coordinator.send_configuration(host)
             case StoreReturned():
@@ -206,6 +208,11 @@
                 await self.coordinator_client.handle_message(message, host)
                 self._fleet_state.record_directory_source("peer")
 
+    async def _release_replaced_configurations(self) -> None:
+        """Release them in a task of its own, so that further datagrams needn't wait."""
+        if self._fleet_state.configuration.has_replaced:
+            await curio.spawn(self._fleet_state.release_replaced_configurations, daemon=True)
+
     def _apply_configuration_part(self, part: ConfigurationPart, host: str) -> None:
         try:
             configuration = self._configuration_assembler.add(part)
--- a/tests/serving/test_slow_reads.py
+++ b/tests/serving/test_slow_reads.py
@@ -17,6 +17,11 @@
 ANSWER = b'{"ver":3,"rows":[{"key":"k","ver":3,"value":"YWJj"}]}'
 SILENT = 3600.0
 
+PART_BYTES = 16_384
+LONG_READ_PARTS = 29
+READERS = 34
+LINK_BYTES_PER_S = 3_750_000
+
 
 class SlowConnection:
     """Sends the head after ``head_s`` and one byte of the answer after each of the delays."""
@@ -57,6 +62,32 @@
         return ANSWER if not self._delays_s else b""
 
 
+class SharedLink:
+    """Transmits parts of all readers at equal rates."""
+
+    def __init__(self, bytes_per_s: float) -> None:
+        self._bytes_per_s = bytes_per_s
+        self._readers = 0
+
+    async def transmit_part(self) -> None:
+        self._readers += 1
+        await curio.sleep(self._readers * PART_BYTES / self._bytes_per_s)
+        self._readers -= 1
+
+
+class SharedConnection(PartedConnection):
+    """Receives an answer of a number of parts over a shared link."""
+
+    def __init__(self, link: SharedLink, parts: int) -> None:
+        super().__init__(0.06, parts * [0.0])
+        self._link = link
+
+    async def next_part(self) -> bytes | None:
+        if self._delays_s:
+            await self._link.transmit_part()
+        return await super().next_part()
+
+
 def store_with(connection: SlowConnection) -> PlatformStore:
     store = PlatformStore("store:1")
     store._pool = HttpPool("store:1")
@@ -75,6 +106,26 @@
     in_simulated_time(test)
 
 
+# Guards against a region whose nodes begin a long read anew for ever, so that no other read ends.
+def test_all_readers_of_a_shared_link_end_their_long_reads_and_short_ones() -> None:
+    async def test(time: SimulatedTime) -> None:
+        link = SharedLink(LINK_BYTES_PER_S)
+        versions: list[int] = []
+
+        async def read(parts: int) -> None:
+            page = await store_with(SharedConnection(link, parts)).read_table("op")
+            versions.append(page.version)
+
+        async with curio.TaskGroup() as tasks:
+            for _ in range(READERS):
+                await tasks.spawn(read, LONG_READ_PARTS)
+            await curio.sleep(1.0)
+            await tasks.spawn(read, 1)
+        assert len(versions) == READERS + 1
+
+    in_simulated_time(test)
+
+
 # Guards against a silent connection that is noticed later than by the limit of the whole call.
 @pytest.mark.parametrize(
     ("head_s", "delays_s"), [(SILENT, []), (0.1, [SILENT]), (0.2, [0.2, SILENT])]
