--- a/src/cloverwalk/gateway/configuration.py
+++ b/src/cloverwalk/gateway/configuration.py
@@ -253,6 +253,11 @@
         self.current = configuration
         self.tenants = TenantDirectory(configuration.tenants or ())
 
+    @property
+    def has_replaced(self) -> bool:
+        """Whether there are replaced configurations to release."""
+        return bool(self._replaced)
+
     def release_replaced(self) -> Steps[None]:
         """Release replaced configurations in steps; released as a whole a long one blocks."""
         while self._replaced:
