Follow a table from a version of another node; report the store's round trip

Cause: a node that gets a table's rows from another node and then follows the table reads it in full again, however long it is. And nodes cannot tell which of them are near the store.

Change: TableFollower takes a function for the version up to which another node has sent the rows; it then follows the changes, the first time without waiting. After a lost history it reads in full as before. It also tells for how long its calls have been failing. StoreHealth keeps the shortest of the recent short calls (long polls and whole tables do not count), for reports.

--- a/src/cloverwalk/fleet/follower.py
+++ b/src/cloverwalk/fleet/follower.py
@@ -23,6 +23,8 @@
 
 OnRows = Callable[[RowPage], Awaitable[None]]
 WaitUntilNeeded = Callable[[], Awaitable[None]]
+ResumeVersion = Callable[[], int]
+"""Returns the store version up to which another node has sent the rows, -1 if none did."""
 
 
 async def follow_always() -> None:
@@ -33,6 +35,10 @@
     return
 
 
+def _never_resume() -> int:
+    return -1
+
+
 class TableFollower:
     """Passes the rows of one table and their changes to callbacks.
 
@@ -40,6 +46,7 @@
     succeeds confirms all earlier rows, even if nothing has changed. ``wait_until_needed`` returns
     when the table has to be followed; a node whose coordinator sends all changes needn't follow it.
     ``on_confirmed`` gets the start time of each answered call, after its rows have been applied.
+    ``resume_version`` spares a full read if the rows came from another node.
     """
 
     def __init__(
@@ -56,6 +63,7 @@
         wait_until_needed: WaitUntilNeeded = follow_always,
         on_confirmed: Callable[[float], None] = _ignore_confirmation,
         long_poll_timeout_s: float = LONG_POLL_TIMEOUT_S,
+        resume_version: ResumeVersion = _never_resume,
     ) -> None:
         self.table = table
         self._wait_until_needed = wait_until_needed
@@ -69,11 +77,17 @@
         self._log = log
         self._clock = clock
         self._random = random
+        self._resume_version = resume_version
+        self._has_lost_history = False
         self._version: int | None = None
         self._newest_version = -1
         """Newest version of an answer; kept when the table has to be read in full again."""
 
         self._failing_since: float | None = None
+        self._failed_at = float("-inf")
+        self._failing_call_at: float | None = None
+        """When the first of the calls that are failing now began."""
+
         self.confirmed_at = float("-inf")
         """When the last answered call began, in seconds of the monotonic clock."""
 
@@ -81,47 +95,76 @@
         """Whether the table was confirmed within the last ``age_s`` seconds."""
         return now - self.confirmed_at <= age_s
 
+    @property
+    def version(self) -> int:
+        """Store version up to which the rows were passed on, -1 if unknown."""
+        return -1 if self._version is None else self._version
+
+    def failing_for_s(self, since: float, now: float) -> float:
+        """Return for how long the calls after ``since`` have been failing, 0 if they aren't."""
+        if self._failing_call_at is None or self._failed_at < since:
+            return 0.0
+        return now - max(since, self._failing_call_at)
+
     async def run(self) -> None:
         """Follow until cancelled."""
         retry_delay_s = MIN_RETRY_DELAY_S
         while True:
             await self._wait_until_needed()
+            began_at = self._clock()
             try:
                 await self._step()
                 retry_delay_s = MIN_RETRY_DELAY_S
                 await curio.sleep(self._interval_s)
             except HistoryLostError:
                 self._version = None
+                self._has_lost_history = True
                 self._log.write(catalogue.HISTORY_LOST, table=self.table)
             except StoreError as error:
-                self._record_failure(error)
+                self._record_failure(error, began_at)
                 await self._health.backoff(retry_delay_s * 1000 * (0.5 + self._random.random()))
                 retry_delay_s = min(MAX_RETRY_DELAY_S, 2 * retry_delay_s)
 
     async def _step(self) -> None:
         began_at = self._clock()
+        has_resumed = self._resume()
         if self._version is None:
             page = await self._store.read_table(self.table)
             if page.version < self._newest_version:
                 message = f"full read has version {page.version}, older than {self._newest_version}"
                 raise StoreError(message, "store_answer_outdated")
             await self._on_full_read(page)
+            self._has_lost_history = False
         else:
-            page = await self._store.changes(self.table, self._version, self._long_poll_timeout_s)
+            # The first call does not wait, so that it confirms the rows of the other node soon.
+            wait_s = 0.0 if has_resumed else self._long_poll_timeout_s
+            page = await self._store.changes(self.table, self._version, wait_s)
             await self._on_changes(page)
         self._version = page.version
         self._newest_version = max(self._newest_version, page.version)
         self._record_answer(began_at)
 
+    def _resume(self) -> bool:
+        """Go on from a version whose rows came from another node; return whether it was newer."""
+        version = self._resume_version()
+        if self._has_lost_history or version <= self.version:
+            return False
+        self._version = version
+        return True
+
     def _record_answer(self, began_at: float) -> None:
         self.confirmed_at = began_at
+        self._failing_call_at = None
         self._on_confirmed(began_at)
         if self._failing_since is not None:
             lost_s = round(self._clock() - self._failing_since, 3)
             self._log.write(catalogue.FEED_BACK, table=self.table, lost_s=lost_s)
             self._failing_since = None
 
-    def _record_failure(self, error: StoreError) -> None:
+    def _record_failure(self, error: StoreError, began_at: float) -> None:
+        self._failed_at = self._clock()
+        if self._failing_call_at is None:
+            self._failing_call_at = began_at
         if self._failing_since is None:
             self._failing_since = self._clock()
             self._log.write(catalogue.FEED_LOST, table=self.table, code=error.code)
--- a/src/cloverwalk/fleet/report_maker.py
+++ b/src/cloverwalk/fleet/report_maker.py
@@ -51,9 +51,6 @@
         self.polls_configuration = False
         """Whether this node gets the configuration from other nodes."""
 
-        self.store_round_trip_ms = 0
-        """Shortest recent time of a call of the store; 0: unknown."""
-
         self._request_timings: list[RequestTiming] = []
         self._corrections: Counter[tuple[str, int]] = Counter()
         self._item_timings: deque[ItemTiming] = deque(maxlen=MAX_ITEM_TIMINGS)
@@ -105,7 +102,7 @@
             zone_drains=self._zone_drains.copy(now),
             configuration_age_ms=self._configuration.age_ms(now),
             polls_configuration=self.polls_configuration,
-            store_round_trip_ms=self.store_round_trip_ms,
+            store_round_trip_ms=self._health.round_trip_ms,
         )
         self._request_timings = []
         self._item_timings.clear()
--- a/src/cloverwalk/store/health.py
+++ b/src/cloverwalk/store/health.py
@@ -4,6 +4,7 @@
 outage, such as results and output of running items, must be stored as soon as the store recovers.
 """
 
+from collections import deque
 from collections.abc import Callable
 
 import curio
@@ -24,6 +25,9 @@
 """Lower bound of a backoff. It limits retries if only one part of the store is unavailable and the
 answers of the other parts keep ending the backoff."""
 
+KEPT_ROUND_TRIPS = 16
+"""Number of recent short calls whose shortest time is reported."""
+
 
 def _ignore(_is_answered: bool) -> None:
     return
@@ -46,6 +50,17 @@
         self.on_call: Callable[[bool], None] = _ignore
         """Called after each call to the store; the argument is whether it was answered."""
 
+        self._round_trips_ms: deque[float] = deque(maxlen=KEPT_ROUND_TRIPS)
+
+    @property
+    def round_trip_ms(self) -> int:
+        """Shortest time of the recent short calls, at least 1 ms; 0: unknown."""
+        return max(1, round(min(self._round_trips_ms))) if self._round_trips_ms else 0
+
+    def record_round_trip(self, took_ms: float) -> None:
+        """Record the time of a short call; calls that wait or read whole tables don't count."""
+        self._round_trips_ms.append(took_ms)
+
     def unavailable_for_ms(self) -> float:
         """Return how long the store has been unavailable, 0 while it answers."""
         return (
@@ -123,11 +138,15 @@
             self._store_clock.record_answer(now_ms, sent_at_ms)
         await self._health.record_answer()
 
+    def _record_round_trip(self, sent_at_ms: float) -> None:
+        self._health.record_round_trip(self._store_clock.monotonic_ms() - sent_at_ms)
+
     async def commit(self, transaction: Transaction, timeout_s: float) -> CommitOutcome:
         """Make one attempt to commit; never raises."""
         sent_at_ms = self._store_clock.monotonic_ms()
         outcome = await self._store.commit(transaction, timeout_s)
         if outcome.status in (CommitStatus.COMMITTED, CommitStatus.CONFLICT):
+            self._record_round_trip(sent_at_ms)
             await self._record_answer(outcome.now_ms, sent_at_ms)
         else:
             await self._health.record_failure()
@@ -143,6 +162,7 @@
         except StoreError:
             await self._health.record_failure()
             raise
+        self._record_round_trip(sent_at_ms)
         await self._record_answer(page.now_ms, sent_at_ms)
         return page
 
--- a/tests/serving/test_follower.py
+++ b/tests/serving/test_follower.py
@@ -28,11 +28,13 @@
     def __init__(self, reads: list[RowPage], changes: list[RowPage | StoreError]) -> None:
         self._reads = reads
         self._changes = changes
+        self.followed_from: list[int] = []
 
     async def read_table(self, table: str) -> RowPage:
         return self._reads.pop(0) if self._reads else await self._wait_forever()
 
     async def changes(self, table: str, since: int, wait_s: float) -> RowPage:
+        self.followed_from.append(since)
         answer = self._changes.pop(0) if self._changes else await self._wait_forever()
         if isinstance(answer, StoreError):
             raise answer
@@ -78,3 +80,37 @@
         assert len(confirmed) == 3
 
     curio.run(test)
+
+
+# Guards against a full read of rows that another node has sent, and against changes that are
+# followed from a version whose history is lost.
+def test_rows_of_another_node_spare_a_full_read_unless_history_is_lost() -> None:
+    async def test() -> None:
+        store = ScriptedStore([page(9)], [page(7), HistoryLostError("compacted"), page(10)])
+        confirmed: list[float] = []
+
+        async def ignore_rows(rows: RowPage) -> None:
+            return
+
+        follower = TableFollower(
+            TABLE,
+            store,  # type: ignore[arg-type]
+            StoreHealth(Clock(ManualClock())),
+            ignore_rows,
+            ignore_rows,
+            0.001,
+            ServingLog("n1", time.monotonic, os.open(os.devnull, os.O_WRONLY)),
+            time.monotonic,
+            Random(1),
+            on_confirmed=confirmed.append,
+            resume_version=lambda: 6,
+        )
+        task = await curio.spawn(follower.run, daemon=True)
+        async with curio.timeout_after(TEST_TIMEOUT_S):
+            while follower.version != 10:
+                await curio.sleep(0.01)
+        await task.cancel()
+        assert store.followed_from[:3] == [6, 7, 9]
+        assert len(confirmed) == 3
+
+    curio.run(test)
--- a/tests/serving/test_store_health.py
+++ b/tests/serving/test_store_health.py
@@ -18,8 +18,8 @@
 from cloverwalk.serving import store_probe
 from cloverwalk.serving.node import ServingNode
 from cloverwalk.store.clock import StoreClock
-from cloverwalk.store.health import MonitoredStore, StoreHealth
-from cloverwalk.store.types import CommitStatus, Put, RowKey, StoreError, Transaction
+from cloverwalk.store.health import KEPT_ROUND_TRIPS, MonitoredStore, StoreHealth
+from cloverwalk.store.types import CommitStatus, Put, RowKey, RowPage, StoreError, Transaction
 
 HOUR_MS = 3_600_000.0
 TEST_TIMEOUT_S = 5.0
@@ -242,3 +242,37 @@
         await task.cancel()
 
     run_with_timeout(test)
+
+
+# Guards against long polls and whole tables in the round trip by which near nodes are told.
+def test_round_trip_is_the_shortest_recent_time_of_short_calls() -> None:
+    async def test() -> None:
+        clock = ManualClock(0.0)
+
+        class SlowStore(MemoryStore):
+            took_s = 0.0
+
+            async def read(self, *args: object) -> RowPage:
+                clock.now += self.took_s
+                return RowPage([], 0, None)
+
+            read_table = read  # type: ignore[assignment]
+            changes = read  # type: ignore[assignment]
+
+        inner, health = SlowStore(), StoreHealth(Clock(clock))
+        store = MonitoredStore(inner, health, StoreClock(Clock(clock)))
+        assert health.round_trip_ms == 0
+        inner.took_s = 0.0001
+        await store.read_table("t")
+        await store.changes("t", 0, 0.0)
+        assert health.round_trip_ms == 0
+        for took_s, shortest_ms in ((0.03, 30), (0.005, 5), (0.04, 5), (0.0001, 1)):
+            inner.took_s = took_s
+            await store.read("t", "")
+            assert health.round_trip_ms == shortest_ms
+        inner.took_s = 0.06
+        for _ in range(KEPT_ROUND_TRIPS):
+            await store.read("t", "")
+        assert health.round_trip_ms == 60
+
+    run_with_timeout(test)
