Get the configuration from few nodes of each region

Change: where the settings name more than one region, the coordinator chooses sources for each region: a primary, a spare, and relays in large regions (fleet/configuration_sources.py). Nodes poll the sources on their list (configuration_subscription.py), which announce a new version and push its parts at a limited rate (configuration_publisher.py); parts are passed on as they arrive. One node follows the store. Statuses confirm a version only by what confirmed it, give the store version, so that a node that has to read follows the changes instead of the whole table, and tell which node reads and how long ago its calls were known to be good. Parts to nodes that poll go as MessagePack, without base64. Nodes that do not poll are served as before; other deployments are unchanged. Orders confirm a version as of the report that they name, where nodes poll.

The simulated fleet of the tests gets regions, links, cuts and frozen nodes.

--- a/src/cloverwalk/core/catalogue.py
+++ b/src/cloverwalk/core/catalogue.py
@@ -331,6 +331,12 @@
 CONFIGURATION_PARTS_REPEATED = _event(
     623, "configuration_parts_repeated", _I, "Lost parts of a configuration were requested again."
 )
+CONFIGURATION_PART_IGNORED = _event(
+    624,
+    "configuration_part_ignored",
+    _I,
+    "A part of a configuration was of no use: it had arrived before, or its version is outdated.",
+)
 UNEXPECTED = _event(900, "unexpected", _E, "An unexpected error in the program; please report it.")
 LINES_DROPPED = _event(
     902, "lines_dropped", _W, "Log lines were dropped; the counts are given by event number."
--- a/src/cloverwalk/fleet/coordinator.py
+++ b/src/cloverwalk/fleet/coordinator.py
@@ -4,7 +4,7 @@
 a standby it serves the nodes that don't get answers from the coordinator.
 """
 
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Iterable
 
 import curio
 
@@ -275,6 +275,11 @@
         entry.orders_sent_at = now
         self._transport.send(entry.contact.host, orders)
 
+    def send_orders(self, entries: Iterable[NodeEntry], now: float) -> None:
+        """Send orders without decisions to nodes."""
+        for entry in entries:
+            self._acknowledge(entry, now)
+
     def _add_totals(self, orders: Orders, entry: NodeEntry, now: float) -> None:
         is_busy = bool(entry.report.loads or entry.report.placement_requests)
         if is_busy and self._are_totals_due(entry, now):
--- a/src/cloverwalk/fleet/coordinator_client.py
+++ b/src/cloverwalk/fleet/coordinator_client.py
@@ -65,6 +65,8 @@
 """The store serves a coordinator whose configuration was confirmed within this time; longer than
 twice the long poll of the configuration feed."""
 
+OnSources = Callable[[tuple[Contact, ...]], Awaitable[None]]
+
 
 class BatchOrderHandler:
     """Applies orders to the node's batch items; this base class ignores them.
@@ -160,6 +162,9 @@
         self.on_zone_utilization: Callable[[int], None] = _ignore_utilization
         """Called with the median utilization of the nodes in this zone, in percent."""
 
+        self.on_configuration_sources: OnSources = _ignore_sources
+        """Called with the configuration sources that orders name."""
+
         self._store_available_elsewhere_at = float("-inf")
         self._coordinator_configuration_age_ms: int | None = None
         self._last_applied_orders: dict[str, tuple[str, int]] = {}
@@ -420,6 +425,7 @@
         self._directory_sync.confirm(orders)
         self._confirm_configuration(orders, now)
         self._zone_drains.apply_copy(orders.zone_drains, now)
+        await self.on_configuration_sources(orders.configuration_sources)
         self._crash_records.record_coordinator_digest(orders.crash_digest)
         self.on_zone_utilization(orders.zone_utilization_percent)
         if orders.take_over:
@@ -433,9 +439,17 @@
         """Record when the sender last knew this node's configuration to be the newest."""
         self._coordinator_configuration_age_ms = orders.configuration_age_ms
         if orders.configuration_age_ms is not None:
-            confirmed_at = now - orders.configuration_age_ms / 1000
+            confirmed_at = self._made_at(orders, now) - orders.configuration_age_ms / 1000
             self._configuration.record_confirmation(orders.configuration_version, confirmed_at)
 
+    def _made_at(self, orders: Orders, now: float) -> float:
+        """Return when orders were made: at the earliest that is known of this where nodes poll for
+        the configuration, else when they arrived."""
+        sent_at = self.reports.sent_at(orders.report_sequence)
+        if not self.reports.polls_configuration or sent_at is None:
+            return now
+        return min(now, sent_at + orders.report_age_ms / 1000)
+
     async def _apply_batch_orders(self, orders: Orders, host: str) -> None:
         run, last_applied = self._last_applied_orders.get(host, ("", 0))
         if run == orders.sender and orders.number <= last_applied:
@@ -463,6 +477,10 @@
     return
 
 
+async def _ignore_sources(sources: tuple[Contact, ...]) -> None:
+    return
+
+
 def _ignore_placement() -> None:
     return
 
--- a/src/cloverwalk/fleet/messages.py
+++ b/src/cloverwalk/fleet/messages.py
@@ -1,4 +1,6 @@
-"""Messages between the nodes of a fleet: one netstring with JSON in each datagram.
+"""Messages between the nodes of a fleet: one netstring in each datagram.
+
+It contains JSON, and MessagePack for the parts of a configuration that nodes poll for.
 
 A node sends reports to the coordinator and receives orders. A report contains the node's whole
 state, so the next report makes up for a lost one. Orders are numbered; a report names the last
@@ -383,8 +385,8 @@
     """The zone drains that the sender knows; None if it has never known any."""
 
     configuration_sources: tuple[Contact, ...] = ()
-    """Nodes that the receiver polls for the configuration, the preferred one first; empty if it
-    reads the store itself."""
+    """Nodes that the receiver polls for the configuration, the preferred one first; its own entry
+    stands for the store. Empty if the sender does not choose sources."""
 
     report_sequence: int = 0
     """Sequence number of the last report of the receiver's process; 0: none."""
@@ -494,6 +496,10 @@
     """As in ``ConfigurationCopy``."""
 
 
+class CompactConfigurationPart(ConfigurationPart, tag="compact_configuration_part"):
+    """A part for nodes that poll; its datagram contains ``data`` unchanged, not as base64."""
+
+
 class ConfigurationRequest(Struct, tag="configuration_request", array_like=True):
     """Asks a node that reported a newer configuration for a copy of it."""
 
@@ -507,6 +513,15 @@
     version: int
     """The version that the sender has, -1 if none."""
 
+    number: int = 0
+    """Counts the polls of the sending process, so that it knows which one a status answers."""
+
+    region: str = ""
+    """Region of the sender."""
+
+    subscribes: bool = True
+    """Whether the sender wants new versions; False if it only looks how the receiver is."""
+
 
 class ConfigurationStatus(Struct, tag="configuration_status", array_like=True, frozen=True):
     """Answers a poll, and announces a new version to the nodes that have polled recently."""
@@ -518,9 +533,20 @@
     """Time since this version was last known to be the newest."""
 
     parts: int = 0
-    """Number of parts of this version; 0 if it is sent as one ``ConfigurationCopy``."""
+    """Number of parts of this version; 0 if there is none."""
 
     zone_drains: ZoneDrainCopy | None = None
+    poll: int = 0
+    """Number of the receiver's last poll."""
+
+    reader: str = ""
+    """Name of the node that reads the store for the sender; empty if none is known."""
+
+    reader_age_ms: int = 0
+    """Time since that node's calls of the store were last known to succeed or to be under way."""
+
+    store_version: int = -1
+    """Store version up to which this version is the newest; -1: not known."""
 
 
 class ConfigurationPartRequest(Struct, tag="configuration_part_request", array_like=True):
@@ -556,6 +582,7 @@
     | DirectoryUpdate
     | ConfigurationCopy
     | ConfigurationPart
+    | CompactConfigurationPart
     | ConfigurationRequest
     | ConfigurationPoll
     | ConfigurationStatus
@@ -567,6 +594,10 @@
 
 _encoder = msgspec.json.Encoder()
 _decoder = msgspec.json.Decoder(Datagram)
+_compact_encoder = msgspec.msgpack.Encoder()
+_compact_decoder = msgspec.msgpack.Decoder(Datagram)
+_JSON_START = b"["
+"""All messages are arrays; no MessagePack array begins with this byte."""
 
 
 def encode_datagram(message: Datagram) -> bytes:
@@ -575,7 +606,9 @@
     >>> encode_datagram(StoreReturned("n1"))
     b'23:["store_returned","n1"],'
     """
-    return bytes(pynetstring.encode(_encoder.encode(message)))
+    is_compact = isinstance(message, CompactConfigurationPart)
+    encoder = _compact_encoder if is_compact else _encoder
+    return bytes(pynetstring.encode(encoder.encode(message)))
 
 
 def decode_datagram(data: bytes) -> Datagram:
@@ -584,6 +617,7 @@
         payloads = pynetstring.decode(data)
         if len(payloads) != 1:
             raise DatagramError(f"{len(payloads)} messages in a datagram instead of one")
-        return _decoder.decode(payloads[0])
+        is_json = payloads[0].startswith(_JSON_START)
+        return (_decoder if is_json else _compact_decoder).decode(payloads[0])
     except (pynetstring.ParseError, msgspec.DecodeError, UnicodeDecodeError) as error:
         raise DatagramError(str(error)) from error
--- a/src/cloverwalk/fleet/state_sender.py
+++ b/src/cloverwalk/fleet/state_sender.py
@@ -1,7 +1,8 @@
 """Sends the configuration and the replica list from the coordinator to nodes that lack them.
 
 The store may refuse the coordinator while it serves other nodes, so the coordinator requests the
-configuration from a node that reports a newer version.
+configuration from a node that reports a newer version. Nodes that poll configuration sources get
+the configuration from these.
 """
 
 import math
@@ -77,7 +78,7 @@
         report = entry.report
         if report.configuration_version < 0 and self._is_starting(entry, now):
             return
-        if now - entry.configuration_sent_at >= COPY_INTERVAL_S:
+        if not report.polls_configuration and now - entry.configuration_sent_at >= COPY_INTERVAL_S:
             self._send_newer_configuration(entry, now)
         if now - entry.state_sent_at < COPY_INTERVAL_S:
             return
@@ -89,6 +90,8 @@
         version = entry.report.configuration_version
         if version <= self._configuration.version:
             return
+        if entry.report.polls_configuration:
+            return
         if now - self._configuration_requested_at < CONFIGURATION_REQUEST_INTERVAL_S:
             return
         self._configuration_requested_at = now
@@ -103,7 +106,8 @@
             return
         self._pushed_configuration_version = self._configuration.version
         for entry in nodes:
-            if entry.report.store_age_ms >= MAX_SERVED_STORE_AGE_MS:
+            is_served = entry.report.store_age_ms < MAX_SERVED_STORE_AGE_MS
+            if not is_served and not entry.report.polls_configuration:
                 self._send_newer_configuration(entry, now)
 
     def _send_newer_configuration(self, entry: NodeEntry, now: float) -> None:
--- a/src/cloverwalk/serving/fleet_parts.py
+++ b/src/cloverwalk/serving/fleet_parts.py
@@ -1,6 +1,6 @@
 """The components of a node that talk to other nodes: coordinator and its client, election."""
 
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from random import Random
 
 from cloverwalk.core import catalogue
@@ -13,9 +13,13 @@
 from cloverwalk.fleet.in_flight import InFlightTracker
 from cloverwalk.fleet.leader import LeaderView
 from cloverwalk.fleet.messages import (
+    CompactConfigurationPart,
     ConfigurationCopy,
     ConfigurationPart,
+    ConfigurationPartRequest,
+    ConfigurationPoll,
     ConfigurationRequest,
+    ConfigurationStatus,
     Datagram,
     DatagramError,
     Report,
@@ -24,17 +28,19 @@
 )
 from cloverwalk.fleet.transport import DatagramTransport
 from cloverwalk.scheduling.fair_share_reporter import FairShareReporter, ThrottledRequests
-from cloverwalk.scheduling.features import Features, FeatureState
+from cloverwalk.scheduling.features import Feature, Features, FeatureState
 from cloverwalk.scheduling.scheduler import Scheduler
 from cloverwalk.scheduling.service_times import ServiceTimes
 from cloverwalk.scheduling.slot_time import SlotUse
 from cloverwalk.scheduling.slot_time_reporter import SlotTimeReporter
 from cloverwalk.scheduling.zone_reachability import ReachabilityChange
+from cloverwalk.serving.configuration_parts import ConfigurationExchange
 from cloverwalk.serving.fleet_state import FleetState
 from cloverwalk.serving.settings import ServingSettings
 from cloverwalk.store.health import StoreHealth
 from cloverwalk.store.types import Store
 from cloverwalk.telemetry.log import ServingLog
+from cloverwalk.telemetry.metrics import ServingMetrics
 from cloverwalk.telemetry.startup import Stage
 
 MAX_DIRECTORY_AGE_S = 1.5
@@ -70,7 +76,10 @@
         self._configuration_assembler = ConfigurationAssembler()
         self.leader = LeaderView(self.identity, clock())
         self.features = Features(
-            fleet_state.configuration, settings.is_memory_scarce, settings.tolerance.zones
+            fleet_state.configuration,
+            settings.is_memory_scarce,
+            settings.tolerance.zones,
+            len(set(settings.region_by_zone.values())),
         )
         self.features.on_change = self._log_feature
         self.scheduler = Scheduler(
@@ -122,6 +131,7 @@
         self.coordinator.deliver_locally = self._deliver_locally
         self.coordinator_client.on_placement = fleet_state.startup.record_placement
         fleet_state.on_stored_configuration = self.coordinator_client.report_stored_configuration
+        self.configuration_exchange = self._create_configuration_exchange(settings, random)
         self.election = Election(
             self.identity,
             self.leader,
@@ -137,7 +147,27 @@
         self._client_on_leadership = self.coordinator_client.on_leadership_change
         self.coordinator_client.on_leadership_change = self._on_leadership
 
+    def _create_configuration_exchange(
+        self, settings: ServingSettings, random: Random
+    ) -> ConfigurationExchange | None:
+        """Return the exchange of configurations between nodes, None if the feature is off."""
+        if not self.features.is_on(Feature.CONFIGURATION_SOURCES):
+            return None
+        return ConfigurationExchange(
+            settings,
+            self.identity,
+            self.transport,
+            self.coordinator,
+            self.coordinator_client,
+            self._fleet_state,
+            random,
+            self._log,
+            self._clock,
+        )
+
     def _tick(self, now: float) -> None:
+        if self.configuration_exchange is not None:
+            self.configuration_exchange.tick(now)
         self.slot_time_reporter.tick(now)
         self.fair_share_reporter.tick(now)
 
@@ -178,6 +208,23 @@
             configuration=self._fleet_state.configuration.version,
         )
 
+    def loops(self) -> list[Callable[[], Awaitable[None]]]:
+        """Return the loops of these components."""
+        loops: list[Callable[[], Awaitable[None]]] = [
+            self.receive,
+            self.coordinator_client.run,
+            self.coordinator.run,
+            self.election.run,
+        ]
+        if self.configuration_exchange is not None:
+            loops += self.configuration_exchange.loops()
+        return loops
+
+    def update_metrics(self, metrics: ServingMetrics) -> None:
+        """Set the metrics of the exchange of configurations between nodes."""
+        if self.configuration_exchange is not None:
+            self.configuration_exchange.update_metrics(metrics)
+
     async def receive(self) -> None:
         """Receive datagrams until cancelled."""
         await self.transport.receive(self.handle_message)
@@ -192,6 +239,14 @@
                 await self.election.handle_snapshot(message, host)
             case ConfigurationCopy():
                 self._fleet_state.apply_configuration_copy(message, host)
+            case (
+                ConfigurationPoll()
+                | ConfigurationStatus()
+                | ConfigurationPartRequest()
+                | CompactConfigurationPart()
+            ):
+                if self.configuration_exchange is not None:
+                    await self.configuration_exchange.handle_message(message, host)
             case ConfigurationPart():
                 self._apply_configuration_part(message, host)
             case ConfigurationRequest():
--- a/src/cloverwalk/serving/fleet_state.py
+++ b/src/cloverwalk/serving/fleet_state.py
@@ -47,6 +47,11 @@
         self._invalid_versions: dict[str, int] = {}
         """Versions of invalid entries, by key; each version is logged once."""
 
+    @property
+    def is_stored_configuration_invalid(self) -> bool:
+        """Whether the latest stored version could not be decoded."""
+        return self._is_stored_configuration_invalid
+
     async def on_configuration(self, page: RowPage) -> None:
         """Apply rows of the configuration table."""
         for row in page.rows:
--- a/src/cloverwalk/serving/node.py
+++ b/src/cloverwalk/serving/node.py
@@ -13,7 +13,7 @@
 from cloverwalk.core.error_response import ErrorResponse
 from cloverwalk.core.once_flag import OnceFlag
 from cloverwalk.fleet.crash_record_store import CrashRecordStore
-from cloverwalk.fleet.follower import CONFIGURATION_LONG_POLL_TIMEOUT_S, TableFollower
+from cloverwalk.fleet.follower import TableFollower
 from cloverwalk.fleet.in_flight import InFlightTracker
 from cloverwalk.gateway.configuration import ClientLimits
 from cloverwalk.gateway.containment import ContainmentGate
@@ -27,6 +27,7 @@
 from cloverwalk.scheduling.features import Feature
 from cloverwalk.serving.adapter import Adapter
 from cloverwalk.serving.batch_parts import BatchParts
+from cloverwalk.serving.configuration_parts import create_configuration_follower
 from cloverwalk.serving.fleet_parts import DIRECTORY_FOLLOW_DELAY_S, FleetParts
 from cloverwalk.serving.fleet_state import FleetState
 from cloverwalk.serving.request_handler import RequestHandler
@@ -40,9 +41,6 @@
 from cloverwalk.telemetry.startup import Stage, StartupLog
 from cloverwalk.tenants.quota_refusals import QuotaRefusalCache
 
-CONFIGURATION_FOLLOW_DELAY_S = 0.05
-"""Delay between two reads of changes of the configuration."""
-
 HOUSEKEEPING_INTERVAL_S = 2.0
 STOP_PROPAGATION_S = 2.6
 """New connections still arrive for about this long after a planned stop began."""
@@ -144,7 +142,7 @@
             self._store,
             self._health,
             self._store_clock,
-            lambda: self._configuration_follower.confirmed_at,
+            self._configuration_confirmed_at,
             self._log,
             self._metrics,
             self._clock,
@@ -159,18 +157,15 @@
             self._log,
             self._clock,
         )
-        self._configuration_follower = TableFollower(
-            self._adapter.configuration_table,
+        self._configuration_follower = create_configuration_follower(
+            self._adapter,
+            self._fleet_state,
+            self._fleet.configuration_exchange,
             self._store,
             self._health,
-            self._fleet_state.on_configuration,
-            self._fleet_state.on_configuration,
-            CONFIGURATION_FOLLOW_DELAY_S,
             self._log,
             self._clock,
             self._random,
-            on_confirmed=self._fleet_state.on_configuration_confirmed,
-            long_poll_timeout_s=CONFIGURATION_LONG_POLL_TIMEOUT_S,
         )
         self._replica_follower = TableFollower(
             self._adapter.replica_table,
@@ -185,6 +180,12 @@
             self._fleet.wait_until_directory_needed,
         )
 
+    def _configuration_confirmed_at(self) -> float:
+        """Return when the configuration was last confirmed by the store."""
+        if self._fleet.configuration_exchange is None:
+            return self._configuration_follower.confirmed_at
+        return self._configuration.confirmed_at
+
     def _build_gateway(self) -> None:
         settings = self._settings
         self._quota_refusals = QuotaRefusalCache(self._configuration, self._log, self._clock)
@@ -278,10 +279,7 @@
         loops: list[Callable[[], Awaitable[None]]] = [
             self._clients.serve,
             self._ready.serve,
-            self._fleet.receive,
-            self._fleet.coordinator_client.run,
-            self._fleet.coordinator.run,
-            self._fleet.election.run,
+            *self._fleet.loops(),
             self._configuration_follower.run,
             self._replica_follower.run,
             self._store_probe.run,
@@ -425,6 +423,7 @@
             "Nodes that report an older configuration to this coordinator",
             coordinator.count_nodes_with_older_configuration() if coordinator.is_active else 0,
         )
+        self._fleet.update_metrics(metrics)
         if self._resource_monitor is not None:
             self._resource_monitor.update_metrics(metrics)
         content_type = (b"Content-Type", b"text/plain; version=0.0.4")
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -53,6 +53,7 @@
 JOB_REFUSALS = "tests/serving/test_job_refusals.py::"
 ENTRIES = "tests/serving/test_replica_entries.py::"
 RESTARTED = "tests/serving/test_restarted_replicas.py::"
+SOURCES = "tests/serving/test_configuration_sources.py::"
 SPREAD = "tests/serving/test_configuration_spread.py::"
 OUTDATED = "tests/serving/test_outdated_configuration.py::"
 NAMES = "tests/unit/test_interface_names.py::test_interface_names_are_unchanged"
@@ -1371,8 +1372,8 @@
     Mutant(
         "configuration: the configuration age in orders is ignored",
         "fleet/coordinator_client.py",
-        "            confirmed_at = now - orders.configuration_age_ms / 1000",
-        "            confirmed_at = now",
+        "self._made_at(orders, now) - orders.configuration_age_ms / 1000",
+        "self._made_at(orders, now)",
         SPREAD + "test_age_of_configuration_is_known_from_store_and_from_coordinator",
     ),
     Mutant(
@@ -1410,6 +1411,34 @@
         "            if page.version < 0:",
         "tests/serving/test_follower.py::test_full_read_older_than_an_earlier_answer_is_read_again",
     ),
+    Mutant(
+        "sources: a status confirms as of its arrival",
+        "fleet/configuration_subscription.py",
+        "        confirmed_at = poll.sent_at - max(0, status.age_ms) / 1000",
+        "        confirmed_at = now",
+        SOURCES + "test_held_up_messages_confirm_no_version_after_its_successor",
+    ),
+    Mutant(
+        "sources: a source that doesn't answer is kept",
+        "fleet/configuration_subscription.py",
+        "        if len(self._unanswered) >= 2:",
+        "        if len(self._unanswered) >= 200:",
+        SOURCES + "test_lost_source_is_replaced_without_a_second_full_read",
+    ),
+    Mutant(
+        "sources: missing parts are not requested again",
+        "fleet/configuration_subscription.py",
+        "if transfer is None or now - transfer.progress_at < PART_TIMEOUT_S:",
+        "if True:",
+        SOURCES + "test_version_arrives_in_spite_of_faulty_parts",
+    ),
+    Mutant(
+        "sources: a reader whose calls fail does not say so",
+        "fleet/configuration_subscription.py",
+        "            return self._identity.node, LOST_READER_AGE_MS if is_failing else 0",
+        "            return self._identity.node, 0",
+        SOURCES + "test_reader_that_the_store_refuses_tells_its_pollers_to_leave",
+    ),
 ]
 
 
--- a/tests/serving/fleet_world.py
+++ b/tests/serving/fleet_world.py
@@ -121,6 +121,9 @@
         """Memory of each node's machine; 0 if it is not scarce."""
 
         self.configuration_apply_s = 60.0
+        self.region_by_zone: dict[str, str] = {}
+        """With zones here, nodes are in these by turns; else all are in zone z1."""
+
         """Long, so that delays on a busy machine do not leave the configuration unconfirmed."""
 
     async def start(self, replicas: int = 2, nodes: int = 1, **replica_options: Any) -> None:
@@ -147,9 +150,10 @@
         number = len(self.nodes) + 1
         host = NODE_HOSTS[number - 1]
         client, ready, peer, metrics = self._ports
+        zones = list(self.region_by_zone) or ["z1"]
         settings = ServingSettings(
             f"n{number}",
-            "z1",
+            zones[(number - 1) % len(zones)],
             (host, client),
             (host, ready),
             (host, peer),
@@ -163,6 +167,7 @@
             machine=MachineLimits(self.scarce_memory_bytes),
             is_memory_scarce=self.scarce_memory_bytes > 0,
             configuration_apply_s=self.configuration_apply_s,
+            region_by_zone=self.region_by_zone,
         )
         descriptor = os.open(self.log_path or os.devnull, os.O_WRONLY | os.O_APPEND)
         node = ServingNode(PlatformAdapter(), settings, descriptor)
--- a/tests/serving/returning_world.py
+++ b/tests/serving/returning_world.py
@@ -25,7 +25,7 @@
 from cloverwalk.core.token_bucket import TokenBucket
 from cloverwalk.emulator.memory_store import MemoryStore
 from cloverwalk.emulator.platform_store_server import transaction_of, wire_rows
-from cloverwalk.fleet.follower import CONFIGURATION_LONG_POLL_TIMEOUT_S, TableFollower
+from cloverwalk.fleet.follower import TableFollower
 from cloverwalk.fleet.in_flight import InFlightTracker
 from cloverwalk.fleet.messages import Datagram, decode_datagram, encode_datagram
 from cloverwalk.fleet.transport import MAX_DATAGRAM_BYTES, OnDatagram
@@ -35,14 +35,18 @@
 from cloverwalk.platform.adapter import PlatformAdapter
 from cloverwalk.platform.store_client import PlatformStore
 from cloverwalk.serving import fleet_parts
+from cloverwalk.serving.configuration_parts import create_configuration_follower
 from cloverwalk.serving.fleet_parts import DIRECTORY_FOLLOW_DELAY_S, FleetParts
 from cloverwalk.serving.fleet_state import FleetState
-from cloverwalk.serving.node import CONFIGURATION_FOLLOW_DELAY_S
-from cloverwalk.serving.settings import ServingSettings
+from cloverwalk.serving.settings import (
+    DEFAULT_CONFIGURATION_APPLY_S,
+    MachineLimits,
+    ServingSettings,
+)
 from cloverwalk.serving.store_probe import StoreProbe
 from cloverwalk.store.clock import StoreClock
 from cloverwalk.store.health import MonitoredStore, StoreHealth
-from cloverwalk.store.types import CommitOutcome, CommitStatus, Put, RowKey, Transaction
+from cloverwalk.store.types import CommitOutcome, CommitStatus, Put, RowKey, RowPage, Transaction
 from cloverwalk.telemetry.log import ServingLog
 from cloverwalk.telemetry.startup import StartupLog
 
@@ -50,6 +54,8 @@
 """Time of a store call, transit included."""
 
 DATAGRAM_TIME_S = 0.001
+STORE_HOST = "store"
+HTTP_HEADER_BYTES = 200
 START_SPREAD_S = 0.3
 """All machines start within this time."""
 
@@ -223,27 +229,97 @@
         return {"ver": self.rows.version, "now_ms": self.time.now * 1000}
 
 
-class _Pool:
+class Regions:
+    """Which nodes and zones are in which region, and the links between the regions.
+
+    The store is in the first region. Calls of the store and datagrams share the links.
+    """
+
+    def __init__(self, names: tuple[str, ...] = (), delay_s: float = 0.03) -> None:
+        self.names = names
+        self.delay_s = delay_s
+        self.links = {
+            (source, target): Link(LINK_BYTES_PER_S) for source in names for target in names
+        }
+        self.bytes_between: Counter[str] = Counter()
+        """Bytes between regions by kind of message."""
+
+        self.is_cut = False
+
+    @property
+    def by_zone(self) -> dict[str, str]:
+        return {zone: region for region in self.names for zone in self.zones(region)}
+
+    def zones(self, region: str) -> list[str]:
+        return [f"{region}-{zone}" for zone in ZONES]
+
+    def of(self, host: str) -> str:
+        """Return the region of a host; the store has no number."""
+        number = int(host[1:]) if host[1:].isdigit() else 0
+        return self.names[number % len(self.names)] if self.names else ""
+
+    def zone(self, number: int) -> str:
+        """Return the zone of a node."""
+        if not self.names:
+            return ZONES[number % len(ZONES)]
+        zones = self.zones(self.of(node_host(number)))
+        return zones[number // len(self.names) % len(ZONES)]
+
+    def transit_time_s(
+        self, source: str, target: str, size: int, kind: str, now: float
+    ) -> float | None:
+        """Return the time of a message between two hosts; None if the link is cut."""
+        ends = self.of(source), self.of(target)
+        if ends[0] == ends[1]:
+            return DATAGRAM_TIME_S
+        if self.is_cut:
+            return None
+        self.bytes_between[kind] += size
+        return self.delay_s + self.links[ends].transmit_time_s(size, now)
+
+
+class StorePool:
     """Connection pool of a node to the store."""
 
-    def __init__(self, store: LimitedStore, host: str) -> None:
+    times_bodies_by_progress = False
+    """Whether the time of a body doesn't count while its bytes arrive; else the whole call is
+    timed."""
+
+    def __init__(self, store: LimitedStore, host: str, regions: Regions) -> None:
         self._store = store
         self._host = host
+        self._regions = regions
         self._link = Link(LINK_BYTES_PER_S)
 
     async def call(
         self, method: str, path: str, body: bytes, headers: dict[str, str], timeout_s: float
     ) -> HttpResponse:
+        kind = "store op" if f"table={names.OPERATOR_TABLE}" in path else "store"
         try:
             async with curio.timeout_after(timeout_s):
+                await self._cross(self._host, STORE_HOST, len(path) + len(body), kind)
                 response = await self._store.serve(self._host, method, path, body)
-                await curio.sleep(
-                    self._link.transmit_time_s(len(response.body), self._store.time.now)
-                )
+                if not self.times_bodies_by_progress:
+                    await self._receive(response, kind)
+            if self.times_bodies_by_progress:
+                await self._receive(response, kind)
         except curio.TaskTimeout as error:
             raise LostAnswerError("no answer in time") from error
         return response
 
+    async def _receive(self, response: HttpResponse, kind: str) -> None:
+        await self._cross(STORE_HOST, self._host, len(response.body), kind)
+        await curio.sleep(self._link.transmit_time_s(len(response.body), self._store.time.now))
+
+    async def _cross(self, source: str, target: str, size: int, kind: str) -> None:
+        """Pass the link between the regions if there is one on the way."""
+        if self._regions.of(source) == self._regions.of(target):
+            return
+        size += HTTP_HEADER_BYTES
+        now = self._store.time.now
+        transit_s = self._regions.transit_time_s(source, target, size, kind, now)
+        await curio.sleep(3600 if transit_s is None else transit_s)
+
     async def close(self) -> None:
         """Do nothing, since there are no connections."""
 
@@ -251,8 +327,20 @@
 class Wire:
     """Carries datagrams between the nodes."""
 
-    def __init__(self) -> None:
-        self.in_transit: list[tuple[str, str, bytes]] = []
+    def __init__(self, time: SimulatedTime, regions: Regions) -> None:
+        self._time = time
+        self.regions = regions
+        self.in_transit: list[tuple[float, str, str, bytes]] = []
+        self.held_hosts: dict[str, list[tuple[str, bytes]]] = {}
+        """Datagrams for hosts whose nodes are frozen; these nodes send nothing."""
+
+        self.cut_hosts: set[str] = set()
+        self.alter: Callable[[Datagram], list[Datagram]] = lambda message: [message]
+        """Returns what arrives of a message: nothing, a copy, another one."""
+
+        self.jitter_s: Callable[[], float] = lambda: 0.0
+        """Returns an additional transit time of a datagram."""
+
         self.receivers: dict[str, OnDatagram] = {}
         self.sent: Counter[str] = Counter()
         self.bytes_by_kind: Counter[str] = Counter()
@@ -262,11 +350,30 @@
     async def run(self) -> None:
         while True:
             await curio.sleep(DATAGRAM_TIME_S)
-            arriving, self.in_transit = self.in_transit, []
-            for source, host, data in arriving:
-                receiver = self.receivers.get(host)
-                if receiver is not None:
-                    await receiver(decode_datagram(data), source)
+            now = self._time.now
+            arriving = [entry for entry in self.in_transit if entry[0] <= now]
+            self.in_transit = [entry for entry in self.in_transit if entry[0] > now]
+            for _, source, host, data in arriving:
+                await self.deliver(source, host, data)
+
+    async def deliver(self, source: str, host: str, data: bytes) -> None:
+        """Pass a datagram to its receiver, or keep it while that one is frozen."""
+        receiver = self.receivers.get(host)
+        if host in self.held_hosts:
+            self.held_hosts[host].append((source, data))
+        elif receiver is not None:
+            for message in self.alter(decode_datagram(data)):
+                await receiver(message, source)
+
+    def carry(self, source: str, host: str, data: bytes, kind: str) -> None:
+        """Send a datagram on its way."""
+        now = self._time.now
+        if {source, host} & self.cut_hosts and source != host or source in self.held_hosts:
+            return
+        transit_s = self.regions.transit_time_s(source, host, len(data), kind, now)
+        if transit_s is not None:
+            arrives_at = now + transit_s - DATAGRAM_TIME_S + self.jitter_s()
+            self.in_transit.append((arrives_at, source, host, data))
 
 
 class WireTransport:
@@ -284,7 +391,7 @@
         if self._wire.messages_to_drop[kind] > 0:
             self._wire.messages_to_drop[kind] -= 1
         elif len(data) <= MAX_DATAGRAM_BYTES:
-            self._wire.in_transit.append((self._host, host, data))
+            self._wire.carry(self._host, host, data, kind)
 
     async def receive(self, on_datagram: OnDatagram) -> None:
         self._wire.receivers[self._host] = on_datagram
@@ -309,7 +416,7 @@
         random = Random(f"{number}.{run}")
         settings = ServingSettings(
             self.name,
-            ZONES[number % len(ZONES)],
+            world.regions.zone(number),
             (self.host, 1),
             (self.host, 2),
             (self.host, 3),
@@ -320,14 +427,18 @@
             4000,
             120.0,
             cores=2.0 if number % 4 == 0 else 0.5,
+            machine=MachineLimits(link_bytes_per_s=LINK_BYTES_PER_S),
+            configuration_apply_s=world.configuration_apply_s,
+            region_by_zone=world.regions.by_zone,
         )
         adapter = PlatformAdapter()
         log = ServingLog(self.name, time, world.log_descriptor)
         self.startup = StartupLog(log, time, time.now)
         self.fleet_state = FleetState(adapter, log, time, self.startup)
+        self._record_drains()
         self.health = StoreHealth(Clock(time))
         client = PlatformStore("store:1")
-        client._pool = _Pool(world.store, self.host)  # type: ignore[assignment]
+        client._pool = StorePool(world.store, self.host, world.regions)  # type: ignore[assignment]
         self.store = MonitoredStore(client, self.health, StoreClock(Clock(time)))
         self.fleet = FleetParts(
             settings,
@@ -340,18 +451,15 @@
             time,
             random,
         )
-        self._configuration_follower = TableFollower(
-            adapter.configuration_table,
+        self.configuration_follower = create_configuration_follower(
+            adapter,
+            self.fleet_state,
+            self.fleet.configuration_exchange,
             self.store,
             self.health,
-            self.fleet_state.on_configuration,
-            self.fleet_state.on_configuration,
-            CONFIGURATION_FOLLOW_DELAY_S,
             log,
             time,
             random,
-            on_confirmed=self.fleet_state.on_configuration_confirmed,
-            long_poll_timeout_s=CONFIGURATION_LONG_POLL_TIMEOUT_S,
         )
         self._replica_follower = TableFollower(
             adapter.replica_table,
@@ -368,13 +476,21 @@
         self._store_probe = StoreProbe(self.store, self.health, self.fleet)
         self._tasks: list[Any] = []
 
+    def _record_drains(self) -> None:
+        """Let the node know that no zone is drained once it has read the operator's table."""
+        state = self.fleet_state
+        apply_configuration = state.on_configuration
+
+        async def on_configuration(page: RowPage) -> None:
+            await apply_configuration(page)
+            state.zone_drains.update(page.version, state.zone_drains.zones, self._time.now)
+
+        state.on_configuration = on_configuration  # type: ignore[method-assign]
+
     async def start(self) -> None:
         for loop in (
-            self.fleet.receive,
-            self.fleet.coordinator_client.run,
-            self.fleet.coordinator.run,
-            self.fleet.election.run,
-            self._configuration_follower.run,
+            *self.fleet.loops(),
+            self.configuration_follower.run,
             self._replica_follower.run,
             self._store_probe.run,
         ):
@@ -406,6 +522,8 @@
         reads_per_s: float,
         writes_per_s: float,
         first_run: int = 0,
+        regions: Regions | None = None,
+        configuration_apply_s: float = DEFAULT_CONFIGURATION_APPLY_S,
     ) -> None:
         self.time = time
         self.log_descriptor = os.open(os.devnull, os.O_WRONLY)
@@ -413,7 +531,9 @@
         self.store.put(names.OPERATOR_TABLE, names.CONFIGURATION_KEY, configuration(1))
         for number in range(replicas):
             self.store.put(names.REPLICA_TABLE, f"i-{number:05d}", _replica(number))
-        self.wire = Wire()
+        self.regions = regions or Regions()
+        self.configuration_apply_s = configuration_apply_s
+        self.wire = Wire(time, self.regions)
         self.nodes: list[ReturningNode] = []
         self._count = nodes
         self._runs = first_run
@@ -430,10 +550,20 @@
         starts = sorted((random.random() * START_SPREAD_S, number) for number in range(self._count))
         for after_s, number in starts:
             await curio.sleep(max(0.0, began_at + after_s - self.time.now))
-            with self._wired(node_host(number)):
-                node = ReturningNode(number, self, self._runs)
-            self.nodes.append(node)
-            await node.start()
+            await self.start_node(number)
+
+    async def start_node(self, number: int) -> "ReturningNode":
+        """Start one node."""
+        with self._wired(node_host(number)):
+            node = ReturningNode(number, self, self._runs)
+        self.nodes.append(node)
+        await node.start()
+        return node
+
+    async def kill_node(self, node: "ReturningNode") -> None:
+        """Kill one process."""
+        self.nodes.remove(node)
+        await node.kill()
 
     async def change_configuration(
         self, version: int, routes: list[dict[str, Any]] | None = None
--- a/tests/unit/test_configuration_copy.py
+++ b/tests/unit/test_configuration_copy.py
@@ -3,11 +3,17 @@
 import zlib
 from random import Random
 
+import msgspec
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
-from cloverwalk.fleet.configuration_copy import ConfigurationAssembler, ConfigurationEncoder
+from cloverwalk.fleet.configuration_copy import (
+    ENTRIES_PER_STEP,
+    ConfigurationAssembler,
+    ConfigurationEncoder,
+    encode_in_pieces,
+)
 from cloverwalk.fleet.messages import ConfigurationPart, DatagramError
 from cloverwalk.gateway.configuration import (
     ClientLimits,
@@ -17,6 +23,7 @@
     RouteKind,
     RoutePart,
 )
+from cloverwalk.tenants.directory import Tenant
 
 ROUTES = 4000
 
@@ -50,6 +57,18 @@
     assert versions == sorted(set(versions))
 
 
+# Guards against a copy that differs from the configuration because it is encoded in pieces.
+@pytest.mark.parametrize("count", [0, 1, ENTRIES_PER_STEP, 2 * ENTRIES_PER_STEP + 1])
+def test_pieces_are_the_encoded_configuration(count: int) -> None:
+    parts = (RoutePart("model", 1.0),)
+    routes = tuple(
+        Route(f"r{n}", "h", f"/{n}/", RouteKind.SAFE, parts, 1.0, 1.0, 1) for n in range(count)
+    )
+    for tenants in (None, (), (Tenant("t", ("digest",)),)):
+        current = Configuration(3, routes, {}, ClientLimits(), tenants)
+        assert b"".join(encode_in_pieces(current)) == msgspec.json.encode(current)
+
+
 # Guards against accepting invalid parts and compressed data that can't be decoded.
 @pytest.mark.parametrize(
     "part",
