Confirm zone drains by a status only as of its poll

Cause: the drains in a status counted as of its arrival, so one that was held up, or waited in a frozen machine, made them look fresher than they are. And a poll that overtook another one looked like a restarted process, which was then sent the whole version again.

Change: the drains count as of the poll that the status answers; statuses that answer no poll of this process are ignored. Only a number that is lower by more than eight polls is that of another process.

Checked: the tests of configuration sources, types, linter; the test of held-up messages checks the age of the drains too.

--- a/src/cloverwalk/fleet/configuration_publisher.py
+++ b/src/cloverwalk/fleet/configuration_publisher.py
@@ -32,6 +32,9 @@
 MAX_LINK_FRACTION = 0.5
 """Fraction of the machine's link that parts may use."""
 
+REORDERED_POLLS = 8
+"""A poll whose number is lower by more than this is that of another process of the node."""
+
 MakeStatus = Callable[[int, int, float], ConfigurationStatus]
 """Returns this node's status for a number of parts, the receiver's last poll, and the time."""
 
@@ -134,10 +137,11 @@
 
     def _record_subscriber(self, poll: ConfigurationPoll, host: str, now: float) -> _Subscriber:
         known = self._subscribers.get(host)
-        if known is None or poll.number < known.poll:
+        if known is None or poll.number + REORDERED_POLLS < known.poll:
             # Another process of the node has started: it has nothing of what was sent before.
             known = self._subscribers[host] = _Subscriber(poll.region, poll.number, now)
-        known.region, known.poll, known.polled_at = poll.region, poll.number, now
+        known.region, known.polled_at = poll.region, now
+        known.poll = max(known.poll, poll.number)
         return known
 
     async def handle_part_request(self, request: ConfigurationPartRequest, host: str) -> None:
--- a/src/cloverwalk/fleet/configuration_subscription.py
+++ b/src/cloverwalk/fleet/configuration_subscription.py
@@ -314,23 +314,28 @@
 
     # --- messages ---
 
+    def poll_sent_at(self, number: int, host: str) -> float | None:
+        """Return when a poll was sent to a host, None if that is not known."""
+        poll = self._polls.get(number)
+        return poll.sent_at if poll is not None and poll.host == host else None
+
     def handle_status(self, status: ConfigurationStatus, host: str, now: float) -> None:
         """Record what a source knows; go back to a preferred one that is good again."""
-        poll = self._polls.get(status.poll)
-        if poll is None or poll.host != host:
+        sent_at = self.poll_sent_at(status.poll, host)
+        if sent_at is None:
             return
-        confirmed_at = poll.sent_at - max(0, status.age_ms) / 1000
+        confirmed_at = sent_at - max(0, status.age_ms) / 1000
         self._record_version(status, host, confirmed_at, now)
         problem = self._problem(status)
         if self.source and host == self._current.host:
-            self._unanswered = [sent_at for sent_at in self._unanswered if sent_at > poll.sent_at]
-            self._record_reader(status, poll.sent_at)
+            self._unanswered = [later for later in self._unanswered if later > sent_at]
+            self._record_reader(status, sent_at)
             if problem is not None:
                 self._leave(problem, now)
             else:
                 self._lost_hosts.discard(host)
         elif problem is None:
-            self._return_to(host, status, poll.sent_at, now)
+            self._return_to(host, status, sent_at, now)
 
     def _record_version(
         self, status: ConfigurationStatus, host: str, confirmed_at: float, now: float
--- a/src/cloverwalk/serving/configuration_parts.py
+++ b/src/cloverwalk/serving/configuration_parts.py
@@ -256,7 +256,9 @@
                 problem = f"invalid configuration status: {message.parts} parts"
                 self._log.write(catalogue.BAD_PEER_MESSAGE, problem=problem, host=host)
             case ConfigurationStatus():
-                self._fleet_state.zone_drains.apply_copy(message.zone_drains, now)
+                sent_at = self.subscription.poll_sent_at(message.poll, host)
+                if sent_at is not None:
+                    self._fleet_state.zone_drains.apply_copy(message.zone_drains, sent_at)
                 self.subscription.handle_status(message, host, now)
                 if self.subscription.due_at(now) <= now:
                     await self._changed.set()
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -1414,7 +1414,7 @@
     Mutant(
         "sources: a status confirms as of its arrival",
         "fleet/configuration_subscription.py",
-        "        confirmed_at = poll.sent_at - max(0, status.age_ms) / 1000",
+        "        confirmed_at = sent_at - max(0, status.age_ms) / 1000",
         "        confirmed_at = now",
         SOURCES + "test_held_up_messages_confirm_no_version_after_its_successor",
     ),
--- a/tests/serving/test_configuration_sources.py
+++ b/tests/serving/test_configuration_sources.py
@@ -416,6 +416,12 @@
         await curio.sleep(2.0)
         statuses = [message for message, _ in held if isinstance(message, ConfigurationStatus)]
         assert statuses[0].version == 1
+        drains = node.fleet_state.zone_drains
+        for message, host in held:
+            if isinstance(message, ConfigurationStatus):
+                await receive(message, host)
+                if message.version == 1:
+                    assert drains.age_ms(world.time.now) >= (world.time.now - changed_at) * 1000
         for message, host in held:
             if not isinstance(message, CompactConfigurationPart):
                 await receive(message, host)
