--- a/src/cloverwalk/fleet/configuration_copy.py
+++ b/src/cloverwalk/fleet/configuration_copy.py
@@ -1,10 +1,13 @@
 """Encodes the configuration for other nodes; a long one is compressed and sent in parts."""
 
+import enum
 import zlib
+from collections import Counter
 
 import msgspec
 
 from cloverwalk.fleet.messages import (
+    CompactConfigurationPart,
     ConfigurationCopy,
     ConfigurationPart,
     DatagramError,
@@ -12,16 +15,26 @@
 )
 from cloverwalk.fleet.transport import MAX_DATAGRAM_BYTES
 from cloverwalk.gateway.configuration import Configuration, ConfigurationHolder
+from cloverwalk.gateway.configuration_encoding import decode_copy, encode_copy
+from cloverwalk.gateway.steps import Steps, run_in_steps, run_steps
 
 MAX_PART_BYTES = 40_000
 """Compressed bytes in one part; base64 encoding adds a third, which must fit a datagram."""
 
 MAX_PARTS = 64
-MAX_CONFIGURATION_BYTES = 64_000_000
-"""Limit on the decompressed size of a received configuration."""
-
 _encoder = msgspec.json.Encoder()
-_decoder = msgspec.json.Decoder(Configuration)
+
+
+async def compact_parts(configuration: Configuration) -> list[CompactConfigurationPart]:
+    """Return the parts of a configuration; other tasks run between the steps of compression."""
+    data = await run_in_steps(encode_copy(configuration))
+    starts = range(0, len(data), MAX_PART_BYTES)
+    return [
+        CompactConfigurationPart(
+            configuration.version, index, len(starts), data[start : start + MAX_PART_BYTES]
+        )
+        for index, start in enumerate(starts)
+    ]
 
 
 class ConfigurationEncoder:
@@ -64,6 +77,15 @@
             ]
 
 
+class PartFault(enum.Enum):
+    """Why a part is of no use."""
+
+    DUPLICATE = "duplicate"
+    OUTDATED = "outdated"
+    NOT_POLLED = "not_polled"
+    """It comes from a node that isn't polled."""
+
+
 class ConfigurationAssembler:
     """Joins the parts of a configuration; parts missing from one copy are taken from the next.
 
@@ -78,13 +100,35 @@
 
     def __init__(self) -> None:
         self._version = -1
+        self._count = 0
         self._parts: dict[int, bytes] = {}
+        self.ignored: Counter[PartFault] = Counter()
+        """Number of parts that were of no use."""
+
+        self.corrupted = 0
+        """Versions whose joined parts could not be decoded."""
 
     def add(self, part: ConfigurationPart) -> Configuration | None:
         """Return the configuration once all of its parts have arrived.
 
         Raise DatagramError if the part is invalid or the joined parts can't be decoded.
         """
+        data = self.join(part)
+        return None if data is None else self.decode(data, part.version)
+
+    def fault(self, part: ConfigurationPart, own_version: int) -> PartFault | None:
+        """Return and count why a part is of no use to a node; None if it is."""
+        fault = None
+        if part.version <= own_version or part.version < self._version:
+            fault = PartFault.OUTDATED
+        elif part.version == self._version and part.part in self._parts:
+            fault = PartFault.DUPLICATE
+        if fault is not None:
+            self.ignored[fault] += 1
+        return fault
+
+    def join(self, part: ConfigurationPart) -> bytes | None:
+        """Return the joined parts once all have arrived; raise DatagramError if one is invalid."""
         if not 0 <= part.part < part.parts <= MAX_PARTS:
             raise DatagramError(
                 f"invalid configuration part: index {part.part}, {part.parts} parts"
@@ -92,20 +136,37 @@
         if part.version < self._version:
             return None
         if part.version > self._version:
-            self._version, self._parts = part.version, {}
+            self._version, self._count, self._parts = part.version, part.parts, {}
+        if part.parts != self._count:
+            message = f"{part.parts} parts of version {part.version} instead of {self._count}"
+            self._version = -1
+            raise DatagramError(f"invalid configuration part: {message}")
         self._parts[part.part] = part.data
         if len(self._parts) < part.parts:
             return None
         parts, self._parts = self._parts, {}
-        return _decode(b"".join(parts[index] for index in sorted(parts)))
-
-
-def _decode(data: bytes) -> Configuration:
-    decompressor = zlib.decompressobj()
-    try:
-        encoded = decompressor.decompress(data, MAX_CONFIGURATION_BYTES)
-        if not decompressor.eof:
-            raise DatagramError("compressed configuration is truncated or too long")
-        return _decoder.decode(encoded)
-    except (zlib.error, msgspec.DecodeError, UnicodeDecodeError) as error:
-        raise DatagramError(f"invalid compressed configuration: {error}") from error
+        return b"".join(parts[index] for index in sorted(parts))
+
+    def decode(self, data: bytes, version: int) -> Configuration:
+        """Decode joined parts; raise DatagramError if they are corrupted."""
+        return run_steps(self._decode(data, version))
+
+    async def decode_in_steps(self, data: bytes, version: int) -> Configuration:
+        """Do the same as ``decode``; other tasks run between the steps."""
+        return await run_in_steps(self._decode(data, version))
+
+    def _decode(self, data: bytes, version: int) -> Steps[Configuration]:
+        try:
+            configuration = yield from decode_copy(data)
+            if configuration.version != version:
+                raise ValueError(f"parts of {version} contain {configuration.version}")
+        except ValueError as error:
+            self.corrupted += 1
+            self._version = -1
+            raise DatagramError(str(error)) from error
+        return configuration
+
+    def missing(self, version: int, count: int) -> list[int]:
+        """Return the indexes of the parts of a version that have not arrived."""
+        known = self._parts if version == self._version else {}
+        return [index for index in range(count) if index not in known]
--- a/src/cloverwalk/serving/fleet_state.py
+++ b/src/cloverwalk/serving/fleet_state.py
@@ -70,6 +70,11 @@
         self.stored_zone_drains.clear()
         await self.on_configuration(page)
 
+    @property
+    def is_stored_configuration_invalid(self) -> bool:
+        """Whether the latest stored version could not be decoded."""
+        return self._is_stored_configuration_invalid
+
     async def on_configuration(self, page: RowPage) -> None:
         """Apply changed rows of the configuration table."""
         if self.stored_zone_drains.apply(page):
--- a/src/cloverwalk/serving/stored_zone_drains.py
+++ b/src/cloverwalk/serving/stored_zone_drains.py
@@ -47,6 +47,11 @@
         self._version = page.version
         return self._update(float("-inf"))
 
+    def adopt(self) -> None:
+        """Go on from the state that another node sent, since only later changes follow."""
+        self._zones = set(self._zone_drains.zones)
+        self._version = self._zone_drains.version
+
     def confirm(self, confirmed_at: float) -> None:
         """Record that the rows were the newest at ``confirmed_at`` (monotonic clock, seconds)."""
         if self._version >= 0:
--- a/tests/builds/record.py
+++ b/tests/builds/record.py
@@ -42,6 +42,9 @@
 }
 """Types of stored values, and of the configuration inside compressed parts."""
 
+DATA_ENCODING = "latin-1"
+"""Messages are JSON or MessagePack; this keeps any bytes as text."""
+
 VARIANTS = (0, 1, 2)
 """Samples with all fields set differ in the values of their enumerations."""
 
@@ -100,7 +103,7 @@
         kind = kinds.type_info(message)
         for variant, value in _values(kind):
             data = messages.encode_datagram(value)
-            yield {"kind": str(kind.tag), "variant": variant, "data": data.decode()}  # type: ignore[attr-defined]
+            yield {"kind": str(kind.tag), "variant": variant, "data": data.decode(DATA_ENCODING)}  # type: ignore[attr-defined]
     for name, stored in STORED.items():
         for variant, value in _values(kinds.type_info(stored)):
             yield {
@@ -121,7 +124,7 @@
     name = sample["kind"]
     if name.startswith("stored:"):
         return msgspec.json.decode(sample["data"], type=STORED[name.removeprefix("stored:")])
-    return messages.decode_datagram(sample["data"].encode())
+    return messages.decode_datagram(sample["data"].encode(DATA_ENCODING))
 
 
 def named(value: Any) -> Any:
--- a/tests/builds/test_earlier_builds.py
+++ b/tests/builds/test_earlier_builds.py
@@ -100,7 +100,9 @@
     records = [CrashRecord(f"{number:020x}", {"r1": 5, "r2@1f": 9}) for number in range(3)]
     messages: list[Datagram] = [DirectoryUpdate(None, 0, 1, 0, entries) for entries in lists]
     messages.append(CrashCases(records))
-    samples = [{"kind": "any", "data": encode_datagram(message).decode()} for message in messages]
+    samples = [
+        {"kind": "any", "data": encode_datagram(message).decode("latin-1")} for message in messages
+    ]
     digests = [record.digests(sample) for sample in samples]
     assert None not in digests and 0 not in digests
     assert run_record(source, "digests", samples) == digests
--- a/tests/serving/test_zone_drains.py
+++ b/tests/serving/test_zone_drains.py
@@ -33,7 +33,11 @@
 from cloverwalk.scheduling.features import Feature, Features
 from cloverwalk.serving.fleet_state import FleetState
 from cloverwalk.serving.settings import ServingSettings
-from cloverwalk.serving.stored_zone_drains import MAX_DRAINED_ZONES, MAX_ZONE_BYTES
+from cloverwalk.serving.stored_zone_drains import (
+    MAX_DRAINED_ZONES,
+    MAX_ZONE_BYTES,
+    StoredZoneDrains,
+)
 from cloverwalk.serving.zone_drain_monitor import ZoneDrainMonitor
 from cloverwalk.store.types import Put, Row, RowKey, RowPage, Transaction
 from cloverwalk.telemetry.log import ServingLog
@@ -606,3 +610,18 @@
         assert _arrival_counts(world) == [2, 0, 1]
 
     in_world(test)
+
+
+# A node that follows the changes after a version of another node would lift drains of that version.
+def test_changes_after_the_rows_of_another_node_keep_its_drains() -> None:
+    drains = ZoneDrains()
+    log = ServingLog("n1", lambda: 0.0, os.open(os.devnull, os.O_WRONLY))
+    stored = StoredZoneDrains(PlatformAdapter(), drains, log)
+    stored.apply(RowPage([], 3, None))
+    drains.apply_copy(ZoneDrainCopy(7, ("z1",), 0), now=1.0)
+    stored.adopt()
+    stored.apply(RowPage([], 9, None))
+    assert (drains.zones, drains.version) == (("z1",), 9)
+    stored.clear()
+    stored.apply(RowPage([], 10, None))
+    assert (drains.zones, drains.version) == ((), 10)
