Don't take entries that expired in a store outage for restarts

Cause: each entry that returned after its removal began an assumed warm-up. While the store is down, the entries of all replicas expire, and they return when it is back. The whole fleet then counted as warming up for the warm-up time and 1.7 s, although no replica had restarted; while no process held the lease, nothing at all was placed.

Change: the replica list records the last time of over 3 s in which it was not confirmed. An entry that was removed since then, and returns within 5 s after it without a remaining warm-up time and without another start time, is no restart, unless the drain of its zone was lifted after its removal. All other returns count as restarts as before.

Without the change the two cases of the new test of expired entries fail. Two new mutants are noticed. Unit tests, warm-up tests, restarted replicas, replica entries and coordination pass.

--- a/src/cloverwalk/fleet/directory_sync.py
+++ b/src/cloverwalk/fleet/directory_sync.py
@@ -63,6 +63,5 @@
             self._directory.remove(removed_replica.replica_id, removed_replica.version)
 
     def _record_confirmation(self, age_ms: int, version: int) -> None:
-        confirmed_at = self._clock() - age_ms / 1000
-        self._directory.confirmed_at = max(self._directory.confirmed_at, confirmed_at)
+        self._directory.confirm(self._clock() - age_ms / 1000)
         self._directory.version = max(self._directory.version, version)
--- a/src/cloverwalk/gateway/replicas.py
+++ b/src/cloverwalk/gateway/replicas.py
@@ -18,6 +18,10 @@
 """How long a failure at another node counts; its reports, at least one a second, renew it."""
 
 
+MAX_CONFIRMATION_INTERVAL_S = 3.0
+"""Longest usual time between two confirmations of the list; longer than a long poll of the store
+and than the time in which a lost coordinator is replaced."""
+
 MAX_LATE_ENTRIES = 2
 """Consecutive entries with an earlier start time that are ignored as late writes of an ended
 incarnation, which can have one write in flight and one retry. A running replica writes on, so
@@ -95,6 +99,20 @@
 EntryListener = Callable[[Replica, EntryKind], None]
 """Called with each entry that is applied."""
 
+RemovalListener = Callable[[Replica], None]
+"""Called with each replica whose entry was removed."""
+
+
+@attrs.frozen
+class ConfirmationGap:
+    """A time in which the list was not confirmed (monotonic clock, seconds).
+
+    The store may have been down; entries then expire although their replicas run.
+    """
+
+    began_at: float
+    ended_at: float
+
 
 class ReplicaDirectory:
     """The listed replicas by id; the newest version of an entry wins."""
@@ -109,6 +127,7 @@
         """Called when a replica has restarted under its id, before the list is confirmed."""
 
         self.entry_listeners: list[EntryListener] = []
+        self.removal_listeners: list[RemovalListener] = []
         self.warmup_revision = 0
         """Counts changes of warm-up times, which the fingerprint leaves out."""
 
@@ -125,8 +144,23 @@
         self.confirmed_at = float("-inf")
         """When the directory was last confirmed to match the store (monotonic clock, seconds)."""
 
+        self._last_gap: ConfirmationGap | None = None
         self._drained_zones: frozenset[str] = frozenset()
 
+    def confirm(self, confirmed_at: float) -> None:
+        """Record that the list matched the store at ``confirmed_at``."""
+        if self._is_gap(confirmed_at):
+            self._last_gap = ConfirmationGap(self.confirmed_at, confirmed_at)
+        self.confirmed_at = max(self.confirmed_at, confirmed_at)
+
+    def last_gap(self, now: float) -> ConfirmationGap | None:
+        """Return the last long time without a confirmation; it may not have ended yet."""
+        return ConfirmationGap(self.confirmed_at, now) if self._is_gap(now) else self._last_gap
+
+    def _is_gap(self, now: float) -> bool:
+        was_confirmed = self.confirmed_at > float("-inf")
+        return was_confirmed and now - self.confirmed_at > MAX_CONFIRMATION_INTERVAL_S
+
     def all(self) -> list[Replica]:
         """Return every listed replica, sorted by id."""
         return [self._replicas[key] for key in sorted(self._replicas)]
@@ -258,9 +292,12 @@
         self._removed_versions[replica_id] = max(version, self._removed_versions.get(replica_id, 0))
         self._suspicions.pop(replica_id, None)
         self._peer_suspected_until.pop(replica_id, None)
-        if self._replicas.pop(replica_id, None) is None:
+        removed = self._replicas.pop(replica_id, None)
+        if removed is None:
             return False
         self._reset_caches()
+        for listener in self.removal_listeners:
+            listener(removed)
         return True
 
     def replace(self, replicas: list[Replica], version: int) -> list[str]:
--- a/src/cloverwalk/gateway/warmups.py
+++ b/src/cloverwalk/gateway/warmups.py
@@ -28,6 +28,12 @@
 """How much longer the coordinator counts a replica as warming up than other nodes do. They learn of
 an entry later, and would not send what it places without a token meanwhile."""
 
+RETURN_TIME_S = 5.0
+"""Time after an outage of the store in which replicas whose entries expired write them again."""
+
+REMOVAL_RETENTION_S = 60.0
+"""Earlier removals are forgotten."""
+
 EXTRA_BY_KIND_S = {
     EntryKind.NEW: 0.0,
     EntryKind.RESTARTED: 0.0,
@@ -51,6 +57,12 @@
     """Time beyond the service's warm-up time for which it is assumed."""
 
 
+@attrs.frozen
+class _Removal:
+    replica: Replica
+    removed_at: float
+
+
 class Warmups:
     """The warm-ups that this node knows or assumes.
 
@@ -70,10 +82,17 @@
         self._log = log
         self._clock = clock
         self._by_replica: dict[str, _Warmup] = {}
+        self._removed: dict[str, _Removal] = {}
+        """The last removal of replicas that are not listed now, in the order of time."""
+
+        self._lifted_at: dict[str, float] = {}
+        """When the last drain of each zone was lifted."""
+
         self._logged: set[str] = set()
         """Replicas whose warm-up was logged and has not ended."""
 
         directory.entry_listeners.append(self._on_entry)
+        directory.removal_listeners.append(self._on_removal)
         zone_drains.listeners.append(self._on_zone_drains)
 
     # --- what is known ---
@@ -142,11 +161,36 @@
     def _on_entry(self, replica: Replica, kind: EntryKind) -> None:
         now = self._clock()
         self.expire(now)
+        removal = self._removed.pop(replica.replica_id, None)
         if replica.warmup_ms > 0:
             self._record_entry(replica, kind, now)
-        elif kind in EXTRA_BY_KIND_S:
+        elif kind in EXTRA_BY_KIND_S and not self._has_run_on(replica, removal, now):
             self._assume(replica, EXTRA_BY_KIND_S[kind], kind.value, now)
 
+    def _on_removal(self, replica: Replica) -> None:
+        now = self._clock()
+        for replica_id, removal in list(self._removed.items()):
+            if now - removal.removed_at <= REMOVAL_RETENTION_S:
+                break
+            del self._removed[replica_id]
+        self._removed.pop(replica.replica_id, None)
+        self._removed[replica.replica_id] = _Removal(replica, now)
+
+    def _has_run_on(self, replica: Replica, removal: _Removal | None, now: float) -> bool:
+        """Whether an entry was removed only because its replica could not write it for a while.
+
+        While the store is down, the entries of all replicas may expire. A replica that has
+        restarted meanwhile says so in its entry.
+        """
+        gap = self._directory.last_gap(now)
+        if removal is None or gap is None or now - gap.ended_at > RETURN_TIME_S:
+            return False
+        if removal.removed_at < self._lifted_at.get(replica.zone, float("-inf")):
+            # It wasn't listed when the drain of its zone was lifted.
+            return False
+        is_same = removal.replica.may_be_incarnation(replica.started_ms)
+        return is_same and removal.removed_at > gap.began_at
+
     def _record_entry(self, replica: Replica, kind: EntryKind, now: float) -> None:
         """Apply a remaining time; it ends an assumption that is older than such an entry can be."""
         warmup = self._warmup(replica)
@@ -165,6 +209,7 @@
     def _on_zone_drains(self, drained: tuple[str, ...], lifted: tuple[str, ...]) -> None:
         """Assume that all replicas of a zone warm up when its drain is lifted."""
         now = self._clock()
+        self._lifted_at.update(dict.fromkeys(lifted, now))
         for replica in self._directory.all():
             if replica.zone in lifted:
                 extra_s = ENTRY_INTERVAL_S + ENTRY_DELAY_S
--- a/src/cloverwalk/serving/fleet_state.py
+++ b/src/cloverwalk/serving/fleet_state.py
@@ -210,7 +210,7 @@
 
     def _confirm_directory(self, page: RowPage) -> None:
         self.directory.version = max(self.directory.version, page.version)
-        self.directory.confirmed_at = self._clock()
+        self.directory.confirm(self._clock())
         self.record_directory_source("store")
 
     def record_directory_source(self, source: str) -> None:
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -1531,6 +1531,22 @@
         "sent_fingerprint:",
         WARMUP_FLEET + "test_change_of_the_warmup_time_alone_reaches_all_nodes",
     ),
+    Mutant(
+        "warm-up: an outage of the store explains a removal before it",
+        "gateway/warmups.py",
+        "is_same and removal.removed_at > gap.began_at",
+        "is_same",
+        "tests/unit/test_warmups.py::"
+        "test_return_counts_as_restart_unless_the_outage_explains_it[removed before]",
+    ),
+    Mutant(
+        "warm-up: entries that expired in an outage of the store count as restarts",
+        "gateway/warmups.py",
+        " and not self._has_run_on(replica, removal, now)",
+        "",
+        "tests/unit/test_warmups.py::"
+        "test_entry_that_expired_while_the_store_was_down_is_no_restart",
+    ),
 ]
 
 
--- a/tests/unit/test_warmups.py
+++ b/tests/unit/test_warmups.py
@@ -110,6 +110,48 @@
     assert node.remaining_s(replica_id) == pytest.approx(WARMUP_S + extra_s, abs=0.002)
 
 
+# Guards against a fleet that limits itself after an outage of the store, in which entries expired.
+@pytest.mark.parametrize("is_removed_after", [False, True])
+def test_entry_that_expired_while_the_store_was_down_is_no_restart(is_removed_after: bool) -> None:
+    node = Node()
+    node.directory.confirm(node.now)
+    node.now += 4.0
+    if is_removed_after:
+        node.directory.confirm(node.now)
+        node.now += 1.0
+    node.directory.remove("r0", 1)
+    node.directory.confirm(node.now)
+    node.now += 2.0
+    node.put(started_ms=1000)
+    assert node.remaining_s() == 0
+
+
+# Guards against an outage of the store that hides a replica's restart or an earlier removal.
+@pytest.mark.parametrize(
+    "case", ["store up", "removed before", "late", "restarted", "told", "lifted"]
+)
+def test_return_counts_as_restart_unless_the_outage_explains_it(case: str) -> None:
+    node = Node()
+    for _ in range(2):
+        node.directory.confirm(node.now)
+        node.now += 1.0
+    if case == "removed before":
+        node.directory.remove("r0", 1)
+        node.directory.confirm(node.now)
+    node.now += 1.0 if case == "store up" else 4.0
+    node.directory.remove("r0", 1)
+    node.directory.confirm(node.now)
+    for _ in range(6 if case == "late" else 2):
+        node.now += 1.0
+        node.directory.confirm(node.now)
+    if case == "lifted":
+        node.lift_drain()
+    changes = {"restarted": {"started_ms": 2000}, "told": {"warmup_ms": 2500}}
+    node.put(**changes.get(case, {}))
+    expected_s = 2.5 if case == "told" else WARMUP_S + EXTRA_S
+    assert node.remaining_s() == pytest.approx(expected_s, abs=0.002)
+
+
 # Guards against an entry of an earlier warm-up that ends the one after a lifted drain.
 def test_entry_from_before_a_lifted_drain_does_not_end_the_warmup() -> None:
     node = Node()
