Prefer replicas of the node's region

Cause: another region 30 ms away cost a request as much as another zone of the same region, 5 ms, so half of the requests crossed the thin link and paid a round trip of 60 ms, and items started at far replicas for one more free slot.

Change: a request leaves its region only where the wait there is expected to be longer than a round trip; items take the nearest free slot. With one region the choice is the same as before.

Checked: tests/serving/test_region_choice.py, scheduler tests, unit tests.

--- a/src/cloverwalk/scheduling/batch.py
+++ b/src/cloverwalk/scheduling/batch.py
@@ -285,7 +285,10 @@
             )
         if preferred in open_ids:
             return preferred
-        return min(open_ids, key=lambda key: (zones[key] != node_zone, -free_slots[key], key))
+        distance = self._replicas.regions.distance
+        return min(
+            open_ids, key=lambda key: (distance(node_zone, zones[key]), -free_slots[key], key)
+        )
 
     def _with_memory(self, claim: _Claim, open_ids: set[str], now: float) -> set[str]:
         """Return the replicas with enough free memory for one of the claim's items."""
@@ -317,12 +320,13 @@
         An item that is due soon prefers a fast replica; any other leaves the fast ones free.
         """
         slowdown_of = self._replicas.current_slowdowns.get
+        distance = self._replicas.regions.distance
         is_due_soon = max_slowdown < DUE_SOON_FACTOR
 
-        def rank(key: str) -> tuple[int, bool, int, str]:
+        def rank(key: str) -> tuple[int, int, int, str]:
             slowdown = slowdown_of(key, 1.0)
             misfit = 2 * (slowdown > max_slowdown) + ((slowdown < FAST_THRESHOLD) != is_due_soon)
-            return (misfit, zones[key] != node_zone, -free_slots[key], key)
+            return (misfit, distance(node_zone, zones[key]), -free_slots[key], key)
 
         if preferred in open_ids and slowdown_of(preferred, 1.0) <= max_slowdown:
             return preferred
--- a/src/cloverwalk/scheduling/features.py
+++ b/src/cloverwalk/scheduling/features.py
@@ -44,6 +44,9 @@
     CONFIGURATION_SOURCES = "configuration_sources"
     """Few nodes of each region read the configuration; the others get it from them."""
 
+    NEAR_REGION_FIRST = "near_region_first"
+    """Work goes to replicas of its own region unless the wait there is longer than the way."""
+
 
 @attrs.frozen
 class FeatureState:
@@ -146,7 +149,9 @@
             case Feature.ZONE_DRAINS:
                 return self._zone_drain_state()
             case Feature.CONFIGURATION_SOURCES:
-                return self._configuration_sources_state()
+                return self._regions_state(feature)
+            case Feature.NEAR_REGION_FIRST:
+                return self._regions_state(feature)
 
     def _slowdown_state(self) -> FeatureState:
         feature = Feature.REPLICA_PACE
@@ -204,8 +209,7 @@
             return FeatureState(feature, True, f"drained zones: {', '.join(self._drained_zones)}")
         return FeatureState(feature, False, "no zone is drained")
 
-    def _configuration_sources_state(self) -> FeatureState:
-        feature = Feature.CONFIGURATION_SOURCES
+    def _regions_state(self, feature: Feature) -> FeatureState:
         if self._regions > 1:
             return FeatureState(feature, True, f"the settings name {self._regions} regions")
         return FeatureState(feature, False, "the settings name a single region")
--- a/src/cloverwalk/scheduling/replica_view.py
+++ b/src/cloverwalk/scheduling/replica_view.py
@@ -7,6 +7,7 @@
 from cloverwalk.gateway.replicas import Replica, ReplicaDirectory
 from cloverwalk.scheduling.batch_limits import free_item_slots, items_to_preempt, may_prefill_more
 from cloverwalk.scheduling.features import Feature, Features
+from cloverwalk.scheduling.regions import Distance, Regions
 from cloverwalk.scheduling.replica_load_tracker import ReplicaLoadTracker
 from cloverwalk.scheduling.replica_memory import ReplicaMemory
 from cloverwalk.scheduling.selection import Candidate
@@ -33,7 +34,9 @@
         reachability: ZoneReachability,
         features: Features,
         random: Random,
+        regions: Regions,
     ) -> None:
+        self.regions = regions
         self._memory = memory
         self._reachability = reachability
         self._features = features
@@ -183,6 +186,7 @@
         fresh = [replica for replica in usable if replica.replica_id not in request.avoid]
         suspects = self._suspects_by_node.get(node, set())
         slowdowns = self.current_slowdowns
+        zone = self._node_zones.get(node, "")
         return [
             Candidate(
                 replica,
@@ -193,6 +197,7 @@
                 self.prefill_ms(replica.replica_id, now),
                 self._other_crash_suspects(replica.replica_id, request.content, now),
                 slowdowns.get(replica.replica_id, 1.0),
+                self.regions.distance(zone, replica.zone) is Distance.OTHER_REGION,
             )
             for replica in fresh or usable
         ]
--- a/src/cloverwalk/scheduling/scheduler.py
+++ b/src/cloverwalk/scheduling/scheduler.py
@@ -25,6 +25,7 @@
 from cloverwalk.scheduling.features import Feature, Features
 from cloverwalk.scheduling.online import OnlineQueue
 from cloverwalk.scheduling.quotas import FleetQuotas, QuotaBounds
+from cloverwalk.scheduling.regions import Regions
 from cloverwalk.scheduling.replica_load_tracker import ReplicaLoadTracker
 from cloverwalk.scheduling.replica_memory import ReplicaMemory
 from cloverwalk.scheduling.replica_view import ReplicaView
@@ -46,6 +47,7 @@
         ledger: CrashLedger,
         random: Random,
         features: Features | None = None,
+        regions: Regions | None = None,
     ) -> None:
         self.features = features or Features(configuration)
         self.times = times
@@ -61,7 +63,13 @@
         self.reachability = ZoneReachability()
         memory = ReplicaMemory(configuration, self.load_tracker, self.features)
         self._replicas = ReplicaView(
-            directory, self.load_tracker, memory, self.reachability, self.features, random
+            directory,
+            self.load_tracker,
+            memory,
+            self.reachability,
+            self.features,
+            random,
+            regions or Regions(),
         )
         self._online = OnlineQueue(
             self._replicas,
--- a/src/cloverwalk/scheduling/selection.py
+++ b/src/cloverwalk/scheduling/selection.py
@@ -50,6 +50,10 @@
 OTHER_ZONE_COST_MS = 5.0
 OTHER_ZONE_COST_MS_PER_KB = 1.5
 
+OTHER_REGION_COST_MS = 60.0
+"""Additional cost of another region: about a round trip between regions. A request leaves its
+region only if the wait there is expected to be longer."""
+
 NON_RETRYABLE_OTHER_ZONE_COST_MS = 150.0
 """Cost of another zone for a request that may not run twice, where zones may be cut off: a
 partition would lose it. Exceeds ``LOAD_COST_MS`` and ``HIGH_LOAD_COST_MS`` together, so it stays in
@@ -72,6 +76,9 @@
     slowdown: float = 1.0
     """Current slowdown: the factor on the usual service time of the service."""
 
+    is_in_other_region: bool = False
+    """Whether it is in another region than the node that sends the request."""
+
 
 class Demand(Struct, frozen=True):
     """What a request needs."""
@@ -166,4 +173,6 @@
         cost += slowdown * prefill_ms(demand.shared_tokens)
     if replica.zone != demand.zone:
         cost += demand.other_zone_cost_ms + OTHER_ZONE_COST_MS_PER_KB * demand.size_bytes / 1024
+    if candidate.is_in_other_region:
+        cost += OTHER_REGION_COST_MS
     return cost
--- a/src/cloverwalk/serving/fleet_parts.py
+++ b/src/cloverwalk/serving/fleet_parts.py
@@ -25,6 +25,7 @@
 from cloverwalk.fleet.transport import DatagramTransport
 from cloverwalk.scheduling.fair_share_reporter import FairShareReporter, ThrottledRequests
 from cloverwalk.scheduling.features import Features, FeatureState
+from cloverwalk.scheduling.regions import Regions
 from cloverwalk.scheduling.scheduler import Scheduler
 from cloverwalk.scheduling.service_times import ServiceTimes
 from cloverwalk.scheduling.slot_time import SlotUse
@@ -69,8 +70,12 @@
         self.transport = DatagramTransport(settings.peer_address, log)
         self._configuration_assembler = ConfigurationAssembler()
         self.leader = LeaderView(self.identity, clock())
+        regions = Regions(settings.region_by_zone)
         self.features = Features(
-            fleet_state.configuration, settings.is_memory_scarce, settings.tolerance.zones
+            fleet_state.configuration,
+            settings.is_memory_scarce,
+            settings.tolerance.zones,
+            regions.count,
         )
         self.features.on_change = self._log_feature
         self.scheduler = Scheduler(
@@ -81,6 +86,7 @@
             fleet_state.crash_ledger,
             random,
             self.features,
+            regions,
         )
         self.scheduler.reachability.on_change = self._log_reachability
         self.scheduler.slowdowns.on_change = self._log_slowdown
--- /dev/null
+++ b/tests/serving/test_region_choice.py
@@ -0,0 +1,44 @@
+"""Work stays in its region while a replica there can serve it soon."""
+
+from test_scheduler import SLOTS, Fleet
+
+from cloverwalk.fleet.messages import WaitingGroup
+
+REGION_BY_ZONE = {"z1": "near", "z2": "far"}
+
+
+def sent_to(fleet: Fleet, number: int) -> str:
+    return fleet.nodes[0].placements[number].replica_id
+
+
+# Guards against requests that cross between regions for a slightly less loaded replica.
+def test_request_stays_in_region_while_it_has_a_free_slot() -> None:
+    fleet = Fleet(replicas=2, zones=2, region_by_zone=REGION_BY_ZONE)
+    chosen = {sent_to(fleet, fleet.request_placement(0)) for _ in range(SLOTS // 2 + 1)}
+    assert chosen == {"r0"}
+
+
+# Guards against requests that queue in a full region while another region is idle.
+def test_request_leaves_full_region() -> None:
+    fleet = Fleet(replicas=2, zones=2, region_by_zone=REGION_BY_ZONE)
+    chosen = [sent_to(fleet, fleet.request_placement(0)) for _ in range(SLOTS + 2)]
+    assert chosen[0] == "r0" and chosen[-1] == "r1"
+
+
+# Guards against items that go to another region while a replica of theirs has a free slot.
+def test_items_start_in_their_region_first() -> None:
+    fleet = Fleet(replicas=6, zones=3, region_by_zone={"z1": "near", "z2": "far", "z3": "near"})
+    fleet.nodes[0].online = {"r0": SLOTS, "r3": SLOTS, "r2": 4, "r5": 4}
+    fleet.nodes[0].waiting = [WaitingGroup(1, 2)]
+    fleet.report_state(0)
+    assert set(fleet.nodes[0].batch) <= {"r2", "r5"} and fleet.nodes[0].batch
+
+
+# Guards against a changed choice where the settings name one region or none.
+def test_zones_of_one_region_are_chosen_as_without_regions() -> None:
+    fleets = [
+        Fleet(replicas=4, zones=2, region_by_zone=regions)
+        for regions in (None, {"z1": "near", "z2": "near"})
+    ]
+    chosen = [[sent_to(fleet, fleet.request_placement(0)) for _ in range(20)] for fleet in fleets]
+    assert chosen[0] == chosen[1]
--- a/tests/serving/test_scheduler.py
+++ b/tests/serving/test_scheduler.py
@@ -28,6 +28,7 @@
 from cloverwalk.scheduling.admission import MAX_QUEUE_WAIT_S, PlacementVerdict
 from cloverwalk.scheduling.online import QUEUED_REQUEST_TTL_S
 from cloverwalk.scheduling.quotas import QuotaBounds
+from cloverwalk.scheduling.regions import Regions
 from cloverwalk.scheduling.replica_load_tracker import DECISION_TIMEOUT_S, ReplicaLoadTracker
 from cloverwalk.scheduling.replica_view import MAX_SAMPLED_REPLICAS
 from cloverwalk.scheduling.scheduler import Scheduler
@@ -98,7 +99,12 @@
     """A scheduler, replicas and nodes; a test sets the time."""
 
     def __init__(
-        self, replicas: int = 2, nodes: int = 3, zones: int = 1, tenants: tuple[Tenant, ...] = ()
+        self,
+        replicas: int = 2,
+        nodes: int = 3,
+        zones: int = 1,
+        tenants: tuple[Tenant, ...] = (),
+        region_by_zone: dict[str, str] | None = None,
     ) -> None:
         self.now = 100.0
         self.directory = ReplicaDirectory()
@@ -117,6 +123,7 @@
             QuotaBounds(slack=20.0),
             CrashLedger(),
             Random(1),
+            regions=Regions(region_by_zone),
         )
         self.nodes = [FakeNode(f"n{number}", f"z{1 + number % zones}") for number in range(nodes)]
         self._last_number = 0
