Leave a region only when its slots are taken

Items crossed to leave fast replicas of their region free.

Change: the cost of another region exceeds that of full load without a queue. Items that end in time in their region stay there whatever the pace.

The new test of requests and one case of that of items fail without the change. Tests of region choice, scheduler, slowdown, online placement, batch and zones pass.

--- a/src/cloverwalk/scheduling/batch.py
+++ b/src/cloverwalk/scheduling/batch.py
@@ -15,6 +15,7 @@
 from cloverwalk.scheduling.fair_shares import FairShares
 from cloverwalk.scheduling.features import Feature, Features
 from cloverwalk.scheduling.item_sort_key import band_end, due_ms, rank_of
+from cloverwalk.scheduling.regions import Distance
 from cloverwalk.scheduling.replica_load_tracker import ReplicaLoadTracker
 from cloverwalk.scheduling.replica_view import ReplicaView
 
@@ -323,10 +324,12 @@
         distance = self._replicas.regions.distance
         is_due_soon = max_slowdown < DUE_SOON_FACTOR
 
-        def rank(key: str) -> tuple[int, int, int, str]:
+        def rank(key: str) -> tuple[bool, bool, bool, int, int, str]:
             slowdown = slowdown_of(key, 1.0)
-            misfit = 2 * (slowdown > max_slowdown) + ((slowdown < FAST_THRESHOLD) != is_due_soon)
-            return (misfit, distance(node_zone, zones[key]), -free_slots[key], key)
+            misfit = (slowdown < FAST_THRESHOLD) != is_due_soon
+            way = distance(node_zone, zones[key])
+            is_far = way is Distance.OTHER_REGION
+            return (slowdown > max_slowdown, is_far, misfit, way, -free_slots[key], key)
 
         if preferred in open_ids and slowdown_of(preferred, 1.0) <= max_slowdown:
             return preferred
--- a/src/cloverwalk/scheduling/selection.py
+++ b/src/cloverwalk/scheduling/selection.py
@@ -50,9 +50,9 @@
 OTHER_ZONE_COST_MS = 5.0
 OTHER_ZONE_COST_MS_PER_KB = 1.5
 
-OTHER_REGION_COST_MS = 60.0
-"""Additional cost of another region: about a round trip between regions. A request leaves its
-region only if the wait there is expected to be longer."""
+OTHER_REGION_COST_MS = 150.0
+"""Additional cost of another region. Exceeds ``LOAD_COST_MS`` and ``HIGH_LOAD_COST_MS`` together,
+so a request leaves its region only if it would have to queue there."""
 
 NON_RETRYABLE_OTHER_ZONE_COST_MS = 150.0
 """Cost of another zone for a request that may not run twice, where zones may be cut off: a
