--- a/src/cloverwalk/scheduling/scheduler.py
+++ b/src/cloverwalk/scheduling/scheduler.py
@@ -27,6 +27,7 @@
 from cloverwalk.scheduling.features import Feature, Features
 from cloverwalk.scheduling.online import OnlineQueue
 from cloverwalk.scheduling.quotas import FleetQuotas, QuotaBounds
+from cloverwalk.scheduling.regions import Regions
 from cloverwalk.scheduling.replica_load_tracker import ReplicaLoadTracker
 from cloverwalk.scheduling.replica_memory import ReplicaMemory
 from cloverwalk.scheduling.replica_view import ReplicaView
@@ -51,6 +52,7 @@
         features: Features | None = None,
         warmups: Warmups | None = None,
         warmup_bounds: WarmupBounds | None = None,
+        regions: Regions | None = None,
     ) -> None:
         self.features = features or Features(configuration)
         self.times = times
@@ -74,6 +76,7 @@
             self.features,
             random,
             self.warmup_tokens,
+            regions or Regions(),
         )
         self._online = OnlineQueue(
             self._replicas,
--- a/src/cloverwalk/scheduling/selection.py
+++ b/src/cloverwalk/scheduling/selection.py
@@ -53,6 +53,10 @@
 OTHER_ZONE_COST_MS = 5.0
 OTHER_ZONE_COST_MS_PER_KB = 1.5
 
+OTHER_REGION_COST_MS = 150.0
+"""Additional cost of another region. Exceeds ``LOAD_COST_MS`` and ``HIGH_LOAD_COST_MS`` together,
+so a request leaves its region only if it would have to queue there."""
+
 NON_RETRYABLE_OTHER_ZONE_COST_MS = 150.0
 """Cost of another zone for a request that may not run twice, where zones may be cut off: a
 partition would lose it. Exceeds ``LOAD_COST_MS`` and ``HIGH_LOAD_COST_MS`` together, so it stays in
@@ -78,6 +82,9 @@
     is_warming: bool = False
     """Whether the replica is warming up; it then has a free token."""
 
+    is_in_other_region: bool = False
+    """Whether it is in another region than the node that sends the request."""
+
 
 class Demand(Struct, frozen=True):
     """What a request needs."""
@@ -173,4 +180,6 @@
         cost += slowdown * prefill_ms(demand.shared_tokens)
     if replica.zone != demand.zone:
         cost += demand.other_zone_cost_ms + OTHER_ZONE_COST_MS_PER_KB * demand.size_bytes / 1024
+    if candidate.is_in_other_region:
+        cost += OTHER_REGION_COST_MS
     return cost
--- a/src/cloverwalk/serving/fleet_parts.py
+++ b/src/cloverwalk/serving/fleet_parts.py
@@ -31,6 +31,7 @@
 from cloverwalk.fleet.transport import DatagramTransport
 from cloverwalk.scheduling.fair_share_reporter import FairShareReporter, ThrottledRequests
 from cloverwalk.scheduling.features import Feature, Features, FeatureState
+from cloverwalk.scheduling.regions import Regions
 from cloverwalk.scheduling.scheduler import Scheduler
 from cloverwalk.scheduling.service_times import ServiceTimes
 from cloverwalk.scheduling.slot_time import SlotUse
@@ -78,11 +79,12 @@
         self.transport = DatagramTransport(settings.peer_address, log)
         self._configuration_assembler = ConfigurationAssembler()
         self.leader = LeaderView(self.identity, clock())
+        regions = Regions(settings.region_by_zone)
         self.features = Features(
             fleet_state.configuration,
             settings.is_memory_scarce,
             settings.tolerance.zones,
-            len(set(settings.region_by_zone.values())),
+            regions.count,
         )
         self.features.on_change = self._log_feature
         fleet_state.stored_zone_drains.known_zones = frozenset(settings.region_by_zone)
@@ -99,6 +101,7 @@
             self.features,
             fleet_state.warmups,
             settings.warmup_bounds,
+            regions,
         )
         self.scheduler.reachability.on_change = self._log_reachability
         self.scheduler.slowdowns.on_change = self._log_slowdown
