Zone drains in orders count as of the report that they answer

Cause: orders that were held up made the drains look fresher than they were where nodes poll for the configuration. And the simulated fleet recorded drains in place of the rows that the nodes now read themselves.

Change: the age of drains in orders goes by the same time as that of the configuration; the stand-in in returning_world is gone.

Checked: tests of configuration sources, zone drains, the return of a fleet and configuration spread pass.

--- a/src/cloverwalk/fleet/coordinator_client.py
+++ b/src/cloverwalk/fleet/coordinator_client.py
@@ -409,7 +409,7 @@
     async def handle_orders(self, orders: Orders, host: str) -> None:
         """Apply orders; grants and revokes that were applied before are ignored."""
         now = self._clock()
-        self._zone_drains.apply_copy(orders.zone_drains, now, host)
+        self._zone_drains.apply_copy(orders.zone_drains, self._made_at(orders, now), host)
         await self.update_leadership(orders.leadership)
         decided_at = self.reports.earliest_creation(orders)
         for placement in orders.placements:
--- a/tests/serving/returning_world.py
+++ b/tests/serving/returning_world.py
@@ -46,7 +46,7 @@
 from cloverwalk.serving.store_probe import StoreProbe
 from cloverwalk.store.clock import StoreClock
 from cloverwalk.store.health import MonitoredStore, StoreHealth
-from cloverwalk.store.types import CommitOutcome, CommitStatus, Put, RowKey, RowPage, Transaction
+from cloverwalk.store.types import CommitOutcome, CommitStatus, Put, RowKey, Transaction
 from cloverwalk.telemetry.log import ServingLog
 from cloverwalk.telemetry.startup import StartupLog
 
@@ -438,7 +438,6 @@
         log = ServingLog(self.name, time, world.log_descriptor)
         self.startup = StartupLog(log, time, time.now)
         self.fleet_state = FleetState(adapter, log, time, self.startup)
-        self._record_drains()
         self.health = StoreHealth(Clock(time))
         client = PlatformStore("store:1")
         client._pool = StorePool(world.store, self.host, world.regions)  # type: ignore[assignment]
@@ -479,17 +478,6 @@
         self._store_probe = StoreProbe(self.store, self.health, self.fleet)
         self._tasks: list[Any] = []
 
-    def _record_drains(self) -> None:
-        """Let the node know that no zone is drained once it has read the operator's table."""
-        state = self.fleet_state
-        apply_configuration = state.on_configuration
-
-        async def on_configuration(page: RowPage) -> None:
-            await apply_configuration(page)
-            state.zone_drains.update(page.version, state.zone_drains.zones, self._time.now)
-
-        state.on_configuration = on_configuration  # type: ignore[method-assign]
-
     async def start(self) -> None:
         for loop in (
             *self.fleet.loops(),
