Reword documentation of warm-ups, zone drains and route lookups

Describes the parts added since in the gateway, scheduling, core, platform, jobs and soak packages in plain terms, and renames a few private identifiers: Warmups._until to _end_of, EXTRA_BY_KIND_S to EXTRA_WARMUP_S, host_name to normalized_host, ConfigurationHolder._complete to _update_format, ReplicaView._without_token_lack to _with_warmup_token_if_needed, and _GroupTable.is_of to belongs_to.

--- a/src/cloverwalk/core/warmup_limit.py
+++ b/src/cloverwalk/core/warmup_limit.py
@@ -1,4 +1,4 @@
-"""Rate limit of a replica that is warming up, held over all nodes by construction.
+"""Rate limit of a replica that is warming up, enforced across all nodes.
 
 The allowed requests of one second are at most ``limit_per_s``. Tokens are granted by one holder of
 a time-limited lease, and a token that is older than ``TOKEN_TTL_S`` is not used. So the requests
@@ -14,7 +14,7 @@
 from cloverwalk.core.token_bucket import TokenBucket
 
 TOKEN_TTL_S = 0.5
-"""A token that may be older is not used."""
+"""Tokens that may be older are not used."""
 
 CLOCK_MARGIN = 1.03
 """Factor for clocks whose rates differ from the true one by up to 1 %."""
@@ -23,17 +23,17 @@
 """Window of the grants whose requests may be sent within one second."""
 
 GRANT_INTERVAL_S = 0.1
-"""Longest usual time between two looks at a bucket while work waits. The burst covers it, so that
-no tokens are lost between them."""
+"""Longest usual time between two checks of a bucket while requests wait. The burst covers it, so
+that no tokens are lost in between."""
 
 MAX_LIMIT_PER_S = 1_000_000
 """Upper bound of the allowed requests per second."""
 
 MIN_REMAINDER = 1e-3
-"""Part of a token by which the grants of a window stay below the next whole number."""
+"""Fraction of a token by which the grants in a window stay below the next whole number."""
 
 UNUSED_LIMIT_RETENTION_S = 10.0
-"""Limits of replicas that got no token for this time are dropped."""
+"""Limits that have not been used for this time are dropped."""
 
 
 @attrs.frozen
@@ -44,7 +44,7 @@
     """Factor on the rate."""
 
     slack: float = 0.0
-    """Requests per second on top."""
+    """Requests per second, added to the product."""
 
     def limit_per_s(self, rate_per_s: float) -> int:
         """Return the number of requests that may arrive in any one second.
@@ -103,7 +103,7 @@
 def create_bucket(rate_per_s: float, bounds: WarmupBounds, now: float) -> TokenBucket:
     """Return an empty bucket whose grants in any ``WINDOW_S`` are at most the limit.
 
-    It begins empty, so the grants before and after a replacement keep the limit together.
+    It starts empty, so that the limit also holds across the replacement of a bucket.
 
     >>> bucket = create_bucket(7.3, WarmupBounds(1.5, 5.0), now=0.0)
     >>> bucket.rate_per_s, 1.0 <= bucket.burst < 16 - 7.3 * WINDOW_S
@@ -126,8 +126,8 @@
 
     bucket: TokenBucket
     used_at: float
-    """Latest time of a use. The bucket's time never goes back: a caller may pass the time at which
-    it began, before a wait."""
+    """Latest time that a caller passed. A caller may pass an earlier one, taken before it waited,
+    but the time of a bucket must not go back."""
 
 
 class WarmupLimits:
@@ -148,7 +148,7 @@
         self._by_replica: dict[str, _Limit] = {}
 
     def has_token(self, replica_id: str, rate_per_s: float, now: float) -> bool:
-        """Whether a request may be sent to a replica with this rate."""
+        """Whether a token is available for a request to a replica with this rate."""
         if not self.lease.may_grant(now):
             return False
         limit = self._limit(replica_id, rate_per_s, now)
--- a/src/cloverwalk/gateway/configuration.py
+++ b/src/cloverwalk/gateway/configuration.py
@@ -78,10 +78,10 @@
     """Maximum tokens in one event of a stream."""
 
     warmup_s: float = 0.0
-    """How long a replica warms up after its start; 0 if it needn't."""
+    """Warm-up time of a replica after its start; 0 if it needs none."""
 
     warmup_rate_per_s: float = 0.0
-    """Requests per second that a replica bears while it warms up; 0 is no limit."""
+    """Limit on the requests per second to a replica that is warming up; 0 means no limit."""
 
 
 class ClientLimits(Struct, frozen=True, array_like=True):
@@ -94,8 +94,8 @@
 
 
 CONFIGURATION_FORMAT = 1
-"""Format of the configurations that this build makes; higher with each field that is appended to
-routes, services, limits or tenants."""
+"""Format of the configurations that this build decodes from the store; incremented with each field
+that is appended to routes, services, limits or tenants."""
 
 
 class Configuration(Struct, frozen=True, array_like=True, dict=True):
@@ -161,10 +161,10 @@
         """The tenants of ``current``."""
 
         self.preparations: list[Callable[[Configuration], Steps[None]]] = []
-        """What has to be built from a configuration before it is applied."""
+        """Build what is derived from a newer configuration, before it is applied."""
 
         self._replaced: list[Configuration] = []
-        """Long ones that ``release_replaced`` has not released yet."""
+        """Replaced configurations with many routes that ``release_replaced`` has yet to release."""
 
         self.confirmed_at = float("-inf")
         """When the current version was last known to be the newest (monotonic clock, seconds)."""
@@ -176,7 +176,7 @@
 
     @property
     def complete_version(self) -> int:
-        """The current version, or -1 if an earlier build left out fields that this one knows."""
+        """The current version, or -1 if it lacks fields that an earlier build did not know."""
         is_complete = self.current is not None and self.current.format >= CONFIGURATION_FORMAT
         return self.version if is_complete else -1
 
@@ -204,9 +204,9 @@
             self.confirmed_at = max(self.confirmed_at, confirmed_at)
 
     def prepare(self, configuration: Configuration) -> Steps[None]:
-        """Build in steps what is needed from a configuration, unless it isn't newer.
+        """Build in steps what is derived from a configuration, if it is newer.
 
-        Without this the same is built at the first use, in one step.
+        Otherwise it is built at the first use, in one step.
         """
         if configuration.version > self.version:
             for preparation in self.preparations:
@@ -233,12 +233,12 @@
         7
         """
         if configuration.version <= self.version:
-            return self._complete(configuration)
+            return self._update_format(configuration)
         self._replace(configuration)
         return True
 
-    def _complete(self, configuration: Configuration) -> bool:
-        """Replace the current version by itself in a later format; return whether it is one."""
+    def _update_format(self, configuration: Configuration) -> bool:
+        """Replace the current version by the same one in a later format; return whether it did."""
         current = self.current
         if current is None or configuration.version != current.version:
             return False
@@ -259,7 +259,10 @@
         return bool(self._replaced)
 
     def release_replaced(self) -> Steps[None]:
-        """Release replaced configurations in steps; released as a whole a long one blocks."""
+        """Release replaced configurations in steps.
+
+        Freeing many routes at once would block the event loop.
+        """
         while self._replaced:
             routes = list(self._replaced.pop().routes)
             yield
--- a/src/cloverwalk/gateway/configuration_encoding.py
+++ b/src/cloverwalk/gateway/configuration_encoding.py
@@ -1,4 +1,4 @@
-"""Encodes and decodes configurations that nodes send each other: compressed JSON, in steps."""
+"""Encodes and decodes, in steps, the compressed JSON of configurations sent between nodes."""
 
 import zlib
 from typing import TypeVar
@@ -71,7 +71,7 @@
 
 
 def decode_copy(data: bytes) -> Steps[Configuration]:
-    """Return a configuration from compressed JSON, ready for lookups; raise ValueError."""
+    """Return a configuration with its index from compressed JSON; raise ValueError if invalid."""
     encoded = yield from _decompress(data)
     try:
         envelope = _envelope_decoder.decode(encoded)
--- a/src/cloverwalk/gateway/replicas.py
+++ b/src/cloverwalk/gateway/replicas.py
@@ -19,8 +19,8 @@
 
 
 MAX_CONFIRMATION_INTERVAL_S = 3.0
-"""Longest usual time between two confirmations of the list; longer than a long poll of the store
-and than the time in which a lost coordinator is replaced."""
+"""Longest usual time between two confirmations of the list; exceeds the duration of a long poll of
+the store and the time to replace a lost coordinator."""
 
 MAX_LATE_ENTRIES = 2
 """Consecutive entries with an earlier start time that are ignored as late writes of an ended
@@ -132,7 +132,7 @@
         """Counts changes of warm-up times, which the fingerprint leaves out."""
 
         self._has_whole_list = False
-        """Whether a whole list has been applied, so that other entries are news."""
+        """Whether a whole list has been applied; unknown ids are then of new replicas."""
 
         self.version = 0
         """Newest version of the store that the directory reflects."""
--- a/src/cloverwalk/gateway/route_index.py
+++ b/src/cloverwalk/gateway/route_index.py
@@ -1,4 +1,4 @@
-"""Looks up routes by host and path, by name, and by service, without walking all of them."""
+"""Looks up routes by host and path, by name, and by service, without scanning all of them."""
 
 from bisect import bisect_left
 from collections.abc import Iterable, Sequence
@@ -13,8 +13,8 @@
 ROUTES_PER_STEP = 500
 
 
-def host_name(host: str) -> str:
-    """Return the host of a request as routes have it: lower case, without the port."""
+def normalized_host(host: str) -> str:
+    """Return the host of a request in the form used by routes: lower case, without the port."""
     return host.rsplit(":", 1)[0].lower()
 
 
@@ -56,17 +56,17 @@
 
     def find(self, host: str, path: str) -> "Route | None":
         """Return the route with the longest prefix of ``path`` on ``host``."""
-        table = self._by_host.get(host_name(host))
+        table = self._by_host.get(normalized_host(host))
         return None if table is None else table.find(path)
 
     def find_batch(self, host: str, path: str) -> "Route | None":
         """Return the batch route with the longest prefix of ``path``, ignoring other routes."""
-        table = self._batch_by_host.get(host_name(host))
+        table = self._batch_by_host.get(normalized_host(host))
         return None if table is None else table.find(path)
 
     def has_public_jobs(self, host: str) -> bool:
         """Whether a batch route on ``host`` needs no key."""
-        return host_name(host) in self._hosts_with_public_jobs
+        return normalized_host(host) in self._hosts_with_public_jobs
 
     def first_named(self, name: str) -> "Route | None":
         """Return the first route with a name."""
--- a/src/cloverwalk/gateway/steps.py
+++ b/src/cloverwalk/gateway/steps.py
@@ -1,4 +1,4 @@
-"""Long computations in short steps, so that they don't block the event loop."""
+"""Runs long computations in short steps, so that they don't block the event loop."""
 
 from collections.abc import Generator
 from typing import TypeVar
@@ -32,7 +32,7 @@
 
 
 async def run_in_steps(steps: Steps[Result]) -> Result:
-    """Run the steps, with a turn of the other tasks after each, and return the result."""
+    """Run the steps, switching to other tasks after each, and return the result."""
     while True:
         try:
             next(steps)
--- a/src/cloverwalk/gateway/warmup_gate.py
+++ b/src/cloverwalk/gateway/warmup_gate.py
@@ -14,7 +14,7 @@
 
 
 class WarmupGate:
-    """Lets work through to a replica that is warming up only with a valid token."""
+    """Refuses to send work to a replica that is warming up unless the work has a valid token."""
 
     def __init__(self, warmups: Warmups, log: ServingLog, clock: Callable[[], float]) -> None:
         self._warmups = warmups
--- a/src/cloverwalk/gateway/warmups.py
+++ b/src/cloverwalk/gateway/warmups.py
@@ -1,7 +1,8 @@
 """The replicas that may be warming up, and until when.
 
-A replica's entry tells its remaining warm-up time. Entries come late: a replica that has just
-started, or whose zone's drain was lifted, counts as warming up before its entry says so.
+A replica's entry contains its remaining warm-up time. Entries arrive with a delay, so a replica
+that has just started, or whose zone's drain was lifted, counts as warming up before its entry
+says so.
 """
 
 import math
@@ -25,36 +26,37 @@
 """Upper bound of a warm-up time, whatever an entry or the configuration says."""
 
 COORDINATOR_MARGIN_S = 0.3
-"""How much longer the coordinator counts a replica as warming up than other nodes do. They learn of
-an entry later, and would not send what it places without a token meanwhile."""
+"""How much longer the coordinator counts a replica as warming up than other nodes do. They receive
+an entry later, so for them the warm-up ends later, and until then they refuse to send requests that
+have no token."""
 
 RETURN_TIME_S = 5.0
-"""Time after an outage of the store in which replicas whose entries expired write them again."""
+"""Time after an outage of the store within which replicas rewrite entries that expired."""
 
 REMOVAL_RETENTION_S = 60.0
-"""Earlier removals are forgotten."""
+"""Removals are kept for this time."""
 
-EXTRA_BY_KIND_S = {
+EXTRA_WARMUP_S = {
     EntryKind.NEW: 0.0,
     EntryKind.RESTARTED: 0.0,
     EntryKind.RETURNED: ENTRY_INTERVAL_S + ENTRY_DELAY_S,
 }
-"""How much longer than its service's warm-up time a replica is assumed to warm up."""
+"""Time added to the service's warm-up time when a warm-up is assumed for this kind of entry."""
 
 
 @attrs.define
 class _Warmup:
-    """What is known of the warm-up of one replica; times are monotonic, in seconds."""
+    """The warm-up of one replica (monotonic clock, seconds)."""
 
     service: str
     until: float = float("-inf")
-    """End by its entry, or as another node knows it."""
+    """End according to its entry or the coordinator."""
 
     assumed_since: float | None = None
-    """Since when a warm-up is assumed that no entry has told yet."""
+    """Start of an assumed warm-up that no entry has confirmed yet; None if there is none."""
 
     extra_s: float = 0.0
-    """Time beyond the service's warm-up time for which it is assumed."""
+    """Time added to the service's warm-up time while a warm-up is assumed."""
 
 
 @attrs.frozen
@@ -66,7 +68,7 @@
 class Warmups:
     """The warm-ups that this node knows or assumes.
 
-    They limit nothing unless the replica's service has a ``warmup_rate_per_s``.
+    They have no effect unless the replica's service has a ``warmup_rate_per_s``.
     """
 
     def __init__(
@@ -83,7 +85,7 @@
         self._clock = clock
         self._by_replica: dict[str, _Warmup] = {}
         self._removed: dict[str, _Removal] = {}
-        """The last removal of replicas that are not listed now, in the order of time."""
+        """The last removal of each replica that is not listed now, oldest first."""
 
         self._lifted_at: dict[str, float] = {}
         """When the last drain of each zone was lifted."""
@@ -95,7 +97,7 @@
         directory.removal_listeners.append(self._on_removal)
         zone_drains.listeners.append(self._on_zone_drains)
 
-    # --- what is known ---
+    # --- queries ---
 
     @property
     def is_empty(self) -> bool:
@@ -103,7 +105,7 @@
         return not self._by_replica
 
     def rate_per_s(self, replica: Replica) -> float:
-        """Return the request rate that a replica bears while it warms up; 0 is no limit."""
+        """Return the limit on the request rate of a replica while it warms up; 0 means none."""
         current = self._configuration.current
         service = None if current is None else current.services.get(replica.service)
         rate = 0.0 if service is None else service.warmup_rate_per_s
@@ -112,7 +114,7 @@
     def is_warming(self, replica: Replica, now: float, margin_s: float = 0.0) -> bool:
         """Whether the requests to a replica are limited now, or were ``margin_s`` ago."""
         warmup = self._by_replica.get(replica.replica_id)
-        if warmup is None or now >= self._until(warmup) + margin_s:
+        if warmup is None or now >= self._end_of(warmup) + margin_s:
             return False
         return self.rate_per_s(replica) > 0
 
@@ -128,21 +130,21 @@
         """Return the remaining warm-up time of each replica that is limited now."""
         return {
             replica.replica_id: math.ceil(
-                1000 * (self._until(self._by_replica[replica.replica_id]) - now)
+                1000 * (self._end_of(self._by_replica[replica.replica_id]) - now)
             )
             for replica in self.limited(now)
         }
 
     def expire(self, now: float) -> None:
-        """Forget the warm-ups that have ended, also for the coordinator."""
+        """Remove the warm-ups that have ended, including the coordinator's margin."""
         for replica_id, warmup in list(self._by_replica.items()):
-            if now >= self._until(warmup) + COORDINATOR_MARGIN_S:
+            if now >= self._end_of(warmup) + COORDINATOR_MARGIN_S:
                 del self._by_replica[replica_id]
                 if replica_id in self._logged:
                     self._logged.discard(replica_id)
                     self._log.write(catalogue.REPLICA_WARM, replica=replica_id)
 
-    def _until(self, warmup: _Warmup) -> float:
+    def _end_of(self, warmup: _Warmup) -> float:
         if warmup.assumed_since is None:
             return warmup.until
         warmup_s = self._warmup_s(warmup.service)
@@ -156,7 +158,7 @@
         warmup_s = 0.0 if service is None else service.warmup_s
         return min(warmup_s, MAX_WARMUP_S) if warmup_s > 0 else 0.0
 
-    # --- what tells or suggests a warm-up ---
+    # --- updates ---
 
     def _on_entry(self, replica: Replica, kind: EntryKind) -> None:
         now = self._clock()
@@ -164,8 +166,8 @@
         removal = self._removed.pop(replica.replica_id, None)
         if replica.warmup_ms > 0:
             self._record_entry(replica, kind, now)
-        elif kind in EXTRA_BY_KIND_S and not self._has_run_on(replica, removal, now):
-            self._assume(replica, EXTRA_BY_KIND_S[kind], kind.value, now)
+        elif kind in EXTRA_WARMUP_S and not self._has_run_on(replica, removal, now):
+            self._assume(replica, EXTRA_WARMUP_S[kind], kind.value, now)
 
     def _on_removal(self, replica: Replica) -> None:
         now = self._clock()
@@ -177,10 +179,10 @@
         self._removed[replica.replica_id] = _Removal(replica, now)
 
     def _has_run_on(self, replica: Replica, removal: _Removal | None, now: float) -> bool:
-        """Whether an entry was removed only because its replica could not write it for a while.
+        """Whether an entry expired because of a store outage while its replica kept running.
 
-        While the store is down, the entries of all replicas may expire. A replica that has
-        restarted meanwhile says so in its entry.
+        The entries of all replicas may expire then. A replica that has restarted meanwhile has
+        another start time in its entry.
         """
         gap = self._directory.last_gap(now)
         if removal is None or gap is None or now - gap.ended_at > RETURN_TIME_S:
@@ -192,7 +194,7 @@
         return is_same and removal.removed_at > gap.began_at
 
     def _record_entry(self, replica: Replica, kind: EntryKind, now: float) -> None:
-        """Apply a remaining time; it ends an assumption that is older than such an entry can be."""
+        """Apply the remaining time of an entry; it ends an assumption older than entries can be."""
         warmup = self._warmup(replica)
         since = warmup.assumed_since
         if since is not None and now - since > ENTRY_INTERVAL_S + ENTRY_DELAY_S:
@@ -216,7 +218,7 @@
                 self._assume(replica, extra_s, "zone_drain_lifted", now)
 
     def apply_remaining(self, remaining_ms: Mapping[str, int], now: float) -> None:
-        """Apply the remaining times that the coordinator knows; they only extend this node's."""
+        """Apply the coordinator's remaining times; they can only extend those of this node."""
         for replica_id, ms in remaining_ms.items():
             replica = self._directory.find(replica_id)
             if replica is None or ms <= 0:
@@ -238,5 +240,5 @@
             catalogue.REPLICA_WARMING,
             replica=replica.replica_id,
             cause=cause,
-            remaining_ms=round(1000 * (self._until(self._by_replica[replica.replica_id]) - now)),
+            remaining_ms=round(1000 * (self._end_of(self._by_replica[replica.replica_id]) - now)),
         )
--- a/src/cloverwalk/gateway/zone_drains.py
+++ b/src/cloverwalk/gateway/zone_drains.py
@@ -1,7 +1,7 @@
-"""The zones that the operator drains, as this node knows them.
+"""The zones that the operator drains, as last known to this node.
 
-A drain binds until a newer state of the store, from the store itself or from another node, says
-that it is lifted. A node that can't confirm its state keeps to what it last knew.
+A drain stays in force until a newer state of the store, read from the store or received from
+another node, no longer contains it. A node that can't confirm its state keeps the last known one.
 """
 
 from collections.abc import Callable, Iterable
--- a/src/cloverwalk/jobs/item_call.py
+++ b/src/cloverwalk/jobs/item_call.py
@@ -88,7 +88,7 @@
             if self.directory.find(replica.replica_id) is None:
                 raise ReplicaError("the replica is draining", False, "draining")
             if self.warmup_gate is not None:
-                # Items get no tokens.
+                # Batch items get no warm-up tokens.
                 self.warmup_gate.check(replica, item_run.item.item_id, None)
             keep_alive_s = await self._exchange(job, item_run, replica, connection, on_output)
             is_released = True
--- a/src/cloverwalk/platform/documents.py
+++ b/src/cloverwalk/platform/documents.py
@@ -35,7 +35,7 @@
 """More than any engine runs at once; keeps sums of slots small."""
 
 MAX_WARMUP_MS = 3_600_000
-"""An hour; no replica warms up for longer."""
+"""One hour; rejects implausible warm-up times."""
 
 MAX_STARTED_MS = 4_102_444_800_000
 """The year 2100; rejects a time in another unit, such as microseconds."""
@@ -109,7 +109,7 @@
 
 
 class _Configuration(Struct):
-    """A configuration; its lists that may be long are decoded in steps."""
+    """A configuration; routes and tenants may be many and are decoded later, in steps."""
 
     version: int
     routes: list[Raw] = []
@@ -216,7 +216,7 @@
 def _decode_entry(
     decoder: "msgspec.json.Decoder[Document]", list_name: str, number: int, raw: Raw
 ) -> Document:
-    """Decode an entry of a list; raise ValueError with the entry, but never with its values."""
+    """Decode an entry of a list; raise ValueError that names the entry but none of its values."""
     try:
         return _decode(decoder, bytes(raw))
     except ValueError as error:
--- a/src/cloverwalk/platform/store_client.py
+++ b/src/cloverwalk/platform/store_client.py
@@ -25,8 +25,8 @@
 READ_TIMEOUT_S = 1.2
 WAIT_MARGIN_S = 0.8
 LONG_READ_TIMEOUT = BodyTimeout(silence_s=0.8, total_s=8.0)
-"""The limits of a body that arrives slowly. A feed call that goes silent before the end of its wait
-ends no later than without them."""
+"""Limits on a body that arrives slowly. The silence limit does not exceed ``WAIT_MARGIN_S``, so a
+feed call whose body stalls during its wait times out no later than without them."""
 
 PAGE_ROWS = 500
 CHARACTERS_PER_STEP = 1_048_576
--- a/src/cloverwalk/scheduling/batch.py
+++ b/src/cloverwalk/scheduling/batch.py
@@ -327,9 +327,9 @@
         def rank(key: str) -> tuple[bool, bool, bool, int, int, str]:
             slowdown = slowdown_of(key, 1.0)
             misfit = (slowdown < FAST_THRESHOLD) != is_due_soon
-            way = distance(node_zone, zones[key])
-            is_far = way is Distance.OTHER_REGION
-            return (slowdown > max_slowdown, is_far, misfit, way, -free_slots[key], key)
+            zone_distance = distance(node_zone, zones[key])
+            is_far = zone_distance is Distance.OTHER_REGION
+            return (slowdown > max_slowdown, is_far, misfit, zone_distance, -free_slots[key], key)
 
         if preferred in open_ids and slowdown_of(preferred, 1.0) <= max_slowdown:
             return preferred
--- a/src/cloverwalk/scheduling/online.py
+++ b/src/cloverwalk/scheduling/online.py
@@ -204,7 +204,7 @@
         demand = self._demand(queued)
         chosen = choose(candidates, demand)
         if chosen is None and self._replicas.has_usable(queued.request.service):
-            # No replica has enough free memory or a warm-up token; like a lack of free slots.
+            # No replica has enough memory or a warm-up token; handled like a lack of free slots.
             return self._queue_without_candidate(queued, may_retry_later, now)
         if chosen is None:
             return self._refuse(
--- a/src/cloverwalk/scheduling/replica_view.py
+++ b/src/cloverwalk/scheduling/replica_view.py
@@ -184,7 +184,7 @@
 
     def candidates(self, node: str, request: PlacementRequest, now: float) -> list[Candidate]:
         """Return the replicas where a request fits, without those it avoids if there are others."""
-        usable = self._without_token_lack(self._directory.usable(request.service), now)
+        usable = self._with_warmup_token_if_needed(self._directory.usable(request.service), now)
         usable = self._reachable_with_free_slot(node, usable, now)
         usable = list(self._memory.with_memory_for_online(self.sample(usable), request.tokens, now))
         fresh = [replica for replica in usable if replica.replica_id not in request.avoid]
@@ -211,8 +211,8 @@
 
     # --- warm-ups ---
 
-    def _without_token_lack(self, replicas: list[Replica], now: float) -> list[Replica]:
-        """Return the replicas without those that are warming up and have no free token."""
+    def _with_warmup_token_if_needed(self, replicas: list[Replica], now: float) -> list[Replica]:
+        """Return the replicas that need no warm-up token or have one available."""
         if not self._warmup_tokens.may_be_needed:
             return replicas
         return [replica for replica in replicas if self._warmup_tokens.may_place(replica, now)]
@@ -224,7 +224,7 @@
     def warmup_wait_ms(self, service: str, queued: int, now: float) -> float | None:
         """Return the expected wait for a warm-up token behind ``queued`` requests.
 
-        None if a replica of the service isn't warming up, so that tokens are not what is lacking.
+        None if a replica of the service isn't warming up, since requests to it need no token.
         """
         usable = self._directory.usable(service)
         if not all(self._warmup_tokens.is_warming(replica, now) for replica in usable):
@@ -281,7 +281,7 @@
     def free_slots(self, replica: Replica, now: float) -> int:
         """Return how many more items have a slot at a replica.
 
-        0 while it is suspected, and while it is warming up: online requests use all of its tokens.
+        0 while it is suspected or warming up, since only online requests get warm-up tokens.
         """
         replica_id = replica.replica_id
         if self._warmup_tokens.is_warming(replica, now):
--- a/src/cloverwalk/scheduling/selection.py
+++ b/src/cloverwalk/scheduling/selection.py
@@ -80,7 +80,7 @@
     """Current slowdown: the factor on the usual service time of the service."""
 
     is_warming: bool = False
-    """Whether the replica is warming up; it then has a free token."""
+    """Whether the replica is warming up; a token is then available."""
 
     is_in_other_region: bool = False
     """Whether it is in another region than the node that sends the request."""
--- a/src/cloverwalk/scheduling/service_times.py
+++ b/src/cloverwalk/scheduling/service_times.py
@@ -61,7 +61,7 @@
 
 
 _INITIAL_TIMES = _RouteTimes()
-"""Times of a route before any measurement; never changed."""
+"""Times of a route before any measurement; must not be modified."""
 
 
 class ServiceTimes:
@@ -96,9 +96,11 @@
         return changed
 
     def _get(self, route: str) -> _RouteTimes:
+        """Return the times of a route for reading."""
         return self._by_route.get(route, _INITIAL_TIMES)
 
     def _of(self, route: str) -> _RouteTimes:
+        """Return the times of a route for an update, creating them if needed."""
         self._changed.add(route)
         times = self._by_route.get(route)
         if times is None:
--- a/src/cloverwalk/scheduling/wait_limits.py
+++ b/src/cloverwalk/scheduling/wait_limits.py
@@ -1,4 +1,4 @@
-"""The longest waits at which requests may join a queue, so that more urgent routes stay in time."""
+"""Limits the waits at which requests may join a queue, so that more urgent routes aren't late."""
 
 import heapq
 import weakref
@@ -24,7 +24,7 @@
 
 
 class _Limit(NamedTuple):
-    """The limit of a measured route; outdated once its times have changed."""
+    """The limit of a measured route, with the values needed to detect that it is outdated."""
 
     limit_ms: float
     allowed_ms: float
@@ -37,7 +37,7 @@
 class _RouteGroup:
     """The lowest limit among the online routes of one service and priority.
 
-    Measured routes are in a heap, in which outdated limits stay until they come to its top.
+    Measured routes are in a heap, from which outdated limits are removed when they reach the top.
     The limit of unmeasured routes depends on their target latency alone.
     """
 
@@ -79,17 +79,17 @@
 
 
 class _GroupTable:
-    """The groups of one version of the configuration that have been asked for."""
+    """The groups of one version of the configuration, created on demand."""
 
     def __init__(self, index: RouteIndex, times: ServiceTimes) -> None:
         self._index = weakref.ref(index)
-        """Weak, so that a replaced configuration is released in steps by its holder."""
+        """Weak, so that the holder of a replaced configuration can release it in steps."""
 
         self._times = times
         self.by_key: dict[_GroupKey, _RouteGroup] = {}
 
-    def is_of(self, index: RouteIndex) -> bool:
-        """Whether the groups are of this version."""
+    def belongs_to(self, index: RouteIndex) -> bool:
+        """Whether the groups were built for this index."""
         return self._index() is index
 
     def update(self, names: Iterable[str]) -> None:
@@ -145,7 +145,7 @@
             yield from table.build(key)
 
     def own_limit_ms(self, route: Route) -> float:
-        """Return the longest wait at which requests of the route itself are in time."""
+        """Return the longest wait at which requests of the route itself meet their target."""
         return max(0.0, _allowed_ms(route) - self._times.first_event_ms(route.name))
 
     def max_wait_ms(self, route: Route, priority: int, index: RouteIndex) -> float:
@@ -170,8 +170,8 @@
         for table in (self._current, self._prepared):
             if table is not None:
                 table.update(changed)
-        if self._current is None or not self._current.is_of(index):
-            is_prepared = self._prepared is not None and self._prepared.is_of(index)
+        if self._current is None or not self._current.belongs_to(index):
+            is_prepared = self._prepared is not None and self._prepared.belongs_to(index)
             self._current = self._prepared if is_prepared else None
             self._prepared = None
         if self._current is None:
--- a/src/cloverwalk/scheduling/warmup_tokens.py
+++ b/src/cloverwalk/scheduling/warmup_tokens.py
@@ -1,4 +1,4 @@
-"""The tokens of replicas that are warming up, as placement sees them."""
+"""Warm-up tokens, as needed to place requests."""
 
 from collections.abc import Iterable
 
@@ -9,7 +9,7 @@
 
 
 class WarmupTokens:
-    """Whether a replica is warming up and whether a request may go there; never without a lease."""
+    """Grants tokens for requests to replicas that are warming up, while the lease allows it."""
 
     def __init__(self, warmups: Warmups | None, bounds: WarmupBounds, features: Features) -> None:
         self._warmups = warmups
@@ -39,13 +39,13 @@
         return self._warmups.is_warming(replica, now, COORDINATOR_MARGIN_S)
 
     def may_place(self, replica: Replica, now: float) -> bool:
-        """Whether a request may be placed at a replica: it is warm or has a free token."""
+        """Whether a request may be placed at a replica: it needs no token, or one is available."""
         if self._warmups is None or not self.is_warming(replica, now):
             return True
         return self._limits.has_token(replica.replica_id, self._warmups.rate_per_s(replica), now)
 
     def tick(self, now: float) -> None:
-        """Let the tokens of all replicas that are warming up accrue, also before a request."""
+        """Keep the limits of replicas that are warming up, so that tokens accrue in advance."""
         if self._warmups is None or not self.may_be_needed:
             return
         for replica in self._warmups.limited(now):
--- a/src/cloverwalk/soak/build_steps.py
+++ b/src/cloverwalk/soak/build_steps.py
@@ -1,4 +1,4 @@
-"""The part of a schedule that replaces nodes by another build, one after the other, and back."""
+"""The part of a schedule that replaces the build of nodes: upgrades and rollbacks."""
 
 import enum
 from random import Random
--- a/src/cloverwalk/soak/check_zone_drains.py
+++ b/src/cloverwalk/soak/check_zone_drains.py
@@ -11,8 +11,9 @@
 class ZoneDrainChecks:
     """Tracks which zones are drained, and since when.
 
-    A run counts if its node, or all nodes for an item, whose node is unknown, were undisturbed as
-    long as the change may take. A request that a replica refuses does not run.
+    A run is checked only if its node was undisturbed for the time that a drain may take to apply.
+    The node of an item is unknown, so all nodes must have been. A request that a replica refuses
+    is not a run.
     """
 
     def __init__(self, disturbances: Disturbances, requests: RequestChecks) -> None:
--- a/src/cloverwalk/soak/draw.py
+++ b/src/cloverwalk/soak/draw.py
@@ -45,7 +45,7 @@
         ActionKind.ROUTE_MOVE,
     )
 )
-"""Kinds that earlier builds are made for; their nodes would break the promises of newer kinds."""
+"""Kinds that earlier builds support; their nodes would violate the guarantees of newer kinds."""
 
 
 def replica_count(nodes: int) -> int:
