--- a/src/cloverwalk/gateway/warmups.py
+++ b/src/cloverwalk/gateway/warmups.py
@@ -166,7 +166,7 @@
         removal = self._removed.pop(replica.replica_id, None)
         if replica.warmup_ms > 0:
             self._record_entry(replica, kind, now)
-        elif kind in EXTRA_WARMUP_S and not self._has_run_on(replica, removal, now):
+        elif kind in EXTRA_WARMUP_S and not self._expired_in_outage(replica, removal, now):
             self._assume(replica, EXTRA_WARMUP_S[kind], kind.value, now)
 
     def _on_removal(self, replica: Replica) -> None:
@@ -178,7 +178,7 @@
         self._removed.pop(replica.replica_id, None)
         self._removed[replica.replica_id] = _Removal(replica, now)
 
-    def _has_run_on(self, replica: Replica, removal: _Removal | None, now: float) -> bool:
+    def _expired_in_outage(self, replica: Replica, removal: _Removal | None, now: float) -> bool:
         """Whether an entry expired because of a store outage while its replica kept running.
 
         The entries of all replicas may expire then. A replica that has restarted meanwhile has
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -1609,7 +1609,7 @@
     Mutant(
         "warm-up: entries that expired in an outage of the store count as restarts",
         "gateway/warmups.py",
-        " and not self._has_run_on(replica, removal, now)",
+        " and not self._expired_in_outage(replica, removal, now)",
         "",
         "tests/unit/test_warmups.py::"
         "test_entry_that_expired_while_the_store_was_down_is_no_restart",
