--- a/tests/builds/earlier.py
+++ b/tests/builds/earlier.py
@@ -1,4 +1,4 @@
-"""Takes earlier builds from this repository's history, and runs them."""
+"""Extracts earlier builds from the repository's history and runs them."""
 
 import io
 import json
@@ -14,13 +14,13 @@
 ROOT = Path(__file__).resolve().parents[2]
 Sample = dict[str, Any]
 RECORD = Path(__file__).with_name("record.py")
-LAST_LANDING = "be91ba6"
-EARLIER_BUILDS = (LAST_LANDING, "1bb0755")
-"""The last two landings; what they send and store must be read, and the other way around."""
+PREVIOUS_BUILD = "be91ba6"
+EARLIER_BUILDS = (PREVIOUS_BUILD, "1bb0755")
+"""Builds with which this build must exchange messages and stored values, the newest first."""
 
 
 def read_samples(commit: str) -> tuple[Sample, list[Sample]]:
-    """Return the samples that a build recorded, after its keys of rows and its fingerprints."""
+    """Return the row keys and fingerprints of a build, and the samples that it recorded."""
     path = RECORD.parent / commit / "samples.jsonl"
     constants, *samples = [json.loads(line) for line in path.read_text("utf-8").splitlines()]
     return constants, samples
@@ -39,9 +39,9 @@
 
 
 def run_record(source: Path, mode: str, samples: list[dict[str, Any]]) -> list[Any]:
-    """Run ``record.py`` on a build with some samples; return what it printed, by line."""
+    """Run ``record.py`` on a build with samples as its input; return its decoded output lines."""
     text = "".join(json.dumps(sample) + "\n" for sample in samples)
-    ended = subprocess.run(
+    completed = subprocess.run(
         [sys.executable, str(RECORD), mode],
         input=text,
         capture_output=True,
@@ -49,5 +49,5 @@
         env={**os.environ, "PYTHONPATH": str(source)},
         check=False,
     )
-    assert ended.returncode == 0, ended.stderr
-    return [json.loads(line) for line in ended.stdout.splitlines()]
+    assert completed.returncode == 0, completed.stderr
+    return [json.loads(line) for line in completed.stdout.splitlines()]
--- a/tests/builds/record.py
+++ b/tests/builds/record.py
@@ -1,11 +1,11 @@
-"""Makes samples of datagrams and stored values, and tells what a build reads in such samples.
+"""Generates samples of datagrams and stored values, and prints what a build decodes from them.
 
-Runs on the build that PYTHONPATH names, this one or an earlier one:
+Imports the build on PYTHONPATH, this one or an earlier one:
 
-    record.py samples          print a sample a line, as JSON
-    record.py read < SAMPLES   print what this build reads in each sample
-    record.py digests < SAMPLES  print this build's digests of replicas and crash records
-    record.py documents < DOCUMENTS  print what this build reads in the platform's documents
+    record.py samples          print row keys and fingerprints, then the samples, as JSON lines
+    record.py read < SAMPLES   print the fields that the build decodes from each sample
+    record.py digests < SAMPLES  print the build's digests of replicas and crash records
+    record.py documents < DOCUMENTS  print what the build decodes from the platform's documents
 """
 
 import enum
@@ -30,7 +30,7 @@
 from cloverwalk.platform.documents import decode_configuration, decode_replica
 from cloverwalk.platform.settings import load_settings
 
-STORED: dict[str, Any] = {
+STORED_TYPES: dict[str, Any] = {
     "configuration": Configuration,
     "crash_record": StoredCrashRecord,
     "item_result": records.ItemResult,
@@ -43,14 +43,14 @@
 """Types of stored values, and of the configuration inside compressed parts."""
 
 DATA_ENCODING = "latin-1"
-"""Messages are JSON or MessagePack; this keeps any bytes as text."""
+"""Represents datagrams as text; maps each byte to one character."""
 
 VARIANTS = (0, 1, 2)
-"""Samples with all fields set differ in the values of their enumerations."""
+"""Variants of a sample with all fields set, which differ in their enumeration members."""
 
 
 class Sampler:
-    """Makes values with all fields set, none of which equals another one."""
+    """Generates values with all fields set, with distinct numbers and strings."""
 
     def __init__(self, variant: int) -> None:
         self._count = 0
@@ -91,21 +91,21 @@
         raise TypeError(f"no sample of {kind}")
 
     def with_defaults(self, kind: Any) -> Any:
-        """Return a value whose fields have their defaults where there are any."""
+        """Return a value in which fields that have a default keep it."""
         if not isinstance(kind, kinds.StructType):
             return self.value(kind)
         needed = [field for field in kind.fields if field.required]
         return kind.cls(**{field.name: self.value(field.type, field.name) for field in needed})
 
 
-def samples() -> Iterator[dict[str, str]]:
+def generate_samples() -> Iterator[dict[str, str]]:
     for message in get_args(messages.Datagram):
         kind = kinds.type_info(message)
-        for variant, value in _values(kind):
+        for variant, value in _sample_values(kind):
             data = messages.encode_datagram(value)
             yield {"kind": str(kind.tag), "variant": variant, "data": data.decode(DATA_ENCODING)}  # type: ignore[attr-defined]
-    for name, stored in STORED.items():
-        for variant, value in _values(kinds.type_info(stored)):
+    for name, stored in STORED_TYPES.items():
+        for variant, value in _sample_values(kinds.type_info(stored)):
             yield {
                 "kind": f"stored:{name}",
                 "variant": variant,
@@ -113,45 +113,48 @@
             }
 
 
-def _values(kind: Any) -> Iterator[tuple[str, Any]]:
+def _sample_values(kind: Any) -> Iterator[tuple[str, Any]]:
     yield "defaults", Sampler(0).with_defaults(kind)
     for variant in VARIANTS:
         yield f"full{variant}", Sampler(variant).value(kind)
 
 
 def decode(sample: dict[str, str]) -> Any:
-    """Return the value of a sample; raise DatagramError if this build does not know its kind."""
+    """Return the value of a sample; raise DatagramError for an unknown kind of message."""
     name = sample["kind"]
     if name.startswith("stored:"):
-        return msgspec.json.decode(sample["data"], type=STORED[name.removeprefix("stored:")])
+        return msgspec.json.decode(sample["data"], type=STORED_TYPES[name.removeprefix("stored:")])
     return messages.decode_datagram(sample["data"].encode(DATA_ENCODING))
 
 
-def named(value: Any) -> Any:
-    """Return a value as JSON with the names of its fields, also of those sent by position."""
+def to_json_value(value: Any) -> Any:
+    """Convert a value to JSON types; structures become dictionaries by field name."""
     if isinstance(value, Struct):
-        return {name: named(getattr(value, name)) for name in value.__struct_fields__}
+        return {name: to_json_value(getattr(value, name)) for name in value.__struct_fields__}
     if attrs.has(type(value)):
-        return {part.name: named(getattr(value, part.name)) for part in attrs.fields(type(value))}
+        return {
+            part.name: to_json_value(getattr(value, part.name))
+            for part in attrs.fields(type(value))
+        }
     if isinstance(value, dict):
-        return {str(key): named(part) for key, part in value.items()}
+        return {str(key): to_json_value(part) for key, part in value.items()}
     if isinstance(value, (list, tuple)):
-        return [named(part) for part in value]
+        return [to_json_value(part) for part in value]
     if isinstance(value, enum.Enum):
         return value.value
     return value.decode("latin-1") if isinstance(value, bytes) else value
 
 
-def read(sample: dict[str, str]) -> dict[str, Any]:
-    """Return the fields of a sample, or the reason why this build refuses it."""
+def decode_to_json(sample: dict[str, str]) -> dict[str, Any]:
+    """Return the fields of a sample, or the reason why the build refuses it."""
     try:
-        return {"fields": named(decode(sample))}
+        return {"fields": to_json_value(decode(sample))}
     except DatagramError as error:
         return {"refused": str(error)}
 
 
 def row_keys() -> dict[str, str]:
-    """Return keys of rows; all builds must look for a row under the same key."""
+    """Return sample row keys, which must be the same in all builds."""
     partial = records.PartialOutput(1, 2, 3, 4, [])
     keys = {
         "job": records.job_key("job-1"),
@@ -163,8 +166,8 @@
     return {name: f"{key.table} {key.part} {key.key}" for name, key in keys.items()}
 
 
-def fingerprints() -> dict[str, int]:
-    """Return fingerprints of lists of one replica, with and without a time of start."""
+def replica_fingerprints() -> dict[str, int]:
+    """Return fingerprints of directories of one replica, with and without its start time."""
     found = {}
     for started_ms in (0, 1_700_000_000_000):
         directory = ReplicaDirectory()
@@ -173,8 +176,8 @@
     return found
 
 
-def digests(sample: dict[str, str]) -> int | None:
-    """Return the digest that nodes compare, of replicas or of crash records."""
+def message_digest(sample: dict[str, str]) -> int | None:
+    """Return the digest of replicas or crash records that nodes compare."""
     message = decode(sample)
     if isinstance(message, DirectoryUpdate):
         directory = ReplicaDirectory()
@@ -188,24 +191,26 @@
     return None
 
 
-def documents(texts: dict[str, str]) -> dict[str, Any]:
-    """Return what this build reads in its settings file and in two documents of the store."""
+def decode_documents(texts: dict[str, str]) -> dict[str, Any]:
+    """Decode a settings file and the two documents of the platform's store."""
     return {
-        "settings": named(load_settings(Path(texts["settings"]))),
-        "configuration": named(decode_configuration(texts["configuration"].encode())),
-        "replica": named(decode_replica("r1", texts["replica"].encode(), 1)),
+        "settings": to_json_value(load_settings(Path(texts["settings"]))),
+        "configuration": to_json_value(decode_configuration(texts["configuration"].encode())),
+        "replica": to_json_value(decode_replica("r1", texts["replica"].encode(), 1)),
     }
 
 
 def main() -> None:
     if sys.argv[1] == "samples":
-        print(json.dumps({"keys": row_keys(), "fingerprints": fingerprints()}))
-        for sample in samples():
-            print(json.dumps({**sample, **read(sample)}))
+        print(json.dumps({"keys": row_keys(), "fingerprints": replica_fingerprints()}))
+        for sample in generate_samples():
+            print(json.dumps({**sample, **decode_to_json(sample)}))
         return
-    call = {"read": read, "digests": digests, "documents": documents}[sys.argv[1]]
+    command = {"read": decode_to_json, "digests": message_digest, "documents": decode_documents}[
+        sys.argv[1]
+    ]
     for line in sys.stdin:
-        print(json.dumps(call(json.loads(line))))
+        print(json.dumps(command(json.loads(line))))
 
 
 if __name__ == "__main__":
--- a/tests/builds/test_configuration_reach.py
+++ b/tests/builds/test_configuration_reach.py
@@ -1,7 +1,7 @@
-"""Configurations in a fleet of two builds, in simulated time.
+"""Distribution of configurations in a fleet of two builds, in simulated time.
 
-Nodes of earlier builds are nodes of this build whose messages are cut to what the earlier build
-knows: unknown kinds are dropped, and messages keep the number of fields of the recorded samples.
+Nodes of earlier builds are emulated by nodes of this build whose messages are truncated to the
+fields of the recorded samples; unknown kinds of messages are dropped.
 """
 
 import json
@@ -26,7 +26,7 @@
 
 
 class EarlierBuild:
-    """What an earlier build keeps of a message, by its recorded samples."""
+    """Truncates messages to the fields in the recorded samples of an earlier build."""
 
     def __init__(self, commit: str) -> None:
         samples = read_samples(commit)[1]
@@ -36,8 +36,8 @@
             for sample in datagrams
         }
 
-    def cut(self, message: Datagram) -> Datagram | None:
-        """Return a message with the fields that the build knows, None if it is of another kind."""
+    def truncate(self, message: Datagram) -> Datagram | None:
+        """Return a message with the fields that the build knows, None if its kind is unknown."""
         fields = json.loads(encode_datagram(message).partition(b":")[2][:-1])
         length = self._lengths.get(fields[0])
         if length is None:
@@ -46,27 +46,27 @@
         return decode_datagram(b"%d:%s," % (len(data), data))
 
 
-def make_earlier(world: ReturningWorld, hosts: set[str], build: EarlierBuild) -> None:
-    """Cut all messages from and to some hosts to what an earlier build sends and reads."""
+def emulate_earlier_build(world: ReturningWorld, hosts: set[str], build: EarlierBuild) -> None:
+    """Truncate all messages from and to these hosts to those of an earlier build."""
 
-    def cutting(host: str, receive: OnDatagram) -> OnDatagram:
-        async def receive_cut(message: Datagram, source: str) -> None:
-            known = build.cut(message) if {host, source} & hosts else message
+    def truncating(host: str, receive: OnDatagram) -> OnDatagram:
+        async def receive_truncated(message: Datagram, source: str) -> None:
+            known = build.truncate(message) if {host, source} & hosts else message
             if known is not None:
                 await receive(known, source)
 
-        return receive_cut
+        return receive_truncated
 
     for host, receive in list(world.wire.receivers.items()):
-        world.wire.receivers[host] = cutting(host, receive)
+        world.wire.receivers[host] = truncating(host, receive)
 
 
 async def start_mixed_fleet(
     time: SimulatedTime, commit: str, is_coordinator_earlier: bool = False
 ) -> tuple[ReturningWorld, set[str]]:
-    """Start a fleet whose coordinator and standbys are of one build, and the others of another.
+    """Start a fleet whose coordinator and standbys run one build, and all other nodes another.
 
-    Return it with the hosts of the others.
+    Return the fleet and the hosts of those other nodes.
     """
     world = ReturningWorld(time, NODES, NODES, 2000.0, 800.0)
     await world.start_all()
@@ -74,7 +74,9 @@
     await curio.sleep(5.0)
     leaders = world.leadership_hosts()
     others = {node.host for node in world.nodes} - leaders
-    make_earlier(world, leaders if is_coordinator_earlier else others, EarlierBuild(commit))
+    emulate_earlier_build(
+        world, leaders if is_coordinator_earlier else others, EarlierBuild(commit)
+    )
     return world, others
 
 
@@ -116,7 +118,7 @@
     in_simulated_time(test)
 
 
-# Guards against a change that a refused coordinator of the last landing can't get from this build.
+# Guards against a refused coordinator of the previous build that gets no changes from this build.
 def test_change_reaches_refused_coordinator_of_last_landing() -> None:
     async def test(time: SimulatedTime) -> None:
         world, others = await start_mixed_fleet(
@@ -131,7 +133,7 @@
     in_simulated_time(test)
 
 
-# Guards against refused nodes that depend on a node of another build for a long configuration.
+# Guards against refused nodes that need a node of another build to get a long configuration.
 def test_long_change_reaches_refused_nodes_of_build_that_knows_parts() -> None:
     async def test(time: SimulatedTime) -> None:
         world, earlier = await start_mixed_fleet(time, EARLIER_BUILDS[0])
@@ -143,7 +145,7 @@
     in_simulated_time(test)
 
 
-# Guards against a node of the build before parts that gets stuck once the store serves it again.
+# Guards against a node of a build without parts that stays outdated when the store serves it again.
 def test_long_change_reaches_build_before_parts_when_store_serves_it() -> None:
     async def test(time: SimulatedTime) -> None:
         world, earlier = await start_mixed_fleet(time, BEFORE_PARTS)
@@ -159,7 +161,7 @@
     in_simulated_time(test)
 
 
-# Guards against limits that stay unknown after a copy from an earlier build, until the next change.
+# Guards against fields that stay unknown after a copy from an earlier build.
 @pytest.mark.parametrize("commit", EARLIER_BUILDS)
 def test_copy_of_earlier_build_is_replaced_by_the_complete_version(commit: str) -> None:
     samples = [s for s in read_samples(commit)[1] if s["kind"] == "configuration"]
--- a/tests/builds/test_earlier_builds.py
+++ b/tests/builds/test_earlier_builds.py
@@ -1,4 +1,4 @@
-"""Earlier builds, taken from the history, read what this build sends and stores."""
+"""Earlier builds decode what this build sends and stores."""
 
 import json
 from pathlib import Path
@@ -68,7 +68,7 @@
     commit, source = build
     lines = run_record(source, "samples", [])
     known_kinds = {sample["kind"] for sample in lines[1:]}
-    samples = list(record.samples())
+    samples = list(record.generate_samples())
     assert known_kinds <= {sample["kind"] for sample in samples}
     answers = run_record(source, "read", samples)
     for sample, answer in zip(samples, answers, strict=True):
@@ -77,17 +77,17 @@
             assert "refused" in answer, path
             continue
         assert "fields" in answer, f"{path}: {answer}"
-        assert_contains(record.read(sample)["fields"], answer["fields"], path)
+        assert_contains(record.decode_to_json(sample)["fields"], answer["fields"], path)
 
 
-# Guards against samples that were edited, or made by another build than their folder's name says.
+# Guards against samples that were edited, or recorded by another build than the folder names.
 def test_recorded_samples_are_those_of_the_commit(build: Build) -> None:
     commit, source = build
     kept = (ROOT / "tests" / "builds" / commit / "samples.jsonl").read_text("utf-8")
     assert run_record(source, "samples", []) == [json.loads(line) for line in kept.splitlines()]
 
 
-# Guards against nodes of two builds that send each other their lists all the time.
+# Guards against nodes of two builds that keep sending each other their lists.
 def test_digests_are_equal_in_both_builds(build: Build) -> None:
     _, source = build
     replicas = [
@@ -103,12 +103,12 @@
     samples = [
         {"kind": "any", "data": encode_datagram(message).decode("latin-1")} for message in messages
     ]
-    digests = [record.digests(sample) for sample in samples]
+    digests = [record.message_digest(sample) for sample in samples]
     assert None not in digests and 0 not in digests
     assert run_record(source, "digests", samples) == digests
 
 
-# Guards against settings or documents of the new parts with which a rollback would not start.
+# Guards against new settings or fields with which an earlier build doesn't start after a rollback.
 def test_earlier_build_reads_settings_and_documents_of_new_parts(
     build: Build, tmp_path: Path
 ) -> None:
@@ -128,4 +128,4 @@
         "replica": json.dumps(entry),
     }
     (earlier,) = run_record(source, "documents", [texts])
-    assert_contains(record.documents(texts), earlier, commit)
+    assert_contains(record.decode_documents(texts), earlier, commit)
--- a/tests/builds/test_recorded_samples.py
+++ b/tests/builds/test_recorded_samples.py
@@ -1,4 +1,4 @@
-"""Messages and stored values that earlier builds made mean the same to this build."""
+"""Messages and stored values of earlier builds keep their meaning in this build."""
 
 from typing import Any
 
@@ -20,7 +20,7 @@
 
 
 def compare(value: Any, recorded: Any, path: str) -> None:
-    """Compare a decoded value with the recorded one; fields that came later must be unknown."""
+    """Compare a decoded value with the recorded one; fields added later must be empty."""
     if isinstance(value, Struct):
         for name in value.__struct_fields__:
             part = getattr(value, name)
@@ -38,10 +38,10 @@
         for key, part in value.items():
             compare(part, recorded[key], f"{path}[{key}]")
     else:
-        assert record.named(value) == recorded, path
+        assert record.to_json_value(value) == recorded, path
 
 
-# Guards against a field that was moved, removed or given another meaning, in a message or a row.
+# Guards against a field of a message or row that was moved, removed or redefined.
 @pytest.mark.parametrize("commit", EARLIER_BUILDS)
 def test_samples_of_earlier_builds_mean_the_same(commit: str) -> None:
     _, samples = read_samples(commit)
@@ -50,13 +50,13 @@
         compare(record.decode(sample), sample["fields"], f"{commit} {sample['kind']}")
 
 
-# Guards against a row that a build of the other kind doesn't find.
+# Guards against a row that is stored under another key than in an earlier build.
 @pytest.mark.parametrize("commit", EARLIER_BUILDS)
 def test_keys_of_rows_are_the_same(commit: str) -> None:
     assert record.row_keys() == read_samples(commit)[0]["keys"]
 
 
-# Guards against nodes of two builds that send each other their replica lists all the time.
+# Guards against nodes of two builds that keep sending each other their replica lists.
 @pytest.mark.parametrize("commit", EARLIER_BUILDS)
 @pytest.mark.parametrize("warmup_ms", [0, 2500])
 def test_fingerprint_does_not_depend_on_warmups(commit: str, warmup_ms: int) -> None:
@@ -68,7 +68,7 @@
         assert directory.fingerprint == fingerprint
 
 
-# Guards against samples that would not show a value which earlier builds refuse.
+# Guards against samples that lack an enumeration member, and so don't test its decoding.
 @pytest.mark.parametrize("commit", EARLIER_BUILDS)
 def test_samples_contain_each_value_of_each_enumeration(commit: str) -> None:
     text = "".join(sample["data"] for sample in read_samples(commit)[1])
@@ -77,16 +77,16 @@
             assert f'"{member.value}"' in text, member
 
 
-# Guards against a kind of message or of row that was dropped while earlier builds still send it.
+# Guards against the removal of a kind of message or row that earlier builds still use.
 @pytest.mark.parametrize("commit", EARLIER_BUILDS)
 def test_all_recorded_kinds_are_still_known(commit: str) -> None:
     kinds = {sample["kind"] for sample in read_samples(commit)[1]}
-    stored = {f"stored:{name}" for name in record.STORED}
+    stored = {f"stored:{name}" for name in record.STORED_TYPES}
     assert kinds <= MESSAGE_KINDS | stored
     assert stored <= kinds
 
 
-# Guards against a crash on messages that were cut, or that a newer build sends.
+# Guards against a crash on truncated messages and on messages of a newer build.
 def test_damaged_and_unknown_messages_are_refused() -> None:
     _, samples = read_samples(EARLIER_BUILDS[0])
     datagrams = [s["data"].encode() for s in samples if not s["kind"].startswith("stored:")]
--- a/tests/builds/test_refused_messages.py
+++ b/tests/builds/test_refused_messages.py
@@ -20,7 +20,7 @@
 }
 
 
-# Guards against a newer build's messages that stop a node's receiver, or vanish without a trace.
+# Guards against messages of a newer build that stop the receiver or are dropped unnoticed.
 def test_refused_messages_are_dropped_logged_and_counted() -> None:
     async def main() -> None:
         read_end, write_end = os.pipe()
@@ -52,7 +52,7 @@
     curio.run(main)
 
 
-# Guards against a counter that no node shows.
+# Guards against a counter that isn't connected to the metrics of a node.
 def test_nodes_count_refused_messages_in_their_metrics() -> None:
     async def test(time: SimulatedTime) -> None:
         world = ReturningWorld(time, 1, 1, 2000.0, 800.0)
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -1454,7 +1454,7 @@
         + "test_the_coordinator_sends_a_drain_to_all_nodes_in_the_tick_after_it_learned_of_it",
     ),
     Mutant(
-        "zone drains: queued requests of a drained service wait on",
+        "zone drains: queued requests of a drained service keep waiting",
         "scheduling/online.py",
         "            self._refuse_without_replica(now)",
         "            pass",
@@ -1468,7 +1468,7 @@
         "tests/unit/test_route_index.py::test_index_finds_the_same_routes_as_a_walk",
     ),
     Mutant(
-        "configuration: limits of waits go by outdated service times",
+        "configuration: wait limits use outdated service times",
         "scheduling/wait_limits.py",
         "        while measured and not measured[0].is_current(self._times):",
         "        while False:",
@@ -1476,7 +1476,7 @@
         "test_wait_limits_follow_times_and_configurations_as_a_walk",
     ),
     Mutant(
-        "configuration: times that change while limits are prepared are missed",
+        "configuration: prepared wait limits miss changed service times",
         "scheduling/wait_limits.py",
         "        for table in (self._current, self._prepared):",
         "        for table in (self._current,):",
@@ -1484,14 +1484,14 @@
         "test_limits_prepared_for_the_next_version_are_those_of_a_walk",
     ),
     Mutant(
-        "configuration: a long version is decoded without turns of other tasks",
+        "configuration: decoding a long version blocks other tasks",
         "gateway/steps.py",
         "        await curio.sleep(0)",
         "        pass",
         "tests/serving/test_configuration_swap.py::test_other_tasks_run_while_a_long_version_is_taken",
     ),
     Mutant(
-        "configuration: a long read that makes progress is begun anew",
+        "configuration: a long read that makes progress is restarted",
         "http/client.py",
         "            deadline = max(deadline, await curio.clock() + silence_s)",
         "            deadline = min(deadline, last_deadline)",
@@ -1548,7 +1548,7 @@
         SAMPLES + "test_fingerprint_does_not_depend_on_warmups",
     ),
     Mutant(
-        "builds: a copy from an earlier build keeps its gaps",
+        "builds: an incomplete copy from an earlier build isn't replaced",
         "gateway/configuration.py",
         "        if configuration.format <= current.format:",
         "        if configuration.format >= current.format:",
@@ -1571,7 +1571,7 @@
         "::test_refused_messages_are_dropped_logged_and_counted",
     ),
     Mutant(
-        "sources: a status confirms as of its arrival",
+        "sources: a status confirms at the time of its arrival",
         "fleet/configuration_subscription.py",
         "        confirmed_at = sent_at - max(0, status.age_ms) / 1000",
         "        confirmed_at = now",
@@ -1592,7 +1592,7 @@
         SOURCES + "test_version_arrives_in_spite_of_faulty_parts",
     ),
     Mutant(
-        "sources: a reader whose calls fail does not say so",
+        "sources: a reader whose calls fail doesn't report it",
         "fleet/configuration_subscription.py",
         "            return self._identity.node, LOST_READER_AGE_MS if is_failing else 0",
         "            return self._identity.node, 0",
--- a/tests/route_walk.py
+++ b/tests/route_walk.py
@@ -1,4 +1,4 @@
-"""Lookups by a walk over all routes: the reference for the index and the limits of waits."""
+"""Reference implementations of route lookups and wait limits that scan all routes."""
 
 from collections.abc import Sequence
 
--- a/tests/serving/fleet_world.py
+++ b/tests/serving/fleet_world.py
@@ -121,11 +121,11 @@
         """Memory of each node's machine; 0 if it is not scarce."""
 
         self.configuration_apply_s = 60.0
-        self.region_by_zone: dict[str, str] = {}
-        """With zones here, nodes are in these by turns; else all are in zone z1."""
-
         """Long, so that delays on a busy machine do not leave the configuration unconfirmed."""
 
+        self.region_by_zone: dict[str, str] = {}
+        """Zones to which nodes are assigned in turn; if empty, all nodes are in zone z1."""
+
     async def start(self, replicas: int = 2, nodes: int = 1, **replica_options: Any) -> None:
         await self.spawn(self.store.run)
         self.store.put(names.OPERATOR_TABLE, names.CONFIGURATION_KEY, configuration(1))
--- a/tests/serving/returning_world.py
+++ b/tests/serving/returning_world.py
@@ -230,9 +230,9 @@
 
 
 class Regions:
-    """Which nodes and zones are in which region, and the links between the regions.
+    """Maps hosts and zones to regions, and models the links between the regions.
 
-    The store is in the first region. Calls of the store and datagrams share the links.
+    The store is in the first region. Store calls and datagrams share the links.
     """
 
     def __init__(self, names: tuple[str, ...] = (), delay_s: float = 0.03) -> None:
@@ -242,7 +242,7 @@
             (source, target): Link(LINK_BYTES_PER_S) for source in names for target in names
         }
         self.bytes_between: Counter[str] = Counter()
-        """Bytes between regions by kind of message."""
+        """Bytes sent between regions, by kind of message."""
 
         self.is_cut = False
 
@@ -254,7 +254,7 @@
         return [f"{region}-{zone}" for zone in ZONES]
 
     def of(self, host: str) -> str:
-        """Return the region of a host; the store has no number."""
+        """Return the region of a host; the store, which has no number, is in the first one."""
         number = int(host[1:]) if host[1:].isdigit() else 0
         return self.names[number % len(self.names)] if self.names else ""
 
@@ -268,7 +268,7 @@
     def transit_time_s(
         self, source: str, target: str, size: int, kind: str, now: float
     ) -> float | None:
-        """Return the time of a message between two hosts; None if the link is cut."""
+        """Return the transit time of a message between two hosts; None if the link is cut."""
         ends = self.of(source), self.of(target)
         if ends[0] == ends[1]:
             return DATAGRAM_TIME_S
@@ -300,7 +300,7 @@
         kind = "store op" if f"table={names.OPERATOR_TABLE}" in path else "store"
         try:
             async with curio.timeout_after(timeout_s):
-                await self._cross(self._host, STORE_HOST, len(path) + len(body), kind)
+                await self._transit(self._host, STORE_HOST, len(path) + len(body), kind)
                 response = await self._store.serve(self._host, method, path, body)
             limit_s = timeout_s if body_timeout is None else body_timeout.total_s
             remaining_s = began_at + limit_s - self._store.time.now
@@ -311,11 +311,11 @@
         return response
 
     async def _receive(self, response: HttpResponse, kind: str) -> None:
-        await self._cross(STORE_HOST, self._host, len(response.body), kind)
+        await self._transit(STORE_HOST, self._host, len(response.body), kind)
         await curio.sleep(self._link.transmit_time_s(len(response.body), self._store.time.now))
 
-    async def _cross(self, source: str, target: str, size: int, kind: str) -> None:
-        """Pass the link between the regions if there is one on the way."""
+    async def _transit(self, source: str, target: str, size: int, kind: str) -> None:
+        """Wait for the transit between the regions of two hosts, if these differ."""
         if self._regions.of(source) == self._regions.of(target):
             return
         size += HTTP_HEADER_BYTES
@@ -334,12 +334,12 @@
         self._time = time
         self.regions = regions
         self.in_transit: list[tuple[float, str, str, bytes]] = []
-        self.held_hosts: dict[str, list[tuple[str, bytes]]] = {}
-        """Datagrams for hosts whose nodes are frozen; these nodes send nothing."""
+        self.held_datagrams: dict[str, list[tuple[str, bytes]]] = {}
+        """Pending datagrams by frozen host; frozen hosts send nothing."""
 
         self.cut_hosts: set[str] = set()
         self.alter: Callable[[Datagram], list[Datagram]] = lambda message: [message]
-        """Returns what arrives of a message: nothing, a copy, another one."""
+        """Returns the messages that are delivered instead of a sent one."""
 
         self.jitter_s: Callable[[], float] = lambda: 0.0
         """Returns an additional transit time of a datagram."""
@@ -360,18 +360,18 @@
                 await self.deliver(source, host, data)
 
     async def deliver(self, source: str, host: str, data: bytes) -> None:
-        """Pass a datagram to its receiver, or keep it while that one is frozen."""
+        """Pass a datagram to its receiver, or hold it while the receiver is frozen."""
         receiver = self.receivers.get(host)
-        if host in self.held_hosts:
-            self.held_hosts[host].append((source, data))
+        if host in self.held_datagrams:
+            self.held_datagrams[host].append((source, data))
         elif receiver is not None:
             for message in self.alter(decode_datagram(data)):
                 await receiver(message, source)
 
     def carry(self, source: str, host: str, data: bytes, kind: str) -> None:
-        """Send a datagram on its way."""
+        """Schedule the delivery of a datagram, unless its source or target is cut off or frozen."""
         now = self._time.now
-        if {source, host} & self.cut_hosts and source != host or source in self.held_hosts:
+        if {source, host} & self.cut_hosts and source != host or source in self.held_datagrams:
             return
         transit_s = self.regions.transit_time_s(source, host, len(data), kind, now)
         if transit_s is not None:
@@ -438,7 +438,7 @@
         log = ServingLog(self.name, time, world.log_descriptor)
         self.startup = StartupLog(log, time, time.now)
         self.fleet_state = FleetState(adapter, log, time, self.startup)
-        self._record_drains()
+        self._confirm_drains_with_pages()
         self.health = StoreHealth(Clock(time))
         client = PlatformStore("store:1")
         client._pool = StorePool(world.store, self.host, world.regions)  # type: ignore[assignment]
@@ -479,8 +479,8 @@
         self._store_probe = StoreProbe(self.store, self.health, self.fleet)
         self._tasks: list[Any] = []
 
-    def _record_drains(self) -> None:
-        """Let the node know that no zone is drained once it has read the operator's table."""
+    def _confirm_drains_with_pages(self) -> None:
+        """Confirm the known zone drains whenever the node has applied a page."""
         state = self.fleet_state
         apply_configuration = state.on_configuration
 
--- a/tests/serving/test_configuration_sources.py
+++ b/tests/serving/test_configuration_sources.py
@@ -1,4 +1,4 @@
-"""Nodes of two regions get the configuration from few nodes that read it, in simulated time."""
+"""Few nodes of two regions read the configuration; the others poll them, in simulated time."""
 
 from collections.abc import Awaitable, Callable, Iterator
 from random import Random
@@ -39,12 +39,12 @@
 ROUTES = 400
 APPLY_S = 4.0
 START_TIMEOUT_S = 30.0
-LEFT_WITHIN_S = 1.0
-"""A lost source is left within this simulated time."""
+SOURCE_SWITCH_TIMEOUT_S = 1.0
+"""Simulated time within which nodes stop polling a lost source."""
 
 SETTLE_S = 6.0
 PART_BYTES = 2000
-"""Small, so that the configuration has several parts."""
+"""Small enough that the configuration has several parts."""
 
 FULL_READ = f"{names.READ_PATH} {names.OPERATOR_TABLE}"
 
@@ -62,7 +62,7 @@
 
 
 class SourcesWorld:
-    """A started fleet of two regions, and what tests do to it."""
+    """A running fleet in two regions, with operations and counters for the tests."""
 
     def __init__(self, time: SimulatedTime, nodes: int = NODES) -> None:
         self.time = time
@@ -95,7 +95,7 @@
         return self._version
 
     async def wait_for_change(self, without: ReturningNode | None = None) -> float:
-        """Change the configuration; return the time until all nodes have it, within the limit."""
+        """Change the configuration; return the time until all nodes have applied it."""
         version = await self.change()
         return await self.world.wait_until(
             lambda node: node is without or node.fleet_state.configuration.version == version,
@@ -105,8 +105,8 @@
     def readers(self) -> list[str]:
         return [node.name for node in self.world.nodes if reads_store(node)]
 
-    def crossed_bodies(self) -> float:
-        """Return how often the compressed body has crossed between the regions."""
+    def body_transfers(self) -> float:
+        """Return how many compressed bodies the parts sent between the regions amount to."""
         current = self.world.nodes[0].fleet_state.configuration.current
         assert current is not None
         body = len(run_steps(encode_copy(current)))
@@ -135,7 +135,7 @@
     in_simulated_time(run)
 
 
-# Guards against a configuration that each node of a region reads over the link between regions.
+# Guards against each node of a region reading the configuration over the link between regions.
 @pytest.mark.parametrize("nodes", [NODES, 60])
 def test_change_reaches_both_regions_and_crosses_between_them_once(nodes: int) -> None:
     async def test(world: SourcesWorld) -> None:
@@ -143,7 +143,7 @@
             world.regions.bytes_between.clear()
             await world.wait_for_change()
             assert len(world.readers()) == 1
-            assert 1.0 <= world.crossed_bodies() < 1.2
+            assert 1.0 <= world.body_transfers() < 1.2
         assert world.world.store.calls[FULL_READ] == 0
         await curio.sleep(5.0)
         assert max(world.ages_ms()) < APPLY_S * 1000 / 2
@@ -151,7 +151,7 @@
     in_sources_world(test, nodes)
 
 
-# Guards against a zone drain that takes a poll interval for each node on its way.
+# Guards against a zone drain that is delayed by a poll interval at each hop.
 def test_zone_drain_is_passed_on_at_once() -> None:
     async def test(world: SourcesWorld) -> None:
         drains = world.source("near").fleet_state.zone_drains
@@ -173,25 +173,25 @@
 
 
 async def freeze(world: SourcesWorld, node: ReturningNode) -> None:
-    world.world.wire.held_hosts[node.host] = []
+    world.world.wire.held_datagrams[node.host] = []
     world.world.store.refuses = lambda host: NO_ANSWER if host == node.host else None
 
 
-TROUBLES = {"kill": kill, "cut_off": cut_off, "freeze": freeze}
+FAILURES = {"kill": kill, "cut_off": cut_off, "freeze": freeze}
 
 
-# Guards against a region that waits for a source that is gone, and against a storm of reads.
+# Guards against a region that waits for a lost source, and against a burst of full reads.
 @pytest.mark.parametrize("kind", ["primary", "spare"])
 @pytest.mark.parametrize("region", ["near", "far"])
-@pytest.mark.parametrize("trouble", sorted(TROUBLES))
+@pytest.mark.parametrize("failure", sorted(FAILURES))
 def test_lost_source_is_replaced_without_a_second_full_read(
-    trouble: str, region: str, kind: str
+    failure: str, region: str, kind: str
 ) -> None:
     async def test(world: SourcesWorld) -> None:
         lost = world.source(region, kind)
-        await TROUBLES[trouble](world, lost)
+        await FAILURES[failure](world, lost)
         await world.world.wait_until(
-            lambda node: node is lost or polled_node(node) != lost.name, LEFT_WITHIN_S
+            lambda node: node is lost or polled_node(node) != lost.name, SOURCE_SWITCH_TIMEOUT_S
         )
         for _ in range(3):
             await world.wait_for_change(without=lost)
@@ -204,7 +204,7 @@
     in_sources_world(test)
 
 
-# Guards against pollers that stay with a reader that the store refuses.
+# Guards against nodes that keep polling a reader that the store refuses.
 @pytest.mark.parametrize("refusal", [429, 503, RESET, NO_ANSWER])
 def test_reader_that_the_store_refuses_is_left_and_polls_itself(refusal: int) -> None:
     async def test(world: SourcesWorld) -> None:
@@ -220,7 +220,7 @@
     in_sources_world(test)
 
 
-# Guards against a refused reader that is left only because the coordinator has replaced it.
+# Guards against nodes that poll a refused reader until the coordinator replaces it.
 def test_reader_that_the_store_refuses_tells_its_pollers_to_leave() -> None:
     async def test(world: SourcesWorld) -> None:
         refused = world.source("near")
@@ -247,7 +247,7 @@
     in_sources_world(test)
 
 
-# Guards against a coordinator that needs the store to have the configuration.
+# Guards against a coordinator that gets the configuration only from the store.
 def test_coordinator_that_the_store_refuses_gets_changes_from_its_sources() -> None:
     async def test(world: SourcesWorld) -> None:
         refused = world.coordinator.host
@@ -259,8 +259,8 @@
     in_sources_world(test)
 
 
-# Guards against a region that confirms its version by itself while it is cut off, and against
-# reads of the whole body by all its nodes when it is back.
+# Guards against a region that confirms its version while it is cut off, and against a full read
+# by each of its nodes after it is reconnected.
 def test_region_that_was_cut_off_does_not_confirm_and_catches_up() -> None:
     async def test(world: SourcesWorld) -> None:
         world.regions.is_cut = True
@@ -277,7 +277,7 @@
         await world.world.wait_until(
             lambda node: node.fleet_state.configuration.version == version, APPLY_S
         )
-        assert world.crossed_bodies() < 4.0
+        assert world.body_transfers() < 4.0
         await curio.sleep(SETTLE_S)
         assert len(world.readers()) == 1
 
@@ -308,7 +308,7 @@
     return [msgspec.structs.replace(message, parts=message.parts + 1)]
 
 
-# Guards against a version that never arrives because of what the network does to its parts.
+# Guards against a version that never arrives because its parts are lost or damaged.
 @pytest.mark.parametrize("fault", [lose, double, corrupt, of_another_version, with_another_count])
 def test_version_arrives_in_spite_of_faulty_parts(fault: Callable[..., list[Datagram]]) -> None:
     async def test(world: SourcesWorld) -> None:
@@ -324,7 +324,7 @@
     in_sources_world(test)
 
 
-# Guards against messages that work only if they arrive in the order in which they were sent.
+# Guards against dependence on the order in which messages arrive.
 def test_version_arrives_in_spite_of_messages_out_of_order() -> None:
     async def test(world: SourcesWorld) -> None:
         random = Random(1)
@@ -335,7 +335,7 @@
     in_sources_world(test)
 
 
-# Guards against a starting node that reads what its neighbours have.
+# Guards against full reads by a starting node whose sources have the configuration.
 def test_starting_nodes_get_the_version_from_their_sources() -> None:
     async def test(world: SourcesWorld) -> None:
         await world.wait_for_change()
@@ -356,7 +356,7 @@
     in_sources_world(test)
 
 
-# Guards against a storm of full reads when all nodes start at the same time.
+# Guards against a burst of full reads when all nodes start at the same time.
 def test_few_nodes_read_the_store_when_all_start_at_once() -> None:
     async def test(world: SourcesWorld) -> None:
         await world.wait_for_change()
@@ -369,7 +369,7 @@
     in_sources_world(test)
 
 
-# Guards against nodes of an earlier build that lose the copies of the coordinator.
+# Guards against nodes of an earlier build that get no copies from the coordinator.
 def test_node_that_does_not_poll_goes_on_as_before() -> None:
     async def test(world: SourcesWorld) -> None:
         sources = [world.source(region) for region in ("near", "far")]
@@ -386,7 +386,7 @@
     in_sources_world(test)
 
 
-# Guards against a node that waits for a list although no coordinator can be found.
+# Guards against a node that waits for a list of sources although there is no coordinator.
 def test_nodes_without_a_coordinator_read_the_store_after_a_delay() -> None:
     async def run(time: SimulatedTime) -> None:
         world = SourcesWorld(time, 4)
@@ -397,7 +397,7 @@
     in_simulated_time(run)
 
 
-# Guards against a confirmation by messages that were held up on their way or in a frozen machine.
+# Guards against a confirmation by messages that were delayed in transit or at a frozen node.
 def test_held_up_messages_confirm_no_version_after_its_successor() -> None:
     async def test(world: SourcesWorld) -> None:
         node = next(node for node in world.world.nodes if not reads_store(node))
@@ -433,7 +433,7 @@
     in_sources_world(test)
 
 
-# Guards against invalid messages of pollers and sources that end a node's work.
+# Guards against invalid messages of pollers and sources that stop a node.
 @pytest.mark.parametrize(
     "message",
     [
@@ -457,7 +457,7 @@
     in_sources_world(test, 6)
 
 
-# Guards against parts that work only with simulated sockets.
+# Guards against a transfer of parts that works only with simulated sockets.
 def test_change_reaches_nodes_with_sockets() -> None:
     async def test(world: FleetWorld) -> None:
         world.region_by_zone = {"z1": "near", "z2": "far"}
@@ -482,7 +482,7 @@
 
 
 def registry_of(*reports: tuple[str, str, dict[str, Any]]) -> NodeRegistry:
-    """Return a registry with nodes: name, zone, other fields of the report."""
+    """Return a registry of nodes, each given by its name, zone and other fields of its report."""
     registry = NodeRegistry()
     for name, zone, fields in reports:
         known = {"configuration_age_ms": 100, "polls_configuration": True, **fields}
@@ -499,7 +499,7 @@
     return sources
 
 
-# Guards against sources that change without a reason, and against bad ones that are kept.
+# Guards against sources that change needlessly, and against keeping an unfit source.
 @pytest.mark.parametrize(
     ("fields", "is_kept"),
     [
--- a/tests/serving/test_configuration_swap.py
+++ b/tests/serving/test_configuration_swap.py
@@ -1,4 +1,4 @@
-"""A node takes a long configuration in steps while it goes on with other work."""
+"""A node decodes and applies a long configuration in steps, between which other tasks run."""
 
 import gc
 import json
@@ -50,7 +50,7 @@
     return ConfigurationCopy(decode_configuration(raw), 0)
 
 
-# Guards against an older version that replaces a newer one which arrived while it was decoded.
+# Guards against an older version that replaces a newer one received during its decoding.
 @pytest.mark.parametrize(("decoded", "copied"), [(8, 9), (9, 8)])
 def test_newest_version_stays_when_another_arrives_during_decoding(
     decoded: int, copied: int
@@ -66,7 +66,7 @@
     in_node(test)
 
 
-# Guards against an invalid entry late in a long version that leaves a part of it in force.
+# Guards against a partly applied version if an entry near its end is invalid.
 def test_version_in_force_stays_when_decoding_fails_halfway() -> None:
     async def test(state: FleetState, time: SimulatedTime) -> None:
         state.apply_configuration_copy(copy(7), "peer")
@@ -82,7 +82,7 @@
     in_node(test)
 
 
-# Guards against a long version that keeps other tasks from running while it is taken.
+# Guards against a long version that blocks other tasks while it is applied.
 def test_other_tasks_run_while_a_long_version_is_taken() -> None:
     async def test(state: FleetState, time: SimulatedTime) -> None:
         turns = 0
@@ -117,7 +117,7 @@
     in_node(test)
 
 
-# Guards against a version that is in force before what is needed from it has been built.
+# Guards against applying a version before its preparations have run.
 def test_version_is_prepared_before_it_is_in_force() -> None:
     async def test(state: FleetState, time: SimulatedTime) -> None:
         versions: list[tuple[int, int]] = []
--- a/tests/serving/test_follower.py
+++ b/tests/serving/test_follower.py
@@ -82,8 +82,8 @@
     curio.run(test)
 
 
-# Guards against a full read of rows that another node has sent, and against changes that are
-# followed from a version whose history is lost.
+# Guards against a needless full read after another node has sent the rows, and against following
+# the changes after a version whose history is lost.
 def test_rows_of_another_node_spare_a_full_read_unless_history_is_lost() -> None:
     async def test() -> None:
         store = ScriptedStore([page(9)], [page(7), HistoryLostError("compacted"), page(10)])
--- a/tests/serving/test_promises.py
+++ b/tests/serving/test_promises.py
@@ -115,7 +115,7 @@
 
     @property
     def reports(self) -> "ScriptedCoordinatorClient":
-        """Return this object, which takes timings as well."""
+        """Return this object, which also records the timings."""
         return self
 
     def record_request_timing(self, served: RequestTiming) -> None:
--- a/tests/serving/test_region_choice.py
+++ b/tests/serving/test_region_choice.py
@@ -1,4 +1,4 @@
-"""Work stays in its region while a replica there can serve it soon."""
+"""Placement prefers replicas in the region of the requesting node."""
 
 import pytest
 from test_scheduler import SLOTS, Fleet
@@ -8,32 +8,32 @@
 REGION_BY_ZONE = {"z1": "near", "z2": "far"}
 
 
-def sent_to(fleet: Fleet, number: int) -> str:
+def placed_replica(fleet: Fleet, number: int) -> str:
     return fleet.nodes[0].placements[number].replica_id
 
 
 # Guards against requests that cross between regions for a slightly less loaded replica.
 def test_request_stays_in_region_while_it_has_a_free_slot() -> None:
     fleet = Fleet(replicas=2, zones=2, region_by_zone=REGION_BY_ZONE)
-    chosen = {sent_to(fleet, fleet.request_placement(0)) for _ in range(SLOTS // 2 + 1)}
+    chosen = {placed_replica(fleet, fleet.request_placement(0)) for _ in range(SLOTS // 2 + 1)}
     assert chosen == {"r0"}
 
 
 # Guards against requests that leave their region while it has a free slot.
 def test_request_leaves_region_only_when_all_its_slots_are_taken() -> None:
     fleet = Fleet(replicas=2, zones=2, region_by_zone=REGION_BY_ZONE)
-    chosen = [sent_to(fleet, fleet.request_placement(0)) for _ in range(SLOTS + 1)]
+    chosen = [placed_replica(fleet, fleet.request_placement(0)) for _ in range(SLOTS + 1)]
     assert chosen == ["r0"] * SLOTS + ["r1"]
 
 
 # Guards against requests that queue in a full region while another region is idle.
 def test_request_leaves_full_region() -> None:
     fleet = Fleet(replicas=2, zones=2, region_by_zone=REGION_BY_ZONE)
-    chosen = [sent_to(fleet, fleet.request_placement(0)) for _ in range(SLOTS + 2)]
+    chosen = [placed_replica(fleet, fleet.request_placement(0)) for _ in range(SLOTS + 2)]
     assert chosen[0] == "r0" and chosen[-1] == "r1"
 
 
-# Guards against items that go to another region while a replica of theirs has a free slot.
+# Guards against items that leave their region while a replica in it has a free slot.
 def test_items_start_in_their_region_first() -> None:
     fleet = Fleet(replicas=6, zones=3, region_by_zone={"z1": "near", "z2": "far", "z3": "near"})
     fleet.nodes[0].online = {"r0": SLOTS, "r3": SLOTS, "r2": 4, "r5": 4}
@@ -42,7 +42,7 @@
     assert set(fleet.nodes[0].batch) <= {"r2", "r5"} and fleet.nodes[0].batch
 
 
-# Guards against items that go to another region to leave fast replicas of their own free.
+# Guards against items that leave their region only to keep its fast replicas free.
 @pytest.mark.parametrize(("near", "far", "expected"), [(0.5, 1.0, "r0"), (9.0, 1.0, "r1")])
 def test_items_leave_their_region_for_pace_only_if_late(
     near: float, far: float, expected: str
@@ -61,5 +61,7 @@
         Fleet(replicas=4, zones=2, region_by_zone=regions)
         for regions in (None, {"z1": "near", "z2": "near"})
     ]
-    chosen = [[sent_to(fleet, fleet.request_placement(0)) for _ in range(20)] for fleet in fleets]
+    chosen = [
+        [placed_replica(fleet, fleet.request_placement(0)) for _ in range(20)] for fleet in fleets
+    ]
     assert chosen[0] == chosen[1]
--- a/tests/serving/test_slow_reads.py
+++ b/tests/serving/test_slow_reads.py
@@ -1,4 +1,4 @@
-"""Reads of long bodies over slow links, and of bodies that stop."""
+"""Reads of long bodies over slow links, and of bodies that stall."""
 
 import curio
 import pytest
@@ -50,8 +50,8 @@
         self.is_closed = True
 
 
-class PartedConnection(SlowConnection):
-    """Uses the reads of a real connection, with its parts from a script."""
+class ScriptedBodyConnection(SlowConnection):
+    """Reads the body as a real connection does, in parts with scripted delays."""
 
     read_slow_body = ClientConnection.read_slow_body
 
@@ -63,7 +63,7 @@
 
 
 class SharedLink:
-    """Transmits parts of all readers at equal rates."""
+    """Shares its bandwidth equally among all readers."""
 
     def __init__(self, bytes_per_s: float) -> None:
         self._bytes_per_s = bytes_per_s
@@ -75,8 +75,8 @@
         self._readers -= 1
 
 
-class SharedConnection(PartedConnection):
-    """Receives an answer of a number of parts over a shared link."""
+class SharedLinkConnection(ScriptedBodyConnection):
+    """Receives an answer in parts over a shared link."""
 
     def __init__(self, link: SharedLink, parts: int) -> None:
         super().__init__(0.06, parts * [0.0])
@@ -95,10 +95,10 @@
     return store
 
 
-# Guards against a long read that makes progress and is begun anew.
+# Guards against restarting a long read that makes progress.
 def test_read_that_makes_progress_is_not_ended_by_the_limit_of_a_call() -> None:
     async def test(time: SimulatedTime) -> None:
-        store = store_with(PartedConnection(0.5, 9 * [0.7]))
+        store = store_with(ScriptedBodyConnection(0.5, 9 * [0.7]))
         page = await store.read_table("op")
         assert page.rows[0].value == b"abc"
         assert time.now > 1000 + 5 * READ_TIMEOUT_S
@@ -106,14 +106,14 @@
     in_simulated_time(test)
 
 
-# Guards against a region whose nodes begin a long read anew for ever, so that no other read ends.
+# Guards against nodes that restart their long reads endlessly and so starve all other reads.
 def test_all_readers_of_a_shared_link_end_their_long_reads_and_short_ones() -> None:
     async def test(time: SimulatedTime) -> None:
         link = SharedLink(LINK_BYTES_PER_S)
         versions: list[int] = []
 
         async def read(parts: int) -> None:
-            page = await store_with(SharedConnection(link, parts)).read_table("op")
+            page = await store_with(SharedLinkConnection(link, parts)).read_table("op")
             versions.append(page.version)
 
         async with curio.TaskGroup() as tasks:
@@ -126,7 +126,7 @@
     in_simulated_time(test)
 
 
-# Guards against a silent connection that is noticed later than by the limit of the whole call.
+# Guards against a silent connection that is detected later than the timeout of the call.
 @pytest.mark.parametrize(
     ("head_s", "delays_s"), [(SILENT, []), (0.1, [SILENT]), (0.2, [0.2, SILENT])]
 )
@@ -134,7 +134,7 @@
     head_s: float, delays_s: list[float]
 ) -> None:
     async def test(time: SimulatedTime) -> None:
-        connection = PartedConnection(head_s, delays_s)
+        connection = ScriptedBodyConnection(head_s, delays_s)
         with pytest.raises(StoreError):
             await store_with(connection).changes("op", 1, 0.8)
         assert time.now == pytest.approx(1000 + 0.8 + WAIT_MARGIN_S)
@@ -143,27 +143,27 @@
     in_simulated_time(test)
 
 
-# Guards against a body that stops midway and holds up the feed for the limit of the whole.
+# Guards against a stalled body that blocks the follower until the total timeout.
 def test_body_that_stops_midway_ends_after_the_silence() -> None:
     async def test(time: SimulatedTime) -> None:
         with pytest.raises(StoreError):
-            await store_with(PartedConnection(0.5, [0.7, 0.7, 0.7, SILENT])).read_table("op")
+            await store_with(ScriptedBodyConnection(0.5, [0.7, 0.7, 0.7, SILENT])).read_table("op")
         assert time.now == pytest.approx(1000 + 2.6 + LONG_READ_TIMEOUT.silence_s)
 
     in_simulated_time(test)
 
 
-# Guards against a body that trickles for ever and holds up the feed.
+# Guards against a slowly trickling body that blocks the follower indefinitely.
 def test_body_that_trickles_ends_with_the_limit_of_the_whole() -> None:
     async def test(time: SimulatedTime) -> None:
         with pytest.raises(StoreError):
-            await store_with(PartedConnection(0.1, 1000 * [0.5])).read_table("op")
+            await store_with(ScriptedBodyConnection(0.1, 1000 * [0.5])).read_table("op")
         assert time.now == pytest.approx(1000 + LONG_READ_TIMEOUT.total_s)
 
     in_simulated_time(test)
 
 
-# Guards against commits that get the limits of long reads.
+# Guards against commits that use the timeouts of long reads.
 def test_commit_keeps_its_limit() -> None:
     async def test(time: SimulatedTime) -> None:
         store = store_with(SlowConnection(0.3, 9 * [0.3]))
@@ -174,7 +174,7 @@
     in_simulated_time(test)
 
 
-# Guards against calls without the limits of long reads that go on beyond their own limit.
+# Guards against other calls that exceed their own timeout.
 def test_other_calls_keep_their_limit() -> None:
     async def test(time: SimulatedTime) -> None:
         pool = store_with(SlowConnection(0.3, 9 * [0.3]))._pool
--- a/tests/serving/test_store_health.py
+++ b/tests/serving/test_store_health.py
@@ -244,7 +244,7 @@
     run_with_timeout(test)
 
 
-# Guards against long polls and whole tables in the round trip by which near nodes are told.
+# Guards against long polls and table reads that count as round trips to the store.
 def test_round_trip_is_the_shortest_recent_time_of_short_calls() -> None:
     async def test() -> None:
         clock = ManualClock(0.0)
--- a/tests/serving/test_warmup_fleet.py
+++ b/tests/serving/test_warmup_fleet.py
@@ -1,4 +1,4 @@
-"""The rate limit of a warming replica holds over the fleet while coordinators and links fail."""
+"""The rate limit of a warming replica holds across the fleet while coordinators and links fail."""
 
 from collections.abc import Awaitable, Callable
 
@@ -26,11 +26,11 @@
 )
 LONG_MS = 60_000
 SLOTS = 500
-"""So many that only the warm-up limits the requests."""
+"""Enough that only the warm-up limits the requests."""
 
 
 class Demand:
-    """More requests than the only replica, which is warming up, may get."""
+    """Offers more requests than the only replica, which is warming up, may receive."""
 
     def __init__(self, world: CoordinationWorld) -> None:
         self.world = world
@@ -39,7 +39,7 @@
         self.verdicts: list[PlacementVerdict] = []
 
     async def run(self, seconds: float) -> int:
-        """Let each node send requests for some time; return how many were sent."""
+        """Send requests from each node for this time; return how many reached the replica."""
         before = len(self.sent)
         for _ in range(round(seconds / CoordinationWorld.STEP_S)):
             tasks = [
@@ -90,7 +90,7 @@
         world.replicas = [msgspec.structs.replace(r, slots=SLOTS) for r in world.replicas]
         await world.start()
         await world.run(TAKEOVER_WAIT_S + 2.0)
-        tell(world, LONG_MS, version=20)
+        put_warmup_entry(world, LONG_MS, version=20)
         await world.run(1.0)
         demand = Demand(world)
         await test(world, demand)
@@ -100,8 +100,8 @@
     curio.run(main)
 
 
-def tell(world: CoordinationWorld, warmup_ms: int, version: int) -> None:
-    """Let the coordinator read an entry with a warm-up time from the store."""
+def put_warmup_entry(world: CoordinationWorld, warmup_ms: int, version: int) -> None:
+    """Put an entry with a warm-up time into the coordinator's directory."""
     (replica,) = world.replicas
     entry = msgspec.structs.replace(replica, warmup_ms=warmup_ms, version=version)
     world.coordinator.directory.put(entry)
@@ -113,13 +113,13 @@
     return replica
 
 
-# Guards against nodes that never learn of a warm-up, since the list's fingerprint leaves it out.
+# Guards against nodes that miss a warm-up because the list's fingerprint doesn't cover it.
 def test_change_of_the_warmup_time_alone_reaches_all_nodes() -> None:
     async def test(world: CoordinationWorld, demand: Demand) -> None:
         assert {node.warmups.is_warming(entry_of(node), world.now) for node in world.nodes} == {
             True
         }
-        tell(world, 700, version=21)
+        put_warmup_entry(world, 700, version=21)
         await world.run(1.0)
         assert not any(node.warmups.is_warming(entry_of(node), world.now) for node in world.nodes)
 
@@ -137,7 +137,7 @@
     in_fleet(test)
 
 
-# Guards against a new coordinator that grants for seconds that the lost one has granted.
+# Guards against a new coordinator that grants tokens for seconds its predecessor has used up.
 def test_killed_coordinator_is_replaced_and_the_limit_holds() -> None:
     async def test(world: CoordinationWorld, demand: Demand) -> None:
         await demand.run(2.0)
@@ -150,11 +150,11 @@
     in_fleet(test)
 
 
-# Guards against a coordinator that grants on though it can't know whether it still coordinates.
+# Guards against a coordinator that grants tokens though its lease may have expired.
 def test_coordinator_cut_off_from_the_store_stops_granting() -> None:
     async def test(world: CoordinationWorld, demand: Demand) -> None:
         coordinator = world.coordinator
-        store, coordinator.election._store = coordinator.election._store, down_store()
+        store, coordinator.election._store = coordinator.election._store, unavailable_store()
         await demand.run(LEASE_S + 0.5)
         assert await demand.run(2.0) == 0
         coordinator.election._store = store
@@ -164,13 +164,13 @@
     in_fleet(test)
 
 
-def down_store() -> MemoryStore:
+def unavailable_store() -> MemoryStore:
     store = MemoryStore()
     store.is_down = True
     return store
 
 
-# Guards against a wait for tokens after each change of the standbys.
+# Guards against a pause of grants after each change of the standbys.
 def test_lost_standby_is_replaced_without_a_pause_of_grants() -> None:
     async def test(world: CoordinationWorld, demand: Demand) -> None:
         coordinator = world.coordinator
@@ -184,7 +184,7 @@
     in_fleet(test)
 
 
-# Guards against a coordinator that takes the role back and grants as if it had never lost it.
+# Guards against a coordinator that regains the role and grants tokens without waiting.
 def test_coordinator_that_takes_the_role_back_waits_before_it_grants() -> None:
     async def test(world: CoordinationWorld, demand: Demand) -> None:
         coordinator = world.coordinator
@@ -201,11 +201,11 @@
     in_fleet(test)
 
 
-# Guards against two coordinators, neither of which hears the other, granting the same second.
+# Guards against two isolated coordinators that grant tokens for the same second.
 def test_two_coordinators_at_once_keep_the_limit_together() -> None:
     async def test(world: CoordinationWorld, demand: Demand) -> None:
         old = world.coordinator
-        old.election._store = down_store()
+        old.election._store = unavailable_store()
         world.wire.cut_zones = {old.identity.zone}
         await demand.run(9.0)
         assert len(world.active) == 2
@@ -216,7 +216,7 @@
     in_fleet(test, lost_zones=1)
 
 
-# Guards against a coordinator that wakes after a pause and uses the time from before it.
+# Guards against a coordinator that is resumed after a pause and uses its expired lease.
 def test_coordinator_that_was_paused_grants_nothing_after_its_wake() -> None:
     async def test(world: CoordinationWorld, demand: Demand) -> None:
         old = world.coordinator
@@ -231,7 +231,7 @@
     in_fleet(test)
 
 
-# Guards against tokens that look young because the coordinator was paused before it sent them.
+# Guards against tokens that seem valid although the coordinator was paused before sending them.
 def test_token_granted_before_a_pause_of_the_coordinator_is_too_old() -> None:
     async def test(world: CoordinationWorld, demand: Demand) -> None:
         await demand.run(1.0)
@@ -251,7 +251,7 @@
     in_fleet(test)
 
 
-# Guards against a node that sends with a token of a second long past.
+# Guards against a node that sends a request with an expired token.
 def test_token_that_arrives_late_is_not_used() -> None:
     async def test(world: CoordinationWorld, demand: Demand) -> None:
         await demand.run(1.0)
@@ -277,7 +277,7 @@
     in_fleet(test)
 
 
-# Guards against a restarted process that takes a report of the earlier one for its own.
+# Guards against a restarted process that matches orders to a report of its predecessor.
 def test_restarted_process_uses_no_report_numbers_of_the_earlier_one() -> None:
     async def test(world: CoordinationWorld, demand: Demand) -> None:
         node = next(n for n in world.nodes if not n.coordinator.is_active)
@@ -294,7 +294,7 @@
     in_fleet(test)
 
 
-# Guards against a standby that knows of no warm-up because no snapshot reached it.
+# Guards against a standby that misses a warm-up because no snapshot reached it.
 def test_new_coordinator_without_a_snapshot_keeps_the_limit() -> None:
     async def test(world: CoordinationWorld, demand: Demand) -> None:
         world.wire.dropped_kinds = {Snapshot}
@@ -306,12 +306,12 @@
     in_fleet(test)
 
 
-# Guards against a warm-up that never ends, or sends without a lease, while the store is down.
+# Guards against a warm-up that never ends while the store is down, and sends without a lease.
 def test_warmup_ends_by_time_while_the_store_is_down() -> None:
     async def test(world: CoordinationWorld, demand: Demand) -> None:
         world.store.is_down = True
         await demand.run(LEASE_S)
-        tell(world, 3000, version=21)
+        put_warmup_entry(world, 3000, version=21)
         assert await demand.run(2.5) == 0
         await world.run(1.0)
         demand.sent.clear()
@@ -321,7 +321,7 @@
     in_fleet(test)
 
 
-# Guards against limits, queues or refusals where no service has a warm-up rate.
+# Guards against limits, queues or refusals if no service has a warm-up rate.
 def test_service_without_warmup_fields_has_no_limit() -> None:
     async def test(world: CoordinationWorld, demand: Demand) -> None:
         assert await demand.run(1.0) == 9 * 4 * 4
@@ -330,7 +330,7 @@
     in_fleet(test, services={"model": Service("model", 8, 100)})
 
 
-# Guards against a standby that takes over without knowing which replicas a lifted drain left cold.
+# Guards against a standby that doesn't know which replicas warm up after a lifted drain.
 def test_snapshots_carry_assumed_warmups_to_standbys() -> None:
     async def test(world: CoordinationWorld, demand: Demand) -> None:
         await world.run(LONG_MS / 1000)
--- a/tests/serving/test_warmup_nodes.py
+++ b/tests/serving/test_warmup_nodes.py
@@ -1,4 +1,4 @@
-"""Real nodes send a warming replica no more than it bears, whatever their coordinator knows."""
+"""Nodes with sockets keep the rate limit of a warming replica, whatever their coordinator knows."""
 
 import time
 from typing import Any
@@ -21,14 +21,14 @@
     return bool(node._fleet_state.warmups.remaining_ms(node._clock()))
 
 
-def tell(world: FleetWorld, warmup_ms: int) -> None:
+def put_warmup_entry(world: FleetWorld, warmup_ms: int) -> None:
     replica = world.replicas[-1]
     replica.warmup_ms = warmup_ms
     world.store.put(names.REPLICA_TABLE, replica.replica_id, replica.document("model", "z1"))
 
 
 async def start(world: FleetWorld, nodes: int, replicas: int = 1) -> list[float]:
-    """Start nodes; the last replica is warming up. Return the times of its arrivals."""
+    """Start nodes and replicas, the last of which warms up; return its arrival times."""
     arrivals: list[float] = []
 
     def record(arrival: Arrival) -> None:
@@ -39,7 +39,7 @@
     changed: dict[str, Any] = configuration(2)
     changed["services"][0].update(cold_start_s=3.0, cold_per_s=RATE)
     world.store.put(names.OPERATOR_TABLE, names.CONFIGURATION_KEY, changed)
-    tell(world, LONG_MS)
+    put_warmup_entry(world, LONG_MS)
     await world.wait_until(lambda: all(knows_warmup(node) for node in world.nodes))
     return arrivals
 
@@ -53,7 +53,7 @@
     return node is not None and node._fleet.election.lease.may_grant(node._clock())
 
 
-# Guards against a replica that gets more than its limit when all nodes have work for it.
+# Guards against a replica that gets more than its limit when all nodes send to it.
 def test_nodes_together_send_a_warming_replica_at_most_its_limit() -> None:
     async def test(world: FleetWorld) -> None:
         arrivals = await start(world, nodes=3)
@@ -71,7 +71,7 @@
     in_world(test)
 
 
-# Guards against sends by what a coordinator decided that does not know of the warm-up.
+# Guards against sends for which a coordinator unaware of the warm-up granted no token.
 def test_node_sends_nothing_that_its_coordinator_placed_without_a_token() -> None:
     async def test(world: FleetWorld) -> None:
         arrivals = await start(world, nodes=1)
@@ -84,7 +84,7 @@
         asked = gate.refused
         await world.wait_until(lambda: gate.refused > asked)
         assert arrivals == []
-        tell(world, 1)
+        put_warmup_entry(world, 1)
         assert len(await world.until_done("job1", 2)) == 2
         metrics = await world.call("GET", "/metrics", address=node._settings.metrics_address)
         assert b"cloverwalk_warmup_sends_refused" in metrics.body
--- a/tests/serving/test_warmup_placement.py
+++ b/tests/serving/test_warmup_placement.py
@@ -1,4 +1,4 @@
-"""Where requests and items go while replicas are warming up."""
+"""Placement of requests and items while replicas are warming up."""
 
 import os
 from random import Random
@@ -37,7 +37,7 @@
 
 
 class WarmingFleet(Fleet):
-    """Replicas of even numbers are in z1 and warm; those of odd numbers are in z2."""
+    """Even-numbered replicas are in z1, odd-numbered ones in z2."""
 
     def __init__(self, replicas: int = 2) -> None:
         super().__init__(replicas, zones=2)
@@ -64,7 +64,7 @@
         self.scheduler.warmup_tokens.use_lease(self.lease)
 
     def lift_drain(self, *zones: str) -> None:
-        """Begin the warm-up of whole zones."""
+        """Lift the drain of zones, so that their replicas warm up."""
         self.drains.update(self.drains.version + 2, zones, self.now)
         self.drains.update(self.drains.version + 1, [], self.now)
         self.scheduler.tick(self.now)
@@ -80,7 +80,7 @@
         return self.nodes[node].placements[number].verdict
 
 
-# Guards against a flood at a zone that comes back as a whole, and against leaving it idle.
+# Guards against overloading a zone that returns as a whole, and against leaving it idle.
 def test_work_flows_back_to_a_returned_zone_at_the_allowed_rate() -> None:
     fleet = WarmingFleet(replicas=4)
     fleet.lift_drain("z2")
@@ -103,7 +103,7 @@
     assert sum(map(len, sent.values())) >= 0.9 * 2 * RATE * 5.0
 
 
-# Guards against refusals of requests that could wait a moment for a token.
+# Guards against refusals of requests that could wait briefly for a token.
 def test_request_without_a_token_waits_in_the_queue_and_is_placed_by_a_tick() -> None:
     fleet = WarmingFleet()
     fleet.lift_drain("z1", "z2")
@@ -115,7 +115,7 @@
     assert (placement.verdict, placement.has_warmup_token) == (PlacementVerdict.SEND, True)
 
 
-# Guards against requests that are held for tokens that nobody grants.
+# Guards against requests that wait for tokens while no coordinator may grant any.
 def test_request_is_refused_while_no_token_can_come() -> None:
     fleet = WarmingFleet()
     fleet.lift_drain("z1", "z2")
@@ -154,7 +154,7 @@
     assert fleet.nodes[1].placements[number].replica_id == "r1"
 
 
-# Guards against items that use up what a warming replica bears.
+# Guards against items that use up the rate limit of a warming replica.
 def test_items_get_no_slot_at_a_warming_replica_and_one_when_it_is_warm() -> None:
     fleet = WarmingFleet()
     fleet.lift_drain("z2")
@@ -166,7 +166,7 @@
     assert fleet.work("r1")[1] == SLOTS
 
 
-# Guards against items that are preempted for nothing, or keep the slots of online requests.
+# Guards against needless preemption of items, and against items that block online requests.
 def test_items_at_a_replica_that_warms_up_again_are_still_preempted() -> None:
     fleet = WarmingFleet()
     fleet.nodes[0].waiting = [WaitingGroup(5, 2 * SLOTS)]
--- a/tests/serving/test_zone_drains.py
+++ b/tests/serving/test_zone_drains.py
@@ -1,4 +1,4 @@
-"""Zones that the operator drains: their replicas get no new work, on every path."""
+"""Replicas in zones that the operator drains get no new work, on any path."""
 
 import os
 from collections.abc import Callable
@@ -49,7 +49,7 @@
 
 
 class NodeState:
-    """The fleet state of a node with its monitor; the test applies rows of the store."""
+    """The fleet state of a node with its monitor, to which tests apply rows of the store."""
 
     def __init__(self, zones: tuple[str, ...] = ("z1", "z2", "z3")) -> None:
         self.clock = ManualClock(step_s=0.0)
@@ -73,7 +73,7 @@
         curio.run(self.state.on_all_configuration, _page(version, rows))
 
     def change(self, version: int, **rows: bytes | None) -> None:
-        """Apply changed rows; those that are None were removed."""
+        """Apply changed rows; None stands for a removed row."""
         curio.run(self.state.on_configuration, _page(version, rows))
 
     @property
@@ -117,7 +117,7 @@
 # --- reading the rows ---
 
 
-# A list that changed with a drain would be copied to all nodes, and differ on older builds.
+# Guards against a list that changes with a drain and so is sent to all nodes again.
 def test_drained_zones_are_skipped_but_stay_listed_with_the_same_fingerprint() -> None:
     node = NodeState()
     fingerprint = node.state.directory.fingerprint
@@ -130,7 +130,7 @@
     assert [fields["zone"] for fields in node.logged(catalogue.ZONE_DRAIN_LIFTED)] == ["z2"]
 
 
-# After lost history no change tells that a row was removed meanwhile.
+# Guards against drains that stay after lost history, in which their rows were removed.
 def test_a_full_read_lifts_the_drains_whose_rows_are_gone() -> None:
     node = NodeState()
     node.read(5, z1=b"{}", z2=b"{}")
@@ -138,7 +138,7 @@
     assert node.zones == ("z2",)
 
 
-# A value that can't be read must not let work into the zone.
+# Guards against work in a zone whose row has an invalid value.
 @pytest.mark.parametrize("value", [b"", b"\xff\xfe", b"null", b"[1", b'{"until": "soon"}'])
 def test_a_row_drains_its_zone_whatever_its_value(value: bytes) -> None:
     node = NodeState()
@@ -146,7 +146,7 @@
     assert node.zones == ("z1",)
 
 
-# It would drain replicas without a zone, or make each datagram longer.
+# Guards against a drain of replicas without a zone, and against overlong datagrams.
 @pytest.mark.parametrize("zone", ["", "z" * (MAX_ZONE_BYTES + 1), "\u00e9" * MAX_ZONE_BYTES])
 def test_a_row_with_an_invalid_zone_is_logged_and_drains_nothing(zone: str) -> None:
     node = NodeState()
@@ -155,7 +155,7 @@
     assert len(node.logged(catalogue.ZONE_DRAIN_UNKNOWN_ZONE)) == 1
 
 
-# A zone that was added later than this node's settings has replicas all the same.
+# Guards against work in a drained zone that was added after this node's settings were written.
 def test_a_zone_that_the_settings_do_not_name_is_logged_and_still_drained() -> None:
     node = NodeState()
     node.change(5, z9=b"{}")
@@ -163,7 +163,7 @@
     assert node.usable() == ["r0", "r1", "r2"]
 
 
-# The state has to fit into a datagram.
+# Guards against a state that doesn't fit into a datagram, and against dropping known zones.
 def test_too_many_rows_do_not_crowd_out_the_zones_of_the_deployment() -> None:
     node = NodeState()
     rows = {f"a{number}": b"{}" for number in range(2 * MAX_DRAINED_ZONES)}
@@ -171,7 +171,7 @@
     assert "z1" in node.zones and len(node.zones) == MAX_DRAINED_ZONES
 
 
-# Both come in one page; the drain would be lost until the next full read.
+# Guards against a drain that is lost if an invalid configuration is in the same page.
 def test_an_invalid_configuration_does_not_stop_a_drain() -> None:
     node = NodeState()
     page = _page(5, {"z1": b"{}"})
@@ -182,7 +182,7 @@
     assert node.state.zone_drains.age_ms(node.clock()) == 0
 
 
-# Until then it would send work to a zone that is drained.
+# Guards against a node that serves before it knows the drained zones.
 def test_a_node_is_complete_only_once_it_knows_the_drains() -> None:
     node = NodeState()
     node.state.configuration.current = object()  # type: ignore[assignment]
@@ -191,7 +191,7 @@
     assert node.state.is_complete
 
 
-# The store's answer to this node may be older than what another node has read.
+# Guards against an older page from the store that overwrites a newer copy from another node.
 def test_an_older_page_does_not_undo_a_newer_copy() -> None:
     node = NodeState()
     node.read(5)
@@ -204,7 +204,7 @@
     assert node.usable() == ["r2", "r3"]
 
 
-# The operator must see a node that may not know the newest state.
+# Guards against an outdated node that the operator can't see, and against repeated log lines.
 def test_unconfirmed_drains_are_logged_once_per_spell_and_kept() -> None:
     node = NodeState()
     node.read(5, z1=b"{}")
@@ -232,7 +232,7 @@
 )
 
 
-# An older state that replaces a newer one would send work into a drained zone again.
+# Guards against an older state that replaces a newer one.
 @given(ZONE_SETS, STEPS)
 def test_the_newest_state_wins_in_any_order_of_reads_and_copies(
     history: list[set[str]], steps: list[tuple[str, int, int]]
@@ -265,7 +265,7 @@
     fleet.scheduler.features.record_drained_zones(zones)
 
 
-# They would wait for slots of the drained zone until their deadline.
+# Guards against requests that wait for slots of a drained zone until their deadline.
 def test_queued_requests_go_elsewhere_or_are_refused_when_their_zone_is_drained() -> None:
     fleet = Fleet(replicas=1, nodes=1)
     numbers = [fleet.request_placement(0, "chat", must_place=False) for _ in range(SLOTS)]
@@ -280,7 +280,7 @@
     assert all(placements[number].verdict is PlacementVerdict.NO_REPLICA for number in queued)
 
 
-# Order of arrival must not hold back a refusal: the request before it waits for another service.
+# Guards against a refusal that is delayed by an earlier request for another service.
 def test_queued_requests_are_refused_though_others_wait_before_them() -> None:
     fleet = Fleet(replicas=1, nodes=1)
     fleet.directory.put(Replica("o0", "other", "h", 9, "z2", SLOTS, False, version=1))
@@ -298,7 +298,7 @@
     assert placements[queued].verdict is PlacementVerdict.NO_REPLICA
 
 
-# They would wait though another zone has free slots.
+# Guards against queued requests that wait though another zone has free slots.
 def test_queued_requests_are_placed_in_the_zones_that_remain() -> None:
     fleet = Fleet(replicas=2, nodes=1, zones=2)
     fleet.nodes[0].online = {"r0": SLOTS, "r1": SLOTS}
@@ -311,7 +311,7 @@
     assert fleet.nodes[0].placements[queued].replica_id == "r1"
 
 
-# Slots of a drained zone that still counted would let too much work onto the zones that remain.
+# Guards against slots of a drained zone that still count and so overload the other zones.
 def test_decisions_are_those_of_a_fleet_without_the_drained_replicas() -> None:
     drained, removed = Fleet(replicas=6, zones=3), Fleet(replicas=6, zones=3)
     _drain(drained, "z1")
@@ -329,7 +329,7 @@
     assert PlacementVerdict.SEND in verdicts and len(verdicts) > 1
 
 
-# Grants there would only come back.
+# Guards against grants of slots in a drained zone, which nodes return unused.
 def test_items_get_no_slots_of_a_drained_zone() -> None:
     fleet = Fleet(replicas=2, nodes=1, zones=2)
     _drain(fleet, "z1")
@@ -338,10 +338,10 @@
     assert set(fleet.nodes[0].batch) == {"r1"}
 
 
-# --- how a drain travels ---
+# --- distribution in the fleet ---
 
 
-# Nodes that the store refuses would get it with the orders after their next report.
+# Guards against nodes refused by the store that learn of a drain only after their next report.
 def test_the_coordinator_sends_a_drain_to_all_nodes_in_the_tick_after_it_learned_of_it() -> None:
     async def main() -> None:
         world = CoordinationWorld(5)
@@ -358,7 +358,7 @@
     curio.run(main)
 
 
-# The new coordinator must have the state, whoever read it.
+# Guards against a drain that is lost with the coordinator.
 def test_a_drain_outlives_the_coordinator_and_reaches_a_node_that_starts_afterwards() -> None:
     async def main() -> None:
         world = CoordinationWorld(5)
@@ -376,7 +376,7 @@
     curio.run(main)
 
 
-# It must have the newest state when it is back, and keep to what it knew until then.
+# Guards against an isolated node that drops its drains, or misses the newest when it reconnects.
 def test_drains_that_came_and_went_while_a_node_was_cut_off() -> None:
     async def main() -> None:
         world = CoordinationWorld(5)
@@ -404,17 +404,17 @@
     await world.store.commit(Transaction(puts=puts, removals=[keys[1]] if lift else []))
 
 
-def _has(*zones: str) -> Callable[[ReturningNode], bool]:
+def _obeys_drains(*zones: str) -> Callable[[ReturningNode], bool]:
     def check(node: ReturningNode) -> bool:
         state = node.fleet_state
         usable = state.directory.usable("model")
-        is_obeyed = not any(replica.zone in zones for replica in usable)
-        return state.zone_drains.zones == zones and is_obeyed
+        has_no_drained_replica = not any(replica.zone in zones for replica in usable)
+        return state.zone_drains.zones == zones and has_no_drained_replica
 
     return check
 
 
-# The bound holds at every node, whoever reads the store.
+# Guards against nodes refused by the store that apply a drain too late.
 @pytest.mark.parametrize("refusal", [503, RESET, NO_ANSWER])
 def test_nodes_that_the_store_refuses_obey_also_while_the_coordinator_is_refused(
     refusal: int,
@@ -428,40 +428,40 @@
         world.store.refuses = lambda host: refusal if host in refused else None
         await curio.sleep(3.0)
         await _change_rows(world, drain="z2")
-        await world.wait_until(_has("z2"), APPLY_S)
+        await world.wait_until(_obeys_drains("z2"), APPLY_S)
         await _change_rows(world, drain="z3", lift="z2")
-        await world.wait_until(_has("z3"), APPLY_S)
+        await world.wait_until(_obeys_drains("z3"), APPLY_S)
 
     in_simulated_time(test)
 
 
-# A process that starts must not serve before it knows, even if the store refuses it.
+# Guards against a starting node refused by the store that serves before it knows the drains.
 def test_a_drain_outlives_a_restart_of_all_nodes() -> None:
     async def test(time: SimulatedTime) -> None:
         world = ReturningWorld(time, 9, 30, 6000.0, 1200.0)
         await world.start_all()
         await world.wait_until(lambda node: node.serves, 30.0)
         await _change_rows(world, drain="z1")
-        await world.wait_until(_has("z1"), APPLY_S)
+        await world.wait_until(_obeys_drains("z1"), APPLY_S)
         await world.kill_all()
         refused = {f"h{number:04d}" for number in range(0, 9, 3)}
         world.store.refuses = lambda host: 503 if host in refused else None
         await world.start_all()
-        await world.wait_until(lambda node: not node.is_ready or _has("z1")(node), 0.0)
+        await world.wait_until(lambda node: not node.is_ready or _obeys_drains("z1")(node), 0.0)
         while not all(node.is_ready for node in world.nodes):
             await curio.sleep(0.01)
-            assert all(_has("z1")(node) for node in world.nodes if node.is_ready)
+            assert all(_obeys_drains("z1")(node) for node in world.nodes if node.is_ready)
 
     in_simulated_time(test)
 
 
-# --- real nodes ---
+# --- nodes with sockets ---
 
 
 async def _start_zoned(
     world: FleetWorld, zones: list[str], services: tuple[str, ...] = ("model",), **options: Any
 ) -> None:
-    """Start replicas in these zones, of the services by turns, and two nodes in zone z1."""
+    """Start replicas in these zones, of the services in turn, and two nodes in zone z1."""
     await world.spawn(world.store.run)
     document = configuration(1)
     document["services"] = [{"name": name, "engine": {"slots": SLOTS}} for name in services]
@@ -479,7 +479,7 @@
 
 
 async def _set_drains(world: FleetWorld, *zones: str) -> None:
-    """Drain exactly these zones, and wait until all nodes know."""
+    """Drain exactly these zones, and wait until all nodes have applied it."""
     present = {zone for zone in ("z1", "z2", "z3") if _row(world, zone)}
     for zone in present - set(zones):
         world.store.remove(names.OPERATOR_TABLE, PREFIX + zone)
@@ -499,7 +499,7 @@
     return [len(replica.arrivals) for replica in world.replicas]
 
 
-# First attempts of all nodes obey; lost history between the drains is no exception.
+# Guards against first attempts in drained zones, also after lost history.
 def test_two_zones_are_drained_at_once_also_that_of_the_coordinator() -> None:
     async def test(world: FleetWorld) -> None:
         await _start_zoned(world, ["z1", "z2", "z3"])
@@ -516,7 +516,7 @@
     in_world(test)
 
 
-# Requests are refused at once, since nothing can serve them; items wait.
+# Guards against requests that wait for the only zone, which is drained, and against lost items.
 def test_the_only_zone_of_a_service_is_drained() -> None:
     async def test(world: FleetWorld) -> None:
         await _start_zoned(world, ["z1"])
@@ -534,7 +534,7 @@
 
 
 def _drain_while_connecting(world: FleetWorld, zone: str) -> None:
-    """Let each node learn of a drain after it chose a replica, before it sends."""
+    """Make each node apply a drain after choosing a replica and before sending."""
     for node in world.nodes:
         acquire = node._pool.acquire
 
@@ -546,7 +546,7 @@
         vars(node._pool)["acquire"] = drain_and_acquire
 
 
-# The zone is drained after the replica was chosen.
+# Guards against a request sent to a zone that is drained after the replica was chosen.
 def test_the_last_check_before_sending_stops_requests() -> None:
     async def test(world: FleetWorld) -> None:
         await _start_zoned(world, ["z1"])
@@ -557,7 +557,7 @@
     in_world(test)
 
 
-# Requests that wait for their placement have chosen their service before the drain.
+# Guards against failed requests whose service was chosen before its zone was drained.
 def test_requests_of_a_drained_service_go_to_another_one_of_their_route() -> None:
     async def test(world: FleetWorld) -> None:
         await _start_zoned(world, ["z1", "z2"], ("model", "other"))
@@ -579,7 +579,7 @@
     in_world(test)
 
 
-# The zone is drained after the grant.
+# Guards against items sent to a zone that is drained after the grant.
 def test_items_that_were_granted_but_not_sent_stay_unsent() -> None:
     async def test(world: FleetWorld) -> None:
         await _start_zoned(world, ["z1", "z2"])
@@ -591,7 +591,7 @@
     in_world(test)
 
 
-# A resume is new work: it must not go to a drained zone.
+# Guards against streams that are ended by a drain, or resumed in a drained zone.
 def test_a_running_stream_ends_where_it_is_and_a_broken_one_resumes_elsewhere() -> None:
     async def test(world: FleetWorld) -> None:
         await _start_zoned(
@@ -612,7 +612,7 @@
     in_world(test)
 
 
-# A node that follows the changes after a version of another node would lift drains of that version.
+# Guards against lifting drains that a node knows only from the copy of another node.
 def test_changes_after_the_rows_of_another_node_keep_its_drains() -> None:
     drains = ZoneDrains()
     log = ServingLog("n1", lambda: 0.0, os.open(os.devnull, os.O_WRONLY))
--- a/tests/soak/test_soak_builds.py
+++ b/tests/soak/test_soak_builds.py
@@ -1,10 +1,10 @@
-"""Soaks whose nodes run two builds: schedules, sources of processes, and a short run."""
+"""Soaks with nodes of two builds: schedules, the source that each process runs, a short run."""
 
 from pathlib import Path
 
 import msgspec
 import pytest
-from builds.earlier import LAST_LANDING, extract_source
+from builds.earlier import PREVIOUS_BUILD, extract_source
 from click.testing import CliRunner
 
 from cloverwalk.cli.main import cli
@@ -27,7 +27,7 @@
 PROGRAM_FILE = Path("cloverwalk", "platform", "program.py")
 
 
-# Guards against an upgrade that the soak claims and no process makes.
+# Guards against a soak that records an upgrade while the process runs the old source.
 def test_nodes_run_the_source_of_their_build(tmp_path: Path) -> None:
     source = tmp_path / "earlier"
     (source / PROGRAM_FILE).parent.mkdir(parents=True)
@@ -47,7 +47,7 @@
     assert event.build == "earlier"
 
 
-# Guards against schedules without an upgrade or rollback, or with faults that old nodes don't know.
+# Guards against schedules without an upgrade or rollback, or with faults that earlier builds lack.
 def test_drawn_schedules_upgrade_roll_back_and_upgrade(tmp_path: Path) -> None:
     ends = set()
     for seed in range(20):
@@ -79,7 +79,7 @@
         check_plan(Plan(1, 3, 5, 60.0, [], [step]), "file")
 
 
-# Guards against a soak that runs one build only because the other one is not where it should be.
+# Guards against a soak that silently runs a single build because the other source is missing.
 def test_missing_earlier_source_is_rejected(tmp_path: Path) -> None:
     result = CliRunner().invoke(cli, ["soak", "--earlier-source", str(tmp_path)])
     assert (result.exit_code, str(PACKAGE_FILE) in result.output) == (2, True)
@@ -89,9 +89,9 @@
     assert (result.exit_code, "no earlier source" in result.output) == (2, True)
 
 
-# Guards against promises that break while nodes of the last landing are replaced, and back.
+# Guards against violations while nodes are upgraded from the previous build and rolled back.
 def test_short_soak_of_two_builds_has_no_violations(tmp_path: Path) -> None:
-    source = extract_source(LAST_LANDING, tmp_path / "builds")
+    source = extract_source(PREVIOUS_BUILD, tmp_path / "builds")
     lines: list[str] = []
     plan = draw_upgrade_plan(SEED, NODES, MINUTES)
     result = Soak(plan, tmp_path / "soak", lines.append, source).run()
--- a/tests/soak/test_soak_checker.py
+++ b/tests/soak/test_soak_checker.py
@@ -605,7 +605,7 @@
 # --- drained zones ---
 
 
-# Work in a drained zone must be reported, and only that which came too late.
+# Guards against unreported work in a drained zone, and against reports of permitted work.
 @pytest.mark.parametrize(
     ("run_at", "zone", "extra", "reported"),
     [
--- a/tests/unit/test_configuration_steps.py
+++ b/tests/unit/test_configuration_steps.py
@@ -1,4 +1,4 @@
-"""Long configurations are decoded in short steps, whole or not at all."""
+"""Long configurations are decoded in short steps, completely or not at all."""
 
 import json
 import zlib
@@ -59,7 +59,7 @@
     assert sum(1 for _ in encode_copy(original)) > 4
 
 
-# Guards against copies that nodes of the build before can't read, and the other way round.
+# Guards against an encoding of copies that differs from that of earlier builds.
 def test_copies_are_compressed_json_of_the_configuration() -> None:
     original = decode_configuration(encoded(document(3)))
     data = run_steps(encode_copy(original))
@@ -67,7 +67,7 @@
     assert run_steps(decode_copy(zlib.compress(msgspec.json.encode(original)))) == original
 
 
-# Guards against a copy that is cut short, corrupted or of another kind and is taken all the same.
+# Guards against accepting a copy that is truncated, corrupted or of another type.
 @pytest.mark.parametrize(
     "data",
     [
@@ -84,7 +84,7 @@
         run_steps(decode_copy(data))
 
 
-# Guards against the last entry of a long list not being checked, or the error not naming it.
+# Guards against an unchecked entry at the end of a long list, or an error without its position.
 @pytest.mark.parametrize(
     ("name", "value"), [("host", 7), ("path_prefix", None), ("target_latency_ms", "soon")]
 )
@@ -95,7 +95,7 @@
         decode_configuration(encoded(wire))
 
 
-# Guards against a tenant that appears twice at the ends of a long list.
+# Guards against missing a duplicate tenant in another step of a long list.
 def test_tenant_that_appears_twice_is_refused() -> None:
     wire = document(0, ROUTES)
     wire["tenants"][-1]["name"] = "t0"
--- a/tests/unit/test_route_index.py
+++ b/tests/unit/test_route_index.py
@@ -1,4 +1,4 @@
-"""Lookups in a long configuration give what a walk over all of its routes gives."""
+"""The route index and the wait limits give the same results as a scan of all routes."""
 
 from unittest import mock
 
@@ -51,7 +51,7 @@
     return Configuration(1, tuple(routes), {}, ClientLimits())
 
 
-# Guards against an index that finds another route than a walk over all routes.
+# Guards against an index that finds another route than a scan of all routes.
 @given(ROUTES, HOSTS, st.sampled_from(["", ":80"]), st.booleans(), PATHS)
 def test_index_finds_the_same_routes_as_a_walk(
     routes: list[Route], host: str, port: str, is_upper: bool, path: str
@@ -63,7 +63,7 @@
     assert configuration(routes).find_batch_route(host, path) is longest(batch)
 
 
-# Guards against an index that finds another route by name, or other hosts of public jobs.
+# Guards against an index that finds another route by name, or other hosts with public jobs.
 @given(ROUTES, NAMES, HOSTS)
 def test_index_finds_names_and_public_jobs_as_a_walk(
     routes: list[Route], name: str, host: str
@@ -80,7 +80,7 @@
 MEASUREMENTS = st.lists(st.tuples(NAMES, st.floats(1.0, 300.0)), max_size=90)
 
 
-# Guards against limits that go by outdated times, an earlier configuration or missing routes.
+# Guards against limits from outdated service times or routes of an earlier configuration.
 @given(st.lists(st.tuples(ROUTES, MEASUREMENTS), min_size=1, max_size=3), st.integers(0, 2))
 def test_wait_limits_follow_times_and_configurations_as_a_walk(
     versions: list[tuple[list[Route], list[tuple[str, float]]]], priority: int
@@ -97,7 +97,7 @@
                 assert limits.max_wait_ms(route, priority, index) == expected
 
 
-# Guards against prepared limits that miss times which change during the preparation.
+# Guards against prepared limits that miss changes of service times during the preparation.
 @given(ROUTES, ROUTES, MEASUREMENTS, st.integers(0, 2))
 def test_limits_prepared_for_the_next_version_are_those_of_a_walk(
     routes: list[Route], next_routes: list[Route], measured: list[tuple[str, float]], priority: int
@@ -120,7 +120,7 @@
             preparation = preparation or limits.prepare(versions[1][1])
 
 
-# Guards against prepared limits that are thrown away, so that a request waits for all of them.
+# Guards against prepared limits that are computed again by the first request.
 def test_prepared_limits_are_used() -> None:
     times = ServiceTimes()
     limits = WaitLimits(times)
@@ -134,7 +134,7 @@
         assert limits.max_wait_ms(routes[0], 0, after.index) == 800.0
 
 
-# Guards against one long step when the index of a long configuration is built.
+# Guards against building the index of a long configuration in a single step.
 def test_index_is_built_in_steps() -> None:
     parts = (RoutePart("s", 1.0),)
     routes = [
@@ -147,7 +147,7 @@
     assert long.find_route("h", "/2999/x") is routes[2999]
 
 
-# Guards against a lookup that differs between an index built at first use and one built before.
+# Guards against an index that affects whether configurations are equal.
 def test_configurations_with_and_without_index_are_equal() -> None:
     first, second = configuration([]), configuration([])
     run_steps(first.build_index())
--- a/tests/unit/test_warmup_limit.py
+++ b/tests/unit/test_warmup_limit.py
@@ -1,4 +1,4 @@
-"""The rate limit of a warming replica holds for any order of grants, losses and takeovers."""
+"""The rate limit of a warming replica holds for any sequence of grants, losses and takeovers."""
 
 import math
 from random import Random
@@ -35,7 +35,7 @@
 
 @attrs.define
 class Process:
-    """A process with its own clock, which may coordinate."""
+    """A candidate for the role of coordinator, with its own clock."""
 
     clock_rate: float
     lease: RoleLease
@@ -47,7 +47,7 @@
 
 
 class Run:
-    """A random history in true time: reads and claims of the role row, grants, sends, arrivals."""
+    """Simulates a random history of role reads, role claims, grants, sends and arrivals."""
 
     def __init__(self, seed: int, rate: float, bounds: WarmupBounds) -> None:
         self.random = Random(seed)
@@ -72,7 +72,7 @@
         return longest * self.random.random()
 
     def held_until(self, at: float) -> float:
-        """Return when a send goes out; in some runs many are held and then go out together."""
+        """Return the time of a send; in some runs sends are held and released in bursts."""
         return at if not self.hold_s else math.ceil(at / self.hold_s) * self.hold_s
 
     def play(self) -> None:
@@ -81,7 +81,7 @@
             self.is_busy ^= self.random.random() < 0.015
             for number, process in enumerate(self.processes):
                 if self.random.random() < 0.001:
-                    self.holder = number  # a claim; its answer may come late
+                    self.holder = number  # a claim, whose answer may be delayed
                 if self.now >= process.reads_at:
                     self.read(number, process)
                 for _ in range(20 if self.is_busy else 0):
@@ -107,12 +107,12 @@
         receiver = self.random.choice(self.processes)
         report_sent = self.now - self.delay()
         report_arrived = report_sent + (self.now - report_sent) * self.random.random()
-        # The process may be suspended after it has read its clock; what follows comes later.
+        # The process may be suspended after it has read its clock.
         read_clock = granter.clock(self.now)
         if not granter.limits.take("r1", self.rate, read_clock):
             return
         if self.random.random() < 0.1:
-            return  # the node that got the token died
+            return  # the node crashed before it used the token
         age_s = read_clock - granter.clock(report_arrived)
         granted_at = earliest_grant(receiver.clock(report_sent), age_s)
         sends_at = self.held_until(self.now + self.delay())
@@ -130,7 +130,7 @@
         )
 
 
-# Guards against more requests in a second than allowed, however the role and tokens move.
+# Guards against more requests in a second than allowed, for any delays and takeovers.
 @settings(max_examples=60, deadline=None)
 @given(
     st.integers(0, 2**32),
@@ -145,7 +145,7 @@
     assert run.most_in_a_second() <= bounds.limit_per_s(rate)
 
 
-# Guards against a limit that grants nothing, so that the test above would prove nothing.
+# Guards against histories without grants, for which the property test above is vacuous.
 def test_random_histories_contain_grants_of_several_processes() -> None:
     runs = [Run(seed, RATE, BOUNDS) for seed in range(60)]
     for run in runs:
@@ -154,7 +154,7 @@
     assert max(run.most_in_a_second() for run in runs) >= 8
 
 
-# Guards against tokens that are saved up for their whole life and then used at once.
+# Guards against tokens that are held until they expire and then used at once.
 def test_second_after_a_held_burst_has_at_most_the_limit() -> None:
     limits = WarmupLimits(BOUNDS, AlwaysHeld())
     limits.take("r", RATE, 0.0)
@@ -163,7 +163,7 @@
     assert 13 <= granted <= BOUNDS.limit_per_s(RATE)
 
 
-# Guards against the same second being granted by two holders in turn, neither of whom knows.
+# Guards against two successive holders that grant tokens for the same second.
 def test_takeover_while_the_old_lease_holds_keeps_the_limit() -> None:
     old, new = RoleLease(), RoleLease()
     old.adopt(-10.0, -10.0)
@@ -191,14 +191,14 @@
     for _ in range(60):
         now += random.choice([0.0, 0.01, 0.3, 3.0]) * random.random()
         for _ in range(30):
-            # A caller may pass a time from before its wait; the limit's time doesn't go back.
+            # A caller may pass an earlier time than before; the limit uses the latest one.
             passed = now - random.random()
             latest = max(latest, passed)
             granted += [latest] if limits.take("r", rate, passed) else []
     assert most_in_window(granted, WINDOW_S) <= bounds.limit_per_s(rate)
 
 
-# Guards against a crash or unlimited grants where settings or rates are absurd.
+# Guards against a crash or unlimited grants for invalid rates or bounds.
 @pytest.mark.parametrize("rate", [float("nan"), float("inf"), -float("inf"), -1.0, 0.0])
 def test_absurd_rate_grants_nothing(rate: float) -> None:
     limits = WarmupLimits(BOUNDS, AlwaysHeld())
@@ -211,14 +211,14 @@
     assert not any(limits.take("r", RATE, float(now)) for now in range(50))
 
 
-# Guards against a limit so careful that a warming replica stays idle while work waits.
+# Guards against a limit so strict that a warming replica stays idle while work waits.
 def test_waiting_work_gets_most_of_the_rate() -> None:
     limits = WarmupLimits(BOUNDS, AlwaysHeld())
     granted = sum(limits.take("r", RATE, 0.05 * tick) for tick in range(600) for _ in range(20))
     assert granted >= 0.9 * RATE * 30
 
 
-# Guards against a holder that lost the role and took it back granting for seconds of another.
+# Guards against a holder that regains the role and grants for seconds of its predecessor.
 def test_role_taken_back_waits_like_a_new_holder() -> None:
     lease = RoleLease()
     lease.adopt(0.0, 0.1)
@@ -231,7 +231,7 @@
     assert lease.may_grant(6.1 + TAKEOVER_WAIT_S + 0.01)
 
 
-# Guards against a wait after each change of the standbys, which would stop grants each time.
+# Guards against a pause of grants after each change of the standbys.
 def test_change_of_standbys_confirms_the_lease() -> None:
     lease = RoleLease()
     lease.adopt(0.0, 0.1)
--- a/tests/unit/test_warmups.py
+++ b/tests/unit/test_warmups.py
@@ -1,4 +1,4 @@
-"""Which replicas count as warming up, until when, and what is not sent to them."""
+"""Detection of warming replicas, the end of their warm-up, and the gate for sends to them."""
 
 import os
 from typing import Any
@@ -33,7 +33,7 @@
 
 
 class Node:
-    """One node's list and what it knows of warm-ups; a test sets the time."""
+    """The replica directory and warm-up state of a node, with a manual clock."""
 
     def __init__(self, service: Service = SERVICE) -> None:
         self.now = 100.0
@@ -62,7 +62,7 @@
         self.drains.update(51, [], self.now)
 
 
-# Guards against limits on replicas that were running before this process started.
+# Guards against limits on replicas that ran before this process started.
 def test_first_list_of_a_process_assumes_no_warmup() -> None:
     assert Node().remaining_s() == 0
 
@@ -75,7 +75,7 @@
         node.now += 0.1
 
 
-# Guards against an entry written before the warm-up, or the missing one after it, as its end.
+# Guards against an entry without a warm-up time that ends the warm-up early.
 def test_warmup_ends_by_time_only() -> None:
     node = Node()
     node.put(warmup_ms=3000)
@@ -85,7 +85,7 @@
     assert node.remaining_s() == 0
 
 
-# Guards against refused sends at the end, while the coordinator's view is ahead of the nodes'.
+# Guards against refused sends because the coordinator ends a warm-up before the nodes do.
 def test_coordinator_limits_a_replica_a_little_longer_than_nodes_do() -> None:
     node = Node()
     node.put(warmup_ms=1000)
@@ -95,7 +95,7 @@
     assert node.warmups.is_warming(REPLICA, node.now, COORDINATOR_MARGIN_S)
 
 
-# Guards against a replica that is flooded before its entry says that it is warming up.
+# Guards against overloading a replica before its entry reports the warm-up.
 @pytest.mark.parametrize("kind", ["new", "restarted", "returned", "lifted"])
 def test_warmup_is_assumed_before_an_entry_tells_it(kind: str) -> None:
     node = Node()
@@ -110,7 +110,7 @@
     assert node.remaining_s(replica_id) == pytest.approx(WARMUP_S + extra_s, abs=0.002)
 
 
-# Guards against a fleet that limits itself after an outage of the store, in which entries expired.
+# Guards against rate limits for replicas whose entries expired during an outage of the store.
 @pytest.mark.parametrize("is_removed_after", [False, True])
 def test_entry_that_expired_while_the_store_was_down_is_no_restart(is_removed_after: bool) -> None:
     node = Node()
@@ -152,7 +152,7 @@
     assert node.remaining_s() == pytest.approx(expected_s, abs=0.002)
 
 
-# Guards against an entry of an earlier warm-up that ends the one after a lifted drain.
+# Guards against an entry from before a lifted drain that ends the warm-up after it.
 def test_entry_from_before_a_lifted_drain_does_not_end_the_warmup() -> None:
     node = Node()
     node.lift_drain()
@@ -164,7 +164,7 @@
     assert node.remaining_s() == pytest.approx(0.2, abs=0.002)
 
 
-# Guards against a whole zone that counts as warming up when another one's drain is lifted.
+# Guards against warm-ups in a zone when the drain of another zone is lifted.
 def test_lifted_drain_of_another_zone_changes_nothing() -> None:
     node = Node()
     node.put(replica_id="r1", zone="z2")
@@ -183,7 +183,7 @@
         node.gate.check(REPLICA, "q", None)
 
 
-# Guards against times from other nodes or the operator that block a replica for good.
+# Guards against invalid times from nodes or the operator that limit a replica forever.
 @pytest.mark.parametrize("warmup_s", [float("nan"), float("inf"), -5.0, 1e300])
 def test_absurd_times_are_bounded(warmup_s: float) -> None:
     node = Node(msgspec.structs.replace(SERVICE, warmup_s=warmup_s))
@@ -212,7 +212,7 @@
         decode_configuration(raw.encode())
 
 
-# Guards against work that is sent without a token, or with one of a second long past.
+# Guards against work that is sent without a token or with an expired one.
 @pytest.mark.parametrize(
     ("granted_at", "is_sent"), [(None, False), (float("-inf"), False), (99.4, False), (99.6, True)]
 )
