--- a/bench/configuration_cost.py
+++ b/bench/configuration_cost.py
@@ -1,7 +1,7 @@
 """Costs of a long configuration: lookups, and the longest step of decoding and applying one.
 
-Lookups by the index are compared with a walk over all routes. Each figure is the best of several
-repeats, except the longest steps, which are medians of the longest step of each repeat.
+Indexed lookups are compared with a linear scan of all routes. Each figure is the minimum of several
+repeats, except the longest step, which is the median over the repeats.
 """
 
 import base64
@@ -34,7 +34,7 @@
 
 
 def document(routes: int) -> bytes:
-    """Return a stored configuration."""
+    """Return the stored form of a configuration with this number of routes."""
     wire = {
         "version": 2,
         "routes": [
@@ -60,7 +60,7 @@
 
 
 def best_us(call: Callable[[], object]) -> float:
-    """Return the time of one call in microseconds."""
+    """Return the shortest measured time of one call in microseconds."""
     times = []
     for _ in range(REPEATS):
         began = time.perf_counter()
@@ -71,7 +71,7 @@
 
 
 def step_times(steps: Steps[Any]) -> Iterator[float]:
-    """Run the steps and return the time of each in ms."""
+    """Run the steps and yield the time of each in ms."""
     result = None
     while result is None:
         began = time.perf_counter()
@@ -83,7 +83,7 @@
 
 
 def steps_text(create: Callable[[], Steps[Any]]) -> str:
-    """Return the longest step and the total of a computation in steps."""
+    """Describe the longest step and the total time of a computation in steps."""
     longest_ms, totals_ms = [], []
     for _ in range(REPEATS):
         gc.collect()
@@ -94,7 +94,7 @@
 
 
 def swap_texts(configuration: Configuration) -> Iterator[str]:
-    """Return the time to replace a configuration, and the steps that release it."""
+    """Describe the cost of replacing a configuration and of releasing the replaced one."""
     copy = run_steps(encode_copy(configuration))
     holders, times_ms = [], []
     for _ in range(REPEATS):
@@ -110,7 +110,7 @@
 
 
 def prepare_text(raw: bytes) -> str:
-    """Return the steps that prepare the limits of waits of a version of which all is measured."""
+    """Return the cost of preparing the wait limits of a version whose routes all have timings."""
     before, after = decode_configuration(raw), decode_configuration(raw)
     times = ServiceTimes()
     for route in before.routes:
--- a/bench/configuration_spread.py
+++ b/bench/configuration_spread.py
@@ -1,7 +1,8 @@
-"""How a change of the configuration spreads over two regions with a thin link, in simulated time.
+"""Propagation of a configuration change over two regions with a slow link, in simulated time.
 
-Two regions of equal size, the store in one of them, 30 Mbit/s each way between them for datagrams
-and calls of the store (``tests/serving/returning_world.py``). Processor time is not modelled.
+The regions have equal size, and one of them contains the store. The link between them carries
+30 Mbit/s each way, for datagrams and calls of the store (``tests/serving/returning_world.py``).
+Processor time is not modelled.
 
 Usage: configuration_spread.py [--nodes 70] [--routes 1742] [--without]
 """
@@ -44,9 +45,9 @@
 @click.command()
 @click.option("--nodes", multiple=True, default=(70, 195), type=int)
 @click.option("--routes", multiple=True, default=(45, 1742, 20000), type=int)
-@click.option("--without", is_flag=True, help="Each node reads the store, as without the feature.")
+@click.option("--without", is_flag=True, help="Turn all features off; each node reads the store.")
 def main(nodes: tuple[int, ...], routes: tuple[int, ...], without: bool) -> None:
-    """Print for each size what a change takes."""
+    """Print the time and traffic of a configuration change for each fleet size."""
     for count in nodes:
         for route_count in routes:
             _measure(count, route_count, without)
@@ -60,7 +61,7 @@
         await world.wait_until(lambda node: node.serves, LONGEST_S)
         await curio.sleep(SETTLE_S)
         idle = await _idle_cost(world, nodes)
-        _reset(world)
+        _reset_counters(world)
         changed_at = time.now
         await world.change_configuration(2, _random_routes(route_count))
         with contextlib.suppress(AssertionError):
@@ -69,20 +70,20 @@
         took = f"{time.now - changed_at:6.2f} s" if not lacking else f"{lacking} without it"
         await curio.sleep(0.5)
         compressed = _compressed_size(world)
-        body = sum(
+        part_bytes = sum(
             size
             for kind, size in regions.bytes_between.items()
             if kind in ("CompactConfigurationPart", "ConfigurationPart", "ConfigurationCopy")
         )
-        status = sum(
+        poll_bytes = sum(
             size
             for kind, size in regions.bytes_between.items()
             if kind in ("ConfigurationPoll", "ConfigurationStatus", "ConfigurationPartRequest")
         )
         click.echo(
             f"{nodes:4} nodes {route_count:6} routes: last node {took}, "
-            f"compressed {compressed:7}, between regions: parts {body:8}, polls {status:6}, "
-            f"store {regions.bytes_between['store op']:9}; "
+            f"compressed {compressed:7}, between regions: parts {part_bytes:8}, "
+            f"polls {poll_bytes:6}, store {regions.bytes_between['store op']:9}; "
             f"store calls {_configuration_calls(world):4}, "
             f"answers {world.store.bytes_sent / 1e6:7.2f} MB; {idle}"
         )
@@ -96,14 +97,14 @@
     return node.fleet_state.configuration.version == 2
 
 
-def _reset(world: ReturningWorld) -> None:
+def _reset_counters(world: ReturningWorld) -> None:
     world.store.reset_counts()
     world.regions.bytes_between.clear()
     world.wire.bytes_by_kind.clear()
 
 
 async def _idle_cost(world: ReturningWorld, nodes: int) -> str:
-    _reset(world)
+    _reset_counters(world)
     await curio.sleep(IDLE_S)
     kinds = ("ConfigurationPoll", "ConfigurationStatus")
     polls = sum(world.wire.bytes_by_kind[kind] for kind in kinds) / IDLE_S / nodes
--- a/bench/warmup_limit.py
+++ b/bench/warmup_limit.py
@@ -1,7 +1,7 @@
-"""Prints which part of the rate of a warming replica is used while work waits.
+"""Prints the fraction of a warming replica's rate limit that is used under constant demand.
 
-Requests wait all the time. The coordinator looks for tokens every ``TICK_S``; some tokens are lost
-or too old when they arrive.
+The coordinator takes the available tokens every ``TICK_S``; some tokens are lost or have expired
+when they arrive.
 """
 
 from random import Random
@@ -13,24 +13,26 @@
 
 
 class AlwaysHeld:
-    """A lease that always holds."""
+    """A lease that never expires."""
 
     tenure = 1
 
     def may_grant(self, now: float) -> bool:
-        """Return True."""
+        """Whether tokens may be granted: always."""
         return True
 
 
-def utilization(rate_per_s: float, bounds: WarmupBounds, lost: float, late_s: float) -> float:
-    """Return the requests that were sent, as a part of those that the rate allows."""
+def utilization(
+    rate_per_s: float, bounds: WarmupBounds, loss_rate: float, max_delay_s: float
+) -> float:
+    """Return the number of requests sent as a fraction of the number that the rate allows."""
     random, limits = Random(1), WarmupLimits(bounds, AlwaysHeld())
     now, sent = 0.0, 0
     while now < SECONDS:
         now += TICK_S * (1 + 0.2 * random.random())
         while limits.take("r", rate_per_s, now):
-            is_lost = random.random() < lost
-            sent += not is_lost and late_s * random.random() <= TOKEN_TTL_S
+            is_lost = random.random() < loss_rate
+            sent += not is_lost and max_delay_s * random.random() <= TOKEN_TTL_S
     return sent / (rate_per_s * SECONDS)
 
 
@@ -43,11 +45,11 @@
         (1.0, WarmupBounds(1.0, 0.0)),
     ):
         limit = bounds.limit_per_s(rate)
-        for lost, late_s in ((0.0, 0.0), (0.02, 0.1), (0.05, 0.52)):
-            used = utilization(rate, bounds, lost, late_s)
+        for loss_rate, max_delay_s in ((0.0, 0.0), (0.02, 0.1), (0.05, 0.52)):
+            used = utilization(rate, bounds, loss_rate, max_delay_s)
             print(
-                f"rate {rate:g}/s, limit {limit}/s, {lost:.0%} lost, up to {late_s} s late: "
-                f"{used:.3f} used"
+                f"rate {rate:g}/s, limit {limit}/s, {loss_rate:.0%} lost, "
+                f"up to {max_delay_s} s late: {used:.3f} used"
             )
 
 
--- a/src/cloverwalk/fleet/configuration_copy.py
+++ b/src/cloverwalk/fleet/configuration_copy.py
@@ -26,7 +26,7 @@
 
 
 async def compact_parts(configuration: Configuration) -> list[CompactConfigurationPart]:
-    """Return the parts of a configuration; other tasks run between the steps of compression."""
+    """Compress a configuration and split it into parts; other tasks run between the steps."""
     data = await run_in_steps(encode_copy(configuration))
     starts = range(0, len(data), MAX_PART_BYTES)
     return [
@@ -77,13 +77,13 @@
             ]
 
 
-class PartFault(enum.Enum):
-    """Why a part is of no use."""
+class IgnoreReason(enum.Enum):
+    """Why a received part is ignored."""
 
     DUPLICATE = "duplicate"
     OUTDATED = "outdated"
     NOT_POLLED = "not_polled"
-    """It comes from a node that isn't polled."""
+    """The sender is not a node that this one polls."""
 
 
 class ConfigurationAssembler:
@@ -102,11 +102,11 @@
         self._version = -1
         self._count = 0
         self._parts: dict[int, bytes] = {}
-        self.ignored: Counter[PartFault] = Counter()
-        """Number of parts that were of no use."""
+        self.ignored: Counter[IgnoreReason] = Counter()
+        """Number of ignored parts by reason."""
 
         self.corrupted = 0
-        """Versions whose joined parts could not be decoded."""
+        """Number of times that joined parts could not be decoded."""
 
     def add(self, part: ConfigurationPart) -> Configuration | None:
         """Return the configuration once all of its parts have arrived.
@@ -116,19 +116,22 @@
         data = self.join(part)
         return None if data is None else self.decode(data, part.version)
 
-    def fault(self, part: ConfigurationPart, own_version: int) -> PartFault | None:
-        """Return and count why a part is of no use to a node; None if it is."""
-        fault = None
+    def reason_to_ignore(self, part: ConfigurationPart, own_version: int) -> IgnoreReason | None:
+        """Return why a part is to be ignored, and count it; None if the part is needed."""
+        reason = None
         if part.version <= own_version or part.version < self._version:
-            fault = PartFault.OUTDATED
+            reason = IgnoreReason.OUTDATED
         elif part.version == self._version and part.part in self._parts:
-            fault = PartFault.DUPLICATE
-        if fault is not None:
-            self.ignored[fault] += 1
-        return fault
+            reason = IgnoreReason.DUPLICATE
+        if reason is not None:
+            self.ignored[reason] += 1
+        return reason
 
     def join(self, part: ConfigurationPart) -> bytes | None:
-        """Return the joined parts once all have arrived; raise DatagramError if one is invalid."""
+        """Return the joined data once all parts have arrived.
+
+        Raise DatagramError if the part is invalid.
+        """
         if not 0 <= part.part < part.parts <= MAX_PARTS:
             raise DatagramError(
                 f"invalid configuration part: index {part.part}, {part.parts} parts"
@@ -152,7 +155,7 @@
         return run_steps(self._decode(data, version))
 
     async def decode_in_steps(self, data: bytes, version: int) -> Configuration:
-        """Do the same as ``decode``; other tasks run between the steps."""
+        """Like ``decode``, but other tasks run between the steps."""
         return await run_in_steps(self._decode(data, version))
 
     def _decode(self, data: bytes, version: int) -> Steps[Configuration]:
--- a/src/cloverwalk/fleet/configuration_publisher.py
+++ b/src/cloverwalk/fleet/configuration_publisher.py
@@ -1,8 +1,8 @@
 """Answers polls for the configuration and sends its parts at a limited rate.
 
-A new version is announced to the nodes that polled recently, and its parts are sent to them without
-being asked for; parts that get lost are requested. Nodes of other regions have a budget of their
-own, so that a shared link between regions is never filled.
+A new version is announced to the nodes that polled recently, and its parts are pushed to them; they
+request the parts that get lost. Nodes in other regions have a separate rate limit, so that the
+parts do not saturate a shared link between regions.
 """
 
 from collections.abc import Callable, Iterable
@@ -21,22 +21,23 @@
 from cloverwalk.gateway.configuration import ConfigurationHolder
 
 SUBSCRIPTION_S = 2.0
-"""A node that has polled within this time gets new versions."""
+"""New versions are sent to the nodes that have polled within this time."""
 
 LOCAL_BYTES_PER_S = 4_000_000.0
-"""Budget for parts to nodes of this region; less on a machine with a slow link."""
+"""Rate limit of parts to nodes in this region; lower on a machine with a slow link."""
 
 REMOTE_BYTES_PER_S = 1_000_000.0
-"""Budget for parts to nodes of other regions."""
+"""Rate limit of parts to nodes in other regions."""
 
 MAX_LINK_FRACTION = 0.5
-"""Fraction of the machine's link that parts may use."""
+"""Maximum fraction of the machine's link for each of the two rate limits."""
 
-REORDERED_POLLS = 8
-"""A poll whose number is lower by more than this is that of another process of the node."""
+MAX_POLL_REORDERING = 8
+"""A poll whose number is lower than the last one by more than this is not reordered: the node has
+restarted and numbers its polls from the beginning."""
 
 MakeStatus = Callable[[int, int, float], ConfigurationStatus]
-"""Returns this node's status for a number of parts, the receiver's last poll, and the time."""
+"""Returns this node's status, given the number of parts, the receiver's last poll, and the time."""
 
 
 @attrs.define
@@ -55,15 +56,15 @@
 
 
 class _PacedQueue:
-    """Parts that wait to be sent, in their order; sent at a limited rate."""
+    """Parts that wait to be sent, first in, first out, at a limited rate."""
 
     def __init__(self, bytes_per_s: float) -> None:
         self._bytes_per_s = bytes_per_s
         self._waiting: dict[_QueuedPart, None] = {}
-        self._free_at = float("-inf")
+        self._next_send_at = float("-inf")
 
     def add(self, host: str, version: int, indexes: Iterable[int]) -> None:
-        """Add parts for a host, without those that wait already."""
+        """Add parts for a host, except those that are queued already."""
         self._waiting.update(dict.fromkeys((host, version, index) for index in indexes))
 
     def clear(self) -> None:
@@ -71,8 +72,8 @@
         self._waiting.clear()
 
     def due_at(self) -> float:
-        """Return when the next part may be sent; infinite if none waits."""
-        return self._free_at if self._waiting else float("inf")
+        """Return when the next part may be sent; infinite if the queue is empty."""
+        return self._next_send_at if self._waiting else float("inf")
 
     def pop(self) -> _QueuedPart:
         """Remove and return the next part."""
@@ -81,12 +82,12 @@
         return key
 
     def record_sent(self, size: int, now: float) -> None:
-        """Delay the next part by the time that this one uses of the budget."""
-        self._free_at = max(now, self._free_at) + size / self._bytes_per_s
+        """Delay the next part by the time that ``size`` bytes take at the limited rate."""
+        self._next_send_at = max(now, self._next_send_at) + size / self._bytes_per_s
 
 
 class ConfigurationPublisher:
-    """The state of one node as a source."""
+    """Sends this node's configuration to the nodes that poll it."""
 
     def __init__(
         self,
@@ -110,7 +111,7 @@
         """The parts of the version that this node offers."""
 
         self._incoming: dict[int, CompactConfigurationPart] = {}
-        """The parts of a newer version that have arrived from a source."""
+        """The parts of a newer version received so far, which are forwarded."""
 
         self._has_work = curio.Event()
         self.parts_sent = 0
@@ -125,7 +126,7 @@
     # --- messages ---
 
     async def handle_poll(self, poll: ConfigurationPoll, host: str) -> None:
-        """Answer a poll; send the parts of a newer version unless that was done."""
+        """Answer a poll; send the parts of a newer version unless they were sent before."""
         now = self._clock()
         if poll.subscribes:
             subscriber = self._record_subscriber(poll, host, now)
@@ -137,15 +138,15 @@
 
     def _record_subscriber(self, poll: ConfigurationPoll, host: str, now: float) -> _Subscriber:
         known = self._subscribers.get(host)
-        if known is None or poll.number + REORDERED_POLLS < known.poll:
-            # Another process of the node has started: it has nothing of what was sent before.
+        if known is None or poll.number + MAX_POLL_REORDERING < known.poll:
+            # The node has restarted and has none of the parts that were sent before.
             known = self._subscribers[host] = _Subscriber(poll.region, poll.number, now)
         known.region, known.polled_at = poll.region, now
         known.poll = max(known.poll, poll.number)
         return known
 
     async def handle_part_request(self, request: ConfigurationPartRequest, host: str) -> None:
-        """Queue the requested parts if this node has that version."""
+        """Queue the requested parts if this node offers that version."""
         version = self._prepared_version
         if request.version != version:
             return
@@ -155,19 +156,19 @@
         await self._has_work.set()
 
     def announce(self) -> None:
-        """Tell the nodes that polled recently what this node knows now."""
+        """Send this node's status to the nodes that polled recently."""
         now = self._clock()
         for host, subscriber in self._recent_subscribers(now):
             self._send_status(host, subscriber.poll, now)
 
-    async def notice_version(self) -> None:
-        """Prepare and send the current version; call this after it has changed."""
+    async def notify_version_changed(self) -> None:
+        """Make ``run`` prepare and send the current version; call this after it has changed."""
         await self._has_work.set()
 
     async def forward(self, part: CompactConfigurationPart) -> None:
-        """Pass on a part of a newer version before this node has all of them.
+        """Forward a part of a newer version before all parts have arrived.
 
-        The version is announced only once this node could put it together.
+        The version is announced only after this node has decoded it.
         """
         version = max(self._incoming_version, self._prepared_version)
         if part.version < version or part.version == self._prepared_version:
@@ -183,8 +184,8 @@
             self._queue_of(host).add(host, part.version, [part.part])
         await self._has_work.set()
 
-    def drop_incoming(self) -> None:
-        """Forget the parts of a newer version, which could not be put together."""
+    def discard_incoming(self) -> None:
+        """Discard the parts of a newer version, which could not be decoded."""
         self._incoming = {}
         self._clear_queues()
 
@@ -195,7 +196,7 @@
     # --- sending ---
 
     async def run(self) -> None:
-        """Send what is due until cancelled."""
+        """Send new versions and queued parts until cancelled."""
         while True:
             if self._prepared_version < self._configuration.version:
                 await self._prepare()
@@ -221,11 +222,11 @@
         recent = self._recent_subscribers(self._clock())
         self._subscribers = dict(recent)
         self.announce()
-        lacking = [host for host, one in recent if one.sent_version < self._prepared_version]
-        await self._queue_all(lacking)
+        outdated_hosts = [host for host, one in recent if one.sent_version < self._prepared_version]
+        await self._queue_all(outdated_hosts)
 
     async def _queue_all(self, hosts: list[str]) -> None:
-        """Queue all parts for hosts, part by part, so that none gets them in one burst."""
+        """Queue all parts for hosts, interleaved so that no host gets them in one burst."""
         for host in hosts:
             self._subscribers[host].sent_version = self._prepared_version
         for index in range(len(self._parts)):
--- a/src/cloverwalk/fleet/configuration_sources.py
+++ b/src/cloverwalk/fleet/configuration_sources.py
@@ -1,9 +1,9 @@
 """Chooses the nodes of each region that read the configuration for the others.
 
-The primary of the region nearest to the store reads the store; its spare does when the primary is
-lost. The primaries of other regions poll these two. Large regions have relays, which poll the
-primary and are polled by the other nodes. A choice is kept unless another node is better for one of
-the reasons that ``_Defects`` names.
+The primary of the region nearest to the store reads the store, and its spare takes over if the
+primary is lost. The primaries of other regions poll these two. Large regions have relays, which
+poll the primary and are polled by the other nodes. A chosen node is kept while it is available
+and ``_Defects`` does not rank another one higher.
 """
 
 import math
@@ -16,24 +16,25 @@
 from cloverwalk.fleet.state_sender import MAX_SERVED_STORE_AGE_MS
 
 MAX_REPORT_AGE_S = 1.3
-"""A node that has not reported for longer has missed a report; they come once a second or sooner.
-Shorter than the time after which it is lost."""
+"""A node that has not reported for longer has missed a report, since nodes report at least once a
+second. Shorter than the time after which a node is considered lost."""
 
 MAX_CONFIGURATION_AGE_MS = 2500
-"""A node whose configuration was confirmed longer ago is outdated, if another one's is not."""
+"""A configuration that was confirmed longer ago counts as outdated."""
 
-SPREAD_TIME_S = 1.5
-"""A new version may take this long to reach a region before its sources count as behind."""
+PROPAGATION_TIME_S = 1.5
+"""Sources without a new version count as behind after this time."""
 
 SETTLE_S = 1.5
-"""A new coordinator of a running fleet makes no choice for this long, until all have reported; the
-nodes keep their lists meanwhile."""
+"""A new coordinator of a running fleet waits this long for reports before it chooses sources; nodes
+keep their lists meanwhile."""
 
-NEARER_FACTOR = 0.7
-"""Another region takes the place of the nearest one if its round trip is shorter by this factor."""
+NEARER_RATIO = 0.7
+"""Another region becomes the nearest one only if its round trip is below this fraction of the
+current one's."""
 
-MIN_NEARER_MS = 3
-"""It must also be shorter by this time."""
+MIN_ROUND_TRIP_GAIN_MS = 3
+"""Another region becomes the nearest one only if its round trip is shorter by more than this."""
 
 MAX_DIRECT_POLLERS = 16
 """Regions with more nodes have relays."""
@@ -45,10 +46,10 @@
 
 @attrs.frozen(order=True)
 class _Defects:
-    """What speaks against a node as a source, the most serious first."""
+    """Reasons against a node as a source, the most serious first."""
 
     has_missed_report: bool
-    is_refused: bool
+    lacks_store_access: bool
     is_outdated: bool
     is_behind: bool
     is_full: bool
@@ -57,17 +58,17 @@
 
 @attrs.define
 class RegionSources:
-    """The chosen nodes of a region, by name; empty names if there are too few nodes."""
+    """Names of the chosen nodes of a region; empty if there are too few nodes."""
 
     primary: str = ""
     spare: str = ""
     relays: tuple[str, ...] = ()
     relay_by_node: dict[str, str] = attrs.Factory(dict)
-    """The relay of each node that has one."""
+    """Relay of each node that polls one."""
 
 
 class ConfigurationSources:
-    """The choices of one coordinator. Times are in seconds."""
+    """Chooses the sources at the coordinator. Times are in seconds."""
 
     def __init__(
         self,
@@ -90,13 +91,13 @@
         """The newest reported version, and when it was first reported."""
 
     def region_of(self, zone: str) -> str:
-        """Return the region of a zone; a zone without one is a region of its own."""
+        """Return the region of a zone; a zone without a configured region is its own region."""
         return self._region_by_zone.get(zone, zone)
 
     # --- choices ---
 
     def update(self, now: float, is_fleet_running: bool) -> list[str]:
-        """Choose sources where that is needed; return the regions whose sources have changed."""
+        """Update the choice of sources; return the regions whose sources have changed."""
         active_since = self._active_since()
         if active_since is None:
             self.by_region.clear()
@@ -129,7 +130,7 @@
             self._newest = (newest, now)
 
     def _update_nearest(self, by_region: dict[str, list[NodeEntry]], now: float) -> set[str]:
-        """Choose the region nearest to the store; return the regions that this concerns."""
+        """Choose the region nearest to the store; return the regions affected by a change."""
         round_trips = {
             region: min(
                 (
@@ -146,12 +147,13 @@
         best = min(sorted(round_trips), key=lambda region: round_trips[region])
         current = round_trips.get(self.nearest, math.inf)
         is_clearly_nearer = round_trips[best] < min(
-            NEARER_FACTOR * current, current - MIN_NEARER_MS
+            NEARER_RATIO * current, current - MIN_ROUND_TRIP_GAIN_MS
         )
         if self.nearest in by_region and not is_clearly_nearer:
             return set()
         if round_trips[best] == math.inf:
-            # No node has called the store yet. The coordinator has, to take its role.
+            # No node has reported a round trip yet. The coordinator has reached the store, since it
+            # has claimed its role there.
             best = next(
                 (
                     region
@@ -176,7 +178,7 @@
         )
         current = self.by_region.get(region, RegionSources())
         chosen = RegionSources()
-        # The spare moves up, since its pollers and the pollers of the primary know it already.
+        # Promote the spare if the primary is gone: the pollers have it in their lists already.
         preferred = current.primary if current.primary in by_name else current.spare
         chosen.primary = _keep_or_replace(preferred, ranked, defects)
         others = [name for name in ranked if name != chosen.primary]
@@ -214,7 +216,7 @@
             now - entry.last_seen_at > MAX_REPORT_AGE_S,
             region == self.nearest and not _is_served(entry),
             age_ms is None or age_ms > MAX_CONFIGURATION_AGE_MS,
-            report.configuration_version < version and now - first_reported_at > SPREAD_TIME_S,
+            report.configuration_version < version and now - first_reported_at > PROPAGATION_TIME_S,
             report.is_full,
             entry.contact.node == self._coordinator.node,
         )
@@ -222,7 +224,7 @@
     # --- lists ---
 
     def of(self, node: str) -> tuple[Contact, ...]:
-        """Return the sources of a node, the preferred one first; its own entry is the store."""
+        """Return the sources of a node, the preferred one first; its own entry means the store."""
         entry = self._registry.by_name.get(node)
         if entry is None:
             return ()
@@ -258,7 +260,7 @@
 
 
 def _keep_or_replace(current: str, ranked: list[str], defects: dict[str, _Defects]) -> str:
-    """Return the current node unless the best one has fewer serious defects."""
+    """Return the current node unless the best-ranked one has less serious defects."""
     if not ranked:
         return ""
     if current in defects and defects[current] <= defects[ranked[0]]:
@@ -269,17 +271,17 @@
 def _assign_relays(
     current: RegionSources, chosen: RegionSources, names: list[str]
 ) -> dict[str, str]:
-    """Give each node a relay; nodes keep theirs unless it has more than its share."""
+    """Distribute the nodes evenly over the relays; a node keeps its relay if that has capacity."""
     if not chosen.relays:
         return {}
     sources = {chosen.primary, chosen.spare, *chosen.relays}
     nodes = [name for name in names if name not in sources]
-    share = math.ceil(len(nodes) / len(chosen.relays))
+    max_per_relay = math.ceil(len(nodes) / len(chosen.relays))
     counts = dict.fromkeys(chosen.relays, 0)
     assigned: dict[str, str] = {}
     for node in nodes:
         relay = current.relay_by_node.get(node, "")
-        if counts.get(relay, share) < share:
+        if counts.get(relay, max_per_relay) < max_per_relay:
             assigned[node] = relay
             counts[relay] += 1
     for node in nodes:
--- a/src/cloverwalk/fleet/configuration_subscription.py
+++ b/src/cloverwalk/fleet/configuration_subscription.py
@@ -1,9 +1,10 @@
 """Polls configuration sources, and decides when this node reads the store itself.
 
-The sources of a node are a list in its orders, the preferred one first; its own entry stands for
-the store. A source that does not answer, is older, or has lost its reader of the store is left for
-the next one. Earlier ones are asked now and then whether they are good again. The store is the last
-resort of a node that isn't on its own list. Callers pass in the time, in seconds.
+A node receives the list of its sources in its orders, the preferred one first; its own entry means
+the store. It fails over to the next source if the current one does not answer, has an older version
+or has lost the node that reads the store. It probes preferred sources at intervals and fails back
+once they are usable. A node that isn't on its own list reads the store as its last resort. Callers
+pass in the time, in seconds.
 """
 
 import enum
@@ -26,35 +27,36 @@
 
 POLL_INTERVAL_S = 0.4
 ANSWER_TIMEOUT_S = 0.25
-"""A poll without an answer is repeated after this time, and its source is left after twice this
-time: together with the interval within a second."""
+"""An unanswered poll is repeated after this time, and its source abandoned after twice this time.
+With the poll interval this adds up to less than a second."""
 
 PROBE_INTERVAL_S = 1.0
-"""Interval at which the preferred sources are asked whether they are good again."""
+"""Interval at which preferred sources are probed after a failover."""
 
 MAX_READER_AGE_MS = 1500
-"""A source is left if its reader's calls of the store have not been known to succeed for longer."""
+"""A source is abandoned if its reader was last known to reach the store longer ago than this."""
 
 MAX_READER_FAILURE_S = 0.4
-"""A reader whose calls fail for longer tells its pollers to leave."""
+"""A reader whose calls have failed for longer reports its failure to its pollers."""
 
 READER_CHECK_INTERVAL_S = 0.2
-"""Interval at which a reader checks whether its calls of the store fail."""
+"""Interval at which a reader checks for failing calls of the store."""
 
 PART_TIMEOUT_S = 0.4
-"""Missing parts are requested if none arrives for this time."""
+"""Missing parts are requested if no part arrives for this time."""
 
-LIST_TIMEOUT_S = 1.0
-"""A starting node waits this long for its list, and a random delay, before it reads the store."""
+SOURCES_TIMEOUT_S = 1.0
+"""A starting node waits this long for its sources, plus a random delay, before it reads the
+store."""
 
-STORE_SPREAD_S = 1.0
-"""Upper bound of the random delay before a node reads the store as its last resort."""
+STORE_READ_JITTER_S = 1.0
+"""Maximum random delay before a node reads the store as its last resort."""
 
 LOST_READER_AGE_MS = 1_000_000
-"""Reported age of a reader that is not known, or whose calls fail."""
+"""Reported age of a reader that is unknown or whose calls fail."""
 
 MAX_PENDING_POLLS = 32
-"""Polls whose send times are kept."""
+"""Maximum number of polls whose send times are kept."""
 
 
 class ReadReason(enum.Enum):
@@ -66,7 +68,7 @@
 
 
 class LossReason(enum.Enum):
-    """Why a source is left."""
+    """Why a source is abandoned."""
 
     UNRESPONSIVE = "unresponsive"
     OLDER = "older"
@@ -82,7 +84,7 @@
 
 @attrs.define
 class _Transfer:
-    """A newer version whose parts are awaited."""
+    """A newer version whose parts are being received."""
 
     version: int
     parts: int
@@ -96,7 +98,7 @@
 
 
 class ConfigurationSubscription:
-    """The state of one node as a poller."""
+    """Polls the sources of this node, and decides when it reads the store."""
 
     def __init__(
         self,
@@ -121,14 +123,14 @@
         self._sources: tuple[Contact, ...] = ()
         self._index = 0
         self._is_last_resort = False
-        self._reads_at = now + LIST_TIMEOUT_S + random.random() * STORE_SPREAD_S
-        """When this node begins to read the store, if it has no list or all sources are lost."""
+        self._reads_at = now + SOURCES_TIMEOUT_S + random.random() * STORE_READ_JITTER_S
+        """When this node starts to read the store if it has no list or all sources are lost."""
 
         self._reading_since: float | None = None
         self._polls: dict[int, _Poll] = {}
         self._number = 0
         self._unanswered: list[float] = []
-        """Send times of the polls of the current source without an answer."""
+        """Send times of the unanswered polls of the current source."""
 
         self._polled_at = float("-inf")
         self._probed_at = now
@@ -137,12 +139,12 @@
         self._reader_seen_at = now
         self._lost_hosts: set[str] = set()
         self.resume_version = -1
-        """Store version up to which this node's version is the newest; -1: not known."""
+        """Store version up to which this node's configuration is the newest; -1: not known."""
 
         self.sources_lost = 0
         self.parts_requested = 0
 
-    # --- what others see ---
+    # --- state ---
 
     def reads_store(self, now: float) -> bool:
         """Whether this node follows the configuration in the store."""
@@ -151,7 +153,7 @@
         return now >= self._reads_at
 
     def reader(self, now: float) -> tuple[str, int]:
-        """Return the node that reads the store for this one, and the age of its last good call."""
+        """Return the node that reads the store for this one and the age of its last success."""
         if self._reading_since is not None:
             is_failing = self._store_failing_for_s(self._reading_since, now) > MAX_READER_FAILURE_S
             return self._identity.node, LOST_READER_AGE_MS if is_failing else 0
@@ -177,7 +179,7 @@
     # --- the list ---
 
     def set_sources(self, sources: tuple[Contact, ...], now: float) -> None:
-        """Adopt a list from orders; an empty one leaves the current list in force."""
+        """Adopt a list from orders; an empty list is ignored."""
         if not sources or sources == self._sources:
             return
         if not self._sources:
@@ -194,11 +196,11 @@
         self._polled_at = float("-inf")
         self._probed_at = now
         if self._is_last_resort:
-            self._reads_at = now + self._random.random() * STORE_SPREAD_S
+            self._reads_at = now + self._random.random() * STORE_READ_JITTER_S
         self._update_reading(now)
 
-    def _leave(self, reason: LossReason, now: float) -> None:
-        """Go on to the next source, after the last one to the store, then to the first again."""
+    def _fail_over(self, reason: LossReason, now: float) -> None:
+        """Switch to the next source; after the last one to the store, then to the first again."""
         host = self._identity.host if self._is_last_resort else self._current.host
         if self._transfer is not None and self._transfer.host == host:
             self._transfer = None
@@ -215,7 +217,7 @@
         self._select((self._index + 1) % places, now)
 
     def _update_reading(self, now: float) -> None:
-        """Record and log when this node begins or stops to read the store."""
+        """Record and log when this node starts or stops reading the store."""
         reads = self.reads_store(now)
         if reads == (self._reading_since is not None):
             return
@@ -246,13 +248,13 @@
         return min(due)
 
     def tick(self, now: float) -> None:
-        """Do what is due: polls, repetitions, moves to other sources."""
+        """Send the polls and part requests that are due; fail over if needed."""
         self._update_reading(now)
         if not self._sources:
             return
         if self._reading_since is not None:
             if self._store_failing_for_s(self._reading_since, now) > MAX_READER_FAILURE_S:
-                self._leave(LossReason.REFUSED, now)
+                self._fail_over(LossReason.REFUSED, now)
         elif self.source:
             self._poll_source(now)
         self._probe_preferred(now)
@@ -262,7 +264,7 @@
         if self._unanswered and now - self._unanswered[-1] < ANSWER_TIMEOUT_S:
             return
         if len(self._unanswered) >= 2:
-            self._leave(LossReason.UNRESPONSIVE, now)
+            self._fail_over(LossReason.UNRESPONSIVE, now)
         if not self.source:
             return
         if self._unanswered or now - self._polled_at >= POLL_INTERVAL_S:
@@ -281,7 +283,7 @@
         self._transport.send(host, poll)
 
     def _probe_preferred(self, now: float) -> None:
-        """Ask the sources before the current one whether they are good again."""
+        """Probe the sources that are preferred to the current one."""
         interval_s = POLL_INTERVAL_S if self._is_last_resort else PROBE_INTERVAL_S
         if self._index == 0 or now - self._probed_at < interval_s:
             return
@@ -315,12 +317,12 @@
     # --- messages ---
 
     def poll_sent_at(self, number: int, host: str) -> float | None:
-        """Return when a poll was sent to a host, None if that is not known."""
+        """Return when a poll was sent to a host, None if it is unknown."""
         poll = self._polls.get(number)
         return poll.sent_at if poll is not None and poll.host == host else None
 
     def handle_status(self, status: ConfigurationStatus, host: str, now: float) -> None:
-        """Record what a source knows; go back to a preferred one that is good again."""
+        """Process a source's answer; fail over, or fail back to a preferred source, if needed."""
         sent_at = self.poll_sent_at(status.poll, host)
         if sent_at is None:
             return
@@ -331,16 +333,16 @@
             self._unanswered = [later for later in self._unanswered if later > sent_at]
             self._record_reader(status, sent_at)
             if problem is not None:
-                self._leave(problem, now)
+                self._fail_over(problem, now)
             else:
                 self._lost_hosts.discard(host)
         elif problem is None:
-            self._return_to(host, status, sent_at, now)
+            self._fail_back(host, status, sent_at, now)
 
     def _record_version(
         self, status: ConfigurationStatus, host: str, confirmed_at: float, now: float
     ) -> None:
-        """Confirm this node's version, or await the parts of a newer one."""
+        """Confirm this node's version, or start receiving a newer one."""
         own = self._configuration.version
         if status.version == own:
             self._configuration.record_confirmation(own, confirmed_at)
@@ -355,7 +357,7 @@
 
     def _record_reader(self, status: ConfigurationStatus, sent_at: float) -> None:
         self._reader = status.reader
-        # A reader that fails says so; what it said earlier no longer counts.
+        # A reported failure overrides earlier successes.
         seen_at = sent_at - max(0, status.reader_age_ms) / 1000
         is_lost = status.reader_age_ms >= LOST_READER_AGE_MS
         self._reader_seen_at = seen_at if is_lost else max(seen_at, self._reader_seen_at)
@@ -365,7 +367,7 @@
             return LossReason.NO_READER
         return LossReason.OLDER if status.version < self._configuration.version else None
 
-    def _return_to(
+    def _fail_back(
         self, host: str, status: ConfigurationStatus, sent_at: float, now: float
     ) -> None:
         preferred = [contact.host for contact in self._sources[: self._index]]
@@ -379,12 +381,12 @@
         return any(poll.host == host for poll in self._polls.values())
 
     def record_part(self, version: int, now: float) -> None:
-        """Record that a part of a version has arrived."""
+        """Restart the part timeout after a part of a version has arrived."""
         if self._transfer is not None and self._transfer.version == version:
             self._transfer.progress_at = now
 
     def record_applied(self) -> None:
-        """Confirm a version that has just been put together by what was known of it before."""
+        """Confirm the version just applied, as of the time when a source confirmed it."""
         transfer = self._transfer
         if transfer is not None and transfer.version <= self._configuration.version:
             self._configuration.record_confirmation(transfer.version, transfer.confirmed_at)
--- a/src/cloverwalk/fleet/coordinator_client.py
+++ b/src/cloverwalk/fleet/coordinator_client.py
@@ -163,7 +163,7 @@
         """Called with the median utilization of the nodes in this zone, in percent."""
 
         self.on_configuration_sources: OnSources = _ignore_sources
-        """Called with the configuration sources that orders name."""
+        """Called with the configuration sources in received orders."""
 
         self._store_available_elsewhere_at = float("-inf")
         self._coordinator_configuration_age_ms: int | None = None
@@ -444,8 +444,10 @@
             self._configuration.record_confirmation(orders.configuration_version, confirmed_at)
 
     def _made_at(self, orders: Orders, now: float) -> float:
-        """Return when orders were made: at the earliest that is known of this where nodes poll for
-        the configuration, else when they arrived."""
+        """Return a lower bound of the time at which orders were made.
+
+        Where nodes do not poll for the configuration, this is the arrival time.
+        """
         sent_at = self.reports.sent_at(orders.report_sequence)
         if not self.reports.polls_configuration or sent_at is None:
             return now
--- a/src/cloverwalk/fleet/election.py
+++ b/src/cloverwalk/fleet/election.py
@@ -124,7 +124,7 @@
         self._claim_jitter = self._random.random()
         self.is_leaving = False
         self.lease = RoleLease()
-        """Lets this process grant warm-up tokens while it certainly holds the role."""
+        """Allows this process to grant warm-up tokens only while it is sure to hold the role."""
 
         self._logged_lease_state = LeaseState.NONE
         scheduler.warmup_tokens.use_lease(self.lease)
@@ -211,7 +211,7 @@
         self._log_lease()
 
     def _log_lease(self) -> None:
-        """Log changes of the lease where something depends on it."""
+        """Log changes of the lease if warm-up limits are on."""
         if not self._scheduler.features.is_on(Feature.WARMUP_LIMITS):
             return
         state, previous = self.lease.state(self._clock()), self._logged_lease_state
@@ -341,7 +341,7 @@
     async def _adopt_role(
         self, term: int, standbys: tuple[Contact, ...], started_at: float
     ) -> None:
-        """Hold the role, as a read or commit that began at ``started_at`` has shown."""
+        """Adopt the role, which a read or commit that began at ``started_at`` has confirmed."""
         self.lease.adopt(started_at, self._clock())
         leadership = Leadership(self._identity.contact, self._identity.run, term, standbys)
         was_active = self._coordinator.is_active
--- a/src/cloverwalk/fleet/follower.py
+++ b/src/cloverwalk/fleet/follower.py
@@ -24,7 +24,7 @@
 OnRows = Callable[[RowPage], Awaitable[None]]
 WaitUntilNeeded = Callable[[], Awaitable[None]]
 ResumeVersion = Callable[[], int]
-"""Returns the store version up to which another node has sent the rows, -1 if none did."""
+"""Returns the store version up to which another node has sent the rows, -1 if none has."""
 
 
 async def follow_always() -> None:
@@ -50,8 +50,8 @@
     succeeds confirms all earlier rows, even if nothing has changed. ``wait_until_needed`` returns
     when the table has to be followed; a node whose coordinator sends all changes needn't follow it.
     ``on_confirmed`` gets the start time of each answered call, after its rows have been applied.
-    ``resume_version`` spares a full read if the rows came from another node; ``on_resumed`` is
-    called when only changes after that version follow.
+    If another node has sent the rows, ``resume_version`` makes a full read unnecessary;
+    ``on_resumed`` is called before the changes after that version are read.
     """
 
     def __init__(
@@ -93,7 +93,7 @@
         self._failing_since: float | None = None
         self._failed_at = float("-inf")
         self._failing_call_at: float | None = None
-        """When the first of the calls that are failing now began."""
+        """When the first call of the current series of failures began."""
 
         self.confirmed_at = float("-inf")
         """When the last answered call began, in seconds of the monotonic clock."""
@@ -104,11 +104,11 @@
 
     @property
     def version(self) -> int:
-        """Store version up to which the rows were passed on, -1 if unknown."""
+        """Store version up to which the rows were passed to callbacks, -1 if unknown."""
         return -1 if self._version is None else self._version
 
     def failing_for_s(self, since: float, now: float) -> float:
-        """Return for how long the calls after ``since`` have been failing, 0 if they aren't."""
+        """Return for how long the calls after ``since`` have failed, 0 if they succeed."""
         if self._failing_call_at is None or self._failed_at < since:
             return 0.0
         return now - max(since, self._failing_call_at)
@@ -143,7 +143,7 @@
             await self._on_full_read(page)
             self._has_lost_history = False
         else:
-            # The first call does not wait, so that it confirms the rows of the other node soon.
+            # The first call does not wait, so that it soon confirms the rows from the other node.
             wait_s = 0.0 if has_resumed else self._long_poll_timeout_s
             page = await self._store.changes(self.table, self._version, wait_s)
             await self._on_changes(page)
@@ -152,7 +152,7 @@
         self._record_answer(began_at)
 
     def _resume(self) -> bool:
-        """Go on from a version whose rows came from another node; return whether it was newer."""
+        """Resume from a version whose rows another node has sent; return whether it was newer."""
         version = self._resume_version()
         if self._has_lost_history or version <= self.version:
             return False
--- a/src/cloverwalk/fleet/messages.py
+++ b/src/cloverwalk/fleet/messages.py
@@ -1,6 +1,6 @@
 """Messages between the nodes of a fleet: one netstring in each datagram.
 
-It contains JSON, and MessagePack for the parts of a configuration that nodes poll for.
+The payload is JSON, or MessagePack for the parts of a configuration that nodes poll for.
 
 A node sends reports to the coordinator and receives orders. A report contains the node's whole
 state, so the next report makes up for a lost one. Orders are numbered; a report names the last
@@ -265,8 +265,8 @@
     """Whether the node gets the configuration from other nodes; see ``ConfigurationPoll``."""
 
     store_round_trip_ms: int = 0
-    """Shortest recent time of a call of the store, which tells near nodes from far ones; 0:
-    unknown."""
+    """Shortest recent round trip of a call of the store; the coordinator uses it to find the region
+    nearest to the store. 0: unknown."""
 
     @property
     def incarnation(self) -> str:
@@ -298,7 +298,7 @@
 
     has_warmup_token: bool = False
     """Whether the request was counted against the limit of a replica that is warming up. Without
-    it a node sends nothing to such a replica."""
+    it the node must not send the request to such a replica."""
 
 
 class Contact(Struct, array_like=True, frozen=True):
@@ -387,7 +387,7 @@
 
     configuration_sources: tuple[Contact, ...] = ()
     """Nodes that the receiver polls for the configuration, the preferred one first; its own entry
-    stands for the store. Empty if the sender does not choose sources."""
+    means the store. Empty if the sender does not choose sources."""
 
     report_sequence: int = 0
     """Sequence number of the last report of the receiver's process; 0: none."""
@@ -515,13 +515,13 @@
     """The version that the sender has, -1 if none."""
 
     number: int = 0
-    """Counts the polls of the sending process, so that it knows which one a status answers."""
+    """Number of the poll, counted per sending process; the status that answers it repeats it."""
 
     region: str = ""
     """Region of the sender."""
 
     subscribes: bool = True
-    """Whether the sender wants new versions; False if it only looks how the receiver is."""
+    """Whether the sender wants new versions; False if it only probes the receiver."""
 
 
 class ConfigurationStatus(Struct, tag="configuration_status", array_like=True, frozen=True):
@@ -534,7 +534,7 @@
     """Time since this version was last known to be the newest."""
 
     parts: int = 0
-    """Number of parts of this version; 0 if there is none."""
+    """Number of parts of this version; 0 if none are available."""
 
     zone_drains: ZoneDrainCopy | None = None
     poll: int = 0
@@ -544,14 +544,14 @@
     """Name of the node that reads the store for the sender; empty if none is known."""
 
     reader_age_ms: int = 0
-    """Time since that node's calls of the store were last known to succeed or to be under way."""
+    """Time since that node's calls of the store were last known to succeed or be in progress."""
 
     store_version: int = -1
     """Store version up to which this version is the newest; -1: not known."""
 
 
 class ConfigurationPartRequest(Struct, tag="configuration_part_request", array_like=True):
-    """Asks for parts of a version that did not arrive."""
+    """Requests the parts of a version that have not arrived."""
 
     version: int
     parts: list[int]
@@ -597,7 +597,7 @@
 """Tags of the messages that this build knows."""
 
 UNKNOWN_KIND = "unknown"
-"""Stands for all kinds that this build doesn't know, so that the number of names is bounded."""
+"""Used for all kinds that this build doesn't know, which bounds the number of metric labels."""
 
 UNREADABLE_KIND = "unreadable"
 
--- a/src/cloverwalk/fleet/orders_maker.py
+++ b/src/cloverwalk/fleet/orders_maker.py
@@ -1,4 +1,4 @@
-"""Creates the orders of the coordinator or a standby, with its state but without decisions."""
+"""Creates the orders of the coordinator or a standby from its state."""
 
 import math
 from collections.abc import Callable
@@ -20,7 +20,7 @@
 
 
 class OrdersMaker:
-    """Creates orders from what this node knows."""
+    """Creates orders with this node's state."""
 
     def __init__(
         self,
@@ -73,9 +73,10 @@
         return orders
 
     def _add_report_age(self, orders: Orders, node: str, made_at: float) -> None:
-        """Add the last report and its age when the oldest decision was made.
+        """Add the number of the last report and its age at ``made_at``.
 
-        Between the grant of a warm-up token and these orders the process may have been suspended.
+        ``made_at`` is the time of the oldest warm-up grant in the orders, if there is one, since
+        the process may have been suspended between the grant and the creation of the orders.
         """
         entry = self._registry.by_name.get(node)
         if entry is not None:
--- a/src/cloverwalk/fleet/placement_client.py
+++ b/src/cloverwalk/fleet/placement_client.py
@@ -41,11 +41,11 @@
     """Whether it was queued for a slot before."""
 
     decided_at: float = float("-inf")
-    """Earliest time at which it can have been decided (monotonic clock, seconds)."""
+    """Lower bound of the time of the decision (monotonic clock, seconds)."""
 
     @property
     def warmup_token_granted_at(self) -> float | None:
-        """Earliest time at which its warm-up token can have been granted; None without a token."""
+        """Lower bound of the time at which its warm-up token was granted; None without a token."""
         return self.decided_at if self.placement.has_warmup_token else None
 
     @property
@@ -165,7 +165,7 @@
     ) -> None:
         """Handle the answer to a placement request; late and repeated answers are ignored.
 
-        ``decided_at`` is the earliest time at which it can have been decided.
+        ``decided_at`` is a lower bound of the time of the decision.
         """
         pending = self._pending.get(placement.number)
         if pending is None or pending.result is not None:
--- a/src/cloverwalk/fleet/report_maker.py
+++ b/src/cloverwalk/fleet/report_maker.py
@@ -27,15 +27,15 @@
 """Upper bound of the reported age of the store's last answer; sent while it is unavailable."""
 
 SEQUENCES_PER_S = 1000
-"""Sequence numbers follow the machine's clock. So a process of a node uses none of an earlier one,
-whose last report the coordinator's orders may still name."""
+"""Sequence numbers follow the machine's monotonic clock, so that a restarted node does not reuse
+numbers of its previous process, which the coordinator's orders may still name."""
 
 MAX_KEPT_SEND_TIMES = 512
-"""Reports whose send times are kept; at most a hundred are sent per second."""
+"""Number of reports whose send times are kept; at most a hundred are sent per second."""
 
 
 class ReportMaker:
-    """Collects what the next report contains. Times and corrections are reported once."""
+    """Collects the contents of the next report. Timings and corrections are reported once."""
 
     def __init__(
         self,
@@ -62,7 +62,7 @@
         self._item_timings: deque[ItemTiming] = deque(maxlen=MAX_ITEM_TIMINGS)
         self._sequence = 0
         self._sent_at: dict[int, float] = {}
-        """Send times of recent reports by sequence number, in their order."""
+        """Send times of recent reports by sequence number, oldest first."""
 
     def record_request_timing(self, timing: RequestTiming) -> None:
         """Add the timing of an answered request to the next report."""
@@ -77,13 +77,13 @@
         self._item_timings.append(timing)
 
     def sent_at(self, sequence: int) -> float | None:
-        """Return when a report was sent (monotonic clock, seconds), None if that is not kept."""
+        """Return when a report was sent (monotonic clock, seconds), None if no longer known."""
         return self._sent_at.get(sequence)
 
     def earliest_creation(self, orders: Orders) -> float:
-        """Return the earliest time at which the decisions in orders can have been made.
+        """Return a lower bound of the time at which the decisions in orders were made.
 
-        Minus infinity if the report that they name is not known.
+        This is minus infinity if the send time of the report that they name is unknown.
         """
         sent_at = self.sent_at(orders.report_sequence)
         if sent_at is None:
@@ -91,7 +91,7 @@
         return earliest_grant(sent_at, orders.report_age_ms / 1000)
 
     def make(self, now: float, placement_requests: list[PlacementRequest]) -> Report:
-        """Return the next report; the caller adds what depends on its receiver."""
+        """Return the next report; the caller sets the fields that depend on the receiver."""
         self._sequence = max(self._sequence + 1, int(now * SEQUENCES_PER_S))
         self._record_send_time(now)
         is_unavailable = self._health.is_unavailable
--- a/src/cloverwalk/fleet/role_lease.py
+++ b/src/cloverwalk/fleet/role_lease.py
@@ -1,8 +1,8 @@
 """The coordinator's lease: how long no other process can have taken the role.
 
-The role row changes hands by a write that is conditional on its version. A read that still shows
-this process proves that no other one had the role when the read began. Another process that takes
-the role waits until this lease has certainly lapsed, so it is never held by two.
+The role row is changed by a write that is conditional on its version. A read that shows this
+process proves that no other process had the role when the read began. A process that takes the role
+waits until the previous lease must have expired, so that two processes never hold it at once.
 """
 
 import enum
@@ -13,8 +13,8 @@
 """The lease holds for this time after the start of the last read or commit that confirmed it."""
 
 TAKEOVER_WAIT_S = LEASE_S * CLOCK_MARGIN + TOKEN_TTL_S
-"""A process that has newly taken the role has no lease for this time: until then the previous
-holder may grant, and what it granted may be used."""
+"""A process that has newly taken the role has no lease for this time. Until then the previous
+holder may still grant tokens, and its tokens may still be used."""
 
 
 class LeaseState(enum.Enum):
@@ -24,7 +24,7 @@
     """Another process coordinates."""
 
     WAITING = "taken_recently"
-    """The lease of the previous holder may not have lapsed yet."""
+    """The lease of the previous holder may not have expired yet."""
 
     HELD = "held"
     LAPSED = "unconfirmed"
@@ -45,17 +45,17 @@
 
     def __init__(self) -> None:
         self.tenure = 0
-        """Number of times that this process has newly taken the role."""
+        """Number of times that this process has taken the role."""
 
         self._grants_from = float("inf")
         self._held_until = float("-inf")
         self._is_holder = False
 
     def adopt(self, started_at: float, now: float) -> None:
-        """Record that this process holds the role, which it knows since ``now``.
+        """Record at ``now`` that this process holds the role.
 
-        ``started_at`` is the start of the read or commit that showed it. A change of the standbys
-        by the same holder confirms the lease.
+        ``started_at`` is the start of the read or commit that showed this. If this process held the
+        role before, as after a change of the standbys, the lease is only confirmed.
         """
         if not self._is_holder:
             self._is_holder = True
--- a/src/cloverwalk/fleet/state_sender.py
+++ b/src/cloverwalk/fleet/state_sender.py
@@ -2,7 +2,7 @@
 
 The store may refuse the coordinator while it serves other nodes, so the coordinator requests the
 configuration from a node that reports a newer version. Nodes that poll configuration sources get
-the configuration from these.
+it from those instead.
 """
 
 import math
@@ -64,7 +64,7 @@
         """Fingerprint of the list as of the last changes sent."""
 
         self._sent_warmup_revision = 0
-        """Revision of the list's warm-up times as of the last changes sent."""
+        """Revision of the warm-up times in the list as of the last changes sent."""
 
         self._configuration_encoder = ConfigurationEncoder(configuration)
         self._configuration_requested_at = float("-inf")
@@ -151,7 +151,7 @@
             self._transport.send(entry.contact.host, update)
 
     def _has_new_warmups(self) -> bool:
-        """Whether warm-up times have changed that nodes go by."""
+        """Whether warm-up times have changed while warm-up limits are in use."""
         current = self._configuration.current
         if current is None or not current.has_warmup_limits:
             return False
--- a/src/cloverwalk/http/client.py
+++ b/src/cloverwalk/http/client.py
@@ -26,13 +26,13 @@
 
 @attrs.frozen
 class BodyTimeout:
-    """Time limits of a body that may be long; it may take as long as it makes progress."""
+    """Time limits for receiving a long body, which may exceed the call's own timeout."""
 
     silence_s: float
-    """Longest time without received bytes; a body in time by the call's own limit goes on."""
+    """Maximum time without received bytes once the call's own timeout has passed."""
 
     total_s: float
-    """Longest time of the whole call."""
+    """Maximum time of the whole call."""
 
 
 def split_address(address: str) -> tuple[str, int]:
@@ -111,7 +111,11 @@
     async def read_slow_body(
         self, deadline: float, last_deadline: float, silence_s: float
     ) -> bytes:
-        """Read the body to its end; each part moves the deadline, at most to the last one."""
+        """Read the whole body.
+
+        Each received part extends the deadline to at least ``silence_s`` from then, at most to
+        ``last_deadline``.
+        """
         parts: list[bytes] = []
         while True:
             now = await curio.clock()
@@ -163,7 +167,7 @@
     ) -> HttpResponse:
         """Send a request and return its response.
 
-        With ``body_timeout`` a body that makes progress may take longer than ``timeout_s``.
+        With ``body_timeout``, a body may take longer than ``timeout_s`` while bytes arrive.
         Raises NotSentError or LostAnswerError. If the server has closed a reused connection,
         the answer counts as lost, since the server may have read the request.
         """
--- a/src/cloverwalk/serving/configuration_parts.py
+++ b/src/cloverwalk/serving/configuration_parts.py
@@ -1,4 +1,4 @@
-"""The components of a node that get the configuration, from the store or from other nodes."""
+"""The components of a node that obtain the configuration from the store or from other nodes."""
 
 from collections.abc import Awaitable, Callable
 from random import Random
@@ -6,7 +6,7 @@
 import curio
 
 from cloverwalk.core import catalogue
-from cloverwalk.fleet.configuration_copy import MAX_PARTS, ConfigurationAssembler, PartFault
+from cloverwalk.fleet.configuration_copy import MAX_PARTS, ConfigurationAssembler, IgnoreReason
 from cloverwalk.fleet.configuration_publisher import ConfigurationPublisher
 from cloverwalk.fleet.configuration_sources import ConfigurationSources
 from cloverwalk.fleet.configuration_subscription import ConfigurationSubscription
@@ -40,13 +40,14 @@
 """Delay between two reads of changes of the configuration."""
 
 READER_LONG_POLL_TIMEOUT_S = 0.4
-"""Long poll of a node that reads for others; shorter, since the age grows on the way to them."""
+"""Long-poll timeout of a node that reads for others; shorter, since each hop to them adds to the
+age of the configuration."""
 
 CHOICE_INTERVAL_S = 0.2
 """Interval at which the coordinator reviews the choice of sources."""
 
 MIN_WAIT_S = 0.01
-"""Minimum time between two reviews of what the subscription has to do."""
+"""Minimum wait between two calls of the subscription's ``tick``, unless a message ends it."""
 
 ConfigurationMessage = (
     ConfigurationPoll | ConfigurationStatus | ConfigurationPartRequest | CompactConfigurationPart
@@ -56,7 +57,7 @@
 class ConfigurationExchange:
     """Connects a node's subscription, its publisher and, at the coordinator, the choice of sources.
 
-    Exists only where configuration sources are in use.
+    It is created only if the feature ``CONFIGURATION_SOURCES`` is on.
     """
 
     def __init__(
@@ -79,7 +80,7 @@
         self._clock = clock
         self._assembler = ConfigurationAssembler()
         self.follower: TableFollower | None = None
-        """Follows the configuration in the store while this node reads it."""
+        """Follows the configuration in the store while this node is a reader."""
 
         region = settings.region_by_zone.get(settings.zone, settings.zone)
         self.subscription = ConfigurationSubscription(
@@ -109,8 +110,8 @@
             lambda: coordinator.active_since,
         )
         self._chosen_at = float("-inf")
-        self._lists: dict[str, tuple[Contact, ...]] = {}
-        """The list of each node as of the last change of the choice."""
+        self._lists_by_node: dict[str, tuple[Contact, ...]] = {}
+        """The source list of each node as of the last change of the choice."""
 
         self._was_active = self._is_fleet_running = False
         self._changed = curio.Event()
@@ -134,9 +135,9 @@
         changed = [
             entry
             for entry in entries
-            if lists[entry.contact.node] != self._lists.get(entry.contact.node)
+            if lists[entry.contact.node] != self._lists_by_node.get(entry.contact.node)
         ]
-        self._lists = lists
+        self._lists_by_node = lists
         self._coordinator.send_orders(changed, now)
 
     def _choose(self, now: float) -> bool:
@@ -163,7 +164,7 @@
             return ()
         sources = self.sources.of(node)
         if not sources:
-            # A node of a region without sources must not wait for the next review.
+            # A node in a region without sources gets them at once, not at the next review.
             self._choose(self._clock())
             sources = self.sources.of(node)
         return sources
@@ -176,19 +177,19 @@
 
     async def _on_stored_configuration(self) -> None:
         await self._report_stored_configuration()
-        await self.publisher.notice_version()
+        await self.publisher.notify_version_changed()
 
     def _on_zone_drains(self, drained: tuple[str, ...], lifted: tuple[str, ...]) -> None:
-        """Pass a change of the zone drains on at once."""
+        """Announce a change of the zone drains to pollers at once."""
         self.publisher.announce()
 
     def _store_failing_for_s(self, since: float, now: float) -> float:
         return 0.0 if self.follower is None else self.follower.failing_for_s(since, now)
 
     def resume_version(self) -> int:
-        """Return the store version from which the changes of the table may be followed.
+        """Return the store version from which the table may be followed without a full read.
 
-        A version from another node counts only if the zone drains are known up to it as well.
+        It is -1 if the zone drains are not known up to the version from another node as well.
         """
         version = self.subscription.resume_version
         return version if self._fleet_state.zone_drains.version >= version else -1
@@ -224,7 +225,7 @@
         return [self.run, self.publisher.run]
 
     async def run(self) -> None:
-        """Poll until cancelled."""
+        """Drive the subscription until cancelled."""
         while True:
             self._changed.clear()
             self.subscription.tick(self._clock())
@@ -236,7 +237,7 @@
                 await self._changed.wait()
 
     async def _report_reader_failure(self) -> None:
-        """Tell pollers and the coordinator at once when this node can't read the store any more."""
+        """Notify pollers and the coordinator as soon as this node's reads of the store fail."""
         _, age_ms = self.subscription.reader(self._clock())
         is_failing = age_ms > 0 and self.subscription.is_reader
         if is_failing and not self._reader_was_failing:
@@ -245,7 +246,7 @@
         self._reader_was_failing = is_failing
 
     async def handle_message(self, message: ConfigurationMessage, host: str) -> None:
-        """Handle a message of a poller or a source."""
+        """Handle a message from a poller or a source."""
         now = self._clock()
         match message:
             case ConfigurationPoll():
@@ -269,11 +270,15 @@
     async def _handle_part(self, part: CompactConfigurationPart, host: str, now: float) -> None:
         own_version = self._fleet_state.configuration.version
         is_polled = self.subscription.has_polled(host)
-        fault = self._assembler.fault(part, own_version) if is_polled else PartFault.NOT_POLLED
-        if fault is not None:
+        ignore_reason = (
+            self._assembler.reason_to_ignore(part, own_version)
+            if is_polled
+            else IgnoreReason.NOT_POLLED
+        )
+        if ignore_reason is not None:
             self._log.write(
                 catalogue.CONFIGURATION_PART_IGNORED,
-                reason=fault.value,
+                reason=ignore_reason.value,
                 version=part.version,
                 part=part.part,
                 host=host,
@@ -288,17 +293,17 @@
             )
         except DatagramError as error:
             self._log.write(catalogue.BAD_PEER_MESSAGE, problem=str(error)[:200], host=host)
-            self.publisher.drop_incoming()
+            self.publisher.discard_incoming()
             return
         if configuration is not None:
             await self._fleet_state.prepare_configuration(configuration)
             self._fleet_state.apply_configuration_copy(ConfigurationCopy(configuration), host)
             self.subscription.record_applied()
-            await self.publisher.notice_version()
+            await self.publisher.notify_version_changed()
             await self._fleet_state.release_replaced_configurations()
 
     def update_metrics(self, metrics: ServingMetrics) -> None:
-        """Set the metrics of this node as poller and as source."""
+        """Set the metrics of polling and of sending to pollers."""
         assembler, subscription, publisher = self._assembler, self.subscription, self.publisher
         _, reader_age_ms = subscription.reader(self._clock())
         for name, help_text, value in (
@@ -314,11 +319,11 @@
             ),
             ("sources_lost", "Sources that this node left", subscription.sources_lost),
             ("parts_requested", "Missing parts requested again", subscription.parts_requested),
-            ("parts_duplicate", "Parts received twice", assembler.ignored[PartFault.DUPLICATE]),
+            ("parts_duplicate", "Parts received twice", assembler.ignored[IgnoreReason.DUPLICATE]),
             (
                 "parts_outdated",
                 "Parts of older versions received",
-                assembler.ignored[PartFault.OUTDATED],
+                assembler.ignored[IgnoreReason.OUTDATED],
             ),
             ("copies_corrupted", "Joined parts that could not be decoded", assembler.corrupted),
             ("pollers", "Nodes that poll this node", publisher.subscribers),
@@ -338,7 +343,10 @@
     clock: Callable[[], float],
     random: Random,
 ) -> TableFollower:
-    """Return the follower of the configuration; with an exchange it reads only where needed."""
+    """Return the follower of the configuration table.
+
+    With an exchange, it follows the table only while this node has to read the store.
+    """
     follower = TableFollower(
         adapter.configuration_table,
         store,
--- a/src/cloverwalk/serving/fleet_parts.py
+++ b/src/cloverwalk/serving/fleet_parts.py
@@ -294,7 +294,7 @@
                 self._fleet_state.record_directory_source("peer")
 
     async def _release_replaced_configurations(self) -> None:
-        """Release them in a task of its own, so that further datagrams needn't wait."""
+        """Release them in a separate task, so that further datagrams needn't wait."""
         if self._fleet_state.configuration.has_replaced:
             await curio.spawn(self._fleet_state.release_replaced_configurations, daemon=True)
 
@@ -327,7 +327,7 @@
             await self.coordinator.wait_until_active_or_timeout(remaining_s)
 
     def check(self) -> None:
-        """Log what has changed by time alone."""
+        """Log changes that result from the passage of time, not from messages."""
         self.features.notify_changes()
         self.zone_drain_monitor.check()
 
--- a/src/cloverwalk/serving/fleet_state.py
+++ b/src/cloverwalk/serving/fleet_state.py
@@ -58,7 +58,7 @@
 
     @property
     def is_complete(self) -> bool:
-        """Whether all that serving needs is known."""
+        """Whether the configuration, the replicas and the zone drains are known."""
         return (
             self.configuration.current is not None
             and not self.directory.is_empty
@@ -104,7 +104,7 @@
             await self.release_replaced_configurations()
 
     async def prepare_configuration(self, configuration: Configuration) -> None:
-        """Build what is needed from a long configuration without blocking other tasks.
+        """Build the data derived from a configuration without blocking other tasks.
 
         Call this before ``apply_configuration``.
         """
@@ -115,10 +115,10 @@
         await run_in_steps(self.configuration.release_replaced())
 
     def on_configuration_confirmed(self, confirmed_at: float) -> None:
-        """Record that the stored state was the newest in the store at ``confirmed_at``.
+        """Record that the rows read so far were the newest in the store at ``confirmed_at``.
 
-        The configuration isn't confirmed if its latest stored version is invalid, as it may be
-        newer.
+        The configuration isn't confirmed if its latest stored version is invalid, as that version
+        may be newer.
         """
         self.stored_zone_drains.confirm(confirmed_at)
         if self._is_stored_configuration_invalid:
--- a/src/cloverwalk/serving/node.py
+++ b/src/cloverwalk/serving/node.py
@@ -181,7 +181,7 @@
         )
 
     def _configuration_confirmed_at(self) -> float:
-        """Return when the configuration was last confirmed by the store."""
+        """Return when the configuration was last known to be the newest in the store."""
         if self._fleet.configuration_exchange is None:
             return self._configuration_follower.confirmed_at
         return self._configuration.confirmed_at
--- a/src/cloverwalk/serving/request_handler.py
+++ b/src/cloverwalk/serving/request_handler.py
@@ -118,13 +118,13 @@
             raise _node_full_error("this node is overloaded")
         route = self._find_route(request)
         if route.kind is not RouteKind.BATCH:
-            self._check_zone_drains()
+            self._require_zone_drains()
             return route
         await self._submit(request, route, reply, writes)
         return None
 
-    def _check_zone_drains(self) -> None:
-        """Refuse a request while this node can't know which replicas may get it."""
+    def _require_zone_drains(self) -> None:
+        """Refuse requests until the zone drains, and so the usable replicas, are known."""
         if not self._knows_zone_drains():
             message = "this node is starting"
             raise GatewayError(Reason.UNAVAILABLE, "no_zone_drains", message, START_RETRY_AFTER_S)
--- a/src/cloverwalk/serving/stored_zone_drains.py
+++ b/src/cloverwalk/serving/stored_zone_drains.py
@@ -1,4 +1,4 @@
-"""The zone drains as the rows of the store say them."""
+"""The zone drains according to the rows in the store."""
 
 from cloverwalk.core import catalogue
 from cloverwalk.gateway.zone_drains import ZoneDrains
@@ -8,14 +8,14 @@
 
 MAX_ZONE_BYTES = 64
 MAX_DRAINED_ZONES = 100
-"""Limits on what is passed on, so that the zones fit into a datagram together with other state."""
+"""Limits on the drained zones, so that they fit into a datagram together with other state."""
 
 
 class StoredZoneDrains:
-    """Follows the rows that drain zones, and passes their state on to the drains of this node.
+    """Applies the rows that drain zones, and updates ``ZoneDrains`` from them.
 
-    Kept apart from ``ZoneDrains``, which may know a newer state from another node: the next changes
-    of the store refer to the state that this node has read.
+    The state is separate from ``ZoneDrains``, which may have a newer state from another node:
+    changes read from the store apply to the state that this node has read from there.
     """
 
     def __init__(self, adapter: Adapter, zone_drains: ZoneDrains, log: ServingLog) -> None:
@@ -29,7 +29,7 @@
         self._version = -1
 
     def clear(self) -> None:
-        """Forget the rows, since all of them follow."""
+        """Discard the rows before a full read is applied."""
         self._zones = set()
 
     def apply(self, page: RowPage) -> bool:
@@ -48,7 +48,7 @@
         return self._update(float("-inf"))
 
     def adopt(self) -> None:
-        """Go on from the state that another node sent, since only later changes follow."""
+        """Resume from the state that another node sent; only later changes will be read."""
         self._zones = set(self._zone_drains.zones)
         self._version = self._zone_drains.version
 
--- a/src/cloverwalk/serving/zone_drain_monitor.py
+++ b/src/cloverwalk/serving/zone_drain_monitor.py
@@ -1,4 +1,4 @@
-"""Shows operators which zones are drained, and whether this node can confirm that."""
+"""Logs and metrics of the drained zones, and of how recently they were confirmed."""
 
 from collections import Counter
 from collections.abc import Callable
@@ -12,7 +12,7 @@
 
 
 class ZoneDrainMonitor:
-    """Logs and counts changes of the zone drains; records them for the features."""
+    """Logs and counts changes of the zone drains; records them in ``Features``."""
 
     def __init__(
         self,
@@ -55,7 +55,7 @@
         )
 
     def check(self) -> None:
-        """Log once when the drains have not been confirmed for too long."""
+        """Log once when the drains have not been confirmed within ``zone_drain_apply_s``."""
         now = self._clock()
         confirmed_at = max(self._started_at, self._zone_drains.confirmed_at)
         was_unconfirmed = self._is_unconfirmed
--- a/src/cloverwalk/store/health.py
+++ b/src/cloverwalk/store/health.py
@@ -26,7 +26,7 @@
 answers of the other parts keep ending the backoff."""
 
 KEPT_ROUND_TRIPS = 16
-"""Number of recent short calls whose shortest time is reported."""
+"""Number of recent short calls whose minimum time is reported."""
 
 
 def _ignore(_is_answered: bool) -> None:
@@ -58,7 +58,7 @@
         return max(1, round(min(self._round_trips_ms))) if self._round_trips_ms else 0
 
     def record_round_trip(self, took_ms: float) -> None:
-        """Record the time of a short call; calls that wait or read whole tables don't count."""
+        """Record the time of a short call; callers leave out long polls and reads of tables."""
         self._round_trips_ms.append(took_ms)
 
     def unavailable_for_ms(self) -> float:
