--- a/src/cloverwalk/fleet/configuration_sources.py
+++ b/src/cloverwalk/fleet/configuration_sources.py
@@ -223,7 +223,7 @@
 
     # --- lists ---
 
-    def of(self, node: str) -> tuple[Contact, ...]:
+    def sources_for(self, node: str) -> tuple[Contact, ...]:
         """Return the sources of a node, the preferred one first; its own entry means the store."""
         entry = self._registry.by_name.get(node)
         if entry is None:
--- a/src/cloverwalk/fleet/coordinator_client.py
+++ b/src/cloverwalk/fleet/coordinator_client.py
@@ -411,7 +411,7 @@
         now = self._clock()
         self._zone_drains.apply_copy(orders.zone_drains, self._made_at(orders, now), host)
         await self.update_leadership(orders.leadership)
-        decided_at = self.reports.earliest_creation(orders)
+        decided_at = self.reports.earliest_decision_time(orders)
         for placement in orders.placements:
             await self._placement_client.handle_placement(placement, decided_at)
         current = self._leader.current
--- a/src/cloverwalk/fleet/report_maker.py
+++ b/src/cloverwalk/fleet/report_maker.py
@@ -80,7 +80,7 @@
         """Return when a report was sent (monotonic clock, seconds), None if no longer known."""
         return self._sent_at.get(sequence)
 
-    def earliest_creation(self, orders: Orders) -> float:
+    def earliest_decision_time(self, orders: Orders) -> float:
         """Return a lower bound of the time at which the decisions in orders were made.
 
         This is minus infinity if the send time of the report that they name is unknown.
--- a/src/cloverwalk/http/client.py
+++ b/src/cloverwalk/http/client.py
@@ -28,7 +28,7 @@
 class BodyTimeout:
     """Time limits for receiving a long body, which may exceed the call's own timeout."""
 
-    silence_s: float
+    idle_timeout_s: float
     """Maximum time without received bytes once the call's own timeout has passed."""
 
     total_s: float
@@ -109,11 +109,11 @@
         return b"".join(parts)
 
     async def read_slow_body(
-        self, deadline: float, last_deadline: float, silence_s: float
+        self, deadline: float, last_deadline: float, idle_timeout_s: float
     ) -> bytes:
         """Read the whole body.
 
-        Each received part extends the deadline to at least ``silence_s`` from then, at most to
+        Each received part extends the deadline to at least ``idle_timeout_s`` from then, at most to
         ``last_deadline``.
         """
         parts: list[bytes] = []
@@ -124,7 +124,7 @@
             if part is None:
                 return b"".join(parts)
             parts.append(part)
-            deadline = max(deadline, await curio.clock() + silence_s)
+            deadline = max(deadline, await curio.clock() + idle_timeout_s)
 
     async def read_response(self) -> HttpResponse:
         """Read the response with its body."""
@@ -183,7 +183,9 @@
                     response.body = await connection.read_body()
             if body_timeout is not None:
                 response.body = await connection.read_slow_body(
-                    began_at + timeout_s, began_at + body_timeout.total_s, body_timeout.silence_s
+                    began_at + timeout_s,
+                    began_at + body_timeout.total_s,
+                    body_timeout.idle_timeout_s,
                 )
         except (OSError, curio.TaskTimeout, h11.ProtocolError, LostAnswerError) as error:
             await connection.close()
--- a/src/cloverwalk/platform/store_client.py
+++ b/src/cloverwalk/platform/store_client.py
@@ -24,7 +24,7 @@
 
 READ_TIMEOUT_S = 1.2
 WAIT_MARGIN_S = 0.8
-LONG_READ_TIMEOUT = BodyTimeout(silence_s=0.8, total_s=8.0)
+LONG_READ_TIMEOUT = BodyTimeout(idle_timeout_s=0.8, total_s=8.0)
 """Limits on a body that arrives slowly. The silence limit does not exceed ``WAIT_MARGIN_S``, so a
 feed call whose body stalls during its wait times out no later than without them."""
 
--- a/src/cloverwalk/serving/configuration_parts.py
+++ b/src/cloverwalk/serving/configuration_parts.py
@@ -131,7 +131,9 @@
         if now - self._chosen_at < CHOICE_INTERVAL_S or not self._choose(now):
             return
         entries = self._coordinator.registry.live()
-        lists = {entry.contact.node: self.sources.of(entry.contact.node) for entry in entries}
+        lists = {
+            entry.contact.node: self.sources.sources_for(entry.contact.node) for entry in entries
+        }
         changed = [
             entry
             for entry in entries
@@ -162,11 +164,11 @@
     def _sources_of(self, node: str) -> tuple[Contact, ...]:
         if not self._coordinator.is_active:
             return ()
-        sources = self.sources.of(node)
+        sources = self.sources.sources_for(node)
         if not sources:
             # A node in a region without sources gets them at once, not at the next review.
             self._choose(self._clock())
-            sources = self.sources.of(node)
+            sources = self.sources.sources_for(node)
         return sources
 
     # --- the node ---
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -1493,7 +1493,7 @@
     Mutant(
         "configuration: a long read that makes progress is restarted",
         "http/client.py",
-        "            deadline = max(deadline, await curio.clock() + silence_s)",
+        "            deadline = max(deadline, await curio.clock() + idle_timeout_s)",
         "            deadline = min(deadline, last_deadline)",
         "tests/serving/test_slow_reads.py::"
         "test_read_that_makes_progress_is_not_ended_by_the_limit_of_a_call",
--- a/tests/serving/test_slow_reads.py
+++ b/tests/serving/test_slow_reads.py
@@ -148,7 +148,7 @@
     async def test(time: SimulatedTime) -> None:
         with pytest.raises(StoreError):
             await store_with(ScriptedBodyConnection(0.5, [0.7, 0.7, 0.7, SILENT])).read_table("op")
-        assert time.now == pytest.approx(1000 + 2.6 + LONG_READ_TIMEOUT.silence_s)
+        assert time.now == pytest.approx(1000 + 2.6 + LONG_READ_TIMEOUT.idle_timeout_s)
 
     in_simulated_time(test)
 
--- a/tests/serving/test_warmup_fleet.py
+++ b/tests/serving/test_warmup_fleet.py
@@ -246,7 +246,7 @@
         assert decisions.placements[0].has_warmup_token
         world.now += 2.0
         orders = old.coordinator._make_orders(node.name, decisions, world.now)
-        assert world.now - node.client.reports.earliest_creation(orders) >= 2.0
+        assert world.now - node.client.reports.earliest_decision_time(orders) >= 2.0
 
     in_fleet(test)
 
@@ -289,7 +289,7 @@
         world.now += 0.1
         for _ in range(20):
             restarted.client._make_report("h000", [], False)
-        assert restarted.client.reports.earliest_creation(orders) == float("-inf")
+        assert restarted.client.reports.earliest_decision_time(orders) == float("-inf")
 
     in_fleet(test)
 
