Logs name the software version of a chosen replica and the stream that a request resumes

Change: Replica.software_version, the last field of an entry's copy, empty where an earlier build made it and left out of fingerprints; RequestFields.resumed_request_id; both in replica_chosen, the version in replica_changed and item_started. Nothing decides by them.

--- a/src/cloverwalk/gateway/messages.py
+++ b/src/cloverwalk/gateway/messages.py
@@ -36,6 +36,9 @@
     hinted_output_tokens: int = 0
     """The caller's estimate of the output tokens, often far off; 0 if none."""
 
+    resumed_request_id: str = ""
+    """Id of the request that brought the first event of the stream that this one resumes."""
+
     @property
     def max_total_tokens(self) -> int:
         """Tokens that the request may use in a replica's memory; 0 if the caller did not say."""
--- a/src/cloverwalk/gateway/relay.py
+++ b/src/cloverwalk/gateway/relay.py
@@ -250,8 +250,15 @@
             waited_ms=round((now - request.received_at) * 1000, 1),
             list_age_s=round(now - self._directory.confirmed_at, 3),
             after_event=progress.last_event_id,
+            software_version=self._software_version(result.replica_id),
+            resumes=request.fields.resumed_request_id or None,
         )
 
+    def _software_version(self, replica_id: str) -> str | None:
+        """Return the software version of a replica for the log, None if it is unknown."""
+        replica = self._directory.find_running(replica_id)
+        return None if replica is None else replica.software_version or None
+
     def _may_try_again(self, progress: RequestProgress) -> bool:
         return progress.route.is_retryable and len(progress.tried) < progress.route.max_attempts
 
--- a/src/cloverwalk/gateway/replicas.py
+++ b/src/cloverwalk/gateway/replicas.py
@@ -47,6 +47,9 @@
     warmup_ms: int = 0
     """Remaining warm-up time when the entry was written; 0 if it is warm."""
 
+    software_version: str = ""
+    """Version of its software; empty if unknown, as in copies by builds without this field."""
+
     @property
     def incarnation_id(self) -> str:
         """Short name of this incarnation, used in messages and stored crash records."""
@@ -364,9 +367,11 @@
 
 
 def _fingerprint_text(replica: Replica) -> str:
-    """Return an entry without its version, warm-up time, and start time if that is unknown.
+    """Return an entry without its version, warm-up time, software version, and unknown start time.
 
-    Builds that don't know the warm-up time must compute the same fingerprint.
+    Builds that don't know the last two fields must compute the same fingerprint.
     """
-    *fields, _ = msgspec.structs.astuple(msgspec.structs.replace(replica, version=0))
+    *fields, _warmup_ms, _software_version = msgspec.structs.astuple(
+        msgspec.structs.replace(replica, version=0)
+    )
     return repr(tuple(fields) if replica.started_ms else tuple(fields[:-1]))
--- a/src/cloverwalk/jobs/runner.py
+++ b/src/cloverwalk/jobs/runner.py
@@ -388,6 +388,7 @@
             job=job.job_id,
             replica=replica.replica_id,
             after_event=item_run.last_event_id,
+            software_version=replica.software_version or None,
             configuration=self._configuration.version,
         )
         running.task = await curio.spawn(self._run_item, running, replica, daemon=True)
--- a/src/cloverwalk/platform/codec.py
+++ b/src/cloverwalk/platform/codec.py
@@ -154,6 +154,7 @@
             prompt_tokens=prompt_tokens,
             max_output_tokens=max_output_tokens,
             hinted_output_tokens=_length_hint(_find(headers, names.LENGTH_HINT)),
+            resumed_request_id=_find(headers, names.RESUMES) or "",
         )
 
     def without_key(self, headers: RawHeaders) -> RawHeaders:
--- a/src/cloverwalk/platform/documents.py
+++ b/src/cloverwalk/platform/documents.py
@@ -312,6 +312,7 @@
         version,
         _started_ms(wire.born),
         _warmup_ms(wire.cold_left_ms),
+        wire.version,
     )
 
 
--- a/src/cloverwalk/serving/fleet_state.py
+++ b/src/cloverwalk/serving/fleet_state.py
@@ -208,6 +208,7 @@
             service=replica.service,
             draining=replica.is_draining,
             version=replica.version,
+            software_version=replica.software_version,
         )
 
     def _log_removed_replica(self, replica_id: str, version: int) -> None:
