--- a/src/cloverwalk/emulator/platform_replica.py
+++ b/src/cloverwalk/emulator/platform_replica.py
@@ -44,6 +44,12 @@
         self.warmup_ms = 0
         """Remaining warm-up time in its store entry."""
 
+        self.software_version = "v1"
+        """Version of its software, in its store entry."""
+
+        self.shows_software_version = False
+        """Whether the data of its events end with the version of its software."""
+
         self.event_padding = 0
         """Characters added to the data of each event."""
 
@@ -307,8 +313,9 @@
     def _event(self, arrival: Arrival, number: int) -> bytes:
         """Return an event; its data includes the run number if there is an observer."""
         run = f":{arrival.run}" if self.observer is not None else ""
-        padding = "x" * self.event_padding
-        return f"id: {number}\ndata: {arrival.request_id}:{number}{run}{padding}\n\n".encode()
+        version = f":{self.software_version}" if self.shows_software_version else ""
+        data = f"{arrival.request_id}:{number}{run}{version}{'x' * self.event_padding}"
+        return f"id: {number}\ndata: {data}\n\n".encode()
 
     async def _caller_disconnected(self, client: Any, wait_s: float) -> bool:
         """Wait up to ``wait_s`` for the caller to close the connection; return whether it did."""
@@ -333,7 +340,7 @@
             "service": service,
             "address": f"{host}:{port}",
             "zone": zone,
-            "version": "v1",
+            "version": self.software_version,
             "slots": self.slots,
             "state": state,
             "cold_left_ms": self.warmup_ms,
