--- a/src/cloverwalk/fleet/coordinator_client.py
+++ b/src/cloverwalk/fleet/coordinator_client.py
@@ -26,6 +26,7 @@
     Orders,
     PlacementRequest,
     Report,
+    VersionHistoryCopy,
     WaitingByPool,
 )
 from cloverwalk.fleet.placement_client import PlacementClient, PlacementResult
@@ -65,6 +66,7 @@
 """The store serves a coordinator whose configuration was confirmed within this time; longer than
 twice the long poll of the configuration feed."""
 
+OnVersionHistory = Callable[[VersionHistoryCopy | None], None]
 OnSources = Callable[[tuple[Contact, ...]], Awaitable[None]]
 
 
@@ -165,6 +167,9 @@
         self.on_configuration_sources: OnSources = _ignore_sources
         """Called with the configuration sources in received orders."""
 
+        self.on_version_history: OnVersionHistory = _ignore_version_history
+        """Called with the history of software versions in received orders."""
+
         self._store_available_elsewhere_at = float("-inf")
         self._coordinator_configuration_age_ms: int | None = None
         self._last_applied_orders: dict[str, tuple[str, int]] = {}
@@ -427,6 +432,7 @@
         self._directory_sync.confirm(orders)
         self._confirm_configuration(orders, now)
         await self.on_configuration_sources(orders.configuration_sources)
+        self.on_version_history(orders.version_history)
         self._crash_records.record_coordinator_digest(orders.crash_digest)
         self.on_zone_utilization(orders.zone_utilization_percent)
         if orders.take_over:
@@ -484,6 +490,10 @@
     return
 
 
+def _ignore_version_history(history: VersionHistoryCopy | None) -> None:
+    return
+
+
 def _ignore_placement() -> None:
     return
 
--- a/src/cloverwalk/fleet/leader.py
+++ b/src/cloverwalk/fleet/leader.py
@@ -88,7 +88,7 @@
         return next(
             (
                 contact
-                for contact in self._contacts()
+                for contact in self.contacts()
                 if contact.host not in self._unresponsive_hosts
             ),
             None,
@@ -107,9 +107,13 @@
 
     def unresponsive_contacts(self) -> list[Contact]:
         """Return those of the coordinator and the standbys that are unresponsive."""
-        return [contact for contact in self._contacts() if contact.host in self._unresponsive_hosts]
+        return [contact for contact in self.contacts() if contact.host in self._unresponsive_hosts]
 
-    def _contacts(self) -> list[Contact]:
+    def contacts(self) -> list[Contact]:
+        """Return the coordinator and its standbys, this zone's standby first among these.
+
+        This node is not returned as a standby of another zone.
+        """
         if self.current is None:
             return []
         standbys = self.current.standbys
@@ -138,6 +142,6 @@
             return
         if host == self.current.holder.host:
             self.holder_last_seen_at = now
-        if any(contact.host == host for contact in self._contacts()):
+        if any(contact.host == host for contact in self.contacts()):
             self._has_contacted_leader = True
             self.last_seen_at = now
--- a/src/cloverwalk/fleet/messages.py
+++ b/src/cloverwalk/fleet/messages.py
@@ -64,6 +64,12 @@
     tokens: int = 0
     """Memory that one item may use at a replica, in tokens; 0: unknown."""
 
+    service: str = ""
+    """With ``software_version``: the service and software version that began the items' output and
+    at which they go on. Empty for items that can run at any replica of the pool."""
+
+    software_version: str = ""
+
 
 WaitingByPool = dict[str, list[WaitingGroup]]
 """Waiting items by pool, the services that can run them."""
@@ -137,6 +143,16 @@
     """Memory that it may use at a replica, in tokens: its prompt and the maximum output;
     0: unknown."""
 
+    is_resumption: bool = False
+    """Whether it resumes a stream: it goes on only at the software version that began it."""
+
+    stream: str = ""
+    """Key of the resumed stream, see ``gateway.stream_versions``."""
+
+    software_version: str = ""
+    """Software version that began the resumed stream, of ``service``; empty if the node does not
+    know it."""
+
 
 class RequestTiming(Struct, array_like=True, frozen=True):
     """Times of an online request that was answered at the first attempt, in ms."""
@@ -197,6 +213,24 @@
     """Time since the drains were last known to be the newest."""
 
 
+class ListedVersion(Struct, array_like=True, frozen=True):
+    """A software version of a service's replicas."""
+
+    service: str
+    software_version: str
+    unlisted_ms: int
+    """Time since its last replica was listed; 0 if one is listed."""
+
+
+class VersionHistoryCopy(Struct, array_like=True, frozen=True):
+    """The software versions that the sender knows, for nodes that have just started."""
+
+    known_ms: int
+    """For how long the sender has known all versions."""
+
+    versions: tuple[ListedVersion, ...]
+
+
 class Report(Struct, tag="report", array_like=True):
     """The state of a node, with its placement requests.
 
@@ -300,6 +334,14 @@
     """Whether the request was counted against the limit of a replica that is warming up. Without
     it the node must not send the request to such a replica."""
 
+    software_version: str = ""
+    """With SEND for a resumption: the version that began the stream, of the replica's service.
+    Empty from a build that doesn't look at versions."""
+
+    is_version_unknown: bool = False
+    """With NO_REPLICA for a resumption: whether the sender does not know the version that began the
+    stream."""
+
 
 class Contact(Struct, array_like=True, frozen=True):
     """Name and address of a node."""
@@ -396,6 +438,9 @@
     """Time from that report's arrival until these orders were made. The receiver knows when it
     sent the report, so it knows an upper bound of the age of the orders."""
 
+    version_history: VersionHistoryCopy | None = None
+    """Set in the first orders to a process that has just started."""
+
 
 class RouteEstimates(Struct, array_like=True, frozen=True):
     """Learnt times of a route's requests."""
@@ -564,6 +609,32 @@
     crash_records: list[CrashRecord]
 
 
+class StreamRecord(Struct, array_like=True, frozen=True):
+    """The software that began a stream."""
+
+    stream: str
+    service: str
+    software_version: str
+    """Empty if it is unknown for certain."""
+
+    remaining_ms: int
+    """Time for which the stream's client may still resume it."""
+
+
+class StreamVersions(Struct, tag="stream_versions", array_like=True):
+    """Records of streams, to the nodes that keep them or that asked for them."""
+
+    records: list[StreamRecord]
+
+
+class StreamVersionQuery(Struct, tag="stream_version_query", array_like=True):
+    """Asks for the records of streams; a node without a record does not answer."""
+
+    streams: list[str]
+    reply_to: str = ""
+    """Host that gets the answer, if the coordinator passes the query on; empty: the sender."""
+
+
 class Introduction(Struct, tag="introduction", array_like=True):
     """Names the coordinator to a node that reported to another node."""
 
@@ -589,6 +660,8 @@
     | ConfigurationStatus
     | ConfigurationPartRequest
     | CrashCases
+    | StreamVersions
+    | StreamVersionQuery
     | Introduction
     | StoreReturned
 )
--- a/src/cloverwalk/fleet/node_registry.py
+++ b/src/cloverwalk/fleet/node_registry.py
@@ -41,6 +41,8 @@
 
     first_seen_at: float = 0.0
     is_lost: bool = False
+    history_copies_sent: int = 0
+    """How often the history of software versions was sent to the node's process."""
 
 
 class NodeRegistry:
@@ -65,6 +67,8 @@
         entry.report = report
         entry.last_seen_at = now
         entry.is_lost = False
+        if is_new:
+            entry.history_copies_sent = 0
         return entry, is_new
 
     def expire(self, now: float, retention_s: float = LOST_NODE_RETENTION_S) -> list[NodeEntry]:
--- a/src/cloverwalk/fleet/orders_maker.py
+++ b/src/cloverwalk/fleet/orders_maker.py
@@ -6,7 +6,7 @@
 from cloverwalk.fleet.crash_record_sync import CrashRecordSync
 from cloverwalk.fleet.identity import Identity
 from cloverwalk.fleet.leader import LeaderView
-from cloverwalk.fleet.messages import Contact, Leadership, Orders
+from cloverwalk.fleet.messages import Contact, Leadership, Orders, VersionHistoryCopy
 from cloverwalk.fleet.node_registry import NodeRegistry
 from cloverwalk.fleet.state_sender import MAX_SERVED_STORE_AGE_MS, directory_age_ms
 from cloverwalk.gateway.configuration import ConfigurationHolder
@@ -18,6 +18,9 @@
 SourcesOf = Callable[[str], tuple[Contact, ...]]
 """Returns the configuration sources of a node, by its name."""
 
+MAX_HISTORY_COPIES = 3
+"""How often a process gets the history of software versions, since orders may be lost."""
+
 
 class OrdersMaker:
     """Creates orders with this node's state."""
@@ -42,6 +45,7 @@
         self._crash_records = crash_records
         self._zone_drains = zone_drains
         self.configuration_sources: SourcesOf = _no_sources
+        self.version_history: Callable[[], VersionHistoryCopy | None] = _no_history
 
     def make(self, node: str, decisions: Decisions | None, now: float) -> Orders:
         """Return orders for a node, with the decisions if there are any."""
@@ -62,6 +66,7 @@
         orders.configuration_age_ms = self._configuration.age_ms(now)
         orders.zone_drains = self._zone_drains.copy(now)
         orders.configuration_sources = self.configuration_sources(node)
+        self._add_version_history(orders, node)
         granted_at = None if decisions is None else decisions.warmup_granted_at
         self._add_report_age(orders, node, now if granted_at is None else min(granted_at, now))
         if decisions is not None:
@@ -72,6 +77,14 @@
             orders.grant_tokens = decisions.grant_tokens
         return orders
 
+    def _add_version_history(self, orders: Orders, node: str) -> None:
+        """Add the history of software versions for a process that has just started to report."""
+        entry = self._registry.by_name.get(node)
+        if entry is None or entry.history_copies_sent >= MAX_HISTORY_COPIES:
+            return
+        entry.history_copies_sent += 1
+        orders.version_history = self.version_history()
+
     def _add_report_age(self, orders: Orders, node: str, made_at: float) -> None:
         """Add the number of the last report and its age at ``made_at``.
 
@@ -97,3 +110,7 @@
 
 def _no_sources(node: str) -> tuple[Contact, ...]:
     return ()
+
+
+def _no_history() -> VersionHistoryCopy | None:
+    return None
--- a/src/cloverwalk/fleet/state_sender.py
+++ b/src/cloverwalk/fleet/state_sender.py
@@ -66,6 +66,9 @@
         self._sent_warmup_revision = 0
         """Revision of the warm-up times in the list as of the last changes sent."""
 
+        self._sent_software_revision = 0
+        """Revision of the software versions in the list as of the last changes sent."""
+
         self._configuration_encoder = ConfigurationEncoder(configuration)
         self._configuration_requested_at = float("-inf")
         self._pushed_configuration_version = configuration.version
@@ -76,6 +79,7 @@
         self._sent_directory = {replica.replica_id: replica for replica in self._directory.all()}
         self.sent_fingerprint = self._directory.fingerprint
         self._sent_warmup_revision = self._directory.warmup_revision
+        self._sent_software_revision = self._directory.software_revision
 
     def send_missing_state(self, entry: NodeEntry, now: float) -> None:
         """Send a node the configuration and replica list if its own are older."""
@@ -159,9 +163,14 @@
 
     def push_directory(self, nodes: Iterable[NodeEntry], now: float) -> None:
         """Send all nodes the changes of the replica list since the last call."""
-        if self._directory.fingerprint == self.sent_fingerprint and not self._has_new_warmups():
+        if (
+            self._directory.fingerprint == self.sent_fingerprint
+            and self._directory.software_revision == self._sent_software_revision
+            and not self._has_new_warmups()
+        ):
             return
         self._sent_warmup_revision = self._directory.warmup_revision
+        self._sent_software_revision = self._directory.software_revision
         previous, since = self._sent_directory, self.sent_fingerprint
         current = {replica.replica_id: replica for replica in self._directory.all()}
         self._sent_directory, self.sent_fingerprint = current, self._directory.fingerprint
--- a/src/cloverwalk/gateway/answer_relay.py
+++ b/src/cloverwalk/gateway/answer_relay.py
@@ -26,6 +26,10 @@
 MAX_BUFFERED_ANSWER_BYTES = 1_048_576
 
 
+OnFirstEvent = Callable[[ClientRequest, RequestProgress], None]
+"""Called before the first event of an answer is relayed."""
+
+
 class AnswerRelay:
     """Relays answers of replicas to clients; raises ReplicaError for an unusable answer."""
 
@@ -35,7 +39,9 @@
         directory: ReplicaDirectory,
         metrics: ServingMetrics,
         clock: Callable[[], float],
+        on_first_event: OnFirstEvent | None = None,
     ) -> None:
+        self._on_first_event = on_first_event
         self._codec = codec
         self._directory = directory
         self._metrics = metrics
@@ -167,6 +173,8 @@
             self._metrics.first_event(
                 progress.route.name, progress.first_event_at - request.received_at
             )
+            if self._on_first_event is not None:
+                self._on_first_event(request, progress)
         return reply.write_now(b"".join(raw_events))
 
     def _event_timeout_s(self, progress: RequestProgress) -> float:
--- a/src/cloverwalk/gateway/progress.py
+++ b/src/cloverwalk/gateway/progress.py
@@ -4,8 +4,10 @@
 
 from cloverwalk.core.error_response import WorkState
 from cloverwalk.fleet.in_flight import InFlightEntry
-from cloverwalk.gateway.configuration import Route
+from cloverwalk.gateway.configuration import Route, RouteKind
 from cloverwalk.gateway.crash_detector import Delivery
+from cloverwalk.gateway.replicas import Replica
+from cloverwalk.gateway.software_versions import Software
 
 
 class RequestProgress(Struct):
@@ -67,6 +69,19 @@
     last_replica: str = ""
     last_failure: str = ""
 
+    stream: str = ""
+    """Key of the stream that it begins or resumes; empty if its answer is no stream."""
+
+    software: Software | None = None
+    """Software that began the stream, as other nodes know it."""
+
+    has_asked_for_software: bool = False
+    attempt_replica: Replica | None = None
+    """Entry of the replica of the current attempt, as of its sending."""
+
+    attempt_opened_at: float = 0.0
+    """When the connection of the current attempt was opened (monotonic clock, seconds)."""
+
     # --- attempts ---
 
     def mark_sending(self) -> None:
@@ -96,6 +111,11 @@
         """State of the work, for the answer that ends the request."""
         return WorkState.MAY_HAVE_BEGUN if self.may_have_run else WorkState.NOT_BEGUN
 
+    @property
+    def is_resumption(self) -> bool:
+        """Whether the next attempt resumes a stream after events that its client has."""
+        return self.route.kind is RouteKind.STREAM and self.last_event_id is not None
+
     @property
     def has_attempt_left(self) -> bool:
         """Whether another replica may run the request after the current attempt."""
--- a/src/cloverwalk/gateway/refusals.py
+++ b/src/cloverwalk/gateway/refusals.py
@@ -14,6 +14,8 @@
 CONTAINED = "request_contained"
 OVER_SHARE = "over_share"
 NO_TIME = "no_time_left"
+UNKNOWN_VERSION = "software_version_unknown"
+NO_REPLICA_OF_VERSION = "no_replica_of_version"
 
 
 def out_of_time() -> GatewayError:
@@ -57,6 +59,21 @@
     return GatewayError(Reason.UNAVAILABLE, "zones_drained", message, DRAINED_RETRY_AFTER_S)
 
 
+def unknown_software_version() -> GatewayError:
+    """Return the error response to a resumption if no node knows where its stream began."""
+    message = "the software version that began the stream is not known"
+    return GatewayError(Reason.UNAVAILABLE, UNKNOWN_VERSION, message, RETRY_AFTER_S)
+
+
+def no_replica_of_version() -> GatewayError:
+    """Return the error response to a resumption if no replica of its version can take it.
+
+    It names no time to retry after: a version that is being replaced does not come back.
+    """
+    message = "no replica of the software version that began the stream can take it"
+    return GatewayError(Reason.UNAVAILABLE, NO_REPLICA_OF_VERSION, message)
+
+
 def over_quota(retry_after_s: float) -> GatewayError:
     """Return the error response to a tenant that has used up its quota."""
     message = "the tenant has used up its quota"
--- a/src/cloverwalk/gateway/relay.py
+++ b/src/cloverwalk/gateway/relay.py
@@ -29,6 +29,7 @@
 from cloverwalk.gateway.replicas import Replica, ReplicaDirectory
 from cloverwalk.gateway.reply import Reply
 from cloverwalk.gateway.request_timing import request_timing
+from cloverwalk.gateway.resumption_gate import ResumptionGate
 from cloverwalk.gateway.rotation import WeightedRotation
 from cloverwalk.gateway.warmup_gate import WarmupGate
 from cloverwalk.scheduling.admission import MAX_QUEUE_WAIT_S, PlacementVerdict
@@ -60,6 +61,7 @@
         coordinator_client: CoordinatorClient,
         quota_refusals: QuotaRefusalCache,
         containment: ContainmentGate,
+        resumption_gate: ResumptionGate,
         warmup_gate: WarmupGate | None = None,
     ) -> None:
         self._codec = codec
@@ -72,9 +74,12 @@
         self._coordinator_client = coordinator_client
         self._quota_refusals = quota_refusals
         self._containment = containment
+        self._resumption_gate = resumption_gate
         self._warmup_gate = warmup_gate
         self._rotation = WeightedRotation()
-        self._answers = AnswerRelay(codec, directory, metrics, clock)
+        self._answers = AnswerRelay(
+            codec, directory, metrics, clock, resumption_gate.record_first_event
+        )
         self._lateness_tracker = LatenessTracker(metrics)
 
     async def handle(self, request: ClientRequest, route: Route, reply: Reply) -> None:
@@ -100,12 +105,14 @@
             allowed_s = min(allowed_s, request.fields.deadline_s)
         parts = [(part.service, part.weight) for part in route.parts]
         service = self._rotation.next(route.name, parts)
-        return RequestProgress(
+        progress = RequestProgress(
             route,
             self._usable_service(route, service),
             request.received_at + allowed_s,
             request.fields.last_event_id,
         )
+        self._resumption_gate.begin(request, progress)
+        return progress
 
     def _usable_service(self, route: Route, preferred: str) -> str:
         """Return the preferred service if it has usable replicas, else another one of the route."""
@@ -116,7 +123,9 @@
 
     def _change_service(self, progress: RequestProgress) -> bool:
         """Move an untried request whose service is drained to another one of its route."""
-        if progress.tried or not self._directory.is_drained(progress.service):
+        if progress.tried or progress.is_resumption:
+            return False
+        if not self._directory.is_drained(progress.service):
             return False
         previous, progress.service = (
             progress.service,
@@ -148,14 +157,19 @@
             result = await self._coordinator_client.request_placement(
                 placement_request, request.received_at + MAX_QUEUE_WAIT_S
             )
+            if self._resumption_gate.is_undecided(progress, result.placement):
+                await self._end_in_flight(result)
+                await self._resumption_gate.ask(request, progress)
+                continue
             if result.verdict is PlacementVerdict.NO_REPLICA and self._change_service(progress):
                 continue
             self._check_verdict(request, progress, result)
-            replica = self._directory.find(result.replica_id)
+            replica = self._resumption_gate.find(progress, result.placement)
             if replica is not None:
                 self._record_choice(request, progress, result)
                 return replica
-            # The coordinator named a replica that is not listed here yet, or not any more.
+            # The coordinator named a replica that is not listed here yet, or not any more, or that
+            # has another software version than the stream needs.
             progress.has_token = True
             progress.refused.append(result.replica_id)
             await self._end_in_flight(result)
@@ -169,6 +183,8 @@
                 raise refusals.no_free_slot(result.placement)
             case PlacementVerdict.NO_REPLICA if self._directory.is_drained(progress.service):
                 raise refusals.zones_drained()
+            case PlacementVerdict.NO_REPLICA if progress.is_resumption:
+                raise self._resumption_gate.refusal(request, progress)
             case PlacementVerdict.NO_REPLICA:
                 raise refusals.no_replica("no_replica", progress.last_failure)
             case PlacementVerdict.OVER_QUOTA:
@@ -205,7 +221,7 @@
         unshared_tokens = fields.prompt[-1].tokens if fields.prompt else 0
         shared_part = max(fields.prompt[:-1], key=lambda part: part.tokens, default=None)
         deadline_s = fields.deadline_s
-        return PlacementRequest(
+        placement_request = PlacementRequest(
             0,
             route.name,
             progress.service,
@@ -223,6 +239,7 @@
             suspected,
             fields.max_total_tokens if self._loads.counts_tokens else 0,
         )
+        return self._resumption_gate.add_software(progress, placement_request)
 
     def _must_send(self, request: ClientRequest, progress: RequestProgress) -> bool:
         """Whether the request must be sent even if it can expect no free slot: it was tried before,
@@ -256,7 +273,7 @@
 
     def _software_version(self, replica_id: str) -> str | None:
         """Return the software version of a replica for the log, None if it is unknown."""
-        replica = self._directory.find_running(replica_id)
+        replica = self._directory.find_listed(replica_id)
         return None if replica is None else replica.software_version or None
 
     def _may_try_again(self, progress: RequestProgress) -> bool:
@@ -318,7 +335,7 @@
             self._directory.suspect(replica.replica_id, self._clock())
             raise
         try:
-            self._check_may_send(request_id, progress, replica)
+            self._check_may_send(request_id, progress, replica, connection)
         except ReplicaError:
             await self._pool.release_unused(connection)
             raise
@@ -336,10 +353,15 @@
             if not is_released:
                 await connection.close()
 
-    def _check_may_send(self, request_id: str, progress: RequestProgress, replica: Replica) -> None:
-        """Raise ReplicaError if the replica takes no new work since it was chosen."""
-        if self._directory.find(replica.replica_id) is None:
-            raise ReplicaError("the replica is draining", False, "draining")
+    def _check_may_send(
+        self,
+        request_id: str,
+        progress: RequestProgress,
+        replica: Replica,
+        connection: ReplicaConnection,
+    ) -> None:
+        """Raise ReplicaError if the replica may not get the request any more."""
+        self._resumption_gate.check(progress, replica, connection.opened_at)
         if self._warmup_gate is not None:
             self._warmup_gate.check(replica, request_id, progress.warmup_token_granted_at)
 
--- a/src/cloverwalk/gateway/replicas.py
+++ b/src/cloverwalk/gateway/replicas.py
@@ -134,6 +134,9 @@
         self.warmup_revision = 0
         """Counts changes of warm-up times, which the fingerprint leaves out."""
 
+        self.software_revision = 0
+        """Counts changes of software versions, which the fingerprint leaves out."""
+
         self._has_whole_list = False
         """Whether a whole list has been applied; unknown ids are then of new replicas."""
 
@@ -186,7 +189,15 @@
     def find(self, replica_id: str) -> Replica | None:
         """Return a replica if requests may be sent to it, else None."""
         replica = self.find_running(replica_id)
-        return None if replica is None or replica.zone in self._drained_zones else replica
+        return None if replica is None or self.is_zone_drained(replica.zone) else replica
+
+    def find_listed(self, replica_id: str) -> Replica | None:
+        """Return the entry of a replica, also if it is draining."""
+        return self._replicas.get(replica_id)
+
+    def is_zone_drained(self, zone: str) -> bool:
+        """Whether the replicas of a zone get no new work."""
+        return zone in self._drained_zones
 
     def find_running(self, replica_id: str) -> Replica | None:
         """Return a replica that is not draining, also if its zone is drained, else None."""
@@ -212,6 +223,12 @@
             self._usable[service] = replicas
         return replicas
 
+    def draining(self, service: str) -> list[Replica]:
+        """Return the replicas of a service that are draining."""
+        return [
+            replica for replica in self.all() if replica.service == service and replica.is_draining
+        ]
+
     def _reset_caches(self) -> None:
         self._fingerprint = None
         self._usable = {}
@@ -230,7 +247,7 @@
     def put(self, replica: Replica) -> bool:
         """Apply a newer entry; return whether more than its version and warm-up time changed."""
         current = self._replicas.get(replica.replica_id)
-        if current is not None and current.version >= replica.version:
+        if current is not None and not _supersedes(replica, current):
             return False
         if self._removed_versions.get(replica.replica_id, -1) >= replica.version:
             return False
@@ -239,6 +256,8 @@
         kind = self._entry_kind(replica, current)
         self._replicas[replica.replica_id] = replica
         self.warmup_revision += current is not None and current.warmup_ms != replica.warmup_ms
+        if current is not None and current.software_version != replica.software_version:
+            self.software_revision += 1
         differs = current is None or _differs(current, replica)
         if differs:
             self._reset_caches()
@@ -360,6 +379,16 @@
         return now < self._peer_suspected_until.get(replica_id, now)
 
 
+def _supersedes(replica: Replica, current: Replica) -> bool:
+    """Whether an entry is newer, or the same one without the loss of its software version.
+
+    Builds that don't know the software version pass entries on without it.
+    """
+    if replica.version != current.version:
+        return replica.version > current.version
+    return bool(replica.software_version) and not current.software_version
+
+
 def _differs(current: Replica, replica: Replica) -> bool:
     """Whether more than the version and the warm-up time of an entry has changed."""
     same = msgspec.structs.replace(current, version=replica.version, warmup_ms=replica.warmup_ms)
--- a/src/cloverwalk/gateway/restarts.py
+++ b/src/cloverwalk/gateway/restarts.py
@@ -26,6 +26,11 @@
 events follow each other faster."""
 
 
+OnRestart = Callable[[Replica, float], None]
+"""Called with a replica that has restarted. Connections opened before the given time lead to its
+previous incarnation (monotonic clock, seconds)."""
+
+
 @attrs.frozen
 class _Restart:
     """A restart whose exchanges with the previous incarnation are not all aborted yet."""
@@ -54,18 +59,21 @@
         self._metrics = metrics
         self._clock = clock
         self._pending: list[_Restart] = []
+        self.on_restart: OnRestart = _ignore_restart
         directory.restart_listeners.append(self._on_restart)
 
     def _on_restart(self, previous: Replica, replica: Replica) -> None:
         now = self._clock()
         address = (previous.host, previous.port)
         discarded = aborted = 0
+        opened_before = self._directory.confirmed_at
         if not self._is_address_taken(previous):
             opened_before = min(self._directory.confirmed_at, self._pool.pop_refused_at(address))
             restart = _Restart(address, opened_before, now)
             discarded = self._pool.discard_idle(address)
             aborted = self._pool.abort_exchanges(address, restart.opened_before, now - QUIET_TIME_S)
             self._pending.append(restart)
+        self.on_restart(replica, opened_before)
         self._metrics.replica_restarted()
         self._log.write(
             catalogue.REPLICA_RESTARTED,
@@ -93,3 +101,7 @@
         ]:
             self._pending.remove(restart)
             self._pool.abort_exchanges(restart.address, restart.opened_before, restart.detected_at)
+
+
+def _ignore_restart(replica: Replica, opened_before: float) -> None:
+    return
--- /dev/null
+++ b/src/cloverwalk/gateway/resumption_gate.py
@@ -0,0 +1,199 @@
+"""Keeps each stream at the software version that began it, at the node that serves its client."""
+
+from collections.abc import Callable
+from typing import Protocol
+
+import msgspec
+
+from cloverwalk.core import catalogue
+from cloverwalk.fleet.messages import Placement, PlacementRequest
+from cloverwalk.gateway import refusals
+from cloverwalk.gateway.configuration import RouteKind
+from cloverwalk.gateway.draining_replicas import DrainingReplicas
+from cloverwalk.gateway.errors import GatewayError, ReplicaError
+from cloverwalk.gateway.messages import ClientRequest
+from cloverwalk.gateway.progress import RequestProgress
+from cloverwalk.gateway.replicas import Replica, ReplicaDirectory
+from cloverwalk.gateway.software_versions import Software, software_of, stream_lifetime_s
+from cloverwalk.gateway.stream_versions import StreamVersion, StreamVersionTable, stream_key
+from cloverwalk.scheduling.admission import PlacementVerdict
+from cloverwalk.telemetry.log import ServingLog
+from cloverwalk.telemetry.metrics import ServingMetrics
+
+EXPIRY_MARGIN_S = 1.0
+"""How long a record is kept after its client's deadline, for the transit of its last request."""
+
+
+class StreamVersionSharing(Protocol):
+    """Sends records of streams to other nodes and asks for those of others."""
+
+    def share(self, record: StreamVersion, lifetime_s: float) -> None:
+        """Send a record to the nodes that keep it, if other nodes may need it."""
+        ...
+
+    async def ask(self, stream: str) -> Software | None:
+        """Return the software that began a stream as other nodes know it."""
+        ...
+
+
+class ResumptionGate:
+    """Records which software begins a stream, and lets it go on only there."""
+
+    def __init__(
+        self,
+        directory: ReplicaDirectory,
+        draining: DrainingReplicas,
+        streams: StreamVersionTable,
+        sharing: StreamVersionSharing,
+        log: ServingLog,
+        metrics: ServingMetrics,
+        clock: Callable[[], float],
+    ) -> None:
+        self._directory = directory
+        self._draining = draining
+        self._streams = streams
+        self._sharing = sharing
+        self._log = log
+        self._metrics = metrics
+        self._clock = clock
+
+    def begin(self, request: ClientRequest, progress: RequestProgress) -> None:
+        """Set the key of the stream that a request begins or resumes."""
+        if progress.route.kind is not RouteKind.STREAM:
+            return
+        fields = request.fields
+        resumed_id = "" if fields.last_event_id is None else fields.resumed_request_id
+        progress.stream = stream_key(resumed_id or fields.request_id)
+
+    # --- placement ---
+
+    def add_software(
+        self, progress: RequestProgress, placement_request: PlacementRequest
+    ) -> PlacementRequest:
+        """Return the placement request with the software that a resumption needs."""
+        if not progress.is_resumption:
+            return placement_request
+        software = self._needed_software(progress) or Software(placement_request.service, "")
+        return msgspec.structs.replace(
+            placement_request,
+            is_resumption=True,
+            stream=progress.stream,
+            service=software.service,
+            software_version=software.version,
+        )
+
+    def _needed_software(self, progress: RequestProgress) -> Software | None:
+        """Return the software that began the stream, None if this node does not know it."""
+        if self._streams.is_contradicted(progress.stream):
+            return None
+        return progress.software or self._streams.find(progress.stream)
+
+    def is_undecided(self, progress: RequestProgress, placement: Placement) -> bool:
+        """Whether the sender of a placement did not know the software that a resumption needs."""
+        if not progress.is_resumption or self._needed_software(progress) is not None:
+            return False
+        is_sent = placement.verdict is PlacementVerdict.SEND
+        return placement.is_version_unknown or (is_sent and not placement.software_version)
+
+    async def ask(self, request: ClientRequest, progress: RequestProgress) -> None:
+        """Ask other nodes for the software that began a stream; raise if none knows it."""
+        if not progress.has_asked_for_software:
+            progress.has_asked_for_software = True
+            if not self._streams.is_contradicted(progress.stream):
+                progress.software = await self._sharing.ask(progress.stream)
+        if self._needed_software(progress) is None:
+            raise self._refusal(request, progress, refusals.unknown_software_version())
+
+    def refusal(self, request: ClientRequest, progress: RequestProgress) -> GatewayError:
+        """Return the error response if no replica of the needed version can take the stream."""
+        return self._refusal(request, progress, refusals.no_replica_of_version())
+
+    def _refusal(
+        self, request: ClientRequest, progress: RequestProgress, error: GatewayError
+    ) -> GatewayError:
+        software = self._needed_software(progress)
+        self._metrics.resumption_ended(error.code)
+        self._log.write(
+            catalogue.STREAM_NOT_RESUMED,
+            request=request.fields.request_id,
+            resumes=progress.stream,
+            after_event=progress.last_event_id,
+            code=error.code,
+            software_version=None if software is None else software.version,
+        )
+        return error
+
+    def find(self, progress: RequestProgress, placement: Placement) -> Replica | None:
+        """Return the placed replica, None if it may not get the request."""
+        replica = self._find(progress, placement.replica_id)
+        if replica is None or not progress.is_resumption:
+            return replica
+        if self._needed_software(progress) is None and placement.software_version:
+            progress.software = Software(replica.service, placement.software_version)
+        if software_of(replica) != self._needed_software(progress):
+            return None
+        progress.service = replica.service
+        return replica
+
+    def _find(self, progress: RequestProgress, replica_id: str) -> Replica | None:
+        replica = self._directory.find(replica_id)
+        if replica is not None or not progress.is_resumption:
+            return replica
+        listed = self._directory.find_listed(replica_id)
+        if listed is None or not self._draining.takes_resumptions(listed):
+            return None
+        return listed
+
+    # --- attempts ---
+
+    def check(self, progress: RequestProgress, replica: Replica, opened_at: float) -> None:
+        """Raise ReplicaError if the replica may no longer get the request; else note the attempt.
+
+        ``opened_at`` is when the connection to it was opened (monotonic clock, seconds).
+        """
+        current = self._find(progress, replica.replica_id)
+        if current is None:
+            raise ReplicaError("the replica is draining", False, "draining")
+        if progress.is_resumption and software_of(current) != self._needed_software(progress):
+            raise ReplicaError("the replica has another software version", False, "other_version")
+        progress.attempt_replica = current
+        progress.attempt_opened_at = opened_at
+
+    def record_first_event(self, request: ClientRequest, progress: RequestProgress) -> None:
+        """Record the software of a stream's first event, or renew the record of a resumed one."""
+        if not progress.stream or not progress.route.is_resumable:
+            return
+        if progress.is_resumption:
+            self._metrics.resumption_ended("resumed")
+        record = self._streams.record(self._new_record(request, progress))
+        self._sharing.share(record, stream_lifetime_s(progress.route.timeout_s))
+
+    def _new_record(self, request: ClientRequest, progress: RequestProgress) -> StreamVersion:
+        fields = request.fields
+        allowed_s = (
+            progress.route.timeout_s if fields.deadline_s is None else max(0.0, fields.deadline_s)
+        )
+        expires_at = request.received_at + allowed_s + EXPIRY_MARGIN_S
+        if progress.is_resumption:
+            software = self._needed_software(progress) or Software(progress.service, "")
+            return StreamVersion(progress.stream, software, expires_at)
+        replica = progress.attempt_replica
+        assert replica is not None
+        return StreamVersion(
+            progress.stream,
+            self._software_of_attempt(replica),
+            expires_at,
+            replica.replica_id,
+            progress.attempt_opened_at,
+        )
+
+    def _software_of_attempt(self, replica: Replica) -> Software:
+        """Return the software of the replica that an attempt was sent to.
+
+        It is unknown if the replica's entry has changed since.
+        """
+        listed = self._directory.find_listed(replica.replica_id)
+        is_same = listed is None or (
+            software_of(listed) == software_of(replica) and listed.started_ms == replica.started_ms
+        )
+        return software_of(replica) if is_same else Software(replica.service, "")
--- a/src/cloverwalk/platform/settings.py
+++ b/src/cloverwalk/platform/settings.py
@@ -7,6 +7,7 @@
 from msgspec import Struct, field
 
 from cloverwalk.core.warmup_limit import WarmupBounds
+from cloverwalk.gateway.draining_replicas import DEFAULT_DRAIN_S
 from cloverwalk.platform import names
 from cloverwalk.scheduling.quotas import QuotaBounds
 from cloverwalk.serving.settings import (
@@ -51,6 +52,7 @@
     cold_overshoot: float = WarmupBounds().overshoot
     cold_slack: float = WarmupBounds().slack
     evacuate_ms: float = DEFAULT_ZONE_DRAIN_APPLY_S * 1000
+    drain_ms: float = DEFAULT_DRAIN_S * 1000
 
 
 class _Tolerate(Struct):
@@ -120,6 +122,7 @@
         _zone_drain_apply_s(file.bounds),
         file.region,
         file.zones,
+        _replica_drain_s(file.bounds),
     )
 
 
@@ -147,6 +150,12 @@
     return bounds.evacuate_ms / 1000
 
 
+def _replica_drain_s(bounds: _Bounds) -> float:
+    if not 0 <= bounds.drain_ms < float("inf"):
+        raise PlatformSettingsError(f"bounds.drain_ms: {bounds.drain_ms} is not a time")
+    return bounds.drain_ms / 1000
+
+
 def _warmup_bounds(bounds: _Bounds) -> WarmupBounds:
     for name in ("cold_overshoot", "cold_slack"):
         if not 0 <= getattr(bounds, name) < float("inf"):
--- a/src/cloverwalk/scheduling/online.py
+++ b/src/cloverwalk/scheduling/online.py
@@ -32,6 +32,7 @@
 from cloverwalk.scheduling.quotas import FleetQuotas, QuotaVerdict
 from cloverwalk.scheduling.replica_load_tracker import ReplicaLoadTracker
 from cloverwalk.scheduling.replica_view import ReplicaView
+from cloverwalk.scheduling.resumptions import Resumptions
 from cloverwalk.scheduling.selection import (
     NON_RETRYABLE_OTHER_ZONE_COST_MS,
     OTHER_ZONE_COST_MS,
@@ -73,7 +74,9 @@
         ledger: CrashLedger,
         random: Random,
         features: Features,
+        resumptions: Resumptions,
     ) -> None:
+        self._resumptions = resumptions
         self._features = features
         self.shares = FairShares()
         self._queued = QueuedRequests(features, self.shares)
@@ -103,6 +106,12 @@
 
     def handle_request(self, node: str, zone: str, request: PlacementRequest, now: float) -> str:
         """Answer a placement request; return the replica it is placed at, or an empty string."""
+        if request.is_resumption:
+            resolved = self._resumptions.resolve(request)
+            if resolved is None:
+                self._refuse_unknown_version(node, request, now)
+                return ""
+            request = resolved
         queued = self._queued.find((node, request.number))
         if queued is not None:
             queued.request, queued.last_asked_at = request, now
@@ -127,9 +136,16 @@
         queued.expect(self._times.first_event_ms(request.route))
         self._arrivals.setdefault(request.service, ArrivalRate()).record(now)
         deadline_s = None if request.deadline_ms is None else request.deadline_ms / 1000
-        may_retry_later = not self._retry_detector.is_retry(request.route, deadline_s)
+        is_retry = self._retry_detector.is_retry(request.route, deadline_s)
+        may_retry_later = not is_retry and not request.is_resumption
         return self._place_or_queue(queued, may_retry_later, now) or ""
 
+    def _refuse_unknown_version(self, node: str, request: PlacementRequest, now: float) -> None:
+        """Refuse a resumption of a stream whose software version is not known here."""
+        self._remove((node, request.number), now)
+        placement = Placement(request.number, PlacementVerdict.NO_REPLICA, is_version_unknown=True)
+        self._outbox.for_node(node).placements.append(placement)
+
     def _reserve_token(self, request: PlacementRequest, now: float) -> Placement | None:
         """Reserve a token of the tenant's quota; return the refusal where there is none."""
         if request.quota_token is not QuotaTokenUse.NEW:
@@ -178,14 +194,14 @@
             replica_id = self._place_or_queue(queued, False, now)
             if replica_id is not None:
                 replica_ids.append(replica_id)
-            elif not queued.waits_for_memory:
+            elif queued.blocks_others:
                 break
         return replica_ids
 
     def _refuse_without_replica(self, now: float) -> None:
         """Refuse the queued requests of services without a usable replica."""
         for queued in self._queued.all():
-            if not self._replicas.has_usable(queued.request.service):
+            if not self._replicas.has_usable(queued.request):
                 placement = Placement(queued.request.number, PlacementVerdict.NO_REPLICA)
                 self._refuse(queued, placement, now)
 
@@ -203,7 +219,7 @@
         candidates = self._replicas.candidates(queued.node, queued.request, now)
         demand = self._demand(queued)
         chosen = choose(candidates, demand)
-        if chosen is None and self._replicas.has_usable(queued.request.service):
+        if chosen is None and self._replicas.has_usable(queued.request):
             # No replica has enough memory or a warm-up token; handled like a lack of free slots.
             return self._queue_without_candidate(queued, may_retry_later, now)
         if chosen is None:
@@ -366,6 +382,7 @@
             batch=chosen.in_flight.batch,
             prefill_ms=round(chosen.prefill_ms),
             has_warmup_token=has_warmup_token,
+            software_version=queued.request.software_version,
         )
         decisions.placements.append(placement)
         self._load_tracker.expect(
--- a/src/cloverwalk/scheduling/queued_requests.py
+++ b/src/cloverwalk/scheduling/queued_requests.py
@@ -64,6 +64,14 @@
     waits_for_memory: bool = False
     """Whether no replica has enough free memory for it; smaller requests may still fit."""
 
+    @property
+    def blocks_others(self) -> bool:
+        """Whether requests behind it wait until it is placed.
+
+        Not if only some replicas suit it: others may have room for the next request.
+        """
+        return not self.waits_for_memory and not self.request.is_resumption
+
     @property
     def request_id(self) -> RequestId:
         """Node and number."""
@@ -168,24 +176,21 @@
     def is_first(self, queued: QueuedRequest, now: float) -> bool:
         """Whether no request that could use a free slot goes before this one.
 
-        A request that waits for memory can't use one and does not block others.
+        A request that waits for memory can't use one and does not block others, nor does a
+        resumption, which can't use most of them.
         """
         if not self._features.is_on(Feature.OVERLOAD_ORDER):
-            return all(
-                queued.age_key() <= other.age_key() for other in self._not_waiting_for_memory()
-            )
+            return all(queued.age_key() <= other.age_key() for other in self._blocking())
         first = self._first(now)
         if first is None or first is queued:
             return True
         sort_key = self._sort_key(queued, now)
-        if first.waits_for_memory:
-            return all(
-                sort_key <= self._sort_key(other, now) for other in self._not_waiting_for_memory()
-            )
+        if not first.blocks_others:
+            return all(sort_key <= self._sort_key(other, now) for other in self._blocking())
         return sort_key <= self._sort_key(first, now)
 
-    def _not_waiting_for_memory(self) -> Iterator[QueuedRequest]:
-        return (queued for queued in self._by_id.values() if not queued.waits_for_memory)
+    def _blocking(self) -> Iterator[QueuedRequest]:
+        return (queued for queued in self._by_id.values() if queued.blocks_others)
 
     def _sort_key(self, queued: QueuedRequest, now: float) -> tuple[QueueOrder, OrderKey]:
         return (self._queue_order(queued.queue), queued.order_key_at(now))
@@ -201,8 +206,8 @@
             if first.request_id in self._by_id:
                 break
             first = self._first(now)
-        if first is not None and first.waits_for_memory:
-            # Smaller requests may still fit. Only in this case are all requests sorted.
+        if first is not None and not first.blocks_others:
+            # Others may still be placed. Only in this case are all requests sorted.
             yield from self._all_in_order(now)
 
     def _first(self, now: float) -> QueuedRequest | None:
--- a/src/cloverwalk/scheduling/replica_view.py
+++ b/src/cloverwalk/scheduling/replica_view.py
@@ -10,6 +10,7 @@
 from cloverwalk.scheduling.regions import Distance, Regions
 from cloverwalk.scheduling.replica_load_tracker import ReplicaLoadTracker
 from cloverwalk.scheduling.replica_memory import ReplicaMemory
+from cloverwalk.scheduling.resumptions import Resumptions
 from cloverwalk.scheduling.selection import Candidate
 from cloverwalk.scheduling.slot_time import ReplicaUse
 from cloverwalk.scheduling.warmup_tokens import WarmupTokens
@@ -37,8 +38,10 @@
         random: Random,
         warmup_tokens: WarmupTokens,
         regions: Regions,
+        resumptions: Resumptions,
     ) -> None:
         self.regions = regions
+        self._resumptions = resumptions
         self._memory = memory
         self._warmup_tokens = warmup_tokens
         self._reachability = reachability
@@ -184,7 +187,7 @@
 
     def candidates(self, node: str, request: PlacementRequest, now: float) -> list[Candidate]:
         """Return the replicas where a request fits, without those it avoids if there are others."""
-        usable = self._with_warmup_token_if_needed(self._directory.usable(request.service), now)
+        usable = self._with_warmup_token_if_needed(self._suitable(request), now)
         usable = self._reachable_with_free_slot(node, usable, now)
         usable = list(self._memory.with_memory_for_online(self.sample(usable), request.tokens, now))
         fresh = [replica for replica in usable if replica.replica_id not in request.avoid]
@@ -209,6 +212,12 @@
             for replica in fresh or usable
         ]
 
+    def _suitable(self, request: PlacementRequest) -> list[Replica]:
+        """Return the replicas that take new work, or those at which a resumption may go on."""
+        if request.is_resumption:
+            return self._resumptions.replicas(request)
+        return self._directory.usable(request.service)
+
     # --- warm-ups ---
 
     def _with_warmup_token_if_needed(self, replicas: list[Replica], now: float) -> list[Replica]:
@@ -250,9 +259,9 @@
         """Whether a request fits into an idle replica of its service."""
         return self._memory.can_ever_fit(request.service, request.tokens)
 
-    def has_usable(self, service: str) -> bool:
-        """Whether any replica of a service takes new work, including fully loaded ones."""
-        return bool(self._directory.usable(service))
+    def has_usable(self, request: PlacementRequest) -> bool:
+        """Whether any replica may take a request, including fully loaded ones."""
+        return bool(self._suitable(request))
 
     def items_to_preempt(self, replica: Replica, now: float) -> int:
         """Return how many items to preempt at a replica, for slots or for memory."""
--- a/src/cloverwalk/scheduling/scheduler.py
+++ b/src/cloverwalk/scheduling/scheduler.py
@@ -31,6 +31,7 @@
 from cloverwalk.scheduling.replica_load_tracker import ReplicaLoadTracker
 from cloverwalk.scheduling.replica_memory import ReplicaMemory
 from cloverwalk.scheduling.replica_view import ReplicaView
+from cloverwalk.scheduling.resumptions import Resumptions
 from cloverwalk.scheduling.service_times import ServiceTimes
 from cloverwalk.scheduling.slot_time import ReplicaUse
 from cloverwalk.scheduling.slowdown import Measurement, ReplicaSlowdowns
@@ -53,7 +54,9 @@
         warmups: Warmups | None = None,
         warmup_bounds: WarmupBounds | None = None,
         regions: Regions | None = None,
+        resumptions: Resumptions | None = None,
     ) -> None:
+        resumptions = resumptions or Resumptions.create(directory, configuration)
         self.features = features or Features(configuration)
         self.times = times
         self.slowdowns = ReplicaSlowdowns()
@@ -77,6 +80,7 @@
             random,
             self.warmup_tokens,
             regions or Regions(),
+            resumptions,
         )
         self._online = OnlineQueue(
             self._replicas,
@@ -88,6 +92,7 @@
             ledger,
             random,
             self.features,
+            resumptions,
         )
         self._batch = BatchGrants(
             self._replicas,
--- a/src/cloverwalk/serving/fleet_parts.py
+++ b/src/cloverwalk/serving/fleet_parts.py
@@ -27,11 +27,15 @@
     Report,
     Snapshot,
     StoreReturned,
+    StreamVersionQuery,
+    StreamVersions,
 )
+from cloverwalk.fleet.stream_version_sync import StreamVersionSync, history_copy
 from cloverwalk.fleet.transport import DatagramTransport
 from cloverwalk.scheduling.fair_share_reporter import FairShareReporter, ThrottledRequests
 from cloverwalk.scheduling.features import Feature, Features, FeatureState
 from cloverwalk.scheduling.regions import Regions
+from cloverwalk.scheduling.resumptions import Resumptions
 from cloverwalk.scheduling.scheduler import Scheduler
 from cloverwalk.scheduling.service_times import ServiceTimes
 from cloverwalk.scheduling.slot_time import SlotUse
@@ -102,6 +106,14 @@
             fleet_state.warmups,
             settings.warmup_bounds,
             regions,
+            Resumptions(
+                fleet_state.directory,
+                fleet_state.configuration,
+                fleet_state.software_versions,
+                fleet_state.stream_versions,
+                fleet_state.draining_replicas,
+                clock,
+            ),
         )
         self.scheduler.reachability.on_change = self._log_reachability
         self.scheduler.slowdowns.on_change = self._log_slowdown
@@ -136,6 +148,19 @@
             log,
             clock,
         )
+        self.stream_version_sync = StreamVersionSync(
+            self.identity,
+            self.leader,
+            self.coordinator,
+            self.transport,
+            fleet_state.software_versions,
+            fleet_state.stream_versions,
+            clock,
+        )
+        self.coordinator.orders_maker.version_history = lambda: history_copy(
+            fleet_state.software_versions
+        )
+        self.coordinator_client.on_version_history = self.stream_version_sync.apply_history
         self.slot_time_reporter = SlotTimeReporter(self.scheduler, self._log_slot_time)
         shares, item_shares = self.scheduler.online_shares, self.scheduler.item_shares
         self.fair_share_reporter = FairShareReporter(shares, item_shares, self._log_throttled)
@@ -189,6 +214,25 @@
         if self.configuration_exchange is not None:
             self.configuration_exchange.update_metrics(metrics)
         self._update_warmup_metrics(metrics)
+        self._update_stream_metrics(metrics)
+
+    def _update_stream_metrics(self, metrics: ServingMetrics) -> None:
+        streams = self._fleet_state.stream_versions
+        metrics.gauge(
+            "cloverwalk_stream_versions",
+            "Streams whose software version is kept here",
+            len(streams),
+        )
+        metrics.gauge(
+            "cloverwalk_stream_versions_dropped",
+            "Records of streams that were dropped before they expired",
+            streams.dropped,
+        )
+        metrics.gauge(
+            "cloverwalk_stream_versions_sent",
+            "Records of streams that were sent to other nodes",
+            self.stream_version_sync.records_sent,
+        )
 
     def _update_warmup_metrics(self, metrics: ServingMetrics) -> None:
         tokens, gate = self.scheduler.warmup_tokens, self._fleet_state.warmup_gate
@@ -285,6 +329,10 @@
                 await self._release_replaced_configurations()
             case ConfigurationRequest():
                 self.coordinator.send_configuration(host)
+            case StreamVersions():
+                await self.stream_version_sync.handle_records(message)
+            case StreamVersionQuery():
+                self.stream_version_sync.handle_query(message, host)
             case StoreReturned():
                 await self._health.hint_recovery()
                 if self.coordinator.is_active and not self._health.is_unavailable:
@@ -312,13 +360,19 @@
     async def _on_leadership(self) -> None:
         self._fleet_state.startup.record_stage(Stage.COORDINATOR)
         await self._client_on_leadership()
+        self.stream_version_sync.share_all()
 
     async def _deliver_locally(self, orders: object) -> None:
         await self.coordinator_client.handle_message(orders, self.identity.host)  # type: ignore[arg-type]
 
     async def wait_until_directory_needed(self) -> None:
-        """Wait until this node has to read the replica list from the store itself."""
-        while not self.coordinator.is_active:
+        """Wait until this node has to read the replica list from the store itself.
+
+        A coordinator of an earlier build passes entries on without their software versions.
+        """
+        while (
+            not self.coordinator.is_active and not self._fleet_state.software_versions.has_unknown
+        ):
             remaining_s = (
                 self._fleet_state.directory.confirmed_at + MAX_DIRECTORY_AGE_S - self._clock()
             )
--- a/src/cloverwalk/serving/fleet_state.py
+++ b/src/cloverwalk/serving/fleet_state.py
@@ -6,8 +6,11 @@
 from cloverwalk.fleet.messages import ConfigurationCopy
 from cloverwalk.gateway.configuration import Configuration, ConfigurationHolder
 from cloverwalk.gateway.crash_ledger import CrashLedger
+from cloverwalk.gateway.draining_replicas import DEFAULT_DRAIN_S, DrainingReplicas
 from cloverwalk.gateway.replicas import Replica, ReplicaDirectory
+from cloverwalk.gateway.software_versions import SoftwareVersions
 from cloverwalk.gateway.steps import run_in_steps
+from cloverwalk.gateway.stream_versions import StreamVersionTable
 from cloverwalk.gateway.warmup_gate import WarmupGate
 from cloverwalk.gateway.warmups import Warmups
 from cloverwalk.gateway.zone_drains import ZoneDrains
@@ -32,6 +35,7 @@
         log: ServingLog,
         clock: Callable[[], float],
         startup: StartupLog,
+        replica_drain_s: float = DEFAULT_DRAIN_S,
     ) -> None:
         self._adapter = adapter
         self._log = log
@@ -44,6 +48,9 @@
         self.warmups = Warmups(self.directory, self.configuration, self.zone_drains, log, clock)
         self.warmup_gate = WarmupGate(self.warmups, log, clock)
         self.crash_ledger = CrashLedger()
+        self.software_versions = SoftwareVersions(self.directory, clock)
+        self.stream_versions = StreamVersionTable(clock)
+        self.draining_replicas = DrainingReplicas(self.directory, clock, replica_drain_s)
         self.metrics = ServingMetrics()
         """Counts invalid entries; ``ServingNode`` replaces it by the metrics of the node."""
 
--- a/src/cloverwalk/serving/node.py
+++ b/src/cloverwalk/serving/node.py
@@ -21,8 +21,10 @@
 from cloverwalk.gateway.messages import ClientRequest
 from cloverwalk.gateway.relay import OnlineRelay
 from cloverwalk.gateway.replica_connection import ReplicaPool
+from cloverwalk.gateway.replicas import Replica
 from cloverwalk.gateway.reply import Reply
 from cloverwalk.gateway.restarts import RestartHandler
+from cloverwalk.gateway.resumption_gate import ResumptionGate
 from cloverwalk.gateway.server import GatewayServer
 from cloverwalk.scheduling.features import Feature
 from cloverwalk.serving.adapter import Adapter
@@ -88,7 +90,13 @@
     # --- components ---
 
     def _build_state(self) -> None:
-        self._fleet_state = FleetState(self._adapter, self._log, self._clock, self._startup)
+        self._fleet_state = FleetState(
+            self._adapter,
+            self._log,
+            self._clock,
+            self._startup,
+            self._settings.replica_drain_s,
+        )
         self._fleet_state.metrics = self._metrics
         self._configuration = self._fleet_state.configuration
         self._directory = self._fleet_state.directory
@@ -200,6 +208,7 @@
             self._fleet.coordinator_client,
             self._quota_refusals,
             ContainmentGate(self._crash_detector, self._metrics),
+            self._create_resumption_gate(),
             self._fleet_state.warmup_gate,
         )
         max_connections = max(64, settings.max_descriptors - RESERVED_DESCRIPTORS)
@@ -227,6 +236,27 @@
                 settings.metrics_address, self._answer_metrics, MAX_INTERNAL_CONNECTIONS
             )
 
+    def _create_resumption_gate(self) -> ResumptionGate:
+        self._fleet_state.software_versions.on_change = self._on_software_change
+        self._restart_handler.on_restart = self._contradict_streams
+        return ResumptionGate(
+            self._directory,
+            self._fleet_state.draining_replicas,
+            self._fleet_state.stream_versions,
+            self._fleet.stream_version_sync,
+            self._log,
+            self._metrics,
+            self._clock,
+        )
+
+    def _on_software_change(self, replica: Replica) -> None:
+        self._contradict_streams(replica, self._directory.confirmed_at)
+
+    def _contradict_streams(self, replica: Replica, opened_before: float) -> None:
+        """Record that a replica's new incarnation may have begun recent streams."""
+        records = self._fleet_state.stream_versions.contradict(replica, opened_before)
+        self._fleet.stream_version_sync.share_changed(records)
+
     def _create_resource_monitor(self, max_connections: int) -> ResourceMonitor | None:
         """Return the monitor of this machine's resources, None if the feature is off."""
         if not self._fleet.features.is_on(Feature.NODE_CAPACITY):
@@ -452,6 +482,8 @@
             await self._pool.close_expired()
             self._quota_refusals.expire()
             self._crash_detector.expire()
+            self._fleet_state.stream_versions.expire()
+            self._fleet_state.software_versions.expire()
             suspended_s = self._suspensions.check()
             if suspended_s > 0:
                 # The clock includes the suspension, so ages and leases went on meanwhile.
--- a/src/cloverwalk/serving/settings.py
+++ b/src/cloverwalk/serving/settings.py
@@ -3,6 +3,7 @@
 from msgspec import Struct
 
 from cloverwalk.core.warmup_limit import WarmupBounds
+from cloverwalk.gateway.draining_replicas import DEFAULT_DRAIN_S
 from cloverwalk.scheduling.quotas import QuotaBounds
 
 DEFAULT_CONFIGURATION_APPLY_S = 2.0
@@ -75,3 +76,6 @@
 
     region_by_zone: dict[str, str] = {}
     """Region of each zone of the deployment."""
+
+    replica_drain_s: float = DEFAULT_DRAIN_S
+    """Time for which a draining replica still serves."""
--- a/src/cloverwalk/telemetry/metrics.py
+++ b/src/cloverwalk/telemetry/metrics.py
@@ -73,6 +73,7 @@
         self._connection_closes: Counter[str] = Counter()
         self._containments: Counter[str] = Counter()
         self._refused_messages: Counter[str] = Counter()
+        self._resumptions: Counter[str] = Counter()
         self._invalid_entries = 0
         self._restarts = 0
         self._invalid_values: Counter[str] = Counter()
@@ -112,6 +113,10 @@
         """Count a request that was contained, refused while contained, or released."""
         self._containments[event] += 1
 
+    def resumption_ended(self, outcome: str) -> None:
+        """Count an attempt to resume a stream: it went on, or why it did not."""
+        self._resumptions[outcome] += 1
+
     def peer_message_refused(self, kind: str) -> None:
         """Count a message of another node that can't be decoded."""
         self._refused_messages[kind] += 1
@@ -188,6 +193,12 @@
                 "found",
             ),
             ("cloverwalk_containments", "Requests contained", self._containments, "event"),
+            (
+                "cloverwalk_resumptions",
+                "Attempts to resume a stream, by what became of them",
+                self._resumptions,
+                "outcome",
+            ),
             (
                 "cloverwalk_peer_messages_refused",
                 "Messages of other nodes that can't be decoded, by kind",
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -1411,17 +1411,15 @@
     Mutant(
         "zone drains: replicas of drained zones are used",
         "gateway/replicas.py",
-        "replica is None or replica.zone in self._drained_zones else replica",
+        "replica is None or self.is_zone_drained(replica.zone) else replica",
         "replica is None else replica",
         DRAINS + "test_two_zones_are_drained_at_once_also_that_of_the_coordinator",
     ),
     Mutant(
         "zone drains: a request is sent though its zone was drained while it connected",
-        "gateway/relay.py",
-        """        if self._directory.find(replica.replica_id) is None:
-            raise ReplicaError""",
-        """        if False:
-            raise ReplicaError""",
+        "gateway/resumption_gate.py",
+        "        current = self._find(progress, replica.replica_id)",
+        "        current = replica",
         DRAINS + "test_the_last_check_before_sending_stops_requests",
     ),
     Mutant(
@@ -1529,8 +1527,8 @@
     Mutant(
         "warm-up: a changed warm-up time alone is not sent to the nodes",
         "fleet/state_sender.py",
-        "sent_fingerprint and not self._has_new_warmups():",
-        "sent_fingerprint:",
+        "            and not self._has_new_warmups()\n",
+        "",
         WARMUP_FLEET + "test_change_of_the_warmup_time_alone_reaches_all_nodes",
     ),
     Mutant(
@@ -1543,8 +1541,8 @@
     Mutant(
         "builds: the fingerprint of the replica list contains warm-up times",
         "gateway/replicas.py",
-        "    *fields, _ = msgspec.structs.astuple(",
-        "    fields = msgspec.structs.astuple(",
+        "    *fields, _warmup_ms, _software_version = msgspec.structs.astuple(",
+        "    *fields, _software_version = msgspec.structs.astuple(",
         SAMPLES + "test_fingerprint_does_not_depend_on_warmups",
     ),
     Mutant(
--- a/tests/serving/test_promises.py
+++ b/tests/serving/test_promises.py
@@ -26,10 +26,14 @@
 from cloverwalk.gateway.containment import ContainmentGate
 from cloverwalk.gateway.crash_detector import CrashDetector
 from cloverwalk.gateway.crash_ledger import CrashLedger
+from cloverwalk.gateway.draining_replicas import DrainingReplicas
 from cloverwalk.gateway.relay import OnlineRelay
 from cloverwalk.gateway.replica_connection import ReplicaPool
 from cloverwalk.gateway.replicas import Replica, ReplicaDirectory
+from cloverwalk.gateway.resumption_gate import ResumptionGate
 from cloverwalk.gateway.server import GatewayServer
+from cloverwalk.gateway.software_versions import Software
+from cloverwalk.gateway.stream_versions import StreamVersion, StreamVersionTable
 from cloverwalk.platform import names
 from cloverwalk.platform.adapter import PlatformAdapter
 from cloverwalk.scheduling.admission import PlacementVerdict
@@ -122,6 +126,17 @@
         """Do nothing."""
 
 
+class LonelyNode:
+    """Stands for nodes that know no streams."""
+
+    def share(self, record: StreamVersion, lifetime_s: float) -> None:
+        """Do nothing."""
+
+    async def ask(self, stream: str) -> Software | None:
+        """Return None: no node knows the stream."""
+        return None
+
+
 class World:
     """The whole path of a node from a client's socket to the replicas."""
 
@@ -152,6 +167,15 @@
             coordinator_client,
             QuotaRefusalCache(holder, log, time.monotonic),
             ContainmentGate(witness, metrics),
+            ResumptionGate(
+                directory,
+                DrainingReplicas(directory, time.monotonic),
+                StreamVersionTable(time.monotonic),
+                LonelyNode(),
+                log,
+                metrics,
+                time.monotonic,
+            ),
         )
         self.may_begin = True
         jobs: Any = None
--- a/tests/serving/test_restarted_replicas.py
+++ b/tests/serving/test_restarted_replicas.py
@@ -108,7 +108,7 @@
     """Older nodes leave the start time out; without any, the list keeps its old fingerprint."""
     update = DirectoryUpdate(None, 1, 2, 0, [start(2, 9)])
     assert decode_datagram(encode_datagram(update)) == update
-    short = msgspec.json.encode(msgspec.structs.astuple(start(2, 9))[:-2])
+    short = msgspec.json.encode(msgspec.structs.astuple(start(2, 9))[:-3])
     assert msgspec.json.decode(short, type=Replica) == start(2, 0)
     fingerprints = {
         RestartRecorder(start(1, started_ms)).directory.fingerprint for started_ms in (0, 5, 9)
--- a/tests/serving/test_software_versions.py
+++ b/tests/serving/test_software_versions.py
@@ -94,8 +94,8 @@
             target="/chat/x",
             headers=[
                 ("Host", HOST),
-                (names.REQUEST_ID, stream.request_id),
-                (names.DEADLINE_MS, "3000"),
+                (names.REQUEST_ID.decode(), stream.request_id),
+                (names.DEADLINE_MS.decode(), "3000"),
                 ("Content-Length", "0"),
             ],
         )
@@ -123,6 +123,22 @@
         await self._sock.close()
 
 
+async def resume_all(world: FleetWorld, streams: list[OpenStream], node: int) -> list[list[str]]:
+    """Resume streams at a node at once; return the software versions that each one shows."""
+
+    async def resume_one(stream: OpenStream) -> list[str]:
+        await stream.break_off()
+        answer = await resume(world, stream.request_id, stream.last_event, node)
+        assert answer.status == 200, answer
+        assert answer.event_ids() == list(range(stream.last_event + 1, EVENTS + 1))
+        return versions_of(stream.body + answer.body)
+
+    async with curio.TaskGroup() as tasks:
+        for stream in streams:
+            await tasks.spawn(resume_one, stream)
+    return list(tasks.results)
+
+
 # Guards against a stream that goes on at another software version after its replica broke off.
 def test_stream_resumed_within_its_answer_stays_at_its_software_version() -> None:
     async def scenario(world: FleetWorld) -> None:
@@ -153,13 +169,7 @@
         )
         streams = [await OpenStream.begin(world, first, 1) for _ in range(8)]
         await world.kill_node(first)
-        found = []
-        for stream in streams:
-            await stream.break_off()
-            answer = await resume(world, stream.request_id, stream.last_event, second)
-            assert answer.status == 200, answer
-            assert answer.event_ids() == list(range(stream.last_event + 1, EVENTS + 1))
-            found.append(versions_of(stream.body + answer.body))
+        found = await resume_all(world, streams, second)
         assert all(len(versions) == 1 for versions in found), found
 
     in_world(scenario)
--- a/tests/serving/test_zone_loss.py
+++ b/tests/serving/test_zone_loss.py
@@ -240,7 +240,7 @@
         world.now += 1.0
         await node.client._report()
         assert node.client._unanswered_report is not None
-        for contact in node.leader._contacts():
+        for contact in node.leader.contacts():
             node.leader.mark_unresponsive(contact.host)
         for _ in range(3):
             world.now += 1.0
