An item's output goes on only at the software version that produced it

An item goes on after its last event at any replica, also after its owner was replaced; saved output says nothing about the software that produced it. Change: an item and its saved output keep service and software version. Groups of waiting items name them where several versions serve, and the coordinator grants such items slots of that version only; the node checks again at the start and before the send. After two seconds without a slot, or if the version is gone or unknown (saved by an earlier build), the item starts again with its first event at the next slot; a new series of rows keeps the two outputs apart, for earlier builds too.

--- a/src/cloverwalk/gateway/replicas.py
+++ b/src/cloverwalk/gateway/replicas.py
@@ -147,6 +147,9 @@
         self._usable: dict[str, list[Replica]] = {}
         """Cache by service, cleared by each change; every online request reads it."""
 
+        self._usable_versions: dict[str, frozenset[str]] = {}
+        """Software versions of these replicas, cached in the same way."""
+
         self.confirmed_at = float("-inf")
         """When the directory was last confirmed to match the store (monotonic clock, seconds)."""
 
@@ -184,7 +187,7 @@
     def drain_zones(self, zones: Iterable[str]) -> None:
         """Set the zones whose replicas get no new work; they stay listed."""
         self._drained_zones = frozenset(zones)
-        self._usable = {}
+        self._usable, self._usable_versions = {}, {}
 
     def find(self, replica_id: str) -> Replica | None:
         """Return a replica if requests may be sent to it, else None."""
@@ -223,6 +226,14 @@
             self._usable[service] = replicas
         return replicas
 
+    def usable_versions(self, service: str) -> frozenset[str]:
+        """Return the software versions of the replicas of a service that accept new work."""
+        versions = self._usable_versions.get(service)
+        if versions is None:
+            versions = frozenset(replica.software_version for replica in self.usable(service))
+            self._usable_versions[service] = versions
+        return versions
+
     def draining(self, service: str) -> list[Replica]:
         """Return the replicas of a service that are draining."""
         return [
@@ -231,7 +242,7 @@
 
     def _reset_caches(self) -> None:
         self._fingerprint = None
-        self._usable = {}
+        self._usable, self._usable_versions = {}, {}
 
     @property
     def fingerprint(self) -> int:
--- a/src/cloverwalk/jobs/item_call.py
+++ b/src/cloverwalk/jobs/item_call.py
@@ -19,6 +19,7 @@
 from cloverwalk.gateway.replica_connection import ReplicaConnection, ReplicaPool
 from cloverwalk.gateway.replicas import Replica, ReplicaDirectory
 from cloverwalk.gateway.request_timing import slowdown_percent
+from cloverwalk.gateway.software_versions import Software, software_of
 from cloverwalk.gateway.warmup_gate import WarmupGate
 from cloverwalk.jobs.run import ItemRun, JobRun, RunTiming
 
@@ -87,10 +88,13 @@
         try:
             if self.directory.find(replica.replica_id) is None:
                 raise ReplicaError("the replica is draining", False, "draining")
+            software = self._checked_software(item_run, replica)
             if self.warmup_gate is not None:
                 # Batch items get no warm-up tokens.
                 self.warmup_gate.check(replica, item_run.item.item_id, None)
-            keep_alive_s = await self._exchange(job, item_run, replica, connection, on_output)
+            keep_alive_s = await self._exchange(
+                job, item_run, replica, software, connection, on_output
+            )
             is_released = True
             await self.pool.release(connection, keep_alive_s)
         except ReplicaError as error:
@@ -101,11 +105,20 @@
             if not is_released:
                 await connection.close()
 
+    def _checked_software(self, item_run: ItemRun, replica: Replica) -> Software:
+        """Return the replica's software; raise ReplicaError if the output can't go on there."""
+        listed = self.directory.find(replica.replica_id) or replica
+        software = software_of(listed)
+        if not item_run.fits(software):
+            raise ReplicaError("the replica has another software version", False, "other_version")
+        return software
+
     async def _exchange(
         self,
         job: JobRun,
         item_run: ItemRun,
         replica: Replica,
+        software: Software,
         connection: ReplicaConnection,
         on_output: Callable[[], None],
     ) -> float | None:
@@ -130,7 +143,7 @@
         if head.status != 200 or not head.fields.is_signed:
             raise ReplicaError(f"the replica answered {head.status}", True, "unusable")
         item_run.timing = RunTiming(slowdown_percent(head.fields.load))
-        await self._handle_events(job, item_run, item_run.timing, connection, on_output)
+        await self._handle_events(job, item_run, software, connection, on_output)
         return head.fields.keep_alive_s
 
     async def _read_failure(self, connection: ReplicaConnection) -> None:
@@ -165,7 +178,7 @@
         self,
         job: JobRun,
         item_run: ItemRun,
-        timing: RunTiming,
+        software: Software,
         connection: ReplicaConnection,
         on_output: Callable[[], None],
     ) -> None:
@@ -176,10 +189,11 @@
                 events = splitter.feed(data)
                 for event in events:
                     _handle_event(job, item_run, order, event)
+                    item_run.software = item_run.software or software
             except ValueError as error:
                 raise ReplicaError(str(error), True, "invalid_stream") from error
-            if events:
-                timing.record_events(len(events), self.clock())
+            if events and item_run.timing is not None:
+                item_run.timing.record_events(len(events), self.clock())
                 on_output()
             await curio.sleep(READ_INTERVAL_S)
             connection.expect_data()
--- a/src/cloverwalk/jobs/records.py
+++ b/src/cloverwalk/jobs/records.py
@@ -56,16 +56,36 @@
 class PartialOutput(Struct):
     """A segment of the output of the unfinished item at ``index``: its events from ``start`` on.
 
-    Two runs of an item may produce different text, so segments of different owners are never
-    joined: each owner, identified by its epoch, saves its output from the first event on.
+    Two runs of an item may produce different text, so segments of different series are never
+    joined: each owner saves its output from the first event on, and again after a restart.
     """
 
     index: int
     epoch: int
+    """Its series, see ``output_series``; earlier builds know it as the epoch of the owner."""
+
     start: int
     last_event_id: int
     texts: list[str]
     failures: int = 0
+    service: str = ""
+    """Service of the replicas that produced it; empty from builds that don't record it."""
+
+    software_version: str = ""
+    """Their software version; empty if unknown."""
+
+
+RESTART_STRIDE = 1_000_000
+"""Exceeds every epoch."""
+
+
+def output_series(epoch: int, restarts: int) -> int:
+    """Return the series of the output that an owner saves after this many restarts of an item.
+
+    >>> output_series(3, 0), output_series(3, 1)
+    (3, 1000003)
+    """
+    return restarts * RESTART_STRIDE + epoch
 
 
 class JobRecord(Struct):
--- a/src/cloverwalk/jobs/run.py
+++ b/src/cloverwalk/jobs/run.py
@@ -11,8 +11,16 @@
 
 from cloverwalk.gateway.configuration import Route
 from cloverwalk.gateway.crash_detector import Delivery
+from cloverwalk.gateway.software_versions import Software
 from cloverwalk.jobs.evidence import ItemEnd, attempts_used
-from cloverwalk.jobs.records import ItemResult, ItemState, JobItem, JobRecord, PartialOutput
+from cloverwalk.jobs.records import (
+    ItemResult,
+    ItemState,
+    JobItem,
+    JobRecord,
+    PartialOutput,
+    output_series,
+)
 
 MAX_GROUP_ITEMS = 24
 MAX_GROUP_BYTES = 400_000
@@ -66,6 +74,15 @@
 
     last_event_id: int | None = None
     texts: list[str] = []
+    software: Software | None = None
+    """Software that produced the output, and at which it goes on; None without output."""
+
+    restarts: int = 0
+    """How often this owner dropped its output."""
+
+    pending_since: float = 0.0
+    """When it last began to wait for a replica (monotonic clock, seconds)."""
+
     result: ItemResult | None = None
     end: ItemEnd | None = None
     """Evidence that ended the item; None if it is not dead."""
@@ -105,6 +122,10 @@
     output_bytes: int = 0
     """Approximate memory of its output."""
 
+    def fits(self, software: Software) -> bool:
+        """Whether its output goes on at a replica with this software."""
+        return self.software is None or (self.software.is_known and self.software == software)
+
 
 class JobRun:
     """A job that this node owns, with its items."""
@@ -135,11 +156,11 @@
         for item_run in self.items:
             if item_run.item.item_id in listed_ids:
                 item_run.phase = Phase.LISTED
-        for (index, _epoch), segments in _segments_by_owner(partials).items():
+        for (index, _series), segments in _segments_by_series(partials).items():
             self._restore_output(self.items[index], segments)
 
     def _restore_output(self, item_run: ItemRun, segments: list[PartialOutput]) -> None:
-        """Restore one owner's saved output up to its first gap, if it is the longest so far."""
+        """Restore one series of saved output up to its first gap, if it is the longest so far."""
         texts: list[str] = []
         last_event_id = None
         for segment in segments:
@@ -152,6 +173,7 @@
             item_run.texts = texts
             item_run.output_bytes = sum(len(text) + TEXT_OVERHEAD_BYTES for text in texts)
             item_run.last_event_id = last_event_id
+            item_run.software = Software(segments[0].service, segments[0].software_version)
 
     def pending(self, now: float) -> list[ItemRun]:
         """Return the items that may start now, those with output first."""
@@ -198,7 +220,14 @@
     def suspend(self, item_run: ItemRun, not_before: float) -> None:
         """Return an item to pending; its next run continues after the last event."""
         item_run.phase = Phase.PENDING
-        item_run.not_before = not_before
+        item_run.not_before = item_run.pending_since = not_before
+
+    def restart(self, item_run: ItemRun) -> None:
+        """Drop an item's output: its next run begins with the first event."""
+        item_run.texts = []
+        item_run.output_bytes = item_run.saved_events = 0
+        item_run.last_event_id = item_run.software = None
+        item_run.restarts += 1
 
     def succeed(self, item_run: ItemRun) -> None:
         """Finish an item whose run was complete."""
@@ -275,26 +304,32 @@
                 item_run.phase in (Phase.PENDING, Phase.RUNNING)
                 and len(item_run.texts) > item_run.saved_events
             ):
-                segments += _segments(item_run, self.record.epoch)
+                series = output_series(self.record.epoch, item_run.restarts)
+                segments += _segments(item_run, series)
         return segments
 
     def mark_saved(self, segments: list[PartialOutput]) -> None:
         """Mark segments as saved: the store holds them."""
         for segment in segments:
             item_run = self.items[segment.index]
-            item_run.saved_events = max(item_run.saved_events, segment.start + len(segment.texts))
+            if segment.epoch == output_series(self.record.epoch, item_run.restarts):
+                saved_events = segment.start + len(segment.texts)
+                item_run.saved_events = max(item_run.saved_events, saved_events)
 
 
-def _segments_by_owner(partials: list[PartialOutput]) -> dict[tuple[int, int], list[PartialOutput]]:
-    by_owner: dict[tuple[int, int], list[PartialOutput]] = {}
+def _segments_by_series(
+    partials: list[PartialOutput],
+) -> dict[tuple[int, int], list[PartialOutput]]:
+    by_series: dict[tuple[int, int], list[PartialOutput]] = {}
     for partial in sorted(partials, key=lambda output: (output.index, output.epoch, output.start)):
-        by_owner.setdefault((partial.index, partial.epoch), []).append(partial)
-    return by_owner
+        by_series.setdefault((partial.index, partial.epoch), []).append(partial)
+    return by_series
 
 
-def _segments(item_run: ItemRun, epoch: int) -> list[PartialOutput]:
+def _segments(item_run: ItemRun, series: int) -> list[PartialOutput]:
     """Return an item's unsaved output in segments that each fit into a row."""
     assert item_run.last_event_id is not None
+    software = item_run.software or Software("", "")
     segments: list[PartialOutput] = []
     start = item_run.saved_events
     while start < len(item_run.texts):
@@ -305,7 +340,16 @@
         last_event_id = item_run.last_event_id - (len(item_run.texts) - end)
         texts = item_run.texts[start:end]
         segments.append(
-            PartialOutput(item_run.index, epoch, start, last_event_id, texts, item_run.failures)
+            PartialOutput(
+                item_run.index,
+                series,
+                start,
+                last_event_id,
+                texts,
+                item_run.failures,
+                software.service,
+                software.version,
+            )
         )
         start = end
     return segments
--- a/src/cloverwalk/jobs/runner.py
+++ b/src/cloverwalk/jobs/runner.py
@@ -14,11 +14,12 @@
 from cloverwalk.gateway.crash_detector import CrashDetector
 from cloverwalk.gateway.errors import TIMED_OUT, ReplicaError
 from cloverwalk.gateway.replicas import Replica, ReplicaDirectory
+from cloverwalk.gateway.software_versions import Software, software_of
 from cloverwalk.jobs.evidence import Impossible, ItemEnd, RouteMonitor, past_retention
 from cloverwalk.jobs.item_call import ItemCaller, ItemFailedError, ItemImpossibleError
 from cloverwalk.jobs.item_time import ItemTimeEstimator
 from cloverwalk.jobs.run import ItemRun, JobRun, Phase
-from cloverwalk.jobs.waiting_items import WaitingItem, group_items, pick_items
+from cloverwalk.jobs.waiting_items import ANY_SOFTWARE, WaitingItem, group_items, pick_items
 from cloverwalk.scheduling.replica_memory import memory_limit_tokens
 from cloverwalk.scheduling.selection import prefill_ms
 from cloverwalk.store.clock import StoreTime
@@ -30,18 +31,27 @@
 """Interval between checks of the waiting items when nothing else happens: some become late."""
 
 RETRY_DELAY_S = 0.3
+MAX_VERSION_WAIT_S = 2.0
+"""An item waits this long for a replica of the software version that produced its output. After
+that it runs at any replica, from its first event on."""
 
 
 class _RunningItem:
     """An item that is running at a replica."""
 
     def __init__(
-        self, job: JobRun, item_run: ItemRun, work: InFlightEntry, started_at: float
+        self,
+        job: JobRun,
+        item_run: ItemRun,
+        work: InFlightEntry,
+        software: Software,
+        started_at: float,
     ) -> None:
         self.job = job
         self.item_run = item_run
         self.work = work
         self.replica_id = work.replica_id
+        self.software = software
         self.started_at = started_at
         self.task: Any = None
         self.expected_ms = 0.0
@@ -107,6 +117,8 @@
     async def add(self, job: JobRun) -> None:
         """Run a job that this node owns now, in place of an earlier run of it."""
         await self.drop(job.job_id)
+        for item_run in job.items:
+            item_run.pending_since = self._clock()
         self.jobs[job.job_id] = job
         await self._has_jobs.set()
         await self._wake.set()
@@ -219,6 +231,7 @@
             self._prefill_ms(item_run),
             priority,
             tokens=self._tokens(job, item_run),
+            software=self._reported_software(job, item_run),
         )
         has_tenants = self._configuration.has_tenants
         if not has_tenants and not self._reports_item_timings:
@@ -228,6 +241,27 @@
             waiting, tenant=tenant, remaining_ms=1000 * self._time_estimator.remaining_s(item_run)
         )
 
+    def _needed_software(self, job: JobRun, item_run: ItemRun) -> Software | None:
+        """Return the software at which an item has to go on; None if it may run anywhere.
+
+        Its output is dropped if it then starts at a replica with other software.
+        """
+        software = item_run.software
+        if software is None or not software.is_known or software.service not in self._services(job):
+            return None
+        has_replica = software.version in self._directory.usable_versions(software.service)
+        waits_too_long = self._clock() - item_run.pending_since > MAX_VERSION_WAIT_S
+        return software if has_replica and not waits_too_long else None
+
+    def _reported_software(self, job: JobRun, item_run: ItemRun) -> Software:
+        """Return the software that an item needs, if its service has replicas with another."""
+        software = self._needed_software(job, item_run)
+        if software is None:
+            return ANY_SOFTWARE
+        is_only_version = len(self._directory.usable_versions(software.service)) == 1
+        is_only = is_only_version and len(self._services(job)) == 1
+        return ANY_SOFTWARE if is_only else software
+
     def _tokens(self, job: JobRun, item_run: ItemRun) -> int:
         """Return the memory that an item may use at a replica, 0 where memory is not counted.
 
@@ -354,10 +388,13 @@
         prompt may still be cached there.
         """
         ranked: list[tuple[tuple[int, bool, float], JobRun, ItemRun]] = []
+        software = software_of(replica)
         for job in self.jobs.values():
             if replica.service not in self._services(job):
                 continue
             for item_run in self._startable_items(job):
+                if self._needed_software(job, item_run) not in (None, software):
+                    continue
                 waiting = self._waiting_item(job, item_run)
                 is_elsewhere = waiting.replica_id not in ("", replica.replica_id)
                 ranked.append(((waiting.sort_key, is_elsewhere, waiting.due_ms), job, item_run))
@@ -377,9 +414,11 @@
 
     async def _start(self, job: JobRun, item_run: ItemRun, replica: Replica) -> None:
         now = self._clock()
+        if not item_run.fits(software_of(replica)):
+            self._restart(job, item_run, replica)
         job.begin(item_run, replica.replica_id, now, replica.started_ms)
         work = self._loads.begin(replica.replica_id, True, self._tokens(job, item_run))
-        running = _RunningItem(job, item_run, work, now)
+        running = _RunningItem(job, item_run, work, software_of(replica), now)
         running.expected_ms = self._time_estimator.remaining_s(item_run) * 1000
         self._running[job.job_id, item_run.index] = running
         self._log.write(
@@ -393,6 +432,20 @@
         )
         running.task = await curio.spawn(self._run_item, running, replica, daemon=True)
 
+    def _restart(self, job: JobRun, item_run: ItemRun, replica: Replica) -> None:
+        """Drop the output of an item, as it starts at a replica with other software."""
+        software = item_run.software
+        self._log.write(
+            catalogue.ITEM_RESTARTED,
+            request=item_run.item.item_id,
+            job=job.job_id,
+            events=len(item_run.texts),
+            began=None if software is None else software.version or None,
+            software_version=replica.software_version or None,
+            waited_ms=round((self._clock() - item_run.pending_since) * 1000),
+        )
+        job.restart(item_run)
+
     # --- one run ---
 
     async def _run_item(self, running: _RunningItem, replica: Replica) -> None:
@@ -447,6 +500,7 @@
         item_run.ran_s += item_run.last_run_s
         self._record_correction(running)
         item_run.suspensions += outcome == "suspended"
+        self._check_software(item_run, running.software)
         if item_run.phase is Phase.RUNNING:
             retry_delay_s = 0.0 if outcome == "suspended" else RETRY_DELAY_S
             job.suspend(item_run, self._clock() + retry_delay_s)
@@ -470,6 +524,12 @@
         self._has_ended_run = True
         await self._wake.set()
 
+    def _check_software(self, item_run: ItemRun, software: Software) -> None:
+        """Forget the software of an output if its replica's entry has changed during the run."""
+        listed = self._directory.find_listed(item_run.replica_id)
+        if item_run.software is not None and listed is not None and software_of(listed) != software:
+            item_run.software = Software(software.service, "")
+
     def _record_correction(self, running: _RunningItem) -> None:
         """Report how far the run's slot time differs from what its tenant was charged."""
         if not self._configuration.has_tenants:
--- a/src/cloverwalk/jobs/waiting_items.py
+++ b/src/cloverwalk/jobs/waiting_items.py
@@ -6,11 +6,13 @@
 
 from collections import Counter
 from collections.abc import Iterable, Mapping, Sequence
+from typing import NamedTuple
 
 import attrs
 import msgspec
 
 from cloverwalk.fleet.messages import WaitingGroup
+from cloverwalk.gateway.software_versions import Software
 from cloverwalk.scheduling.item_sort_key import DUE_TIME_RESOLUTION_MS, LATE_OFFSET, PRIORITY_STRIDE
 
 REMAINING_TIME_STEP_MS = 100
@@ -21,6 +23,10 @@
 """Reported groups of one pool; items that are due later join the last group of their tenant."""
 
 
+ANY_SOFTWARE = Software("", "")
+"""Stands for an item that can run at any replica of its pool."""
+
+
 @attrs.frozen
 class WaitingItem:
     """The properties of an item that decide when it starts."""
@@ -41,6 +47,9 @@
     tokens: int = 0
     """Memory that it may use at a replica; 0 where memory is not counted."""
 
+    software: Software = ANY_SOFTWARE
+    """Software at which its output goes on."""
+
     @property
     def sort_key(self) -> int:
         """The due time in steps, with offsets for its priority and for being late."""
@@ -48,6 +57,15 @@
         return int(self.due_ms // DUE_TIME_RESOLUTION_MS) + rank
 
 
+class _GroupKey(NamedTuple):
+    """What the items of a group have in common."""
+
+    sort_key: int
+    replica_id: str
+    tenant: str
+    software: Software
+
+
 def group_items(items: Iterable[WaitingItem]) -> list[WaitingGroup]:
     """Return the groups of waiting items to report, those due first in front.
 
@@ -55,9 +73,10 @@
     >>> group_items(items) == [WaitingGroup(32, 2, prefill_ms=6)]
     True
     """
-    by_key: dict[tuple[int, str, str], list[WaitingItem]] = {}
+    by_key: dict[_GroupKey, list[WaitingItem]] = {}
     for item in items:
-        by_key.setdefault((item.sort_key, item.replica_id, item.tenant), []).append(item)
+        key = _GroupKey(item.sort_key, item.replica_id, item.tenant, item.software)
+        by_key.setdefault(key, []).append(item)
     groups = [_group(key, members) for key, members in sorted(by_key.items())]
     if len(groups) <= MAX_GROUPS:
         return groups
@@ -65,31 +84,40 @@
 
 
 def _merge_by_tenant(groups: list[WaitingGroup]) -> list[WaitingGroup]:
-    """Return one group per tenant, due as its first and with the memory of its largest item."""
-    first_by_tenant: dict[str, WaitingGroup] = {}
-    items_by_tenant: Counter[str] = Counter()
-    tokens_by_tenant: Counter[str] = Counter()
+    """Return one group per tenant and software.
+
+    Each is due as its first group and has the memory of its largest item.
+    """
+    first: dict[tuple[str, str, str], WaitingGroup] = {}
+    items: Counter[tuple[str, str, str]] = Counter()
+    tokens: Counter[tuple[str, str, str]] = Counter()
     for group in groups:
-        first_by_tenant.setdefault(group.tenant, group)
-        items_by_tenant[group.tenant] += group.items
-        tokens_by_tenant[group.tenant] = max(tokens_by_tenant[group.tenant], group.tokens)
+        key = (group.tenant, group.service, group.software_version)
+        first.setdefault(key, group)
+        items[key] += group.items
+        tokens[key] = max(tokens[key], group.tokens)
     return [
-        msgspec.structs.replace(
-            group, items=items_by_tenant[tenant], replica_id="", tokens=tokens_by_tenant[tenant]
-        )
-        for tenant, group in first_by_tenant.items()
+        msgspec.structs.replace(group, items=items[key], replica_id="", tokens=tokens[key])
+        for key, group in first.items()
     ]
 
 
-def _group(key: tuple[int, str, str], items: list[WaitingItem]) -> WaitingGroup:
+def _group(key: _GroupKey, items: list[WaitingItem]) -> WaitingGroup:
     """Return items of one key as a group, with the memory of its largest item."""
-    step, replica_id, tenant = key
     mean_prefill_ms = round(sum(item.prefill_ms for item in items) / len(items))
     mean_remaining_ms = sum(item.remaining_ms for item in items) / len(items)
     mean_remaining_ms = round(mean_remaining_ms / REMAINING_TIME_STEP_MS) * REMAINING_TIME_STEP_MS
     tokens = max(item.tokens for item in items)
     return WaitingGroup(
-        step, len(items), replica_id, mean_prefill_ms, tenant, mean_remaining_ms, tokens
+        key.sort_key,
+        len(items),
+        key.replica_id,
+        mean_prefill_ms,
+        key.tenant,
+        mean_remaining_ms,
+        tokens,
+        key.software.service,
+        key.software.version,
     )
 
 
--- a/src/cloverwalk/scheduling/batch.py
+++ b/src/cloverwalk/scheduling/batch.py
@@ -10,6 +10,7 @@
 
 from cloverwalk.fleet.messages import WaitingByPool, WaitingGroup
 from cloverwalk.gateway.replicas import Replica
+from cloverwalk.gateway.software_versions import Software, software_of
 from cloverwalk.scheduling.batch_limits import reserved_slots
 from cloverwalk.scheduling.decisions import Outbox
 from cloverwalk.scheduling.fair_shares import FairShares
@@ -159,6 +160,7 @@
         claims = self._claims(pool)
         for claim in self._in_order(claims) if open_ids else ():
             suitable_ids = self._reachable_ids(claim.node, open_ids, now)
+            suitable_ids = self._with_software(claim.group, suitable_ids)
             suitable_ids = self._with_memory(claim, suitable_ids, now)
             if not suitable_ids:
                 claim.is_blocked = True
@@ -291,6 +293,18 @@
             open_ids, key=lambda key: (distance(node_zone, zones[key]), -free_slots[key], key)
         )
 
+    def _with_software(self, group: WaitingGroup, open_ids: set[str]) -> set[str]:
+        """Return the replicas at whose software version the output of the items goes on."""
+        if not group.software_version:
+            return open_ids
+        software = Software(group.service, group.software_version)
+        found = [self._replicas.find(replica_id) for replica_id in open_ids]
+        return {
+            replica.replica_id
+            for replica in found
+            if replica is not None and software_of(replica) == software
+        }
+
     def _with_memory(self, claim: _Claim, open_ids: set[str], now: float) -> set[str]:
         """Return the replicas with enough free memory for one of the claim's items."""
         tokens = claim.group.tokens
