--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -426,8 +426,8 @@
     Mutant(
         "serving: output of two owners is joined",
         "jobs/run.py",
-        "        by_owner.setdefault((partial.index, partial.epoch), []).append(partial)",
-        "        by_owner.setdefault((partial.index, 0), []).append(partial)",
+        "        by_series.setdefault((partial.index, partial.epoch), []).append(partial)",
+        "        by_series.setdefault((partial.index, 0), []).append(partial)",
         JOBS + "test_restored_output_is_a_prefix_saved_by_one_owner",
     ),
     Mutant(
