--- a/tests/serving/coordination_world.py
+++ b/tests/serving/coordination_world.py
@@ -22,9 +22,12 @@
     Orders,
     Report,
     Snapshot,
+    StreamVersionQuery,
+    StreamVersions,
     decode_datagram,
     encode_datagram,
 )
+from cloverwalk.fleet.stream_version_sync import StreamVersionSync, history_copy
 from cloverwalk.gateway.configuration import (
     ClientLimits,
     Configuration,
@@ -35,12 +38,16 @@
     Service,
 )
 from cloverwalk.gateway.crash_ledger import CrashLedger
+from cloverwalk.gateway.draining_replicas import DrainingReplicas
 from cloverwalk.gateway.replicas import Replica, ReplicaDirectory
+from cloverwalk.gateway.software_versions import SoftwareVersions
+from cloverwalk.gateway.stream_versions import StreamVersionTable
 from cloverwalk.gateway.warmup_gate import WarmupGate
 from cloverwalk.gateway.warmups import Warmups
 from cloverwalk.gateway.zone_drains import ZoneDrains
 from cloverwalk.scheduling.features import Features
 from cloverwalk.scheduling.quotas import QuotaBounds
+from cloverwalk.scheduling.resumptions import Resumptions
 from cloverwalk.scheduling.scheduler import Scheduler
 from cloverwalk.scheduling.service_times import ServiceTimes
 from cloverwalk.store.clock import StoreClock
@@ -144,6 +151,9 @@
         self.leader = LeaderView(self.identity, world.now)
         transport = world.wire.sender(self.host)
         self.ledger = CrashLedger()
+        self.versions = SoftwareVersions(self.directory, clock)
+        self.streams = StreamVersionTable(clock)
+        self.draining = DrainingReplicas(self.directory, clock)
         self.crash_records = CrashRecordSync(self.ledger, transport, log, clock)
         self.scheduler = Scheduler(
             self.directory,
@@ -155,6 +165,14 @@
             Features(self.configuration, lost_zones=world.lost_zones),
             self.warmups,
             WARMUP_BOUNDS,
+            resumptions=Resumptions(
+                self.directory,
+                self.configuration,
+                self.versions,
+                self.streams,
+                self.draining,
+                clock,
+            ),
         )
         self.coordinator = Coordinator(
             self.identity,
@@ -188,6 +206,17 @@
             clock,
         )
         self.coordinator.deliver_locally = self._deliver
+        self.stream_sync = StreamVersionSync(
+            self.identity,
+            self.leader,
+            self.coordinator,
+            transport,
+            self.versions,
+            self.streams,
+            clock,
+        )
+        self.coordinator.orders_maker.version_history = lambda: history_copy(self.versions)
+        self.client.on_version_history = self.stream_sync.apply_history
         self.election = Election(
             self.identity,
             self.leader,
@@ -210,6 +239,10 @@
                 await self.coordinator.handle_report(message, source)
             case Snapshot():
                 await self.election.handle_snapshot(message, source)
+            case StreamVersions():
+                await self.stream_sync.handle_records(message)
+            case StreamVersionQuery():
+                self.stream_sync.handle_query(message, source)
             case _:
                 await self.client.handle_message(message, source)
 
--- a/tests/serving/test_software_versions.py
+++ b/tests/serving/test_software_versions.py
@@ -4,10 +4,12 @@
 
 import curio
 import h11
+import pytest
 from fleet_world import HOST, Answer, FleetWorld, in_world
 
 from cloverwalk.emulator.platform_replica import PlatformReplica
 from cloverwalk.emulator.replica_runs import Arrival, Misdeed
+from cloverwalk.gateway import software_versions
 from cloverwalk.platform import names
 
 EVENTS = 12
@@ -60,6 +62,98 @@
     return None if is_resumed else Misdeed.RESET_MIDWAY
 
 
+# Guards against a guess: a node that does not know the version of a stream sends it nowhere.
+def test_stream_that_no_node_knows_is_refused_and_not_run() -> None:
+    async def scenario(world: FleetWorld) -> None:
+        await start(world, ["v1", "v2"])
+        answer = await resume(world, "nobody-knows-it", 3, 0)
+        assert (answer.status, answer.body.split(b":")[0]) == (503, b"software_version_unknown")
+        assert not any(replica.arrivals for replica in world.replicas)
+
+    in_world(scenario)
+
+
+# Guards against a wait for a version that is gone, and against its stream at another one.
+def test_stream_whose_version_is_gone_is_refused_at_once() -> None:
+    async def scenario(world: FleetWorld) -> None:
+        await start(world, ["v1"], event_s=0.05)
+        stream = await OpenStream.begin(world, 0, 2)
+        await add_replica(world, "v2")
+        await world.wait_until(lambda: knows_versions(world, ["v1", "v2"]))
+        world.store.remove(names.REPLICA_TABLE, world.replicas[0].replica_id)
+        await world.wait_until(lambda: knows_versions(world, ["v2"]))
+        await stream.break_off()
+        answer = await resume(world, stream.request_id, stream.last_event, 0)
+        assert (answer.status, answer.body.split(b":")[0]) == (503, b"no_replica_of_version")
+        assert "retry-after" not in answer.headers
+        assert not world.replicas[1].arrivals
+
+    in_world(scenario)
+
+
+# Guards against the loss of streams whose version drains: its replicas serve on for a while.
+def test_stream_goes_on_at_replica_that_has_just_begun_to_drain() -> None:
+    async def scenario(world: FleetWorld) -> None:
+        await start(world, ["v1", "v2"], event_s=0.05)
+        streams = [await OpenStream.begin(world, 0, 1) for _ in range(4)]
+        draining = world.replicas[0]
+        write_entry(world, draining, "draining")
+        (node,) = world.nodes
+        await world.wait_until(lambda: node._directory.find(draining.replica_id) is None)
+        found = await resume_all(world, streams, 0)
+        assert ["v1"] in found and all(len(versions) == 1 for versions in found), found
+        assert (await world.ask("/chat/x")).body.count(b":v2") == EVENTS
+
+    in_world(scenario)
+
+
+# Guards against a second resumption that counts the first one as the beginning of its stream.
+def test_stream_resumed_twice_stays_at_its_software_version() -> None:
+    async def scenario(world: FleetWorld) -> None:
+        await start(world, ["v1", "v2", "v1", "v2"], nodes=2, event_s=0.05)
+        stream = await OpenStream.begin(world, 0, 2)
+        await stream.break_off()
+        for replica in world.replicas:
+            replica.misdeeds.append(Misdeed.RESET_MIDWAY)
+        second = await resume(world, stream.request_id, stream.last_event, 1)
+        last_event = stream.last_event + len(second.event_ids())
+        if last_event == EVENTS:
+            return
+        for replica in world.replicas:
+            replica.misdeeds.clear()
+        third = await resume(world, stream.request_id, last_event, 0)
+        assert third.event_ids()[-1] == EVENTS
+        assert len(versions_of(stream.body + second.body + third.body)) == 1
+
+    in_world(scenario)
+
+
+# Guards against refusals where all replicas have one version: clients may not name the stream.
+def test_stream_is_resumed_without_a_record_if_only_one_version_serves(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(software_versions, "MIN_STREAM_LIFETIME_S", 0.0)
+
+    async def scenario(world: FleetWorld) -> None:
+        await start(world, ["v1", "v1"], nodes=2)
+        await world.wait_until(lambda: all_know_single_version(world))
+        for resumed_id in ("", "nobody-knows-it"):
+            answer = await resume(world, resumed_id, 3, 1)
+            assert answer.event_ids() == list(range(4, EVENTS + 1))
+        assert all(node._fleet.stream_version_sync.records_sent == 0 for node in world.nodes)
+
+    in_world(scenario)
+
+
+def all_know_single_version(world: FleetWorld) -> bool:
+    """Whether all nodes have known a single version for longer than streams last here."""
+    lifetime_s = software_versions.stream_lifetime_s(3.0)
+    return all(
+        node._fleet_state.software_versions.single("model", lifetime_s) == "v1"
+        for node in world.nodes
+    )
+
+
 def versions_of_item(text: str) -> list[str]:
     return sorted({line.rpartition(":")[2] for line in text.split("\n")})
 
