Soak: replicas of several software versions, releases, and clients that resume streams at other nodes

Cause: all replicas of a soak had one version, and no client resumed a stream, so no soak could break ORDER. Change: events show the version; two versions at the start, releases replace replicas by ones of another version while nodes are killed, stopped, frozen and cut off; clients break streams off or lose them and come back at another node with Resumes. The checker joins a client's attempts, finds events of two versions (streams and items), and compares the share of resumptions that go on in calm times with that of new streams. Schedules with nodes of earlier builds keep one version.

--- a/src/cloverwalk/soak/check_requests.py
+++ b/src/cloverwalk/soak/check_requests.py
@@ -222,8 +222,11 @@
             yield _violation(answer, "answers", "success without the id of the request")
         if not request.runs:
             yield _violation(answer, "answers", "success though no replica ran the request")
-        expected_events = request.sent.events if answer.end is AnswerEnd.WHOLE else None
-        problem = find_text_problem(answer.request, answer.texts, self._runs, expected_events)
+        sent = request.sent
+        expected_events = sent.events if answer.end is AnswerEnd.WHOLE else None
+        problem = find_text_problem(
+            answer.request, answer.texts, self._runs, expected_events, sent.last_event
+        )
         if problem:
             yield _violation(answer, "answers", problem)
 
@@ -267,7 +270,10 @@
         request.disconnect = disconnect
         name = "left" if disconnect.is_planned else "gave up"
         self.answer_counts[name] = self.answer_counts.get(name, 0) + 1
-        problem = find_text_problem(disconnect.request, disconnect.texts, self._runs, None)
+        after_event = request.sent.last_event
+        problem = find_text_problem(
+            disconnect.request, disconnect.texts, self._runs, None, after_event
+        )
         if problem:
             yield Violation(disconnect.at, "answers", disconnect.request, problem)
 
--- /dev/null
+++ b/src/cloverwalk/soak/check_streams.py
@@ -0,0 +1,116 @@
+"""Checks streams over their clients' attempts: software versions, and that they go on.
+
+A stream may hold events of one software version only, in one answer or over several attempts. Of
+the streams that clients resume in calm times, enough must go on.
+"""
+
+from collections.abc import Iterator
+
+import attrs
+
+from cloverwalk.soak.events import (
+    AnswerSeen,
+    ClientLeft,
+    ReplicaStarted,
+    ReplicaStopped,
+    RequestSent,
+)
+from cloverwalk.soak.texts import version_of
+from cloverwalk.soak.violations import Disturbances, Violation
+
+MIN_RESUMPTIONS = 12
+"""Below this number of resumptions in calm times, their share is not checked; the platform's
+rule."""
+
+MIN_RELATIVE_SHARE = 0.5
+"""Lower bound of the share of resumed streams that go on, relative to the share of new streams that
+begin; the platform's rule."""
+
+MIN_REPLICAS = 2
+"""Ready replicas that a stream's software version must have for its resumption to count."""
+
+
+@attrs.define
+class _Stream:
+    """A stream from its first request on."""
+
+    versions: set[str] = attrs.Factory(set)
+    """Software versions that its events show."""
+
+
+@attrs.define
+class _Share:
+    """How many of the counted requests were answered with events."""
+
+    total: int = 0
+    served: int = 0
+
+    @property
+    def value(self) -> float:
+        """The share, 1.0 if none was counted."""
+        return self.served / self.total if self.total else 1.0
+
+
+class StreamChecks:
+    """Tracks the streams that clients may resume."""
+
+    def __init__(self, disturbances: Disturbances) -> None:
+        self._disturbances = disturbances
+        self._sent: dict[str, RequestSent] = {}
+        self._streams: dict[str, _Stream] = {}
+        """By the id of the request that began the stream."""
+
+        self._ready: dict[str, str] = {}
+        """Software version of each ready replica."""
+
+        self.begun = _Share()
+        self.resumed = _Share()
+
+    def handle(self, event: object) -> Iterator[Violation]:
+        """Process an event and yield the violations that it shows."""
+        match event:
+            case RequestSent() if event.is_resumable:
+                self._sent[event.request] = event
+            case AnswerSeen() if event.request in self._sent:
+                self._count(self._sent[event.request], event)
+                yield from self._check_versions(event.request, event.texts, event.at)
+            case ClientLeft() if event.request in self._sent:
+                yield from self._check_versions(event.request, event.texts, event.at)
+            case ReplicaStarted():
+                self._ready[event.replica] = event.software_version
+            case ReplicaStopped():
+                self._ready.pop(event.replica, None)
+
+    def _check_versions(self, request: str, texts: list[str], at: float) -> Iterator[Violation]:
+        origin = self._sent[request].resumes or request
+        stream = self._streams.setdefault(origin, _Stream())
+        before = len(stream.versions)
+        stream.versions |= {version_of(text) for text in texts}
+        if len(stream.versions) > max(1, before):
+            message = f"its events are of software versions {sorted(stream.versions)}"
+            yield Violation(at, "software versions", request, message)
+
+    def _count(self, sent: RequestSent, answer: AnswerSeen) -> None:
+        """Count an answer in calm times for the shares."""
+        if not self._disturbances.is_calm(sent.at, answer.at, sent.node):
+            return
+        share = self.begun
+        if sent.resumes:
+            stream = self._streams.get(sent.resumes, _Stream())
+            versions = list(self._ready.values())
+            if any(versions.count(version) < MIN_REPLICAS for version in stream.versions):
+                return
+            share = self.resumed
+        share.total += 1
+        share.served += answer.status == 200
+
+    def finish(self, at: float) -> Iterator[Violation]:
+        """Compare the shares at the end of a whole history."""
+        if self.resumed.total < MIN_RESUMPTIONS:
+            return
+        if self.resumed.value < MIN_RELATIVE_SHARE * self.begun.value:
+            message = (
+                f"{self.resumed.served} of {self.resumed.total} resumed streams went on,"
+                f" {self.begun.served} of {self.begun.total} new ones began"
+            )
+            yield Violation(at, "lost streams", "", message)
--- a/src/cloverwalk/soak/checker.py
+++ b/src/cloverwalk/soak/checker.py
@@ -7,6 +7,7 @@
 from cloverwalk.soak.check_jobs import JobChecks
 from cloverwalk.soak.check_nodes import NodeChecks, QuotaChecks
 from cloverwalk.soak.check_requests import RequestChecks
+from cloverwalk.soak.check_streams import StreamChecks
 from cloverwalk.soak.check_zone_drains import ZoneDrainChecks
 from cloverwalk.soak.events import RunBegan, RunEnded
 from cloverwalk.soak.processes import QUOTA_OVERSHOOT, QUOTA_SLACK, QUOTA_WINDOW_S
@@ -25,6 +26,7 @@
         self._nodes = NodeChecks(self._versions)
         self._quotas = QuotaChecks(self._versions, QUOTA_WINDOW_S, QUOTA_OVERSHOOT, QUOTA_SLACK)
         self._zone_drains = ZoneDrainChecks(self._disturbances, self._requests)
+        self._streams = StreamChecks(self._disturbances)
         self._at = 0.0
         self.violations: list[Violation] = []
         self.run_ends: Counter[str] = Counter()
@@ -47,6 +49,7 @@
         for checks in (self._requests, self._jobs, self._nodes, self._quotas, self._crashes):
             yield from checks.handle(event)
         yield from self._zone_drains.handle(event)
+        yield from self._streams.handle(event)
 
     def _check_was_sent(self, run: RunBegan) -> Iterator[Violation]:
         if not self._requests.has_request(run.request) and not self._jobs.has_item(run.request):
@@ -58,7 +61,7 @@
 
     def finish(self) -> list[Violation]:
         """Make the checks that need a whole history; return the violations."""
-        found = list(self._jobs.finish(self._at))
+        found = [*self._jobs.finish(self._at), *self._streams.finish(self._at)]
         self.violations += found
         return found
 
@@ -69,6 +72,11 @@
         """Number of answers to online requests by status, or by how they ended if not whole."""
         return dict(sorted(self._requests.answer_counts.items()))
 
+    @property
+    def resumed_streams(self) -> tuple[int, int]:
+        """Streams that were resumed in calm times: how many went on, and of how many."""
+        return (self._streams.resumed.served, self._streams.resumed.total)
+
     @property
     def accepted_jobs(self) -> int:
         """Number of accepted jobs."""
--- a/src/cloverwalk/soak/clients.py
+++ b/src/cloverwalk/soak/clients.py
@@ -8,7 +8,7 @@
 import curio
 
 from cloverwalk.platform import names
-from cloverwalk.soak.connection import ClientConnection
+from cloverwalk.soak.connection import Answer, ClientConnection
 from cloverwalk.soak.deployment import HOST, ROUTES, UNKNOWN_KEY, Operator, RouteSpec
 from cloverwalk.soak.events import AnswerEnd, AnswerSeen, ClientLeft, RequestSent
 from cloverwalk.soak.history import History
@@ -29,6 +29,18 @@
 """A tenant without a quota."""
 
 RECONNECT_DELAY_S = 0.15
+MEAN_STREAM_INTERVAL_S = 0.3
+"""Mean delay between two streams of a client that resumes them."""
+
+STREAM_TENANT = "hall"
+"""A tenant without a quota."""
+
+STREAM_BREAK_SHARE = 0.5
+"""Share of the streams that their client breaks off, to resume them at another node."""
+
+STREAM_BREAK_RANGE_S = (0.05, 0.6)
+RESUMPTION_DELAY_S = 0.05
+MAX_STREAM_ATTEMPTS = 4
 LONG_EVENTS = 2_000
 """Events of a stream whose client disconnects early; it would last over half a minute."""
 
@@ -43,6 +55,7 @@
 """How long the client then stays connected: twice a node's timeout for the request header."""
 
 ONLINE_ROUTES = [route for route in ROUTES if not route.is_batch and route.name != "long"]
+STREAM_ROUTE = next(route for route in ROUTES if route.name == "chat")
 LONG_ROUTE = next(route for route in ROUTES if route.name == "long")
 
 
@@ -60,6 +73,11 @@
     sent_share: float = 1.0
     """Share of the request's bytes that are sent; the remaining ones never are."""
 
+    resumes: str = ""
+    """Id of the request that began the stream that it resumes."""
+
+    last_event: int = 0
+
     def headers(self) -> list[tuple[str, str]]:
         """Return the request headers."""
         deadline_ms = self.route.timeout_ms if self.route is LONG_ROUTE else REQUEST_DEADLINE_MS
@@ -69,6 +87,9 @@
             (names.DEADLINE_MS.decode(), str(deadline_ms)),
             (names.TOKEN_USAGE.decode(), f"{len(self.body)},{self.events}"),
         ]
+        if self.resumes:
+            headers.append((names.RESUMES.decode(), self.resumes))
+            headers.append((names.LAST_EVENT_ID.decode(), str(self.last_event)))
         if self.key:
             headers.append((names.AUTHORIZATION.decode(), f"Bearer {self.key}"))
         return headers
@@ -102,6 +123,29 @@
             )
         return request
 
+    def make_stream(self, random: Random) -> OnlineRequest:
+        """Return a request for a stream, whose client may break it off in order to resume it."""
+        request_id = f"s{next(self._numbers):06d}"
+        key = random.choice(self._operator.tenants[STREAM_TENANT].keys)
+        body = f"prompt of {request_id} ".encode()
+        events = random.randint(10, 50)
+        is_broken_off = random.random() < STREAM_BREAK_SHARE
+        disconnect_after_s = random.uniform(*STREAM_BREAK_RANGE_S) if is_broken_off else None
+        target = f"{STREAM_ROUTE.prefix}{request_id}"
+        return OnlineRequest(
+            request_id, STREAM_ROUTE, target, key, body, events, disconnect_after_s
+        )
+
+    def make_resumption(self, request: OnlineRequest, last_event: int) -> OnlineRequest:
+        """Return a request that resumes the stream of another one."""
+        return attrs.evolve(
+            request,
+            request_id=f"s{next(self._numbers):06d}",
+            disconnect_after_s=None,
+            resumes=request.resumes or request.request_id,
+            last_event=last_event,
+        )
+
     def make_crashing(self, random: Random) -> OnlineRequest:
         """Return a repetition of the request that crashes each replica that runs it."""
         request_id = f"x{next(self._numbers):06d}"
@@ -156,6 +200,37 @@
         if connection is not None:
             await connection.close()
 
+    async def run_streams(self, random: Random) -> None:
+        """Read streams, and resume at other nodes those that break off."""
+        while not self._is_over():
+            await curio.sleep(random.expovariate(1 / MEAN_STREAM_INTERVAL_S))
+            await self._read_stream(self._maker.make_stream(random), random)
+
+    async def _read_stream(self, request: OnlineRequest, random: Random) -> None:
+        node = random.choice(self._nodes)
+        for _ in range(MAX_STREAM_ATTEMPTS):
+            answer = await self._send_once(node, request)
+            last_event = request.last_event
+            if answer is not None and answer.status == 200:
+                last_event += len(answer.texts())
+            is_done = answer is not None and answer.is_whole and answer.status == 200
+            if is_done or last_event == 0:
+                return
+            await curio.sleep(RESUMPTION_DELAY_S)
+            node = random.choice([other for other in self._nodes if other is not node] or [node])
+            request = self._maker.make_resumption(request, last_event)
+
+    async def _send_once(self, node: NodeProcess, request: OnlineRequest) -> Answer | None:
+        """Send a request on a new connection; return its answer as far as it was received."""
+        connection = await ClientConnection.open(node.proxied_address)
+        if connection is None:
+            return None
+        try:
+            await self.send(connection, node, request)
+            return connection.answer
+        finally:
+            await connection.close()
+
     async def run_over_quota(self, tenant: str, rate_per_s: float, random: Random) -> None:
         """Send more than a tenant's quota to random nodes, each request on a new connection."""
         async with curio.TaskGroup() as tasks:
@@ -231,6 +306,9 @@
                 events=request.events,
                 may_repeat=request.route.may_repeat,
                 is_part=request.sent_share < 1.0,
+                is_resumable=request.route.is_resumable,
+                resumes=request.resumes,
+                last_event=request.last_event,
             )
         )
 
--- a/src/cloverwalk/soak/deployment.py
+++ b/src/cloverwalk/soak/deployment.py
@@ -19,6 +19,7 @@
 HOST = "soak.example"
 SERVICES = ("alpha", "beta")
 ZONES = ("z1", "z2", "z3")
+SOFTWARE_VERSIONS = ("v1", "v2", "v3")
 SLOTS_PER_REPLICA = 8
 TIMEOUT_MS = 4_000
 LONG_TIMEOUT_MS = 60_000
--- a/src/cloverwalk/soak/draw.py
+++ b/src/cloverwalk/soak/draw.py
@@ -47,6 +47,9 @@
 )
 """Kinds that earlier builds support; their nodes would violate the guarantees of newer kinds."""
 
+SOFTWARE_VERSION_COUNT = 2
+"""Software versions at the start; nodes of earlier builds mix them, so their soaks have one."""
+
 
 def replica_count(nodes: int) -> int:
     """Return the number of replicas for a fleet; each service has at least two."""
@@ -57,7 +60,14 @@
     """Return a schedule; the same arguments give the same one in every process."""
     drawer = _PlanDrawer(Random(f"soak/{seed}/{nodes}/{minutes:g}"), nodes, minutes * 60)
     actions = sorted(drawer.draw(), key=lambda action: (action.at_s, action.kind, action.targets))
-    return Plan(seed, nodes, replica_count(nodes), minutes * 60, actions)
+    return Plan(
+        seed,
+        nodes,
+        replica_count(nodes),
+        minutes * 60,
+        actions,
+        software_versions=SOFTWARE_VERSION_COUNT,
+    )
 
 
 def draw_upgrade_plan(seed: int, nodes: int, minutes: float) -> Plan:
@@ -65,7 +75,7 @@
     plan = draw_plan(seed, nodes, minutes)
     actions = [action for action in plan.actions if action.kind in KINDS_OF_EARLIER_BUILDS]
     steps = draw_build_steps(seed, nodes, plan.duration_s)
-    return msgspec.structs.replace(plan, actions=actions, build_steps=steps)
+    return msgspec.structs.replace(plan, actions=actions, build_steps=steps, software_versions=1)
 
 
 class _PlanDrawer:
@@ -89,6 +99,7 @@
             (9.0, self._herd_actions),
             (8.0, self._restart_actions),
             (15.0, self._zone_drain_actions),
+            (14.0, self._release_actions),
         )
         for mean_interval_s, draw in series:
             at_s = FAULT_FREE_START_S + self._random.uniform(0, mean_interval_s)
@@ -185,6 +196,13 @@
         kind = self._random.choice(RESTART_KINDS)
         return [Action(round(at_s, 2), kind, target, self._draw_value(0.5, 4.0))]
 
+    def _release_actions(self, at_s: float) -> list[Action]:
+        """Return the replacement of some replicas by ones of a software version."""
+        kind = ActionKind.REPLICA_RELEASE
+        targets = self._draw_targets(self._replicas)
+        version = self._random.choice(names_of_kind(kind))
+        return [Action(round(at_s, 2), kind, targets, self._draw_value(0.2, 1.5), name=version)]
+
     def _operator_actions(self, at_s: float) -> list[Action]:
         kind = self._random.choice(OPERATOR_KINDS)
         at_s = round(at_s, 2)
--- a/src/cloverwalk/soak/events.py
+++ b/src/cloverwalk/soak/events.py
@@ -149,6 +149,15 @@
     is_part: bool = False
     """Whether only a part of its bytes is sent."""
 
+    is_resumable: bool = False
+    """Whether its answer is a stream that may be resumed."""
+
+    resumes: str = ""
+    """Id of the request that began the stream that it resumes."""
+
+    last_event: int = 0
+    """Number of the event after which the stream goes on."""
+
 
 class AnswerEnd(enum.StrEnum):
     """How the reading of an answer ended."""
@@ -192,6 +201,19 @@
 # --- replicas ---
 
 
+class ReplicaStarted(SoakEvent, frozen=True):
+    """A replica was registered as ready."""
+
+    replica: str
+    software_version: str
+
+
+class ReplicaStopped(SoakEvent, frozen=True):
+    """A replica drains, restarts or is stopped."""
+
+    replica: str
+
+
 class RunBegan(SoakEvent, frozen=True):
     """A replica started to run a request or an item."""
 
--- a/src/cloverwalk/soak/faults.py
+++ b/src/cloverwalk/soak/faults.py
@@ -28,6 +28,9 @@
 from cloverwalk.soak.proxy import FaultProxy
 from cloverwalk.soak.replicas import ReplicaFleet
 
+RELEASE_INTERVAL_S = 1.0
+"""Time between the replacements of two replicas of a release."""
+
 
 class StoreFaults:
     """The active faults of the store; of overlapping ones of a kind the strongest applies."""
@@ -128,6 +131,7 @@
             ActionKind.REPLICA_CRASH: self._change_replicas,
             ActionKind.REPLICA_DRAIN: self._change_replicas,
             ActionKind.REPLICA_RESTART: self._change_replicas,
+            ActionKind.REPLICA_RELEASE: self._release_replicas,
             ActionKind.ENTRY_ODD: self._change_replicas,
             ActionKind.KEY_REPLACE: self._change_configuration,
             ActionKind.QUOTA_CHANGE: self._change_configuration,
@@ -191,6 +195,13 @@
         for number in action.targets:
             await methods[action.kind](number, action.duration_s)
 
+    async def _release_replicas(self, fault: int, action: Action) -> None:
+        """Replace replicas one after the other, so that several drain at the same time."""
+        async with curio.TaskGroup() as tasks:
+            for number in action.targets:
+                await tasks.spawn(self._replicas.drain, number, action.duration_s, action.name)
+                await curio.sleep(RELEASE_INTERVAL_S)
+
     async def _change_configuration(self, fault: int, action: Action) -> None:
         match action.kind:
             case ActionKind.KEY_REPLACE:
--- a/src/cloverwalk/soak/history.py
+++ b/src/cloverwalk/soak/history.py
@@ -19,6 +19,8 @@
     NodeSignalled,
     NodeStarted,
     ReadinessSeen,
+    ReplicaStarted,
+    ReplicaStopped,
     RequestSent,
     RunBegan,
     RunEnded,
@@ -50,6 +52,8 @@
     | ClientLeft
     | RunBegan
     | RunEnded
+    | ReplicaStarted
+    | ReplicaStopped
     | JobSent
     | JobAnswered
     | JobRead
--- a/src/cloverwalk/soak/plan.py
+++ b/src/cloverwalk/soak/plan.py
@@ -12,6 +12,7 @@
     MOVABLE_ROUTES,
     QUOTAS,
     REMOVABLE_ROUTES,
+    SOFTWARE_VERSIONS,
     ZONES,
 )
 from cloverwalk.soak.errors import SoakInputError
@@ -50,6 +51,7 @@
     HERD_REQUESTS = "herd_requests"
     HERD_JOBS = "herd_jobs"
     ZONE_DRAIN = "zone_drain"
+    REPLICA_RELEASE = "replica_release"
 
 
 NODE_KINDS = (ActionKind.NODE_TERM, ActionKind.NODE_KILL, ActionKind.NODE_FREEZE)
@@ -148,6 +150,9 @@
     build_steps: list[BuildStep] = []
     """Replacements by another build; empty if all nodes run the same one."""
 
+    software_versions: int = 1
+    """Software versions that replicas of a service have side by side."""
+
 
 def load_plan(path: Path) -> Plan:
     """Read a schedule from a file; raise SoakInputError if it is invalid."""
@@ -172,6 +177,11 @@
             f"{source}: duration_s: {plan.duration_s:g} is not above 0 and at most"
             f" {MAX_MINUTES * 60:g}"
         )
+    if not 1 <= plan.software_versions <= len(SOFTWARE_VERSIONS):
+        raise SoakInputError(
+            f"{source}: software_versions: {plan.software_versions} is not 1 to"
+            f" {len(SOFTWARE_VERSIONS)}"
+        )
     for number, action in enumerate(plan.actions):
         problem = _find_problem(action, plan)
         if problem:
@@ -194,7 +204,8 @@
         return f"name: {action.name!r} is none of {', '.join(allowed_names)}"
     if action.kind is ActionKind.LINK_CUT and action.way not in DIRECTIONS:
         return f"way: {action.way!r} is none of {', '.join(DIRECTIONS)}"
-    targets_replicas = action.kind in (*REPLICA_KINDS, *RESTART_KINDS) or action.name == "replicas"
+    replica_kinds = (*REPLICA_KINDS, *RESTART_KINDS, ActionKind.REPLICA_RELEASE)
+    targets_replicas = action.kind in replica_kinds or action.name == "replicas"
     target_count = plan.replicas if targets_replicas else plan.nodes
     if any(not 0 <= target < target_count for target in action.targets):
         return f"targets: {action.targets} are not all below {target_count}"
@@ -217,4 +228,6 @@
         return MOVABLE_ROUTES
     if kind is ActionKind.ZONE_DRAIN:
         return ZONES
+    if kind is ActionKind.REPLICA_RELEASE:
+        return SOFTWARE_VERSIONS
     return ()
--- a/src/cloverwalk/soak/replicas.py
+++ b/src/cloverwalk/soak/replicas.py
@@ -14,8 +14,8 @@
 from cloverwalk.emulator.replica_runs import Arrival, Misdeed
 from cloverwalk.platform import names
 from cloverwalk.soak.addresses import SoakNetwork
-from cloverwalk.soak.deployment import SERVICES, SLOTS_PER_REPLICA, ZONES
-from cloverwalk.soak.events import RunBegan, RunEnded
+from cloverwalk.soak.deployment import SERVICES, SLOTS_PER_REPLICA, SOFTWARE_VERSIONS, ZONES
+from cloverwalk.soak.events import ReplicaStarted, ReplicaStopped, RunBegan, RunEnded
 from cloverwalk.soak.history import History
 from cloverwalk.soak.proxy import FaultProxy
 
@@ -113,6 +113,9 @@
     service: str
     address: tuple[str, int]
     proxy: FaultProxy
+    software_version: str
+    """Software version of the next replica."""
+
     replica: PlatformReplica | None = None
     replica_task: Any = None
     proxy_task: Any = None
@@ -135,7 +138,10 @@
         store: PlatformStoreServer,
         history: History,
         random: Random,
+        software_versions: int = 1,
     ) -> None:
+        self._history = history
+        self._software_versions = SOFTWARE_VERSIONS[:software_versions]
         self._store = store
         self._random = random
         self._start_numbers = count(1)
@@ -151,7 +157,10 @@
         ip = network.replica_host(number)
         address = (ip, network.port)
         proxy = FaultProxy((ip, network.port + 1), address)
-        return _ReplicaHost(number, SERVICES[number % len(SERVICES)], address, proxy)
+        service = SERVICES[number % len(SERVICES)]
+        versions = self._software_versions
+        version = versions[number // len(SERVICES) % len(versions)]
+        return _ReplicaHost(number, service, address, proxy, version)
 
     async def start(self) -> None:
         """Start proxies and replicas."""
@@ -185,6 +194,8 @@
         replica_id = reused_id or f"i-{host.number}-{start_number}"
         replica = PlatformReplica(replica_id, host.address, event_s=EVENT_INTERVAL_S)
         replica.started_at_ms = FIRST_STARTED_AT_MS + start_number
+        replica.software_version = host.software_version
+        replica.shows_software_version = True
         replica.slots = SLOTS_PER_REPLICA
         replica.max_waiting = MAX_QUEUED_REQUESTS
         replica.observer = self.run_recorder
@@ -194,6 +205,9 @@
         self.run_recorder.zone_by_replica[replica_id] = host.zone
         host.replica = replica
         host.replica_task = await curio.spawn(replica.run, daemon=True)
+        self._history.record(
+            ReplicaStarted(replica=replica_id, software_version=host.software_version)
+        )
         self._register(host, "ready")
 
     def _register(self, host: _ReplicaHost, state: str) -> None:
@@ -216,6 +230,10 @@
         await host.replica.crash()
         await host.proxy.reset()
 
+    def _record_stop(self, host: _ReplicaHost) -> None:
+        assert host.replica is not None
+        self._history.record(ReplicaStopped(replica=host.replica.replica_id))
+
     # --- faults ---
 
     async def crash(self, number: int, downtime_s: float) -> None:
@@ -224,6 +242,7 @@
         if host.is_changing or host.replica is None:
             return
         host.is_changing = True
+        self._record_stop(host)
         await self._stop_replica(host)
         await curio.sleep(downtime_s / 2)
         self._store.remove(names.REPLICA_TABLE, host.replica.replica_id)
@@ -237,6 +256,7 @@
         if host.is_changing or host.replica is None:
             return
         host.is_changing = True
+        self._record_stop(host)
         host.proxy.silence()
         await host.proxy_task.cancel()
         await host.replica_task.cancel()
@@ -251,24 +271,30 @@
         if host.is_changing or host.replica is None:
             return
         host.is_changing = True
+        self._record_stop(host)
         invalid = {**self._document(host, "ready"), **self._random.choice(INVALID_FIELDS)}
         self._store.put(names.REPLICA_TABLE, host.replica.replica_id, invalid)
         await curio.sleep(duration_s)
         self._register(host, "ready")
+        self._history.record(
+            ReplicaStarted(replica=host.replica.replica_id, software_version=host.software_version)
+        )
         host.is_changing = False
 
-    async def drain(self, number: int, downtime_s: float) -> None:
-        """Drain and stop a replica; a replica with a new id replaces it."""
+    async def drain(self, number: int, downtime_s: float, next_version: str = "") -> None:
+        """Drain and stop a replica; one with a new id, and perhaps other software, replaces it."""
         host = self.hosts[number]
         if host.is_changing or host.replica is None:
             return
         host.is_changing = True
+        self._record_stop(host)
         self._register(host, "draining")
         await curio.sleep(DRAIN_PHASE_S)
         self._store.remove(names.REPLICA_TABLE, host.replica.replica_id)
         await curio.sleep(DRAIN_PHASE_S)
         await self._stop_replica(host)
         await curio.sleep(downtime_s)
+        host.software_version = next_version or host.software_version
         await self._start_replica(host)
         host.is_changing = False
 
--- a/src/cloverwalk/soak/report.py
+++ b/src/cloverwalk/soak/report.py
@@ -13,10 +13,12 @@
 
 def summary_lines(result: SoakResult) -> list[str]:
     """Return the result as lines of readable text."""
+    went_on, resumed = result.resumed_streams
     peak_use = ", ".join(f"{name} {use:.2f}" for name, use in result.peak_quota_use.items())
     return [
         f"answers: {_format_counts(result.answers)}",
         f"runs at replicas: {_format_counts(result.runs)}; accepted jobs: {result.accepted_jobs}",
+        f"resumed streams in calm times: {went_on} of {resumed} went on",
         f"peak quota use: {peak_use or 'none'}",
         f"log events 'unexpected': {count_unexpected_lines(result.folder)}",
         f"seed {result.plan.seed}: {verdict(result)} ({result.duration_s:.0f} s)",
--- a/src/cloverwalk/soak/run.py
+++ b/src/cloverwalk/soak/run.py
@@ -33,6 +33,10 @@
 
 STEADY_CLIENTS_PER_NODE = 2
 MAX_STEADY_CLIENTS = 24
+STREAM_CLIENTS_PER_NODE = 2
+"""Clients that resume streams at other nodes."""
+
+MAX_STREAM_CLIENTS = 16
 MIN_JOB_CLIENTS = 3
 OVER_QUOTA_FACTOR = 1.5
 """Request rate of a tenant over its quota, relative to its initial quota rate."""
@@ -62,6 +66,9 @@
     answers: dict[str, int]
     runs: dict[str, int]
     accepted_jobs: int
+    resumed_streams: tuple[int, int]
+    """Streams that were resumed in calm times: how many went on, and of how many."""
+
     peak_quota_use: dict[str, float]
     duration_s: float
     was_stopped: bool = False
@@ -114,7 +121,9 @@
         self._store.random = Random(f"soak-store/{plan.seed}")
         self._operator = Operator(self._store, history)
         replica_random = Random(f"soak-replicas/{plan.seed}")
-        self._replicas = ReplicaFleet(plan.replicas, network, self._store, history, replica_random)
+        self._replicas = ReplicaFleet(
+            plan.replicas, network, self._store, history, replica_random, plan.software_versions
+        )
         self._nodes = [
             NodeProcess(number, network, self._folder, history) for number in range(plan.nodes)
         ]
@@ -180,6 +189,7 @@
             checker.answers,
             dict(sorted(checker.run_ends.items())),
             checker.accepted_jobs,
+            checker.resumed_streams,
             checker.peak_quota_use,
             time.monotonic() - started_at,
             was_stopped,
@@ -262,6 +272,9 @@
             self._clients.append(
                 await curio.spawn(self._online.run_over_quota, tenant, rate_per_s, random)
             )
+        for number in range(min(MAX_STREAM_CLIENTS, STREAM_CLIENTS_PER_NODE * len(self._nodes))):
+            random = Random(f"soak-streams/{self._plan.seed}/{number}")
+            self._clients.append(await curio.spawn(self._online.run_streams, random))
         random = Random(f"soak-crashing/{self._plan.seed}")
         self._clients.append(await curio.spawn(self._online.run_crashing, random))
         for number in range(max(MIN_JOB_CLIENTS, len(self._nodes) // 2)):
--- a/tests/soak/test_soak_checker.py
+++ b/tests/soak/test_soak_checker.py
@@ -19,6 +19,8 @@
     NodeSignalled,
     NodeStarted,
     ReadinessSeen,
+    ReplicaStarted,
+    ReplicaStopped,
     RequestSent,
     RouteFact,
     RunBegan,
@@ -94,7 +96,7 @@
         "status": 200,
         "answered_id": request,
         "is_signed": True,
-        "texts": ["r:1:1", "r:2:1"],
+        "texts": ["r:1:1:v1", "r:2:1:v1"],
         **changed,
     }
     return AnswerSeen(request=request, **facts)
@@ -162,12 +164,12 @@
 @pytest.mark.parametrize(
     "answer",
     [
-        answered(texts=["r:1:1"]),
-        answered(texts=["r:1:1", "r:1:1"]),
-        answered(texts=["r:2:1", "r:1:1"]),
-        answered(texts=["q:1:1", "q:2:1"]),
-        answered(texts=["r:1:1", "r:2:7"]),
-        answered(texts=["r:1:1", "wrong"]),
+        answered(texts=["r:1:1:v1"]),
+        answered(texts=["r:1:1:v1", "r:1:1:v1"]),
+        answered(texts=["r:2:1:v1", "r:1:1:v1"]),
+        answered(texts=["q:1:1:v1", "q:2:1:v1"]),
+        answered(texts=["r:1:1:v1", "r:2:7:v1"]),
+        answered(texts=["r:1:1:v1", "wrong"]),
         answered(is_signed=False),
         answered(answered_id="q"),
         answered(answered_id=""),
@@ -181,16 +183,18 @@
 
 def test_received_part_of_an_answer_is_checked() -> None:
     cut = ended(end="cut")
-    part = answered(end=AnswerEnd.BROKEN, texts=["r:1:1"])
-    wrong = answered(end=AnswerEnd.BROKEN, texts=["r:2:1"])
+    part = answered(end=AnswerEnd.BROKEN, texts=["r:1:1:v1"])
+    wrong = answered(end=AnswerEnd.BROKEN, texts=["r:2:1:v1"])
     assert broken_promises(sent(), began(), cut, part) == []
     assert broken_promises(sent(), began(), cut, wrong) == ["answers"]
-    assert broken_promises(sent(), began(), ClientLeft(request="r", texts=["r:2:1"])) == ["answers"]
+    assert broken_promises(sent(), began(), ClientLeft(request="r", texts=["r:2:1:v1"])) == [
+        "answers"
+    ]
 
 
 def test_resumed_answer_continues_at_the_requested_event() -> None:
     runs = [sent(may_repeat=True), began(), ended(end="cut")]
-    joined = answered(texts=["r:1:1", "r:2:2"])
+    joined = answered(texts=["r:1:1:v1", "r:2:2:v1"])
     assert broken_promises(*runs, began(2, last_event=1), ended(2), joined) == []
     assert broken_promises(*runs, began(2), ended(2), joined) == ["answers"]
 
@@ -408,7 +412,7 @@
 
 
 def succeeded(number: int, run: int) -> ResultFact:
-    return ResultFact(f"j-{number}", "succeeded", f"j-{number}:1:{run}")
+    return ResultFact(f"j-{number}", "succeeded", f"j-{number}:1:{run}:v1")
 
 
 def dead_letter(number: int) -> ResultFact:
@@ -450,7 +454,7 @@
 
 def test_foreign_or_incomplete_result_and_wrong_total_are_reported() -> None:
     whole = page(succeeded(0, 1), succeeded(1, 2))
-    unknown = ResultFact("q-0", "succeeded", "q-0:1:1")
+    unknown = ResultFact("q-0", "succeeded", "q-0:1:1:v1")
     empty = ResultFact("j-0", "succeeded", "")
     assert broken_promises(*JOB_RUNS, whole, page(unknown, position=2)) == ["results"]
     assert broken_promises(*JOB_RUNS, page(empty, succeeded(1, 2))) == ["results"]
@@ -625,3 +629,89 @@
     history += [at_time(29.9, sent()), at_time(run_at, began(zone=zone))]
     found = broken_promises(*history)
     assert found == (["drained zones"] if reported else [])
+
+
+# --- software versions ---
+
+
+def stream(request: str = "r", **changed: Any) -> RequestSent:
+    return sent(request, is_resumable=True, may_repeat=True, events=4, **changed)
+
+
+def texts(request: str, run: int, *events: str) -> list[str]:
+    """Return the data of events, given as number and software version."""
+    return [f"{request}:{event[0]}:{run}:{event[1:]}" for event in events]
+
+
+def stream_answered(request: str, end: AnswerEnd, data: list[str], status: int = 200) -> AnswerSeen:
+    return AnswerSeen(
+        request=request,
+        end=end,
+        status=status,
+        answered_id=request,
+        is_signed=status == 200,
+        texts=data,
+    )
+
+
+# Guards against a checker that misses events of two versions within one answer.
+def test_answer_of_two_software_versions_is_found() -> None:
+    data = [*texts("r", 1, "1v1", "2v1"), *texts("r", 2, "3v2", "4v2")]
+    history = [
+        stream(),
+        began(1),
+        ended(1, end="cut"),
+        began(2, last_event=2),
+        ended(2),
+        stream_answered("r", AnswerEnd.WHOLE, data),
+    ]
+    assert {"answers", "software versions"} <= set(broken_promises(*history))
+
+
+# Guards against a checker that looks at each of a client's attempts by itself.
+@pytest.mark.parametrize("version", ["v1", "v2"])
+def test_attempts_of_two_software_versions_are_found(version: str) -> None:
+    history = [
+        stream(),
+        began(1),
+        ClientLeft(request="r", texts=texts("r", 1, "1v1", "2v1")),
+        ended(1, end="left"),
+        stream("s", resumes="r", last_event=2),
+        began(2, request="s", last_event=2),
+        ended(2, request="s"),
+        stream_answered("s", AnswerEnd.WHOLE, texts("s", 2, f"3{version}", f"4{version}")),
+    ]
+    assert set(broken_promises(*history)) == (set() if version == "v1" else {"software versions"})
+
+
+def resumptions(count: int, replicas: int, status: int) -> list[Any]:
+    """Return a history in which clients resume streams, all with the same answer."""
+    history: list[Any] = [at_time(10.0, AllQuiet(running=[]))]
+    history += [ReplicaStarted(replica=f"i{n}", software_version="v1") for n in range(4)]
+    history += [ReplicaStopped(replica=f"i{n}") for n in range(replicas, 4)]
+    for number in range(count):
+        first, run = f"r{number}", 2 * number + 1
+        history += [
+            stream(first, target=f"/chat/{first}"),
+            began(run, first, target=f"/chat/{first}"),
+            stream_answered(first, AnswerEnd.BROKEN, texts(first, run, "1v1")),
+            ended(run, first, "left"),
+            stream(f"s{number}", target=f"/chat/{first}", resumes=first, last_event=1),
+        ]
+        if status == 200:
+            history.append(began(run + 1, f"s{number}", target=f"/chat/{first}", last_event=1))
+        data = texts(f"s{number}", run + 1, "2v1", "3v1", "4v1") if status == 200 else []
+        history.append(stream_answered(f"s{number}", AnswerEnd.WHOLE, data, status))
+    return history
+
+
+# Guards against a fleet that keeps versions apart by refusing every resumption.
+@pytest.mark.parametrize(
+    ("count", "replicas", "status", "is_lost"),
+    [(12, 2, 503, True), (12, 2, 200, False), (11, 2, 503, False), (12, 1, 503, False)],
+)
+def test_refused_resumptions_are_found(
+    count: int, replicas: int, status: int, is_lost: bool
+) -> None:
+    history = resumptions(count, replicas, status)
+    assert ("lost streams" in set(broken_promises(*history))) == is_lost
