The software versions of the past are kept in the store, so a restarted fleet knows whether one served alone

Cause: a process that has just started knows no version of the time before, and must not guess. Change: the coordinator keeps one row with the versions of each service, written when they change; it reads it when it takes the role and passes its knowledge on in the first orders to each process. Records of streams are shared only where this leaves more than one version.

--- a/src/cloverwalk/core/catalogue.py
+++ b/src/cloverwalk/core/catalogue.py
@@ -206,6 +206,9 @@
 CONTAINMENT_ENDED = _event(
     319, "containment_ended", _I, "A contained request was answered, or its crash record expired."
 )
+VERSION_HISTORY_INVALID = _event(
+    322, "version_history_invalid", _W, "The stored list of software versions is invalid."
+)
 STREAM_NOT_RESUMED = _event(
     321,
     "stream_not_resumed",
--- a/src/cloverwalk/fleet/orders_maker.py
+++ b/src/cloverwalk/fleet/orders_maker.py
@@ -82,8 +82,8 @@
         entry = self._registry.by_name.get(node)
         if entry is None or entry.history_copies_sent >= MAX_HISTORY_COPIES:
             return
-        entry.history_copies_sent += 1
         orders.version_history = self.version_history()
+        entry.history_copies_sent += orders.version_history is not None
 
     def _add_report_age(self, orders: Orders, node: str, made_at: float) -> None:
         """Add the number of the last report and its age at ``made_at``.
--- a/src/cloverwalk/fleet/stream_version_sync.py
+++ b/src/cloverwalk/fleet/stream_version_sync.py
@@ -21,7 +21,12 @@
     VersionHistoryCopy,
 )
 from cloverwalk.fleet.transport import Sender
-from cloverwalk.gateway.software_versions import Software, SoftwareVersions, VersionHistory
+from cloverwalk.gateway.software_versions import (
+    MIN_STREAM_LIFETIME_S,
+    Software,
+    SoftwareVersions,
+    VersionHistory,
+)
 from cloverwalk.gateway.stream_versions import StreamVersion, StreamVersionTable
 
 MAX_RECORD_COPIES = 3
@@ -174,9 +179,12 @@
 
 
 def history_copy(versions: SoftwareVersions) -> VersionHistoryCopy | None:
-    """Return this node's knowledge of versions for a node that has just started."""
+    """Return this node's knowledge of versions for a node that has just started.
+
+    None if it does not reach back for longer than a stream lasts.
+    """
     history = versions.history()
-    if history is None:
+    if history is None or history.known_s < MIN_STREAM_LIFETIME_S:
         return None
     listed = [
         ListedVersion(software.service, software.version, int(unlisted_s * 1000))
--- /dev/null
+++ b/src/cloverwalk/fleet/version_history_store.py
@@ -0,0 +1,146 @@
+"""Stores which software versions replicas have had, for a fleet whose processes all restart.
+
+The coordinator reads the row when it takes the role and writes it when the listed versions change,
+which is rare. Without the row, processes that have just started could not tell whether the only
+version that they see is the one that began the streams of the time before.
+"""
+
+import curio
+import msgspec
+
+from cloverwalk.core import catalogue
+from cloverwalk.fleet.coordinator import Coordinator
+from cloverwalk.fleet.messages import ListedVersion
+from cloverwalk.gateway.software_versions import (
+    RETENTION_S,
+    Software,
+    SoftwareVersions,
+    VersionHistory,
+)
+from cloverwalk.store.clock import StoreClock
+from cloverwalk.store.health import StoreHealth
+from cloverwalk.store.types import (
+    CommitStatus,
+    Expectation,
+    Put,
+    Row,
+    RowKey,
+    Store,
+    StoreError,
+    Transaction,
+)
+from cloverwalk.telemetry.log import ServingLog
+
+ROW_KEY = RowKey("software", "", "versions")
+CHECK_INTERVAL_S = 0.1
+CALL_TIMEOUT_S = 1.5
+RETRY_DELAY_MS = 300.0
+
+
+class StoredVersions(msgspec.Struct, array_like=True):
+    """Value of the row: the versions as of a time of the store."""
+
+    versions: list[ListedVersion]
+    store_ms: float
+
+
+class VersionHistoryStore:
+    """Reads and writes the row while this node coordinates."""
+
+    def __init__(
+        self,
+        versions: SoftwareVersions,
+        coordinator: Coordinator,
+        store: Store,
+        health: StoreHealth,
+        store_clock: StoreClock,
+        log: ServingLog,
+    ) -> None:
+        self._versions = versions
+        self._coordinator = coordinator
+        self._store = store
+        self._health = health
+        self._store_clock = store_clock
+        self._log = log
+        self._row_version = 0
+        self._stored: frozenset[Software] | None = None
+        """Versions that the row names as listed; None if the row has to be read."""
+
+    async def run(self) -> None:
+        """Keep the row up to date while this node coordinates, until cancelled."""
+        while True:
+            await self._coordinator.wait_until_active()
+            self._stored = None
+            while self._coordinator.is_active:
+                if not await self.update():
+                    await self._health.backoff(RETRY_DELAY_MS)
+                await curio.sleep(CHECK_INTERVAL_S)
+
+    async def update(self) -> bool:
+        """Read or write the row if necessary; return False if that has to be repeated."""
+        if self._versions.history() is None:
+            return True
+        if self._stored is None:
+            return await self._read()
+        return self._stored == self._versions.listed or await self._write()
+
+    async def _read(self) -> bool:
+        """Add what the row tells of the past."""
+        try:
+            page = await self._store.read_table(ROW_KEY.table)
+        except StoreError:
+            return False
+        row = next((row for row in page.rows if row.row_key == ROW_KEY), None)
+        self._row_version = 0 if row is None else row.version
+        stored = self._decode(row)
+        now = self._store_clock.now()
+        elapsed_ms = 0.0
+        if now is not None:
+            elapsed_ms = max(0.0, now.earliest_ms - stored.store_ms)
+        unlisted_s = {}
+        for version in stored.versions:
+            software = Software(version.service, version.software_version)
+            # A version that was listed at the last write may have gone just now.
+            unlisted_ms = version.unlisted_ms + elapsed_ms if version.unlisted_ms else 0.0
+            unlisted_s[software] = unlisted_ms / 1000
+        self._versions.merge(VersionHistory(RETENTION_S, unlisted_s))
+        self._stored = frozenset(
+            Software(version.service, version.software_version)
+            for version in stored.versions
+            if not version.unlisted_ms
+        )
+        return True
+
+    def _decode(self, row: Row | None) -> StoredVersions:
+        """Return the row's content; empty before the first write and if the row is invalid."""
+        if row is None or row.value is None:
+            return StoredVersions([], 0.0)
+        try:
+            return msgspec.json.decode(row.value, type=StoredVersions)
+        except msgspec.DecodeError as error:
+            self._log.write(catalogue.VERSION_HISTORY_INVALID, error=str(error)[:200])
+            return StoredVersions([], 0.0)
+
+    async def _write(self) -> bool:
+        history, store_time = self._versions.history(), self._store_clock.now()
+        if history is None or store_time is None:
+            return False
+        listed = self._versions.listed
+        versions = [
+            ListedVersion(*software, _unlisted_ms(software, unlisted_s, listed))
+            for software, unlisted_s in sorted(history.unlisted_s.items())
+        ]
+        value = msgspec.json.encode(StoredVersions(versions, store_time.latest_ms))
+        transaction = Transaction([Expectation(ROW_KEY, self._row_version)], [Put(ROW_KEY, value)])
+        outcome = await self._store.commit(transaction, CALL_TIMEOUT_S)
+        if outcome.status is CommitStatus.COMMITTED:
+            self._row_version, self._stored = outcome.version, listed
+            return True
+        # Another coordinator has written the row, or the outcome is not known.
+        self._stored = None
+        return outcome.status is CommitStatus.CONFLICT
+
+
+def _unlisted_ms(software: Software, unlisted_s: float, listed: frozenset[Software]) -> int:
+    """Return for how long a version has not been listed; 0 only if it is listed."""
+    return 0 if software in listed else max(1, int(unlisted_s * 1000))
--- a/src/cloverwalk/gateway/software_versions.py
+++ b/src/cloverwalk/gateway/software_versions.py
@@ -141,6 +141,11 @@
         """Whether the version of a listed replica is unknown."""
         return any(not software.is_known for software in self._listed)
 
+    @property
+    def listed(self) -> frozenset[Software]:
+        """The versions of listed replicas."""
+        return frozenset(self._listed)
+
     def count(self, service: str) -> int:
         """Return the number of listed versions of a service."""
         return len(self._listed_versions(service))
--- a/src/cloverwalk/scheduling/resumptions.py
+++ b/src/cloverwalk/scheduling/resumptions.py
@@ -17,9 +17,9 @@
 )
 from cloverwalk.gateway.stream_versions import StreamVersionTable
 
-MAX_LIST_AGE_S = 3.0
-"""An older replica list does not show that a service has a single version; longer than the store's
-long poll of the list."""
+MAX_LIST_AGE_S = 10.0
+"""An older replica list does not show that a service has a single version. A node that has seen
+another version shares the streams that begin there."""
 
 
 class Resumptions:
--- a/src/cloverwalk/serving/node.py
+++ b/src/cloverwalk/serving/node.py
@@ -15,6 +15,7 @@
 from cloverwalk.fleet.crash_record_store import CrashRecordStore
 from cloverwalk.fleet.follower import TableFollower
 from cloverwalk.fleet.in_flight import InFlightTracker
+from cloverwalk.fleet.version_history_store import VersionHistoryStore
 from cloverwalk.gateway.configuration import ClientLimits
 from cloverwalk.gateway.containment import ContainmentGate
 from cloverwalk.gateway.crash_detector import CrashDetector
@@ -165,6 +166,14 @@
             self._log,
             self._clock,
         )
+        self._version_history_store = VersionHistoryStore(
+            self._fleet_state.software_versions,
+            self._fleet.coordinator,
+            self._store,
+            self._health,
+            self._store_clock,
+            self._log,
+        )
         self._configuration_follower = create_configuration_follower(
             self._adapter,
             self._fleet_state,
@@ -316,6 +325,7 @@
             self._replica_follower.run,
             self._store_probe.run,
             self._crash_record_store.run,
+            self._version_history_store.run,
             self._housekeeping,
             *self._batch.loops(),
         ]
--- a/tests/serving/test_software_versions.py
+++ b/tests/serving/test_software_versions.py
@@ -13,6 +13,7 @@
 from cloverwalk.platform import names
 
 EVENTS = 12
+NO_HISTORY = software_versions.VersionHistory(0.0, {})
 
 
 async def add_replica(world: FleetWorld, version: str, event_s: float = 0.002) -> PlatformReplica:
@@ -129,11 +130,7 @@
 
 
 # Guards against refusals where all replicas have one version: clients may not name the stream.
-def test_stream_is_resumed_without_a_record_if_only_one_version_serves(
-    monkeypatch: pytest.MonkeyPatch,
-) -> None:
-    monkeypatch.setattr(software_versions, "MIN_STREAM_LIFETIME_S", 0.0)
-
+def test_stream_is_resumed_without_a_record_if_only_one_version_serves() -> None:
     async def scenario(world: FleetWorld) -> None:
         await start(world, ["v1", "v1"], nodes=2)
         await world.wait_until(lambda: all_know_single_version(world))
@@ -145,6 +142,29 @@
     in_world(scenario)
 
 
+# Guards against refusals, and against a guess, after all processes of a fleet have restarted.
+@pytest.mark.parametrize("is_replaced", [False, True])
+def test_restarted_fleet_knows_whether_another_version_served_before(is_replaced: bool) -> None:
+    async def scenario(world: FleetWorld) -> None:
+        await start(world, ["v1"])
+        await world.wait_until(lambda: all_know_single_version(world))
+        await world.wait_until(lambda: bool(world.store.rows.values("software")))
+        await world.kill_node(0)
+        killed = world.nodes.pop(0)
+        if is_replaced:
+            world.store.remove(names.REPLICA_TABLE, world.replicas[0].replica_id)
+            await add_replica(world, "v2")
+        world.nodes.append(killed)
+        node = await world.add_node()
+        await world.wait_until(lambda: node._fleet.coordinator.is_active and node.is_ready)
+        versions = node._fleet_state.software_versions
+        await world.wait_until(lambda: (versions.history() or NO_HISTORY).known_s > 60.0)
+        answer = await resume(world, "from-before", 3, 1)
+        assert answer.status == (503 if is_replaced else 200), answer
+
+    in_world(scenario)
+
+
 def all_know_single_version(world: FleetWorld) -> bool:
     """Whether all nodes have known a single version for longer than streams last here."""
     lifetime_s = software_versions.stream_lifetime_s(3.0)
