A resumption that no replica can take is ended at once

Cause: a stream whose version has only unreachable or full replicas was offered to the same ones up to eight times, each with a timeout for the connection, or queued beyond its deadline. Change: a replica that could not take it twice ends the attempt; the check of deadlines in the queue holds for resumptions everywhere. A version that a copy by an earlier build lacks does not count as a change.

--- a/src/cloverwalk/gateway/relay.py
+++ b/src/cloverwalk/gateway/relay.py
@@ -165,14 +165,16 @@
                 continue
             self._check_verdict(request, progress, result)
             replica = self._resumption_gate.find(progress, result.placement)
-            if replica is not None:
+            if replica is not None and not self._resumption_gate.is_futile(progress, replica):
                 self._record_choice(request, progress, result)
                 return replica
+            await self._end_in_flight(result)
+            if replica is not None:
+                raise self._resumption_gate.refusal(request, progress)
             # The coordinator named a replica that is not listed here yet, or not any more, or that
             # has another software version than the stream needs.
             progress.has_token = True
             progress.refused.append(result.replica_id)
-            await self._end_in_flight(result)
 
     def _check_verdict(
         self, request: ClientRequest, progress: RequestProgress, result: PlacementResult
--- a/src/cloverwalk/gateway/resumption_gate.py
+++ b/src/cloverwalk/gateway/resumption_gate.py
@@ -20,6 +20,9 @@
 from cloverwalk.telemetry.log import ServingLog
 from cloverwalk.telemetry.metrics import ServingMetrics
 
+MAX_REFUSALS_PER_REPLICA = 2
+"""How often a replica may refuse to resume a stream or be unreachable."""
+
 EXPIRY_MARGIN_S = 1.0
 """How long a record is kept after its client's deadline, for the transit of its last request."""
 
@@ -135,6 +138,14 @@
         progress.service = replica.service
         return replica
 
+    def is_futile(self, progress: RequestProgress, replica: Replica) -> bool:
+        """Whether a replica is chosen that could not take the stream several times already.
+
+        It is only chosen again if no other replica of its version is left.
+        """
+        refusal_count = progress.refused.count(replica.replica_id)
+        return progress.is_resumption and refusal_count >= MAX_REFUSALS_PER_REPLICA
+
     def _find(self, progress: RequestProgress, replica_id: str) -> Replica | None:
         replica = self._directory.find(replica_id)
         if replica is not None or not progress.is_resumption:
--- a/src/cloverwalk/gateway/software_versions.py
+++ b/src/cloverwalk/gateway/software_versions.py
@@ -116,7 +116,8 @@
         self._listed[software] += 1
         if previous is not None:
             self._remove(previous)
-            self.on_change(replica)
+            if previous.is_known and software.is_known:
+                self.on_change(replica)
         if is_new and len(self._listed_versions(software.service)) > 1:
             self.on_second_version(software.service)
 
--- a/src/cloverwalk/scheduling/online.py
+++ b/src/cloverwalk/scheduling/online.py
@@ -326,7 +326,8 @@
         """
         if queued.request.quota_token is QuotaTokenUse.RETRY or queued.request.time_left_ms <= 0:
             return False
-        if not self._features.is_on(Feature.OVERLOAD_ORDER):
+        is_resumption = queued.request.is_resumption
+        if not is_resumption and not self._features.is_on(Feature.OVERLOAD_ORDER):
             return False
         start_ms, remaining_ms = (
             self._times.first_event_ms(queued.request.route),
