--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -58,6 +58,9 @@
 SOURCES = "tests/serving/test_configuration_sources.py::"
 SPREAD = "tests/serving/test_configuration_spread.py::"
 DRAINS = "tests/serving/test_zone_drains.py::"
+STREAMS = "tests/serving/test_stream_versions.py::"
+SOFTWARE = "tests/serving/test_software_versions.py::"
+VERSIONS = "tests/unit/test_software_versions.py::"
 OUTDATED = "tests/serving/test_outdated_configuration.py::"
 NAMES = "tests/unit/test_interface_names.py::test_interface_names_are_unchanged"
 SOAK = "tests/soak/test_soak_short.py::test_short_soak_has_no_violations"
@@ -1531,6 +1534,112 @@
         "",
         WARMUP_FLEET + "test_change_of_the_warmup_time_alone_reaches_all_nodes",
     ),
+    Mutant(
+        "versions: a resumption is placed at any replica",
+        "scheduling/replica_view.py",
+        "            return self._resumptions.replicas(request)\n",
+        "            return self._directory.usable(request.service)\n",
+        STREAMS + "test_coordinator_places_resumption_at_the_streams_version_only",
+    ),
+    Mutant(
+        "versions: an unknown stream is placed at any replica",
+        "gateway/software_versions.py",
+        "        if self._known_since is None or now - self._known_since < lifetime_s:\n"
+        "            return None\n",
+        "",
+        VERSIONS + "test_knowledge_of_another_node_extends_and_restricts_what_is_known",
+    ),
+    Mutant(
+        "versions: a version that has just gone does not count",
+        "gateway/software_versions.py",
+        "            if software.service == service and now - unlisted_at < lifetime_s",
+        "            if False",
+        VERSIONS + "test_single_version_is_known_only_after_a_stream_lifetime",
+    ),
+    Mutant(
+        "versions: records are not sent to other nodes",
+        "gateway/resumption_gate.py",
+        "        self._sharing.share(record, stream_lifetime_s(progress.route.timeout_s))\n",
+        "",
+        SOFTWARE + "test_stream_resumed_at_another_node_stays_at_its_software_version",
+    ),
+    Mutant(
+        "versions: the record of a stream takes the later of two versions",
+        "gateway/stream_versions.py",
+        '            kept.software = Software(kept.software.service, "")',
+        "            kept.software = record.software",
+        VERSIONS + "test_record_never_changes_to_another_version",
+    ),
+    Mutant(
+        "versions: the coordinator does not pass queries on",
+        "fleet/stream_version_sync.py",
+        "        if unknown and not query.reply_to and self._coordinator.is_active:",
+        "        if False:",
+        STREAMS + "test_record_that_reached_no_keeper_is_found_at_the_streams_node",
+    ),
+    Mutant(
+        "versions: records of streams from before a second version are not sent",
+        "fleet/stream_version_sync.py",
+        "        versions.on_second_version = self.share_service\n",
+        "",
+        STREAMS + "test_records_are_shared_only_while_several_versions_serve",
+    ),
+    Mutant(
+        "versions: a restarted fleet takes the only version for that of all streams",
+        "fleet/version_history_store.py",
+        "        self._versions.merge(VersionHistory(RETENTION_S, unlisted_s))",
+        "        self._versions.merge(VersionHistory(RETENTION_S, {}))",
+        SOFTWARE + "test_restarted_fleet_knows_whether_another_version_served_before",
+    ),
+    Mutant(
+        "versions: a draining replica takes no resumption",
+        "gateway/draining_replicas.py",
+        "        return self._clock() - since < self._resumption_s",
+        "        return False",
+        SOFTWARE + "test_stream_goes_on_at_replica_that_has_just_begun_to_drain",
+    ),
+    Mutant(
+        "versions: a resumption may be told to retry later",
+        "scheduling/online.py",
+        "        may_retry_later = not is_retry and not request.is_resumption",
+        "        may_retry_later = not is_retry",
+        SCHEDULER + "test_resumption_waits_for_a_replica_of_its_version_under_overload",
+    ),
+    Mutant(
+        "versions: a queued resumption blocks others",
+        "scheduling/queued_requests.py",
+        "        return not self.waits_for_memory and not self.request.is_resumption",
+        "        return not self.waits_for_memory",
+        SCHEDULER + "test_queued_resumption_does_not_block_other_requests",
+    ),
+    Mutant(
+        "versions: items with output get any slot",
+        "scheduling/batch.py",
+        "        if not group.software_version:",
+        "        if True:",
+        SCHEDULER + "test_items_with_output_get_slots_of_their_version_only",
+    ),
+    Mutant(
+        "versions: an item goes on at any version",
+        "jobs/run.py",
+        "(self.software.is_known and self.software == software)",
+        "True",
+        SOFTWARE + "test_output_of_item_is_of_one_software_version",
+    ),
+    Mutant(
+        "versions: output after a restart is saved in the same series",
+        "jobs/records.py",
+        "    return restarts * RESTART_STRIDE + epoch",
+        "    return epoch",
+        VERSIONS + "test_outputs_before_and_after_a_restart_are_never_joined",
+    ),
+    Mutant(
+        "versions: a restart under the same id leaves records as they are",
+        "gateway/stream_versions.py",
+        "            and record.software != software\n",
+        "            and False\n",
+        STREAMS + "test_contradicted_record_is_unknown_at_all_keepers",
+    ),
     Mutant(
         "builds: fields of a message are swapped",
         "fleet/messages.py",
--- a/tests/serving/test_scheduler.py
+++ b/tests/serving/test_scheduler.py
@@ -3,6 +3,7 @@
 from random import Random
 
 import attrs
+import msgspec
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
@@ -473,3 +474,68 @@
     chosen = [fleet.nodes[0].placements[number].replica_id for number in numbers]
     assert all(int(replica_id[1:]) % 2 == 1 for replica_id in chosen)
     assert len(set(chosen)) > 45
+
+
+def set_software_versions(fleet: Fleet, versions: list[str]) -> None:
+    for number, version in enumerate(versions):
+        entry = fleet.directory.find(f"r{number}")
+        assert entry is not None
+        fleet.directory.put(msgspec.structs.replace(entry, version=2, software_version=version))
+
+
+def resume(fleet: Fleet, node: int, version: str, **more: object) -> int:
+    needed = {"is_resumption": True, "software_version": version}
+    return fleet.request_placement(node, "chat", **needed, **more)
+
+
+# Guards against a resumption that is refused with a time to retry after because of the load.
+def test_resumption_waits_for_a_replica_of_its_version_under_overload() -> None:
+    fleet = Fleet(replicas=2)
+    set_software_versions(fleet, ["v1", "v2"])
+    for _ in range(2 * SLOTS):
+        fleet.request_placement(0)
+    number = resume(fleet, 1, "v1", objective_left_ms=SHORT_OBJECTIVE_MS)
+    assert fleet.verdict(1, number) is PlacementVerdict.QUEUE
+    fleet.nodes[0].online["r1"] -= 1
+    fleet.report_state(0)
+    assert fleet.verdict(1, number) is PlacementVerdict.QUEUE
+    fleet.nodes[0].online["r0"] -= 1
+    fleet.report_state(0)
+    placement = fleet.nodes[1].placements[number]
+    assert (placement.verdict, placement.replica_id) == (PlacementVerdict.SEND, "r0")
+
+
+# Guards against requests that wait behind a resumption whose version has no free slot.
+def test_queued_resumption_does_not_block_other_requests() -> None:
+    fleet = Fleet(replicas=2)
+    set_software_versions(fleet, ["v1", "v2"])
+    for _ in range(2 * SLOTS):
+        fleet.request_placement(0)
+    resume(fleet, 1, "v1", objective_left_ms=SHORT_OBJECTIVE_MS)
+    other = fleet.request_placement(2, deadline_ms=3000, objective_left_ms=SHORT_OBJECTIVE_MS)
+    fleet.nodes[0].online["r1"] -= 1
+    fleet.report_state(0)
+    assert fleet.verdict(2, other) is PlacementVerdict.SEND
+
+
+# Guards against a resumption that waits until its deadline for a version that is gone or full.
+@pytest.mark.parametrize("versions", [["v2", "v2"], ["v1", "v2"]])
+def test_hopeless_resumption_is_refused_at_once(versions: list[str]) -> None:
+    fleet = Fleet(replicas=2)
+    set_software_versions(fleet, versions)
+    for _ in range(10 * SLOTS):
+        fleet.request_placement(0, must_place=True)
+    number = resume(fleet, 1, "v1", time_left_ms=1)
+    placement = fleet.nodes[1].placements[number]
+    assert placement.verdict in (PlacementVerdict.NO_REPLICA, PlacementVerdict.RETRY_LATER)
+    assert placement.retry_after_s == 0
+
+
+# Guards against slots of another version for items with output.
+def test_items_with_output_get_slots_of_their_version_only() -> None:
+    fleet = Fleet(replicas=2)
+    set_software_versions(fleet, ["v1", "v2"])
+    pinned = WaitingGroup(1, 2 * SLOTS, service="model", software_version="v2")
+    fleet.nodes[0].waiting = [pinned, WaitingGroup(2, 3)]
+    fleet.report_state(0)
+    assert fleet.nodes[0].batch == {"r0": 3, "r1": SLOTS}
--- a/tests/serving/test_stream_versions.py
+++ b/tests/serving/test_stream_versions.py
@@ -114,15 +114,30 @@
     in_mixed_fleet(survives, lost)
 
 
+# Guards against a stream that its living node knows and the coordinator does not find.
+def test_record_that_reached_no_keeper_is_found_at_the_streams_node() -> None:
+    async def test(world: MixedFleet) -> None:
+        others = [node for node in world.nodes if node.leader.standby_rank is None]
+        origin, asking = [node for node in others if node is not world.coordinator][:2]
+        world.wire.dropped_kinds.add(StreamVersions)
+        world.begin_stream(origin, "s1")
+        await world.deliver()
+        world.wire.dropped_kinds.clear()
+        assert world.coordinator.streams.find("s1") is None
+        assert await world.ask(asking, "s1") == Software("model", "v1")
+
+    in_mixed_fleet(test)
+
+
 # Guards against a coordinator that places a stream by load alone.
 def test_coordinator_places_resumption_at_the_streams_version_only() -> None:
     async def test(world: MixedFleet) -> None:
         for number, version in enumerate(("v1", "v2")):
             world.begin_stream(world.nodes[number], f"s{version}", version)
         await world.deliver()
-        for number in range(12):
-            for version in ("v1", "v2"):
-                request = resumption(f"s{version}", 100 + 2 * number + (version == "v2"))
+        for version in ("v1", "v2"):
+            for number in range(12):
+                request = resumption(f"s{version}", 100 + 20 * (version == "v2") + number)
                 placement = await world.place(world.coordinator, request)
                 assert placement.verdict is PlacementVerdict.SEND
                 assert placement.software_version == version
