--- a/src/cloverwalk/gateway/resumption_gate.py
+++ b/src/cloverwalk/gateway/resumption_gate.py
@@ -87,7 +87,7 @@
 
     def _needed_software(self, progress: RequestProgress) -> Software | None:
         """Return the software that began the stream, None if this node does not know it."""
-        if self._streams.is_contradicted(progress.stream):
+        if self._streams.is_version_unknown(progress.stream):
             return None
         return progress.software or self._streams.find(progress.stream)
 
@@ -102,7 +102,7 @@
         """Ask other nodes for the software that began a stream; raise if none knows it."""
         if not progress.has_asked_for_software:
             progress.has_asked_for_software = True
-            if not self._streams.is_contradicted(progress.stream):
+            if not self._streams.is_version_unknown(progress.stream):
                 progress.software = await self._sharing.ask(progress.stream)
         if self._needed_software(progress) is None:
             raise self._refusal(request, progress, refusals.unknown_software_version())
--- a/src/cloverwalk/gateway/stream_versions.py
+++ b/src/cloverwalk/gateway/stream_versions.py
@@ -56,7 +56,7 @@
     >>> table.find("r1")
     Software(service='s', version='v1')
     >>> _ = table.record(StreamVersion("r1", Software("s", "v2"), expires_at=5.0))
-    >>> table.find("r1") is None, table.is_contradicted("r1")
+    >>> table.find("r1") is None, table.is_version_unknown("r1")
     (True, True)
     """
 
@@ -99,7 +99,7 @@
         record = self._find_record(stream)
         return None if record is None or not record.software.is_known else record.software
 
-    def is_contradicted(self, stream: str) -> bool:
+    def is_version_unknown(self, stream: str) -> bool:
         """Whether there is a record of a stream, and it does not tell the version."""
         record = self._find_record(stream)
         return record is not None and not record.software.is_known
@@ -120,7 +120,7 @@
             and service in (None, record.software.service)
         ]
 
-    def contradict(self, replica: Replica, opened_since: float) -> list[StreamVersion]:
+    def mark_unknown(self, replica: Replica, opened_since: float) -> list[StreamVersion]:
         """Make the version unknown of streams that a replica's new incarnation may have begun.
 
         These are the ones over connections opened since ``opened_since``, unless its software is
--- a/src/cloverwalk/scheduling/resumptions.py
+++ b/src/cloverwalk/scheduling/resumptions.py
@@ -63,7 +63,7 @@
         if request.software_version:
             return request
         software = self._streams.find(request.stream)
-        if software is None and not self._streams.is_contradicted(request.stream):
+        if software is None and not self._streams.is_version_unknown(request.stream):
             software = self._only_software(request)
         if software is None:
             return None
--- a/src/cloverwalk/serving/node.py
+++ b/src/cloverwalk/serving/node.py
@@ -247,7 +247,7 @@
 
     def _create_resumption_gate(self) -> ResumptionGate:
         self._fleet_state.software_versions.on_change = self._on_software_change
-        self._restart_handler.on_restart = self._contradict_streams
+        self._restart_handler.on_restart = self._mark_streams_unknown
         return ResumptionGate(
             self._directory,
             self._fleet_state.draining_replicas,
@@ -259,11 +259,11 @@
         )
 
     def _on_software_change(self, replica: Replica) -> None:
-        self._contradict_streams(replica, self._directory.confirmed_at)
+        self._mark_streams_unknown(replica, self._directory.confirmed_at)
 
-    def _contradict_streams(self, replica: Replica, opened_before: float) -> None:
+    def _mark_streams_unknown(self, replica: Replica, opened_before: float) -> None:
         """Record that a replica's new incarnation may have begun recent streams."""
-        records = self._fleet_state.stream_versions.contradict(replica, opened_before)
+        records = self._fleet_state.stream_versions.mark_unknown(replica, opened_before)
         self._fleet.stream_version_sync.share_changed(records)
 
     def _create_resource_monitor(self, max_connections: int) -> ResourceMonitor | None:
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -1638,7 +1638,7 @@
         "gateway/stream_versions.py",
         "            and record.software != software\n",
         "            and False\n",
-        STREAMS + "test_contradicted_record_is_unknown_at_all_keepers",
+        STREAMS + "test_record_that_became_unknown_is_unknown_at_all_keepers",
     ),
     Mutant(
         "builds: fields of a message are swapped",
--- a/tests/serving/test_stream_versions.py
+++ b/tests/serving/test_stream_versions.py
@@ -160,13 +160,13 @@
 
 # Guards against a stream that goes on at a version which a lagging record names, after the replica
 # restarted under its id with other software.
-def test_contradicted_record_is_unknown_at_all_keepers() -> None:
+def test_record_that_became_unknown_is_unknown_at_all_keepers() -> None:
     async def test(world: MixedFleet) -> None:
         origin = next(node for node in world.nodes if node is not world.coordinator)
         world.begin_stream(origin, "s1")
         await world.deliver()
         restarted = listed(0, "v2", version=20)
-        changed = origin.streams.contradict(restarted, world.now)
+        changed = origin.streams.mark_unknown(restarted, world.now)
         assert [record.stream for record in changed] == ["s1"]
         origin.stream_sync.share_changed(changed)
         await world.deliver()
--- a/tests/unit/test_resumption_gate.py
+++ b/tests/unit/test_resumption_gate.py
@@ -150,7 +150,7 @@
     world.gate.check(progress, replica, NOW)
     world.put(0, **{"software_version": "v1", "version": 2, **change})
     world.gate.record_first_event(request, progress)
-    assert world.streams.find("s1") is None and world.streams.is_contradicted("s1")
+    assert world.streams.find("s1") is None and world.streams.is_version_unknown("s1")
     assert [record.software.version for record in world.others.shared] == [""]
 
 
--- a/tests/unit/test_software_versions.py
+++ b/tests/unit/test_software_versions.py
@@ -77,13 +77,13 @@
 
 
 # Guards against the loss of records of streams that the previous incarnation certainly began.
-def test_restart_contradicts_only_streams_over_later_connections() -> None:
+def test_restart_makes_unknown_only_streams_over_later_connections() -> None:
     time = Time()
     table = StreamVersionTable(time)
     for number, opened_at in enumerate((900.0, 999.0)):
         table.record(StreamVersion(f"s{number}", V1, time.now + 5.0, "r0", opened_at))
-    assert table.contradict(replica(0, "v1", 2), 950.0) == []
-    changed = table.contradict(replica(0, "v2", 2), 950.0)
+    assert table.mark_unknown(replica(0, "v1", 2), 950.0) == []
+    changed = table.mark_unknown(replica(0, "v2", 2), 950.0)
     assert [record.stream for record in changed] == ["s1"]
     assert table.find("s0") == V1
     assert table.find("s1") is None
