--- a/tests/serving/scripted_replica.py
+++ b/tests/serving/scripted_replica.py
@@ -229,7 +229,8 @@
         self.pool = ReplicaPool(self.codec, time.monotonic)
         self.directory = ReplicaDirectory()
         host, port = address
-        self.replica = Replica("i-0", "s", host, port, "z", 8, False, 1)
+        entry = Replica("i-0", "s", host, port, "z", 8, False, 1, software_version="v1")
+        self.replica = entry
         self.directory.put(self.replica)
         metrics = ServingMetrics()
         self.answers = AnswerRelay(self.codec, self.directory, metrics, time.monotonic)
