Records of streams go to a new coordinator for as long as they may be asked for

Cause: found on reading the change. Single records were sent while a service has, or shortly before had, several versions; all records together, after a change of the coordinator, only while several were listed. In the minute after a version had gone, a new coordinator lacked the records, and with the loss of the node that began a stream nobody could resume it. Change: one condition for both; the count of listed versions is dropped. Two events of the log catalogue stand in their order, and one comment is wrapped. Measured: the new test passes, and fails with the condition before (mutant noticed).

--- a/src/cloverwalk/core/catalogue.py
+++ b/src/cloverwalk/core/catalogue.py
@@ -206,16 +206,16 @@
 CONTAINMENT_ENDED = _event(
     319, "containment_ended", _I, "A contained request was answered, or its crash record expired."
 )
-VERSION_HISTORY_INVALID = _event(
-    322, "version_history_invalid", _W, "The stored list of software versions is invalid."
-)
+CASE_INVALID = _event(320, "case_invalid", _W, "A stored crash record is invalid.")
 STREAM_NOT_RESUMED = _event(
     321,
     "stream_not_resumed",
     _W,
     "A stream did not go on: its software version is unknown or has no replica that can take it.",
 )
-CASE_INVALID = _event(320, "case_invalid", _W, "A stored crash record is invalid.")
+VERSION_HISTORY_INVALID = _event(
+    322, "version_history_invalid", _W, "The stored list of software versions is invalid."
+)
 READERS_GIVEN_UP = _event(
     340,
     "readers_given_up",
@@ -247,13 +247,13 @@
 )
 ITEM_STARTED = _event(420, "item_started", _I, "An item was sent to a replica.")
 ITEM_RUN_ENDED = _event(421, "item_run_ended", _I, "A run of an item ended or was preempted.")
+ITEM_LISTED = _event(422, "item_listed", _I, "The result of an item was listed at its position.")
 ITEM_RESTARTED = _event(
     423,
     "item_restarted",
     _I,
     "The output of an item was dropped, as it can't go on at its software version.",
 )
-ITEM_LISTED = _event(422, "item_listed", _I, "The result of an item was listed at its position.")
 REPLICA_PACE_CHANGED = _event(
     330,
     "replica_pace_changed",
--- a/src/cloverwalk/fleet/stream_version_sync.py
+++ b/src/cloverwalk/fleet/stream_version_sync.py
@@ -73,9 +73,13 @@
 
     def share(self, record: StreamVersion, lifetime_s: float) -> None:
         """Send a record to the nodes that keep it, unless all nodes know the version anyway."""
-        if self._versions.single(record.software.service, lifetime_s) is None:
+        if self._may_be_asked_for(record.software.service, lifetime_s):
             self._send(self._holders(), [record])
 
+    def _may_be_asked_for(self, service: str, lifetime_s: float) -> bool:
+        """Whether nodes need the records of a service's streams to know their versions."""
+        return self._versions.single(service, lifetime_s) is None
+
     def share_service(self, service: str) -> None:
         """Send the records of a service's streams that began here."""
         self._send(self._holders(), self._streams.local_records(service))
@@ -84,7 +88,7 @@
         """Send the records of all streams that began here, as other nodes keep them now."""
         services = {record.software.service for record in self._streams.local_records()}
         for service in sorted(services):
-            if self._versions.count(service) > 1:
+            if self._may_be_asked_for(service, MIN_STREAM_LIFETIME_S):
                 self.share_service(service)
 
     def share_changed(self, records: list[StreamVersion]) -> None:
--- a/src/cloverwalk/gateway/crash_detector.py
+++ b/src/cloverwalk/gateway/crash_detector.py
@@ -28,9 +28,8 @@
 
 PROBE_DELAYS_S = (0.0, 0.03, 0.07)
 """Delays before the probes of an address: a process may close its connections a moment before its
-port. They end well before the replica's next incarnation listens there, which takes seconds (2 on
-the users' platform). Later failures get probes
-of their own, so that they are not blamed for an end that follows by chance."""
+port. They end well before the replica's next incarnation listens there, which takes seconds. Later
+failures get probes of their own, so that they are not blamed for an end that follows by chance."""
 
 DELIVERY_THRESHOLD_S = 0.02
 """A reused connection to an ended replica fails one round trip after the next request is sent, 1 to
--- a/src/cloverwalk/gateway/software_versions.py
+++ b/src/cloverwalk/gateway/software_versions.py
@@ -147,10 +147,6 @@
         """The versions of listed replicas."""
         return frozenset(self._listed)
 
-    def count(self, service: str) -> int:
-        """Return the number of listed versions of a service."""
-        return len(self._listed_versions(service))
-
     def single(self, service: str, lifetime_s: float) -> str | None:
         """Return the only version that a service has had for ``lifetime_s``.
 
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -1584,6 +1584,13 @@
         "",
         STREAMS + "test_records_are_shared_only_while_several_versions_serve",
     ),
+    Mutant(
+        "versions: a new coordinator gets records only while two versions are listed",
+        "fleet/stream_version_sync.py",
+        "            if self._may_be_asked_for(service, MIN_STREAM_LIFETIME_S):",
+        "            if len({s for s in self._versions.listed if s.service == service}) > 1:",
+        STREAMS + "test_records_reach_a_new_coordinator_shortly_after_a_version_has_gone",
+    ),
     Mutant(
         "versions: a restarted fleet takes the only version for that of all streams",
         "fleet/version_history_store.py",
--- a/tests/serving/test_stream_versions.py
+++ b/tests/serving/test_stream_versions.py
@@ -201,6 +201,24 @@
     curio.run(main)
 
 
+# Guards against a new coordinator that lacks records while the last streams of a version may go on.
+def test_records_reach_a_new_coordinator_shortly_after_a_version_has_gone() -> None:
+    async def test(world: MixedFleet) -> None:
+        coordinator = world.coordinator
+        origin = next(node for node in world.nodes if node is not coordinator)
+        world.begin_stream(origin, "s1", "v2")
+        for node in world.nodes:
+            for replica_id in ("r0", "r2"):
+                node.directory.remove(replica_id, 30)
+        world.wire.in_transit.clear()
+        assert coordinator.streams.find("s1") is None
+        origin.stream_sync.share_all()
+        await world.deliver()
+        assert coordinator.streams.find("s1") == Software("model", "v2")
+
+    in_mixed_fleet(test)
+
+
 # Guards against refusals by processes that have just started in a fleet of one version.
 def test_started_process_learns_for_how_long_a_version_was_the_only_one() -> None:
     async def main() -> None:
