A stream goes on at its service while its request's route was moved elsewhere

What callers saw: none reported; found on reading the change. Cause: the coordinator compared the stream's service with the route of its own, newer configuration. Which services a request may use is decided by the route that it arrived on, which its node knows. Change: the node compares, and ends at once a resumption whose service its route lacks; the coordinator places by service and version only. Measured: two tests that failed on the code before pass (39 in their modules).

--- a/src/cloverwalk/gateway/resumption_gate.py
+++ b/src/cloverwalk/gateway/resumption_gate.py
@@ -139,12 +139,16 @@
         return replica
 
     def is_futile(self, progress: RequestProgress, replica: Replica) -> bool:
-        """Whether a replica is chosen that could not take the stream several times already.
+        """Whether a replica is chosen that can't take the stream.
 
-        It is only chosen again if no other replica of its version is left.
+        Its service is not one of the request's route, or it could not take the stream several times
+        already; then it is only chosen again if no other replica of its version is left.
         """
+        if not progress.is_resumption:
+            return False
         refusal_count = progress.refused.count(replica.replica_id)
-        return progress.is_resumption and refusal_count >= MAX_REFUSALS_PER_REPLICA
+        is_in_route = replica.service in progress.route.services
+        return not is_in_route or refusal_count >= MAX_REFUSALS_PER_REPLICA
 
     def _find(self, progress: RequestProgress, replica_id: str) -> Replica | None:
         replica = self._directory.find(replica_id)
--- a/src/cloverwalk/scheduling/resumptions.py
+++ b/src/cloverwalk/scheduling/resumptions.py
@@ -6,7 +6,7 @@
 
 from cloverwalk.core.clock import monotonic_s
 from cloverwalk.fleet.messages import PlacementRequest
-from cloverwalk.gateway.configuration import ConfigurationHolder, Route
+from cloverwalk.gateway.configuration import ConfigurationHolder
 from cloverwalk.gateway.draining_replicas import DrainingReplicas
 from cloverwalk.gateway.replicas import Replica, ReplicaDirectory
 from cloverwalk.gateway.software_versions import (
@@ -75,23 +75,17 @@
         """Return the software of the service, if all streams of it began there."""
         if self._clock() - self._directory.confirmed_at > MAX_LIST_AGE_S:
             return None
-        route = self._route(request.route)
+        current = self._configuration.current
+        route = None if current is None else current.index.first_named(request.route)
         lifetime_s = stream_lifetime_s(None if route is None else route.timeout_s)
         version = self._versions.single(request.service, lifetime_s)
         return None if version is None else Software(request.service, version)
 
-    def _route(self, name: str) -> Route | None:
-        current = self._configuration.current
-        return None if current is None else current.index.first_named(name)
-
     def replicas(self, request: PlacementRequest) -> list[Replica]:
         """Return the replicas at which a resolved resumption may go on.
 
         Draining ones are returned only if no other has the version.
         """
-        route = self._route(request.route)
-        if route is not None and request.service not in route.services:
-            return []
         software = Software(request.service, request.software_version)
         ready = [
             replica
--- a/tests/serving/test_scheduler.py
+++ b/tests/serving/test_scheduler.py
@@ -114,7 +114,7 @@
             self.directory.put(
                 Replica(f"r{number}", "model", "h", number, zone, SLOTS, False, version=1)
             )
-        holder = ConfigurationHolder()
+        holder = self.configuration = ConfigurationHolder()
         routes = (online_route("chat"), online_route("patient", priority=1))
         holder.update_if_newer(Configuration(1, routes, {}, ClientLimits(), tenants or None))
         self.scheduler = Scheduler(
@@ -531,6 +531,16 @@
     assert placement.retry_after_s == 0
 
 
+# Guards against the end of a stream whose route was moved to another service while it was served.
+def test_stream_of_a_moved_route_goes_on_at_its_service() -> None:
+    fleet = Fleet(replicas=2)
+    set_software_versions(fleet, ["v1", "v2"])
+    moved = msgspec.structs.replace(online_route("chat"), parts=(RoutePart("other", 1.0),))
+    fleet.configuration.update_if_newer(Configuration(2, (moved,), {}, ClientLimits()))
+    number = resume(fleet, 1, "v1")
+    assert fleet.nodes[1].placements[number].replica_id == "r0"
+
+
 # Guards against slots of another version for items with output.
 def test_items_with_output_get_slots_of_their_version_only() -> None:
     fleet = Fleet(replicas=2)
--- a/tests/unit/test_resumption_gate.py
+++ b/tests/unit/test_resumption_gate.py
@@ -166,6 +166,20 @@
     assert [(record.stream, record.software) for record in world.others.shared] == 2 * [("s1", V1)]
 
 
+# Guards against a stream that goes on at a service which its client's request may not use, and
+# against the end of one whose route was moved while it was served.
+@pytest.mark.parametrize(("service", "is_futile"), [("model", False), ("moved", True)])
+def test_stream_goes_on_only_at_a_service_of_its_requests_route(
+    service: str, is_futile: bool
+) -> None:
+    world = World(["v1"])
+    entry = world.put(0, "v1", 2, service=service)
+    world.streams.record(StreamVersion("s1", Software(service, "v1"), NOW + 5.0))
+    _, progress = world.begin("a2", "s1", 4)
+    assert world.gate.find(progress, send_to("r0", "v1")) == entry
+    assert world.gate.is_futile(progress, entry) == is_futile
+
+
 # Guards against connection timeouts one after the other at the last replica of a version.
 def test_replica_that_refused_a_resumption_repeatedly_is_not_asked_again() -> None:
     world = World(["v1", "v2"])
