Failing tests: requests that share a crashing part of their prompts

The tests run three nodes and six replicas that crash when they begin to answer such a request; one of them with answers that end with their connection, so that a crash looks like the end of a whole answer. The emulated replica learns both.

--- a/src/cloverwalk/emulator/platform_replica.py
+++ b/src/cloverwalk/emulator/platform_replica.py
@@ -8,7 +8,7 @@
 import struct
 from collections import deque
 from collections.abc import Callable
-from typing import Any
+from typing import Any, Protocol
 
 import curio
 import h11
@@ -50,6 +50,9 @@
         self.shows_software_version = False
         """Whether the data of its events end with the version of its software."""
 
+        self.ends_answers_by_closing = False
+        """Whether its streams have neither a length nor chunks and end with the connection."""
+
         self.event_padding = 0
         """Characters added to the data of each event."""
 
@@ -271,7 +274,8 @@
         await self._stream(client, http, arrival, signed_headers, misdeed)
         if misdeed is Misdeed.SECOND_ANSWER:
             await client.sendall(_foreign_answer())
-        return misdeed not in (Misdeed.CUT, Misdeed.RESET_MIDWAY)
+        is_cut = misdeed in (Misdeed.CUT, Misdeed.RESET_MIDWAY)
+        return not is_cut and not self.ends_answers_by_closing
 
     async def _stream(
         self,
@@ -281,9 +285,10 @@
         headers: list[tuple[bytes, bytes]],
         misdeed: Misdeed | None,
     ) -> None:
-        content_type = (b"Content-Type", b"text/event-stream")
-        head = h11.Response(status_code=200, headers=[*headers, content_type])
-        await client.sendall(http.send(head) or b"")
+        writer = self._begin_stream(http, headers, misdeed)
+        await client.sendall(writer.head)
+        if misdeed is Misdeed.BEGIN_SILENTLY:
+            await curio.sleep(3600)
         last = arrival.headers.get(names.LAST_EVENT_ID.decode().lower())
         first = 1 if last is None else int(last) + 1
         events = (
@@ -303,12 +308,25 @@
                 return
             if misdeed is Misdeed.CUT and number > events // 2:
                 self._record_end(arrival, RunEnd.CUT)
-                await client.sendall(http.send(h11.Data(data=text[: len(text) // 2])) or b"")
+                await client.sendall(writer.encode(text[: len(text) // 2]))
                 return
-            await client.sendall(http.send(h11.Data(data=text)) or b"")
+            await client.sendall(writer.encode(text))
+            if misdeed is Misdeed.BEGIN_CLOSED:
+                await curio.sleep(3600)
         arrival.is_finished = True
         self._record_end(arrival, RunEnd.FINISHED)
-        await client.sendall(http.send(h11.EndOfMessage()) or b"")
+        await client.sendall(writer.encode_end())
+
+    def _begin_stream(
+        self,
+        http: h11.Connection,
+        headers: list[tuple[bytes, bytes]],
+        misdeed: Misdeed | None,
+    ) -> "_StreamWriter":
+        headers = [*headers, (b"Content-Type", b"text/event-stream")]
+        if self.ends_answers_by_closing or misdeed is Misdeed.BEGIN_CLOSED:
+            return _ClosingWriter(headers)
+        return _ChunkedWriter(http, headers)
 
     def _event(self, arrival: Arrival, number: int) -> bytes:
         """Return an event; its data includes the run number if there is an observer."""
@@ -349,6 +367,48 @@
         }
 
 
+class _StreamWriter(Protocol):
+    """Encodes an event stream."""
+
+    head: bytes
+
+    def encode(self, text: bytes) -> bytes:
+        """Return the bytes that carry a part of the stream."""
+        ...
+
+    def encode_end(self) -> bytes:
+        """Return the bytes that end the stream."""
+        ...
+
+
+class _ChunkedWriter:
+    """Encodes a stream in chunks."""
+
+    def __init__(self, http: h11.Connection, headers: list[tuple[bytes, bytes]]) -> None:
+        self._http = http
+        self.head = http.send(h11.Response(status_code=200, headers=headers)) or b""
+
+    def encode(self, text: bytes) -> bytes:
+        return self._http.send(h11.Data(data=text)) or b""
+
+    def encode_end(self) -> bytes:
+        return self._http.send(h11.EndOfMessage()) or b""
+
+
+class _ClosingWriter:
+    """Encodes a stream that ends with its connection; h11 would send it in chunks."""
+
+    def __init__(self, headers: list[tuple[bytes, bytes]]) -> None:
+        lines = [b"%s: %s" % header for header in [*headers, (b"Connection", b"close")]]
+        self.head = b"\r\n".join([b"HTTP/1.1 200 OK", *lines, b"", b""])
+
+    def encode(self, text: bytes) -> bytes:
+        return text
+
+    def encode_end(self) -> bytes:
+        return b""
+
+
 def _reset_at_close(client: Any) -> None:
     """Make a later close of a connection send a reset instead of a normal end."""
     client._socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
--- a/src/cloverwalk/emulator/replica_runs.py
+++ b/src/cloverwalk/emulator/replica_runs.py
@@ -27,6 +27,8 @@
     RESET_MIDWAY = "reset the connection after half of the events"
     UNSIGNED = "answer without a signature"
     STUTTER = "pause between events"
+    BEGIN_SILENTLY = "begin the answer and send no event"
+    BEGIN_CLOSED = "begin an answer that ends with its connection, send one event and no more"
 
 
 class RunEnd(enum.Enum):
--- /dev/null
+++ b/tests/serving/test_crashing_parts.py
@@ -0,0 +1,241 @@
+"""A part of a prompt that crashes each replica which begins to answer it reaches few replicas.
+
+Guards against requests that share the part and nothing else, which containment by the content of
+whole requests does not recognize. Verified by what replicas received and clients got.
+"""
+
+from random import Random
+from typing import Any
+
+import curio
+import pytest
+from fleet_world import Answer, FleetWorld, free_port, in_world
+
+from cloverwalk.core.clock import monotonic_s
+from cloverwalk.emulator.platform_replica import PlatformReplica
+from cloverwalk.emulator.replica_runs import Arrival, Misdeed
+from cloverwalk.platform import names
+
+GUILTY = "bad0"
+FIRST = "f000"
+TOPICS = [f"70{number:02x}" for number in range(6)]
+ALLOWED_CRASHES = 5
+SYNC_TIMEOUT_S = 3.0
+"""Once this time has passed after the fifth crash, at most ``MAX_LATE_REQUESTS`` may be sent."""
+
+MAX_LATE_REQUESTS = 3
+MIN_SERVED_SHARE = 0.95
+OBSERVED_S = 2.0
+"""Duration of the observation after that."""
+
+RESTART_DELAY_S = 1.0
+CRASH_DELAY_S = 0.03
+"""Time from the begin of an answer to the crash; further requests arrive meanwhile."""
+
+MEAN_GUILTY_INTERVAL_S = 0.1
+MEAN_SOUND_INTERVAL_S = 0.04
+MAX_FIRST_CRASHES_S = 4.0
+"""Fewer than ``ALLOWED_CRASHES`` crashes in this time are the last ones."""
+
+MAX_CRASHES = 9
+POLL_INTERVAL_S = 0.002
+
+
+class PartWorld:
+    """Replicas that crash when they begin to answer a request with the guilty part."""
+
+    def __init__(self, world: FleetWorld, seed: int) -> None:
+        self.world = world
+        self.random = Random(seed)
+        self.crashed_at: list[float] = []
+        self.guilty_arrived_at: list[float] = []
+        self.sound_answers: list[tuple[float, Answer]] = []
+        """Answers with the times at which their requests were sent."""
+
+        self.guilty_answers: list[tuple[float, Answer]] = []
+        self.closes_answers = False
+        """Whether answers have neither a length nor chunks; a crash then looks like their end."""
+
+        self.sound_software = ""
+        """Software version of replicas that the part does not crash; empty if there are none."""
+
+        self._crashing: list[tuple[float, PlatformReplica]] = []
+        """Replicas that crash, and when."""
+
+        self._tasks: dict[str, Any] = {}
+        self._count = 0
+
+    async def start(self, replicas: int = 6, nodes: int = 3, software: str = "v1") -> None:
+        """Start a fleet whose replicas have the software versions in ``software`` in turn."""
+        versions = software.split()
+        await self.world.start(replicas=0, nodes=0)
+        for number in range(replicas):
+            await self._add(None, versions[number % len(versions)])
+        await self.world.spawn(self._crash_marked)
+        await self.add_nodes(nodes)
+
+    async def add_nodes(self, count: int) -> None:
+        for _ in range(count):
+            await self.world.add_node()
+        await self.world.wait_until(
+            lambda: all(node.is_ready for node in self.world.nodes[-count:])
+        )
+
+    async def _add(self, address: tuple[str, int] | None, software: str) -> None:
+        self._count += 1
+        name = f"i-{self._count}"
+        replica = PlatformReplica(name, address or ("127.0.0.1", free_port()), event_s=0.02)
+        replica.software_version = software
+        replica.ends_answers_by_closing = self.closes_answers
+        replica.choose_misdeed = lambda arrival: self._choose_misdeed(replica, arrival)
+        task = await curio.spawn(replica.run, daemon=True)
+        self._tasks[name] = task
+        self.world.tasks.append(task)
+        self.world.store.put(names.REPLICA_TABLE, name, replica.document("model", "z1"))
+
+    def _choose_misdeed(self, replica: PlatformReplica, arrival: Arrival) -> Misdeed | None:
+        prompt = arrival.headers.get(names.PREFIX_HASH.decode().lower(), "")
+        part_ids = [part.partition(":")[0] for part in prompt.split(",")]
+        if GUILTY not in part_ids[:-1]:
+            return None
+        self.guilty_arrived_at.append(self.now)
+        if replica.software_version == self.sound_software:
+            return None
+        self._crashing.append((self.now + CRASH_DELAY_S, replica))
+        return Misdeed.BEGIN_CLOSED if self.closes_answers else Misdeed.BEGIN_SILENTLY
+
+    async def _crash_marked(self) -> None:
+        while True:
+            await curio.sleep(POLL_INTERVAL_S)
+            due = [replica for at, replica in self._crashing if at <= self.now]
+            self._crashing = [entry for entry in self._crashing if entry[0] > self.now]
+            for replica in due:
+                await self.crash(replica)
+
+    async def crash(self, replica: PlatformReplica) -> None:
+        """Crash a replica; another one replaces it after ``RESTART_DELAY_S``."""
+        task = self._tasks.pop(replica.replica_id, None)
+        if task is None:
+            return
+        self.crashed_at.append(self.now)
+        await task.cancel()
+        await replica.crash()
+        await self.world.spawn(self._replace_later, replica)
+
+    async def _replace_later(self, replica: PlatformReplica) -> None:
+        await curio.sleep(RESTART_DELAY_S)
+        self.world.store.remove(names.REPLICA_TABLE, replica.replica_id)
+        await self._add(replica.address, replica.software_version)
+
+    @property
+    def now(self) -> float:
+        return monotonic_s()
+
+    # --- clients ---
+
+    async def send(self, node: int, part_ids: list[str]) -> Answer:
+        """Send a request like no other one; its last part is its own."""
+        own_id = f"{self.random.getrandbits(32):08x}"
+        prompt = ",".join(f"{part_id}:40" for part_id in [*part_ids, own_id])
+        headers = [
+            (names.REQUEST_ID.decode(), self.world.new_id()),
+            (names.DEADLINE_MS.decode(), "1500"),
+            (names.PREFIX_HASH.decode(), prompt),
+        ]
+        return await self.world.call("POST", f"/chat/{own_id}", own_id.encode(), headers, node)
+
+    def guilty_parts(self) -> list[str]:
+        """Return the shared parts of a guilty request, among them those of sound ones."""
+        topic = self.random.choice(TOPICS)
+        return self.random.choice([[FIRST, GUILTY], [FIRST, GUILTY, topic], [FIRST, topic, GUILTY]])
+
+    async def send_guilty(self) -> None:
+        """Send guilty requests to random nodes until the end of the test."""
+        while True:
+            await curio.sleep(self.random.expovariate(1 / MEAN_GUILTY_INTERVAL_S))
+            await self.world.spawn(self._send_one, self.guilty_parts(), self.guilty_answers)
+
+    async def send_sound(self) -> None:
+        """Send sound requests to random nodes until the end of the test."""
+        while True:
+            await curio.sleep(self.random.expovariate(1 / MEAN_SOUND_INTERVAL_S))
+            parts = [FIRST, self.random.choice(TOPICS)]
+            await self.world.spawn(self._send_one, parts, self.sound_answers)
+
+    async def _send_one(self, part_ids: list[str], answers: list[tuple[float, Answer]]) -> None:
+        sent_at, node = self.now, self.random.choice(self.live_nodes)
+        try:
+            answers.append((sent_at, await self.send(node, part_ids)))
+        except OSError:
+            # The node was killed.
+            return
+
+    @property
+    def live_nodes(self) -> list[int]:
+        return [index for index, task in enumerate(self.world.node_tasks) if not task.terminated]
+
+    # --- results ---
+
+    @property
+    def synchronized_at(self) -> float:
+        """When at most ``MAX_LATE_REQUESTS`` more may be sent; inf before the fifth crash."""
+        if len(self.crashed_at) < ALLOWED_CRASHES:
+            return float("inf")
+        return self.crashed_at[ALLOWED_CRASHES - 1] + SYNC_TIMEOUT_S
+
+    def late_arrivals(self, since: float) -> int:
+        """Return how many guilty requests reached a replica since a time."""
+        return sum(at > since for at in self.guilty_arrived_at)
+
+    def served_share(self, since: float) -> float:
+        """Return the share of the sound requests sent since a time that were answered."""
+        answers = [answer for sent_at, answer in self.sound_answers if sent_at > since]
+        served = [answer for answer in answers if answer.status == 200 and answer.is_whole]
+        return len(served) / len(answers)
+
+    async def observe(self) -> float:
+        """Let clients send until ``OBSERVED_S`` after all nodes must know; return since when."""
+        await self.world.spawn(self.send_guilty)
+        await self.world.spawn(self.send_sound)
+        began_at = self.now
+        while self.now < began_at + MAX_FIRST_CRASHES_S + SYNC_TIMEOUT_S + OBSERVED_S:
+            await curio.sleep(0.05)
+            if self.now > self.synchronized_at + OBSERVED_S:
+                break
+        return min(self.synchronized_at, began_at + MAX_FIRST_CRASHES_S + SYNC_TIMEOUT_S)
+
+
+def play(seed: int, scenario: Any) -> None:
+    async def main(world: FleetWorld) -> None:
+        await scenario(PartWorld(world, seed))
+
+    in_world(main)
+
+
+@pytest.mark.parametrize("seed", range(2))
+def test_requests_that_share_a_crashing_part_reach_few_replicas(seed: int) -> None:
+    async def scenario(parts: PartWorld) -> None:
+        await parts.start()
+        since = await parts.observe()
+        assert parts.late_arrivals(since) <= MAX_LATE_REQUESTS
+        assert len(parts.crashed_at) <= MAX_CRASHES
+        assert parts.served_share(since) >= MIN_SERVED_SHARE
+        # Nothing was sent, and no caller is asked to retry.
+        answer = await parts.send(0, parts.guilty_parts())
+        assert answer.status == 503
+        assert "retry-after" not in answer.headers
+
+    play(seed, scenario)
+
+
+def test_crashed_answers_that_look_whole_clear_no_part() -> None:
+    """Answers end with their connection, and so does one whose replica crashes."""
+
+    async def scenario(parts: PartWorld) -> None:
+        parts.closes_answers = True
+        await parts.start()
+        since = await parts.observe()
+        assert parts.late_arrivals(since) <= MAX_LATE_REQUESTS
+        assert parts.served_share(since) >= MIN_SERVED_SHARE
+
+    play(3, scenario)
