Parts of prompts that crash replicas are contained, whatever else the requests hold

Cause: crash records were kept by the hash of a whole request. Of 128 contents at crashed replicas none had more than three crashes, and none came back, so each new request started its count at zero. Change: each part that requests can share has a crash record of its own, per software, beside that of the content. A part is blamed if each request with it has crashed its replica since it was last answered, three crashes at least, following each other, by two different requests, that no part explains which is blamed on more evidence; a part that was answered before needs more. A content whose crashes a blamed part explains is free again. Requests are checked once more after they have waited for a replica. Items follow the same records, and try a contained part one at a time. An answer that ends with its connection clears nothing until its replica is found to listen. The logs name the parts of requests at replicas that broke off, and the part that a refusal is for.

--- a/src/cloverwalk/fleet/coordinator_client.py
+++ b/src/cloverwalk/fleet/coordinator_client.py
@@ -29,7 +29,7 @@
     VersionHistoryCopy,
     WaitingByPool,
 )
-from cloverwalk.fleet.placement_client import PlacementClient, PlacementResult
+from cloverwalk.fleet.placement_client import PlacementClient, PlacementResult, always_wanted
 from cloverwalk.fleet.report_maker import ReportMaker
 from cloverwalk.fleet.transport import Sender
 from cloverwalk.gateway.configuration import ConfigurationHolder
@@ -323,9 +323,17 @@
 
     # --- placement of online requests ---
 
-    async def request_placement(self, request: PlacementRequest, until: float) -> PlacementResult:
-        """Return a replica for an online request, or why there is none, by ``until``."""
-        result = await self._placement_client.request_placement(request, until)
+    async def request_placement(
+        self,
+        request: PlacementRequest,
+        until: float,
+        may_send: Callable[[], bool] = always_wanted,
+    ) -> PlacementResult:
+        """Return a replica for an online request, or why there is none, by ``until``.
+
+        A request that waits is given up as contained once ``may_send`` returns False.
+        """
+        result = await self._placement_client.request_placement(request, until, may_send)
         self.on_placement()
         return result
 
--- a/src/cloverwalk/fleet/crash_record_store.py
+++ b/src/cloverwalk/fleet/crash_record_store.py
@@ -110,8 +110,12 @@
         now = self._store_clock.now()
         # If the store's time is unknown, the record counts as new and expires later than needed.
         elapsed_ms = 0 if now is None else max(0, round(now.earliest_ms - stored.store_ms))
-        ages = {key: age_ms + elapsed_ms for key, age_ms in record.crash_ages_ms.items()}
-        return CrashRecord(record.content_hash, ages)
+        return CrashRecord(
+            record.content_hash,
+            {key: age_ms + elapsed_ms for key, age_ms in record.crash_ages_ms.items()},
+            sent_ages_ms=[age_ms + elapsed_ms for age_ms in record.sent_ages_ms],
+            requests=record.requests,
+        )
 
     # --- writing ---
 
--- a/src/cloverwalk/fleet/placement_client.py
+++ b/src/cloverwalk/fleet/placement_client.py
@@ -86,6 +86,11 @@
         ...
 
 
+def always_wanted() -> bool:
+    """Return True, for requests that wait until they have a result."""
+    return True
+
+
 class PlacementClient:
     """Requests placements for the online requests of this node."""
 
@@ -100,11 +105,13 @@
         self._withdrawn: list[int] = []
         self._round_trip_s = INITIAL_ROUND_TRIP_S
 
-    async def request_placement(self, request: PlacementRequest, until: float) -> PlacementResult:
+    async def request_placement(
+        self, request: PlacementRequest, until: float, may_send: Callable[[], bool] = always_wanted
+    ) -> PlacementResult:
         """Return a replica for an online request, or why there is none, by ``until``.
 
         ``request`` gets its number here. A result with a replica is already counted as work in
-        flight.
+        flight. A queued request is given up as contained once ``may_send`` returns False.
         """
         started_at = self._clock()
         self._last_number += 1
@@ -114,6 +121,8 @@
             await self._send_request(request, pending)
             while pending.result is None:
                 await self._wait(pending, min(QUEUED_RETRY_INTERVAL_S, until - self._clock()))
+                if pending.result is None and not may_send():
+                    return PlacementResult(Placement(request.number, PlacementVerdict.CONTAINED))
                 if pending.result is None:
                     waited_ms = int((self._clock() - started_at) * 1000)
                     await self._send_request(
--- a/src/cloverwalk/gateway/answer_relay.py
+++ b/src/cloverwalk/gateway/answer_relay.py
@@ -158,6 +158,8 @@
             was_read = not raw_events or self._write_events(request, progress, raw_events, reply)
             progress.last_event_id = order.last
         progress.events += len(raw_events)
+        if raw_events and progress.delivery is not None and progress.delivery.begun_at is None:
+            progress.delivery.begun_at = self._clock()
         progress.was_client_slow |= not was_read
         return was_read
 
--- a/src/cloverwalk/gateway/crash_ledger.py
+++ b/src/cloverwalk/gateway/crash_ledger.py
@@ -6,16 +6,32 @@
 ``CONTAINMENT_THRESHOLD`` replicas ended without such an answer is contained. It is sent to no
 replica, except for occasional trials.
 
+Requests that crash replicas may have only a part of their prompts in common. So each part that
+requests can share has a record of its own; ``part_blame`` decides which of them are contained. See
+``crash_keys`` for the keys of both kinds.
+
 Nodes merge their records (``merge``). Crashes are a set of incarnations and an answer removes the
 earlier ones, so the order of the copies makes no difference, and repeated copies have no effect.
 """
 
 import enum
+from itertools import pairwise
 
 import attrs
+import msgspec
 import xxhash
 from msgspec import Struct
 
+from cloverwalk.gateway.crash_keys import (
+    KEY_CHARACTERS,
+    PART_PREFIX_CHARACTERS,
+    REQUEST_MARK_CHARACTERS,
+    RequestKeys,
+    is_part_key,
+    part_prefix,
+)
+from cloverwalk.gateway.part_blame import Blame, PartCrash, PartEvidence, find_blamed
+
 CONTAINMENT_THRESHOLD = 3
 """Number of ended replicas from which a request is contained. One may be chance, and two happen to
 requests that are retried at the same replica as the crashing one."""
@@ -41,18 +57,21 @@
 REPORTING_TIME_S = 2.5
 """How long this node reports its own observation: in two or three reports, one a second."""
 
+PART_ANSWER_TTL_S = 600.0
+"""How long answers are kept for parts: one that was answered needs more evidence to be blamed."""
+
 MAX_RECORDS = 4096
-MAX_SHARED_RECORDS = 200
+MAX_SHARED_RECORDS = 120
 """Bounds of memory and of the size of messages. The records with the fewest crashes are evicted
 first, the oldest among equals, so that a flood of records can't evict that of a contained request.
 """
 
+MAX_ANSWERS = 2 * MAX_RECORDS
 MAX_INCARNATIONS = 8
 """Incarnations that a record names, the last ones to end; bounded so that ``MAX_SHARED_RECORDS``
 records fit into a datagram of 60,000 bytes."""
 
-CONTENT_CHARACTERS = 20
-"""Length of a content hash, in hexadecimal digits."""
+NO_BLAME = Blame({}, frozenset())
 
 
 class Containment(enum.Enum):
@@ -68,12 +87,21 @@
     """A crash record as nodes send it and as the store keeps it. Times are ages in milliseconds."""
 
     content_hash: str
+    """Key of a content or part; see ``crash_keys``."""
+
     crash_ages_ms: dict[str, int]
     """By the incarnation of the replica that ended."""
 
     answered_age_ms: int | None = None
     """Age of the last whole answer; None if none is known."""
 
+    sent_ages_ms: list[int] = []
+    """For a part, in the order of ``crash_ages_ms``: age of the last request with it that was sent
+    to the replica."""
+
+    requests: list[str] = []
+    """For a part, in the same order: mark of that request; see ``part_blame.PartCrash``."""
+
     @property
     def newest_age_ms(self) -> int:
         """Age of the last crash, or of the answer if there is no crash."""
@@ -86,10 +114,10 @@
 
 @attrs.define
 class _LedgerEntry:
-    """The state of a request under which a replica has ended since its last whole answer."""
+    """The state of a content or part under which a replica has ended since its last answer."""
 
-    crashed_at: dict[str, float] = attrs.Factory(dict)
-    """When replicas ended under it, by incarnation."""
+    crashed: dict[str, PartCrash] = attrs.Factory(dict)
+    """The crashes, by incarnation."""
 
     trial_ends_at: float = float("-inf")
     seen_locally_at: float = float("-inf")
@@ -97,31 +125,44 @@
 
     @property
     def crashes(self) -> int:
-        return len(self.crashed_at)
+        return len(self.crashed)
 
     @property
     def last_crash_at(self) -> float:
-        return max(self.crashed_at.values(), default=float("-inf"))
+        return max((crash.at for crash in self.crashed.values()), default=float("-inf"))
 
-    @property
-    def is_contained(self) -> bool:
-        return self.crashes >= CONTAINMENT_THRESHOLD
+    def trial_due_at(self, is_certain: bool) -> float:
+        """Return when the next trial is due.
 
-    def trial_due_at(self) -> float:
-        index = min(self.crashes - CONTAINMENT_THRESHOLD, len(TRIAL_DELAYS_S) - 1)
+        It is later the more replicas have crashed. Without certainty only trials count, which are
+        the crashes long after the one before.
+        """
+        earlier_trials = self.crashes - CONTAINMENT_THRESHOLD if is_certain else self._late_crashes
+        index = min(max(0, earlier_trials), len(TRIAL_DELAYS_S) - 1)
         return self.last_crash_at + TRIAL_DELAYS_S[index]
 
+    @property
+    def _late_crashes(self) -> int:
+        times = sorted(crash.at for crash in self.crashed.values())
+        return sum(later - at >= TRIAL_DELAYS_S[0] for at, later in pairwise(times))
+
 
 class CrashLedger:
-    """Crash records by content hash. Times are of the monotonic clock, in seconds."""
+    """Crash records by key. Times are of the monotonic clock, in seconds."""
 
     def __init__(self) -> None:
         self._entries: dict[str, _LedgerEntry] = {}
         self._answered_at: dict[str, float] = {}
-        """Times of the last whole answers, by content hash; the oldest first."""
+        """Times of the last whole answers, by key; the oldest first."""
 
         self._cleared_at: dict[str, float] = {}
-        """When an answer cleared a record here, by content hash; other nodes must be sent this."""
+        """When an answer cleared a record here, by key; other nodes must be sent this."""
+
+        self._keys_by_part: dict[str, set[str]] = {}
+        """Keys of entries of parts, by what the keys of a part begin with."""
+
+        self._blame: Blame | None = NO_BLAME
+        """The blamed parts; None if crashes or answers have changed since they were found."""
 
         self._digest: int | None = None
         self.revision = 0
@@ -145,12 +186,15 @@
 
     # --- observations ---
 
-    def note_crash(self, content: str, replica_id: str, at: float) -> bool:
+    def note_crash(
+        self, content: str, replica_id: str, at: float, sent_at: float = 0.0, request: str = ""
+    ) -> bool:
         """Record that a replica ended while it had the request; return whether this contains it.
 
-        ``replica_id`` names one incarnation; the replica's next incarnation counts separately.
+        ``replica_id`` names one incarnation; the replica's next incarnation counts separately. For
+        a part, ``sent_at`` and ``request`` are of the last request with it at the replica.
         """
-        is_contained = self._add_crashes(content, {replica_id: at})
+        is_contained = self._add_crashes(content, {replica_id: PartCrash(at, sent_at, request)}, at)
         entry = self._entries.get(content)
         if entry is not None:
             entry.seen_locally_at = max(entry.seen_locally_at, at)
@@ -165,57 +209,143 @@
             return False
         self._answered_at.pop(content, None)
         self._answered_at[content] = at
-        if len(self._answered_at) > MAX_RECORDS:
+        if len(self._answered_at) > MAX_ANSWERS:
             del self._answered_at[next(iter(self._answered_at))]
+        if content in self._entries:
+            self._blame = None
         return self._clear(content, at)
 
     def was_answered_since(self, content: str, at: float) -> bool:
         """Whether a whole answer to a request was recorded that came after ``at``."""
         return self._answered_at.get(content, float("-inf")) > at
 
-    def _add_crashes(self, content: str, crashed_at: dict[str, float]) -> bool:
-        answered_at = self._answered_at.get(content, float("-inf"))
-        new_crashes = {key: at for key, at in crashed_at.items() if at > answered_at}
-        if len(new_crashes) < len(crashed_at):
-            self._cleared_at[content] = answered_at
+    def _add_crashes(self, key: str, crashed: dict[str, PartCrash], now: float) -> bool:
+        answered_at = self._answered_at.get(key, float("-inf"))
+        new_crashes = {
+            replica: crash for replica, crash in crashed.items() if crash.at > answered_at
+        }
+        if len(new_crashes) < len(crashed):
+            self._cleared_at[key] = answered_at
             self.stale_record_count += 1
         if not new_crashes:
             return False
-        entry = self._entries.setdefault(content, _LedgerEntry())
-        was_contained, previous = entry.is_contained, set(entry.crashed_at)
-        for replica_id, at in new_crashes.items():
-            entry.crashed_at[replica_id] = max(at, entry.crashed_at.get(replica_id, at))
-        newest = sorted(entry.crashed_at.items(), key=lambda item: (item[1], item[0]))
-        entry.crashed_at = dict(newest[-MAX_INCARNATIONS:])
-        if set(entry.crashed_at) != previous:
+        was_contained = self.is_contained(key)
+        entry = self._entries.setdefault(key, _LedgerEntry())
+        previous = entry.crashed
+        entry.crashed = _newest({**previous, **_latest(previous, new_crashes)})
+        if is_part_key(key):
+            self._keys_by_part.setdefault(key[:PART_PREFIX_CHARACTERS], set()).add(key)
+        if entry.crashed != previous:
+            self._blame = None
+        if entry.crashed.keys() != previous.keys():
             entry.trial_ends_at = float("-inf")
             self._record_change(entry.crashes)
             self._evict(entry.crashes)
-        return entry.is_contained and not was_contained
+        return self.is_contained(key) and not was_contained
 
-    def _clear(self, content: str, at: float) -> bool:
+    def _clear(self, key: str, at: float) -> bool:
         """Drop the crashes before an answer; return whether this ends the containment."""
-        entry = self._entries.get(content)
-        if entry is None or min(entry.crashed_at.values()) > at:
+        entry = self._entries.get(key)
+        if entry is None or min(crash.at for crash in entry.crashed.values()) > at:
             return False
-        was_contained = entry.is_contained
+        was_contained = self.is_contained(key)
         self._record_change(entry.crashes)
-        self._cleared_at[content] = at
-        entry.crashed_at = {
-            key: ended_at for key, ended_at in entry.crashed_at.items() if ended_at > at
+        self._cleared_at[key] = at
+        entry.crashed = {
+            replica: crash for replica, crash in entry.crashed.items() if crash.at > at
         }
         entry.trial_ends_at = float("-inf")
-        if not entry.crashed_at:
-            del self._entries[content]
-        return was_contained and not entry.is_contained
+        if not entry.crashed:
+            self._remove(key)
+        return was_contained and not self.is_contained(key)
+
+    def _remove(self, key: str) -> None:
+        entry = self._entries.pop(key)
+        self._record_change(entry.crashes)
+        prefix = key[:PART_PREFIX_CHARACTERS]
+        if keys := self._keys_by_part.get(prefix):
+            keys.discard(key)
+            if not keys:
+                del self._keys_by_part[prefix]
 
     def _record_change(self, crashes: int) -> None:
         if crashes >= SHARING_THRESHOLD:
             self._digest = None
             self.revision += 1
+            self._blame = None
 
     # --- decisions ---
 
+    def _current_blame(self) -> Blame:
+        if self._blame is None:
+            evidence, contained = {}, []
+            for key, entry in self._entries.items():
+                if entry.crashes < CONTAINMENT_THRESHOLD:
+                    continue
+                if is_part_key(key):
+                    evidence[key] = PartEvidence(entry.crashed, key in self._answered_at)
+                else:
+                    contained.append(entry.crashed.keys())
+            self._blame = find_blamed(evidence, contained)
+        return self._blame
+
+    def is_contained(self, key: str) -> bool:
+        """Whether requests with a content or part are sent as trials only.
+
+        Crashes that a blamed part explains don't count for a content.
+        """
+        entry = self._entries.get(key)
+        if entry is None or entry.crashes < CONTAINMENT_THRESHOLD:
+            return False
+        blame = self._current_blame()
+        if is_part_key(key):
+            return key in blame.parts
+        return len(entry.crashed.keys() - blame.explained) >= CONTAINMENT_THRESHOLD
+
+    def _is_certain(self, key: str) -> bool:
+        """Whether no other part has the same evidence, and no answer speaks for this one."""
+        if not is_part_key(key):
+            return True
+        return self._current_blame().parts.get(key) == 1 and key not in self._answered_at
+
+    def crashed_replicas(self, key: str) -> list[str]:
+        """Return the incarnations that ended under a content or part since its last answer."""
+        entry = self._entries.get(key)
+        return [] if entry is None else sorted(entry.crashed)
+
+    def keys_with_crashes(self, keys: RequestKeys) -> list[str]:
+        """Return the keys of a request's content and parts that have crash records.
+
+        A part counts with the records of replicas with any software.
+        """
+        found = [keys.content] if keys.content in self._entries else []
+        if self._keys_by_part:
+            for part_id in keys.part_ids:
+                found += sorted(self._keys_by_part.get(part_prefix(part_id), ()))
+        return found
+
+    def containing_key(self, keys: RequestKeys, now: float) -> str | None:
+        """Return the key for which a request must not be sent, not even as a trial."""
+        for key in self.keys_with_crashes(keys):
+            if self.containment(key, now) is Containment.CONTAINED:
+                return key
+        return None
+
+    def suspect_key(self, keys: RequestKeys) -> str | None:
+        """Return the key under which most replicas have ended, None if there is none.
+
+        Parts that were answered recently are no suspects, unless they are contained: each crash
+        takes requests with popular parts along.
+        """
+        suspects = [
+            key
+            for key in self.keys_with_crashes(keys)
+            if not is_part_key(key) or key not in self._answered_at or self.is_contained(key)
+        ]
+        return max(
+            suspects, key=lambda key: (self.is_contained(key), self.crashes(key)), default=None
+        )
+
     def crashes(self, content: str) -> int:
         """Return how many replicas ended under a request since its last answer."""
         entry = self._entries.get(content)
@@ -233,9 +363,10 @@
         (True, 'free')
         """
         entry = self._entries.get(content)
-        if entry is None or not entry.is_contained:
+        if entry is None or not self.is_contained(content):
             return Containment.FREE
-        if now < max(entry.trial_due_at(), entry.trial_ends_at):
+        trial_due_at = entry.trial_due_at(self._is_certain(content))
+        if now < max(trial_due_at, entry.trial_ends_at):
             return Containment.CONTAINED
         return Containment.TRIAL_DUE
 
@@ -248,8 +379,10 @@
         return containment is Containment.FREE
 
     def contained(self) -> dict[str, int]:
-        """Return the contained requests by content hash, with their numbers of ended replicas."""
-        return {key: entry.crashes for key, entry in self._entries.items() if entry.is_contained}
+        """Return the keys of what is contained, with their numbers of ended replicas."""
+        return {
+            key: entry.crashes for key, entry in self._entries.items() if self.is_contained(key)
+        }
 
     # --- exchange between nodes ---
 
@@ -257,7 +390,7 @@
     def digest(self) -> int:
         """Hash of the records that all nodes should have, 48 bits; 0 if there are none."""
         if self._digest is None:
-            shared = {key: sorted(self._entries[key].crashed_at) for key in self._shared()}
+            shared = {key: sorted(self._entries[key].crashed) for key in self._shared()}
             text = repr(sorted(shared.items())).encode()
             self._digest = xxhash.xxh64_intdigest(text) >> 16 if shared else 0
         return self._digest
@@ -287,12 +420,19 @@
 
     def record_of(self, content: str, now: float) -> CrashRecord:
         """Return the record of a request as it is sent; one without crashes if there is none."""
-        entry = self._entries.get(content, _LedgerEntry())
-        ages = {key: _age_ms(at, now) for key, at in entry.crashed_at.items()}
+        crashed = self._entries.get(content, _LedgerEntry()).crashed
+        ages = {replica: _age_ms(crash.at, now) for replica, crash in crashed.items()}
         answered_at = self._answered_at.get(content)
-        return CrashRecord(
+        record = CrashRecord(
             content, ages, None if answered_at is None else _age_ms(answered_at, now)
         )
+        if not is_part_key(content):
+            return record
+        return msgspec.structs.replace(
+            record,
+            sent_ages_ms=[_age_ms(crash.sent_at, now) for crash in crashed.values()],
+            requests=[crash.request for crash in crashed.values()],
+        )
 
     def merge(self, record: CrashRecord, now: float) -> bool:
         """Merge a record of another node or the store; return whether this contains the request.
@@ -300,30 +440,36 @@
         Raises InvalidCrashRecordError for an invalid record, and merges no part of it.
         """
         _check_record(record)
+        key = record.content_hash
         if record.answered_age_ms is not None:
-            self.note_answer(record.content_hash, now - record.answered_age_ms / 1000)
-        crashed_at = {
-            replica_id: now - age_ms / 1000
-            for replica_id, age_ms in record.crash_ages_ms.items()
-            if age_ms < RECORD_TTL_S * 1000
+            self.note_answer(key, now - record.answered_age_ms / 1000)
+        elif is_part_key(key) and key in self._answered_at:
+            # The others don't know that the part was answered, even if before these crashes.
+            self._cleared_at[key] = now
+            self.stale_record_count += 1
+        crashed = {
+            replica_id: crash
+            for replica_id, crash in _crashes_in(record, now).items()
+            if crash.at > now - RECORD_TTL_S
         }
-        return self._add_crashes(record.content_hash, crashed_at)
+        return self._add_crashes(key, crashed, now)
 
     # --- bounds ---
 
     def expire(self, now: float) -> list[str]:
         """Remove old records; return the requests that were contained."""
-        for times in (self._answered_at, self._cleared_at):
-            for content in [key for key, at in times.items() if now - at >= ANSWER_TTL_S]:
-                del times[content]
+        for key in [key for key, at in self._cleared_at.items() if now - at >= ANSWER_TTL_S]:
+            del self._cleared_at[key]
+        for key in [key for key, at in self._answered_at.items() if now - at >= _answer_ttl_s(key)]:
+            del self._answered_at[key]
+            self._blame = None
         ended: list[str] = []
         for content, entry in list(self._entries.items()):
             if now < entry.last_crash_at + RECORD_TTL_S:
                 continue
-            del self._entries[content]
-            self._record_change(entry.crashes)
-            if entry.is_contained:
+            if self.is_contained(content):
                 ended.append(content)
+            self._remove(content)
         return ended
 
     def _evict(self, crashes: int) -> None:
@@ -342,20 +488,60 @@
             key=lambda content: (entries[content].crashes, entries[content].last_crash_at)
         )
         for content in contents[: len(contents) - max_count]:
-            self._record_change(entries.pop(content).crashes)
+            self._remove(content)
 
 
 def _age_ms(at: float, now: float) -> int:
     return max(0, round((now - at) * 1000))
 
 
+def _answer_ttl_s(key: str) -> float:
+    return PART_ANSWER_TTL_S if is_part_key(key) else ANSWER_TTL_S
+
+
+def _latest(previous: dict[str, PartCrash], crashed: dict[str, PartCrash]) -> dict[str, PartCrash]:
+    """Return crashes merged with what is known of them; several nodes may report one crash."""
+    merged = {}
+    for replica, crash in crashed.items():
+        known = previous.get(replica, crash)
+        last_sent = max(known, crash, key=lambda one: (one.sent_at, one.request))
+        merged[replica] = attrs.evolve(last_sent, at=max(known.at, crash.at))
+    return merged
+
+
+def _newest(crashed: dict[str, PartCrash]) -> dict[str, PartCrash]:
+    if len(crashed) <= MAX_INCARNATIONS:
+        return crashed
+    newest = sorted(crashed.items(), key=lambda item: (item[1].at, item[0]))
+    return dict(newest[-MAX_INCARNATIONS:])
+
+
+def _crashes_in(record: CrashRecord, now: float) -> dict[str, PartCrash]:
+    replica_ids = list(record.crash_ages_ms)
+    sent_ages_ms = record.sent_ages_ms or [0] * len(replica_ids)
+    requests = record.requests or [""] * len(replica_ids)
+    return {
+        replica_id: PartCrash(
+            now - record.crash_ages_ms[replica_id] / 1000, now - sent_age_ms / 1000, request
+        )
+        for replica_id, sent_age_ms, request in zip(
+            replica_ids, sent_ages_ms, requests, strict=True
+        )
+    }
+
+
 def _check_record(record: CrashRecord) -> None:
-    if len(record.content_hash) != CONTENT_CHARACTERS:
-        raise InvalidCrashRecordError("the content hash has the wrong length")
+    if len(record.content_hash) != KEY_CHARACTERS:
+        raise InvalidCrashRecordError("the key has the wrong length")
+    expected = len(record.crash_ages_ms) if is_part_key(record.content_hash) else 0
+    if len(record.sent_ages_ms) != expected or len(record.requests) != expected:
+        raise InvalidCrashRecordError("the crashes don't name one request each")
+    if any(len(request) > REQUEST_MARK_CHARACTERS for request in record.requests):
+        raise InvalidCrashRecordError("the mark of a request is too long")
     if len(record.crash_ages_ms) > MAX_INCARNATIONS:
         raise InvalidCrashRecordError(
             f"{len(record.crash_ages_ms)} ended replicas, more than a record may name"
         )
-    ages = [*record.crash_ages_ms.values(), record.answered_age_ms or 0]
+    ages = [*record.crash_ages_ms.values(), *record.sent_ages_ms, record.answered_age_ms or 0]
     if min(ages) < 0:
         raise InvalidCrashRecordError("an age is negative")
--- a/src/cloverwalk/gateway/progress.py
+++ b/src/cloverwalk/gateway/progress.py
@@ -6,6 +6,7 @@
 from cloverwalk.fleet.in_flight import InFlightEntry
 from cloverwalk.gateway.configuration import Route, RouteKind
 from cloverwalk.gateway.crash_detector import Delivery
+from cloverwalk.gateway.crash_keys import RequestKeys
 from cloverwalk.gateway.replicas import Replica
 from cloverwalk.gateway.software_versions import Software
 
@@ -53,11 +54,20 @@
     delivery: Delivery | None = None
     """How the current attempt was sent, once it was."""
 
+    crash_keys: RequestKeys | None = None
+    """What identifies it in crash records; None until it is needed."""
+
     is_crash_suspect: bool = False
-    """Whether replicas have ended under its content."""
+    """Whether replicas have ended under its content or a part of its prompt."""
+
+    is_trial: bool = False
+    """Whether it is contained and its next attempt is a trial that is due."""
 
     contained: str | None = None
-    """Its content hash if it is contained, else None."""
+    """Key of its content, or of a part of its prompt, if that is contained, else None."""
+
+    contained_part: str | None = None
+    """Id of that part; None if its content is contained."""
 
     first_event_at: float | None = None
     events: int = 0
--- a/src/cloverwalk/gateway/relay.py
+++ b/src/cloverwalk/gateway/relay.py
@@ -19,8 +19,8 @@
 from cloverwalk.gateway.answer_relay import EVENT_TIMEOUT_S, FIRST_EVENT_TIMEOUT_S, AnswerRelay
 from cloverwalk.gateway.configuration import Route, RouteKind
 from cloverwalk.gateway.containment import ContainmentGate
-from cloverwalk.gateway.content_hash import hash_request
 from cloverwalk.gateway.crash_detector import Delivery
+from cloverwalk.gateway.crash_keys import keys_of, shareable_part_ids
 from cloverwalk.gateway.errors import TIMED_OUT, ClientGoneError, GatewayError, ReplicaError
 from cloverwalk.gateway.lateness_tracker import LatenessTracker
 from cloverwalk.gateway.messages import ClientRequest, GatewayCodec
@@ -155,8 +155,13 @@
             placement_request = self._build_placement_request(request, progress, suspected)
             self._check_quota_refusal(placement_request)
             result = await self._coordinator_client.request_placement(
-                placement_request, request.received_at + MAX_QUEUE_WAIT_S
+                placement_request,
+                request.received_at + MAX_QUEUE_WAIT_S,
+                lambda: self._containment.may_send(request, progress),
             )
+            if not self._containment.may_send(request, progress):
+                await self._end_in_flight(result)
+                raise self._containment.refusal(request, progress)
             if self._resumption_gate.is_undecided(progress, result.placement):
                 await self._end_in_flight(result)
                 await self._resumption_gate.ask(request, progress)
@@ -295,7 +300,8 @@
         self._log.write(
             catalogue.REPLICA_FAILED,
             request=request.fields.request_id,
-            content=hash_request(request) if may_have_run else None,
+            content=keys_of(request).content if may_have_run else None,
+            parts=list(shareable_part_ids(request.fields.prompt)) if may_have_run else None,
             replica=replica.replica_id,
             code=error.code,
             may_have_run=may_have_run,
@@ -335,6 +341,7 @@
             connection = await self._pool.acquire(address, request_id, must_be_new)
         except ReplicaError:
             self._directory.suspect(replica.replica_id, self._clock())
+            await self._containment.record_unreachable(replica)
             raise
         try:
             self._check_may_send(request_id, progress, replica, connection)
@@ -395,7 +402,9 @@
         timing = request_timing(progress, load, request.tenant, self._clock())
         if timing is not None:
             self._coordinator_client.reports.record_request_timing(timing)
-        self._containment.record_answer(request)
+        await self._containment.record_answer(
+            request, progress, replica, ends_with_connection=head.ends_with_connection
+        )
         self._record_end(request, progress, "answered", head.status)
         return head
 
@@ -415,7 +424,9 @@
                 progress.mark_sending()
                 progress.delivery = Delivery(connection.is_new, self._clock())
                 await connection.send(request.method, request.target, headers, request.body)
-                return await connection.read_head(request.fields.request_id)
+                head = await connection.read_head(request.fields.request_id)
+                progress.delivery.has_answer = True
+                return head
         except OSError as error:
             self._directory.suspect(replica.replica_id, self._clock())
             raise ReplicaError(f"sending the request failed: {error!r}", True, "reset") from error
@@ -470,6 +481,7 @@
             status=status,
             work=None if outcome == "answered" else progress.state.value,
             content=progress.contained,
+            part=progress.contained_part,
             replica=progress.last_replica,
             tried=len(progress.tried),
             refused=len(progress.refused),
--- a/src/cloverwalk/gateway/replica_connection.py
+++ b/src/cloverwalk/gateway/replica_connection.py
@@ -34,6 +34,7 @@
 FRAMING_METHODS = (b"HEAD", b"CONNECT")
 """Methods whose answers are framed differently from the same answers to other requests."""
 
+BODILESS_STATUSES = frozenset({204, 304})
 MAX_REMEMBERED_IDS = 64
 """Request ids that a connection remembers. A surplus answer arrives in place of one of the next
 answers, since the replica serves the requests of a connection in order."""
@@ -58,6 +59,9 @@
     headers: RawHeaders
     fields: AnswerFields
     content_length: int | None
+    ends_with_connection: bool = False
+    """Whether the body has neither a length nor chunks: it ends with the connection, and so may one
+    whose replica crashes."""
 
 
 class ReplicaConnection:
@@ -187,7 +191,11 @@
         if self.is_reused and _holds_status_line(event):
             raise ReplicaError("invalid HTTP answer: starts inside another one", True, "not_http")
         fields = self._codec.answer_fields(headers)
-        return AnswerHead(event.status_code, event.reason, headers, fields, length)
+        has_body = event.status_code not in BODILESS_STATUSES and not self._frames_answers
+        ends_with_connection = has_body and length is None and not is_chunked
+        return AnswerHead(
+            event.status_code, event.reason, headers, fields, length, ends_with_connection
+        )
 
     async def _skip_answer(self) -> None:
         while isinstance(event := await self._next_event(), h11.Data):
--- a/src/cloverwalk/jobs/item_call.py
+++ b/src/cloverwalk/jobs/item_call.py
@@ -7,6 +7,7 @@
 
 from cloverwalk.gateway.content_hash import hash_request
 from cloverwalk.gateway.crash_detector import Delivery
+from cloverwalk.gateway.crash_keys import RequestKeys, shareable_part_ids
 from cloverwalk.gateway.errors import TIMED_OUT, ReplicaError
 from cloverwalk.gateway.event_stream import EventOrder, EventSplitter, StreamEvent
 from cloverwalk.gateway.messages import (
@@ -62,11 +63,13 @@
         """Return the parts of an item's prompt, as far as its headers describe them."""
         return self.codec.request_fields(_raw_headers(item_run)).prompt
 
-    def content_hash(self, job: JobRun, item_run: ItemRun) -> str:
-        """Return the hash of an item's content."""
-        if not item_run.content_hash:
-            item_run.content_hash = hash_request(self._request(job, item_run))
-        return item_run.content_hash
+    def crash_keys(self, job: JobRun, item_run: ItemRun) -> RequestKeys:
+        """Return what identifies an item in crash records."""
+        if item_run.crash_keys is None:
+            content = hash_request(self._request(job, item_run))
+            part_ids = shareable_part_ids(self.prompt(item_run))
+            item_run.crash_keys = RequestKeys(content, part_ids)
+        return item_run.crash_keys
 
     async def run(
         self,
@@ -131,6 +134,8 @@
                 item_run.delivery = Delivery(connection.is_new, self.clock())
                 await connection.send("POST", item_run.item.path, headers, item_run.item.body)
                 head = await connection.read_head(item_run.item.item_id)
+                item_run.delivery.has_answer = True
+                item_run.ends_with_connection = head.ends_with_connection
         except OSError as error:
             raise ReplicaError(f"sending failed: {error!r}", True, "reset") from error
         except curio.TaskTimeout as error:
--- a/src/cloverwalk/jobs/run.py
+++ b/src/cloverwalk/jobs/run.py
@@ -11,6 +11,7 @@
 
 from cloverwalk.gateway.configuration import Route
 from cloverwalk.gateway.crash_detector import Delivery
+from cloverwalk.gateway.crash_keys import RequestKeys
 from cloverwalk.gateway.software_versions import Software
 from cloverwalk.jobs.evidence import ItemEnd, attempts_used
 from cloverwalk.jobs.records import (
@@ -97,12 +98,16 @@
     """Start time of that replica's process, see ``Replica``: a restarted one has no prompt
     cached."""
 
-    content_hash: str = ""
-    """Hash of its content, empty until it is needed; see ``gateway.content_hash``."""
+    crash_keys: RequestKeys | None = None
+    """What identifies it in crash records; None until it is needed."""
 
     delivery: Delivery | None = None
     """How its latest run was sent; None until it is sent."""
 
+    ends_with_connection: bool = False
+    """Whether the latest answer has neither a length nor chunks, so that it ends with its
+    connection."""
+
     timing: RunTiming | None = None
     """Timing of that run; None until the replica answers."""
 
--- a/src/cloverwalk/jobs/runner.py
+++ b/src/cloverwalk/jobs/runner.py
@@ -11,12 +11,12 @@
 from cloverwalk.fleet.in_flight import InFlightEntry, InFlightTracker
 from cloverwalk.fleet.messages import ItemTiming
 from cloverwalk.gateway.configuration import ConfigurationHolder, Route
-from cloverwalk.gateway.crash_detector import CrashDetector
 from cloverwalk.gateway.errors import TIMED_OUT, ReplicaError
 from cloverwalk.gateway.replicas import Replica, ReplicaDirectory
 from cloverwalk.gateway.software_versions import Software, software_of
 from cloverwalk.jobs.evidence import Impossible, ItemEnd, RouteMonitor, past_retention
 from cloverwalk.jobs.item_call import ItemCaller, ItemFailedError, ItemImpossibleError
+from cloverwalk.jobs.item_containment import ItemContainment
 from cloverwalk.jobs.item_time import ItemTimeEstimator
 from cloverwalk.jobs.run import ItemRun, JobRun, Phase
 from cloverwalk.jobs.waiting_items import ANY_SOFTWARE, WaitingItem, group_items, pick_items
@@ -74,7 +74,7 @@
         directory: ReplicaDirectory,
         loads: InFlightTracker,
         caller: ItemCaller,
-        crash_detector: CrashDetector,
+        containment: ItemContainment,
         coordinator_client: CoordinatorClient,
         on_finished: Callable[[JobRun], Awaitable[None]],
         on_orphans: Callable[[list[str]], Awaitable[None]],
@@ -88,7 +88,7 @@
         self._directory = directory
         self._loads = loads
         self._caller = caller
-        self._crash_detector = crash_detector
+        self._containment = containment
         self._coordinator_client = coordinator_client
         self._on_finished = on_finished
         self._on_orphans = on_orphans
@@ -199,19 +199,9 @@
         return [self._waiting_item(job, item_run) for item_run in self._startable_items(job)]
 
     def _startable_items(self, job: JobRun) -> list[ItemRun]:
-        """Return the items that may start now.
-
-        An item whose content is contained waits until its next trial. Containment itself never ends
-        an item, and the other items of the job go on.
-        """
+        """Return the items that may start now."""
         pending = job.pending(self._clock())
-        if self._crash_detector.ledger.is_empty:
-            return pending
-        return [
-            item_run
-            for item_run in pending
-            if not self._crash_detector.is_contained(self._caller.content_hash(job, item_run))
-        ]
+        return [item_run for item_run in pending if self._containment.may_start(job, item_run)]
 
     def _waiting_item(self, job: JobRun, item_run: ItemRun) -> WaitingItem:
         due_ms = job.record.due_ms
@@ -454,7 +444,7 @@
         earlier_events = len(item_run.texts)
         is_answered = False
         try:
-            is_suspect = self._is_suspect(job, item_run)
+            is_suspect = self._containment.is_suspect(job, item_run)
             await self._caller.run(job, item_run, replica, running.record_output, is_suspect)
             run_s = self._clock() - running.started_at
             self._time_estimator.record_run(len(item_run.texts), earlier_events, run_s)
@@ -472,25 +462,16 @@
             is_answered = True
         except ReplicaError as error:
             outcome = error.code
-            if error.may_have_run and len(item_run.texts) == earlier_events:
+            if len(item_run.texts) == earlier_events:
                 # An item with output in this run did not crash its replica at the start.
-                content = self._caller.content_hash(job, item_run)
-                item_id, delivery = item_run.item.item_id, item_run.delivery
-                await self._crash_detector.record_failure(
-                    item_id, content, replica, error.code, delivery
-                )
+                await self._containment.record_failure(job, item_run, replica, error)
             if error.code in ("reset", "unreachable", TIMED_OUT):
                 self._directory.suspect(replica.replica_id, self._clock())
         finally:
             if is_answered:
-                self._crash_detector.record_answer(self._caller.content_hash(job, item_run))
+                await self._containment.record_answer(job, item_run, replica)
             await self._end_run(running, outcome)
 
-    def _is_suspect(self, job: JobRun, item_run: ItemRun) -> bool:
-        if self._crash_detector.ledger.is_empty:
-            return False
-        return self._crash_detector.is_crash_suspect(self._caller.content_hash(job, item_run))
-
     async def _end_run(self, running: _RunningItem, outcome: str) -> None:
         job, item_run = running.job, running.item_run
         if not running.is_preempted:
--- a/src/cloverwalk/serving/batch_parts.py
+++ b/src/cloverwalk/serving/batch_parts.py
@@ -12,6 +12,7 @@
 from cloverwalk.jobs.commit import Committer
 from cloverwalk.jobs.intake import JobIntake
 from cloverwalk.jobs.item_call import ItemCaller
+from cloverwalk.jobs.item_containment import ItemContainment
 from cloverwalk.jobs.lister import ResultLister
 from cloverwalk.jobs.reader import JobReader
 from cloverwalk.jobs.records import JOB_TABLE
@@ -75,7 +76,7 @@
             fleet_state.directory,
             in_flight,
             caller,
-            crash_detector,
+            ItemContainment(crash_detector, caller, clock),
             fleet.coordinator_client,
             self._on_finished,
             self._on_orphans,
--- a/src/cloverwalk/serving/node.py
+++ b/src/cloverwalk/serving/node.py
@@ -216,7 +216,7 @@
             self._clock,
             self._fleet.coordinator_client,
             self._quota_refusals,
-            ContainmentGate(self._crash_detector, self._metrics),
+            ContainmentGate(self._crash_detector, self._metrics, self._clock),
             self._create_resumption_gate(),
             self._fleet_state.warmup_gate,
         )
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -47,6 +47,7 @@
 QUOTAS = "tests/unit/test_quotas.py::"
 CRASHING = "tests/serving/test_crashing_requests.py::"
 CASES = "tests/serving/test_crash_records.py::"
+PARTS_CRASH = "tests/serving/test_crashing_parts.py::"
 ITEM_ENDS = "tests/serving/test_item_ends.py::"
 PROMISED = "tests/serving/test_promises.py::test_a_promise_is_given_only_where_no_replica_began"
 REFUSALS = "tests/serving/test_refusals.py::"
@@ -1173,22 +1174,22 @@
     Mutant(
         "crashes: an ended replica is no evidence",
         "gateway/crash_detector.py",
-        "        if reachability is not Reachability.REFUSES:",
-        "        if reachability is not None:",
+        "        if reachability is Reachability.REFUSES:\n            self._note_crash",
+        "        if reachability is None:\n            self._note_crash",
         CRASHING + "test_crashing_request_is_contained_across_nodes",
     ),
     Mutant(
         "crashes: a reset connection is evidence",
         "gateway/crash_detector.py",
-        "        if reachability is not Reachability.REFUSES:",
-        "        if reachability is Reachability.SILENT:",
+        "        if reachability is Reachability.REFUSES:\n            self._note_crash",
+        "        if reachability is not Reachability.SILENT:\n            self._note_crash",
         CRASHING + "test_reset_connection_is_no_evidence",
     ),
     Mutant(
         "crashes: a request that was sent to an ended replica is a suspect",
         "gateway/crash_detector.py",
-        "        return delivery.is_new_connection or elapsed_s >= DELIVERY_THRESHOLD_S",
-        "        return elapsed_s >= 0",
+        "or elapsed_s >= DELIVERY_THRESHOLD_S",
+        "or elapsed_s >= 0",
         "tests/serving/test_crash_detector.py::test_request_sent_after_replica_ended_is_no_suspect",
     ),
     Mutant(
@@ -1208,8 +1209,8 @@
     Mutant(
         "crashes: a node forgets what it answered before it heard of a case",
         "gateway/crash_ledger.py",
-        "        new_crashes = {key: at for key, at in crashed_at.items() if at > answered_at}",
-        "        new_crashes = crashed_at",
+        "if crash.at > answered_at",
+        "if True",
         CASES + "test_merge_order_of_crash_records_makes_no_difference",
     ),
     Mutant(
@@ -1235,11 +1236,25 @@
     ),
     Mutant(
         "crashes: items are sent on",
-        "jobs/runner.py",
-        "        if self._crash_detector.ledger.is_empty:\n            return pending",
-        "        return pending",
+        "jobs/item_containment.py",
+        "            return containment is not Containment.CONTAINED",
+        "            return True",
         CRASHING + "test_crashing_item_does_not_delay_other_items",
     ),
+    Mutant(
+        "parts: requests are known by their whole content only",
+        "gateway/crash_keys.py",
+        "    return tuple(dict.fromkeys(part_ids[:MAX_PARTS]))",
+        "    return ()",
+        PARTS_CRASH + "test_requests_that_share_a_crashing_part_reach_few_replicas",
+    ),
+    Mutant(
+        "parts: an answer that ended with its connection counts as whole",
+        "gateway/crash_detector.py",
+        "        if not ends_with_connection:\n",
+        "        if True:\n",
+        PARTS_CRASH + "test_crashed_answers_that_look_whole_clear_no_part",
+    ),
     Mutant(
         "refusals: a reset after the request counts as not run",
         "gateway/progress.py",
@@ -1322,8 +1337,8 @@
     Mutant(
         "restarts: two starts of a replica count once against a request",
         "gateway/crash_detector.py",
-        "            if self.ledger.note_crash(content, replica.incarnation_id, probe.failed_at):",
-        "            if self.ledger.note_crash(content, replica.replica_id, probe.failed_at):",
+        "        incarnation, software = replica.incarnation_id, software_of(replica)",
+        "        incarnation, software = replica.replica_id, software_of(replica)",
         RESTARTED + "test_each_incarnation_counts_separately",
     ),
     Mutant(
--- a/tests/serving/test_crash_detector.py
+++ b/tests/serving/test_crash_detector.py
@@ -17,6 +17,7 @@
     CrashDetector,
     Delivery,
 )
+from cloverwalk.gateway.crash_keys import RequestKeys
 from cloverwalk.gateway.crash_ledger import CrashLedger
 from cloverwalk.gateway.errors import TIMED_OUT
 from cloverwalk.gateway.replica_connection import Reachability, ReplicaPool
@@ -60,7 +61,7 @@
     async def main() -> None:
         delivery = Delivery(is_new, clock.now)
         clock.now += elapsed_s
-        await detector.record_failure("q1", CONTENT, REPLICA, code, delivery)
+        await detector.record_failure("q1", RequestKeys(CONTENT), REPLICA, code, delivery)
         while detector._probes:
             await curio.sleep(0.01)
 
@@ -91,12 +92,12 @@
 
     async def main() -> None:
         delivery = Delivery(True, clock.now)
-        await detector.record_failure("q1", "d" * 20, REPLICA, "reset", delivery)
+        await detector.record_failure("q1", RequestKeys("d" * 20), REPLICA, "reset", delivery)
         while probes.count < len(PROBE_DELAYS_S) - 1:
             await curio.sleep(0.001)
         # The last probe for the first request comes before the last one for the second.
         probes.results = [LISTENS] * len(PROBE_DELAYS_S) + [REFUSES]
-        await detector.record_failure("q2", CONTENT, REPLICA, "reset", delivery)
+        await detector.record_failure("q2", RequestKeys(CONTENT), REPLICA, "reset", delivery)
         while detector._probes:
             await curio.sleep(0.01)
 
--- a/tests/serving/test_item_ends.py
+++ b/tests/serving/test_item_ends.py
@@ -28,6 +28,7 @@
 from cloverwalk.gateway.crash_ledger import CrashLedger
 from cloverwalk.gateway.replicas import ReplicaDirectory
 from cloverwalk.jobs.evidence import PastRetention, RouteEnded
+from cloverwalk.jobs.item_containment import ItemContainment
 from cloverwalk.jobs.run import ItemRun, JobRun, Phase
 from cloverwalk.jobs.runner import BatchRunner
 from cloverwalk.store.clock import StoreClock
@@ -118,7 +119,7 @@
             ReplicaDirectory(),
             None,  # type: ignore[arg-type]
             None,  # type: ignore[arg-type]
-            crash_detector,
+            ItemContainment(crash_detector, none, time),
             CoordinatorClientStub(),  # type: ignore[arg-type]
             self._record_finished,
             self._take_over,
--- a/tests/serving/test_item_slots.py
+++ b/tests/serving/test_item_slots.py
@@ -21,6 +21,7 @@
 from cloverwalk.gateway.messages import PromptPart
 from cloverwalk.gateway.replicas import Replica
 from cloverwalk.jobs.item_call import ItemCaller
+from cloverwalk.jobs.item_containment import ItemContainment
 from cloverwalk.jobs.records import JobItem, JobRecord
 from cloverwalk.jobs.run import ItemRun, JobRun
 from cloverwalk.jobs.runner import BatchRunner
@@ -133,7 +134,7 @@
         node.directory,
         node.loads,
         cast(ItemCaller, caller),
-        crash_detector,
+        ItemContainment(crash_detector, cast(ItemCaller, caller), clock),
         node.client,
         ignore,
         ignore,
--- a/tests/serving/test_promises.py
+++ b/tests/serving/test_promises.py
@@ -166,7 +166,7 @@
             time.monotonic,
             coordinator_client,
             QuotaRefusalCache(holder, log, time.monotonic),
-            ContainmentGate(witness, metrics),
+            ContainmentGate(witness, metrics, time.monotonic),
             ResumptionGate(
                 directory,
                 DrainingReplicas(directory, time.monotonic),
--- a/tests/serving/test_refusals.py
+++ b/tests/serving/test_refusals.py
@@ -3,6 +3,7 @@
 After such a status the clients here retry with the same id, and the replicas count the runs.
 """
 
+from collections.abc import Callable
 from pathlib import Path
 
 import pytest
@@ -11,7 +12,7 @@
 from cloverwalk.core.catalogue import REQUEST_ENDED
 from cloverwalk.emulator.replica_runs import Misdeed
 from cloverwalk.fleet.messages import Placement, PlacementRequest
-from cloverwalk.fleet.placement_client import PlacementResult
+from cloverwalk.fleet.placement_client import PlacementResult, always_wanted
 from cloverwalk.scheduling.admission import PlacementVerdict
 from cloverwalk.telemetry.request_history import describe_work_state, parse_line
 
@@ -38,10 +39,12 @@
     coordinator_client = world.nodes[0]._fleet.coordinator_client
     original_request = coordinator_client.request_placement
 
-    async def answer(request: PlacementRequest, until: float) -> PlacementResult:
+    async def answer(
+        request: PlacementRequest, until: float, may_send: Callable[[], bool] = always_wanted
+    ) -> PlacementResult:
         verdict = verdicts.pop(0) if verdicts else None
         if verdict is None:
-            return await original_request(request, until)
+            return await original_request(request, until, may_send)
         return PlacementResult(Placement(0, verdict, retry_after_s=0.3))
 
     coordinator_client.request_placement = answer  # type: ignore[method-assign]
--- a/tests/serving/test_restarted_replicas.py
+++ b/tests/serving/test_restarted_replicas.py
@@ -19,6 +19,7 @@
 from cloverwalk.fleet.messages import DirectoryUpdate, decode_datagram, encode_datagram
 from cloverwalk.gateway import restarts
 from cloverwalk.gateway.crash_detector import CrashDetector, Delivery
+from cloverwalk.gateway.crash_keys import RequestKeys
 from cloverwalk.gateway.crash_ledger import CrashLedger
 from cloverwalk.gateway.errors import RESTARTED, ReplicaError
 from cloverwalk.gateway.replica_connection import Reachability, ReplicaPool
@@ -344,7 +345,7 @@
             ledger.note_answer(CONTENT, answered_at)
         for replica, is_new in failures:
             delivery = Delivery(is_new, clock.now - 1.0)
-            await detector.record_failure("q1", CONTENT, replica, RESTARTED, delivery)
+            await detector.record_failure("q1", RequestKeys(CONTENT), replica, RESTARTED, delivery)
 
     curio.run(main)
     return ledger.crashes(CONTENT)
@@ -369,7 +370,7 @@
         for replica in (start(1, 5), start(2, 9)):
             directory.put(replica)
             delivery = Delivery(True, clock.now)
-            await detector.record_failure("q1", CONTENT, replica, "reset", delivery)
+            await detector.record_failure("q1", RequestKeys(CONTENT), replica, "reset", delivery)
             while detector._probes:
                 await curio.sleep(0)
 
