A node that gets more new connections than it can serve closes some unread

What callers would see: while most new connections go to one node, it reads all of them; beyond what its event loop can do, requests wait, are refused after they were read, or time out, while other nodes are idle. Cause: nothing stands between the listening socket and the loop but the limit on connections. Readiness acts after two seconds of averaging and two probes. Change: a share of the new connections is closed at once, which grows with the time between the acceptance of a connection and its first step; only while peers are known to have room, where nodes measure their use (feature node_capacity), and never more than 0.9. A client retries such a connection at another node, also a request that may not run twice.

--- a/src/cloverwalk/core/catalogue.py
+++ b/src/cloverwalk/core/catalogue.py
@@ -222,6 +222,12 @@
     _W,
     "Clients that read too slowly were dropped; their number and buffered bytes are given.",
 )
+CONNECTIONS_CLOSED_UNREAD = _event(
+    341,
+    "connections_closed_unread",
+    _W,
+    "New connections were closed before their request was read, since the event loop is late.",
+)
 JOB_TAKEN = _event(410, "job_taken", _I, "A job was stored, or was found in the store.")
 JOB_REFUSED = _event(
     411, "job_refused", _W, "A job was refused, or the job of a call does not exist."
--- a/src/cloverwalk/gateway/overload_monitor.py
+++ b/src/cloverwalk/gateway/overload_monitor.py
@@ -180,6 +180,11 @@
         self._peer_utilization, self._peer_utilization_at = percent / 100, now
         return True
 
+    def has_peer_with_room(self, now: float) -> bool:
+        """Whether nodes with the same clients are known to be able to take more of them."""
+        is_known = now - self._peer_utilization_at <= PEER_UTILIZATION_TTL_S
+        return is_known and self._peer_utilization < FULL_END_THRESHOLD
+
     def update(self, usage: Usage, now: float) -> bool:
         """Update the state from a sample; return whether the sample is credible.
 
--- a/src/cloverwalk/gateway/server.py
+++ b/src/cloverwalk/gateway/server.py
@@ -262,6 +262,14 @@
             await self._sock.shutdown(socket.SHUT_RDWR)
 
 
+def _always() -> bool:
+    return True
+
+
+def _ignore_start(delay_s: float) -> None:
+    return
+
+
 class GatewayServer:
     """Accepts connections of clients on one address."""
 
@@ -283,6 +291,12 @@
         self.memory_budget: MemoryBudget | None = None
         """Memory buffered for clients, if the process has a limit for it."""
 
+        self.admit: Callable[[], bool] = _always
+        """Whether the next connection is read; one that is not is closed at once."""
+
+        self.record_start: Callable[[float], None] = _ignore_start
+        """Called with the time between the acceptance of a connection and its first step."""
+
         self.is_stopping = False
         self.serving_count = 0
         self._max_connections = max_connections
@@ -299,13 +313,14 @@
         async with self._sock:
             while True:
                 client, _ = await self._sock.accept()
-                if len(self._connections) >= self._max_connections:
+                if len(self._connections) >= self._max_connections or not self.admit():
                     await client.close()
                     continue
                 client.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-                await curio.spawn(self._serve_client, client, daemon=True)
+                await curio.spawn(self._serve_client, client, self.clock(), daemon=True)
 
-    async def _serve_client(self, client: Any) -> None:
+    async def _serve_client(self, client: Any, accepted_at: float) -> None:
+        self.record_start(self.clock() - accepted_at)
         connection = ClientConnection(client, self)
         self._connections.add(connection)
         try:
--- a/src/cloverwalk/serving/resource_monitor.py
+++ b/src/cloverwalk/serving/resource_monitor.py
@@ -6,6 +6,7 @@
 
 from cloverwalk.core import catalogue
 from cloverwalk.fleet.coordinator_client import CoordinatorClient
+from cloverwalk.gateway.connection_admission import ConnectionAdmission
 from cloverwalk.gateway.memory_budget import BUDGET_SHARE, MemoryBudget
 from cloverwalk.gateway.overload_monitor import (
     MachineCapacity,
@@ -57,7 +58,11 @@
         self._clock = clock
         self._processor_s = processor_s
         self._is_logged_full = False
+        self.connection_admission = ConnectionAdmission()
+        self._logged_closed = 0
         client_server.memory_budget = self.memory_budget
+        client_server.admit = self._admit_connection
+        client_server.record_start = self._record_connection_start
         coordinator_client.on_zone_utilization = self._on_zone_utilization
 
     @property
@@ -65,6 +70,13 @@
         """Whether the node refuses new requests and jobs."""
         return self.overload_monitor.state is OverloadState.OVERLOADED
 
+    def _admit_connection(self) -> bool:
+        now = self._clock()
+        return self.connection_admission.admit(self.overload_monitor.has_peer_with_room(now), now)
+
+    def _record_connection_start(self, delay_s: float) -> None:
+        self.connection_admission.record_start(delay_s, self._clock())
+
     def reserve_for_job(self, size_bytes: int) -> bool:
         """Reserve memory for the bodies of a job; return False if the budget does not suffice."""
         if not self.memory_budget.has_capacity_for_job(size_bytes):
@@ -88,6 +100,11 @@
             self.memory_budget.total_bytes,
         )
         dropped_readers = self.memory_budget.dropped_readers_total
+        metrics.gauge(
+            "cloverwalk_connections_closed_unread",
+            "New connections closed because the event loop was late",
+            self.connection_admission.closed,
+        )
         metrics.gauge(
             "cloverwalk_readers_given_up", "Clients dropped for not reading", dropped_readers
         )
@@ -117,6 +134,7 @@
         )
         self._log_state_change()
         self._log_dropped_readers()
+        self._log_closed_connections()
 
     def _on_zone_utilization(self, percent: int) -> None:
         if not self.overload_monitor.set_peer_utilization(percent, self._clock()):
@@ -138,6 +156,15 @@
             },
         )
 
+    def _log_closed_connections(self) -> None:
+        """Write one line for all connections that were closed unread since the previous check."""
+        admission = self.connection_admission
+        closed = admission.closed - self._logged_closed
+        self._logged_closed = admission.closed
+        if closed:
+            share = round(admission.closed_share(self._clock()), 2)
+            self._log.write(catalogue.CONNECTIONS_CLOSED_UNREAD, connections=closed, share=share)
+
     def _log_dropped_readers(self) -> None:
         """Write one line for all clients that were dropped since the previous check."""
         dropped = self.memory_budget.pop_dropped_readers()
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -1241,6 +1241,20 @@
         "            return True",
         CRASHING + "test_crashing_item_does_not_delay_other_items",
     ),
+    Mutant(
+        "connections: all are read, however late the loop is",
+        "gateway/connection_admission.py",
+        "        if self._debt < 1.0:",
+        "        if True:",
+        "tests/unit/test_connection_admission.py",
+    ),
+    Mutant(
+        "connections: some are closed where no peer has room",
+        "gateway/connection_admission.py",
+        "        share = self.closed_share(now) if has_peer_with_room else 0.0",
+        "        share = self.closed_share(now)",
+        "tests/unit/test_connection_admission.py::test_nothing_is_closed_while_no_peer_has_room",
+    ),
     Mutant(
         "parts: requests are known by their whole content only",
         "gateway/crash_keys.py",
--- a/tests/serving/node_processes.py
+++ b/tests/serving/node_processes.py
@@ -22,17 +22,19 @@
 class NodeProcess:
     """One process of the node program."""
 
-    def __init__(self, number: int, ports: list[int], store_port: int, folder: Path) -> None:
+    def __init__(
+        self, number: int, ports: list[int], store_port: int, folder: Path, more: str = ""
+    ) -> None:
         self.host = f"127.0.1.{number + 1}"
         self.zone = ZONES[number % len(ZONES)]
         self.node = f"front-{self.zone}-{number}"
         self.client_address = (self.host, ports[0])
         self.ready_address = (self.host, ports[1])
         self._settings = folder / f"{number}.toml"
-        self._settings.write_text(self._settings_text(ports, store_port))
+        self._settings.write_text(self._settings_text(ports, store_port, more))
         self.popen = self._start()
 
-    def _settings_text(self, ports: list[int], store_port: int) -> str:
+    def _settings_text(self, ports: list[int], store_port: int, more: str) -> str:
         """Return the content of the node's settings file, in the platform's format."""
         client, ready, first, last = ports
         seeds = json.dumps([f"127.0.1.{number + 1}:{first}" for number in range(SEEDS)])
@@ -43,6 +45,7 @@
                 f'zone = "{self.zone}"',
                 f"ephemeral_ports = [{first}, {last}]",
                 f"seeds = {seeds}",
+                more,
                 "[listen]",
                 f'front = "{self.host}:{client}"',
                 f'ready = "{self.host}:{ready}"',
@@ -78,14 +81,14 @@
 
 
 @contextmanager
-def node_processes(count: int, store_port: int) -> Iterator[list[NodeProcess]]:
-    """Start a fleet; kill its processes at the end."""
+def node_processes(count: int, store_port: int, more: str = "") -> Iterator[list[NodeProcess]]:
+    """Start a fleet, with the lines ``more`` in their settings; kill its processes at the end."""
     ports = [free_port() for _ in range(4)]
     started: list[NodeProcess] = []
     with tempfile.TemporaryDirectory() as folder:
         try:
             for number in range(count):
-                started.append(NodeProcess(number, ports, store_port, Path(folder)))
+                started.append(NodeProcess(number, ports, store_port, Path(folder), more))
             yield started
         finally:
             for process in started:
