Crashes under a part add up over software versions; tests of the evidence about parts

Cause: found on reading. Records of a part are kept per software, so that an answer of another version clears nothing, but each needed three crashes of its own: with three versions side by side seven replicas could crash before the part was contained. Change: the crashes of a part at all software are one evidence; a record is shared once they are two together. Records name their crashes in the order of the replicas, whatever order they came in. Parts with few crashes are left out of the search, which a crash of a busy replica starts for each of its parts.

--- a/src/cloverwalk/gateway/crash_ledger.py
+++ b/src/cloverwalk/gateway/crash_ledger.py
@@ -15,6 +15,7 @@
 """
 
 import enum
+from collections.abc import Iterable
 from itertools import pairwise
 
 import attrs
@@ -239,8 +240,8 @@
             self._blame = None
         if entry.crashed.keys() != previous.keys():
             entry.trial_ends_at = float("-inf")
-            self._record_change(entry.crashes)
-            self._evict(entry.crashes)
+            self._record_change(key)
+            self._evict(key)
         return self.is_contained(key) and not was_contained
 
     def _clear(self, key: str, at: float) -> bool:
@@ -249,7 +250,7 @@
         if entry is None or min(crash.at for crash in entry.crashed.values()) > at:
             return False
         was_contained = self.is_contained(key)
-        self._record_change(entry.crashes)
+        self._record_change(key)
         self._cleared_at[key] = at
         entry.crashed = {
             replica: crash for replica, crash in entry.crashed.items() if crash.at > at
@@ -260,53 +261,75 @@
         return was_contained and not self.is_contained(key)
 
     def _remove(self, key: str) -> None:
-        entry = self._entries.pop(key)
-        self._record_change(entry.crashes)
+        self._record_change(key)
+        del self._entries[key]
         prefix = key[:PART_PREFIX_CHARACTERS]
         if keys := self._keys_by_part.get(prefix):
             keys.discard(key)
             if not keys:
                 del self._keys_by_part[prefix]
 
-    def _record_change(self, crashes: int) -> None:
-        if crashes >= SHARING_THRESHOLD:
+    def _record_change(self, key: str) -> None:
+        self._blame = None
+        if self._is_shared(key):
             self._digest = None
             self.revision += 1
-            self._blame = None
+
+    def _is_shared(self, key: str) -> bool:
+        """Whether all nodes should have a record; crashes of a part at any software count."""
+        prefix = key[:PART_PREFIX_CHARACTERS]
+        keys = self._keys_by_part.get(prefix, ()) if is_part_key(key) else (key,)
+        return self._total_crashes(keys) >= SHARING_THRESHOLD
+
+    def _total_crashes(self, keys: Iterable[str]) -> int:
+        return sum(self._entries[key].crashes for key in keys if key in self._entries)
 
     # --- decisions ---
 
     def _current_blame(self) -> Blame:
         if self._blame is None:
-            evidence, contained = {}, []
-            for key, entry in self._entries.items():
-                if entry.crashes < CONTAINMENT_THRESHOLD:
-                    continue
-                if is_part_key(key):
-                    evidence[key] = PartEvidence(entry.crashed, key in self._answered_at)
-                else:
-                    contained.append(entry.crashed.keys())
+            evidence = {
+                prefix: self._evidence(keys)
+                for prefix, keys in self._keys_by_part.items()
+                if self._total_crashes(keys) >= CONTAINMENT_THRESHOLD
+            }
+            contained = [
+                entry.crashed.keys()
+                for key, entry in self._entries.items()
+                if entry.crashes >= CONTAINMENT_THRESHOLD and not is_part_key(key)
+            ]
             self._blame = find_blamed(evidence, contained)
         return self._blame
 
+    def _evidence(self, keys: set[str]) -> PartEvidence:
+        """Return the evidence about a part from its records at all software."""
+        crashed: dict[str, PartCrash] = {}
+        for key in sorted(keys):
+            crashed.update(self._entries[key].crashed)
+        return PartEvidence(crashed, all(key in self._answered_at for key in keys))
+
     def is_contained(self, key: str) -> bool:
         """Whether requests with a content or part are sent as trials only.
 
+        A part that is blamed is contained for all software under which it has crash records.
         Crashes that a blamed part explains don't count for a content.
         """
         entry = self._entries.get(key)
-        if entry is None or entry.crashes < CONTAINMENT_THRESHOLD:
+        if entry is None:
             return False
-        blame = self._current_blame()
         if is_part_key(key):
-            return key in blame.parts
-        return len(entry.crashed.keys() - blame.explained) >= CONTAINMENT_THRESHOLD
+            return key[:PART_PREFIX_CHARACTERS] in self._current_blame().parts
+        if entry.crashes < CONTAINMENT_THRESHOLD:
+            return False
+        explained = self._current_blame().explained
+        return len(entry.crashed.keys() - explained) >= CONTAINMENT_THRESHOLD
 
     def _is_certain(self, key: str) -> bool:
         """Whether no other part has the same evidence, and no answer speaks for this one."""
         if not is_part_key(key):
             return True
-        return self._current_blame().parts.get(key) == 1 and key not in self._answered_at
+        blamed = self._current_blame().parts.get(key[:PART_PREFIX_CHARACTERS])
+        return blamed == 1 and key not in self._answered_at
 
     def crashed_replicas(self, key: str) -> list[str]:
         """Return the incarnations that ended under a content or part since its last answer."""
@@ -396,7 +419,7 @@
         return self._digest
 
     def _shared(self) -> list[str]:
-        return [key for key, entry in self._entries.items() if entry.crashes >= SHARING_THRESHOLD]
+        return [key for key in self._entries if self._is_shared(key)]
 
     def shared_records(self, now: float) -> list[CrashRecord]:
         """Return the records for all nodes, with those cleared within ``ANSWER_TTL_S``."""
@@ -420,7 +443,7 @@
 
     def record_of(self, content: str, now: float) -> CrashRecord:
         """Return the record of a request as it is sent; one without crashes if there is none."""
-        crashed = self._entries.get(content, _LedgerEntry()).crashed
+        crashed = dict(sorted(self._entries.get(content, _LedgerEntry()).crashed.items()))
         ages = {replica: _age_ms(crash.at, now) for replica, crash in crashed.items()}
         answered_at = self._answered_at.get(content)
         record = CrashRecord(
@@ -472,12 +495,12 @@
             self._remove(content)
         return ended
 
-    def _evict(self, crashes: int) -> None:
-        """Enforce the bounds after a record got a number of crashes."""
+    def _evict(self, key: str) -> None:
+        """Enforce the bounds after a record got another crash."""
         if len(self._entries) > MAX_RECORDS:
             # Evicts many at once, since sorting all records takes milliseconds.
             self._evict_down_to(MAX_RECORDS * 9 // 10, list(self._entries))
-        if crashes >= SHARING_THRESHOLD:
+        if len(self._entries) > MAX_SHARED_RECORDS and self._is_shared(key):
             self._evict_down_to(MAX_SHARED_RECORDS, self._shared())
 
     def _evict_down_to(self, max_count: int, contents: list[str]) -> None:
