--- a/tests/serving/test_crashing_parts.py
+++ b/tests/serving/test_crashing_parts.py
@@ -4,6 +4,8 @@
 whole requests does not recognize. Verified by what replicas received and clients got.
 """
 
+import json
+from base64 import b64encode
 from random import Random
 from typing import Any
 
@@ -14,6 +16,8 @@
 from cloverwalk.core.clock import monotonic_s
 from cloverwalk.emulator.platform_replica import PlatformReplica
 from cloverwalk.emulator.replica_runs import Arrival, Misdeed
+from cloverwalk.fleet.crash_record_store import CRASH_RECORD_TABLE
+from cloverwalk.gateway.crash_keys import is_part_key
 from cloverwalk.platform import names
 
 GUILTY = "bad0"
@@ -62,6 +66,7 @@
         self._crashing: list[tuple[float, PlatformReplica]] = []
         """Replicas that crash, and when."""
 
+        self._replicas: list[PlatformReplica] = []
         self._tasks: dict[str, Any] = {}
         self._count = 0
 
@@ -90,6 +95,7 @@
         replica.choose_misdeed = lambda arrival: self._choose_misdeed(replica, arrival)
         task = await curio.spawn(replica.run, daemon=True)
         self._tasks[name] = task
+        self._replicas.append(replica)
         self.world.tasks.append(task)
         self.world.store.put(names.REPLICA_TABLE, name, replica.document("model", "z1"))
 
@@ -131,8 +137,43 @@
     def now(self) -> float:
         return monotonic_s()
 
+    def world_replicas(self) -> list[PlatformReplica]:
+        """Return the replicas that run."""
+        return [replica for replica in self._replicas if replica.replica_id in self._tasks]
+
+    async def kill_coordinator_after_crashes(self, crashes: int) -> None:
+        await self.world.wait_until(lambda: len(self.crashed_at) >= crashes)
+        coordinator = self.world.coordinator()
+        if coordinator is not None:
+            await self.world.kill_node(self.world.nodes.index(coordinator))
+
+    def stored(self) -> dict[str, bytes]:
+        """Return the stored rows of what is contained."""
+        return self.world.store.rows.values(CRASH_RECORD_TABLE)
+
     # --- clients ---
 
+    async def submit(self, job_id: str, prompts: list[list[str]]) -> Answer:
+        """Submit a job with an item for each prompt."""
+        requests = [
+            {
+                "id": f"{job_id}-{number}",
+                "path": f"/jobs/{number}",
+                "headers": {
+                    names.PREFIX_HASH.decode(): ",".join(
+                        f"{part_id}:40" for part_id in [*part_ids, f"{number:08x}"]
+                    )
+                },
+                "body": b64encode(b"item %d" % number).decode(),
+                "tokens": 10,
+            }
+            for number, part_ids in enumerate(prompts)
+        ]
+        body = json.dumps({"requests": requests}).encode()
+        return await self.world.call(
+            "POST", "/jobs/x", body, [(names.REQUEST_ID.decode(), job_id)], 0
+        )
+
     async def send(self, node: int, part_ids: list[str]) -> Answer:
         """Send a request like no other one; its last part is its own."""
         own_id = f"{self.random.getrandbits(32):08x}"
@@ -239,3 +280,90 @@
         assert parts.served_share(since) >= MIN_SERVED_SHARE
 
     play(3, scenario)
+
+
+def test_part_is_contained_although_the_coordinator_is_killed() -> None:
+    async def scenario(parts: PartWorld) -> None:
+        await parts.start()
+        await parts.world.spawn(parts.kill_coordinator_after_crashes, 2)
+        since = await parts.observe()
+        assert parts.late_arrivals(since) <= MAX_LATE_REQUESTS
+        assert parts.served_share(since) >= MIN_SERVED_SHARE
+
+    play(4, scenario)
+
+
+def test_part_stays_contained_when_all_nodes_are_restarted() -> None:
+    async def scenario(parts: PartWorld) -> None:
+        await parts.start(nodes=1)
+        await parts.observe()
+        await parts.world.wait_until(lambda: bool(parts.stored()))
+        arrived = len(parts.guilty_arrived_at)
+        await parts.world.kill_node(0)
+        parts.world.nodes.clear()
+        parts.world.node_tasks.clear()
+        await parts.add_nodes(1)
+        await parts.world.wait_until(lambda: parts.world.nodes[0]._crash_record_store.is_read)
+        answers = [await parts.send(0, parts.guilty_parts()) for _ in range(5)]
+        assert {answer.status for answer in answers} == {503}
+        assert (await parts.send(0, [FIRST, TOPICS[0]])).status == 200
+        # The clients of the observation go on meanwhile.
+        assert len(parts.guilty_arrived_at) - arrived <= MAX_LATE_REQUESTS
+
+    play(5, scenario)
+
+
+def test_answers_of_another_software_version_do_not_clear_a_part() -> None:
+    """Half of the replicas answer requests with the part that crashes the others."""
+
+    async def scenario(parts: PartWorld) -> None:
+        parts.sound_software = "v2"
+        await parts.start(software="v1 v2")
+        since = await parts.observe()
+        assert parts.late_arrivals(since) <= MAX_LATE_REQUESTS
+        assert parts.served_share(since) >= MIN_SERVED_SHARE
+
+    play(6, scenario)
+
+
+@pytest.mark.parametrize("gap_s", [0.0, 0.2])
+def test_no_part_is_blamed_for_crashes_of_all_replicas(gap_s: float) -> None:
+    """Replicas crash for other reasons, all at once or one after the other, three times."""
+
+    async def scenario(parts: PartWorld) -> None:
+        await parts.start()
+        await parts.world.spawn(parts.send_sound)
+        for _ in range(3):
+            await curio.sleep(1.0)
+            for replica in list(parts.world_replicas()):
+                await parts.crash(replica)
+                await curio.sleep(gap_s)
+            await curio.sleep(RESTART_DELAY_S)
+        await curio.sleep(1.0)
+        ledgers = [node._fleet_state.crash_ledger for node in parts.world.nodes]
+        assert [key for ledger in ledgers for key in ledger.contained() if is_part_key(key)] == []
+        answers = [await parts.send(node, [FIRST, topic]) for node in range(3) for topic in TOPICS]
+        assert {answer.status for answer in answers} == {200}
+
+    play(7, scenario)
+
+
+def test_items_with_a_crashing_part_wait_while_others_go_on() -> None:
+    """Eight items of a job share the part; each would crash a replica, again and again."""
+
+    async def scenario(parts: PartWorld) -> None:
+        await parts.start(nodes=2)
+        guilty = [[FIRST, GUILTY]] * 8
+        sound = [[FIRST, TOPICS[number % 2]] for number in range(12)]
+        assert (await parts.submit("j1", [*guilty, *sound])).status == 202
+        results = await parts.world.until_done("j1", len(sound))
+        assert sorted(result["id"] for result in results) == sorted(
+            f"j1-{number}" for number in range(len(guilty), len(guilty) + len(sound))
+        )
+        await curio.sleep(SYNC_TIMEOUT_S)
+        crashes = len(parts.crashed_at)
+        assert crashes <= MAX_CRASHES
+        await curio.sleep(OBSERVED_S)
+        assert len(parts.crashed_at) - crashes <= 1
+
+    play(8, scenario)
