Soak: parts that crash replicas, crowds of new connections, streams that end with their connection

Cause: the soak had one request that crashes replicas, always the same; nothing in it had a part in common with another, no node got more connections than its peers, and every answer came in chunks. Change: clients send requests with a part that crashes each replica, no two alike, beside sound ones that share caller, first part and topic; most new connections go to one node and then to another; each third replica ends its streams with the connection. Checked from outside: how often such a part is sent later than 3 s after its fifth crash, whether sound requests are contained, and whether a node that gets the crowd serves what it has read. Crashes at several software add up only for a part that was never answered; one that was answered needs six crashes at one software.

--- a/src/cloverwalk/emulator/platform_replica.py
+++ b/src/cloverwalk/emulator/platform_replica.py
@@ -21,6 +21,7 @@
 """Shorter than the time without data after which a node tries another replica."""
 
 STUTTER_INTERVAL_EVENTS = 4
+PARTIAL_EVENT = b"id: "
 DISCONNECT_CHECK_INTERVAL_S = 3600.0
 SLOT_CHECK_INTERVAL_S = 0.01
 """Interval at which a waiting request checks for a free slot."""
@@ -50,8 +51,8 @@
         self.shows_software_version = False
         """Whether the data of its events end with the version of its software."""
 
-        self.ends_answers_by_closing = False
-        """Whether its streams have neither a length nor chunks and end with the connection."""
+        self.closes_after: Callable[[Arrival], bool] = lambda arrival: False
+        """Whether an answer has neither a length nor chunks and ends with its connection."""
 
         self.event_padding = 0
         """Characters added to the data of each event."""
@@ -275,7 +276,7 @@
         if misdeed is Misdeed.SECOND_ANSWER:
             await client.sendall(_foreign_answer())
         is_cut = misdeed in (Misdeed.CUT, Misdeed.RESET_MIDWAY)
-        return not is_cut and not self.ends_answers_by_closing
+        return not is_cut and not self.closes_after(arrival)
 
     async def _stream(
         self,
@@ -285,10 +286,22 @@
         headers: list[tuple[bytes, bytes]],
         misdeed: Misdeed | None,
     ) -> None:
-        writer = self._begin_stream(http, headers, misdeed)
+        writer = self._begin_stream(http, headers, arrival, misdeed)
         await client.sendall(writer.head)
-        if misdeed is Misdeed.BEGIN_SILENTLY:
-            await curio.sleep(3600)
+        try:
+            if misdeed is Misdeed.BEGIN_SILENTLY:
+                await curio.sleep(3600)
+            await self._send_events(client, writer, arrival, misdeed)
+        except curio.TaskCancelled:
+            if self.closes_after(arrival) and misdeed is not Misdeed.BEGIN_CLOSED:
+                # A crash cuts the stream off within an event.
+                with contextlib.suppress(OSError):
+                    client._socket.send(PARTIAL_EVENT)
+            raise
+
+    async def _send_events(
+        self, client: Any, writer: "_StreamWriter", arrival: Arrival, misdeed: Misdeed | None
+    ) -> None:
         last = arrival.headers.get(names.LAST_EVENT_ID.decode().lower())
         first = 1 if last is None else int(last) + 1
         events = (
@@ -321,10 +334,11 @@
         self,
         http: h11.Connection,
         headers: list[tuple[bytes, bytes]],
+        arrival: Arrival,
         misdeed: Misdeed | None,
     ) -> "_StreamWriter":
         headers = [*headers, (b"Content-Type", b"text/event-stream")]
-        if self.ends_answers_by_closing or misdeed is Misdeed.BEGIN_CLOSED:
+        if self.closes_after(arrival) or misdeed is Misdeed.BEGIN_CLOSED:
             return _ClosingWriter(headers)
         return _ChunkedWriter(http, headers)
 
--- a/src/cloverwalk/gateway/crash_ledger.py
+++ b/src/cloverwalk/gateway/crash_ledger.py
@@ -159,6 +159,10 @@
         self._cleared_at: dict[str, float] = {}
         """When an answer cleared a record here, by key; other nodes must be sent this."""
 
+        self._answered_parts: dict[str, str] = {}
+        """The last answered key of each part in ``_answered_at``, by what the part's keys begin
+        with."""
+
         self._keys_by_part: dict[str, set[str]] = {}
         """Keys of entries of parts, by what the keys of a part begin with."""
 
@@ -210,12 +214,25 @@
             return False
         self._answered_at.pop(content, None)
         self._answered_at[content] = at
+        if is_part_key(content):
+            if not self._was_answered(content):
+                self._blame = None
+            self._answered_parts[content[:PART_PREFIX_CHARACTERS]] = content
         if len(self._answered_at) > MAX_ANSWERS:
-            del self._answered_at[next(iter(self._answered_at))]
-        if content in self._entries:
-            self._blame = None
+            self._forget_answer(next(iter(self._answered_at)))
         return self._clear(content, at)
 
+    def _forget_answer(self, key: str) -> None:
+        del self._answered_at[key]
+        prefix = key[:PART_PREFIX_CHARACTERS]
+        if self._answered_parts.get(prefix) == key:
+            del self._answered_parts[prefix]
+            self._blame = None
+
+    def _was_answered(self, key: str) -> bool:
+        """Whether a request with a part was answered recently, by replicas with any software."""
+        return key[:PART_PREFIX_CHARACTERS] in self._answered_parts
+
     def was_answered_since(self, content: str, at: float) -> bool:
         """Whether a whole answer to a request was recorded that came after ``at``."""
         return self._answered_at.get(content, float("-inf")) > at
@@ -288,11 +305,10 @@
 
     def _current_blame(self) -> Blame:
         if self._blame is None:
-            evidence = {
-                prefix: self._evidence(keys)
-                for prefix, keys in self._keys_by_part.items()
-                if self._total_crashes(keys) >= CONTAINMENT_THRESHOLD
-            }
+            evidence: dict[str, PartEvidence] = {}
+            for prefix, keys in self._keys_by_part.items():
+                if self._total_crashes(keys) >= CONTAINMENT_THRESHOLD:
+                    evidence.update(self._evidence(prefix, keys))
             contained = [
                 entry.crashed.keys()
                 for key, entry in self._entries.items()
@@ -301,12 +317,18 @@
             self._blame = find_blamed(evidence, contained)
         return self._blame
 
-    def _evidence(self, keys: set[str]) -> PartEvidence:
-        """Return the evidence about a part from its records at all software."""
+    def _evidence(self, prefix: str, keys: set[str]) -> dict[str, PartEvidence]:
+        """Return the evidence about a part.
+
+        Its crashes at all software add up only if it was never answered: without that, the crashes
+        at software that is gone, and so answers no more, would add up over time.
+        """
+        if prefix in self._answered_parts:
+            return {key: PartEvidence(self._entries[key].crashed, True) for key in keys}
         crashed: dict[str, PartCrash] = {}
         for key in sorted(keys):
             crashed.update(self._entries[key].crashed)
-        return PartEvidence(crashed, all(key in self._answered_at for key in keys))
+        return {prefix: PartEvidence(crashed, False)}
 
     def is_contained(self, key: str) -> bool:
         """Whether requests with a content or part are sent as trials only.
@@ -318,7 +340,7 @@
         if entry is None:
             return False
         if is_part_key(key):
-            return key[:PART_PREFIX_CHARACTERS] in self._current_blame().parts
+            return self._blamed_with(key) > 0
         if entry.crashes < CONTAINMENT_THRESHOLD:
             return False
         explained = self._current_blame().explained
@@ -328,8 +350,13 @@
         """Whether no other part has the same evidence, and no answer speaks for this one."""
         if not is_part_key(key):
             return True
-        blamed = self._current_blame().parts.get(key[:PART_PREFIX_CHARACTERS])
-        return blamed == 1 and key not in self._answered_at
+        return self._blamed_with(key) == 1 and not self._was_answered(key)
+
+    def _blamed_with(self, key: str) -> int:
+        """Return how many parts are blamed on the same evidence as a part; 0 if it is not."""
+        prefix, parts = key[:PART_PREFIX_CHARACTERS], self._current_blame().parts
+        names = (prefix, *self._keys_by_part.get(prefix, ()))
+        return max((parts.get(name, 0) for name in names), default=0)
 
     def crashed_replicas(self, key: str) -> list[str]:
         """Return the incarnations that ended under a content or part since its last answer."""
@@ -363,7 +390,7 @@
         suspects = [
             key
             for key in self.keys_with_crashes(keys)
-            if not is_part_key(key) or key not in self._answered_at or self.is_contained(key)
+            if not is_part_key(key) or not self._was_answered(key) or self.is_contained(key)
         ]
         return max(
             suspects, key=lambda key: (self.is_contained(key), self.crashes(key)), default=None
@@ -466,9 +493,9 @@
         key = record.content_hash
         if record.answered_age_ms is not None:
             self.note_answer(key, now - record.answered_age_ms / 1000)
-        elif is_part_key(key) and key in self._answered_at:
-            # The others don't know that the part was answered, even if before these crashes.
-            self._cleared_at[key] = now
+        elif is_part_key(key) and self._was_answered(key):
+            # The others may not know that the part was answered, even if before these crashes.
+            self._cleared_at[self._answered_parts[key[:PART_PREFIX_CHARACTERS]]] = now
             self.stale_record_count += 1
         crashed = {
             replica_id: crash
@@ -484,8 +511,7 @@
         for key in [key for key, at in self._cleared_at.items() if now - at >= ANSWER_TTL_S]:
             del self._cleared_at[key]
         for key in [key for key, at in self._answered_at.items() if now - at >= _answer_ttl_s(key)]:
-            del self._answered_at[key]
-            self._blame = None
+            self._forget_answer(key)
         ended: list[str] = []
         for content, entry in list(self._entries.items()):
             if now < entry.last_crash_at + RECORD_TTL_S:
--- a/src/cloverwalk/soak/checker.py
+++ b/src/cloverwalk/soak/checker.py
@@ -4,6 +4,7 @@
 from collections.abc import Iterable, Iterator
 
 from cloverwalk.soak.check_crashes import CrashChecks
+from cloverwalk.soak.check_crowds import CrowdChecks
 from cloverwalk.soak.check_jobs import JobChecks
 from cloverwalk.soak.check_nodes import NodeChecks, QuotaChecks
 from cloverwalk.soak.check_requests import RequestChecks
@@ -27,6 +28,7 @@
         self._quotas = QuotaChecks(self._versions, QUOTA_WINDOW_S, QUOTA_OVERSHOOT, QUOTA_SLACK)
         self._zone_drains = ZoneDrainChecks(self._disturbances, self._requests)
         self._streams = StreamChecks(self._disturbances)
+        self._crowds = CrowdChecks(self._disturbances)
         self._at = 0.0
         self.violations: list[Violation] = []
         self.run_ends: Counter[str] = Counter()
@@ -50,6 +52,7 @@
             yield from checks.handle(event)
         yield from self._zone_drains.handle(event)
         yield from self._streams.handle(event)
+        yield from self._crowds.handle(event)
 
     def _check_was_sent(self, run: RunBegan) -> Iterator[Violation]:
         if not self._requests.has_request(run.request) and not self._jobs.has_item(run.request):
--- a/src/cloverwalk/soak/clients.py
+++ b/src/cloverwalk/soak/clients.py
@@ -10,10 +10,10 @@
 from cloverwalk.platform import names
 from cloverwalk.soak.connection import Answer, ClientConnection
 from cloverwalk.soak.deployment import HOST, ROUTES, UNKNOWN_KEY, Operator, RouteSpec
-from cloverwalk.soak.events import AnswerEnd, AnswerSeen, ClientLeft, RequestSent
+from cloverwalk.soak.events import AnswerEnd, AnswerSeen, ClientLeft, CrowdMoved, RequestSent
 from cloverwalk.soak.history import History
 from cloverwalk.soak.processes import NodeProcess
-from cloverwalk.soak.replicas import CRASHING_BODY, digest
+from cloverwalk.soak.replicas import CRASHING_BODY, GUILTY_PREFIX, digest
 
 REQUEST_DEADLINE_MS = 3_000
 EXTRA_WAIT_S = 3.0
@@ -32,6 +32,12 @@
 MEAN_STREAM_INTERVAL_S = 0.3
 """Mean delay between two streams of a client that resumes them."""
 
+FIRST_PART = "f000"
+"""Part of the prompts of all requests."""
+
+SHARED_TOPICS = 12
+"""Number of second parts."""
+
 STREAM_TENANT = "hall"
 """A tenant without a quota."""
 
@@ -77,6 +83,16 @@
     """Id of the request that began the stream that it resumes."""
 
     last_event: int = 0
+    part_ids: tuple[str, ...] = ()
+    """Parts of its prompt that other requests share."""
+
+    is_crowd: bool = False
+
+    @property
+    def guilty_part(self) -> str:
+        """The part that crashes replicas; empty if there is none."""
+        guilty = (part_id for part_id in self.part_ids if part_id.startswith(GUILTY_PREFIX))
+        return next(guilty, "")
 
     def headers(self) -> list[tuple[str, str]]:
         """Return the request headers."""
@@ -87,6 +103,9 @@
             (names.DEADLINE_MS.decode(), str(deadline_ms)),
             (names.TOKEN_USAGE.decode(), f"{len(self.body)},{self.events}"),
         ]
+        if self.part_ids:
+            prompt = ",".join(f"{part_id}:20" for part_id in [*self.part_ids, digest(self.body)])
+            headers.append((names.PREFIX_HASH.decode(), prompt))
         if self.resumes:
             headers.append((names.RESUMES.decode(), self.resumes))
             headers.append((names.LAST_EVENT_ID.decode(), str(self.last_event)))
@@ -115,7 +134,16 @@
         key = self._choose_key(random, tenant, route)
         body = f"prompt of {request_id} ".encode() * random.randint(1, 20)
         target = f"{route.prefix}{random.randint(1, 99)}?q={number}"
-        request = OnlineRequest(request_id, route, target, key, body, events, disconnect_after_s)
+        request = OnlineRequest(
+            request_id,
+            route,
+            target,
+            key,
+            body,
+            events,
+            disconnect_after_s,
+            part_ids=(FIRST_PART, f"7{number % SHARED_TOPICS:03x}"),
+        )
         if random.random() < PARTIAL_REQUEST_SHARE and not tenant:
             share = random.uniform(0.1, 0.95)
             return attrs.evolve(
@@ -153,6 +181,18 @@
         key = random.choice(self._operator.tenants[CRASHING_TENANT].keys)
         return OnlineRequest(request_id, route, f"{route.prefix}ends", key, CRASHING_BODY, 5)
 
+    def make_guilty(self, part_id: str, random: Random) -> OnlineRequest:
+        """Return a request like no other one that has a part which crashes replicas."""
+        number = next(self._numbers)
+        request_id, route = f"g{number:06d}", ONLINE_ROUTES[0]
+        key = random.choice(self._operator.tenants[CRASHING_TENANT].keys)
+        body = f"prompt of {request_id}".encode()
+        part_ids = [FIRST_PART, f"7{number % SHARED_TOPICS:03x}"]
+        part_ids.insert(random.randint(1, 2), part_id)
+        return OnlineRequest(
+            request_id, route, f"{route.prefix}{number}", key, body, 5, part_ids=tuple(part_ids)
+        )
+
     def _choose_key(self, random: Random, tenant: str, route: RouteSpec) -> str:
         tenants = self._operator.tenants
         tenant_state = tenants[tenant or random.choice(sorted(tenants))]
@@ -249,6 +289,28 @@
                 random.choice(self._nodes), self._maker.make_crashing(random)
             )
 
+    async def run_guilty(
+        self, part_id: str, rate_per_s: float, until: float, random: Random
+    ) -> None:
+        """Send requests with a part that crashes replicas, each at a random node."""
+        async with curio.TaskGroup() as tasks:
+            while self._history.now() < until:
+                await curio.sleep(random.expovariate(rate_per_s))
+                request = self._maker.make_guilty(part_id, random)
+                await tasks.spawn(self.send_on_new_connection, random.choice(self._nodes), request)
+
+    async def run_crowd(
+        self, node: NodeProcess, rate_per_s: float, until: float, random: Random
+    ) -> None:
+        """Send requests on new connections to one node."""
+        self._history.record(CrowdMoved(node=node.name))
+        async with curio.TaskGroup() as tasks:
+            while self._history.now() < until:
+                await curio.sleep(random.expovariate(rate_per_s))
+                request = attrs.evolve(self._maker.make(random, CRASHING_TENANT), is_crowd=True)
+                await tasks.spawn(self.send_on_new_connection, node, request)
+        self._history.record(CrowdMoved())
+
     async def send_herd(self, total: int, tenant: str, random: Random) -> None:
         """Send many requests at once to random nodes."""
         async with curio.TaskGroup() as tasks:
@@ -309,6 +371,8 @@
                 is_resumable=request.route.is_resumable,
                 resumes=request.resumes,
                 last_event=request.last_event,
+                is_crowd=request.is_crowd,
+                guilty_part=request.guilty_part,
             )
         )
 
--- a/src/cloverwalk/soak/draw.py
+++ b/src/cloverwalk/soak/draw.py
@@ -51,6 +51,9 @@
 """Software versions at the start; nodes of earlier builds mix them, so their soaks have one."""
 
 
+CLOSING_REPLICA_INTERVAL = 3
+
+
 def replica_count(nodes: int) -> int:
     """Return the number of replicas for a fleet; each service has at least two."""
     return max(5, nodes // 2 + 2)
@@ -67,6 +70,7 @@
         minutes * 60,
         actions,
         software_versions=SOFTWARE_VERSION_COUNT,
+        closing_replica_interval=CLOSING_REPLICA_INTERVAL,
     )
 
 
@@ -75,7 +79,9 @@
     plan = draw_plan(seed, nodes, minutes)
     actions = [action for action in plan.actions if action.kind in KINDS_OF_EARLIER_BUILDS]
     steps = draw_build_steps(seed, nodes, plan.duration_s)
-    return msgspec.structs.replace(plan, actions=actions, build_steps=steps, software_versions=1)
+    return msgspec.structs.replace(
+        plan, actions=actions, build_steps=steps, software_versions=1, closing_replica_interval=0
+    )
 
 
 class _PlanDrawer:
@@ -100,6 +106,8 @@
             (8.0, self._restart_actions),
             (15.0, self._zone_drain_actions),
             (14.0, self._release_actions),
+            (9.0, self._part_actions),
+            (10.0, self._crowd_actions),
         )
         for mean_interval_s, draw in series:
             at_s = FAULT_FREE_START_S + self._random.uniform(0, mean_interval_s)
@@ -203,6 +211,18 @@
         version = self._random.choice(names_of_kind(kind))
         return [Action(round(at_s, 2), kind, targets, self._draw_value(0.2, 1.5), name=version)]
 
+    def _part_actions(self, at_s: float) -> list[Action]:
+        kind = ActionKind.REPLICA_PART
+        duration_s, rate = self._draw_value(6.0, 12.0), self._draw_value(1.0, 4.0)
+        return [Action(round(at_s, 2), kind, [], min(self._duration_s, duration_s), rate)]
+
+    def _crowd_actions(self, at_s: float) -> list[Action]:
+        """Return a crowd of new connections at one node, then at another."""
+        kind = ActionKind.CLIENT_CROWD
+        targets = self._random.sample(range(self._nodes), min(2, self._nodes))
+        duration_s, rate = self._draw_value(8.0, 12.0), self._draw_value(15.0, 30.0)
+        return [Action(round(at_s, 2), kind, targets, min(self._duration_s, duration_s), rate)]
+
     def _operator_actions(self, at_s: float) -> list[Action]:
         kind = self._random.choice(OPERATOR_KINDS)
         at_s = round(at_s, 2)
--- a/src/cloverwalk/soak/events.py
+++ b/src/cloverwalk/soak/events.py
@@ -155,6 +155,12 @@
     resumes: str = ""
     """Id of the request that began the stream that it resumes."""
 
+    is_crowd: bool = False
+    """Whether it belongs to a crowd of new connections at one node."""
+
+    guilty_part: str = ""
+    """The part of its prompt that crashes replicas; empty if there is none."""
+
     last_event: int = 0
     """Number of the event after which the stream goes on."""
 
@@ -214,6 +220,12 @@
     replica: str
 
 
+class CrowdMoved(SoakEvent, frozen=True):
+    """From now on most new connections go to a node; to none if it is empty."""
+
+    node: str = ""
+
+
 class RunBegan(SoakEvent, frozen=True):
     """A replica started to run a request or an item."""
 
--- a/src/cloverwalk/soak/faults.py
+++ b/src/cloverwalk/soak/faults.py
@@ -26,7 +26,7 @@
 )
 from cloverwalk.soak.processes import NodeProcess
 from cloverwalk.soak.proxy import FaultProxy
-from cloverwalk.soak.replicas import ReplicaFleet
+from cloverwalk.soak.replicas import GUILTY_PREFIX, ReplicaFleet
 
 RELEASE_INTERVAL_S = 1.0
 """Time between the replacements of two replicas of a release."""
@@ -64,6 +64,15 @@
         return max(amounts, default=None)
 
 
+UNDISTURBING_KINDS = (
+    *OPERATOR_KINDS,
+    *HERD_KINDS,
+    ActionKind.ZONE_DRAIN,
+    ActionKind.CLIENT_CROWD,
+)
+"""Kinds under which all promises hold."""
+
+
 class FaultRunner:
     """Runs the actions of a schedule against nodes, proxies, store, replicas and clients."""
 
@@ -107,7 +116,7 @@
     async def _run_action(self, action: Action) -> None:
         fault = next(self._fault_numbers)
         handler = self._handler_of(action)
-        if action.kind in (*OPERATOR_KINDS, *HERD_KINDS, ActionKind.ZONE_DRAIN):
+        if action.kind in UNDISTURBING_KINDS:
             await handler(fault, action)
             return
         nodes = (
@@ -140,6 +149,8 @@
             ActionKind.HERD_REQUESTS: self._send_herd,
             ActionKind.HERD_JOBS: self._send_herd,
             ActionKind.ZONE_DRAIN: self._drain_zone,
+            ActionKind.REPLICA_PART: self._send_guilty,
+            ActionKind.CLIENT_CROWD: self._send_crowd,
         }
         return handlers[action.kind]
 
@@ -228,6 +239,17 @@
         else:
             await self._jobs.submit_herd(int(action.amount), action.name, random)
 
+    async def _send_guilty(self, fault: int, action: Action) -> None:
+        random, until = Random(self._random.random()), self._history.now() + action.duration_s
+        await self._online.run_guilty(f"{GUILTY_PREFIX}{fault:x}", action.amount, until, random)
+
+    async def _send_crowd(self, fault: int, action: Action) -> None:
+        """Let most new connections go to one target after the other."""
+        random = Random(self._random.random())
+        for number in action.targets:
+            until = self._history.now() + action.duration_s / len(action.targets)
+            await self._online.run_crowd(self._nodes[number], action.amount, until, random)
+
 
 def _is_limited_to_targets(action: Action) -> bool:
     """Whether an action affects only the nodes that are its targets."""
--- a/src/cloverwalk/soak/plan.py
+++ b/src/cloverwalk/soak/plan.py
@@ -52,6 +52,11 @@
     HERD_JOBS = "herd_jobs"
     ZONE_DRAIN = "zone_drain"
     REPLICA_RELEASE = "replica_release"
+    REPLICA_PART = "replica_part"
+    """Clients send requests with a part of their prompts that crashes each replica."""
+
+    CLIENT_CROWD = "client_crowd"
+    """Most new connections go to one node, then to the next target."""
 
 
 NODE_KINDS = (ActionKind.NODE_TERM, ActionKind.NODE_KILL, ActionKind.NODE_FREEZE)
@@ -153,6 +158,10 @@
     software_versions: int = 1
     """Software versions that replicas of a service have side by side."""
 
+    closing_replica_interval: int = 0
+    """Each replica whose number is a multiple of this ends its streams with the connection instead
+    of chunks; 0: none."""
+
 
 def load_plan(path: Path) -> Plan:
     """Read a schedule from a file; raise SoakInputError if it is invalid."""
--- a/src/cloverwalk/soak/replicas.py
+++ b/src/cloverwalk/soak/replicas.py
@@ -14,7 +14,7 @@
 from cloverwalk.emulator.replica_runs import Arrival, Misdeed
 from cloverwalk.platform import names
 from cloverwalk.soak.addresses import SoakNetwork
-from cloverwalk.soak.deployment import SERVICES, SLOTS_PER_REPLICA, SOFTWARE_VERSIONS, ZONES
+from cloverwalk.soak.deployment import ROUTES, SERVICES, SLOTS_PER_REPLICA, SOFTWARE_VERSIONS, ZONES
 from cloverwalk.soak.events import ReplicaStarted, ReplicaStopped, RunBegan, RunEnded
 from cloverwalk.soak.history import History
 from cloverwalk.soak.proxy import FaultProxy
@@ -25,6 +25,9 @@
 """How long a draining replica serves before, and again after, its entry is removed."""
 
 DEFAULT_EVENTS = 5
+STREAM = "streaming"
+"""Kind of the routes whose answers are event streams."""
+
 FAILING_FOLDER = "fails"
 """Path segment of items that are always answered 500."""
 
@@ -35,6 +38,9 @@
 CRASHING_BODY = b"ends whoever runs it"
 """A request with this body always crashes its replica."""
 
+GUILTY_PREFIX = "bad"
+"""Begin of the ids of parts that crash each replica which begins to answer a request with them."""
+
 CRASH_DOWNTIME_S = 2.0
 """Downtime after a request crashed a replica."""
 
@@ -65,6 +71,19 @@
     return int(output_tokens) if output_tokens.isdecimal() else DEFAULT_EVENTS
 
 
+def guilty_part(arrival: Arrival) -> str:
+    """Return the part of a request's prompt that crashes replicas; empty if there is none."""
+    prompt = arrival.headers.get(names.PREFIX_HASH.decode().lower(), "")
+    part_ids = [part.partition(":")[0] for part in prompt.split(",")[:-1]]
+    return next((part_id for part_id in part_ids if part_id.startswith(GUILTY_PREFIX)), "")
+
+
+def _is_stream(arrival: Arrival) -> bool:
+    """Whether a crash shows in an answer that has neither a length nor chunks: the answers of all
+    routes are events here, and only streams are checked for events that are cut off."""
+    return any(arrival.target.startswith(route.prefix) for route in ROUTES if route.kind == STREAM)
+
+
 class RunRecorder:
     """Records the runs of replicas in the history."""
 
@@ -139,7 +158,9 @@
         history: History,
         random: Random,
         software_versions: int = 1,
+        closing_interval: int = 0,
     ) -> None:
+        self._closing_interval = closing_interval
         self._history = history
         self._software_versions = SOFTWARE_VERSIONS[:software_versions]
         self._store = store
@@ -200,6 +221,9 @@
         replica.max_waiting = MAX_QUEUED_REQUESTS
         replica.observer = self.run_recorder
         replica.choose_event_count = requested_events
+        interval = self._closing_interval
+        if interval > 0 and host.number % interval == 0:
+            replica.closes_after = _is_stream
         replica.choose_misdeed = self._misdeed_chooser(replica_id, host.number)
         self.run_recorder.service_by_replica[replica_id] = host.service
         self.run_recorder.zone_by_replica[replica_id] = host.zone
@@ -313,6 +337,9 @@
             if arrival.body == CRASHING_BODY:
                 self._crashing.append(number)
                 return Misdeed.RUN_SILENTLY
+            if guilty_part(arrival):
+                self._crashing.append(number)
+                return Misdeed.BEGIN_SILENTLY
             if f"/{FAILING_FOLDER}/" in arrival.target:
                 return Misdeed.FAIL
             if f"/{IMPOSSIBLE_FOLDER}/" in arrival.target:
--- a/src/cloverwalk/soak/run.py
+++ b/src/cloverwalk/soak/run.py
@@ -122,7 +122,13 @@
         self._operator = Operator(self._store, history)
         replica_random = Random(f"soak-replicas/{plan.seed}")
         self._replicas = ReplicaFleet(
-            plan.replicas, network, self._store, history, replica_random, plan.software_versions
+            plan.replicas,
+            network,
+            self._store,
+            history,
+            replica_random,
+            plan.software_versions,
+            plan.closing_replica_interval,
         )
         self._nodes = [
             NodeProcess(number, network, self._folder, history) for number in range(plan.nodes)
--- a/tests/soak/test_soak_checker.py
+++ b/tests/soak/test_soak_checker.py
@@ -12,6 +12,7 @@
     AnswerSeen,
     ClientLeft,
     ConfigurationWritten,
+    CrowdMoved,
     FaultBegan,
     FaultEnded,
     NodeGone,
@@ -41,6 +42,7 @@
     ResultFact,
 )
 from cloverwalk.soak.replicas import CRASHING_BODY, digest
+from cloverwalk.soak.violations import RECOVERY_S
 
 CHAT = RouteFact("chat", "/chat/", ["alpha"], 3)
 OPEN = RouteFact("open", "/open/", ["alpha"], 3, is_public=True)
@@ -715,3 +717,90 @@
 ) -> None:
     history = resumptions(count, replicas, status)
     assert ("lost streams" in set(broken_promises(*history))) == is_lost
+
+
+# --- parts of prompts that crash replicas ---
+
+GUILTY_PART = "bad1"
+
+
+def guilty_runs(*times: float, crashes: bool = True) -> list[Any]:
+    """Return events of requests with one crashing part that start at a replica at given times."""
+    events: list[Any] = []
+    for run, at in enumerate(times, start=1):
+        request = f"g{run}"
+        events.append(
+            RequestSent(
+                request=request,
+                node="n1",
+                method="POST",
+                target=f"/chat/{run}",
+                body=f"body {run}",
+                key="",
+                events=5,
+                may_repeat=True,
+                guilty_part=GUILTY_PART,
+                at=at,
+            )
+        )
+        events.append(
+            RunBegan(
+                run=run,
+                replica=f"r{run}",
+                service="alpha",
+                request=request,
+                method="POST",
+                target=f"/chat/{run}",
+                body=f"body {run}",
+                tenant=None,
+                has_key=False,
+                at=at,
+            )
+        )
+        if crashes:
+            events.append(RunEnded(run=run, request=request, end="crashed", at=at + 0.1))
+    return events
+
+
+def test_requests_with_crashing_part_after_containment_are_reported() -> None:
+    allowed = guilty_runs(1, 2, 3, 4, 5, 6, 7, 20, 21, 22)
+    assert containment_violations(allowed) == []
+    assert len(containment_violations(guilty_runs(1, 2, 3, 4, 5, 6, 7, 20, 21, 22, 23))) == 1
+
+
+def test_contained_sound_request_beside_crashing_part_is_reported() -> None:
+    sent = msgspec.structs.replace(guilty_runs(1)[0], request="s1", guilty_part="")
+    answer = AnswerSeen(
+        request="s1", end=AnswerEnd.WHOLE, status=503, code="request_contained", at=9.0
+    )
+    assert len(containment_violations([*guilty_runs(1, 2, 3), sent, answer])) == 1
+
+
+# --- crowds of new connections at one node ---
+
+
+def crowd(statuses: list[int], began_at: float = 10.0) -> list[Any]:
+    """Return the requests of a crowd that begins to count ``RECOVERY_S`` after ``began_at``."""
+    events: list[Any] = [CrowdMoved(node="n1", at=began_at)]
+    for number, status in enumerate(statuses):
+        at = began_at + RECOVERY_S + 0.1 + 0.01 * number
+        sent = msgspec.structs.replace(
+            guilty_runs(1)[0], request=f"c{number}", guilty_part="", is_crowd=True, at=at
+        )
+        end = AnswerEnd.WHOLE if status else AnswerEnd.BROKEN
+        events += [sent, AnswerSeen(request=f"c{number}", end=end, status=status, at=at)]
+    events.append(CrowdMoved(at=began_at + 10.0))
+    return events
+
+
+def crowd_violations(events: list[Any]) -> int:
+    return sum(violation.promise == "crowd" for violation in check_history(events))
+
+
+def test_refusals_of_read_requests_in_a_crowd_are_reported() -> None:
+    assert crowd_violations(crowd([200] * 30)) == 0
+    assert crowd_violations(crowd([200] * 20 + [503] * 10)) == 1
+
+
+def test_unread_connections_of_a_crowd_are_no_refusals() -> None:
+    assert crowd_violations(crowd([200] * 20 + [0] * 30)) == 0
