Nodes report their crash records again to a new coordinator

Cause: found on reading. A crash that one node has seen is reported for 2.5 s, and only the coordinator adds up the reports of nodes. With its loss, crashes under a part at several nodes, one each, were forgotten, and as many again had to follow. Change: on a change of the coordinator each node reports what it observed within 30 s once more.

--- a/src/cloverwalk/fleet/coordinator_client.py
+++ b/src/cloverwalk/fleet/coordinator_client.py
@@ -416,6 +416,7 @@
             term=leadership.term,
             standbys=[standby.node for standby in leadership.standbys],
         )
+        self._crash_records.on_leadership_change()
         await self.on_leadership_change()
         await self._report_requested.set()
 
--- a/src/cloverwalk/fleet/crash_record_sync.py
+++ b/src/cloverwalk/fleet/crash_record_sync.py
@@ -56,6 +56,10 @@
         """Record the digest of the coordinator's crash records."""
         self._coordinator_digest = digest
 
+    def on_leadership_change(self) -> None:
+        """Report this node's observations to a new coordinator, which may not have them."""
+        self.ledger.report_again(self._clock())
+
     def records_for_report(self) -> list[CrashRecord]:
         """Return the crash records that the coordinator may not have yet."""
         if not self.ledger.needs_sync:
--- a/src/cloverwalk/gateway/crash_ledger.py
+++ b/src/cloverwalk/gateway/crash_ledger.py
@@ -61,6 +61,10 @@
 PART_ANSWER_TTL_S = 600.0
 """How long answers are kept for parts: one that was answered needs more evidence to be blamed."""
 
+OBSERVATION_TTL_S = 30.0
+"""For how long a node's own observations are reported again to a new coordinator, which has to add
+them up with those of other nodes."""
+
 MAX_RECORDS = 4096
 MAX_SHARED_RECORDS = 120
 """Bounds of memory and of the size of messages. The records with the fewest crashes are evicted
@@ -462,6 +466,12 @@
         contents |= {key for key, at in self._cleared_at.items() if now - at < REPORTING_TIME_S}
         return self._records(contents, now)
 
+    def report_again(self, now: float) -> None:
+        """Report the crashes that this node observed within ``OBSERVATION_TTL_S`` once more."""
+        for entry in self._entries.values():
+            if now - entry.seen_locally_at < OBSERVATION_TTL_S:
+                entry.seen_locally_at = now
+
     def _records(self, contents: set[str], now: float) -> list[CrashRecord]:
         """Return records to send: those with the most crashes, the newest among equals."""
         records = [self.record_of(content, now) for content in sorted(contents)]
--- a/tests/serving/test_crash_records.py
+++ b/tests/serving/test_crash_records.py
@@ -10,11 +10,13 @@
 
 from cloverwalk.fleet.messages import CrashCases, Report, encode_datagram
 from cloverwalk.fleet.transport import MAX_DATAGRAM_BYTES
+from cloverwalk.gateway.crash_keys import part_key
 from cloverwalk.gateway.crash_ledger import (
     CONTAINMENT_THRESHOLD,
     MAX_INCARNATIONS,
     MAX_RECORDS,
     MAX_SHARED_RECORDS,
+    OBSERVATION_TTL_S,
     RECORD_TTL_S,
     REPORTING_TIME_S,
     SHARING_THRESHOLD,
@@ -25,6 +27,7 @@
     CrashRecord,
     InvalidCrashRecordError,
 )
+from cloverwalk.gateway.software_versions import Software
 
 GUILTY = "a" * 20
 POPULAR = "b" * 20
@@ -324,6 +327,32 @@
     curio.run(test)
 
 
+def test_new_coordinator_adds_up_what_single_nodes_have_seen() -> None:
+    """Each node has one crash of a part, and only the lost coordinator had all of them."""
+
+    async def test() -> None:
+        world = CoordinationWorld(NODES)
+        await world.start()
+        key = part_key("bad", Software("model", "v1"))
+        lost = world.coordinator
+        others = [node for node in world.nodes if node is not lost]
+        world.wire.dropped_kinds.add(CrashCases)
+        for number, node in enumerate(others):
+            at = world.now - 4.0 + number
+            node.ledger.note_crash(key, f"r{number}", at, at - 0.5, f"q{number}")
+        await world.run(2 * REPORTING_TIME_S)
+        assert lost.ledger.crashes(key) == len(others)
+        assert [node.ledger.crashes(key) for node in others] == [1] * len(others)
+        world.wire.dropped_kinds.clear()
+        restarted = world.replace(lost)
+        world.load_replicas(restarted)
+        await restarted.election._start()
+        await world.run(OBSERVATION_TTL_S / 2)
+        assert [node.ledger.crashes(key) for node in world.nodes] == [len(others)] * NODES
+
+    curio.run(test)
+
+
 def test_answer_that_clears_the_only_crash_record_is_broadcast() -> None:
     """The node's ledger is empty then, while the coordinator and the others have the record."""
 
