--- a/tests/serving/test_crash_records.py
+++ b/tests/serving/test_crash_records.py
@@ -10,7 +10,7 @@
 
 from cloverwalk.fleet.messages import CrashCases, Report, encode_datagram
 from cloverwalk.fleet.transport import MAX_DATAGRAM_BYTES
-from cloverwalk.gateway.crash_keys import part_key
+from cloverwalk.gateway.crash_keys import RequestKeys, part_key
 from cloverwalk.gateway.crash_ledger import (
     CONTAINMENT_THRESHOLD,
     MAX_INCARNATIONS,
@@ -35,6 +35,10 @@
 """Once this time has passed after the third crash, at most ``MAX_RETRIES`` more may be sent."""
 
 MAX_RETRIES = 3
+PART_CRASHES = 5
+"""Crashes under a part after which at most ``MAX_RETRIES`` may follow."""
+
+SOFTWARE = Software("model", "v1")
 NODES = 5
 REQUEST_INTERVAL_S = 0.5
 
@@ -277,6 +281,72 @@
     curio.run(test)
 
 
+class PartClients(Clients):
+    """Clients whose requests share a part that ends replicas, and nothing else."""
+
+    GUILTY_KEYS = RequestKeys("", ("bad",))
+    SOUND_KEYS = RequestKeys("", ("popular",))
+
+    def may_send_part(self, node: FleetNode, keys: RequestKeys) -> bool:
+        """Check the ledgers of the node and of the coordinator it follows, as the relay does."""
+        now = self.world.now
+        if node.ledger.containing_key(keys, now) is not None:
+            return False
+        key = node.ledger.suspect_key(keys)
+        return key is None or self._may_send(node, key)
+
+    async def send_guilty_part(self, node: FleetNode) -> None:
+        """Send a request whose replica ends under it, with a sound one beside it."""
+        if not self.may_send_part(node, self.GUILTY_KEYS):
+            return
+        now = self.world.now
+        self.reached_at.append(now)
+        if now - self.disturbed_at.get(node.name, float("-inf")) > SYNC_TIMEOUT_S:
+            self.synchronized_at.append(now)
+        replica, mark = f"e{len(self.reached_at)}", f"q{len(self.reached_at)}"
+        for part_id in ("bad", "popular"):
+            key = part_key(part_id, SOFTWARE)
+            node.ledger.note_crash(key, replica, now, now - 0.2, mark)
+        await self._report(node)
+
+    async def send_sound_part(self, node: FleetNode) -> None:
+        """Send a request with the popular part, which is answered unless it is refused."""
+        if self.may_send_part(node, self.SOUND_KEYS):
+            node.ledger.note_answer(part_key("popular", SOFTWARE), self.world.now)
+            await self._report(node)
+        else:
+            self.refused_popular += 1
+
+    def late_sends(self) -> int:
+        """Return how often it was sent more than ``SYNC_TIMEOUT_S`` after the fifth crash."""
+        if len(self.reached_at) < PART_CRASHES:
+            return 0
+        since = self.reached_at[PART_CRASHES - 1] + SYNC_TIMEOUT_S
+        return sum(at > since for at in self.synchronized_at)
+
+
+@given(seed=st.integers(0, 10_000))
+@settings(max_examples=40)
+def test_crashing_part_reaches_few_replicas_despite_restarts_and_losses(seed: int) -> None:
+    async def test() -> None:
+        world = CoordinationWorld(NODES)
+        await world.start()
+        clients = PartClients(world)
+        disturbances = Disturbances(world, clients, seed)
+        began_at = world.now
+        while world.now - began_at < 20.0:
+            if disturbances.random.random() < 0.15:
+                await disturbances.replace()
+            disturbances.record()
+            await clients.send_guilty_part(disturbances.random.choice(world.nodes))
+            await clients.send_sound_part(disturbances.random.choice(world.nodes))
+            await clients.pass_time(REQUEST_INTERVAL_S)
+        assert clients.late_sends() <= MAX_RETRIES, clients.reached_at
+        assert clients.refused_popular == 0
+
+    curio.run(test)
+
+
 RUNS = 4
 ROUNDS = 20
 
@@ -333,7 +403,7 @@
     async def test() -> None:
         world = CoordinationWorld(NODES)
         await world.start()
-        key = part_key("bad", Software("model", "v1"))
+        key = part_key("bad", SOFTWARE)
         lost = world.coordinator
         others = [node for node in world.nodes if node is not lost]
         world.wire.dropped_kinds.add(CrashCases)
