--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -1296,7 +1296,7 @@
         "jobs/item_containment.py",
         "        return trial[1] is item_run",
         "        return True",
-        PARTS_CRASH + "test_items_with_a_crashing_part_wait_while_others_go_on",
+        "tests/unit/test_item_containment.py::test_one_item_starts_as_the_trial_of_a_part",
     ),
     Mutant(
         "connections: all are read, however late the loop is",
