--- a/bench/part_blame.py
+++ b/bench/part_blame.py
@@ -308,11 +308,12 @@
     )
     keys = RequestKeys("c" * 20, ("popular", "topic", "session"))
     empty = CrashLedger()
-    for name, call in (
-        ("check, no records", lambda: empty.containing_key(keys, 30.0)),
-        ("check, full ledger", lambda: ledger.containing_key(keys, 30.0)),
-        ("answer of three parts", lambda: note_answers(empty, keys)),
-    ):
+    calls: dict[str, Callable[[], object]] = {
+        "check, no records": lambda: empty.containing_key(keys, 30.0),
+        "check, full ledger": lambda: ledger.containing_key(keys, 30.0),
+        "answer of three parts": lambda: note_answers(empty, keys),
+    }
+    for name, call in calls.items():
         began = time.perf_counter()
         for _ in range(COST_REPEATS * 100):
             call()
