--- a/src/cloverwalk/gateway/crash_detector.py
+++ b/src/cloverwalk/gateway/crash_detector.py
@@ -244,7 +244,11 @@
         )
 
     def expire(self) -> None:
-        """Remove old crash records."""
+        """Remove old crash records and unproved answers."""
+        since = self._clock() - UNPROVED_ANSWER_TTL_S
+        for replica_id, unproved in list(self._unproved_answers.items()):
+            if all(suspect.failed_at <= since for suspect in unproved.values()):
+                del self._unproved_answers[replica_id]
         ended = self.ledger.expire(self._clock())
         if ended:
             self._metrics.containment_changed("old")
--- a/tests/serving/test_crash_detector.py
+++ b/tests/serving/test_crash_detector.py
@@ -17,11 +17,12 @@
     CrashDetector,
     Delivery,
 )
-from cloverwalk.gateway.crash_keys import RequestKeys
+from cloverwalk.gateway.crash_keys import RequestKeys, part_key
 from cloverwalk.gateway.crash_ledger import CrashLedger
 from cloverwalk.gateway.errors import TIMED_OUT
 from cloverwalk.gateway.replica_connection import Reachability, ReplicaPool
 from cloverwalk.gateway.replicas import Replica, ReplicaDirectory
+from cloverwalk.gateway.software_versions import software_of
 from cloverwalk.platform.codec import PlatformCodec
 from cloverwalk.telemetry.log import ServingLog
 from cloverwalk.telemetry.metrics import ServingMetrics
@@ -161,3 +162,56 @@
         assert await pool.probe(("127.0.0.1", free_port())) is Reachability.REFUSES
 
     with_replica(test)
+
+
+# --- answers that end with their connection ---
+
+
+def detect(
+    probes: ScriptedProbes, ledger: CrashLedger, *, is_reconnected: bool = False
+) -> CrashDetector:
+    """Record an answer that ended with its connection; with ``is_reconnected``, a refusal next."""
+    clock, directory = ManualClock(step_s=0.0), ReplicaDirectory()
+    directory.put(REPLICA)
+    pool: Any = probes
+    log = ServingLog("n1", clock, os.open(os.devnull, os.O_WRONLY))
+    detector = CrashDetector(ledger, directory, pool, log, ServingMetrics(), clock)
+
+    async def main() -> None:
+        delivery = Delivery(True, clock.now)
+        keys = RequestKeys(CONTENT, ("part",))
+        await detector.record_answer("q1", keys, REPLICA, delivery, ends_with_connection=True)
+        if is_reconnected:
+            await detector.record_unreachable(REPLICA)
+        while detector._probes:
+            await curio.sleep(0.01)
+        clock.now += 1.0
+        detector.expire()
+
+    curio.run(main)
+    return detector
+
+
+PART_KEY = part_key("part", software_of(REPLICA))
+
+
+def test_unproved_answer_of_a_suspect_counts_as_the_probe_says() -> None:
+    for result, crashes in ((LISTENS, 0), (REFUSES, 2), (SILENCE, 1)):
+        ledger = CrashLedger()
+        ledger.note_crash(PART_KEY, "earlier", 1.0, 0.5, "q0")
+        detect(ScriptedProbes(result), ledger)
+        assert ledger.crashes(PART_KEY) == crashes, result
+
+
+def test_unproved_answer_is_not_probed_without_crash_records() -> None:
+    probes, ledger = ScriptedProbes(REFUSES), CrashLedger()
+    detector = detect(probes, ledger)
+    assert probes.count == 0
+    assert ledger.is_empty
+    assert not detector._unproved_answers
+
+
+def test_refused_connection_after_unproved_answer_counts_crash() -> None:
+    ledger = CrashLedger()
+    detect(ScriptedProbes(REFUSES), ledger, is_reconnected=True)
+    assert ledger.crashes(PART_KEY) == ledger.crashes(CONTENT) == 1
