--- a/src/cloverwalk/gateway/crash_ledger.py
+++ b/src/cloverwalk/gateway/crash_ledger.py
@@ -196,35 +196,35 @@
     # --- observations ---
 
     def note_crash(
-        self, content: str, replica_id: str, at: float, sent_at: float = 0.0, request: str = ""
+        self, key: str, replica_id: str, at: float, sent_at: float = 0.0, request: str = ""
     ) -> bool:
         """Record that a replica ended while it had the request; return whether this contains it.
 
         ``replica_id`` names one incarnation; the replica's next incarnation counts separately. For
         a part, ``sent_at`` and ``request`` are of the last request with it at the replica.
         """
-        is_contained = self._add_crashes(content, {replica_id: PartCrash(at, sent_at, request)}, at)
-        entry = self._entries.get(content)
+        is_contained = self._add_crashes(key, {replica_id: PartCrash(at, sent_at, request)}, at)
+        entry = self._entries.get(key)
         if entry is not None:
             entry.seen_locally_at = max(entry.seen_locally_at, at)
         return is_contained
 
-    def note_answer(self, content: str, at: float) -> bool:
+    def note_answer(self, key: str, at: float) -> bool:
         """Record a whole answer to the request; return whether this ends its containment.
 
         Answers to requests without a record count too, since another node may have one.
         """
-        if at <= self._answered_at.get(content, float("-inf")):
+        if at <= self._answered_at.get(key, float("-inf")):
             return False
-        self._answered_at.pop(content, None)
-        self._answered_at[content] = at
-        if is_part_key(content):
-            if not self._was_answered(content):
+        self._answered_at.pop(key, None)
+        self._answered_at[key] = at
+        if is_part_key(key):
+            if not self._was_answered(key):
                 self._blame = None
-            self._answered_parts[content[:PART_PREFIX_CHARACTERS]] = content
+            self._answered_parts[key[:PART_PREFIX_CHARACTERS]] = key
         if len(self._answered_at) > MAX_ANSWERS:
             self._forget_answer(next(iter(self._answered_at)))
-        return self._clear(content, at)
+        return self._clear(key, at)
 
     def _forget_answer(self, key: str) -> None:
         del self._answered_at[key]
@@ -237,9 +237,9 @@
         """Whether a request with a part was answered recently, by replicas with any software."""
         return key[:PART_PREFIX_CHARACTERS] in self._answered_parts
 
-    def was_answered_since(self, content: str, at: float) -> bool:
+    def was_answered_since(self, key: str, at: float) -> bool:
         """Whether a whole answer to a request was recorded that came after ``at``."""
-        return self._answered_at.get(content, float("-inf")) > at
+        return self._answered_at.get(key, float("-inf")) > at
 
     def _add_crashes(self, key: str, crashed: dict[str, PartCrash], now: float) -> bool:
         answered_at = self._answered_at.get(key, float("-inf"))
@@ -401,12 +401,12 @@
             suspects, key=lambda key: (self.is_contained(key), self.crashes(key)), default=None
         )
 
-    def crashes(self, content: str) -> int:
+    def crashes(self, key: str) -> int:
         """Return how many replicas ended under a request since its last answer."""
-        entry = self._entries.get(content)
+        entry = self._entries.get(key)
         return 0 if entry is None else entry.crashes
 
-    def containment(self, content: str, now: float) -> Containment:
+    def containment(self, key: str, now: float) -> Containment:
         """Return whether a request may be sent.
 
         >>> ledger = CrashLedger()
@@ -417,19 +417,19 @@
         >>> ledger.note_answer("c", 8.5), ledger.containment("c", 8.6).value
         (True, 'free')
         """
-        entry = self._entries.get(content)
-        if entry is None or not self.is_contained(content):
+        entry = self._entries.get(key)
+        if entry is None or not self.is_contained(key):
             return Containment.FREE
-        trial_due_at = entry.trial_due_at(self._is_certain(content))
+        trial_due_at = entry.trial_due_at(self._is_certain(key))
         if now < max(trial_due_at, entry.trial_ends_at):
             return Containment.CONTAINED
         return Containment.TRIAL_DUE
 
-    def try_admit(self, content: str, now: float) -> bool:
+    def try_admit(self, key: str, now: float) -> bool:
         """Whether a request may be sent now; a due trial is granted and starts with this call."""
-        containment = self.containment(content, now)
+        containment = self.containment(key, now)
         if containment is Containment.TRIAL_DUE and self.grants_trials:
-            self._entries[content].trial_ends_at = now + TRIAL_TIMEOUT_S
+            self._entries[key].trial_ends_at = now + TRIAL_TIMEOUT_S
             return True
         return containment is Containment.FREE
 
@@ -459,13 +459,13 @@
 
     def local_records(self, now: float) -> list[CrashRecord]:
         """Return the records that this node observed or cleared within ``REPORTING_TIME_S``."""
-        contents = {
+        keys = {
             key
             for key, entry in self._entries.items()
             if now - entry.seen_locally_at < REPORTING_TIME_S
         }
-        contents |= {key for key, at in self._cleared_at.items() if now - at < REPORTING_TIME_S}
-        return self._records(contents, now)
+        keys |= {key for key, at in self._cleared_at.items() if now - at < REPORTING_TIME_S}
+        return self._records(keys, now)
 
     def report_again(self, now: float) -> None:
         """Report the crashes that this node observed within ``OBSERVATION_TTL_S`` once more."""
@@ -473,21 +473,19 @@
             if now - entry.seen_locally_at < OBSERVATION_TTL_S:
                 entry.seen_locally_at = now
 
-    def _records(self, contents: set[str], now: float) -> list[CrashRecord]:
+    def _records(self, keys: set[str], now: float) -> list[CrashRecord]:
         """Return records to send: those with the most crashes, the newest among equals."""
-        records = [self.record_of(content, now) for content in sorted(contents)]
+        records = [self.record_of(key, now) for key in sorted(keys)]
         records.sort(key=lambda record: (-len(record.crash_ages_ms), record.newest_age_ms))
         return records[:MAX_SHARED_RECORDS]
 
-    def record_of(self, content: str, now: float) -> CrashRecord:
+    def record_of(self, key: str, now: float) -> CrashRecord:
         """Return the record of a request as it is sent; one without crashes if there is none."""
-        crashed = dict(sorted(self._entries.get(content, _LedgerEntry()).crashed.items()))
+        crashed = dict(sorted(self._entries.get(key, _LedgerEntry()).crashed.items()))
         ages = {replica: _age_ms(crash.at, now) for replica, crash in crashed.items()}
-        answered_at = self._answered_at.get(content)
-        record = CrashRecord(
-            content, ages, None if answered_at is None else _age_ms(answered_at, now)
-        )
-        if not is_part_key(content):
+        answered_at = self._answered_at.get(key)
+        record = CrashRecord(key, ages, None if answered_at is None else _age_ms(answered_at, now))
+        if not is_part_key(key):
             return record
         return msgspec.structs.replace(
             record,
@@ -524,12 +522,12 @@
         for key in [key for key, at in self._answered_at.items() if now - at >= _answer_ttl_s(key)]:
             self._forget_answer(key)
         ended: list[str] = []
-        for content, entry in list(self._entries.items()):
+        for key, entry in list(self._entries.items()):
             if now < entry.last_crash_at + RECORD_TTL_S:
                 continue
-            if self.is_contained(content):
-                ended.append(content)
-            self._remove(content)
+            if self.is_contained(key):
+                ended.append(key)
+            self._remove(key)
         return ended
 
     def _evict(self, key: str) -> None:
@@ -540,15 +538,13 @@
         if len(self._entries) > MAX_SHARED_RECORDS and self._is_shared(key):
             self._evict_down_to(MAX_SHARED_RECORDS, self._shared())
 
-    def _evict_down_to(self, max_count: int, contents: list[str]) -> None:
-        if len(contents) <= max_count:
+    def _evict_down_to(self, max_count: int, keys: list[str]) -> None:
+        if len(keys) <= max_count:
             return
         entries = self._entries
-        contents.sort(
-            key=lambda content: (entries[content].crashes, entries[content].last_crash_at)
-        )
-        for content in contents[: len(contents) - max_count]:
-            self._remove(content)
+        keys.sort(key=lambda key: (entries[key].crashes, entries[key].last_crash_at))
+        for key in keys[: len(keys) - max_count]:
+            self._remove(key)
 
 
 def _age_ms(at: float, now: float) -> int:
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -1202,7 +1202,7 @@
     Mutant(
         "crashes: answers clear nobody",
         "gateway/crash_ledger.py",
-        "        return self._clear(content, at)",
+        "        return self._clear(key, at)",
         "        return False",
         CASES + "test_popular_request_is_rarely_contained_for_crashes_of_another",
     ),
