--- a/src/cloverwalk/gateway/crash_ledger.py
+++ b/src/cloverwalk/gateway/crash_ledger.py
@@ -310,7 +310,7 @@
     def _current_blame(self) -> Blame:
         if self._blame is None:
             evidence: dict[str, PartEvidence] = {}
-            for prefix, keys in self._keys_by_part.items():
+            for prefix, keys in sorted(self._keys_by_part.items()):
                 if self._total_crashes(keys) >= CONTAINMENT_THRESHOLD:
                     evidence.update(self._evidence(prefix, keys))
             contained = [
@@ -328,7 +328,7 @@
         at software that is gone, and so answers no more, would add up over time.
         """
         if prefix in self._answered_parts:
-            return {key: PartEvidence(self._entries[key].crashed, True) for key in keys}
+            return {key: PartEvidence(self._entries[key].crashed, True) for key in sorted(keys)}
         crashed: dict[str, PartCrash] = {}
         for key in sorted(keys):
             crashed.update(self._entries[key].crashed)
