The digest of crash records leaves out records that earlier builds do not share

Cause: found on reading. Records of a part with one crash each are shared once they are two together; an earlier build's digest would never equal this one's while such records exist, and both would send all records each half second. Change: the digest counts records with two crashes of their own, as before. Measured: tests of records, samples and digests pass.

--- a/src/cloverwalk/gateway/crash_ledger.py
+++ b/src/cloverwalk/gateway/crash_ledger.py
@@ -443,9 +443,17 @@
 
     @property
     def digest(self) -> int:
-        """Hash of the records that all nodes should have, 48 bits; 0 if there are none."""
+        """Hash of the records that all nodes should have, 48 bits; 0 if there are none.
+
+        Records that are shared only together with others of their part are left out, since earlier
+        builds do not have them.
+        """
         if self._digest is None:
-            shared = {key: sorted(self._entries[key].crashed) for key in self._shared()}
+            shared = {
+                key: sorted(entry.crashed)
+                for key, entry in self._entries.items()
+                if entry.crashes >= SHARING_THRESHOLD
+            }
             text = repr(sorted(shared.items())).encode()
             self._digest = xxhash.xxh64_intdigest(text) >> 16 if shared else 0
         return self._digest
