--- a/src/cloverwalk/gateway/server.py
+++ b/src/cloverwalk/gateway/server.py
@@ -5,7 +5,7 @@
 """
 
 from collections.abc import Awaitable, Callable
-from typing import Any
+from typing import Any, Protocol
 
 import curio
 import h11
@@ -262,12 +262,16 @@
             await self._sock.shutdown(socket.SHUT_RDWR)
 
 
-def _always() -> bool:
-    return True
+class AdmissionControl(Protocol):
+    """Decides which new connections are read; the others are closed at once."""
 
+    def admit(self) -> bool:
+        """Whether the next connection is read."""
+        ...
 
-def _ignore_start(delay_s: float) -> None:
-    return
+    def record_start(self, delay_s: float) -> None:
+        """Record the time between the acceptance of a connection and its first step."""
+        ...
 
 
 class GatewayServer:
@@ -291,11 +295,8 @@
         self.memory_budget: MemoryBudget | None = None
         """Memory buffered for clients, if the process has a limit for it."""
 
-        self.admit: Callable[[], bool] = _always
-        """Whether the next connection is read; one that is not is closed at once."""
-
-        self.record_start: Callable[[float], None] = _ignore_start
-        """Called with the time between the acceptance of a connection and its first step."""
+        self.admission: AdmissionControl | None = None
+        """Decides which new connections are read; None: all are."""
 
         self.is_stopping = False
         self.serving_count = 0
@@ -313,14 +314,17 @@
         async with self._sock:
             while True:
                 client, _ = await self._sock.accept()
-                if len(self._connections) >= self._max_connections or not self.admit():
+                is_admitted = self.admission is None or self.admission.admit()
+                if len(self._connections) >= self._max_connections or not is_admitted:
                     await client.close()
                     continue
                 client.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-                await curio.spawn(self._serve_client, client, self.clock(), daemon=True)
+                accepted_at = 0.0 if self.admission is None else self.clock()
+                await curio.spawn(self._serve_client, client, accepted_at, daemon=True)
 
     async def _serve_client(self, client: Any, accepted_at: float) -> None:
-        self.record_start(self.clock() - accepted_at)
+        if self.admission is not None:
+            self.admission.record_start(self.clock() - accepted_at)
         connection = ClientConnection(client, self)
         self._connections.add(connection)
         try:
--- a/src/cloverwalk/serving/resource_monitor.py
+++ b/src/cloverwalk/serving/resource_monitor.py
@@ -61,8 +61,7 @@
         self.connection_admission = ConnectionAdmission()
         self._logged_closed = 0
         client_server.memory_budget = self.memory_budget
-        client_server.admit = self._admit_connection
-        client_server.record_start = self._record_connection_start
+        client_server.admission = self
         coordinator_client.on_zone_utilization = self._on_zone_utilization
 
     @property
@@ -70,11 +69,13 @@
         """Whether the node refuses new requests and jobs."""
         return self.overload_monitor.state is OverloadState.OVERLOADED
 
-    def _admit_connection(self) -> bool:
+    def admit(self) -> bool:
+        """Whether the next connection of a client is read."""
         now = self._clock()
         return self.connection_admission.admit(self.overload_monitor.has_peer_with_room(now), now)
 
-    def _record_connection_start(self, delay_s: float) -> None:
+    def record_start(self, delay_s: float) -> None:
+        """Record the time between the acceptance of a connection and its first step."""
         self.connection_admission.record_start(delay_s, self._clock())
 
     def reserve_for_job(self, size_bytes: int) -> bool:
