A failed attempt's log line takes content and parts from one set of keys

Found on reading the change: the parts were taken from the prompt once more beside the keys that hold them. Same fields, same values.

--- a/src/cloverwalk/gateway/relay.py
+++ b/src/cloverwalk/gateway/relay.py
@@ -20,7 +20,7 @@
 from cloverwalk.gateway.configuration import Route, RouteKind
 from cloverwalk.gateway.containment import ContainmentGate
 from cloverwalk.gateway.crash_detector import Delivery
-from cloverwalk.gateway.crash_keys import keys_of, shareable_part_ids
+from cloverwalk.gateway.crash_keys import keys_of
 from cloverwalk.gateway.errors import TIMED_OUT, ClientGoneError, GatewayError, ReplicaError
 from cloverwalk.gateway.lateness_tracker import LatenessTracker
 from cloverwalk.gateway.messages import ClientRequest, GatewayCodec
@@ -295,13 +295,14 @@
         reply: Reply,
     ) -> None:
         may_have_run = progress.is_sent
+        keys = keys_of(request) if may_have_run else None
         progress.record_failed_attempt(replica.replica_id, error.code)
         self._metrics.attempt_failed(error.code)
         self._log.write(
             catalogue.REPLICA_FAILED,
             request=request.fields.request_id,
-            content=keys_of(request).content if may_have_run else None,
-            parts=list(shareable_part_ids(request.fields.prompt)) if may_have_run else None,
+            content=None if keys is None else keys.content,
+            parts=None if keys is None else list(keys.part_ids),
             replica=replica.replica_id,
             code=error.code,
             may_have_run=may_have_run,
