--- a/review/stand_ins.py
+++ b/review/stand_ins.py
@@ -211,6 +211,9 @@
         self.loses_answer: Callable[[], bool] = lambda: False
         """Whether the answer of the next write that is done is lost."""
 
+        self.on_write: Callable[[list[str]], None] = lambda tables: None
+        """Called with the tables of each write of a node that is done."""
+
         self.on_lost_answer: Callable[[list[str]], None] = lambda keys: None
         """Called with the keys of the rows of a write whose answer is lost."""
 
@@ -311,6 +314,7 @@
         if any(self._version_of(key) != ver for key, ver in expected):
             return 412, {**self._versions(), "rows": [self._wire(key) for key, _ in expected]}
         self._apply(wire.get("put", []), wire.get("remove", []))
+        self.on_write([put["table"] for put in wire.get("put", [])])
         return 200, self._versions()
 
     def _version_of(self, key: tuple[str, str, str]) -> int:
@@ -700,11 +704,13 @@
     return {"version": 1, "routes": list(routes), "services": [service], "limits": limits}
 
 
-def run_case(folder: Path, case: Callable[[Record, bool], Awaitable[bool]]) -> None:
+def run_case(
+    folder: Path, case: Callable[[Record, bool], Awaitable[bool]], name: str = "record.txt"
+) -> None:
     """Run a case and exit: 0 if the rule held, 1 if it was broken, 2 if the case could not run."""
     # A script that is stopped still ends its processes.
     signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
-    record = Record(folder / "record.txt")
+    record = Record(folder / name)
     has_trouble = os.environ.get("TROUBLE", "1") != "0"
     record.write("case begins", trouble=int(has_trouble))
     try:
