--- a/review/2/case.py
+++ b/review/2/case.py
@@ -17,6 +17,7 @@
 
 from stand_ins import (  # noqa: E402
     Answer,
+    CouldNotRunError,
     Fleet,
     Node,
     Record,
@@ -73,13 +74,13 @@
         self._fleet = fleet
         self._record = record
         self._random = random.Random(7)
-        self._jobs: list[JobHistory] = []
+        self.jobs: list[JobHistory] = []
         self.broken: list[str] = []
 
     @property
     def job_count(self) -> int:
         """Number of accepted jobs."""
-        return len(self._jobs)
+        return len(self.jobs)
 
     async def run_jobs(self) -> None:
         """Submit, read and end jobs, some at a time."""
@@ -98,7 +99,7 @@
         job = JobHistory(f"{number:04x}c41e09b52d6a", self._fleet.nodes[number % NODES])
         if not await self._submit(job):
             return
-        self._jobs.append(job)
+        self.jobs.append(job)
         async with asyncio.TaskGroup() as tasks:
             for node in self._fleet.nodes * READERS_PER_NODE:
                 tasks.create_task(self._watch(job, node))
@@ -185,7 +186,7 @@
 
     async def read_all_again(self) -> None:
         """Read every job from the start at every node, and compare with what was read before."""
-        for job in self._jobs:
+        for job in self.jobs:
             async with asyncio.TaskGroup() as tasks:
                 for node in self._fleet.nodes:
                     tasks.create_task(self._read_again(job, node))
@@ -252,6 +253,8 @@
         record.write("the store is fast")
         await asyncio.sleep(CALM_S)
         await case.read_all_again()
+        if not any(job.results for job in case.jobs):
+            raise CouldNotRunError("no result was read")
         broken_jobs = {name.partition("/")[0] for name in case.broken}
         record.write("case ends", jobs=case.job_count, jobs_with_broken_results=len(broken_jobs))
         return bool(case.broken)
--- a/review/2/takeover.py
+++ b/review/2/takeover.py
@@ -16,6 +16,7 @@
 sys.path.insert(0, str(FOLDER.parent))
 
 from stand_ins import (  # noqa: E402
+    CouldNotRunError,
     Fleet,
     Node,
     Record,
@@ -85,6 +86,11 @@
         for replica in fleet.replicas:
             replica.on_run = self._on_run
 
+    @property
+    def has_ended_jobs(self) -> bool:
+        """Whether the end of any job was acknowledged."""
+        return bool(self._ended_at)
+
     def _on_run(self, request_id: str, replica_id: str, arrived_at: float) -> None:
         ended_at = self._ended_at.get(request_id[:12])
         if ended_at is None or arrived_at <= max(ended_at + CANCEL_S, self._in_touch_from):
@@ -202,6 +208,8 @@
         while time.monotonic() - begun_at < TOTAL_S and not case.late_runs:
             await case.run_round(rounds)
             rounds += 1
+        if not case.has_ended_jobs:
+            raise CouldNotRunError("no end of a job was acknowledged")
         jobs_with_late_runs = {item_id[:12] for item_id in case.late_runs}
         record.write(
             "case ends",
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -15,6 +15,7 @@
 from stand_ins import (  # noqa: E402
     Answer,
     ClientConnection,
+    CouldNotRunError,
     Fleet,
     Record,
     configuration_of,
@@ -49,6 +50,9 @@
         self._record = record
         self._node = fleet.nodes[0]
         self._stopped_at: float | None = None
+        self.complete_count = 0
+        """Answers with all events."""
+
         self.cut: list[str] = []
 
     async def run_client(self, number: int, until: float) -> None:
@@ -89,6 +93,7 @@
             took_s=round(now - sent_at, 3),
             **self._after_stop(now),
         )
+        self.complete_count += is_complete and events == EVENTS
         self._check(request_id, sent_at, now, answer)
         return is_complete
 
@@ -143,6 +148,8 @@
             await asyncio.sleep(STOP_AT_S)
             if has_trouble:
                 await case.stop_node()
+        if not case.complete_count:
+            raise CouldNotRunError("no answer was complete")
         record.write("case ends", cut_requests=len(case.cut))
         return bool(case.cut)
     finally:
