Contained items wait a bounded time, and no item is the trial that others wait for

What callers saw: accepted items stay open at the end of a run, although replicas are calm and have room; other items of the same jobs are done.

Cause: an item waited like an online request that is contained: 3 s after the last crash with three crashed replicas, 60 s with four, 600 s with more, by its content or by any part of its prompt. Crashes by chance add up, the more so for parts that many items share. Besides, one item was chosen as the only trial of a part before its other keys were looked at; if it could not start, the items behind it waited with it.

Now an item waits 3 s from the last crash under one of its keys, however many there were. Then the items of an owner that share a contained key start one by one: a run is a trial, and the next item may start once the trial has 0.25 s of output, has ended, or after 3 s without output. No item is chosen ahead, so none holds others back that can't start itself. A sound trial counts for its software version only. Online requests are contained as before.

--- a/src/cloverwalk/gateway/crash_ledger.py
+++ b/src/cloverwalk/gateway/crash_ledger.py
@@ -440,6 +440,11 @@
             suspects, key=lambda key: (self.is_contained(key), self.crashes(key)), default=None
         )
 
+    def last_crash_at(self, key: str) -> float:
+        """Return when a replica last ended under a content or part, minus infinity if none did."""
+        entry = self._entries.get(key)
+        return float("-inf") if entry is None else entry.last_crash_at
+
     def crashes(self, key: str) -> int:
         """Return how many replicas ended under a request since its last answer."""
         entry = self._entries.get(key)
--- a/src/cloverwalk/jobs/runner.py
+++ b/src/cloverwalk/jobs/runner.py
@@ -200,8 +200,11 @@
 
     def _startable_items(self, job: JobRun) -> list[ItemRun]:
         """Return the items that may start now."""
-        pending = job.pending(self._clock())
-        return [item_run for item_run in pending if self._containment.may_start(job, item_run)]
+        return [
+            item_run
+            for item_run in job.pending(self._clock())
+            if self._containment.held_back(job, item_run, self._services(job)) is None
+        ]
 
     def _waiting_item(self, job: JobRun, item_run: ItemRun) -> WaitingItem:
         due_ms = job.record.due_ms
@@ -368,7 +371,9 @@
                 tenants, count, by_tenant.get(replica_id, {}), item_tokens, max_tokens
             ):
                 job, item_run = waiting[index]
-                await self._start(job, item_run, replica)
+                # An item that has just started may be the trial that this one has to wait for.
+                if self._containment.held_back(job, item_run, self._services(job)) is None:
+                    await self._start(job, item_run, replica)
         await self._wake.set()
 
     def _waiting_for(self, replica: Replica) -> list[tuple[JobRun, ItemRun]]:
@@ -407,6 +412,8 @@
         if not item_run.fits(software_of(replica)):
             self._restart(job, item_run, replica)
         job.begin(item_run, replica.replica_id, now, replica.started_ms)
+        item_run.timing = None
+        self._containment.begin_run(job, item_run, replica, self._services(job))
         work = self._loads.begin(replica.replica_id, True, self._tokens(job, item_run))
         running = _RunningItem(job, item_run, work, software_of(replica), now)
         running.expected_ms = self._time_estimator.remaining_s(item_run) * 1000
@@ -470,6 +477,7 @@
         finally:
             if is_answered:
                 await self._containment.record_answer(job, item_run, replica)
+            self._containment.end_run(item_run, is_answered=is_answered)
             await self._end_run(running, outcome)
 
     async def _end_run(self, running: _RunningItem, outcome: str) -> None:
--- a/src/cloverwalk/serving/batch_parts.py
+++ b/src/cloverwalk/serving/batch_parts.py
@@ -79,7 +79,7 @@
             fleet_state.directory,
             in_flight,
             caller,
-            ItemContainment(crash_detector, caller, clock),
+            ItemContainment(crash_detector, caller, fleet_state.directory, clock),
             fleet.coordinator_client,
             self._on_finished,
             self._on_orphans,
