--- a/src/cloverwalk/core/catalogue.py
+++ b/src/cloverwalk/core/catalogue.py
@@ -275,6 +275,12 @@
     _I,
     "The output of an item was dropped, as it can't go on at its software version.",
 )
+ITEMS_WAITING = _event(
+    424,
+    "items_waiting",
+    _I,
+    "Items of a job have waited for seconds; the fields tell what for and how long.",
+)
 REPLICA_PACE_CHANGED = _event(
     330,
     "replica_pace_changed",
--- a/src/cloverwalk/fleet/coordinator_client.py
+++ b/src/cloverwalk/fleet/coordinator_client.py
@@ -311,6 +311,12 @@
         report.utilization_percent = self.utilization_percent
         return report
 
+    @property
+    def coordinator_name(self) -> str | None:
+        """Name of the node that gets this node's reports; None if none is known."""
+        target = self._leader.target()
+        return None if target is None else target.node
+
     @property
     def configuration_version(self) -> int:
         """Version of the configuration that this node uses."""
--- a/src/cloverwalk/jobs/runner.py
+++ b/src/cloverwalk/jobs/runner.py
@@ -19,6 +19,7 @@
 from cloverwalk.jobs.item_containment import ItemContainment
 from cloverwalk.jobs.item_time import ItemTimeEstimator
 from cloverwalk.jobs.run import ItemRun, JobRun, Phase
+from cloverwalk.jobs.wait_log import ItemWait, WaitLog, WaitReason
 from cloverwalk.jobs.waiting_items import ANY_SOFTWARE, WaitingItem, group_items, pick_items
 from cloverwalk.scheduling.replica_memory import memory_limit_tokens
 from cloverwalk.scheduling.selection import prefill_ms
@@ -103,6 +104,7 @@
         self._has_jobs = curio.Event()
         self._time_estimator = ItemTimeEstimator()
         self._route_monitor = RouteMonitor()
+        self._wait_log = WaitLog(log, clock)
         self._reports_item_timings = False
         """Whether a replica has reported its slowdown here: only then are item timings and
         remaining times reported."""
@@ -165,6 +167,8 @@
             self._wake.clear()
             await self._end_expired_items()
             await self._report_waiting()
+            if self._wait_log.is_due:
+                self._wait_log.write(self._waits(), self._coordinator_client.coordinator_name)
 
     def _check_timeout_s(self) -> float:
         """Return the time until the next check, or until the retry delay of an item is over."""
@@ -206,6 +210,39 @@
             if self._containment.held_back(job, item_run, self._services(job)) is None
         ]
 
+    def _waits(self) -> list[ItemWait]:
+        return [
+            self._wait(job, item_run)
+            for job in self.jobs.values()
+            for item_run in job.items
+            if item_run.phase is Phase.PENDING
+        ]
+
+    def _wait(self, job: JobRun, item_run: ItemRun) -> ItemWait:
+        """Return what an item waits for: the first of the reasons that apply to it."""
+        now, services = self._clock(), self._services(job)
+        key: str | None = None
+        ends_at: float | None = None
+        held_back = self._containment.held_back(job, item_run, services)
+        if self.is_stopping:
+            reason = WaitReason.STOPPING
+        elif not services:
+            reason = WaitReason.NO_ROUTE
+        elif held_back is not None:
+            is_behind_trial = held_back.is_behind_trial
+            reason = WaitReason.BEHIND_TRIAL if is_behind_trial else WaitReason.CONTAINED
+            key, ends_at = held_back.key, held_back.until
+        elif item_run.not_before > now:
+            reason, ends_at = WaitReason.RETRY_DELAY, item_run.not_before
+        elif self._reported_software(job, item_run) != ANY_SOFTWARE:
+            reason = WaitReason.SOFTWARE_VERSION
+            ends_at = item_run.pending_since + MAX_VERSION_WAIT_S
+        else:
+            reason = WaitReason.SLOT
+        ends_in_ms = None if ends_at is None else max(0, round((ends_at - now) * 1000))
+        waited_s = now - item_run.pending_since
+        return ItemWait(job.job_id, item_run.item.item_id, waited_s, reason, key, ends_in_ms)
+
     def _waiting_item(self, job: JobRun, item_run: ItemRun) -> WaitingItem:
         due_ms = job.record.due_ms
         can_be_in_time = self._time_estimator.can_be_in_time(item_run, self._time_left_ms(job))
--- a/tests/serving/test_item_waits.py
+++ b/tests/serving/test_item_waits.py
@@ -27,6 +27,7 @@
 from cloverwalk.jobs.records import JobItem, JobRecord
 from cloverwalk.jobs.run import ItemRun, JobRun, Phase, RunTiming
 from cloverwalk.jobs.runner import BatchRunner
+from cloverwalk.jobs.wait_log import WaitReason
 from cloverwalk.store.clock import StoreTime
 from cloverwalk.telemetry.log import ServingLog
 from cloverwalk.telemetry.metrics import ServingMetrics
@@ -358,6 +359,31 @@
     play(test)
 
 
+def test_log_tells_what_a_waiting_item_waits_for() -> None:
+    """Guards against waits that no line explains."""
+
+    async def test(waiting: WaitingWorld) -> None:
+        runner = waiting.runners["n001"]
+        await waiting.submit("j0", "n001")
+        assert {wait.reason for wait in runner._waits()} == {WaitReason.SLOT}
+        await waiting.end("j0")
+        await waiting.crash_online(1, SHARED_PART, 4)
+        await waiting.submit("j1", "n001")
+        (wait, *_) = runner._waits()
+        assert (wait.reason, wait.key) == (
+            WaitReason.CONTAINED,
+            part_key(SHARED_PART, Software("model", "v1")),
+        )
+        assert wait.ends_in_ms is not None and 0 < wait.ends_in_ms <= CONTAINED_S * 1000
+        while not any(waiting.caller.running.values()):
+            await waiting.run(waiting.world.STEP_S)
+        assert {wait.reason for wait in runner._waits()} == {WaitReason.BEHIND_TRIAL}
+        await runner.stop_all()
+        assert {wait.reason for wait in runner._waits()} == {WaitReason.STOPPING}
+
+    play(test)
+
+
 def test_items_of_a_contained_part_do_not_start_together() -> None:
     """Guards against one crash for each free slot when the wait of a job's items ends."""
 
