Test: streams of a fleet whose processes were all killed, beside two versions

Report: after a kill of all nodes beside or just after two versions, resumed streams were joined from both. Not so here: real processes, the earlier version serves on, left 0.3 s before the kill or leaves while all nodes are down; broken streams are refused, and the replicas never get them; streams begun after the restart are resumed at their version. The mutant that forgets what the stored row says of the past is noticed.

--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -1789,6 +1789,13 @@
         "            if len({s for s in self._versions.listed if s.service == service}) > 1:",
         STREAMS + "test_records_reach_a_new_coordinator_shortly_after_a_version_has_gone",
     ),
+    Mutant(
+        "versions: a restarted fleet forgets a version that left before its end",
+        "fleet/version_history_store.py",
+        "        self._versions.merge(VersionHistory(RETENTION_S, unlisted_s))",
+        "        self._versions.merge(VersionHistory(RETENTION_S, {}))",
+        "tests/serving/test_rejoined_streams.py",
+    ),
     Mutant(
         "versions: a restarted fleet takes the only version for that of all streams",
         "fleet/version_history_store.py",
--- a/tests/serving/test_software_versions.py
+++ b/tests/serving/test_software_versions.py
@@ -202,7 +202,12 @@
     @classmethod
     async def begin(cls, world: FleetWorld, node: int, events: int) -> "OpenStream":
         """Send a request to a node and read the first events of its answer."""
-        stream = cls(await world.connect(node), world.new_id())
+        return await cls.begin_on(await world.connect(node), world.new_id(), events)
+
+    @classmethod
+    async def begin_on(cls, sock: Any, request_id: str, events: int) -> "OpenStream":
+        """Send a request over a connection and read the first events of its answer."""
+        stream = cls(sock, request_id)
         head = h11.Request(
             method="POST",
             target="/chat/x",
