Soak: crashes by chance under the same items, kills of all nodes beside releases, idle items

The soak's crashes by chance hit an item once or twice at the most, and its checker waited a minute for items that nobody ran, so waits of 60 s passed. Now - replica_item crashes the replicas that begin to run the same two sound items, four to seven times, also beside requests with a crashing part; - all nodes are killed 0.3 to 6 s after a release of another software version began; - an open item that nobody runs for 5 s is reported, if all is calm, no replica came or went and under half of the slots are in use (check_idle_jobs). tests/soak/test_soak_items.py passes here; with items that wait for 60 s it fails (mutant).

--- a/src/cloverwalk/soak/checker.py
+++ b/src/cloverwalk/soak/checker.py
@@ -5,6 +5,7 @@
 
 from cloverwalk.soak.check_crashes import CrashChecks
 from cloverwalk.soak.check_crowds import CrowdChecks
+from cloverwalk.soak.check_idle_jobs import IdleJobChecks
 from cloverwalk.soak.check_jobs import JobChecks
 from cloverwalk.soak.check_nodes import NodeChecks, QuotaChecks
 from cloverwalk.soak.check_requests import RequestChecks
@@ -23,6 +24,7 @@
         self._disturbances = Disturbances()
         self._requests = RequestChecks(self._versions, self._disturbances)
         self._jobs = JobChecks(self._versions, self._is_calm_everywhere)
+        self._idle_jobs = IdleJobChecks(self._is_calm_everywhere)
         self._crashes = CrashChecks(self._disturbances)
         self._nodes = NodeChecks(self._versions)
         self._quotas = QuotaChecks(self._versions, QUOTA_WINDOW_S, QUOTA_OVERSHOOT, QUOTA_SLACK)
@@ -50,6 +52,7 @@
             self.run_ends[event.end] += 1
         for checks in (self._requests, self._jobs, self._nodes, self._quotas, self._crashes):
             yield from checks.handle(event)
+        yield from self._idle_jobs.handle(event)
         yield from self._zone_drains.handle(event)
         yield from self._streams.handle(event)
         yield from self._crowds.handle(event)
--- a/src/cloverwalk/soak/draw.py
+++ b/src/cloverwalk/soak/draw.py
@@ -116,6 +116,8 @@
             (9.0, self._part_actions),
             (10.0, self._crowd_actions),
             (9.0, self._job_end_actions),
+            (11.0, self._item_crash_actions),
+            (14.0, self._kill_all_actions),
         )
         for mean_interval_s, draw in series:
             at_s = FAULT_FREE_START_S + self._random.uniform(0, mean_interval_s)
@@ -224,6 +226,19 @@
         duration_s, rate = self._draw_value(6.0, 12.0), self._draw_value(1.0, 4.0)
         return [Action(round(at_s, 2), kind, [], min(self._duration_s, duration_s), rate)]
 
+    def _item_crash_actions(self, at_s: float) -> list[Action]:
+        """Return crashes by chance that hit the same items again and again."""
+        duration_s = min(self._duration_s, self._draw_value(8.0, 14.0))
+        crashes = float(self._random.randint(4, 7))
+        return [Action(round(at_s, 2), ActionKind.REPLICA_ITEM, [], duration_s, crashes)]
+
+    def _kill_all_actions(self, at_s: float) -> list[Action]:
+        """Return a kill of all nodes while, or just after, two software versions serve."""
+        killed_at_s = round(at_s + self._draw_value(0.3, 6.0), 2)
+        everyone, downtime_s = list(range(self._nodes)), self._draw_value(0.3, 2.0)
+        release = self._release_actions(at_s)
+        return [*release, Action(killed_at_s, ActionKind.NODE_KILL, everyone, downtime_s)]
+
     def _crowd_actions(self, at_s: float) -> list[Action]:
         """Return a crowd of new connections at one node, then at another."""
         kind = ActionKind.CLIENT_CROWD
--- a/src/cloverwalk/soak/faults.py
+++ b/src/cloverwalk/soak/faults.py
@@ -152,6 +152,7 @@
             ActionKind.HERD_JOBS: self._send_herd,
             ActionKind.ZONE_DRAIN: self._drain_zone,
             ActionKind.REPLICA_PART: self._send_guilty,
+            ActionKind.REPLICA_ITEM: self._crash_under_items,
             ActionKind.CLIENT_CROWD: self._send_crowd,
             ActionKind.JOB_ENDS: self._end_jobs,
         }
@@ -254,6 +255,11 @@
                     random,
                 )
 
+    async def _crash_under_items(self, fault: int, action: Action) -> None:
+        self._replicas.begin_unlucky_items(fault, int(action.amount))
+        await curio.sleep(action.duration_s)
+        self._replicas.end_unlucky_items(fault)
+
     async def _send_guilty(self, fault: int, action: Action) -> None:
         random, until = Random(self._random.random()), self._history.now() + action.duration_s
         await self._online.run_guilty(f"{GUILTY_PREFIX}{fault:x}", action.amount, until, random)
--- a/src/cloverwalk/soak/plan.py
+++ b/src/cloverwalk/soak/plan.py
@@ -55,6 +55,9 @@
     REPLICA_PART = "replica_part"
     """Clients send requests with a part of their prompts that crashes each replica."""
 
+    REPLICA_ITEM = "replica_item"
+    """Replicas crash by chance, always those that have just begun to run the same few items."""
+
     CLIENT_CROWD = "client_crowd"
     """Most new connections go to one node, then to the next target."""
 
--- a/src/cloverwalk/soak/replicas.py
+++ b/src/cloverwalk/soak/replicas.py
@@ -54,6 +54,9 @@
 CRASH_DOWNTIME_S = 2.0
 """Downtime after a request crashed a replica."""
 
+UNLUCKY_ITEMS = 2
+"""Items under which the replicas of one series of crashes end."""
+
 FIRST_STARTED_AT_MS = 1_790_000_000_000
 INVALID_FIELDS: tuple[dict[str, object], ...] = (
     {"state": "resting"},
@@ -93,12 +96,38 @@
     return next((part_id for part_id in part_ids if part_id.startswith(GUILTY_PREFIX)), "")
 
 
+def _is_sound_item(arrival: Arrival) -> bool:
+    """Whether a request is an item that a replica can do."""
+    is_item = any(arrival.target.startswith(route.prefix) for route in ROUTES if route.is_batch)
+    folders = (f"/{FAILING_FOLDER}/", f"/{IMPOSSIBLE_FOLDER}/")
+    return is_item and not any(folder in arrival.target for folder in folders)
+
+
 def _is_stream(arrival: Arrival) -> bool:
     """Whether a crash shows in an answer that has neither a length nor chunks: the answers of all
     routes are events here, and only streams are checked for events that are cut off."""
     return any(arrival.target.startswith(route.prefix) for route in ROUTES if route.kind == STREAM)
 
 
+@attrs.define
+class _UnluckyItems:
+    """Items whose replicas crash, though the items are sound."""
+
+    crashes_left: int
+    items: set[str] = attrs.Factory(set)
+
+    def is_hit(self, arrival: Arrival) -> bool:
+        """Whether the replica of a request crashes now; the first items to come are chosen."""
+        if self.crashes_left <= 0 or not _is_sound_item(arrival):
+            return False
+        if len(self.items) < UNLUCKY_ITEMS:
+            self.items.add(arrival.request_id)
+        if arrival.request_id not in self.items:
+            return False
+        self.crashes_left -= 1
+        return True
+
+
 class RunRecorder:
     """Records the runs of replicas in the history."""
 
@@ -186,6 +215,9 @@
 
         self._crash_task: Any = None
         self._misdeeds: dict[int, tuple[frozenset[str], Misdeed, float]] = {}
+        self._unlucky: dict[int, _UnluckyItems] = {}
+        """By fault."""
+
         self.run_recorder = RunRecorder(history)
         self.hosts = [self._make_host(number, network) for number in range(total)]
 
@@ -343,6 +375,14 @@
         await self._start_replica(host)
         host.is_changing = False
 
+    def begin_unlucky_items(self, fault: int, crashes: int) -> None:
+        """Crash the replicas that begin to run the next items, so many times at the most."""
+        self._unlucky[fault] = _UnluckyItems(crashes)
+
+    def end_unlucky_items(self, fault: int) -> None:
+        """End a series of such crashes."""
+        self._unlucky.pop(fault, None)
+
     def begin_misdeed(self, fault: int, numbers: list[int], misdeed: Misdeed, share: float) -> None:
         """Let replicas mishandle a share of their requests until ``end_misdeed``."""
         replicas = [self.hosts[number].replica for number in numbers]
@@ -361,6 +401,9 @@
             if guilty_part(arrival):
                 self._crashing.append(number)
                 return Misdeed.BEGIN_SILENTLY
+            if any(unlucky.is_hit(arrival) for unlucky in self._unlucky.values()):
+                self._crashing.append(number)
+                return Misdeed.RUN_SILENTLY
             if f"/{FAILING_FOLDER}/" in arrival.target:
                 return Misdeed.FAIL
             if f"/{IMPOSSIBLE_FOLDER}/" in arrival.target:
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -1330,6 +1330,20 @@
         "        if now < until:\n            return None",
         CRASHING + "test_crashing_item_does_not_delay_other_items",
     ),
+    Mutant(
+        "soak: items are not run for a minute after crashes by chance",
+        "jobs/item_containment.py",
+        "        until = self._ledger.last_crash_at(key) + CONTAINMENT_S",
+        "        until = self._ledger.last_crash_at(key) + 60.0",
+        "tests/soak/test_soak_items.py",
+    ),
+    Mutant(
+        "soak: idle items are not reported",
+        "soak/check_idle_jobs.py",
+        "        if idle and self._is_calm_everywhere(since, at):",
+        "        if False:",
+        "tests/soak/test_soak_checker.py",
+    ),
     Mutant(
         "soak: crashing parts may be sent on",
         "soak/check_crashes.py",
--- a/tests/soak/test_soak_checker.py
+++ b/tests/soak/test_soak_checker.py
@@ -439,6 +439,28 @@
     return JobRead(job="j", position=position, results=list(results), **facts)
 
 
+def test_open_item_that_nobody_runs_in_calm_times_is_reported() -> None:
+    later = [
+        at_time(4.0 + n, ReadinessSeen(node="n1", pid=1, asked_at=4.0 + n, status=200))
+        for n in range(8)
+    ]
+    replicas = [
+        ReplicaStarted(replica=f"i{n}", service="beta", software_version="v1") for n in range(2)
+    ]
+    accepted_job = [*replicas, job(), accepted(), *item_run(0, 1)]
+    assert broken_promises(*accepted_job, *later) == ["idle items", "lost"]
+    assert broken_promises(*accepted_job, *item_run(1, 2), *later) == ["lost"]
+    fault = FaultBegan(fault=1, kind="store_silent", nodes=[])
+    disturbed = [at_time(4.0, fault), *later, at_time(11.5, FaultEnded(fault=1))]
+    assert broken_promises(*accepted_job, *disturbed) == ["lost"]
+    crash = at_time(7.5, ReplicaStopped(replica="i0"))
+    assert broken_promises(*accepted_job, *later[:4], crash, *later[4:]) == ["lost"]
+    assert broken_promises(*accepted_job, item_run(1, 2)[0], *later) == ["lost"]
+    crowd = [began(10 + n, "r", service="beta") for n in range(16)]
+    assert "idle items" not in broken_promises(*accepted_job, sent(), *crowd, *later)
+    assert broken_promises(*accepted_job, JobEndSent(job="j"), *later) == []
+
+
 def succeeded(number: int, run: int) -> ResultFact:
     return ResultFact(f"j-{number}", "succeeded", f"j-{number}:1:{run}:v1")
 
