Contained items start as trials, one at first and more after sound ones

Change: an owner runs one trial at a time and twice as many after each sound one; a trial that crashes its replica is followed by 3 s without trials and a single one.

--- a/src/cloverwalk/jobs/item_containment.py
+++ b/src/cloverwalk/jobs/item_containment.py
@@ -2,9 +2,11 @@
 
 An accepted item is owed, and containment never ends it. So an item waits for ``CONTAINMENT_S`` from
 the last crash under its content or a part of its prompt, however many replicas have crashed. After
-that, items of one owner that share a contained key start one by one: a run is the trial of its
-contained keys. The next item may start once the trial was sound or has ended. No item is chosen
-for a trial in advance, so one that can't start holds no other item back.
+that, contained items start as trials: an owner runs one trial at a time and twice as many after
+each sound one; one that crashes its replica is followed by the same wait and a single trial. Those
+that share a contained key run one after the other.
+A trial no longer counts once its output was sound or it has ended. No item is chosen for a trial
+in advance, so one that can't start holds no other item back.
 """
 
 from collections.abc import Callable, Sequence
@@ -26,6 +28,9 @@
 """A trial without output holds other items back no longer than this. A replica that crashes when an
 answer begins has crashed by then."""
 
+MAX_TRIALS = 64
+"""Upper bound of the trials that run at the same time at one owner."""
+
 CRASH_REPORT_S = 0.3
 """How long a trial without a sound run counts after its end: the probes that find its replica
 crashed end within 0.1 s."""
@@ -43,6 +48,15 @@
     ended_at: float | None = None
     is_sound: bool = False
 
+    @property
+    def counts_until(self) -> float:
+        """Until when it holds other items back (monotonic clock, seconds)."""
+        if self.is_sound:
+            return float("-inf")
+        if self.ended_at is None:
+            return self.started_at + TRIAL_TIMEOUT_S
+        return self.ended_at + CRASH_REPORT_S
+
 
 @attrs.frozen
 class HeldBack:
@@ -74,18 +88,27 @@
         self._directory = directory
         self._clock = clock
         self._trials: dict[str, _Trial] = {}
-        """The latest trial of each contained key."""
+        """The latest trial of each contained key. Keys of one item share theirs."""
+
+        self._max_trials = 1
+        """How many trials may run at the same time."""
+
+        self._paused_until = float("-inf")
+        """No trial starts before this time, as the latest one has crashed its replica."""
 
         self._sound_at: dict[str, dict[Software, float]] = {}
         """When the latest sound trial of a key started, by the software of its replica."""
 
     def held_back(self, job: JobRun, item_run: ItemRun, services: Sequence[str]) -> HeldBack | None:
         """Return why an item may not start yet; None if it may."""
-        for key in self._contained_keys(job, item_run):
+        keys = self._contained_keys(job, item_run)
+        for key in keys:
             held_back = self._held_back_by(key, services)
             if held_back is not None:
                 return held_back
-        return None
+        if all(self._is_proved(key, services) for key in keys):
+            return None
+        return self._behind_other_trials(keys[0])
 
     def _contained_keys(self, job: JobRun, item_run: ItemRun) -> list[str]:
         if self._ledger.is_empty:
@@ -94,31 +117,55 @@
         return [key for key in keys if self._ledger.is_contained(key)]
 
     def _held_back_by(self, key: str, services: Sequence[str]) -> HeldBack | None:
-        now = self._clock()
-        until = self._ledger.last_crash_at(key) + CONTAINMENT_S
+        now, crashed_at = self._clock(), self._ledger.last_crash_at(key)
+        until = crashed_at + CONTAINMENT_S
         if now < until:
             return HeldBack(key, until)
-        if self._is_proved(key, services):
-            return None
         trial = self._trials.get(key)
-        if trial is None or trial.started_at <= self._ledger.last_crash_at(key):
+        if trial is None or trial.started_at <= crashed_at or self._is_proved(key, services):
             return None
-        if trial.ended_at is None:
-            if self._check_sound(key, trial):
-                return None
-            until = trial.started_at + TRIAL_TIMEOUT_S
-        else:
-            until = trial.ended_at if trial.is_sound else trial.ended_at + CRASH_REPORT_S
+        until = self._counts_until(trial)
         return HeldBack(key, until, is_behind_trial=True) if now < until else None
 
-    def _check_sound(self, key: str, trial: _Trial) -> bool:
-        """Return whether a running trial is sound, and record it for its key."""
+    def _behind_other_trials(self, key: str) -> HeldBack | None:
+        """Return why an item waits for trials of other keys; None if another one may run."""
+        self._pause_after_crashes()
+        if self._clock() < self._paused_until:
+            return HeldBack(key, self._paused_until)
+        trials = {id(trial): trial for trial in self._trials.values()}.values()
+        counting = sorted(
+            until for trial in trials if (until := self._counts_until(trial)) > self._clock()
+        )
+        if len(counting) < self._max_trials:
+            return None
+        return HeldBack(key, counting[0], is_behind_trial=True)
+
+    def _pause_after_crashes(self) -> None:
+        """Let trials wait again if the replica of one has crashed."""
+        for key, trial in list(self._trials.items()):
+            crashed_at = self._ledger.last_crash_at(key)
+            if trial.started_at <= crashed_at and not trial.is_sound:
+                del self._trials[key]
+                until = crashed_at + CONTAINMENT_S
+                self._max_trials, self._paused_until = 1, max(self._paused_until, until)
+
+    def _counts_until(self, trial: _Trial) -> float:
+        self._check_sound(trial)
+        return trial.counts_until
+
+    def _check_sound(self, trial: _Trial, *, is_answered: bool = False) -> None:
+        """Record a trial that has become sound for its keys."""
         timing = trial.item_run.timing
+        if trial.is_sound or trial.ended_at is not None:
+            return
         if timing is not None and timing.events > 0:
-            trial.is_sound |= timing.last_at - timing.first_at >= MIN_SOUND_RUN_S
-        if trial.is_sound:
+            trial.is_sound = timing.last_at - timing.first_at >= MIN_SOUND_RUN_S
+        trial.is_sound |= is_answered
+        if not trial.is_sound:
+            return
+        self._max_trials = min(2 * self._max_trials, MAX_TRIALS)
+        for key in [key for key, other in self._trials.items() if other is trial]:
             self._sound_at.setdefault(key, {})[trial.software] = trial.started_at
-        return trial.is_sound
 
     def _is_proved(self, key: str, services: Sequence[str]) -> bool:
         """Whether a trial after the last crash was sound at each software that may run items."""
@@ -140,16 +187,16 @@
     ) -> None:
         """Make a run that starts the trial of the item's contained keys."""
         self._remove_settled()
+        trial = _Trial(item_run, software_of(replica), self._clock())
         for key in self._contained_keys(job, item_run):
             if not self._is_proved(key, services):
-                self._trials[key] = _Trial(item_run, software_of(replica), self._clock())
+                self._trials[key] = trial
 
     def end_run(self, item_run: ItemRun, *, is_answered: bool) -> None:
         """Record that a run has ended; ``is_answered`` says whether its replica survived it."""
-        for key, trial in self._trials.items():
+        for trial in list(self._trials.values()):
             if trial.item_run is item_run and trial.ended_at is None:
-                trial.is_sound |= is_answered
-                self._check_sound(key, trial)
+                self._check_sound(trial, is_answered=is_answered)
                 trial.ended_at = self._clock()
 
     def _remove_settled(self) -> None:
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -1333,8 +1333,8 @@
     Mutant(
         "soak: items are not run for a minute after crashes by chance",
         "jobs/item_containment.py",
-        "        until = self._ledger.last_crash_at(key) + CONTAINMENT_S",
-        "        until = self._ledger.last_crash_at(key) + 60.0",
+        "        until = crashed_at + CONTAINMENT_S\n        if now",
+        "        until = crashed_at + 60.0\n        if now",
         "tests/soak/test_soak_items.py",
     ),
     Mutant(
@@ -1399,7 +1399,7 @@
         "jobs/item_containment.py",
         "        return HeldBack(key, until, is_behind_trial=True) if now < until else None",
         "        return None",
-        "tests/unit/test_item_containment.py::test_one_item_runs_as_the_trial_of_a_part",
+        "tests/unit/test_item_containment.py",
     ),
     Mutant(
         "parts: items that start together are all trials of a part",
@@ -1412,16 +1412,23 @@
     Mutant(
         "items: contained items wait for minutes, as online requests do",
         "jobs/item_containment.py",
-        "        until = self._ledger.last_crash_at(key) + CONTAINMENT_S",
+        "        until = crashed_at + CONTAINMENT_S\n        if now",
         "        entry = self._ledger._entries[key]\n"
-        "        until = entry.trial_due_at(self._ledger._is_certain(key))",
+        "        until = entry.trial_due_at(self._ledger._is_certain(key))\n        if now",
         ITEM_WAITS + "test_sound_items_start_soon_after_chance_crashes",
     ),
+    Mutant(
+        "items: all contained items of an owner start together",
+        "jobs/item_containment.py",
+        "                self._max_trials, self._paused_until = 1, max(self._paused_until, until)",
+        "                self._max_trials, self._paused_until = MAX_TRIALS, until",
+        "tests/unit/test_item_containment.py",
+    ),
     Mutant(
         "items: a trial holds others back until its end",
         "jobs/item_containment.py",
-        "            until = trial.started_at + TRIAL_TIMEOUT_S",
-        '            until = float("inf")',
+        "            return self.started_at + TRIAL_TIMEOUT_S",
+        '            return float("inf")',
         "tests/unit/test_item_containment.py",
     ),
     Mutant(
--- a/tests/unit/test_item_containment.py
+++ b/tests/unit/test_item_containment.py
@@ -188,3 +188,42 @@
     contained.begin(2)
     contained.end(2)
     assert contained.startable() == [2]
+
+
+def test_trials_of_different_contents_double_after_each_sound_one() -> None:
+    """Guards against a crash for each of many contained items when their wait ends."""
+    contained = ContainedJob(crashes=0)
+    contained.caller.part_ids = dict.fromkeys(range(3), ())
+    for index in range(3):
+        contained.crash(f"{index:020d}", 3, LAST_CRASH_AT)
+    contained.clock.now = TRIAL_AT
+    assert contained.startable() == [0, 1, 2]
+    contained.begin(0)
+    assert contained.startable() == []
+    contained.output(0, TRIAL_AT, TRIAL_AT + 0.3)
+    assert contained.startable() == [1, 2]
+    contained.begin(1)
+    assert contained.startable() == [2]
+    contained.begin(2)
+    contained.end(1)
+    contained.end(2)
+    crashed_at = contained.clock.now = TRIAL_AT + 0.1
+    contained.crash(f"{2:020d}", 1, crashed_at)
+    contained.clock.now = crashed_at + CONTAINMENT_S - 0.1
+    assert contained.startable() == []
+    contained.clock.now = crashed_at + CONTAINMENT_S
+    assert contained.startable() == [1, 2]
+    contained.begin(1)
+    assert contained.startable() == []
+
+
+def test_items_of_a_part_are_tried_one_by_one_though_more_trials_may_run() -> None:
+    contained = ContainedJob()
+    contained.caller.part_ids[0] = ("worse",)
+    contained.crash(OTHER_KEY, 3, LAST_CRASH_AT)
+    contained.clock.now = TRIAL_AT
+    contained.begin(0)
+    contained.output(0, TRIAL_AT, TRIAL_AT + 0.3)
+    assert contained.startable() == [1, 2]
+    contained.begin(1)
+    assert contained.startable() == []
