Contained items start at a software version once a trial was sound there

What callers saw: with two software versions in service, and replicas of one of them without a free slot, the items of an owner that share a contained part start one by one, some 0.5 s each, although the replicas of the other version have room. The wait of the last item grows with the number of items.

Cause: a key counted as proved only if a trial was sound at each software version in service; until then each run was a trial, at whichever version. Now an item starts freely at replicas with the software of a sound trial, and one by one at the others, so the number of trials is bounded by keys and versions, not by items. A trial still counts for its version only.

--- a/bench/item_waits.py
+++ b/bench/item_waits.py
@@ -17,6 +17,7 @@
 
 from test_item_waits import REPLICAS, WaitingWorld  # noqa: E402
 
+from cloverwalk.gateway.software_versions import Software  # noqa: E402
 from cloverwalk.jobs import item_containment  # noqa: E402
 from cloverwalk.jobs.item_containment import HeldBack, ItemContainment  # noqa: E402
 
@@ -39,9 +40,9 @@
 
     inherited = containment._held_back_by
 
-    def held_back_by(key: str, services: Any) -> HeldBack | None:
+    def held_back_by(key: str, software: Software | None) -> HeldBack | None:
         until = last_crash_at(key) + item_containment.CONTAINMENT_S
-        return HeldBack(key, until) if containment._clock() < until else inherited(key, services)
+        return HeldBack(key, until) if containment._clock() < until else inherited(key, software)
 
     containment._held_back_by = held_back_by  # type: ignore[method-assign]
 
--- a/src/cloverwalk/jobs/item_containment.py
+++ b/src/cloverwalk/jobs/item_containment.py
@@ -4,7 +4,7 @@
 the last crash under its content or a part of its prompt, however many replicas have crashed. After
 that, contained items start as trials: an owner runs one trial at a time and twice as many after
 each sound one; one that crashes its replica is followed by the same wait and a single trial. Those
-that share a contained key run one after the other.
+that share a contained key run one after the other at software for which no trial has been sound.
 A trial no longer counts once its output was sound or it has ended. No item is chosen for a trial
 in advance, so one that can't start holds no other item back.
 """
@@ -99,14 +99,40 @@
         self._sound_at: dict[str, dict[Software, float]] = {}
         """When the latest sound trial of a key started, by the software of its replica."""
 
-    def held_back(self, job: JobRun, item_run: ItemRun, services: Sequence[str]) -> HeldBack | None:
-        """Return why an item may not start yet; None if it may."""
+    def held_back(
+        self,
+        job: JobRun,
+        item_run: ItemRun,
+        services: Sequence[str],
+        software: Software | None = None,
+    ) -> HeldBack | None:
+        """Return why an item may not start yet; None if it may.
+
+        With ``software``, the item is to start at a replica with it, else at any usable one.
+        """
         keys = self._contained_keys(job, item_run)
+        if not keys:
+            return None
+        candidates = [software] if software else self._usable_software(services) or [None]
+        reasons = [self._held_back_at(keys, one) for one in candidates]
+        held_back = [reason for reason in reasons if reason is not None]
+        if len(held_back) < len(reasons):
+            return None
+        return min(held_back, key=lambda reason: reason.until)
+
+    def _usable_software(self, services: Sequence[str]) -> list[Software | None]:
+        return [
+            Software(service, version)
+            for service in services
+            for version in self._directory.usable_versions(service)
+        ]
+
+    def _held_back_at(self, keys: list[str], software: Software | None) -> HeldBack | None:
         for key in keys:
-            held_back = self._held_back_by(key, services)
+            held_back = self._held_back_by(key, software)
             if held_back is not None:
                 return held_back
-        if all(self._is_proved(key, services) for key in keys):
+        if all(self._is_proved(key, software) for key in keys):
             return None
         return self._behind_other_trials(keys[0])
 
@@ -116,13 +142,13 @@
         keys = self._ledger.keys_with_crashes(self._caller.crash_keys(job, item_run))
         return [key for key in keys if self._ledger.is_contained(key)]
 
-    def _held_back_by(self, key: str, services: Sequence[str]) -> HeldBack | None:
+    def _held_back_by(self, key: str, software: Software | None) -> HeldBack | None:
         now, crashed_at = self._clock(), self._ledger.last_crash_at(key)
         until = crashed_at + CONTAINMENT_S
         if now < until:
             return HeldBack(key, until)
         trial = self._trials.get(key)
-        if trial is None or trial.started_at <= crashed_at or self._is_proved(key, services):
+        if trial is None or trial.started_at <= crashed_at or self._is_proved(key, software):
             return None
         until = self._counts_until(trial)
         return HeldBack(key, until, is_behind_trial=True) if now < until else None
@@ -167,29 +193,22 @@
         for key in [key for key, other in self._trials.items() if other is trial]:
             self._sound_at.setdefault(key, {})[trial.software] = trial.started_at
 
-    def _is_proved(self, key: str, services: Sequence[str]) -> bool:
-        """Whether a trial after the last crash was sound at each software that may run items."""
-        last_crash_at = self._ledger.last_crash_at(key)
-        sound_at = self._sound_at.get(key, {})
-        software = [
-            Software(service, version)
-            for service in services
-            for version in self._directory.usable_versions(service)
-        ]
-        return bool(sound_at) and all(
-            sound_at.get(one, float("-inf")) > last_crash_at for one in software
-        )
+    def _is_proved(self, key: str, software: Software | None) -> bool:
+        """Whether a trial after the last crash was sound at a replica with the software."""
+        if software is None:
+            return False
+        sound_at = self._sound_at.get(key, {}).get(software, float("-inf"))
+        return sound_at > self._ledger.last_crash_at(key)
 
     # --- runs ---
 
-    def begin_run(
-        self, job: JobRun, item_run: ItemRun, replica: Replica, services: Sequence[str]
-    ) -> None:
+    def begin_run(self, job: JobRun, item_run: ItemRun, replica: Replica) -> None:
         """Make a run that starts the trial of the item's contained keys."""
         self._remove_settled()
-        trial = _Trial(item_run, software_of(replica), self._clock())
+        software = software_of(replica)
+        trial = _Trial(item_run, software, self._clock())
         for key in self._contained_keys(job, item_run):
-            if not self._is_proved(key, services):
+            if not self._is_proved(key, software):
                 self._trials[key] = trial
 
     def end_run(self, item_run: ItemRun, *, is_answered: bool) -> None:
--- a/src/cloverwalk/jobs/runner.py
+++ b/src/cloverwalk/jobs/runner.py
@@ -202,12 +202,13 @@
     def _waiting_items(self, job: JobRun) -> list[WaitingItem]:
         return [self._waiting_item(job, item_run) for item_run in self._startable_items(job)]
 
-    def _startable_items(self, job: JobRun) -> list[ItemRun]:
-        """Return the items that may start now."""
+    def _startable_items(self, job: JobRun, software: Software | None = None) -> list[ItemRun]:
+        """Return the items that may start now: at a replica with the software, else at any."""
+        services = self._services(job)
         return [
             item_run
             for item_run in job.pending(self._clock())
-            if self._containment.held_back(job, item_run, self._services(job)) is None
+            if self._containment.held_back(job, item_run, services, software) is None
         ]
 
     def _waits(self) -> list[ItemWait]:
@@ -409,7 +410,8 @@
             ):
                 job, item_run = waiting[index]
                 # An item that has just started may be the trial that this one has to wait for.
-                if self._containment.held_back(job, item_run, self._services(job)) is None:
+                services, software = self._services(job), software_of(replica)
+                if self._containment.held_back(job, item_run, services, software) is None:
                     await self._start(job, item_run, replica)
         await self._wake.set()
 
@@ -424,7 +426,7 @@
         for job in self.jobs.values():
             if replica.service not in self._services(job):
                 continue
-            for item_run in self._startable_items(job):
+            for item_run in self._startable_items(job, software):
                 if self._needed_software(job, item_run) not in (None, software):
                     continue
                 waiting = self._waiting_item(job, item_run)
@@ -450,7 +452,7 @@
             self._restart(job, item_run, replica)
         job.begin(item_run, replica.replica_id, now, replica.started_ms)
         item_run.timing = None
-        self._containment.begin_run(job, item_run, replica, self._services(job))
+        self._containment.begin_run(job, item_run, replica)
         work = self._loads.begin(replica.replica_id, True, self._tokens(job, item_run))
         running = _RunningItem(job, item_run, work, software_of(replica), now)
         running.expected_ms = self._time_estimator.remaining_s(item_run) * 1000
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -1404,9 +1404,8 @@
     Mutant(
         "parts: items that start together are all trials of a part",
         "jobs/runner.py",
-        "_services(job)) is None:\n                    await self._start(job, item_run, replica)",
-        "_services(job)) is None or True:\n"
-        "                    await self._start(job, item_run, replica)",
+        "services, software) is None:\n                    await self._start(",
+        "services, software) is None or True:\n                    await self._start(",
         ITEM_WAITS + "test_items_of_a_contained_part_do_not_start_together",
     ),
     Mutant(
@@ -1424,6 +1423,22 @@
         "                self._max_trials, self._paused_until = MAX_TRIALS, until",
         "tests/unit/test_item_containment.py",
     ),
+    Mutant(
+        "items: a sound trial counts for all software versions",
+        "jobs/item_containment.py",
+        'self._sound_at.get(key, {}).get(software, float("-inf"))',
+        "max(self._sound_at.get(key, {}).values(), default=0.0)",
+        "tests/unit/test_item_containment.py",
+    ),
+    Mutant(
+        "items: tried one by one until a trial was sound at each software version",
+        "jobs/item_containment.py",
+        "        if software is None:\n            return False",
+        "        versions = self._directory.usable_versions(software.service) if software else ()\n"
+        "        if software is None or len(self._sound_at.get(key, {})) < len(versions):\n"
+        "            return False",
+        ITEM_WAITS + "test_items_start_at_the_version_with_room_after_a_sound_trial_there",
+    ),
     Mutant(
         "items: a trial holds others back until its end",
         "jobs/item_containment.py",
--- a/tests/serving/test_item_waits.py
+++ b/tests/serving/test_item_waits.py
@@ -51,13 +51,16 @@
 TRIAL_S = 1.0
 """Time from the start of an item that is tried alone until the next one may start."""
 
-ALL_STARTED_S = START_BOUND_S + 2 * ITEMS * TRIAL_S
-"""By then each item has started: with two software versions, the items of a part are tried one by
-one at each owner."""
-
-ELECTION_S = 12.0
 SHARED_PART = "shared"
 PARTS = (SHARED_PART, "topic")
+VERSIONS = ("v1", "v2")
+CONTENT_TRIALS = 4
+"""Series of trials, each twice as long, that try the contents of two jobs."""
+
+ALL_STARTED_S = START_BOUND_S + (len(VERSIONS) * len(PARTS) + CONTENT_TRIALS) * TRIAL_S
+"""By then each item has started: each part is tried once at each software version."""
+
+ELECTION_S = 12.0
 
 
 class ScriptedCaller:
@@ -202,11 +205,13 @@
 
     # --- what happens ---
 
-    async def submit(self, job_id: str, owner: str, listed: frozenset[int] = frozenset()) -> None:
+    async def submit(
+        self, job_id: str, owner: str, listed: frozenset[int] = frozenset(), count: int = ITEMS
+    ) -> None:
         """Have a node run a job, whose results ``listed`` an earlier owner has stored."""
-        items = [JobItem(f"{job_id}-{number}", "/jobs/x", [], b"", 1) for number in range(ITEMS)]
+        items = [JobItem(f"{job_id}-{number}", "/jobs/x", [], b"", 1) for number in range(count)]
         record = JobRecord(
-            job_id, "h", "/jobs/x", 0.0, DUE_MS, 2 * DUE_MS, 3, ITEMS, ITEMS, 1, owner
+            job_id, "h", "/jobs/x", 0.0, DUE_MS, 2 * DUE_MS, 3, count, count, 1, owner
         )
         job = JobRun(stored_job(record), items)
         for index in listed:
@@ -398,6 +403,25 @@
     play(test)
 
 
+def test_items_start_at_the_version_with_room_after_a_sound_trial_there() -> None:
+    """Guards against items that are tried one by one since the other version has no free slot."""
+
+    async def test(waiting: WaitingWorld) -> None:
+        for _ in range(REPLICAS // 2):
+            await waiting.crash(0, "v2")
+        for replica in waiting.world.replicas:
+            if replica.software_version == "v1":
+                for _ in range(replica.slots):
+                    waiting.world.nodes[2].loads.begin(replica.replica_id, is_batch=False)
+        await waiting.crash_online(1, SHARED_PART, 8)
+        await waiting.submit("j1", "n001", count=2 * ITEMS)
+        await waiting.run(START_BOUND_S + TRIAL_S)
+        started = len(waiting.caller.started_at)
+        assert started == 2 * ITEMS, f"{started} items have started"
+
+    play(test)
+
+
 ACTIONS = st.one_of(
     st.tuples(st.just("pass"), st.sampled_from([0.25, 0.5, 1.0, 3.25])),
     st.tuples(st.just("crash"), st.integers(0, REPLICAS - 1), st.sampled_from(["v1", "v1", "v2"])),
--- a/tests/unit/test_item_containment.py
+++ b/tests/unit/test_item_containment.py
@@ -24,8 +24,9 @@
 from cloverwalk.jobs.run import ItemRun, JobRun, Phase, RunTiming
 
 SERVICES = ["model"]
-KEY = part_key("bad", Software("model", "v1"))
-OTHER_KEY = part_key("worse", Software("model", "v1"))
+V1, V2 = Software("model", "v1"), Software("model", "v2")
+KEY = part_key("bad", V1)
+OTHER_KEY = part_key("worse", V1)
 LAST_CRASH_AT = 3.0
 TRIAL_AT = LAST_CRASH_AT + CONTAINMENT_S
 
@@ -67,18 +68,18 @@
             at = last_at - age
             self.ledger.note_crash(key, f"{key[:4]}-{at}", at, at - 0.5, f"q{at}")
 
-    def startable(self) -> list[int]:
+    def startable(self, software: Software | None = None) -> list[int]:
         return [
             item.index
             for item in self.job.pending(0.0)
-            if self.containment.held_back(self.job, item, SERVICES) is None
+            if self.containment.held_back(self.job, item, SERVICES, software) is None
         ]
 
     def begin(self, index: int, replica: Replica | None = None) -> None:
         item_run = self.job.items[index]
         item_run.phase = Phase.RUNNING
         item_run.timing = None
-        self.containment.begin_run(self.job, item_run, replica or self.replica, SERVICES)
+        self.containment.begin_run(self.job, item_run, replica or self.replica)
 
     def output(self, index: int, *times: float) -> None:
         self.job.items[index].timing = timing = RunTiming(0)
@@ -171,7 +172,7 @@
 
 
 def test_trial_at_one_software_version_proves_nothing_for_another() -> None:
-    """Items go on being tried one by one while replicas with the other version may get them."""
+    """Guards against a crash of many replicas with the version that has not been tried."""
     contained = ContainedJob()
     other = _replica("r1", "v2")
     contained.directory.replace([contained.replica, other], version=2)
@@ -179,15 +180,33 @@
     contained.begin(0, other)
     contained.output(0, TRIAL_AT, TRIAL_AT + 0.3)
     contained.clock.now = TRIAL_AT + 0.3
-    assert contained.startable() == [1, 2]
+    assert contained.startable(V1) == [1, 2]
     contained.begin(1)
-    assert contained.startable() == []
+    assert contained.startable(V1) == []
     contained.output(1, TRIAL_AT + 0.3, TRIAL_AT + 0.6)
     contained.clock.now = TRIAL_AT + 0.6
-    assert contained.startable() == [2]
+    assert contained.startable(V1) == [2]
     contained.begin(2)
     contained.end(2)
+    assert contained.startable(V1) == [2]
+
+
+def test_items_start_at_the_software_version_of_a_sound_trial() -> None:
+    """Guards against items that are tried one by one while replicas with two versions are ready."""
+    contained = ContainedJob()
+    other = _replica("r1", "v2")
+    contained.directory.replace([contained.replica, other], version=2)
+    contained.clock.now = TRIAL_AT
+    contained.begin(0, other)
+    contained.output(0, TRIAL_AT, TRIAL_AT + 0.3)
+    contained.clock.now = TRIAL_AT + 0.3
+    assert contained.startable(V2) == [1, 2]
+    contained.begin(1)
+    assert contained.startable(V2) == [2]
     assert contained.startable() == [2]
+    contained.begin(2, other)
+    contained.end(2)
+    assert contained.startable(V2) == [2]
 
 
 def test_trials_of_different_contents_double_after_each_sound_one() -> None:
