A job that is taken over slowly is checked against the store at once

Cause: a takeover commits, then reads the job's requests, results and output, and starts its items; the first check of its record came 1.2 s after that, however long these reads took. With calls of 0.48 s, an end that is acknowledged right after the commit is noticed after 3.2 s: three reads (1.44), the interval and the step (1.3) and the check's read (0.48). The first check is now due 1.2 s after the commit began, so at once after slow reads.

--- a/src/cloverwalk/jobs/run.py
+++ b/src/cloverwalk/jobs/run.py
@@ -147,6 +147,10 @@
         self.items = [ItemRun(index, item) for index, item in enumerate(items)]
         self._body_bytes = sum(len(item.body) for item in items)
         self.is_dropped = False
+        self.confirmed_at: float | None = None
+        """Since when the store may have changed the record (monotonic clock, seconds); None if that
+        is when the job was added."""
+
         self._by_id = {item_run.item.item_id: item_run for item_run in self.items}
 
     @property
--- a/src/cloverwalk/jobs/takeover.py
+++ b/src/cloverwalk/jobs/takeover.py
@@ -88,6 +88,7 @@
     async def _take_over(self, previous: StoredJob) -> None:
         epoch = previous.content.epoch + 1
         write = change_job(previous, owner=self._incarnation, epoch=epoch)
+        began_at = self._clock()
         outcome = await self._committer.commit_until_resolved(
             transaction(write), self._clock() + TAKEOVER_TIMEOUT_S
         )
@@ -105,6 +106,7 @@
         cached = self._view.find(owned.content.job_id)
         if job is None:
             return
+        job.confirmed_at = began_at
         if cached is not None and cached.version == owned.version and not self.is_leaving:
             await self._runner.add(job)
 
--- a/src/cloverwalk/jobs/verifier.py
+++ b/src/cloverwalk/jobs/verifier.py
@@ -55,12 +55,18 @@
             await curio.sleep(STEP_S)
 
     def _schedule(self) -> None:
-        """Spread the first checks of new jobs over an interval; forget the jobs that are gone."""
-        jobs = self._runner.jobs
+        """Spread the first checks of new jobs over an interval; forget the jobs that are gone.
+
+        A job whose record was confirmed earlier, as a takeover reads much after that, is checked
+        within the interval from then.
+        """
+        jobs, now = self._runner.jobs, self._clock()
         self._due_at = {key: at for key, at in self._due_at.items() if key in jobs}
-        new = [job_id for job_id in jobs if job_id not in self._due_at]
-        for number, job_id in enumerate(new, start=1):
-            self._due_at[job_id] = self._clock() + VERIFY_INTERVAL_S * number / len(new)
+        new = [job for job_id, job in jobs.items() if job_id not in self._due_at]
+        for number, job in enumerate(new, start=1):
+            confirmed_at = now if job.confirmed_at is None else job.confirmed_at
+            spread_s = VERIFY_INTERVAL_S * number / len(new)
+            self._due_at[job.job_id] = min(now + spread_s, confirmed_at + VERIFY_INTERVAL_S)
 
     async def _verify_in_time(self, job: JobRun) -> None:
         began_at = self._clock()
