A job waits a bounded time for the trials of other jobs

What callers saw, in a test: after crashes under a part that the items of five jobs share, only one of the jobs runs an item within five seconds of calm, if the first output takes 2 s; the others wait for one another's trials, and each time a trial crashes its replica, for 3 s more.

Cause: the limits on trials are those of an owner, so the wait of a job depended on how many jobs wait before it and on what their items show. The users' rule is about each job.

Now a job none of whose items runs may start one 4 s after the last crash under the item's keys, or under a trial of the job itself, whatever the trials of other jobs show. The owner also looks again at the moment when a wait ends instead of within 0.5 s.

--- a/src/cloverwalk/jobs/item_containment.py
+++ b/src/cloverwalk/jobs/item_containment.py
@@ -6,9 +6,12 @@
 each sound one; one that crashes its replica is followed by the same wait and a single trial. Those
 that share a contained key run one after the other at software for which no trial has been sound.
 A trial no longer counts once its output was sound or it has ended. No item is chosen for a trial
-in advance, so one that can't start holds no other item back.
+in advance, so one that can't start holds no other item back. A job none of whose items runs waits
+``IDLE_JOB_DELAY_S`` longer than ``CONTAINMENT_S`` at the most, whatever the trials of other jobs
+show.
 """
 
+from collections import Counter
 from collections.abc import Callable, Sequence
 
 import attrs
@@ -28,6 +31,10 @@
 """A trial without output holds other items back no longer than this. A replica that crashes when an
 answer begins has crashed by then."""
 
+IDLE_JOB_DELAY_S = 1.0
+"""How much longer an item waits for trials if no item of its job runs. A trial that crashes its
+replica when its answer begins has usually done so by then."""
+
 MAX_TRIALS = 64
 """Upper bound of the trials that run at the same time at one owner."""
 
@@ -40,6 +47,7 @@
 class _Trial:
     """A run that shows whether its contained keys still crash replicas."""
 
+    job_id: str
     item_run: ItemRun
     software: Software
     """Software of its replica."""
@@ -90,6 +98,15 @@
         self._trials: dict[str, _Trial] = {}
         """The latest trial of each contained key. Keys of one item share theirs."""
 
+        self._running: Counter[str] = Counter()
+        """Number of items that run, by job."""
+
+        self._failed_at: dict[str, float] = {}
+        """When a run of a job last ended without an answer, by job."""
+
+        self._crashed_at: dict[str, float] = {}
+        """When a trial of a job last crashed its replica, by job."""
+
         self._max_trials = 1
         """How many trials may run at the same time."""
 
@@ -118,7 +135,23 @@
         held_back = [reason for reason in reasons if reason is not None]
         if len(held_back) < len(reasons):
             return None
-        return min(held_back, key=lambda reason: reason.until)
+        first = min(held_back, key=lambda reason: reason.until)
+        return self._idle_job_held_back(first, job, keys) if self._is_idle(job) else first
+
+    def _is_idle(self, job: JobRun) -> bool:
+        """Whether no item of a job runs, nor has just failed, which may turn out as a crash."""
+        failed_at = self._failed_at.get(job.job_id, float("-inf"))
+        return not self._running[job.job_id] and self._clock() >= failed_at + CRASH_REPORT_S
+
+    def _idle_job_held_back(
+        self, held_back: HeldBack, job: JobRun, keys: list[str]
+    ) -> HeldBack | None:
+        """Limit how long an item of an idle job waits for the trials of other jobs."""
+        self._pause_after_crashes()
+        crashes_at = [self._ledger.last_crash_at(key) for key in keys]
+        last_crash_at = max([*crashes_at, self._crashed_at.get(job.job_id, float("-inf"))])
+        until = min(held_back.until, last_crash_at + CONTAINMENT_S + IDLE_JOB_DELAY_S)
+        return attrs.evolve(held_back, until=until) if self._clock() < until else None
 
     def _usable_software(self, services: Sequence[str]) -> list[Software | None]:
         return [
@@ -172,6 +205,7 @@
             crashed_at = self._ledger.last_crash_at(key)
             if trial.started_at <= crashed_at and not trial.is_sound:
                 del self._trials[key]
+                self._crashed_at[trial.job_id] = crashed_at
                 until = crashed_at + CONTAINMENT_S
                 self._max_trials, self._paused_until = 1, max(self._paused_until, until)
 
@@ -205,24 +239,34 @@
     def begin_run(self, job: JobRun, item_run: ItemRun, replica: Replica) -> None:
         """Make a run that starts the trial of the item's contained keys."""
         self._remove_settled()
+        self._running[job.job_id] += 1
         software = software_of(replica)
-        trial = _Trial(item_run, software, self._clock())
+        trial = _Trial(job.job_id, item_run, software, self._clock())
         for key in self._contained_keys(job, item_run):
             if not self._is_proved(key, software):
                 self._trials[key] = trial
 
-    def end_run(self, item_run: ItemRun, *, is_answered: bool) -> None:
+    def end_run(self, job: JobRun, item_run: ItemRun, *, is_answered: bool) -> None:
         """Record that a run has ended; ``is_answered`` says whether its replica survived it."""
+        self._running[job.job_id] -= 1
+        if not self._running[job.job_id]:
+            del self._running[job.job_id]
+        if not is_answered:
+            self._failed_at[job.job_id] = self._clock()
         for trial in list(self._trials.values()):
             if trial.item_run is item_run and trial.ended_at is None:
                 self._check_sound(trial, is_answered=is_answered)
                 trial.ended_at = self._clock()
 
     def _remove_settled(self) -> None:
-        """Remove what is known of keys that are not contained any more."""
+        """Remove what is known of keys that are not contained any more, and of old failures."""
         for key in [key for key in self._trials if not self._ledger.is_contained(key)]:
             del self._trials[key]
             self._sound_at.pop(key, None)
+        since = self._clock() - CONTAINMENT_S - IDLE_JOB_DELAY_S
+        for times in (self._failed_at, self._crashed_at):
+            for job_id in [job_id for job_id, at in times.items() if at <= since]:
+                del times[job_id]
 
     def is_suspect(self, job: JobRun, item_run: ItemRun) -> bool:
         """Whether replicas have ended under an item or a part of its prompt."""
--- a/src/cloverwalk/jobs/runner.py
+++ b/src/cloverwalk/jobs/runner.py
@@ -112,6 +112,9 @@
         self._has_ended_run = False
         """Whether a run has ended since the last report was triggered."""
 
+        self._held_back_until = float("inf")
+        """When containment next lets a waiting item start (monotonic clock, seconds)."""
+
         self.is_stopping = False
 
     # --- jobs ---
@@ -171,7 +174,10 @@
                 self._wait_log.write(self._waits(), self._coordinator_client.coordinator_name)
 
     def _check_timeout_s(self) -> float:
-        """Return the time until the next check, or until the retry delay of an item is over."""
+        """Return the time until the next check, or until an item may start.
+
+        That is when its retry delay is over, or when containment no longer holds it back.
+        """
         now = self._clock()
         retry_delays_s = [
             item_run.not_before - now
@@ -179,10 +185,12 @@
             for item_run in job.items
             if item_run.phase is Phase.PENDING and item_run.not_before > now
         ]
-        return min([CHECK_INTERVAL_S, *retry_delays_s])
+        containment_s = max(0.0, self._held_back_until - now)
+        return min([CHECK_INTERVAL_S, containment_s, *retry_delays_s])
 
     async def _report_waiting(self) -> None:
         by_pool: dict[str, list[WaitingItem]] = {}
+        self._held_back_until = float("inf")
         if not self.is_stopping:
             for job in self.jobs.values():
                 services = self._services(job)
@@ -205,11 +213,14 @@
     def _startable_items(self, job: JobRun, software: Software | None = None) -> list[ItemRun]:
         """Return the items that may start now: at a replica with the software, else at any."""
         services = self._services(job)
-        return [
-            item_run
-            for item_run in job.pending(self._clock())
-            if self._containment.held_back(job, item_run, services, software) is None
-        ]
+        startable: list[ItemRun] = []
+        for item_run in job.pending(self._clock()):
+            held_back = self._containment.held_back(job, item_run, services, software)
+            if held_back is None:
+                startable.append(item_run)
+            else:
+                self._held_back_until = min(self._held_back_until, held_back.until)
+        return startable
 
     def _waits(self) -> list[ItemWait]:
         return [
@@ -516,7 +527,7 @@
         finally:
             if is_answered:
                 await self._containment.record_answer(job, item_run, replica)
-            self._containment.end_run(item_run, is_answered=is_answered)
+            self._containment.end_run(job, item_run, is_answered=is_answered)
             await self._end_run(running, outcome)
 
     async def _end_run(self, running: _RunningItem, outcome: str) -> None:
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -1439,6 +1439,27 @@
         "            return False",
         ITEM_WAITS + "test_items_start_at_the_version_with_room_after_a_sound_trial_there",
     ),
+    Mutant(
+        "items: a job waits for all trials of other jobs",
+        "jobs/item_containment.py",
+        "return self._idle_job_held_back(first, job, keys) if self._is_idle(job) else first",
+        "return first",
+        ITEM_WAITS + "test_each_job_of_an_owner_runs_an_item_within_bound_although_trials_are_slow",
+    ),
+    Mutant(
+        "items: a job is idle before the crash of its trial is known",
+        "jobs/item_containment.py",
+        " and self._clock() >= failed_at + CRASH_REPORT_S",
+        "",
+        "tests/unit/test_item_containment.py",
+    ),
+    Mutant(
+        "items: a job does not wait after its own trial has crashed a replica",
+        "jobs/item_containment.py",
+        "                self._crashed_at[trial.job_id] = crashed_at\n",
+        "",
+        "tests/unit/test_item_containment.py",
+    ),
     Mutant(
         "items: a trial holds others back until its end",
         "jobs/item_containment.py",
--- a/tests/serving/test_item_waits.py
+++ b/tests/serving/test_item_waits.py
@@ -73,6 +73,8 @@
         """Times of the starts, by item."""
 
         self.parts_of: Callable[[str], tuple[str, ...]] = lambda item_id: (SHARED_PART,)
+        self.output_after_s = OUTPUT_AFTER_S
+        self.run_s = RUN_S
 
     def prompt(self, item_run: ItemRun) -> tuple[PromptPart, ...]:
         return ()
@@ -96,11 +98,11 @@
         ended: curio.Queue = curio.Queue()
         self.running.setdefault(replica.replica_id, []).append(ended)
         try:
-            while self._world.now - started_at < RUN_S:
+            while self._world.now - started_at < self.run_s:
                 async with curio.ignore_after(0.0005):
                     await ended.get()
                     raise ReplicaError("the replica crashed", True, "reset")
-                if self._world.now - started_at >= OUTPUT_AFTER_S:
+                if self._world.now - started_at >= self.output_after_s:
                     self._add_output(job, item_run, software_of(replica))
                     on_output()
         finally:
@@ -422,6 +424,23 @@
     play(test)
 
 
+def test_each_job_of_an_owner_runs_an_item_within_bound_although_trials_are_slow() -> None:
+    """Guards against jobs that wait for one another's trials while replicas have room."""
+
+    async def test(waiting: WaitingWorld) -> None:
+        waiting.caller.output_after_s, waiting.caller.run_s = 2.0, 6.0
+        await waiting.crash_online(1, SHARED_PART, 4)
+        jobs = [f"j{number}" for number in range(5)]
+        for job_id in jobs:
+            await waiting.submit(job_id, "n001")
+        while waiting.world.now - waiting.last_crash_at < START_BOUND_S:
+            await waiting.run(waiting.world.STEP_S)
+        started = {item_id.partition("-")[0] for item_id in waiting.caller.started_at}
+        assert started == set(jobs)
+
+    play(test)
+
+
 ACTIONS = st.one_of(
     st.tuples(st.just("pass"), st.sampled_from([0.25, 0.5, 1.0, 3.25])),
     st.tuples(st.just("crash"), st.integers(0, REPLICAS - 1), st.sampled_from(["v1", "v1", "v2"])),
--- a/tests/unit/test_item_containment.py
+++ b/tests/unit/test_item_containment.py
@@ -17,6 +17,7 @@
 from cloverwalk.jobs.item_containment import (
     CONTAINMENT_S,
     CRASH_REPORT_S,
+    IDLE_JOB_DELAY_S,
     TRIAL_TIMEOUT_S,
     ItemContainment,
 )
@@ -88,7 +89,7 @@
 
     def end(self, index: int, *, is_answered: bool = False) -> None:
         self.job.items[index].phase = Phase.LISTED if is_answered else Phase.PENDING
-        self.containment.end_run(self.job.items[index], is_answered=is_answered)
+        self.containment.end_run(self.job, self.job.items[index], is_answered=is_answered)
 
 
 def _replica(replica_id: str, version: str) -> Replica:
@@ -142,6 +143,34 @@
     assert contained.startable() == [0, 1, 2]
 
 
+def test_trial_long_after_the_crashes_is_followed_by_no_other_before_its_outcome_is_known() -> None:
+    """Guards against a second crash before the first one is found."""
+    contained = ContainedJob()
+    contained.clock.now = TRIAL_AT + 2 * IDLE_JOB_DELAY_S
+    contained.begin(0)
+    contained.end(0)
+    assert contained.startable() == []
+    contained.clock.now += CRASH_REPORT_S
+    assert contained.startable() == [0, 1, 2]
+
+
+def test_other_items_of_a_job_wait_after_its_trial_has_crashed_a_replica() -> None:
+    """Guards against a job whose contained items crash replicas one right after the other."""
+    contained = ContainedJob(crashes=0)
+    contained.caller.part_ids = dict.fromkeys(range(3), ())
+    for index in range(3):
+        contained.crash(f"{index:020d}", 3, LAST_CRASH_AT)
+    contained.clock.now = TRIAL_AT
+    contained.begin(0)
+    contained.end(0)
+    contained.clock.now = crashed_at = TRIAL_AT + 0.1
+    contained.crash(f"{0:020d}", 1, crashed_at)
+    contained.clock.now = crashed_at + CONTAINMENT_S - 0.1
+    assert contained.startable() == []
+    contained.clock.now = crashed_at + CONTAINMENT_S
+    assert contained.startable() == [0, 1, 2]
+
+
 def test_next_item_starts_after_a_trial_that_shows_nothing() -> None:
     """Its replica rejected it, or it was preempted before its output."""
     contained = ContainedJob()
@@ -236,6 +265,48 @@
     assert contained.startable() == []
 
 
+class OtherJob:
+    """A second job of the same owner; its items have the same part unless told otherwise."""
+
+    def __init__(self, contained: ContainedJob) -> None:
+        self._containment = contained.containment
+        record = JobRecord("k", "h", "/", 0.0, 0.0, 0.0, 3, 1, 10, 1, "n1")
+        self.job = JobRun(stored_job(record), [JobItem("k0", "/x", [], b"", 10)])
+        self.job.items[0].index = 9
+
+    def is_startable(self) -> bool:
+        return self._containment.held_back(self.job, self.job.items[0], SERVICES) is None
+
+
+def test_idle_job_waits_a_bounded_time_behind_a_trial_of_another_job() -> None:
+    """Guards against a job that waits while the items of others are tried one after the other."""
+    contained = ContainedJob()
+    other = OtherJob(contained)
+    contained.clock.now = TRIAL_AT + 0.8
+    contained.begin(0)
+    assert not other.is_startable()
+    contained.clock.now = TRIAL_AT + IDLE_JOB_DELAY_S
+    assert other.is_startable()
+    assert contained.startable() == []
+
+
+def test_idle_job_does_not_wait_for_trials_of_another_job_that_crash() -> None:
+    """Guards against a job whose items wait as long as an item of another job is contained."""
+    contained = ContainedJob()
+    contained.caller.part_ids[9] = ("worse",)
+    contained.crash(OTHER_KEY, 3, LAST_CRASH_AT)
+    other = OtherJob(contained)
+    contained.clock.now = TRIAL_AT
+    contained.begin(0)
+    contained.end(0)
+    contained.clock.now = crashed_at = TRIAL_AT + 0.1
+    contained.crash(KEY, 1, crashed_at)
+    assert not other.is_startable()
+    contained.clock.now = TRIAL_AT + IDLE_JOB_DELAY_S
+    assert other.is_startable()
+    assert contained.startable() == []
+
+
 def test_items_of_a_part_are_tried_one_by_one_though_more_trials_may_run() -> None:
     contained = ContainedJob()
     contained.caller.part_ids[0] = ("worse",)
