Sends to a client that was dropped as too slow are logged as such

Cause: the drop shuts the connection down and empties its buffer. If the replica's next event comes before the serving task sees the end of the connection, it is sent directly, fails with a broken pipe, and that error had the default code. It now has the connection's code.

test_send_to_a_dropped_client_fails_as_stalled failed before.

--- a/src/cloverwalk/gateway/reply.py
+++ b/src/cloverwalk/gateway/reply.py
@@ -117,7 +117,7 @@
         except BlockingIOError:
             return data
         except OSError as error:
-            raise ClientGoneError(repr(error)) from error
+            raise ClientGoneError(repr(error), self.disconnect_code) from error
         if self._send_buffer is not None:
             self._send_buffer.record_sent(size)
         return data[size:]
--- a/tests/unit/test_overload_monitor.py
+++ b/tests/unit/test_overload_monitor.py
@@ -8,6 +8,7 @@
 
 from cloverwalk.fleet.messages import Report
 from cloverwalk.fleet.utilization import median_by_zone
+from cloverwalk.gateway.errors import ClientGoneError
 from cloverwalk.gateway.memory_budget import BODY_COPIES, JOB_SHARE, MemoryBudget
 from cloverwalk.gateway.overload_monitor import (
     AVERAGING_TIME_S,
@@ -287,6 +288,37 @@
     assert not curio.run(answer).is_finished
 
 
+# A dropped client was logged as gone if the next event came before its connection's end was seen.
+def test_send_to_a_dropped_client_fails_as_stalled() -> None:
+    class ClosedSocket:
+        """A socket that was shut down."""
+
+        @property
+        def _socket(self) -> "ClosedSocket":
+            return self
+
+        def send(self, data: bytes) -> int:
+            raise BrokenPipeError
+
+        def shutdown(self, how: int) -> None:
+            return
+
+    sock = ClosedSocket()
+    http = h11.Connection(h11.SERVER)
+    http.receive_data(b"GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+    while not isinstance(http.next_event(), h11.EndOfMessage):
+        pass
+    send_buffer = SendBuffer(sock, MemoryBudget(), lambda: 0.0)
+    reply = Reply(sock, http, False, send_buffer)
+    with pytest.raises(ClientGoneError) as gone:
+        curio.run(reply.begin, 200, [], None)
+    assert gone.value.code == "client_gone"
+    send_buffer.drop()
+    with pytest.raises(ClientGoneError) as stalled:
+        reply.write_now(b"event")
+    assert stalled.value.code == "client_stalled"
+
+
 def test_jobs_beyond_their_share_do_not_block_online_requests() -> None:
     # A node that took over jobs, or whose items have long outputs.
     budget = MemoryBudget(1000)
