--- a/tests/serving/test_item_waits.py
+++ b/tests/serving/test_item_waits.py
@@ -37,8 +37,9 @@
 ITEMS = 6
 DUE_MS = 20_000.0
 OUTPUT_AFTER_S = 0.1
+SLOW_OUTPUT_S = 2.0
 RUN_S = 1.0
-"""Time that a run takes to its whole answer."""
+"""Time that a run takes to its whole answer, at least."""
 
 CONTAINED_S = 3.0
 DECISION_S = 2.0
@@ -48,8 +49,8 @@
 START_BOUND_S = CONTAINED_S + DECISION_S
 """An open job has an item at a replica, or has got one, at least this often while all is calm."""
 
-TRIAL_S = 1.0
-"""Time from the start of an item that is tried alone until the next one may start."""
+TRIAL_S = 0.9
+"""Time from the first output of an item that is tried alone until the next one may start."""
 
 SHARED_PART = "shared"
 PARTS = (SHARED_PART, "topic")
@@ -57,8 +58,9 @@
 CONTENT_TRIALS = 4
 """Series of trials, each twice as long, that try the contents of two jobs."""
 
-ALL_STARTED_S = START_BOUND_S + (len(VERSIONS) * len(PARTS) + CONTENT_TRIALS) * TRIAL_S
-"""By then each item has started: each part is tried once at each software version."""
+TRIALS = len(VERSIONS) * len(PARTS) + CONTENT_TRIALS
+"""Trials that follow one another until each item has started: each part is tried once at each
+software version."""
 
 ELECTION_S = 12.0
 
@@ -325,10 +327,13 @@
     async def expect_starts(self) -> None:
         """Check the bounds from here on, with calm replicas that have room."""
         calm_since = max(self.world.now, self.last_crash_at)
+        bound_s = START_BOUND_S + TRIALS * (self.caller.output_after_s + TRIAL_S)
         waiting_since: dict[str, float] = {}
         while open_items := self.open_items():
             elapsed_s = self.world.now - calm_since
-            assert elapsed_s <= ALL_STARTED_S + RUN_S, [item.item.item_id for item in open_items]
+            assert elapsed_s <= bound_s + self.caller.run_s, [
+                item.item.item_id for item in open_items
+            ]
             await self.run(self.world.STEP_S)
             alone = self.waits_alone()
             waiting_since = {job: waiting_since.get(job, self.world.now) for job in alone}
@@ -417,7 +422,7 @@
                     waiting.world.nodes[2].loads.begin(replica.replica_id, is_batch=False)
         await waiting.crash_online(1, SHARED_PART, 8)
         await waiting.submit("j1", "n001", count=2 * ITEMS)
-        await waiting.run(START_BOUND_S + TRIAL_S)
+        await waiting.run(START_BOUND_S + OUTPUT_AFTER_S + TRIAL_S)
         started = len(waiting.caller.started_at)
         assert started == 2 * ITEMS, f"{started} items have started"
 
@@ -428,7 +433,7 @@
     """Guards against jobs that wait for one another's trials while replicas have room."""
 
     async def test(waiting: WaitingWorld) -> None:
-        waiting.caller.output_after_s, waiting.caller.run_s = 2.0, 6.0
+        waiting.caller.output_after_s, waiting.caller.run_s = SLOW_OUTPUT_S, 6.0
         await waiting.crash_online(1, SHARED_PART, 4)
         jobs = [f"j{number}" for number in range(5)]
         for job_id in jobs:
@@ -479,13 +484,15 @@
 
 
 @settings(max_examples=40)
-@given(st.lists(ACTIONS, min_size=4, max_size=16))
+@given(st.lists(ACTIONS, min_size=4, max_size=16), st.sampled_from([OUTPUT_AFTER_S, SLOW_OUTPUT_S]))
 def test_items_start_within_bound_after_any_series_of_events(
-    actions: list[tuple[Any, ...]],
+    actions: list[tuple[Any, ...]], output_after_s: float
 ) -> None:
     """Guards against any order of events that leaves an accepted item waiting without end."""
 
     async def test(waiting: WaitingWorld) -> None:
+        waiting.caller.output_after_s = output_after_s
+        waiting.caller.run_s = output_after_s + RUN_S
         waiting.caller.parts_of = lambda item_id: PARTS if item_id[-1] in "135" else PARTS[:1]
         await waiting.submit("j1", "n001")
         await waiting.submit("j2", "n002")
