Trials of contained items start with a single one after each series of crashes

Found by reading: the number of trials that an owner runs at the same time doubles with each sound one and was reset by a trial's crash only. It now starts with one again once no key with a trial is contained any more; what is known of sound trials is removed with the same keys.

test_trials_start_with_a_single_one_after_each_series_of_crashes failed before.

--- a/src/cloverwalk/jobs/item_containment.py
+++ b/src/cloverwalk/jobs/item_containment.py
@@ -260,9 +260,12 @@
 
     def _remove_settled(self) -> None:
         """Remove what is known of keys that are not contained any more, and of old failures."""
-        for key in [key for key in self._trials if not self._ledger.is_contained(key)]:
-            del self._trials[key]
-            self._sound_at.pop(key, None)
+        for key in {*self._trials, *self._sound_at}:
+            if not self._ledger.is_contained(key):
+                self._trials.pop(key, None)
+                self._sound_at.pop(key, None)
+        if not self._trials:
+            self._max_trials = 1
         since = self._clock() - CONTAINMENT_S - IDLE_JOB_DELAY_S
         for times in (self._failed_at, self._crashed_at):
             for job_id in [job_id for job_id, at in times.items() if at <= since]:
--- a/tests/unit/test_item_containment.py
+++ b/tests/unit/test_item_containment.py
@@ -69,6 +69,18 @@
             at = last_at - age
             self.ledger.note_crash(key, f"{key[:4]}-{at}", at, at - 0.5, f"q{at}")
 
+    def crash_under_each_content(self) -> None:
+        """Let the items have no part in common, and each crash replicas by its content."""
+        for index in range(3):
+            self.caller.part_ids[index] = ()
+            self.crash(f"{index:020d}", 3, LAST_CRASH_AT)
+
+    def add_replica(self, version: str) -> Replica:
+        """Add a replica with another software version."""
+        other = _replica("r1", version)
+        self.directory.replace([self.replica, other], version=2)
+        return other
+
     def startable(self, software: Software | None = None) -> list[int]:
         return [
             item.index
@@ -157,9 +169,7 @@
 def test_other_items_of_a_job_wait_after_its_trial_has_crashed_a_replica() -> None:
     """Guards against a job whose contained items crash replicas one right after the other."""
     contained = ContainedJob(crashes=0)
-    contained.caller.part_ids = dict.fromkeys(range(3), ())
-    for index in range(3):
-        contained.crash(f"{index:020d}", 3, LAST_CRASH_AT)
+    contained.crash_under_each_content()
     contained.clock.now = TRIAL_AT
     contained.begin(0)
     contained.end(0)
@@ -203,8 +213,7 @@
 def test_trial_at_one_software_version_proves_nothing_for_another() -> None:
     """Guards against a crash of many replicas with the version that has not been tried."""
     contained = ContainedJob()
-    other = _replica("r1", "v2")
-    contained.directory.replace([contained.replica, other], version=2)
+    other = contained.add_replica("v2")
     contained.clock.now = TRIAL_AT
     contained.begin(0, other)
     contained.output(0, TRIAL_AT, TRIAL_AT + 0.3)
@@ -223,8 +232,7 @@
 def test_items_start_at_the_software_version_of_a_sound_trial() -> None:
     """Guards against items that are tried one by one while replicas with two versions are ready."""
     contained = ContainedJob()
-    other = _replica("r1", "v2")
-    contained.directory.replace([contained.replica, other], version=2)
+    other = contained.add_replica("v2")
     contained.clock.now = TRIAL_AT
     contained.begin(0, other)
     contained.output(0, TRIAL_AT, TRIAL_AT + 0.3)
@@ -241,9 +249,7 @@
 def test_trials_of_different_contents_double_after_each_sound_one() -> None:
     """Guards against a crash for each of many contained items when their wait ends."""
     contained = ContainedJob(crashes=0)
-    contained.caller.part_ids = dict.fromkeys(range(3), ())
-    for index in range(3):
-        contained.crash(f"{index:020d}", 3, LAST_CRASH_AT)
+    contained.crash_under_each_content()
     contained.clock.now = TRIAL_AT
     assert contained.startable() == [0, 1, 2]
     contained.begin(0)
@@ -265,6 +271,27 @@
     assert contained.startable() == []
 
 
+def test_trials_start_with_a_single_one_after_each_series_of_crashes() -> None:
+    """Guards against many trials at the same time since those of an earlier series were sound."""
+    contained = ContainedJob(crashes=0)
+    contained.crash_under_each_content()
+    contained.clock.now = TRIAL_AT
+    contained.begin(0)
+    contained.output(0, TRIAL_AT, TRIAL_AT + 0.3)
+    assert contained.startable() == [1, 2]
+    contained.end(0)
+    contained.clock.now = answered_at = TRIAL_AT + 1.0
+    for index in range(3):
+        contained.ledger.note_answer(f"{index:020d}", answered_at)
+    contained.begin(0)
+    contained.end(0)
+    for index in range(3):
+        contained.crash(f"{index:020d}", 3, answered_at + 3.0)
+    contained.clock.now = answered_at + 3.0 + CONTAINMENT_S
+    contained.begin(0)
+    assert contained.startable() == []
+
+
 class OtherJob:
     """A second job of the same owner; its items have the same part unless told otherwise."""
 
