Records of streams outlast a kill of all nodes

What callers saw: after all nodes were killed at once while two software versions served, streams that they took up again were refused as software_version_unknown, though replicas of their version were there.

Cause: which version began a stream was in the memory of its node, the coordinator and two standbys; all were killed.

Now the coordinator, which gets these records anyway while a service has several versions, writes the new ones of 0.2 s as a row, and removes rows whose records have expired. The next coordinator reads them. Nothing is on the way of a stream, and with one version no row is written.

--- a/src/cloverwalk/core/catalogue.py
+++ b/src/cloverwalk/core/catalogue.py
@@ -223,7 +223,7 @@
     "A stream did not go on: its software version is unknown or has no replica that can take it.",
 )
 VERSION_HISTORY_INVALID = _event(
-    322, "version_history_invalid", _W, "The stored list of software versions is invalid."
+    322, "version_history_invalid", _W, "A stored row of software versions is invalid."
 )
 READERS_GIVEN_UP = _event(
     340,
--- /dev/null
+++ b/src/cloverwalk/fleet/stream_version_store.py
@@ -0,0 +1,146 @@
+"""Stores the records of streams, so that clients can resume them after all processes restart.
+
+While a service has several software versions, the coordinator gets the record of each stream
+(``stream_version_sync``). It writes the new ones together as a row, and removes rows whose records
+have all expired. A coordinator reads the rows when it takes the role. With one version there are no
+records and no calls, but for one read.
+"""
+
+import curio
+import msgspec
+
+from cloverwalk.core import catalogue
+from cloverwalk.fleet.coordinator import Coordinator
+from cloverwalk.fleet.messages import StreamRecord
+from cloverwalk.fleet.stream_version_sync import StreamVersionSync
+from cloverwalk.store.clock import StoreClock
+from cloverwalk.store.health import StoreHealth
+from cloverwalk.store.stored import Stored, Write, create, transaction
+from cloverwalk.store.types import CommitStatus, RowKey, Store, StoreError
+from cloverwalk.telemetry.log import ServingLog
+
+STREAM_TABLE = "stream"
+WRITE_INTERVAL_S = 0.2
+"""Streams that began within this time and that of a call before all processes end can't be
+resumed."""
+
+CALL_TIMEOUT_S = 1.5
+RETRY_DELAY_MS = 300.0
+MAX_RECORDS_PER_ROW = 1000
+"""About 70 KB."""
+
+MAX_REMOVALS = 40
+"""Rows that are removed in one transaction. The store accepts 100 entries, and each row takes two,
+one of them for its expected version."""
+
+
+class StoredStreams(msgspec.Struct, array_like=True, frozen=True):
+    """Value of a row: records of streams as of a time of the store."""
+
+    records: list[StreamRecord]
+    store_ms: float
+
+    @property
+    def expires_ms(self) -> float:
+        """Time of the store after which no record is needed any more."""
+        return self.store_ms + max((record.remaining_ms for record in self.records), default=0)
+
+
+class StreamVersionStore:
+    """Reads and writes the rows while this node coordinates."""
+
+    def __init__(
+        self,
+        sync: StreamVersionSync,
+        coordinator: Coordinator,
+        store: Store,
+        health: StoreHealth,
+        store_clock: StoreClock,
+        incarnation: str,
+        log: ServingLog,
+    ) -> None:
+        self._sync = sync
+        self._coordinator = coordinator
+        self._store = store
+        self._health = health
+        self._store_clock = store_clock
+        self._incarnation = incarnation
+        self._log = log
+        self._rows: dict[str, Stored[StoredStreams]] = {}
+        """Rows as last read or written, by key."""
+
+        self._is_outdated = True
+        """Whether the rows have to be read before the next write."""
+
+        self._rows_written = 0
+
+    async def run(self) -> None:
+        """Keep the rows up to date while this node coordinates, until cancelled."""
+        while True:
+            await self._coordinator.wait_until_active()
+            self._is_outdated = True
+            while self._coordinator.is_active:
+                if await self.update():
+                    await curio.sleep(WRITE_INTERVAL_S)
+                else:
+                    await self._health.backoff(RETRY_DELAY_MS)
+
+    async def update(self) -> bool:
+        """Read or write rows if necessary; return False if that has to be repeated."""
+        if self._is_outdated:
+            return await self._read()
+        return await self._write()
+
+    async def _read(self) -> bool:
+        try:
+            page = await self._store.read_table(STREAM_TABLE)
+        except StoreError:
+            return False
+        self._rows = {row.row_key.key: Stored.from_row(row, self._decode) for row in page.rows}
+        now = self._store_clock.now()
+        for row in self._rows.values():
+            stored = row.content
+            # If the store's time is unknown, the records expire later than needed.
+            elapsed_ms = 0.0 if now is None else max(0.0, now.earliest_ms - stored.store_ms)
+            self._sync.add_stored(stored.records, elapsed_ms)
+        self._is_outdated = False
+        return True
+
+    def _decode(self, value: bytes | None) -> StoredStreams:
+        """Return a row's content; one that is invalid counts as empty, and is removed."""
+        if value is None:
+            return StoredStreams([], 0.0)
+        try:
+            return msgspec.json.decode(value, type=StoredStreams)
+        except msgspec.DecodeError as error:
+            self._log.write(catalogue.VERSION_HISTORY_INVALID, error=str(error)[:200])
+            return StoredStreams([], 0.0)
+
+    async def _write(self) -> bool:
+        now = self._store_clock.now()
+        if now is None:
+            return True
+        expired = [row for row in self._rows.values() if row.content.expires_ms < now.earliest_ms]
+        expired = expired[:MAX_REMOVALS]
+        records = self._sync.pop_unsaved(MAX_RECORDS_PER_ROW)
+        if not records and not expired:
+            return True
+        writes = [self._new_row(StoredStreams(records, now.latest_ms))] if records else []
+        outcome = await self._store.commit(
+            transaction(*writes, unchanged=expired, removals=[row.row_key for row in expired]),
+            CALL_TIMEOUT_S,
+        )
+        if outcome.status is not CommitStatus.COMMITTED:
+            self._sync.return_unsaved(records)
+            self._is_outdated = outcome.status is not CommitStatus.NOT_DONE
+            return False
+        for row in expired:
+            del self._rows[row.row_key.key]
+        for write in writes:
+            self._rows[write.row_key.key] = write.committed(outcome)
+        return True
+
+    def _new_row(self, content: StoredStreams) -> Write[StoredStreams]:
+        self._rows_written += 1
+        key = f"{self._incarnation}/{self._rows_written:08d}"
+        return create(RowKey(STREAM_TABLE, "", key), content)
--- a/src/cloverwalk/fleet/stream_version_sync.py
+++ b/src/cloverwalk/fleet/stream_version_sync.py
@@ -66,6 +66,9 @@
         self._asked: dict[str, curio.Event] = {}
         """Streams that this node has asked other nodes for."""
 
+        self._unsaved: dict[str, None] = {}
+        """Streams whose records the coordinator has to store; used as an ordered set."""
+
         self.records_sent = 0
         versions.on_second_version = self.share_service
 
@@ -74,7 +77,7 @@
     def share(self, record: StreamVersion, lifetime_s: float) -> None:
         """Send a record to the nodes that keep it, unless all nodes know the version anyway."""
         if self._may_be_asked_for(record.software.service, lifetime_s):
-            self._send(self._holders(), [record])
+            self._share([record])
 
     def _may_be_asked_for(self, service: str, lifetime_s: float) -> bool:
         """Whether nodes need the records of a service's streams to know their versions."""
@@ -82,7 +85,7 @@
 
     def share_service(self, service: str) -> None:
         """Send the records of a service's streams that began here."""
-        self._send(self._holders(), self._streams.local_records(service))
+        self._share(self._streams.local_records(service))
 
     def share_all(self) -> None:
         """Send the records of all streams that began here, as other nodes keep them now."""
@@ -93,7 +96,11 @@
 
     def share_changed(self, records: list[StreamVersion]) -> None:
         """Send records whose version has become unknown."""
+        self._share(records)
+
+    def _share(self, records: list[StreamVersion]) -> None:
         self._send(self._holders(), records)
+        self._keep(record.stream for record in records)
 
     def _holders(self) -> list[str]:
         """Return the hosts of the nodes that keep records, without this node."""
@@ -109,16 +116,43 @@
                 self.records_sent += len(message.records)
                 self._transport.send(host, message)
 
+    # --- storing, at the coordinator ---
+
+    def _keep(self, streams: Iterable[str]) -> None:
+        if self._coordinator.is_active:
+            self._unsaved.update(dict.fromkeys(streams))
+
+    def pop_unsaved(self, max_count: int) -> list[StreamRecord]:
+        """Return records that the coordinator has to store, and forget that it has to."""
+        streams = list(self._unsaved)[:max_count]
+        for stream in streams:
+            del self._unsaved[stream]
+        now = self._clock()
+        return [_to_message(record, now) for record in self._streams.records(streams)]
+
+    def return_unsaved(self, records: Iterable[StreamRecord]) -> None:
+        """Have records stored again whose write failed."""
+        self._keep(record.stream for record in records)
+
+    def add_stored(self, records: Iterable[StreamRecord], elapsed_ms: float) -> None:
+        """Add records from the store that were written before ``elapsed_ms``."""
+        for record in records:
+            remaining_ms = record.remaining_ms - elapsed_ms
+            if remaining_ms > 0:
+                self._add(record, remaining_ms)
+
+    def _add(self, record: StreamRecord, remaining_ms: float) -> None:
+        software = Software(record.service, record.software_version)
+        expires_at = self._clock() + remaining_ms / 1000
+        self._streams.record(StreamVersion(record.stream, software, expires_at))
+
     # --- receiving ---
 
     async def handle_records(self, message: StreamVersions) -> None:
         """Keep the records that another node sent."""
-        now = self._clock()
+        self._keep(copy.stream for copy in message.records)
         for copy in message.records:
-            software = Software(copy.service, copy.software_version)
-            self._streams.record(
-                StreamVersion(copy.stream, software, now + copy.remaining_ms / 1000)
-            )
+            self._add(copy, copy.remaining_ms)
             event = self._asked.get(copy.stream)
             if event is not None:
                 await event.set()
--- a/src/cloverwalk/platform/names.py
+++ b/src/cloverwalk/platform/names.py
@@ -28,7 +28,9 @@
 CONFIGURATION_KEY = "config"
 ZONE_DRAIN_KEY_PREFIX = "evacuate/"
 REPLICA_TABLE = "servers"
-EMPTY_PART_TABLES = frozenset({OPERATOR_TABLE, REPLICA_TABLE, "role", "quota", "software"})
+EMPTY_PART_TABLES = frozenset(
+    {OPERATOR_TABLE, REPLICA_TABLE, "role", "quota", "software", "stream"}
+)
 """Tables in which the part of every row key is empty."""
 
 SETTINGS_VARIABLE = "CLOVERWALK_CONFIG"
--- a/src/cloverwalk/serving/node.py
+++ b/src/cloverwalk/serving/node.py
@@ -16,6 +16,7 @@
 from cloverwalk.fleet.crash_record_store import CrashRecordStore
 from cloverwalk.fleet.follower import TableFollower
 from cloverwalk.fleet.in_flight import InFlightTracker
+from cloverwalk.fleet.stream_version_store import StreamVersionStore
 from cloverwalk.fleet.version_history_store import VersionHistoryStore
 from cloverwalk.gateway.configuration import ClientLimits
 from cloverwalk.gateway.containment import ContainmentGate
@@ -169,6 +170,15 @@
             self._store_clock,
             self._log,
         )
+        self._stream_version_store = StreamVersionStore(
+            self._fleet.stream_version_sync,
+            self._fleet.coordinator,
+            self._store,
+            self._health,
+            self._store_clock,
+            self._fleet.identity.incarnation,
+            self._log,
+        )
         self._configuration_follower = create_configuration_follower(
             self._adapter,
             self._fleet_state,
@@ -323,6 +333,7 @@
             self._store_probe.run,
             self._crash_record_store.run,
             self._version_history_store.run,
+            self._stream_version_store.run,
             self._housekeeping,
             *self._batch.loops(),
         ]
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -1853,6 +1853,28 @@
         "        self._versions.merge(VersionHistory(RETENTION_S, {}))",
         "tests/serving/test_rejoined_streams.py",
     ),
+    Mutant(
+        "versions: a coordinator does not read the stored records of streams",
+        "fleet/stream_version_store.py",
+        "            self._sync.add_stored(stored.records, elapsed_ms)",
+        "            pass",
+        "tests/serving/test_rejoined_streams.py::"
+        "test_streams_of_killed_fleet_go_on_at_their_version",
+    ),
+    Mutant(
+        "versions: records whose write failed are not stored again",
+        "fleet/stream_version_store.py",
+        "            self._sync.return_unsaved(records)",
+        "            pass",
+        "tests/serving/test_stream_version_store.py",
+    ),
+    Mutant(
+        "versions: expired records of streams are never removed",
+        "fleet/stream_version_store.py",
+        "if row.content.expires_ms < now.earliest_ms]",
+        "if False]",
+        "tests/serving/test_stream_version_store.py",
+    ),
     Mutant(
         "versions: a restarted fleet takes the only version for that of all streams",
         "fleet/version_history_store.py",
--- a/tests/serving/test_rejoined_streams.py
+++ b/tests/serving/test_rejoined_streams.py
@@ -1,7 +1,7 @@
 """Streams that clients resume after all node processes were killed at once.
 
-Each goes on at the software version that began it or is refused, and a refusal that says so is
-true. Streams that begin after the restart are resumed, with two versions as well.
+Each goes on at the software version that began it. It is refused if no replica has that version,
+and a refusal that says so is true.
 """
 
 import enum
@@ -20,6 +20,8 @@
 EVENT_S = 0.1
 STREAMS = 12
 LEFT_BEFORE_KILL_S = 0.3
+STORED_S = 0.6
+"""Time from the begin of a stream until its record is in the store."""
 
 
 class EarlierVersion(enum.Enum):
@@ -113,45 +115,78 @@
     )
 
 
-# Guards against answers joined from two versions, and against refusals without need.
-@pytest.mark.parametrize("earlier", list(EarlierVersion), ids=lambda earlier: earlier.value)
-def test_streams_of_killed_fleet_are_not_joined_from_two_versions(earlier: EarlierVersion) -> None:
+async def kill_and_resume(
+    world: FleetWorld, earlier: EarlierVersion, nodes: list[NodeProcess], stored_s: float
+) -> list[tuple[OpenStream, str, Answer]]:
+    """Begin streams at two versions, kill all nodes after ``stored_s``, and resume the streams."""
+    first = world.replicas[:]
+    rejoined = RejoinedStreams(world, nodes)
+    for node in nodes:
+        await rejoined.fleet.wait_until_ready(node)
+    for _ in range(2):
+        await add_replica(world, "v2", EVENT_S)
+    await world.wait_until(
+        lambda: any(b"v2" in value for value in world.store.rows.values("software").values())
+    )
+    broken = await rejoined.begin_at_each_version({"v1", "v2"})
+    await curio.sleep(stored_s)
+    if earlier is EarlierVersion.LEFT:
+        await rejoined.retire(first)
+        await curio.sleep(LEFT_BEFORE_KILL_S)
+
+    async def while_down() -> None:
+        if earlier is EarlierVersion.LEAVES_MEANWHILE:
+            await rejoined.retire(first)
+
+    await rejoined.restart_all(while_down)
+    outcomes = await rejoined.resume_all(broken)
+    for stream, request_id, answer in outcomes:
+        if answer.status == 200:
+            assert is_continuation(stream, answer), (stream.body, answer)
+        else:
+            assert answer.status == 503, answer
+            assert not rejoined.has_arrived(request_id)
+    return outcomes
+
+
+def in_fleet(test: Callable[[FleetWorld, list[NodeProcess]], Awaitable[None]]) -> None:
+    """Run a test with node processes and two replicas of the earlier version."""
+
     async def scenario(world: FleetWorld) -> None:
         await world.spawn(world.store.run)
         world.store.put(names.OPERATOR_TABLE, names.CONFIGURATION_KEY, configuration(1))
-        first = [await add_replica(world, "v1", EVENT_S) for _ in range(2)]
+        for _ in range(2):
+            await add_replica(world, "v1", EVENT_S)
         with node_processes(NODES, world.store_port) as nodes:
-            rejoined = RejoinedStreams(world, nodes)
-            for node in nodes:
-                await rejoined.fleet.wait_until_ready(node)
-            for _ in range(2):
-                await add_replica(world, "v2", EVENT_S)
-            await world.wait_until(
-                lambda: any(
-                    b"v2" in value for value in world.store.rows.values("software").values()
-                )
-            )
-            broken = await rejoined.begin_at_each_version({"v1", "v2"})
-            if earlier is EarlierVersion.LEFT:
-                await rejoined.retire(first)
-                await curio.sleep(LEFT_BEFORE_KILL_S)
-
-            async def while_down() -> None:
-                if earlier is EarlierVersion.LEAVES_MEANWHILE:
-                    await rejoined.retire(first)
-
-            await rejoined.restart_all(while_down)
-            for stream, request_id, answer in await rejoined.resume_all(broken):
-                if answer.status == 200:
-                    assert is_continuation(stream, answer), (stream.body, answer)
-                else:
-                    assert answer.status == 503, answer
-                    assert not rejoined.has_arrived(request_id)
-
-            serving = {"v1", "v2"} if earlier is EarlierVersion.SERVES else {"v2"}
-            begun = await rejoined.begin_at_each_version(serving)
-            for stream, _, answer in await rejoined.resume_all(begun):
-                assert answer.status == 200, answer
-                assert is_continuation(stream, answer), (stream.body, answer)
+            await test(world, nodes)
 
     in_world(scenario)
+
+
+def serving_versions(earlier: EarlierVersion) -> set[str]:
+    return {"v1", "v2"} if earlier is EarlierVersion.SERVES else {"v2"}
+
+
+# Guards against answers joined from two versions, and against streams that end with their nodes.
+@pytest.mark.parametrize("earlier", list(EarlierVersion), ids=lambda earlier: earlier.value)
+def test_streams_of_killed_fleet_are_not_joined_from_two_versions(earlier: EarlierVersion) -> None:
+    async def test(world: FleetWorld, nodes: list[NodeProcess]) -> None:
+        await kill_and_resume(world, earlier, nodes, 0.0)
+        rejoined = RejoinedStreams(world, nodes)
+        begun = await rejoined.begin_at_each_version(serving_versions(earlier))
+        for stream, _, answer in await rejoined.resume_all(begun):
+            assert answer.status == 200, answer
+            assert is_continuation(stream, answer), (stream.body, answer)
+
+    in_fleet(test)
+
+
+# Two of 20 resumed streams went on after a kill of all nodes, though their version was served.
+@pytest.mark.parametrize("earlier", list(EarlierVersion), ids=lambda earlier: earlier.value)
+def test_streams_of_killed_fleet_go_on_at_their_version(earlier: EarlierVersion) -> None:
+    async def test(world: FleetWorld, nodes: list[NodeProcess]) -> None:
+        for stream, _, answer in await kill_and_resume(world, earlier, nodes, STORED_S):
+            is_served = versions_of(stream.body)[0] in serving_versions(earlier)
+            assert answer.status == (200 if is_served else 503), (stream.body, answer)
+
+    in_fleet(test)
--- /dev/null
+++ b/tests/serving/test_stream_version_store.py
@@ -0,0 +1,147 @@
+"""Records of streams in the store: written while they are needed, read by the next coordinator."""
+
+from typing import Any
+
+import curio
+import pytest
+
+from cloverwalk.emulator.memory_store import CommitFault, MemoryStore
+from cloverwalk.fleet.identity import Identity
+from cloverwalk.fleet.messages import StreamRecord, StreamVersions
+from cloverwalk.fleet.stream_version_store import STREAM_TABLE, StreamVersionStore
+from cloverwalk.fleet.stream_version_sync import StreamVersionSync
+from cloverwalk.gateway.software_versions import Software
+from cloverwalk.gateway.stream_versions import StreamVersionTable
+from cloverwalk.store.clock import StoreTime
+from cloverwalk.store.types import Put, RowKey, Transaction
+
+REMAINING_MS = 4000
+V1 = Software("model", "v1")
+
+
+class Standin:
+    """Stands in for the coordinator, the versions that are listed, and the store's clock."""
+
+    is_active = True
+    on_second_version: Any = None
+
+    def __init__(self, world: "Rows") -> None:
+        self._world = world
+
+    def now(self) -> StoreTime:
+        now_ms = self._world.now * 1000
+        return StoreTime(now_ms, now_ms)
+
+
+class LogLines:
+    """Stands in for the log."""
+
+    def __init__(self) -> None:
+        self.lines: list[object] = []
+
+    def write(self, event: object, **fields: object) -> None:
+        self.lines.append(event)
+
+
+class Rows:
+    """A store, and the processes that coordinate one after the other."""
+
+    def __init__(self) -> None:
+        self.now = 100.0
+        self.store = MemoryStore()
+
+    def start(self, run: str) -> "Process":
+        return Process(self, run)
+
+
+class Process:
+    """A process that coordinates."""
+
+    def __init__(self, world: Rows, run: str) -> None:
+        standin: Any = Standin(world)
+        unused: Any = None
+        clock = lambda: world.now  # noqa: E731
+        identity = Identity("n1", run, "10.0.0.1", "z1")
+        self.streams = StreamVersionTable(clock)
+        self.sync = StreamVersionSync(
+            identity, unused, standin, unused, standin, self.streams, clock
+        )
+        self.rows = StreamVersionStore(
+            self.sync, standin, world.store, unused, standin, identity.incarnation, unused
+        )
+
+    async def receive(self, *streams: str) -> None:
+        records = [StreamRecord(stream, *V1, REMAINING_MS) for stream in streams]
+        await self.sync.handle_records(StreamVersions(records))
+
+    async def update(self) -> None:
+        """Repeat until rows are read and written."""
+        for _ in range(4):
+            await self.rows.update()
+
+
+@pytest.mark.parametrize("fault", [None, *CommitFault])
+def test_next_coordinator_knows_streams_of_a_killed_fleet(fault: CommitFault | None) -> None:
+    async def test() -> None:
+        world = Rows()
+        process = world.start("a")
+        await process.update()
+        await process.receive("s1", "s2")
+        world.store.commit_faults.append(fault)
+        await process.update()
+        world.now += 1.0
+        restarted = world.start("b")
+        await restarted.update()
+        assert restarted.streams.find("s1") == restarted.streams.find("s2") == V1
+        world.now += REMAINING_MS / 1000 - 1.0
+        assert restarted.streams.find("s1") is None
+
+    curio.run(test)
+
+
+def test_rows_of_expired_records_are_removed() -> None:
+    async def test() -> None:
+        world = Rows()
+        process = world.start("a")
+        await process.update()
+        await process.receive("s1")
+        await process.update()
+        restarted = world.start("b")
+        world.now += REMAINING_MS / 1000 + 0.1
+        await restarted.update()
+        assert restarted.streams.find("s1") is None
+        assert world.store.values(STREAM_TABLE) == {}
+
+    curio.run(test)
+
+
+def test_store_is_not_called_without_new_records() -> None:
+    async def test() -> None:
+        world = Rows()
+        process = world.start("a")
+        await process.update()
+        await process.receive("s1")
+        await process.update()
+        commits = world.store.commits
+        await process.update()
+        assert world.store.commits == commits
+
+    curio.run(test)
+
+
+def test_invalid_row_does_not_keep_others_from_being_read() -> None:
+    async def test() -> None:
+        world = Rows()
+        process = world.start("a")
+        await process.update()
+        await process.receive("s1")
+        await process.update()
+        world.store.apply(Transaction([], [Put(RowKey(STREAM_TABLE, "", "bad"), b"{")], []))
+        restarted = world.start("b")
+        restarted.rows._log = log = LogLines()  # type: ignore[assignment]
+        await restarted.update()
+        assert restarted.streams.find("s1") == V1
+        assert len(log.lines) == 1
+        assert len(world.store.values(STREAM_TABLE)) == 1
+
+    curio.run(test)
