--- a/src/cloverwalk/fleet/stream_version_store.py
+++ b/src/cloverwalk/fleet/stream_version_store.py
@@ -2,10 +2,12 @@
 
 While a service has several software versions, the coordinator gets the record of each stream
 (``stream_version_sync``). It writes the new ones together as a row, and removes rows whose records
-have all expired. A coordinator reads the rows when it takes the role. With one version there are no
-records and no calls, but for one read.
+have all expired. A coordinator reads the rows when it takes the role; any node does for a stream
+that no node knows. With one version there are no records and no calls, but for one read.
 """
 
+from collections.abc import Callable
+
 import curio
 import msgspec
 
@@ -26,6 +28,9 @@
 
 CALL_TIMEOUT_S = 1.5
 RETRY_DELAY_MS = 300.0
+LOOKUP_TIMEOUT_S = 0.5
+"""How long a resumption waits for the rows."""
+
 MAX_RECORDS_PER_ROW = 1000
 """About 70 KB."""
 
@@ -47,7 +52,7 @@
 
 
 class StreamVersionStore:
-    """Reads and writes the rows while this node coordinates."""
+    """Writes the rows while this node coordinates, and reads them."""
 
     def __init__(
         self,
@@ -58,6 +63,7 @@
         store_clock: StoreClock,
         incarnation: str,
         log: ServingLog,
+        clock: Callable[[], float],
     ) -> None:
         self._sync = sync
         self._coordinator = coordinator
@@ -73,6 +79,10 @@
         """Whether the rows have to be read before the next write."""
 
         self._rows_written = 0
+        self._clock = clock
+        self._lookup_lock = curio.Lock()
+        self._looked_up_at = float("-inf")
+        sync.look_up = self.look_up
 
     async def run(self) -> None:
         """Keep the rows up to date while this node coordinates, until cancelled."""
@@ -92,19 +102,34 @@
         return await self._write()
 
     async def _read(self) -> bool:
+        rows = await self._read_rows()
+        if rows is None:
+            return False
+        self._rows = rows
+        self._is_outdated = False
+        return True
+
+    async def look_up(self) -> None:
+        """Add the records of all rows; calls in short succession share one read."""
+        async with curio.ignore_after(LOOKUP_TIMEOUT_S), self._lookup_lock:
+            if self._clock() - self._looked_up_at >= WRITE_INTERVAL_S:
+                await self._read_rows()
+                self._looked_up_at = self._clock()
+
+    async def _read_rows(self) -> dict[str, Stored[StoredStreams]] | None:
+        """Add the records of all rows, and return these; None if the store does not answer."""
         try:
             page = await self._store.read_table(STREAM_TABLE)
         except StoreError:
-            return False
-        self._rows = {row.row_key.key: Stored.from_row(row, self._decode) for row in page.rows}
+            return None
+        rows = {row.row_key.key: Stored.from_row(row, self._decode) for row in page.rows}
         now = self._store_clock.now()
-        for row in self._rows.values():
+        for row in rows.values():
             stored = row.content
             # If the store's time is unknown, the records expire later than needed.
             elapsed_ms = 0.0 if now is None else max(0.0, now.earliest_ms - stored.store_ms)
             self._sync.add_stored(stored.records, elapsed_ms)
-        self._is_outdated = False
-        return True
+        return rows
 
     def _decode(self, value: bytes | None) -> StoredStreams:
         """Return a row's content; one that is invalid counts as empty, and is removed."""
--- a/src/cloverwalk/fleet/stream_version_sync.py
+++ b/src/cloverwalk/fleet/stream_version_sync.py
@@ -4,9 +4,10 @@
 first event, so the record outlives the node. It does so only while a service has, or recently had,
 several versions; otherwise all nodes know the version anyway. A node that is asked to resume a
 stream and finds no record asks these nodes; the coordinator passes the question on to all others.
+If none of them knows, it looks up what was stored.
 """
 
-from collections.abc import Callable, Iterable
+from collections.abc import Awaitable, Callable, Iterable
 
 import curio
 
@@ -66,6 +67,9 @@
         self._asked: dict[str, curio.Event] = {}
         """Streams that this node has asked other nodes for."""
 
+        self.look_up: Callable[[], Awaitable[None]] = _look_up_nothing
+        """Adds the stored records of streams."""
+
         self._unsaved: dict[str, None] = {}
         """Streams whose records the coordinator has to store; used as an ordered set."""
 
@@ -176,7 +180,7 @@
     # --- asking ---
 
     async def ask(self, stream: str) -> Software | None:
-        """Return the software that began a stream as other nodes know it, None if they do not."""
+        """Return the software that began a stream as other nodes or the store know it, or None."""
         event = self._asked.setdefault(stream, curio.Event())
         try:
             for _ in range(MAX_QUERIES):
@@ -186,6 +190,8 @@
                     break
         finally:
             self._asked.pop(stream, None)
+        if not self._streams.records([stream]):
+            await self.look_up()
         return self._streams.find(stream)
 
     def _send_query(self, stream: str) -> None:
@@ -209,6 +215,10 @@
         self._versions.merge(VersionHistory(copy.known_ms / 1000, unlisted_s))
 
 
+async def _look_up_nothing() -> None:
+    return
+
+
 def _to_message(record: StreamVersion, now: float) -> StreamRecord:
     remaining_ms = max(0, int((record.expires_at - now) * 1000))
     return StreamRecord(
--- a/src/cloverwalk/serving/node.py
+++ b/src/cloverwalk/serving/node.py
@@ -178,6 +178,7 @@
             self._store_clock,
             self._fleet.identity.incarnation,
             self._log,
+            self._clock,
         )
         self._configuration_follower = create_configuration_follower(
             self._adapter,
--- a/tests/serving/test_stream_version_store.py
+++ b/tests/serving/test_stream_version_store.py
@@ -7,8 +7,12 @@
 
 from cloverwalk.emulator.memory_store import CommitFault, MemoryStore
 from cloverwalk.fleet.identity import Identity
-from cloverwalk.fleet.messages import StreamRecord, StreamVersions
-from cloverwalk.fleet.stream_version_store import STREAM_TABLE, StreamVersionStore
+from cloverwalk.fleet.messages import Contact, StreamRecord, StreamVersions
+from cloverwalk.fleet.stream_version_store import (
+    STREAM_TABLE,
+    WRITE_INTERVAL_S,
+    StreamVersionStore,
+)
 from cloverwalk.fleet.stream_version_sync import StreamVersionSync
 from cloverwalk.gateway.software_versions import Software
 from cloverwalk.gateway.stream_versions import StreamVersionTable
@@ -22,11 +26,15 @@
 class Standin:
     """Stands in for the coordinator, the versions that are listed, and the store's clock."""
 
-    is_active = True
     on_second_version: Any = None
 
-    def __init__(self, world: "Rows") -> None:
+    def __init__(self, world: "Rows", is_active: bool) -> None:
         self._world = world
+        self.is_active = is_active
+
+    def contacts(self) -> list[Contact]:
+        """Return no other node: they were all killed."""
+        return []
 
     def now(self) -> StoreTime:
         now_ms = self._world.now * 1000
@@ -50,24 +58,24 @@
         self.now = 100.0
         self.store = MemoryStore()
 
-    def start(self, run: str) -> "Process":
-        return Process(self, run)
+    def start(self, run: str, *, is_active: bool = True) -> "Process":
+        return Process(self, run, is_active)
 
 
 class Process:
-    """A process that coordinates."""
+    """A process; it coordinates if ``is_active``."""
 
-    def __init__(self, world: Rows, run: str) -> None:
-        standin: Any = Standin(world)
+    def __init__(self, world: Rows, run: str, is_active: bool) -> None:
+        standin: Any = Standin(world, is_active)
         unused: Any = None
         clock = lambda: world.now  # noqa: E731
         identity = Identity("n1", run, "10.0.0.1", "z1")
         self.streams = StreamVersionTable(clock)
         self.sync = StreamVersionSync(
-            identity, unused, standin, unused, standin, self.streams, clock
+            identity, standin, standin, unused, standin, self.streams, clock
         )
         self.rows = StreamVersionStore(
-            self.sync, standin, world.store, unused, standin, identity.incarnation, unused
+            self.sync, standin, world.store, unused, standin, identity.incarnation, unused, clock
         )
 
     async def receive(self, *streams: str) -> None:
@@ -99,6 +107,26 @@
     curio.run(test)
 
 
+# All streams were refused until a coordinator was elected.
+def test_node_looks_up_a_stream_before_there_is_a_coordinator() -> None:
+    async def test() -> None:
+        world = Rows()
+        process = world.start("a")
+        await process.update()
+        await process.receive("s1")
+        await process.update()
+        restarted = world.start("b", is_active=False)
+        reads = world.store.reads
+        assert await restarted.sync.ask("s1") == V1
+        assert await restarted.sync.ask("never-begun") is None
+        assert world.store.reads == reads + 1
+        world.now += WRITE_INTERVAL_S
+        assert await restarted.sync.ask("never-begun") is None
+        assert world.store.reads == reads + 2
+
+    curio.run(test)
+
+
 def test_rows_of_expired_records_are_removed() -> None:
     async def test() -> None:
         world = Rows()
