--- a/src/cloverwalk/fleet/stream_version_store.py
+++ b/src/cloverwalk/fleet/stream_version_store.py
@@ -22,12 +22,15 @@
 from cloverwalk.telemetry.log import ServingLog
 
 STREAM_TABLE = "stream"
-WRITE_INTERVAL_S = 0.2
+WRITE_INTERVAL_S = 0.05
 """Streams that began within this time and that of a call before all processes end can't be
 resumed."""
 
 CALL_TIMEOUT_S = 1.5
 RETRY_DELAY_MS = 300.0
+LOOKUP_INTERVAL_S = 0.2
+"""Lookups within this time of one share its read."""
+
 LOOKUP_TIMEOUT_S = 0.5
 """How long a resumption waits for the rows."""
 
@@ -112,7 +115,7 @@
     async def look_up(self) -> None:
         """Add the records of all rows; calls in short succession share one read."""
         async with curio.ignore_after(LOOKUP_TIMEOUT_S), self._lookup_lock:
-            if self._clock() - self._looked_up_at >= WRITE_INTERVAL_S:
+            if self._clock() - self._looked_up_at >= LOOKUP_INTERVAL_S:
                 await self._read_rows()
                 self._looked_up_at = self._clock()
 
--- a/tests/serving/test_stream_version_store.py
+++ b/tests/serving/test_stream_version_store.py
@@ -9,8 +9,8 @@
 from cloverwalk.fleet.identity import Identity
 from cloverwalk.fleet.messages import Contact, StreamRecord, StreamVersions
 from cloverwalk.fleet.stream_version_store import (
+    LOOKUP_INTERVAL_S,
     STREAM_TABLE,
-    WRITE_INTERVAL_S,
     StreamVersionStore,
 )
 from cloverwalk.fleet.stream_version_sync import StreamVersionSync
@@ -120,7 +120,7 @@
         assert await restarted.sync.ask("s1") == V1
         assert await restarted.sync.ask("never-begun") is None
         assert world.store.reads == reads + 1
-        world.now += WRITE_INTERVAL_S
+        world.now += LOOKUP_INTERVAL_S
         assert await restarted.sync.ask("never-begun") is None
         assert world.store.reads == reads + 2
 
