Stored records of streams: bounded rows, lookups at most once in 2 s

Cause: rows of streams with long deadlines would add up to 12,000; after a kill of a large fleet each node would read all rows five times a second. 1,000 rows are kept, and a node looks up once in 2 s. test_number_of_rows_is_bounded.

--- a/src/cloverwalk/fleet/stream_version_store.py
+++ b/src/cloverwalk/fleet/stream_version_store.py
@@ -28,8 +28,9 @@
 
 CALL_TIMEOUT_S = 1.5
 RETRY_DELAY_MS = 300.0
-LOOKUP_INTERVAL_S = 0.2
-"""Lookups within this time of one share its read."""
+LOOKUP_INTERVAL_S = 2.0
+"""Lookups within this time share a read: rows hold little that is newer than a process and unknown
+to all nodes."""
 
 LOOKUP_TIMEOUT_S = 0.5
 """How long a resumption waits for the rows."""
@@ -37,6 +38,9 @@
 MAX_RECORDS_PER_ROW = 1000
 """About 70 KB."""
 
+MAX_ROWS = 1000
+"""More rows are not kept; the oldest are removed first."""
+
 MAX_REMOVALS = 40
 """Rows that are removed in one transaction. The store accepts 100 entries, and each row takes two,
 one of them for its expected version."""
@@ -115,8 +119,8 @@
     async def look_up(self) -> None:
         """Add the records of all rows; calls in short succession share one read."""
         async with curio.ignore_after(LOOKUP_TIMEOUT_S), self._lookup_lock:
-            if self._clock() - self._looked_up_at >= LOOKUP_INTERVAL_S:
-                await self._read_rows()
+            is_due = self._clock() - self._looked_up_at >= LOOKUP_INTERVAL_S
+            if is_due and await self._read_rows() is not None:
                 self._looked_up_at = self._clock()
 
     async def _read_rows(self) -> dict[str, Stored[StoredStreams]] | None:
@@ -148,26 +152,33 @@
         now = self._store_clock.now()
         if now is None:
             return True
-        expired = [row for row in self._rows.values() if row.content.expires_ms < now.earliest_ms]
-        expired = expired[:MAX_REMOVALS]
+        unneeded = self._unneeded(now.earliest_ms)
         records = self._sync.pop_unsaved(MAX_RECORDS_PER_ROW)
-        if not records and not expired:
+        if not records and not unneeded:
             return True
         writes = [self._new_row(StoredStreams(records, now.latest_ms))] if records else []
         outcome = await self._store.commit(
-            transaction(*writes, unchanged=expired, removals=[row.row_key for row in expired]),
+            transaction(*writes, unchanged=unneeded, removals=[row.row_key for row in unneeded]),
             CALL_TIMEOUT_S,
         )
         if outcome.status is not CommitStatus.COMMITTED:
             self._sync.return_unsaved(records)
             self._is_outdated = outcome.status is not CommitStatus.NOT_DONE
             return False
-        for row in expired:
+        for row in unneeded:
             del self._rows[row.row_key.key]
         for write in writes:
             self._rows[write.row_key.key] = write.committed(outcome)
         return True
 
+    def _unneeded(self, now_ms: float) -> list[Stored[StoredStreams]]:
+        """Return rows to remove: expired ones, and the oldest if there are too many."""
+        expired = [row for row in self._rows.values() if row.content.expires_ms < now_ms]
+        if not expired and len(self._rows) > MAX_ROWS:
+            by_age = sorted(self._rows.values(), key=lambda row: row.content.store_ms)
+            return by_age[: min(MAX_REMOVALS, len(self._rows) - MAX_ROWS)]
+        return expired[:MAX_REMOVALS]
+
     def _new_row(self, content: StoredStreams) -> Write[StoredStreams]:
         self._rows_written += 1
         key = f"{self._incarnation}/{self._rows_written:08d}"
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -1871,7 +1871,7 @@
     Mutant(
         "versions: expired records of streams are never removed",
         "fleet/stream_version_store.py",
-        "if row.content.expires_ms < now.earliest_ms]",
+        "if row.content.expires_ms < now_ms]",
         "if False]",
         "tests/serving/test_stream_version_store.py",
     ),
--- a/tests/serving/test_stream_version_store.py
+++ b/tests/serving/test_stream_version_store.py
@@ -6,6 +6,7 @@
 import pytest
 
 from cloverwalk.emulator.memory_store import CommitFault, MemoryStore
+from cloverwalk.fleet import stream_version_store
 from cloverwalk.fleet.identity import Identity
 from cloverwalk.fleet.messages import Contact, StreamRecord, StreamVersions
 from cloverwalk.fleet.stream_version_store import (
@@ -143,6 +144,26 @@
     curio.run(test)
 
 
+def test_number_of_rows_is_bounded(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(stream_version_store, "MAX_ROWS", 3)
+
+    async def test() -> None:
+        world = Rows()
+        process = world.start("a")
+        await process.update()
+        for number in range(8):
+            world.now += 0.1
+            await process.receive(f"s{number}")
+            await process.update()
+        assert len(world.store.values(STREAM_TABLE)) == 3
+        restarted = world.start("b")
+        await restarted.update()
+        known = [number for number in range(8) if restarted.streams.find(f"s{number}") == V1]
+        assert known == [5, 6, 7]
+
+    curio.run(test)
+
+
 def test_store_is_not_called_without_new_records() -> None:
     async def test() -> None:
         world = Rows()
