Tests of stored stream records share their set-up; wording of the wait reason contained

Read once more: four tests stored a record by the same four lines, which are a method now; what they assert is unchanged.

--- a/src/cloverwalk/jobs/wait_log.py
+++ b/src/cloverwalk/jobs/wait_log.py
@@ -30,7 +30,8 @@
     """Its route is missing from the configuration, or no configuration is known."""
 
     CONTAINED = "contained"
-    """A replica crashed under its content or a part less than ``CONTAINMENT_S`` ago."""
+    """A replica crashed under its content or a part, or under another trial of this node, less than
+    ``CONTAINMENT_S`` ago."""
 
     BEHIND_TRIAL = "behind_trial"
     """Another item with a contained key runs as its trial."""
--- a/tests/serving/test_stream_version_store.py
+++ b/tests/serving/test_stream_version_store.py
@@ -62,6 +62,14 @@
     def start(self, run: str, *, is_active: bool = True) -> "Process":
         return Process(self, run, is_active)
 
+    async def start_with(self, *streams: str) -> "Process":
+        """Start a process that coordinates and has stored the records of streams."""
+        process = self.start("a")
+        await process.update()
+        await process.receive(*streams)
+        await process.update()
+        return process
+
 
 class Process:
     """A process; it coordinates if ``is_active``."""
@@ -112,10 +120,7 @@
 def test_node_looks_up_a_stream_before_there_is_a_coordinator() -> None:
     async def test() -> None:
         world = Rows()
-        process = world.start("a")
-        await process.update()
-        await process.receive("s1")
-        await process.update()
+        await world.start_with("s1")
         restarted = world.start("b", is_active=False)
         reads = world.store.reads
         assert await restarted.sync.ask("s1") == V1
@@ -131,10 +136,7 @@
 def test_rows_of_expired_records_are_removed() -> None:
     async def test() -> None:
         world = Rows()
-        process = world.start("a")
-        await process.update()
-        await process.receive("s1")
-        await process.update()
+        await world.start_with("s1")
         restarted = world.start("b")
         world.now += REMAINING_MS / 1000 + 0.1
         await restarted.update()
@@ -167,10 +169,7 @@
 def test_store_is_not_called_without_new_records() -> None:
     async def test() -> None:
         world = Rows()
-        process = world.start("a")
-        await process.update()
-        await process.receive("s1")
-        await process.update()
+        process = await world.start_with("s1")
         commits = world.store.commits
         await process.update()
         assert world.store.commits == commits
@@ -181,10 +180,7 @@
 def test_invalid_row_does_not_keep_others_from_being_read() -> None:
     async def test() -> None:
         world = Rows()
-        process = world.start("a")
-        await process.update()
-        await process.receive("s1")
-        await process.update()
+        await world.start_with("s1")
         world.store.apply(Transaction([], [Put(RowKey(STREAM_TABLE, "", "bad"), b"{")], []))
         restarted = world.start("b")
         restarted.rows._log = log = LogLines()  # type: ignore[assignment]
