Streams begin at registered versions only; a list is no proof of a service's only version

Cause: a node without a stream's record took a replica list of up to 10 s of age for proof that the service had one version. The class: an old view is taken for proof.

Now a version is written to a row of the store before the first stream begins there, and a node without a record reads that row after the resumption has arrived; so it finds every version at which the stream can have begun, at any delay, pause, cut or clock rate. Records of streams are sent to their keepers with one version as well, and again after a node was out of touch, so fewer take-ups depend on this proof.

--- a/bench/stream_records.py
+++ b/bench/stream_records.py
@@ -33,7 +33,7 @@
             stream = f"{node.number:08x}{number:08x}"
             software = Software("model", "v1")
             record = StreamVersion(stream, software, world.now + 5.0, "r0", world.now)
-            node.stream_sync.share(node.streams.record(record), LIFETIME_S)
+            node.stream_sync.share(node.streams.record(record))
 
 
 async def measure(versions: tuple[str, ...]) -> None:
--- a/src/cloverwalk/fleet/coordinator_client.py
+++ b/src/cloverwalk/fleet/coordinator_client.py
@@ -62,6 +62,10 @@
 must be acknowledged. Without this timeout, nodes that have only batch items would never use a
 standby; with it, their zone's standby serves them within 1.6 s of a cut."""
 
+RECONNECTION_SILENCE_S = 1.2
+"""After orders that arrive later than this after the last ones, messages may have been lost: this
+node or the sender was suspended or cut off. Longer than the usual time between reports."""
+
 MAX_SERVED_CONFIGURATION_AGE_MS = 2000
 """The store serves a coordinator whose configuration was confirmed within this time; longer than
 twice the long poll of the configuration feed."""
@@ -150,7 +154,7 @@
         self._log = log
         self._clock = clock
         self.batch_handler = BatchOrderHandler()
-        self.on_placement: Callable[[], None] = _ignore_placement
+        self.on_placement: Callable[[], None] = _ignore
         """Called when the placement of an online request is known."""
 
         self.on_leadership_change: Callable[[], Awaitable[None]] = _ignore_leadership_change
@@ -170,6 +174,9 @@
         self.on_version_history: OnVersionHistory = _ignore_version_history
         """Called with the history of software versions in received orders."""
 
+        self.on_reconnected: Callable[[], None] = _ignore
+        """Called with the first orders after a long silence."""
+
         self._store_available_elsewhere_at = float("-inf")
         self._coordinator_configuration_age_ms: int | None = None
         self._last_applied_orders: dict[str, tuple[str, int]] = {}
@@ -439,6 +446,7 @@
             # The sender doesn't know yet that another node coordinates.
             self._transport.send(host, Introduction(current))
             return
+        is_reconnected = now - self._orders_received_at > RECONNECTION_SILENCE_S
         self._orders_received_at = now
         self._leader.mark_responsive(host, now)
         self._store_available_elsewhere_at = (
@@ -456,6 +464,8 @@
         if orders.replica_loads:
             self._coordinator.apply_totals(orders.replica_loads, now)
         await self._apply_batch_orders(orders, host)
+        if is_reconnected:
+            self.on_reconnected()
 
     def _confirm_configuration(self, orders: Orders, now: float) -> None:
         """Record when the sender last knew this node's configuration to be the newest."""
@@ -509,7 +519,7 @@
     return
 
 
-def _ignore_placement() -> None:
+def _ignore() -> None:
     return
 
 
--- a/src/cloverwalk/fleet/messages.py
+++ b/src/cloverwalk/fleet/messages.py
@@ -335,8 +335,9 @@
     it the node must not send the request to such a replica."""
 
     software_version: str = ""
-    """With SEND for a resumption: the version that began the stream, of the replica's service.
-    Empty from a build that doesn't look at versions."""
+    """With SEND: for a resumption the version that began the stream, of the replica's service;
+    otherwise the replica's version, if the sender knows it to be registered. Empty from a build
+    that doesn't look at versions."""
 
     is_version_unknown: bool = False
     """With NO_REPLICA for a resumption: whether the sender does not know the version that began the
--- a/src/cloverwalk/fleet/stream_version_sync.py
+++ b/src/cloverwalk/fleet/stream_version_sync.py
@@ -1,10 +1,11 @@
 """Shares the software versions of streams between nodes.
 
 A node sends the record of a stream to the coordinator and to standbys before it relays the stream's
-first event, so the record outlives the node. It does so only while a service has, or recently had,
-several versions; otherwise all nodes know the version anyway. A node that is asked to resume a
-stream and finds no record asks these nodes; the coordinator passes the question on to all others.
-If none of them knows, it looks up what was stored.
+first event, so the record outlives the node. It does so with a single version too: another one may
+have joined that the node does not know yet, and may be needed once it can't be reached. A node that
+is asked to resume a stream and finds no record asks these nodes; the coordinator, or a standby that
+replaces it, passes the question on to all others. Records are stored while a service has, or
+recently had, several versions.
 """
 
 from collections.abc import Awaitable, Callable, Iterable
@@ -78,25 +79,21 @@
 
     # --- sharing ---
 
-    def share(self, record: StreamVersion, lifetime_s: float) -> None:
-        """Send a record to the nodes that keep it, unless all nodes know the version anyway."""
-        if self._may_be_asked_for(record.software.service, lifetime_s):
-            self._share([record])
+    def share(self, record: StreamVersion) -> None:
+        """Send a record to the nodes that keep it."""
+        self._share([record])
 
-    def _may_be_asked_for(self, service: str, lifetime_s: float) -> bool:
-        """Whether nodes need the records of a service's streams to know their versions."""
-        return self._versions.single(service, lifetime_s) is None
+    def share_all(self) -> None:
+        """Send the records of all streams that began here, as other nodes keep them now."""
+        self._share(self._streams.local_records())
 
     def share_service(self, service: str) -> None:
-        """Send the records of a service's streams that began here."""
-        self._share(self._streams.local_records(service))
+        """Send the records of a service's streams again, and store those that are kept here.
 
-    def share_all(self) -> None:
-        """Send the records of all streams that began here, as other nodes keep them now."""
-        services = {record.software.service for record in self._streams.local_records()}
-        for service in sorted(services):
-            if self._may_be_asked_for(service, MIN_STREAM_LIFETIME_S):
-                self.share_service(service)
+        Called when the service gets a second version.
+        """
+        self._share(self._streams.local_records(service))
+        self._keep(self._streams.records_of(service))
 
     def share_changed(self, records: list[StreamVersion]) -> None:
         """Send records whose version has become unknown."""
@@ -104,7 +101,7 @@
 
     def _share(self, records: list[StreamVersion]) -> None:
         self._send(self._holders(), records)
-        self._keep(record.stream for record in records)
+        self._keep(records)
 
     def _holders(self) -> list[str]:
         """Return the hosts of the nodes that keep records, without this node."""
@@ -122,9 +119,13 @@
 
     # --- storing, at the coordinator ---
 
-    def _keep(self, streams: Iterable[str]) -> None:
-        if self._coordinator.is_active:
-            self._unsaved.update(dict.fromkeys(streams))
+    def _keep(self, records: Iterable[StreamVersion]) -> None:
+        """Have records stored that are needed to know their streams' versions."""
+        if not self._coordinator.is_active:
+            return
+        for record in records:
+            if self._versions.single(record.software.service, MIN_STREAM_LIFETIME_S) is None:
+                self._unsaved[record.stream] = None
 
     def pop_unsaved(self, max_count: int) -> list[StreamRecord]:
         """Return records that the coordinator has to store, and forget that it has to."""
@@ -136,7 +137,7 @@
 
     def return_unsaved(self, records: Iterable[StreamRecord]) -> None:
         """Have records stored again whose write failed."""
-        self._keep(record.stream for record in records)
+        self._unsaved.update(dict.fromkeys(record.stream for record in records))
 
     def add_stored(self, records: Iterable[StreamRecord], elapsed_ms: float) -> None:
         """Add records from the store that were written before ``elapsed_ms``."""
@@ -145,30 +146,32 @@
             if remaining_ms > 0:
                 self._add(record, remaining_ms)
 
-    def _add(self, record: StreamRecord, remaining_ms: float) -> None:
+    def _add(self, record: StreamRecord, remaining_ms: float) -> StreamVersion:
         software = Software(record.service, record.software_version)
         expires_at = self._clock() + remaining_ms / 1000
-        self._streams.record(StreamVersion(record.stream, software, expires_at))
+        return self._streams.record(StreamVersion(record.stream, software, expires_at))
 
     # --- receiving ---
 
     async def handle_records(self, message: StreamVersions) -> None:
         """Keep the records that another node sent."""
-        self._keep(copy.stream for copy in message.records)
         for copy in message.records:
-            self._add(copy, copy.remaining_ms)
+            self._keep([self._add(copy, copy.remaining_ms)])
             event = self._asked.get(copy.stream)
             if event is not None:
                 await event.set()
 
     def handle_query(self, query: StreamVersionQuery, host: str) -> None:
-        """Answer with the records that this node has; the coordinator passes the rest on."""
+        """Answer with the records that this node has, and pass the rest on to other nodes.
+
+        The coordinator passes it on to all nodes, a standby to those that report to it.
+        """
         streams = query.streams[:MAX_STREAMS_PER_QUERY]
         records = self._streams.records(streams)
         self._send([query.reply_to or host], records)
         known = {record.stream for record in records}
         unknown = [stream for stream in streams if stream not in known]
-        if unknown and not query.reply_to and self._coordinator.is_active:
+        if unknown and not query.reply_to:
             self._pass_on(unknown, host)
 
     def _pass_on(self, streams: list[str], host: str) -> None:
--- /dev/null
+++ b/src/cloverwalk/fleet/version_registry.py
@@ -0,0 +1,267 @@
+"""Registers software versions in the store before any stream begins at them.
+
+A node that has no record of a stream resumes it only if no stream can have begun at another
+version. Its replica list can't show that: replicas of another version may have joined while the
+node was cut off or suspended. So a version is written to a row of the store before the first
+stream begins at it. A node that reads this row after a resumption has arrived finds every version
+at which the stream can have begun, whatever messages were lost and however long nodes were paused.
+
+The coordinator writes the row when the listed versions change. Another node adds a version to it
+if the coordinator has not done so for a while.
+"""
+
+from collections.abc import Callable
+from random import Random
+
+import curio
+import msgspec
+
+from cloverwalk.core import catalogue
+from cloverwalk.fleet.coordinator import Coordinator
+from cloverwalk.fleet.messages import ListedVersion
+from cloverwalk.gateway.registered_versions import RegisteredVersions
+from cloverwalk.gateway.software_versions import (
+    RETENTION_S,
+    Software,
+    SoftwareVersions,
+    VersionHistory,
+)
+from cloverwalk.store.clock import StoreClock
+from cloverwalk.store.health import StoreHealth
+from cloverwalk.store.stored import Stored, transaction
+from cloverwalk.store.types import CommitStatus, Row, RowKey, Store, StoreError
+from cloverwalk.telemetry.log import ServingLog
+
+ROW_KEY = RowKey("software", "", "versions")
+CHECK_INTERVAL_S = 0.05
+CALL_TIMEOUT_S = 1.5
+RETRY_DELAY_MS = 300.0
+READ_TIMEOUT_S = 0.5
+"""How long a resumption waits for the row."""
+
+MIN_ADOPTION_DELAY_S = 0.4
+MAX_ADOPTION_DELAY_S = 0.8
+"""After a random time between these, a node reads the row for a version that it does not know to
+be registered, and adds it if the coordinator has not. Not all nodes read at once."""
+
+
+class StoredVersions(msgspec.Struct, array_like=True, frozen=True):
+    """Value of the row: the versions as of a time of the store."""
+
+    versions: list[ListedVersion]
+    store_ms: float
+
+
+class VersionRegistry:
+    """Reads and writes the row."""
+
+    def __init__(
+        self,
+        versions: SoftwareVersions,
+        registered: RegisteredVersions,
+        coordinator: Coordinator,
+        store: Store,
+        health: StoreHealth,
+        store_clock: StoreClock,
+        log: ServingLog,
+        clock: Callable[[], float],
+        random: Random,
+    ) -> None:
+        self._versions = versions
+        self._registered = registered
+        self._coordinator = coordinator
+        self._store = store
+        self._health = health
+        self._store_clock = store_clock
+        self._log = log
+        self._clock = clock
+        self._random = random
+        self._row: Stored[StoredVersions] | None = None
+        """The row as last read or written; None if it has to be read."""
+
+        self._is_row_invalid = False
+        self._was_active = False
+        self._adopt_at: float | None = None
+        """When to read the row for a version that is not known to be registered."""
+
+        self._read_lock = curio.Lock()
+        self._reads_begun = 0
+        self._last_read = 0
+        """Number of the last read that ended."""
+
+        self._last_read_row: Stored[StoredVersions] | None = None
+        """What it returned; None if the store did not answer."""
+
+    # --- registration ---
+
+    async def run(self) -> None:
+        """Keep the row up to date until cancelled."""
+        while True:
+            if not await self.update():
+                await self._health.backoff(RETRY_DELAY_MS)
+            await curio.sleep(CHECK_INTERVAL_S)
+
+    async def update(self) -> bool:
+        """Read or write the row if necessary; return False if that has to be repeated."""
+        if self._versions.history() is None:
+            return True
+        listed = self._versions.listed
+        self._registered.retain(listed)
+        has_taken_role = self._coordinator.is_active and not self._was_active
+        self._was_active = self._coordinator.is_active
+        row = None if has_taken_role else self._row
+        if row is None:
+            row = await self._read()
+        if row is None:
+            return False
+        if self._coordinator.is_active:
+            return _listed(row.content) == listed or await self._write(row, self._history())
+        return await self._adopt(listed)
+
+    async def _adopt(self, listed: frozenset[Software]) -> bool:
+        """Look for versions that this node does not know to be registered, and add them."""
+        if not self._registered.missing(listed):
+            self._adopt_at = None
+            return True
+        if self._adopt_at is None:
+            delay_s = self._random.uniform(MIN_ADOPTION_DELAY_S, MAX_ADOPTION_DELAY_S)
+            self._adopt_at = self._clock() + delay_s
+        if self._clock() < self._adopt_at:
+            return True
+        row = await self._read()
+        if row is None:
+            return False
+        missing = self._registered.missing(listed)
+        return not missing or await self._write(row, self._with_listed(row, missing))
+
+    def _history(self) -> dict[Software, int]:
+        """Return for how long each version has not been listed, as this node knows (ms)."""
+        history, listed = self._versions.history(), self._versions.listed
+        assert history is not None
+        return {
+            software: _unlisted_ms(software, unlisted_s, listed)
+            for software, unlisted_s in history.unlisted_s.items()
+        }
+
+    def _with_listed(
+        self, row: Stored[StoredVersions], added: frozenset[Software]
+    ) -> dict[Software, int]:
+        unlisted_s = self._unlisted_s(row.content)
+        listed = _listed(row.content) | added
+        return {
+            software: _unlisted_ms(software, unlisted_s.get(software, 0.0), listed)
+            for software in listed | unlisted_s.keys()
+        }
+
+    async def _write(self, row: Stored[StoredVersions], unlisted_ms: dict[Software, int]) -> bool:
+        store_time = self._store_clock.now()
+        if store_time is None:
+            return False
+        if self._is_row_invalid:
+            # Nothing is known of the versions that it listed.
+            unknown = {Software(software.service, "") for software in unlisted_ms}
+            unlisted_ms = {**dict.fromkeys(unknown, 1), **unlisted_ms}
+        versions = [
+            ListedVersion(*software, unlisted_ms[software]) for software in sorted(unlisted_ms)
+        ]
+        write = row.replace(StoredVersions(versions, store_time.latest_ms))
+        outcome = await self._store.commit(transaction(write), CALL_TIMEOUT_S)
+        if outcome.status is CommitStatus.COMMITTED:
+            self._use(write.committed(outcome))
+            self._is_row_invalid = False
+            return True
+        # Another node has written the row, or the outcome is not known.
+        self._row = None
+        return outcome.status is CommitStatus.CONFLICT
+
+    # --- resumptions without a record ---
+
+    async def only_software(self, service: str) -> Software | None:
+        """Return the only software at which streams of a service that has begun can have begun.
+
+        None if there are several, or if the store does not tell. The row is read after the call.
+        """
+        row: Stored[StoredVersions] | None = None
+        async with curio.ignore_after(READ_TIMEOUT_S):
+            row = await self._read()
+        if row is None:
+            return None
+        unlisted_s = self._unlisted_s(row.content)
+        possible = [
+            software
+            for software, age_s in unlisted_s.items()
+            if software.service == service and age_s < RETENTION_S
+        ]
+        return possible[0] if len(possible) == 1 and possible[0].is_known else None
+
+    # --- the row ---
+
+    async def _read(self) -> Stored[StoredVersions] | None:
+        """Return the row as read after the call, None if the store does not answer.
+
+        Calls share a read that began after them.
+        """
+        reads_begun = self._reads_begun
+        async with self._read_lock:
+            if self._last_read <= reads_begun:
+                self._reads_begun += 1
+                number = self._reads_begun
+                self._last_read_row = await self._read_store()
+                self._last_read = number
+            return self._last_read_row
+
+    async def _read_store(self) -> Stored[StoredVersions] | None:
+        self._row = None
+        try:
+            page = await self._store.read_table(ROW_KEY.table)
+        except StoreError:
+            return None
+        found = next((row for row in page.rows if row.row_key == ROW_KEY), Row(ROW_KEY, None, 0))
+        self._is_row_invalid = False
+        row = Stored.from_row(found, self._decode)
+        self._use(row)
+        return row
+
+    def _use(self, row: Stored[StoredVersions]) -> None:
+        """Use the row as it is in the store."""
+        self._row = row
+        self._adopt_at = None
+        self._registered.add(_listed(row.content) & self._versions.listed)
+        self._versions.merge(VersionHistory(RETENTION_S, self._unlisted_s(row.content)))
+
+    def _unlisted_s(self, stored: StoredVersions) -> dict[Software, float]:
+        """Return the time for which each version of the row has at least not been listed."""
+        now = self._store_clock.now()
+        elapsed_ms = 0.0 if now is None else max(0.0, now.earliest_ms - stored.store_ms)
+        return {
+            # A version that was listed at the last write may have gone just now.
+            Software(version.service, version.software_version): (
+                (version.unlisted_ms + elapsed_ms) / 1000 if version.unlisted_ms else 0.0
+            )
+            for version in stored.versions
+        }
+
+    def _decode(self, value: bytes | None) -> StoredVersions:
+        """Return the row's content; empty before the first write and if the row is invalid."""
+        if value is None:
+            return StoredVersions([], 0.0)
+        try:
+            return msgspec.json.decode(value, type=StoredVersions)
+        except (msgspec.DecodeError, RecursionError) as error:
+            self._is_row_invalid = True
+            self._log.write(catalogue.VERSION_HISTORY_INVALID, error=str(error)[:200])
+            return StoredVersions([], 0.0)
+
+
+def _listed(stored: StoredVersions) -> frozenset[Software]:
+    """Return the versions that a row names as listed."""
+    return frozenset(
+        Software(version.service, version.software_version)
+        for version in stored.versions
+        if not version.unlisted_ms
+    )
+
+
+def _unlisted_ms(software: Software, unlisted_s: float, listed: frozenset[Software]) -> int:
+    """Return for how long a version has not been listed; 0 only if it is listed."""
+    return 0 if software in listed else max(1, int(unlisted_s * 1000))
--- a/src/cloverwalk/gateway/progress.py
+++ b/src/cloverwalk/gateway/progress.py
@@ -83,7 +83,13 @@
     """Key of the stream that it begins or resumes; empty if its answer is no stream."""
 
     software: Software | None = None
-    """Software that began the stream, as other nodes know it."""
+    """Software that began the stream, as other nodes or the store know it."""
+
+    version_proof: str = ""
+    """From what that is known, for logs."""
+
+    registered_version: str = ""
+    """Registered software version of the chosen replica, as the placement told it."""
 
     has_asked_for_software: bool = False
     attempt_replica: Replica | None = None
--- a/src/cloverwalk/gateway/relay.py
+++ b/src/cloverwalk/gateway/relay.py
@@ -312,6 +312,7 @@
             list_age_s=round(now - self._directory.confirmed_at, 3),
             after_event=progress.last_event_id,
             software_version=self._software_version(result.replica_id),
+            version_proof=progress.version_proof or None,
             resumes=request.fields.resumed_request_id or None,
         )
 
--- a/src/cloverwalk/gateway/resumption_gate.py
+++ b/src/cloverwalk/gateway/resumption_gate.py
@@ -1,5 +1,6 @@
 """Keeps each stream at the software version that began it, at the node that serves its client."""
 
+import enum
 from collections.abc import Callable
 from typing import Protocol
 
@@ -13,8 +14,9 @@
 from cloverwalk.gateway.errors import GatewayError, ReplicaError
 from cloverwalk.gateway.messages import ClientRequest
 from cloverwalk.gateway.progress import RequestProgress
+from cloverwalk.gateway.registered_versions import VersionRegistration
 from cloverwalk.gateway.replicas import Replica, ReplicaDirectory
-from cloverwalk.gateway.software_versions import Software, software_of, stream_lifetime_s
+from cloverwalk.gateway.software_versions import Software, software_of
 from cloverwalk.gateway.stream_versions import StreamVersion, StreamVersionTable, stream_key
 from cloverwalk.scheduling.admission import PlacementVerdict
 from cloverwalk.telemetry.log import ServingLog
@@ -30,15 +32,39 @@
 class StreamVersionSharing(Protocol):
     """Sends records of streams to other nodes and asks for those of others."""
 
-    def share(self, record: StreamVersion, lifetime_s: float) -> None:
-        """Send a record to the nodes that keep it, if other nodes may need it."""
+    def share(self, record: StreamVersion) -> None:
+        """Send a record to the nodes that keep it."""
         ...
 
     async def ask(self, stream: str) -> Software | None:
-        """Return the software that began a stream as other nodes know it."""
+        """Return the software that began a stream as other nodes or stored records tell it."""
         ...
 
 
+class VersionRegister(Protocol):
+    """Knows at which versions streams can have begun."""
+
+    async def only_software(self, service: str) -> Software | None:
+        """Return the only software at which streams of a service can have begun before the call."""
+        ...
+
+
+class VersionProof(enum.Enum):
+    """From what a resumption's software is known, for logs."""
+
+    RECORD = "record"
+    """A record at this node."""
+
+    PLACEMENT = "placement"
+    """A record at the node that decided the placement."""
+
+    ASKED = "asked"
+    """A record of another node or in the store, which this node asked for."""
+
+    ONLY_VERSION = "only_version"
+    """The store lists no other version at which the stream can have begun."""
+
+
 class ResumptionGate:
     """Records which software begins a stream, and lets it go on only there."""
 
@@ -48,6 +74,8 @@
         draining: DrainingReplicas,
         streams: StreamVersionTable,
         sharing: StreamVersionSharing,
+        registered: VersionRegistration,
+        register: VersionRegister,
         log: ServingLog,
         metrics: ServingMetrics,
         clock: Callable[[], float],
@@ -56,6 +84,8 @@
         self._draining = draining
         self._streams = streams
         self._sharing = sharing
+        self._registered = registered
+        self._register = register
         self._log = log
         self._metrics = metrics
         self._clock = clock
@@ -76,7 +106,10 @@
         """Return the placement request with the software that a resumption needs."""
         if not progress.is_resumption:
             return placement_request
-        software = self._needed_software(progress) or Software(placement_request.service, "")
+        software = self._needed_software(progress)
+        if software is not None and not progress.version_proof:
+            progress.version_proof = VersionProof.RECORD.value
+        software = software or Software(placement_request.service, "")
         return msgspec.structs.replace(
             placement_request,
             is_resumption=True,
@@ -102,11 +135,28 @@
         """Ask other nodes for the software that began a stream; raise if none knows it."""
         if not progress.has_asked_for_software:
             progress.has_asked_for_software = True
-            if not self._streams.is_version_unknown(progress.stream):
-                progress.software = await self._sharing.ask(progress.stream)
+            await self._find_software(progress)
         if self._needed_software(progress) is None:
             raise self._refusal(request, progress, refusals.unknown_software_version())
 
+    async def _find_software(self, progress: RequestProgress) -> None:
+        """Set the software that began a stream, as other nodes or the store know it."""
+        stream = progress.stream
+        if self._streams.is_version_unknown(stream):
+            return
+        software, proof = await self._sharing.ask(stream), VersionProof.ASKED
+        if software is None and not self._streams.is_version_unknown(stream):
+            software, proof = await self._only_software(progress), VersionProof.ONLY_VERSION
+        if software is not None:
+            progress.software, progress.version_proof = software, proof.value
+
+    async def _only_software(self, progress: RequestProgress) -> Software | None:
+        services = progress.route.services
+        if len(services) != 1:
+            # The stream may have begun at another service of its route.
+            return None
+        return await self._register.only_software(services[0])
+
     def refusal(self, request: ClientRequest, progress: RequestProgress) -> GatewayError:
         """Return the error response if no replica of the needed version can take the stream."""
         return self._refusal(request, progress, refusals.no_replica_of_version())
@@ -129,10 +179,14 @@
     def find(self, progress: RequestProgress, placement: Placement) -> Replica | None:
         """Return the placed replica, None if it may not get the request."""
         replica = self._find(progress, placement.replica_id)
-        if replica is None or not progress.is_resumption:
+        if replica is None:
+            return None
+        if not progress.is_resumption:
+            progress.registered_version = placement.software_version
             return replica
         if self._needed_software(progress) is None and placement.software_version:
             progress.software = Software(replica.service, placement.software_version)
+            progress.version_proof = VersionProof.PLACEMENT.value
         if software_of(replica) != self._needed_software(progress):
             return None
         progress.service = replica.service
@@ -171,9 +225,21 @@
             raise ReplicaError("the replica is draining", False, "draining")
         if progress.is_resumption and software_of(current) != self._needed_software(progress):
             raise ReplicaError("the replica has another software version", False, "other_version")
+        if not self._may_begin(progress, current):
+            message = "the replica's software version is not registered"
+            raise ReplicaError(message, False, "version_not_registered")
         progress.attempt_replica = current
         progress.attempt_opened_at = opened_at
 
+    def _may_begin(self, progress: RequestProgress, replica: Replica) -> bool:
+        """Whether a request may begin a stream at a replica; True if it begins none."""
+        is_begun = progress.stream and not progress.is_resumption
+        if not is_begun or not progress.route.is_resumable:
+            return True
+        if progress.registered_version:
+            return replica.software_version == progress.registered_version
+        return self._registered.has(software_of(replica))
+
     def record_first_event(self, request: ClientRequest, progress: RequestProgress) -> None:
         """Record the software of a stream's first event, or renew the record of a resumed one."""
         if not progress.stream or not progress.route.is_resumable:
@@ -181,7 +247,7 @@
         if progress.is_resumption:
             self._metrics.resumption_ended("resumed")
         record = self._streams.record(self._new_record(request, progress))
-        self._sharing.share(record, stream_lifetime_s(progress.route.timeout_s))
+        self._sharing.share(record)
 
     def _new_record(self, request: ClientRequest, progress: RequestProgress) -> StreamVersion:
         fields = request.fields
--- a/src/cloverwalk/gateway/stream_versions.py
+++ b/src/cloverwalk/gateway/stream_versions.py
@@ -120,6 +120,15 @@
             and service in (None, record.software.service)
         ]
 
+    def records_of(self, service: str) -> list[StreamVersion]:
+        """Return the records of a service's streams, also of those that other nodes began."""
+        now = self._clock()
+        return [
+            record
+            for record in self._by_stream.values()
+            if record.expires_at > now and record.software.service == service
+        ]
+
     def mark_unknown(self, replica: Replica, opened_since: float) -> list[StreamVersion]:
         """Make the version unknown of streams that a replica's new incarnation may have begun.
 
--- a/src/cloverwalk/scheduling/online.py
+++ b/src/cloverwalk/scheduling/online.py
@@ -383,7 +383,9 @@
             batch=chosen.in_flight.batch,
             prefill_ms=round(chosen.prefill_ms),
             has_warmup_token=has_warmup_token,
-            software_version=queued.request.software_version,
+            software_version=(
+                queued.request.software_version or self._replicas.registered_version(chosen.replica)
+            ),
         )
         decisions.placements.append(placement)
         self._load_tracker.expect(
--- a/src/cloverwalk/scheduling/replica_view.py
+++ b/src/cloverwalk/scheduling/replica_view.py
@@ -216,7 +216,11 @@
         """Return the replicas that take new work, or those at which a resumption may go on."""
         if request.is_resumption:
             return self._resumptions.replicas(request)
-        return self._directory.usable(request.service)
+        return self._resumptions.beginnable(request)
+
+    def registered_version(self, replica: Replica) -> str:
+        """Return the software version of a replica if it is registered, else an empty string."""
+        return self._resumptions.registered_version(replica)
 
     # --- warm-ups ---
 
@@ -260,8 +264,13 @@
         return self._memory.can_ever_fit(request.service, request.tokens)
 
     def has_usable(self, request: PlacementRequest) -> bool:
-        """Whether any replica may take a request, including fully loaded ones."""
-        return bool(self._suitable(request))
+        """Whether any replica may take a request, now or soon.
+
+        Fully loaded ones count, and those whose software version is being registered.
+        """
+        if request.is_resumption:
+            return bool(self._resumptions.replicas(request))
+        return bool(self._directory.usable(request.service))
 
     def items_to_preempt(self, replica: Replica, now: float) -> int:
         """Return how many items to preempt at a replica, for slots or for memory."""
--- a/src/cloverwalk/scheduling/resumptions.py
+++ b/src/cloverwalk/scheduling/resumptions.py
@@ -1,4 +1,7 @@
-"""At which replicas a resumed stream may go on: those of the software version that began it."""
+"""At which replicas a stream may begin, and at which a resumed one may go on.
+
+It begins at versions that are registered in the store, and goes on at the version that began it.
+"""
 
 from collections.abc import Callable
 
@@ -8,38 +11,28 @@
 from cloverwalk.fleet.messages import PlacementRequest
 from cloverwalk.gateway.configuration import ConfigurationHolder
 from cloverwalk.gateway.draining_replicas import DrainingReplicas
+from cloverwalk.gateway.registered_versions import AllVersions, VersionRegistration
 from cloverwalk.gateway.replicas import Replica, ReplicaDirectory
-from cloverwalk.gateway.software_versions import (
-    Software,
-    SoftwareVersions,
-    software_of,
-    stream_lifetime_s,
-)
+from cloverwalk.gateway.software_versions import Software, software_of
 from cloverwalk.gateway.stream_versions import StreamVersionTable
 
-MAX_LIST_AGE_S = 10.0
-"""An older replica list does not show that a service has a single version. A node that has seen
-another version shares the streams that begin there."""
-
 
 class Resumptions:
-    """Finds the version of a resumed stream and the replicas that may take it."""
+    """Finds the version of a resumed stream, and the replicas that may take a stream."""
 
     def __init__(
         self,
         directory: ReplicaDirectory,
         configuration: ConfigurationHolder,
-        versions: SoftwareVersions,
         streams: StreamVersionTable,
         draining: DrainingReplicas,
-        clock: Callable[[], float],
+        registered: VersionRegistration,
     ) -> None:
         self._directory = directory
         self._configuration = configuration
-        self._versions = versions
         self._streams = streams
         self._draining = draining
-        self._clock = clock
+        self._registered = registered
 
     @classmethod
     def create(
@@ -48,38 +41,49 @@
         configuration: ConfigurationHolder,
         clock: Callable[[], float] = monotonic_s,
     ) -> "Resumptions":
-        """Return an instance with empty records."""
+        """Return an instance with empty records, for which every version is registered."""
         return cls(
             directory,
             configuration,
-            SoftwareVersions(directory, clock),
             StreamVersionTable(clock),
             DrainingReplicas(directory, clock),
-            clock,
+            AllVersions(),
         )
 
     def resolve(self, request: PlacementRequest) -> PlacementRequest | None:
-        """Return a resumption with the software that it needs; None if that is unknown."""
+        """Return a resumption with the software that it needs; None without a record of it."""
         if request.software_version:
             return request
         software = self._streams.find(request.stream)
-        if software is None and not self._streams.is_version_unknown(request.stream):
-            software = self._only_software(request)
         if software is None:
             return None
         return msgspec.structs.replace(
             request, service=software.service, software_version=software.version
         )
 
-    def _only_software(self, request: PlacementRequest) -> Software | None:
-        """Return the software of the service, if all streams of it began there."""
-        if self._clock() - self._directory.confirmed_at > MAX_LIST_AGE_S:
-            return None
+    def beginnable(self, request: PlacementRequest) -> list[Replica]:
+        """Return the replicas that accept new work and, for a stream, have a registered version."""
+        usable = self._directory.usable(request.service)
+        versions = self._directory.usable_versions(request.service)
+        missing = {
+            version
+            for version in versions
+            if not self._registered.has(Software(request.service, version))
+        }
+        if not missing or not self._is_resumable(request):
+            return usable
+        return [replica for replica in usable if replica.software_version not in missing]
+
+    def _is_resumable(self, request: PlacementRequest) -> bool:
+        """Whether clients may resume what the request begins; True if its route is not known."""
         current = self._configuration.current
         route = None if current is None else current.index.first_named(request.route)
-        lifetime_s = stream_lifetime_s(None if route is None else route.timeout_s)
-        version = self._versions.single(request.service, lifetime_s)
-        return None if version is None else Software(request.service, version)
+        return route is None or route.is_resumable
+
+    def registered_version(self, replica: Replica) -> str:
+        """Return the software version of a replica if it is registered, else an empty string."""
+        software = software_of(replica)
+        return software.version if self._registered.has(software) else ""
 
     def replicas(self, request: PlacementRequest) -> list[Replica]:
         """Return the replicas at which a resolved resumption may go on.
--- a/src/cloverwalk/serving/fleet_parts.py
+++ b/src/cloverwalk/serving/fleet_parts.py
@@ -109,10 +109,9 @@
             Resumptions(
                 fleet_state.directory,
                 fleet_state.configuration,
-                fleet_state.software_versions,
                 fleet_state.stream_versions,
                 fleet_state.draining_replicas,
-                clock,
+                fleet_state.registered_versions,
             ),
         )
         self.scheduler.reachability.on_change = self._log_reachability
@@ -161,6 +160,7 @@
             fleet_state.software_versions
         )
         self.coordinator_client.on_version_history = self.stream_version_sync.apply_history
+        self.coordinator_client.on_reconnected = self.stream_version_sync.share_all
         self.slot_time_reporter = SlotTimeReporter(self.scheduler, self._log_slot_time)
         shares, item_shares = self.scheduler.online_shares, self.scheduler.item_shares
         self.fair_share_reporter = FairShareReporter(shares, item_shares, self._log_throttled)
--- a/src/cloverwalk/serving/fleet_state.py
+++ b/src/cloverwalk/serving/fleet_state.py
@@ -7,6 +7,7 @@
 from cloverwalk.gateway.configuration import Configuration, ConfigurationHolder
 from cloverwalk.gateway.crash_ledger import CrashLedger
 from cloverwalk.gateway.draining_replicas import DEFAULT_DRAIN_S, DrainingReplicas
+from cloverwalk.gateway.registered_versions import RegisteredVersions
 from cloverwalk.gateway.replicas import Replica, ReplicaDirectory
 from cloverwalk.gateway.software_versions import SoftwareVersions
 from cloverwalk.gateway.steps import run_in_steps
@@ -49,6 +50,7 @@
         self.warmup_gate = WarmupGate(self.warmups, log, clock)
         self.crash_ledger = CrashLedger()
         self.software_versions = SoftwareVersions(self.directory, clock)
+        self.registered_versions = RegisteredVersions()
         self.stream_versions = StreamVersionTable(clock)
         self.draining_replicas = DrainingReplicas(self.directory, clock, replica_drain_s)
         self.metrics = ServingMetrics()
--- a/src/cloverwalk/serving/node.py
+++ b/src/cloverwalk/serving/node.py
@@ -17,7 +17,7 @@
 from cloverwalk.fleet.follower import TableFollower
 from cloverwalk.fleet.in_flight import InFlightTracker
 from cloverwalk.fleet.stream_version_store import StreamVersionStore
-from cloverwalk.fleet.version_history_store import VersionHistoryStore
+from cloverwalk.fleet.version_registry import VersionRegistry
 from cloverwalk.gateway.configuration import ClientLimits
 from cloverwalk.gateway.containment import ContainmentGate
 from cloverwalk.gateway.crash_detector import CrashDetector
@@ -162,13 +162,16 @@
             self._log,
             self._clock,
         )
-        self._version_history_store = VersionHistoryStore(
+        self._version_registry = VersionRegistry(
             self._fleet_state.software_versions,
+            self._fleet_state.registered_versions,
             self._fleet.coordinator,
             self._store,
             self._health,
             self._store_clock,
             self._log,
+            self._clock,
+            self._random,
         )
         self._stream_version_store = StreamVersionStore(
             self._fleet.stream_version_sync,
@@ -261,6 +264,8 @@
             self._fleet_state.draining_replicas,
             self._fleet_state.stream_versions,
             self._fleet.stream_version_sync,
+            self._fleet_state.registered_versions,
+            self._version_registry,
             self._log,
             self._metrics,
             self._clock,
@@ -333,7 +338,7 @@
             self._replica_follower.run,
             self._store_probe.run,
             self._crash_record_store.run,
-            self._version_history_store.run,
+            self._version_registry.run,
             self._stream_version_store.run,
             self._housekeeping,
             *self._batch.loops(),
--- a/tests/serving/test_stream_version_store.py
+++ b/tests/serving/test_stream_version_store.py
@@ -33,6 +33,9 @@
         self._world = world
         self.is_active = is_active
 
+    def single(self, service: str, lifetime_s: float) -> None:
+        """Return None: the service has several versions."""
+
     def contacts(self) -> list[Contact]:
         """Return no other node: they were all killed."""
         return []
