Odd rows and messages raise one typed error in every reader, and are logged once

Cause: msgspec raises RecursionError for deep nesting, also in elements that a decoder skips, and numbers of 400 digits overflow where they are used. Most readers expected DecodeError only, so one row or datagram ended the task that read it. A value of a row that is not base64 failed its whole page or raised binascii.Error. An odd record of a job failed the whole page of jobs, an odd record in a quota row every submission of its route.

Change: core/decoding.py turns all of these into InvalidContentError; used by datagrams, rows (store/row_decoder.py logs each version of a row once), job rows, the store's envelope, the platform's documents, configuration copies. A value of a row that can't be decoded stands for an invalid row. An invalid quota row counts as empty, an invalid segment of output is left out, an invalid record refuses calls on its job only (job_row_invalid).

--- a/src/cloverwalk/core/catalogue.py
+++ b/src/cloverwalk/core/catalogue.py
@@ -260,6 +260,9 @@
     _W,
     "The record of a job lacked results or its end, and was written with them again.",
 )
+JOB_ROW_INVALID = _event(
+    427, "job_row_invalid", _W, "A stored row of a job is invalid; other rows are not affected."
+)
 JOB_REMOVED = _event(
     417, "job_removed", _I, "The rows of a job were removed after its retention time."
 )
--- a/src/cloverwalk/fleet/crash_record_store.py
+++ b/src/cloverwalk/fleet/crash_record_store.py
@@ -18,8 +18,9 @@
 from cloverwalk.gateway.crash_ledger import CrashRecord
 from cloverwalk.store.clock import StoreClock, StoreTime
 from cloverwalk.store.health import StoreHealth
+from cloverwalk.store.row_decoder import InvalidRows, RowDecoder
 from cloverwalk.store.stored import Stored, Write, create, transaction
-from cloverwalk.store.types import CommitStatus, Row, RowKey, Store, StoreError
+from cloverwalk.store.types import CommitStatus, RowKey, Store, StoreError
 from cloverwalk.telemetry.log import ServingLog
 
 CRASH_RECORD_TABLE = "crash"
@@ -42,6 +43,9 @@
     store_ms: float
 
 
+_decoder = msgspec.json.Decoder(StoredCrashRecord)
+
+
 class CrashRecordStore:
     """Reads and writes the rows of contained requests."""
 
@@ -60,7 +64,9 @@
         self._store = store
         self._health = health
         self._store_clock = store_clock
-        self._log = log
+        self._decoder = RowDecoder[StoredCrashRecord | None](
+            _decoder, lambda: None, InvalidRows(log, catalogue.CASE_INVALID)
+        )
         self._clock = clock
         self._rows: dict[str, Stored[StoredCrashRecord | None]] = {}
         """Rows as last read or written, by content hash; invalid ones without content."""
@@ -100,7 +106,7 @@
             page = await self._store.read_table(CRASH_RECORD_TABLE)
         except StoreError:
             return False
-        self._rows = {row.row_key.key: self._from_row(row) for row in page.rows}
+        self._rows = {row.row_key.key: self._decoder.stored(row) for row in page.rows}
         stored = [row.content for row in self._rows.values() if row.content is not None]
         new = [
             content for content in stored if content != self._own.get(content.record.content_hash)
@@ -110,19 +116,6 @@
         self.is_read = True
         return True
 
-    def _from_row(self, row: Row) -> Stored[StoredCrashRecord | None]:
-        def decode(value: bytes | None) -> StoredCrashRecord | None:
-            if value is None:
-                return None
-            try:
-                return msgspec.json.decode(value, type=StoredCrashRecord)
-            except msgspec.DecodeError as error:
-                key = row.row_key.key
-                self._log.write(catalogue.CASE_INVALID, key=key, error=str(error)[:200])
-                return None
-
-        return Stored.from_row(row, decode)
-
     def _record_now(self, stored: StoredCrashRecord) -> CrashRecord:
         """Return a stored crash record with ages as of now."""
         record = stored.record
--- a/src/cloverwalk/fleet/election.py
+++ b/src/cloverwalk/fleet/election.py
@@ -23,6 +23,7 @@
 from cloverwalk.scheduling.features import Feature
 from cloverwalk.scheduling.scheduler import Scheduler
 from cloverwalk.store.health import StoreHealth
+from cloverwalk.store.row_decoder import InvalidRows, RowDecoder
 from cloverwalk.store.stored import Stored, transaction
 from cloverwalk.store.types import (
     CommitStatus,
@@ -114,6 +115,9 @@
         self._store = store
         self._health = health
         self._log = log
+        self._role_decoder = RowDecoder[RoleRow | None](
+            _decoder, lambda: None, InvalidRows(log, catalogue.ROLE_INVALID)
+        )
         self._clock = clock
         self._random = random
         self._snapshot: Snapshot | None = None
@@ -257,7 +261,7 @@
         except StoreError:
             return None
         row = page.rows[0] if page.rows else Row(key, None, 0)
-        return Stored.from_row(row, self._decode)
+        return self._role_decoder.stored(row)
 
     async def _read_role(self) -> bool:
         """Adopt the leadership of the row; return whether the store has answered."""
@@ -271,15 +275,6 @@
         await self._client.update_leadership(found)
         return True
 
-    def _decode(self, value: bytes | None) -> RoleRow | None:
-        if value is None:
-            return None
-        try:
-            return _decoder.decode(value)
-        except msgspec.DecodeError as error:
-            self._log.write(catalogue.ROLE_INVALID, error=str(error)[:200])
-            return None
-
     async def _claim(self) -> None:
         """Write this node into the row, unless another node has claimed the role meanwhile."""
         started_at = self._clock()
@@ -325,7 +320,7 @@
             current = outcome.conflict(ROLE_KEY)
             found = None
             if current is not None:
-                found = _leadership(Stored.from_row(current, self._decode))
+                found = _leadership(self._role_decoder.stored(current))
             if found is not None:
                 await self._resolve_conflict(found, started_at)
 
--- a/src/cloverwalk/fleet/messages.py
+++ b/src/cloverwalk/fleet/messages.py
@@ -14,6 +14,7 @@
 import pynetstring
 from msgspec import Struct
 
+from cloverwalk.core.decoding import InvalidContentError, decode_bounded, decode_content
 from cloverwalk.core.errors import CloverwalkError
 from cloverwalk.gateway.configuration import Configuration
 from cloverwalk.gateway.crash_ledger import CrashRecord
@@ -677,6 +678,7 @@
 _encoder = msgspec.json.Encoder()
 _decoder = msgspec.json.Decoder(Datagram)
 _tag_decoder = msgspec.json.Decoder(list[msgspec.Raw])
+_text_decoder = msgspec.json.Decoder(str)
 _compact_encoder = msgspec.msgpack.Encoder()
 _compact_decoder = msgspec.msgpack.Decoder(Datagram)
 _JSON_START = b"["
@@ -701,8 +703,10 @@
         if len(payloads) != 1:
             raise DatagramError(f"{len(payloads)} messages in a datagram instead of one")
         is_json = payloads[0].startswith(_JSON_START)
-        return (_decoder if is_json else _compact_decoder).decode(payloads[0])
-    except (pynetstring.ParseError, msgspec.DecodeError, UnicodeDecodeError) as error:
+        if is_json:
+            return decode_bounded(_decoder, payloads[0])
+        return decode_content(_compact_decoder, payloads[0])
+    except (pynetstring.ParseError, InvalidContentError) as error:
         raise DatagramError(str(error)) from error
 
 
@@ -716,7 +720,7 @@
     """
     try:
         payload = pynetstring.decode(data)[0]
-        tag = msgspec.json.decode(_tag_decoder.decode(payload)[0], type=str)
-    except (pynetstring.ParseError, msgspec.DecodeError, UnicodeDecodeError, IndexError):
+        tag = decode_content(_text_decoder, decode_content(_tag_decoder, payload)[0])
+    except (pynetstring.ParseError, InvalidContentError, IndexError):
         return UNREADABLE_KIND
     return tag if tag in MESSAGE_KINDS else UNKNOWN_KIND
--- a/src/cloverwalk/fleet/stream_version_store.py
+++ b/src/cloverwalk/fleet/stream_version_store.py
@@ -17,6 +17,7 @@
 from cloverwalk.fleet.stream_version_sync import StreamVersionSync
 from cloverwalk.store.clock import StoreClock
 from cloverwalk.store.health import StoreHealth
+from cloverwalk.store.row_decoder import InvalidRows, RowDecoder
 from cloverwalk.store.stored import Stored, Write, create, transaction
 from cloverwalk.store.types import CommitStatus, RowKey, Store, StoreError
 from cloverwalk.telemetry.log import ServingLog
@@ -58,6 +59,9 @@
         return self.store_ms + max((record.remaining_ms for record in self.records), default=0)
 
 
+_decoder = msgspec.json.Decoder(StoredStreams)
+
+
 class StreamVersionStore:
     """Writes the rows while this node coordinates, and reads them."""
 
@@ -78,7 +82,10 @@
         self._health = health
         self._store_clock = store_clock
         self._incarnation = incarnation
-        self._log = log
+        invalid_rows = InvalidRows(log, catalogue.VERSION_HISTORY_INVALID)
+        self._decoder = RowDecoder(_decoder, lambda: StoredStreams([], 0.0), invalid_rows)
+        """An invalid row counts as empty, so it is removed."""
+
         self._rows: dict[str, Stored[StoredStreams]] = {}
         """Rows as last read or written, by key."""
 
@@ -129,7 +136,7 @@
             page = await self._store.read_table(STREAM_TABLE)
         except StoreError:
             return None
-        rows = {row.row_key.key: Stored.from_row(row, self._decode) for row in page.rows}
+        rows = {row.row_key.key: self._decoder.stored(row) for row in page.rows}
         now = self._store_clock.now()
         for row in rows.values():
             stored = row.content
@@ -138,16 +145,6 @@
             self._sync.add_stored(stored.records, elapsed_ms)
         return rows
 
-    def _decode(self, value: bytes | None) -> StoredStreams:
-        """Return a row's content; one that is invalid counts as empty, and is removed."""
-        if value is None:
-            return StoredStreams([], 0.0)
-        try:
-            return msgspec.json.decode(value, type=StoredStreams)
-        except msgspec.DecodeError as error:
-            self._log.write(catalogue.VERSION_HISTORY_INVALID, error=str(error)[:200])
-            return StoredStreams([], 0.0)
-
     async def _write(self) -> bool:
         now = self._store_clock.now()
         if now is None:
--- a/src/cloverwalk/fleet/version_history_store.py
+++ b/src/cloverwalk/fleet/version_history_store.py
@@ -19,6 +19,7 @@
 )
 from cloverwalk.store.clock import StoreClock
 from cloverwalk.store.health import StoreHealth
+from cloverwalk.store.row_decoder import InvalidRows, RowDecoder
 from cloverwalk.store.stored import Stored, transaction
 from cloverwalk.store.types import (
     CommitStatus,
@@ -42,6 +43,9 @@
     store_ms: float
 
 
+_decoder = msgspec.json.Decoder(StoredVersions)
+
+
 class VersionHistoryStore:
     """Reads and writes the row while this node coordinates."""
 
@@ -59,7 +63,8 @@
         self._store = store
         self._health = health
         self._store_clock = store_clock
-        self._log = log
+        invalid_rows = InvalidRows(log, catalogue.VERSION_HISTORY_INVALID)
+        self._decoder = RowDecoder(_decoder, lambda: StoredVersions([], 0.0), invalid_rows)
         self._row: Stored[StoredVersions] | None = None
         """The row as last read or written; None if it has to be read."""
 
@@ -89,7 +94,7 @@
         except StoreError:
             return False
         row = next((row for row in page.rows if row.row_key == ROW_KEY), Row(ROW_KEY, None, 0))
-        self._row = Stored.from_row(row, self._decode)
+        self._row = self._decoder.stored(row)
         stored = self._row.content
         now = self._store_clock.now()
         elapsed_ms = 0.0
@@ -104,16 +109,6 @@
         self._versions.merge(VersionHistory(RETENTION_S, unlisted_s))
         return True
 
-    def _decode(self, value: bytes | None) -> StoredVersions:
-        """Return the row's content; empty before the first write and if the row is invalid."""
-        if value is None:
-            return StoredVersions([], 0.0)
-        try:
-            return msgspec.json.decode(value, type=StoredVersions)
-        except msgspec.DecodeError as error:
-            self._log.write(catalogue.VERSION_HISTORY_INVALID, error=str(error)[:200])
-            return StoredVersions([], 0.0)
-
     async def _write(self, row: Stored[StoredVersions]) -> bool:
         history, store_time = self._versions.history(), self._store_clock.now()
         if history is None or store_time is None:
--- a/src/cloverwalk/gateway/configuration_encoding.py
+++ b/src/cloverwalk/gateway/configuration_encoding.py
@@ -6,6 +6,7 @@
 import msgspec
 from msgspec import Raw, Struct
 
+from cloverwalk.core.decoding import InvalidContentError, decode_content
 from cloverwalk.gateway.configuration import ClientLimits, Configuration, Route, Service
 from cloverwalk.gateway.steps import Steps
 from cloverwalk.tenants.directory import Tenant
@@ -74,13 +75,13 @@
     """Return a configuration with its index from compressed JSON; raise ValueError if invalid."""
     encoded = yield from _decompress(data)
     try:
-        envelope = _envelope_decoder.decode(encoded)
+        envelope = decode_content(_envelope_decoder, encoded)
         yield
         routes = yield from _decode_entries(_route_decoder, envelope.routes)
         tenants = None
         if envelope.tenants is not None:
             tenants = yield from _decode_entries(_tenant_decoder, envelope.tenants)
-    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
+    except InvalidContentError as error:
         raise ValueError(f"invalid configuration copy: {error}") from error
     configuration = Configuration(
         envelope.version, routes, envelope.services, envelope.limits, tenants, envelope.format
@@ -112,6 +113,7 @@
 ) -> Steps[tuple[Entry, ...]]:
     decoded: list[Entry] = []
     for start in range(0, len(entries), ENTRIES_PER_STEP):
-        decoded += [decoder.decode(raw) for raw in entries[start : start + ENTRIES_PER_STEP]]
+        part = entries[start : start + ENTRIES_PER_STEP]
+        decoded += [decode_content(decoder, raw) for raw in part]
         yield
     return tuple(decoded)
--- a/src/cloverwalk/jobs/errors.py
+++ b/src/cloverwalk/jobs/errors.py
@@ -10,6 +10,10 @@
     default_code = "job_refused"
 
 
+class InvalidRecordError(JobError):
+    """The stored record of a job is invalid."""
+
+
 def unresolved_error(status: CommitStatus, retry_after_s: float) -> JobError:
     """Return the error of a transaction that was neither committed nor in conflict."""
     if status is CommitStatus.UNKNOWN:
--- a/src/cloverwalk/jobs/intake.py
+++ b/src/cloverwalk/jobs/intake.py
@@ -6,10 +6,11 @@
 from msgspec import Struct
 
 from cloverwalk.core import catalogue
+from cloverwalk.core.decoding import InvalidContentError
 from cloverwalk.core.error_response import Reason
 from cloverwalk.gateway.configuration import Route
 from cloverwalk.jobs.commit import Committer
-from cloverwalk.jobs.errors import JobError, unresolved_error
+from cloverwalk.jobs.errors import InvalidRecordError, JobError, unresolved_error
 from cloverwalk.jobs.quota import admit, waiting_tokens
 from cloverwalk.jobs.reader import JobReader
 from cloverwalk.jobs.records import (
@@ -19,7 +20,6 @@
     QuotaRow,
     StoredJob,
     decode_quota,
-    job_from_row,
     job_key,
     payload_puts,
     quota_key,
@@ -259,7 +259,7 @@
             retry_after_s = STORE_RETRY_AFTER_S
             raise JobError(Reason.UNAVAILABLE, error.code, str(error), retry_after_s) from error
         row = page.rows[0] if page.rows else Row(key, None, 0)
-        self._quotas[key] = Stored.from_row(row, decode_quota)
+        self._quotas[key] = self._stored_quota(row)
         return self._quotas[key]
 
     async def _closed_jobs(self, quota: QuotaRow, record: JobRecord) -> set[str]:
@@ -287,7 +287,11 @@
 
         The record was written together with the quota row, so a missing one was removed since.
         """
-        stored = await self._reader.read_stored(job_id)
+        try:
+            stored = await self._reader.read_stored(job_id)
+        except InvalidRecordError:
+            # The tokens of a job that can't be read stay counted.
+            return False
         return stored is None or not stored.content.is_open
 
     async def _check_quota(
@@ -327,7 +331,15 @@
 
     def _update_quota(self, key: RowKey, outcome: CommitOutcome) -> None:
         row = outcome.conflict(key) or Row(key, None, 0)
-        self._quotas[key] = Stored.from_row(row, decode_quota)
+        self._quotas[key] = self._stored_quota(row)
+
+    def _stored_quota(self, row: Row) -> Stored[QuotaRow]:
+        """Return a quota row; an invalid one counts as empty, and is replaced by the next write."""
+        try:
+            return Stored.from_row(row, decode_quota)
+        except InvalidContentError as error:
+            self._view.on_invalid(row, error)
+            return Stored(row.row_key, QuotaRow(), row.version)
 
     # --- outcomes ---
 
@@ -346,7 +358,7 @@
         await self._on_accepted(JobRun(stored, submission.items))
 
     async def _on_existing_record(self, submission: Submission, row: Row) -> None:
-        stored = await self._view.put(job_from_row(row))
+        stored = await self._view.put_row(row)
         record = stored.content
         _check_owner(record, submission)
         self._log_accepted(submission, "found", record)
--- a/src/cloverwalk/jobs/lister.py
+++ b/src/cloverwalk/jobs/lister.py
@@ -9,10 +9,10 @@
 
 from cloverwalk.core import catalogue
 from cloverwalk.jobs.commit import Committer
+from cloverwalk.jobs.errors import InvalidRecordError
 from cloverwalk.jobs.records import (
     JobWrite,
     StoredJob,
-    job_from_row,
     job_key,
     result_puts,
     with_progress_of,
@@ -137,7 +137,12 @@
         if row is None or row.value is None:
             await self._drop_job(job.job_id)
             return
-        newest = await self._view.put(job_from_row(row))
+        try:
+            newest = await self._view.put_row(row)
+        except InvalidRecordError:
+            # Its owner is unknown now, and no write can be made from it.
+            await self._drop_job(job.job_id)
+            return
         stored = with_progress_of(newest, job.stored)
         current = stored.content
         is_owner = (current.owner, current.epoch) == (job.record.owner, job.record.epoch)
--- a/src/cloverwalk/jobs/reader.py
+++ b/src/cloverwalk/jobs/reader.py
@@ -5,10 +5,12 @@
 import curio
 from msgspec import Struct
 
+from cloverwalk.core.decoding import InvalidContentError
 from cloverwalk.core.error_response import Reason
 from cloverwalk.jobs.errors import JobError
 from cloverwalk.jobs.records import (
     END_MARK,
+    PAYLOAD_NAME,
     PAYLOAD_TABLE,
     RESULT_TABLE,
     ItemResult,
@@ -17,16 +19,16 @@
     StoredJob,
     decode_items,
     decode_result,
-    job_from_row,
     job_key,
     join_pieces,
     keys_end,
     part_of,
+    piece_name,
     result_start,
 )
 from cloverwalk.jobs.result_cache import ResultCache
 from cloverwalk.jobs.view import JobView
-from cloverwalk.store.types import RowPage, Store, StoreError
+from cloverwalk.store.types import Row, RowKey, RowPage, Store, StoreError
 
 MAX_RESULT_BYTES = 700_000
 MAX_RESULTS = 100
@@ -108,7 +110,7 @@
         page = await self._page(key.table, key.part, key.key, key.key + "\x01")
         for row in page.rows:
             if row.row_key.key == job_id and row.value is not None:
-                return await self._view.put(job_from_row(row))
+                return await self._view.put_row(row)
         return None
 
     async def _page(self, table: str, part: str, start: str, end: str) -> RowPage:
@@ -143,13 +145,20 @@
             RESULT_TABLE, part_of(job_id), result_start(job_id, position), result_start(job_id, end)
         )
         pieces = [(row.row_key.key, row.value) for row in page.rows if row.value is not None]
+        rows_by_name = {piece_name(row.row_key.key): row for row in page.rows}
         values_by_position = join_pieces(pieces)
         if page.has_more and values_by_position:
             # The last position may be incomplete in this page.
             values_by_position.pop(max(values_by_position))
+        found = False
         for name, value in values_by_position.items():
-            self._cache.put(job_id, int(name), decode_result(value))
-        return f"{position:06d}" in values_by_position
+            try:
+                self._cache.put(job_id, int(name), decode_result(value))
+            except ValueError as error:
+                self._view.on_invalid(rows_by_name[name], error)
+            else:
+                found = found or int(name) == position
+        return found
 
     async def items(self, record: JobRecord) -> list[JobItem]:
         """Return a job's items from the store."""
@@ -170,4 +179,17 @@
         if len(rows) - is_ended < record.payload_rows:
             message = "the items could not be read"
             raise JobError(Reason.UNAVAILABLE, "payload_not_read", message, RETRY_AFTER_S)
-        return Payload(decode_items(join_pieces(rows)["p"]), is_ended)
+        return Payload(self._decode_items(record, rows), is_ended)
+
+    def _decode_items(self, record: JobRecord, rows: list[tuple[str, bytes]]) -> list[JobItem]:
+        try:
+            items = decode_items(join_pieces(rows).get(PAYLOAD_NAME, b""))
+            if len(items) != record.total:
+                raise InvalidContentError(f"{len(items)} items instead of {record.total}")
+        except InvalidContentError as error:
+            key = RowKey(PAYLOAD_TABLE, part_of(record.job_id), record.job_id)
+            # All rows of the items are invalid together; they are written once.
+            self._view.on_invalid(Row(key, None, 1), error)
+            message = "the items of the job are invalid"
+            raise JobError(Reason.UNAVAILABLE, "job_row_invalid", message) from error
+        return items
--- a/src/cloverwalk/jobs/records.py
+++ b/src/cloverwalk/jobs/records.py
@@ -11,6 +11,7 @@
 import xxhash
 from msgspec import Struct
 
+from cloverwalk.core.decoding import InvalidContentError, decode_content
 from cloverwalk.store.stored import Stored, Write
 from cloverwalk.store.types import Put, Row, RowKey
 
@@ -26,6 +27,15 @@
 """Largest value of one row."""
 
 MAX_ITEMS = 200
+MAX_NUMBER = 2**53
+"""Limit on the numbers in rows; up to it, floats are exact to 1."""
+
+MAX_NAME_BYTES = 200
+"""Names are parts of keys, of which the store accepts 200 bytes."""
+
+PAYLOAD_NAME = "p"
+"""Name of the rows with the items."""
+
 END_MARK = "ended"
 """Name of the row that marks a job as ended; sorts before the names of rows with items."""
 
@@ -189,7 +199,7 @@
 
 def payload_puts(job_id: str, items: list[JobItem]) -> list[Put]:
     """Return the rows that hold a job's items."""
-    return _split(PAYLOAD_TABLE, job_id, "p", encode(items))
+    return _split(PAYLOAD_TABLE, job_id, PAYLOAD_NAME, encode(items))
 
 
 def end_mark_put(job_id: str) -> Put:
@@ -224,6 +234,11 @@
     ]
 
 
+def piece_name(key: str) -> str:
+    """Return the name under which ``_split`` made a row."""
+    return key.rpartition("/")[2].partition(".")[0]
+
+
 def join_pieces(rows: list[tuple[str, bytes]]) -> dict[str, bytes]:
     """Return the data by name from rows that ``_split`` made.
 
@@ -232,20 +247,42 @@
     """
     data_by_name: dict[str, bytes] = {}
     for key, value in rows:
-        name = key.rpartition("/")[2].partition(".")[0]
+        name = piece_name(key)
         data_by_name[name] = data_by_name.get(name, b"") + value
     return data_by_name
 
 
 def decode_record(value: bytes | None) -> JobRecord:
-    """Return a job's record; the row must exist."""
+    """Return a job's record; the row must exist. Raise InvalidContentError if it is invalid."""
     assert value is not None
-    return _record_decoder.decode(value)
+    record = decode_content(_record_decoder, value)
+    _check_record(record)
+    return record
+
+
+def _check_record(record: JobRecord) -> None:
+    """Raise InvalidContentError if a field is out of bounds."""
+    for name in ("accepted_ms", "due_ms", "give_up_ms"):
+        if not abs(getattr(record, name)) <= MAX_NUMBER:
+            raise InvalidContentError(f"{name}: it is not a time")
+    counts = ("total", "tokens", "payload_rows", "epoch", "listed", "waiting_tokens")
+    for name in counts:
+        if not 0 <= getattr(record, name) <= MAX_NUMBER:
+            raise InvalidContentError(f"{name}: it is not a count")
+    for name in ("owner", "tenant"):
+        if len(getattr(record, name).encode()) > MAX_NAME_BYTES:
+            raise InvalidContentError(f"{name}: it has more than {MAX_NAME_BYTES} bytes")
 
 
 def job_from_row(row: Row) -> StoredJob:
-    """Return a job's record with the version of its row; the row must exist."""
-    return Stored.from_row(row, decode_record)
+    """Return a job's record with the version of its row; the row must exist.
+
+    Raise InvalidContentError if it is invalid.
+    """
+    stored = Stored.from_row(row, decode_record)
+    if stored.content.job_id != row.row_key.key:
+        raise InvalidContentError("job_id: it is not the key of the row")
+    return stored
 
 
 def with_progress_of(stored: StoredJob, earlier: StoredJob) -> StoredJob:
@@ -272,20 +309,37 @@
 
 
 def decode_items(value: bytes) -> list[JobItem]:
-    """Return a job's items."""
-    return _items_decoder.decode(value)
+    """Return a job's items; raise InvalidContentError if they are invalid."""
+    items = decode_content(_items_decoder, value)
+    if not all(0 <= item.tokens <= MAX_NUMBER for item in items):
+        raise InvalidContentError("tokens: it is not a count")
+    return items
 
 
 def decode_result(value: bytes) -> ItemResult:
-    """Return a result."""
-    return _result_decoder.decode(value)
+    """Return a result; raise InvalidContentError if it is invalid."""
+    return decode_content(_result_decoder, value)
 
 
 def decode_partial(value: bytes) -> PartialOutput:
-    """Return the output of an unfinished item."""
-    return _partial_decoder.decode(value)
+    """Return the output of an unfinished item; raise InvalidContentError if it is invalid."""
+    partial = decode_content(_partial_decoder, value)
+    for name in ("index", "start", "last_event_id", "failures"):
+        if not 0 <= getattr(partial, name) <= MAX_NUMBER:
+            raise InvalidContentError(f"{name}: it is not a count")
+    for name in ("service", "software_version"):
+        if len(getattr(partial, name).encode()) > MAX_NAME_BYTES:
+            raise InvalidContentError(f"{name}: it has more than {MAX_NAME_BYTES} bytes")
+    return partial
 
 
 def decode_quota(value: bytes | None) -> QuotaRow:
-    """Return a route's quota row; a missing row is empty."""
-    return QuotaRow() if value is None else _quota_decoder.decode(value)
+    """Return a route's quota row; a missing row is empty.
+
+    Raise InvalidContentError if it is invalid.
+    """
+    quota = QuotaRow() if value is None else decode_content(_quota_decoder, value)
+    for tokens, admitted_ms in quota.jobs.values():
+        if not (0 <= tokens <= MAX_NUMBER and abs(admitted_ms) <= MAX_NUMBER):
+            raise InvalidContentError("jobs: tokens or time are out of bounds")
+    return quota
--- a/src/cloverwalk/jobs/service.py
+++ b/src/cloverwalk/jobs/service.py
@@ -14,7 +14,6 @@
     StoredJob,
     change_job,
     end_mark_put,
-    job_from_row,
     job_key,
 )
 from cloverwalk.jobs.runner import BatchRunner
@@ -119,7 +118,7 @@
                 raise unresolved_error(outcome.status, END_RETRY_AFTER_S)
             if row is None or row.value is None:
                 raise JobError(Reason.NOT_FOUND, "no_such_job", "no such job")
-            stored = await self._view.put(job_from_row(row))
+            stored = await self._view.put_row(row)
             if stored.content.is_open:
                 writes.mark_void()
         if stored.content.is_open:
--- a/src/cloverwalk/jobs/takeover.py
+++ b/src/cloverwalk/jobs/takeover.py
@@ -6,6 +6,7 @@
 import msgspec
 
 from cloverwalk.core import catalogue
+from cloverwalk.core.decoding import InvalidContentError
 from cloverwalk.core.error_response import Reason
 from cloverwalk.jobs.checkpoint import fitting_segments
 from cloverwalk.jobs.commit import Committer
@@ -14,12 +15,14 @@
 from cloverwalk.jobs.records import (
     PARTIAL_TABLE,
     RESULT_TABLE,
+    ItemResult,
+    JobRecord,
     JobWrite,
+    PartialOutput,
     StoredJob,
     change_job,
     decode_partial,
     decode_result,
-    job_from_row,
     join_pieces,
     keys_end,
     part_of,
@@ -30,7 +33,7 @@
 from cloverwalk.jobs.runner import BatchRunner
 from cloverwalk.jobs.view import JobView
 from cloverwalk.store.stored import transaction
-from cloverwalk.store.types import CommitOutcome, CommitStatus, Store, StoreError
+from cloverwalk.store.types import CommitOutcome, CommitStatus, Row, RowKey, Store, StoreError
 from cloverwalk.telemetry.log import ServingLog
 
 TAKEOVER_TIMEOUT_S = 3.0
@@ -121,7 +124,7 @@
         row = outcome.conflict(write.row_key)
         if row is None or row.value is None:
             return None
-        stored = await self._view.put(job_from_row(row))
+        stored = await self._view.put_row(row)
         current, meant = stored.content, write.content
         is_owner = (current.owner, current.epoch) == (meant.owner, meant.epoch)
         return stored if is_owner and current.is_open else None
@@ -136,7 +139,7 @@
         payload = await self._reader.payload(record)
         job = JobRun(owned, payload.items)
         pieces = join_pieces(await self._rows(RESULT_TABLE, record.job_id))
-        results = [decode_result(value) for value in pieces.values()]
+        results = self._results(record.job_id, pieces)
         if len(results) < record.listed:
             message = "not all listed results could be read"
             raise JobError(Reason.UNAVAILABLE, "results_not_read", message)
@@ -146,10 +149,38 @@
             await self._repairer.repair(amended)
             return None
         segments = await self._rows(PARTIAL_TABLE, record.job_id)
-        partials = [decode_partial(value) for _, value in segments]
-        job.restore(listed_ids, partials)
+        job.restore(listed_ids, self._partials(record, segments))
         return job
 
+    def _results(self, job_id: str, pieces: dict[str, bytes]) -> list[ItemResult]:
+        """Return the results that are valid; the caller checks that none is missing."""
+        results = []
+        for name, value in pieces.items():
+            try:
+                results.append(decode_result(value))
+            except InvalidContentError as error:
+                self._record_invalid(RESULT_TABLE, job_id, name, error)
+        return results
+
+    def _partials(
+        self, record: JobRecord, segments: list[tuple[str, bytes]]
+    ) -> list[PartialOutput]:
+        """Return the saved output without invalid segments, whose items go on from before them."""
+        partials = []
+        for key, value in segments:
+            try:
+                partial = decode_partial(value)
+                if partial.index >= record.total:
+                    raise InvalidContentError("index: the job has no such item")
+                partials.append(partial)
+            except InvalidContentError as error:
+                self._record_invalid(PARTIAL_TABLE, record.job_id, key, error)
+        return partials
+
+    def _record_invalid(self, table: str, job_id: str, name: str, error: Exception) -> None:
+        # These rows are written once, so one version stands for all.
+        self._view.on_invalid(Row(RowKey(table, part_of(job_id), name), None, 1), error)
+
     async def _rows(self, table: str, job_id: str) -> list[tuple[str, bytes]]:
         rows: list[tuple[str, bytes]] = []
         start = f"{job_id}/"
--- a/src/cloverwalk/jobs/view.py
+++ b/src/cloverwalk/jobs/view.py
@@ -3,10 +3,14 @@
 The coordinator sees all records; another node sees those of jobs that it runs or was asked for.
 """
 
+import contextlib
 from collections.abc import Awaitable, Callable
 
 import curio
 
+from cloverwalk.core.decoding import InvalidContentError
+from cloverwalk.core.error_response import Reason
+from cloverwalk.jobs.errors import InvalidRecordError
 from cloverwalk.jobs.records import JOB_TABLE, StoredJob, job_from_row, with_progress_of
 from cloverwalk.store.types import Row, RowPage
 
@@ -17,6 +21,10 @@
 """Cached records, the latest ones; bounds their memory."""
 
 
+def _ignore_invalid(row: Row, error: Exception) -> None:
+    return
+
+
 async def _ignore_lost_progress(amended: StoredJob) -> None:
     return None
 
@@ -29,6 +37,9 @@
 
     def __init__(self) -> None:
         self.on_progress_lost: Callable[[StoredJob], Awaitable[None]] = _ignore_lost_progress
+        self.on_invalid: Callable[[Row, Exception], None] = _ignore_invalid
+        """Called with each invalid row that is read."""
+
         self._jobs: dict[str, StoredJob] = {}
         self._removed: dict[str, int] = {}
         self._waiters: dict[str, list[curio.Event]] = {}
@@ -54,7 +65,19 @@
         if row.value is None:
             self._remove(job_id, row.version)
             return
-        await self.put(job_from_row(row))
+        with contextlib.suppress(InvalidRecordError):
+            await self.put_row(row)
+
+    async def put_row(self, row: Row) -> StoredJob:
+        """Cache the record of an existing row, see ``put``; raise InvalidRecordError."""
+        try:
+            stored = job_from_row(row)
+        except InvalidContentError as error:
+            self.on_invalid(row, error)
+            raise InvalidRecordError(
+                Reason.UNAVAILABLE, "job_row_invalid", "the record of the job is invalid"
+            ) from error
+        return await self.put(stored)
 
     def _remove(self, job_id: str, version: int) -> None:
         """Remove a job; a read that lags behind must not bring it back."""
--- a/src/cloverwalk/platform/documents.py
+++ b/src/cloverwalk/platform/documents.py
@@ -8,6 +8,7 @@
 import msgspec
 from msgspec import UNSET, Raw, Struct, UnsetType, field
 
+from cloverwalk.core.decoding import decode_content
 from cloverwalk.gateway.configuration import (
     CONFIGURATION_FORMAT,
     ClientLimits,
@@ -167,13 +168,6 @@
 _RESULT_STATES = {ItemState.SUCCEEDED: "succeeded", ItemState.DEAD: "dead_letter"}
 
 
-def _decode(decoder: "msgspec.json.Decoder[Document]", raw: bytes) -> Document:
-    try:
-        return decoder.decode(raw)
-    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
-        raise ValueError(str(error)) from error
-
-
 def decode_configuration(raw: bytes) -> Configuration:
     """Return a configuration; raise ValueError if it is invalid."""
     return run_steps(configuration_steps(raw))
@@ -181,7 +175,7 @@
 
 def configuration_steps(raw: bytes) -> Steps[Configuration]:
     """Decode a configuration in steps; raise ValueError if it is invalid."""
-    wire = _decode(_configuration_decoder, raw)
+    wire = decode_content(_configuration_decoder, raw)
     services = {service.name: _service(service) for service in wire.services}
     limits = ClientLimits(
         wire.limits.max_header_bytes,
@@ -218,7 +212,7 @@
 ) -> Document:
     """Decode an entry of a list; raise ValueError that names the entry but none of its values."""
     try:
-        return _decode(decoder, bytes(raw))
+        return decode_content(decoder, raw)
     except ValueError as error:
         raise ValueError(f"{list_name}[{number}]: {error}") from error
 
@@ -291,7 +285,7 @@
 
 def decode_replica(replica_id: str, raw: bytes, version: int) -> Replica:
     """Return a replica entry; raise ValueError if it is invalid."""
-    wire = _decode(_replica_decoder, raw)
+    wire = decode_content(_replica_decoder, raw)
     if not REPLICA_ID.fullmatch(replica_id):
         raise ValueError("the id can't be sent in a header")
     if not wire.service:
@@ -346,7 +340,7 @@
 
 def decode_job(body: bytes) -> list[JobItem]:
     """Return the items of a job; raise ValueError if its body is invalid."""
-    wire = _decode(_job_decoder, body)
+    wire = decode_content(_job_decoder, body)
     return [
         JobItem(item.id, item.path, list(item.headers.items()), item.body, item.tokens)
         for item in wire.requests
--- a/src/cloverwalk/platform/store_client.py
+++ b/src/cloverwalk/platform/store_client.py
@@ -7,6 +7,7 @@
 import msgspec
 from msgspec import Struct
 
+from cloverwalk.core.decoding import Decoder, InvalidContentError, decode_content
 from cloverwalk.gateway.steps import Steps, run_in_steps
 from cloverwalk.http.client import BodyTimeout, HttpPool, HttpResponse
 from cloverwalk.http.errors import HttpError, LostAnswerError
@@ -37,6 +38,13 @@
 
 JSON_HEADERS = {"Content-Type": "application/json"}
 
+INVALID_VALUE = b"\xff"
+"""Stands for a value that is not base64. It is no text in UTF-8, so the reader of the row finds it
+invalid, and the other rows of the page are used."""
+
+INVALID_TEXT = "\N{REPLACEMENT CHARACTER}"
+"""Not base64."""
+
 Body = TypeVar("Body")
 
 
@@ -58,12 +66,32 @@
     more: bool = False
 
 
+class _AnyRow(Struct):
+    """A row whose value may have any type."""
+
+    table: str = ""
+    part: str = ""
+    key: str = ""
+    value: msgspec.Raw = msgspec.Raw(b"null")
+    ver: int = 0
+    gone: bool = False
+
+
+class _AnyRowsAnswer(Struct):
+    ver: int
+    rows: list[_AnyRow] = []
+    now_ms: float | None = None
+    more: bool = False
+
+
 class _PartsAnswer(Struct):
     parts: list[str] = []
     more: bool = False
 
 
 _rows_decoder = msgspec.json.Decoder(_RowsAnswer)
+_any_rows_decoder = msgspec.json.Decoder(_AnyRowsAnswer)
+_text_decoder = msgspec.json.Decoder(str | None)
 _parts_decoder = msgspec.json.Decoder(_PartsAnswer)
 
 
@@ -88,8 +116,8 @@
             is_refused = response.status < 500 or response.status in NOT_DONE_STATUSES
             return CommitOutcome(CommitStatus.NOT_DONE if is_refused else CommitStatus.UNKNOWN)
         try:
-            answer = _rows_decoder.decode(response.body)
-        except msgspec.DecodeError:
+            answer = _decode_rows(response.body)
+        except StoreError:
             return CommitOutcome(CommitStatus.UNKNOWN)
         if response.status == 200:
             return CommitOutcome(CommitStatus.COMMITTED, answer.ver, answer.now_ms)
@@ -196,16 +224,37 @@
             raise
 
 
-def _decode(decoder: "msgspec.json.Decoder[Body]", body: bytes) -> Body:
+def _decode(decoder: Decoder[Body], body: bytes) -> Body:
     try:
-        return decoder.decode(body)
-    except msgspec.DecodeError as error:
+        return decode_content(decoder, body)
+    except InvalidContentError as error:
         raise StoreError(str(error), "store_answer_invalid") from error
 
 
+def _decode_rows(body: bytes) -> _RowsAnswer:
+    """Decode an answer with rows; raise StoreError if it is invalid.
+
+    A row with a valid key and version but another value than text or null has ``INVALID_VALUE``.
+    """
+    try:
+        return decode_content(_rows_decoder, body)
+    except InvalidContentError:
+        answer = _decode(_any_rows_decoder, body)
+    rows = [_any_row(row) for row in answer.rows]
+    return _RowsAnswer(answer.ver, rows, answer.now_ms, answer.more)
+
+
+def _any_row(row: _AnyRow) -> _WireRow:
+    try:
+        value = decode_content(_text_decoder, row.value)
+    except InvalidContentError:
+        value = INVALID_TEXT
+    return _WireRow(row.table, row.part, row.key, value, row.ver, row.gone)
+
+
 def decode_page(body: bytes, table: str, part: str | None) -> Steps[RowPage]:
     """Decode an answer with rows in steps; raise StoreError if it is invalid."""
-    answer = _decode(_rows_decoder, body)
+    answer = _decode_rows(body)
     yield
     rows = []
     for wire in answer.rows:
@@ -222,8 +271,8 @@
     for start in range(0, len(text), CHARACTERS_PER_STEP):
         try:
             parts.append(b64decode(text[start : start + CHARACTERS_PER_STEP], validate=True))
-        except ValueError as error:
-            raise StoreError(f"invalid value of a row: {error}", "store_answer_invalid") from error
+        except ValueError:
+            return INVALID_VALUE
         yield
     return b"".join(parts)
 
@@ -235,7 +284,14 @@
     key = RowKey(wire.table or table, wire.part or part or "", wire.key)
     if wire.gone or wire.value is None or wire.ver == 0:
         return Row(key, None, wire.ver)
-    return Row(key, b64decode(wire.value) if value is None else value, wire.ver)
+    return Row(key, _decode_value(wire.value) if value is None else value, wire.ver)
+
+
+def _decode_value(text: str) -> bytes:
+    try:
+        return b64decode(text, validate=True)
+    except ValueError:
+        return INVALID_VALUE
 
 
 def _wire_key(key: RowKey) -> dict[str, Any]:
--- a/src/cloverwalk/serving/batch_parts.py
+++ b/src/cloverwalk/serving/batch_parts.py
@@ -5,6 +5,7 @@
 
 import curio
 
+from cloverwalk.core import catalogue
 from cloverwalk.fleet.follower import TableFollower
 from cloverwalk.fleet.in_flight import InFlightTracker
 from cloverwalk.gateway.crash_detector import CrashDetector
@@ -33,6 +34,7 @@
 from cloverwalk.serving.settings import ServingSettings
 from cloverwalk.store.clock import StoreClock
 from cloverwalk.store.health import StoreHealth
+from cloverwalk.store.row_decoder import InvalidRows
 from cloverwalk.store.types import RowPage, Store
 from cloverwalk.telemetry.log import ServingLog
 from cloverwalk.telemetry.metrics import ServingMetrics
@@ -69,6 +71,7 @@
         self._fleet = fleet
         incarnation = fleet.identity.incarnation
         self.view = JobView()
+        self.view.on_invalid = InvalidRows(log, catalogue.JOB_ROW_INVALID).record
         cache = ResultCache()
         committer = Committer(store, health, clock)
         caller = ItemCaller(
--- a/tests/serving/test_stream_version_store.py
+++ b/tests/serving/test_stream_version_store.py
@@ -58,6 +58,7 @@
     def __init__(self) -> None:
         self.now = 100.0
         self.store = MemoryStore()
+        self.log = LogLines()
 
     def start(self, run: str, *, is_active: bool = True) -> "Process":
         return Process(self, run, is_active)
@@ -77,6 +78,7 @@
     def __init__(self, world: Rows, run: str, is_active: bool) -> None:
         standin: Any = Standin(world, is_active)
         unused: Any = None
+        log: Any = world.log
         clock = lambda: world.now  # noqa: E731
         identity = Identity("n1", run, "10.0.0.1", "z1")
         self.streams = StreamVersionTable(clock)
@@ -84,7 +86,7 @@
             identity, standin, standin, unused, standin, self.streams, clock
         )
         self.rows = StreamVersionStore(
-            self.sync, standin, world.store, unused, standin, identity.incarnation, unused, clock
+            self.sync, standin, world.store, unused, standin, identity.incarnation, log, clock
         )
 
     async def receive(self, *streams: str) -> None:
@@ -183,10 +185,9 @@
         await world.start_with("s1")
         world.store.apply(Transaction([], [Put(RowKey(STREAM_TABLE, "", "bad"), b"{")], []))
         restarted = world.start("b")
-        restarted.rows._log = log = LogLines()  # type: ignore[assignment]
         await restarted.update()
         assert restarted.streams.find("s1") == V1
-        assert len(log.lines) == 1
+        assert len(world.log.lines) == 1
         assert len(world.store.values(STREAM_TABLE)) == 1
 
     curio.run(test)
