The receiver of datagrams outlives an error of one message's handler

Cause: a message of valid types may have values that no node sends; an error of its handler ended the task that receives all datagrams. A host from a message or row that has a NUL raised TypeError in sendto, and a host name was looked up, which blocks all tasks.

Change: the error is logged as bad_peer_message with its kind; a message to what is no IPv4 address is logged as not sent.

Measured: test_receiver_goes_on_after_odd_datagrams failed before (OverflowError of the handler), passes now.

--- a/src/cloverwalk/fleet/transport.py
+++ b/src/cloverwalk/fleet/transport.py
@@ -1,6 +1,8 @@
 """Datagrams to and from the other nodes. Senders that need an answer repeat lost messages."""
 
+import ipaddress
 from collections.abc import Awaitable, Callable
+from functools import lru_cache
 from typing import Any, Protocol
 
 from curio import socket
@@ -21,11 +23,26 @@
 MAX_DATAGRAMS_PER_TURN = 64
 """Datagrams that are read without a pause before other tasks run."""
 
+MAX_LOGGED_CHARACTERS = 200
+
 OnDatagram = Callable[[Datagram, str], Awaitable[None]]
 OnRefused = Callable[[str], None]
 """Called with the kind of a datagram that can't be decoded; see ``kind_of_refused``."""
 
 
+@lru_cache(maxsize=4096)
+def _is_address(host: str) -> bool:
+    """Whether a host is an IP address; one of a message or row may be any text.
+
+    A name would be looked up, which blocks all tasks.
+    """
+    try:
+        ipaddress.IPv4Address(host)
+    except ValueError:
+        return False
+    return True
+
+
 def _ignore_refused(kind: str) -> None:
     return
 
@@ -50,6 +67,9 @@
 
     def send(self, host: str, message: Datagram) -> None:
         """Send a message at once; drop and log it if it is too long or can't be sent."""
+        if not _is_address(host):
+            self._log_not_sent(host[:MAX_LOGGED_CHARACTERS], message, "not an IP address")
+            return
         data = encode_datagram(message)
         if len(data) > MAX_DATAGRAM_BYTES:
             self._log_not_sent(host, message, f"{len(data)} bytes")
@@ -82,10 +102,19 @@
             kind = kind_of_refused(data)
             self.on_refused(kind)
             self._log.write(
-                catalogue.BAD_PEER_MESSAGE, problem=str(error)[:200], host=host, kind=kind
+                catalogue.BAD_PEER_MESSAGE,
+                problem=str(error)[:MAX_LOGGED_CHARACTERS],
+                host=host,
+                kind=kind,
             )
             return
-        await on_datagram(message, host)
+        try:
+            await on_datagram(message, host)
+        except (ArithmeticError, LookupError, TypeError, ValueError) as error:
+            # A message of valid types whose values no sender of this build sends.
+            problem = repr(error)[:MAX_LOGGED_CHARACTERS]
+            kind = str(type(message).__struct_config__.tag)
+            self._log.write(catalogue.BAD_PEER_MESSAGE, problem=problem, host=host, kind=kind)
 
     async def close(self) -> None:
         """Close the socket."""
--- a/tests/unit/test_odd_input.py
+++ b/tests/unit/test_odd_input.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import json
+import os
 import zlib
 from collections.abc import Callable
 from random import Random
@@ -37,6 +38,7 @@
     kind_of_refused,
 )
 from cloverwalk.fleet.stream_version_store import STREAM_TABLE, StoredStreams, StreamVersionStore
+from cloverwalk.fleet.transport import DatagramTransport
 from cloverwalk.fleet.version_history_store import ROW_KEY, StoredVersions, VersionHistoryStore
 from cloverwalk.gateway.configuration import ClientLimits, Configuration
 from cloverwalk.gateway.configuration_encoding import decode_copy, encode_copy
@@ -63,6 +65,7 @@
 from cloverwalk.platform.store_client import decode_page
 from cloverwalk.store.clock import StoreTime
 from cloverwalk.store.types import Put, Row, RowKey, RowPage, StoreError, Transaction
+from cloverwalk.telemetry.log import ServingLog
 
 DEPTH = 20_000
 NESTED = b"[" * DEPTH + b"]" * DEPTH
@@ -436,6 +439,39 @@
     curio.run(test)
 
 
+# Guards against a receiver that ends with the error of one message's handler.
+def test_receiver_goes_on_after_odd_datagrams() -> None:
+    async def test() -> None:
+        read, write = os.pipe()
+        log = ServingLog("n1", lambda: 5.0, write)
+        transport = DatagramTransport(("127.0.0.1", 0), log)
+        handled: list[Any] = []
+
+        async def handle(message: Any, host: str) -> None:
+            handled.append(message)
+            if isinstance(message, DirectoryUpdate):
+                int(message.age_ms * float("inf"))
+
+        valid = encode_datagram(StreamVersionQuery(["a"]))
+        for path in places(json.loads(payload(StreamVersionQuery(["a"])))):
+            for odd in ODD_TEXT:
+                content = with_odd_value(payload(StreamVersionQuery(["a"])), path, odd)
+                await transport._dispatch(netstring(content), "10.0.0.9", handle)
+        await transport._dispatch(
+            encode_datagram(DirectoryUpdate(None, 1, 1, 1, [])), "10.0.0.9", handle
+        )
+        handled.clear()
+        await transport._dispatch(valid, "10.0.0.9", handle)
+        assert handled == [StreamVersionQuery(["a"])]
+        for host in ("a\0b", 300 * "a", "", ".", "localhost"):
+            transport.send(host, StreamVersionQuery(["a"]))
+        await transport.close()
+        os.close(write)
+        os.close(read)
+
+    curio.run(test)
+
+
 def test_job_error_is_raised_for_an_odd_record() -> None:
     async def test() -> None:
         view = JobView()
