Names, numbers and ports of a replica's entry are bounded where it is decoded

Cause: a service, zone or software version of any length was accepted, also with NUL, so one entry could make the updates of the list too long for a datagram. Entries in updates from other nodes were not checked at all: a port beyond 65,535 raises OverflowError where a connection is opened.

Change: names have at most 200 bytes, as keys of the store, and no control characters; seq is in 64 bits. check_replica is applied to entries from other nodes too; an invalid one is left out and logged once per version.

--- a/src/cloverwalk/fleet/directory_sync.py
+++ b/src/cloverwalk/fleet/directory_sync.py
@@ -4,9 +4,12 @@
 
 from cloverwalk.core import catalogue
 from cloverwalk.fleet.messages import DirectoryUpdate, Orders
-from cloverwalk.gateway.replicas import Replica, ReplicaDirectory
+from cloverwalk.gateway.replicas import Replica, ReplicaDirectory, check_replica
 from cloverwalk.telemetry.log import ServingLog
 
+MAX_INVALID_VERSIONS = 1000
+MAX_LOGGED_CHARACTERS = 200
+
 
 class DirectorySync:
     """Applies updates of the replica list that the coordinator sends."""
@@ -21,6 +24,8 @@
         """Received parts of a long list, all with the fingerprint ``_parts_fingerprint``."""
 
         self._parts_fingerprint = 0
+        self._invalid_versions: dict[str, int] = {}
+        """Versions of invalid entries, by key; each version is logged once."""
 
     def confirm(self, orders: Orders) -> None:
         """Record the list as confirmed if its fingerprint equals the coordinator's."""
@@ -35,7 +40,7 @@
             replicas = self._assemble_parts(update)
             if replicas is None:
                 return True
-            removed = self._directory.replace(replicas, update.version)
+            removed = self._directory.replace(self._valid(replicas), update.version)
             self._log.write(
                 catalogue.DIRECTORY_COPIED, version=update.version, removed=len(removed)
             )
@@ -57,11 +62,33 @@
         return [replica for part in sorted(parts) for replica in parts[part]]
 
     def _apply_changes(self, update: DirectoryUpdate) -> None:
-        for replica in update.replicas:
+        for replica in self._valid(update.replicas):
             self._directory.put(replica)
         for removed_replica in update.removed:
             self._directory.remove(removed_replica.replica_id, removed_replica.version)
 
+    def _valid(self, replicas: list[Replica]) -> list[Replica]:
+        """Return the entries that name a replica; builds without limits pass others on as well."""
+        valid = []
+        for replica in replicas:
+            try:
+                check_replica(replica)
+            except ValueError as error:
+                self._log_invalid(replica, str(error))
+            else:
+                valid.append(replica)
+        return valid
+
+    def _log_invalid(self, replica: Replica, error: str) -> None:
+        key = replica.replica_id[:MAX_LOGGED_CHARACTERS]
+        if self._invalid_versions.get(key) != replica.version:
+            if len(self._invalid_versions) >= MAX_INVALID_VERSIONS:
+                self._invalid_versions.clear()
+            self._invalid_versions[key] = replica.version
+            self._log.write(
+                catalogue.REPLICA_INVALID, replica=key, version=replica.version, error=error
+            )
+
     def _record_confirmation(self, age_ms: int, version: int) -> None:
         self._directory.confirm(self._clock() - age_ms / 1000)
         self._directory.version = max(self._directory.version, version)
--- a/src/cloverwalk/gateway/replicas.py
+++ b/src/cloverwalk/gateway/replicas.py
@@ -5,6 +5,7 @@
 """
 
 import enum
+import re
 from collections.abc import Callable, Iterable
 
 import attrs
@@ -28,6 +29,28 @@
 further entries mean that its clock was set back."""
 
 
+MAX_PORT = 65_535
+MAX_SLOTS = 100_000
+"""More than any engine runs at once; keeps sums of slots small."""
+
+MAX_NAME_BYTES = 200
+"""Names of services, zones and versions are keys or parts of keys, of which the store accepts 200
+bytes."""
+
+_CONTROL_CHARACTER = re.compile("[\x00-\x1f\x7f-\x9f\u2028\u2029]")
+
+
+def check_name(field: str, name: str) -> None:
+    """Raise ValueError, with the name of the field, if a name is too long or can't be shown.
+
+    >>> check_name("zone", "z1")
+    """
+    if len(name.encode()) > MAX_NAME_BYTES:
+        raise ValueError(f"{field}: it has more than {MAX_NAME_BYTES} bytes")
+    if _CONTROL_CHARACTER.search(name):
+        raise ValueError(f"{field}: it has a control character")
+
+
 class Replica(Struct, frozen=True, array_like=True):
     """One running instance behind a service."""
 
@@ -64,6 +87,19 @@
         return self.started_ms == started_ms or 0 in (self.started_ms, started_ms)
 
 
+def check_replica(replica: Replica) -> None:
+    """Raise ValueError if an entry, such as one from another node, names no replica to use."""
+    check_name("id", replica.replica_id)
+    check_name("service", replica.service)
+    check_name("address", replica.host)
+    check_name("zone", replica.zone)
+    check_name("version", replica.software_version)
+    if not 1 <= replica.port <= MAX_PORT:
+        raise ValueError(f"address: the port is not from 1 to {MAX_PORT}")
+    if not 1 <= replica.slots <= MAX_SLOTS:
+        raise ValueError(f"slots: {str(replica.slots)[:20]} is not from 1 to {MAX_SLOTS}")
+
+
 class _Suspicion(Struct):
     expires_at: float
     duration_s: float
--- a/src/cloverwalk/platform/documents.py
+++ b/src/cloverwalk/platform/documents.py
@@ -8,7 +8,7 @@
 import msgspec
 from msgspec import UNSET, Raw, Struct, UnsetType, field
 
-from cloverwalk.core.decoding import decode_content
+from cloverwalk.core.decoding import MAX_INTEGER, decode_content
 from cloverwalk.gateway.configuration import (
     CONFIGURATION_FORMAT,
     ClientLimits,
@@ -18,7 +18,7 @@
     RoutePart,
     Service,
 )
-from cloverwalk.gateway.replicas import Replica
+from cloverwalk.gateway.replicas import MAX_PORT, Replica, check_replica
 from cloverwalk.gateway.steps import Steps, run_steps
 from cloverwalk.jobs.reader import ResultPage
 from cloverwalk.jobs.records import ItemState, JobItem
@@ -31,10 +31,6 @@
 """Keys of the store have at most 200 bytes, and the id is sent in a request header."""
 
 ADDRESS = re.compile(r"(?:([0-9.]+)|\[([0-9A-Fa-f:.]+)\]):([0-9]{1,5})")
-MAX_PORT = 65_535
-MAX_SLOTS = 100_000
-"""More than any engine runs at once; keeps sums of slots small."""
-
 MAX_WARMUP_MS = 3_600_000
 """One hour; rejects implausible warm-up times."""
 
@@ -290,12 +286,12 @@
         raise ValueError("the id can't be sent in a header")
     if not wire.service:
         raise ValueError("service: it is empty")
-    if not 1 <= wire.slots <= MAX_SLOTS:
-        raise ValueError(f"slots: {str(wire.slots)[:20]} is not from 1 to {MAX_SLOTS}")
     if wire.state not in IS_DRAINING_BY_STATE:
         raise ValueError(f"state: {wire.state[:20]!r} is not a valid state")
+    if not -MAX_INTEGER <= wire.seq <= MAX_INTEGER:
+        raise ValueError("seq: it is out of range")
     host, port = _address(wire.address)
-    return Replica(
+    replica = Replica(
         replica_id,
         wire.service,
         host,
@@ -308,6 +304,8 @@
         _warmup_ms(wire.cold_left_ms),
         wire.version,
     )
+    check_replica(replica)
+    return replica
 
 
 def _address(text: str) -> tuple[str, int]:
--- a/tests/serving/test_replica_entries.py
+++ b/tests/serving/test_replica_entries.py
@@ -13,7 +13,7 @@
 from cloverwalk.core import catalogue
 from cloverwalk.fleet.directory_sync import DirectorySync
 from cloverwalk.fleet.messages import DirectoryUpdate, RemovedReplica
-from cloverwalk.gateway.replicas import ReplicaDirectory
+from cloverwalk.gateway.replicas import Replica, ReplicaDirectory
 from cloverwalk.platform.adapter import PlatformAdapter
 from cloverwalk.platform.documents import decode_replica
 from cloverwalk.serving.fleet_state import FleetState
@@ -42,16 +42,16 @@
 
 
 INVALID_VALUES: dict[str, list[Any]] = {
-    "service": ["", [], 5],
+    "service": ["", [], 5, 60_000 * "s", 201 * "s", 101 * "\u00fc", "s\0", "s\x1f", "s\x7f"],
     "address": ["", "10.0.0.1", ":80", "10.0.0.1:", "10.0.0.1:x", "10.0.0.1:0", "10.0.0.1:65536"]
     + ["10.0.0.1:-1", "a b:80", "0.0.0.0:80", "10.0.0.1:\u0661", "10.0.0.1: 80", []]
     + ["[127.0.0.1:80", "::1:80", "127.0.0.1]:80"],
-    "zone": [[], 5],
+    "zone": [[], 5, 60_000 * "z", "z\0", "z\n"],
     "slots": [0, -1, 2.5, True, "8", 10**30, []],
     "state": ["resting", "READY", "", 1, []],
-    "version": [1, []],
+    "version": [1, [], 60_000 * "v", "v\0", "v\u2028"],
     "cold_left_ms": ["0", [], True, -1, -0.5, 3_600_001, 1e300, 10**30],
-    "seq": ["1", 1.5, []],
+    "seq": ["1", 1.5, [], 10**400],
     "born": [0, -1, 1.5, True, "1790000000000", 10**30, 1_790_000_000_000_000, []],
 }
 INVALID_ENTRIES = [
@@ -126,6 +126,31 @@
     assert decode_replica("r1", entry(born=1_790_000_000_001), 1).started_ms == 1_790_000_000_001
 
 
+def test_names_of_the_longest_keys_are_valid() -> None:
+    name = 200 * "n"
+    replica = decode_replica(name, entry(service=name, zone=name, version=name), 1)
+    assert {replica.service, replica.zone, replica.software_version} == {name}
+
+
+# Guards against a connection to what can't be connected to, or updates too long to be passed on.
+@pytest.mark.parametrize(
+    "changed",
+    [{"port": 99_999_999}, {"port": 0}, {"zone": 60_000 * "z"}, {"host": "a\0"}, {"slots": 0}],
+    ids=["large port", "port 0", "long zone", "host", "slots"],
+)
+def test_invalid_entry_from_a_peer_is_left_out_and_logged_once(changed: dict[str, Any]) -> None:
+    state = NodeState()
+    log = state.fleet_state._log
+    sync = DirectorySync(state.directory, log, ManualClock())
+    valid = Replica("r1", "s", "10.0.0.1", 80, "z", 8, False, 2)
+    odd = msgspec.structs.replace(valid, replica_id="r2", **changed)
+    for version in (3, 4):
+        sync.apply(DirectoryUpdate(None, 1, version, 0, [odd, valid]))
+        sync.apply(DirectoryUpdate(1, 1, version, 0, [odd, valid]))
+        assert state.usable_ids() == ["r1"]
+    assert state.lines.count(catalogue.REPLICA_INVALID) == 1
+
+
 def test_peers_remove_a_replica_whose_entry_becomes_invalid() -> None:
     """Updates from the coordinator remove the replica from the lists of peers and add it again."""
     state, peer = NodeState(), ReplicaDirectory()
