Messages and rows are split by their encoded bytes, not by a number of entries

A row of streams had up to 1,000 records, 98 KB with keys of 64 characters; the store takes 65,536 bytes, so the row and all after it were never stored.

Copies are split by bytes as well as by 300 replicas. Rows of streams hold at most 48,000 bytes; a record that no reader accepts is dropped and logged. MemoryStore refuses rows of more than 65,536 bytes, as the platform does.

--- a/src/cloverwalk/emulator/memory_store.py
+++ b/src/cloverwalk/emulator/memory_store.py
@@ -20,6 +20,9 @@
 FEED_POLL_INTERVAL_S = 0.005
 """Default interval at which a waiting change feed checks for changes."""
 
+ROW_BYTES = 65_536
+"""Largest value of a row; the store refuses a transaction with a larger one."""
+
 
 class CommitFault(Enum):
     """A fault of one commit."""
@@ -52,7 +55,7 @@
         """Commit a transaction, or apply the next queued fault."""
         await curio.sleep(0)
         self.commits += 1
-        if self.is_down:
+        if self.is_down or any(len(put.value) > ROW_BYTES for put in transaction.puts):
             return CommitOutcome(CommitStatus.NOT_DONE)
         fault = self.commit_faults.popleft() if self.commit_faults else None
         if fault is CommitFault.NOT_DONE:
--- a/src/cloverwalk/fleet/configuration_copy.py
+++ b/src/cloverwalk/fleet/configuration_copy.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from cloverwalk.fleet.datagrams import MAX_DATAGRAM_BYTES
 from cloverwalk.fleet.messages import (
     CompactConfigurationPart,
     ConfigurationCopy,
@@ -13,7 +14,6 @@
     DatagramError,
     encode_datagram,
 )
-from cloverwalk.fleet.transport import MAX_DATAGRAM_BYTES
 from cloverwalk.gateway.configuration import Configuration, ConfigurationHolder
 from cloverwalk.gateway.configuration_encoding import decode_copy, encode_copy
 from cloverwalk.gateway.steps import Steps, run_in_steps, run_steps
--- a/src/cloverwalk/fleet/state_sender.py
+++ b/src/cloverwalk/fleet/state_sender.py
@@ -5,9 +5,9 @@
 it from those instead.
 """
 
-import math
 from collections.abc import Iterable
 
+from cloverwalk.core.byte_lists import split_by_bytes
 from cloverwalk.fleet.configuration_copy import ConfigurationEncoder
 from cloverwalk.fleet.messages import (
     ConfigurationRequest,
@@ -17,7 +17,7 @@
 from cloverwalk.fleet.node_registry import NodeEntry
 from cloverwalk.fleet.transport import Sender
 from cloverwalk.gateway.configuration import ConfigurationHolder
-from cloverwalk.gateway.replicas import Replica, ReplicaDirectory
+from cloverwalk.gateway.replicas import Replica, ReplicaDirectory, fingerprint_of
 
 COPY_INTERVAL_S = 0.5
 """Minimum time between copies of the configuration or replica list to one node."""
@@ -25,10 +25,13 @@
 CONFIGURATION_REQUEST_INTERVAL_S = 0.2
 """Minimum time between requests for a newer configuration, after which a lost one is repeated."""
 
+MAX_REPLICA_BYTES = 50_000
+"""Encoded replicas in one datagram; the rest of the datagram is for its other fields."""
+
 MAX_REPLICAS_PER_COPY = 300
-"""Replicas in one datagram of a whole list, about 27 KB. A longer list is sent in parts, and only
-to nodes that the store does not serve; the others read it from the store. Otherwise 300 nodes whose
-lists of 3,000 replicas differ cost 37 MB/s, in datagrams that are too long to be sent."""
+"""Replicas in one datagram of a whole list, about 27 KB. A longer list is sent in parts, and
+only to nodes that the store does not serve; the others read it from the store. Otherwise 300 nodes
+whose lists of 3,000 replicas differ cost 37 MB/s, in datagrams that are too long to be sent."""
 
 STARTUP_GRACE_S = 1.0
 """A node without a configuration that first reported within this time gets no copies while the
@@ -49,6 +52,35 @@
     return int(min(MAX_DIRECTORY_AGE_MS, (now - directory.confirmed_at) * 1000))
 
 
+def change_updates(
+    update: DirectoryUpdate, previous: dict[str, Replica], previous_version: int
+) -> list[DirectoryUpdate]:
+    """Return changes as updates that each fit a datagram; each leads to the list of the next one.
+
+    ``previous`` is the list before the changes. Only the last update confirms the list: with the
+    others it corresponds to no version of the store.
+    """
+    changed = split_by_bytes(update.replicas, MAX_REPLICA_BYTES).parts
+    removed = split_by_bytes(update.removed, MAX_REPLICA_BYTES).parts
+    if len(changed) + len(removed) <= 1:
+        return [update]
+    known, since = dict(previous), update.since
+    updates: list[DirectoryUpdate] = []
+    for replicas, gone in [(part, []) for part in changed] + [([], part) for part in removed]:
+        known.update({replica.replica_id: replica for replica in replicas})
+        for removed_replica in gone:
+            known.pop(removed_replica.replica_id, None)
+        fingerprint = fingerprint_of(known[key] for key in sorted(known))
+        age_ms = int(MAX_DIRECTORY_AGE_MS)
+        updates.append(
+            DirectoryUpdate(since, fingerprint, previous_version, age_ms, replicas, gone)
+        )
+        since = fingerprint
+    updates[-1].fingerprint = update.fingerprint
+    updates[-1].version, updates[-1].age_ms = update.version, update.age_ms
+    return updates
+
+
 class StateSender:
     """Sends whole copies to nodes that are behind, and changes of the replica list to all nodes."""
 
@@ -65,6 +97,9 @@
         self.sent_fingerprint: int | None = None
         """Fingerprint of the list as of the last changes sent."""
 
+        self._sent_version = 0
+        """Store version of the list as of the last changes sent."""
+
         self._sent_warmup_revision = 0
         """Revision of the warm-up times in the list as of the last changes sent."""
 
@@ -80,6 +115,7 @@
         self._pushed_configuration_version = self._configuration.version
         self._sent_directory = {replica.replica_id: replica for replica in self._directory.all()}
         self.sent_fingerprint = self._directory.fingerprint
+        self._sent_version = self._directory.version
         self._sent_warmup_revision = self._directory.warmup_revision
         self._sent_software_revision = self._directory.software_revision
 
@@ -139,18 +175,19 @@
     def _copy_directory(self, entry: NodeEntry, now: float) -> None:
         """Send a node the whole replica list, unless it is long and the store serves the node."""
         replicas = self._directory.all()
-        parts = max(1, math.ceil(len(replicas) / MAX_REPLICAS_PER_COPY))
+        lists = split_by_bytes(replicas, MAX_REPLICA_BYTES, MAX_REPLICAS_PER_COPY).parts or [[]]
+        parts = len(lists)
         if parts > 1 and entry.report.store_age_ms < MAX_SERVED_STORE_AGE_MS:
             return
         # Delay the next copy by an interval per further part, as a long list takes longer to send.
         entry.state_sent_at = now + (parts - 1) * COPY_INTERVAL_S
-        for part in range(parts):
+        for part, replicas in enumerate(lists):
             update = DirectoryUpdate(
                 None,
                 self._directory.fingerprint,
                 self._directory.version,
                 directory_age_ms(self._directory, now),
-                replicas[part * MAX_REPLICAS_PER_COPY : (part + 1) * MAX_REPLICAS_PER_COPY],
+                replicas,
                 part=part,
                 parts=parts,
             )
@@ -179,6 +216,7 @@
         if not previous:
             # The first list of this process is not a change. Nodes that lack it read it from the
             # store or get a copy; sent as a change to all nodes it may exceed a datagram.
+            self._sent_version = self._directory.version
             return
         changed = [replica for key, replica in current.items() if previous.get(key) != replica]
         version = self._directory.version
@@ -187,5 +225,8 @@
         update = DirectoryUpdate(
             since, self._directory.fingerprint, version, age_ms, changed, removed
         )
+        previous_version, self._sent_version = self._sent_version, version
+        updates = change_updates(update, previous, previous_version)
         for entry in nodes:
-            self._transport.send(entry.contact.host, update)
+            for part in updates:
+                self._transport.send(entry.contact.host, part)
--- a/src/cloverwalk/fleet/stream_version_store.py
+++ b/src/cloverwalk/fleet/stream_version_store.py
@@ -12,14 +12,16 @@
 import msgspec
 
 from cloverwalk.core import catalogue
+from cloverwalk.core.byte_lists import split_by_bytes
+from cloverwalk.core.decoding import InvalidContentError, check_bounds
 from cloverwalk.fleet.coordinator import Coordinator
 from cloverwalk.fleet.messages import StreamRecord
 from cloverwalk.fleet.stream_version_sync import StreamVersionSync
 from cloverwalk.store.clock import StoreClock
 from cloverwalk.store.health import StoreHealth
-from cloverwalk.store.row_decoder import InvalidRows, RowDecoder
+from cloverwalk.store.row_decoder import MAX_TEXT_CHARACTERS, InvalidRows, RowDecoder
 from cloverwalk.store.stored import Stored, Write, create, transaction
-from cloverwalk.store.types import CommitStatus, RowKey, Store, StoreError
+from cloverwalk.store.types import MAX_ROW_BYTES, CommitStatus, RowKey, Store, StoreError
 from cloverwalk.telemetry.log import ServingLog
 
 STREAM_TABLE = "stream"
@@ -37,7 +39,8 @@
 """How long a resumption waits for the rows."""
 
 MAX_RECORDS_PER_ROW = 1000
-"""About 70 KB."""
+MAX_RECORD_BYTES = MAX_ROW_BYTES - 100
+"""Encoded records in a row; the rest of the row is for its other fields."""
 
 MAX_ROWS = 1000
 """More rows are not kept; the oldest are removed first."""
@@ -82,6 +85,7 @@
         self._health = health
         self._store_clock = store_clock
         self._incarnation = incarnation
+        self._log = log
         invalid_rows = InvalidRows(log, catalogue.VERSION_HISTORY_INVALID)
         self._decoder = RowDecoder(_decoder, lambda: StoredStreams([], 0.0), invalid_rows)
         """An invalid row counts as empty, so it is removed."""
@@ -150,7 +154,7 @@
         if now is None:
             return True
         unneeded = self._unneeded(now.earliest_ms)
-        records = self._sync.pop_unsaved(MAX_RECORDS_PER_ROW)
+        records = self._next_records()
         if not records and not unneeded:
             return True
         writes = [self._new_row(StoredStreams(records, now.latest_ms))] if records else []
@@ -168,6 +172,23 @@
             self._rows[write.row_key.key] = write.committed(outcome)
         return True
 
+    def _next_records(self) -> list[StreamRecord]:
+        """Return the records of the next row; those that no reader would accept are dropped."""
+        valid, odd = [], 0
+        for record in self._sync.pop_unsaved(MAX_RECORDS_PER_ROW):
+            try:
+                check_bounds(record, MAX_TEXT_CHARACTERS)
+            except InvalidContentError:
+                odd += 1
+            else:
+                valid.append(record)
+        if odd:
+            self._log.write(catalogue.VERSION_HISTORY_INVALID, error=f"{odd} records are too long")
+        first, *others = split_by_bytes(valid, MAX_RECORD_BYTES).parts or [[]]
+        for part in others:
+            self._sync.return_unsaved(part)
+        return first
+
     def _unneeded(self, now_ms: float) -> list[Stored[StoredStreams]]:
         """Return rows to remove: expired ones, and the oldest if there are too many."""
         expired = [row for row in self._rows.values() if row.content.expires_ms < now_ms]
--- a/src/cloverwalk/fleet/transport.py
+++ b/src/cloverwalk/fleet/transport.py
@@ -8,18 +8,15 @@
 from curio import socket
 
 from cloverwalk.core import catalogue
+from cloverwalk.fleet.datagrams import MAX_DATAGRAM_BYTES, encode_datagrams
 from cloverwalk.fleet.messages import (
     Datagram,
     DatagramError,
     decode_datagram,
-    encode_datagram,
     kind_of_refused,
 )
 from cloverwalk.telemetry.log import ServingLog
 
-MAX_DATAGRAM_BYTES = 60_000
-"""Below the UDP over IPv4 limit of 65,507 bytes."""
-
 MAX_DATAGRAMS_PER_TURN = 64
 """Datagrams that are read without a pause before other tasks run."""
 
@@ -66,16 +63,19 @@
         self._sock.bind(address)
 
     def send(self, host: str, message: Datagram) -> None:
-        """Send a message at once; drop and log it if it is too long or can't be sent."""
+        """Send a message at once; log what is too long or can't be sent, and drop it."""
         if not _is_address(host):
             self._log_not_sent(host[:MAX_LOGGED_CHARACTERS], message, "not an IP address")
             return
-        data = encode_datagram(message)
-        if len(data) > MAX_DATAGRAM_BYTES:
-            self._log_not_sent(host, message, f"{len(data)} bytes")
-            return
+        datagrams = encode_datagrams(message)
+        if not datagrams.encoded:
+            self._log_not_sent(host, message, f"more than {MAX_DATAGRAM_BYTES} bytes")
+        elif datagrams.left_out:
+            left_out = ", ".join(f"{count} {name}" for name, count in datagrams.left_out.items())
+            self._log_not_sent(host, message, f"too long; left out: {left_out}")
         try:
-            self._sock._socket.sendto(data, (host, self._port))
+            for data in datagrams.encoded:
+                self._sock._socket.sendto(data, (host, self._port))
         except OSError as error:
             self._log_not_sent(host, message, repr(error))
 
--- a/src/cloverwalk/gateway/replicas.py
+++ b/src/cloverwalk/gateway/replicas.py
@@ -94,8 +94,8 @@
     check_name("address", replica.host)
     check_name("zone", replica.zone)
     check_name("version", replica.software_version)
-    if not 1 <= replica.port <= MAX_PORT:
-        raise ValueError(f"address: the port is not from 1 to {MAX_PORT}")
+    if not 0 <= replica.port <= MAX_PORT:
+        raise ValueError(f"address: the port is not from 0 to {MAX_PORT}")
     if not 1 <= replica.slots <= MAX_SLOTS:
         raise ValueError(f"slots: {str(replica.slots)[:20]} is not from 1 to {MAX_SLOTS}")
 
@@ -287,8 +287,7 @@
         Replicas rewrite their entries all the time, so versions are left out.
         """
         if self._fingerprint is None:
-            text = "\n".join(_fingerprint_text(replica) for replica in self.all())
-            self._fingerprint = xxhash.xxh64_intdigest(text.encode()) >> 16
+            self._fingerprint = fingerprint_of(self.all())
         return self._fingerprint
 
     def put(self, replica: Replica) -> bool:
@@ -442,6 +441,12 @@
     return same != replica
 
 
+def fingerprint_of(replicas: Iterable[Replica]) -> int:
+    """Return the fingerprint of a list that is sorted by id."""
+    text = "\n".join(_fingerprint_text(replica) for replica in replicas)
+    return xxhash.xxh64_intdigest(text.encode()) >> 16
+
+
 def _fingerprint_text(replica: Replica) -> str:
     """Return an entry without its version, warm-up time, software version, and unknown start time.
 
--- a/src/cloverwalk/jobs/intake.py
+++ b/src/cloverwalk/jobs/intake.py
@@ -335,11 +335,15 @@
 
     def _stored_quota(self, row: Row) -> Stored[QuotaRow]:
         """Return a quota row; an invalid one counts as empty, and is replaced by the next write."""
-        try:
-            return Stored.from_row(row, decode_quota)
-        except InvalidContentError as error:
-            self._view.on_invalid(row, error)
-            return Stored(row.row_key, QuotaRow(), row.version)
+
+        def decode(value: bytes | None) -> QuotaRow:
+            try:
+                return decode_quota(value)
+            except InvalidContentError as error:
+                self._view.on_invalid(row, error)
+                return QuotaRow()
+
+        return Stored.from_row(row, decode)
 
     # --- outcomes ---
 
--- a/src/cloverwalk/jobs/records.py
+++ b/src/cloverwalk/jobs/records.py
@@ -13,7 +13,7 @@
 
 from cloverwalk.core.decoding import InvalidContentError, decode_content
 from cloverwalk.store.stored import Stored, Write
-from cloverwalk.store.types import Put, Row, RowKey
+from cloverwalk.store.types import MAX_ROW_BYTES, Put, Row, RowKey
 
 JOB_TABLE = "job"
 PAYLOAD_TABLE = "payload"
@@ -23,9 +23,6 @@
 PART_COUNT = 16
 """Parts of each table over which jobs are spread."""
 
-MAX_ROW_BYTES = 48_000
-"""Largest value of one row."""
-
 MAX_ITEMS = 200
 MAX_NUMBER = 2**53
 """Limit on the numbers in rows; up to it, floats are exact to 1."""
--- a/src/cloverwalk/store/types.py
+++ b/src/cloverwalk/store/types.py
@@ -7,6 +7,9 @@
 
 from cloverwalk.core.errors import CloverwalkError
 
+MAX_ROW_BYTES = 48_000
+"""Largest value of a row; the store accepts somewhat more."""
+
 
 class StoreError(CloverwalkError):
     """A read returned no usable answer. Nothing was changed."""
--- a/tests/serving/returning_world.py
+++ b/tests/serving/returning_world.py
@@ -26,10 +26,11 @@
 from cloverwalk.core.token_bucket import TokenBucket
 from cloverwalk.emulator.memory_store import MemoryStore
 from cloverwalk.emulator.platform_store_calls import transaction_of, wire_rows
+from cloverwalk.fleet.datagrams import MAX_DATAGRAM_BYTES
 from cloverwalk.fleet.follower import TableFollower
 from cloverwalk.fleet.in_flight import InFlightTracker
 from cloverwalk.fleet.messages import Datagram, decode_datagram, encode_datagram
-from cloverwalk.fleet.transport import MAX_DATAGRAM_BYTES, OnDatagram
+from cloverwalk.fleet.transport import OnDatagram
 from cloverwalk.http.client import BodyTimeout, HttpResponse
 from cloverwalk.http.errors import LostAnswerError
 from cloverwalk.platform import names
--- a/tests/serving/test_coordination.py
+++ b/tests/serving/test_coordination.py
@@ -10,6 +10,7 @@
 from hypothesis import strategies as st
 
 from cloverwalk.fleet.coordinator_client import BatchOrderHandler
+from cloverwalk.fleet.datagrams import MAX_DATAGRAM_BYTES
 from cloverwalk.fleet.election import LEADER_TIMEOUT_S, ROLE_KEY, RoleRow
 from cloverwalk.fleet.messages import (
     ConfigurationCopy,
@@ -33,7 +34,6 @@
     MAX_PLACEMENT_TIMEOUT_S,
     PlacementResult,
 )
-from cloverwalk.fleet.transport import MAX_DATAGRAM_BYTES
 from cloverwalk.scheduling.admission import PlacementVerdict
 from cloverwalk.store.types import Expectation, Put, Transaction
 
--- a/tests/serving/test_crash_records.py
+++ b/tests/serving/test_crash_records.py
@@ -9,8 +9,8 @@
 from hypothesis import strategies as st
 
 from cloverwalk.emulator.memory_store import CommitFault
+from cloverwalk.fleet.datagrams import MAX_DATAGRAM_BYTES
 from cloverwalk.fleet.messages import CrashCases, Report, encode_datagram
-from cloverwalk.fleet.transport import MAX_DATAGRAM_BYTES
 from cloverwalk.gateway.crash_keys import RequestKeys, part_key
 from cloverwalk.gateway.crash_ledger import (
     CONTAINMENT_THRESHOLD,
--- a/tests/serving/test_stream_version_store.py
+++ b/tests/serving/test_stream_version_store.py
@@ -168,6 +168,40 @@
     curio.run(test)
 
 
+# Guards against a row that the store refuses, again and again, and all records after it with it.
+def test_records_with_long_names_are_stored_in_several_rows() -> None:
+    async def test() -> None:
+        world = Rows()
+        process = world.start("a")
+        await process.update()
+        streams = [f"{number:064d}" for number in range(2500)]
+        await process.receive(*streams)
+        for _ in range(8):
+            await process.update()
+        await world.start("b").update()
+        restarted = world.start("c")
+        await restarted.update()
+        assert len(restarted.streams.records(streams)) == len(streams)
+        assert not world.log.lines
+
+    curio.run(test)
+
+
+def test_record_that_is_too_long_does_not_keep_others_from_being_stored() -> None:
+    async def test() -> None:
+        world = Rows()
+        process = world.start("a")
+        await process.update()
+        await process.receive("s1", 1000 * "s", 70_000 * "s", "s2")
+        await process.update()
+        assert len(world.log.lines) == 1
+        restarted = world.start("b")
+        await restarted.update()
+        assert restarted.streams.find("s1") == restarted.streams.find("s2") == V1
+
+    curio.run(test)
+
+
 def test_store_is_not_called_without_new_records() -> None:
     async def test() -> None:
         world = Rows()
