--- a/tests/serving/node_processes.py
+++ b/tests/serving/node_processes.py
@@ -23,14 +23,25 @@
     """One process of the node program."""
 
     def __init__(
-        self, number: int, ports: list[int], store_port: int, folder: Path, more: str = ""
+        self,
+        number: int,
+        ports: list[int],
+        store_port: int,
+        folder: Path,
+        more: str = "",
+        keeps_log: bool = False,
     ) -> None:
         self.host = f"127.0.1.{number + 1}"
         self.zone = ZONES[number % len(ZONES)]
         self.node = f"front-{self.zone}-{number}"
         self.client_address = (self.host, ports[0])
         self.ready_address = (self.host, ports[1])
+        self.peer_address = (self.host, ports[2])
         self._settings = folder / f"{number}.toml"
+        self.log_path = folder / f"{number}.log"
+        """Log of all processes of this node; written if ``keeps_log``."""
+
+        self._keeps_log = keeps_log
         self._settings.write_text(self._settings_text(ports, store_port, more))
         self.popen = self._start()
 
@@ -58,7 +69,9 @@
     def _start(self) -> "subprocess.Popen[bytes]":
         environment = {**os.environ, names.SETTINGS_VARIABLE: str(self._settings)}
         command = [sys.executable, str(PROGRAM)]
-        return subprocess.Popen(command, env=environment, stdout=subprocess.DEVNULL)
+        with open(self.log_path if self._keeps_log else os.devnull, "ab") as output:
+            errors = output if self._keeps_log else None
+            return subprocess.Popen(command, env=environment, stdout=output, stderr=errors)
 
     @property
     def pid(self) -> int:
@@ -81,14 +94,18 @@
 
 
 @contextmanager
-def node_processes(count: int, store_port: int, more: str = "") -> Iterator[list[NodeProcess]]:
+def node_processes(
+    count: int, store_port: int, more: str = "", keeps_logs: bool = False
+) -> Iterator[list[NodeProcess]]:
     """Start a fleet, with the lines ``more`` in their settings; kill its processes at the end."""
     ports = [free_port() for _ in range(4)]
     started: list[NodeProcess] = []
     with tempfile.TemporaryDirectory() as folder:
         try:
             for number in range(count):
-                started.append(NodeProcess(number, ports, store_port, Path(folder), more))
+                started.append(
+                    NodeProcess(number, ports, store_port, Path(folder), more, keeps_logs)
+                )
             yield started
         finally:
             for process in started:
