Saved output and listed results are bounded by encoded bytes, not by characters

Cause: a segment of output had 20,000 characters and one event more, three or more bytes each outside of Latin text, so its row exceeded the 65,536 bytes that the store takes; groups of results and of segments had 400,000 characters, 1.6 MB in base64 of the 1 MB of a transaction. Such a write was refused each time, so output was not saved, results were not listed, and a stopping node did not release the job.

Change: segments, their groups and groups of results are bounded by encoded bytes. An event that fits no row ends what is saved of its item, and of no other.

--- a/src/cloverwalk/jobs/checkpoint.py
+++ b/src/cloverwalk/jobs/checkpoint.py
@@ -6,6 +6,7 @@
 
 from collections.abc import Awaitable, Callable
 
+from cloverwalk.core.byte_lists import encoded_bytes
 from cloverwalk.jobs.commit import Committer
 from cloverwalk.jobs.records import PartialOutput, partial_put
 from cloverwalk.jobs.run import JobRun
@@ -18,8 +19,8 @@
 MAX_SEGMENTS = 80
 """Segments saved in one transaction."""
 
-MAX_CHARACTERS = 400_000
-"""Output characters saved in one transaction."""
+MAX_BYTES = 400_000
+"""Encoded output saved in one transaction."""
 
 OnConflict = Callable[[JobRun], Awaitable[None]]
 
@@ -29,8 +30,8 @@
     fitting: list[PartialOutput] = []
     size = 0
     for segment in segments:
-        size += sum(len(text) for text in segment.texts)
-        if len(fitting) >= MAX_SEGMENTS or size > MAX_CHARACTERS:
+        size += encoded_bytes(segment)
+        if len(fitting) >= MAX_SEGMENTS or size > MAX_BYTES:
             break
         fitting.append(segment)
     return fitting
--- a/src/cloverwalk/jobs/run.py
+++ b/src/cloverwalk/jobs/run.py
@@ -8,6 +8,7 @@
 
 from msgspec import Struct
 
+from cloverwalk.core.byte_lists import encoded_bytes
 from cloverwalk.gateway.configuration import Route
 from cloverwalk.gateway.crash_detector import Delivery
 from cloverwalk.gateway.crash_keys import RequestKeys
@@ -26,12 +27,15 @@
     output_series,
 )
 from cloverwalk.store.stored import create
-from cloverwalk.store.types import CommitOutcome, CommitStatus
+from cloverwalk.store.types import MAX_ROW_BYTES, CommitOutcome, CommitStatus
 
 MAX_GROUP_ITEMS = 24
 MAX_GROUP_BYTES = 400_000
-SEGMENT_CHARACTERS = 20_000
-"""Approximate output characters in one saved segment."""
+SEGMENT_BYTES = 20_000
+"""Encoded output after which a saved segment ends."""
+
+MAX_SEGMENT_BYTES = MAX_ROW_BYTES - 1_000
+"""Limit of the encoded output in one saved segment; the rest of the row is for its other fields."""
 
 
 TEXT_OVERHEAD_BYTES = 57
@@ -283,7 +287,7 @@
         for item_run in self.items:
             if item_run.phase is not Phase.FINISHED or item_run.result is None:
                 continue
-            size += len(item_run.result.text)
+            size += encoded_bytes(item_run.result.text)
             if group and (len(group) >= MAX_GROUP_ITEMS or size > MAX_GROUP_BYTES):
                 break
             group.append(item_run)
@@ -353,9 +357,14 @@
     start = item_run.saved_events
     while start < len(item_run.texts):
         end, size = start, 0
-        while end < len(item_run.texts) and (end == start or size < SEGMENT_CHARACTERS):
-            size += len(item_run.texts[end])
+        while end < len(item_run.texts) and size < SEGMENT_BYTES:
+            size += encoded_bytes(item_run.texts[end])
+            if size > MAX_SEGMENT_BYTES:
+                break
             end += 1
+        if end == start:
+            # This event fits no row, and those after it can't be joined to what is saved.
+            break
         last_event_id = item_run.last_event_id - (len(item_run.texts) - end)
         texts = item_run.texts[start:end]
         segments.append(
--- a/tests/serving/test_jobs.py
+++ b/tests/serving/test_jobs.py
@@ -3,6 +3,7 @@
 import os
 
 import curio
+import msgspec
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
@@ -18,7 +19,8 @@
 )
 
 from cloverwalk.core.error_response import NOTHING_SENT, error_response
-from cloverwalk.emulator.memory_store import CommitFault, MemoryStore
+from cloverwalk.emulator.memory_store import ROW_BYTES, CommitFault, MemoryStore
+from cloverwalk.jobs.checkpoint import fitting_segments
 from cloverwalk.jobs.errors import JobError
 from cloverwalk.jobs.records import (
     JOB_TABLE,
@@ -28,6 +30,8 @@
     PartialOutput,
     change_job,
     decode_record,
+    partial_put,
+    result_puts,
 )
 from cloverwalk.jobs.run import JobRun
 from cloverwalk.jobs.sweeper import JobSweeper
@@ -362,6 +366,61 @@
     assert fresh.items[0].last_event_id == 9
 
 
+# Guards against a job whose output and results are never stored: the store refuses long rows, and
+# transactions of more than a megabyte with values in base64.
+@pytest.mark.parametrize("text", ["x", "\u8a9e", "\0", "\U0001f340"])
+@pytest.mark.parametrize("length", [100, 9_000, 19_900])
+def test_output_of_any_characters_is_saved_in_rows_that_the_store_takes(
+    text: str, length: int
+) -> None:
+    record = JobRecord("j", "h", "/", 0.0, 0.0, 0.0, 3, 12, 10, 1, "n1")
+    job = JobRun(stored_job(record), submission("j", count=12).items)
+    event = text * (length if len(msgspec.json.encode(length * text)) < 45_000 else length // 8)
+    for item in job.items:
+        job.begin(item, "r1", 0.0)
+        for number in range(1, 13):
+            assert job.add_event(item, number, event)
+    saved: list[PartialOutput] = []
+    for _ in range(60):
+        segments = fitting_segments(job.unsaved())
+        puts = [partial_put("j", segment) for segment in segments]
+        assert all(len(put.value) <= ROW_BYTES for put in puts)
+        assert sum(len(put.value) for put in puts) * 4 / 3 < 1_000_000
+        job.mark_saved(segments)
+        saved += segments
+    fresh = JobRun(stored_job(record), submission("j", count=12).items)
+    fresh.restore(set(), saved)
+    assert [item.texts for item in fresh.items] == [item.texts for item in job.items]
+
+
+def test_event_that_fits_no_row_does_not_keep_other_output_from_being_saved() -> None:
+    record = JobRecord("j", "h", "/", 0.0, 0.0, 0.0, 3, 2, 10, 1, "n1")
+    job = JobRun(stored_job(record), submission("j", count=2).items)
+    for item, middle in zip(job.items, (100_000 * "x", "b"), strict=True):
+        job.begin(item, "r1", 0.0)
+        for number, text in enumerate(["a", middle, "c"], 1):
+            assert job.add_event(item, number, text)
+    saved = fitting_segments(job.unsaved())
+    assert all(len(partial_put("j", segment).value) <= ROW_BYTES for segment in saved)
+    fresh = JobRun(stored_job(record), submission("j", count=2).items)
+    fresh.restore(set(), saved)
+    assert [item.texts for item in fresh.items] == [["a"], ["a", "b", "c"]]
+    assert [item.last_event_id for item in fresh.items] == [1, 3]
+
+
+def test_results_of_any_characters_are_listed_in_transactions_that_the_store_takes() -> None:
+    record = JobRecord("j", "h", "/", 0.0, 0.0, 0.0, 3, 20, 10, 1, "n1")
+    job = JobRun(stored_job(record), submission("j", count=20).items)
+    for item in job.items:
+        job.begin(item, "r1", 0.0)
+        assert job.add_event(item, 1, 30_000 * "\u8a9e")
+        job.succeed(item)
+    group = job.next_group()
+    results = [item.result for item in group if item.result is not None]
+    puts = [put for n, result in enumerate(results) for put in result_puts("j", n, result)]
+    assert 0 < sum(len(put.value) for put in puts) * 4 / 3 < 1_000_000
+
+
 def test_outdated_read_does_not_restore_removed_job() -> None:
     async def main() -> None:
         store = MemoryStore()
