--- a/src/cloverwalk/fleet/version_registry.py
+++ b/src/cloverwalk/fleet/version_registry.py
@@ -28,6 +28,7 @@
 )
 from cloverwalk.store.clock import StoreClock
 from cloverwalk.store.health import StoreHealth
+from cloverwalk.store.row_decoder import InvalidRows, RowDecoder
 from cloverwalk.store.stored import Stored, transaction
 from cloverwalk.store.types import CommitStatus, Row, RowKey, Store, StoreError
 from cloverwalk.telemetry.log import ServingLog
@@ -52,6 +53,11 @@
     store_ms: float
 
 
+_decoder = msgspec.json.Decoder(StoredVersions)
+_NOT_READABLE = StoredVersions([], -1.0)
+"""Stands for an invalid row: nothing is known of the versions that it listed."""
+
+
 class VersionRegistry:
     """Reads and writes the row."""
 
@@ -73,13 +79,13 @@
         self._store = store
         self._health = health
         self._store_clock = store_clock
-        self._log = log
+        invalid_rows = InvalidRows(log, catalogue.VERSION_HISTORY_INVALID)
+        self._decoder = RowDecoder(_decoder, lambda: _NOT_READABLE, invalid_rows)
         self._clock = clock
         self._random = random
         self._row: Stored[StoredVersions] | None = None
         """The row as last read or written; None if it has to be read."""
 
-        self._is_row_invalid = False
         self._was_active = False
         self._adopt_at: float | None = None
         """When to read the row for a version that is not known to be registered."""
@@ -157,8 +163,7 @@
         store_time = self._store_clock.now()
         if store_time is None:
             return False
-        if self._is_row_invalid:
-            # Nothing is known of the versions that it listed.
+        if row.version and row.content is _NOT_READABLE:
             unknown = {Software(software.service, "") for software in unlisted_ms}
             unlisted_ms = {**dict.fromkeys(unknown, 1), **unlisted_ms}
         versions = [
@@ -168,7 +173,6 @@
         outcome = await self._store.commit(transaction(write), CALL_TIMEOUT_S)
         if outcome.status is CommitStatus.COMMITTED:
             self._use(write.committed(outcome))
-            self._is_row_invalid = False
             return True
         # Another node has written the row, or the outcome is not known.
         self._row = None
@@ -217,8 +221,7 @@
         except StoreError:
             return None
         found = next((row for row in page.rows if row.row_key == ROW_KEY), Row(ROW_KEY, None, 0))
-        self._is_row_invalid = False
-        row = Stored.from_row(found, self._decode)
+        row = self._decoder.stored(found)
         self._use(row)
         return row
 
@@ -241,17 +244,6 @@
             for version in stored.versions
         }
 
-    def _decode(self, value: bytes | None) -> StoredVersions:
-        """Return the row's content; empty before the first write and if the row is invalid."""
-        if value is None:
-            return StoredVersions([], 0.0)
-        try:
-            return msgspec.json.decode(value, type=StoredVersions)
-        except (msgspec.DecodeError, RecursionError) as error:
-            self._is_row_invalid = True
-            self._log.write(catalogue.VERSION_HISTORY_INVALID, error=str(error)[:200])
-            return StoredVersions([], 0.0)
-
 
 def _listed(stored: StoredVersions) -> frozenset[Software]:
     """Return the versions that a row names as listed."""
--- a/src/cloverwalk/platform/documents.py
+++ b/src/cloverwalk/platform/documents.py
@@ -8,6 +8,7 @@
 import msgspec
 from msgspec import UNSET, Raw, Struct, UnsetType, field
 
+from cloverwalk.core.decoding import MAX_INTEGER, decode_content
 from cloverwalk.gateway.configuration import (
     CONFIGURATION_FORMAT,
     ClientLimits,
@@ -17,7 +18,7 @@
     RoutePart,
     Service,
 )
-from cloverwalk.gateway.replicas import Replica
+from cloverwalk.gateway.replicas import MAX_PORT, Replica, check_replica
 from cloverwalk.gateway.steps import Steps, run_steps
 from cloverwalk.jobs.reader import ResultPage
 from cloverwalk.jobs.records import ItemState, JobItem
@@ -30,10 +31,6 @@
 """Keys of the store have at most 200 bytes, and the id is sent in a request header."""
 
 ADDRESS = re.compile(r"(?:([0-9.]+)|\[([0-9A-Fa-f:.]+)\]):([0-9]{1,5})")
-MAX_PORT = 65_535
-MAX_SLOTS = 100_000
-"""More than any engine runs at once; keeps sums of slots small."""
-
 MAX_WARMUP_MS = 3_600_000
 """One hour; rejects implausible warm-up times."""
 
@@ -167,13 +164,6 @@
 _RESULT_STATES = {ItemState.SUCCEEDED: "succeeded", ItemState.DEAD: "dead_letter"}
 
 
-def _decode(decoder: "msgspec.json.Decoder[Document]", raw: bytes) -> Document:
-    try:
-        return decoder.decode(raw)
-    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
-        raise ValueError(str(error)) from error
-
-
 def decode_configuration(raw: bytes) -> Configuration:
     """Return a configuration; raise ValueError if it is invalid."""
     return run_steps(configuration_steps(raw))
@@ -181,7 +171,7 @@
 
 def configuration_steps(raw: bytes) -> Steps[Configuration]:
     """Decode a configuration in steps; raise ValueError if it is invalid."""
-    wire = _decode(_configuration_decoder, raw)
+    wire = decode_content(_configuration_decoder, raw)
     services = {service.name: _service(service) for service in wire.services}
     limits = ClientLimits(
         wire.limits.max_header_bytes,
@@ -218,7 +208,7 @@
 ) -> Document:
     """Decode an entry of a list; raise ValueError that names the entry but none of its values."""
     try:
-        return _decode(decoder, bytes(raw))
+        return decode_content(decoder, raw)
     except ValueError as error:
         raise ValueError(f"{list_name}[{number}]: {error}") from error
 
@@ -291,17 +281,17 @@
 
 def decode_replica(replica_id: str, raw: bytes, version: int) -> Replica:
     """Return a replica entry; raise ValueError if it is invalid."""
-    wire = _decode(_replica_decoder, raw)
+    wire = decode_content(_replica_decoder, raw)
     if not REPLICA_ID.fullmatch(replica_id):
         raise ValueError("the id can't be sent in a header")
     if not wire.service:
         raise ValueError("service: it is empty")
-    if not 1 <= wire.slots <= MAX_SLOTS:
-        raise ValueError(f"slots: {str(wire.slots)[:20]} is not from 1 to {MAX_SLOTS}")
     if wire.state not in IS_DRAINING_BY_STATE:
         raise ValueError(f"state: {wire.state[:20]!r} is not a valid state")
+    if not -MAX_INTEGER <= wire.seq <= MAX_INTEGER:
+        raise ValueError("seq: it is out of range")
     host, port = _address(wire.address)
-    return Replica(
+    replica = Replica(
         replica_id,
         wire.service,
         host,
@@ -314,6 +304,8 @@
         _warmup_ms(wire.cold_left_ms),
         wire.version,
     )
+    check_replica(replica)
+    return replica
 
 
 def _address(text: str) -> tuple[str, int]:
@@ -346,7 +338,7 @@
 
 def decode_job(body: bytes) -> list[JobItem]:
     """Return the items of a job; raise ValueError if its body is invalid."""
-    wire = _decode(_job_decoder, body)
+    wire = decode_content(_job_decoder, body)
     return [
         JobItem(item.id, item.path, list(item.headers.items()), item.body, item.tokens)
         for item in wire.requests
--- a/tests/serving/test_stream_version_store.py
+++ b/tests/serving/test_stream_version_store.py
@@ -61,6 +61,7 @@
     def __init__(self) -> None:
         self.now = 100.0
         self.store = MemoryStore()
+        self.log = LogLines()
 
     def start(self, run: str, *, is_active: bool = True) -> "Process":
         return Process(self, run, is_active)
@@ -80,6 +81,7 @@
     def __init__(self, world: Rows, run: str, is_active: bool) -> None:
         standin: Any = Standin(world, is_active)
         unused: Any = None
+        log: Any = world.log
         clock = lambda: world.now  # noqa: E731
         identity = Identity("n1", run, "10.0.0.1", "z1")
         self.streams = StreamVersionTable(clock)
@@ -87,7 +89,7 @@
             identity, standin, standin, unused, standin, self.streams, clock
         )
         self.rows = StreamVersionStore(
-            self.sync, standin, world.store, unused, standin, identity.incarnation, unused, clock
+            self.sync, standin, world.store, unused, standin, identity.incarnation, log, clock
         )
 
     async def receive(self, *streams: str) -> None:
@@ -169,6 +171,40 @@
     curio.run(test)
 
 
+# Guards against a row that the store refuses, again and again, and all records after it with it.
+def test_records_with_long_names_are_stored_in_several_rows() -> None:
+    async def test() -> None:
+        world = Rows()
+        process = world.start("a")
+        await process.update()
+        streams = [f"{number:064d}" for number in range(2500)]
+        await process.receive(*streams)
+        for _ in range(8):
+            await process.update()
+        await world.start("b").update()
+        restarted = world.start("c")
+        await restarted.update()
+        assert len(restarted.streams.records(streams)) == len(streams)
+        assert not world.log.lines
+
+    curio.run(test)
+
+
+def test_record_that_is_too_long_does_not_keep_others_from_being_stored() -> None:
+    async def test() -> None:
+        world = Rows()
+        process = world.start("a")
+        await process.update()
+        await process.receive("s1", 1000 * "s", 70_000 * "s", "s2")
+        await process.update()
+        assert len(world.log.lines) == 1
+        restarted = world.start("b")
+        await restarted.update()
+        assert restarted.streams.find("s1") == restarted.streams.find("s2") == V1
+
+    curio.run(test)
+
+
 def test_store_is_not_called_without_new_records() -> None:
     async def test() -> None:
         world = Rows()
@@ -186,10 +222,9 @@
         await world.start_with("s1")
         world.store.apply(Transaction([], [Put(RowKey(STREAM_TABLE, "", "bad"), b"{")], []))
         restarted = world.start("b")
-        restarted.rows._log = log = LogLines()  # type: ignore[assignment]
         await restarted.update()
         assert restarted.streams.find("s1") == V1
-        assert len(log.lines) == 1
+        assert len(world.log.lines) == 1
         assert len(world.store.values(STREAM_TABLE)) == 1
 
     curio.run(test)
