An answer cut off does not look whole to a client of HTTP/1.0

Cause: an answer without a length goes to a client of HTTP/1.0 without chunks and ends with its connection. When a replica cut such an answer off (after its head, in or between events, or in a long plain answer without a length), the node closed the connection as after a whole one: the client had a 200 with an empty or short body, framed as whole.

Change: from the head of such an answer on its connection ends with a reset (SO_LINGER), until the answer is finished; so it also does if the process is killed.

--- a/src/cloverwalk/gateway/reply.py
+++ b/src/cloverwalk/gateway/reply.py
@@ -8,6 +8,7 @@
 from cloverwalk.gateway.errors import ClientGoneError
 from cloverwalk.gateway.messages import RawHeaders
 from cloverwalk.gateway.send_buffer import SEND_TIMEOUT_S, SendBuffer
+from cloverwalk.http.linger import client_reads_chunks, reset_at_close
 
 
 class Reply:
@@ -32,6 +33,7 @@
         self.is_finished = False
         self.status = 0
         self._unsent = b""
+        self._resets_at_close = False
 
     @property
     def disconnect_code(self) -> str:
@@ -44,7 +46,10 @@
         self._closes_after = True
 
     async def begin(self, status: int, headers: RawHeaders, length: int | None) -> None:
-        """Send the head; without a length the body is sent in chunks."""
+        """Send the head; without a length the body is sent in chunks, or ends with the connection
+        if the client can't read chunks."""
+        if length is None and not client_reads_chunks(self._http):
+            self._reset_at_close(True)
         await self._send(self._head(status, headers, length))
 
     def _head(self, status: int, headers: RawHeaders, length: int | None) -> bytes:
@@ -107,6 +112,15 @@
         if self._send_buffer is not None:
             self.is_finished = self.is_finished and not self._send_buffer.waiting_bytes
             await self._send_buffer.close()
+        if self.is_finished and self._resets_at_close:
+            self._reset_at_close(False)
+
+    def _reset_at_close(self, is_on: bool) -> None:
+        try:
+            reset_at_close(self._sock, is_on)
+        except OSError as error:
+            raise ClientGoneError(repr(error), self.disconnect_code) from error
+        self._resets_at_close = is_on
 
     def _try_send(self, data: bytes) -> bytes:
         """Send what the socket accepts at once; return the remainder."""
--- a/tests/serving/fleet_world.py
+++ b/tests/serving/fleet_world.py
@@ -7,7 +7,7 @@
 import socket
 from base64 import b64encode
 from collections.abc import Awaitable, Callable
-from typing import Any
+from typing import Any, TypeVar
 
 import curio
 import h11
@@ -318,11 +318,17 @@
             return Answer(status, headers, body, False)
 
 
-def in_world(test: Callable[[FleetWorld], Awaitable[None]]) -> None:
+World = TypeVar("World", bound=FleetWorld)
+
+
+def in_world(
+    test: Callable[[World], Awaitable[None]],
+    new_world: type[World] = FleetWorld,  # type: ignore[assignment]
+) -> None:
     """Run a test in a new world and clean up."""
 
     async def main() -> None:
-        world = FleetWorld()
+        world = new_world()
         try:
             await test(world)
         finally:
--- a/tests/serving/scripted_replica.py
+++ b/tests/serving/scripted_replica.py
@@ -48,7 +48,10 @@
     UNTIL_CLOSE = "end of the connection"
 
 
-Step = bytes | End
+Action = Callable[[Any], Awaitable[None]]
+"""Called with the connection, between two pieces of an answer."""
+
+Step = bytes | End | Action
 
 
 class Call(Struct, frozen=True):
@@ -104,7 +107,10 @@
                     if isinstance(step, End):
                         await end(client, step)
                         return
-                    await client.sendall(step)
+                    if isinstance(step, bytes):
+                        await client.sendall(step)
+                    else:
+                        await step(client)
                 if not self._reads_bodies:
                     return
                 turn += 1
