Surplus bytes of the store are no answer to the next call

Cause: the pool of http/client.py reused a connection on which more than the answer had arrived, or whose end had arrived with it. The surplus was read as the answer to the next call.

Change: such a connection is closed; bytes or an end that arrive later, while it is idle, end the next call over it before anything is sent, as lost (an end did so before, too).

--- a/src/cloverwalk/http/client.py
+++ b/src/cloverwalk/http/client.py
@@ -64,6 +64,8 @@
 
     async def send(self, method: str, path: str, headers: dict[str, str], body: bytes) -> None:
         """Send a whole request."""
+        if self._has_unread():
+            raise LostAnswerError(f"{self._address} sent more than its answer, or closed")
         self.is_used = True
         all_headers = [("Host", self._address), ("Content-Length", str(len(body)))]
         all_headers += list(headers.items())
@@ -134,11 +136,25 @@
 
     def reset(self) -> bool:
         """Prepare for the next request; return False if the connection must be closed."""
+        trailing, is_closed = self._http.trailing_data
+        if trailing or is_closed:
+            # Surplus bytes would be read as the answer to the next request.
+            return False
         if self._http.our_state is h11.DONE and self._http.their_state is h11.DONE:
             self._http.start_next_cycle()
             return True
         return False
 
+    def _has_unread(self) -> bool:
+        """Whether bytes or an end of the connection arrived while no answer is due."""
+        try:
+            self._sock._socket.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
+        except BlockingIOError:
+            return False
+        except OSError:
+            return True
+        return True
+
     async def shut_down(self) -> None:
         """Shut the socket down, so that a task that reads from it gets an error."""
         with contextlib.suppress(OSError):
