A failure inside a cut head of a success is not relayed as a success

Cause: a head that starts inside another one was found invalid on reused connections only. On a new one, a replica that stopped in the middle of a success's head (in its reason or the value of a field) and wrote a failure's head after it got its failure relayed as a signed 200.

Change: the check holds for all connections.

--- a/src/cloverwalk/gateway/replica_connection.py
+++ b/src/cloverwalk/gateway/replica_connection.py
@@ -188,7 +188,7 @@
                 self._answer_closes = True
         if is_chunked and length is not None:
             raise ReplicaError("invalid HTTP answer: two lengths", True, "not_http")
-        if self.is_reused and _holds_status_line(event):
+        if _holds_status_line(event):
             raise ReplicaError("invalid HTTP answer: starts inside another one", True, "not_http")
         fields = self._codec.answer_fields(headers)
         has_body = event.status_code not in BODILESS_STATUSES and not self._frames_answers
--- a/tests/serving/test_cut_answers.py
+++ b/tests/serving/test_cut_answers.py
@@ -5,6 +5,7 @@
 
 import itertools
 
+import curio
 import pytest
 from cut_world import (
     ANY_CALL,
@@ -18,7 +19,10 @@
     own_body,
     wait_briefly,
 )
+from fleet_world import HOST, WAIT_TIMEOUT_S, FleetWorld, in_world
+from node_processes import node_processes
 from scripted_replica import Call, End, Framing
+from test_fleet_processes import ProcessFleet
 
 from cloverwalk.gateway.answer_relay import MAX_BUFFERED_ANSWER_BYTES
 from cloverwalk.platform import names
@@ -226,3 +230,52 @@
             assert (answer.status, request_id, comes_with_first) == (502, second, False)
     (call,) = world.calls[second]
     assert (call.turn == 0) == comes_with_first
+
+
+def test_answer_of_killed_process_is_not_whole_in_http10() -> None:
+    async def test(fleet: ProcessFleet) -> None:
+        (node,) = fleet.nodes
+        await fleet.wait_until_ready(node)
+        sock = await curio.open_connection(*node.client_address)
+        head = f"POST /chat/a HTTP/1.0\r\nHost: {HOST}\r\n{names.REQUEST_ID.decode()}: a\r\n\r\n"
+        await sock.sendall(head.encode())
+        data = b""
+        async with curio.timeout_after(WAIT_TIMEOUT_S):
+            while b"id: 1\n" not in data:
+                data += await sock.recv(65536)
+            node.kill()
+            with pytest.raises(ConnectionResetError):
+                while await sock.recv(65536):
+                    pass
+        assert b"id: 100\n" not in data
+        await sock.close()
+
+    async def in_fleet(world: FleetWorld) -> None:
+        await world.start(replicas=1, nodes=0, events=100, event_s=0.1)
+        with node_processes(1, world.store_port) as nodes:
+            await test(ProcessFleet(world, nodes))
+
+    in_world(in_fleet)
+
+
+@pytest.mark.parametrize("status", [404, 422])
+@pytest.mark.parametrize("framing", [Framing.LENGTH, Framing.CHUNKED])
+def test_failure_inside_head_of_success_is_not_relayed_as_success(
+    framing: Framing, status: int
+) -> None:
+    """A replica that fails while it writes a head may write the head of a failure after it."""
+
+    async def test(world: CutWorld) -> None:
+        await world.start_cutting()
+
+        async def check(cut: Cut) -> None:
+            part = cut.data(ANY_CALL)[: cut.position]
+            failure = Cut(framing, 1 << 20, End.FIN, status=status, before=part)
+            _, answer = await world.ask_cut("/unsafe/", [failure])
+            expected = status if cut.position == 0 else 502
+            assert (answer.status, answer.is_whole) == (expected, True), (part, answer)
+
+        cuts = every_head_cut(framing, End.FIN)[:-1]
+        await world.each(cuts, check)
+
+    in_cut_world(test)
