Nodes tell each other of a part's first answer while it has crash records

Cause: a node that answered a part with a crash record at other software, or that first heard of an answer from another node, told nobody until the next crash of the part was merged.

Change: the first answer of a part with crash records is told and passed on at once, and records of parts are sent with the last answer of the part at any software.

--- a/src/cloverwalk/gateway/crash_ledger.py
+++ b/src/cloverwalk/gateway/crash_ledger.py
@@ -230,10 +230,11 @@
             entry.seen_locally_at = max(entry.seen_locally_at, at)
         return is_contained
 
-    def note_answer(self, key: str, at: float) -> bool:
+    def note_answer(self, key: str, at: float, told_at: float | None = None) -> bool:
         """Record a whole answer to the request; return whether this ends its containment.
 
-        Answers to requests without a record count too, since another node may have one.
+        Answers to requests without a record count too, since another node may have one. ``told_at``
+        is when another node told of the answer; None if this node has seen it.
         """
         if at <= self._answered_at.get(key, float("-inf")):
             return False
@@ -241,12 +242,19 @@
         self._answered_at[key] = at
         if is_part_key(key):
             if not self._was_answered(key):
-                self._blame = None
+                self._record_first_answer(key, at if told_at is None else told_at)
             self._answered_parts[key[:PART_PREFIX_CHARACTERS]] = key
         if len(self._answered_at) > MAX_ANSWERS:
             self._forget_answer(next(iter(self._answered_at)))
         return self._clear(key, at)
 
+    def _record_first_answer(self, key: str, at: float) -> None:
+        """Tell other nodes that a part with crash records, at any software, was answered."""
+        self._blame = None
+        if key[:PART_PREFIX_CHARACTERS] in self._keys_by_part:
+            self._cleared_at[key] = at
+            self.revision += 1
+
     def _forget_answer(self, key: str) -> None:
         del self._answered_at[key]
         prefix = key[:PART_PREFIX_CHARACTERS]
@@ -507,7 +515,7 @@
 
     def shared_records(self, now: float) -> list[CrashRecord]:
         """Return the records for all nodes, with those cleared within ``ANSWER_TTL_S``."""
-        return self._records({*self._shared(), *self._cleared_at}, now)
+        return self._records(self._with_answers({*self._shared(), *self._cleared_at}), now)
 
     def local_records(self, now: float) -> list[CrashRecord]:
         """Return the records that this node observed or cleared within ``REPORTING_TIME_S``."""
@@ -517,7 +525,14 @@
             if now - entry.seen_locally_at < REPORTING_TIME_S
         }
         keys |= {key for key, at in self._cleared_at.items() if now - at < REPORTING_TIME_S}
-        return self._records(keys, now)
+        return self._records(self._with_answers(keys), now)
+
+    def _with_answers(self, keys: set[str]) -> set[str]:
+        """Return keys with the last answered key of each part, which may be of other software."""
+        prefixes = {key[:PART_PREFIX_CHARACTERS] for key in keys}
+        return keys | {
+            self._answered_parts[prefix] for prefix in prefixes if prefix in self._answered_parts
+        }
 
     def report_again(self, now: float) -> None:
         """Report the crashes that this node observed within ``OBSERVATION_TTL_S`` once more."""
@@ -554,7 +569,7 @@
         _check_record(record)
         key = record.content_hash
         if record.answered_age_ms is not None:
-            self.note_answer(key, now - record.answered_age_ms / 1000)
+            self.note_answer(key, now - record.answered_age_ms / 1000, now)
         elif is_part_key(key) and self._was_answered(key):
             # The others may not know that the part was answered, even if before these crashes.
             self._cleared_at[self._answered_parts[key[:PART_PREFIX_CHARACTERS]]] = now
--- a/tests/serving/test_crash_records.py
+++ b/tests/serving/test_crash_records.py
@@ -491,6 +491,63 @@
     curio.run(test)
 
 
+OTHER_SOFTWARE = Software("other", "v1")
+SOUND_PART = "popular"
+
+
+def note_crash_of_part(world: CoordinationWorld, node: FleetNode, number: int) -> None:
+    """Let a node see that a replica crashed under a request with the sound part."""
+    key, at = part_key(SOUND_PART, SOFTWARE), world.now
+    node.ledger.note_crash(key, f"r{number}", at, at - 0.2, f"q{number}")
+
+
+def nodes_that_refuse(world: CoordinationWorld) -> list[str]:
+    """Return the nodes that contain requests with the sound part."""
+    keys = RequestKeys("", (SOUND_PART,))
+    return [node.name for node in world.nodes if node.ledger.containing_key(keys, world.now)]
+
+
+# All nodes but the one that had answered the part blamed it at the third crash. That node had told
+# the coordinator, which told the others only when it merged the next crash.
+@pytest.mark.parametrize("software", [SOFTWARE, OTHER_SOFTWARE])
+def test_nodes_know_before_the_third_crash_that_a_part_was_answered(software: Software) -> None:
+    async def test() -> None:
+        world = CoordinationWorld(NODES)
+        await world.start()
+        answering, *others = [node for node in world.nodes if node is not world.coordinator]
+        answering.ledger.note_answer(part_key(SOUND_PART, software), world.now)
+        for number, node in enumerate(others):
+            await world.run(2.0)
+            note_crash_of_part(world, node, number)
+            assert nodes_that_refuse(world) == []
+        await world.run(2.0)
+        assert nodes_that_refuse(world) == []
+        assert answering.ledger.crashes(part_key(SOUND_PART, SOFTWARE)) == len(others)
+
+    curio.run(test)
+
+
+# The only node that had answered a part with one crash was killed and had told nobody.
+def test_answer_at_other_software_outlasts_its_node() -> None:
+    async def test() -> None:
+        world = CoordinationWorld(NODES)
+        await world.start()
+        answering, *others = [node for node in world.nodes if node is not world.coordinator]
+        note_crash_of_part(world, answering, 0)
+        await world.run(0.5)
+        answering.ledger.note_answer(part_key(SOUND_PART, OTHER_SOFTWARE), world.now)
+        await world.run(2.0)
+        world.kill(answering)
+        for number, node in enumerate(others[:2], 1):
+            await world.run(2.0)
+            note_crash_of_part(world, node, number)
+            assert nodes_that_refuse(world) == []
+        await world.run(2.0)
+        assert nodes_that_refuse(world) == []
+
+    curio.run(test)
+
+
 def test_unchanged_crash_records_are_not_sent_again() -> None:
     async def test() -> None:
         world = CoordinationWorld(NODES)
