The store keeps which parts of prompts were answered amid crashes

Change: the coordinator writes a row for each part that was answered while it had crash records, 64 at the most, for 300 s; nodes that read it count the part as answered. It clears no crash: it counts as 300 s old.

Measured: test_killed_fleet_knows_which_parts_were_answered_amid_crashes fails when the answers are not written and passes with them; test_crash_records.py and test_part_blame.py pass.

--- a/src/cloverwalk/fleet/crash_record_store.py
+++ b/src/cloverwalk/fleet/crash_record_store.py
@@ -1,5 +1,8 @@
 """Stores the crash records of contained requests, so that they survive a restart of all processes.
 
+It also stores which parts of prompts were answered while they had crash records: without that,
+nodes that start together would blame a popular part for the crashes of others.
+
 Each process reads the table once at its start. The coordinator writes a row when a request becomes
 contained and when another replica ends under it, and removes the row when the request is no longer
 contained. It does so only at the version of the row that it knows; after a conflict or a lost
@@ -105,7 +108,11 @@
         new = [
             content for content in stored if content != self._own.get(content.record.content_hash)
         ]
-        self._crash_records.merge([self._record_now(content) for content in new], "store")
+        records = [self._record_now(content) for content in new]
+        for record in records:
+            if record.answered_age_ms is not None:
+                self._crash_records.ledger.learn_stored_answer(record, self._clock())
+        self._crash_records.merge([one for one in records if one.crash_ages_ms], "store")
         self._is_outdated = False
         self.is_read = True
         return True
@@ -132,7 +139,7 @@
         return msgspec.structs.replace(
             record,
             crash_ages_ms={key: age + elapsed_ms for key, age in record.crash_ages_ms.items()},
-            answered_age_ms=None,
+            answered_age_ms=_age_of_stored_answer(record, elapsed_ms),
             sent_ages_ms=[age + elapsed_ms for age in record.sent_ages_ms],
         )
 
@@ -142,7 +149,7 @@
         """Write the rows that differ from the ledger; return whether they are up to date."""
         if self._is_outdated and not await self.read():
             return False
-        if self._stored_counts() == self._crash_records.ledger.contained():
+        if self._stored_counts() == self._wanted_counts():
             return True
         return await self._write()
 
@@ -154,15 +161,21 @@
             if row.content is not None
         }
 
+    def _wanted_counts(self) -> dict[str, int]:
+        """Return the same as it should be stored; 0 for parts that were answered."""
+        ledger = self._crash_records.ledger
+        return {**dict.fromkeys(ledger.answers_to_store(), 0), **ledger.contained()}
+
     async def _write(self) -> bool:
         now, store_time = self._clock(), self._store_clock.now()
         if store_time is None:
             return False
-        wanted, counts = self._crash_records.ledger.contained(), self._stored_counts()
+        ledger = self._crash_records.ledger
+        wanted, counts = self._wanted_counts(), self._stored_counts()
         changed = [key for key in sorted(wanted) if counts.get(key) != wanted[key]]
         gone = [key for key in sorted(counts) if key not in wanted]
         writes = [
-            self._row_write(key, self._crash_records.ledger.record_of(key, now), store_time)
+            self._row_write(key, ledger.record_to_store(key, now), store_time)
             for key in changed[:MAX_ROWS_PER_KIND]
         ]
         removed = [self._rows[key] for key in gone[:MAX_ROWS_PER_KIND]]
@@ -188,5 +201,12 @@
         return create(_row_key(key), content) if row is None else row.replace(content)
 
 
+def _age_of_stored_answer(record: CrashRecord, elapsed_ms: int) -> int | None:
+    """Return the age of an answer that is read; None if the row is of something contained."""
+    if record.crash_ages_ms or record.answered_age_ms is None:
+        return None
+    return record.answered_age_ms + elapsed_ms
+
+
 def _row_key(content: str) -> RowKey:
     return RowKey(CRASH_RECORD_TABLE, "", content)
--- a/src/cloverwalk/gateway/crash_ledger.py
+++ b/src/cloverwalk/gateway/crash_ledger.py
@@ -65,6 +65,13 @@
 PART_ANSWER_TTL_S = 600.0
 """How long answers are kept for parts: one that was answered needs more evidence to be blamed."""
 
+STORED_ANSWER_TTL_S = PART_ANSWER_TTL_S / 2
+"""How long the store keeps that a part was answered. One that is read counts as this old, so that
+it clears no later crash, whatever the store's time, and is forgotten in time."""
+
+MAX_STORED_ANSWERS = 64
+"""Parts of which the store has an answer, the last ones that were answered amid crashes."""
+
 OBSERVATION_TTL_S = 30.0
 """For how long a node's own observations are reported again to a new coordinator, which has to add
 them up with those of other nodes."""
@@ -179,6 +186,10 @@
         """The last answered key of each part in ``_answered_at``, by what the part's keys begin
         with."""
 
+        self._answers_to_store: dict[str, tuple[str, float]] = {}
+        """An answered key of each part that was answered while it had crash records, and when, by
+        what the part's keys begin with."""
+
         self._keys_by_part: dict[str, set[str]] = {}
         """Keys of entries of parts, by what the keys of a part begin with."""
 
@@ -244,6 +255,7 @@
             if not self._was_answered(key):
                 self._record_first_answer(key, at if told_at is None else told_at)
             self._answered_parts[key[:PART_PREFIX_CHARACTERS]] = key
+            self._keep_answer(key, at)
         if len(self._answered_at) > MAX_ANSWERS:
             self._forget_answer(next(iter(self._answered_at)))
         return self._clear(key, at)
@@ -255,6 +267,15 @@
             self._cleared_at[key] = at
             self.revision += 1
 
+    def _keep_answer(self, key: str, at: float) -> None:
+        """Let the store have that a part with crash records was answered."""
+        prefix, kept = key[:PART_PREFIX_CHARACTERS], self._answers_to_store
+        if prefix not in self._keys_by_part:
+            return
+        kept[prefix] = kept.pop(prefix, (key, at))
+        if len(kept) > MAX_STORED_ANSWERS:
+            del kept[next(iter(kept))]
+
     def _forget_answer(self, key: str) -> None:
         del self._answered_at[key]
         prefix = key[:PART_PREFIX_CHARACTERS]
@@ -502,6 +523,25 @@
             key: entry.crashes for key, entry in self._entries.items() if self.is_contained(key)
         }
 
+    def answers_to_store(self) -> list[str]:
+        """Return the keys of answers that nodes which start may know from nobody else."""
+        return [key for key, _at in self._answers_to_store.values()]
+
+    def learn_stored_answer(self, record: CrashRecord, now: float) -> None:
+        """Count a part as answered before, by a record of the store; this clears no crash."""
+        key, age_s = record.content_hash, (record.answered_age_ms or 0) / 1000
+        if not is_part_key(key) or len(key) != KEY_CHARACTERS or age_s >= STORED_ANSWER_TTL_S:
+            return
+        self.note_answer(key, now - STORED_ANSWER_TTL_S, now)
+        self._answers_to_store.setdefault(key[:PART_PREFIX_CHARACTERS], (key, now - age_s))
+
+    def record_to_store(self, key: str, now: float) -> CrashRecord:
+        """Return the record of what is contained, else of an answer alone."""
+        record = self.record_of(key, now)
+        if self.is_contained(key):
+            return record
+        return CrashRecord(key, {}, record.answered_age_ms)
+
     # --- exchange between nodes ---
 
     @property
@@ -600,6 +640,9 @@
             del self._cleared_at[key]
         for key in [key for key, at in self._answered_at.items() if now - at >= _answer_ttl_s(key)]:
             self._forget_answer(key)
+        for prefix, (_key, at) in list(self._answers_to_store.items()):
+            if now - at >= STORED_ANSWER_TTL_S:
+                del self._answers_to_store[prefix]
         ended: list[str] = []
         for key, entry in list(self._entries.items()):
             if now < entry.last_crash_at + RECORD_TTL_S:
--- a/tests/serving/test_crash_records.py
+++ b/tests/serving/test_crash_records.py
@@ -17,10 +17,12 @@
     MAX_INCARNATIONS,
     MAX_RECORDS,
     MAX_SHARED_RECORDS,
+    MAX_STORED_ANSWERS,
     OBSERVATION_TTL_S,
     RECORD_TTL_S,
     REPORTING_TIME_S,
     SHARING_THRESHOLD,
+    STORED_ANSWER_TTL_S,
     TRIAL_DELAYS_S,
     TRIAL_TIMEOUT_S,
     Containment,
@@ -28,6 +30,7 @@
     CrashRecord,
     InvalidCrashRecordError,
 )
+from cloverwalk.gateway.part_blame import ANSWERED_PART
 from cloverwalk.gateway.software_versions import Software
 
 GUILTY = "a" * 20
@@ -548,6 +551,63 @@
     curio.run(test)
 
 
+# After all nodes were killed, popular parts were blamed for three crashes of others.
+def test_killed_fleet_knows_which_parts_were_answered_amid_crashes() -> None:
+    async def test() -> None:
+        world = CoordinationWorld(NODES)
+        await world.start()
+        other = next(node for node in world.nodes if node is not world.coordinator)
+        note_crash_of_part(world, other, 0)
+        await world.run(1.0)
+        other.ledger.note_answer(part_key(SOUND_PART, SOFTWARE), world.now)
+        await world.run(2.0)
+        for kill in range(2):
+            for node in list(world.nodes):
+                world.replace(node)
+            await world.start()
+            for number in range(ANSWERED_PART.min_crashes - 1):
+                await world.run(1.0)
+                note_crash_of_part(world, world.nodes[number], 10 * kill + number)
+                assert nodes_that_refuse(world) == []
+            await world.run(2.0)
+            assert nodes_that_refuse(world) == []
+        # A guilty part is contained as without the kill.
+        note_crash_of_part(world, world.nodes[0], 20)
+        await world.run(2.0)
+        assert nodes_that_refuse(world) == [node.name for node in world.nodes]
+
+    curio.run(test)
+
+
+def test_stored_answers_clear_no_crash_and_expire() -> None:
+    key, now = part_key(SOUND_PART, SOFTWARE), 1000.0
+    ledger = CrashLedger()
+    for number in range(CONTAINMENT_THRESHOLD):
+        ledger.note_crash(key, f"r{number}", 990.0 + number, 989.5 + number, f"q{number}")
+    ledger.learn_stored_answer(CrashRecord(key, {}, 0), now)
+    assert ledger.crashes(key) == CONTAINMENT_THRESHOLD
+    assert not ledger.is_contained(key)
+    assert ledger.answers_to_store() == [key]
+    ledger.expire(now + STORED_ANSWER_TTL_S)
+    assert ledger.answers_to_store() == []
+    assert ledger.is_contained(key)
+    old = CrashRecord(key, {}, round(STORED_ANSWER_TTL_S * 1000))
+    ledger.learn_stored_answer(old, now + STORED_ANSWER_TTL_S)
+    assert ledger.is_contained(key)
+
+
+def test_stored_answers_are_few_and_only_of_parts_that_had_crashes() -> None:
+    ledger = CrashLedger()
+    for number in range(2 * MAX_STORED_ANSWERS):
+        key = part_key(f"part{number}", SOFTWARE)
+        ledger.note_answer(key, 1.0)
+        assert key not in ledger.answers_to_store()
+        ledger.note_crash(key, "r1", 2.0, 1.5, "q1")
+        ledger.note_answer(key, 3.0)
+        assert ledger.answers_to_store()[-1] == key
+    assert len(ledger.answers_to_store()) == MAX_STORED_ANSWERS
+
+
 def test_unchanged_crash_records_are_not_sent_again() -> None:
     async def test() -> None:
         world = CoordinationWorld(NODES)
