Answers that were told are passed on with their age

A record of a part goes with its last answer, so the time at which another node told of it is not needed.

--- a/src/cloverwalk/gateway/crash_ledger.py
+++ b/src/cloverwalk/gateway/crash_ledger.py
@@ -241,11 +241,10 @@
             entry.seen_locally_at = max(entry.seen_locally_at, at)
         return is_contained
 
-    def note_answer(self, key: str, at: float, told_at: float | None = None) -> bool:
+    def note_answer(self, key: str, at: float) -> bool:
         """Record a whole answer to the request; return whether this ends its containment.
 
-        Answers to requests without a record count too, since another node may have one. ``told_at``
-        is when another node told of the answer; None if this node has seen it.
+        Answers to requests without a record count too, since another node may have one.
         """
         if at <= self._answered_at.get(key, float("-inf")):
             return False
@@ -253,7 +252,7 @@
         self._answered_at[key] = at
         if is_part_key(key):
             if not self._was_answered(key):
-                self._record_first_answer(key, at if told_at is None else told_at)
+                self._record_first_answer(key, at)
             self._answered_parts[key[:PART_PREFIX_CHARACTERS]] = key
             self._keep_answer(key, at)
         if len(self._answered_at) > MAX_ANSWERS:
@@ -532,7 +531,7 @@
         key, age_s = record.content_hash, (record.answered_age_ms or 0) / 1000
         if not is_part_key(key) or len(key) != KEY_CHARACTERS or age_s >= STORED_ANSWER_TTL_S:
             return
-        self.note_answer(key, now - STORED_ANSWER_TTL_S, now)
+        self.note_answer(key, now - STORED_ANSWER_TTL_S)
         self._answers_to_store.setdefault(key[:PART_PREFIX_CHARACTERS], (key, now - age_s))
 
     def record_to_store(self, key: str, now: float) -> CrashRecord:
@@ -620,7 +619,7 @@
         _check_record(record)
         key = record.content_hash
         if record.answered_age_ms is not None:
-            self.note_answer(key, now - record.answered_age_ms / 1000, now)
+            self.note_answer(key, now - record.answered_age_ms / 1000)
         elif is_part_key(key) and self._was_answered(key):
             # The others may not know that the part was answered, even if before these crashes.
             self._cleared_at[self._answered_parts[key[:PART_PREFIX_CHARACTERS]]] = now
--- a/tests/unit/test_part_blame.py
+++ b/tests/unit/test_part_blame.py
@@ -200,6 +200,20 @@
     assert learning.containing_key(keys("popular"), 4.1) is None
 
 
+def test_records_of_a_part_come_with_its_answer_at_other_software() -> None:
+    """A node that starts later would blame the part at its third crash."""
+    knowing, starting = CrashLedger(), CrashLedger()
+    knowing.note_answer(part_key("popular", V2), 0.5)
+    for number in (200, 201):
+        note(knowing, "popular", number)
+    knowing.expire(202.0)
+    for record in knowing.shared_records(202.0):
+        starting.merge(record, 202.0)
+    note(starting, "popular", 203)
+    assert starting.crashes(part_key("popular", V1)) == 3
+    assert starting.containing_key(keys("popular"), 203.0) is None
+
+
 def test_parts_that_cannot_be_told_apart_are_tried_soon() -> None:
     """With the crashes of a certainly guilty part, the first trial would come after minutes."""
     certain, uncertain = CrashLedger(), CrashLedger()
