--- a/src/cloverwalk/gateway/crash_ledger.py
+++ b/src/cloverwalk/gateway/crash_ledger.py
@@ -65,6 +65,13 @@
 PART_ANSWER_TTL_S = 600.0
 """How long answers are kept for parts: one that was answered needs more evidence to be blamed."""
 
+STORED_ANSWER_TTL_S = PART_ANSWER_TTL_S / 2
+"""How long the store keeps that a part was answered. One that is read counts as this old, so that
+it clears no later crash, whatever the store's time, and is forgotten in time."""
+
+MAX_STORED_ANSWERS = 64
+"""Parts of which the store has an answer, the last ones that were answered amid crashes."""
+
 OBSERVATION_TTL_S = 30.0
 """For how long a node's own observations are reported again to a new coordinator, which has to add
 them up with those of other nodes."""
@@ -179,6 +186,10 @@
         """The last answered key of each part in ``_answered_at``, by what the part's keys begin
         with."""
 
+        self._answers_to_store: dict[str, tuple[str, float]] = {}
+        """An answered key of each part that was answered while it had crash records, and when, by
+        what the part's keys begin with."""
+
         self._keys_by_part: dict[str, set[str]] = {}
         """Keys of entries of parts, by what the keys of a part begin with."""
 
@@ -241,12 +252,29 @@
         self._answered_at[key] = at
         if is_part_key(key):
             if not self._was_answered(key):
-                self._blame = None
+                self._record_first_answer(key, at)
             self._answered_parts[key[:PART_PREFIX_CHARACTERS]] = key
+            self._keep_answer(key, at)
         if len(self._answered_at) > MAX_ANSWERS:
             self._forget_answer(next(iter(self._answered_at)))
         return self._clear(key, at)
 
+    def _record_first_answer(self, key: str, at: float) -> None:
+        """Tell other nodes that a part with crash records, at any software, was answered."""
+        self._blame = None
+        if key[:PART_PREFIX_CHARACTERS] in self._keys_by_part:
+            self._cleared_at[key] = at
+            self.revision += 1
+
+    def _keep_answer(self, key: str, at: float) -> None:
+        """Let the store have that a part with crash records was answered."""
+        prefix, kept = key[:PART_PREFIX_CHARACTERS], self._answers_to_store
+        if prefix not in self._keys_by_part:
+            return
+        kept[prefix] = kept.pop(prefix, (key, at))
+        if len(kept) > MAX_STORED_ANSWERS:
+            del kept[next(iter(kept))]
+
     def _forget_answer(self, key: str) -> None:
         del self._answered_at[key]
         prefix = key[:PART_PREFIX_CHARACTERS]
@@ -419,11 +447,22 @@
         return found
 
     def containing_key(self, keys: RequestKeys, now: float) -> str | None:
-        """Return the key for which a request must not be sent, not even as a trial."""
+        """Return the key for which a request must not be sent, not even as a trial.
+
+        If several of its parts are due for a trial, another request may try one of them alone. So
+        it waits for the second trial delay; parts that always come together are tried then.
+        """
+        due: dict[str, str] = {}
         for key in self.keys_with_crashes(keys):
-            if self.containment(key, now) is Containment.CONTAINED:
+            containment = self.containment(key, now)
+            if containment is Containment.CONTAINED:
                 return key
-        return None
+            if containment is Containment.TRIAL_DUE and is_part_key(key):
+                due[key[:PART_PREFIX_CHARACTERS]] = key
+        if len(due) < 2:
+            return None
+        newest = max(due.values(), key=self.last_crash_at)
+        return newest if now < self.last_crash_at(newest) + TRIAL_DELAYS_S[1] else None
 
     def suspect_key(self, keys: RequestKeys) -> str | None:
         """Return the key under which most replicas have ended, None if there is none.
@@ -483,6 +522,25 @@
             key: entry.crashes for key, entry in self._entries.items() if self.is_contained(key)
         }
 
+    def answers_to_store(self) -> list[str]:
+        """Return the keys of answers that nodes which start may know from nobody else."""
+        return [key for key, _at in self._answers_to_store.values()]
+
+    def learn_stored_answer(self, record: CrashRecord, now: float) -> None:
+        """Count a part as answered before, by a record of the store; this clears no crash."""
+        key, age_s = record.content_hash, (record.answered_age_ms or 0) / 1000
+        if not is_part_key(key) or len(key) != KEY_CHARACTERS or age_s >= STORED_ANSWER_TTL_S:
+            return
+        self.note_answer(key, now - STORED_ANSWER_TTL_S)
+        self._answers_to_store.setdefault(key[:PART_PREFIX_CHARACTERS], (key, now - age_s))
+
+    def record_to_store(self, key: str, now: float) -> CrashRecord:
+        """Return the record of what is contained, else of an answer alone."""
+        record = self.record_of(key, now)
+        if self.is_contained(key):
+            return record
+        return CrashRecord(key, {}, record.answered_age_ms)
+
     # --- exchange between nodes ---
 
     @property
@@ -507,7 +565,7 @@
 
     def shared_records(self, now: float) -> list[CrashRecord]:
         """Return the records for all nodes, with those cleared within ``ANSWER_TTL_S``."""
-        return self._records({*self._shared(), *self._cleared_at}, now)
+        return self._records(self._with_answers({*self._shared(), *self._cleared_at}), now)
 
     def local_records(self, now: float) -> list[CrashRecord]:
         """Return the records that this node observed or cleared within ``REPORTING_TIME_S``."""
@@ -517,7 +575,14 @@
             if now - entry.seen_locally_at < REPORTING_TIME_S
         }
         keys |= {key for key, at in self._cleared_at.items() if now - at < REPORTING_TIME_S}
-        return self._records(keys, now)
+        return self._records(self._with_answers(keys), now)
+
+    def _with_answers(self, keys: set[str]) -> set[str]:
+        """Return keys with the last answered key of each part, which may be of other software."""
+        prefixes = {key[:PART_PREFIX_CHARACTERS] for key in keys}
+        return keys | {
+            self._answered_parts[prefix] for prefix in prefixes if prefix in self._answered_parts
+        }
 
     def report_again(self, now: float) -> None:
         """Report the crashes that this node observed within ``OBSERVATION_TTL_S`` once more."""
@@ -574,6 +639,9 @@
             del self._cleared_at[key]
         for key in [key for key, at in self._answered_at.items() if now - at >= _answer_ttl_s(key)]:
             self._forget_answer(key)
+        for prefix, (_key, at) in list(self._answers_to_store.items()):
+            if now - at >= STORED_ANSWER_TTL_S:
+                del self._answers_to_store[prefix]
         ended: list[str] = []
         for key, entry in list(self._entries.items()):
             if now < entry.last_crash_at + RECORD_TTL_S:
--- a/tests/unit/test_part_blame.py
+++ b/tests/unit/test_part_blame.py
@@ -200,6 +200,20 @@
     assert learning.containing_key(keys("popular"), 4.1) is None
 
 
+def test_records_of_a_part_come_with_its_answer_at_other_software() -> None:
+    """A node that starts later would blame the part at its third crash."""
+    knowing, starting = CrashLedger(), CrashLedger()
+    knowing.note_answer(part_key("popular", V2), 0.5)
+    for number in (200, 201):
+        note(knowing, "popular", number)
+    knowing.expire(202.0)
+    for record in knowing.shared_records(202.0):
+        starting.merge(record, 202.0)
+    note(starting, "popular", 203)
+    assert starting.crashes(part_key("popular", V1)) == 3
+    assert starting.containing_key(keys("popular"), 203.0) is None
+
+
 def test_parts_that_cannot_be_told_apart_are_tried_soon() -> None:
     """With the crashes of a certainly guilty part, the first trial would come after minutes."""
     certain, uncertain = CrashLedger(), CrashLedger()
@@ -213,6 +227,28 @@
         assert uncertain.containment(part_key(part_id, V1), trial_at) is Containment.TRIAL_DUE
 
 
+# A trial with the guilty part crashed its replica and kept the popular part contained for minutes.
+def test_parts_that_cannot_be_told_apart_are_tried_one_by_one() -> None:
+    ledger = CrashLedger()
+    for number in range(1, 7):
+        note(ledger, "bad", number)
+        note(ledger, "popular", number)
+    trial_at = 6.0 + TRIAL_DELAYS_S[0]
+    assert ledger.containing_key(keys("popular"), trial_at) is None
+    assert ledger.containing_key(keys("popular", "bad"), trial_at) is not None
+    # Parts that always come together are tried in the end.
+    trial_at = 6.0 + TRIAL_DELAYS_S[1]
+    assert ledger.containing_key(keys("popular", "bad"), trial_at - 0.1) is not None
+    assert ledger.containing_key(keys("popular", "bad"), trial_at) is None
+
+
+def test_part_at_several_versions_is_tried_as_one_part() -> None:
+    ledger = CrashLedger()
+    for number, software in enumerate((V1, V2, V1), 1):
+        note(ledger, "bad", number, software)
+    assert ledger.containing_key(keys("bad"), 3.0 + TRIAL_DELAYS_S[0]) is None
+
+
 @given(
     events=st.lists(st.tuples(st.integers(0, 5), st.integers(0, 40)), max_size=12),
     seed=st.integers(0, 1000),
