Test of items due sooner: no item ends before the coordinator knows the urgent ones

Cause: the test counted eight starts from the answer to the submission. The coordinator knows the urgent items only with their node's next report, and slots that become free before that go to the items that it knows. A trial with a report that is late by 0.3 s at the end of a wave of items: 0 of 5 urgent items among the next eight, all eight granted before the report. No wrong grant was seen.

Change: the replica's answers go on until the coordinator counts the urgent items as waiting; then exactly the items that run end, and exactly eight start. The three rounds have 5, 6 and 7 urgent items (5 each before), so a count of an earlier round can't be taken for this one's. All must be among the eight. The completion targets are longer, so that on a busy machine no urgent item counts as too late before its node has measured an item. PlatformReplica.is_held keeps answers going.

--- a/src/cloverwalk/emulator/platform_replica.py
+++ b/src/cloverwalk/emulator/platform_replica.py
@@ -4,6 +4,7 @@
 """
 
 import contextlib
+import itertools
 import socket
 import struct
 from collections import deque
@@ -77,6 +78,9 @@
         self.choose_event_interval_s: Callable[[Arrival], float] | None = None
         """Returns the time between the events of an answer, in place of ``event_s``."""
 
+        self.is_held: Callable[[Arrival], bool] = lambda arrival: False
+        """Whether an answer goes on beyond its number of events; asked again after each event."""
+
         self.waiting = 0
         self.misdeeds: deque[Misdeed | None] = deque()
         self.default_misdeed: Misdeed | None = None
@@ -315,7 +319,9 @@
             if self.choose_event_interval_s is None
             else self.choose_event_interval_s(arrival)
         )
-        for number in range(first, events + 1):
+        for number in itertools.count(first):
+            if number > events and not self.is_held(arrival):
+                break
             stutters = misdeed is Misdeed.STUTTER and number % STUTTER_INTERVAL_EVENTS == 0
             if await self._caller_disconnected(client, STUTTER_PAUSE_S if stutters else interval_s):
                 arrival.caller_disconnected = True
--- a/tests/serving/test_batch.py
+++ b/tests/serving/test_batch.py
@@ -8,6 +8,7 @@
 
 from cloverwalk.emulator.replica_runs import Misdeed
 from cloverwalk.platform import names
+from cloverwalk.serving.node import ServingNode
 
 
 def texts(results: list[dict[str, str]]) -> dict[str, str]:
@@ -20,6 +21,23 @@
     return {} if node is None else node._fleet.scheduler.waiting
 
 
+def waiting_at(world: FleetWorld, node: str) -> int:
+    """Return how many items of a node wait, as the coordinator counts them."""
+    by_pool = waiting_groups(world).get(node, {})
+    return sum(group.items for groups in by_pool.values() for group in groups)
+
+
+def batch_route(name: str, completion_target_ms: int) -> dict[str, Any]:
+    """Return a route whose items can be in time however long they wait in a test."""
+    target_ms = completion_target_ms
+    return route(name, f"/{name}/", "batch", completion_target_ms=target_ms, retention_s=600)
+
+
+def version_of(node: ServingNode) -> int:
+    """Return the version of a node's configuration."""
+    return node._fleet.coordinator_client.configuration_version
+
+
 def expected_text(item_id: str, events: int = 4) -> str:
     return "\n".join(f"{item_id}:{number}" for number in range(1, events + 1))
 
@@ -182,22 +200,33 @@
     in_world(test)
 
 
+# Guards against slots that go to items due later. No item ends before the coordinator knows the
+# urgent items, so it grants no slots without knowing them.
 def test_items_due_sooner_start_first_across_nodes() -> None:
     async def test(world: FleetWorld) -> None:
         await world.start(replicas=1, nodes=3, events=20, event_s=0.04)
+        routes = [batch_route("jobs", 200_000), batch_route("soon", 100_000)]
+        document = configuration(2, routes)
+        world.store.put(names.OPERATOR_TABLE, names.CONFIGURATION_KEY, document)
+        await world.wait_until(lambda: all(version_of(node) == 2 for node in world.nodes))
         replica = world.replicas[0]
+        may_end: set[str] = set()
+        replica.is_held = lambda arrival: arrival.request_id not in may_end
         for node in (0, 2):
             assert (await world.submit_job(f"later{node}", count=40, node=node)).status == 202
-        await world.wait_until(lambda: replica.running >= replica.slots)
-        for round_number in range(3):
-            urgent = f"urgent{round_number}"
-            assert (await world.submit_job(urgent, 5, node=1, path="/soon/x")).status == 202
+        for count in (5, 6, 7):
+            await world.wait_until(lambda: replica.running == replica.slots)
+            urgent = f"urgent{count}"
+            assert (await world.submit_job(urgent, count, node=1, path="/soon/x")).status == 202
+            await world.wait_until(lambda count=count: waiting_at(world, "n2") == count)  # type: ignore[misc]
             first_index = len(replica.arrivals)
+            may_end.update(run.request_id for run in replica.arrivals)
             # Items use all slots of the replica: none is reserved.
             end_index = first_index + replica.slots
             await world.wait_until(lambda end_index=end_index: len(replica.arrivals) >= end_index)  # type: ignore[misc]
-            first = [run.request_id for run in replica.arrivals[first_index:end_index]]
-            assert len([request_id for request_id in first if request_id.startswith(urgent)]) == 5
+            first = [run.request_id for run in replica.arrivals[first_index:]]
+            assert len(first) == replica.slots
+            assert sum(request_id.startswith(urgent) for request_id in first) == count
 
     in_world(test)
 
