History of a soak: crowds can be read back

Cause: the decoder of histories lacked CrowdMoved, so a history with a crowd ended at it with SoakInputError. Change: it is in the union; a test asks that it holds every kind of event.

--- a/src/cloverwalk/soak/history.py
+++ b/src/cloverwalk/soak/history.py
@@ -12,6 +12,7 @@
     AnswerSeen,
     ClientLeft,
     ConfigurationWritten,
+    CrowdMoved,
     FaultBegan,
     FaultEnded,
     NodeGone,
@@ -54,6 +55,7 @@
     | RunEnded
     | ReplicaStarted
     | ReplicaStopped
+    | CrowdMoved
     | JobSent
     | JobAnswered
     | JobRead
--- a/tests/soak/test_soak_plan.py
+++ b/tests/soak/test_soak_plan.py
@@ -1,6 +1,7 @@
 """Schedules are drawn from a seed, read from files and rejected if they are invalid."""
 
 from pathlib import Path
+from typing import get_args
 
 import msgspec
 import pytest
@@ -9,8 +10,8 @@
 from cloverwalk.cli.main import cli
 from cloverwalk.soak.draw import draw_plan
 from cloverwalk.soak.errors import SoakInputError
-from cloverwalk.soak.events import RunEnded
-from cloverwalk.soak.history import History, read_history
+from cloverwalk.soak.events import RunEnded, SoakEvent
+from cloverwalk.soak.history import Event, History, read_history
 from cloverwalk.soak.plan import Action, ActionKind, Plan, check_plan, load_plan
 
 
@@ -54,6 +55,15 @@
     assert load_plan(path) == plan
 
 
+# Guards against events that a soak writes and that can't be read from its history.
+def test_every_kind_of_event_can_be_read() -> None:
+    kinds = [
+        kind for kind in SoakEvent.__subclasses__() if kind.__module__.startswith("cloverwalk.")
+    ]
+    assert kinds
+    assert {kind.__name__ for kind in kinds} == {kind.__name__ for kind in get_args(Event)}
+
+
 def test_written_history_is_read_back_unchanged(tmp_path: Path) -> None:
     path = tmp_path / "history.jsonl"
     history = History(path, lambda: 7.0)
