--- a/src/cloverwalk/soak/events.py
+++ b/src/cloverwalk/soak/events.py
@@ -216,6 +216,7 @@
     replica: str
     service: str
     software_version: str
+    zone: str = ""
 
 
 class ReplicaStopped(SoakEvent, frozen=True):
--- a/src/cloverwalk/soak/replicas.py
+++ b/src/cloverwalk/soak/replicas.py
@@ -306,6 +306,7 @@
             replica=host.replica.replica_id,
             service=host.service,
             software_version=host.software_version,
+            zone=host.zone,
         )
         self._history.record(started)
 
--- a/tests/soak/test_soak_checker.py
+++ b/tests/soak/test_soak_checker.py
@@ -881,3 +881,48 @@
 
 def test_unread_connections_of_a_crowd_are_no_refusals() -> None:
     assert crowd_violations(crowd([200] * 20 + [0] * 30)) == 0
+
+
+def with_full_replicas(requests: list[Any], *items: int, replicas: int = 2) -> list[Any]:
+    """Return a crowd's requests after runs in all but one slot of each replica.
+
+    The runs whose numbers are in ``items`` are of items, the others of online requests.
+    """
+    started = [
+        ReplicaStarted(replica=f"i{number}", service="alpha", software_version="v1", zone="z1")
+        for number in range(replicas)
+    ]
+    runs: list[Any] = []
+    for number in range(7 * replicas):
+        request = f"o{number}"
+        runs += [] if number in items else [sent(request)]
+        runs.append(began(number, request, replica=f"i{number % replicas}"))
+    return [configuration(1), *started, *runs, *requests]
+
+
+# Guards against reports of refusals that the replicas' room left no choice but to make.
+def test_requests_of_a_crowd_refused_while_replicas_are_full_are_not_reported() -> None:
+    refused_crowd = crowd([200] * 20 + [503] * 30)
+    assert crowd_violations(with_full_replicas(refused_crowd)) == 0
+    drained = [
+        ReplicaStarted(replica="i9", service="alpha", software_version="v1", zone="z2"),
+        ZoneDrained(zone="z2"),
+    ]
+    assert crowd_violations([*drained, *with_full_replicas(refused_crowd)]) == 0
+
+
+# Guards against an excuse for refusals that the replicas had room for.
+def test_requests_of_a_crowd_refused_although_replicas_have_room_are_reported() -> None:
+    refused_crowd = crowd([200] * 20 + [503] * 30)
+    one_more = ReplicaStarted(replica="i9", service="alpha", software_version="v1", zone="z2")
+    other = ReplicaStarted(replica="i9", service="beta", software_version="v1", zone="z2")
+    stopped = ReplicaStopped(replica="i9")
+    drained_and_lifted = [one_more, ZoneDrained(zone="z2"), ZoneDrainLifted(zone="z2")]
+    assert crowd_violations([one_more, *with_full_replicas(refused_crowd)]) == 1
+    assert crowd_violations([one_more, stopped, *with_full_replicas(refused_crowd)]) == 0
+    assert crowd_violations([other, *with_full_replicas(refused_crowd)]) == 0
+    assert crowd_violations([*drained_and_lifted, *with_full_replicas(refused_crowd)]) == 1
+    assert crowd_violations(with_full_replicas(refused_crowd, 3)) == 1
+    ends = [ended(number, f"o{number}") for number in range(2)]
+    assert crowd_violations(with_full_replicas([*ends, *refused_crowd])) == 1
+    assert crowd_violations(with_full_replicas(crowd([200] * 20 + [504] * 30))) == 1
