The owner of a job is told of its end at once

Cause: an owner learns of an end that another node acknowledges from its next read of the job's record only, each 1.2 s.

Change: the node that has stored the end sends job_ended to the owner, before it answers: directly if it is the coordinator or the owner is the coordinator or a standby, otherwise through the coordinator, which knows all nodes. The owner drops the job if it is the same one, by its time of acceptance; only the process that the stored end names acts on it. A lost message, or a build that does not know the kind, leaves it to the record as before; nobody waits for an answer.

Tests: an owner whose store is silent from the acknowledgement on suspends the running items, for three places of owner and coordinator (all three failed before: items ran on for over 10 s); the end of another job with the same id, of another process or of an unknown job changes nothing.

--- a/src/cloverwalk/fleet/messages.py
+++ b/src/cloverwalk/fleet/messages.py
@@ -635,6 +635,17 @@
     """Host that gets the answer, if the coordinator passes the query on; empty: the sender."""
 
 
+class JobEnded(Struct, tag="job_ended", array_like=True, frozen=True):
+    """The store holds the end of a job; for its owner, which starts no more of its items."""
+
+    job: str
+    accepted_ms: float
+    """When the job was accepted, in ms of the store's clock: a later job may have its id."""
+
+    owner: str
+    """Incarnation of the process that owns the job; no other process takes over an ended job."""
+
+
 class Introduction(Struct, tag="introduction", array_like=True):
     """Names the coordinator to a node that reported to another node."""
 
@@ -662,6 +673,7 @@
     | CrashCases
     | StreamVersions
     | StreamVersionQuery
+    | JobEnded
     | Introduction
     | StoreReturned
 )
--- a/src/cloverwalk/jobs/service.py
+++ b/src/cloverwalk/jobs/service.py
@@ -57,6 +57,8 @@
         self._committer = committer
         self._log = log
         self._clock = clock
+        self.on_ended: Callable[[JobRecord], None] = _ignore_ended
+        """Called when the store holds the end of a job, before the caller gets its answer."""
 
     async def submit(
         self,
@@ -126,10 +128,17 @@
             message = "the record of the job changes too often"
             raise JobError(Reason.UNAVAILABLE, "job_contended", message, END_RETRY_AFTER_S)
         # The job was closed before, or by a transaction of this call whose answer was lost.
+        if stored.content.is_ended:
+            self.on_ended(stored.content)
         await self._runner.drop(job_id)
 
     async def _on_ended(self, stored: StoredJob) -> None:
         record = stored.content
         self._log.write(catalogue.JOB_ENDED, request=record.job_id, listed=record.listed)
+        self.on_ended(record)
         await self._view.put(stored)
         await self._runner.drop(record.job_id)
+
+
+def _ignore_ended(_record: JobRecord) -> None:
+    return None
--- a/src/cloverwalk/jobs/verifier.py
+++ b/src/cloverwalk/jobs/verifier.py
@@ -86,12 +86,24 @@
         record = None if stored is None else stored.content
         if job.is_dropped or record is not None and self._is_owned_and_open(job, record):
             return
+        await self._drop(job, record, is_ended=record is not None and record.is_ended)
+
+    async def drop_ended(self, job_id: str, accepted_ms: float) -> None:
+        """Drop a job whose end the store holds, as another node says.
+
+        A job that was accepted at another time is a different one with the same id.
+        """
+        job = self._runner.jobs.get(job_id)
+        if job is not None and job.record.accepted_ms == accepted_ms:
+            await self._drop(job, job.record, is_ended=True)
+
+    async def _drop(self, job: JobRun, record: JobRecord | None, is_ended: bool) -> None:
         self._log.write(
             catalogue.JOB_DROPPED,
             job=job.job_id,
             owner="" if record is None else record.owner,
             epoch=0 if record is None else record.epoch,
-            is_ended=record is not None and record.is_ended,
+            is_ended=is_ended,
         )
         await self._runner.drop(job.job_id)
 
--- a/src/cloverwalk/serving/batch_parts.py
+++ b/src/cloverwalk/serving/batch_parts.py
@@ -7,6 +7,7 @@
 
 from cloverwalk.fleet.follower import TableFollower
 from cloverwalk.fleet.in_flight import InFlightTracker
+from cloverwalk.fleet.messages import JobEnded
 from cloverwalk.gateway.crash_detector import CrashDetector
 from cloverwalk.gateway.replica_connection import ReplicaPool
 from cloverwalk.jobs.assigner import JobAssigner
@@ -17,7 +18,7 @@
 from cloverwalk.jobs.item_containment import ItemContainment
 from cloverwalk.jobs.lister import ResultLister
 from cloverwalk.jobs.reader import JobReader
-from cloverwalk.jobs.records import JOB_TABLE
+from cloverwalk.jobs.records import JOB_TABLE, JobRecord
 from cloverwalk.jobs.repair import RecordRepairer
 from cloverwalk.jobs.result_cache import ResultCache
 from cloverwalk.jobs.run import JobRun
@@ -95,6 +96,7 @@
         self.lister = ResultLister(committer, self.view, cache, self.runner.drop, log, clock)
         self.reader = JobReader(store, self.view, self._runs_job, cache, clock)
         self.verifier = JobVerifier(self.runner, self.reader, log, clock)
+        fleet.job_end_sync.on_ended = self._on_ended_elsewhere
         self.checkpointer = Checkpointer(self.runner, committer, health, self.verifier.verify)
         self._intake = intake = JobIntake(
             incarnation,
@@ -113,6 +115,7 @@
         self.service = JobService(
             intake, self.reader, self.runner, self.view, committer, log, clock
         )
+        self.service.on_ended = self._tell_owner
         self.repairer = RecordRepairer(self.view, committer, health, log, clock)
         self.takeover = JobTakeover(
             incarnation,
@@ -189,5 +192,12 @@
     async def _on_orphans(self, job_ids: list[str]) -> None:
         await self.takeover.take_over(job_ids)
 
+    def _tell_owner(self, record: JobRecord) -> None:
+        message = JobEnded(record.job_id, record.accepted_ms, record.owner)
+        self._fleet.job_end_sync.announce(message)
+
+    async def _on_ended_elsewhere(self, message: JobEnded) -> None:
+        await self.verifier.drop_ended(message.job, message.accepted_ms)
+
     async def _on_finished(self, job: JobRun) -> None:
         await self.lister.notify_finished(job)
--- a/src/cloverwalk/serving/fleet_parts.py
+++ b/src/cloverwalk/serving/fleet_parts.py
@@ -13,6 +13,7 @@
 from cloverwalk.fleet.election import Election
 from cloverwalk.fleet.identity import Identity
 from cloverwalk.fleet.in_flight import InFlightTracker
+from cloverwalk.fleet.job_end_sync import JobEndSync
 from cloverwalk.fleet.leader import LeaderView
 from cloverwalk.fleet.messages import (
     CompactConfigurationPart,
@@ -24,6 +25,7 @@
     ConfigurationStatus,
     Datagram,
     DatagramError,
+    JobEnded,
     Report,
     Snapshot,
     StoreReturned,
@@ -148,6 +150,7 @@
             log,
             clock,
         )
+        self.job_end_sync = JobEndSync(self.identity, self.leader, self.coordinator, self.transport)
         self.stream_version_sync = StreamVersionSync(
             self.identity,
             self.leader,
@@ -333,6 +336,8 @@
                 await self.stream_version_sync.handle_records(message)
             case StreamVersionQuery():
                 self.stream_version_sync.handle_query(message, host)
+            case JobEnded():
+                await self.job_end_sync.handle(message)
             case StoreReturned():
                 await self._health.hint_recovery()
                 if self.coordinator.is_active and not self._health.is_unavailable:
