Emulated replica: a request that it refuses unread causes no fault

Cause: the emulated replica chose the fault of a request before it refused it as sent to another instance (421) or as full. In the tests of crashing parts, and in soaks, a replica so crashed under a request that it had not run. With the coordinator killed the nodes' lists of replicas are old for some seconds, requests go to the addresses of ended replicas, and each replica that had taken such an address over refused the guilty request and crashed all the same.

Change: the fault is chosen after both refusals. PlatformReplica.on_arrival is called with every request, so that the tests go on to count refused guilty requests as late ones.

--- a/src/cloverwalk/emulator/platform_replica.py
+++ b/src/cloverwalk/emulator/platform_replica.py
@@ -68,6 +68,9 @@
         """Maximum number of requests that wait for a slot; more are refused. None: slots do not
         limit requests, and all run concurrently."""
 
+        self.on_arrival: Callable[[Arrival], None] = lambda arrival: None
+        """Called with each request, also with those that are refused."""
+
         self.observer: ReplicaObserver | None = None
         self.choose_misdeed: Callable[[Arrival], Misdeed | None] | None = None
         """Returns the fault of each request, in place of ``misdeeds`` and ``default_misdeed``."""
@@ -121,12 +124,17 @@
         if arrival is None:
             return False
         self.arrivals.append(arrival)
-        misdeed = self._next_misdeed(arrival)
+        self.on_arrival(arrival)
         expected = arrival.headers.get(names.EXPECT_INSTANCE.decode().lower())
         if expected not in (None, self.replica_id):
             await self._refuse(client, http, arrival, 421)
             return True
-        if misdeed is Misdeed.REFUSE or self._is_full():
+        if self._is_full():
+            await self._refuse(client, http, arrival, 503)
+            return True
+        # A request that is not run has no effect on the replica, so only others get a fault.
+        misdeed = self._next_misdeed(arrival)
+        if misdeed is Misdeed.REFUSE:
             await self._refuse(client, http, arrival, 503)
             return True
         if misdeed is Misdeed.REFUSE_AND_CUT:
