--- a/src/cloverwalk/emulator/platform_replica.py
+++ b/src/cloverwalk/emulator/platform_replica.py
@@ -4,6 +4,7 @@
 """
 
 import contextlib
+import itertools
 import socket
 import struct
 from collections import deque
@@ -67,6 +68,9 @@
         """Maximum number of requests that wait for a slot; more are refused. None: slots do not
         limit requests, and all run concurrently."""
 
+        self.on_arrival: Callable[[Arrival], None] = lambda arrival: None
+        """Called with each request, also with those that are refused."""
+
         self.observer: ReplicaObserver | None = None
         self.choose_misdeed: Callable[[Arrival], Misdeed | None] | None = None
         """Returns the fault of each request, in place of ``misdeeds`` and ``default_misdeed``."""
@@ -77,6 +81,9 @@
         self.choose_event_interval_s: Callable[[Arrival], float] | None = None
         """Returns the time between the events of an answer, in place of ``event_s``."""
 
+        self.is_held: Callable[[Arrival], bool] = lambda arrival: False
+        """Whether an answer goes on beyond its number of events; asked again after each event."""
+
         self.waiting = 0
         self.misdeeds: deque[Misdeed | None] = deque()
         self.default_misdeed: Misdeed | None = None
@@ -117,12 +124,17 @@
         if arrival is None:
             return False
         self.arrivals.append(arrival)
-        misdeed = self._next_misdeed(arrival)
+        self.on_arrival(arrival)
         expected = arrival.headers.get(names.EXPECT_INSTANCE.decode().lower())
         if expected not in (None, self.replica_id):
             await self._refuse(client, http, arrival, 421)
             return True
-        if misdeed is Misdeed.REFUSE or self._is_full():
+        if self._is_full():
+            await self._refuse(client, http, arrival, 503)
+            return True
+        # A request that is not run has no effect on the replica, so only others get a fault.
+        misdeed = self._next_misdeed(arrival)
+        if misdeed is Misdeed.REFUSE:
             await self._refuse(client, http, arrival, 503)
             return True
         if misdeed is Misdeed.REFUSE_AND_CUT:
@@ -315,7 +327,9 @@
             if self.choose_event_interval_s is None
             else self.choose_event_interval_s(arrival)
         )
-        for number in range(first, events + 1):
+        for number in itertools.count(first):
+            if number > events and not self.is_held(arrival):
+                break
             stutters = misdeed is Misdeed.STUTTER and number % STUTTER_INTERVAL_EVENTS == 0
             if await self._caller_disconnected(client, STUTTER_PAUSE_S if stutters else interval_s):
                 arrival.caller_disconnected = True
