--- a/tests/unit/test_datagrams.py
+++ b/tests/unit/test_datagrams.py
@@ -1,5 +1,6 @@
 """Messages that are too long for one datagram."""
 
+from types import SimpleNamespace
 from typing import Any
 
 import pytest
@@ -32,7 +33,7 @@
     decode_datagram,
     encode_datagram,
 )
-from cloverwalk.fleet.state_sender import change_updates
+from cloverwalk.fleet.state_sender import StateSender, change_updates
 from cloverwalk.gateway.crash_ledger import MAX_INCARNATIONS, MAX_SHARED_RECORDS, CrashRecord
 from cloverwalk.gateway.replicas import MAX_NAME_BYTES, Replica, ReplicaDirectory
 from cloverwalk.scheduling.admission import PlacementVerdict
@@ -226,3 +227,21 @@
 def test_short_change_is_one_update() -> None:
     update = DirectoryUpdate(5, 6, 2, 0, [replica(1, 2)], [])
     assert change_updates(update, {}, 1) == [update]
+
+
+# Guards against a whole list that never arrives, as one of its parts is too long to be sent.
+@pytest.mark.parametrize("count", [0, 1, 290, 700])
+def test_whole_list_is_sent_in_parts_that_fit(count: int) -> None:
+    sent: list[DirectoryUpdate] = []
+    transport: Any = SimpleNamespace(send=lambda host, message: sent.append(message))
+    replicas = [replica(n, 1) for n in range(count)]
+    listed = directory(replicas, 1)
+    configuration: Any = SimpleNamespace(version=1, current=None)
+    sender = StateSender(transport, configuration, listed)
+    entry: Any = SimpleNamespace(report=report(), contact=LEADERSHIP.holder, state_sent_at=0.0)
+    entry.report.store_age_ms = 10_000
+    sender._copy_directory(entry, 5.0)
+    assert all(len(encode_datagram(update)) <= MAX_DATAGRAM_BYTES for update in sent)
+    assert [update.part for update in sent] == list(range(len(sent)))
+    assert {update.parts for update in sent} == {len(sent)}
+    assert [entry for update in sent for entry in update.replicas] == replicas
--- a/tests/unit/test_odd_input.py
+++ b/tests/unit/test_odd_input.py
@@ -262,6 +262,19 @@
         decode_datagram(data)
 
 
+# Guards against times and counts that overflow where a message is handled.
+def test_numbers_of_messages_are_bounded() -> None:
+    poll = b'["configuration_poll",%s]'
+    for odd in (ODD_TEXT[2], b"%d" % (2**64 + 1), b"-%d" % 10**30):
+        with pytest.raises(DatagramError):
+            decode_datagram(netstring(poll % odd))
+    with pytest.raises(DatagramError):
+        decode_datagram(netstring(payload(REPORT).replace(b"1.0", b"1e308")))
+    assert decode_datagram(netstring(poll % b"18446744073709551616"))
+    digits = StreamVersionQuery([",1" + 400 * "0", ":1e400"])
+    assert decode_datagram(netstring(payload(digits))) == digits
+
+
 # --- rows beside odd ones ---
 
 
