The row of registered versions stays within a row's size

Entries of replicas with ever new versions made the row longer than the store takes, so no further version was registered and no stream began there (test_versions_are_registered_although_many_have_gone, which failed before). An unknown version of the service now stands for those that have gone.

--- a/src/cloverwalk/fleet/version_registry.py
+++ b/src/cloverwalk/fleet/version_registry.py
@@ -30,7 +30,14 @@
 from cloverwalk.store.health import StoreHealth
 from cloverwalk.store.row_decoder import InvalidRows, RowDecoder
 from cloverwalk.store.stored import Stored, transaction
-from cloverwalk.store.types import CommitStatus, Row, RowKey, Store, StoreError
+from cloverwalk.store.types import (
+    MAX_ROW_BYTES,
+    CommitStatus,
+    Row,
+    RowKey,
+    Store,
+    StoreError,
+)
 from cloverwalk.telemetry.log import ServingLog
 
 ROW_KEY = RowKey("software", "", "versions")
@@ -40,6 +47,9 @@
 READ_TIMEOUT_S = 0.5
 """How long a resumption waits for the row."""
 
+MAX_VERSION_BYTES = MAX_ROW_BYTES - 100
+"""Encoded entries of the row; the rest of the row is for its other fields."""
+
 MIN_ADOPTION_DELAY_S = 0.4
 MAX_ADOPTION_DELAY_S = 0.8
 """After a random time between these, a node reads the row for a version that it does not know to
@@ -169,9 +179,7 @@
         if row.version and row.content is _NOT_READABLE:
             unknown = {Software(software.service, "") for software in unlisted_ms}
             unlisted_ms = {**dict.fromkeys(unknown, 1), **unlisted_ms}
-        versions = [
-            ListedVersion(*software, unlisted_ms[software]) for software in sorted(unlisted_ms)
-        ]
+        versions = _fitting(unlisted_ms)
         write = row.replace(StoredVersions(versions, store_time.latest_ms))
         outcome = await self._store.commit(transaction(write), CALL_TIMEOUT_S)
         if outcome.status is CommitStatus.COMMITTED:
@@ -250,6 +258,23 @@
         }
 
 
+def _fitting(unlisted_ms: dict[Software, int]) -> list[ListedVersion]:
+    """Return the entries of a row that the store takes.
+
+    If they are too many, an unknown version of their services stands for those that have gone.
+    """
+    versions = _entries(unlisted_ms)
+    if len(msgspec.json.encode(versions)) <= MAX_VERSION_BYTES:
+        return versions
+    kept = {software: age_ms for software, age_ms in unlisted_ms.items() if not age_ms}
+    gone = {Software(software.service, "") for software in unlisted_ms.keys() - kept.keys()}
+    return _entries({**dict.fromkeys(gone, 1), **kept})
+
+
+def _entries(unlisted_ms: dict[Software, int]) -> list[ListedVersion]:
+    return [ListedVersion(*software, unlisted_ms[software]) for software in sorted(unlisted_ms)]
+
+
 def _listed(stored: StoredVersions) -> frozenset[Software]:
     """Return the versions that a row names as listed."""
     return frozenset(
--- a/tests/serving/test_releases.py
+++ b/tests/serving/test_releases.py
@@ -289,3 +289,24 @@
                 await node.gate.ask(request, progress)
 
     curio.run(main)
+
+
+# Guards against a row of versions that the store refuses, so that no new version is ever used.
+def test_versions_are_registered_although_many_have_gone() -> None:
+    async def main() -> None:
+        model = ReleaseModel((1.0,) * NODES)
+        play = Steps(model)
+        await play.start()
+        for number in range(400):
+            model.join(f"{number:0200}")
+            model.leave(f"{number - 1:0200}")
+            model.nodes[0].read_list()
+            await model.nodes[0].update()
+        model.join("v2")
+        for _ in range(2):
+            await play.apply("update_all", 0, 0)
+        await play.apply("stream", 0, 0)
+        assert set(model.begun.values()) == {"v2"}
+        assert await model.nodes[2].register.only_software("model") is None
+
+    curio.run(main)
