Registered versions follow the newest row, which is read each 30 s; ages by the store's clock

Found by review: a late write took a listed version from the row, no node read the row again, and 700 s later a stream of that version went on at another one; a coordinator whose clock runs fast aged versions too early (row: 630 s after 210 s). A node's knowledge of what is registered is now replaced by each read of the row, the row is read again after 30 s, and the time without a version is the store's. Both sequences are tests that failed before.

--- a/src/cloverwalk/fleet/version_registry.py
+++ b/src/cloverwalk/fleet/version_registry.py
@@ -50,6 +50,10 @@
 MAX_VERSION_BYTES = MAX_ROW_BYTES - 100
 """Encoded entries of the row; the rest of the row is for its other fields."""
 
+REREAD_INTERVAL_S = 30.0
+"""The row is read again after this time, as another node or a late write may have changed it. Much
+shorter than the retention of versions that the row no longer lists."""
+
 MIN_ADOPTION_DELAY_S = 0.4
 MAX_ADOPTION_DELAY_S = 0.8
 """After a random time between these, a node reads the row for a version that it does not know to
@@ -99,6 +103,9 @@
         self.has_registered = False
         """Whether a version of listed replicas was ever found in the row, or written to it."""
 
+        self._read_at = float("-inf")
+        """When the last read of the row that the store answered began."""
+
         self._was_active = False
         self._adopt_at: float | None = None
         """When to read the row for a version that is not known to be registered."""
@@ -128,13 +135,14 @@
         self._registered.retain(listed)
         has_taken_role = self._coordinator.is_active and not self._was_active
         self._was_active = self._coordinator.is_active
-        row = None if has_taken_role else self._row
+        is_outdated = self._clock() - self._read_at > REREAD_INTERVAL_S
+        row = None if has_taken_role or is_outdated else self._row
         if row is None:
             row = await self._read()
         if row is None:
             return False
         if self._coordinator.is_active:
-            return _listed(row.content) == listed or await self._write(row, self._history())
+            return _listed(row.content) == listed or await self._write(row, self._history(row))
         return await self._adopt(listed)
 
     async def _adopt(self, listed: frozenset[Software]) -> bool:
@@ -153,13 +161,15 @@
         missing = self._registered.missing(listed)
         return not missing or await self._write(row, self._with_listed(row, missing))
 
-    def _history(self) -> dict[Software, int]:
-        """Return for how long each version has not been listed, as this node knows (ms)."""
+    def _history(self, row: Stored[StoredVersions]) -> dict[Software, int]:
+        """Return for how long each version has not been listed, by the store's time (ms)."""
         history, listed = self._versions.history(), self._versions.listed
         assert history is not None
+        unlisted_s = self._unlisted_s(row.content)
         return {
-            software: _unlisted_ms(software, unlisted_s, listed)
-            for software, unlisted_s in history.unlisted_s.items()
+            software: _unlisted_ms(software, unlisted_s.get(software, 0.0), listed)
+            for software in listed | unlisted_s.keys() | history.unlisted_s.keys()
+            if unlisted_s.get(software, 0.0) < RETENTION_S
         }
 
     def _with_listed(
@@ -227,12 +237,14 @@
 
     async def _read_store(self) -> Stored[StoredVersions] | None:
         self._row = None
+        began_at = self._clock()
         try:
             page = await self._store.read_table(ROW_KEY.table)
         except StoreError:
             return None
         found = next((row for row in page.rows if row.row_key == ROW_KEY), Row(ROW_KEY, None, 0))
         row = self._decoder.stored(found)
+        self._read_at = began_at
         self._use(row)
         return row
 
@@ -241,7 +253,7 @@
         self._row = row
         self._adopt_at = None
         registered = _listed(row.content) & self._versions.listed
-        self._registered.add(registered)
+        self._registered.replace(registered)
         self.has_registered |= bool(registered)
         self._versions.merge(VersionHistory(RETENTION_S, self._unlisted_s(row.content)))
 
--- a/src/cloverwalk/gateway/registered_versions.py
+++ b/src/cloverwalk/gateway/registered_versions.py
@@ -28,9 +28,9 @@
         """Return the versions of listed replicas that are not known to be registered."""
         return listed - self._registered
 
-    def add(self, registered: Iterable[Software]) -> None:
-        """Add versions that the store lists."""
-        self._registered = self._registered.union(registered)
+    def replace(self, registered: Iterable[Software]) -> None:
+        """Use the versions that the store lists now."""
+        self._registered = frozenset(registered)
 
     def retain(self, listed: frozenset[Software]) -> None:
         """Forget versions without listed replicas; the store may list them no longer."""
--- a/tests/serving/test_releases.py
+++ b/tests/serving/test_releases.py
@@ -1,5 +1,6 @@
 """Streams during releases while nodes are cut off, stand still or restart, in any order."""
 
+import json
 import os
 from collections.abc import Iterator
 
@@ -310,3 +311,80 @@
         assert await model.nodes[2].register.only_software("model") is None
 
     curio.run(main)
+
+
+def lists(model: ReleaseModel) -> str:
+    """Return the row of versions as it is in the store."""
+    return b"".join(model.store.values("software").values()).decode()
+
+
+async def begin_at(model: ReleaseModel, node: ModelNode, decider: ModelNode, version: str) -> str:
+    """Begin a stream at a version, whose record reaches no other node."""
+    for choice in range(4):
+        attempt = model.send(node, decider, choice)
+        if attempt is not None and attempt.replica.software_version == version:
+            model.begin(attempt)
+            model.in_transit.clear()
+            return attempt.progress.stream
+    pytest.fail(f"no stream could begin at {version}")
+
+
+# Guards against a version that stays in use after a late write took it from the row.
+def test_version_that_a_late_write_removed_is_registered_again() -> None:
+    async def main() -> None:
+        model = ReleaseModel((1.0,) * NODES)
+        play = Steps(model)
+        await play.start()
+        await play.apply("join", 1, 0)
+        for _ in range(3):
+            await play.apply("update_all", 0, 0)
+            model.now += 1.0
+        await play.apply("leave", 1, 0)
+        for node in model.nodes:
+            node.read_list()
+        model.store.commit_faults.append(CommitFault.LATE)
+        await model.nodes[0].update()
+        await play.apply("join", 1, 0)
+        for _ in range(3):
+            await play.apply("update_all", 0, 0)
+            model.now += 1.0
+        model.store.run_late()
+        for _ in range(700):
+            model.now += 1.0
+            await play.apply("update_all", 0, 0)
+            for node in model.nodes:
+                node.versions.expire()
+        stream = await begin_at(model, model.nodes[1], model.nodes[0], "v2")
+        for hidden in (0, 1):
+            await play.apply("hide", hidden, 1)
+        await model.resume(model.nodes[2], model.nodes[2], stream)
+
+    curio.run(main)
+
+
+# Guards against a version that is forgotten early because the coordinator's clock runs fast.
+def test_time_without_a_version_is_measured_by_the_store() -> None:
+    async def main() -> None:
+        model = ReleaseModel((3.0, 1.0, 1.0))
+        play = Steps(model)
+        await play.start()
+        await play.apply("join", 1, 0)
+        for _ in range(3):
+            await play.apply("update_all", 0, 0)
+            model.now += 1.0
+        stream = await begin_at(model, model.nodes[1], model.nodes[1], "v1")
+        await play.apply("leave", 0, 0)
+        await play.apply("update_all", 0, 0)
+        model.now += 210.0
+        model.join("v3")
+        await play.apply("update_all", 0, 0)
+        model.leave("v3")
+        for _ in range(2):
+            await play.apply("update_all", 0, 0)
+        for hidden in (0, 1):
+            await play.apply("hide", hidden, 1)
+        await model.resume(model.nodes[2], model.nodes[2], stream)
+        unlisted = [entry for entry in json.loads(lists(model))[0] if entry[1] == "v1"]
+        assert unlisted and unlisted[0][2] < 220_000
+
+    curio.run(main)
