Resumptions without a record don't postpone the registration of a version

Each read of the row began the delay before a node adds a version anew, so none was added while the coordinator was frozen and clients came back (not within 10 s; test_version_is_registered_beside_resumptions_without_a_record failed before).

--- a/src/cloverwalk/fleet/version_registry.py
+++ b/src/cloverwalk/fleet/version_registry.py
@@ -251,7 +251,6 @@
     def _use(self, row: Stored[StoredVersions]) -> None:
         """Use the row as it is in the store."""
         self._row = row
-        self._adopt_at = None
         registered = _listed(row.content) & self._versions.listed
         self._registered.replace(registered)
         self.has_registered |= bool(registered)
--- a/tests/serving/test_releases.py
+++ b/tests/serving/test_releases.py
@@ -388,3 +388,24 @@
         assert unlisted and unlisted[0][2] < 220_000
 
     curio.run(main)
+
+
+# Guards against a version that is never registered because resumptions read the row all the time.
+def test_version_is_registered_beside_resumptions_without_a_record() -> None:
+    async def main() -> None:
+        model = ReleaseModel((1.0,) * NODES)
+        play = Steps(model)
+        await play.start()
+        model.nodes[0].roles.is_active = False
+        await play.apply("freeze", 0, 1)
+        await play.apply("join", 1, 0)
+        node = model.nodes[1]
+        node.read_list()
+        for number in range(20):
+            model.now += 0.1
+            await node.update()
+            if number % 3 == 0:
+                await node.register.only_software("model")
+        await begin_at(model, node, node, "v2")
+
+    curio.run(main)
