A lost row of versions counts as an unknown version of any service

After an invalid row the writer entered an unknown version for the services that it named, and after a removed one none at all: a stream of a version that only the lost row had named went on at another one (test_loss_of_the_row_of_versions_joins_no_stream_from_two_versions[removed] failed before; the case of an invalid row was found by review).

--- a/src/cloverwalk/fleet/version_registry.py
+++ b/src/cloverwalk/fleet/version_registry.py
@@ -71,6 +71,9 @@
 _NOT_READABLE = StoredVersions([], -1.0)
 """Stands for an invalid row: nothing is known of the versions that it listed."""
 
+_ANY = Software("", "")
+"""Entry for an unknown version of an unknown service, after a row was lost."""
+
 
 class VersionRegistry:
     """Reads and writes the row."""
@@ -103,6 +106,7 @@
         self.has_registered = False
         """Whether a version of listed replicas was ever found in the row, or written to it."""
 
+        self._has_seen_row = False
         self._read_at = float("-inf")
         """When the last read of the row that the store answered began."""
 
@@ -186,9 +190,8 @@
         store_time = self._store_clock.now()
         if store_time is None:
             return False
-        if row.version and row.content is _NOT_READABLE:
-            unknown = {Software(software.service, "") for software in unlisted_ms}
-            unlisted_ms = {**dict.fromkeys(unknown, 1), **unlisted_ms}
+        if self._has_lost_row(row):
+            unlisted_ms = {_ANY: 1, **unlisted_ms}
         versions = _fitting(unlisted_ms)
         write = row.replace(StoredVersions(versions, store_time.latest_ms))
         outcome = await self._store.commit(transaction(write), CALL_TIMEOUT_S)
@@ -215,9 +218,11 @@
         possible = [
             software
             for software, age_s in unlisted_s.items()
-            if software.service == service and age_s < RETENTION_S
+            if software.service in (service, _ANY.service) and age_s < RETENTION_S
         ]
-        return possible[0] if len(possible) == 1 and possible[0].is_known else None
+        if len(possible) != 1 or possible[0].service != service or not possible[0].is_known:
+            return None
+        return possible[0]
 
     # --- the row ---
 
@@ -248,9 +253,14 @@
         self._use(row)
         return row
 
+    def _has_lost_row(self, row: Stored[StoredVersions]) -> bool:
+        """Whether a row is invalid, or missing although there was one."""
+        return row.content is _NOT_READABLE and (row.version > 0 or self._has_seen_row)
+
     def _use(self, row: Stored[StoredVersions]) -> None:
         """Use the row as it is in the store."""
         self._row = row
+        self._has_seen_row |= row.version > 0
         registered = _listed(row.content) & self._versions.listed
         self._registered.replace(registered)
         self.has_registered |= bool(registered)
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -1887,8 +1887,8 @@
     Mutant(
         "versions: a version that has gone can't have begun a stream",
         "fleet/version_registry.py",
-        "if software.service == service and age_s < RETENTION_S",
-        "if software.service == service and age_s <= 0",
+        "if software.service in (service, _ANY.service) and age_s < RETENTION_S",
+        "if software.service in (service, _ANY.service) and age_s <= 0",
         RELEASES + "test_node_out_of_step_joins_no_stream_from_two_versions",
     ),
     Mutant(
--- a/tests/serving/release_model.py
+++ b/tests/serving/release_model.py
@@ -225,12 +225,12 @@
 
     # --- replicas ---
 
-    def join(self, version: str) -> None:
+    def join(self, version: str, service: str = "model") -> None:
         """Let a replica join."""
         self.version += 1
         name = f"r{self.version}"
         self.listed[name] = Replica(
-            name, "model", "h", 1, "z1", 8, False, self.version, software_version=version
+            name, service, "h", 1, "z1", 8, False, self.version, software_version=version
         )
 
     def leave(self, version: str) -> None:
--- a/tests/serving/test_releases.py
+++ b/tests/serving/test_releases.py
@@ -13,9 +13,11 @@
 
 from cloverwalk.emulator.memory_store import CommitFault
 from cloverwalk.fleet import stream_version_sync
+from cloverwalk.fleet.version_registry import ROW_KEY
 from cloverwalk.gateway.configuration import RoutePart
 from cloverwalk.gateway.errors import GatewayError
 from cloverwalk.gateway.progress import RequestProgress
+from cloverwalk.store.types import Put, Transaction
 
 VERSIONS = ("v1", "v2")
 QUERY_TIMEOUT_S = 0.001
@@ -409,3 +411,39 @@
         await begin_at(model, node, node, "v2")
 
     curio.run(main)
+
+
+# Guards against a stream of a version that only an invalid or removed row had named.
+@pytest.mark.parametrize("lost", [b"[[[", None], ids=["invalid", "removed"])
+def test_loss_of_the_row_of_versions_joins_no_stream_from_two_versions(lost: bytes | None) -> None:
+    async def main() -> None:
+        model = ReleaseModel((1.0,) * NODES)
+        play = Steps(model)
+        await play.start()
+        await play.apply("join", 1, 0)
+        for _ in range(3):
+            await play.apply("update_all", 0, 0)
+            model.now += 1.0
+        stream = await begin_at(model, model.nodes[0], model.nodes[0], "v2")
+        await play.apply("leave", 1, 0)
+        change = (
+            Transaction(removals=[ROW_KEY])
+            if lost is None
+            else Transaction(puts=[Put(ROW_KEY, lost)])
+        )
+        model.store.apply(change)
+        model.join("w1", "other")
+        for _ in range(4):
+            model.nodes[1].read_list()
+            await model.nodes[1].update()
+            model.now += 31.0
+        await play.apply("restart", 0, 0)
+        await play.apply("restart", 2, 0)
+        model.nodes[0].roles.is_active = True
+        for _ in range(2):
+            await play.apply("update_all", 0, 0)
+        await play.apply("hide", 1, 1)
+        await model.resume(model.nodes[2], model.nodes[2], stream)
+        assert json.loads(lists(model))
+
+    curio.run(main)
