A confirmation of the replica list is dated by the report that its orders answer

Orders that waited in the socket of a node that stood still confirmed its list as of their arrival, so a list of some seconds of age looked fresh, and a restart was dated too late. They are now dated by a lower bound, the time of the report that they answer and its age (test_confirmation_that_waited_is_dated_by_the_report_that_it_answers failed before).

--- a/src/cloverwalk/fleet/coordinator_client.py
+++ b/src/cloverwalk/fleet/coordinator_client.py
@@ -452,7 +452,7 @@
         self._store_available_elsewhere_at = (
             now if orders.is_store_served else self._store_available_elsewhere_at
         )
-        self._directory_sync.confirm(orders)
+        self._directory_sync.confirm(orders, self._earliest_made_at(orders, now))
         self._confirm_configuration(orders, now)
         await self.on_configuration_sources(orders.configuration_sources)
         self.on_version_history(orders.version_history)
@@ -479,10 +479,16 @@
 
         Where nodes do not poll for the configuration, this is the arrival time.
         """
+        return self._earliest_made_at(orders, now) if self.reports.polls_configuration else now
+
+    def _earliest_made_at(self, orders: Orders, now: float) -> float:
+        """Return a lower bound of the time at which orders were made.
+
+        They may have waited while this node was suspended. The arrival time if the report that they
+        name is not known.
+        """
         sent_at = self.reports.sent_at(orders.report_sequence)
-        if not self.reports.polls_configuration or sent_at is None:
-            return now
-        return min(now, sent_at + orders.report_age_ms / 1000)
+        return now if sent_at is None else min(now, sent_at + orders.report_age_ms / 1000)
 
     async def _apply_batch_orders(self, orders: Orders, host: str) -> None:
         run, last_applied = self._last_applied_orders.get(host, ("", 0))
--- a/src/cloverwalk/fleet/directory_sync.py
+++ b/src/cloverwalk/fleet/directory_sync.py
@@ -27,10 +27,14 @@
         self._invalid_versions: dict[str, int] = {}
         """Versions of invalid entries, by key; each version is logged once."""
 
-    def confirm(self, orders: Orders) -> None:
-        """Record the list as confirmed if its fingerprint equals the coordinator's."""
+    def confirm(self, orders: Orders, made_at: float) -> None:
+        """Record the list as confirmed if its fingerprint equals the coordinator's.
+
+        ``made_at`` is a lower bound of the time at which the orders were made.
+        """
         if orders.directory == self._directory.fingerprint:
-            self._record_confirmation(orders.directory_age_ms, orders.directory_version)
+            confirmed_at = made_at - orders.directory_age_ms / 1000
+            self._record_confirmation(confirmed_at, orders.directory_version)
 
     def apply(self, update: DirectoryUpdate) -> bool:
         """Apply changes or a whole list; return False if the whole list has to be requested."""
@@ -48,7 +52,7 @@
             self._apply_changes(update)
         if self._directory.fingerprint != update.fingerprint:
             return False
-        self._record_confirmation(update.age_ms, update.version)
+        self._record_confirmation(self._clock() - update.age_ms / 1000, update.version)
         return True
 
     def _assemble_parts(self, update: DirectoryUpdate) -> list[Replica] | None:
@@ -89,6 +93,6 @@
                 catalogue.REPLICA_INVALID, replica=key, version=replica.version, error=error
             )
 
-    def _record_confirmation(self, age_ms: int, version: int) -> None:
-        self._directory.confirm(self._clock() - age_ms / 1000)
+    def _record_confirmation(self, confirmed_at: float, version: int) -> None:
+        self._directory.confirm(confirmed_at)
         self._directory.version = max(self._directory.version, version)
--- a/tests/serving/coordination_world.py
+++ b/tests/serving/coordination_world.py
@@ -320,6 +320,13 @@
                     if node.host == host:
                         await node.handle_message(message, source)
 
+    async def deliver_to(self, node: FleetNode) -> None:
+        """Deliver to one node what is in transit to it; the rest stays."""
+        arriving = [sent for sent in self.wire.in_transit if sent[1] == node.host]
+        self.wire.in_transit = [sent for sent in self.wire.in_transit if sent[1] != node.host]
+        for source, _, message in arriving:
+            await node.handle_message(message, source)
+
     async def run(self, seconds: float) -> None:
         """Let time pass with reports, ticks, election checks and the messages that they cause."""
         for _ in range(round(seconds / self.STEP_S)):
--- a/tests/serving/test_coordination.py
+++ b/tests/serving/test_coordination.py
@@ -588,3 +588,25 @@
         assert world.wire.longest_datagram_bytes <= MAX_DATAGRAM_BYTES
 
     in_large_fleet(test)
+
+
+# Guards against a list that looks fresh because its confirmation waited while its node stood still.
+def test_confirmation_that_waited_is_dated_by_the_report_that_it_answers() -> None:
+    async def main() -> None:
+        world = CoordinationWorld(4)
+        await world.start()
+        node = next(node for node in world.nodes if node is not world.coordinator)
+        await node.client._report()
+        asked_at = world.now
+        world.now += 0.5
+        await world.deliver_to(world.coordinator)
+        await world.coordinator.coordinator.tick()
+        answers, world.wire.in_transit = world.wire.in_transit, []
+        orders = [sent for sent in answers if sent[1] == node.host and isinstance(sent[2], Orders)]
+        assert orders
+        world.now += 4.0
+        for source, _, message in orders:
+            await node.handle_message(message, source)
+        assert node.directory.confirmed_at <= asked_at + 0.5
+
+    curio.run(main)
