Soak: streams are taken up at a node that is out of step while a version joins

Cause: releases and suspended nodes overlapped by chance only, and no client took streams up at the node that was out of step, so the soak did not notice streams that went on at another version there. Change: the schedule draws, after all other series, overlaps of a suspended node, replicas that join with a version, and streams that begin at other nodes and are taken up at that node; the checker names stream, both versions and node, and counts how the streams taken up ended.

--- a/src/cloverwalk/soak/check_streams.py
+++ b/src/cloverwalk/soak/check_streams.py
@@ -4,6 +4,7 @@
 the streams that clients resume in calm times, enough must go on.
 """
 
+from collections import Counter
 from collections.abc import Iterator
 
 import attrs
@@ -39,6 +40,9 @@
     versions: set[str] = attrs.Factory(set)
     """Software versions that its events show."""
 
+    first_version: str = ""
+    """The version of its first event that a client received."""
+
     service: str = ""
     """Service of its last run; a route may move to another one."""
 
@@ -68,6 +72,10 @@
         self._ready: dict[str, tuple[str, str]] = {}
         """Service and software version of each ready replica."""
 
+        self.take_ups: Counter[str] = Counter()
+        """How streams ended that were taken up at a node out of step: ``went on``, the error code
+        of the refusal or ``no answer``."""
+
         self.begun = _Share()
         self.resumed = _Share()
 
@@ -78,8 +86,10 @@
                 self._sent[event.request] = event
             case AnswerSeen() if event.request in self._sent:
                 self._count(self._sent[event.request], event)
+                self._count_take_up(event.request, event.status == 200, event.code)
                 yield from self._check_versions(event.request, event.texts, event.at)
             case ClientLeft() if event.request in self._sent:
+                self._count_take_up(event.request, bool(event.texts))
                 yield from self._check_versions(event.request, event.texts, event.at)
             case RunBegan() if event.request in self._sent:
                 self._stream_of(event.request).service = event.service
@@ -88,17 +98,27 @@
             case ReplicaStopped():
                 self._ready.pop(event.replica, None)
 
+    def _count_take_up(self, request: str, has_gone_on: bool, code: str = "") -> None:
+        if self._sent[request].is_take_up:
+            self.take_ups["went on" if has_gone_on else code or "no answer"] += 1
+
     def _stream_of(self, request: str) -> _Stream:
         origin = self._sent[request].resumes or request
         return self._streams.setdefault(origin, _Stream())
 
     def _check_versions(self, request: str, texts: list[str], at: float) -> Iterator[Violation]:
         stream = self._stream_of(request)
-        before = len(stream.versions)
-        stream.versions |= {version_of(text) for text in texts}
-        if len(stream.versions) > max(1, before):
-            message = f"its events are of software versions {sorted(stream.versions)}"
-            yield Violation(at, "software versions", request, message)
+        for text in texts:
+            version = version_of(text)
+            stream.first_version = stream.first_version or version
+            if version not in stream.versions and stream.versions:
+                sent = self._sent[request]
+                message = (
+                    f"stream {sent.resumes or request} began at software version"
+                    f" {stream.first_version} and went on at {version}, at node {sent.node}"
+                )
+                yield Violation(at, "software versions", request, message)
+            stream.versions.add(version)
 
     def _count(self, sent: RequestSent, answer: AnswerSeen) -> None:
         """Count an answer in calm times for the shares."""
--- a/src/cloverwalk/soak/checker.py
+++ b/src/cloverwalk/soak/checker.py
@@ -83,6 +83,11 @@
         """Streams that were resumed in calm times: how many went on, and of how many."""
         return (self._streams.resumed.served, self._streams.resumed.total)
 
+    @property
+    def take_ups(self) -> dict[str, int]:
+        """Streams taken up at a node out of step, by how that ended."""
+        return dict(sorted(self._streams.take_ups.items()))
+
     @property
     def accepted_jobs(self) -> int:
         """Number of accepted jobs."""
--- a/src/cloverwalk/soak/clients.py
+++ b/src/cloverwalk/soak/clients.py
@@ -53,6 +53,8 @@
 
 STREAM_BREAK_RANGE_S = (0.05, 0.6)
 RESUMPTION_DELAY_S = 0.05
+TAKE_UP_EVENTS = 50
+TAKE_UP_BREAK_RANGE_S = (0.15, 0.6)
 MAX_STREAM_ATTEMPTS = 4
 LONG_EVENTS = 2_000
 """Events of a stream whose client disconnects early; it would last over half a minute."""
@@ -103,6 +105,7 @@
     """Parts of its prompt that other requests share."""
 
     is_crowd: bool = False
+    is_take_up: bool = False
 
     @property
     def guilty_part(self) -> str:
@@ -307,6 +310,30 @@
             node = random.choice([other for other in self._nodes if other is not node] or [node])
             request = self._maker.make_resumption(request, last_event)
 
+    async def run_take_ups(
+        self, node: NodeProcess, rate_per_s: float, until: float, random: Random
+    ) -> None:
+        """Begin streams at other nodes, break them off and take them up at one node."""
+        others = [other for other in self._nodes if other is not node] or [node]
+        async with curio.TaskGroup() as tasks:
+            while self._history.now() < until:
+                await curio.sleep(random.expovariate(rate_per_s))
+                request = attrs.evolve(
+                    self._maker.make_stream(random),
+                    events=TAKE_UP_EVENTS,
+                    disconnect_after_s=random.uniform(*TAKE_UP_BREAK_RANGE_S),
+                )
+                await tasks.spawn(self._take_up, random.choice(others), node, request)
+
+    async def _take_up(
+        self, first_node: NodeProcess, node: NodeProcess, request: OnlineRequest
+    ) -> None:
+        answer = await self._send_once(first_node, request)
+        if answer is None or answer.status != 200 or answer.is_whole or not answer.texts():
+            return
+        resumption = self._maker.make_resumption(request, len(answer.texts()))
+        await self._send_once(node, attrs.evolve(resumption, is_take_up=True))
+
     async def _send_once(self, node: NodeProcess, request: OnlineRequest) -> Answer | None:
         """Send a request on a new connection; return its answer as far as it was received."""
         connection = await ClientConnection.open(node.proxied_address)
@@ -421,6 +448,7 @@
                 resumes=request.resumes,
                 last_event=request.last_event,
                 is_crowd=request.is_crowd,
+                is_take_up=request.is_take_up,
                 guilty_part=request.guilty_part,
                 deadline_s=request.deadline_ms / 1000,
             )
--- a/src/cloverwalk/soak/draw.py
+++ b/src/cloverwalk/soak/draw.py
@@ -1,5 +1,6 @@
 """Generates the schedule of a soak from a seed."""
 
+import enum
 from random import Random
 
 import msgspec
@@ -52,6 +53,12 @@
 
 
 CLOSING_REPLICA_INTERVAL = 3
+JOINING_REPLICAS = 2.0
+JOIN_STAY_S = 8.0
+"""How long replicas that joined stay; longer than the streams that begin at them last."""
+
+TAKE_UPS_PER_S = 12.0
+CUT_BEFORE_JOIN_S = 0.1
 CALM_STOPS = 2
 
 
@@ -91,6 +98,53 @@
     )
 
 
+class OverlapWay(enum.Enum):
+    """From what a node is cut off when it goes on after its suspension."""
+
+    NOTHING = enum.auto()
+    NODES = enum.auto()
+    """The other nodes, which are suspended then."""
+
+    NODES_AND_STORE = enum.auto()
+    NODES_THAT_COULD_NOT_WRITE = enum.auto()
+    """The other nodes, which got answers of the store but could not send to it since before the
+    version joined."""
+
+
+def draw_overlap(
+    random: Random, nodes: int, at_s: float, version: str, way: OverlapWay
+) -> list[Action]:
+    """Return actions by which a version joins while a node is suspended.
+
+    Streams that begin meanwhile are taken up at this node when it goes on.
+    """
+
+    def draw(min_value: float, max_value: float) -> float:
+        return round(random.uniform(min_value, max_value), 2)
+
+    node = random.randrange(nodes)
+    others = [number for number in range(nodes) if number != node]
+    suspended_s, joins_after_s = draw(3.0, 4.0), draw(0.3, 1.0)
+    joins_at_s = round(at_s + joins_after_s, 2)
+    taken_up_s = round(suspended_s - joins_after_s, 2)
+    others_at_s, others_s = round(at_s + suspended_s - draw(0.2, 0.5), 2), draw(1.5, 2.5)
+    actions = [
+        Action(at_s, ActionKind.NODE_FREEZE, [node], suspended_s),
+        Action(joins_at_s, ActionKind.REPLICA_JOIN, [], JOIN_STAY_S, JOINING_REPLICAS, version),
+        Action(joins_at_s, ActionKind.TAKE_UPS, [node], taken_up_s, TAKE_UPS_PER_S),
+    ]
+    if way is not OverlapWay.NOTHING:
+        actions.append(Action(others_at_s, ActionKind.NODE_FREEZE, others, others_s))
+    if way is OverlapWay.NODES_AND_STORE:
+        cut_s = round(suspended_s + others_s, 2)
+        actions.append(Action(at_s, ActionKind.LINK_CUT, [node], cut_s, 0.0, "store", "both"))
+    if way is OverlapWay.NODES_THAT_COULD_NOT_WRITE:
+        cut_at_s = round(joins_at_s - CUT_BEFORE_JOIN_S, 2)
+        cut_s = round(others_at_s + others_s - cut_at_s, 2)
+        actions.append(Action(cut_at_s, ActionKind.LINK_CUT, others, cut_s, 0.0, "store", "there"))
+    return actions
+
+
 class _PlanDrawer:
     """Draws a series of actions for each group of kinds; the series overlap in time."""
 
@@ -118,6 +172,7 @@
             (9.0, self._job_end_actions),
             (11.0, self._item_crash_actions),
             (14.0, self._kill_all_actions),
+            (13.0, self._overlap_actions),
         )
         for mean_interval_s, draw in series:
             at_s = FAULT_FREE_START_S + self._random.uniform(0, mean_interval_s)
@@ -239,6 +294,18 @@
         release = self._release_actions(at_s)
         return [*release, Action(killed_at_s, ActionKind.NODE_KILL, everyone, downtime_s)]
 
+    def _overlap_actions(self, at_s: float) -> list[Action]:
+        """Return a version that joins while a node is out of step, which then takes up streams."""
+        if self._nodes < 2:
+            return []
+        version = self._random.choice(names_of_kind(ActionKind.REPLICA_JOIN))
+        way = self._random.choice(tuple(OverlapWay))
+        actions = draw_overlap(self._random, self._nodes, round(at_s, 2), version, way)
+        return [
+            msgspec.structs.replace(action, duration_s=min(self._duration_s, action.duration_s))
+            for action in actions
+        ]
+
     def _crowd_actions(self, at_s: float) -> list[Action]:
         """Return a crowd of new connections at one node, then at another."""
         kind = ActionKind.CLIENT_CROWD
--- a/src/cloverwalk/soak/events.py
+++ b/src/cloverwalk/soak/events.py
@@ -167,6 +167,9 @@
     deadline_s: float = 3.0
     """How long the client waits for its answer."""
 
+    is_take_up: bool = False
+    """Whether it takes a stream up at a node that was out of step while a version joined."""
+
 
 class AnswerEnd(enum.StrEnum):
     """How the reading of an answer ended."""
--- a/src/cloverwalk/soak/faults.py
+++ b/src/cloverwalk/soak/faults.py
@@ -71,6 +71,7 @@
     ActionKind.ZONE_DRAIN,
     ActionKind.CLIENT_CROWD,
     ActionKind.JOB_ENDS,
+    ActionKind.TAKE_UPS,
 )
 """Kinds under which all promises hold."""
 
@@ -155,6 +156,8 @@
             ActionKind.REPLICA_ITEM: self._crash_under_items,
             ActionKind.CLIENT_CROWD: self._send_crowd,
             ActionKind.JOB_ENDS: self._end_jobs,
+            ActionKind.REPLICA_JOIN: self._join_replicas,
+            ActionKind.TAKE_UPS: self._take_streams_up,
         }
         return handlers[action.kind]
 
@@ -217,6 +220,22 @@
                 await tasks.spawn(self._replicas.drain, number, action.duration_s, action.name)
                 await curio.sleep(RELEASE_INTERVAL_S)
 
+    async def _join_replicas(self, fault: int, action: Action) -> None:
+        joined = [await self._replicas.join(action.name) for _ in range(int(action.amount))]
+        await curio.sleep(action.duration_s)
+        async with curio.TaskGroup() as tasks:
+            for number in joined:
+                await tasks.spawn(self._replicas.leave, number)
+
+    async def _take_streams_up(self, fault: int, action: Action) -> None:
+        # Draws from a generator of its own, so that herds and crowds stay the same.
+        random = Random(f"soak-take-ups/{self._plan.seed}/{action.at_s:g}")
+        until = self._history.now() + action.duration_s
+        async with curio.TaskGroup() as tasks:
+            for number in action.targets:
+                node = self._nodes[number]
+                await tasks.spawn(self._online.run_take_ups, node, action.amount, until, random)
+
     async def _change_configuration(self, fault: int, action: Action) -> None:
         match action.kind:
             case ActionKind.KEY_REPLACE:
--- a/src/cloverwalk/soak/plan.py
+++ b/src/cloverwalk/soak/plan.py
@@ -67,6 +67,12 @@
     JOB_ENDS = "job_ends"
     """Clients submit jobs to a node, read them at all nodes and end them at others."""
 
+    REPLICA_JOIN = "replica_join"
+    """Replicas of a software version join the service of streams, and leave after a time."""
+
+    TAKE_UPS = "take_ups"
+    """Clients begin streams at other nodes, break them off and take them up at the target."""
+
 
 NODE_KINDS = (ActionKind.NODE_TERM, ActionKind.NODE_KILL, ActionKind.NODE_FREEZE)
 LINK_KINDS = (
@@ -263,6 +269,6 @@
         return MOVABLE_ROUTES
     if kind is ActionKind.ZONE_DRAIN:
         return ZONES
-    if kind is ActionKind.REPLICA_RELEASE:
+    if kind in (ActionKind.REPLICA_RELEASE, ActionKind.REPLICA_JOIN):
         return SOFTWARE_VERSIONS
     return ()
--- a/src/cloverwalk/soak/replicas.py
+++ b/src/cloverwalk/soak/replicas.py
@@ -2,7 +2,7 @@
 
 import hashlib
 from collections.abc import Callable, Iterator
-from itertools import count
+from itertools import count, cycle
 from random import Random
 from typing import Any
 
@@ -31,6 +31,12 @@
 """Pause between the events of streams that last for seconds."""
 
 MAX_QUEUED_REQUESTS = 4
+FIRST_JOIN_NUMBER = 36
+"""Lowest number of replicas that join later, which are all of the first service."""
+
+MAX_NUMBER = 100
+"""Numbers of replicas are below this; see ``SoakNetwork``."""
+
 DRAIN_PHASE_S = 2.0
 """How long a draining replica serves before, and again after, its entry is removed."""
 
@@ -219,9 +225,15 @@
         """By fault."""
 
         self.run_recorder = RunRecorder(history)
-        self.hosts = [self._make_host(number, network) for number in range(total)]
+        self._network = network
+        self.hosts = [self._make_host(number) for number in range(total)]
+        self._joined: dict[int, _ReplicaHost] = {}
+        """Replicas beside ``hosts``, by number."""
+
+        self._join_numbers = cycle(range(FIRST_JOIN_NUMBER, MAX_NUMBER, len(SERVICES)))
 
-    def _make_host(self, number: int, network: SoakNetwork) -> _ReplicaHost:
+    def _make_host(self, number: int) -> _ReplicaHost:
+        network = self._network
         ip = network.replica_host(number)
         address = (ip, network.port)
         proxy = FaultProxy((ip, network.port + 1), address)
@@ -248,7 +260,7 @@
         """Stop proxies and replicas."""
         if self._crash_task is not None:
             await self._crash_task.cancel()
-        for host in self.hosts:
+        for host in (*self.hosts, *self._joined.values()):
             for task in (host.proxy_task, host.replica_task):
                 if task is not None:
                     await task.cancel()
@@ -316,10 +328,28 @@
 
     # --- faults ---
 
+    async def join(self, software_version: str) -> int:
+        """Start a replica of the first service at an address of its own; return its number."""
+        number = next(number for number in self._join_numbers if number not in self._joined)
+        host = self._make_host(number)
+        host.software_version = software_version
+        host.proxy_task = await curio.spawn(host.proxy.run, daemon=True)
+        self._joined[number] = host
+        await self._start_replica(host)
+        return number
+
+    async def leave(self, number: int) -> None:
+        """Drain and stop a replica that joined."""
+        host = self._joined[number]
+        while host.is_changing:
+            await curio.sleep(CRASH_POLL_INTERVAL_S)
+        await self._drain(host)
+        del self._joined[number]
+
     async def crash(self, number: int, downtime_s: float) -> None:
         """Crash a replica; its entry is removed later, and a replica with a new id replaces it."""
-        host = self.hosts[number]
-        if host.is_changing or host.replica is None:
+        host = self.hosts[number] if number < len(self.hosts) else self._joined.get(number)
+        if host is None or host.is_changing or host.replica is None:
             return
         host.is_changing = True
         self._record_stop(host)
@@ -364,6 +394,15 @@
         host = self.hosts[number]
         if host.is_changing or host.replica is None:
             return
+        await self._drain(host)
+        await curio.sleep(downtime_s)
+        host.software_version = next_version or host.software_version
+        await self._start_replica(host)
+        host.is_changing = False
+
+    async def _drain(self, host: _ReplicaHost) -> None:
+        """Drain and stop a replica, which is changing from then on."""
+        assert host.replica is not None
         host.is_changing = True
         self._record_stop(host)
         self._register(host, "draining")
@@ -371,10 +410,6 @@
         self._store.remove(names.REPLICA_TABLE, host.replica.replica_id)
         await curio.sleep(DRAIN_PHASE_S)
         await self._stop_replica(host)
-        await curio.sleep(downtime_s)
-        host.software_version = next_version or host.software_version
-        await self._start_replica(host)
-        host.is_changing = False
 
     def begin_unlucky_items(self, fault: int, crashes: int) -> None:
         """Crash the replicas that begin to run the next items, so many times at the most."""
--- a/src/cloverwalk/soak/report.py
+++ b/src/cloverwalk/soak/report.py
@@ -19,6 +19,7 @@
         f"answers: {_format_counts(result.answers)}",
         f"runs at replicas: {_format_counts(result.runs)}; accepted jobs: {result.accepted_jobs}",
         f"resumed streams in calm times: {went_on} of {resumed} went on",
+        f"streams taken up at nodes out of step: {_format_counts(result.take_ups)}",
         f"peak quota use: {peak_use or 'none'}",
         f"log events 'unexpected': {count_unexpected_lines(result.folder)}",
         f"seed {result.plan.seed}: {verdict(result)} ({result.duration_s:.0f} s)",
--- a/src/cloverwalk/soak/run.py
+++ b/src/cloverwalk/soak/run.py
@@ -82,6 +82,9 @@
     resumed_streams: tuple[int, int]
     """Streams that were resumed in calm times: how many went on, and of how many."""
 
+    take_ups: dict[str, int]
+    """Streams taken up at a node that was out of step, by how that ended."""
+
     peak_quota_use: dict[str, float]
     duration_s: float
     was_stopped: bool = False
@@ -209,6 +212,7 @@
             dict(sorted(checker.run_ends.items())),
             checker.accepted_jobs,
             checker.resumed_streams,
+            checker.take_ups,
             checker.peak_quota_use,
             time.monotonic() - started_at,
             was_stopped,
--- a/tests/soak/test_soak_checker.py
+++ b/tests/soak/test_soak_checker.py
@@ -5,7 +5,7 @@
 import msgspec
 import pytest
 
-from cloverwalk.soak.checker import check_history
+from cloverwalk.soak.checker import Checker, check_history
 from cloverwalk.soak.events import (
     AllQuiet,
     AnswerEnd,
@@ -42,7 +42,7 @@
     ResultFact,
 )
 from cloverwalk.soak.replicas import CRASHING_BODY, digest
-from cloverwalk.soak.violations import RECOVERY_S
+from cloverwalk.soak.violations import RECOVERY_S, Violation
 
 CHAT = RouteFact("chat", "/chat/", ["alpha"], 3)
 OPEN = RouteFact("open", "/open/", ["alpha"], 3, is_public=True)
@@ -110,12 +110,17 @@
 
 def broken_promises(*events: Any) -> list[str]:
     """Return the broken promises of a history; events without a time get consecutive ones."""
+    return [violation.promise for violation in violations(*events)]
+
+
+def violations(*events: Any) -> list[Violation]:
+    """Return the violations in a history; events without a time get consecutive ones."""
     stamped: list[Any] = []
     at = 0.0
     for event in [*START_EVENTS, *events]:
         at = event.at or at + EVENT_INTERVAL_S
         stamped.append(msgspec.structs.replace(event, at=at))
-    return [violation.promise for violation in check_history(stamped)]
+    return check_history(stamped)
 
 
 def at_time(at: float, event: Any) -> Any:
@@ -758,6 +763,55 @@
     assert set(broken_promises(*history)) == (set() if version == "v1" else {"software versions"})
 
 
+def taken_up(version: str, end: str = "whole") -> list[Any]:
+    """Return a history of a stream that a client takes up at a second node."""
+    data = texts("s", 2, f"3{version}", f"4{version}")
+    return [
+        stream(),
+        began(1),
+        ClientLeft(request="r", texts=texts("r", 1, "1v1", "2v1")),
+        ended(1, end="left"),
+        stream("s", node="n2", resumes="r", last_event=2, is_take_up=True),
+        began(2, request="s", last_event=2),
+        ended(2, request="s"),
+        stream_answered("s", AnswerEnd.WHOLE, data)
+        if end == "whole"
+        else ClientLeft(request="s", texts=data),
+    ]
+
+
+# Guards against a report that does not tell where to look: stream, both versions and node.
+@pytest.mark.parametrize("end", ["whole", "left"])
+def test_report_of_two_software_versions_names_them_with_stream_and_node(end: str) -> None:
+    found = [
+        violation
+        for violation in violations(*taken_up("v2", end))
+        if violation.promise == "software versions"
+    ]
+    assert [(violation.about, violation.message) for violation in found] == [
+        ("s", "stream r began at software version v1 and went on at v2, at node n2")
+    ]
+
+
+def test_streams_taken_up_are_counted_by_how_they_ended() -> None:
+    refusal = AnswerSeen(
+        request="s", end=AnswerEnd.WHOLE, status=503, answered_id="s", code="no_replica_of_version"
+    )
+    *begin, _, _, _ = taken_up("v1")
+    unanswered = AnswerSeen(request="s", end=AnswerEnd.BROKEN)
+    for history, counts in (
+        (taken_up("v1"), {"went on": 1}),
+        (taken_up("v1", "left"), {"went on": 1}),
+        ([*begin, refusal], {"no_replica_of_version": 1}),
+        ([*begin, unanswered], {"no answer": 1}),
+        (begin, {}),
+    ):
+        checker = Checker()
+        for event in history:
+            checker.handle(event)
+        assert checker.take_ups == counts
+
+
 def resumptions(count: int, replicas: int, status: int) -> list[Any]:
     """Return a history in which clients resume streams, all with the same answer."""
     history: list[Any] = [at_time(10.0, AllQuiet(running=[]))]
