--- a/src/cloverwalk/fleet/version_registry.py
+++ b/src/cloverwalk/fleet/version_registry.py
@@ -179,6 +179,7 @@
     def _with_listed(
         self, row: Stored[StoredVersions], added: frozenset[Software]
     ) -> dict[Software, int]:
+        """Return the same as the row tells, with further versions that are listed."""
         unlisted_s = self._unlisted_s(row.content)
         listed = _listed(row.content) | added
         return {
@@ -205,7 +206,7 @@
     # --- resumptions without a record ---
 
     async def only_software(self, service: str) -> Software | None:
-        """Return the only software at which streams of a service that has begun can have begun.
+        """Return the only software at which a stream of a service can have begun before the call.
 
         None if there are several, or if the store does not tell. The row is read after the call.
         """
