--- a/tests/serving/coordination_world.py
+++ b/tests/serving/coordination_world.py
@@ -332,6 +332,7 @@
         for _ in range(round(seconds / self.STEP_S)):
             self._steps += 1
             self.now += self.STEP_S
+            self.store.now_ms = self.now * 1000
             for node in list(self.nodes):
                 is_due = bool(self.lost_zones) and self.now >= node.client.report_due_at()
                 if is_due or (self._steps + node.number) % self.REPORT_STEPS == 0:
