--- a/review/stand_ins_2.py
+++ b/review/stand_ins_2.py
@@ -457,6 +457,12 @@
                 command, cwd=ROOT, env=environment, stdout=log, stderr=log
             )
 
+    def change_seeds(self, seeds):
+        """Write the settings file anew, with other seeds."""
+        lines = self._settings.read_text().split("\n")
+        lines = [f"seeds = {seeds}" if line.startswith("seeds = ") else line for line in lines]
+        self._settings.write_text("\n".join(lines))
+
     def signal(self, number):
         self.process.send_signal(number)
 
