--- a/review/7/case.py
+++ b/review/7/case.py
@@ -20,13 +20,17 @@
 NODES, KILLED = 7, 3
 DRAIN_S = 2.0
 HEARTBEAT_S = 1.2
-ENDS_AFTER_S = (2.03, 2.08, 2.13, 2.18, 2.23)
-"""When each draining replica ends, after the store has taken its state; the last one stays longer."""
+RELEASE_GAP_S = 1.0
+ENDS_AFTER_S = (4.03, 3.13, 5.0)
+"""When each old replica ends, after the store has taken that it drains."""
 
-LAST_ENDS_AFTER_S = 5.0
-EVENTS, INTERVAL_S = 42, 0.1
+NEW_REPLICAS = 9
+EVENTS, INTERVAL_S = 46, 0.1
+SHORT_EVENTS, SHORT_PREFIX = 3, "5a"
 DEADLINE_MS = 5000
-STREAMS, BEGIN_INTERVAL_S = 60, 0.02
+STREAMS, BEGIN_INTERVAL_S = 110, 0.012
+FIRST_DRAINS_AFTER_S = 0.4
+SHORT_INTERVAL_S = 0.04
 ROUTE = {
     "name": "ruling",
     "host": HOST,
@@ -42,7 +46,14 @@
 }
 
 
-class DrainingReplica(Replica):
+class MixedReplica(Replica):
+    """A replica that answers some requests with a few events only."""
+
+    def events_of(self, request_id):
+        return SHORT_EVENTS if request_id.startswith(SHORT_PREFIX) else self.events
+
+
+class DrainingReplica(MixedReplica):
     """A replica that notes when requests reach it."""
 
     drained_at = None
@@ -75,9 +86,9 @@
     await store.put("op", "config", configuration(3, [ROUTE], ["quizmind"]))
     old = [
         DrainingReplica(store, record, f"i-old-{number}", "quizmind", "v1")
-        for number in range(len(ENDS_AFTER_S) + 1)
+        for number in range(len(ENDS_AFTER_S))
     ]
-    new = [Replica(store, record, f"i-new-{number}", "quizmind", "v2") for number in range(2)]
+    new = [MixedReplica(store, record, f"i-new-{number}", "quizmind", "v2") for number in range(NEW_REPLICAS)]
     for replica in old + new:
         replica.events, replica.interval_s = EVENTS, INTERVAL_S
         await replica.start()
@@ -88,17 +99,22 @@
     others = [node for node in nodes if node not in victims]
     record.write(f"to be killed: {[node.name for node in victims]}")
 
+    release = asyncio.create_task(_release(old))
     streams = []
+    began_at = time.monotonic()
     for number in range(STREAMS):
         stream = _stream(record, others[number % len(others)], number)
         streams.append(asyncio.create_task(stream))
         await asyncio.sleep(BEGIN_INTERVAL_S)
+    last_drains_at = began_at + FIRST_DRAINS_AFTER_S + (len(old) - 1) * RELEASE_GAP_S
+    traffic = asyncio.create_task(_short_requests(record, others))
+    await asyncio.sleep(last_drains_at - time.monotonic() - 0.01)
     if is_troubled:
         for node in victims:
             node.process.kill()
         record.write("killed")
-    times_s = [*ENDS_AFTER_S, LAST_ENDS_AFTER_S]
-    await asyncio.gather(*(one.drain(time_s) for one, time_s in zip(old, times_s)))
+    await release
+    traffic.cancel()
     ended = await asyncio.gather(*streams)
     record.write(f"{sum(ended)} of {STREAMS} streams are whole")
     late = [after_s for replica in old for after_s in replica.arrivals if after_s > DRAIN_S]
@@ -106,6 +122,17 @@
     return 1 if late else 0
 
 
+async def _release(old):
+    """Let the old replicas drain one after the other; return once all have ended."""
+    await asyncio.sleep(FIRST_DRAINS_AFTER_S)
+    drains = []
+    for replica, ends_after_s in zip(old, ENDS_AFTER_S):
+        if drains:
+            await asyncio.sleep(RELEASE_GAP_S)
+        drains.append(asyncio.create_task(replica.drain(ends_after_s)))
+    await asyncio.gather(*drains)
+
+
 def _victims(store, nodes):
     """Return the nodes that last wrote to the store under a condition, by the row they wrote."""
     value, _ = store.rows["role", "", "coordinator"]
@@ -115,8 +142,17 @@
     return named[:KILLED]
 
 
-async def _stream(record, node, number):
-    request_id = f"9c41d07be2a3{number:04d}"
+async def _short_requests(record, nodes):
+    """Ask for short answers all the while, as other clients do."""
+    number = 0
+    while True:
+        number += 1
+        asyncio.create_task(_stream(record, nodes[number % len(nodes)], number, SHORT_PREFIX))
+        await asyncio.sleep(SHORT_INTERVAL_S)
+
+
+async def _stream(record, node, number, prefix="9c"):
+    request_id = f"{prefix}41d07be2a3{number:04d}"
     headers = request_headers(request_id, DEADLINE_MS)
     answer = await call(
         node.front, "POST", "/ruling/2f", headers, b"q" * 400, DEADLINE_MS / 1000 + 0.5
--- a/review/stand_ins_2.py
+++ b/review/stand_ins_2.py
@@ -278,6 +278,10 @@
         """Return the data of an event: what it says depends on the service and the version."""
         return f"{self.service} {self.version} says {number}"
 
+    def events_of(self, request_id):
+        """Return how many events the answer to a request has."""
+        return self.events
+
     async def _serve(self, reader, writer):
         self._writers.add(writer)
         try:
@@ -349,7 +353,7 @@
         ]
         writer.write(message("HTTP/1.1 200 OK", headers))
         first = 1 if run.after is None else run.after + 1
-        for number in range(first, self.events + 1):
+        for number in range(first, self.events_of(run.request_id) + 1):
             if number > first:
                 await asyncio.sleep(self.interval_s)
             if self._is_dropped(run, reader, writer):
