--- a/review/stand_ins_2.py
+++ b/review/stand_ins_2.py
@@ -24,6 +24,7 @@
 ROOT = Path(__file__).resolve().parents[1]
 FEED_INTERVAL_S = 0.005
 LIMIT_S = 115.0
+NODE_ADDRESSES = [f"127.0.2.{number}" for number in range(1, 8)]
 CLOSED = (ConnectionError, asyncio.IncompleteReadError, asyncio.LimitOverrunError)
 ENDED = (*CLOSED, asyncio.CancelledError)
 
@@ -373,30 +374,45 @@
 
 
 def free_ports(count):
-    """Return ports that no process uses on any loopback address."""
-    sockets = []
-    for _ in range(count):
-        one = socket.socket()
-        one.bind(("0.0.0.0", 0))
-        sockets.append(one)
-    ports = [one.getsockname()[1] for one in sockets]
-    for one in sockets:
+    """Return ports that are free on all addresses of nodes."""
+    held, ports = [], []
+    while len(ports) < count:
+        first = _bound(NODE_ADDRESSES[0], 0)
+        port = first.getsockname()[1]
+        held.append(first)
+        try:
+            held += [_bound(address, port) for address in NODE_ADDRESSES[1:]]
+        except OSError:
+            continue
+        ports.append(port)
+    for one in held:
         one.close()
     return ports
 
 
+def _bound(address, port):
+    """Return a socket that is bound to a port."""
+    one = socket.socket()
+    try:
+        one.bind((address, port))
+    except OSError:
+        one.close()
+        raise
+    return one
+
+
 class Node:
     """A serving node as a process, started with the command of the deploy file."""
 
     def __init__(self, number, ports, store_address, folder, count, bounds=None):
         self.name = f"front-z1-{number + 1}"
-        self.ip = f"127.0.2.{number + 1}"
+        self.ip = NODE_ADDRESSES[number]
         self.front = (self.ip, ports[0])
         self.ready = (self.ip, ports[1])
         self.folder = folder
         self._settings = folder / f"{self.name}.toml"
         self._log = folder / f"{self.name}.log"
-        seeds = json.dumps([f"127.0.2.{n + 1}:{ports[2]}" for n in range(min(3, count))])
+        seeds = json.dumps([f"{one}:{ports[2]}" for one in NODE_ADDRESSES[: min(3, count)]])
         lines = [
             f'node = "{self.name}"',
             'role = "node"',
